--- /dev/null
+++ b/indigohitch/__init__.py
@@ -0,0 +1,1 @@
+"""indigohitch: a traffic director for a fleet of sidecars."""
--- /dev/null
+++ b/indigohitch/benchlink/__main__.py
@@ -0,0 +1,10 @@
+"""python -m indigohitch.benchlink: standard input and output are the wire's alone."""
+import sys
+
+from .codec import WireError
+from .host import serve
+
+try:
+    serve(sys.stdin.buffer, sys.stdout.buffer)
+except WireError as bad:
+    sys.exit(f"benchlink: {bad}")
--- /dev/null
+++ b/indigohitch/interface.py
@@ -0,0 +1,218 @@
+"""What the decision module hears and what it orders, free of any wire.
+
+Times and spans are whole tenths of a millisecond.  Backends, proxies and slices are named by the
+ids that the front uses; the module turns them into objects of its own.  A front hands events of one
+moment to `Coordinator.handle` and sends what it returns, in order.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class Method:
+    """A method as the start settings describe it (their entry `methods`)."""
+    name: str
+    soft_deadline: int
+    deadline: int
+    criticality: float
+    repeat: str                 # "idempotent", "tokened" or "non_idempotent"
+    dedup_scope: str            # tokened: who drops a repeat: "all", "zone" or "cell"
+    memory_span: int            # tokened: for how long
+
+
+# ---- events -------------------------------------------------------------------------------------
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One entry of a list of backends."""
+    backend: str
+    state: str                  # "ready", "draining" or "gone"
+    weight: float
+    zone: str
+    cell: int
+    kind: str
+    started: int                # 0: long ago
+
+
+@dataclass(slots=True, frozen=True)
+class BackendList:
+    """News of the backends: `scope` is "changes", "full", "remembered" (full, maybe stale) or
+    "failed" (a call or the subscription broke; nothing in it)."""
+    scope: str
+    version: int
+    entries: tuple[Listed, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Probed:
+    backend: str
+    outcome: str                # "ok", "error", "full", "timeout", "connect_failed", "reset"
+    duration: int
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class SliceDemand:
+    """RPCs of a method that came for a slice over `elapsed`."""
+    slice: int
+    method: str
+    total: int
+    unanswered: int
+    elapsed: int
+
+
+@dataclass(slots=True, frozen=True)
+class ProxyDemand:
+    """RPCs of a method that came to a proxy over `elapsed` (deployments without slices)."""
+    proxy: int
+    method: str
+    total: int
+    unanswered: int
+    elapsed: int
+
+
+@dataclass(slots=True, frozen=True)
+class Traffic:
+    """What the joined proxies of a zone met at a backend.  `load` holds the newest load report by
+    name: held, queued, busy (share of the cores), service_time, ok_rate, failure_rate."""
+    zone: str
+    backend: str
+    tries: int
+    failures: int
+    duration: int               # mean of the ok ones, 0 if none
+    elapsed: int
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class ProxyJoined:
+    proxy: int
+    zone: str
+    rate: float
+    fresh: bool
+
+
+@dataclass(slots=True, frozen=True)
+class ProxyLeft:
+    proxy: int
+
+
+@dataclass(slots=True, frozen=True)
+class Acked:
+    proxy: int
+    mark: int
+    duration: int
+
+
+@dataclass(slots=True, frozen=True)
+class Charge:
+    """A slice comes into (or leaves) this coordinator's charge; its stored lines follow."""
+    slice: int
+    held: bool
+
+
+@dataclass(slots=True, frozen=True)
+class StoredLine:
+    slice: int
+    backend: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class PeerNote:
+    peer: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class TimerDue:
+    tag: str
+
+
+Event = (BackendList | Probed | SliceDemand | ProxyDemand | Traffic | ProxyJoined | ProxyLeft | Acked
+         | Charge | StoredLine | PeerNote | TimerDue)
+
+# ---- orders -------------------------------------------------------------------------------------
+
+ALL_TABLES = 65535              # a SetLevel for every table of this coordinator
+
+
+@dataclass(slots=True, frozen=True)
+class SetLine:
+    """One line of a table; weight 0 removes it."""
+    table: int
+    backend: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class ClearTable:
+    table: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetLevel:
+    """How much of some methods (places in `methods`; none: all) is let in, and further tries:
+    0 none, 1 one after proof that the first never ran, 2 one after any failure, 3 two."""
+    table: int
+    methods: tuple[int, ...]
+    level: float
+    tries: int
+
+
+@dataclass(slots=True, frozen=True)
+class Withdraw:
+    backend: str
+    out: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Bind:
+    """Deployments without slices: give a proxy a table for some methods (none: all)."""
+    proxy: int
+    table: int
+    methods: tuple[int, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """Ask the proxies reached by these orders (or all) to say when they have applied them."""
+    mark: int
+    everyone: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    backend: str
+
+
+@dataclass(slots=True, frozen=True)
+class TellPeer:
+    peer: int                   # -1: all
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Subscribe:
+    on: bool
+
+
+@dataclass(slots=True, frozen=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    due: int
+    tag: str
+
+
+@dataclass(slots=True, frozen=True)
+class LogLine:
+    text: str
+
+
+Order = (SetLine | ClearTable | SetLevel | Withdraw | Bind | Mark | Probe | TellPeer | Subscribe
+         | FetchList | SetTimer | LogLine)
--- /dev/null
+++ b/indigohitch/logic.py
@@ -0,0 +1,525 @@
+"""The decision module: which backend answers for which slice, and what the proxies are told of it.
+
+A front makes one `Coordinator(seed, bootstrap)` an instance and calls `handle(now, events)` once a
+batch; it returns the orders of that moment, to be sent in that order.  Events and orders are the types
+of indigohitch/interface.py, times whole tenths of a millisecond, `bootstrap` a plain map of the start
+settings.  The why of it all is in docs/design.md.
+"""
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections import deque
+from heapq import heappop, heappush
+
+from . import interface as face
+
+SECOND = 10_000                 # the unit of every span below: tenths of a millisecond
+
+
+class Sums:
+    """Sums that fade with a time constant: what was added lately counts most."""
+
+    def __init__(self, span: int, size: int) -> None:
+        self.span, self.at, self.values = span, 0, [0.0] * size
+
+    def read(self, now: int) -> list[float]:
+        if now > self.at:
+            fade = math.exp((self.at - now) / self.span)
+            self.values = [v * fade for v in self.values]
+            self.at = now
+        return self.values
+
+    def add(self, now: int, *amounts: float) -> None:
+        values = self.read(now)
+        for i, amount in enumerate(amounts):
+            values[i] += amount
+
+
+class Backend:
+    # Pace is a matter of many tries, failures of few: the one is smoothed longer than the other.
+    PACE_SPAN = 8 * SECOND
+    FAIL_SPAN = 4 * SECOND
+
+    def __init__(self, id: str, salt: int) -> None:
+        self.id, self.key = id, id.encode()
+        self.zone, self.cell, self.kind = "", 0, ""
+        self.weight, self.started = 1.0, 0
+        self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
+        self.parts: list[Part] = []             # what is wanted here
+        self.pace = Sums(self.PACE_SPAN, 2)     # time of ok RPCs, their expected cost
+        self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
+        self.slowness = 1.0                     # against its like
+        self.probe_out = 0                      # when the probe now out was sent, 0: none
+        self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
+        self.health = 1.0
+        self.lost = False                       # silent so long that its work must go at once
+        self.intake = 0                         # slices taken this round
+        self.capacity = 1.0                     # weight x health x warmth / slowness, set by `assess`
+        self.warmth = 1.0
+        self.load = 0.0
+
+    @property
+    def open(self) -> bool:
+        return self.state == "ready"
+
+    def use(self) -> float:
+        return self.load / self.capacity
+
+
+class Part:
+    """A movable piece of a slice: the whole of it, or one share of a slice that is split."""
+
+    def __init__(self, slice: Slice, owner: Backend | None) -> None:
+        self.slice, self.owner, self.rests_until = slice, None, 0
+        self.go_to(owner)
+
+    def go_to(self, owner: Backend | None) -> None:
+        if self.owner is not None:
+            self.owner.parts.remove(self)
+        self.owner = owner
+        if owner is not None:
+            owner.parts.append(self)
+
+    @property
+    def load(self) -> float:
+        return self.slice.load / len(self.slice.parts)
+
+
+class Slice:
+    DEMAND_SPAN = 10 * SECOND                   # the design's smoothing time
+
+    def __init__(self, number: int, now: int) -> None:
+        self.number, self.since = number, now
+        self.parts: list[Part] = []
+        self.standby: Backend | None = None
+        self.stored: dict[Backend, float] = {}  # the lines as the store holds them
+        self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
+        self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
+        self.urgent = False
+
+    def owners(self) -> list[Backend]:
+        return [p.owner for p in self.parts if p.owner is not None]
+
+
+class Coordinator:
+    BEAT = SECOND // 2          # half the shortest report period seen fit: probes and pushes hang on it
+
+    def __init__(self, seed: int, bootstrap: dict) -> None:
+        self.boot = bootstrap
+        self.uniform = random.Random(seed).random
+        self.now, self.orders, self.beats = 0, [], 0
+        self.backends: dict[str, Backend] = {}
+        self.slices: dict[int, Slice] = {}
+        self.proxies: dict[int, str] = {}
+        self.methods = {m.name: m for m in bootstrap["methods"]}
+        self.due: list[tuple[int, int, object]] = []  # due time, order of entry, what to do then
+        self.entered = 0
+        self.list_fresh = False
+        self.plan_from = 0                      # no planning before
+        self.balancing = False                  # between the band's two edges
+        self.levels_sent: set[int] = set()      # proxies that know the further tries
+        self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
+        self.sent: deque[int] = deque()         # when messages went out
+        self.started = False
+
+    # ---- the door --------------------------------------------------------------------------------
+
+    def handle(self, now: int, events: list[face.Event]) -> list[face.Order]:
+        self.now, self.orders = now, []
+        if not self.started:
+            self.start()
+        ticked = False
+        for event in events:
+            if isinstance(event, face.TimerDue):
+                ticked = True
+            else:
+                self.HEAR[type(event)](self, event)
+        while self.due and self.due[0][0] <= now:
+            heappop(self.due)[2]()
+        if ticked and now >= self.next_beat:
+            self.beat()
+        self.settle()
+        return self.orders
+
+    def start(self) -> None:
+        self.started = True
+        self.plan_from = self.now + Slice.DEMAND_SPAN   # the design: planning waits one smoothing time
+        self.backlog_at = self.now
+        self.next_beat = self.now + self.BEAT
+        self.orders.append(face.SetTimer(self.next_beat, "beat"))
+        self.subscribe()
+
+    def later(self, span: int, act) -> None:
+        self.entered += 1
+        heappush(self.due, (self.now + span, self.entered, act))
+
+    def subscribe(self) -> None:
+        if self.boot.get("discovery") == "ask":
+            self.orders.append(face.Subscribe(True))
+
+    def backend(self, id: str) -> Backend:
+        if id not in self.backends:
+            self.backends[id] = Backend(id, 0)
+        return self.backends[id]
+
+    # ---- hearing ---------------------------------------------------------------------------------
+
+    def on_list(self, news: face.BackendList) -> None:
+        if news.scope == "failed":
+            # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once.
+            self.later(SECOND // 2 + int(SECOND * self.uniform()), self.subscribe)
+            return
+        if news.scope != "remembered":
+            self.list_fresh = True
+        named = set()
+        for entry in news.entries:
+            b = self.backend(entry.backend)
+            named.add(b.id)
+            if entry.started > b.started and b.state != "unheard":
+                # The same id with a later start: what we knew of the old process is void.
+                b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
+                b.misses, b.lost, b.health = 0, False, 1.0
+            b.state, b.weight, b.started = entry.state, max(entry.weight, 1e-3), entry.started
+            b.zone, b.cell, b.kind = entry.zone, entry.cell, entry.kind
+        if news.scope != "changes":
+            for b in self.backends.values():
+                if b.id not in named and (b.state != "unheard" or self.list_fresh):
+                    b.state = "gone"
+        elif self.list_fresh:
+            for b in self.backends.values():
+                if b.state == "unheard":
+                    b.state = "gone"
+
+    def on_probed(self, result: face.Probed) -> None:
+        b = self.backend(result.backend)
+        sent, b.probe_out = b.probe_out, 0
+        if result.outcome in ("timeout", "connect_failed", "reset"):
+            if not b.misses:
+                b.miss_since = sent
+            b.misses += 1
+        else:
+            b.misses = 0
+
+    def on_demand(self, sums: face.SliceDemand) -> None:
+        s, method = self.slices.get(sums.slice), self.methods.get(sums.method)
+        if s is not None and method is not None:
+            # What an RPC costs is told nowhere; the soft deadline grows with the work of a method.
+            s.demand.add(self.now, sums.total * method.soft_deadline / SECOND, sums.total)
+
+    def on_traffic(self, met: face.Traffic) -> None:
+        b = self.backend(met.backend)
+        ok = met.tries - met.failures
+        b.tries.add(self.now, met.tries, met.failures)
+        if ok > 0 and met.duration > 0:
+            rpcs = sum(p.slice.demand.values[1] for p in b.parts)
+            cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs if rpcs > 0 else 0.0
+            if cost > 0:
+                b.pace.add(self.now, ok * met.duration / SECOND, ok * cost)
+
+    def on_joined(self, joined: face.ProxyJoined) -> None:
+        self.proxies[joined.proxy] = joined.zone
+        self.levels_sent.discard(joined.proxy)
+
+    def on_left(self, left: face.ProxyLeft) -> None:
+        self.proxies.pop(left.proxy, None)
+
+    def on_charge(self, charge: face.Charge) -> None:
+        old = self.slices.pop(charge.slice, None)
+        if old is not None:
+            for part in old.parts:
+                part.go_to(None)
+        if charge.held:
+            self.slices[charge.slice] = Slice(charge.slice, self.now)
+            if len(self.slices) > 1 and self.started:
+                self.plan_from = max(self.plan_from, self.now + Slice.DEMAND_SPAN)
+
+    def on_stored(self, line: face.StoredLine) -> None:
+        if line.slice in self.slices and line.weight > 0:
+            self.slices[line.slice].stored[self.backend(line.backend)] = line.weight
+
+    def on_peer(self, note: face.PeerNote) -> None:
+        pass
+
+    def ignore(self, event: face.Event) -> None:
+        pass
+
+    HEAR = {face.BackendList: on_list, face.Probed: on_probed, face.SliceDemand: on_demand,
+            face.Traffic: on_traffic, face.ProxyJoined: on_joined, face.ProxyLeft: on_left,
+            face.Charge: on_charge, face.StoredLine: on_stored, face.PeerNote: on_peer,
+            face.ProxyDemand: ignore, face.Acked: ignore}
+
+    # ---- judging ---------------------------------------------------------------------------------
+
+    def assess(self) -> None:
+        """Demand of every slice, and for every backend its health, warmth and capacity."""
+        now, known = self.now, []
+        for s in self.slices.values():
+            cost, rpcs = s.demand.read(now)
+            seen = 1 - math.exp(min(s.since - now, -1) / s.demand.span)
+            # One RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
+            s.load = (cost + 0.5 * s.cost) / (seen * s.demand.span / SECOND)
+            s.cost = cost / rpcs if rpcs > 1 else s.cost
+        opened = [b for b in self.backends.values() if b.open]
+        tries = sum(b.tries.read(now)[0] for b in opened)
+        usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
+        paces: dict[str, list[float]] = {}
+        for b in opened:
+            spent, cost = b.pace.read(now)
+            if cost > 2:
+                paces.setdefault(b.kind, []).append(spent / cost)
+        missing = sum(b.misses > 1 for b in opened)
+        for b in self.backends.values():
+            b.load = sum(p.load for p in b.parts)
+            spent, cost = b.pace.values
+            like = sorted(paces.get(b.kind, ()))
+            if like:
+                typical = like[len(like) // 2]
+                # Two RPCs' worth of typical pace: with nothing seen, the slowness fades back to 1.
+                b.slowness = min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.7), 10.0)
+            n, failed = b.tries.values
+            # Failures beyond what all backends show: when all look bad, it is no backend's fault.
+            excess = max(0.0, failed - 2 * usual * n) / (n + 3)
+            # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
+            silent = b.misses > 1 and now - b.miss_since > 0.7 * SECOND and missing * 2 < len(opened)
+            b.lost = silent
+            target = max(0.02, (1 - excess) * (0.02 if silent else 1.0))
+            # The weight fades at once and returns over ten seconds.
+            b.health = min(target, b.health + self.BEAT / (10 * SECOND))
+            age = now - b.started if b.started else 1 << 60
+            warm = min(1.0, age / self.boot["warm_within"]) if self.boot.get("warm_within") else 1.0
+            cold_from = self.boot.get("cold_from", 1.0)
+            # The slowest growth the settings allow, and a third less: caches of a started process are empty.
+            b.warmth = 1.0 if warm >= 1 else 0.7 * (cold_from + (1 - cold_from) * warm)
+            b.capacity = b.weight * b.health * b.warmth / b.slowness
+
+    # ---- planning --------------------------------------------------------------------------------
+
+    def rank(self, s: Slice, b: Backend, weight: float) -> float:
+        """Weighted rendezvous: the highest wins, each backend in proportion to its weight."""
+        digest = hashlib.blake2b(b.key + s.number.to_bytes(4, "big"), digest_size=8).digest()
+        return -weight / math.log((int.from_bytes(digest, "big") + 1) / (2 ** 64 + 2))
+
+    def may_take(self, b: Backend, load: float, mean: float) -> bool:
+        """Room under the band; for a backend still cold also the cap on its intake and its part."""
+        if b.warmth < 1:
+            return b.intake < 2 and b.load + load <= mean * b.capacity
+        return True
+
+    def mean_use(self, opened: list[Backend]) -> float:
+        return sum(b.load for b in self.backends.values()) / sum(b.capacity for b in opened)
+
+    def place(self, part: Part) -> None:
+        """A slice without a live owner: weighted rendezvous over the room that is left."""
+        s, load = part.slice, part.load
+        others = s.owners()
+        opened = [b for b in self.backends.values() if b.open]
+        choice = [b for b in opened if b not in others]
+        if not choice:
+            part.go_to(None)
+            s.urgent = True
+            return
+        mean = self.mean_use(opened)
+        room = [(b, 1.25 * mean * b.capacity - b.load) for b in choice
+                if not b.lost and self.may_take(b, load, mean)]
+        room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b, _ in room] \
+            or [(b, b.capacity) for b in choice]
+        best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
+        self.move(part, best)
+        s.urgent = True
+
+    def move(self, part: Part, to: Backend) -> None:
+        load = part.load
+        if part.owner is not None:
+            part.owner.load -= load
+        part.go_to(to)
+        to.load += load
+        to.intake += to.warmth < 1
+        part.rests_until = self.now + 20 * SECOND       # the design's rest
+
+    def evacuate(self) -> None:
+        """Slices leave a draining, gone or silent backend at once, outside the budget; so does what is
+        too much for a backend that has just started (stored slices wake up with it)."""
+        opened = [b for b in self.backends.values() if b.open]
+        for b in self.backends.values():
+            if b.parts and (b.state in ("draining", "gone") or b.lost):
+                if not opened and b.state == "ready":
+                    continue
+                if b.lost and all(o.lost for o in opened):
+                    continue
+                for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
+                    self.place(part)
+            elif b.open and b.warmth < 1 and b.parts:
+                warm = [o for o in opened if o.warmth >= 1 and not o.lost]
+                if not warm:
+                    continue
+                mean = self.mean_use(opened)
+                for part in sorted(b.parts, key=lambda p: (p.load, p.slice.number)):
+                    if b.load > 1.5 * mean * b.capacity:
+                        self.place(part)
+        for s in self.slices.values():
+            if opened and not s.owners():
+                if not s.parts:
+                    s.parts = [Part(s, None)]
+                for part in s.parts:
+                    self.place(part)
+
+    def plan(self) -> None:
+        """The design's greedy planner: whole slices, busiest to least loaded, for positive gain only."""
+        opened = sorted((b for b in self.backends.values() if b.open), key=lambda b: b.id)
+        if len(opened) < 2:
+            return
+        mean = self.mean_use(opened)
+        if mean <= 0:
+            return
+        whole = sum(b.capacity for b in opened)
+        total = mean * whole
+        for b in opened:
+            b.intake = 0
+        if not self.balancing:
+            self.balancing = max(b.use() for b in opened) > 1.25 * mean
+        moves = 0
+        while self.balancing and moves < 20:
+            by_use = sorted(opened, key=Backend.use)
+            if by_use[-1].use() <= 1.10 * mean and by_use[0].use() >= mean / 1.10:
+                self.balancing = False
+                break
+            # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
+            for source in reversed(by_use):
+                if source.use() <= 1.10 * mean:
+                    self.balancing = False
+                    break
+                best = self.best_move(source, by_use, total / whole, mean)
+                if best:
+                    self.move(*best)
+                    moves += 1
+                    break
+            else:
+                self.balancing = False
+
+    def best_move(self, source: Backend, by_use: list[Backend], target: float, mean: float):
+        best, most = None, 0.0
+        for part in sorted(source.parts, key=lambda p: p.slice.number):
+            if part.rests_until > self.now:
+                continue
+            load, others = part.load, part.slice.owners()
+            for b in by_use:
+                if b is source or b in others or b.lost or not self.may_take(b, load, mean):
+                    continue
+                over, under = source.load - target * source.capacity, b.load - target * b.capacity
+                gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
+                if gain > most:
+                    best, most = (part, b), gain
+                break
+        return best
+
+    def stand_by(self, s: Slice, opened: list[Backend]) -> None:
+        """A second line that further tries can go to, in another cell and zone where there is one."""
+        owners = s.owners()
+        b = s.standby
+        if b is not None and b.open and not b.lost and b.warmth >= 1 and b not in owners and b.health > 0.5:
+            return
+        # A line on a backend that drains or has just started, even a small one, must leave at once.
+        s.urgent |= b is not None and (not b.open or b.warmth < 1)
+        fit = [o for o in opened if o not in owners and not o.lost and o.warmth >= 1 and o.health > 0.5]
+        apart = [o for o in fit if all(o.zone != w.zone for w in owners)] or fit
+        s.standby = max(apart, key=lambda o: (self.rank(s, o, o.capacity), o.id)) if apart else None
+
+    # ---- the beat --------------------------------------------------------------------------------
+
+    def beat(self) -> None:
+        self.next_beat = self.now + self.BEAT
+        self.orders.append(face.SetTimer(self.next_beat, "beat"))
+        self.beats += 1
+        self.probe()
+
+    def probe(self) -> None:
+        """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
+        if not self.boot.get("may_probe"):
+            return
+        for i, b in enumerate(self.backends.values()):
+            if b.open and not b.probe_out and (b.misses or (self.beats + i) % 4 == 0):
+                b.probe_out = self.now
+                self.orders.append(face.Probe(b.id))
+
+    # ---- wanted against present ------------------------------------------------------------------
+
+    def wanted(self, s: Slice) -> dict[Backend, float]:
+        owners = s.owners()
+        lines = {b: 1.0 for b in owners}
+        if s.standby is not None and owners:
+            lines.setdefault(s.standby, 0.001)
+        return lines
+
+    def settle(self) -> None:
+        """What should be out against what is out: the difference, the urgent part of it first."""
+        for s in self.slices.values():
+            if s.stored and not s.parts:
+                heaviest = max(s.stored.values())
+                for b, weight in s.stored.items():
+                    if weight >= 0.25 * heaviest:
+                        Part(s, b)
+                s.parts = [p for b in s.stored for p in b.parts if p.slice is s]
+                s.standby = next((b for b in s.stored if b not in s.owners()), None)
+        self.assess()
+        self.evacuate()
+        planned = self.now >= self.plan_from and self.beats % 4 == 0 and self.next_beat - self.now == self.BEAT
+        if planned:
+            self.plan()
+        opened = [b for b in self.backends.values() if b.open]
+        urgent, changed = [], []
+        for s in self.slices.values():
+            self.stand_by(s, opened)
+            lines = self.wanted(s)
+            if lines != s.stored:
+                (urgent if s.urgent else changed).append(s)
+            else:
+                s.urgent = False
+        if not self.proxies and not urgent:
+            return
+        fresh = [p for p in self.proxies if p not in self.levels_sent]
+        turn = changed[:max(3, len(changed) // 10)]
+        if urgent and self.may_send(urgent, True):
+            self.push(urgent, bool(fresh))
+        elif (turn or fresh) and self.beats % 2 == 0 and self.may_send(turn, False):
+            self.push(turn, bool(fresh))
+
+    def push(self, changed: list[Slice], levels: bool) -> None:
+        if levels:
+            # A further try only after proof that the first never ran: safe for every method.
+            self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
+            self.levels_sent = set(self.proxies)
+        lines = 0
+        for s in changed:
+            want = self.wanted(s)
+            for b, weight in want.items():
+                if s.stored.get(b) != weight:
+                    self.orders.append(face.SetLine(s.number, b.id, weight))
+                    lines += 1
+            for b in s.stored:
+                if b not in want:
+                    self.orders.append(face.SetLine(s.number, b.id, 0.0))
+                    lines += 1
+            s.stored, s.urgent = want, False
+        self.backlog += self.cost(lines)
+        self.sent.append(self.now)
+
+    def cost(self, lines: int) -> float:
+        return len(self.proxies) * (self.boot.get("envelope", 0) + lines + 1)
+
+    def may_send(self, changed: list[Slice], urgent: bool) -> bool:
+        """The queue: a reserve of lines and of messages is kept for what can't wait."""
+        rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND      # half: the channel may run slower
+        self.backlog = max(0.0, self.backlog - (self.now - self.backlog_at) * rate)
+        self.backlog_at = self.now
+        most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
+        while self.sent and self.sent[0] <= self.now - 1.1 * over:
+            self.sent.popleft()
+        if most:
+            if len(self.sent) >= (most - 1 if urgent else most // 2):
+                return False
+            if len(self.sent) >= most // 2 and self.now - self.sent[-1] < over / most:
+                return False
+        cap = self.boot.get("queue_cap", math.inf)
+        return self.backlog + self.cost(3 * len(changed)) <= cap * (0.8 if urgent else 0.25)
