--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -97,7 +97,6 @@
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
-        self.urgent = False
 
     def owners(self) -> list[Backend]:
         return [p.owner for p in self.parts if p.owner is not None]
@@ -318,7 +317,6 @@
         choice = [b for b in opened if b not in others]
         if not choice:
             part.go_to(None)
-            s.urgent = True
             return
         mean = self.mean_use(opened)
         room = [(b, 1.25 * mean * b.capacity - b.load) for b in choice
@@ -327,7 +325,6 @@
             or [(b, b.capacity) for b in choice]
         best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
         self.move(part, best)
-        s.urgent = True
 
     def move(self, part: Part, to: Backend) -> None:
         load = part.load
@@ -420,8 +417,6 @@
         b = s.standby
         if b is not None and b.open and not b.lost and b.warmth >= 1 and b not in owners and b.health > 0.5:
             return
-        # A line on a backend that drains or has just started, even a small one, must leave at once.
-        s.urgent |= b is not None and (not b.open or b.warmth < 1)
         fit = [o for o in opened if o not in owners and not o.lost and o.warmth >= 1 and o.health > 0.5]
         apart = [o for o in fit if all(o.zone != w.zone for w in owners)] or fit
         s.standby = max(apart, key=lambda o: (self.rank(s, o, o.capacity), o.id)) if apart else None
@@ -452,6 +447,12 @@
             lines.setdefault(s.standby, 0.001)
         return lines
 
+    def presses(self, s: Slice, lines: dict[Backend, float]) -> bool:
+        """No line yet, or one to take out, however small, at a backend that must not or can't serve it.
+        Told by what is out, not by who decided: a planned move still waiting its turn counts as well."""
+        return not s.stored or any(b.state in ("draining", "gone") or b.lost or b.warmth < 1
+                                   for b in s.stored if b not in lines)
+
     def settle(self) -> None:
         """What should be out against what is out: the difference, the urgent part of it first."""
         for s in self.slices.values():
@@ -473,9 +474,7 @@
             self.stand_by(s, opened)
             lines = self.wanted(s)
             if lines != s.stored:
-                (urgent if s.urgent else changed).append(s)
-            else:
-                s.urgent = False
+                (urgent if self.presses(s, lines) else changed).append(s)
         if not self.proxies and not urgent:
             return
         fresh = [p for p in self.proxies if p not in self.levels_sent]
@@ -501,7 +500,7 @@
                 if b not in want:
                     self.orders.append(face.SetLine(s.number, b.id, 0.0))
                     lines += 1
-            s.stored, s.urgent = want, False
+            s.stored = want
         self.backlog += self.cost(lines)
         self.sent.append(self.now)
 
