--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -53,6 +53,8 @@
         self.slowness = 1.0                     # against its like
         self.probe_out = 0                      # when the probe now out was sent, 0: none
         self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
+        self.refuses = False                    # the last miss was no time-out: nobody listens there
+        self.ok_heard = 0                       # when sums last told of an answer
         self.health = 1.0
         self.lost = False                       # silent so long that its work must go at once
         self.intake = 0                         # slices taken this round
@@ -198,6 +200,7 @@
             if not b.misses:
                 b.miss_since = sent
             b.misses += 1
+            b.refuses = result.outcome != "timeout"
         else:
             b.misses = 0
 
@@ -212,6 +215,7 @@
         ok = met.tries - met.failures
         b.tries.add(self.now, met.tries, met.failures)
         if ok > 0 and met.duration > 0:
+            b.ok_heard = self.now
             rpcs = sum(p.slice.demand.values[1] for p in b.parts)
             cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs if rpcs > 0 else 0.0
             if cost > 0:
@@ -281,7 +285,10 @@
             # Failures beyond what all backends show: when all look bad, it is no backend's fault.
             excess = max(0.0, failed - 2 * usual * n) / (n + 3)
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
-            silent = b.misses > 1 and now - b.miss_since > 0.7 * SECOND and missing * 2 < len(opened)
+            # A probe may wait in a full queue: time-outs count only once the sums tell of no answers either.
+            quiet = b.refuses or now - b.ok_heard > self.boot.get("report_every", 0) + SECOND
+            silent = (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
+                      and missing * 2 < len(opened))
             b.lost = silent
             target = max(0.02, (1 - excess) * (0.02 if silent else 1.0))
             # The weight fades at once and returns over ten seconds.
@@ -447,11 +454,15 @@
             lines.setdefault(s.standby, 0.001)
         return lines
 
-    def presses(self, s: Slice, lines: dict[Backend, float]) -> bool:
-        """No line yet, or one to take out, however small, at a backend that must not or can't serve it.
-        Told by what is out, not by who decided: a planned move still waiting its turn counts as well."""
-        return not s.stored or any(b.state in ("draining", "gone") or b.lost or b.warmth < 1
-                                   for b in s.stored if b not in lines)
+    @staticmethod
+    def presses(s: Slice) -> bool:
+        """No line yet, or one at a backend that drains or is gone, however small.  Told by what is out,
+        not by who decided: a planned move still waiting its turn must not hide a drain."""
+        return not s.stored or any(b.state in ("draining", "gone") for b in s.stored)
+
+    @staticmethod
+    def ails(s: Slice) -> bool:
+        return any(b.lost or b.warmth < 1 for b in s.stored)
 
     def settle(self) -> None:
         """What should be out against what is out: the difference, the urgent part of it first."""
@@ -469,20 +480,20 @@
         if planned:
             self.plan()
         opened = [b for b in self.backends.values() if b.open]
-        urgent, changed = [], []
+        changed: tuple[list[Slice], ...] = ([], [], [])
         for s in self.slices.values():
             self.stand_by(s, opened)
             lines = self.wanted(s)
             if lines != s.stored:
-                (urgent if self.presses(s, lines) else changed).append(s)
-        if not self.proxies and not urgent:
-            return
-        fresh = [p for p in self.proxies if p not in self.levels_sent]
-        turn = changed[:max(3, len(changed) // 10)]
-        if urgent and self.may_send(urgent, True):
-            self.push(urgent, bool(fresh))
-        elif (turn or fresh) and self.beats % 2 == 0 and self.may_send(turn, False):
-            self.push(turn, bool(fresh))
+                rank = 0 if self.presses(s) else 1 if self.ails(s) else 2
+                changed[rank].append(s)
+        fresh = any(p not in self.levels_sent for p in self.proxies)
+        must, ailing, ordinary = changed
+        turn = ordinary[:max(3, len(ordinary) // 10)] if self.beats % 2 == 0 else []
+        if must and self.may_send(must, True):
+            self.push(must + ailing, fresh)
+        elif (ailing or turn or fresh) and self.may_send(ailing + turn, False):
+            self.push(ailing + turn, fresh)
 
     def push(self, changed: list[Slice], levels: bool) -> None:
         if levels:
@@ -516,7 +527,7 @@
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
             self.sent.popleft()
         if most:
-            if len(self.sent) >= (most - 1 if urgent else most // 2):
+            if len(self.sent) >= (most if urgent else most // 2):
                 return False
             if len(self.sent) >= most // 2 and self.now - self.sent[-1] < over / most:
                 return False
