--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -280,7 +280,7 @@
             if like:
                 typical = like[len(like) // 2]
                 # Two RPCs' worth of typical pace: with nothing seen, the slowness fades back to 1.
-                b.slowness = min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.7), 10.0)
+                b.slowness = min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.9), 10.0)
             n, failed = b.tries.values
             # Failures beyond what all backends show: when all look bad, it is no backend's fault.
             excess = max(0.0, failed - 2 * usual * n) / (n + 3)
@@ -363,10 +363,10 @@
                     if b.load > 1.5 * mean * b.capacity:
                         self.place(part)
         for s in self.slices.values():
-            if opened and not s.owners():
-                if not s.parts:
-                    s.parts = [Part(s, None)]
-                for part in s.parts:
+            if opened and not s.parts:
+                s.parts = [Part(s, None)]
+            for part in s.parts:
+                if opened and part.owner is None:
                     self.place(part)
 
     def plan(self) -> None:
@@ -381,6 +381,7 @@
         total = mean * whole
         for b in opened:
             b.intake = 0
+        self.split(opened, mean)
         if not self.balancing:
             self.balancing = max(b.use() for b in opened) > 1.25 * mean
         moves = 0
@@ -402,6 +403,26 @@
             else:
                 self.balancing = False
 
+    def split(self, opened: list[Backend], mean: float) -> None:
+        """The exception for a slice that carries its fire along: one that outweighs a whole backend's
+        target is dealt out in parts for as long as it does, and taken together well below that."""
+        target = mean * sum(b.capacity for b in opened) / len(opened)
+        for s in self.slices.values():
+            parts = len(s.parts)
+            if s.load > target * parts and parts < min(4, len(opened)):
+                s.parts.append(Part(s, None))
+            elif parts > 1 and s.load < 0.6 * target * (parts - 1):
+                last = max(s.parts, key=lambda p: p.owner.use() if p.owner else math.inf)
+                last.go_to(None)
+                s.parts.remove(last)
+            else:
+                continue
+            for part in s.parts:
+                if part.owner is None:
+                    self.place(part)
+        for b in opened:
+            b.load = sum(p.load for p in b.parts)
+
     def best_move(self, source: Backend, by_use: list[Backend], target: float, mean: float):
         best, most = None, 0.0
         for part in sorted(source.parts, key=lambda p: p.slice.number):
@@ -409,7 +430,8 @@
                 continue
             load, others = part.load, part.slice.owners()
             for b in by_use:
-                if b is source or b in others or b.lost or not self.may_take(b, load, mean):
+                if (b is source or b in others or b.lost or not self.may_take(b, load, mean)
+                        or b.load + load > 1.25 * mean * b.capacity):
                     continue
                 over, under = source.load - target * source.capacity, b.load - target * b.capacity
                 gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
