--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -66,6 +66,10 @@
     def open(self) -> bool:
         return self.state == "ready"
 
+    @property
+    def failing(self) -> bool:
+        return self.lost or self.health < 0.5   # as many failures as answers beyond what all show
+
     def use(self) -> float:
         return self.load / self.capacity
 
@@ -327,7 +331,7 @@
             return
         mean = self.mean_use(opened)
         room = [(b, 1.25 * mean * b.capacity - b.load) for b in choice
-                if not b.lost and self.may_take(b, load, mean)]
+                if not b.failing and self.may_take(b, load, mean)]
         room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b, _ in room] \
             or [(b, b.capacity) for b in choice]
         best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
@@ -366,7 +370,7 @@
             if opened and not s.parts:
                 s.parts = [Part(s, None)]
             for part in s.parts:
-                if opened and part.owner is None:
+                if opened and (part.owner is None or len(s.parts) > 1 and part.owner.failing):
                     self.place(part)
 
     def plan(self) -> None:
@@ -430,7 +434,7 @@
                 continue
             load, others = part.load, part.slice.owners()
             for b in by_use:
-                if (b is source or b in others or b.lost or not self.may_take(b, load, mean)
+                if (b is source or b in others or b.failing or not self.may_take(b, load, mean)
                         or b.load + load > 1.25 * mean * b.capacity):
                     continue
                 over, under = source.load - target * source.capacity, b.load - target * b.capacity
@@ -444,9 +448,9 @@
         """A second line that further tries can go to, in another cell and zone where there is one."""
         owners = s.owners()
         b = s.standby
-        if b is not None and b.open and not b.lost and b.warmth >= 1 and b not in owners and b.health > 0.5:
+        if b is not None and b.open and not b.failing and b.warmth >= 1 and b not in owners:
             return
-        fit = [o for o in opened if o not in owners and not o.lost and o.warmth >= 1 and o.health > 0.5]
+        fit = [o for o in opened if o not in owners and not o.failing and o.warmth >= 1]
         apart = [o for o in fit if all(o.zone != w.zone for w in owners)] or fit
         s.standby = max(apart, key=lambda o: (self.rank(s, o, o.capacity), o.id)) if apart else None
 
@@ -483,8 +487,10 @@
         return not s.stored or any(b.state in ("draining", "gone") for b in s.stored)
 
     @staticmethod
-    def ails(s: Slice) -> bool:
-        return any(b.lost or b.warmth < 1 for b in s.stored)
+    def ails(s: Slice, lines: dict[Backend, float]) -> bool:
+        """A line to take out at a backend that fails or is cold.  One that fails fast has least in hand
+        and draws the tries of proxies that compare, so a small line there is no small matter."""
+        return any(b.failing or b.warmth < 1 for b in s.stored if b not in lines)
 
     def settle(self) -> None:
         """What should be out against what is out: the difference, the urgent part of it first."""
@@ -507,7 +513,7 @@
             self.stand_by(s, opened)
             lines = self.wanted(s)
             if lines != s.stored:
-                rank = 0 if self.presses(s) else 1 if self.ails(s) else 2
+                rank = 0 if self.presses(s) else 1 if self.ails(s, lines) else 2
                 changed[rank].append(s)
         fresh = any(p not in self.levels_sent for p in self.proxies)
         must, ailing, ordinary = changed
