--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -68,7 +68,8 @@
 
     @property
     def failing(self) -> bool:
-        return self.lost or self.health < 0.5   # as many failures as answers beyond what all show
+        # As many failures as answers beyond what all show; twice as slow as its like; probes missed.
+        return self.lost or self.health < 0.5 or self.slowness > 2 or self.misses > 1
 
     def use(self) -> float:
         return self.load / self.capacity
