--- a/indigohitch/benchlink/codec.py
+++ b/indigohitch/benchlink/codec.py
@@ -139,7 +139,8 @@
 
 
 def _load(columns, row) -> dict[str, float]:
-    return {_LOAD[c]: v for c, v in zip(columns, row or ()) if c in _LOAD and v is not None}
+    return {_LOAD[c]: tenths(v) if c == "svc_ms" else v
+            for c, v in zip(columns, row or ()) if c in _LOAD and v is not None}
 
 
 class ProbeResult(Event):
--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -38,8 +38,8 @@
 
 
 class Backend:
-    # Pace is a matter of many tries, failures of few: the one is smoothed longer than the other.
-    PACE_SPAN = 8 * SECOND
+    # Speed is a matter of the machine, failures of the hour: the one is smoothed longer than the other.
+    PACE_SPAN = 20 * SECOND
     FAIL_SPAN = 4 * SECOND
 
     def __init__(self, id: str, salt: int) -> None:
@@ -48,7 +48,7 @@
         self.weight, self.started = 1.0, 0
         self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
         self.parts: list[Part] = []             # what is wanted here
-        self.pace = Sums(self.PACE_SPAN, 2)     # time of ok RPCs, their expected cost
+        self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
         self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
         self.slowness = 1.0                     # against its like
         self.probe_out = 0                      # when the probe now out was sent, 0: none
@@ -100,7 +100,6 @@
     def __init__(self, number: int, now: int) -> None:
         self.number, self.since = number, now
         self.parts: list[Part] = []
-        self.standby: Backend | None = None
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
@@ -217,14 +216,14 @@
 
     def on_traffic(self, met: face.Traffic) -> None:
         b = self.backend(met.backend)
-        ok = met.tries - met.failures
         b.tries.add(self.now, met.tries, met.failures)
-        if ok > 0 and met.duration > 0:
+        if met.tries > met.failures:
             b.ok_heard = self.now
-            rpcs = sum(p.slice.demand.values[1] for p in b.parts)
-            cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs if rpcs > 0 else 0.0
-            if cost > 0:
-                b.pace.add(self.now, ok * met.duration / SECOND, ok * cost)
+        rpcs = sum(p.slice.demand.values[1] for p in b.parts)
+        if met.load.get("service_time") and rpcs:
+            # Time in work without the wait: the speed of the machine, whatever its load.
+            cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs
+            b.pace.add(self.now, met.load["service_time"] / SECOND, cost)
 
     def on_joined(self, joined: face.ProxyJoined) -> None:
         self.proxies[joined.proxy] = joined.zone
@@ -262,7 +261,7 @@
 
     def assess(self) -> None:
         """Demand of every slice, and for every backend its health, warmth and capacity."""
-        now, known = self.now, []
+        now = self.now
         for s in self.slices.values():
             cost, rpcs = s.demand.read(now)
             seen = 1 - math.exp(min(s.since - now, -1) / s.demand.span)
@@ -272,20 +271,19 @@
         opened = [b for b in self.backends.values() if b.open]
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
-        paces: dict[str, list[float]] = {}
+        paces = []
         for b in opened:
             spent, cost = b.pace.read(now)
             if cost > 2:
-                paces.setdefault(b.kind, []).append(spent / cost)
+                paces.append(spent / cost)
+        typical = sorted(paces)[len(paces) // 2] if paces else 0.0
         missing = sum(b.misses > 1 for b in opened)
         for b in self.backends.values():
             b.load = sum(p.load for p in b.parts)
             spent, cost = b.pace.values
-            like = sorted(paces.get(b.kind, ()))
-            if like:
-                typical = like[len(like) // 2]
-                # Two RPCs' worth of typical pace: with nothing seen, the slowness fades back to 1.
-                b.slowness = 1.0 or min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.9), 10.0)
+            if typical:
+                # Two reports' worth of typical pace: with nothing seen, the slowness fades back to 1.
+                b.slowness = min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.5), 10.0)
             n, failed = b.tries.values
             # Failures beyond what all backends show: when all look bad, it is no backend's fault.
             excess = max(0.0, failed - 2 * usual * n) / (n + 3)
@@ -445,16 +443,6 @@
                 break
         return best
 
-    def stand_by(self, s: Slice, opened: list[Backend]) -> None:
-        """A second line that further tries can go to, in another cell and zone where there is one."""
-        owners = s.owners()
-        b = s.standby
-        if b is not None and b.open and not b.failing and b.warmth >= 1 and b not in owners:
-            return
-        fit = [o for o in opened if o not in owners and not o.failing and o.warmth >= 1]
-        apart = [o for o in fit if all(o.zone != w.zone for w in owners)] or fit
-        s.standby = max(apart, key=lambda o: (self.rank(s, o, o.capacity), o.id)) if apart else None
-
     # ---- the beat --------------------------------------------------------------------------------
 
     def beat(self) -> None:
@@ -475,11 +463,7 @@
     # ---- wanted against present ------------------------------------------------------------------
 
     def wanted(self, s: Slice) -> dict[Backend, float]:
-        owners = s.owners()
-        lines = {b: 1.0 for b in owners}
-        if 0:
-            lines.setdefault(s.standby, 0.001)
-        return lines
+        return dict.fromkeys(s.owners(), 1.0)
 
     @staticmethod
     def presses(s: Slice) -> bool:
@@ -502,7 +486,6 @@
                     if weight >= 0.25 * heaviest:
                         Part(s, b)
                 s.parts = [p for b in s.stored for p in b.parts if p.slice is s]
-                s.standby = next((b for b in s.stored if b not in s.owners()), None)
         self.assess()
         self.evacuate()
         planned = self.now >= self.plan_from and self.beats % 4 == 0 and self.next_beat - self.now == self.BEAT
@@ -511,7 +494,6 @@
         opened = [b for b in self.backends.values() if b.open]
         changed: tuple[list[Slice], ...] = ([], [], [])
         for s in self.slices.values():
-            self.stand_by(s, opened)
             lines = self.wanted(s)
             if lines != s.stored:
                 rank = 0 if self.presses(s) else 1 if self.ails(s, lines) else 2
