--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -123,6 +123,7 @@
         self.entered = 0
         self.list_fresh = False
         self.plan_from = 0                      # no planning before
+        self.yield_ = 0.0                       # answered cost a second for a unit of weight
         self.balancing = False                  # between the band's two edges
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
@@ -271,6 +272,11 @@
         opened = [b for b in self.backends.values() if b.open]
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
+        # Answered cost a second for each unit of listed weight: all that is known of strength in absolute terms.
+        rpcs = sum(s.demand.values[1] for s in self.slices.values())
+        cost = sum(s.demand.values[0] for s in self.slices.values()) / rpcs if rpcs else 0.0
+        answered = sum(b.tries.values[0] - b.tries.values[1] for b in opened) * SECOND / Backend.FAIL_SPAN
+        self.yield_ = answered * cost / sum(b.weight for b in opened) if opened else 0.0
         paces = []
         for b in opened:
             spent, cost = b.pace.read(now)
@@ -310,11 +316,17 @@
         digest = hashlib.blake2b(b.key + s.number.to_bytes(4, "big"), digest_size=8).digest()
         return -weight / math.log((int.from_bytes(digest, "big") + 1) / (2 ** 64 + 2))
 
+    def allowance(self, b: Backend) -> float:
+        """What a cold backend may be brought: its part of what the fleet really answers.  Demand and the
+        capacities left in a bad hour are no measure: both rise with failures, its strength does not."""
+        # Three quarters of the multiple that fells it, on top of the third that warmth holds back: with empty
+        # caches an RPC costs up to twice its usual work.  A half cost points on deploys, the whole is a break.
+        return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.75
+
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
-        """Room under the band; for a backend still cold also the cap on its intake and its part."""
-        if b.warmth < 1:
-            return b.intake < 2 and b.load + load <= mean * b.capacity
-        return True
+        """For a backend still cold: the cap on its intake and on its part."""
+        return b.warmth >= 1 or (b.intake < 2 and
+                                 b.load + load <= min(mean * b.capacity, self.allowance(b)))
 
     def mean_use(self, opened: list[Backend]) -> float:
         return sum(b.load for b in self.backends.values()) / sum(b.capacity for b in opened)
@@ -329,10 +341,16 @@
             part.go_to(None)
             return
         mean = self.mean_use(opened)
-        room = [(b, 1.25 * mean * b.capacity - b.load) for b in choice
-                if not b.failing and self.may_take(b, load, mean)]
-        room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b, _ in room] \
-            or [(b, b.capacity) for b in choice]
+        fit = [b for b in choice if not b.failing and self.may_take(b, load, mean)]
+        warm = [b for b in choice if b.warmth >= 1]
+        room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
+        # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
+        # no way out: with nothing warm the slice waits, and the next settling tries again.
+        room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
+        if not room:
+            if part.owner is not None and not part.owner.open:
+                part.go_to(None)
+            return
         best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
         self.move(part, best)
 
@@ -361,9 +379,8 @@
                 warm = [o for o in opened if o.warmth >= 1 and not o.lost]
                 if not warm:
                     continue
-                mean = self.mean_use(opened)
-                for part in sorted(b.parts, key=lambda p: (p.load, p.slice.number)):
-                    if b.load > 1.5 * mean * b.capacity:
+                for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
+                    if b.load > 1.5 * self.allowance(b):
                         self.place(part)
         for s in self.slices.values():
             if opened and not s.parts:
