Speed by kind, excess bounded; no doubt and less excess while half the fleet looks bad

Told apart from slow machines by number: strained from 45% of the backends with 1.6 times their kind's time or a tenth failing, until 20%. It also guards against late reports that make all look bad; it could harm when half the fleet really is slow.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -50,12 +50,14 @@
         self.parts: list[Part] = []             # what is wanted here
         self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
         self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
-        self.slowness = 1.0                     # against its like
+        self.slowness = 1.0                     # against the fastest kind
+        self.excess = 1.0                       # and of that against its own kind
         self.probe_out = 0                      # when the probe now out was sent, 0: none
         self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
         self.refuses = False                    # the last miss was no time-out: nobody listens there
         self.ok_heard = 0                       # when sums last told of an answer
         self.health = 1.0
+        self.doubtful = False                   # gets no part and nothing new
         self.lost = False                       # silent so long that its work must go at once
         self.intake = 0                         # slices taken this round
         self.capacity = 1.0                     # weight x health x warmth / slowness, set by `assess`
@@ -66,11 +68,6 @@
     def open(self) -> bool:
         return self.state == "ready"
 
-    @property
-    def failing(self) -> bool:
-        # As many failures as answers beyond what all show; twice as slow as its like; probes missed.
-        return self.lost or self.health < 0.5 or self.slowness > 2 or self.misses > 1
-
     def use(self) -> float:
         return self.load / self.capacity
 
@@ -124,6 +121,7 @@
         self.list_fresh = False
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
+        self.strained = False                   # the fleet as a whole has too much to do
         self.balancing = False                  # between the band's two edges
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
@@ -277,19 +275,27 @@
         cost = sum(s.demand.values[0] for s in self.slices.values()) / rpcs if rpcs else 0.0
         answered = sum(b.tries.values[0] - b.tries.values[1] for b in opened) * SECOND / Backend.FAIL_SPAN
         self.yield_ = answered * cost / sum(b.weight for b in opened) if opened else 0.0
-        paces = []
+        paces: dict[str, list[float]] = {}
         for b in opened:
             spent, cost = b.pace.read(now)
             if cost > 2:
-                paces.append(spent / cost)
-        typical = sorted(paces)[len(paces) // 2] if paces else 0.0
+                paces.setdefault(b.kind, []).append(spent / cost)
+        # The faster quarter of a kind says what its machines can do; the slower ones may be overfull.
+        usual_pace = {kind: sorted(found)[len(found) // 4] for kind, found in paces.items()}
+        fastest = min(usual_pace.values(), default=0.0)
+        # An overload shows at many at once; then what each shows is little of its own.
+        bad = sum(b.excess > 1.6 or b.tries.values[1] > 0.1 * b.tries.values[0] + 1 for b in opened)
+        self.strained = bad > (0.2 if self.strained else 0.45) * len(opened)
         missing = sum(b.misses > 1 for b in opened)
         for b in self.backends.values():
             b.load = sum(p.load for p in b.parts)
             spent, cost = b.pace.values
-            if typical:
-                # Two reports' worth of typical pace: with nothing seen, the slowness fades back to 1.
-                b.slowness = min(max((spent + 2 * typical) / ((cost + 2) * typical), 0.5), 10.0)
+            like = usual_pace.get(b.kind, 0.0)
+            if like:
+                # Two reports' worth of its kind's pace: with nothing seen, the excess fades.  Service times
+                # swell many times over on a full machine: believed whole, they empty one after the other.
+                b.excess = max((spent + 2 * like) / ((cost + 2) * like), 0.8)
+                b.slowness = min(b.excess, 1.5 if self.strained else 4.0) * like / fastest
             n, failed = b.tries.values
             # Failures beyond what all backends show: when all look bad, it is no backend's fault.
             excess = max(0.0, failed - 2 * usual * n) / (n + 3)
@@ -308,6 +314,8 @@
             # The slowest growth the settings allow, and a third less: caches of a started process are empty.
             b.warmth = 1.0 if warm >= 1 else 0.7 * (cold_from + (1 - cold_from) * warm)
             b.capacity = b.weight * b.health * b.warmth / b.slowness
+            # As many failures as answers beyond what all show; twice as slow as its like; probes missed.
+            b.doubtful = b.lost or not self.strained and (b.health < 0.5 or b.excess > 2 or b.misses > 1)
 
     # ---- planning --------------------------------------------------------------------------------
 
@@ -341,7 +349,7 @@
             part.go_to(None)
             return
         mean = self.mean_use(opened)
-        fit = [b for b in choice if not b.failing and self.may_take(b, load, mean)]
+        fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
         warm = [b for b in choice if b.warmth >= 1]
         room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
         # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
@@ -386,7 +394,7 @@
             if opened and not s.parts:
                 s.parts = [Part(s, None)]
             for part in s.parts:
-                if opened and (part.owner is None or len(s.parts) > 1 and part.owner.failing):
+                if opened and (part.owner is None or len(s.parts) > 1 and part.owner.doubtful):
                     self.place(part)
 
     def plan(self) -> None:
@@ -450,7 +458,7 @@
                 continue
             load, others = part.load, part.slice.owners()
             for b in by_use:
-                if (b is source or b in others or b.failing or not self.may_take(b, load, mean)
+                if (b is source or b in others or b.doubtful or not self.may_take(b, load, mean)
                         or b.load + load > 1.25 * mean * b.capacity):
                     continue
                 over, under = source.load - target * source.capacity, b.load - target * b.capacity
@@ -492,7 +500,7 @@
     def ails(s: Slice, lines: dict[Backend, float]) -> bool:
         """A line to take out at a backend that fails or is cold.  One that fails fast has least in hand
         and draws the tries of proxies that compare, so a small line there is no small matter."""
-        return any(b.failing or b.warmth < 1 for b in s.stored if b not in lines)
+        return any(b.doubtful or b.warmth < 1 for b in s.stored if b not in lines)
 
     def settle(self) -> None:
         """What should be out against what is out: the difference, the urgent part of it first."""
