--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,184 @@
+"""Plain cases, one for each guard and each failure found; none needs the bench."""
+from indigohitch import interface as face
+from indigohitch.logic import SECOND
+
+from world import World, entry
+
+
+def changes(*entries):
+    return face.BackendList("changes", 2, entries)
+
+
+def lines(orders):
+    return [o for o in orders if isinstance(o, face.SetLine)]
+
+
+def test_stored_owners_stay_and_nothing_is_said_at_start():
+    w = World()
+    w.start()
+    assert not lines(w.run(8 * SECOND))         # no planning within one smoothing time
+
+
+def test_busiest_gives_to_least_loaded_until_inside_the_band():
+    w = World()
+    w.start(4, 24)
+    hot = {s: 6.0 for s in range(0, 24, 4)}     # all on b0
+    before = w.owners()
+    w.run(40 * SECOND, hot)
+    moved = [s for s, b in w.owners().items() if b != before[s]]
+    assert moved and all(before[s] == "b0" for s in moved)
+    assert not lines(w.run(20 * SECOND, hot))   # at rest once balanced
+
+
+def test_small_imbalance_moves_nothing():
+    w = World()
+    w.start(4, 24)
+    assert not lines(w.run(60 * SECOND, {0: 2.5}))
+
+
+def test_drain_leaves_at_once_and_in_one_message():
+    w = World()
+    w.start()
+    w.run(4 * SECOND)
+    out = lines(w.step(100, changes(entry("b1", "draining"))))
+    gone = {o.table for o in out if not o.weight}
+    assert gone == {1, 7} and {o.table for o in out if o.weight} == gone
+
+
+def test_a_move_in_waiting_does_not_hide_a_drain():
+    """The planner had given a slice a new owner; its old line was still out when the owner drained."""
+    w = World()
+    w.start(4, 80)
+    hot = {s: 9.0 for s in range(0, 80, 4)}
+    w.run(10 * SECOND, hot)
+    while not any(s.stored and s.parts[0].owner not in s.stored for s in w.c.slices.values()):
+        w.step(SECOND // 2)
+        assert w.now < 1060 * SECOND
+    w.step(0, changes(entry("b0", "draining")))
+    w.step(2 * SECOND)
+    assert all("b0" not in t for t in w.tables.values())
+
+
+def test_drain_gets_through_after_a_burst_of_messages():
+    w = World()
+    w.start(8, 60)
+    for k in range(1, 5):
+        w.step(SECOND, changes(entry(f"b{k}", "draining")))     # World.check: grace and message limit
+    w.step(3 * SECOND)
+    assert set(w.owners().values()) <= {"b0", "b5", "b6", "b7"}
+
+
+def test_empty_and_stale_tables_given_are_filled():
+    w = World()
+    w.start(3, 3)
+    w.step(0, changes(entry("b2", "gone")))
+    w.step(SECOND, face.Charge(7, True), face.Charge(8, True), face.StoredLine(8, "b2", 1.0))
+    assert w.owners()[7] in ("b0", "b1") and w.owners()[8] in ("b0", "b1")
+
+
+def test_unknown_stored_owner_waits_for_a_fresh_list():
+    """A remembered list may be older than the store: its owner is kept until a fresh list lacks it."""
+    w = World()
+    w.start(3, 3, scope="remembered")
+    w.step(0, face.Charge(9, True), face.StoredLine(9, "newer", 1.0))
+    assert w.owners()[9] == "newer"
+    w.step(SECOND, face.BackendList("full", 2, tuple(entry(f"b{i}") for i in range(3))))
+    w.step(2 * SECOND)
+    assert w.owners()[9] in ("b0", "b1", "b2")
+
+
+def test_cold_backend_takes_two_a_round_and_its_part_only():
+    w = World()
+    w.start(4, 48)
+    hot = {s: 3.0 for s in range(0, 48, 4)}
+    w.run(8 * SECOND, hot)
+    w.step(0, changes(entry("new", started=w.now)))
+    took = []
+    for _ in range(7):
+        before = len(w.taken)
+        w.run(2 * SECOND, hot)
+        took.append(len(w.taken) - before)
+    assert 0 < sum(took) and max(took) <= 3     # pushes are paced apart from the rounds
+
+
+def test_hot_slice_is_not_given_to_a_cold_backend():
+    """Found on a drawn day: under overload the part was measured by what capacity was left."""
+    w = World()
+    w.start(4, 24)
+    hot = {0: 120.0}
+    w.run(20 * SECOND, hot, bad={"b1", "b2"})
+    w.step(0, changes(entry("new", started=w.now)))
+    w.run(8 * SECOND, hot, bad={"b1", "b2"})
+    assert "new" not in w.tables[0]
+
+
+def test_restart_seen_by_its_start_time_sheds_what_it_can_not_take():
+    w = World()
+    w.start(4, 24)
+    heavy = {s: 8.0 for s in range(1, 24, 4)}
+    w.run(8 * SECOND, heavy)
+    w.step(0, changes(entry("b1", started=w.now)))
+    w.step(SECOND)
+    assert sum(b == "b1" for b in w.owners().values()) < 6
+
+
+def test_silent_backend_loses_its_slices_before_the_list_says_so_and_gets_some_back():
+    w = World()
+    w.start(6, 30)
+    w.run(14 * SECOND)
+    w.run(10 * SECOND, bad={"b2"})
+    assert "b2" not in w.owners().values()
+    w.run(60 * SECOND)
+    assert "b2" in w.owners().values()
+
+
+def test_full_backend_whose_probes_time_out_is_not_taken_for_silent():
+    """Deep probes wait in the queue; while the sums tell of answers it lives."""
+    w = World()
+    w.start(6, 30)
+    for _ in range(8):
+        w.step(0, *w.probes({"b2"}))
+        w.run(2 * SECOND)
+    assert not w.c.backends["b2"].lost
+
+
+def test_all_bad_at_once_is_no_backends_fault():
+    w = World()
+    w.start(6, 30)
+    w.run(14 * SECOND)
+    before = w.owners()
+    w.run(16 * SECOND, bad={f"b{i}" for i in range(6)})
+    assert w.owners() == before
+
+
+def test_slice_too_hot_for_any_is_dealt_out_and_taken_together_again():
+    w = World()
+    w.start(6, 30)
+    w.run(30 * SECOND, {0: 60.0})
+    assert len(w.tables[0]) > 1
+    w.run(60 * SECOND)
+    assert len(w.tables[0]) == 1
+
+
+def test_slow_kind_gets_its_part_by_service_time():
+    w = World()
+    w.start(0, 0)
+    w.step(0, face.BackendList("full", 2, tuple(
+        entry(f"b{i}", kind=("std", "lite")[i % 2]) for i in range(6))))
+    w.step(0, *(e for s in range(36) for e in (face.Charge(s, True), face.StoredLine(s, f"b{s % 6}", 1.0))))
+    w.run(60 * SECOND, service={f"b{i}": 5000 for i in (1, 3, 5)})
+    load = [sum(b == f"b{i}" for b in w.owners().values()) for i in range(6)]
+    assert max(load[1::2]) < min(load[::2])
+
+
+def test_asks_at_start_and_again_after_a_refusal():
+    w = World()
+    assert face.Subscribe(True) in w.start()
+    w.step(0, face.BackendList("failed", 0, ()))
+    assert face.Subscribe(True) in w.step(3 * SECOND)
+
+
+def test_further_tries_after_proof_only():
+    w = World()
+    levels = [o for o in w.start() if isinstance(o, face.SetLevel)]
+    assert levels and all(o.tries == 1 and o.level == 1.0 for o in levels)
