--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -39,7 +39,7 @@
 
 class Backend:
     # Speed is a matter of the machine, failures of the hour: the one is smoothed longer than the other.
-    PACE_SPAN = 20 * SECOND
+    PACE_SPAN = 30 * SECOND
     FAIL_SPAN = 4 * SECOND
 
     def __init__(self, id: str, salt: int) -> None:
@@ -218,11 +218,18 @@
         b.tries.add(self.now, met.tries, met.failures)
         if met.tries > met.failures:
             b.ok_heard = self.now
+        if b.warmth < 1:                        # its slowness is the warm-up's, and passes with that
+            return
+        # Tries that come where no slice is any more cost nothing here but count in full as time: a backend
+        # that works off what it took is to be left alone.
         rpcs = sum(p.slice.demand.values[1] for p in b.parts)
-        if met.load.get("service_time") and rpcs:
+        cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs if rpcs else 0.0
+        if met.load.get("service_time"):
             # Time in work without the wait: the speed of the machine, whatever its load.
-            cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs
             b.pace.add(self.now, met.load["service_time"] / SECOND, cost)
+        elif met.load.get("busy"):
+            # Share of the cores in use against what they get done.
+            b.pace.add(self.now, met.load["busy"] * b.weight, met.load.get("ok_rate", 0.0) * cost)
 
     def on_joined(self, joined: face.ProxyJoined) -> None:
         self.proxies[joined.proxy] = joined.zone
