--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -10,6 +10,7 @@
 import hashlib
 import math
 import random
+import struct
 from collections import deque
 from heapq import heappop, heappush
 
@@ -43,7 +44,7 @@
     FAIL_SPAN = 4 * SECOND
 
     def __init__(self, id: str, salt: int) -> None:
-        self.id, self.key = id, id.encode()
+        self.id, self.key = id, hashlib.blake2b(id.encode(), digest_size=8).digest()
         self.zone, self.cell, self.kind = "", 0, ""
         self.weight, self.started = 1.0, 0
         self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
@@ -62,7 +63,7 @@
         self.intake = 0                         # slices taken this round
         self.capacity = 1.0                     # weight x health x warmth / slowness, set by `assess`
         self.warmth = 1.0
-        self.load = 0.0
+        self.load, self.elsewhere = 0.0, 0.0    # demand here; of that, what peers said they bring
 
     @property
     def open(self) -> bool:
@@ -99,6 +100,7 @@
         self.parts: list[Part] = []
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
+        self.recent = Sums(self.DEMAND_SPAN // 4, 1)    # cost, for jumps that the smoothed sum is late for
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
 
     def owners(self) -> list[Backend]:
@@ -106,6 +108,8 @@
 
 
 class Coordinator:
+    NOTE = struct.Struct("<2se")                # a backend by the start of its key, the demand brought there
+    ROUND = 2 * SECOND                          # the design's
     BEAT = SECOND // 2          # half the shortest report period seen fit: probes and pushes hang on it
 
     def __init__(self, seed: int, bootstrap: dict) -> None:
@@ -121,7 +125,9 @@
         self.list_fresh = False
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
+        self.peers: dict[int, tuple[int, dict[bytes, float]]] = {}     # when heard, what was said
         self.strained = False                   # the fleet as a whole has too much to do
+        self.turn = 0                           # the last round planned
         self.balancing = False                  # between the band's two edges
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
@@ -211,7 +217,9 @@
         s, method = self.slices.get(sums.slice), self.methods.get(sums.method)
         if s is not None and method is not None:
             # What an RPC costs is told nowhere; the soft deadline grows with the work of a method.
-            s.demand.add(self.now, sums.total * method.soft_deadline / SECOND, sums.total)
+            cost = sums.total * method.soft_deadline / SECOND
+            s.demand.add(self.now, cost, sums.total)
+            s.recent.add(self.now, cost)
 
     def on_traffic(self, met: face.Traffic) -> None:
         b = self.backend(met.backend)
@@ -253,7 +261,7 @@
             self.slices[line.slice].stored[self.backend(line.backend)] = line.weight
 
     def on_peer(self, note: face.PeerNote) -> None:
-        pass
+        self.peers[note.peer] = (self.now, dict(self.NOTE.iter_unpack(note.body)))
 
     def ignore(self, event: face.Event) -> None:
         pass
@@ -274,6 +282,11 @@
             # One RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
             s.load = (cost + 0.5 * s.cost) / (seen * s.demand.span / SECOND)
             s.cost = cost / rpcs if rpcs > 1 else s.cost
+            # A jump far outside of chance (three deviations of a Poisson count) is followed at once.
+            span = s.recent.span / SECOND
+            jump = s.recent.read(now)[0] / span - s.load
+            if not self.strained and jump > 3 * math.sqrt(s.load * s.cost / (2 * span)):
+                s.load += jump
         opened = [b for b in self.backends.values() if b.open]
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
@@ -295,7 +308,9 @@
         self.strained = bad > (0.2 if self.strained else 0.45) * len(opened)
         missing = sum(b.misses > 1 for b in opened)
         for b in self.backends.values():
-            b.load = sum(p.load for p in b.parts)
+            b.elsewhere = sum(said.get(b.key[:2], 0.0) for at, said in self.peers.values()
+                              if now - at < 5 * self.ROUND)
+            b.load = b.elsewhere + sum(p.load for p in b.parts)
             spent, cost = b.pace.values
             like = usual_pace.get(b.kind, 0.0)
             if like:
@@ -328,7 +343,7 @@
 
     def rank(self, s: Slice, b: Backend, weight: float) -> float:
         """Weighted rendezvous: the highest wins, each backend in proportion to its weight."""
-        digest = hashlib.blake2b(b.key + s.number.to_bytes(4, "big"), digest_size=8).digest()
+        digest = hashlib.blake2b(b.key, digest_size=8, salt=s.number.to_bytes(8, "big")).digest()
         return -weight / math.log((int.from_bytes(digest, "big") + 1) / (2 ** 64 + 2))
 
     def allowance(self, b: Backend) -> float:
@@ -340,8 +355,8 @@
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
         """For a backend still cold: the cap on its intake and on its part."""
-        return b.warmth >= 1 or (b.intake < 2 and
-                                 b.load + load <= min(mean * b.capacity, self.allowance(b)))
+        return b.warmth >= 1 or (b.intake < 2 and b.load + load <= mean * b.capacity
+                                 and b.load - b.elsewhere + load <= self.allowance(b))
 
     def mean_use(self, opened: list[Backend]) -> float:
         return sum(b.load for b in self.backends.values()) / sum(b.capacity for b in opened)
@@ -395,7 +410,7 @@
                 if not warm:
                     continue
                 for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
-                    if b.load > 1.5 * self.allowance(b):
+                    if b.load - b.elsewhere > 1.5 * self.allowance(b):
                         self.place(part)
         for s in self.slices.values():
             if opened and not s.parts:
@@ -456,7 +471,7 @@
                 if part.owner is None:
                     self.place(part)
         for b in opened:
-            b.load = sum(p.load for p in b.parts)
+            b.load = b.elsewhere + sum(p.load for p in b.parts)
 
     def best_move(self, source: Backend, by_use: list[Backend], target: float, mean: float):
         best, most = None, 0.0
@@ -482,6 +497,8 @@
         self.orders.append(face.SetTimer(self.next_beat, "beat"))
         self.beats += 1
         self.probe()
+        if self.beats % 2 == 0 and self.boot.get("may_tell") and self.boot.get("coordinators", 1) > 1:
+            self.tell()
 
     def probe(self) -> None:
         """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
@@ -492,6 +509,12 @@
                 b.probe_out = self.now
                 self.orders.append(face.Probe(b.id))
 
+    def tell(self) -> None:
+        """What we bring to each backend, for peers to count in; nothing is lost but evenness without it."""
+        brought = sorted(((sum(p.load for p in b.parts), b.id, b) for b in self.backends.values()), reverse=True)
+        body = b"".join(self.NOTE.pack(b.key[:2], load) for load, _, b in brought[:256 // self.NOTE.size] if load)
+        self.orders.append(face.TellPeer(-1, body))
+
     # ---- wanted against present ------------------------------------------------------------------
 
     def wanted(self, s: Slice) -> dict[Backend, float]:
@@ -520,8 +543,10 @@
                 s.parts = [p for b in s.stored for p in b.parts if p.slice is s]
         self.assess()
         self.evacuate()
-        planned = self.now >= self.plan_from and self.beats % 4 == 0 and self.next_beat - self.now == self.BEAT
-        if planned:
+        # Rounds by the clock, coordinators one after the other: two that see the same would move the same way.
+        turn = (self.now + self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)) // self.ROUND
+        if turn != self.turn and self.now >= self.plan_from:
+            self.turn = turn
             self.plan()
         opened = [b for b in self.backends.values() if b.open]
         changed: tuple[list[Slice], ...] = ([], [], [])
