Levels by the queue of a slice's backend, where levels are honoured

A backend whose queue lasts over a quarter of the shortest soft deadline (queue over rate) lets in 15 to 30% less each report.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -58,6 +58,7 @@
         self.refuses = False                    # the last miss was no time-out: nobody listens there
         self.ok_heard = 0                       # when sums last told of an answer
         self.health = 1.0
+        self.admit, self.judged = 1.0, 0        # share of what is asked of it to let in, when last judged
         self.doubtful = False                   # gets no part and nothing new
         self.lost = False                       # silent so long that its work must go at once
         self.intake = 0                         # slices taken this round
@@ -99,6 +100,7 @@
         self.number, self.since = number, now
         self.parts: list[Part] = []
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
+        self.level = 1.0                        # share that is let in, as the store holds it
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
         self.recent = Sums(self.DEMAND_SPAN // 4, 1)    # cost, for jumps that the smoothed sum is late for
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
@@ -226,6 +228,7 @@
         b.tries.add(self.now, met.tries, met.failures)
         if met.tries > met.failures:
             b.ok_heard = self.now
+        self.judge(b, met)
         if b.warmth < 1:                        # its slowness is the warm-up's, and passes with that
             return
         # Tries that come where no slice is any more cost nothing here but count in full as time: a backend
@@ -273,6 +276,25 @@
 
     # ---- judging ---------------------------------------------------------------------------------
 
+    def judge(self, b: Backend, met: face.Traffic) -> None:
+        """Where levels are honoured: let in less for a backend whose queue takes longer than a quarter of the
+        shortest soft deadline.  What waits longer is late, and what it displaces is late or pushed back."""
+        if self.boot.get("admission") != "share" or "queued" not in met.load \
+                or self.now - b.judged < self.boot["report_every"]:
+            return
+        n, failed = b.tries.read(self.now)
+        rate = max(n - failed, 1.0) / b.tries.span              # by Little's law, queue over rate is the wait
+        wait = met.load["queued"] / rate / min(m.soft_deadline for m in self.methods.values())
+        b.judged = self.now
+        if wait > 0.25:
+            b.admit = max(0.2, b.admit * (0.7 if wait > 0.75 else 0.85))
+        elif wait < 0.1:
+            b.admit = min(1.0, b.admit + 0.1)
+
+    @staticmethod
+    def wanted_level(s: Slice) -> float:
+        return round(5 * min((b.admit for b in s.owners()), default=1.0)) / 5       # in fifths: fewer lines
+
     def assess(self) -> None:
         """Demand of every slice, and for every backend its health, warmth and capacity."""
         now = self.now
@@ -550,20 +572,24 @@
             self.plan()
         opened = [b for b in self.backends.values() if b.open]
         changed: tuple[list[Slice], ...] = ([], [], [])
+        trimmed: list[Slice] = []
         for s in self.slices.values():
             lines = self.wanted(s)
             if lines != s.stored:
                 rank = 0 if self.presses(s) else 1 if self.ails(s, lines) else 2
                 changed[rank].append(s)
+            if self.wanted_level(s) != s.level:
+                trimmed.append(s)
         fresh = any(p not in self.levels_sent for p in self.proxies)
         must, ailing, ordinary = changed
         turn = ordinary[:max(3, len(ordinary) // 10)] if self.beats % 2 == 0 else []
+        trim = trimmed if self.beats % 2 == 0 else []
         if must and self.may_send(must, True):
-            self.push(must + ailing, fresh)
-        elif (ailing or turn or fresh) and self.may_send(ailing + turn, False):
-            self.push(ailing + turn, fresh)
+            self.push(must + ailing, [], fresh)
+        elif (ailing or turn or fresh or trim) and self.may_send(ailing + turn + trim, False):
+            self.push(ailing + turn, trim, fresh)
 
-    def push(self, changed: list[Slice], levels: bool) -> None:
+    def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool) -> None:
         if levels:
             # A further try only after proof that the first never ran: safe for every method.
             self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
@@ -580,6 +606,10 @@
                     self.orders.append(face.SetLine(s.number, b.id, 0.0))
                     lines += 1
             s.stored = want
+        for s in trimmed:
+            s.level = self.wanted_level(s)
+            self.orders.append(face.SetLevel(s.number, (), s.level, 1))
+            lines += 1
         self.backlog += self.cost(lines)
         self.sent.append(self.now)
 
