--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -94,7 +94,7 @@
 
 
 class Slice:
-    DEMAND_SPAN = 10 * SECOND                   # the design's smoothing time
+    DEMAND_SPAN = 7 * SECOND                   # the design's smoothing time
 
     def __init__(self, number: int, now: int) -> None:
         self.number, self.since = number, now
@@ -157,12 +157,15 @@
 
     def start(self) -> None:
         self.started = True
-        self.plan_from = self.now + Slice.DEMAND_SPAN   # the design: planning waits one smoothing time
+        self.plan_from = self.now + self.wait()
         self.backlog_at = self.now
         self.next_beat = self.now + self.BEAT
         self.orders.append(face.SetTimer(self.next_beat, "beat"))
         self.subscribe()
 
+    def wait(self) -> int:
+        return 5 * self.boot["report_every"]
+
     def later(self, span: int, act) -> None:
         self.entered += 1
         heappush(self.due, (self.now + span, self.entered, act))
@@ -257,7 +260,7 @@
         if charge.held:
             self.slices[charge.slice] = Slice(charge.slice, self.now)
             if len(self.slices) > 1 and self.started:
-                self.plan_from = max(self.plan_from, self.now + Slice.DEMAND_SPAN)
+                self.plan_from = max(self.plan_from, self.now + self.wait())
 
     def on_stored(self, line: face.StoredLine) -> None:
         if line.slice in self.slices and line.weight > 0:
