--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -43,10 +43,9 @@
     PACE_SPAN = 30 * SECOND
     FAIL_SPAN = 4 * SECOND
 
-    def __init__(self, id: str, salt: int) -> None:
+    def __init__(self, id: str) -> None:
         self.id, self.key = id, hashlib.blake2b(id.encode(), digest_size=8).digest()
-        self.zone, self.cell, self.kind = "", 0, ""
-        self.weight, self.started = 1.0, 0
+        self.kind, self.weight, self.started = "", 1.0, 0
         self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
         self.parts: list[Part] = []             # what is wanted here
         self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
@@ -66,10 +65,6 @@
         self.warmth = 1.0
         self.load, self.elsewhere = 0.0, 0.0    # demand here; of that, what peers said they bring
 
-    @property
-    def open(self) -> bool:
-        return self.state == "ready"
-
     def use(self) -> float:
         return self.load / self.capacity
 
@@ -134,13 +129,13 @@
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
         self.sent: deque[int] = deque()         # when messages went out
-        self.started = False
+        self.next_beat = 0
 
     # ---- the door --------------------------------------------------------------------------------
 
     def handle(self, now: int, events: list[face.Event]) -> list[face.Order]:
         self.now, self.orders = now, []
-        if not self.started:
+        if not self.next_beat:
             self.start()
         ticked = False
         for event in events:
@@ -156,15 +151,15 @@
         return self.orders
 
     def start(self) -> None:
-        self.started = True
-        self.plan_from = self.now + self.wait()
         self.backlog_at = self.now
+        self.hold_plans()
         self.next_beat = self.now + self.BEAT
         self.orders.append(face.SetTimer(self.next_beat, "beat"))
         self.subscribe()
 
-    def wait(self) -> int:
-        return 5 * self.boot["report_every"]
+    def hold_plans(self) -> None:
+        """After a start or a take-over planning waits until the sums can tell something: five periods."""
+        self.plan_from = self.now + 5 * self.boot["report_every"]
 
     def later(self, span: int, act) -> None:
         self.entered += 1
@@ -176,7 +171,7 @@
 
     def backend(self, id: str) -> Backend:
         if id not in self.backends:
-            self.backends[id] = Backend(id, 0)
+            self.backends[id] = Backend(id)
         return self.backends[id]
 
     # ---- hearing ---------------------------------------------------------------------------------
@@ -197,15 +192,11 @@
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
                 b.misses, b.lost, b.health = 0, False, 1.0
             b.state, b.weight, b.started = entry.state, max(entry.weight, 1e-3), entry.started
-            b.zone, b.cell, b.kind = entry.zone, entry.cell, entry.kind
-        if news.scope != "changes":
-            for b in self.backends.values():
-                if b.id not in named and (b.state != "unheard" or self.list_fresh):
-                    b.state = "gone"
-        elif self.list_fresh:
-            for b in self.backends.values():
-                if b.state == "unheard":
-                    b.state = "gone"
+            b.kind = entry.kind
+        # What a complete list lacks is gone; what only the store knew is, once the list in hand is fresh.
+        for b in self.backends.values():
+            if b.id not in named and (self.list_fresh if b.state == "unheard" else news.scope != "changes"):
+                b.state = "gone"
 
     def on_probed(self, result: face.Probed) -> None:
         b = self.backend(result.backend)
@@ -259,8 +250,7 @@
                 part.go_to(None)
         if charge.held:
             self.slices[charge.slice] = Slice(charge.slice, self.now)
-            if len(self.slices) > 1 and self.started:
-                self.plan_from = max(self.plan_from, self.now + self.wait())
+            self.hold_plans()
 
     def on_stored(self, line: face.StoredLine) -> None:
         if line.slice in self.slices and line.weight > 0:
@@ -312,7 +302,7 @@
             jump = s.recent.read(now)[0] / span - s.load
             if not self.strained and jump > 3 * math.sqrt(s.load * s.cost / (2 * span)):
                 s.load += jump
-        opened = [b for b in self.backends.values() if b.open]
+        opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
         # Answered cost a second for each unit of listed weight: all that is known of strength in absolute terms.
@@ -349,10 +339,9 @@
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
             # A probe may wait in a full queue: time-outs count only once the sums tell of no answers either.
             quiet = b.refuses or now - b.ok_heard > self.boot.get("report_every", 0) + SECOND
-            silent = (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
+            b.lost = (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                       and missing * 2 < len(opened))
-            b.lost = silent
-            target = max(0.02, (1 - excess) * (0.02 if silent else 1.0))
+            target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
             # The weight fades at once and returns over ten seconds.
             b.health = min(target, b.health + self.BEAT / (10 * SECOND))
             age = now - b.started if b.started else 1 << 60
@@ -383,27 +372,27 @@
         return b.warmth >= 1 or (b.intake < 2 and b.load + load <= mean * b.capacity
                                  and b.load - b.elsewhere + load <= self.allowance(b))
 
+    def opened(self) -> list[Backend]:
+        return [b for b in self.backends.values() if b.state == "ready"]
+
     def mean_use(self, opened: list[Backend]) -> float:
         return sum(b.load for b in self.backends.values()) / sum(b.capacity for b in opened)
 
     def place(self, part: Part) -> None:
         """A slice without a live owner: weighted rendezvous over the room that is left."""
-        s, load = part.slice, part.load
-        others = s.owners()
-        opened = [b for b in self.backends.values() if b.open]
-        choice = [b for b in opened if b not in others]
-        if not choice:
-            part.go_to(None)
-            return
-        mean = self.mean_use(opened)
-        fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
-        warm = [b for b in choice if b.warmth >= 1]
-        room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
+        s, load, opened = part.slice, part.load, self.opened()
+        choice = [b for b in opened if b not in s.owners()]
+        fit = warm = room = []
+        if choice:
+            mean = self.mean_use(opened)
+            fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
+            warm = [b for b in choice if b.warmth >= 1]
+            room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
         # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
         # no way out: with nothing warm the slice waits, and the next settling tries again.
         room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
         if not room:
-            if part.owner is not None and not part.owner.open:
+            if part.owner is not None and part.owner.state in ("draining", "gone"):
                 part.go_to(None)
             return
         best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
@@ -421,62 +410,45 @@
     def evacuate(self) -> None:
         """Slices leave a draining, gone or silent backend at once, outside the budget; so does what is
         too much for a backend that has just started (stored slices wake up with it)."""
-        opened = [b for b in self.backends.values() if b.open]
+        opened = self.opened()
+        refuge = any(not b.lost for b in opened)
         for b in self.backends.values():
-            if b.parts and (b.state in ("draining", "gone") or b.lost):
-                if not opened and b.state == "ready":
-                    continue
-                if b.lost and all(o.lost for o in opened):
-                    continue
-                for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
+            parts = sorted(b.parts, key=lambda p: (-p.load, p.slice.number))
+            if b.state in ("draining", "gone") or b.lost and refuge:
+                for part in parts:
                     self.place(part)
-            elif b.open and b.warmth < 1 and b.parts:
-                warm = [o for o in opened if o.warmth >= 1 and not o.lost]
-                if not warm:
-                    continue
-                for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
+            elif b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
+                for part in parts:
                     if b.load - b.elsewhere > 1.5 * self.allowance(b):
                         self.place(part)
         for s in self.slices.values():
-            if opened and not s.parts:
-                s.parts = [Part(s, None)]
+            s.parts = s.parts or [Part(s, None)]
             for part in s.parts:
-                if opened and (part.owner is None or len(s.parts) > 1 and part.owner.doubtful):
+                if part.owner is None or len(s.parts) > 1 and part.owner.doubtful:
                     self.place(part)
 
     def plan(self) -> None:
         """The design's greedy planner: whole slices, busiest to least loaded, for positive gain only."""
-        opened = sorted((b for b in self.backends.values() if b.open), key=lambda b: b.id)
-        if len(opened) < 2:
-            return
-        mean = self.mean_use(opened)
+        opened = sorted(self.opened(), key=lambda b: b.id)
+        mean = self.mean_use(opened) if len(opened) > 1 else 0.0
         if mean <= 0:
             return
-        whole = sum(b.capacity for b in opened)
-        total = mean * whole
         for b in opened:
             b.intake = 0
         self.split(opened, mean)
-        if not self.balancing:
-            self.balancing = max(b.use() for b in opened) > 1.25 * mean
-        moves = 0
-        while self.balancing and moves < 20:
+        self.balancing |= max(b.use() for b in opened) > 1.25 * mean
+        for _ in range(20):
             by_use = sorted(opened, key=Backend.use)
-            if by_use[-1].use() <= 1.10 * mean and by_use[0].use() >= mean / 1.10:
-                self.balancing = False
+            self.balancing &= by_use[-1].use() > 1.10 * mean or by_use[0].use() < mean / 1.10
+            if not self.balancing:
                 break
             # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
-            for source in reversed(by_use):
-                if source.use() <= 1.10 * mean:
-                    self.balancing = False
-                    break
-                best = self.best_move(source, by_use, total / whole, mean)
-                if best:
-                    self.move(*best)
-                    moves += 1
-                    break
-            else:
+            best = next(filter(None, (self.best_move(b, by_use, mean) for b in reversed(by_use)
+                                      if b.use() > 1.10 * mean)), None)
+            if best is None:
                 self.balancing = False
+                break
+            self.move(*best)
 
     def split(self, opened: list[Backend], mean: float) -> None:
         """The exception for a slice that carries its fire along: one that outweighs a whole backend's
@@ -498,7 +470,7 @@
         for b in opened:
             b.load = b.elsewhere + sum(p.load for p in b.parts)
 
-    def best_move(self, source: Backend, by_use: list[Backend], target: float, mean: float):
+    def best_move(self, source: Backend, by_use: list[Backend], mean: float) -> tuple[Part, Backend] | None:
         best, most = None, 0.0
         for part in sorted(source.parts, key=lambda p: p.slice.number):
             if part.rests_until > self.now:
@@ -508,7 +480,7 @@
                 if (b is source or b in others or b.doubtful or not self.may_take(b, load, mean)
                         or b.load + load > 1.25 * mean * b.capacity):
                     continue
-                over, under = source.load - target * source.capacity, b.load - target * b.capacity
+                over, under = source.load - mean * source.capacity, b.load - mean * b.capacity
                 gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
                 if gain > most:
                     best, most = (part, b), gain
@@ -530,7 +502,7 @@
         if not self.boot.get("may_probe"):
             return
         for i, b in enumerate(self.backends.values()):
-            if b.open and not b.probe_out and (b.misses or (self.beats + i) % 4 == 0):
+            if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % 4 == 0):
                 b.probe_out = self.now
                 self.orders.append(face.Probe(b.id))
 
@@ -552,20 +524,16 @@
         return not s.stored or any(b.state in ("draining", "gone") for b in s.stored)
 
     @staticmethod
-    def ails(s: Slice, lines: dict[Backend, float]) -> bool:
+    def ails(s: Slice) -> bool:
         """A line to take out at a backend that fails or is cold.  One that fails fast has least in hand
         and draws the tries of proxies that compare, so a small line there is no small matter."""
-        return any(b.doubtful or b.warmth < 1 for b in s.stored if b not in lines)
+        return any(b.doubtful or b.warmth < 1 for b in s.stored if b not in s.owners())
 
     def settle(self) -> None:
         """What should be out against what is out: the difference, the urgent part of it first."""
         for s in self.slices.values():
             if s.stored and not s.parts:
-                heaviest = max(s.stored.values())
-                for b, weight in s.stored.items():
-                    if weight >= 0.25 * heaviest:
-                        Part(s, b)
-                s.parts = [p for b in s.stored for p in b.parts if p.slice is s]
+                s.parts = [Part(s, b) for b in s.stored]
         self.assess()
         self.evacuate()
         # Rounds by the clock, coordinators one after the other: two that see the same would move the same way.
@@ -573,20 +541,17 @@
         if turn != self.turn and self.now >= self.plan_from:
             self.turn = turn
             self.plan()
-        opened = [b for b in self.backends.values() if b.open]
-        changed: tuple[list[Slice], ...] = ([], [], [])
-        trimmed: list[Slice] = []
+        must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
-            lines = self.wanted(s)
-            if lines != s.stored:
-                rank = 0 if self.presses(s) else 1 if self.ails(s, lines) else 2
-                changed[rank].append(s)
+            if self.wanted(s) != s.stored:
+                (must if self.presses(s) else ailing if self.ails(s) else ordinary).append(s)
             if self.wanted_level(s) != s.level:
-                trimmed.append(s)
+                trim.append(s)
         fresh = any(p not in self.levels_sent for p in self.proxies)
-        must, ailing, ordinary = changed
-        turn = ordinary[:max(3, len(ordinary) // 10)] if self.beats % 2 == 0 else []
-        trim = trimmed if self.beats % 2 == 0 else []
+        # A tenth of the ordinary changes each second turn of the beat; three, lest a small rest take for ever.
+        turn = ordinary[:max(3, len(ordinary) // 10)]
+        if self.beats % 2:
+            turn = trim = []
         if must and self.may_send(must, True):
             self.push(must + ailing, [], fresh)
         elif (ailing or turn or fresh or trim) and self.may_send(ailing + turn + trim, False):
