--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -123,6 +123,7 @@
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
         self.peers: dict[int, tuple[int, dict[bytes, float]]] = {}     # when heard, what was said
+        self.assessed = 0                       # when last judged
         self.strained = False                   # the fleet as a whole has too much to do
         self.turn = 0                           # the last round planned
         self.balancing = False                  # between the band's two edges
@@ -343,7 +344,7 @@
                       and missing * 2 < len(opened))
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
             # The weight fades at once and returns over ten seconds.
-            b.health = min(target, b.health + self.BEAT / (10 * SECOND))
+            b.health = min(target, b.health + (now - self.assessed) / (10 * SECOND))
             age = now - b.started if b.started else 1 << 60
             warm = min(1.0, age / self.boot["warm_within"]) if self.boot.get("warm_within") else 1.0
             cold_from = self.boot.get("cold_from", 1.0)
@@ -353,6 +354,8 @@
             # As many failures as answers beyond what all show; twice as slow as its like; probes missed.
             b.doubtful = b.lost or not self.strained and (b.health < 0.5 or b.excess > 2 or b.misses > 1)
 
+        self.assessed = now
+
     # ---- planning --------------------------------------------------------------------------------
 
     def rank(self, s: Slice, b: Backend, weight: float) -> float:
@@ -408,13 +411,12 @@
         part.rests_until = self.now + 20 * SECOND       # the design's rest
 
     def evacuate(self) -> None:
-        """Slices leave a draining, gone or silent backend at once, outside the budget; so does what is
-        too much for a backend that has just started (stored slices wake up with it)."""
+        """Slices leave a draining or gone backend at once, outside the budget; so does what is too much
+         for a backend that has just started (stored slices wake up with it)."""
         opened = self.opened()
-        refuge = any(not b.lost for b in opened)
         for b in self.backends.values():
             parts = sorted(b.parts, key=lambda p: (-p.load, p.slice.number))
-            if b.state in ("draining", "gone") or b.lost and refuge:
+            if b.state in ("draining", "gone"):
                 for part in parts:
                     self.place(part)
             elif b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
@@ -436,7 +438,8 @@
         for b in opened:
             b.intake = 0
         self.split(opened, mean)
-        self.balancing |= max(b.use() for b in opened) > 1.25 * mean
+        # New or returned, a backend that nobody is full enough to give to: membership is a trigger too (PAPER).
+        self.balancing |= max(b.use() for b in opened) > 1.25 * mean or min(b.use() for b in opened) < mean / 1.25
         for _ in range(20):
             by_use = sorted(opened, key=Backend.use)
             self.balancing &= by_use[-1].use() > 1.10 * mean or by_use[0].use() < mean / 1.10
@@ -501,8 +504,9 @@
         """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
         if not self.boot.get("may_probe"):
             return
+        every = 4 * self.boot.get("coordinators", 1)    # two seconds; as many probes for several as for one
         for i, b in enumerate(self.backends.values()):
-            if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % 4 == 0):
+            if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % every == 0):
                 b.probe_out = self.now
                 self.orders.append(face.Probe(b.id))
 
