--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -306,7 +306,7 @@
         opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
-        # Answered cost a second for each unit of listed weight: all that is known of strength in absolute terms.
+        # Answered cost a second for a unit of listed weight: all that is known of strength in absolute terms.
         rpcs = sum(s.demand.values[1] for s in self.slices.values())
         cost = sum(s.demand.values[0] for s in self.slices.values()) / rpcs if rpcs else 0.0
         answered = sum(b.tries.values[0] - b.tries.values[1] for b in opened) * SECOND / Backend.FAIL_SPAN
@@ -366,8 +366,8 @@
     def allowance(self, b: Backend) -> float:
         """What a cold backend may be brought: its part of what the fleet really answers.  Demand and the
         capacities left in a bad hour are no measure: both rise with failures, its strength does not."""
-        # Three quarters of the multiple that fells it, on top of the third that warmth holds back: with empty
-        # caches an RPC costs up to twice its usual work.  A half cost points on deploys, the whole is a break.
+        # Three quarters of the multiple that fells it, on top of the third that warmth holds back: with
+        # empty caches an RPC costs up to twice its usual work.  A half cost points on deploys.
         return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.75
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
@@ -438,8 +438,9 @@
         for b in opened:
             b.intake = 0
         self.split(opened, mean)
-        # New or returned, a backend that nobody is full enough to give to: membership is a trigger too (PAPER).
-        self.balancing |= max(b.use() for b in opened) > 1.25 * mean or min(b.use() for b in opened) < mean / 1.25
+        # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
+        uses = [b.use() for b in opened]
+        self.balancing |= max(uses) > 1.25 * mean or min(uses) < mean / 1.25
         # A tenth of the slices, within the design's 20: each move leaves a warm cache.
         for _ in range(max(2, min(20, len(self.slices) // 10))):
             by_use = sorted(opened, key=Backend.use)
@@ -513,8 +514,9 @@
 
     def tell(self) -> None:
         """What we bring to each backend, for peers to count in; nothing is lost but evenness without it."""
-        brought = sorted(((sum(p.load for p in b.parts), b.id, b) for b in self.backends.values()), reverse=True)
-        body = b"".join(self.NOTE.pack(b.key[:2], load) for load, _, b in brought[:256 // self.NOTE.size] if load)
+        brought = sorted(((b.load - b.elsewhere, b.key[:2]) for b in self.backends.values()), reverse=True)
+        most = 256 // self.NOTE.size            # what a note may hold; the least loaded are left out
+        body = b"".join(self.NOTE.pack(key, load) for load, key in brought[:most] if load > 0)
         self.orders.append(face.TellPeer(-1, body))
 
     # ---- wanted against present ------------------------------------------------------------------
@@ -541,8 +543,9 @@
                 s.parts = [Part(s, b) for b in s.stored]
         self.assess()
         self.evacuate()
-        # Rounds by the clock, coordinators one after the other: two that see the same would move the same way.
-        turn = (self.now + self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)) // self.ROUND
+        # Rounds by the clock, coordinators in turn: two that see the same would move the same way.
+        shift = self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)
+        turn = (self.now + shift) // self.ROUND
         if turn != self.turn and self.now >= self.plan_from:
             self.turn = turn
             self.plan()
@@ -553,14 +556,14 @@
             if self.wanted_level(s) != s.level:
                 trim.append(s)
         fresh = any(p not in self.levels_sent for p in self.proxies)
-        # A tenth of the ordinary changes each second turn of the beat; three, lest a small rest take for ever.
+        # A tenth of the ordinary changes each second beat; three, lest a small rest take for ever.
         turn = ordinary[:max(3, len(ordinary) // 10)]
         if self.beats % 2:
             turn = trim = []
-        if must and self.may_send(must, True):
-            self.push(must + ailing, [], fresh)
-        elif (ailing or turn or fresh or trim) and self.may_send(ailing + turn + trim, False):
-            self.push(ailing + turn, trim, fresh)
+        if must and self.room(True):
+            self.push((must + ailing)[:self.room(True)], [], fresh)
+        elif (ailing or turn or fresh or trim) and (room := self.room(False)):
+            self.push((ailing + turn)[:room], trim[:room], fresh)
 
     def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool) -> None:
         if levels:
@@ -589,18 +592,17 @@
     def cost(self, lines: int) -> float:
         return len(self.proxies) * (self.boot.get("envelope", 0) + lines + 1)
 
-    def may_send(self, changed: list[Slice], urgent: bool) -> bool:
-        """The queue: a reserve of lines and of messages is kept for what can't wait."""
+    def room(self, urgent: bool) -> int:
+        """How many slices may go out now: a reserve of lines and of messages is kept for what can't wait.
+        Counted in whole, so that much at once goes out in pieces and not never."""
         rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND      # half: the channel may run slower
         self.backlog = max(0.0, self.backlog - (self.now - self.backlog_at) * rate)
         self.backlog_at = self.now
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
             self.sent.popleft()
-        if most:
-            if len(self.sent) >= (most if urgent else most // 2):
-                return False
-            if len(self.sent) >= most // 2 and self.now - self.sent[-1] < over / most:
-                return False
-        cap = self.boot.get("queue_cap", math.inf)
-        return self.backlog + self.cost(3 * len(changed)) <= cap * (0.8 if urgent else 0.25)
+        if most and len(self.sent) >= most // 2 and (
+                not urgent or len(self.sent) >= most or self.now - self.sent[-1] < over / most):
+            return 0
+        left = self.boot.get("queue_cap", 10 ** 6) * (0.8 if urgent else 0.25) - self.backlog - self.cost(0)
+        return max(0, int(left / (len(self.proxies) or 1) / 4))      # lines of a slice: two to three, a level
--- a/tests/test_pipe.py
+++ b/tests/test_pipe.py
@@ -6,8 +6,8 @@
 PARAMS = {"balancers": 1, "classes": [{"name": "get", "aim": 1000.0, "deadline": 4000.0, "importance": 1.0,
                                        "repeat": "read_like", "surprise": 1}],
           "discovery": "push", "rules": {"warm-within": 15000.0, "cold-from": 0.2, "unheard-of": 3},
-          "family-info": {"admission": "share", "egress-per-s": 10000.0, "queue-cap": 15000.0, "envelope": 8.0,
-                          "report-every": 1000.0},
+          "family-info": {"admission": "share", "egress-per-s": 10000.0, "queue-cap": 15000.0,
+                          "envelope": 8.0, "report-every": 1000.0},
           "bounds": {"may-probe": True}, "report": {"columns": ["pending", "new_one", "svc_ms"]}}
 
 
@@ -27,7 +27,7 @@
 
 def listed(buffer, *ids):
     return {"type": "List", "buffer": buffer, "members": [
-        {"backend": b, "condition": "healthy", "share": 1, "campus": "east", "block": 0, "model": "m"} for b in ids]}
+        {"backend": b, "condition": "healthy", "share": 1, "campus": "east"} for b in ids]}
 
 
 def born(number):
@@ -42,7 +42,7 @@
         *({"type": "Connected", "coordinator": n, "edge": 4, "share": 2.0, "campus": "east"} for n in (0, 1)),
         {"type": "NeverHeardOf", "coordinator": 0}, FLUSH,
         at(600.0), {"type": "TrafficReport", "coordinator": 0, "campus": "east", "backend": "a:1", "total": 3,
-                    "errors": 0, "duration": 9.5, "elapsed": 1000.0, "health-info": [1, None, 4.5], "extra": 1},
+                    "errors": 0, "duration": 9.5, "health-info": [1, None, 4.5], "extra": 1},
         {"type": "PowerOff", "coordinator": 1}, FLUSH)
     assert code == 0 and not err
     assert [m["type"] for m in out].count("Ok") == 3
@@ -62,5 +62,5 @@
     params = PARAMS | {"family-info": PARAMS["family-info"] | {"egress-per-s": "fast"}}
     code, out, _ = talk(at(1.0), listed(0, "a:1"), {**born(0)[0], "params": params}, born(0)[1],
                         {"type": "AssignedToMe", "coordinator": 0, "table": 0, "active": True},
-                        {"type": "Connected", "coordinator": 0, "edge": 4, "share": 2.0, "campus": "east"}, FLUSH)
+                        {"type": "Connected", "coordinator": 0, "edge": 4, "share": 2.0}, FLUSH)
     assert [m["type"] for m in out] == ["GiveIn", "Ok"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,9 +6,9 @@
 
 BOOT = dict(
     coordinators=1, own_number=0, discovery="ask", may_probe=True, may_tell=False, admission="share",
-    cold_from=0.2, warm_within=15 * SECOND, drain_grace=3 * SECOND, fall_multiple=4.0, overload_for=2 * SECOND,
-    bare_limit=7 * SECOND, envelope=16, lines_per_s=10000, queue_cap=15000, messages_most=12,
-    counted_over=10 * SECOND, transit=3000, transit_most=7600, report_every=2 * SECOND, pick="two",
+    cold_from=0.2, warm_within=15 * SECOND, drain_grace=3 * SECOND, fall_multiple=4.0,
+    overload_for=2 * SECOND, bare_limit=7 * SECOND, envelope=16, lines_per_s=10000, queue_cap=15000,
+    messages_most=12, counted_over=10 * SECOND, transit=3000, transit_most=7600, report_every=2 * SECOND, pick="two",
     methods=(face.Method("search", 20000, 60000, 2.0, "idempotent", "all", 0),
              face.Method("reserve", 12000, 30000, 2.0, "non_idempotent", "all", 0)))
 
@@ -44,7 +44,7 @@
         self.now = max(self.now, end)
         return out + self._handle(self.now, list(events))
 
-    def run(self, span, rates=None, bad=(), service=None):
+    def run(self, span, rates=None, bad=(), service=None, queued=None):
         """Plain traffic: sums each report period, from every slice in charge."""
         out, every = [], self.boot["report_every"]
         for _ in range(0, span, every):
@@ -56,8 +56,10 @@
                     tries[b] = tries.get(b, 0) + rate * weight / sum(lines.values())
             for b, n in sorted(tries.items()):
                 n = round(n)
-                load = {"service_time": (service or {}).get(b, 2500)} if b not in bad else {}
-                events.append(face.Traffic("east", b, n, n if b in bad else 0, 0 if b in bad else 2500, every, load))
+                load = {"service_time": (service or {}).get(b, 2500), "queued": (queued or {}).get(b, 0)}
+                load = {} if b in bad else load
+                failed, took = (n, 0) if b in bad else (0, 2500)
+                events.append(face.Traffic("east", b, n, failed, took, every, load))
             events += self.probes(bad)
             out += self.step(every, *events)
         return out
@@ -146,7 +148,8 @@
                 assert not self.proxies or now - since <= left, f"{b} drains, still in {s}"
         # Queue: lines that wait, messages to a proxy.
         if self.sent:
-            self.queue = max(0.0, self.queue - (now - self.sent[-1][1]) * self.boot["lines_per_s"] / 2 / SECOND)
+            passed = (now - self.sent[-1][1]) * self.boot["lines_per_s"] / 2 / SECOND    # a slow day
+            self.queue = max(0.0, self.queue - passed)
         if lines and self.proxies:
             self.queue += len(self.proxies) * (lines + self.boot["envelope"])
             self.sent.append((now, now))
