--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -130,7 +130,9 @@
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
         self.sent: deque[int] = deque()         # when messages went out
-        self.next_beat = 0
+        self.next_beat, self.timer = 0, 0       # when the beat is due; the timer that is set
+        self.asking = False                     # a subscription is wanted and not yet asked for
+        self.probing: list[Backend] = []        # to be probed now
 
     # ---- the door --------------------------------------------------------------------------------
 
@@ -148,14 +150,17 @@
             heappop(self.due)[2]()
         if ticked and now >= self.next_beat:
             self.beat()
-        self.settle()
+        self.decide()
+        self.emit()
         return self.orders
 
+    def log(self, text: str) -> None:
+        self.orders.append(face.LogLine(text))
+
     def start(self) -> None:
         self.backlog_at = self.now
         self.hold_plans()
         self.next_beat = self.now + self.BEAT
-        self.orders.append(face.SetTimer(self.next_beat, "beat"))
         self.subscribe()
 
     def hold_plans(self) -> None:
@@ -167,8 +172,7 @@
         heappush(self.due, (self.now + span, self.entered, act))
 
     def subscribe(self) -> None:
-        if self.boot.get("discovery") == "ask":
-            self.orders.append(face.Subscribe(True))
+        self.asking = self.boot.get("discovery") == "ask"
 
     def backend(self, id: str) -> Backend:
         if id not in self.backends:
@@ -181,6 +185,7 @@
         if news.scope == "failed":
             # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once.
             self.later(SECOND // 2 + int(SECOND * self.uniform()), self.subscribe)
+            self.log("no news of the backends: the list's call failed, asking again")
             return
         if news.scope != "remembered":
             self.list_fresh = True
@@ -321,7 +326,9 @@
         fastest = min(usual_pace.values(), default=0.0)
         # An overload shows at many at once; then what each shows is little of its own.
         bad = sum(b.excess > 1.6 or b.tries.values[1] > 0.1 * b.tries.values[0] + 1 for b in opened)
-        self.strained = bad > (0.2 if self.strained else 0.45) * len(opened)
+        was, self.strained = self.strained, bad > (0.2 if self.strained else 0.45) * len(opened)
+        if was != self.strained:
+            self.log(f"strain {('ends', 'begins')[self.strained]}: {bad} of {len(opened)} backends look bad")
         missing = sum(b.misses > 1 for b in opened)
         for b in self.backends.values():
             b.elsewhere = sum(said.get(b.key[:2], 0.0) for at, said in self.peers.values()
@@ -340,8 +347,10 @@
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
             # A probe may wait in a full queue: time-outs count only once the sums tell of no answers either.
             quiet = b.refuses or now - b.ok_heard > self.boot.get("report_every", 0) + SECOND
-            b.lost = (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
-                      and missing * 2 < len(opened))
+            was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
+                                   and missing * 2 < len(opened))
+            if was != b.lost:
+                self.log(f"{b.id} " + ("silent: its weight fades" if b.lost else "answers: its weight returns"))
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
             # The weight fades at once and returns over ten seconds.
             b.health = min(target, b.health + (now - self.assessed) / (10 * SECOND))
@@ -416,7 +425,8 @@
         opened = self.opened()
         for b in self.backends.values():
             parts = sorted(b.parts, key=lambda p: (-p.load, p.slice.number))
-            if b.state in ("draining", "gone"):
+            if parts and b.state in ("draining", "gone"):
+                self.log(f"{b.id} {b.state}: {len(parts)} slices leave")
                 for part in parts:
                     self.place(part)
             elif b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
@@ -469,6 +479,7 @@
                 s.parts.remove(last)
             else:
                 continue
+            self.log(f"slice {s.number} in {len(s.parts)} parts: asks for {s.load / target:.1f} backends' work")
             for part in s.parts:
                 if part.owner is None:
                     self.place(part)
@@ -492,25 +503,37 @@
                 break
         return best
 
+    def decide(self) -> None:
+        """What should be out: the owners of every slice."""
+        for s in self.slices.values():
+            if s.stored and not s.parts:
+                s.parts = [Part(s, b) for b in s.stored]
+        self.assess()
+        self.evacuate()
+        # Rounds by the clock, coordinators in turn: two that see the same would move the same way.
+        shift = self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)
+        turn = (self.now + shift) // self.ROUND
+        if turn != self.turn and self.now >= self.plan_from:
+            self.turn = turn
+            self.plan()
+
     # ---- the beat --------------------------------------------------------------------------------
 
     def beat(self) -> None:
         self.next_beat = self.now + self.BEAT
-        self.orders.append(face.SetTimer(self.next_beat, "beat"))
         self.beats += 1
-        self.probe()
+        self.pick_probes()
         if self.beats % 2 == 0 and self.boot.get("may_tell") and self.boot.get("coordinators", 1) > 1:
             self.tell()
 
-    def probe(self) -> None:
+    def pick_probes(self) -> None:
         """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
         if not self.boot.get("may_probe"):
             return
         every = 4 * self.boot.get("coordinators", 1)    # two seconds; as many probes for several as for one
         for i, b in enumerate(self.backends.values()):
             if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % every == 0):
-                b.probe_out = self.now
-                self.orders.append(face.Probe(b.id))
+                self.probing.append(b)
 
     def tell(self) -> None:
         """What we bring to each backend, for peers to count in; nothing is lost but evenness without it."""
@@ -536,19 +559,18 @@
         and draws the tries of proxies that compare, so a small line there is no small matter."""
         return any(b.doubtful or b.warmth < 1 for b in s.stored if b not in s.owners())
 
-    def settle(self) -> None:
-        """What should be out against what is out: the difference, the urgent part of it first."""
-        for s in self.slices.values():
-            if s.stored and not s.parts:
-                s.parts = [Part(s, b) for b in s.stored]
-        self.assess()
-        self.evacuate()
-        # Rounds by the clock, coordinators in turn: two that see the same would move the same way.
-        shift = self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)
-        turn = (self.now + shift) // self.ROUND
-        if turn != self.turn and self.now >= self.plan_from:
-            self.turn = turn
-            self.plan()
+    def emit(self) -> None:
+        """What should be out, held or timed against what is: the difference, its urgent part first."""
+        if self.timer != self.next_beat:
+            self.timer = self.next_beat
+            self.orders.append(face.SetTimer(self.timer, "beat"))
+        if self.asking:
+            self.asking = False
+            self.orders.append(face.Subscribe(True))
+        for b in self.probing:
+            b.probe_out = self.now
+            self.orders.append(face.Probe(b.id))
+        self.probing.clear()
         must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
             if self.wanted(s) != s.stored:
