--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -10,7 +10,6 @@
 import hashlib
 import math
 import random
-import struct
 from collections import deque
 from heapq import heappop, heappush
 
@@ -63,7 +62,7 @@
         self.intake = 0                         # slices taken this round
         self.capacity = 1.0                     # weight x health x warmth / slowness, set by `assess`
         self.warmth = 1.0
-        self.load, self.elsewhere = 0.0, 0.0    # demand here; of that, what peers said they bring
+        self.load = 0.0                         # demand of what is wanted here
 
     def use(self) -> float:
         return self.load / self.capacity
@@ -97,7 +96,6 @@
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.level = 1.0                        # share that is let in, as the store holds it
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
-        self.recent = Sums(self.DEMAND_SPAN // 4, 1)    # cost, for jumps that the smoothed sum is late for
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
 
     def owners(self) -> list[Backend]:
@@ -105,7 +103,6 @@
 
 
 class Coordinator:
-    NOTE = struct.Struct("<2se")                # a backend by the start of its key, the demand brought there
     ROUND = 2 * SECOND                          # the design's
     BEAT = SECOND // 2          # half the shortest report period seen fit: probes and pushes hang on it
 
@@ -122,7 +119,6 @@
         self.list_fresh = False
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
-        self.peers: dict[int, tuple[int, dict[bytes, float]]] = {}     # when heard, what was said
         self.assessed = 0                       # when last judged
         self.strained = False                   # the fleet as a whole has too much to do
         self.turn = 0                           # the last round planned
@@ -219,9 +215,7 @@
         s, method = self.slices.get(sums.slice), self.methods.get(sums.method)
         if s is not None and method is not None:
             # What an RPC costs is told nowhere; the soft deadline grows with the work of a method.
-            cost = sums.total * method.soft_deadline / SECOND
-            s.demand.add(self.now, cost, sums.total)
-            s.recent.add(self.now, cost)
+            s.demand.add(self.now, sums.total * method.soft_deadline / SECOND, sums.total)
 
     def on_traffic(self, met: face.Traffic) -> None:
         b = self.backend(met.backend)
@@ -262,15 +256,12 @@
         if line.slice in self.slices and line.weight > 0:
             self.slices[line.slice].stored[self.backend(line.backend)] = line.weight
 
-    def on_peer(self, note: face.PeerNote) -> None:
-        self.peers[note.peer] = (self.now, dict(self.NOTE.iter_unpack(note.body)))
-
     def ignore(self, event: face.Event) -> None:
         pass
 
     HEAR = {face.BackendList: on_list, face.Probed: on_probed, face.SliceDemand: on_demand,
             face.Traffic: on_traffic, face.ProxyJoined: on_joined, face.ProxyLeft: on_left,
-            face.Charge: on_charge, face.StoredLine: on_stored, face.PeerNote: on_peer,
+            face.Charge: on_charge, face.StoredLine: on_stored, face.PeerNote: ignore,
             face.ProxyDemand: ignore, face.Acked: ignore}
 
     # ---- judging ---------------------------------------------------------------------------------
@@ -303,11 +294,6 @@
             # One RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
             s.load = (cost + 0.5 * s.cost) / (seen * s.demand.span / SECOND)
             s.cost = cost / rpcs if rpcs > 1 else s.cost
-            # A jump far outside of chance (three deviations of a Poisson count) is followed at once.
-            span = s.recent.span / SECOND
-            jump = s.recent.read(now)[0] / span - s.load
-            if not self.strained and jump > 3 * math.sqrt(s.load * s.cost / (2 * span)):
-                s.load += jump
         opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
@@ -331,9 +317,7 @@
             self.log(f"strain {('ends', 'begins')[self.strained]}: {bad} of {len(opened)} backends look bad")
         missing = sum(b.misses > 1 for b in opened)
         for b in self.backends.values():
-            b.elsewhere = sum(said.get(b.key[:2], 0.0) for at, said in self.peers.values()
-                              if now - at < 5 * self.ROUND)
-            b.load = b.elsewhere + sum(p.load for p in b.parts)
+            b.load = sum(p.load for p in b.parts)
             spent, cost = b.pace.values
             like = usual_pace.get(b.kind, 0.0)
             if like:
@@ -350,7 +334,7 @@
             was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                                    and missing * 2 < len(opened))
             if was != b.lost:
-                self.log(f"{b.id} " + ("silent: its weight fades" if b.lost else "answers: its weight returns"))
+                self.log(f"{b.id} {('answers: its weight returns', 'silent: its weight fades')[b.lost]}")
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
             # The weight fades at once and returns over ten seconds.
             b.health = min(target, b.health + (now - self.assessed) / (10 * SECOND))
@@ -375,14 +359,13 @@
     def allowance(self, b: Backend) -> float:
         """What a cold backend may be brought: its part of what the fleet really answers.  Demand and the
         capacities left in a bad hour are no measure: both rise with failures, its strength does not."""
-        # Three quarters of the multiple that fells it, on top of the third that warmth holds back: with
-        # empty caches an RPC costs up to twice its usual work.  A half cost points on deploys.
-        return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.75
+        # Half of the multiple that fells it, on top of the third that warmth holds back: with empty caches
+        # an RPC costs up to twice its usual work, and demand may jump.  Three quarters broke the rule.
+        return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.5
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
         """For a backend still cold: the cap on its intake and on its part."""
-        return b.warmth >= 1 or (b.intake < 2 and b.load + load <= mean * b.capacity
-                                 and b.load - b.elsewhere + load <= self.allowance(b))
+        return b.warmth >= 1 or (b.intake < 2 and b.load + load <= min(mean * b.capacity, self.allowance(b)))
 
     def opened(self) -> list[Backend]:
         return [b for b in self.backends.values() if b.state == "ready"]
@@ -431,7 +414,7 @@
                     self.place(part)
             elif b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
                 for part in parts:
-                    if b.load - b.elsewhere > 1.5 * self.allowance(b):
+                    if b.load > 1.5 * self.allowance(b):
                         self.place(part)
         for s in self.slices.values():
             s.parts = s.parts or [Part(s, None)]
@@ -479,12 +462,12 @@
                 s.parts.remove(last)
             else:
                 continue
-            self.log(f"slice {s.number} in {len(s.parts)} parts: asks for {s.load / target:.1f} backends' work")
+            self.log(f"slice {s.number} in {len(s.parts)} parts: asks for {s.load / target:.1f} backends")
             for part in s.parts:
                 if part.owner is None:
                     self.place(part)
         for b in opened:
-            b.load = b.elsewhere + sum(p.load for p in b.parts)
+            b.load = sum(p.load for p in b.parts)
 
     def best_move(self, source: Backend, by_use: list[Backend], mean: float) -> tuple[Part, Backend] | None:
         best, most = None, 0.0
@@ -523,8 +506,6 @@
         self.next_beat = self.now + self.BEAT
         self.beats += 1
         self.pick_probes()
-        if self.beats % 2 == 0 and self.boot.get("may_tell") and self.boot.get("coordinators", 1) > 1:
-            self.tell()
 
     def pick_probes(self) -> None:
         """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
@@ -535,13 +516,6 @@
             if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % every == 0):
                 self.probing.append(b)
 
-    def tell(self) -> None:
-        """What we bring to each backend, for peers to count in; nothing is lost but evenness without it."""
-        brought = sorted(((b.load - b.elsewhere, b.key[:2]) for b in self.backends.values()), reverse=True)
-        most = 256 // self.NOTE.size            # what a note may hold; the least loaded are left out
-        body = b"".join(self.NOTE.pack(key, load) for load, key in brought[:most] if load > 0)
-        self.orders.append(face.TellPeer(-1, body))
-
     # ---- wanted against present ------------------------------------------------------------------
 
     def wanted(self, s: Slice) -> dict[Backend, float]:
