--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -336,8 +336,9 @@
             if was != b.lost:
                 self.log(f"{b.id} {('answers: its weight returns', 'silent: its weight fades')[b.lost]}")
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
-            # The weight fades at once and returns over ten seconds.
-            b.health = min(target, b.health + (now - self.assessed) / (10 * SECOND))
+            # The weight fades at once and returns over half a minute; over ten seconds, what fails each time
+            # it gets work got it again too soon.
+            b.health = min(target, b.health + (now - self.assessed) / (30 * SECOND))
             age = now - b.started if b.started else 1 << 60
             warm = min(1.0, age / self.boot["warm_within"]) if self.boot.get("warm_within") else 1.0
             cold_from = self.boot.get("cold_from", 1.0)
