--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -33,7 +33,7 @@
 def test_small_imbalance_moves_nothing():
     w = World()
     w.start(4, 24)
-    assert not lines(w.run(60 * SECOND, {0: 2.5}))
+    assert not lines(w.run(60 * SECOND, {0: 4.5}))     # 1.15 times the mean: inside the band
 
 
 def test_drain_leaves_at_once_and_in_one_message():
@@ -82,23 +82,22 @@
     w.start(3, 3, scope="remembered")
     w.step(0, face.Charge(9, True), face.StoredLine(9, "newer", 1.0))
     assert w.owners()[9] == "newer"
-    w.step(SECOND, face.BackendList("full", 2, tuple(entry(f"b{i}") for i in range(3))))
+    w.step(SECOND, changes(entry("b0")))        # changes make the list in hand a fresh one
     w.step(2 * SECOND)
     assert w.owners()[9] in ("b0", "b1", "b2")
 
 
 def test_cold_backend_takes_two_a_round_and_its_part_only():
     w = World()
-    w.start(4, 48)
-    hot = {s: 3.0 for s in range(0, 48, 4)}
+    w.start(4, 160)                             # light slices: the cap on its part is far
+    hot = {s: 3.0 for s in range(0, 160, 4)}
     w.run(8 * SECOND, hot)
     w.step(0, changes(entry("new", started=w.now)))
-    took = []
+    held = [0]
     for _ in range(7):
-        before = len(w.taken)
         w.run(2 * SECOND, hot)
-        took.append(len(w.taken) - before)
-    assert 0 < sum(took) and max(took) <= 3     # pushes are paced apart from the rounds
+        held.append(len(w.c.backends["new"].parts))
+    assert held[-1] > 2 and max(b - a for a, b in zip(held, held[1:])) <= 2
 
 
 def test_hot_slice_is_not_given_to_a_cold_backend():
@@ -148,7 +147,7 @@
     w.run(14 * SECOND)
     before = w.owners()
     w.run(16 * SECOND, bad={f"b{i}" for i in range(6)})
-    assert w.owners() == before
+    assert w.owners() == before and min(b.health for b in w.c.backends.values()) > 0.9
 
 
 def test_slice_too_hot_for_any_is_dealt_out_and_taken_together_again():
@@ -196,7 +195,7 @@
 
 def test_much_at_once_goes_out_in_pieces():
     """Found on a recorded day: more levels than the channel takes at once were held back for ever."""
-    w = World(queue_cap=3000)
+    w = World(queue_cap=1500)
     w.start(6, 200, proxies=9)
     w.run(20 * SECOND, queued={f"b{i}": 300 for i in range(6)})
-    assert sum(s.level < 1 for s in w.c.slices.values()) > 50
+    assert sum(s.level < 1 for s in w.c.slices.values()) > 30
