Urgent lines packed by their true count: drains kept at full size

Now true lines are counted, a message waits until half of an empty channel's share is free or all fits, and the oldest duty goes first.

Also guards: many slices of dead backends in any large fleet. Could harm: an urgent line waits for up to half a channel's emptying.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -46,6 +46,7 @@
         self.id, self.key = id, hashlib.blake2b(id.encode(), digest_size=8).digest()
         self.kind, self.weight, self.started = "", 1.0, 0
         self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
+        self.told = 0                           # when the list said that it drains or is gone
         self.parts: list[Part] = []             # what is wanted here
         self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
         self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
@@ -193,12 +194,17 @@
                 # The same id with a later start: what we knew of the old process is void.
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
                 b.misses, b.lost, b.health = 0, False, 1.0
-            b.state, b.weight, b.started = entry.state, max(entry.weight, 1e-3), entry.started
-            b.kind = entry.kind
+            self.turn_to(b, entry.state)
+            b.weight, b.started, b.kind = max(entry.weight, 1e-3), entry.started, entry.kind
         # What a complete list lacks is gone; what only the store knew is, once the list in hand is fresh.
         for b in self.backends.values():
             if b.id not in named and (self.list_fresh if b.state == "unheard" else news.scope != "changes"):
-                b.state = "gone"
+                self.turn_to(b, "gone")
+
+    def turn_to(self, b: Backend, state: str) -> None:
+        if b.state in ("ready", "unheard") and state in ("draining", "gone"):
+            b.told = self.now
+        b.state = state
 
     def on_probed(self, result: face.Probed) -> None:
         b = self.backend(result.backend)
@@ -526,10 +532,11 @@
         return dict.fromkeys(s.owners(), 1.0)
 
     @staticmethod
-    def presses(s: Slice) -> bool:
-        """No line yet, or one at a backend that drains or is gone, however small.  Told by what is out,
-        not by who decided: a planned move still waiting its turn must not hide a drain."""
-        return not s.stored or any(b.state in ("draining", "gone") for b in s.stored)
+    def pressed(s: Slice) -> int | None:
+        """Since when there is no line, or one at a backend that drains or is gone, however small.  Told by
+        what is out, not by who decided: a planned move still waiting its turn must not hide a drain."""
+        return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")),
+                   default=None if s.stored else s.since)
 
     @staticmethod
     def ails(s: Slice) -> bool:
@@ -552,50 +559,52 @@
         must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
             if self.wanted(s) != s.stored:
-                (must if self.presses(s) else ailing if self.ails(s) else ordinary).append(s)
+                (must if self.pressed(s) is not None else ailing if self.ails(s) else ordinary).append(s)
             if self.wanted_level(s) != s.level:
                 trim.append(s)
+        must.sort(key=self.pressed)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
         # A tenth of the ordinary changes each second beat; three, lest a small rest take for ever.
         turn = ordinary[:max(3, len(ordinary) // 10)]
         if self.beats % 2:
             turn = trim = []
-        if must and self.room(True):
-            self.push((must + ailing)[:self.room(True)], [], fresh)
-        elif (ailing or turn or fresh or trim) and (room := self.room(False)):
-            self.push((ailing + turn)[:room], trim[:room], fresh)
-
-    def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool) -> None:
+        if must:
+            self.push(must + ailing, [], fresh, True)
+        elif ailing or turn or fresh or trim:
+            self.push(ailing + turn, trim, fresh, False)
+
+    def delta(self, s: Slice) -> list[face.SetLine]:
+        want = self.wanted(s)
+        return ([face.SetLine(s.number, b.id, w) for b, w in want.items() if s.stored.get(b) != w]
+                + [face.SetLine(s.number, b.id, 0.0) for b in s.stored if b not in want])
+
+    def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool, urgent: bool) -> None:
+        deltas = [self.delta(s) for s in changed]
+        room = self.room(urgent, sum(map(len, deltas)) + len(trimmed))
+        if room <= 0:
+            return
         if levels:
             # A further try only after proof that the first never ran: safe for every method.
             self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
             self.levels_sent = set(self.proxies)
         lines = 0
-        for s in changed:
-            want = self.wanted(s)
-            for b, weight in want.items():
-                if s.stored.get(b) != weight:
-                    self.orders.append(face.SetLine(s.number, b.id, weight))
-                    lines += 1
-            for b in s.stored:
-                if b not in want:
-                    self.orders.append(face.SetLine(s.number, b.id, 0.0))
-                    lines += 1
-            s.stored = want
-        for s in trimmed:
+        for s, delta in zip(changed, deltas):
+            if lines + len(delta) <= room:
+                self.orders += delta
+                lines += len(delta)
+                s.stored = self.wanted(s)
+        for s in trimmed[:room - lines]:
             s.level = self.wanted_level(s)
             self.orders.append(face.SetLevel(s.number, (), s.level, 1))
             lines += 1
-        self.backlog += self.cost(lines)
+        self.backlog += len(self.proxies) * (self.boot.get("envelope", 0) + lines + 1)
         self.sent.append(self.now)
 
-    def cost(self, lines: int) -> float:
-        return len(self.proxies) * (self.boot.get("envelope", 0) + lines + 1)
-
-    def room(self, urgent: bool) -> int:
-        """How many slices may go out now: a reserve of lines and of messages is kept for what can't wait.
-        Counted in whole, so that much at once goes out in pieces and not never."""
+    def room(self, urgent: bool, need: int) -> int:
+        """How many lines a message to every proxy may hold now: a reserve of lines and of messages is kept
+        for what can't wait.  What does not fit goes in pieces, none under half of what an empty channel
+        takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
         rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND      # half: the channel may run slower
         self.backlog = max(0.0, self.backlog - (self.now - self.backlog_at) * rate)
         self.backlog_at = self.now
@@ -605,5 +614,7 @@
         if most and len(self.sent) >= most // 2 and (
                 not urgent or len(self.sent) >= most or self.now - self.sent[-1] < over / most):
             return 0
-        left = self.boot.get("queue_cap", 10 ** 6) * (0.8 if urgent else 0.25) - self.backlog - self.cost(0)
-        return max(0, int(left / (len(self.proxies) or 1) / 4))      # lines of a slice: two to three, a level
+        share = self.boot.get("queue_cap", 10 ** 6) * (0.8 if urgent else 0.25)
+        free, empty = ((share - used) / (len(self.proxies) or 1) - self.boot.get("envelope", 0) - 1
+                       for used in (self.backlog, 0.0))
+        return int(free) if free >= min(need, empty / 2) else 0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -201,6 +201,17 @@
     assert sum(s.level < 1 for s in w.c.slices.values()) > 30
 
 
+def test_drains_in_time_where_proxies_are_many():
+    """Found at full size: piece by piece, each with its envelope, a drain took longer than its grace."""
+    w = World(queue_cap=7000, lines_per_s=7000, transit_most=3000, messages_most=0, envelope=8)
+    w.start(55, 200, proxies=89)
+    w.run(10 * SECOND)
+    w.step(0, changes(*(entry(f"b{i}", "draining") for i in range(10))))
+    for _ in range(30):
+        w.step(SECOND // 10, *w.probes())
+    assert not {f"b{i}" for i in range(10)} & set(w.owners().values())
+
+
 def test_no_level_where_levels_are_rates():
     w = World(admission="rate")
     assert not [o for o in w.start() if isinstance(o, face.SetLevel)]       # 1 would be one RPC a second
