Demand shrunk towards its usual by variance: chance alone moves fewer slices

Cause: at full size a slice gets one to three RPCs a second; over 7 s that is mostly chance, and the busiest of 60 backends is always over the band. Now 30 s count as usual and the last 7 s as far as they are more than chance (squared deviation against four variances). Could harm: a slow steady rise is seen later.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -90,6 +90,7 @@
 
 class Slice:
     DEMAND_SPAN = 7 * SECOND                    # the design's 10 s are late for demand that lasts 14
+    USUAL_SPAN = 30 * SECOND                    # a few RPCs a second are mostly chance over less
 
     def __init__(self, number: int, now: int) -> None:
         self.number, self.since = number, now
@@ -97,6 +98,7 @@
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.level = 1.0                        # share that is let in, as the store holds it
         self.demand = Sums(self.DEMAND_SPAN, 2)  # cost, RPCs
+        self.usual = Sums(self.USUAL_SPAN, 2)   # the same over longer
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
 
     def owners(self) -> list[Backend]:
@@ -223,7 +225,8 @@
         s, method = self.slices.get(sums.slice), self.methods.get(sums.method)
         if s is not None and method is not None:
             # What an RPC costs is told nowhere; the soft deadline grows with the work of a method.
-            s.demand.add(self.now, sums.total * method.soft_deadline / SECOND, sums.total)
+            for lately in (s.demand, s.usual):
+                lately.add(self.now, sums.total * method.soft_deadline / SECOND, sums.total)
 
     def on_traffic(self, met: face.Traffic) -> None:
         b = self.backend(met.backend)
@@ -309,11 +312,17 @@
         """Demand of every slice, and for every backend its health, warmth and capacity."""
         now = self.now
         for s in self.slices.values():
-            cost, rpcs = s.demand.read(now)
-            seen = 1 - math.exp(min(s.since - now, -1) / s.demand.span)
-            # One RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
-            s.load = (cost + 0.5 * s.cost) / (seen * s.demand.span / SECOND)
+            (cost, rpcs), (usual, many) = s.demand.read(now), s.usual.read(now)
+            over, over_usual = (d.span / SECOND * (1 - math.exp(min(s.since - now, -1) / d.span))
+                                for d in (s.demand, s.usual))
             s.cost = cost / rpcs if rpcs > 1 else s.cost
+            # Lately counts as far as it is more than chance against the usual (shrunk by the variance):
+            # moves made on chance empty caches, and among many backends one always looks the busiest.
+            due = many * over / over_usual
+            sure = (rpcs - due) ** 2 / ((rpcs - due) ** 2 + 4 * due + 1)
+            rate = sure * cost / over + (1 - sure) * usual / over_usual
+            # Half an RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
+            s.load = rate + 0.5 * s.cost / over
         opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,4 +1,6 @@
 """Plain cases, one for each guard and each failure found; none needs the bench."""
+import random
+
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
 
@@ -212,6 +214,16 @@
     assert not {f"b{i}" for i in range(10)} & set(w.owners().values())
 
 
+def test_chance_alone_moves_little_in_a_large_fleet():
+    """Found at full size: among many backends one always looks the busiest."""
+    w, rng, moved = World(), random.Random(5), 0
+    w.start(60, 360, proxies=3)
+    for second in range(40):
+        orders = w.run(2 * SECOND, {s: sum(rng.random() < 0.05 for _ in range(40)) / 2 for s in range(360)})
+        moved += sum(isinstance(o, face.SetLine) and o.weight > 0 for o in orders)
+    assert moved < 90
+
+
 def test_answered_marks_let_out_what_waits():
     """Found on a recorded day with 202 proxies: at half the stated pace a drain missed its grace."""
     left = []
