--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -364,7 +364,7 @@
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
             # Probes show one way only, and may wait in a full queue or on a slow link: time-outs count once
             # the sums tell of tries and no answers either.  Nothing tried is no silence.
-            quiet = b.refuses or (b.unanswered > 2
+            quiet = b.refuses or (b.unanswered
                                   and now - b.ok_heard > self.boot.get("report_every", 0) + SECOND)
             was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                                    and missing.total() * 2 < len(opened))
