Cold allowance by strength the warm have shown: new backends filled in a deploy

Now the warm ones' answers for their own weight count, and what was shown fades over a minute only. Also guards: any bad hour that overlaps a restart or growth. Could harm: where weights of new backends overstate them.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -329,10 +329,13 @@
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
         # Answered cost a second for a unit of listed weight: all that is known of strength in absolute terms.
+        # By the warm ones only, and fading over a minute: strength shown does not go with a bad hour.
+        warm = [b for b in opened if b.warmth >= 1]
         rpcs = sum(s.demand.values[1] for s in self.slices.values())
         cost = sum(s.demand.values[0] for s in self.slices.values()) / rpcs if rpcs else 0.0
-        answered = sum(b.tries.values[0] - b.tries.values[1] for b in opened) * SECOND / Backend.FAIL_SPAN
-        self.yield_ = answered * cost / sum(b.weight for b in opened) if opened else 0.0
+        answered = sum(b.tries.values[0] - b.tries.values[1] for b in warm) * SECOND / Backend.FAIL_SPAN
+        self.yield_ = max(answered * cost / sum(b.weight for b in warm) if warm else 0.0,
+                          self.yield_ * math.exp((self.assessed - now) / (60 * SECOND)))
         paces: dict[str, list[float]] = {}
         for b in opened:
             spent, cost = b.pace.read(now)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -113,6 +113,17 @@
     assert "new" not in w.tables[0]
 
 
+def test_new_backends_are_filled_while_the_rest_fails():
+    """Found on a hunted day: what the jammed answered was taken for what new ones can bear."""
+    w = World()
+    w.start(12, 72)
+    w.run(20 * SECOND, {s: 6.0 for s in range(72)})
+    w.step(0, changes(*(entry(f"b{i}", "gone") for i in range(6))),
+           changes(*(entry(f"n{i}", started=w.now) for i in range(6))))
+    w.run(8 * SECOND, {s: 6.0 for s in range(72)}, bad={f"b{i}" for i in range(6, 12)})
+    assert sum(b.startswith("n") for b in w.owners().values()) >= 12
+
+
 def test_restart_seen_by_its_start_time_sheds_what_it_can_not_take():
     w = World()
     w.start(4, 24)
