--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -597,8 +597,9 @@
         must.sort(key=self.pressed)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
-        # A tenth of the ordinary changes each second beat; three, lest a small rest take for ever.
-        turn = ordinary[:max(3, len(ordinary) // 10)]
+        # A third of the ordinary changes each second beat (a tenth, the design's, left 50 waiting at full size);
+        # three at least, lest a small rest take for ever.
+        turn = ordinary[:max(3, len(ordinary) // 3)]
         if self.beats % 2:
             turn = trim = []
         if must:
