Drains too large for their grace are shut out; lines too many at cold backends urgent

Now a backend whose lines can't be out in time is withdrawn, one line each, let in again once ready, and again for whoever joins. Also guards: any loss of much of the list at once. Could harm: a slice at a shut-out backend has no line until its turn, a second or two.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -46,7 +46,7 @@
         self.id, self.key = id, hashlib.blake2b(id.encode(), digest_size=8).digest()
         self.kind, self.zone, self.weight, self.started = "", "", 1.0, 0
         self.state = "unheard"                  # "ready", "draining", "gone"; unheard: only in the store
-        self.told = 0                           # when the list said that it drains or is gone
+        self.told = 0                           # when the list said that it drains, is gone or began anew
         self.parts: list[Part] = []             # what is wanted here
         self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
         self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
@@ -127,6 +127,8 @@
         self.turn = 0                           # the last round planned
         self.balancing = False                  # between the band's two edges
         self.levels_sent: set[int] = set()      # proxies that know the further tries
+        self.withdrawn: set[Backend] = set()    # shut out of all tables, until ready again
+        self.returned: set[Backend] = set()     # ready again: some proxy may not know it yet
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
         self.sent: deque[int] = deque()         # when messages went out
         self.unacked: dict[int, tuple[int, set[int]]] = {}      # by mark: lines each, proxies to answer yet
@@ -197,7 +199,7 @@
             if entry.started > b.started and b.state != "unheard":
                 # The same id with a later start: what we knew of the old process is void.
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
-                b.misses, b.lost, b.health = 0, False, 1.0
+                b.misses, b.lost, b.health, b.told = 0, False, 1.0, self.now
             self.turn_to(b, entry.state)
             b.weight, b.started = max(entry.weight, 1e-3), entry.started
             b.kind, b.zone = entry.kind, entry.zone
@@ -252,6 +254,7 @@
     def on_joined(self, joined: face.ProxyJoined) -> None:
         self.proxies[joined.proxy] = joined.zone
         self.levels_sent.discard(joined.proxy)
+        self.withdrawn |= self.returned         # it may hold what it never heard taken back
 
     def on_left(self, left: face.ProxyLeft) -> None:
         self.proxies.pop(left.proxy, None)
@@ -565,16 +568,17 @@
 
     @staticmethod
     def pressed(s: Slice) -> int | None:
-        """Since when there is no line, or one at a backend that drains or is gone, however small.  Told by
-        what is out, not by who decided: a planned move still waiting its turn must not hide a drain."""
-        return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")),
-                   default=None if s.stored else s.since)
+        """Since when there is no line, or one at a backend that drains or is gone, however small, or one
+        too many at a cold one.  Told by what is out, not by who decided: a planned move still waiting its
+        turn must not hide a drain."""
+        return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")
+                    or b.warmth < 1 and b not in s.owners()), default=None if s.stored else s.since)
 
     @staticmethod
     def ails(s: Slice) -> bool:
-        """A line to take out at a backend that fails or is cold.  One that fails fast has least in hand
-        and draws the tries of proxies that compare, so a small line there is no small matter."""
-        return any(b.doubtful or b.warmth < 1 for b in s.stored if b not in s.owners())
+        """A line to take out at a backend that fails.  One that fails fast has least in hand and draws the
+        tries of proxies that compare, so a small line there is no small matter."""
+        return any(b.doubtful for b in s.stored if b not in s.owners())
 
     def emit(self) -> None:
         """What should be out, held or timed against what is: the difference, its urgent part first."""
@@ -597,36 +601,55 @@
         must.sort(key=self.pressed)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
-        # A third of the ordinary changes each second beat (a tenth, the design's, left 50 waiting at full size);
-        # three at least, lest a small rest take for ever.
+        # A third of the ordinary changes each second beat (the design's tenth left 50 waiting at full
+        # size); three at least, lest a small rest take for ever.
         turn = ordinary[:max(3, len(ordinary) // 3)]
         if self.beats % 2:
             turn = trim = []
-        if must:
-            self.push(must + ailing, [], fresh, True)
+        back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
+        if must or back:
+            self.push(must + ailing, [], fresh, True, back)
         elif ailing or turn or fresh or trim:
-            self.push(ailing + turn, trim, fresh, False)
+            self.push(ailing + turn, trim, fresh, False, [])
 
     def delta(self, s: Slice) -> list[face.SetLine]:
         want = self.wanted(s)
         return ([face.SetLine(s.number, b.id, w) for b, w in want.items() if s.stored.get(b) != w]
                 + [face.SetLine(s.number, b.id, 0.0) for b in s.stored if b not in want])
 
-    def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool, urgent: bool) -> None:
+    def push(self, changed: list[Slice], trimmed: list[Slice], levels: bool, urgent: bool,
+             back: list[Backend]) -> None:
         deltas = [self.delta(s) for s in changed]
-        room = self.room(urgent, sum(map(len, deltas)) + len(trimmed))
+        need = sum(map(len, deltas)) + len(trimmed) + len(back)
+        room = self.room(urgent, need) - len(back)
         if room <= 0:
             return
+        self.orders += [face.Withdraw(b.id, False) for b in back]
+        self.withdrawn.difference_update(back)
+        self.returned.update(back)
         if levels:
             # A further try only after proof that the first never ran: safe for every method.
             self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
             self.levels_sent = set(self.proxies)
-        lines = 0
+        # What leaves a drain later than its grace: shut its backend out, one line each.  The slices left are
+        # without a line until theirs are out, a second or two; those that fit now go now.
+        rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND
+        over = self.now + (self.backlog + need * len(self.proxies)) / rate + self.boot.get("transit_most", 0)
+        shut = {b: None for s in changed for b in s.stored if b.state in ("draining", "gone")
+                and over > max(b.told, s.since) + self.boot.get("drain_grace", SECOND)}
+        lines, room, left = len(back), room - len(shut), set()
         for s, delta in zip(changed, deltas):
             if lines + len(delta) <= room:
                 self.orders += delta
                 lines += len(delta)
                 s.stored = self.wanted(s)
+            else:
+                left.update(s.stored)
+        for b in shut:
+            if b in left and b not in self.withdrawn and lines < room + len(shut):
+                self.withdrawn.add(b)
+                self.orders.append(face.Withdraw(b.id, True))
+                lines += 1
         for s in trimmed[:room - lines]:
             s.level = self.wanted_level(s)
             self.orders.append(face.SetLevel(s.number, (), s.level, 1))
@@ -650,8 +673,10 @@
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
             self.sent.popleft()
-        if most and len(self.sent) >= most // 2 and (
-                not urgent or len(self.sent) >= most or self.now - self.sent[-1] < over / most):
+        # Half of the messages for what is not urgent, evenly spaced; the others too once half are used.
+        half, used = most // 2, len(self.sent)
+        if most and used and (used >= (most if urgent else half) or (used >= half or not urgent)
+                              and self.now - self.sent[-1] < over / (most if urgent else half)):
             return 0
         share = self.boot.get("queue_cap", 10 ** 6) * (0.8 if urgent else 0.25)
         free, empty = ((share - used) / (len(self.proxies) or 1) - self.boot.get("envelope", 0) - 2
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -248,6 +248,34 @@
     assert moved < 90
 
 
+def test_drain_too_large_for_its_grace_is_shut_out_and_let_in_again():
+    """Found on hunted days: 24 of 64 gone at once can't be replaced in time; one line each shuts them out."""
+    w = World(queue_cap=9000, lines_per_s=6000, drain_grace=2 * SECOND, transit_most=4000, messages_most=0)
+    w.start(60, 300, proxies=90)
+    w.run(10 * SECOND)
+    struck = [f"b{i}" for i in range(24)]
+    orders = w.step(0, changes(*(entry(b, "draining") for b in struck)))
+    left = {b for b in struck if any(b in t for t in w.tables.values())}
+    assert left and left <= {o.backend for o in orders if isinstance(o, face.Withdraw) and o.out}
+    w.step(0, face.ProxyLeft(0))
+    for _ in range(20):
+        w.step(SECOND, *w.probes(), *w.acks())
+    orders = w.step(0, changes(*(entry(b, started=w.now) for b in struck))) + w.step(5 * SECOND)
+    assert left <= {o.backend for o in orders if isinstance(o, face.Withdraw) and not o.out}
+    assert [o for o in w.step(0, face.ProxyJoined(0, "east", 5.0, False)) if isinstance(o, face.Withdraw)]
+
+
+def test_lines_too_many_at_a_cold_backend_do_not_wait_for_a_turn():
+    """Found on a hunted day: with the ordinary messages used up a restarted backend kept all its slices."""
+    w = World()
+    w.start(12, 72)
+    for i in range(8):
+        w.run(2 * SECOND, {s: 2.0 + 9 * (s % 12 == i) for s in range(72)})
+    w.step(0, changes(entry("b11", started=w.now)))
+    w.step(SECOND, *w.probes())
+    assert len([s for s, b in w.owners().items() if b == "b11"]) < 6
+
+
 def test_answered_marks_let_out_what_waits():
     """Found on a recorded day with 202 proxies: at half the stated pace a drain missed its grace."""
     left = []
