--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -50,19 +50,16 @@
         self.parts: list[Part] = []             # what is wanted here
         self.pace = Sums(self.PACE_SPAN, 2)     # time that cores spent on RPCs, what these should cost
         self.tries = Sums(self.FAIL_SPAN, 2)    # tries, failures
-        self.slowness = 1.0                     # against the fastest kind
-        self.excess = 1.0                       # and of that against its own kind
+        self.slowness, self.excess = 1.0, 1.0   # against the fastest kind, of that against its own kind
         self.probe_out = 0                      # when the probe now out was sent, 0: none
         self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
-        self.refuses = False                    # the last miss was no time-out: nobody listens there
+        self.refuses = False                    # the last miss was no time-out
         self.ok_heard, self.unanswered = 0, 0   # when sums last told of an answer, tries without since
         self.health = 1.0
         self.admit, self.judged = 1.0, 0        # share of what is asked of it to let in, when last judged
-        self.doubtful = False                   # gets no part and nothing new
-        self.lost = False                       # silent: its weight is at the floor
+        self.doubtful, self.lost = False, False  # gets no part and nothing new; silent: weight at the floor
         self.intake = 0                         # slices taken this round
-        self.capacity = 1.0                     # weight x health x warmth / slowness, set by `assess`
-        self.warmth = 1.0
+        self.warmth, self.capacity = 1.0, 1.0   # weight x health x warmth / slowness, set by `assess`
         self.load = 0.0                         # demand of what is wanted here
 
     def use(self) -> float:
@@ -105,6 +102,12 @@
         return [p.owner for p in self.parts if p.owner is not None]
 
 
+def mean_cost(slices) -> float:
+    """What an RPC of these slices has cost lately."""
+    sums = [s.demand.values for s in slices]
+    return sum(v[0] for v in sums) / (sum(v[1] for v in sums) or 1.0)
+
+
 class Coordinator:
     ROUND = 2 * SECOND                          # the design's
     BEAT = SECOND // 2                          # probes and pushes hang on it: half of what a push may wait
@@ -112,13 +115,12 @@
     def __init__(self, seed: int, bootstrap: dict) -> None:
         self.boot = bootstrap
         self.uniform = random.Random(seed).random
-        self.now, self.orders, self.beats = 0, [], 0
+        self.now, self.orders, self.beats, self.entered, self.mark = 0, [], 0, 0, 0
         self.backends: dict[str, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, str] = {}
         self.methods = {m.name: m for m in bootstrap["methods"]}
         self.due: list[tuple[int, int, object]] = []  # due time, order of entry, what to do then
-        self.entered = 0
         self.list_fresh = False
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
@@ -132,7 +134,6 @@
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
         self.sent: deque[int] = deque()         # when messages went out
         self.unacked: dict[int, tuple[int, set[int]]] = {}      # by mark: lines each, proxies to answer yet
-        self.mark = 0
         self.next_beat, self.timer = 0, 0       # when the beat is due; the timer that is set
         self.asking = False                     # a subscription is wanted and not yet asked for
         self.probing: list[Backend] = []        # to be probed now
@@ -142,16 +143,15 @@
     def handle(self, now: int, events: list[face.Event]) -> list[face.Order]:
         self.now, self.orders = now, []
         if not self.next_beat:
-            self.start()
-        ticked = False
+            self.backlog_at, self.next_beat = now, now + self.BEAT
+            self.hold_plans()
+            self.subscribe()
         for event in events:
-            if isinstance(event, face.TimerDue):
-                ticked = True
-            else:
+            if type(event) in self.HEAR:                # others tell nothing that is used here
                 self.HEAR[type(event)](self, event)
         while self.due and self.due[0][0] <= now:
             heappop(self.due)[2]()
-        if ticked and now >= self.next_beat:
+        if now >= self.next_beat:
             self.beat()
         self.decide()
         self.emit()
@@ -160,12 +160,6 @@
     def log(self, text: str) -> None:
         self.orders.append(face.LogLine(text))
 
-    def start(self) -> None:
-        self.backlog_at = self.now
-        self.hold_plans()
-        self.next_beat = self.now + self.BEAT
-        self.subscribe()
-
     def hold_plans(self) -> None:
         """After a start or a take-over planning waits until the sums can tell something: five periods."""
         self.plan_from = self.now + 5 * self.boot["report_every"]
@@ -178,9 +172,7 @@
         self.asking = self.boot.get("discovery") == "ask"
 
     def backend(self, id: str) -> Backend:
-        if id not in self.backends:
-            self.backends[id] = Backend(id)
-        return self.backends[id]
+        return self.backends.get(id) or self.backends.setdefault(id, Backend(id))
 
     # ---- hearing ---------------------------------------------------------------------------------
 
@@ -195,7 +187,7 @@
         named = set()
         for entry in news.entries:
             b = self.backend(entry.backend)
-            named.add(b.id)
+            named.add(b)
             if entry.started > b.started and b.state != "unheard":
                 # The same id with a later start: what we knew of the old process is void.
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
@@ -205,7 +197,7 @@
             b.kind, b.zone = entry.kind, entry.zone
         # What a complete list lacks is gone; what only the store knew is, once the list in hand is fresh.
         for b in self.backends.values():
-            if b.id not in named and (self.list_fresh if b.state == "unheard" else news.scope != "changes"):
+            if b not in named and (self.list_fresh if b.state == "unheard" else news.scope != "changes"):
                 self.turn_to(b, "gone")
 
     def turn_to(self, b: Backend, state: str) -> None:
@@ -242,8 +234,7 @@
             return
         # Tries that come where no slice is any more cost nothing here but count in full as time: a backend
         # that works off what it took is to be left alone.
-        rpcs = sum(p.slice.demand.values[1] for p in b.parts)
-        cost = sum(p.slice.demand.values[0] for p in b.parts) / rpcs if rpcs else 0.0
+        cost = mean_cost(p.slice for p in b.parts)
         if met.load.get("service_time"):
             # Time in work without the wait: the speed of the machine, whatever its load.
             b.pace.add(self.now, met.load["service_time"] / SECOND, cost)
@@ -283,13 +274,9 @@
         if line.slice in self.slices and line.weight > 0:
             self.slices[line.slice].stored[self.backend(line.backend)] = line.weight
 
-    def ignore(self, event: face.Event) -> None:
-        pass
-
     HEAR = {face.BackendList: on_list, face.Probed: on_probed, face.SliceDemand: on_demand,
             face.Traffic: on_traffic, face.ProxyJoined: on_joined, face.ProxyLeft: on_left,
-            face.Charge: on_charge, face.StoredLine: on_stored, face.PeerNote: ignore,
-            face.ProxyDemand: ignore, face.Acked: on_acked}
+            face.Charge: on_charge, face.StoredLine: on_stored, face.Acked: on_acked}
 
     # ---- judging ---------------------------------------------------------------------------------
 
@@ -300,9 +287,10 @@
                 or self.now - b.judged < self.boot["report_every"]:
             return
         # A quarter cuts before RPCs are late; a half, and steeper cuts, did no better.
+        # By Little's law, queue over rate is the wait.
         n, failed = b.tries.read(self.now)
-        rate = max(n - failed, 1.0) / b.tries.span              # by Little's law, queue over rate is the wait
-        wait = met.load["queued"] / rate / min(m.soft_deadline for m in self.methods.values())
+        wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0)
+                / min(m.soft_deadline for m in self.methods.values()))
         b.judged = self.now
         if wait > 0.25:
             b.admit = max(0.2, b.admit * (0.7 if wait > 0.75 else 0.85))
@@ -330,14 +318,12 @@
             s.load = rate + 0.5 * s.cost / over
         opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
-        usual = sum(b.tries.values[1] for b in opened) / tries if tries else 0.0
+        usual = sum(b.tries.values[1] for b in opened) / (tries or 1)
         # Answered cost a second for a unit of listed weight: all that is known of strength in absolute terms.
         # By the warm ones only, and fading over a minute: strength shown does not go with a bad hour.
         warm = [b for b in opened if b.warmth >= 1]
-        rpcs = sum(s.demand.values[1] for s in self.slices.values())
-        cost = sum(s.demand.values[0] for s in self.slices.values()) / rpcs if rpcs else 0.0
         answered = sum(b.tries.values[0] - b.tries.values[1] for b in warm) * SECOND / Backend.FAIL_SPAN
-        self.yield_ = max(answered * cost / sum(b.weight for b in warm) if warm else 0.0,
+        self.yield_ = max(answered * mean_cost(self.slices.values()) / (sum(b.weight for b in warm) or 1.0),
                           self.yield_ * math.exp((self.assessed - now) / (60 * SECOND)))
         paces: dict[str, list[float]] = {}
         for b in opened:
@@ -370,8 +356,7 @@
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
             # Probes show one way only, and may wait in a full queue or on a slow link: time-outs count once
             # the sums tell of tries and no answers either.  Nothing tried is no silence.
-            quiet = b.refuses or (b.unanswered
-                                  and now - b.ok_heard > self.boot.get("report_every", 0) + SECOND)
+            quiet = b.refuses or b.unanswered and now - b.ok_heard > self.boot["report_every"] + SECOND
             was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                                    and missing.total() * 2 < len(opened))
             if was != b.lost:
@@ -380,11 +365,9 @@
             # The weight fades at once and returns over half a minute; over ten seconds, what fails each time
             # it gets work got it again too soon.
             b.health = min(target, b.health + (now - self.assessed) / (30 * SECOND))
-            age = now - b.started if b.started else 1 << 60
-            warm = min(1.0, age / self.boot["warm_within"]) if self.boot.get("warm_within") else 1.0
-            cold_from = self.boot.get("cold_from", 1.0)
             # The slowest growth the settings allow, and a third less: caches of a started process are empty.
-            b.warmth = 1.0 if warm >= 1 else 0.7 * (cold_from + (1 - cold_from) * warm)
+            age = (now - b.started) / self.boot["warm_within"] if b.started else 1.0
+            b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - self.boot["cold_from"]) * (1 - age))
             b.capacity = b.weight * b.health * b.warmth / b.slowness
             # As many failures as answers beyond what all show; twice as slow as its like; probes missed,
             # unless by most of its zone: that is the way there.
@@ -415,18 +398,16 @@
         return [b for b in self.backends.values() if b.state == "ready"]
 
     def mean_use(self, opened: list[Backend]) -> float:
-        return sum(b.load for b in self.backends.values()) / sum(b.capacity for b in opened)
+        return sum(b.load for b in self.backends.values()) / (sum(b.capacity for b in opened) or 1.0)
 
     def place(self, part: Part) -> None:
         """A slice without a live owner: weighted rendezvous over the room that is left."""
         s, load, opened = part.slice, part.load, self.opened()
         choice = [b for b in opened if b not in s.owners()]
-        fit = warm = room = []
-        if choice:
-            mean = self.mean_use(opened)
-            fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
-            warm = [b for b in choice if b.warmth >= 1]
-            room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
+        mean = self.mean_use(opened)
+        fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
+        warm = [b for b in choice if b.warmth >= 1]
+        room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
         # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
         # no way out: with nothing warm the slice waits, and the next settling tries again.
         room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
@@ -469,8 +450,8 @@
     def plan(self) -> None:
         """The design's greedy planner: whole slices, busiest to least loaded, for positive gain only."""
         opened = sorted(self.opened(), key=lambda b: b.id)
-        mean = self.mean_use(opened) if len(opened) > 1 else 0.0
-        if mean <= 0:
+        mean = self.mean_use(opened)
+        if len(opened) < 2 or mean <= 0:
             return
         for b in opened:
             b.intake = 0
@@ -539,8 +520,8 @@
         self.assess()
         self.evacuate()
         # Rounds by the clock, coordinators in turn: two that see the same would move the same way.
-        shift = self.ROUND * self.boot.get("own_number", 0) // self.boot.get("coordinators", 1)
-        turn = (self.now + shift) // self.ROUND
+        turn = (self.now + self.ROUND * self.boot.get("own_number", 0)
+                // self.boot.get("coordinators", 1)) // self.ROUND
         if turn != self.turn and self.now >= self.plan_from:
             self.turn = turn
             self.plan()
@@ -550,16 +531,11 @@
     def beat(self) -> None:
         self.next_beat = self.now + self.BEAT
         self.beats += 1
-        self.pick_probes()
-
-    def pick_probes(self) -> None:
-        """Only silence needs probes: the sums say nothing of a backend that answers nothing."""
-        if not self.boot.get("may_probe"):
-            return
+        # Only silence needs probes: the sums say nothing of a backend that answers nothing.
         every = 4 * self.boot.get("coordinators", 1)    # two seconds; as many probes for several as for one
-        for i, b in enumerate(self.backends.values()):
-            if b.state == "ready" and not b.probe_out and (b.misses or (self.beats + i) % every == 0):
-                self.probing.append(b)
+        self.probing = [b for i, b in enumerate(self.backends.values()) if self.boot.get("may_probe")
+                        and b.state == "ready" and not b.probe_out
+                        and (b.misses or (self.beats + i) % every == 0)]
 
     # ---- wanted against present ------------------------------------------------------------------
 
@@ -591,7 +567,7 @@
         for b in self.probing:
             b.probe_out = self.now
             self.orders.append(face.Probe(b.id))
-        self.probing.clear()
+        self.probing = []
         must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
             if self.wanted(s) != s.stored:
@@ -603,9 +579,7 @@
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
         # A third of the ordinary changes each second beat (the design's tenth left 50 waiting at full
         # size); three at least, lest a small rest take for ever.
-        turn = ordinary[:max(3, len(ordinary) // 3)]
-        if self.beats % 2:
-            turn = trim = []
+        turn, trim = (ordinary[:max(3, len(ordinary) // 3)], trim) if self.beats % 2 == 0 else ([], [])
         back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
         if must or back:
             self.push(must + ailing, [], fresh, True, back)
