--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -473,7 +473,8 @@
         self.balancing |= max(uses) > 1.25 * mean or min(uses) < mean / 1.25
         # A tenth of the slices, ten at most, shared by the coordinators: each move leaves a warm cache, and
         # what the busiest of many backends is over the mean is mostly chance.  The design's 20 did worse.
-        for _ in range(max(2, min(10, len(self.slices) // 10) // self.boot.get("coordinators", 1))):
+        idle = sum(not b.parts and b.warmth < 1 for b in opened)
+        for _ in range(max(2, (min(10, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
             self.balancing &= by_use[-1].use() > 1.10 * mean or by_use[0].use() < mean / 1.10
             if not self.balancing:
