--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -54,7 +54,6 @@
         self.slowness, self.excess = 1.0, 1.0   # against the fastest kind, of that against its own kind
         self.probe_out = 0                      # when the probe now out was sent, 0: none
         self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
-        self.refuses = False                    # the last miss was no time-out
         self.ok_heard, self.unanswered = 0, 0   # when sums last told of an answer, tries without since
         self.health = 1.0
         self.admit, self.judged = 1.0, 0        # share of what is asked of it to let in, when last judged
@@ -183,12 +182,10 @@
             self.later(SECOND // 2 + int(SECOND * self.uniform()), self.subscribe)
             self.log("no news of the backends: the list's call failed, asking again")
             return
-        if news.scope != "remembered":
-            self.list_fresh = True
-        named = set()
+        self.list_fresh |= news.scope != "remembered"
+        named = {self.backend(entry.backend) for entry in news.entries}
         for entry in news.entries:
             b = self.backend(entry.backend)
-            named.add(b)
             if entry.started > b.started and b.state != "unheard":
                 # The same id with a later start: what we knew of the old process is void.
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
@@ -219,10 +216,8 @@
         b = self.backend(result.backend)
         sent, b.probe_out = b.probe_out, 0
         if result.outcome in ("timeout", "connect_failed", "reset"):
-            if not b.misses:
-                b.miss_since = sent
+            b.miss_since = b.miss_since if b.misses else sent
             b.misses += 1
-            b.refuses = result.outcome != "timeout"
             if b.dropped:
                 self.turn_to(b, "gone")
         else:
@@ -266,17 +261,14 @@
 
     def on_acked(self, ack: face.Acked) -> None:
         """Messages arrive in order: what went to that proxy up to this mark has left the channel."""
-        for mark in list(self.unacked):
-            self.unacked[mark][1].discard(ack.proxy)
-            if not self.unacked[mark][1]:
-                del self.unacked[mark]
+        for mark, (_, proxies) in self.unacked.items():
+            proxies.discard(ack.proxy)
             if mark == ack.mark:
                 break
 
     def on_charge(self, charge: face.Charge) -> None:
-        old = self.slices.pop(charge.slice, None)
-        if old is not None:
-            for part in old.parts:
+        if charge.slice in self.slices:
+            for part in self.slices.pop(charge.slice).parts:
                 part.go_to(None)
         if charge.held:
             self.slices[charge.slice] = Slice(charge.slice, self.now)
@@ -368,7 +360,7 @@
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
             # Probes show one way only, and may wait in a full queue or on a slow link: time-outs count once
             # the sums tell of tries and no answers either.  Nothing tried is no silence.
-            quiet = b.refuses or b.unanswered and now - b.ok_heard > self.boot["report_every"] + SECOND
+            quiet = b.unanswered and now - b.ok_heard > self.boot["report_every"] + SECOND
             was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                                    and missing.total() * 2 < len(opened))
             if was != b.lost:
@@ -423,12 +415,10 @@
         # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
         # no way out: with nothing warm the slice waits, and the next settling tries again.
         room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
-        if not room:
-            if part.owner is not None and part.owner.state in ("draining", "gone"):
-                part.go_to(None)
-            return
-        best = max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0]
-        self.move(part, best)
+        if room:
+            self.move(part, max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0])
+        elif part.owner is not None and part.owner.state in ("draining", "gone"):
+            part.go_to(None)
 
     def move(self, part: Part, to: Backend) -> None:
         load = part.load
@@ -444,14 +434,12 @@
          for a backend that has just started (stored slices wake up with it)."""
         opened = self.opened()
         for b in self.backends.values():
-            parts = sorted(b.parts, key=lambda p: (-p.load, p.slice.number))
-            if parts and b.state in ("draining", "gone"):
-                self.log(f"{b.id} {b.state}: {len(parts)} slices leave")
-                for part in parts:
-                    self.place(part)
-            elif b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
-                for part in parts:
-                    if b.load > 1.5 * self.allowance(b):
+            over = b.state in ("draining", "gone")
+            if over and b.parts:
+                self.log(f"{b.id} {b.state}: {len(b.parts)} slices leave")
+            if over or b.warmth < 1 and any(o.warmth >= 1 and not o.lost for o in opened):
+                for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
+                    if over or b.load > 1.5 * self.allowance(b):
                         self.place(part)
         for s in self.slices.values():
             s.parts = s.parts or [Part(s, None)]
@@ -476,14 +464,12 @@
         idle = sum(not b.parts and b.warmth < 1 for b in opened)
         for _ in range(max(2, (min(10, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
-            self.balancing &= by_use[-1].use() > 1.10 * mean or by_use[0].use() < mean / 1.10
-            if not self.balancing:
-                break
             # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
             best = next(filter(None, (self.best_move(b, by_use, mean) for b in reversed(by_use)
                                       if b.use() > 1.10 * mean)), None)
-            if best is None:
-                self.balancing = False
+            self.balancing &= best is not None and (
+                by_use[-1].use() > 1.10 * mean or by_use[0].use() < mean / 1.10)
+            if not self.balancing:
                 break
             self.move(*best)
 
@@ -511,18 +497,15 @@
     def best_move(self, source: Backend, by_use: list[Backend], mean: float) -> tuple[Part, Backend] | None:
         best, most = None, 0.0
         for part in sorted(source.parts, key=lambda p: p.slice.number):
-            if part.rests_until > self.now:
-                continue
             load, others = part.load, part.slice.owners()
-            for b in by_use:
-                if (b is source or b in others or b.doubtful or not self.may_take(b, load, mean)
-                        or b.load + load > 1.25 * mean * b.capacity):
-                    continue
-                over, under = source.load - mean * source.capacity, b.load - mean * b.capacity
-                gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
-                if gain > most:
-                    best, most = (part, b), gain
-                break
+            to = next((b for b in by_use if b not in others and not b.doubtful
+                       and self.may_take(b, load, mean) and b.load + load <= 1.25 * mean * b.capacity), None)
+            if to is None or part.rests_until > self.now:
+                continue
+            over, under = source.load - mean * source.capacity, to.load - mean * to.capacity
+            gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
+            if gain > most:
+                best, most = (part, to), gain
         return best
 
     def decide(self) -> None:
@@ -553,7 +536,8 @@
 
     # ---- wanted against present ------------------------------------------------------------------
 
-    def wanted(self, s: Slice) -> dict[Backend, float]:
+    @staticmethod
+    def wanted(s: Slice) -> dict[Backend, float]:
         return dict.fromkeys(s.owners(), 1.0)
 
     @staticmethod
@@ -576,12 +560,11 @@
             self.timer = self.next_beat
             self.orders.append(face.SetTimer(self.timer, "beat"))
         if self.asking:
-            self.asking = False
             self.orders.append(face.Subscribe(True))
         for b in self.probing:
             b.probe_out = self.now
             self.orders.append(face.Probe(b.id))
-        self.probing = []
+        self.asking, self.probing = False, []
         must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
             if self.wanted(s) != s.stored:
@@ -655,6 +638,7 @@
         takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
         # The channel may run slower than stated, so it is taken at half; answered marks tell better.
         rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND
+        self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
         unacked = sum(lines * len(proxies) for lines, proxies in self.unacked.values())
         self.backlog = min(unacked, max(0.0, self.backlog - (self.now - self.backlog_at) * rate))
         self.backlog_at = self.now
