--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -201,7 +201,7 @@
 
     def turn_to(self, b: Backend, state: str) -> None:
         """Lists may be old or cut short.  Where a drop from the list does not bind, one that answers stays
-        until it misses a probe; one that comes back without a new start gets nothing before it answers one."""
+        until it misses a probe; one back without a new start gets nothing before it answers one."""
         b.dropped = (state == "gone" and b.state == "ready" and not b.misses and not b.unanswered
                      and bool(self.boot.get("dropped_stay_open") and self.boot.get("may_probe")))
         if b.dropped:
@@ -239,8 +239,7 @@
         self.judge(b, met)
         if b.warmth < 1:                        # its slowness is the warm-up's, and passes with that
             return
-        # Tries that come where no slice is any more cost nothing here but count in full as time: a backend
-        # that works off what it took is to be left alone.
+        # Tries where no slice is any more cost nothing but count as time: it works off what it took.
         cost = mean_cost(p.slice for p in b.parts)
         if met.load.get("service_time"):
             # Time in work without the wait: the speed of the machine, whatever its load.
@@ -285,13 +284,12 @@
     # ---- judging ---------------------------------------------------------------------------------
 
     def judge(self, b: Backend, met: face.Traffic) -> None:
-        """Where levels are honoured: let in less for a backend whose queue takes longer than a quarter of the
-        shortest soft deadline.  What waits longer is late, and what it displaces is late or pushed back."""
+        """Where levels are honoured: let in less for a backend whose queue takes over a quarter of the
+        shortest soft deadline.  What waits longer is late, and displaces what would not be."""
         if self.boot.get("admission") != "share" or "queued" not in met.load \
                 or self.now - b.judged < self.boot["report_every"]:
             return
-        # A quarter cuts before RPCs are late; a half, and steeper cuts, did no better.
-        # By Little's law, queue over rate is the wait.
+        # By Little's law, queue over rate is the wait.  A half for the quarter, and steeper cuts, did no better.
         n, failed = b.tries.read(self.now)
         wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0)
                 / min(m.soft_deadline for m in self.methods.values()))
@@ -323,8 +321,8 @@
         opened = self.opened()
         tries = sum(b.tries.read(now)[0] for b in opened)
         usual = sum(b.tries.values[1] for b in opened) / (tries or 1)
-        # Answered cost a second for a unit of listed weight: all that is known of strength in absolute terms.
-        # By the warm ones only, and fading over a minute: strength shown does not go with a bad hour.
+        # Answered cost a second for a unit of listed weight, by the warm, fading over a minute: all that is
+        # known of strength in absolute terms, and what was shown does not go with a bad hour.
         warm = [b for b in opened if b.warmth >= 1]
         answered = sum(b.tries.values[0] - b.tries.values[1] for b in warm) * SECOND / Backend.FAIL_SPAN
         self.yield_ = max(answered * mean_cost(self.slices.values()) / (sum(b.weight for b in warm) or 1.0),
@@ -337,8 +335,7 @@
         # The faster quarter of a kind says what its machines can do; the slower ones may be overfull.
         usual_pace = {kind: sorted(found)[len(found) // 4] for kind, found in paces.items()}
         fastest = min(usual_pace.values(), default=0.0)
-        # An overload shows at many at once; then what each shows is little of its own.
-        # A third for 45 hundredths took the uneven start of a quiet day for one.
+        # An overload shows at many at once.  A third for 45 hundredths took a quiet day's start for one.
         bad = sum(b.excess > 1.6 or b.tries.values[1] > 0.1 * b.tries.values[0] + 1 for b in opened)
         was, self.strained = self.strained, bad > (0.2 if self.strained else 0.45) * len(opened)
         if was != self.strained:
@@ -350,8 +347,8 @@
             spent, cost = b.pace.values
             like = usual_pace.get(b.kind, 0.0)
             if like:
-                # Two reports' worth of its kind's pace: with nothing seen, the excess fades.  Service times
-                # swell many times over on a full machine: believed whole, they empty one after the other.
+                # Two reports' worth of its kind's pace: with nothing seen, the excess fades.  Bounded, as
+                # service times swell on a full machine: believed whole, they empty one after the other.
                 b.excess = max((spent + 2 * like) / ((cost + 2) * like), 0.8)
                 b.slowness = min(b.excess, 1.5 if self.strained else 4.0) * like / fastest
             n, failed = b.tries.values
@@ -366,8 +363,7 @@
             if was != b.lost:
                 self.log(f"{b.id} {('answers: its weight returns', 'silent: its weight fades')[b.lost]}")
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
-            # The weight fades at once and returns over half a minute; over ten seconds, what fails each time
-            # it gets work got it again too soon.
+            # Fades at once, returns over half a minute: what fails with work gets it back too soon over ten.
             b.health = min(target, b.health + (now - self.assessed) / (30 * SECOND))
             # The slowest growth the settings allow, and a third less: caches of a started process are empty.
             age = (now - b.started) / self.boot["warm_within"] if b.started else 1.0
@@ -388,8 +384,7 @@
         return -weight / math.log((int.from_bytes(digest, "big") + 1) / (2 ** 64 + 2))
 
     def allowance(self, b: Backend) -> float:
-        """What a cold backend may be brought: its part of what the fleet really answers.  Demand and the
-        capacities left in a bad hour are no measure: both rise with failures, its strength does not."""
+        """What a cold backend may be brought: its part of what the warm have been seen to answer."""
         # Half of the multiple that fells it, on top of the third that warmth holds back: with empty caches
         # an RPC costs up to twice its usual work, and demand may jump.  Three quarters broke the rule.
         return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.5
@@ -412,8 +407,7 @@
         fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
         warm = [b for b in choice if b.warmth >= 1]
         room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
-        # Room under the band, else anything that is fit, else anything warm.  A cold backend past its cap is
-        # no way out: with nothing warm the slice waits, and the next settling tries again.
+        # Room under the band, else what is fit, else what is warm; never a cold one past its cap: it waits.
         room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
         if room:
             self.move(part, max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0])
@@ -459,8 +453,8 @@
         # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
         uses = [b.use() for b in opened]
         self.balancing |= max(uses) > 1.25 * mean or min(uses) < mean / 1.25
-        # A tenth of the slices, ten at most, shared by the coordinators: each move leaves a warm cache, and
-        # what the busiest of many backends is over the mean is mostly chance.  The design's 20 did worse.
+        # A tenth of the slices, ten at most (20 did worse at full size: each leaves a warm cache), and one for
+        # each new backend still empty, all shared by the coordinators.
         idle = sum(not b.parts and b.warmth < 1 for b in opened)
         for _ in range(max(2, (min(10, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
@@ -548,12 +542,6 @@
         return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")
                     or b.warmth < 1 and b not in s.owners()), default=None if s.stored else s.since)
 
-    @staticmethod
-    def ails(s: Slice) -> bool:
-        """A line to take out at a backend that fails.  One that fails fast has least in hand and draws the
-        tries of proxies that compare, so a small line there is no small matter."""
-        return any(b.doubtful for b in s.stored if b not in s.owners())
-
     def emit(self) -> None:
         """What should be out, held or timed against what is: the difference, its urgent part first."""
         if self.timer != self.next_beat:
@@ -568,14 +556,15 @@
         must, ailing, ordinary, trim = [], [], [], []
         for s in self.slices.values():
             if self.wanted(s) != s.stored:
-                (must if self.pressed(s) is not None else ailing if self.ails(s) else ordinary).append(s)
+                # One that fails fast has least in hand and draws the tries of proxies that compare.
+                ails = any(b.doubtful for b in s.stored if b not in s.owners())
+                (must if self.pressed(s) is not None else ailing if ails else ordinary).append(s)
             if self.wanted_level(s) != s.level:
                 trim.append(s)
         must.sort(key=self.pressed)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
-        # A third of the ordinary changes each second beat (the design's tenth left 50 waiting at full
-        # size); three at least, lest a small rest take for ever.
+        # A third of the ordinary changes each second beat (a tenth left 50 waiting at full size), three at least.
         turn, trim = (ordinary[:max(3, len(ordinary) // 3)], trim) if self.beats % 2 == 0 else ([], [])
         back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
         if must or back:
@@ -602,45 +591,45 @@
             # A further try only after proof that the first never ran: safe for every method.
             self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
             self.levels_sent = set(self.proxies)
-        # What leaves a drain later than its grace: shut its backend out, one line each.  The slices left are
-        # without a line until theirs are out, a second or two; those that fit now go now.
-        rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND
-        over = self.now + (self.backlog + need * len(self.proxies)) / rate + self.boot.get("transit_most", 0)
+        # Where lines at a drain can't be out within its grace, its backend is shut out, one line each.  What
+        # is left there has no line until its turn, a second or two; what fits now goes now.
+        over = (self.now + (self.backlog + need * len(self.proxies)) / self.pace()
+                + self.boot.get("transit_most", 0) - self.boot.get("drain_grace", SECOND))
         shut = {b: None for s in changed for b in s.stored if b.state in ("draining", "gone")
-                and over > max(b.told, s.since) + self.boot.get("drain_grace", SECOND)}
-        lines, room, left = len(back), room - len(shut), set()
+                and b not in self.withdrawn and over > max(b.told, s.since)}
+        lines, left = 0, set()
         for s, delta in zip(changed, deltas):
-            if lines + len(delta) <= room:
+            if lines + len(delta) <= room - len(shut):
                 self.orders += delta
                 lines += len(delta)
                 s.stored = self.wanted(s)
             else:
                 left.update(s.stored)
-        for b in shut:
-            if b in left and b not in self.withdrawn and lines < room + len(shut):
-                self.withdrawn.add(b)
-                self.orders.append(face.Withdraw(b.id, True))
-                lines += 1
+        shut = [b for b in shut if b in left][:room - lines]
+        self.orders += [face.Withdraw(b.id, True) for b in shut]
+        self.withdrawn.update(shut)
+        lines += len(shut)
         for s in trimmed[:room - lines]:
             s.level = self.wanted_level(s)
             self.orders.append(face.SetLevel(s.number, (), s.level, 1))
             lines += 1
-        lines += self.boot.get("envelope", 0) + 2       # the mark's, and that of the level for all
+        lines += len(back) + self.boot.get("envelope", 0) + 2      # the mark's, and that of the level for all
         self.backlog += len(self.proxies) * lines
         self.sent.append(self.now)
         self.mark = (self.mark + 1) % 65536
         self.unacked[self.mark] = lines, set(self.proxies)
         self.orders.append(face.Mark(self.mark, False))
 
+    def pace(self) -> float:
+        return self.boot.get("lines_per_s", 10000) / 2 / SECOND      # may be slower; marks tell better
+
     def room(self, urgent: bool, need: int) -> int:
         """How many lines a message to every proxy may hold now: a reserve of lines and of messages is kept
         for what can't wait.  What does not fit goes in pieces, none under half of what an empty channel
         takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
-        # The channel may run slower than stated, so it is taken at half; answered marks tell better.
-        rate = self.boot.get("lines_per_s", 10000) / 2 / SECOND
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
         unacked = sum(lines * len(proxies) for lines, proxies in self.unacked.values())
-        self.backlog = min(unacked, max(0.0, self.backlog - (self.now - self.backlog_at) * rate))
+        self.backlog = min(unacked, max(0.0, self.backlog - (self.now - self.backlog_at) * self.pace()))
         self.backlog_at = self.now
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
@@ -650,7 +639,9 @@
         if most and used and (used >= (most if urgent else half) or (used >= half or not urgent)
                               and self.now - self.sent[-1] < over / (most if urgent else half)):
             return 0
-        share = self.boot.get("queue_cap", 10 ** 6) * (0.8 if urgent else 0.25)
-        free, empty = ((share - used) / (len(self.proxies) or 1) - self.boot.get("envelope", 0) - 2
-                       for used in (self.backlog, 0.0))
-        return int(free) if free >= min(need, empty / 2) else 0
+        # A quarter for what is not urgent, or where proxies are too many for that, eight lines to each.
+        each, head = len(self.proxies) or 1, self.boot.get("envelope", 0) + 2
+        share = self.boot.get("queue_cap", 10 ** 6) * 0.8
+        share = share if urgent else min(share, max(share * 0.3, each * (head + 8)))
+        free = (share - self.backlog) / each - head
+        return int(free) if free >= min(need, (share / each - head) / 2) else 0
