--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -115,19 +115,18 @@
     def __init__(self, seed: int, bootstrap: dict) -> None:
         self.boot = bootstrap
         self.uniform = random.Random(seed).random
-        self.now, self.orders, self.beats, self.entered, self.mark = 0, [], 0, 0, 0
+        self.now, self.orders, self.beats, self.mark = 0, [], 0, 0
         self.backends: dict[str, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, str] = {}
         self.methods = {m.name: m for m in bootstrap["methods"]}
-        self.due: list[tuple[int, int, object]] = []  # due time, order of entry, what to do then
-        self.list_fresh = False
+        self.due: list[tuple[int, str]] = []    # due time, what to do then
         self.plan_from = 0                      # no planning before
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
-        self.assessed = 0                       # when last judged
+        self.assessed, self.turn = 0, 0         # when last judged, the last round planned
         self.strained = False                   # the fleet as a whole has too much to do
-        self.turn = 0                           # the last round planned
         self.balancing = False                  # between the band's two edges
+        self.list_fresh = False                 # the list in hand is not just remembered
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.withdrawn: set[Backend] = set()    # shut out of all tables, until ready again
         self.returned: set[Backend] = set()     # ready again: some proxy may not know it yet
@@ -135,22 +134,19 @@
         self.sent: deque[int] = deque()         # when messages went out
         self.unacked: dict[int, tuple[int, set[int]]] = {}      # by mark: lines each, proxies to answer yet
         self.next_beat, self.timer = 0, 0       # when the beat is due; the timer that is set
-        self.asking = False                     # a subscription is wanted and not yet asked for
-        self.probing: list[Backend] = []        # to be probed now
-
-    # ---- the door --------------------------------------------------------------------------------
+        self.asking, self.probing = False, []   # to be asked for: a subscription; probes of backends
 
     def handle(self, now: int, events: list[face.Event]) -> list[face.Order]:
         self.now, self.orders = now, []
         if not self.next_beat:
-            self.backlog_at, self.next_beat = now, now + self.BEAT
+            self.next_beat = now + self.BEAT
             self.hold_plans()
             self.subscribe()
         for event in events:
             if type(event) in self.HEAR:                # others tell nothing that is used here
                 self.HEAR[type(event)](self, event)
         while self.due and self.due[0][0] <= now:
-            heappop(self.due)[2]()
+            getattr(self, heappop(self.due)[1])()
         if now >= self.next_beat:
             self.beat()
         self.decide()
@@ -164,10 +160,6 @@
         """After a start or a take-over planning waits until the sums can tell something: five periods."""
         self.plan_from = self.now + 5 * self.boot["report_every"]
 
-    def later(self, span: int, act) -> None:
-        self.entered += 1
-        heappush(self.due, (self.now + span, self.entered, act))
-
     def subscribe(self) -> None:
         self.asking = self.boot.get("discovery") == "ask"
 
@@ -179,7 +171,7 @@
     def on_list(self, news: face.BackendList) -> None:
         if news.scope == "failed":
             # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once.
-            self.later(SECOND // 2 + int(SECOND * self.uniform()), self.subscribe)
+            heappush(self.due, (self.now + SECOND // 2 + int(SECOND * self.uniform()), "subscribe"))
             self.log("no news of the backends: the list's call failed, asking again")
             return
         self.list_fresh |= news.scope != "remembered"
@@ -239,13 +231,12 @@
         self.judge(b, met)
         if b.warmth < 1:                        # its slowness is the warm-up's, and passes with that
             return
-        # Tries where no slice is any more cost nothing but count as time: it works off what it took.
+        # Time in work without the wait, or the share of cores in use, against what gets done.  Tries where
+        # no slice is any more cost nothing but count as time: it works off what it took.
         cost = mean_cost(p.slice for p in b.parts)
         if met.load.get("service_time"):
-            # Time in work without the wait: the speed of the machine, whatever its load.
             b.pace.add(self.now, met.load["service_time"] / SECOND, cost)
         elif met.load.get("busy"):
-            # Share of the cores in use against what they get done.
             b.pace.add(self.now, met.load["busy"] * b.weight, met.load.get("ok_rate", 0.0) * cost)
 
     def on_joined(self, joined: face.ProxyJoined) -> None:
@@ -286,10 +277,10 @@
     def judge(self, b: Backend, met: face.Traffic) -> None:
         """Where levels are honoured: let in less for a backend whose queue takes over a quarter of the
         shortest soft deadline.  What waits longer is late, and displaces what would not be."""
-        if self.boot.get("admission") != "share" or "queued" not in met.load \
-                or self.now - b.judged < self.boot["report_every"]:
+        if (self.boot.get("admission") != "share" or "queued" not in met.load
+                or self.now - b.judged < self.boot["report_every"]):
             return
-        # By Little's law, queue over rate is the wait.  A half for the quarter, and steeper cuts, did no better.
+        # By Little's law, queue over rate is the wait.  A half, and steeper cuts, did no better.
         n, failed = b.tries.read(self.now)
         wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0)
                 / min(m.soft_deadline for m in self.methods.values()))
@@ -354,12 +345,11 @@
             n, failed = b.tries.values
             # Failures beyond what all backends show: when all look bad, it is no backend's fault.
             excess = max(0.0, failed - 2 * usual * n) / (n + 3)
-            # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s).
-            # Probes show one way only, and may wait in a full queue or on a slow link: time-outs count once
-            # the sums tell of tries and no answers either.  Nothing tried is no silence.
+            # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s); they may
+            # wait in a full queue or on a slow link, so the sums must tell of tries and no answers too.
             quiet = b.unanswered and now - b.ok_heard > self.boot["report_every"] + SECOND
-            was, b.lost = b.lost, (b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
-                                   and missing.total() * 2 < len(opened))
+            was, b.lost = b.lost, bool(b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
+                                       and missing.total() * 2 < len(opened))
             if was != b.lost:
                 self.log(f"{b.id} {('answers: its weight returns', 'silent: its weight fades')[b.lost]}")
             target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
@@ -390,7 +380,7 @@
         return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * 0.5
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
-        """For a backend still cold: the cap on its intake and on its part."""
+        # For a backend still cold: the cap on its intake and on its part.
         return b.warmth >= 1 or (b.intake < 2 and b.load + load <= min(mean * b.capacity, self.allowance(b)))
 
     def opened(self) -> list[Backend]:
@@ -435,11 +425,9 @@
                 for part in sorted(b.parts, key=lambda p: (-p.load, p.slice.number)):
                     if over or b.load > 1.5 * self.allowance(b):
                         self.place(part)
-        for s in self.slices.values():
-            s.parts = s.parts or [Part(s, None)]
-            for part in s.parts:
-                if part.owner is None or len(s.parts) > 1 and part.owner.doubtful:
-                    self.place(part)
+        for part in [part for s in self.slices.values() for part in s.parts]:
+            if part.owner is None or len(part.slice.parts) > 1 and part.owner.doubtful:
+                self.place(part)
 
     def plan(self) -> None:
         """The design's greedy planner: whole slices, busiest to least loaded, for positive gain only."""
@@ -451,10 +439,10 @@
             b.intake = 0
         self.split(opened, mean)
         # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
-        uses = [b.use() for b in opened]
-        self.balancing |= max(uses) > 1.25 * mean or min(uses) < mean / 1.25
-        # A tenth of the slices, ten at most (20 did worse at full size: each leaves a warm cache), and one for
-        # each new backend still empty, all shared by the coordinators.
+        uses = [b.use() / mean for b in opened]
+        self.balancing |= max(uses) > 1.25 or min(uses) < 1 / 1.25
+        # A tenth of the slices, ten at most (20 did worse at full size: each leaves a warm cache), and one
+        # for each new backend still empty, all shared by the coordinators.
         idle = sum(not b.parts and b.warmth < 1 for b in opened)
         for _ in range(max(2, (min(10, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
@@ -505,9 +493,9 @@
     def decide(self) -> None:
         """What should be out: the owners of every slice."""
         for s in self.slices.values():
-            if s.stored and not s.parts:
-                heaviest = max(s.stored.values())       # smaller lines, of whatever make, are taken out
-                s.parts = [Part(s, b) for b, weight in s.stored.items() if 2 * weight >= heaviest]
+            if not s.parts:                     # small lines, of whatever make, are taken out
+                most = max(s.stored.values(), default=0.0)
+                s.parts = [Part(s, b) for b, w in s.stored.items() if 2 * w >= most] or [Part(s, None)]
         self.assess()
         self.evacuate()
         # Rounds by the clock, coordinators in turn: two that see the same would move the same way.
@@ -517,11 +505,8 @@
             self.turn = turn
             self.plan()
 
-    # ---- the beat --------------------------------------------------------------------------------
-
     def beat(self) -> None:
-        self.next_beat = self.now + self.BEAT
-        self.beats += 1
+        self.next_beat, self.beats = self.now + self.BEAT, self.beats + 1
         # Only silence needs probes: the sums say nothing of a backend that answers nothing.
         every = 4 * self.boot.get("coordinators", 1)    # two seconds; as many probes for several as for one
         self.probing = [b for i, b in enumerate(self.backends.values()) if self.boot.get("may_probe")
@@ -564,7 +549,7 @@
         must.sort(key=self.pressed)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
-        # A third of the ordinary changes each second beat (a tenth left 50 waiting at full size), three at least.
+        # A third of the ordinary changes each second beat: a tenth left 50 waiting at full size.
         turn, trim = (ordinary[:max(3, len(ordinary) // 3)], trim) if self.beats % 2 == 0 else ([], [])
         back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
         if must or back:
@@ -588,8 +573,7 @@
         self.withdrawn.difference_update(back)
         self.returned.update(back)
         if levels:
-            # A further try only after proof that the first never ran: safe for every method.
-            self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))
+            self.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))  # further tries after proof only
             self.levels_sent = set(self.proxies)
         # Where lines at a drain can't be out within its grace, its backend is shut out, one line each.  What
         # is left there has no line until its turn, a second or two; what fits now goes now.
