--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -27,8 +27,7 @@
     def read(self, now: int) -> list[float]:
         if now > self.at:
             fade = math.exp((self.at - now) / self.span)
-            self.values = [v * fade for v in self.values]
-            self.at = now
+            self.values, self.at = [v * fade for v in self.values], now
         return self.values
 
     def add(self, now: int, *amounts: float) -> None:
@@ -39,8 +38,7 @@
 
 class Backend:
     # Speed is a matter of the machine, failures of the hour: the one is smoothed longer than the other.
-    PACE_SPAN = 30 * SECOND
-    FAIL_SPAN = 4 * SECOND
+    PACE_SPAN, FAIL_SPAN = 30 * SECOND, 4 * SECOND
 
     def __init__(self, id: str) -> None:
         self.id, self.key = id, hashlib.blake2b(id.encode(), digest_size=8).digest()
@@ -103,7 +101,6 @@
 
 
 def mean_cost(slices) -> float:
-    """What an RPC of these slices has cost lately."""
     sums = [s.demand.values for s in slices]
     return sum(v[0] for v in sums) / (sum(v[1] for v in sums) or 1.0)
 
@@ -125,7 +122,7 @@
         self.yield_ = 0.0                       # answered cost a second for a unit of weight
         self.assessed, self.turn = 0, 0         # when last judged, the last round planned
         self.strained = False                   # the fleet as a whole has too much to do
-        self.balancing = False                  # between the band's two edges
+        self.balancing, self.held = False, False  # between the band's two edges; urgent lines wait for room
         self.list_fresh = False                 # the list in hand is not just remembered
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.withdrawn: set[Backend] = set()    # shut out of all tables, until ready again
@@ -147,10 +144,13 @@
                 self.HEAR[type(event)](self, event)
         while self.due and self.due[0][0] <= now:
             getattr(self, heappop(self.due)[1])()
-        if now >= self.next_beat:
+        if due := now >= self.next_beat:
             self.beat()
-        self.decide()
-        self.emit()
+        # Answers to marks and probes come by the hundred: they count with what comes next, a beat at most.
+        if heard := due or any(not isinstance(e, (face.Acked, face.Probed)) for e in events):
+            self.decide()
+        if heard or self.held:
+            self.emit()
         return self.orders
 
     def log(self, text: str) -> None:
@@ -175,9 +175,8 @@
             self.log("no news of the backends: the list's call failed, asking again")
             return
         self.list_fresh |= news.scope != "remembered"
-        named = {self.backend(entry.backend) for entry in news.entries}
-        for entry in news.entries:
-            b = self.backend(entry.backend)
+        named = {self.backend(entry.backend): entry for entry in news.entries}
+        for b, entry in named.items():
             if entry.started > b.started and b.state != "unheard":
                 # The same id with a later start: what we knew of the old process is void.
                 b.tries, b.pace = Sums(b.FAIL_SPAN, 2), Sums(b.PACE_SPAN, 2)
@@ -338,8 +337,7 @@
             spent, cost = b.pace.values
             like = usual_pace.get(b.kind, 0.0)
             if like:
-                # Two reports' worth of its kind's pace: with nothing seen, the excess fades.  Bounded, as
-                # service times swell on a full machine: believed whole, they empty one after the other.
+                # Two reports' worth of its kind's pace, and bounded: service times swell on a full machine.
                 b.excess = max((spent + 2 * like) / ((cost + 2) * like), 0.8)
                 b.slowness = min(b.excess, 1.5 if self.strained else 4.0) * like / fastest
             n, failed = b.tries.values
@@ -547,6 +545,7 @@
             if self.wanted_level(s) != s.level:
                 trim.append(s)
         must.sort(key=self.pressed)
+        self.held = bool(must)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
         # A third of the ordinary changes each second beat: a tenth left 50 waiting at full size.
@@ -605,15 +604,16 @@
         self.orders.append(face.Mark(self.mark, False))
 
     def pace(self) -> float:
-        return self.boot.get("lines_per_s", 10000) / 2 / SECOND      # may be slower; marks tell better
+        return self.boot.get("lines_per_s", 10000) / 2 / SECOND
 
     def room(self, urgent: bool, need: int) -> int:
         """How many lines a message to every proxy may hold now: a reserve of lines and of messages is kept
         for what can't wait.  What does not fit goes in pieces, none under half of what an empty channel
         takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
-        unacked = sum(lines * len(proxies) for lines, proxies in self.unacked.values())
-        self.backlog = min(unacked, max(0.0, self.backlog - (self.now - self.backlog_at) * self.pace()))
+        # The channel may run slower than stated, so it is taken at half; answered marks tell better.
+        left = self.backlog - (self.now - self.backlog_at) * self.pace()
+        self.backlog = max(0.0, min(left, sum(n * len(proxies) for n, proxies in self.unacked.values())))
         self.backlog_at = self.now
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
