--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -146,8 +146,8 @@
             getattr(self, heappop(self.due)[1])()
         if due := now >= self.next_beat:
             self.beat()
-        # Answers to marks and probes come by the hundred: they count with what comes next, a beat at most.
-        if heard := due or any(not isinstance(e, (face.Acked, face.Probed)) for e in events):
+        # Answers to marks come by the hundred: they count with what comes next, a beat at most.
+        if heard := due or any(not isinstance(e, face.Acked) for e in events):
             self.decide()
         if heard or self.held:
             self.emit()
