--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -611,8 +611,8 @@
         for what can't wait.  What does not fit goes in pieces, none under half of what an empty channel
         takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
-        # The channel may run slower than stated, so it is taken at half; answered marks tell better.
-        left = self.backlog - (self.now - self.backlog_at) * self.pace()
+        # A channel may run at a fifth of its pace: what counts is answered marks, else an eighth of it.
+        left = self.backlog - (self.now - self.backlog_at) * self.pace() / 4
         self.backlog = max(0.0, min(left, sum(n * len(proxies) for n, proxies in self.unacked.values())))
         self.backlog_at = self.now
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -305,6 +305,14 @@
     assert "b5" not in w.owners().values()
 
 
+def test_queue_is_kept_though_the_channel_crawls():
+    """Found on a recorded day: at a fifth of its pace ordinary messages piled up past the limit."""
+    w = World(slow=5, queue_cap=14000, lines_per_s=9400, messages_most=0, transit_most=3000)
+    w.start(40, 240, proxies=118)
+    for i in range(30):
+        w.run(2 * SECOND, {s: 1.0 + 40 * (s % 40 == i) for s in range(240)})
+
+
 def test_answered_marks_let_out_what_waits():
     """Found on a recorded day with 202 proxies: at half the stated pace a drain missed its grace."""
     left = []
--- a/tests/world.py
+++ b/tests/world.py
@@ -27,6 +27,7 @@
         self.taken = deque()                    # when a cold backend was given a slice: (time, backend)
         self.timers = [now]
         self.out = set()                        # withdrawn
+        self.marks, self.total = [], 0.0        # marks not answered, with all lines sent up to them
 
     def start(self, backends=6, slices=12, proxies=4, scope="full"):
         owners = [f"b{i}" for i in range(backends)]
@@ -72,10 +73,14 @@
         return found
 
     def acks(self):
-        found = [face.Acked(p, o.mark, 0) for _, orders in self.log for o in orders
-                 if isinstance(o, face.Mark) for p in sorted(self.proxies)]
         self.queue = 0.0                        # all of it has left the channel
-        return found
+        return ()
+
+    def answered(self):
+        """Marks whose lines have left the channel."""
+        done = [mark for mark, at in self.marks if at <= self.total - self.queue]
+        self.marks = self.marks[len(done):]
+        return [face.Acked(p, mark, 0) for mark in done for p in sorted(self.proxies)]
 
     asked: list = []
 
@@ -84,7 +89,7 @@
         self.timers = [t for t in self.timers if t > now]
         for e in events:
             self.hear(e)
-        orders = self.c.handle(now, events)
+        orders = self.c.handle(now, self.answered() + events)
         self.log.append((now, orders))
         lines = sum(isinstance(o, (face.SetLine, face.SetLevel, face.Withdraw, face.Mark)) for o in orders)
         self.asked = self.asked + [o.backend for o in orders if isinstance(o, face.Probe)]
@@ -161,10 +166,12 @@
                 assert not self.proxies or now - since <= left, f"{b} drains, still in {s}"
         # Queue: lines that wait, messages to a proxy.
         if self.sent:
-            passed = (now - self.sent[-1][1]) * self.boot["lines_per_s"] / 2 / SECOND    # a slow day
+            passed = (now - self.sent[-1][1]) * self.boot["lines_per_s"] / self.boot.get("slow", 2) / SECOND    # a slow day
             self.queue = max(0.0, self.queue - passed)
         if lines and self.proxies:
             self.queue += len(self.proxies) * (lines + self.boot["envelope"])
+            self.total += len(self.proxies) * (lines + self.boot["envelope"])
+            self.marks.append((next(o.mark for o in self.log[-1][1] if isinstance(o, face.Mark)), self.total))
             self.sent.append((now, now))
         elif self.sent:
             self.sent[-1] = (self.sent[-1][0], now)
