--- a/tests/world.py
+++ b/tests/world.py
@@ -166,7 +166,8 @@
                 assert not self.proxies or now - since <= left, f"{b} drains, still in {s}"
         # Queue: lines that wait, messages to a proxy.
         if self.sent:
-            passed = (now - self.sent[-1][1]) * self.boot["lines_per_s"] / self.boot.get("slow", 2) / SECOND    # a slow day
+            pace = self.boot["lines_per_s"] / self.boot.get("slow", 2) / SECOND    # a slow day
+            passed = (now - self.sent[-1][1]) * pace
             self.queue = max(0.0, self.queue - passed)
         if lines and self.proxies:
             self.queue += len(self.proxies) * (lines + self.boot["envelope"])
