--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -4,7 +4,8 @@
 import errno
 import selectors
 import socket
-from typing import Callable, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from .clock import SECOND
 from .loop import Deadline, Loop
@@ -23,9 +24,9 @@
 
 class Reader(Protocol):
     """Who owns what a connection brings."""
-    def opened(self, connection: "Connection") -> None: ...
-    def heard(self, connection: "Connection") -> None: ...
-    def closed(self, connection: "Connection", why: str) -> None: ...
+    def opened(self, connection: Connection) -> None: ...
+    def heard(self, connection: Connection) -> None: ...
+    def closed(self, connection: Connection, why: str) -> None: ...
 
 
 class Connection:
--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 as a client speaks it: one exchange a request, parsed by httptools, ended by a deadline."""
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Callable
 
 import httptools
 
--- a/indigohitch/net/loop.py
+++ b/indigohitch/net/loop.py
@@ -2,8 +2,9 @@
 from __future__ import annotations
 
 import selectors
+from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Callable, Protocol
+from typing import Protocol
 
 from .clock import SECOND, Clock
 from .ring import Pool
--- a/indigohitch/net/slots.py
+++ b/indigohitch/net/slots.py
@@ -1,7 +1,8 @@
 """A table of numbered slots: what is in use has a number, freed numbers are used again."""
 from __future__ import annotations
 
-from typing import Generic, Iterator, TypeVar
+from collections.abc import Iterator
+from typing import Generic, TypeVar
 
 T = TypeVar("T")
 
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -3,7 +3,7 @@
 
 import socket
 from collections import OrderedDict
-from typing import Callable
+from collections.abc import Callable
 
 from ..log import Log
 from ..net.clock import SECOND
--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import math
-from typing import Callable
+from collections.abc import Callable
 
 import orjson
 
@@ -37,8 +37,12 @@
 
 class Discovery:
     PATH = "/registry/instances"
-    HOLD = 2_000                # ms that a watch may wait: one that falls silent is found out soon after
-    SPAN = SECOND               # for an answer beyond the wait
+    # How long a watch may wait: one that falls silent is found out soon after, yet discovery, which does
+    # one thing at a time, is not asked all the time.
+    HOLD = 3 * SECOND
+    # For the answer beyond the wait.  Calls queue there for up to 2 s; what a watch had to tell counts as
+    # told 2 s after its wait, so it is given up before.
+    SPAN, WATCH_SPAN = 3 * SECOND, SECOND * 3 // 2
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], version: int,
                  tell: Callable[[face.BackendList, dict[str, str]], None]) -> None:
@@ -56,8 +60,9 @@
         self.client.request("GET", self.PATH, self.SPAN, self._fetched)
 
     def _watch(self, hold: int) -> None:
-        target = f"{self.PATH}?from={self.version}&hold_ms={hold}"
-        self.watch = self.client.request("GET", target, hold * 10 + self.SPAN, self._watched)
+        target = f"{self.PATH}?from={self.version}&hold_ms={hold * 1000 // SECOND}"
+        self.watch = self.client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
+                                         self._watched)
 
     def _watched(self, answer: Answer) -> None:
         self.watch = None
@@ -71,8 +76,10 @@
 
     def _told(self, answer: Answer) -> bool:
         try:
-            if answer.outcome != "answered" or answer.status != 200:
-                raise ValueError(answer.outcome if answer.outcome != "answered" else f"status {answer.status}")
+            if answer.outcome != "answered":
+                raise ValueError(answer.outcome)
+            if answer.status != 200:
+                raise ValueError(f"status {answer.status}")
             news, addresses = read_list(orjson.loads(answer.body))
         except ValueError as bad:
             self.log.trouble("discovery_failed", why=str(bad), after_ms=answer.duration / 10)
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -31,13 +31,14 @@
         """Of the configuration `found`, ValueError and KeyError tell what can't be read; of the address
         to listen on, OSError."""
         self.loop, self.log = loop, log
-        self.seed = int(found["seed"], 16)
+        self.seed = int(str(found["seed"]), 16)
         self.boot, columns = bootstrap(found["settings"])
         known, self.addresses = read_list(found["known"], remembered=True)
         self.listed = {entry.backend: entry for entry in known.entries}
         self.proxies: dict[int, face.ProxyJoined] = {}
         self.stood: tables.Tables = {}          # what stands in the store, by slice in charge
         self.opening: Opening | None = None     # news that have just begun
+        self.begun = False                      # they have told once what stands
         self.owned: tables.Tables = {}          # slices given, not told to the module yet
         self.settling: Deadline | None = None
         self.lost: set[int] = set()             # tables whose orders were dropped: to be told anew
@@ -48,7 +49,8 @@
         store = address(found["store"]["address"])
         self.discovery = Discovery(loop, log, address(found["discovery"]), known.version, self.hear_list)
         self.probes = Probes(loop, log, bool(columns), self.hear)
-        self.relay = Relay(loop, log, store, [m.name for m in self.boot["methods"]], self.stands, self.dropped)
+        methods = [method.name for method in self.boot["methods"]]
+        self.relay = Relay(loop, log, store, methods, self.stands, self.dropped)
         self.news_link = News(loop, log, store, self)
         self.collectors = Collectors(loop, log, self.hear, address(found["listen"]),
                                      max(16, self._descriptors(found) - self.RESERVE))
@@ -191,7 +193,7 @@
         if self.opening is None:
             return
         self._settled()
-        opening, self.opening = self.opening, None
+        opening, self.opening, self.begun = self.opening, None, True
         for proxy in [p for p in self.proxies if p not in opening.proxies]:
             del self.proxies[proxy]
             self.hear(face.ProxyLeft(proxy))
--- a/indigohitch/platformlink/gather.py
+++ b/indigohitch/platformlink/gather.py
@@ -1,7 +1,7 @@
 """What has come, until it goes to the module."""
 from __future__ import annotations
 
-from typing import Callable
+from collections.abc import Callable
 
 from .. import interface as face
 from ..net.loop import Loop
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -1,7 +1,8 @@
 """The relay's news: an event stream that is kept open, and opened anew when it breaks."""
 from __future__ import annotations
 
-from typing import Callable, Protocol
+from collections.abc import Callable
+from typing import Protocol
 from urllib.parse import parse_qsl
 
 from .. import interface as face
@@ -21,7 +22,7 @@
 
 class EventStream:
     """Server-sent events out of the pieces of a body: `said(kind, data)` an event, `alive()` a comment."""
-    MOST = 1 << 20              # an event of the relay is a line; more unfinished than this is no such stream
+    MOST = 1 << 20              # an event of the relay is short; more unfinished than this is none
 
     def __init__(self, said: Callable[[str, str], None], alive: Callable[[], None]) -> None:
         self.said, self.alive = said, alive
--- a/indigohitch/platformlink/probes.py
+++ b/indigohitch/platformlink/probes.py
@@ -1,7 +1,7 @@
 """Probes of backends at the addresses that discovery gave."""
 from __future__ import annotations
 
-from typing import Callable
+from collections.abc import Callable
 
 import orjson
 
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Callable, Sequence
+from collections.abc import Callable, Sequence
 from urllib.parse import urlencode
 from xml.etree import ElementTree
 
--- a/indigohitch/platformlink/tables.py
+++ b/indigohitch/platformlink/tables.py
@@ -2,8 +2,8 @@
 it has answered since."""
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Iterable
 
 from .. import interface as face
 
--- a/indigohitch/platformlink/words.py
+++ b/indigohitch/platformlink/words.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Mapping
+from collections.abc import Mapping
 
 from .. import interface as face
 from ..bootstrap import load_report, tenths
@@ -79,5 +79,6 @@
     "detach": lambda words: face.ProxyLeft(whole(words, "id")),
     "done": _acked,
     "owner": lambda words: face.Charge(whole(words, "range"), flag(words, "flag")),
-    "entry": lambda words: face.StoredLine(whole(words, "range"), text(words, "target"), number(words, "rps")),
+    "entry": lambda words: face.StoredLine(whole(words, "range"), text(words, "target"),
+                                           number(words, "rps")),
 }
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 import traceback
-from typing import Mapping
+from collections.abc import Mapping
 
 import orjson
 
@@ -19,8 +19,9 @@
 
 class Phase(enum.Enum):
     STARTING = "starting"       # reads its configuration, opens its address
+    LISTENING = "listening"     # answers; the relay has not told yet what stands
     SERVING = "serving"
-    ENDING = "ending"           # was told to end: finishes the call that is out
+    ENDING = "ending"           # was told to end: finishes the calls that wait, for a moment
     ENDED = "ended"
 
 
@@ -68,14 +69,17 @@
             self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
             self.become(Phase.ENDED)
             return 1
-        self.become(Phase.SERVING)
+        self.become(Phase.LISTENING)
         self.front.start()
         while self.phase is not Phase.ENDED:
             self.loop.turn()
-            if self.phase is Phase.SERVING:
-                self.loop.guarded(self.front.gathering.turn)
-            elif self.front.relay.idle:
-                self.end()
+            if self.phase is Phase.ENDING:
+                if self.front.relay.idle:
+                    self.end()
+                continue
+            self.loop.guarded(self.front.gathering.turn)
+            if self.phase is Phase.LISTENING and self.front.begun:
+                self.become(Phase.SERVING)
         self.log.counters()
         return 0
 
@@ -83,7 +87,7 @@
         for number in set(self._wake.recv(256)):
             if number == signal.SIGUSR1:
                 self.log.counters()
-            elif self.phase is Phase.SERVING:
+            elif self.phase in (Phase.LISTENING, Phase.SERVING):
                 self.become(Phase.ENDING)
                 self.loop.after(self.GRACE, self.end)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -3,7 +3,6 @@
 
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
-
 from world import World, entry
 
 
@@ -255,7 +254,7 @@
     """Found at full size: among many backends one always looks the busiest."""
     w, rng, moved = World(), random.Random(5), 0
     w.start(60, 360, proxies=3)
-    for second in range(40):
+    for _ in range(40):
         orders = w.run(2 * SECOND, {s: sum(rng.random() < 0.05 for _ in range(40)) / 2 for s in range(360)})
         moved += sum(isinstance(o, face.SetLine) and o.weight > 0 for o in orders)
     assert moved < 90
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,6 @@
 
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
-
 from world import World, entry
 
 
