--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -55,7 +55,7 @@
 class News:
     SILENCE = 2 * SECOND        # a sign of life comes every second: one missed, and the next has not come
     CONNECT = SECOND // 4
-    AGAIN = SECOND // 10        # before the next try; a relay out of reach is asked ten times a second at most
+    AGAIN = SECOND // 10        # before the next try: a relay out of reach is not asked without pause
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], hearer: Hearer) -> None:
         self.loop, self.log, self.hearer = loop, log, hearer
