Socket tests against stand-ins of the platform; a cut-off line is counted again

Seen in the new test: line_cut_off never counted. Connection.close gave its ring back before the reader could look at what was left; the reader is told first now.

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -82,10 +82,10 @@
         self.open = False
         self.loop.forget(self.sock, self._number)
         self.sock.close()
+        if why:
+            self.reader.closed(self, why)       # it may look at what was left unread
         self.incoming.close()
         self.outgoing.close()
-        if why:
-            self.reader.closed(self, why)
 
     def _flush(self) -> str:
         """Write what the socket takes; returns what is wrong with it, if anything."""
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from urllib.parse import urlencode
 from xml.etree import ElementTree
 
@@ -12,6 +12,8 @@
 from ..net.http import Answer, Client
 from ..net.loop import Loop
 
+BYTES = 60_000                  # of orders that a call may carry, says the protocol
+
 
 def encode(order: face.Order, methods: Sequence[str]) -> str:
     """An order in the relay's words."""
@@ -56,6 +58,19 @@
     return list(last.values())
 
 
+def pieces(orders: Sequence[face.Order], methods: Sequence[str]) -> Iterator[list[face.Order]]:
+    """One reply of the module: a call of its own, or several where it is too long for one."""
+    call, room = [], BYTES + 1
+    for order in orders:
+        size = len(encode(order, methods)) + 1
+        if room < size:
+            yield call
+            call, room = [], BYTES + 1
+        call.append(order)
+        room -= size
+    yield call
+
+
 def read_answer(answer: Answer) -> int | str:
     """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
     if answer.outcome != "answered":
@@ -75,7 +90,6 @@
 
 
 class Relay:
-    BYTES = 60_000              # of orders that a call may carry
     WAITING = 8                 # calls that may wait; past that they are merged, so that all is bounded
     SPAN = SECOND // 5          # for an answer that comes within 50 ms or not at all
     CONNECT = SECOND // 4
@@ -98,21 +112,12 @@
         return [order for call in self.waiting for order in call]
 
     def order(self, orders: list[face.Order]) -> None:
-        """One reply of the module: a call of its own, or several where it is too long for one."""
-        room, call = 0, []
-        for order in orders:
-            size = len(encode(order, self.methods)) + 1
-            if room < size:
-                room, call = self.BYTES, []
-                self.waiting.append(call)
-            call.append(order)
-            room -= size
+        self.waiting += pieces(orders, self.methods)
         if len(self.waiting) > 1 + self.WAITING:
             # The relay is out of reach: what waits is bounded by what there is to set, nothing is lost.
             out, later = self.waiting.popleft(), self.pending()
-            self.waiting = deque([out])
+            self.waiting = deque([out, *pieces(merge(later), self.methods)])
             self.log.trouble("calls_merged", orders=len(later))
-            self.order(merge(later))
         elif self.idle:
             self._call()
 
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,283 @@
+"""The program itself, spoken to over sockets: what goes wrong at its peers, and that it goes on serving."""
+import random
+import socket
+import time
+
+import pytest
+
+from world import SETTINGS, Platform, Program, eventually, reset
+
+
+@pytest.fixture
+def platform(tmp_path):
+    found = Platform(tmp_path)
+    yield found
+    found.close()
+
+
+def drain(platform, backend):
+    """A change that the module must answer with orders; waits until they stand."""
+    platform.change(backend, "DRAINING")
+    eventually(lambda: platform.agrees() and not any(backend in t for t in platform.tables.values()))
+
+
+def heartbeat(platform):
+    with platform.call() as sock:
+        sock.sendall(b"hb\r\n")
+        return sock.makefile("rb").readline() == b"hb_ok\r\n"
+
+
+def none_lost(platform):
+    """Marks count the calls: every one stood, in order, the same again only before anything later."""
+    marks = [m for m, before in zip(platform.marks, [0, *platform.marks]) if m != before]
+    return marks == list(range(marks[0], marks[0] + len(marks)))
+
+
+def test_a_day_in_small(platform):
+    program = platform.serving()
+    assert heartbeat(platform)
+    drain(platform, "b1")
+    platform.change("b1", "SERVING", started=int(time.time() * 1000))
+    drain(platform, "b2")
+    eventually(lambda: {b for b, _ in platform.probed} >= set("b0 b3 b4 b5".split()))
+    assert program.end() == 0 and not program.process.stderr.read()
+    assert [e["now"] for e in program.said("phase")] == ["listening", "serving", "ending", "ended"]
+    counters = program.log[-1]
+    assert counters["event"] == "counters" and counters["heartbeats_answered"] == 1
+    assert counters["orders_stand"] == counters["orders"] and counters["probes_ok"] >= 4
+    assert none_lost(platform)
+
+
+def test_sums_reach_the_module(platform):
+    """The busiest gives to the least loaded: all that is asked for lies on b0."""
+    platform.serving()
+    with platform.call() as sock:
+        sock.sendall(b"telemetry site=east\r\n")
+
+        def moved():
+            lines = [f"range_stats range={s} lane=search count={80 if s % 6 == 0 else 4} fail=0 over=100.0"
+                     for s in range(12)]
+            lines += [f"upstream_stats site=east target=b{n} count=20 fail=0 mean=41.7 over=100.0 "
+                      "util=pending:1,svc_ms:41.5" for n in range(6)]
+            sock.sendall(("\r\n".join(lines) + "\r\n").encode())
+            return "b0" not in platform.tables[0] or "b0" not in platform.tables[6]
+        eventually(moved)
+        sock.settimeout(0.05)
+        with pytest.raises(TimeoutError):       # nothing is ever written to a collector
+            sock.recv(1)
+
+
+def test_lines_that_can_not_be_read_are_dropped(platform):
+    program = platform.serving()
+    good = b"range_stats range=3 lane=search count=40 fail=1 over=1000.0\r\n"
+    bad = [b"\xff\xfe\x00 range=1", b"range_stats range=3 lane=search count=40 fail=1",
+           b"range_stats range=x lane=search count=40 fail=1 over=9", b"range_stats range",
+           b"range_stats range=3 lane=search count=-4 fail=1 over=nan", b"telemetry",
+           b"upstream_stats site=a target=b1 count=2 fail=0 mean=inf over=1.0"]
+    with platform.call() as sock:
+        sock.sendall(b"x" * 20_000 + b"\r\ntelemetry site=east\r\n" + b"y" * (1 << 20) + b"z" * 9000 + b"\r\n")
+        for line in bad:
+            sock.sendall(line + b"\r\n" + good)
+        for n in range(len(good)):
+            sock.sendall(good[n:n + 1])         # in pieces
+        sock.sendall(b"\r\nunheard_of a=1\r\nupstream_stats site=a target=b1 count=2 fail=0 mean=4 over=1 "
+                     b"util=pending:x,svc_ms:3\r\n")
+        eventually(lambda: program.counters().get("lines_upstream_stats") == 1)
+        sock.sendall(b"range_stats range=")
+        eventually(lambda: program.counters()["lines_range_stats"] == len(bad) + 1)
+        reset(sock)
+    eventually(lambda: program.counters().get("accepted_reset") == 1)
+    with platform.call() as sock:
+        sock.sendall(b"range_stats ran")
+    counters = eventually(lambda: (c := program.counters()).get("line_cut_off") and c)
+    assert counters["line_unreadable"] == len(bad) and counters["line_too_long"] == 2
+    assert counters["line_of_unknown_kind"] == 1 and heartbeat(platform)
+
+
+def test_strangers_fill_the_connections(tmp_path):
+    platform = Platform(tmp_path, sockets=200)
+    program = platform.serving()
+    strangers = []
+    try:
+        with platform.call() as collector:
+            collector.sendall(b"telemetry site=east\r\n")
+            eventually(lambda: program.said("collector"))
+            strangers += [platform.call() for _ in range(90)]
+            assert heartbeat(platform)
+            collector.sendall(b"range_stats range=3 lane=search count=40 fail=1 over=1000.0\r\n")
+            eventually(lambda: program.counters().get("lines_range_stats") == 1)
+        assert program.counters()["stranger_dropped_for_room"] >= 50
+        drain(platform, "b1")
+    finally:
+        for sock in strangers:
+            sock.close()
+        platform.close()
+
+
+RELAY_FAULTS = ["Throttling", "reset", "reset done", "silent", "silent done", "garbage", "garbage done",
+                "rubbish done", "503", "close"]
+
+
+@pytest.mark.parametrize("fault", RELAY_FAULTS)
+def test_calls_that_go_wrong_stand_in_the_end(platform, fault):
+    platform.serving()
+    platform.relay_faults += [fault] * 2
+    drain(platform, "b1")
+    drain(platform, "b2")
+    assert not platform.relay_faults and none_lost(platform)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_store_and_module_agree_after_any_faults(platform, seed):
+    rng = random.Random(seed)
+    program = platform.serving()
+    for step in range(8):
+        platform.relay_faults += rng.choices(RELAY_FAULTS, k=rng.randint(0, 3))
+        if rng.random() < 0.3:
+            platform.news_faults.append(rng.choice(["reset", "unreadable", "rubbish"]))
+        if step % 2 and rng.random() < 0.5:
+            platform.discovery_faults.append(rng.choice(["503", "reset", "whole", "garbage"]))
+        busy = rng.choice(sorted(b for t in platform.tables.values() for b in t))
+        drain(platform, busy)
+        platform.change(busy, "SERVING", started=int(time.time() * 1000) - 60_000)
+    assert none_lost(platform) and not program.said("defect")
+
+
+def test_one_refused_order_is_dropped_and_the_rest_stands(platform):
+    program = platform.serving()
+    platform.refused = {"b0", "b2", "b3", "b4"}         # b5 is all that is left for two slices
+    platform.change("b1", "DRAINING")
+    eventually(lambda: program.said("order_refused") or platform.agrees())
+    eventually(lambda: not any("b1" in t for t in platform.tables.values()))
+    platform.refused = set()
+    eventually(platform.agrees)
+    refused = program.said("order_refused")
+    assert all(e["order"].startswith("put,") for e in refused) and len(refused) < 60
+
+
+def test_an_invalid_call_is_not_repeated(platform):
+    program = platform.serving()
+    platform.relay_faults.append("ValidationError")
+    platform.change("b1", "DRAINING")
+    eventually(lambda: program.said("relay_call_invalid"))
+    eventually(platform.agrees)                 # the module was told that nothing came of it
+    assert len(program.said("relay_call_invalid")) == 1 and len(platform.calls) < 20
+
+
+@pytest.mark.parametrize("fault", ["reset", "silent", "unreadable", "rubbish"])
+def test_news_that_break_are_compared_with_what_was_known(platform, fault):
+    program = platform.serving()
+    drain(platform, "b1")
+    with platform.lock:
+        platform.proxies = {0, 1, 7}
+        del platform.tables[3]
+        platform.tables[4] = {"b1": 1.0}        # written by another coordinator meanwhile
+        platform.news_faults.append(fault)
+    eventually(lambda: program.said("news_begun", proxies=3, slices=11))
+    eventually(platform.agrees)
+    drain(platform, "b2")                       # slice 3 would be refused nothing, but is not ours
+    assert not any(order.startswith("put,3,") for call in platform.calls[1:] for order in call)
+
+
+def test_slices_given_and_taken_while_serving(platform):
+    platform.serving()
+    with platform.lock:
+        platform.tables[50], platform.tables[51] = {}, {"b1": 1.0}
+        for number in (50, 51):
+            platform.tell("owner", range=number, flag=1)
+        platform.tell("entry", range=51, target="b1", rps=1.0)
+        platform.tell("owner", range=2, flag=0)
+        del platform.tables[2]
+        platform.tell("detach", id=0)
+        platform.tell("weather", wind=3)        # unknown kinds are passed over
+    eventually(platform.agrees)
+    drain(platform, "b1")
+    assert not any(order.startswith("put,2,") for call in platform.calls for order in call)
+
+
+@pytest.mark.parametrize("fault", ["503", "reset", "silent", "garbage", "rubbish", "whole"])
+def test_discovery_that_fails_is_asked_again(platform, fault):
+    program = platform.serving()
+    platform.discovery_faults.append(fault)
+    drain(platform, "b1")
+    eventually(lambda: not platform.discovery_faults)
+    drain(platform, "b2")
+    assert bool(program.said("discovery_failed")) == (fault != "whole")
+
+
+def test_backends_move_and_vanish_from_the_list(platform):
+    platform.serving()
+    moved = platform.backends["b0"]
+    eventually(lambda: moved.connections)
+    platform.add("b0")                          # the same id at another address
+    eventually(lambda: platform.backends["b0"].connections)
+    del platform.listed["b3"]
+    platform.discovery_faults.append("whole")
+    eventually(lambda: not any("b3" in t for t in platform.tables.values()))
+    moved.close()
+
+
+def test_probes_tell_what_happened(platform):
+    platform.behaviour = {"b0": "503", "b1": "silent", "b2": "reset", "b3": "garbage", "b4": "rubbish"}
+    platform.backends["b5"].close()
+    platform.change("b5", address="127.0.0.1:1")
+    platform.add("b6")
+    platform.change("b6", address="nowhere")
+    program = platform.serving()
+    program.start_seen = eventually(lambda: (c := program.counters()).get("probes_connect_failed", 0) > 1
+                                    and c.get("probes_timeout") and c.get("probes_reset") and c)
+    counters = eventually(lambda: (c := program.counters()).get("load_report_unreadable") and c)
+    assert counters["probes_error"] >= 2 and heartbeat(platform)
+    assert {path for _, path in platform.probed} == {"/stats"}
+
+
+def test_restart_from_nothing_with_an_old_list(platform):
+    platform.serving()
+    drain(platform, "b1")
+    platform.program.process.kill()
+    platform.program.process.wait()
+    platform.add("b9")
+    with platform.lock:
+        for table in list(platform.tables.values())[:4]:
+            table.clear()
+            table["b9"] = 1.0                   # known to the store, not to the list of old
+    platform.change("b0", "DELETED")
+    program = platform.serving()                # its `known` still has b0 and b1, and no b9
+    eventually(platform.agrees)
+    program.counters()
+    assert not any(o.startswith("put") and ",b9,0.0" in o for call in platform.calls for o in call)
+
+
+@pytest.mark.parametrize("phase", ["listening", "serving", "calling"])
+def test_told_to_end_in_any_phase(platform, phase):
+    if phase == "listening":
+        platform.news_faults += ["silent"] * 9
+        program = platform.start()
+        eventually(lambda: program.said("phase", now="listening"))
+    else:
+        program = platform.serving()
+    if phase == "calling":
+        platform.relay_faults += ["silent"] * 99
+        platform.change("b1", "DRAINING")
+        eventually(lambda: program.said("relay_call_unclear"))
+    assert program.end() == 0
+    assert program.said("phase", now="ended") and program.log[-1]["event"] == "counters"
+
+
+@pytest.mark.parametrize("config", [
+    "no JSON", "[]", "{}", '{"seed":"1","settings":{"classes":[{}]}}',
+    '{"seed":"1","settings":{"classes":[]},"known":{"instances":[{}]}}', None])
+def test_a_configuration_that_can_not_be_read_ends_it(tmp_path, config):
+    program = Program(tmp_path, config or "", **{} if config else {"BALANCER_CONFIG": "/nowhere/config.json"})
+    assert program.process.wait(10) not in (0, None)
+    program.reader.join(5)
+    assert len(program.said("cannot_start")) == 1 and not program.process.stderr.read()
+
+
+def test_an_address_that_can_not_be_had_ends_it(platform):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        for listen in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:0x10"):
+            program = platform.start(listen=listen, settings=SETTINGS)
+            assert program.process.wait(10) not in (0, None)
+            program.reader.join(5)
+            assert len(program.said("cannot_start")) == 1 and not program.process.stderr.read()
