--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -75,7 +75,7 @@
            b"range_stats range=3 lane=search count=-4 fail=1 over=nan", b"telemetry",
            b"upstream_stats site=a target=b1 count=2 fail=0 mean=inf over=1.0"]
     with platform.call() as sock:
-        sock.sendall(b"x" * 20_000 + b"\r\ntelemetry site=east\r\n" + b"y" * (1 << 20) + b"z" * 9000 + b"\r\n")
+        sock.sendall(b"x" * 20_000 + b"\r\ntelemetry site=east\r\n" + b"y" * ((1 << 20) + 9000) + b"\r\n")
         for line in bad:
             sock.sendall(line + b"\r\n" + good)
         for n in range(len(good)):
--- a/tests/world.py
+++ b/tests/world.py
@@ -477,9 +477,11 @@
         self.process.send_signal(signal.SIGUSR1)
         return eventually(lambda: self.said("counters")[before:])[0]
 
-    def end(self, seconds=0.7):
-        """SIGTERM; the exit code."""
+    def end(self):
+        """SIGTERM; the exit code.  SIGKILL would come after 0.7 s."""
         self.process.send_signal(signal.SIGTERM)
-        code = self.process.wait(seconds)
+        code = self.process.wait(10)
         self.reader.join(5)
+        ending, ended = (self.said("phase", now=now)[0]["ms"] for now in ("ending", "ended"))
+        assert ended - ending < 600
         return code
