Holdings apart from the front; a module that breaks is begun anew once at a time

Answers without a length, second answers and defects met inside the parser are told apart. At the start of the news slices wait for the first sign of life or 250 ms of quiet.

--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -41,7 +41,7 @@
         self.number = client.exchanges.put(self)
         self.parser = httptools.HttpResponseParser(self)
         self.body, self.status = bytearray(), 0
-        self.complete, self.keep, self.over = False, False, False
+        self.framed = self.complete = self.keep = self.over = False
         self.connection: Connection | None = None
         self.deadline: Deadline | None = None
 
@@ -77,35 +77,47 @@
         data = connection.incoming.take()
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as broken:     # not what came, but what became of it here
+            self.client.loop.failed(broken.__context__ or broken)
+            self.end("unreadable")
+            return
         except httptools.HttpParserError:
             self.end("unreadable")
             return
         if self.over:
             return                      # ended by what it told
-        if self.complete:
+        if len(self.body) > self.BODY:
+            self.end("unreadable")
+        elif self.complete:
             self.end("answered")
         elif self.stream is not None:
             self._rearm()               # a stream's deadline is for silence
 
     def closed(self, connection: Connection, why: str) -> None:
-        self.end("connect_failed" if why == "refused" else "reset")
+        if why == "ended" and self.status and not self.framed and self.stream is None:
+            self.end("answered")        # a body without a length ends with its connection
+        else:
+            self.end("connect_failed" if why == "refused" else "reset")
 
     # ---- what the parser tells
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.framed |= name.lower() in (b"content-length", b"transfer-encoding")
+
     def on_headers_complete(self) -> None:
-        self.status, self.keep = self.parser.get_status_code(), self.parser.should_keep_alive()
+        if not self.complete:
+            self.status, self.keep = self.parser.get_status_code(), self.parser.should_keep_alive()
 
     def on_body(self, part: bytes) -> None:
-        if self.over:
+        if self.over or self.complete:
             return                      # ended by an earlier part of what came in one piece
         if self.stream is not None and self.status == 200:
             self.stream(part)
-            return
-        self.body += part
-        if len(self.body) > self.BODY:
-            raise httptools.HttpParserError("body too long")
+        else:
+            self.body += part
 
     def on_message_complete(self) -> None:
+        self.keep &= not self.complete  # a second answer to one request: no more on that connection
         self.complete = True
 
     # ---- the end
--- a/indigohitch/net/loop.py
+++ b/indigohitch/net/loop.py
@@ -34,7 +34,6 @@
         self.clock, self.failed = clock, failed
         self.pool = Pool(self.POOL)
         self.watched: Slots[Watched] = Slots()
-        self.turns = 0
         self._selector = selectors.DefaultSelector()
         self._due: list[tuple[int, int, Deadline]] = []
         self._order = 0                         # two due at one time: first come, first served
@@ -73,7 +72,6 @@
             self.failed(broken)
 
     def turn(self) -> None:
-        self.turns += 1
         while self._due and self._due[0][2].action is None:
             heappop(self._due)
         wait = None
--- /dev/null
+++ b/indigohitch/platformlink/holdings.py
@@ -0,0 +1,152 @@
+"""What this coordinator holds, as the relay tells it: the proxies that are joined, the slices in its
+charge and what stands in their tables.  What news and dropped orders change is told to the module."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .. import interface as face
+from ..log import Log
+from ..net.clock import SECOND
+from ..net.loop import Deadline, Loop
+from . import tables
+
+
+class Opening:
+    """The start of the news, until its first sign of life."""
+
+    def __init__(self) -> None:
+        self.proxies: set[int] = set()          # named in it
+        self.slices: set[int] = set()
+        self.answered: list[face.Order] = []    # orders answered since it was asked for
+
+
+class Holdings:
+    # A slice and its lines come one by one, perhaps in pieces, and the module hears of them together, once
+    # nothing more came for so long.  At the start nothing presses, and the first sign of life ends it.
+    SETTLE, SETTLE_AT_START = SECOND // 20, SECOND // 4
+    RETELL = SECOND             # after orders were dropped: the module may well order the same again
+
+    def __init__(self, loop: Loop, log: Log, hear: Callable[..., None],
+                 pending: Callable[[], list[face.Order]],
+                 order: Callable[[list[face.Order]], None]) -> None:
+        """`pending`: the orders not known to stand; `order`: for the few that make an event true."""
+        self.loop, self.log, self.hear, self.pending, self.order = loop, log, hear, pending, order
+        self.proxies: dict[int, face.ProxyJoined] = {}
+        self.stood: tables.Tables = {}          # what stands in the store, by slice in charge
+        self.fresh: tables.Tables = {}          # slices given, not told to the module yet
+        self.settling: Deadline | None = None
+        self.opening: Opening | None = None
+        self.begun = False                      # the news have told once what stands
+        self.lost: set[int] = set()             # tables whose orders were dropped: to be told anew
+
+    # ---- news --------------------------------------------------------------------------------------
+
+    def news_opening(self) -> None:
+        self._settle()
+        self.opening = Opening()
+
+    def news(self, event: face.Event) -> None:
+        match event:
+            case face.ProxyJoined(proxy):
+                if self.opening is not None:
+                    self.opening.proxies.add(proxy)
+                self.proxies[proxy] = event
+                self.hear(event)
+            case face.ProxyLeft(proxy):
+                if self.opening is not None:
+                    self.opening.proxies.discard(proxy)
+                if self.proxies.pop(proxy, None) is not None:
+                    self.hear(event)
+            case face.Charge(number, True):
+                # Given anew a slice loses its level; named at the start of the news it may be the same still.
+                known = self.stood.get(number) if self.opening is not None else None
+                self.fresh[number] = tables.Table(level=known.level if known is not None else None)
+                self._settle_soon()
+            case face.Charge(number, False):
+                self._settle()
+                if self.opening is not None:
+                    self.opening.slices.discard(number)
+                if self.stood.pop(number, None) is not None:
+                    self.hear(event)
+            case face.StoredLine(number, backend, weight):
+                if number not in self.fresh and number not in self.stood:
+                    self.log.trouble("line_of_a_slice_not_given", slice=number)
+                    return
+                if number not in self.fresh:    # a line that comes late joins those told before
+                    self.fresh[number] = tables.copy(self.stood)[number]
+                self.fresh[number].lines[backend] = weight
+                self._settle_soon()
+            case _:
+                self.hear(event)
+
+    def news_alive(self) -> None:
+        """The first sign of life ends the start: who has not been named in it is gone."""
+        if self.opening is None:
+            return
+        self._settle()
+        opening, self.opening, self.begun = self.opening, None, True
+        for proxy in [p for p in self.proxies if p not in opening.proxies]:
+            del self.proxies[proxy]
+            self.hear(face.ProxyLeft(proxy))
+        for number in [n for n in self.stood if n not in opening.slices]:
+            del self.stood[number]
+            self.hear(face.Charge(number, False))
+        self.log.event("news_begun", proxies=len(self.proxies), slices=len(self.stood))
+
+    def _settle_soon(self) -> None:
+        if self.settling is not None:
+            self.settling.cancel()
+        span = self.SETTLE if self.opening is None else self.SETTLE_AT_START
+        self.settling = self.loop.after(span, self._settle)
+
+    def _settle(self) -> None:
+        """The lines of the slices given have all come: tell the module, but not what it knows already."""
+        if self.settling is not None:
+            self.settling.cancel()
+            self.settling = None
+        before, fresh, self.fresh = self.ahead(), self.fresh, {}
+        self.stood |= fresh
+        if self.opening is not None:
+            # What was answered since the stream was asked for may or may not be in what it tells.
+            tables.carry_out(fresh, self.opening.answered)
+            self.opening.slices |= set(fresh)
+        after = self.ahead()
+        self._tell([n for n in fresh if self.opening is None or n not in before
+                    or before[n].lines != after[n].lines])
+
+    # ---- orders ------------------------------------------------------------------------------------
+
+    def ahead(self) -> tables.Tables:
+        """What will stand once all that is ordered does: what the module takes for standing."""
+        ahead = tables.copy(self.stood)
+        tables.carry_out(ahead, self.pending())
+        return ahead
+
+    def stands(self, orders: list[face.Order]) -> None:
+        tables.carry_out(self.stood, orders)
+        if self.opening is not None:
+            self.opening.answered += orders
+
+    def dropped(self, orders: list[face.Order]) -> None:
+        """Orders that will never stand: the module is told what does."""
+        if not self.lost:
+            self.loop.after(self.RETELL, self._tell_lost)
+        self.lost |= tables.touched(orders)
+
+    def _tell_lost(self) -> None:
+        lost, self.lost = self.lost, set()
+        self._tell(sorted(lost & set(self.stood)))
+        if face.ALL_TABLES in lost:             # one that joins is told the level for all
+            self.hear(*self.proxies.values())
+
+    def tell_all(self) -> None:
+        self._tell(list(self.stood))
+        self.hear(*self.proxies.values())
+
+    def _tell(self, numbers: list[int]) -> None:
+        """The module hears of these slices as if they were given now."""
+        ahead = self.ahead()
+        if levels := tables.levels_reset(numbers, ahead):
+            self.order(levels)
+        for number in numbers:
+            self.hear(*tables.given(number, ahead[number]))
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -98,11 +98,10 @@
     AGAIN = (0, SECOND // 20, SECOND // 10, SECOND // 5, SECOND // 2)
     THROTTLED = SECOND // 20
 
-    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str],
-                 stands: Callable[[list[face.Order]], None],
-                 dropped: Callable[[list[face.Order]], None]) -> None:
+    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str]) -> None:
         self.loop, self.log, self.methods = loop, log, methods
-        self.stands, self.dropped = stands, dropped
+        self.stands: Callable[[list[face.Order]], None] = lambda orders: None   # what becomes of orders
+        self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
         self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
         self.failures, self.idle = 0, True
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -38,7 +38,7 @@
         self._wake, wake = socket.socketpair()
         for end in (self._wake, wake):
             end.setblocking(False)
-        self._wake_in = wake
+        self._woken_by = wake               # held, or it would close
         signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
             signal.signal(number, lambda *_: None)      # heard through the wakeup socket, in the loop
@@ -78,7 +78,7 @@
                     self.end()
                 continue
             self.loop.guarded(self.front.gathering.turn)
-            if self.phase is Phase.LISTENING and self.front.begun:
+            if self.phase is Phase.LISTENING and self.front.holdings.begun:
                 self.become(Phase.SERVING)
         self.log.counters()
         return 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,12 +9,13 @@
 from indigohitch.net.clock import Clock
 from indigohitch.net.connection import address
 from indigohitch.net.http import Answer
-from indigohitch.net.loop import Loop
+from indigohitch.net.loop import Deadline, Loop
 from indigohitch.net.ring import Pool, Ring
 from indigohitch.net.slots import Slots
 from indigohitch.platformlink import tables
 from indigohitch.platformlink.discovery import read_list
 from indigohitch.platformlink.gather import Gathering
+from indigohitch.platformlink.holdings import Holdings
 from indigohitch.platformlink.news import EventStream
 from indigohitch.platformlink.relay import BYTES, encode, merge, pieces, read_answer
 from indigohitch.platformlink.words import NEWS, REPORTS, Unreadable
@@ -260,6 +261,103 @@
             read_list({"generation": 43, "reset": True, "instances": [entry, one]})
 
 
+class Told:
+    """A log and a module's belief, kept by what it is told."""
+    def __init__(self):
+        self.tables, self.proxies, self.charges = {}, set(), 0
+
+    def event(self, *_, **__):
+        pass
+
+    trouble = event
+
+    def hear(self, *events):
+        for e in events:
+            if isinstance(e, face.Charge):
+                self.charges += 1
+                self.tables.pop(e.slice, None)
+                if e.held:
+                    self.tables[e.slice] = {}
+            elif isinstance(e, face.StoredLine):
+                self.tables[e.slice][e.backend] = e.weight
+            elif isinstance(e, face.ProxyJoined):
+                self.proxies.add(e.proxy)
+            elif isinstance(e, face.ProxyLeft):
+                self.proxies.remove(e.proxy)
+
+
+def put(lines, order):
+    lines.get(order.table, {}).pop(order.backend, None)
+    if order.weight and order.table in lines:
+        lines[order.table][order.backend] = order.weight
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_belief_and_store_agree_after_every_start_of_the_news(seed):
+    """Calls are carried out, answered and lost while the news break and begin anew at any moment."""
+    rng, told, hours = random.Random(seed), Told(), Hours()
+    hours.after = lambda span, action: Deadline(0, action)      # the sign of life settles all
+    store, proxies, calls, done = {n: {"b0": 1.0} for n in range(6)}, {1, 2}, [], 0
+    holdings = Holdings(hours, told, told.hear, lambda: list(calls), calls.extend)
+
+    def step():
+        nonlocal done
+        roll = rng.random()
+        if roll < 0.4 and told.tables:          # the module orders, and believes that it stands
+            table = rng.choice(sorted(told.tables))
+            order = face.SetLine(table, f"b{rng.randrange(3)}", rng.choice([0.0, 1.0]))
+            calls.append(order)
+            put(told.tables, order)
+        elif roll < 0.7 and done < len(calls):  # the relay carries one out
+            put(store, calls[done])
+            done += 1
+        elif done:                              # and answers
+            holdings.stands([calls.pop(0)])
+            done -= 1
+    for _ in range(40):
+        holdings.news_opening()
+        for _ in range(rng.randrange(4)):
+            step()
+        start = [face.ProxyJoined(p, "east", 1.0, False) for p in sorted(proxies)]
+        for number, lines in store.items():
+            start += tables.given(number, tables.Table(dict(lines)))
+        for event in start:
+            holdings.news(event)
+            if rng.random() < 0.2 and not isinstance(event, face.Charge):
+                step()
+        holdings.news_alive()
+        ahead = {number: dict(lines) for number, lines in store.items()}
+        for order in calls[done:]:
+            put(ahead, order)
+        assert told.tables == ahead and told.proxies == proxies
+        for _ in range(rng.randrange(9)):
+            step()
+        if rng.random() < 0.3:                  # the news are broken: what changes is not told
+            while calls:
+                put(store, calls[0])
+                holdings.stands([calls.pop(0)])
+            done, proxies = 0, {p for p in range(4) if rng.random() < 0.7}
+            store.pop(rng.choice(sorted(store)))
+            store.setdefault(rng.randrange(8), {})[f"b{rng.randrange(3)}"] = 1.0
+
+
+def test_what_stands_as_believed_is_not_told_again():
+    told, hours = Told(), Hours()
+    hours.after = lambda span, action: Deadline(0, action)
+    calls = []
+    holdings = Holdings(hours, told, told.hear, list, calls.extend)
+    for _ in range(3):
+        holdings.news_opening()
+        for event in tables.given(4, tables.Table({"b1": 1.0})):
+            holdings.news(event)
+        holdings.news_alive()
+    assert told.charges == 1 and told.tables == {4: {"b1": 1.0}}
+    holdings.stands([face.SetLevel(4, (), 0.6, 1)])
+    holdings.dropped([face.SetLine(4, "b2", 1.0)])
+    holdings._tell_lost()                       # told anew it comes without a level: that is made true
+    assert told.charges == 2 and calls == [face.SetLevel(4, (), 1.0, 1)]
+
+
 def test_no_package_imports_in_a_circle():
     """Left knows nothing of right: net, platformlink, service."""
     root = os.path.join(os.path.dirname(__file__), "..", "indigohitch")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -264,6 +264,15 @@
     assert program.said("phase", now="ended") and program.log[-1]["event"] == "counters"
 
 
+def test_a_module_that_breaks_is_begun_anew(platform):
+    family = SETTINGS["family-info"] | {"egress-per-s": "fast"}
+    program = platform.start(settings=SETTINGS | {"family-info": family})
+    eventually(lambda: program.said("phase", now="serving"))
+    platform.change("b1", "DRAINING")
+    eventually(lambda: program.counters().get("module_begun_anew", 0) > 1)
+    assert "TypeError" in program.said("defect")[0]["error"] and heartbeat(platform)
+
+
 @pytest.mark.parametrize("config", [
     "no JSON", "[]", "{}", '{"seed":"1","settings":{"classes":[{}]}}',
     '{"seed":"1","settings":{"classes":[]},"known":{"instances":[{}]}}', None])
