--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -41,7 +41,8 @@
         store = address(found["store"]["address"])
         self.discovery = Discovery(loop, log, address(found["discovery"]), known.version, self.hear_list)
         self.probes = Probes(loop, log, bool(columns), self.hear)
-        self.relay = Relay(loop, log, store, [method.name for method in self.boot["methods"]])
+        self.relay = Relay(loop, log, store, [method.name for method in self.boot["methods"]],
+                           self.boot.get("messages_most", 0), self.boot.get("counted_over", 0))
         self.holdings = Holdings(loop, log, self.hear, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -54,7 +54,7 @@
 
 class News:
     SILENCE = 2 * SECOND        # a sign of life comes every second: one missed, and the next has not come
-    CONNECT = SECOND // 4
+    CONNECT = SECOND // 4       # on one network a connect takes a few ms
     AGAIN = SECOND // 10        # before the next try: a relay out of reach is not asked without pause
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], hearer: Hearer) -> None:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -92,14 +92,18 @@
 class Relay:
     WAITING = 8                 # calls that may wait; past that they are merged, so that all is bounded
     SPAN = SECOND // 5          # for an answer that comes within 50 ms or not at all
-    CONNECT = SECOND // 4
+    CONNECT = SECOND // 4       # on one network a connect takes a few ms
     IDLE = SECOND               # the relay closes what stands idle, some day sooner than it says
     # After an outcome that leaves open what stands, first at once, then by these steps, the last for good.
     AGAIN = (0, SECOND // 20, SECOND // 10, SECOND // 5, SECOND // 2)
-    THROTTLED = SECOND // 20
-
-    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str]) -> None:
-        self.loop, self.log, self.methods = loop, log, methods
+    THROTTLED = SECOND // 20    # soon: before the run begins every call is turned away
+    MARGIN = SECOND // 2        # by which one call may take longer to the relay than the next
+
+    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str], most: int,
+                 over: int) -> None:
+        """A proxy may get `most` messages (0: any number) within `over`."""
+        self.loop, self.log, self.methods, self.most, self.over = loop, log, methods, most, over
+        self.written: deque[int] = deque()      # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None   # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
@@ -124,6 +128,16 @@
         self.idle = not self.waiting
         if self.idle:
             return
+        # The module counts its replies.  What goes again may have gone before, and what had to wait goes
+        # in a burst: neither may give a proxy more messages than it is allowed.
+        now = self.loop.clock.now()
+        while self.written and self.written[0] <= now - self.over - self.MARGIN:
+            self.written.popleft()
+        if self.most and len(self.written) >= self.most:
+            self.log.trouble("call_held_back", calls=len(self.waiting))
+            self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
+            return
+        self.written.append(now)
         body = urlencode({"Action": "CommitChanges",
                           "orders": ";".join(encode(o, self.methods) for o in self.waiting[0])})
         self.log.count("relay_calls")
@@ -133,6 +147,8 @@
     def _answered(self, answer: Answer) -> None:
         orders = self.waiting[0]
         try:
+            if answer.outcome in ("connect_failed", "unreached"):
+                self.written.pop()
             said = read_answer(answer)
             if isinstance(said, int) and said > len(orders):
                 raise ValueError(f"{said} taken of {len(orders)}")
@@ -145,12 +161,14 @@
         elif said == "ValidationError":
             # The same again would be turned away again: never in a loop.
             self.log.trouble("relay_call_invalid", orders=len(orders), first=encode(orders[0], self.methods))
+            self.written.pop()
             self.waiting.popleft()
             self.failures = 0
             self.dropped(orders)
             self._call()
         elif said == "Throttling":
             self.log.count("relay_throttled")
+            self.written.pop()
             self.loop.after(self.THROTTLED, self._call)
         else:
             # Carried out or not at all: the same once more, before anything later.
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -127,6 +127,17 @@
     assert not platform.relay_faults and none_lost(platform)
 
 
+def test_calls_that_go_again_count_as_messages(platform):
+    family = SETTINGS["family-info"] | {"messages-most": 4, "counted-over": 1000.0}
+    program = platform.start(settings=SETTINGS | {"family-info": family})
+    eventually(lambda: program.said("phase", now="serving"))
+    platform.relay_faults += ["reset done"] * 9
+    drain(platform, "b1")
+    eventually(lambda: not platform.relay_faults)
+    assert min(late - early for early, late in zip(platform.times, platform.times[4:])) > 1.0
+    assert none_lost(platform) and program.said("call_held_back")
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_store_and_module_agree_after_any_faults(platform, seed):
     rng = random.Random(seed)
--- a/tests/world.py
+++ b/tests/world.py
@@ -300,6 +300,7 @@
         self.proxies = set(range(proxies))
         self.tables = {s: {f"b{s % backends}": 1.0} for s in range(slices)}
         self.out, self.refused, self.calls, self.marks, self.news = set(), set(), [], [], []
+        self.times = []                         # of the calls carried out
         self.known = self.whole()
 
     # ---- backends and discovery
@@ -368,6 +369,7 @@
     def _carry_out(self, orders):
         with self.lock:
             self.calls.append(orders)
+            self.times.append(time.monotonic())
             for taken, order in enumerate(orders):
                 kind, *words = order.split(",")
                 if kind == "put" and words[1] in self.refused:
