--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -32,6 +32,7 @@
 
 class Exchange:
     """One request and its answer, in a numbered slot of its client while it lasts."""
+    CROSSED = SECOND // 20      # a close that crosses the request is here by then; later it is an answer
     BODY = 8 << 20              # a list of ten thousand backends is two; more is no answer of ours
 
     def __init__(self, client: Client, request: bytes, span: int, done: Callable[[Answer], None],
@@ -42,16 +43,24 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body, self.status = bytearray(), 0
         self.framed = self.complete = self.keep = self.over = False
+        self.worn_until = 0             # on a connection that had rested, and may just have been closed
         self.connection: Connection | None = None
         self.deadline: Deadline | None = None
 
     def start(self) -> None:
-        loop, client = self.client.loop, self.client
+        client = self.client
         self.connection = client.spare()
         if self.connection is not None:
+            self.worn_until = client.loop.clock.now() + self.CROSSED
             self.connection.reader = self
             self._send(self.connection)
-            return
+        else:
+            self._dial()
+
+    def _dial(self) -> None:
+        loop, client = self.client.loop, self.client
+        if self.deadline is not None:
+            self.deadline.cancel()
         try:
             self.connection = Connection.dial(loop, client.to, self)
         except OSError:                 # no descriptor left, no way there: told like any refused connect
@@ -75,6 +84,7 @@
 
     def heard(self, connection: Connection) -> None:
         data = connection.incoming.take()
+        self.worn_until = 0
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as broken:     # not what came, but what became of it here
@@ -94,7 +104,10 @@
             self._rearm()               # a stream's deadline is for silence
 
     def closed(self, connection: Connection, why: str) -> None:
-        if why == "ended" and self.status and not self.framed and self.stream is None:
+        if self.client.loop.clock.now() < self.worn_until and self.request.startswith(b"GET "):
+            self.worn_until = 0         # closed as the request came: reading again changes nothing
+            self._dial()
+        elif why == "ended" and self.status and not self.framed and self.stream is None:
             self.end("answered")        # a body without a length ends with its connection
         else:
             self.end("connect_failed" if why == "refused" else "reset")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,9 +3,11 @@
 import random
 import socket
 
+import orjson
 import pytest
 
 from indigohitch import interface as face
+from indigohitch.log import Log
 from indigohitch.net.clock import Clock
 from indigohitch.net.connection import address
 from indigohitch.net.http import Answer
@@ -358,6 +360,25 @@
     assert told.charges == 2 and calls == [face.SetLevel(4, (), 1.0, 1)]
 
 
+def test_the_log_neither_floods_nor_blocks():
+    hours = Hours()
+    read, write = os.pipe()
+    os.set_blocking(write, False)
+    log = Log(hours, "n0", write)
+    for _ in range(100):
+        log.trouble("line_unreadable", why=b"\xff")
+    hours.time += 10_000
+    log.trouble("line_unreadable")
+    lines = [orjson.loads(line) for line in os.read(read, 1 << 16).splitlines()]
+    assert len(lines) == Log.RATE + 1 and lines[-1]["left_out"] == 100 - Log.RATE
+    assert log.counts["line_unreadable"] == 101 and lines[0]["coordinator"] == "n0"
+    for _ in range(2000):                       # nobody reads
+        log.event("phase", now="serving")
+    assert log.counts["log_lines_lost"]
+    os.close(read)
+    os.close(write)
+
+
 def test_no_package_imports_in_a_circle():
     """Left knows nothing of right: net, platformlink, service."""
     root = os.path.join(os.path.dirname(__file__), "..", "indigohitch")
