--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -111,9 +111,11 @@
     def hear_list(self, news: face.BackendList, addresses: dict[str, str]) -> None:
         if news.scope == "full":
             self.listed, self.addresses = {}, {}
+        self.addresses |= addresses
         for entry in news.entries:
             self.listed[entry.backend] = entry
-        self.addresses |= addresses
+            if entry.state == "gone":           # or the ids of replaced machines would pile up
+                del self.listed[entry.backend], self.addresses[entry.backend]
         self.hear(news)
 
     def close(self) -> None:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -81,7 +81,7 @@
         root = ElementTree.fromstring(answer.body)
     except ElementTree.ParseError as bad:
         raise ValueError(f"no XML: {bad}") from None
-    if (code := root.findtext(".//Error/Code")) is not None:
+    if (code := root.findtext(".//Code")) is not None:
         return code.strip()
     count = (root.findtext(".//results/item/ok_count") or "").strip()
     if answer.status != 200 or not (count.isascii() and count.isdigit()):
@@ -90,7 +90,9 @@
 
 
 class Relay:
-    WAITING = 8                 # calls that may wait; past that they are merged, so that all is bounded
+    # Calls that may wait, some ten seconds of the module's replies; past that they are merged, so that all
+    # is bounded.
+    WAITING = 8
     SPAN = SECOND // 5          # for an answer that comes within 50 ms or not at all
     CONNECT = SECOND // 4       # on one network a connect takes a few ms
     IDLE = SECOND               # the relay closes what stands idle, some day sooner than it says
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -225,6 +225,7 @@
             b'</Response>'
     assert said(count % b"2") == 2
     assert said(b"<Response><Error><Code>Throttling</Code></Error></Response>", 400) == "Throttling"
+    assert said(b"<Error><Code> ValidationError\n</Code></Error>", 400) == "ValidationError"
     for body, status, outcome in (
             (b"<Resp", 200, "answered"), (b"", 200, "answered"), (count % b"-1", 200, "answered"),
             (count % b"", 200, "answered"), (count % b"2", 500, "answered"), (count % b"2", 200, "reset"),
