Callers' buffers have a pool of their own: they can't starve calls to the relay

Seen when memory was measured with 1,064 callers: 32 of them with a MiB of an endless line took the whole pool, and a call longer than a first ring (4 KiB) could not be written any more, over and over. The pool was one for all connections (Loop.pool in Connection).

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -9,7 +9,7 @@
 
 from .clock import SECOND
 from .loop import Deadline, Loop
-from .ring import Ring
+from .ring import Pool, Ring
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 
@@ -35,17 +35,19 @@
     BOUND = 1 << 20             # no side of the protocol sends or is owed more at once
     READS = 16                  # reads a turn: one busy peer must not starve the others
 
-    def __init__(self, loop: Loop, sock: socket.socket, reader: Reader, most: int = BOUND) -> None:
+    def __init__(self, loop: Loop, sock: socket.socket, reader: Reader, most: int = BOUND,
+                 pool: Pool | None = None) -> None:
         self.loop, self.sock, self.reader = loop, sock, reader
-        self.incoming = Ring(most, loop.pool)
-        self.outgoing = Ring(self.BOUND, loop.pool)
+        self.incoming = Ring(most, pool or loop.pool)
+        self.outgoing = Ring(self.BOUND, pool or loop.pool)
         self.connecting, self.open = False, True
         self._writing = False
         self._number = -1
 
     @classmethod
-    def accepted(cls, loop: Loop, sock: socket.socket, reader: Reader, most: int) -> Connection:
-        connection = cls(loop, sock, reader, most)
+    def accepted(cls, loop: Loop, sock: socket.socket, reader: Reader, most: int, pool: Pool) -> Connection:
+        """One that came to us; its rings have a pool of their own, or callers could starve what we call."""
+        connection = cls(loop, sock, reader, most, pool)
         connection._number = loop.watch(sock, connection, READ)
         return connection
 
--- a/indigohitch/net/loop.py
+++ b/indigohitch/net/loop.py
@@ -28,7 +28,7 @@
 
 
 class Loop:
-    POOL = 32 << 20             # of the 192 MB; the program itself takes under 40
+    POOL = 16 << 20             # for the connections that are ours; of them few wait for long
 
     def __init__(self, clock: Clock, failed: Callable[[BaseException], None]) -> None:
         self.clock, self.failed = clock, failed
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -9,6 +9,7 @@
 from ..net.clock import SECOND
 from ..net.connection import Connection, Listener
 from ..net.loop import Deadline, Loop
+from ..net.ring import Pool
 from .words import REPORTS, Unreadable, text
 
 
@@ -74,9 +75,11 @@
     # A collector reports every few seconds while there is traffic; a health checker may be slow.
     STRANGER_SILENCE, SILENCE = 20 * SECOND, 120 * SECOND
     SWEEP = 5 * SECOND
+    POOL = 32 << 20             # for all that callers have sent half; of the 192 MB the program takes 30
 
     def __init__(self, loop: Loop, log: Log, hear: Callable, at: tuple[str, int], most: int) -> None:
         self.loop, self.log, self.hear, self.most = loop, log, hear, most
+        self.pool = Pool(self.POOL)
         self.strangers: OrderedDict[Connection, None] = OrderedDict()       # oldest first
         self.known: set[Connection] = set()
         self.listener = Listener(loop, at, self.greet, lambda why: log.trouble("accept_failed", why=why))
@@ -90,7 +93,8 @@
             # Strangers may fill the table; one who comes now may be a collector, the oldest is likely none.
             self.drop(next(iter(self.strangers)), "stranger_dropped_for_room")
         caller = Caller(self)
-        connection = Connection.accepted(self.loop, sock, caller, Caller.MESSAGE + Caller.STRANGER_LINE)
+        connection = Connection.accepted(self.loop, sock, caller, Caller.MESSAGE + Caller.STRANGER_LINE,
+                                         self.pool)
         self.strangers[connection] = None
         self.log.count("accepted")
         return True
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -114,6 +114,25 @@
         platform.close()
 
 
+def test_callers_that_fill_the_memory_starve_no_call(tmp_path):
+    platform, callers = Platform(tmp_path, backends=4, slices=800), []
+    program = platform.serving()
+    try:
+        for _ in range(40):                     # each the longest message there is, and no end of it
+            callers.append(platform.call())
+            callers[-1].sendall(b"telemetry site=east\r\n" + b"y" * (1 << 20))
+        eventually(lambda: program.counters().get("line_too_long"))
+        drain(platform, "b1")                   # in a call longer than a ring is at first
+        assert max(len(";".join(call)) for call in platform.calls) > 4096 and none_lost(platform)
+        with open(f"/proc/{program.process.pid}/status") as status:
+            peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+        assert peak < 96 << 10                  # kB, half of what is allowed
+    finally:
+        for sock in callers:
+            sock.close()
+        platform.close()
+
+
 RELAY_FAULTS = ["Throttling", "reset", "reset done", "silent", "silent done", "garbage", "garbage done",
                 "rubbish done", "503", "close"]
 
