--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -23,7 +23,7 @@
 class Holdings:
     # A slice and its lines come one by one, perhaps in pieces, and the module hears of them together, once
     # nothing more came for so long.  At the start nothing presses, and the first sign of life ends it.
-    SETTLE, SETTLE_AT_START = SECOND // 20, SECOND // 4
+    SETTLE, SETTLE_AT_START = SECOND // 20, SECOND // 10
     RETELL = SECOND             # after orders were dropped: the module may well order the same again
 
     def __init__(self, loop: Loop, log: Log, hear: Callable[..., None],
