--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -91,7 +91,7 @@
                 case face.SetLine() | face.ClearTable() | face.SetLevel() | face.Withdraw() | face.Mark():
                     call.append(order)
                 case face.SetTimer(due, tag):
-                    self.loop.at(due, lambda tag=tag: self.hear(face.TimerDue(tag)))
+                    self.loop.at(due, lambda tag=tag: self.gathering.add_due(face.TimerDue(tag)))
                 case face.Probe(backend):
                     self.probes.send(backend, self.addresses.get(backend))
                 case face.Subscribe(on):
--- a/indigohitch/platformlink/gather.py
+++ b/indigohitch/platformlink/gather.py
@@ -18,11 +18,16 @@
         self.events: list[face.Event] = []
         self.last, self.ready = 0, False
 
-    def add(self, *events: face.Event) -> None:
+    def add(self, *events: face.Event, span: int = SPAN) -> None:
         if events and not self.events:
-            self.loop.at(max(self.loop.clock.now() + self.SPAN, self.last + self.gap), self._due)
+            self.loop.at(max(self.loop.clock.now() + span, self.last + self.gap), self._due)
         self.events += events
 
+    def add_due(self, event: face.Event) -> None:
+        """A timer of the module: alone it does not wait, or each would come late by as much, and all that
+        hangs on them would slow down."""
+        self.add(event, span=0)
+
     def _due(self) -> None:
         self.ready = True
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -152,6 +152,16 @@
     gathering.add(face.ProxyLeft(9))
     hours.go(100, gathering)
     assert len(handed) == 2
+    hours.go(100, gathering)
+    gathering.add_due(face.TimerDue("beat"))    # a timer alone is on time, with others it waits for them
+    hours.go(0, gathering)
+    assert handed[2] == (1800, [face.TimerDue("beat")])
+    gathering.add(face.ProxyLeft(8))
+    gathering.add_due(face.TimerDue("beat"))
+    hours.go(90, gathering)
+    assert len(handed) == 3
+    hours.go(10, gathering)
+    assert len(handed[3][1]) == 2
 
 
 @pytest.mark.parametrize("seed", range(3))
