--- a/indigohitch/benchlink/host.py
+++ b/indigohitch/benchlink/host.py
@@ -4,8 +4,7 @@
 
 from typing import BinaryIO
 
-import msgspec
-
+from ..bootstrap import bootstrap
 from ..logic import Coordinator
 from . import codec
 
@@ -20,10 +19,10 @@
     def _born(self, message: codec.Configure) -> None:
         number = message.coordinator
         try:
-            bootstrap, self.columns[number] = codec.bootstrap(message.params)
-        except (KeyError, TypeError, ValueError, msgspec.ValidationError) as bad:
+            boot, self.columns[number] = bootstrap(message.params)
+        except ValueError as bad:
             raise codec.WireError(f"bad Configure for coordinator {number}: {bad}") from None
-        self.instances[number] = Coordinator(message.rng_seed, bootstrap)
+        self.instances[number] = Coordinator(message.rng_seed, boot)
 
     def _run(self, now: int, waiting: dict[int, list], number: int) -> None:
         events = waiting.pop(number, None)
--- /dev/null
+++ b/indigohitch/net/clock.py
@@ -0,0 +1,13 @@
+"""The one clock: Unix time in whole tenths of a millisecond that never steps."""
+import time
+
+SECOND = 10_000                 # the unit of every span: tenths of a millisecond
+
+
+class Clock:
+    def __init__(self) -> None:
+        # Wall time is read once; what passes since is monotonic, so a corrected wall clock moves nothing.
+        self._base = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (self._base + time.monotonic_ns()) // 100_000
--- /dev/null
+++ b/indigohitch/net/connection.py
@@ -0,0 +1,180 @@
+"""A TCP connection with one ring buffer a direction, and the listener that accepts them."""
+from __future__ import annotations
+
+import errno
+import selectors
+import socket
+from typing import Callable, Protocol
+
+from .clock import SECOND
+from .loop import Deadline, Loop
+from .ring import Ring
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+
+
+def address(text: str) -> tuple[str, int]:
+    """`host:port` as the socket calls want it; ValueError if it is not that."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not host:port: {text!r}")
+    return host, int(port)
+
+
+class Reader(Protocol):
+    """Who owns what a connection brings."""
+    def opened(self, connection: "Connection") -> None: ...
+    def heard(self, connection: "Connection") -> None: ...
+    def closed(self, connection: "Connection", why: str) -> None: ...
+
+
+class Connection:
+    """`why` a connection closed: "refused" (never came up), "reset", "ended" (by the peer, in order),
+    "flooded" (what waits to be written outgrew its bound)."""
+    BOUND = 1 << 20             # no side of the protocol sends or is owed more at once
+    READS = 16                  # reads a turn: one busy peer must not starve the others
+
+    def __init__(self, loop: Loop, sock: socket.socket, reader: Reader, most: int = BOUND) -> None:
+        self.loop, self.sock, self.reader = loop, sock, reader
+        self.incoming = Ring(most, loop.pool)
+        self.outgoing = Ring(self.BOUND, loop.pool)
+        self.connecting, self.open = False, True
+        self._writing = False
+        self._number = -1
+
+    @classmethod
+    def accepted(cls, loop: Loop, sock: socket.socket, reader: Reader, most: int) -> Connection:
+        connection = cls(loop, sock, reader, most)
+        connection._number = loop.watch(sock, connection, READ)
+        return connection
+
+    @classmethod
+    def dial(cls, loop: Loop, to: tuple[str, int], reader: Reader) -> Connection:
+        """Begin to connect; raises OSError where not even that can be done."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(to)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, "connect")
+            connection = cls(loop, sock, reader)
+            connection.connecting = connection._writing = True
+            connection._number = loop.watch(sock, connection, READ | WRITE)
+        except BaseException:
+            sock.close()
+            raise
+        return connection
+
+    def write(self, data: bytes) -> None:
+        """What goes wrong here is told in a turn of its own: never while the reader is writing."""
+        if not self.open:
+            return
+        if not self.outgoing.push(data):
+            self.loop.after(0, lambda: self.close("flooded"))
+        elif not self.connecting and (why := self._flush()):
+            self.loop.after(0, lambda: self.close(why))
+
+    def close(self, why: str = "") -> None:
+        """Close at once; with a reason, the reader is told."""
+        if not self.open:
+            return
+        self.open = False
+        self.loop.forget(self.sock, self._number)
+        self.sock.close()
+        self.incoming.close()
+        self.outgoing.close()
+        if why:
+            self.reader.closed(self, why)
+
+    def _flush(self) -> str:
+        """Write what the socket takes; returns what is wrong with it, if anything."""
+        try:
+            while self.outgoing:
+                self.outgoing.empty_into(self.sock)
+        except BlockingIOError:
+            pass
+        except OSError:
+            return "reset"
+        if self._writing != bool(self.outgoing):
+            self._writing = bool(self.outgoing)
+            self.loop.change(self.sock, self._number, READ | WRITE if self._writing else READ)
+        return ""
+
+    def ready(self, readable: bool, writable: bool) -> None:
+        if self.connecting:
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self.close("refused")
+                return
+            if not writable:
+                return
+            self.connecting = False
+            self.reader.opened(self)
+        if writable and self.open and (why := self._flush()):
+            self.close(why)
+        if readable and self.open:
+            self._read()
+
+    def _read(self) -> None:
+        for _ in range(self.READS):
+            try:
+                got = self.incoming.fill(self.sock)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.close("reset")
+                return
+            if got == 0:
+                self.close("ended")
+                return
+            self.reader.heard(self)
+            if got < 0 or not self.open:
+                return
+
+
+class Listener:
+    """Accepts up to `most` connections; `greet` makes the reader of each."""
+    PAUSE = SECOND // 10        # after a failed accept: short for those who wait, long enough not to spin
+    BURST = 64                  # accepts a turn
+
+    def __init__(self, loop: Loop, at: tuple[str, int], greet: Callable[[socket.socket], bool],
+                 trouble: Callable[[str], None]) -> None:
+        self.loop, self.greet, self.trouble = loop, greet, trouble
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(at)
+            self.sock.listen(1024)
+        except OSError:
+            self.sock.close()
+            raise
+        self._number = loop.watch(self.sock, self, READ)
+        self._paused: Deadline | None = None
+
+    def ready(self, readable: bool, writable: bool) -> None:
+        for _ in range(self.BURST):
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as failed:
+                if failed.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # The waiting connection stays readable: without a pause the loop would spin on it.
+                    self.trouble(failed.strerror)
+                    self.loop.pause(self.sock)
+                    self._paused = self.loop.after(self.PAUSE, self._resume)
+                    return
+                continue                # that one broke before it was accepted
+            sock.setblocking(False)
+            if not self.greet(sock):
+                sock.close()
+
+    def _resume(self) -> None:
+        self._paused = None
+        self.loop.resume(self.sock, self._number, READ)
+
+    def close(self) -> None:
+        if self._paused is not None:
+            self._paused.cancel()
+            self._resume()
+        self.loop.forget(self.sock, self._number)
+        self.sock.close()
--- /dev/null
+++ b/indigohitch/net/http.py
@@ -0,0 +1,176 @@
+"""HTTP/1.1 as a client speaks it: one exchange a request, parsed by httptools, ended by a deadline."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Callable
+
+import httptools
+
+from .clock import SECOND
+from .connection import Connection
+from .loop import Deadline, Loop
+from .slots import Slots
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """`outcome`: "answered", or why not: "connect_failed", "timeout", "reset", "unreadable".  With
+    anything but "answered" and "connect_failed" the other side may have done what was asked."""
+    outcome: str
+    status: int = 0
+    body: bytes = b""
+    duration: int = 0
+
+
+def form(method: str, target: str, host: str, body: bytes = b"", kind: str = "") -> bytes:
+    """A request as bytes."""
+    head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
+    if body:
+        head += f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
+    return head.encode("ascii") + b"\r\n" + body
+
+
+class Exchange:
+    """One request and its answer, in a numbered slot of its client while it lasts."""
+    BODY = 8 << 20              # a list of ten thousand backends is two; more is no answer of ours
+
+    def __init__(self, client: Client, request: bytes, span: int, done: Callable[[Answer], None],
+                 stream: Callable[[bytes], None] | None = None) -> None:
+        self.client, self.request, self.done, self.stream = client, request, done, stream
+        self.span, self.began = span, client.loop.clock.now()
+        self.number = client.exchanges.put(self)
+        self.parser = httptools.HttpResponseParser(self)
+        self.body, self.status = bytearray(), 0
+        self.complete, self.keep, self.over = False, False, False
+        self.connection: Connection | None = None
+        self.deadline: Deadline | None = None
+
+    def start(self) -> None:
+        loop, client = self.client.loop, self.client
+        self.connection = client.spare()
+        if self.connection is not None:
+            self.connection.reader = self
+            self._send(self.connection)
+            return
+        try:
+            self.connection = Connection.dial(loop, client.to, self)
+        except OSError:                 # no descriptor left, no way there: told like any refused connect
+            self.deadline = loop.after(0, lambda: self.end("connect_failed"))
+            return
+        self.deadline = loop.after(client.connect_span, lambda: self.end("connect_failed"))
+
+    def _send(self, connection: Connection) -> None:
+        self._rearm()
+        connection.write(self.request)
+
+    def _rearm(self) -> None:
+        if self.deadline is not None:
+            self.deadline.cancel()
+        self.deadline = self.client.loop.after(self.span, lambda: self.end("timeout"))
+
+    # ---- what the connection tells
+
+    def opened(self, connection: Connection) -> None:
+        self._send(connection)
+
+    def heard(self, connection: Connection) -> None:
+        data = connection.incoming.take()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.end("unreadable")
+            return
+        if self.over:
+            return                      # ended by what it told
+        if self.complete:
+            self.end("answered")
+        elif self.stream is not None:
+            self._rearm()               # a stream's deadline is for silence
+
+    def closed(self, connection: Connection, why: str) -> None:
+        self.end("connect_failed" if why == "refused" else "reset")
+
+    # ---- what the parser tells
+
+    def on_headers_complete(self) -> None:
+        self.status, self.keep = self.parser.get_status_code(), self.parser.should_keep_alive()
+
+    def on_body(self, part: bytes) -> None:
+        if self.over:
+            return                      # ended by an earlier part of what came in one piece
+        if self.stream is not None and self.status == 200:
+            self.stream(part)
+            return
+        self.body += part
+        if len(self.body) > self.BODY:
+            raise httptools.HttpParserError("body too long")
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    # ---- the end
+
+    def end(self, outcome: str) -> None:
+        client = self.client
+        if self.over:
+            return
+        self.over = True
+        client.exchanges.drop(self.number)
+        if self.deadline is not None:
+            self.deadline.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            if outcome == "answered" and self.keep and client.idle_span:
+                client.rest(connection)
+            else:
+                connection.close()
+        self.done(Answer(outcome, self.status, bytes(self.body), client.loop.clock.now() - self.began))
+
+
+class Client:
+    """Requests to one address.  A connection that ended its exchange in order rests for `idle_span`
+    and serves the next one; none rests where that is 0."""
+
+    def __init__(self, loop: Loop, to: tuple[str, int], connect_span: int = SECOND // 2,
+                 idle_span: int = 0) -> None:
+        self.loop, self.to, self.connect_span, self.idle_span = loop, to, connect_span, idle_span
+        self.host = f"{to[0]}:{to[1]}"
+        self.exchanges: Slots[Exchange] = Slots()
+        self._resting: Connection | None = None
+        self._deadline: Deadline | None = None
+
+    def request(self, method: str, target: str, span: int, done: Callable[[Answer], None],
+                body: bytes = b"", kind: str = "", stream=None) -> Exchange:
+        exchange = Exchange(self, form(method, target, self.host, body, kind), span, done, stream)
+        exchange.start()
+        return exchange
+
+    def spare(self) -> Connection | None:
+        connection, self._resting = self._resting, None
+        if self._deadline is not None:
+            self._deadline.cancel()
+        return connection
+
+    def rest(self, connection: Connection) -> None:
+        self.drop_spare()
+        connection.reader = self
+        self._resting = connection
+        self._deadline = self.loop.after(self.idle_span, self.drop_spare)
+
+    def drop_spare(self) -> None:
+        connection = self.spare()
+        if connection is not None:
+            connection.close()
+
+    def heard(self, connection: Connection) -> None:
+        self.drop_spare()               # nobody asked: whatever it is, no next answer may begin with it
+
+    def closed(self, connection: Connection, why: str) -> None:
+        self.spare()
+
+    def close(self) -> None:
+        """Drop everything without a word to those who wait."""
+        self.drop_spare()
+        for exchange in self.exchanges:
+            exchange.done = lambda answer: None
+            exchange.end("reset")
--- /dev/null
+++ b/indigohitch/net/loop.py
@@ -0,0 +1,93 @@
+"""One loop on `selectors`: sockets that are ready, then deadlines that have passed, turn by turn."""
+from __future__ import annotations
+
+import selectors
+from heapq import heappop, heappush
+from typing import Callable, Protocol
+
+from .clock import SECOND, Clock
+from .ring import Pool
+from .slots import Slots
+
+
+class Watched(Protocol):
+    """What can be put under watch: a socket's owner."""
+    def ready(self, readable: bool, writable: bool) -> None: ...
+
+
+class Deadline:
+    """A due time in the loop's heap; `cancel` leaves it there, empty, until it comes up."""
+    __slots__ = ("when", "action")
+
+    def __init__(self, when: int, action: Callable[[], None]) -> None:
+        self.when, self.action = when, action
+
+    def cancel(self) -> None:
+        self.action = None
+
+
+class Loop:
+    POOL = 32 << 20             # of the 192 MB; the program itself takes under 40
+
+    def __init__(self, clock: Clock, failed: Callable[[BaseException], None]) -> None:
+        self.clock, self.failed = clock, failed
+        self.pool = Pool(self.POOL)
+        self.watched: Slots[Watched] = Slots()
+        self.turns = 0
+        self._selector = selectors.DefaultSelector()
+        self._due: list[tuple[int, int, Deadline]] = []
+        self._order = 0                         # two due at one time: first come, first served
+
+    def at(self, when: int, action: Callable[[], None]) -> Deadline:
+        deadline = Deadline(when, action)
+        self._order += 1
+        heappush(self._due, (when, self._order, deadline))
+        return deadline
+
+    def after(self, span: int, action: Callable[[], None]) -> Deadline:
+        return self.at(self.clock.now() + span, action)
+
+    def watch(self, sock, owner: Watched, events: int) -> int:
+        number = self.watched.put(owner)
+        self._selector.register(sock, events, number)
+        return number
+
+    def change(self, sock, number: int, events: int) -> None:
+        self._selector.modify(sock, events, number)
+
+    def pause(self, sock) -> None:
+        self._selector.unregister(sock)
+
+    def resume(self, sock, number: int, events: int) -> None:
+        self._selector.register(sock, events, number)
+
+    def forget(self, sock, number: int) -> None:
+        self._selector.unregister(sock)
+        self.watched.drop(number)
+
+    def _guarded(self, action: Callable, *args) -> None:
+        try:
+            action(*args)
+        except Exception as broken:     # a defect met on one connection must not end all the others
+            self.failed(broken)
+
+    def turn(self) -> None:
+        self.turns += 1
+        while self._due and self._due[0][2].action is None:
+            heappop(self._due)
+        wait = None
+        if self._due:
+            wait = max(0, self._due[0][0] - self.clock.now()) / SECOND
+        ready = [(key.data, self.watched.get(key.data), mask) for key, mask in self._selector.select(wait)]
+        for number, owner, mask in ready:
+            if owner is not None and self.watched.get(number) is owner:     # not closed earlier this turn
+                self._guarded(owner.ready, bool(mask & selectors.EVENT_READ),
+                              bool(mask & selectors.EVENT_WRITE))
+        now = self.clock.now()
+        while self._due and self._due[0][0] <= now:
+            action = heappop(self._due)[2].action
+            if action is not None:
+                self._guarded(action)
+
+    def close(self) -> None:
+        self._selector.close()
--- /dev/null
+++ b/indigohitch/net/slots.py
@@ -0,0 +1,34 @@
+"""A table of numbered slots: what is in use has a number, freed numbers are used again."""
+from __future__ import annotations
+
+from typing import Generic, Iterator, TypeVar
+
+T = TypeVar("T")
+
+
+class Slots(Generic[T]):
+    def __init__(self) -> None:
+        self._items: list[T | None] = []
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._items) - len(self._free)
+
+    def __iter__(self) -> Iterator[T]:
+        return (item for item in list(self._items) if item is not None)
+
+    def put(self, item: T) -> int:
+        if self._free:
+            number = self._free.pop()
+            self._items[number] = item
+        else:
+            number = len(self._items)
+            self._items.append(item)
+        return number
+
+    def get(self, number: int) -> T | None:
+        return self._items[number]
+
+    def drop(self, number: int) -> None:
+        self._items[number] = None
+        self._free.append(number)
--- /dev/null
+++ b/indigohitch/platformlink/__init__.py
@@ -0,0 +1,2 @@
+"""The users' own protocol: collectors, relay, discovery and probes, and the front between them and
+the decision module."""
--- /dev/null
+++ b/indigohitch/platformlink/news.py
@@ -0,0 +1,96 @@
+"""The relay's news: an event stream that is kept open, and opened anew when it breaks."""
+from __future__ import annotations
+
+from typing import Callable, Protocol
+from urllib.parse import parse_qsl
+
+from .. import interface as face
+from ..log import Log
+from ..net.clock import SECOND
+from ..net.http import Answer, Client, Exchange
+from ..net.loop import Deadline, Loop
+from .words import NEWS
+
+
+class Hearer(Protocol):
+    """What becomes of the news."""
+    def news_opening(self) -> None: ...
+    def news(self, event: face.Event) -> None: ...
+    def news_alive(self) -> None: ...
+
+
+class EventStream:
+    """Server-sent events out of the pieces of a body: `said(kind, data)` an event, `alive()` a comment."""
+    MOST = 1 << 20              # an event of the relay is a line; more unfinished than this is no such stream
+
+    def __init__(self, said: Callable[[str, str], None], alive: Callable[[], None]) -> None:
+        self.said, self.alive = said, alive
+        self.rest, self.kind, self.data = b"", "", []
+
+    def feed(self, part: bytes) -> None:
+        """Raises ValueError where it can't be read."""
+        *lines, self.rest = (self.rest + part).split(b"\n")
+        if len(self.rest) > self.MOST:
+            raise ValueError("line too long")
+        for raw in lines:
+            line = raw.removesuffix(b"\r").decode("utf-8")
+            if not line:
+                if self.kind or self.data:
+                    kind, data, self.kind, self.data = self.kind, "\n".join(self.data), "", []
+                    self.said(kind, data)
+            elif line.startswith(":"):
+                self.alive()
+            else:
+                name, _, value = line.partition(":")
+                value = value.removeprefix(" ")
+                if name == "event":
+                    self.kind = value
+                elif name == "data":
+                    self.data.append(value)
+                elif name not in ("id", "retry"):
+                    raise ValueError(f"no field of an event stream: {name[:40]!r}")
+
+
+class News:
+    SILENCE = 5 * SECOND // 2   # a sign of life comes every second: two missed and some way
+    CONNECT = SECOND // 2
+    AGAIN = SECOND // 10        # before the next try; a relay out of reach is asked ten times a second at most
+
+    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], hearer: Hearer) -> None:
+        self.loop, self.log, self.hearer = loop, log, hearer
+        self.client = Client(loop, to, self.CONNECT)
+        self.stream = EventStream(self._said, hearer.news_alive)
+        self.exchange: Exchange | None = None
+        self.again: Deadline | None = None
+
+    def open(self) -> None:
+        self.again = None
+        self.stream = EventStream(self._said, self.hearer.news_alive)
+        self.hearer.news_opening()
+        self.exchange = self.client.request("GET", "/stream", self.SILENCE, self._ended, stream=self._part)
+
+    def _part(self, part: bytes) -> None:
+        try:
+            self.stream.feed(part)
+        except ValueError as bad:               # UnicodeDecodeError and words.Unreadable are of its kind
+            self.log.trouble("news_unreadable", why=str(bad))
+            self.exchange.end("unreadable")
+
+    def _said(self, kind: str, data: str) -> None:
+        read = NEWS.get(kind)
+        if read is None:                        # of a later version, perhaps: no reason to break off
+            self.log.trouble("news_of_unknown_kind", kind=kind[:40])
+            return
+        event = read(dict(parse_qsl(data, keep_blank_values=True)))
+        self.log.count(f"news_{kind}")
+        self.hearer.news(event)
+
+    def _ended(self, answer: Answer) -> None:
+        self.exchange = None
+        self.log.trouble("news_lost", why=answer.outcome, status=answer.status, after_ms=answer.duration / 10)
+        self.again = self.loop.after(self.AGAIN, self.open)
+
+    def close(self) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        self.client.close()
--- /dev/null
+++ b/indigohitch/platformlink/relay.py
@@ -0,0 +1,169 @@
+"""Calls to the relay: one at a time, in the order in which they were given, each until it stands."""
+from __future__ import annotations
+
+from collections import deque
+from typing import Callable, Sequence
+from urllib.parse import urlencode
+from xml.etree import ElementTree
+
+from .. import interface as face
+from ..log import Log
+from ..net.clock import SECOND
+from ..net.http import Answer, Client
+from ..net.loop import Loop
+
+
+def encode(order: face.Order, methods: Sequence[str]) -> str:
+    """An order in the relay's words."""
+    match order:
+        case face.SetLine(table, backend, weight):
+            return f"put,{table},{backend},{weight}"
+        case face.ClearTable(table):
+            return f"wipe,{table}"
+        case face.Withdraw(backend, out):
+            return f"{'eject' if out else 'uneject'},{backend}"
+        case face.SetLevel(table, places, level, tries):
+            whose = "*" if table == face.ALL_TABLES else table
+            return f"gate,{whose},{'+'.join(methods[p] for p in places) or '*'},{level},{tries}"
+        case face.Mark(mark, everyone):
+            return f"fence,{mark},{int(everyone)}"
+    raise TypeError(f"not an order for the relay: {order}")
+
+
+def key(order: face.Order) -> tuple:
+    """What an order sets: a later one of the same key makes it void."""
+    match order:
+        case face.SetLine(table, backend, _):
+            return "line", table, backend
+        case face.SetLevel(table, places, _, _):
+            return "level", table, places
+        case face.Withdraw(backend, _):
+            return "out", backend
+        case face.ClearTable(table):
+            return "table", table
+    return ("mark",)
+
+
+def merge(orders: Sequence[face.Order]) -> list[face.Order]:
+    """The same end with no order that a later one makes void."""
+    last: dict[tuple, face.Order] = {}
+    for order in orders:
+        if isinstance(order, face.ClearTable):
+            for old in [k for k in last if k[0] in ("line", "level") and k[1] == order.table]:
+                del last[old]
+        last.pop(key(order), None)
+        last[key(order)] = order
+    return list(last.values())
+
+
+def read_answer(answer: Answer) -> int | str:
+    """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
+    if answer.outcome != "answered":
+        raise ValueError(answer.outcome)
+    try:
+        root = ElementTree.fromstring(answer.body)
+    except ElementTree.ParseError as bad:
+        raise ValueError(f"no XML: {bad}") from None
+    if (code := root.findtext(".//Error/Code")) is not None:
+        return code.strip()
+    count = (root.findtext(".//results/item/ok_count") or "").strip()
+    if answer.status != 200 or not (count.isascii() and count.isdigit()):
+        raise ValueError(f"status {answer.status}, no count")
+    return int(count)
+
+
+class Relay:
+    BYTES = 60_000              # of orders that a call may carry
+    WAITING = 8                 # calls that may wait; past that they are merged, so that all is bounded
+    SPAN = SECOND // 5          # for an answer that comes within 50 ms or not at all
+    CONNECT = SECOND // 4
+    IDLE = SECOND               # the relay closes what stands idle, some day sooner than it says
+    # After an outcome that leaves open what stands, first at once, then by these steps, the last for good.
+    AGAIN = (0, SECOND // 20, SECOND // 10, SECOND // 5, SECOND // 2)
+    THROTTLED = SECOND // 20
+
+    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str],
+                 stands: Callable[[list[face.Order]], None],
+                 dropped: Callable[[list[face.Order]], None]) -> None:
+        self.loop, self.log, self.methods = loop, log, methods
+        self.stands, self.dropped = stands, dropped
+        self.client = Client(loop, to, self.CONNECT, self.IDLE)
+        self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
+        self.failures, self.idle = 0, True
+
+    def pending(self) -> list[face.Order]:
+        """All that is ordered and not known to stand, in order."""
+        return [order for call in self.waiting for order in call]
+
+    def order(self, orders: list[face.Order]) -> None:
+        """One reply of the module: a call of its own, or several where it is too long for one."""
+        room, call = 0, []
+        for order in orders:
+            size = len(encode(order, self.methods)) + 1
+            if room < size:
+                room, call = self.BYTES, []
+                self.waiting.append(call)
+            call.append(order)
+            room -= size
+        if len(self.waiting) > 1 + self.WAITING:
+            # The relay is out of reach: what waits is bounded by what there is to set, nothing is lost.
+            out, later = self.waiting.popleft(), self.pending()
+            self.waiting = deque([out])
+            self.log.trouble("calls_merged", orders=len(later))
+            self.order(merge(later))
+        elif self.idle:
+            self._call()
+
+    def _call(self) -> None:
+        self.idle = not self.waiting
+        if self.idle:
+            return
+        body = urlencode({"Action": "CommitChanges",
+                          "orders": ";".join(encode(o, self.methods) for o in self.waiting[0])})
+        self.log.count("relay_calls")
+        self.client.request("POST", "/", self.SPAN, self._answered, body.encode("ascii"),
+                            "application/x-www-form-urlencoded")
+
+    def _answered(self, answer: Answer) -> None:
+        orders = self.waiting[0]
+        try:
+            said = read_answer(answer)
+            if isinstance(said, int) and said > len(orders):
+                raise ValueError(f"{said} taken of {len(orders)}")
+        except ValueError as bad:
+            said = str(bad)
+        if isinstance(said, int):
+            self.failures = 0
+            self._taken(said)
+            self._call()
+        elif said == "ValidationError":
+            # The same again would be turned away again: never in a loop.
+            self.log.trouble("relay_call_invalid", orders=len(orders), first=encode(orders[0], self.methods))
+            self.waiting.popleft()
+            self.failures = 0
+            self.dropped(orders)
+            self._call()
+        elif said == "Throttling":
+            self.log.count("relay_throttled")
+            self.loop.after(self.THROTTLED, self._call)
+        else:
+            # Carried out or not at all: the same once more, before anything later.
+            self.log.trouble("relay_call_unclear", why=said, orders=len(orders), tries=self.failures + 1,
+                             after_ms=answer.duration / 10)
+            step = self.AGAIN[min(self.failures, len(self.AGAIN) - 1)]
+            self.failures += 1
+            self.loop.after(step, self._call)
+
+    def _taken(self, count: int) -> None:
+        orders = self.waiting.popleft()
+        self.log.count("orders_stand", count)
+        self.stands(orders[:count])
+        if count < len(orders):
+            refused = orders[count]
+            self.log.trouble("order_refused", order=encode(refused, self.methods))
+            if orders[count + 1:]:
+                self.waiting.appendleft(orders[count + 1:])
+            self.dropped([refused])
+
+    def close(self) -> None:
+        self.client.close()
