SIGHUP reads the file again and moves discovery, calls and news; it killed the program

Lines at fault: service.py installed handlers for SIGTERM, SIGINT and SIGUSR1 only.

Now: the file is read whole before any of it counts; an unreadable or incomplete one changes nothing (`reload_failed`). The news stream that tells goes on until one at the new address has told something, the old watch until the new one has answered; a call that is out ends where it began, the next one goes to the new address. What else differs is logged by name as `needs_restart`.

--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -152,6 +152,12 @@
         self.done(Answer(outcome, self.status, bytes(self.body), client.loop.clock.now() - self.began))
 
 
+    def drop(self) -> None:
+        """End it without a word to who waits."""
+        self.done = lambda answer: None
+        self.end("dropped")
+
+
 class Client:
     """Requests to one address.  A connection that ended its exchange in order rests for `idle_span`
     and serves the next one; none rests where that is 0."""
@@ -187,6 +193,11 @@
         if connection is not None:
             connection.close()
 
+    def retire(self) -> None:
+        """No more requests: those that are out end by themselves, and their connections with them."""
+        self.idle_span = 0
+        self.drop_spare()
+
     def heard(self, connection: Connection) -> None:
         self.drop_spare()               # nobody asked: whatever it is, no next answer may begin with it
 
@@ -197,5 +208,4 @@
         """Drop everything without a word to those who wait."""
         self.drop_spare()
         for exchange in self.exchanges:
-            exchange.done = lambda answer: None
-            exchange.end("reset")
+            exchange.drop()
--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -11,7 +11,7 @@
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.http import Answer, Client, Exchange
-from ..net.loop import Loop
+from ..net.loop import Deadline, Loop
 
 _STATE = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 
@@ -43,37 +43,69 @@
     # For the answer beyond the wait.  Calls queue there for up to 2 s; what a watch had to tell counts as
     # told 2 s after its wait, so it is given up before.
     SPAN, WATCH_SPAN = 3 * SECOND, SECOND * 3 // 2
+    AGAIN = SECOND // 10        # at an address it moves to, while a watch elsewhere still tells
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], version: int,
                  tell: Callable[[face.BackendList, dict[str, str]], None]) -> None:
-        self.log, self.tell, self.version = log, tell, version
-        self.client = Client(loop, to, connect_span=SECOND, idle_span=SECOND)
+        self.loop, self.log, self.tell, self.version = loop, log, tell, version
+        self.client = self._client(to)
         self.watching = False
         self.watch: Exchange | None = None
+        self.again: Deadline | None = None
+        self.left: Exchange | None = None       # the watch at the address that it moves away from
+
+    def _client(self, to: tuple[str, int]) -> Client:
+        return Client(self.loop, to, connect_span=SECOND, idle_span=SECOND)
+
+    def move(self, to: tuple[str, int]) -> bool:
+        """Watch at another address.  The watch that is out goes on until one there has answered."""
+        if to == self.client.to:
+            return False
+        self.client.retire()
+        self.client = self._client(to)
+        if self.left is None:
+            self.left = self.watch
+        elif self.watch is not None:            # moved again before the last address has answered
+            self.watch.drop()
+        if self.watch is not None or self.again is not None:
+            self._watch(0)
+        return True
 
     def subscribe(self, on: bool) -> None:
         self.watching = on
-        if on and self.watch is None:
+        if on and self.watch is None and self.again is None:
             self._watch(0)                      # what was missed comes at once, without a wait
 
     def fetch(self) -> None:
-        self.client.request("GET", self.PATH, self.SPAN, self._fetched)
+        self.client.request("GET", self.PATH, self.SPAN, self._told)
 
     def _watch(self, hold: int) -> None:
-        target = f"{self.PATH}?from={self.version}&hold_ms={hold * 1000 // SECOND}"
-        self.watch = self.client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
-                                         self._watched)
-
-    def _watched(self, answer: Answer) -> None:
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
+        client, target = self.client, f"{self.PATH}?from={self.version}&hold_ms={hold * 1000 // SECOND}"
+        self.watch = client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
+                                    lambda answer: self._watched(client, answer))
+
+    def _watched(self, client: Client, answer: Answer) -> None:
+        if client is not self.client:
+            self.left = None                    # what it had to tell counts; its end says nothing of the new
+            if answer.outcome == "answered":
+                self._told(answer)
+            return
         self.watch = None
+        if self.left is not None and (answer.outcome != "answered" or answer.status != 200):
+            self.log.trouble("discovery_not_there_yet", why=answer.outcome, status=answer.status)
+            self.again = self.loop.after(self.AGAIN, lambda: self._watch(0))
+            return
+        if self.left is not None:
+            self.left.drop()
+            self.left = None
         if not self._told(answer):
             self.watching = False               # the module hears that it failed and asks anew
         elif self.watching:
             self._watch(self.HOLD)
 
-    def _fetched(self, answer: Answer) -> None:
-        self._told(answer)
-
     def _told(self, answer: Answer) -> bool:
         try:
             if answer.outcome != "answered":
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -30,16 +30,14 @@
         """Of the configuration `found`, ValueError and KeyError tell what can't be read; of the address
         to listen on, OSError."""
         self.loop, self.log = loop, log
-        self.seed = int(str(found["seed"]), 16)
-        self.boot, columns = bootstrap(found["settings"])
-        known, self.addresses = read_list(found["known"], remembered=True)
+        self.found = found
+        self.seed, self.boot, columns, known, self.addresses, store, discovery = self._read(found)
         self.listed = {entry.backend: entry for entry in known.entries}
         self.gathering = Gathering(loop, self.boot.get("batch_gap", 0), self.handle)
         self.hear = self.gathering.add
         self.hear(known)
         self.coordinator, self.anew = Coordinator(self.seed, self.boot), False
-        store = address(found["store"]["address"])
-        self.discovery = Discovery(loop, log, address(found["discovery"]), known.version, self.hear_list)
+        self.discovery = Discovery(loop, log, discovery, known.version, self.hear_list)
         self.probes = Probes(loop, log, bool(columns), self.hear)
         self.relay = Relay(loop, log, store, [method.name for method in self.boot["methods"]],
                            self.boot.get("messages_most", 0), self.boot.get("counted_over", 0))
@@ -49,6 +47,14 @@
         self.collectors = Collectors(loop, log, self.hear, address(found["listen"]),
                                      max(16, self._descriptors(found) - self.RESERVE))
 
+    @staticmethod
+    def _read(found: dict) -> tuple:
+        """All that is read of a configuration, before any of it counts."""
+        boot, columns = bootstrap(found["settings"])
+        known, addresses = read_list(found["known"], remembered=True)
+        return (int(str(found["seed"]), 16), boot, columns, known, addresses,
+                address(found["store"]["address"]), address(found["discovery"]))
+
     @staticmethod
     def _descriptors(found: dict) -> int:
         allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -58,6 +64,21 @@
     def start(self) -> None:
         self.news.open()
 
+    def reload(self, found: dict) -> None:
+        """Go over to a new configuration: discovery, the relay's calls and its news move to the addresses in
+        it.  All else stays as it is; what differs there is logged by name, as it takes a restart."""
+        *_, store, discovery = self._read(found)
+        told = found["settings"], self.found["settings"]
+        left = [name for name in sorted(found.keys() | self.found.keys())
+                if name not in ("store", "discovery", "settings", "known", "seed")      # new with each start
+                and found.get(name) != self.found.get(name)]
+        left += [f"settings.{name}" for name in sorted(told[0].keys() | told[1].keys())
+                 if told[0].get(name) != told[1].get(name)]
+        moved = [part.move(to) for part, to in
+                 ((self.discovery, discovery), (self.relay, store), (self.news, store))]
+        self.log.count("reloads")
+        self.log.event("reloaded", moved=any(moved), **({"needs_restart": left} if left else {}))
+
     # ---- to the module -----------------------------------------------------------------------------
 
     def handle(self, now: int, events: list[face.Event]) -> None:
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -14,10 +14,10 @@
 class Opening:
     """The start of the news, until its first sign of life."""
 
-    def __init__(self) -> None:
+    def __init__(self, answered: list[face.Order]) -> None:
         self.proxies: set[int] = set()          # named in it
         self.slices: set[int] = set()
-        self.answered: list[face.Order] = []    # orders answered since it was asked for
+        self.answered = answered                # orders answered since it was asked for
 
 
 class Holdings:
@@ -36,14 +36,20 @@
         self.fresh: tables.Tables = {}          # slices given, not told to the module yet
         self.settling: Deadline | None = None
         self.opening: Opening | None = None
+        self.asked: list[face.Order] | None = None      # orders answered since the next stream was asked for
         self.begun = False                      # the news have told once what stands
         self.lost: set[int] = set()             # tables whose orders were dropped: to be told anew
 
     # ---- news --------------------------------------------------------------------------------------
 
+    def news_asked(self) -> None:
+        """Another stream takes its view of what stands from here on; an earlier one may go on."""
+        self._settle()
+        self.asked = []
+
     def news_opening(self) -> None:
         self._settle()
-        self.opening = Opening()
+        self.opening, self.asked = Opening(self.asked or []), None
 
     def news(self, event: face.Event) -> None:
         match event:
@@ -126,6 +132,8 @@
         tables.carry_out(self.stood, orders)
         if self.opening is not None:
             self.opening.answered += orders
+        if self.asked is not None:
+            self.asked += orders
 
     def dropped(self, orders: list[face.Order]) -> None:
         """Orders that will never stand: the module is told what does."""
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -15,6 +15,7 @@
 
 class Hearer(Protocol):
     """What becomes of the news."""
+    def news_asked(self) -> None: ...
     def news_opening(self) -> None: ...
     def news(self, event: face.Event) -> None: ...
     def news_alive(self) -> None: ...
@@ -61,21 +62,44 @@
         self.loop, self.log, self.hearer = loop, log, hearer
         self.client = Client(loop, to, self.CONNECT)
         self.stream = EventStream(self._said, hearer.news_alive)
-        self.exchange: Exchange | None = None
+        self.current: Exchange | None = None    # the stream that tells
+        self.coming: Exchange | None = None     # one asked for, that has told nothing yet
         self.again: Deadline | None = None
 
     def open(self) -> None:
         self.again = None
-        self.stream = EventStream(self._said, self.hearer.news_alive)
-        self.hearer.news_opening()
-        self.exchange = self.client.request("GET", "/stream", self.SILENCE, self._ended, stream=self._part)
-
-    def _part(self, part: bytes) -> None:
+        self.hearer.news_asked()
+        self.coming = exchange = self.client.request(
+            "GET", "/stream", self.SILENCE, lambda answer: self._ended(exchange, answer),
+            stream=lambda part: self._part(exchange, part))
+
+    def move(self, to: tuple[str, int]) -> bool:
+        """Ask at another address.  The stream that tells goes on until one there does."""
+        if to == self.client.to:
+            return False
+        if self.again is not None:
+            self.again.cancel()
+        if self.coming is not None:
+            self.coming.drop()
+        self.client = Client(self.loop, to, self.CONNECT)
+        self.open()
+        return True
+
+    def _part(self, exchange: Exchange, part: bytes) -> None:
+        if exchange is self.coming:
+            if self.current is not None:
+                if self.current.connection is not None:
+                    self.current.connection.ready(True, False)      # what it still brought came first
+                if self.current is not None:
+                    self.current.drop()
+            self.current, self.coming = exchange, None
+            self.stream = EventStream(self._said, self.hearer.news_alive)
+            self.hearer.news_opening()
         try:
             self.stream.feed(part)
         except ValueError as bad:               # UnicodeDecodeError and words.Unreadable are of its kind
             self.log.trouble("news_unreadable", why=str(bad))
-            self.exchange.end("unreadable")
+            exchange.end("unreadable")
 
     def _said(self, kind: str, data: str) -> None:
         read = NEWS.get(kind)
@@ -86,12 +110,18 @@
         self.log.count(f"news_{kind}")
         self.hearer.news(event)
 
-    def _ended(self, answer: Answer) -> None:
-        self.exchange = None
+    def _ended(self, exchange: Exchange, answer: Answer) -> None:
         self.log.trouble("news_lost", why=answer.outcome, status=answer.status, after_ms=answer.duration / 10)
-        self.again = self.loop.after(self.AGAIN, self.open)
+        if exchange is self.current:
+            self.current = None
+        else:
+            self.coming = None
+        if self.coming is None and self.again is None:
+            self.again = self.loop.after(self.AGAIN, self.open)
 
     def close(self) -> None:
         if self.again is not None:
             self.again.cancel()
-        self.client.close()
+        for exchange in (self.current, self.coming):
+            if exchange is not None:
+                exchange.drop()
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -112,6 +112,14 @@
         self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
         self.failures, self.idle = 0, True
 
+    def move(self, to: tuple[str, int]) -> bool:
+        """Calls go to another address from the next one on; one that is out ends where it began."""
+        if to == self.client.to:
+            return False
+        self.client.retire()
+        self.client, self.failures = Client(self.loop, to, self.CONNECT, self.IDLE), 0
+        return True
+
     def pending(self) -> list[face.Order]:
         """All that is ordered and not known to stand, in order."""
         return [order for call in self.waiting for order in call]
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -16,6 +16,9 @@
 from .net.loop import Loop
 from .platformlink.front import Front
 
+# What a configuration that can't be read, or lacks something, shows itself by.
+UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
+
 
 class Phase(enum.Enum):
     STARTING = "starting"       # reads its configuration, opens its address
@@ -40,7 +43,7 @@
             end.setblocking(False)
         self._woken_by = wake               # held, or it would close
         signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, lambda *_: None)      # heard through the wakeup socket, in the loop
         self.loop.watch(self._wake, self, READ)
 
@@ -52,20 +55,29 @@
         self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}",
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
-    def configuration(self) -> dict:
-        """What the platform hands over; the variables win over the file, which says the same and more."""
+    def configuration(self, *variables: str) -> dict:
+        """What the platform hands over; the variables named win over the file, which says more."""
         with open(self.environ["BALANCER_CONFIG"], "rb") as file:
             found = orjson.loads(file.read())
-        for variable, name in (("BALANCER_LISTEN", "listen"), ("BALANCER_DISCOVERY", "discovery")):
+        for variable in variables:
             if variable in self.environ:
-                found[name] = self.environ[variable]
+                found[variable.removeprefix("BALANCER_").lower()] = self.environ[variable]
         return found
 
+    def reload(self) -> None:
+        """The file as it is now; one that can't be used changes nothing.  It is newer than the variable
+        that told of discovery at the start; the address to listen on can't change while callers hold it."""
+        try:
+            self.front.reload(self.configuration("BALANCER_LISTEN"))
+        except UNUSABLE as bad:
+            self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
+
     def run(self) -> int:
         """Returns the exit code."""
         try:
-            self.front = Front(self.loop, self.log, self.configuration())
-        except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
+            self.front = Front(self.loop, self.log,
+                               self.configuration("BALANCER_LISTEN", "BALANCER_DISCOVERY"))
+        except UNUSABLE as bad:
             self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
             self.become(Phase.ENDED)
             return 1
@@ -87,7 +99,11 @@
         for number in set(self._wake.recv(256)):
             if number == signal.SIGUSR1:
                 self.log.counters()
-            elif self.phase in (Phase.LISTENING, Phase.SERVING):
+            elif self.phase not in (Phase.LISTENING, Phase.SERVING):
+                continue                        # it ends: nothing is moved any more
+            elif number == signal.SIGHUP:
+                self.reload()
+            else:
                 self.become(Phase.ENDING)
                 self.loop.after(self.GRACE, self.end)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -328,9 +328,10 @@
             holdings.stands([calls.pop(0)])
             done -= 1
     for _ in range(40):
-        holdings.news_opening()
+        holdings.news_asked()
         for _ in range(rng.randrange(4)):
             step()
+        holdings.news_opening()
         start = [face.ProxyJoined(p, "east", 1.0, False) for p in sorted(proxies)]
         for number, lines in store.items():
             start += tables.given(number, tables.Table(dict(lines)))
--- a/tests/world.py
+++ b/tests/world.py
@@ -225,12 +225,17 @@
     sock.close()
 
 
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
 class Peer:
     """A listening socket; each connection is served in a thread of its own, request by request."""
 
-    def __init__(self, answer):
+    def __init__(self, answer, port=0):
         self.answer, self.connections, self.open = answer, 0, True
-        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock = socket.create_server(("127.0.0.1", port))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.all = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -260,10 +265,20 @@
         except (OSError, ValueError):
             pass
 
-    def close(self):
+    def stop(self):
+        """Take no new connection."""
         self.open = False
+        self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
+
+    def close(self):
+        if self.open:
+            self.stop()
         for sock in self.all:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
             sock.close()
 
 
@@ -432,15 +447,29 @@
     # ---- the program
 
     def start(self, **more):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.listen = f"127.0.0.1:{free.getsockname()[1]}"
-        found = {"name": "n0", "listen": self.listen, "discovery": self.discovery.address, "seed": "8c1f30d2",
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-                 "store": {"address": self.relay.address}, "known": self.known, "settings": SETTINGS} | more
-        self.program = Program(self.path, json.dumps(found), BALANCER_LISTEN=found["listen"],
-                               BALANCER_DISCOVERY=found["discovery"])
+        self.listen = free_address()
+        self.found = {"name": "n0", "listen": self.listen, "discovery": self.discovery.address,
+                      "seed": "8c1f30d2", "known": self.known, "settings": SETTINGS,
+                      "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                      "store": {"address": self.relay.address}} | more
+        self.program = Program(self.path, json.dumps(self.found), BALANCER_LISTEN=self.found["listen"],
+                               BALANCER_DISCOVERY=self.found["discovery"])
         return self.program
 
+    def reload(self, **more):
+        """Another file, and the signal."""
+        self.program.file.write_text(json.dumps(self.found | more))
+        self.program.process.send_signal(signal.SIGHUP)
+
+    def move(self, ports=(0, 0)):
+        """Relay and discovery at new addresses too; what was there before takes no new connection."""
+        left = self.relay, self.discovery
+        self.relay, self.discovery = Peer(self._relay, ports[0]), Peer(self._discovery, ports[1])
+        self.reload(store={"address": self.relay.address}, discovery=self.discovery.address)
+        for peer in left:
+            peer.stop()
+        return left
+
     def serving(self):
         program = self.start()
         eventually(lambda: program.said("phase", now="serving"))
@@ -460,9 +489,9 @@
 
 class Program:
     def __init__(self, path, config, **variables):
-        file = path / "config.json"
-        file.write_text(config)
-        environ = os.environ | {"BALANCER_NAME": "n0", "BALANCER_CONFIG": str(file)} | variables
+        self.file = path / "config.json"
+        self.file.write_text(config)
+        environ = os.environ | {"BALANCER_NAME": "n0", "BALANCER_CONFIG": str(self.file)} | variables
         self.process = subprocess.Popen([sys.executable, "-m", "indigohitch"], env=environ,
                                         stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         self.log = []
