First plan after three periods, levels only where many queue, no pace without costs, fewer moves

Lines: hold_plans, judge, on_traffic, plan, split, move in logic.py. An answer to a mark never set freed the whole channel (on_acked); backends that are gone piled up (beat): of these 256 stay.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -1,9 +1,8 @@
 """The decision module: which backend answers for which slice, and what the proxies are told of it.
 
 A front makes one `Coordinator(seed, bootstrap)` an instance and calls `handle(now, events)` once a
-batch; it returns the orders of that moment, to be sent in that order.  Events and orders are the types
-of indigohitch/interface.py, times whole tenths of a millisecond, `bootstrap` a plain map of the start
-settings.  The why of it all is in docs/design.md.
+batch; it returns the orders of that moment, in their order.  Events and orders are those of interface.py,
+times whole tenths of a millisecond, `bootstrap` a plain map of the start settings.  Why: docs/design.md.
 """
 from __future__ import annotations
 
@@ -54,7 +53,7 @@
         self.misses, self.miss_since = 0, 0     # probes unanswered in a row, when the first was sent
         self.ok_heard, self.unanswered = 0, 0   # when sums last told of an answer, tries without since
         self.health = 1.0
-        self.admit, self.judged = 1.0, 0        # share of what is asked of it to let in, when last judged
+        self.admit, self.judged, self.wait = 1.0, 0, 0.0    # share to let in; when judged, its queue then
         self.doubtful, self.lost = False, False  # gets no part and nothing new; silent: weight at the floor
         self.intake = 0                         # slices taken this round
         self.warmth, self.capacity = 1.0, 1.0   # weight x health x warmth / slowness, set by `assess`
@@ -120,8 +119,7 @@
         self.due: list[tuple[int, str]] = []    # due time, what to do then
         self.plan_from = 0                      # no planning before
         self.yield_, self.failing = 0.0, 0.0    # answered cost a second and unit of weight; share of failures
-        self.assessed, self.turn = 0, 0         # when last judged, the last round planned
-        self.strained = False                   # the fleet as a whole has too much to do
+        self.assessed, self.turn, self.strained = 0, 0, False   # last judged, planned; too much for the fleet
         self.balancing, self.held = False, False  # between the band's two edges; urgent lines wait for room
         self.list_fresh = False                 # the list in hand is not just remembered
         self.levels_sent: set[int] = set()      # proxies that know the further tries
@@ -130,8 +128,8 @@
         self.backlog, self.backlog_at = 0.0, 0  # lines that may still wait in the channel
         self.sent: deque[int] = deque()         # when messages went out
         self.unacked: dict[int, tuple[int, set[int]]] = {}      # by mark: lines each, proxies to answer yet
-        self.next_beat, self.timer = 0, 0       # when the beat is due; the timer that is set
-        self.asking, self.probing = False, []   # to be asked for: a subscription; probes of backends
+        self.next_beat, self.timer = 0, 0       # when the beat is due; the timer that is set; and what is to
+        self.asking, self.probing = False, []   # be asked for: a subscription, probes
 
     def handle(self, now: int, events: list[face.Event]) -> list[face.Order]:
         self.now, self.orders = now, []
@@ -157,8 +155,8 @@
         self.orders.append(face.LogLine(text))
 
     def hold_plans(self) -> None:
-        """After a start or a take-over planning waits until the sums can tell something: five periods."""
-        self.plan_from = self.now + 5 * self.boot["report_every"]
+        """After a start or a take-over planning waits until the sums tell more than chance: three periods."""
+        self.plan_from = self.now + 3 * self.boot["report_every"]
 
     def subscribe(self) -> None:
         self.asking = self.boot.get("discovery") == "ask"
@@ -228,11 +226,10 @@
         if met.tries > met.failures:
             b.ok_heard, b.unanswered = self.now, 0
         self.judge(b, met)
-        if b.warmth < 1:                        # its slowness is the warm-up's, and passes with that
-            return
-        # Time in work without the wait, or the share of cores in use, against what gets done.  Tries where
-        # no slice is any more cost nothing but count as time: it works off what it took.
         cost = mean_cost(p.slice for p in b.parts)
+        if b.warmth < 1 or not cost:            # slow by its warm-up, which passes; no cost to go by
+            return
+        # Time in work without the wait, or the share of cores in use, against what gets done.
         if met.load.get("service_time"):
             b.pace.add(self.now, met.load["service_time"] / SECOND, cost)
         elif met.load.get("busy"):
@@ -250,7 +247,7 @@
 
     def on_acked(self, ack: face.Acked) -> None:
         """Messages arrive in order: what went to that proxy up to this mark has left the channel."""
-        for mark, (_, proxies) in self.unacked.items():
+        for mark, (_, proxies) in self.unacked.items() if ack.mark in self.unacked else ():
             proxies.discard(ack.proxy)
             if mark == ack.mark:
                 break
@@ -275,7 +272,7 @@
 
     def judge(self, b: Backend, met: face.Traffic) -> None:
         """Where levels are honoured: let in less for a backend whose queue takes over a quarter of the
-        shortest soft deadline.  What waits longer is late, and displaces what would not be."""
+        shortest soft deadline, once a quarter of all have such (else a move cures it).  It would be late."""
         if (self.boot.get("admission") != "share" or "queued" not in met.load
                 or self.now - b.judged < self.boot["report_every"]):
             return
@@ -283,8 +280,8 @@
         n, failed = b.tries.read(self.now)
         wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0)
                 / min(m.soft_deadline for m in self.methods.values()))
-        b.judged = self.now
-        if wait > 0.25:
+        b.judged, b.wait = self.now, wait
+        if wait > 0.25 and 4 * sum(o.wait > 0.25 for o in self.opened()) > len(self.opened()):
             b.admit = max(0.2, b.admit * (0.7 if wait > 0.75 else 0.85))
         elif wait < 0.1:
             b.admit = min(1.0, b.admit + 0.1)
@@ -409,11 +406,11 @@
         part.go_to(to)
         to.load += load
         to.intake += to.warmth < 1
-        part.rests_until = self.now + 20 * SECOND       # the design's rest
+        part.rests_until = self.now + 10 * SECOND       # half the design's rest: demand shifts in 12 to 24 s
 
     def evacuate(self) -> None:
-        """Slices leave a draining or gone backend at once, outside the budget; so does what is too much
-         for a backend that has just started (stored slices wake up with it)."""
+        """Slices leave a draining or gone backend at once, outside the budget; so does what is too much for
+        one that has just started (stored slices wake up with it)."""
         opened = self.opened()
         for b in self.backends.values():
             over = b.state in ("draining", "gone")
@@ -439,10 +436,10 @@
         # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
         uses = [b.use() / mean for b in opened]
         self.balancing |= max(uses) > 1.25 or min(uses) < 1 / 1.25
-        # A tenth of the slices, ten at most (20 did worse at full size: each leaves a warm cache), and one
-        # for each new backend still empty, all shared by the coordinators.
+        # A tenth of the slices, four at most (more did worse: each leaves a warm cache), and one for each
+        # new backend still empty, all shared by the coordinators.
         idle = sum(not b.parts and b.warmth < 1 for b in opened)
-        for _ in range(max(2, (min(10, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
+        for _ in range(max(2, (min(4, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
             # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
             best = next(filter(None, (self.best_move(b, by_use, mean) for b in reversed(by_use)
@@ -454,14 +451,14 @@
             self.move(*best)
 
     def split(self, opened: list[Backend], mean: float) -> None:
-        """The exception for a slice that carries its fire along: one that outweighs a whole backend's
-        target is dealt out in parts for as long as it does, and taken together well below that."""
+        """The exception for a slice that carries its fire along: one that outweighs four fifths of a whole
+        backend's target is dealt out in parts for as long as it does, and taken together well below that."""
         target = mean * sum(b.capacity for b in opened) / len(opened)
         for s in self.slices.values():
             parts = len(s.parts)
-            if s.load > target * parts and parts < min(4, len(opened)):
+            if s.load > 0.8 * target * parts and parts < min(4, len(opened)):
                 s.parts.append(Part(s, None))
-            elif parts > 1 and s.load < 0.6 * target * (parts - 1):
+            elif parts > 1 and s.load < 0.48 * target * (parts - 1):
                 last = max(s.parts, key=lambda p: p.owner.use() if p.owner else math.inf)
                 last.go_to(None)
                 s.parts.remove(last)
@@ -510,6 +507,11 @@
         self.probing = [b for i, b in enumerate(self.backends.values()) if self.boot.get("may_probe")
                         and b.state == "ready" and not b.probe_out
                         and (b.misses or (self.beats + i) % every == 0)]
+        # Machines are replaced under new ids: of those gone, with no line and not shut out, 256 are kept.
+        used = self.withdrawn.union(self.returned, *(s.stored for s in self.slices.values()))
+        gone = [b for b in self.backends.values() if b.state == "gone" and not b.parts and b not in used]
+        for b in sorted(gone, key=lambda b: b.told)[:-256]:
+            del self.backends[b.id]
 
     # ---- wanted against present ------------------------------------------------------------------
 
@@ -519,9 +521,8 @@
 
     @staticmethod
     def pressed(s: Slice) -> int | None:
-        """Since when there is no line, or one at a backend that drains or is gone, however small, or one
-        too many at a cold one.  Told by what is out, not by who decided: a planned move still waiting its
-        turn must not hide a drain."""
+        """Since when there is no line, or one at a backend that drains or is gone, however small, or one too
+        many at a cold one.  By what is out: a planned move that waits its turn must not hide a drain."""
         return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")
                     or b.warmth < 1 and b not in s.owners()), default=None if s.stored else s.since)
 
@@ -607,9 +608,8 @@
         return self.boot.get("lines_per_s", 10000) / 2 / SECOND
 
     def room(self, urgent: bool, need: int) -> int:
-        """How many lines a message to every proxy may hold now: a reserve of lines and of messages is kept
-        for what can't wait.  What does not fit goes in pieces, none under half of what an empty channel
-        takes: each pays its envelope anew, and of many small ones that is the most the channel carries."""
+        """How many lines a message to every proxy may hold now, with a reserve for what can't wait.  What
+        does not fit goes in pieces, each at least half of what an empty channel takes."""
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
         # A channel may run at a fifth of its pace: what counts is answered marks, else an eighth of it.
         left = self.backlog - (self.now - self.backlog_at) * self.pace() / 4
