--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -520,7 +520,7 @@
         return dict.fromkeys(s.owners(), 1.0)
 
     @staticmethod
-    def.pressed(s: Slice) -> int | None:
+    def pressed(s: Slice) -> int | None:
         """Since when there is no line, or one at a backend that drains or is gone, however small, or one too
         many at a cold one.  By what is out: a planned move that waits its turn must not hide a drain."""
         return min((max(b.told, s.since) for b in s.stored if b.state in ("draining", "gone")
