A slice's fail may exceed its count, and machines off the list may be named

Both were dropped as spoilt, so the demand of the very slices that failed was missed, and twenty in a row would have ended a good collector's connection. Lines at fault: words._sums (fail over count for both reports), front.py (only the present list was known). The bound stays for upstream_stats, where tries are counted with their failures; 256 ids off the list may be named.

--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -22,6 +22,7 @@
 
 
 class Front:
+    GONE = 256                  # ids off the list that may still be named, as many as the module keeps
     ANEW = SECOND // 2          # until a new module is told all: what broke the last one may still be there
 
     def __init__(self, loop: Loop, log: Log, found: dict) -> None:
@@ -32,6 +33,7 @@
         self.seed, limits, self.boot, columns, known, self.addresses, store, discovery = self._read(found)
         loop.pool = Pool(limits.calls_pool)
         self.listed = {entry.backend: entry for entry in known.entries}
+        self.heard_of = dict.fromkeys(self.listed)      # oldest first: reports on those gone come late
         self.gathering = Gathering(loop, self.boot.get("batch_gap", 0), self.handle)
         self.hear = self.gathering.add
         self.hear(known)
@@ -46,7 +48,7 @@
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
         self.known = Known(frozenset(zones if zones is not None else (e.zone for e in known.entries)),
                            frozenset(method.name for method in self.boot["methods"]),
-                           slices if slices else face.ALL_TABLES, self.listed)
+                           slices if slices else face.ALL_TABLES, self.heard_of)
         self.collectors = Collectors(loop, log, self.hear, address(found["listen"]), limits, self.known)
 
     @staticmethod
@@ -132,8 +134,12 @@
         self.addresses |= addresses
         for entry in news.entries:
             self.listed[entry.backend] = entry
+            self.heard_of.pop(entry.backend, None)
+            self.heard_of[entry.backend] = None
             if entry.state == "gone":           # or the ids of replaced machines would pile up
                 del self.listed[entry.backend], self.addresses[entry.backend]
+        for id in [id for id in self.heard_of if id not in self.listed][:-self.GONE]:
+            del self.heard_of[id]
         self.hear(news)
 
     def close(self) -> None:
--- a/indigohitch/platformlink/words.py
+++ b/indigohitch/platformlink/words.py
@@ -84,9 +84,9 @@
 
 
 def _sums(words) -> tuple[int, int, float]:
-    """How many, how many of these not, and over what time in ms."""
+    """How many, how many failed, and over what time in ms."""
     count, fail, over = whole(words, "count"), whole(words, "fail"), number(words, "over")
-    if fail > count or count > MOST:
+    if max(count, fail) > MOST:
         raise Unreadable("count: out of range")
     if not 0 < over <= HOUR:
         raise Unreadable("over: out of range")
@@ -98,6 +98,8 @@
 
 def _traffic(words, known: Known):
     count, fail, over = _sums(words)
+    if fail > count:
+        raise Unreadable("fail: more than there were")
     mean = number(words, "mean")
     if mean > HOUR:
         raise Unreadable("mean: out of range")
@@ -109,6 +111,7 @@
 def _demand(words, known: Known):
     if whole(words, "range") >= known.slices:
         raise Unreadable("range: does not exist")
+    # More may fail than came: what fails in one period came in an earlier one, and is told of good slices.
     count, fail, over = _sums(words)
     return face.SliceDemand(whole(words, "range"), listed(words, "lane", known.methods), count, fail,
                             tenths(over))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -264,6 +264,10 @@
                     continue
                 with pytest.raises(Unreadable):
                     report(kind, changed, known)
+    late = report("range_stats", split(demand.encode())[1] | {"count": "0", "fail": "2"}, known)
+    assert (late.total, late.unanswered) == (0, 2)      # what came earlier: no collector's fault
+    with pytest.raises(Unreadable):
+        report("upstream_stats", split(traffic.encode())[1] | {"count": "2", "fail": "3"}, known)
     for util in ("inflight", "inflight:x", "inflight:7,util:-1", "inflight:nan", "inflight:1e30"):
         with pytest.raises(Unreadable):
             report("upstream_stats", split(traffic.encode())[1] | {"util": util}, known)
