--- a/indigohitch/__main__.py
+++ b/indigohitch/__main__.py
@@ -1,6 +1,10 @@
-"""python -m indigohitch: one real coordinator, told by BALANCER_CONFIG what it serves."""
+"""python -m indigohitch: one real coordinator, told by BALANCER_CONFIG what it serves; with words, the
+command line."""
 import sys
 
-from .service import main
+if len(sys.argv) == 1:
+    from .service import main
+    sys.exit(main())
+from .cli import main as command_line
 
-sys.exit(main())
+command_line(prog_name="indigohitch")
--- /dev/null
+++ b/indigohitch/cli.py
@@ -0,0 +1,103 @@
+"""The command line.  Each command imports what it needs, no more: a coordinator on 32 MB starts through
+`python -m indigohitch` without this file."""
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="indigohitch", prog_name="indigohitch")
+def main() -> None:
+    """A traffic director for a fleet of sidecars."""
+
+
+@main.command()
+def run() -> None:
+    """One coordinator, told by BALANCER_CONFIG what it serves."""
+    from .service import main as serve
+    sys.exit(serve())
+
+
+def refuse(text: str) -> None:
+    click.echo(text, err=True)
+    sys.exit(1)
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def sidecar(file: str) -> None:
+    """A sidecar, as FILE says."""
+    from .sidecar import conf, service
+    try:
+        sys.exit(service.main(file))
+    except (conf.Mistakes, OSError) as bad:
+        refuse(str(bad))
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def check(file: str) -> None:
+    """Read FILE and tell all that is wrong with it, each with its line."""
+    from .sidecar import conf
+    try:
+        text = conf.load(file)
+    except (conf.Mistakes, OSError) as bad:
+        refuse(str(bad))
+    click.echo(f"{file}: {len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
+               f"{sum(len(p.servers) for p in text.pools.values())} servers")
+
+
+@main.command("stand-in")
+@click.argument("address")
+@click.option("--name", default="stand-in", show_default=True)
+@click.option("--service", default=0.0, help="Time that an answer takes, in ms.", show_default=True)
+def stand_in(address: str, name: str, service: float) -> None:
+    """A stand-in server on ADDRESS (loopback only), for trials."""
+    from .net.connection import address as read
+    from .standins.server import main as serve
+    try:
+        serve(read(address), name, service)
+    except (ValueError, OSError) as bad:
+        refuse(str(bad))
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--wait", default=60.0, help="Seconds until no answer is taken for one.", show_default=True)
+def upgrade(file: str, wait: float) -> None:
+    """Let the sidecar of FILE replace itself by its program on disk as it is now."""
+    tell(asked(file, "upgrade", wait))
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def status(file: str) -> None:
+    """What the sidecar of FILE does now."""
+    tell(asked(file, "status", 5.0))
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def snapshot(file: str) -> None:
+    """Let the sidecar of FILE write its state to the path in its line `state`."""
+    tell(asked(file, "snapshot", 30.0))
+
+
+def asked(file: str, what: str, wait: float) -> dict:
+    from .control import ask
+    from .sidecar import conf
+    try:
+        path = conf.load(file).single["control"]
+        if not path:
+            refuse(f"{file}: no line `control`")
+        return ask(path, what, wait)
+    except (conf.Mistakes, OSError, ValueError) as bad:
+        refuse(str(bad))
+
+
+def tell(found: dict) -> None:
+    import orjson
+    click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS).decode())
+    sys.exit(1 if "error" in found else 0)
--- /dev/null
+++ b/indigohitch/control.py
@@ -0,0 +1,102 @@
+"""The control socket: one JSON line asks, one answers.  The command line speaks to a running program here."""
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+
+import orjson
+
+from .net.connection import Connection, Listener
+from .net.loop import Loop
+
+
+class Asker:
+    LINE = 4096
+
+    def __init__(self, control: Control) -> None:
+        self.control, self.connection = control, None
+
+    def heard(self, connection: Connection) -> None:
+        line = connection.incoming.line()
+        if line is None:
+            if len(connection.incoming) > self.LINE:
+                connection.close()
+            return
+        try:
+            asked = orjson.loads(line)
+            what = str(asked["ask"])
+        except (ValueError, KeyError, TypeError):
+            self.answer({"error": "one line of JSON with `ask` is wanted"})
+            return
+        self.control.asked(what, self.answer)
+
+    def answer(self, told: dict) -> None:
+        """At any time later, once."""
+        if self.connection is not None and self.connection.open:
+            self.connection.write(orjson.dumps(told, default=str) + b"\n")
+
+    def closed(self, connection: Connection, why: str) -> None:
+        self.control.askers.discard(self)
+
+
+class Control:
+    MOST = 16                   # askers at once: people, and scripts of theirs
+
+    def __init__(self, loop: Loop, path: str, asked: Callable[[str, Callable[[dict], None]], None],
+                 listening: socket.socket | None = None) -> None:
+        """Raises OSError.  A path that a dead program left behind is taken; one that answers is not."""
+        self.loop, self.path, self.asked = loop, path, asked
+        self.askers: set[Asker] = set()
+        self.listener = Listener(loop, None, self.greet, lambda why: None, listening or self.opened(path))
+
+    @staticmethod
+    def opened(path: str) -> socket.socket:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            if os.path.exists(path):
+                with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as other:
+                    other.settimeout(1)
+                    try:
+                        other.connect(path)
+                        raise OSError(f"{path}: a running program listens there")
+                    except ConnectionRefusedError:
+                        os.unlink(path)
+            sock.bind(path)
+            os.chmod(path, 0o600)               # who may upgrade the program may run any program as it
+            sock.listen(16)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
+    def greet(self, sock: socket.socket) -> bool:
+        if len(self.askers) >= self.MOST:
+            return False
+        asker = Asker(self)
+        asker.connection = Connection.accepted(self.loop, sock, asker, 1 << 16, self.loop.pool)
+        self.askers.add(asker)
+        return True
+
+    def close(self, unlink: bool) -> None:
+        for asker in list(self.askers):
+            if asker.connection is not None:
+                asker.connection.close()
+        if unlink:
+            try:
+                os.unlink(self.path)
+            except OSError:
+                pass
+        self.listener.close()
+
+
+def ask(path: str, what: str, wait: float = 60.0) -> dict:
+    """For the command line: ask and wait.  Raises OSError, ValueError."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.settimeout(wait)
+        sock.connect(path)
+        sock.sendall(orjson.dumps({"ask": what}) + b"\n")
+        line = sock.makefile("rb").readline()
+    if not line:
+        raise ValueError("the program ended before it answered")
+    return orjson.loads(line)
--- a/indigohitch/platformlink/gather.py
+++ b/indigohitch/gather.py
@@ -3,8 +3,8 @@
 
 from collections.abc import Callable
 
-from .. import interface as face
-from ..net.loop import Loop
+from . import interface as face
+from .net.loop import Loop
 
 
 class Gathering:
@@ -17,6 +17,7 @@
         self.loop, self.gap, self.hand_over = loop, gap, hand_over
         self.events: list[face.Event] = []
         self.last, self.ready = 0, False
+        self.held = False                       # the module stands still: what comes waits
 
     def add(self, *events: face.Event, span: int = SPAN) -> None:
         if events and not self.events:
@@ -31,9 +32,14 @@
     def _due(self) -> None:
         self.ready = True
 
+    def take(self) -> list[face.Event]:
+        """What waits, for another module than ours; its own timers are not among it."""
+        events, self.events, self.ready = self.events, [], False
+        return [event for event in events if type(event) is not face.TimerDue]
+
     def turn(self) -> None:
         """At the end of a turn of the loop: all that has come, if its time is up, at once."""
-        if self.ready:
+        if self.ready and not self.held:
             self.ready, self.last = False, self.loop.clock.now()
             events, self.events = self.events, []
             self.hand_over(self.last, events)
--- a/indigohitch/net/clock.py
+++ b/indigohitch/net/clock.py
@@ -9,5 +9,9 @@
         # Wall time is read once; what passes since is monotonic, so a corrected wall clock moves nothing.
         self._base = time.time_ns() - time.monotonic_ns()
 
+    def follow(self, now: int) -> None:
+        """Go on with another clock, which says `now`."""
+        self._base += now * 100_000 - (self._base + time.monotonic_ns())
+
     def now(self) -> int:
         return (self._base + time.monotonic_ns()) // 100_000
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -140,18 +140,39 @@
     BURST = 64                  # accepts a turn
 
     def __init__(self, loop: Loop, at: tuple[str, int], greet: Callable[[socket.socket], bool],
-                 trouble: Callable[[str], None]) -> None:
+                 trouble: Callable[[str], None], listening: socket.socket | None = None) -> None:
+        """`listening`: a socket that listens already, come from another process."""
         self.loop, self.greet, self.trouble = loop, greet, trouble
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock = listening or self.opened(at)
+        self.sock.setblocking(False)
+        self._number = loop.watch(self.sock, self, READ)
+        self._paused: Deadline | None = None
+        self.accepting = True
+
+    @staticmethod
+    def opened(at: tuple[str, int]) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.sock.bind(at)
-            self.sock.listen(1024)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(at)
+            sock.listen(1024)
         except OSError:
-            self.sock.close()
+            sock.close()
             raise
-        self._number = loop.watch(self.sock, self, READ)
-        self._paused: Deadline | None = None
+        return sock
+
+    def accept(self, on: bool) -> None:
+        """Who connects while it is off waits in the kernel, for whoever accepts at this socket next."""
+        if self.accepting == on:
+            return
+        self.accepting = on
+        if on:
+            self.loop.resume(self.sock, self._number, READ)
+        elif self._paused is not None:
+            self._paused.cancel()
+            self._paused = None
+        else:
+            self.loop.pause(self.sock)
 
     def ready(self, readable: bool, writable: bool) -> None:
         for _ in range(self.BURST):
@@ -179,5 +200,6 @@
         if self._paused is not None:
             self._paused.cancel()
             self._resume()
+        self.accept(True)                       # for the selector to forget it
         self.loop.forget(self.sock, self._number)
         self.sock.close()
--- a/indigohitch/net/ring.py
+++ b/indigohitch/net/ring.py
@@ -118,6 +118,22 @@
         self._scanned = 0
         return data[:-1].removesuffix(b"\r")
 
+    def until(self, mark: bytes) -> int:
+        """How many bytes up to and with `mark`, 0 if it has not all come.  Looked through once only."""
+        start = max(0, self._scanned - len(mark) + 1)
+        if self._head + self._size <= len(self._block):
+            at = self._block.find(mark, self._head + start, self._head + self._size) - self._head
+        else:
+            at = self.peek().find(mark, start)
+        self._scanned = self._size if at < 0 else 0
+        return max(0, at + len(mark)) if at >= 0 else 0
+
+    def room(self) -> int:
+        """How many bytes `push` is sure to take: up to the bound, or to what the pool still gives."""
+        if self._pool.left >= self._counted(self.most) - self._counted():
+            return self.most - self._size
+        return max(len(self._block), min(self.FIRST, self.most)) - self._size
+
     @property
     def full(self) -> bool:
         """No more can come before something is taken."""
--- /dev/null
+++ b/indigohitch/net/stream.py
@@ -0,0 +1,127 @@
+"""A connection whose reader takes what it can: what it leaves stays in the ring, and once that is full the
+socket is not read, so that a slow reader on one side slows the writer on the other."""
+from __future__ import annotations
+
+import socket
+
+from .connection import READ, WRITE, Connection
+from .loop import Loop
+from .ring import Pool
+
+
+class Stream(Connection):
+    """Its reader has one more word to hear: `drained(connection)`, when what waited has been written.  The
+    reader calls `wake` after it took something from `incoming`."""
+    BOUND = 64 << 10            # a ring: 1 GB passes through two of these a direction; more only adds delay
+
+    def __init__(self, loop: Loop, sock: socket.socket, reader, most: int = BOUND,
+                 pool: Pool | None = None) -> None:
+        super().__init__(loop, sock, reader, most, pool)
+        self.held = False                   # the ring is full: the socket is not read
+        self._mask = READ                   # what the selector watches now
+
+    @classmethod
+    def dial(cls, loop: Loop, to: tuple[str, int], reader) -> Stream:
+        connection = super().dial(loop, to, reader)
+        connection._mask = READ | WRITE
+        return connection
+
+    def _watch(self) -> None:
+        mask = (0 if self.held else READ) | (WRITE if self._writing else 0)
+        if mask == self._mask:
+            return
+        if not mask:
+            self.loop.pause(self.sock)
+        elif not self._mask:
+            self.loop.resume(self.sock, self._number, mask)
+        else:
+            self.loop.change(self.sock, self._number, mask)
+        self._mask = mask
+
+    def room(self) -> int:
+        """How much may be written now without outgrowing the ring."""
+        return self.outgoing.room()
+
+    def write(self, data: bytes) -> None:
+        """At once as much as the socket takes; what is wrong with it is told in a turn of its own."""
+        if not self.open:
+            return
+        if not self.connecting and not len(self.outgoing):
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self.loop.after(0, lambda: self.close("reset"))
+                return
+            if sent == len(data):
+                return
+            data = data[sent:]
+        if not self.outgoing.push(data):
+            self.loop.after(0, lambda: self.close("flooded"))
+        else:
+            self.flush_soon()
+
+    def flush_soon(self) -> None:
+        """What was put into `outgoing` goes as soon as the socket takes it."""
+        if self.open and not self.connecting:
+            self._writing = True
+            self._watch()
+
+    def wake(self) -> None:
+        if self.held and self.open and not self.incoming.full:
+            self.held = False
+            self._watch()
+
+    def _flush(self) -> str:
+        waited = bool(self.outgoing)
+        try:
+            while self.outgoing:
+                self.outgoing.empty_into(self.sock)
+        except BlockingIOError:
+            pass
+        except OSError:
+            return "reset"
+        self._writing = bool(self.outgoing)
+        self._watch()
+        if waited and not self._writing:
+            self.reader.drained(self)
+        return ""
+
+    def _read(self) -> None:
+        for _ in range(self.READS):
+            try:
+                got = self.incoming.fill(self.sock)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.close("reset")
+                return
+            if got == 0:
+                self.close("ended")
+                return
+            if got < 0:
+                self.held = True
+                self._watch()
+                return
+            self.reader.heard(self)
+            # Less than a block: there is hardly more, and the next turn would find it.
+            if not self.open or got < self.incoming.FIRST:
+                return
+
+    def close(self, why: str = "") -> None:
+        if self.open and not self._mask:
+            self.loop.resume(self.sock, self._number, READ)     # for the selector to forget it
+            self._mask = READ
+        super().close(why)
+
+    def detach(self) -> tuple[socket.socket, bytes]:
+        """Out of the loop, without closing: the socket, and what it brought that nobody took."""
+        rest = self.incoming.peek()
+        if not self._mask:
+            self.loop.resume(self.sock, self._number, READ)
+        self.loop.forget(self.sock, self._number)
+        self.open = False
+        self.incoming.close()
+        self.outgoing.close()
+        return self.sock, rest
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -4,6 +4,7 @@
 
 from .. import interface as face
 from ..bootstrap import bootstrap
+from ..gather import Gathering
 from ..log import Log
 from ..logic import Coordinator
 from ..net.clock import SECOND
@@ -12,7 +13,6 @@
 from ..net.ring import Pool
 from .collectors import Collectors
 from .discovery import Discovery, read_list
-from .gather import Gathering
 from .holdings import Holdings
 from .limits import Limits
 from .news import News
--- /dev/null
+++ b/indigohitch/process.py
@@ -0,0 +1,45 @@
+"""What every long-running command of the program is: named phases, one loop, and signals heard in it."""
+from __future__ import annotations
+
+import enum
+import signal
+import socket
+import traceback
+
+from .log import Log
+from .net.clock import Clock
+from .net.connection import READ
+from .net.loop import Loop
+
+
+class Process:
+    SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+
+    def __init__(self, phase: enum.Enum, name: str) -> None:
+        self.phase = phase
+        self.clock = Clock()
+        self.log = Log(self.clock, name)
+        self.loop = Loop(self.clock, self.failed)
+        self._wake, wake = socket.socketpair()
+        for end in (self._wake, wake):
+            end.setblocking(False)
+        self._woken_by = wake               # held, or it would close
+        signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
+        for number in self.SIGNALS:
+            signal.signal(number, lambda *_: None)      # heard through the wakeup socket, in the loop
+        self.loop.watch(self._wake, self, READ)
+
+    def become(self, phase: enum.Enum) -> None:
+        self.log.event("phase", was=self.phase.value, now=phase.value)
+        self.phase = phase
+
+    def failed(self, broken: BaseException) -> None:
+        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}",
+                         trace="".join(traceback.format_exception(broken))[-2000:])
+
+    def ready(self, readable: bool, writable: bool) -> None:
+        for number in set(self._wake.recv(256)):
+            self.signalled(number)
+
+    def signalled(self, number: int) -> None:
+        raise NotImplementedError
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -4,17 +4,13 @@
 import enum
 import os
 import signal
-import socket
-import traceback
 from collections.abc import Mapping
 
 import orjson
 
-from .log import Log
-from .net.clock import SECOND, Clock
-from .net.connection import READ
-from .net.loop import Loop
+from .net.clock import SECOND
 from .platformlink.front import Front
+from .process import Process
 
 # What a configuration that can't be read, or lacks something, shows itself by.
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
@@ -28,32 +24,13 @@
     ENDED = "ended"
 
 
-class Service:
+class Service(Process):
     GRACE = SECOND // 4         # of the 0.7 s until SIGKILL
 
     def __init__(self, environ: Mapping[str, str]) -> None:
+        super().__init__(Phase.STARTING, environ.get("BALANCER_NAME", ""))
         self.environ = environ
-        self.phase = Phase.STARTING
-        self.clock = Clock()
-        self.log = Log(self.clock, environ.get("BALANCER_NAME", ""))
-        self.loop = Loop(self.clock, self.failed)
         self.front: Front | None = None
-        self._wake, wake = socket.socketpair()
-        for end in (self._wake, wake):
-            end.setblocking(False)
-        self._woken_by = wake               # held, or it would close
-        signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)      # heard through the wakeup socket, in the loop
-        self.loop.watch(self._wake, self, READ)
-
-    def become(self, phase: Phase) -> None:
-        self.log.event("phase", was=self.phase.value, now=phase.value)
-        self.phase = phase
-
-    def failed(self, broken: BaseException) -> None:
-        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}",
-                         trace="".join(traceback.format_exception(broken))[-2000:])
 
     def configuration(self, *variables: str) -> dict:
         """What the platform hands over; the variables named win over the file, which says more."""
@@ -95,17 +72,16 @@
         self.log.counters()
         return 0
 
-    def ready(self, readable: bool, writable: bool) -> None:
-        for number in set(self._wake.recv(256)):
-            if number == signal.SIGUSR1:
-                self.log.counters()
-            elif self.phase not in (Phase.LISTENING, Phase.SERVING):
-                continue                        # it ends: nothing is moved any more
-            elif number == signal.SIGHUP:
-                self.reload()
-            else:
-                self.become(Phase.ENDING)
-                self.loop.after(self.GRACE, self.end)
+    def signalled(self, number: int) -> None:
+        if number == signal.SIGUSR1:
+            self.log.counters()
+        elif self.phase not in (Phase.LISTENING, Phase.SERVING):
+            pass                                # it ends: nothing is moved any more
+        elif number == signal.SIGHUP:
+            self.reload()
+        else:
+            self.become(Phase.ENDING)
+            self.loop.after(self.GRACE, self.end)
 
     def end(self) -> None:
         if self.phase is Phase.ENDING:
--- /dev/null
+++ b/indigohitch/sidecar/host.py
@@ -0,0 +1,104 @@
+"""The sidecar's request path as one object: its listener, clients and pools."""
+from __future__ import annotations
+
+import socket
+
+from ..log import Log
+from ..net.clock import SECOND
+from ..net.connection import Listener
+from ..net.loop import Loop
+from ..net.ring import Pool as Memory
+from ..net.slots import Slots
+from ..net.stream import Stream
+from .clients import Client
+from .conf import Text
+from .pool import Pool
+
+
+class Host:
+    SWEEP = SECOND // 2         # slow clients are ended as late as that: their waits are seconds
+
+    def __init__(self, loop: Loop, log: Log, text: Text) -> None:
+        self.loop, self.log, self.text = loop, log, text
+        loop.pool = Memory(text.limits["memory"])
+        self.memory = Memory(text.limits["memory"])
+        self.clients: Slots[Client] = Slots()
+        self.pools = self.make_pools()
+        self.listener: Listener | None = None
+        self.holding = self.passing = False     # no RPC begins; idle clients go to another process
+        self.pass_on = lambda client: None
+        self._sweep = None
+        self.now = loop.clock.now()             # of this turn: for what may be a few ms late
+
+    def make_pools(self) -> dict[str, Pool]:
+        return {name: Pool(self, pool, self.text.single["seed"] + place)
+                for place, (name, pool) in enumerate(self.text.pools.items())}
+
+    def start(self, listening: socket.socket | None = None) -> None:
+        """OSError where the address can't be had; `listening`: a socket that does already."""
+        self.listener = Listener(self.loop, self.text.single["listen"], self.greet,
+                                 lambda why: self.log.trouble("accept_failed", why=why), listening)
+
+    def go(self) -> None:
+        self._sweep = self.loop.after(self.SWEEP, self.sweep)
+
+    def greet(self, sock: socket.socket) -> bool:
+        if len(self.clients) >= self.text.limits["clients"]:
+            self.log.trouble("accepted_too_many")
+            return False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.take(sock)
+        self.log.counts["accepted"] += 1
+        return True
+
+    def take(self, sock: socket.socket, rest: bytes = b"") -> Client:
+        client = Client(self)
+        client.stream = Stream.accepted(self.loop, sock, client, Stream.BOUND, self.memory)
+        client.number = self.clients.put(client)
+        if rest:
+            client.stream.incoming.push(rest)
+        return client
+
+    def forget(self, client: Client) -> None:
+        if client.number >= 0:
+            self.clients.drop(client.number)
+            client.number = -1
+
+    def turn(self) -> None:
+        """At the end of each turn of the loop."""
+        self.now = self.loop.clock.now()
+        for pool in self.pools.values():
+            pool.gathering.turn()
+
+    def sweep(self) -> None:
+        now = self.loop.clock.now()
+        for client in self.clients:
+            if client.overdue(now):
+                self.log.count("client_too_slow" if client.rpc or client.marked else "client_idle_closed")
+                client.stream.close()
+                client.gone()
+        for pool in self.pools.values():
+            pool.sweep(now)
+        self._sweep = self.loop.after(self.SWEEP, self.sweep)
+
+    def in_hand(self) -> int:
+        return sum(client.rpc is not None for client in self.clients)
+
+    def figures(self) -> dict:
+        return {"clients": len(self.clients), "in_hand": self.in_hand(), "pools": {
+            pool.name: {"slices": pool.slices, "without_line": sum(not t.servers for t in pool.tables),
+                        "servers": {s.name: {"held": s.held, "idle": len(s.idle), "withdrawn": s.withdrawn,
+                                             "lines": sum(s in t.servers for t in pool.tables)}
+                                    for s in pool.servers.values() if s.listed}}
+            for pool in self.pools.values()}}
+
+    def close(self) -> None:
+        if self._sweep is not None:
+            self._sweep.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        for client in list(self.clients):
+            client.stream.close()
+            client.gone()
+        for pool in self.pools.values():
+            pool.close()
--- /dev/null
+++ b/indigohitch/sidecar/pool.py
@@ -0,0 +1,193 @@
+"""A pool of servers under a coordinator of its own: what truly passed becomes the module's events, its orders
+change the tables in this process.  It decides nothing."""
+from __future__ import annotations
+
+import random
+
+from .. import interface as face
+from ..bootstrap import load_report
+from ..gather import Gathering
+from ..logic import Coordinator
+from ..net.http import Answer
+from ..net.http import Client as Caller
+from ..request import Table
+from .conf import PoolText
+from .servers import Server
+
+PROXY = 0                       # the sidecar itself, the one proxy that is joined
+
+
+class Pool:
+    PROBE = 6000                # a server that runs answers in a tenth of that
+    GONE = 64                   # servers gone whose objects may still be named by a table
+
+    def __init__(self, host, text: PoolText, seed: int) -> None:
+        self.host, self.text, self.boot, self.slices = host, text, text.boot, text.slices
+        self.name, self.load_header = text.name, text.load_header.lower().encode()
+        self.uniform = random.Random(seed).random       # for the draw by weight; the module has its own
+        self.coordinator = Coordinator(seed, self.boot)
+        self.gathering = Gathering(host.loop, 0, self.handle)
+        self.tables = [Table() for _ in range(self.slices)]
+        self.servers: dict[str, Server] = {}
+        self.demand: dict[tuple[int, str], list[int]] = {}
+        self.version, self._turn, self.reported = 1, 0, host.loop.clock.now()
+        self.probes: set[Caller] = set()
+        self.report_due = None
+        for server in text.servers.values():
+            self.add(server)
+
+    def add(self, told) -> Server:
+        server = self.servers.get(told.name)
+        if server is None or server.address != told.address:
+            if server is not None:
+                server.drop_idle()
+            server = Server(told.name, told.address, self.host.text.limits["idle-upstream"])
+            self.servers[told.name] = server
+        server.listed = True
+        return server
+
+    def start(self) -> None:
+        """As one that has just joined: all slices are its own, and no line stands."""
+        entries = tuple(self.entry(s, "ready") for s in self.text.servers.values())
+        self.handle(self.host.loop.clock.now(),
+                    [face.BackendList("full", self.version, entries),
+                     face.ProxyJoined(PROXY, self.host.text.single["zone"], 0.0, True),
+                     *(face.Charge(number, True) for number in range(self.slices))])
+        self.report_soon()
+
+    @staticmethod
+    def entry(told, state: str, started: int = 0) -> face.Listed:
+        return face.Listed(told.name, state, told.weight, told.zone, 0, told.kind, started)
+
+    # ---- what passes -------------------------------------------------------------------------------
+
+    def turn(self) -> int:
+        self._turn = (self._turn + 1) % self.slices
+        return self._turn
+
+    def came(self, number: int, method: str) -> None:
+        sums = self.demand.get((number, method))
+        if sums is None:
+            self.demand[number, method] = [1, 0]
+        else:
+            sums[0] += 1
+
+    def done(self, rpc, status: int) -> None:
+        if rpc.deadline is not None:
+            rpc.deadline.cancel()
+        self.host.log.counts["rpc_ok" if 0 < status < 500 else "rpc_not_ok"] += 1
+        if status >= 500 and (sums := self.demand.get((rpc.slice, rpc.route.rpc.name))):
+            sums[1] += 1
+
+    def load_came(self, server: Server, report: bytes) -> None:
+        """`queue:3,latency_ms:12.5`, names as in a load report of the platform; spoilt ones are left out."""
+        try:
+            pairs = [pair.split(":") for pair in report.decode("ascii").split(",")]
+            server.load = load_report((name.strip(), float(value)) for name, value in pairs)
+        except (ValueError, UnicodeDecodeError):
+            self.host.log.trouble("load_report_unreadable", server=server.name, report=report[:80])
+
+    def report_soon(self) -> None:
+        self.report_due = self.host.loop.at(self.reported + self.boot["report_every"], self.report)
+
+    def sums(self, now: int) -> list[face.Event]:
+        """What passed since the last time, as events; it is forgotten here."""
+        elapsed, self.reported = max(1, now - self.reported), now
+        events: list[face.Event] = []
+        for server in self.servers.values():
+            if server.tries:
+                events.append(face.Traffic(
+                    self.host.text.single["zone"], server.name, server.tries, server.failures,
+                    server.time // server.oks if server.oks else 0, elapsed, server.load))
+                server.forget_sums()
+        events += [face.SliceDemand(number, method, min(total, max(total, unanswered)), unanswered, elapsed)
+                   for (number, method), (total, unanswered) in self.demand.items()]
+        self.demand = {}
+        return events
+
+    def report(self) -> None:
+        self.gathering.add(*self.sums(self.host.loop.clock.now()))
+        self.report_soon()
+
+    # ---- the list ----------------------------------------------------------------------------------
+
+    def relist(self, servers: dict) -> dict[str, list[str]]:
+        """Another list of servers: one that is not named any more is gone, one that comes starts cold."""
+        old, now = self.text.servers, self.host.loop.clock.now()
+        came = [s for s in servers.values() if s.name not in old or old[s.name].address != s.address]
+        left = [s for s in old.values() if s.name not in servers]
+        for server in came:
+            self.add(server)
+        for server in left:
+            self.servers[server.name].listed = False
+            self.servers[server.name].drop_idle()
+        self.text.servers = servers
+        self.version += 1
+        entries = [self.entry(s, "ready", now if s in came else 0) for s in servers.values()]
+        entries += [self.entry(s, "gone") for s in left]
+        self.gathering.add(face.BackendList("changes", self.version, tuple(entries)))
+        return {"came": [s.name for s in came], "left": [s.name for s in left]}
+
+    # ---- the module --------------------------------------------------------------------------------
+
+    def handle(self, now: int, events: list[face.Event]) -> None:
+        for order in self.coordinator.handle(now, events):
+            self.carry_out(order)
+
+    def carry_out(self, order: face.Order) -> None:
+        match order:
+            case face.SetLine(table, backend, weight):
+                self.tables[table].set(self.servers[backend], weight)
+            case face.ClearTable(table):
+                self.tables[table].clear()
+            case face.SetLevel(number, places, level, tries):
+                some = self.tables if number == face.ALL_TABLES else [self.tables[number]]
+                for table in some:
+                    table.tries = tries
+                    if not places:
+                        table.level, table.levels = level, {}
+                    for place in places:
+                        table.levels[self.boot["methods"][place].name] = level
+            case face.Withdraw(backend, out):
+                self.servers[backend].withdrawn = out
+            case face.Mark(mark, _):
+                self.gathering.add(face.Acked(PROXY, mark, 0))
+            case face.SetTimer(due, tag):
+                self.host.loop.at(due, lambda: self.gathering.add_due(face.TimerDue(tag)))
+            case face.Probe(backend):
+                self.probe(backend)
+            case face.LogLine(text):
+                self.host.log.event("decision", pool=self.name, text=text)
+
+    def timer_again(self) -> None:
+        """The module's timer, after its state came from elsewhere."""
+        if due := self.coordinator.timer:
+            self.carry_out(face.SetTimer(due, "beat"))
+
+    def probe(self, backend: str) -> None:
+        server = self.servers.get(backend)
+        if server is None:
+            self.gathering.add(face.Probed(backend, "connect_failed", 0))
+            return
+        caller = Caller(self.host.loop, server.address, self.PROBE)
+        self.probes.add(caller)
+        caller.request("GET", self.text.probe, self.PROBE,
+                       lambda answer: self.probed(backend, caller, answer))
+
+    def probed(self, backend: str, caller: Caller, answer: Answer) -> None:
+        self.probes.discard(caller)
+        outcome = ("ok" if answer.status == 200 else "error") if answer.outcome == "answered" else {
+            "unreadable": "error", "unreached": "timeout"}.get(answer.outcome, answer.outcome)
+        self.gathering.add(face.Probed(backend, outcome, answer.duration))
+
+    def sweep(self, now: int) -> None:
+        for server in self.servers.values():
+            server.drop_idle(now - self.host.text.waits["upstream"])
+
+    def close(self) -> None:
+        if self.report_due is not None:
+            self.report_due.cancel()
+        for caller in list(self.probes):
+            caller.close()
+        for server in self.servers.values():
+            server.drop_idle()
--- /dev/null
+++ b/indigohitch/standins/server.py
@@ -0,0 +1,186 @@
+"""A stand-in for a server: answers RPCs, counts what it acted on, and fails as the request asks.
+
+A request's header `X-Act` orders faults, as `word` or `word=value` by commas:
+    wait=MS         answer so much later
+    status=N        with that status
+    size=BYTES      a body of that length; `chunks`: in chunks; `drip=MS`: a kilobyte each so many ms
+    early           answer before the body has come
+    reset           reset instead of answering, after acting; `reset_head`: after the answer's head
+    mute            never answer
+    doubled         an answer with two lengths
+`X-Id` names an act: how often each was acted on is kept.  GET /stats tells the counts, GET /health/live
+answers 200."""
+from __future__ import annotations
+
+import signal
+import socket
+import struct
+import sys
+from collections import Counter
+
+import httptools
+import orjson
+
+from ..net.clock import SECOND, Clock
+from ..net.connection import Listener
+from ..net.loop import Loop
+from ..net.ring import Pool
+from ..net.stream import Stream
+
+
+class Peer:
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.stream = Stream.accepted(server.loop, sock, self, Stream.BOUND, server.memory)
+        self.queue: list[tuple] = []            # requests whose bodies have come, in order
+        self.busy = False
+        self.writing = b""
+        self.begin()
+
+    def begin(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_message_begin(self) -> None:
+        self.target, self.heads, self.got = b"", {}, 0
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.heads[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.method = self.parser.get_method()
+        self.act = dict((pair.partition("=")[::2]) for pair in
+                        self.heads.get(b"x-act", b"").decode().split(",") if pair)
+        if self.heads.get(b"expect"):
+            self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if "early" in self.act:
+            self.queue.append((self.method, self.target, self.heads, self.act, 0))
+
+    def on_body(self, part: bytes) -> None:
+        self.got += len(part)
+
+    def on_message_complete(self) -> None:
+        if "early" not in self.act:
+            self.queue.append((self.method, self.target, self.heads, self.act, self.got))
+
+    def heard(self, stream: Stream) -> None:
+        data = stream.incoming.take()
+        self.server.counts["bytes"] += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass
+        except httptools.HttpParserError:
+            stream.close()
+            return
+        self.next()
+
+    def next(self) -> None:
+        if self.busy or not self.queue or not self.stream.open:
+            return
+        self.busy = True
+        method, target, heads, act, got = self.queue.pop(0)
+        server = self.server
+        if target in (b"/stats", b"/health/live"):
+            stats = orjson.dumps({"counts": server.counts, "acts": server.acts})
+            self.answer(200, stats if target == b"/stats" else b"", {})
+            return
+        server.counts["requests"] += 1
+        server.counts[target.split(b"/")[1].decode("latin-1")] += 1
+        if id := heads.get(b"x-id"):
+            server.acts[id.decode()] = server.acts.get(id.decode(), 0) + 1
+        if "reset" in act:
+            self.reset()
+        elif "mute" not in act:
+            body = b"x" * int(act["size"]) if "size" in act else b"%s acted %d" % (server.name, got)
+            wait = int(float(act.get("wait", server.service)) * SECOND // 1000)
+            if wait:
+                server.loop.after(wait, lambda: self.answer(int(act.get("status", 200)), body, act, method))
+            else:
+                self.answer(int(act.get("status", 200)), body, act, method)
+
+    def reset(self) -> None:
+        self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.stream.close()
+
+    def answer(self, status: int, body: bytes, act: dict, method: bytes = b"GET") -> None:
+        if not self.stream.open:
+            return
+        chunks = "chunks" in act
+        head = b"HTTP/1.1 %d Fine\r\nContent-Type: text/plain\r\nX-Server: %s\r\n%b" % (
+            status, self.server.name, b"Transfer-Encoding: chunked\r\n" if chunks
+            else b"Content-Length: %d\r\n" % len(body))
+        if "doubled" in act:
+            head += b"Content-Length: 3\r\n"
+        if method == b"HEAD":
+            body = b""
+        elif chunks:
+            body = b"".join(b"%x\r\n%b\r\n" % (len(body[i:i + 1000]), body[i:i + 1000])
+                            for i in range(0, len(body), 1000)) + b"0\r\n\r\n"
+        if "reset_head" in act:
+            self.stream.write(head + b"\r\n" + body[:1])
+            self.server.loop.after(50, self.reset)
+            return
+        if "drip" in act:
+            self.stream.write(head + b"\r\n")
+            self.writing = body
+            self.drip(int(act["drip"]) * SECOND // 1000)
+            return
+        self.writing = head + b"\r\n" + body
+        self.drained(self.stream)
+
+    def drip(self, gap: int) -> None:
+        part, self.writing = self.writing[:1024], self.writing[1024:]
+        self.stream.write(part)
+        if self.writing:
+            self.server.loop.after(gap, lambda: self.drip(gap))
+        else:
+            self.done()
+
+    def done(self) -> None:
+        self.busy = False
+        self.next()
+
+    def drained(self, stream: Stream) -> None:
+        while self.writing and stream.room() > 0:
+            part, self.writing = self.writing[:stream.room()], self.writing[stream.room():]
+            stream.write(part)
+        if not self.writing and self.busy:
+            self.done()
+
+    def closed(self, stream: Stream, why: str) -> None:
+        self.server.peers.discard(self)
+
+
+class Server:
+    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0) -> None:
+        """`service`: ms that every answer takes."""
+        self.loop, self.name, self.service = loop, name.encode(), service
+        self.memory = Pool(1 << 30)
+        self.counts: Counter[str] = Counter()
+        self.acts: dict[str, int] = {}
+        self.peers: set[Peer] = set()
+        self.listener = Listener(loop, at, self.greet, print)
+
+    def greet(self, sock: socket.socket) -> bool:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.counts["connections"] += 1
+        self.peers.add(Peer(self, sock))
+        return True
+
+
+def main(at: tuple[str, int], name: str, service: float) -> None:
+    if not at[0].startswith("127."):
+        raise SystemExit("a stand-in listens on loopback only")
+
+    def failed(broken: BaseException) -> None:
+        print(f"stand-in: {type(broken).__name__}: {broken}", file=sys.stderr, flush=True)
+    loop = Loop(Clock(), failed)
+    Server(loop, name, at, service)
+    print(f"{name} on {at[0]}:{at[1]}", flush=True)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    signal.signal(signal.SIGINT, lambda *_: sys.exit(0))
+    while True:
+        loop.turn()
--- /dev/null
+++ b/indigohitch/upgrade/module_state.py
@@ -0,0 +1,187 @@
+"""All that the decision module holds, as plain data and back.  No I/O; it decides nothing.
+
+The orders of dicts, lists of parts and draws of chance are part of the state: the module that is built from
+it must order what the old one would have, to the letter.  A field that the module gets needs a place here;
+tests/test_upgrade_state.py compares the two over random days and fails where one is missing."""
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import msgspec
+
+from ..logic import Backend, Coordinator, Part, Slice, Sums
+
+
+class Row(msgspec.Struct, array_like=True):
+    """Fields are only ever added, at the end and with a default."""
+
+
+class SumsRow(Row):
+    span: int
+    at: int
+    values: list[float]
+
+
+class BackendRow(Row):
+    id: str
+    kind: str
+    zone: str
+    weight: float
+    started: int
+    state: str
+    dropped: bool
+    told: int
+    pace: SumsRow
+    tries: SumsRow
+    slowness: float
+    excess: float
+    probe_out: int
+    misses: int
+    miss_since: int
+    ok_heard: int
+    unanswered: int
+    health: float
+    admit: float
+    judged: int
+    wait: float
+    doubtful: bool
+    lost: bool
+    intake: int
+    warmth: float
+    capacity: float
+    load: float
+    parts: list[tuple[int, int]]        # slice, place among its parts
+
+
+class SliceRow(Row):
+    number: int
+    since: int
+    parts: list[tuple[int, int]]        # owner (place in the backends, -1: none), rests until
+    stored: list[tuple[int, float]]     # backend, weight
+    level: float
+    demand: SumsRow
+    usual: SumsRow
+    load: float
+    cost: float
+
+
+class ModuleRow(Row):
+    chance: tuple[int, list[int], float | None]
+    now: int
+    beats: int
+    mark: int
+    backends: list[BackendRow]
+    slices: list[SliceRow]
+    proxies: list[tuple[int, str]]
+    due: list[tuple[int, str]]
+    plan_from: int
+    yield_: float
+    failing: float
+    assessed: int
+    turn: int
+    strained: bool
+    balancing: bool
+    held: bool
+    list_fresh: bool
+    levels_sent: list[int]
+    withdrawn: list[int]
+    returned: list[int]
+    backlog: float
+    backlog_at: int
+    sent: list[int]
+    unacked: list[tuple[int, int, list[int]]]
+    next_beat: int
+    timer: int
+
+
+PLAIN = ("now", "beats", "mark", "plan_from", "yield_", "failing", "assessed", "turn", "strained",
+         "balancing", "held", "list_fresh", "backlog", "backlog_at", "next_beat", "timer")
+OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
+              "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
+              "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load")
+OF_SLICE = ("since", "level", "load", "cost")
+
+
+def _named(thing, names: tuple[str, ...], row: type[Row]) -> dict:
+    """Its fields; where a float is due an int is made one, so that reading back changes nothing."""
+    kinds = row.__annotations__
+    return {name: float(getattr(thing, name)) if kinds[name] == "float" else getattr(thing, name)
+            for name in names}
+
+
+def _sums(sums: Sums) -> SumsRow:
+    return SumsRow(sums.span, sums.at, sums.values)
+
+
+def _back(row: SumsRow) -> Sums:
+    sums = Sums(row.span, 0)
+    sums.at, sums.values = row.at, list(row.values)
+    return sums
+
+
+def freeze(c: Coordinator) -> ModuleRow:
+    """Between two calls of `handle`: orders are out, and the transient lists are empty."""
+    place = {b: at for at, b in enumerate(c.backends.values())}
+    # A backend may stand in a table after it has left the list of those known.
+    loose = {b: None for s in c.slices.values() for b in (*s.stored, *s.owners()) if b not in place}
+    loose |= {b: None for b in (*c.withdrawn, *c.returned) if b not in place}
+    for b in loose:
+        place[b] = len(place)
+    where = {part: (s.number, at) for s in c.slices.values() for at, part in enumerate(s.parts)}
+    version, internal, gauss = c.uniform.__self__.getstate()
+    return ModuleRow(
+        chance=(version, list(internal), gauss),
+        backends=[BackendRow(id=b.id, pace=_sums(b.pace), tries=_sums(b.tries),
+                             parts=[where[p] for p in b.parts if p in where],
+                             **_named(b, OF_BACKEND, BackendRow)) for b in place],
+        slices=[SliceRow(number=s.number, parts=[(place[p.owner] if p.owner else -1, p.rests_until)
+                                                 for p in s.parts],
+                         stored=[(place[b], float(weight)) for b, weight in s.stored.items()],
+                         demand=_sums(s.demand), usual=_sums(s.usual),
+                         **_named(s, OF_SLICE, SliceRow)) for s in c.slices.values()],
+        proxies=list(c.proxies.items()), due=list(c.due), levels_sent=sorted(c.levels_sent),
+        withdrawn=sorted(place[b] for b in c.withdrawn), returned=sorted(place[b] for b in c.returned),
+        sent=list(c.sent), unacked=[(mark, lines, sorted(proxies))
+                                    for mark, (lines, proxies) in c.unacked.items()],
+        **_named(c, PLAIN, ModuleRow))
+
+
+def thaw(row: ModuleRow, boot: dict) -> Coordinator:
+    """Raises ValueError or IndexError where the parts of the state do not fit together."""
+    c = Coordinator(0, boot)
+    chance = random.Random()
+    chance.setstate((row.chance[0], tuple(row.chance[1]), row.chance[2]))
+    c.uniform = chance.random
+    for name in PLAIN:
+        setattr(c, name, getattr(row, name))
+    backends = []
+    for found in row.backends:
+        b = Backend(found.id)
+        for name in OF_BACKEND:
+            setattr(b, name, getattr(found, name))
+        b.pace, b.tries = _back(found.pace), _back(found.tries)
+        c.backends[b.id] = b
+        backends.append(b)
+    for found in row.slices:
+        s = Slice(found.number, found.since)
+        for name in OF_SLICE:
+            setattr(s, name, getattr(found, name))
+        s.demand, s.usual = _back(found.demand), _back(found.usual)
+        s.stored = {backends[at]: weight for at, weight in found.stored}
+        for at, rests in found.parts:
+            part = Part(s, None)
+            part.owner, part.rests_until = (backends[at] if at >= 0 else None), rests
+            s.parts.append(part)
+        c.slices[s.number] = s
+    for b, found in zip(backends, row.backends):
+        b.parts = [c.slices[number].parts[at] for number, at in found.parts]
+        if any(p.owner is not b for p in b.parts):
+            raise ValueError(f"a part at {b.id} has another owner")
+    c.proxies = dict(row.proxies)
+    c.due = [tuple(entry) for entry in row.due]
+    c.levels_sent = set(row.levels_sent)
+    c.withdrawn, c.returned = ({backends[at] for at in places} for places in (row.withdrawn, row.returned))
+    c.sent = deque(row.sent)
+    c.unacked = {mark: (lines, set(proxies)) for mark, lines, proxies in row.unacked}
+    return c
--- /dev/null
+++ b/indigohitch/upgrade/snapshot.py
@@ -0,0 +1,154 @@
+"""A snapshot as bytes and as a file: whole, of a version that this program reads, and unharmed, or refused.
+
+Form: magic, schema version, length, digest, msgpack.  A reader takes versions from its own less one to its
+own plus one: fields of array-like rows are only added, at the end and with defaults, so that the older lacks
+some and the newer brings some that are passed over."""
+from __future__ import annotations
+
+import hashlib
+import os
+import struct
+
+import msgspec
+
+from .module_state import ModuleRow, Row
+
+SCHEMA = 1
+MAGIC = b"IHSNAP\r\n"           # as in PNG: a transfer that changes line ends shows itself
+_HEAD = struct.Struct("!8sHQ16s")
+MOST = 1 << 30
+
+
+class Unusable(ValueError):
+    """A snapshot that is refused whole."""
+
+
+class ServerRow(Row):
+    name: str
+    host: str
+    port: int
+    withdrawn: bool
+    listed: bool
+    load: dict[str, float]
+
+
+class TableRow(Row):
+    lines: list[tuple[int, float]]      # place in the servers, weight
+    level: float
+    levels: dict[str, float]
+    tries: int
+
+
+class PoolRow(Row):
+    name: str
+    slices: int
+    module: ModuleRow
+    servers: list[ServerRow]
+    tables: list[TableRow]
+    chance: tuple[int, list[int], float | None]
+    version: int
+    turn: int
+    reported: int
+    listed: list[tuple]                 # name, host, port, weight, zone, kind: the list as last told
+    probing: list[str]                  # probes that are out: to be sent again
+
+
+class SidecarState(Row):
+    pools: list[PoolRow]
+
+
+class CallRow(Row):
+    orders: list[tuple]
+
+
+class StoodRow(Row):
+    number: int
+    lines: list[tuple[str, float]]
+    level: tuple | None
+
+
+class CoordinatorState(Row):
+    """Of the platform's front."""
+    module: ModuleRow
+    listed: list[tuple]
+    addresses: dict[str, str]
+    heard_of: list[str]
+    version: int
+    waiting: list[list[tuple]]          # the relay's calls that do not stand yet
+    written: list[int]
+    failures: int
+    proxies: list[tuple]
+    stood: list[StoodRow]
+    begun: bool
+    lost: list[int]
+    probing: list[str]
+
+
+class Snapshot(Row):
+    kind: str                           # "sidecar" or "coordinator"
+    taken: int                          # Unix time, tenths of a ms
+    sidecar: SidecarState | None = None
+    coordinator: CoordinatorState | None = None
+
+
+def encode(snapshot: Snapshot, version: int = SCHEMA) -> bytes:
+    body = msgspec.msgpack.encode(snapshot)
+    return _HEAD.pack(MAGIC, version, len(body), digest(body, version)) + body
+
+
+def digest(body: bytes, version: int = SCHEMA) -> bytes:
+    return hashlib.blake2b(body, digest_size=16, salt=version.to_bytes(2, "big")).digest()
+
+
+def decode(data: bytes, own: int = SCHEMA) -> Snapshot:
+    """Raises Unusable."""
+    if len(data) < _HEAD.size:
+        raise Unusable("truncated: no whole head")
+    magic, version, length, found = _HEAD.unpack_from(data)
+    if magic != MAGIC:
+        raise Unusable("no snapshot")
+    if not own - 1 <= version <= own + 1:
+        raise Unusable(f"of version {version}; this program reads {max(1, own - 1)} to {own + 1}")
+    body = data[_HEAD.size:]
+    if len(body) != length:
+        raise Unusable(f"truncated or added to: {len(body)} bytes of {length}")
+    if digest(body, version) != found:
+        raise Unusable("harmed: another digest")
+    try:
+        return msgspec.msgpack.decode(body, type=Snapshot)
+    except msgspec.MsgspecError as bad:
+        raise Unusable(f"not in this form: {bad}") from None
+
+
+def write(path: str, data: bytes) -> None:
+    """Whole or not at all: what stood there before stays until all of the new one is on the disk."""
+    part = f"{path}.{os.getpid()}.part"
+    try:
+        fd = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[os.write(fd, view):]
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        os.rename(part, path)
+    except OSError:
+        try:
+            os.unlink(part)
+        except OSError:
+            pass
+        raise
+    folder = os.open(os.path.dirname(os.path.abspath(path)), os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def read(path: str) -> Snapshot:
+    """Raises OSError, Unusable."""
+    with open(path, "rb") as file:
+        if os.fstat(file.fileno()).st_size > MOST:
+            raise Unusable("larger than any state")
+        return decode(file.read())
--- /dev/null
+++ b/indigohitch/upgrade/taking.py
@@ -0,0 +1,196 @@
+"""The new process' side of an upgrade: drives a `Taker` with what happens, and does what it says."""
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+
+from ..log import Log
+from ..net.clock import SECOND
+from ..net.loop import Deadline, Loop
+from . import snapshot as shots
+from . import words
+from .channel import Channel
+from .giving import Connection, Side
+from .launch import Watch
+from .machine import Phase, Taker
+
+
+class Taking:
+    ORPHAN = 2 * SECOND         # a process that ends closes its channel first; it is dead within a moment
+
+    def __init__(self, loop: Loop, log: Log, side: Side, channel: socket.socket, old: int,
+                 began: Callable[[], None], ended: Callable[[int], None]) -> None:
+        """`began`: this process is the service.  `ended(code)`: it is not to be."""
+        self.loop, self.log, self.side = loop, log, side
+        self.began, self.ended = began, ended
+        self.machine = Taker()
+        self.deadline: Deadline | None = None
+        self.listeners: dict[str, socket.socket] = {}
+        self.parts, self.size, self.rehearse_at = bytearray(), 0, 0
+        self.shot: shots.Snapshot | None = None
+        self.passed: list[tuple[int, Connection]] = []
+        self.why, self.rest, self.reload = "", b"", False
+        self.channel: Channel | None = Channel(loop, channel, self.heard, self.channel_ended)
+        try:
+            self.watch: Watch | None = Watch(loop, old, self.died)
+        except ProcessLookupError:
+            self.watch = None
+            loop.after(0, self.died)
+
+    @property
+    def over(self) -> bool:
+        """The old process is no more, or has said its last word."""
+        return self.machine.phase in (Phase.SERVING, Phase.ENDED)
+
+    def start(self) -> None:
+        self.step("started")
+
+    def step(self, event: str, why: str = "") -> None:
+        machine, was = self.machine, self.machine.phase
+        self.why = why or self.why
+        acts = machine.step(event, why)
+        if machine.phase is not was:
+            self.log.event("takeover", was=was.value, now=machine.phase.value, on=event,
+                           **({"why": why} if why else {}))
+            if self.deadline is not None:
+                self.deadline.cancel()
+                self.deadline = None
+            if machine.wait is not None:
+                self.deadline = self.loop.after(self.ORPHAN, lambda: self.step("deadline"))
+        for act in acts:
+            getattr(self, f"do_{act.value}")()
+        if machine.phase is Phase.SERVING and was is not Phase.SERVING:
+            self.close()
+
+    # ---- what is heard -----------------------------------------------------------------------------
+
+    def heard(self, word: words.Word, descriptors: list[int]) -> None:
+        match word:
+            case words.Listeners(names, now, size, at):
+                if len(descriptors) != len(names):
+                    self.step("failed", "listeners without descriptors")
+                    return
+                self.listeners = {name: socket.socket(fileno=fd) for name, fd in zip(names, descriptors)}
+                self.size, self.rehearse_at = size, at
+                self.loop.clock.follow(now)
+                self.step("listeners")
+            case words.Piece(data):
+                self.parts += data
+                if len(self.parts) >= self.size:
+                    self.step("state")
+            case words.Passed(numbers, rests, kinds):
+                if not len(numbers) == len(rests) == len(kinds) == len(descriptors):
+                    self.step("failed", "connections without descriptors")
+                    return
+                found = [(number, (kind, socket.socket(fileno=fd), rest))
+                         for number, kind, fd, rest in zip(numbers, kinds, descriptors, rests)]
+                if self.machine.accepting:
+                    self.say(words.Adopted(numbers))    # before a byte is read of them
+                    self.adopt(found)
+                else:
+                    self.passed += found
+            case words.Commit(rest, reload):
+                self.rest, self.reload = rest, reload
+                self.step("commit")
+            case words.Rest(rest):
+                self.side.take_rest(rest)
+            case words.Done():
+                self.step("done")
+            case words.CallOff(why):
+                self.step("call_off", why)
+            case _:
+                self.step("failed", f"{type(word).__name__} from the old process")
+
+    def channel_ended(self, why: str, broken: bool) -> None:
+        self.channel = None
+        self.step("failed" if broken and not self.machine.accepting else "eof", why)
+
+    def died(self) -> None:
+        self.watch = None
+        if self.channel is not None:
+            self.channel.read()                 # what it said before counts: connections may be among it
+        self.step("died", "the old process is dead")
+
+    def say(self, word: words.Word) -> None:
+        if self.channel is not None:
+            self.channel.say(word)
+
+    def adopt(self, found: list[tuple[int, Connection]]) -> None:
+        for _, connection in found:
+            self.side.adopt(*connection)
+
+    # ---- what is done ------------------------------------------------------------------------------
+
+    def do_hello(self) -> None:
+        self.say(words.Hello(words.PROTOCOL, shots.SCHEMA, os.getpid()))
+
+    def do_restore(self) -> None:
+        try:
+            data, self.parts = bytes(self.parts), bytearray()
+            self.shot = shots.decode(data)
+            self.side.restore(self.shot, self.listeners)
+            built = shots.encode(self.side.again())
+        except Exception as bad:                # whatever is wrong with it: the old one carries on
+            self.step("failed", f"restore: {type(bad).__name__}: {bad}")
+            return
+        self.say(words.Restored(shots.digest(built)))
+        self.step("built")
+
+    def do_prove(self) -> None:
+        try:
+            for name, sock in self.listeners.items():
+                if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                    raise ValueError(f"{name} does not listen")
+            orders = self.side.rehearse_copy(self.shot, self.rehearse_at)
+        except Exception as bad:
+            self.step("failed", f"proof: {type(bad).__name__}: {bad}")
+            return
+        self.say(words.Proven(orders))
+        self.step("works")
+
+    def do_accept(self) -> None:
+        passed, self.passed = self.passed, []
+        self.say(words.Adopted([number for number, _ in passed]))
+        self.say(words.Accepting())
+        self.side.take_rest(self.rest)
+        self.side.begin(True)
+        self.adopt(passed)
+        self.began()
+
+    def do_begin(self) -> None:
+        """The old one is dead: with the state if it is whole, else as at any start; with its listeners if
+        they came, else at the address, which is free now."""
+        passed, self.passed = self.passed, []
+        self.log.trouble("begun_as_orphan", restored=self.machine.state, listeners=len(self.listeners),
+                         connections=len(passed))
+        try:
+            if not self.machine.state:
+                self.side.fresh(self.listeners)
+            self.side.begin(self.machine.state)
+        except OSError as bad:
+            self.log.event("cannot_start", why=str(bad))
+            self.ended(1)
+            return
+        self.adopt(passed)
+        self.began()
+
+    def do_refuse(self) -> None:
+        self.log.trouble("upgrade_refused", why=self.why)
+        self.say(words.Refuse(self.why))
+        if self.channel is not None:
+            self.channel.flush_hard()
+
+    def do_end(self) -> None:
+        self.close()
+        self.ended(1)
+
+    def close(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+            self.channel = None
+        if self.watch is not None:
+            self.watch.close()
+            self.watch = None
+
+
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,6 +7,7 @@
 import pytest
 
 from indigohitch import interface as face
+from indigohitch.gather import Gathering
 from indigohitch.log import Log
 from indigohitch.net.clock import Clock
 from indigohitch.net.connection import address
@@ -16,7 +17,6 @@
 from indigohitch.net.slots import Slots
 from indigohitch.platformlink import tables
 from indigohitch.platformlink.discovery import read_list
-from indigohitch.platformlink.gather import Gathering
 from indigohitch.platformlink.holdings import Holdings
 from indigohitch.platformlink.news import EventStream
 from indigohitch.platformlink.relay import BYTES, encode, merge, pieces, read_answer
