--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -14,10 +14,18 @@
 
 
 @main.command()
-def run() -> None:
+@click.option("--operator", type=click.Path(dir_okay=False), help="A file that allows upgrades.")
+def run(operator: str | None) -> None:
     """One coordinator, told by BALANCER_CONFIG what it serves."""
-    from .service import main as serve
-    sys.exit(serve())
+    if operator is None:
+        from .service import main as serve
+        sys.exit(serve())
+    from . import coordinator
+    from .sidecar import conf
+    try:
+        sys.exit(coordinator.main(operator))
+    except (conf.Mistakes, OSError) as bad:
+        refuse(str(bad))
 
 
 def refuse(text: str) -> None:
@@ -85,11 +93,20 @@
     tell(asked(file, "snapshot", 30.0))
 
 
+def control_of(file: str) -> str:
+    """Of a sidecar's file, or of a coordinator's."""
+    from .sidecar import conf
+    try:
+        return conf.load_operator(file).single["control"]
+    except conf.Mistakes:
+        return conf.load(file).single["control"]
+
+
 def asked(file: str, what: str, wait: float) -> dict:
     from .control import ask
     from .sidecar import conf
     try:
-        path = conf.load(file).single["control"]
+        path = control_of(file)
         if not path:
             refuse(f"{file}: no line `control`")
         return ask(path, what, wait)
--- /dev/null
+++ b/indigohitch/coordinator.py
@@ -0,0 +1,68 @@
+"""A coordinator that can be upgraded: the platform's front with an operator's file beside the platform's
+configuration.  For installations that allow a control socket and a second process for a moment."""
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Mapping
+
+from .platformlink.front import Front
+from .platformlink.handover import Handover
+from .replaceable import Replaceable
+from .service import UNUSABLE, configuration
+from .sidecar import conf
+from .upgrade import launch
+
+
+class Coordinating(Replaceable):
+    def __init__(self, environ: Mapping[str, str], text: conf.Text) -> None:
+        self.environ, self.source = environ, text.source
+        super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
+
+    def make_side(self) -> Handover:
+        return Handover(None, self.make, self.controls, self.control_taken, self.reload)
+
+    def make(self, listening: socket.socket | None) -> Front:
+        return Front(self.loop, self.log,
+                     configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"), listening)
+
+    def turn(self) -> None:
+        if self.side.front is not None:
+            self.side.front.gathering.turn()
+
+    def without_state(self) -> None:
+        if self.side.front is not None:
+            self.side.front.close()
+        self.side = self.giving.side = self.make_side()
+
+    def more_figures(self) -> dict:
+        front = self.side.front
+        return {"proxies": len(front.holdings.proxies), "slices": len(front.holdings.stood),
+                "calls_waiting": len(front.relay.waiting), "news_begun": front.holdings.begun}
+
+    def program_now(self) -> list[str]:
+        try:
+            return conf.load_operator(self.source).single["program"]
+        except (OSError, ValueError):
+            return self.lines["program"]
+
+    def reload(self) -> None:
+        try:
+            self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
+        except UNUSABLE as bad:
+            self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
+
+    def all_done(self) -> bool:
+        return self.side.front.relay.idle
+
+    def close(self) -> None:
+        if self.side.front is not None:
+            self.side.front.close()
+
+
+def main(file: str) -> int:
+    """Raises conf.Mistakes, OSError."""
+    channel = launch.inherited()
+    text = conf.load_operator(file)
+    os.set_blocking(1, False)
+    return Coordinating(os.environ, text).run(channel)
--- a/indigohitch/gather.py
+++ b/indigohitch/gather.py
@@ -37,6 +37,11 @@
         events, self.events, self.ready = self.events, [], False
         return [event for event in events if type(event) is not face.TimerDue]
 
+    def give_back(self, events: list[face.Event]) -> None:
+        """What was taken, as the other module came to nothing: it came first."""
+        later, self.events = self.events, []
+        self.add(*events, *later)
+
     def turn(self) -> None:
         """At the end of a turn of the loop: all that has come, if its time is up, at once."""
         if self.ready and not self.held:
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -89,6 +89,15 @@
         self.incoming.close()
         self.outgoing.close()
 
+    def detach(self) -> tuple[socket.socket, bytes]:
+        """Out of the loop, without closing: the socket, and what it brought that nobody took."""
+        rest = self.incoming.peek()
+        self.loop.forget(self.sock, self._number)
+        self.open = False
+        self.incoming.close()
+        self.outgoing.close()
+        return self.sock, rest
+
     def _flush(self) -> str:
         """Write what the socket takes; returns what is wrong with it, if anything."""
         try:
--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -110,18 +110,15 @@
                 return
 
     def close(self, why: str = "") -> None:
-        if self.open and not self._mask:
-            self.loop.resume(self.sock, self._number, READ)     # for the selector to forget it
-            self._mask = READ
+        self._known()
         super().close(why)
 
     def detach(self) -> tuple[socket.socket, bytes]:
-        """Out of the loop, without closing: the socket, and what it brought that nobody took."""
-        rest = self.incoming.peek()
-        if not self._mask:
+        self._known()
+        return super().detach()
+
+    def _known(self) -> None:
+        """To the selector, which is to forget it."""
+        if self.open and not self._mask:
             self.loop.resume(self.sock, self._number, READ)
-        self.loop.forget(self.sock, self._number)
-        self.open = False
-        self.incoming.close()
-        self.outgoing.close()
-        return self.sock, rest
+            self._mask = READ
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -99,13 +99,14 @@
     ZONE = 4
 
     def __init__(self, loop: Loop, log: Log, hear: Callable, at: tuple[str, int], limits: Limits,
-                 known: Known) -> None:
+                 known: Known, listening: socket.socket | None = None) -> None:
         self.loop, self.log, self.hear, self.most, self.known = loop, log, hear, limits.callers, known
         self.pool = Pool(limits.callers_pool)
         # Oldest first, both.
         self.strangers: OrderedDict[Connection, None] = OrderedDict()
         self.members: OrderedDict[Connection, None] = OrderedDict()
-        self.listener = Listener(loop, at, self.greet, lambda why: log.trouble("accept_failed", why=why))
+        self.listener = Listener(loop, at, self.greet, lambda why: log.trouble("accept_failed", why=why),
+                                 listening)
         self.sweep: Deadline = loop.after(self.SWEEP, self.drop_late)
 
     def greet(self, sock: socket.socket) -> bool:
@@ -124,6 +125,20 @@
         self.log.count("accepted")
         return True
 
+    def adopt(self, sock: socket.socket, rest: bytes, zone: str, began: int, heard_at: int, unfinished: int,
+              spoilt: int) -> None:
+        """A caller of the process before this one, with what it said that was not read."""
+        caller = Caller(self)
+        bound = Caller.STRANGER_LINE + (Caller.MESSAGE if zone else 0)
+        connection = Connection.accepted(self.loop, sock, caller, bound, self.pool)
+        (self.members if zone else self.strangers)[connection] = None
+        caller.zone, caller.began, caller.heard_at = zone, began, heard_at
+        caller.unfinished_since, caller.spoilt = unfinished, spoilt
+        if not connection.incoming.push(rest):
+            self.drop(connection, "accepted_no_memory")     # its owner comes again, and says it whole
+        elif rest:
+            caller.heard(connection)
+
     def joined(self, connection: Connection) -> None:
         zone = connection.reader.zone
         self.strangers.pop(connection, None)
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -2,6 +2,8 @@
 calls.  It decides nothing."""
 from __future__ import annotations
 
+import socket
+
 from .. import interface as face
 from ..bootstrap import bootstrap
 from ..gather import Gathering
@@ -25,7 +27,7 @@
     GONE = 256                  # ids off the list that may still be named, as many as the module keeps
     ANEW = SECOND // 2          # until a new module is told all: what broke the last one may still be there
 
-    def __init__(self, loop: Loop, log: Log, found: dict) -> None:
+    def __init__(self, loop: Loop, log: Log, found: dict, listening: socket.socket | None = None) -> None:
         """Of the configuration `found`, ValueError and KeyError tell what can't be read; of the address
         to listen on, OSError."""
         self.loop, self.log = loop, log
@@ -49,7 +51,8 @@
         self.known = Known(frozenset(zones if zones is not None else (e.zone for e in known.entries)),
                            frozenset(method.name for method in self.boot["methods"]),
                            slices if slices else face.ALL_TABLES, self.heard_of)
-        self.collectors = Collectors(loop, log, self.hear, address(found["listen"]), limits, self.known)
+        self.collectors = Collectors(loop, log, self.hear, address(found["listen"]), limits, self.known,
+                                     listening)
 
     @staticmethod
     def _read(found: dict) -> tuple:
--- /dev/null
+++ b/indigohitch/platformlink/handover.py
@@ -0,0 +1,191 @@
+"""The platform's front as something that can be handed over: its state as rows and back, its callers.
+
+Callers go over with the line that they have not finished.  Calls to the relay do too: none is out while the
+state is taken, so that each is sent by one process, and the times of those that went count in the next one.
+News, the watch of discovery and probes are asked for anew; each begins with what stands, as after a break."""
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+import orjson
+
+from .. import interface as face
+from ..net.connection import Connection as Wire
+from ..net.connection import Listener
+from ..upgrade import events
+from ..upgrade import snapshot as shots
+from ..upgrade.giving import Connection
+from ..upgrade.module_state import freeze, thaw
+from . import tables
+from .front import Front
+
+# What the old one hears after its state was taken and the new one would not: it asks for the rest itself.
+HANDED_ON = (face.SliceDemand, face.ProxyDemand, face.Traffic, face.Acked, face.Probed)
+
+
+def front_state(front: Front) -> shots.CoordinatorState:
+    relay, holdings = front.relay, front.holdings
+    return shots.CoordinatorState(
+        freeze(front.coordinator), [list(events.listed(entry)) for entry in front.listed.values()],
+        front.addresses, list(front.heard_of), front.discovery.version, front.discovery.watching,
+        [[list(events.pack(order)) for order in call] for call in relay.waiting], list(relay.written),
+        relay.failures, [list(events.pack(joined)) for joined in holdings.proxies.values()],
+        [shots.StoodRow(number, [(b, float(w)) for b, w in table.lines.items()],
+                        None if table.level is None else list(events.pack(table.level)))
+         for number, table in holdings.stood.items()],
+        holdings.begun, sorted(holdings.lost),
+        [b.id for b in front.coordinator.backends.values() if b.probe_out])
+
+
+def restore_front(front: Front, state: shots.CoordinatorState) -> None:
+    front.coordinator = thaw(state.module, front.boot)
+    front.gathering.take()                      # the list of the configuration is older than the state
+    front.listed = {entry.backend: entry for entry in (face.Listed(*row) for row in state.listed)}
+    front.addresses = dict(state.addresses)
+    front.heard_of.clear()
+    front.heard_of.update(dict.fromkeys(state.heard_of))        # the reader of lines holds the same dict
+    front.discovery.version = state.version
+    relay, holdings = front.relay, front.holdings
+    relay.held = True
+    relay.waiting = deque([events.unpack(order) for order in call] for call in state.waiting)
+    relay.written, relay.failures, relay.idle = deque(state.written), state.failures, not state.waiting
+    holdings.proxies = {joined.proxy: joined for joined in map(events.unpack, state.proxies)}
+    holdings.stood = {row.number: tables.Table(dict(row.lines), row.level and events.unpack(row.level))
+                      for row in state.stood}
+    holdings.begun, holdings.lost = state.begun, set(state.lost)
+
+
+class Handover:
+    """Of a front; see upgrade.giving.Side.  In the new process `make(listening)` makes the front."""
+
+    def __init__(self, front: Front | None, make: Callable[[socket.socket | None], Front],
+                 controls: Callable[[], Listener | None], control_taken: Callable[[socket.socket], None],
+                 reload: Callable[[], None]) -> None:
+        self.front, self.make, self.controls = front, make, controls
+        self.control_taken, self.reload = control_taken, reload
+        self.given: dict[str, socket.socket] = {}
+        self.kept: list[face.Event] = []        # given on, until the upgrade stands
+        self.state: shots.CoordinatorState | None = None
+        self.taken = 0
+        self.pass_on: Callable[[Connection], bool] = lambda connection: False
+        self.passing = False
+
+    # ---- in the old process ------------------------------------------------------------------------
+
+    def listeners(self) -> dict[str, socket.socket]:
+        control = self.controls()
+        callers = {"callers": self.front.collectors.listener.sock}
+        return callers | ({"control": control.sock} if control else {})
+
+    def settle(self, on: bool) -> None:
+        self.front.relay.hold(on)
+
+    def settled(self) -> bool:
+        return not self.front.relay.out
+
+    def freeze(self) -> shots.Snapshot:
+        self.front.holdings.settle_now()        # lines that came for a slice: the module hears of them later
+        self.front.gathering.held = True
+        return self.snapshot()
+
+    def snapshot(self) -> shots.Snapshot:
+        return shots.Snapshot("coordinator", self.front.loop.clock.now(), None, front_state(self.front))
+
+    def thaw(self, state: bytes | None) -> None:
+        front, self.passing = self.front, False
+        if state is not None:
+            front.coordinator = thaw(shots.decode(state).coordinator.module, front.boot)
+        front.gathering.held = False
+        kept, self.kept = self.kept, []
+        front.gathering.give_back(kept)
+        self.timer_again()
+
+    def timer_again(self) -> None:
+        if due := self.front.coordinator.timer:
+            self.front._carry([face.SetTimer(due, "beat")])
+
+    def accept(self, on: bool) -> None:
+        self.front.collectors.listener.accept(on)
+        control = self.controls()
+        if control:
+            control.accept(on)
+
+    def rest(self) -> bytes:
+        taken = self.front.gathering.take()
+        self.kept += taken
+        return msgspec.msgpack.encode(events.pack_all(e for e in taken if isinstance(e, HANDED_ON)))
+
+    def idle(self) -> list[Connection]:
+        hub = self.front.collectors
+        return [self.take_out(c) for c in [*hub.strangers, *hub.members] if not len(c.outgoing)]
+
+    def take_out(self, connection: Wire) -> Connection:
+        caller = connection.reader
+        self.front.collectors.gone(connection)
+        kind = orjson.dumps([caller.zone, caller.began, caller.heard_at, caller.unfinished_since,
+                             caller.spoilt])
+        return (kind.decode(), *connection.detach())
+
+    def adopt(self, kind: str, sock: socket.socket, rest: bytes) -> None:
+        self.front.collectors.adopt(sock, rest, *orjson.loads(kind))
+
+    def drain(self, pass_on: Callable[[Connection], bool]) -> None:
+        self.pass_on, self.passing = pass_on, True
+
+    def drained(self) -> bool:
+        """Callers that had something to be written when the rest went over follow as soon as it is."""
+        for connection in self.idle() if self.passing else ():
+            if not self.pass_on(connection):
+                connection[1].close()
+        hub = self.front.collectors
+        return not hub.strangers and not hub.members
+
+    def rehearse(self, at: int) -> bytes:
+        return events.rehearsed([self.front.coordinator], at)
+
+    # ---- in the new process ------------------------------------------------------------------------
+
+    def restore(self, state: shots.Snapshot, listeners: dict[str, socket.socket]) -> None:
+        if state.coordinator is None:
+            raise ValueError(f"the state of a {state.kind}")
+        self.fresh(listeners)
+        self.state, self.taken = state.coordinator, state.taken
+        restore_front(self.front, self.state)
+
+    def again(self) -> shots.Snapshot:
+        again = self.snapshot()
+        again.taken = self.taken
+        again.coordinator.watching = self.state.watching
+        return again
+
+    def rehearse_copy(self, state: shots.Snapshot, at: int) -> bytes:
+        return events.rehearsed([thaw(state.coordinator.module, self.front.boot)], at)
+
+    def take_rest(self, rest: bytes) -> None:
+        self.front.hear(*events.unpack_all(msgspec.msgpack.decode(rest)))
+
+    def fresh(self, listeners: dict[str, socket.socket]) -> None:
+        self.given = listeners
+        self.front = self.make(listeners.get("callers"))
+        self.front.collectors.listener.accept(False)
+
+    def begin(self, restored: bool) -> None:
+        front = self.front
+        if "control" in self.given:
+            self.control_taken(self.given["control"])
+        front.collectors.listener.accept(True)
+        front.start()
+        if not restored:
+            return
+        self.timer_again()
+        if self.state.watching:
+            front.discovery.subscribe(True)
+        for backend in self.state.probing:
+            front.probes.send(backend, front.addresses.get(backend))
+        if front.holdings.lost:
+            front.holdings.tell_lost_soon()
+        front.relay.hold(False)
+
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -138,9 +138,16 @@
     def dropped(self, orders: list[face.Order]) -> None:
         """Orders that will never stand: the module is told what does."""
         if not self.lost:
-            self.loop.after(self.RETELL, self._tell_lost)
+            self.tell_lost_soon()
         self.lost |= tables.touched(orders)
 
+    def tell_lost_soon(self) -> None:
+        self.loop.after(self.RETELL, self._tell_lost)
+
+    def settle_now(self) -> None:
+        """Lines that came for a slice are told, whether or not more may come."""
+        self._settle()
+
     def _tell_lost(self) -> None:
         lost, self.lost = self.lost, set()
         self._tell(sorted(lost & set(self.stood)))
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -10,7 +10,7 @@
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.http import Answer, Client
-from ..net.loop import Loop
+from ..net.loop import Deadline, Loop
 
 BYTES = 60_000                  # of orders that a call may carry, says the protocol
 
@@ -111,6 +111,8 @@
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
         self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
         self.failures, self.idle = 0, True
+        self.held = self.out = False            # no call begins; one has gone and nothing is known of it yet
+        self.due: Deadline | None = None        # when the next one is to begin, where that waits
 
     def move(self, to: tuple[str, int]) -> bool:
         """Calls go to another address from the next one on; one that is out ends where it began."""
@@ -134,9 +136,16 @@
         elif self.idle:
             self._call()
 
+    def hold(self, on: bool) -> None:
+        """While it is on no call begins; one that is out comes to its end."""
+        self.held = on
+        if not on and not self.out and self.due is None and self.waiting:
+            self._call()
+
     def _call(self) -> None:
+        self.due = None
         self.idle = not self.waiting
-        if self.idle:
+        if self.idle or self.held:
             return
         # The module counts its replies.  What goes again may have gone before, and what had to wait goes
         # in a burst: neither may give a proxy more messages than it is allowed.
@@ -145,17 +154,18 @@
             self.written.popleft()
         if self.most and len(self.written) >= self.most:
             self.log.trouble("call_held_back", calls=len(self.waiting))
-            self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
+            self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
         self.written.append(now)
         body = urlencode({"Action": "CommitChanges",
                           "orders": ";".join(encode(o, self.methods) for o in self.waiting[0])})
         self.log.count("relay_calls")
+        self.out = True
         self.client.request("POST", "/", self.SPAN, self._answered, body.encode("ascii"),
                             "application/x-www-form-urlencoded")
 
     def _answered(self, answer: Answer) -> None:
-        orders = self.waiting[0]
+        orders, self.out = self.waiting[0], False
         try:
             if answer.outcome in ("connect_failed", "unreached"):
                 self.written.pop()
@@ -179,14 +189,14 @@
         elif said == "Throttling":
             self.log.count("relay_throttled")
             self.written.pop()
-            self.loop.after(self.THROTTLED, self._call)
+            self.due = self.loop.after(self.THROTTLED, self._call)
         else:
             # Carried out or not at all: the same once more, before anything later.
             self.log.trouble("relay_call_unclear", why=said, orders=len(orders), tries=self.failures + 1,
                              after_ms=answer.duration / 10)
             step = self.AGAIN[min(self.failures, len(self.AGAIN) - 1)]
             self.failures += 1
-            self.loop.after(step, self._call)
+            self.due = self.loop.after(step, self._call)
 
     def _taken(self, count: int) -> None:
         orders = self.waiting.popleft()
--- /dev/null
+++ b/indigohitch/replaceable.py
@@ -0,0 +1,252 @@
+"""A process that can replace itself: upgrades both ways, the control socket, the state's and the pid's file.
+
+Used by the sidecar, and by a coordinator that is run with an operator's file; the platform's `run` has none
+of this and imports none of it."""
+from __future__ import annotations
+
+import enum
+import os
+import signal
+import socket
+from collections.abc import Callable
+
+from .control import Control
+from .net.clock import SECOND
+from .net.connection import Listener
+from .process import Process
+from .upgrade import snapshot as shots
+from .upgrade.giving import Giving, Side
+from .upgrade.machine import Phase as Handing
+from .upgrade.taking import Taking
+
+# What a state that does not fit shows itself by.
+UNFIT = (shots.Unusable, ValueError, IndexError, KeyError, TypeError, AttributeError)
+
+
+class Phase(enum.Enum):
+    STARTING = "starting"
+    TAKING_OVER = "taking over"
+    SERVING = "serving"
+    ENDING = "ending"           # accepts nobody; what is in hand is finished, for a while
+    ENDED = "ended"
+
+
+class Replaceable(Process):
+    SIGNALS = (*Process.SIGNALS, signal.SIGUSR2)
+    POLL = SECOND // 100        # while it ends: whether the last thing in hand is done
+
+    def __init__(self, name: str, lines: dict, waits: dict) -> None:
+        """`lines`: the operator's `control`, `state`, `pidfile`, `program`; `waits`: `drain`, `start`."""
+        super().__init__(Phase.STARTING, name)
+        self.lines, self.waits, self.code = lines, waits, 0
+        self.control: Control | None = None
+        self.side: Side = self.make_side()
+        self.askers: list[Callable[[dict], None]] = []
+        self.giving = Giving(self.loop, self.log, self.side, lines["program"], waits, self.handed_over,
+                             self.reported)
+        self.taking: Taking | None = None
+
+    # ---- what a program adds -----------------------------------------------------------------------
+
+    def make_side(self) -> Side:
+        raise NotImplementedError
+
+    def turn(self) -> None:
+        """At the end of each turn of the loop."""
+
+    def more_figures(self) -> dict:
+        return {}
+
+    def program_now(self) -> list[str]:
+        """The operator's line `program` as it is now; of a file with mistakes, as it was: the new process
+        reads that file too, and says what is wrong with it."""
+        return self.lines["program"]
+
+    def reload(self) -> None: ...
+
+    def begin_to_end(self) -> None:
+        """Accept nobody any more."""
+
+    def all_done(self) -> bool:
+        """While it ends: nothing is in hand."""
+        return True
+
+    def close(self) -> None: ...
+
+    def without_state(self) -> None:
+        """A state was refused half way: as if none had been read."""
+
+    # ---- phases ------------------------------------------------------------------------------------
+
+    def run(self, channel: tuple[socket.socket, int] | None = None) -> int:
+        """Returns the exit code; `channel`: where the process is that this one follows."""
+        self.log.event("starts", pid=os.getpid(), follows=channel[1] if channel else None)
+        if channel is not None:
+            self.become(Phase.TAKING_OVER)
+            self.taking = Taking(self.loop, self.log, self.side, *channel, self.begun, self.end_with)
+            self.taking.start()
+        elif not self.start():
+            return 1
+        while self.phase is not Phase.ENDED:
+            self.loop.turn()
+            self.loop.guarded(self.turn)
+        self.log.counters()
+        return self.code
+
+    def start(self) -> bool:
+        try:
+            restored = self.restore()
+            if not restored:
+                self.side.fresh({})
+            self.side.begin(restored)
+            self.open_control()
+        except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
+            self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
+            self.become(Phase.ENDED)
+            return False
+        self.begun()
+        return True
+
+    def restore(self) -> bool:
+        """From the state's file, if there is one that fits; one that does not changes nothing."""
+        path = self.lines["state"]
+        if not path or not os.path.exists(path):
+            return False
+        try:
+            state = shots.read(path)
+            # Its times are the wall's; where that has been set back since, go on from there.
+            if state.taken > self.clock.now():
+                self.clock.follow(state.taken)
+            self.side.restore(state, {})
+        except (OSError, *UNFIT) as bad:
+            self.log.trouble("state_refused", path=path, why=f"{type(bad).__name__}: {bad}")
+            self.without_state()
+            return False
+        self.log.event("state_read", path=path, age_ms=(self.clock.now() - state.taken) / 10)
+        return True
+
+    def open_control(self) -> None:
+        if self.control is None and self.lines["control"]:
+            self.control = Control(self.loop, self.lines["control"], self.asked)
+
+    def controls(self) -> Listener | None:
+        return self.control and self.control.listener
+
+    def control_taken(self, sock: socket.socket) -> None:
+        if sock.getsockname() == self.lines["control"]:
+            self.control = Control(self.loop, self.lines["control"], self.asked, sock)
+        else:
+            sock.close()                        # the file names another path by now
+
+    def begun(self) -> None:
+        if self.taking is not None:
+            try:
+                self.open_control()
+            except OSError as bad:
+                self.log.trouble("no_control", why=str(bad))
+        if path := self.lines["pidfile"]:
+            try:
+                shots.write(path, b"%d\n" % os.getpid())
+            except OSError as bad:
+                self.log.trouble("no_pidfile", why=str(bad))
+        self.become(Phase.SERVING)
+        if self.taking is not None and self.taking.reload:
+            self.reload()
+
+    def end_with(self, code: int) -> None:
+        self.code = code
+        self.become(Phase.ENDED)
+
+    # ---- signals and people ------------------------------------------------------------------------
+
+    def signalled(self, number: int) -> None:
+        if number == signal.SIGUSR1:
+            self.log.counters()
+        elif number == signal.SIGUSR2:
+            self.upgrade(lambda told: None)
+        elif number == signal.SIGHUP:
+            if self.giving.under_way:
+                self.giving.reload = True       # by whoever is the service afterwards
+            elif self.phase is Phase.SERVING:
+                self.reload()
+        elif self.phase is Phase.TAKING_OVER:
+            self.taking.step("told_to_end", "SIGTERM")
+        elif self.phase is Phase.SERVING:
+            self.giving.step("told_to_end", "SIGTERM")
+
+    def asked(self, what: str, answer: Callable[[dict], None]) -> None:
+        if what == "status":
+            answer(self.figures())
+        elif what == "upgrade":
+            self.upgrade(answer)
+        elif what == "snapshot":
+            answer(self.save() if self.lines["state"] else {"error": "the file has no line `state`"})
+        else:
+            answer({"error": f"no such word: {what[:40]}"})
+
+    def figures(self) -> dict:
+        return {"name": self.log.name, "pid": os.getpid(), "phase": self.phase.value,
+                "upgrade": self.giving.machine.phase.value, "counters": dict(sorted(self.log.counts.items())),
+                **self.more_figures()}
+
+    def upgrade(self, answer: Callable[[dict], None]) -> None:
+        follows = self.taking is not None and not self.taking.over
+        if self.phase is not Phase.SERVING or self.giving.under_way or follows:
+            why = ("an upgrade is under way" if self.giving.under_way
+                   else "the process before this one still drains" if follows
+                   else f"the program is {self.phase.value}")
+            self.log.count("upgrades_not_now")
+            answer({"result": "not now", "error": why})
+            return
+        self.askers.append(answer)
+        self.giving.program = self.program_now()
+        self.giving.step("asked")
+
+    def reported(self, told: dict) -> None:
+        askers, self.askers = self.askers, []
+        for answer in askers:
+            answer(told if told["result"] == "upgraded" else told | {"error": told["result"]})
+
+    def save(self) -> dict:
+        """The state into its file, whole or not at all."""
+        path, data = self.lines["state"], shots.encode(self.side.snapshot())
+        try:
+            shots.write(path, data)
+        except OSError as bad:
+            self.log.trouble("state_not_written", path=path, why=str(bad))
+            return {"error": str(bad)}
+        self.log.event("state_written", path=path, bytes=len(data))
+        return {"path": path, "bytes": len(data)}
+
+    # ---- the end -----------------------------------------------------------------------------------
+
+    @property
+    def handed(self) -> bool:
+        """Another process is the service."""
+        return self.giving.machine.phase is Handing.ENDED
+
+    def handed_over(self) -> None:
+        """The upgrade's machine has no more to do here: a new one is the service, or this was told to end."""
+        if self.handed or self.phase is not Phase.SERVING:
+            self.end()
+            return
+        self.become(Phase.ENDING)
+        self.begin_to_end()
+        if self.lines["state"]:
+            self.save()
+        self.loop.after(self.waits["drain"], self.end)
+        self.wait_for_last()
+
+    def wait_for_last(self) -> None:
+        if self.phase is Phase.ENDING:
+            if self.all_done():
+                self.end()
+            else:
+                self.loop.after(self.POLL, self.wait_for_last)
+
+    def end(self) -> None:
+        if self.phase is not Phase.ENDED:
+            self.close()
+            if self.control is not None:
+                self.control.close(unlink=not self.handed)
+            self.become(Phase.ENDED)
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -24,6 +24,16 @@
     ENDED = "ended"
 
 
+def configuration(environ: Mapping[str, str], *variables: str) -> dict:
+    """What the platform hands over; the variables named win over the file, which says more."""
+    with open(environ["BALANCER_CONFIG"], "rb") as file:
+        found = orjson.loads(file.read())
+    for variable in variables:
+        if variable in environ:
+            found[variable.removeprefix("BALANCER_").lower()] = environ[variable]
+    return found
+
+
 class Service(Process):
     GRACE = SECOND // 4         # of the 0.7 s until SIGKILL
 
@@ -32,20 +42,11 @@
         self.environ = environ
         self.front: Front | None = None
 
-    def configuration(self, *variables: str) -> dict:
-        """What the platform hands over; the variables named win over the file, which says more."""
-        with open(self.environ["BALANCER_CONFIG"], "rb") as file:
-            found = orjson.loads(file.read())
-        for variable in variables:
-            if variable in self.environ:
-                found[variable.removeprefix("BALANCER_").lower()] = self.environ[variable]
-        return found
-
     def reload(self) -> None:
         """The file as it is now; one that can't be used changes nothing.  It is newer than the variable
         that told of discovery at the start; the address to listen on can't change while callers hold it."""
         try:
-            self.front.reload(self.configuration("BALANCER_LISTEN"))
+            self.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
         except UNUSABLE as bad:
             self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
 
@@ -53,7 +54,7 @@
         """Returns the exit code."""
         try:
             self.front = Front(self.loop, self.log,
-                               self.configuration("BALANCER_LISTEN", "BALANCER_DISCOVERY"))
+                               configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"))
         except UNUSABLE as bad:
             self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
             self.become(Phase.ENDED)
--- a/indigohitch/sidecar/conf.py
+++ b/indigohitch/sidecar/conf.py
@@ -95,7 +95,8 @@
           "memory": (size, 64 << 20), "idle-upstream": (count, 64)}
 WAITS = {"idle": (span, 60 * SECOND), "head": (span, 10 * SECOND), "stream": (span, 60 * SECOND),
          "upstream": (span, 4 * SECOND), "connect": (span, SECOND // 4), "drain": (span, 30 * SECOND),
-         "start": (span, 10 * SECOND)}
+         "start": (span, 10 * SECOND), "takeover": (span, 10 * SECOND), "commit": (span, 2 * SECOND),
+         "watch": (span, SECOND)}
 RPC = {"soft": span, "deadline": span, "criticality": positive}
 POOL = {"slices": count, "report": span, "probe": path, "load-header": name, "come-back": span,
         "warm": span, "cold-from": positive, "grace": span, "fall": positive}
@@ -324,3 +325,28 @@
     except UnicodeDecodeError as bad:
         line = raw[:bad.start].count(b"\n") + 1
         raise Mistakes(source, [(line, "not UTF-8")]) from None
+
+
+# What a coordinator's operator may say; all else the platform tells it.
+OPERATOR = ("control", "state", "pidfile", "program")
+
+
+def load_operator(source: str) -> Text:
+    """The operator's file of a coordinator: `control`, `state`, `pidfile`, `program` and `wait drain|start`.
+    Raises Mistakes, OSError."""
+    with open(source, encoding="utf-8") as file:
+        lines = file.read().splitlines()
+    reader = Reader(source)
+    for at, line in enumerate(lines, 1):
+        word = line.split("#")[0].split()[:1]
+        if word and word[0] not in (*OPERATOR, "wait"):
+            reader.mistakes.append((at, f"{word[0]!r} is not for a coordinator; there are "
+                                        f"{', '.join(OPERATOR)}, wait"))
+        else:
+            reader.guarded(at, reader.directive, at, line)
+    for given, known in ((reader.single, SINGLE), (reader.waits, WAITS)):
+        for key, (_, default) in known.items():
+            given.setdefault(key, default)
+    if reader.mistakes:
+        raise Mistakes(source, reader.mistakes)
+    return Text(source, reader.single, {}, reader.waits, {}, {}, Routes())
--- a/indigohitch/sidecar/framing.py
+++ b/indigohitch/sidecar/framing.py
@@ -82,7 +82,7 @@
             elif not line:
                 self.done = True
             else:
-                self._trailers += len(line)
+                self._trailers += len(line) + 2
                 if self._trailers > self.TRAILERS:
                     raise Malformed("the trailers are too long")
         return b"".join(parts)
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -1,7 +1,6 @@
 """The sidecar as something that can be handed over: its state as rows and back, its connections."""
 from __future__ import annotations
 
-import hashlib
 import random
 import socket
 from collections.abc import Callable
@@ -24,12 +23,6 @@
     return version, list(internal), gauss
 
 
-def rehearsed(coordinators, at: int) -> bytes:
-    """Digest of what these order next, one after another."""
-    orders = [events.pack_all(coordinator.handle(at, [])) for coordinator in coordinators]
-    return hashlib.blake2b(msgspec.msgpack.encode(orders), digest_size=16).digest()
-
-
 def pool_row(pool: Pool) -> shots.PoolRow:
     servers = list(pool.servers.values())
     place = {server: at for at, server in enumerate(servers)}
@@ -73,6 +66,7 @@
         self.cold: list[str] = []               # pools that the state had nothing usable of
         self.given: dict[str, socket.socket] = {}
         self.rows: dict[str, shots.PoolRow] = {}
+        self.kept: dict[str, list] = {}         # events given on, until the upgrade stands
         self.taken = 0
 
     # ---- in the old process ------------------------------------------------------------------------
@@ -104,6 +98,7 @@
             if pool.report_due is None:
                 pool.report_soon()
             pool.gathering.held = False
+            pool.gathering.give_back(self.kept.pop(pool.name, []))
             pool.timer_again()
 
     def accept(self, on: bool) -> None:
@@ -125,7 +120,9 @@
             if pool.report_due is not None:
                 pool.report_due.cancel()
                 pool.report_due = None
-            rows[pool.name] = (events.pack_all([*pool.gathering.take(), *pool.sums(now)]), now)
+            taken = [*pool.gathering.take(), *pool.sums(now)]
+            self.kept.setdefault(pool.name, []).extend(taken)
+            rows[pool.name] = (events.pack_all(taken), now)
         return msgspec.msgpack.encode(rows)
 
     def idle(self) -> list[Connection]:
@@ -155,7 +152,7 @@
         return not len(self.host.clients)
 
     def rehearse(self, at: int) -> bytes:
-        return rehearsed((pool.coordinator for pool in self.host.pools.values()), at)
+        return events.rehearsed((pool.coordinator for pool in self.host.pools.values()), at)
 
     # ---- in the new process ------------------------------------------------------------------------
 
@@ -180,8 +177,9 @@
         return again
 
     def rehearse_copy(self, state: shots.Snapshot, at: int) -> bytes:
-        return rehearsed((thaw(row.module, self.host.pools[row.name].boot) for row in state.sidecar.pools
-                          if row.name not in self.cold), at)
+        boots = {name: pool.boot for name, pool in self.host.pools.items() if name not in self.cold}
+        return events.rehearsed((thaw(row.module, boots[row.name]) for row in state.sidecar.pools
+                                 if row.name in boots), at)
 
     def take_rest(self, rest: bytes) -> None:
         for name, (rows, until) in msgspec.msgpack.decode(rest).items():
--- a/indigohitch/upgrade/channel.py
+++ b/indigohitch/upgrade/channel.py
@@ -27,6 +27,7 @@
         self.arrived: deque[int] = deque()              # descriptors not given to a word yet
         self.out: deque[tuple[memoryview, list[int]]] = deque()
         self.open, self._mask, self._waiting = True, READ, False
+        self.ending = False
         self.number = loop.watch(sock, self, READ)
 
     def say(self, word: Word, descriptors: Sequence[int] = ()) -> None:
@@ -84,7 +85,7 @@
     def read(self) -> None:
         """All that has come."""
         room = socket.CMSG_SPACE(self.MOST_DESCRIPTORS * 4)
-        while self.open:
+        while self.open and not self.ending:
             try:
                 data, ancillary, flags, _ = self.sock.recvmsg(1 << 18, room, socket.MSG_CMSG_CLOEXEC)
             except BlockingIOError:
@@ -116,9 +117,14 @@
                 return
 
     def end(self, why: str, broken: bool) -> None:
-        if self.open:
+        """Where what came can't be read, there may be last words to say."""
+        if not self.open or self.ending:
+            return
+        self.ending = True
+        if not broken:
             self.close()
-            self.ended(why, broken)
+        self.ended(why, broken)
+        self.close()
 
     def flush_hard(self, most: int = SECOND // 5) -> None:
         """Last words before this process ends: wait for them to be taken, a moment at most."""
--- a/indigohitch/upgrade/events.py
+++ b/indigohitch/upgrade/events.py
@@ -2,8 +2,11 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 from collections.abc import Iterable
 
+import msgspec
+
 from .. import interface as face
 
 _TYPES = {kind.__name__: kind for kind in (
@@ -45,3 +48,9 @@
 
 def unpack_all(rows: Iterable) -> list:
     return [unpack(row) for row in rows]
+
+
+def rehearsed(coordinators: Iterable, at: int) -> bytes:
+    """Digest of what these modules order next, one after another; it moves them."""
+    orders = [pack_all(coordinator.handle(at, [])) for coordinator in coordinators]
+    return hashlib.blake2b(msgspec.msgpack.encode(orders), digest_size=16).digest()
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -50,6 +50,7 @@
              "commit": 2 * SECOND, "drain": 30 * SECOND, "reclaim": SECOND,
              "watch": SECOND}           # the old one stands by: a first accept or plan that fails shows
     POLL = SECOND // 200
+    ENDING = SECOND // 50               # from the end of its channel to the death of a process that ends
     PIECE = 1 << 20
     REHEARSE = 2 * SECOND               # ahead: four beats, so that the module has something to order
 
@@ -57,7 +58,10 @@
                  ended: Callable[[], None], reported: Callable[[dict], None]) -> None:
         """`ended`: this process has nothing more to do.  `reported`: what the upgrade came to."""
         self.loop, self.log, self.side, self.program = loop, log, side, program
-        self.waits = self.WAITS | waits
+        known = {name: span for name, span in waits.items() if name in self.WAITS}
+        if "takeover" in waits:
+            known |= {"give": waits["takeover"], "prove": waits["takeover"]}
+        self.waits = self.WAITS | known
         self.ended, self.reported = ended, reported
         self.machine = Giver()
         self.started: Started | None = None
@@ -123,8 +127,14 @@
                 self.step("broken", f"{type(word).__name__} from the new process")
 
     def channel_ended(self, why: str, broken: bool) -> None:
-        self.channel = None
-        self.step("broken" if broken else "eof", why)
+        started = self.started
+        if broken:
+            self.step("broken", why)
+            self.channel = None
+        else:
+            self.channel = None
+            # A process that ends closes its channel first; how it ended tells more.
+            self.loop.after(self.ENDING, lambda: started is self.started and self.step("eof", why))
 
     def died(self, why: str) -> None:
         if self.channel is not None:
@@ -140,8 +150,14 @@
     def do_spawn(self) -> None:
         self.figures = {"asked": self.loop.clock.now()}
         self.reload = False
+        one: list[Started] = []
+
+        def died(why: str) -> None:
+            if one and one[0] is self.started:      # not of an earlier upgrade, which was killed late
+                self.died(why)
         try:
-            self.started = Started(self.loop, self.program, self.died)
+            self.started = Started(self.loop, self.program, died)
+            one.append(self.started)
         except OSError as bad:
             self.step("refused", f"the new program can't be started: {bad}")
             return
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -90,7 +90,7 @@
     backlog: float
     backlog_at: int
     sent: list[int]
-    unacked: list[tuple[int, int, list[int]]]
+    unacked: list[tuple[int, float, list[int]]]
     next_beat: int
     timer: int
 
@@ -142,7 +142,7 @@
                          **_named(s, OF_SLICE, SliceRow)) for s in c.slices.values()],
         proxies=list(c.proxies.items()), due=list(c.due), levels_sent=sorted(c.levels_sent),
         withdrawn=sorted(place[b] for b in c.withdrawn), returned=sorted(place[b] for b in c.returned),
-        sent=list(c.sent), unacked=[(mark, lines, sorted(proxies))
+        sent=list(c.sent), unacked=[(mark, float(lines), sorted(proxies))
                                     for mark, (lines, proxies) in c.unacked.items()],
         **_named(c, PLAIN, ModuleRow))
 
--- a/indigohitch/upgrade/snapshot.py
+++ b/indigohitch/upgrade/snapshot.py
@@ -57,30 +57,27 @@
     pools: list[PoolRow]
 
 
-class CallRow(Row):
-    orders: list[tuple]
-
-
 class StoodRow(Row):
     number: int
     lines: list[tuple[str, float]]
-    level: tuple | None
+    level: list | None                  # the order that set it
 
 
 class CoordinatorState(Row):
     """Of the platform's front."""
     module: ModuleRow
-    listed: list[tuple]
+    listed: list[list]
     addresses: dict[str, str]
     heard_of: list[str]
     version: int
-    waiting: list[list[tuple]]          # the relay's calls that do not stand yet
-    written: list[int]
+    watching: bool
+    waiting: list[list[list]]           # the relay's calls that do not stand yet, each of orders
+    written: list[int]                  # when calls went out that count as messages to the proxies
     failures: int
-    proxies: list[tuple]
+    proxies: list[list]                 # as they joined
     stood: list[StoodRow]
     begun: bool
-    lost: list[int]
+    lost: list[int]                     # tables to be told anew
     probing: list[str]
 
 
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -103,7 +103,8 @@
                 self.step("failed", f"{type(word).__name__} from the old process")
 
     def channel_ended(self, why: str, broken: bool) -> None:
-        self.channel = None
+        if not broken:
+            self.channel = None
         self.step("failed" if broken and not self.machine.accepting else "eof", why)
 
     def died(self) -> None:
--- /dev/null
+++ b/tests/field.py
@@ -0,0 +1,165 @@
+"""A sidecar as a program between stand-in servers and stand-in clients, on loopback."""
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from indigohitch import control
+from indigohitch.standins.load import Load
+from world import eventually, free_address
+
+HERE = Path(__file__).parent
+FAULTY = f"{sys.executable} {HERE / 'faulty.py'}"
+RPCS = """
+rpc search idempotent soft 2s deadline 4s criticality 2
+rpc place-reserve non-idempotent soft 1.2s deadline 3s criticality 2
+pool nodes slices {slices} report 200ms come-back 2s
+route GET /vacancies/{{block}} rpc search pool nodes key path 1
+route HEAD /vacancies/{{block}} rpc search pool nodes key path 1
+route POST /places/{{id}}/reserve rpc place-reserve pool nodes key path 1
+route POST /vacancies/{{block}} rpc search pool nodes key path 1
+"""
+
+
+class Field:
+    def __init__(self, path, servers=2, service=2.0, slices=32, more=()):
+        self.path, self.listen = path, free_address()
+        self.socket, self.file = str(path / "control"), path / "sidecar.conf"
+        self.log_file, self.pids = open(path / "log", "wb"), set()
+        self.servers = [free_address() for _ in range(servers)]
+        self.standins = [subprocess.Popen(
+            [sys.executable, "-m", "indigohitch", "stand-in", at, "--name", f"s{n}", "--service",
+             str(service)], stdout=subprocess.PIPE) for n, at in enumerate(self.servers)]
+        for process in self.standins:
+            process.stdout.readline()           # it listens
+        self.more, self.slices = list(more), slices
+        self.write()
+
+    def write(self, *lines, servers=None):
+        """The operator's file."""
+        some = self.servers if servers is None else servers
+        self.file.write_text("\n".join([
+            f"name field\nlisten {self.listen}\ncontrol {self.socket}\npidfile {self.path / 'pid'}",
+            RPCS.format(slices=self.slices),
+            *(f"server s{self.servers.index(at)} {at} pool nodes" for at in some), *self.more, *lines, ""]))
+
+    def fault(self, point, how):
+        """The next program has a fault; `\"\"`: none."""
+        self.write(f"program {FAULTY} {point} {how} sidecar {self.file}" if point else "")
+
+    def start(self):
+        before = len(self.said("phase", now="serving"))
+        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", "sidecar", str(self.file)],
+                                        stdout=self.log_file, stderr=self.log_file)
+        eventually(lambda: self.said("phase", now="serving")[before:] or self.process.poll() is not None)
+        return self
+
+    def ask(self, what, wait=20):
+        return control.ask(self.socket, what, wait)
+
+    def pid(self):
+        """Of the one that serves now."""
+        return self.ask("status")["pid"]
+
+    @property
+    def log(self):
+        lines = (self.path / "log").read_bytes().split(b"\n")[:-1]
+        return [json.loads(line) for line in lines if line.startswith(b"{")]
+
+    def said(self, event, **words):
+        return [e for e in self.log if e["event"] == event and words.items() <= e.items()]
+
+    def get(self, target="/vacancies/1", method="GET", body=None, act="", id="", headers=(), timeout=10):
+        host, port = self.listen.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+        extra = ({"X-Act": act} if act else {}) | ({"X-Id": id} if id else {}) | dict(headers)
+        connection.request(method, target, body, extra)
+        answer = connection.getresponse()
+        answer.content = answer.read()
+        connection.close()
+        return answer
+
+    def raw(self, data=b""):
+        host, port = self.listen.split(":")
+        sock = socket.create_connection((host, int(port)), 10)
+        sock.sendall(data)
+        return sock
+
+    def acts(self):
+        """How often each id was acted on, by all servers."""
+        sums = {}
+        for at in self.servers:
+            host, port = at.split(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=10)
+            connection.request("GET", "/stats")
+            for id, count in json.loads(connection.getresponse().read())["acts"].items():
+                sums[id] = sums.get(id, 0) + count
+            connection.close()
+        return sums
+
+    def load(self, rate, seconds, **words):
+        """An open loop in a thread of its own; `join` gives its figures."""
+        return Running(self, rate, seconds, **words)
+
+    def close(self):
+        pids = {e.get("pid") for e in self.said("starts")}
+        for pid in {self.process.pid, *filter(None, pids)}:
+            try:
+                if self.mine(pid):
+                    os.kill(pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
+        self.process.wait()
+        for process in self.standins:
+            process.kill()
+            process.wait()
+            process.stdout.close()
+        self.log_file.close()
+
+    def mine(self, pid):
+        """A process of this field: it names its file."""
+        try:
+            return str(self.file).encode() in Path(f"/proc/{pid}/cmdline").read_bytes()
+        except OSError:
+            return False
+
+
+class Running:
+    def __init__(self, field, rate, seconds, **words):
+        host, port = field.listen.split(":")
+        self.made = Load((host, int(port)), **words)
+        self.thread = threading.Thread(target=self.made.run_open, args=(rate, seconds))
+        self.thread.start()
+
+    def join(self):
+        self.thread.join(60)
+        return self.made.figures()
+
+
+def answers(sock, count, timeout=10):
+    """So many whole answers off one connection, or what came until it ended."""
+    sock.settimeout(timeout)
+    reader, found = sock.makefile("rb"), []
+    for _ in range(count):
+        status = reader.readline()
+        if not status:
+            break
+        length = 0
+        while (line := reader.readline()) not in (b"\r\n", b""):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        found.append((int(status.split()[1]), reader.read(length)))
+    return found
+
+
+def until(condition, most=10.0):
+    end = time.monotonic() + most
+    while not condition():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/test_upgrade_state.py
@@ -0,0 +1,212 @@
+"""The module's state as bytes and back within seeded days; snapshots that are harmed; the channel."""
+import os
+import random
+import socket
+
+import msgspec
+import pytest
+
+import test_rules
+from indigohitch.interface import ALL_TABLES, SetLevel
+from indigohitch.net.clock import Clock
+from indigohitch.net.loop import Loop
+from indigohitch.upgrade import events, module_state, words
+from indigohitch.upgrade import snapshot as shots
+from indigohitch.upgrade.channel import Channel
+from world import World, entry
+
+
+def over_and_back(coordinator, boot):
+    row = module_state.freeze(coordinator)
+    data = msgspec.msgpack.encode(row)
+    again = module_state.thaw(msgspec.msgpack.decode(data, type=module_state.ModuleRow), boot)
+    assert msgspec.msgpack.encode(module_state.freeze(again)) == data
+    return again
+
+
+class Upgraded(World):
+    """A world whose module is replaced by its restored state at seeded moments."""
+    every = 0.0
+
+    def _handle(self, now, heard):
+        if random.Random(now).random() < self.every:
+            self.c = over_and_back(self.c, self.boot)
+        return super()._handle(now, heard)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_days_with_upgrades_are_the_days_without(seed, monkeypatch):
+    """The rules are checked after every step by the world; the orders are the same to the letter, so no field
+    is missing."""
+    monkeypatch.setattr(test_rules, "World", Upgraded)
+    logs = []
+    for every in (0.0, 0.3):
+        monkeypatch.setattr(Upgraded, "every", every)
+        logs.append(test_rules.random_day(seed).log)
+    assert logs[0] == logs[1] and sum(len(orders) for _, orders in logs[0]) > 50
+
+
+def test_a_missing_field_is_found(monkeypatch):
+    """The comparison can fail."""
+    thaw = module_state.thaw
+
+    def forgetful(row, boot):
+        for found in row.slices:
+            found.parts = [(owner, 0) for owner, _ in found.parts]      # since when each part rests
+        return thaw(row, boot)
+    monkeypatch.setattr(module_state, "thaw", forgetful)
+    monkeypatch.setattr(module_state.msgspec.msgpack, "encode", lambda row: row)
+    monkeypatch.setattr(module_state.msgspec.msgpack, "decode", lambda row, type: row)
+    with pytest.raises(AssertionError):
+        test_days_with_upgrades_are_the_days_without(1, monkeypatch)
+
+
+def test_every_field_of_the_module_has_a_place():
+    """One that is added later must be taken along, or be named here as one that is empty between calls."""
+    w = World()
+    w.start()
+    c = w.c
+    transient = {"boot", "uniform", "orders", "methods", "asking", "probing"}
+    assert set(vars(c)) - transient <= set(module_state.ModuleRow.__struct_fields__)
+    assert set(vars(next(iter(c.backends.values())))) - {"key"} <= set(
+        module_state.BackendRow.__struct_fields__)
+    assert set(vars(c.slices[0])) <= set(module_state.SliceRow.__struct_fields__)
+
+
+def shot():
+    w = World()
+    w.start(slices=4)
+    row = module_state.freeze(w.c)
+    state = shots.CoordinatorState(row, [], {}, [], 1, True, [], [5], 0, [], [], True, [], [])
+    return shots.Snapshot("coordinator", 7, None, state)
+
+
+def test_a_snapshot_that_is_harmed_is_refused_whole():
+    data = shots.encode(shot())
+    assert shots.decode(data).taken == 7
+    rng = random.Random(1)
+    for cut in [0, 1, 30, len(data) - 1, *(rng.randrange(len(data)) for _ in range(200))]:
+        with pytest.raises(shots.Unusable):
+            shots.decode(data[:cut])
+    for _ in range(2000):
+        harmed = bytearray(data)
+        harmed[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+        with pytest.raises(shots.Unusable):
+            shots.decode(bytes(harmed))
+    with pytest.raises(shots.Unusable):
+        shots.decode(data + b"x")
+
+
+class NewerRow(module_state.ModuleRow):
+    """As a later version may have it."""
+    more: int = 7
+
+
+@pytest.mark.parametrize("version, read", [(shots.SCHEMA - 1, True), (shots.SCHEMA + 1, True),
+                                           (shots.SCHEMA + 2, False)])
+def test_versions_one_off_are_read_others_refused(version, read):
+    found = shot()
+    module = found.coordinator.module
+    found.coordinator.module = NewerRow(**{f: getattr(module, f) for f in module.__struct_fields__})
+    data = shots.encode(found, version)
+    if read:
+        assert shots.decode(data).coordinator.module == module
+    else:
+        with pytest.raises(shots.Unusable, match="version"):
+            shots.decode(data)
+
+
+def test_a_file_is_written_whole_or_not_at_all(tmp_path, monkeypatch):
+    path = str(tmp_path / "state")
+    shots.write(path, b"first")
+
+    def full(fd, data):
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(OSError):
+        shots.write(path, b"second")
+    monkeypatch.undo()
+    assert (tmp_path / "state").read_bytes() == b"first" and os.listdir(tmp_path) == ["state"]
+    (tmp_path / "state").write_bytes(shots.encode(shot())[:1000])       # as a disk that is full leaves it
+    with pytest.raises(shots.Unusable, match="truncated"):
+        shots.read(path)
+
+
+def test_events_and_orders_come_back_as_they_were():
+    w = World()
+    w.start()
+    items = [order for _, orders in w.log for order in orders] + [SetLevel(ALL_TABLES, (1,), 0.5, 2)]
+    rows = msgspec.msgpack.decode(msgspec.msgpack.encode(events.pack_all(items)))
+    assert events.unpack_all(rows) == items
+    listed = events.face.BackendList("full", 3, (entry("b0"),))
+    assert events.unpack(msgspec.msgpack.decode(msgspec.msgpack.encode(events.pack(listed)))) == listed
+    with pytest.raises(ValueError):
+        events.unpack(("os", 1))
+
+
+# ---- the channel ---------------------------------------------------------------------------------------
+
+
+class Ends:
+    def __init__(self):
+        self.loop = Loop(Clock(), self.fail)
+        self.heard, self.ended = [], []
+        self.ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.channel = Channel(self.loop, theirs, lambda word, fds: self.heard.append((word, fds)),
+                               lambda why, broken: self.ended.append((why, broken)))
+
+    @staticmethod
+    def fail(broken):
+        raise broken
+
+    def turn(self, count=3):
+        for _ in range(count):
+            self.loop.after(10, lambda: None)
+            self.loop.turn()
+
+
+def test_words_and_descriptors_arrive_in_order_in_any_pieces():
+    a, b = Ends(), Ends()
+    rng = random.Random(3)
+    data, sent = b"", []
+    for n in range(30):
+        word = rng.choice([words.Piece(os.urandom(rng.randrange(3000))), words.Adopted([n]), words.Done()])
+        data += words.frame(word)
+        sent.append(word)
+    while data:
+        count = rng.randint(1, 700)
+        a.ours.send(data[:count])
+        data = data[count:]
+        a.turn(1)
+    assert [word for word, _ in a.heard] == sent
+    read, write = os.pipe()
+    other = Channel(b.loop, a.ours.dup(), lambda *_: None, lambda *_: None)
+    other.say(words.Passed([1, 2], [b"", b"x"], ["c", "c"]), [read, write])
+    a.turn()
+    word, (got, put) = a.heard[-1]
+    os.write(put, b"hello")
+    assert word.rests == [b"", b"x"] and os.read(read, 10) == b"hello" and got not in (read, write)
+
+
+@pytest.mark.parametrize("harm, why", [("cut", "cut inside"), ("flip", "checksum"), ("magic", "protocol"),
+                                       ("few", "lacks 2 descriptors"), ("kind", "no such word"),
+                                       ("form", "Hello")])
+def test_what_is_not_a_word_ends_the_channel(harm, why):
+    ends = Ends()
+    frame = bytearray(words.frame(words.Hello(1, 1, 5), 2 if harm == "few" else 0))
+    if harm == "cut":
+        frame = frame[:-2]
+    elif harm == "flip":
+        frame[-1] ^= 1
+    elif harm == "magic":
+        frame[0] ^= 1
+    elif harm == "kind":
+        frame[5] = 200
+    elif harm == "form":
+        body = msgspec.msgpack.encode(["x"])
+        frame = words._HEAD.pack(words.MAGIC, 1, 0, 0, len(body),
+                                 words.xxhash.xxh3_64_intdigest(body, 1 << 8)) + body
+    ends.ours.send(frame)
+    ends.ours.close()
+    ends.turn()
+    assert len(ends.ended) == 1 and why in ends.ended[0][0] and ends.ended[0][1] and not ends.heard
--- a/tests/world.py
+++ b/tests/world.py
@@ -447,12 +447,12 @@
 
     # ---- the program
 
-    def start(self, **more):
+    def start(self, words=(), **more):
         self.listen = free_address()
         self.found = {"name": "n0", "listen": self.listen, "discovery": self.discovery.address,
                       "seed": "8c1f30d2", "known": self.known, "settings": SETTINGS,
                       "limits": self.limits, "store": {"address": self.relay.address}} | more
-        self.program = Program(self.path, json.dumps(self.found), BALANCER_LISTEN=self.found["listen"],
+        self.program = Program(self.path, json.dumps(self.found), words, BALANCER_LISTEN=self.found["listen"],
                                BALANCER_DISCOVERY=self.found["discovery"])
         return self.program
 
@@ -470,8 +470,8 @@
             peer.stop()
         return left
 
-    def serving(self):
-        program = self.start()
+    def serving(self, words=()):
+        program = self.start(words)
         eventually(lambda: program.said("phase", now="serving"))
         return program
 
@@ -488,11 +488,11 @@
 
 
 class Program:
-    def __init__(self, path, config, **variables):
+    def __init__(self, path, config, words=(), **variables):
         self.file = path / "config.json"
         self.file.write_text(config)
         environ = os.environ | {"BALANCER_NAME": "n0", "BALANCER_CONFIG": str(self.file)} | variables
-        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch"], env=environ,
+        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", *words], env=environ,
                                         stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         self.log = []
         self.reader = threading.Thread(target=self._read, daemon=True)
