Proof and benchmarks of upgrades and the request path; sidecar tested over sockets

Change: make proof-upgrade (QUICK=1, BROKEN=1 shows it failing), benchmarks of the request path and of the hand-over, sidecar tests with stand-ins that reset, mute, answer early or twice, clients that drip or go away.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,14 @@
 
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache
+
+.PHONY: proof-upgrade bench-request-path bench-handover
+
+proof-upgrade: build  # QUICK=1: under 50 s
+	$(PY) proofs/upgrade.py
+
+bench-request-path: build
+	$(PY) benchmarks/request_path.py
+
+bench-handover: build
+	$(PY) benchmarks/handover.py
--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -61,12 +61,13 @@
 @click.argument("address")
 @click.option("--name", default="stand-in", show_default=True)
 @click.option("--service", default=0.0, help="Time that an answer takes, in ms.", show_default=True)
-def stand_in(address: str, name: str, service: float) -> None:
+@click.option("--also", default=0, help="So many further loopback addresses, at the same port.")
+def stand_in(address: str, name: str, service: float, also: int) -> None:
     """A stand-in server on ADDRESS (loopback only), for trials."""
     from .net.connection import address as read
     from .standins.server import main as serve
     try:
-        serve(read(address), name, service)
+        serve(read(address), name, service, also)
     except (ValueError, OSError) as bad:
         refuse(str(bad))
 
