--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -338,8 +338,10 @@
                 b.excess = max((spent + 2 * like) / ((cost + 2) * like), 0.8)
                 b.slowness = min(b.excess, 1.5 if self.strained else 4.0) * like / fastest
             n, failed = b.tries.values
-            # Failures beyond what all backends show: when all look bad, it is no backend's fault.
-            excess = max(0.0, failed - 2 * self.failing * n) / (n + 3)
+            # Failures beyond what the others show: when all look bad, it is no backend's fault.  With its own
+            # among them one dead of two could not be told from two ill ones.
+            others = max(0.0, self.failing * tries - failed) / max(tries - n, 1)
+            excess = max(0.0, failed - 2 * others * n) / (n + 3)
             # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s); they may
             # wait in a full queue or on a slow link, so the sums must tell of tries and no answers too.
             quiet = b.unanswered and now - b.ok_heard > self.boot["report_every"] + SECOND
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -22,8 +22,9 @@
 from . import tables
 from .front import Front
 
-# What the old one hears after its state was taken and the new one would not: it asks for the rest itself.
-HANDED_ON = (face.SliceDemand, face.ProxyDemand, face.Traffic, face.Acked, face.Probed)
+# What the old one hears after its state was taken and the new one would not: it asks for the rest itself, and
+# sends probes that are out again.
+HANDED_ON = (face.SliceDemand, face.ProxyDemand, face.Traffic, face.Acked)
 
 
 def front_state(front: Front) -> shots.CoordinatorState:
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -15,6 +15,7 @@
     """`since` is when it was last heard of, for the sweep that ends who is too slow."""
     LINGER = 2 * SECOND         # to read the end of an answer before a reset could destroy it
     TARGET = 8192
+    WAITING = Stream.BOUND // 2     # of earlier answers: the next one's head has to fit in beside them
 
     __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "served",
                  "marked")
@@ -57,7 +58,7 @@
 
     def _begin(self) -> bool:
         ring, host = self.stream.incoming, self.host
-        if not len(ring) or host.holding:
+        if not len(ring) or host.holding or len(self.stream.outgoing) > self.WAITING:
             return False
         end = ring.until(b"\r\n\r\n")
         most = host.text.limits["head"]
@@ -142,6 +143,8 @@
             self.linger()
         elif self.host.passing and self.idle:
             self.host.pass_on(self)
+        else:
+            self.next()
 
     def closed(self, stream: Stream, why: str) -> None:
         self.gone()
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .. import interface as face
 from ..net.connection import Listener
 from ..upgrade import events
 from ..upgrade import snapshot as shots
@@ -122,7 +123,8 @@
                 pool.report_due = None
             taken = [*pool.gathering.take(), *pool.sums(now)]
             self.kept.setdefault(pool.name, []).extend(taken)
-            rows[pool.name] = (events.pack_all(taken), now)
+            # Probes that are out are sent again by the new process: their answers here would count twice.
+            rows[pool.name] = (events.pack_all(e for e in taken if type(e) is not face.Probed), now)
         return msgspec.msgpack.encode(rows)
 
     def idle(self) -> list[Connection]:
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import os
+import resource
 
 from ..replaceable import Replaceable
 from ..upgrade import launch
@@ -73,4 +74,9 @@
     channel = launch.inherited()
     text = conf.load(source)
     os.set_blocking(1, False)           # a log that nobody reads must not hold up the service
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 2 * text.limits["clients"] + 256       # each client may have a server's connection
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE,
+                           (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard))
     return Sidecar(source, text).run(channel)
--- a/indigohitch/upgrade/channel.py
+++ b/indigohitch/upgrade/channel.py
@@ -31,12 +31,11 @@
         self.number = loop.watch(sock, self, READ)
 
     def say(self, word: Word, descriptors: Sequence[int] = ()) -> None:
-        """The descriptors are duplicated here, so that the caller may close its own at once."""
-        if not self.open:
-            return
-        own = [os.dup(fd) for fd in descriptors]
-        self.out.append((memoryview(frame(word, len(own))), own))
-        self._flush()
+        """The descriptors have to stay open until the other side has said that it has them: they may wait
+        here, and a copy of each could be more than this process may hold."""
+        if self.open:
+            self.out.append((memoryview(frame(word, len(descriptors))), list(descriptors)))
+            self._flush()
 
     def _flush(self) -> None:
         try:
@@ -45,8 +44,6 @@
                 if descriptors:
                     packed = array.array("i", descriptors)
                     sent = self.sock.sendmsg([data], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, packed)])
-                    for fd in descriptors:
-                        os.close(fd)
                 else:
                     sent = self.sock.send(data)
                 if sent == len(data):
@@ -138,7 +135,7 @@
         self.open = False
         self.loop.forget(self.sock, self.number)
         self.sock.close()
-        for fd in [*self.arrived, *(fd for _, fds in self.out for fd in fds)]:
+        for fd in self.arrived:
             os.close(fd)
         self.arrived.clear()
         self.out.clear()
