--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -51,7 +51,8 @@
              "watch": SECOND}           # the old one stands by: a first accept or plan that fails shows
     POLL = SECOND // 200
     ENDING = SECOND // 50               # from the end of its channel to the death of a process that ends
-    PIECE = 1 << 20
+    MOST_RESTS = 1 << 20                # unread bytes of connections in one frame: an eighth of its bound
+    PIECE = 1 << 16                     # of the state: a frame that a socket's buffer takes in one go
     REHEARSE = 2 * SECOND               # ahead: four beats, so that the module has something to order
 
     def __init__(self, loop: Loop, log: Log, side: Side, program: Sequence[str], waits: dict[str, int],
@@ -191,18 +192,25 @@
     def do_commit(self) -> None:
         self.figures["stopped"] = self.loop.clock.now()
         self.side.accept(False)
-        batch: list[tuple[int, Connection]] = []
-        size = 0
-        for connection in self.side.idle():
+        try:
+            self.pass_all()
+        except OSError as bad:                  # whatever this process lacks now, it can take back
+            self.step("refused", f"nothing could be passed: {bad}")
+
+    def pass_all(self) -> None:
+        for connection in self.side.idle():     # each is ours to take back from here on
             self.number += 1
             self.passed[self.number] = connection
-            batch.append((self.number, connection))
-            size += len(connection[2])
-            if len(batch) >= Channel.MOST_DESCRIPTORS or size > self.PIECE:
+        self.figures["passed"] = len(self.passed)
+        batch: list[tuple[int, Connection]] = []
+        size = 0
+        for entry in self.passed.items():
+            batch.append(entry)
+            size += len(entry[1][2])
+            if len(batch) >= Channel.MOST_DESCRIPTORS or size > self.MOST_RESTS:
                 self.send(batch)
                 batch, size = [], 0
         self.send(batch)
-        self.figures["passed"] = len(self.passed)
         self.say(words.Commit(self.side.rest(), self.reload))
 
     def send(self, batch: list[tuple[int, Connection]]) -> None:
@@ -240,7 +248,11 @@
             return False
         self.number += 1
         self.passed[self.number] = connection
-        self.send([(self.number, connection)])
+        try:
+            self.send([(self.number, connection)])
+        except OSError:
+            del self.passed[self.number]
+            return False
         self.log.count("connections_passed_late")
         return True
 
--- a/proofs/upgrade.py
+++ b/proofs/upgrade.py
@@ -59,7 +59,7 @@
     path = Path(tempfile.mkdtemp(prefix="proof-upgrade-"))
     (path / "platform").mkdir()
     (path / "state").mkdir()
-    field = Field(path, service=5.0, slices=64, more=("wait takeover 1s", "wait watch 400ms")).start()
+    field = Field(path, service=5.0, slices=600, more=("wait takeover 1s", "wait watch 400ms")).start()
     platform, operator = coordinator(path / "platform")
     seconds = 2 + COUNT * GAP
     load = subprocess.Popen([sys.executable, "-m", "indigohitch.standins.load", field.listen, "open",
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -34,9 +34,11 @@
     heard, say, begin = Taking.heard, Taking.say, Taking.do_accept
 
     def on_heard(self, word, descriptors):
-        if (point, type(word)) in (("half", words.Piece), ("commit", words.Commit)):
+        if (point, type(word)) == ("commit", words.Commit):
             struck(how)
         heard(self, word, descriptors)
+        if (point, type(word)) == ("half", words.Piece) and len(self.parts) < self.size:
+            struck(how)
         if (point, type(word)) == ("listener", words.Listeners):
             struck(how)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,7 +17,7 @@
 
 @pytest.fixture
 def field(tmp_path):
-    found = Field(tmp_path, more=QUICK).start()
+    found = Field(tmp_path, slices=600, more=QUICK).start()      # a state in more than one piece
     yield found
     found.close()
 
--- a/tests/test_upgrade_state.py
+++ b/tests/test_upgrade_state.py
@@ -42,7 +42,8 @@
     logs = []
     for every in (0.0, 0.3):
         monkeypatch.setattr(Upgraded, "every", every)
-        logs.append(test_rules.random_day(seed).log)
+        logs.append(test_rules.random_day(seed, 60, messages_most=(0, 12)[seed % 2],
+                                          admission=("share", "none")[seed // 2 % 2]).log)
     assert logs[0] == logs[1] and sum(len(orders) for _, orders in logs[0]) > 50
 
 
