--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,13 @@
 
 bench-handover: build
 	$(PY) benchmarks/handover.py
+
+.PHONY: example
+
+example: build        # two stand-in servers, a sidecar before them, one request answered, and all ended again
+	@$(PY) -m indigohitch stand-in 127.0.0.1:9001 --name n1 & one=$$!; \
+	$(PY) -m indigohitch stand-in 127.0.0.1:9002 --name n2 & two=$$!; \
+	$(PY) -m indigohitch sidecar deploy/sidecar.conf & car=$$!; sleep 1.5; \
+	$(PY) -c "import http.client as h; c = h.HTTPConnection('127.0.0.1', 8080); c.request('GET', '/vacancies/12'); \
+	a = c.getresponse(); print(a.status, a.headers['X-Server'], a.read().decode())"; \
+	kill $$car; wait $$car; kill $$one $$two
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -3,7 +3,7 @@
     make bench-handover
 
 `gap_ms`: from the moment the old process stops accepting until it hears that the new one accepts.
-`frozen_ms`: how long the old process does nothing else while it writes the state.  `took_ms`: from asking to
+`frozen_ms`: how long taking the state lasts; the module stands still, RPCs go on.  `took_ms`: from asking to
 that word.  The baseline is a restart (SIGTERM, then a new start): the time in which nobody listens."""
 import json
 import os
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -98,7 +98,7 @@
         self.outgoing.close()
         return self.sock, rest
 
-    def _flush(self) -> str:
+    def _write_out(self) -> str:
         """Write what the socket takes; returns what is wrong with it, if anything."""
         try:
             while self.outgoing:
@@ -107,6 +107,11 @@
             pass
         except OSError:
             return "reset"
+        return ""
+
+    def _flush(self) -> str:
+        if why := self._write_out():
+            return why
         if self._writing != bool(self.outgoing):
             self._writing = bool(self.outgoing)
             self.loop.change(self.sock, self._number, READ | WRITE if self._writing else READ)
--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -75,13 +75,8 @@
 
     def _flush(self) -> str:
         waited = bool(self.outgoing)
-        try:
-            while self.outgoing:
-                self.outgoing.empty_into(self.sock)
-        except BlockingIOError:
-            pass
-        except OSError:
-            return "reset"
+        if why := self._write_out():
+            return why
         self._writing = bool(self.outgoing)
         self._watch()
         if waited and not self._writing:
