How a new process ended is waited for before its channel's end counts; state file of a coordinator tested

Also: a refused state closes the host it was half built in; tests for a defect of the module in the sidecar and for a coordinator that goes on from its state's file.

--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -27,6 +27,7 @@
         return self.host.figures()
 
     def without_state(self) -> None:
+        self.host.close()
         self.text = conf.load(self.source)
         self.side = self.giving.side = self.make_side()
 
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -51,7 +51,7 @@
              "commit": 2 * SECOND, "drain": 30 * SECOND, "reclaim": SECOND,
              "watch": SECOND}           # the old one stands by: a first accept or plan that fails shows
     POLL = SECOND // 200
-    ENDING = SECOND // 50               # from the end of its channel to the death of a process that ends
+    ENDING = SECOND // 5                # from the end of its channel to the death of a process that ends
     MOST_RESTS = 1 << 20                # unread bytes of connections in one frame: an eighth of its bound
     PIECE = 1 << 16                     # of the state: a frame that a socket's buffer takes in one go
     REHEARSE = 2 * SECOND               # ahead: four beats, so that the module has something to order
@@ -135,8 +135,10 @@
             self.channel = None
         else:
             self.channel = None
-            # A process that ends closes its channel first; how it ended tells more.
-            self.loop.after(self.ENDING, lambda: started is self.started and self.step("eof", why))
+            # A process that ends closes its channel first; how it ended tells more.  Once nobody accepts here
+            # there is no time for that.
+            span = 0 if self.machine.phase is Phase.COMMITTED else self.ENDING
+            self.loop.after(span, lambda: started is self.started and self.step("eof", why))
 
     def died(self, why: str) -> None:
         if self.channel is not None:
--- a/tests/test_sidecar_parts.py
+++ b/tests/test_sidecar_parts.py
@@ -1,14 +1,19 @@
 """The sidecar's parts without sockets: routes, framing, heads, the file, and the decisions on one RPC."""
+import os
 import random
 import re
 
 import pytest
 
 from indigohitch import request
+from indigohitch.log import Log
+from indigohitch.net.clock import SECOND, Clock
+from indigohitch.net.loop import Loop
 from indigohitch.net.ring import Pool, Ring
 from indigohitch.sidecar import conf
 from indigohitch.sidecar.framing import LAST_CHUNK, Body, Malformed, chunk
 from indigohitch.sidecar.heads import AnswerHead, Refused, RequestHead
+from indigohitch.sidecar.host import Host
 from indigohitch.sidecar.routes import Doubled, Route, Routes, key_of, slice_of
 
 # ---- routes ----------------------------------------------------------------------------------------------
@@ -194,6 +199,26 @@
     assert [at for at, _ in found.value.found] == [1, 2, 3]
 
 
+def test_a_defect_of_the_module_makes_a_new_one_that_is_told_what_stands():
+    failures = []
+    loop = Loop(Clock(), failures.append)
+    host = Host(loop, Log(loop.clock, "t", os.open(os.devnull, os.O_WRONLY)), conf.read(TEXT))
+    pool = host.pools["nodes"]
+    pool.start()
+    stood = [list(table.servers) for table in pool.tables]
+    broken = pool.coordinator
+    broken.handle = lambda now, events: 1 / 0
+    end = loop.clock.now() + 3 * SECOND
+    while loop.clock.now() < end and not (pool.coordinator is not broken and pool.coordinator.slices):
+        loop.after(100, lambda: None)
+        loop.turn()
+        host.turn()
+    assert isinstance(failures[0], ZeroDivisionError) and host.log.counts["module_begun_anew"] == 1
+    assert len(pool.coordinator.slices) == 8 and [list(t.servers) for t in pool.tables] == stood
+    assert all(s.stored for s in pool.coordinator.slices.values())
+    host.close()
+
+
 # ---- one RPC ---------------------------------------------------------------------------------------------
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -251,6 +251,27 @@
     assert not program.said("line_spoilt")
 
 
+def test_a_coordinator_goes_on_from_its_file(platform, tmp_path):
+    """What stands is not moved by a restart that read the state, and its window goes on."""
+    with open(tmp_path / "operator.conf", "a") as file:
+        file.write(f"state {tmp_path / 'state'}\n")
+    first = platform.serving(platform.words)
+    drain(platform, "b0")
+    eventually(lambda: platform.agrees() and not any("b0" in t for t in platform.tables.values()))
+    before, calls = {s: dict(t) for s, t in platform.tables.items()}, len(platform.calls)
+    assert first.end() == 0
+    second = platform.serving(platform.words)
+    assert second.said("state_read")
+    eventually(lambda: second.said("news_begun"))
+    time.sleep(1.0)
+    assert platform.tables == before
+    # A module that began anew would tell every proxy the further tries again; this one knows who has heard.
+    assert not [o for call in platform.calls[calls:] for o in call if o.startswith("put")]
+    drain(platform, "b1")
+    eventually(lambda: platform.agrees() and not any("b1" in t for t in platform.tables.values()))
+    assert second.end() == 0
+
+
 def test_the_messages_sent_count_in_the_new_window(platform):
     """With few messages allowed in 10 s the window would be exceeded if the new process began at none."""
     platform.start(platform.words, settings=limited(6))
