Dead state and doubled comparisons out of the sidecar; behaviour as before

Need: a second reading of the whole change. Out: slots and a constant that nothing read, a min over a max that always gave the total, a case of closing that the next one covers, a swap of two lists to compare them, a settle that the step before had done. What the file says of a server is written once for the state and for the comparison.

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -17,14 +17,12 @@
     TARGET = 8192
     WAITING = Stream.BOUND // 2     # of earlier answers: the next one's head has to fit in beside them
 
-    __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "served",
-                 "marked")
+    __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "marked")
 
     def __init__(self, host) -> None:
         self.host, self.rpc, self.since = host, None, host.loop.clock.now()
         self.stream: Stream | None = None
         self.close_after = self.lingering = self._inside = False
-        self.served = 0
         self.marked = 0                         # bytes that waited in the ring at the last sweep
         self.number = -1
 
@@ -99,7 +97,6 @@
         # Without a key any slice will do; in turn, so that all get their share.
         number = pool.turn() if key is None else slice_of(key, pool.slices)
         self.since = host.now
-        self.served += 1
         self.rpc = rpc = Rpc(self, head, route, pool, number)
         pool.came(number, route.rpc.name)
         rpc.start()
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -3,7 +3,7 @@
 
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -24,6 +24,11 @@
     return version, list(internal), gauss
 
 
+def told(servers: Iterable[Told]) -> list[tuple]:
+    """What the file says of each, without the line."""
+    return [(t.name, *t.address, t.weight, t.zone, t.kind) for t in servers]
+
+
 def pool_row(pool: Pool) -> shots.PoolRow:
     servers = list(pool.servers.values())
     place = {server: at for at, server in enumerate(servers)}
@@ -33,7 +38,7 @@
         [shots.TableRow([(place[s], float(w)) for s, w in zip(t.servers, t.weights)], t.level, t.levels,
                         t.tries) for t in pool.tables],
         chance(pool.uniform), pool.version, pool._turn, pool.reported,
-        [(t.name, *t.address, t.weight, t.zone, t.kind) for t in pool.text.servers.values()],
+        told(pool.text.servers.values()),
         [b.id for b in pool.coordinator.backends.values() if b.probe_out])
 
 
@@ -211,10 +216,7 @@
             pool.report_soon()
             for backend in self.rows[name].probing:
                 pool.probe(backend)
-            text = host.text.pools[name]
-            before, text.servers = text.servers, self.wanted[name]
-            changed = {n: (t.address, t.weight, t.zone, t.kind) for n, t in text.servers.items()}
-            if changed != {n: (t.address, t.weight, t.zone, t.kind) for n, t in before.items()}:
-                wanted, text.servers = text.servers, before
+            wanted = self.wanted[name]
+            if sorted(told(wanted.values())) != sorted(told(pool.text.servers.values())):
                 host.log.event("servers_changed", pool=name, **pool.relist(wanted))
         host.go()
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -20,7 +20,6 @@
 class Pool:
     ANEW = 5000                 # until a new module is told all: what broke the last may still be there
     PROBE = 6000                # a server that runs answers in a tenth of that
-    GONE = 64                   # servers gone whose objects may still be named by a table
 
     def __init__(self, host, text: PoolText, seed: int) -> None:
         self.host, self.text, self.boot, self.slices = host, text, text.boot, text.slices
@@ -106,7 +105,7 @@
                     self.host.text.single["zone"], server.name, server.tries, server.failures,
                     server.time // server.oks if server.oks else 0, elapsed, server.load))
                 server.forget_sums()
-        events += [face.SliceDemand(number, method, min(total, max(total, unanswered)), unanswered, elapsed)
+        events += [face.SliceDemand(number, method, total, unanswered, elapsed)
                    for (number, method), (total, unanswered) in self.demand.items()]
         self.demand = {}
         return events
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -25,8 +25,7 @@
     PIECE = 32 << 10            # of a body, moved at once: half a ring
 
     __slots__ = ("client", "head", "route", "pool", "slice", "table", "phase", "tried", "upstream", "server",
-                 "came", "began", "deadline", "due", "body", "last_chunk", "answer", "to_client", "chunks",
-                 "connect_by")
+                 "began", "deadline", "due", "body", "last_chunk", "answer", "chunks", "connect_by")
 
     def __init__(self, client, head: RequestHead, route, pool, slice: int) -> None:
         self.client, self.head, self.route, self.pool, self.slice = client, head, route, pool, slice
@@ -36,8 +35,8 @@
         self.server: Server | None = None
         self.answer: AnswerHead | None = None
         self.last_chunk = self.chunks = False
-        self.came = self.began = pool.host.loop.clock.now()
-        self.due = self.came + route.rpc.deadline
+        self.began = pool.host.loop.clock.now()
+        self.due = self.began + route.rpc.deadline
         self.deadline: Deadline | None = None
         self.connect_by: Deadline | None = None
 
@@ -185,11 +184,9 @@
         if self.pool.load_header and (report := head.value(self.pool.load_header)):
             self.pool.load_came(self.server, report)
         self.chunks = head.body.kind in (Body.CHUNKED, Body.TO_END) and self.head.version == "1.1"
-        until_end = head.body.kind in (Body.CHUNKED, Body.TO_END) and not self.chunks
-        if until_end or not self.body.done:
-            client.close_after = True           # or what is left of the request would be read as the next
-        elif not self.head.keep:
-            client.close_after = True
+        # Closed after it: a body that only its end can end, and a request of which more may come, or what is
+        # left of it would be read as the next.  A client of HTTP/1.0 never keeps.
+        client.close_after |= not self.body.done or not self.head.keep
         self.pump_answer(head.onward(self.chunks, client.close_after))
 
     def pump_answer(self, out: bytes = b"") -> None:
@@ -222,10 +219,10 @@
             self.pump_answer()
 
     def complete(self) -> None:
-        head, whole = self.answer, self.body.done
-        stream = self.upstream.stream
+        head, stream = self.answer, self.upstream.stream
         self.phase = Phase.OVER
-        keep = head.keep and whole and not len(stream.incoming) and stream.open and not len(stream.outgoing)
+        keep = (head.keep and self.body.done and stream.open and not len(stream.incoming)
+                and not len(stream.outgoing))
         self.leave(failed=head.status >= 500, keep=keep)
         self.pool.done(self, head.status)
         self.client.finished()
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -273,7 +273,6 @@
         self.close()
 
     def do_thaw(self) -> None:
-        self.side.settle(False)
         self.side.thaw()
         self.state = b""
         if self.reload:
