--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -56,7 +56,8 @@
         self.admit, self.judged, self.wait = 1.0, 0, 0.0    # share to let in; when judged, its queue then
         self.doubtful, self.lost = False, False  # gets no part and nothing new; silent: weight at the floor
         self.intake = 0                         # slices taken this round
-        self.warmth, self.capacity = 1.0, 1.0   # weight x health x warmth / slowness, set by `assess`
+        self.warmth, self.share = 1.0, 1.0      # share: how much of its cold room is ours to fill
+        self.capacity = 1.0                     # weight x health x warmth x share / slowness, set by `assess`
         self.load = 0.0                         # demand of what is wanted here
 
     def use(self) -> float:
@@ -355,7 +356,12 @@
             # The slowest growth the settings allow, and a third less: caches of a started process are empty.
             age = (now - b.started) / self.boot["warm_within"] if b.started else 1.0
             b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - self.boot["cold_from"]) * (1 - age))
-            b.capacity = b.weight * b.health * b.warmth / b.slowness
+            # Of several coordinators one, by its id, deals with a cold backend for all: a part each of
+            # its cold room would be less than any slice asks for.
+            n = self.boot.get("coordinators", 1)
+            ours = int.from_bytes(b.key, "big") % n == self.boot.get("own_number", 0)
+            b.share = 1.0 if age >= 1 else n if ours else 0.01
+            b.capacity = b.weight * b.health * b.warmth * b.share / b.slowness
             # As many failures as answers beyond what all show; twice as slow as its like; probes missed,
             # unless by most of its zone: that is the way there.
             b.doubtful = b.lost or not self.strained and (
@@ -375,7 +381,7 @@
         # Half of the multiple that fells it, on top of the third that warmth holds back: with empty caches
         # an RPC costs twice its work, and demand may jump.  A third while many tries fail and come again.
         part = 0.35 if self.failing > 0.05 else 0.5
-        return self.yield_ * b.weight * b.warmth * self.boot.get("fall_multiple", 2.0) * part
+        return self.yield_ * b.weight * b.warmth * b.share * self.boot.get("fall_multiple", 2.0) * part
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
         return b.warmth >= 1 or (b.intake < 2 and b.load + load <= min(mean * b.capacity, self.allowance(b)))
@@ -394,10 +400,12 @@
         fit = [b for b in choice if not b.doubtful and self.may_take(b, load, mean)]
         warm = [b for b in choice if b.warmth >= 1]
         room = [(b, 1.25 * mean * b.capacity - b.load) for b in fit]
+        room = [(b, r) for b, r in room if r >= load]
         # Room under the band, else what is fit, else what is warm; never a cold one past its cap: it waits.
-        room = [(b, r) for b, r in room if r >= load] or [(b, b.capacity) for b in fit or warm]
-        if room:
-            self.move(part, max(room, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0])
+        if choice := room or [(b, b.capacity) for b in fit or warm]:
+            self.move(part, max(choice, key=lambda pair: (self.rank(s, *pair), pair[0].id))[0])
+            if not room:                        # it was put where there is none: the next round may move it
+                part.rests_until = self.now
         elif part.owner is not None and part.owner.state in ("draining", "gone"):
             part.go_to(None)
 
@@ -438,10 +446,10 @@
         # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
         uses = [b.use() / mean for b in opened]
         self.balancing |= max(uses) > 1.25 or min(uses) < 1 / 1.25
-        # A tenth of the slices, four at most (more did worse: each leaves a warm cache), and one for each
-        # new backend still empty, all shared by the coordinators.
+        # A thirtieth of the slices in charge (more did worse: each leaves a warm cache), and one for each new
+        # backend still empty, shared by the coordinators.
         idle = sum(not b.parts and b.warmth < 1 for b in opened)
-        for _ in range(max(2, (min(4, len(self.slices) // 10) + idle) // self.boot.get("coordinators", 1))):
+        for _ in range(max(2, len(self.slices) // 30 + idle // self.boot.get("coordinators", 1))):
             by_use = sorted(opened, key=Backend.use)
             # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
             best = next(filter(None, (self.best_move(b, by_use, mean) for b in reversed(by_use)
@@ -455,7 +463,9 @@
     def split(self, opened: list[Backend], mean: float) -> None:
         """The exception for a slice that carries its fire along: one that outweighs four fifths of a whole
         backend's target is dealt out in parts for as long as it does, and taken together well below that."""
+        # Ours is one of several targets there; what so many do apart from each other adds up by the root.
         target = mean * sum(b.capacity for b in opened) / len(opened)
+        target *= self.boot.get("coordinators", 1) ** 0.5
         for s in self.slices.values():
             parts = len(s.parts)
             if s.load > 0.8 * target * parts and parts < min(4, len(opened)):
@@ -551,8 +561,11 @@
         self.held = bool(must)
         # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
         fresh = self.boot.get("admission") != "rate" and any(p not in self.levels_sent for p in self.proxies)
-        # A third of the ordinary changes each second beat, six at least: a tenth left 50 waiting at full size
-        turn, trim = (ordinary[:max(6, len(ordinary) // 3)], trim) if self.beats % 2 == 0 else ([], [])
+        # A third of the ordinary changes each second beat, six at least (a tenth left 50 waiting),
+        # those at the busiest first; messages are few, so one that goes anyway takes them along.
+        ordinary.sort(key=lambda s: -max(b.use() for b in s.stored))
+        due = self.beats % 2 == 0 or ailing
+        turn, trim = (ordinary[:max(6, len(ordinary) // 3)], trim) if due else ([], [])
         back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
         if must or back:
             self.push(must + ailing, [], fresh, True, back)
@@ -628,6 +641,6 @@
         # A quarter for what is not urgent, or where proxies are too many for that, eight lines to each.
         each, head = len(self.proxies) or 1, self.boot.get("envelope", 0) + 2
         share = self.boot.get("queue_cap", 10 ** 6) * 0.8
-        share = share if urgent else min(share, max(share * 0.3, each * (head + 8)))
+        share = share if urgent else min(share, max(share * 0.6, each * (head + 8)))
         free = (share - self.backlog) / each - head
         return int(free) if free >= min(need, (share / each - head) / 2) else 0
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -52,6 +52,7 @@
     capacity: float
     load: float
     parts: list[tuple[int, int]]        # slice, place among its parts
+    share: float = 1.0
 
 
 class SliceRow(Row):
@@ -99,7 +100,7 @@
          "balancing", "held", "list_fresh", "backlog", "backlog_at", "next_beat", "timer")
 OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
               "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
-              "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load")
+              "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load", "share")
 OF_SLICE = ("since", "level", "load", "cost")
 
 
