Relief goes out while many tries fail, a move has to part its ends by a quarter of a target

Change: while over 5 % of the tries fail, ordinary lines may use three quarters of the messages, four fifths of the channel and go as far as they fit; else half the channel. A move counts only if its ends lie apart by a quarter of what a backend gets from all coordinators, unless many tries fail.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -380,7 +380,7 @@
         """What a cold backend may be brought: its part of what the warm have been seen to answer."""
         # Half of the multiple that fells it, on top of the third that warmth holds back: with empty caches
         # an RPC costs twice its work, and demand may jump.  A third while many tries fail and come again.
-        part = 0.35 if self.failing > 0.05 else 0.5
+        part = 0.35 if self.troubled() else 0.5
         return self.yield_ * b.weight * b.warmth * b.share * self.boot.get("fall_multiple", 2.0) * part
 
     def may_take(self, b: Backend, load: float, mean: float) -> bool:
@@ -389,6 +389,10 @@
     def opened(self) -> list[Backend]:
         return [b for b in self.backends.values() if b.state == "ready"]
 
+    def troubled(self) -> bool:
+        """Many tries fail, and come again: relief goes before caches and calm."""
+        return self.failing > 0.05
+
     def mean_use(self, opened: list[Backend]) -> float:
         return sum(b.load for b in self.backends.values()) / (sum(b.capacity for b in opened) or 1.0)
 
@@ -484,6 +488,9 @@
             b.load = sum(p.load for p in b.parts)
 
     def best_move(self, source: Backend, by_use: list[Backend], mean: float) -> tuple[Part, Backend] | None:
+        # Each move empties a cache: the two have to lie apart by a quarter of what a backend gets from all
+        # coordinators, beyond the move itself.  Any gain will do while many tries fail.
+        apart = 0.0 if self.troubled() else 0.25 * self.boot.get("coordinators", 1) * mean * source.weight
         best, most = None, 0.0
         for part in sorted(source.parts, key=lambda p: p.slice.number):
             load, others = part.load, part.slice.owners()
@@ -493,7 +500,7 @@
                 continue
             over, under = source.load - mean * source.capacity, to.load - mean * to.capacity
             gain = over ** 2 + under ** 2 - (over - load) ** 2 - (under + load) ** 2
-            if gain > most:
+            if gain > max(most, 2 * load * apart):
                 best, most = (part, to), gain
         return best
 
@@ -565,7 +572,8 @@
         # those at the busiest first; messages are few, so one that goes anyway takes them along.
         ordinary.sort(key=lambda s: -max(b.use() for b in s.stored))
         due = self.beats % 2 == 0 or ailing
-        turn, trim = (ordinary[:max(6, len(ordinary) // 3)], trim) if due else ([], [])
+        many = len(ordinary) if self.troubled() else max(6, len(ordinary) // 3)
+        turn, trim = (ordinary[:many], trim) if due else ([], [])
         back = [b for b in self.backends.values() if b in self.withdrawn and b.state == "ready"]
         if must or back:
             self.push(must + ailing, [], fresh, True, back)
@@ -633,14 +641,16 @@
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= self.now - 1.1 * over:
             self.sent.popleft()
-        # Half of the messages for what is not urgent, evenly spaced; the others too once half are used.
-        half, used = most // 2, len(self.sent)
+        # Half of the messages for what is not urgent, evenly spaced, three quarters while many tries fail, as
+        # what waits then is relief; the others too once these are used.
+        half, used = (most * 3 // 4 if self.troubled() else most // 2), len(self.sent)
         if most and used and (used >= (most if urgent else half) or (used >= half or not urgent)
                               and self.now - self.sent[-1] < over / (most if urgent else half)):
             return 0
-        # A quarter for what is not urgent, or where proxies are too many for that, eight lines to each.
+        # Half for what is not urgent, or where proxies are too many for that, eight lines to each.
         each, head = len(self.proxies) or 1, self.boot.get("envelope", 0) + 2
         share = self.boot.get("queue_cap", 10 ** 6) * 0.8
-        share = share if urgent else min(share, max(share * 0.6, each * (head + 8)))
+        part = 0.8 if self.troubled() else 0.5
+        share = share if urgent else min(share, max(share * part, each * (head + 8)))
         free = (share - self.backlog) / each - head
         return int(free) if free >= min(need, (share / each - head) / 2) else 0
