Discovery that fails is asked less often and apart; hard cases of many coordinators as tests

Change: after failed calls in a row the wait for the list doubles up to two to four seconds, half of it spread (on_list asked again within 1.5 s for ever); tests/fleet.py loses a coordinator, a zone, six in ten backends; sockets test with 640 joins in a second while the relay fails.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,11 @@
 bench-handover: build
 	$(PY) benchmarks/handover.py
 
+.PHONY: bench-fleet-size
+
+bench-fleet-size: build     # a module turn and a burst of joins at two sizes, against the starting commit
+	$(PY) benchmarks/fleet_size.py
+
 .PHONY: example
 
 example: build        # two stand-in servers, a sidecar before them, one request answered, and all ended again
--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -123,6 +123,7 @@
         self.assessed, self.turn, self.strained = 0, 0, False   # last judged, planned; too much for the fleet
         self.balancing, self.held = False, False  # between the band's two edges; urgent lines wait for room
         self.list_fresh = False                 # the list in hand is not just remembered
+        self.calls_failed = 0                   # for the list, in a row
         self.levels_sent: set[int] = set()      # proxies that know the further tries
         self.withdrawn: set[Backend] = set()    # shut out of all tables, until ready again
         self.returned: set[Backend] = set()     # ready again: some proxy may not know it yet
@@ -169,11 +170,15 @@
 
     def on_list(self, news: face.BackendList) -> None:
         if news.scope == "failed":
-            # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once.
-            heappush(self.due, (self.now + SECOND // 2 + int(SECOND * self.uniform()), "subscribe"))
+            # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once,
+            # less often while it goes on, two to four seconds at most: an older list costs more than a call.
+            self.calls_failed += 1
+            span = SECOND // 4 * 2 ** min(self.calls_failed, 3)
+            heappush(self.due, (self.now + span + int(span * self.uniform()), "subscribe"))
             self.log("no news of the backends: the list's call failed, asking again")
             return
         self.list_fresh |= news.scope != "remembered"
+        self.calls_failed = 0
         named = {self.backend(entry.backend): entry for entry in news.entries}
         for b, entry in named.items():
             if entry.started > b.started and b.state != "unheard":
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -94,10 +94,11 @@
     unacked: list[tuple[int, float, list[int]]]
     next_beat: int
     timer: int
+    calls_failed: int = 0
 
 
 PLAIN = ("now", "beats", "mark", "plan_from", "yield_", "failing", "assessed", "turn", "strained",
-         "balancing", "held", "list_fresh", "backlog", "backlog_at", "next_beat", "timer")
+         "balancing", "held", "list_fresh", "backlog", "backlog_at", "next_beat", "timer", "calls_failed")
 OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
               "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
               "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load", "share")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -42,6 +42,7 @@
         self.tries, self.came = {}, {}          # since the last report, by coordinator
         self.served = self.asked = 0.0
         self.fell, self.uses = [], []
+        self.down = set()                       # coordinators that are lost
         for n, w in enumerate(self.worlds):
             events = [self.listing("full")]
             for s in self.held(n):
@@ -131,6 +132,8 @@
             due = [x for x in self.late if x[0] <= self.now]
             self.late = [x for x in self.late if x[0] > self.now]
             for n, w in enumerate(self.worlds):
+                if n in self.down:
+                    continue
                 events = [e for _, to, some in due if to == n for e in some]
                 w.step(self.now - w.now, *events, *w.probes({b.id for b in self.nodes.values() if b.silent}))
             self.carry(self.TICK)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -246,6 +246,36 @@
     assert none_lost(platform) and not program.said("defect")
 
 
+@pytest.mark.parametrize("faults", [["silent"] * 3, ["reset", "garbage done", "503", "silent done"]])
+def test_a_lost_coordinators_proxies_join_while_the_relay_fails(tmp_path, faults):
+    """640 proxies within a second, answers late, in part or not at all: signs of life all the while, nobody
+    already joined is harmed, and no more than 1,024 descriptors."""
+    platform = Platform(tmp_path, backends=24, slices=140, proxies=40, sockets=1024)
+    try:
+        family = SETTINGS["family-info"] | {"queue-cap": 640 * 173.0, "egress-per-s": 640 * 115.0}
+        program = platform.start(settings=SETTINGS | {"family-info": family})
+        eventually(lambda: program.said("phase", now="serving"))
+        platform.relay_faults += faults
+        slowest = 0.0
+        for first in range(40, 640, 60):
+            with platform.lock:
+                platform.proxies |= set(range(first, first + 60))
+                for proxy in range(first, first + 60):
+                    platform.tell("attach", id=proxy, site="east", rps=5.0, new=0)
+            if first == 220:
+                platform.change("b3", "DRAINING")
+            began = time.monotonic()
+            assert heartbeat(platform)
+            slowest = max(slowest, time.monotonic() - began)
+            time.sleep(0.1)
+        eventually(lambda: not any("b3" in t for t in platform.tables.values()) and platform.agrees())
+        assert slowest < 0.5 and none_lost(platform) and not program.said("defect")
+        eventually(lambda: program.counters()["news_attach"] >= 640)
+        drain(platform, "b7")
+    finally:
+        platform.close()
+
+
 def test_one_refused_order_is_dropped_and_the_rest_stands(platform):
     program = platform.serving()
     platform.refused = {"b0", "b2", "b3", "b4"}         # b5 is all that is left for two slices
