--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 build: .venv
 
-.venv: requirements.txt
+.venv: requirements.txt requirements-load.txt
 	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip -q install -r requirements.txt -r requirements-load.txt
 	touch .venv
 
 test: build
--- /dev/null
+++ b/indigohitch/load/trace.py
@@ -0,0 +1,133 @@
+"""The trace file: versioned, compact, checksummed, indexed by time.
+
+    magic, version                        8 bytes
+    blocks: length, checksum, zstd(msgpack of up to BLOCK requests, in order of time)
+    index:  length, checksum, zstd(msgpack: head, and for each block its first and last time, place, count)
+    place of the index, magic             16 bytes
+
+A file is written beside its name and put there once whole: half a trace is none."""
+from __future__ import annotations
+
+import os
+import struct
+from collections.abc import Iterable, Iterator
+
+import msgspec
+import xxhash
+import zstandard
+
+from .entry import Request
+
+MAGIC, VERSION = b"IHTRACE", 1
+BLOCK = 4096                    # requests: some 100 KB packed; less packs worse, more is read for nothing
+LEVEL = 6                       # of zstd: past it packing costs more than it saves
+
+
+class Damaged(ValueError):
+    """What is no trace, or not whole."""
+
+
+class Head(msgspec.Struct):
+    began: int                  # Unix time of the first request, tenths of a ms
+    count: int
+    span: int                   # from the first request to the last
+    sources: list[str]
+    counts: dict[str, int]      # repairs and what was not read
+    unsafe: int
+
+
+class Block(msgspec.Struct, array_like=True):
+    first: int
+    last: int
+    place: int
+    count: int
+
+
+class Index(msgspec.Struct):
+    head: Head
+    blocks: list[Block]
+
+
+def _packed(data: bytes) -> bytes:
+    small = zstandard.ZstdCompressor(level=LEVEL).compress(data)
+    return struct.pack("<IQ", len(small), xxhash.xxh3_64_intdigest(small)) + small
+
+
+def write(path: str, requests: Iterable[Request], began: int, sources: list[str],
+          counts: dict[str, int]) -> Head:
+    """The trace at `path`; `counts` is read at the end."""
+    blocks, held, count, unsafe, last = [], [], 0, 0, 0
+    part = path + ".part"
+    with open(part, "wb") as file:
+        file.write(MAGIC + bytes([VERSION]))
+
+        def out() -> None:
+            blocks.append(Block(held[0].at, held[-1].at, file.tell(), len(held)))
+            file.write(_packed(msgspec.msgpack.encode(held)))
+            held.clear()
+        for request in requests:
+            if request.at < last:
+                raise ValueError("a trace is written in order of time")
+            last, count, unsafe = request.at, count + 1, unsafe + request.unsafe
+            held.append(request)
+            if len(held) == BLOCK:
+                out()
+        if held:
+            out()
+        head = Head(began, count, last, sources, dict(counts), unsafe)
+        place = file.tell()
+        file.write(_packed(msgspec.msgpack.encode(Index(head, blocks))))
+        file.write(struct.pack("<Q", place) + MAGIC + bytes([VERSION]))
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(part, path)
+    return head
+
+
+class Trace:
+    """A trace that is read.  Raises Damaged, OSError."""
+
+    def __init__(self, path: str) -> None:
+        self.path, self.file = path, open(path, "rb")
+        end = self.file.seek(0, os.SEEK_END)
+        self.file.seek(0)
+        first = self.file.read(8)
+        if first[:7] != MAGIC:
+            raise Damaged(f"{path}: no trace")
+        if first[7] != VERSION:
+            raise Damaged(f"{path}: version {first[7]}, and only {VERSION} can be read")
+        self.file.seek(max(8, end - 16))
+        tail = self.file.read()
+        if len(tail) != 16 or tail[8:] != first:
+            raise Damaged(f"{path}: cut off: it has no index")
+        found = self.block(struct.unpack("<Q", tail[:8])[0])
+        try:
+            index = msgspec.msgpack.decode(found, type=Index)
+        except msgspec.DecodeError as bad:
+            raise Damaged(f"{path}: its index can't be read: {bad}") from None
+        self.head, self.blocks = index.head, index.blocks
+
+    def block(self, place: int) -> bytes:
+        self.file.seek(place)
+        lead = self.file.read(12)
+        if len(lead) < 12:
+            raise Damaged(f"{self.path}: cut off at {place}")
+        length, told = struct.unpack("<IQ", lead)
+        data = self.file.read(length)
+        if len(data) < length or xxhash.xxh3_64_intdigest(data) != told:
+            raise Damaged(f"{self.path}: the block at {place} is damaged")
+        return zstandard.ZstdDecompressor().decompress(data)
+
+    def requests(self, start: int = 0, end: int | None = None) -> Iterator[tuple[int, Request]]:
+        """Numbered requests from `start` until before `end`, tenths of a ms; no other block is read."""
+        number = 0
+        for block in self.blocks:
+            if block.last >= start and (end is None or block.first < end):
+                found = msgspec.msgpack.decode(self.block(block.place), type=list[Request])
+                for at, request in enumerate(found, number):
+                    if request.at >= start and (end is None or request.at < end):
+                        yield at, request
+            number += block.count
+
+    def close(self) -> None:
+        self.file.close()
