Replay in an open loop that sends each reservation once; access logs; proof-load

The sidecar writes access logs beside its loop through a bounded queue. Wire of the stand-in client moved to net/wire.py for both.

--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,8 @@
 	$(PY) -c "import http.client as h; c = h.HTTPConnection('127.0.0.1', 8080); c.request('GET', '/vacancies/12'); \
 	a = c.getresponse(); print(a.status, a.headers['X-Server'], a.read().decode())"; \
 	kill $$car; wait $$car; kill $$one $$two
+
+.PHONY: proof-load
+
+proof-load: build     # QUICK=1: under 50 s
+	$(PY) proofs/load.py
--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -7,7 +7,20 @@
 import click
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Lazy(click.Group):
+    """`load` needs libraries that a coordinator does without: imported once it is asked for."""
+
+    def list_commands(self, ctx):
+        return sorted([*super().list_commands(ctx), "load"])
+
+    def get_command(self, ctx, name):
+        if name != "load":
+            return super().get_command(ctx, name)
+        from .load.command import load
+        return load
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="indigohitch", prog_name="indigohitch")
 def main() -> None:
     """A traffic director for a fleet of sidecars."""
@@ -62,12 +75,13 @@
 @click.option("--name", default="stand-in", show_default=True)
 @click.option("--service", default=0.0, help="Time that an answer takes, in ms.", show_default=True)
 @click.option("--also", default=0, help="So many further loopback addresses, at the same port.")
-def stand_in(address: str, name: str, service: float, also: int) -> None:
+@click.option("--lose", default=0, help="Every so many RPCs, act on one and reset instead of answering.")
+def stand_in(address: str, name: str, service: float, also: int, lose: int) -> None:
     """A stand-in server on ADDRESS (loopback only), for trials."""
     from .net.connection import address as read
     from .standins.server import main as serve
     try:
-        serve(read(address), name, service, also)
+        serve(read(address), name, service, also, lose)
     except (ValueError, OSError) as bad:
         refuse(str(bad))
 
--- a/indigohitch/load/timeline/clock.py
+++ b/indigohitch/load/timeline/clock.py
@@ -1,7 +1,7 @@
 """One file's clock: its entries at times that never step back for good.
 
 A line that lies back a little was logged late and is sorted in; one far off is a stray; several that go on
-from another time mean that the clock was set.  Forward that can't be told from a gap, but for daylight saving:
+from another time mean that the clock was set.  Forward that can't be told from a gap, but in daylight saving:
 stamps without a zone that jump by an hour.  A gap is kept and counted; a replay may cut it."""
 from __future__ import annotations
 
--- a/indigohitch/load/trace.py
+++ b/indigohitch/load/trace.py
@@ -106,6 +106,7 @@
         except msgspec.DecodeError as bad:
             raise Damaged(f"{path}: its index can't be read: {bad}") from None
         self.head, self.blocks = index.head, index.blocks
+        self.identity = f"{xxhash.xxh3_64_intdigest(found):016x}"      # of what it holds, not of its name
 
     def block(self, place: int) -> bytes:
         self.file.seek(place)
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -17,14 +17,15 @@
     TARGET = 8192
     WAITING = Stream.BOUND // 2     # of earlier answers: the next one's head has to fit in beside them
 
-    __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "marked")
+    __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "marked",
+                 "serial")
 
     def __init__(self, host) -> None:
         self.host, self.rpc, self.since = host, None, host.loop.clock.now()
         self.stream: Stream | None = None
         self.close_after = self.lingering = self._inside = False
         self.marked = 0                         # bytes that waited in the ring at the last sweep
-        self.number = -1
+        self.number = self.serial = -1
 
     @property
     def idle(self) -> bool:
@@ -84,12 +85,14 @@
         route = host.text.routes.find(head.method, path)
         if isinstance(route, int):
             host.log.count(f"rpc_refused_{route}")
+            host.note(self, head, host.now, "", route, 0)
             self.close_after |= not head.body.done or not head.keep
             self.stream.write(plain(route, "no such route", None, self.close_after, head.method == "HEAD"))
             self.finished()
             return True
         if head.body.kind == Body.LENGTH and head.body.left > host.text.limits["body"]:
             host.log.count("rpc_refused_413")
+            host.note(self, head, host.now, route.rpc.name, 413, 0)
             self.refuse(413, "the body is too large")
             return False
         pool = host.pools[route.pool.name]
--- a/indigohitch/sidecar/conf.py
+++ b/indigohitch/sidecar/conf.py
@@ -18,6 +18,7 @@
 from .. import interface as face
 from ..net.clock import SECOND
 from ..net.connection import address
+from .access import FORMS
 from .routes import Doubled, Route, Routes
 
 _SPANS = {"ms": SECOND // 1000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
@@ -81,6 +82,12 @@
     return text
 
 
+def form(text: str) -> str:
+    if text not in FORMS:
+        raise ValueError(f"{text!r}: {' or '.join(FORMS)} is wanted")
+    return text
+
+
 def words(text: str) -> list[str]:
     return shlex.split(text)
 
@@ -90,6 +97,7 @@
 SINGLE = {
     "name": (name, "sidecar"), "listen": (address, None), "control": (path, ""), "state": (path, ""),
     "pidfile": (path, ""), "seed": (count, 1), "zone": (name, "local"), "program": (words, []),
+    "access-log": (path, ""), "access-log-form": (form, "json"),
 }
 LIMITS = {"clients": (count, 2000), "head": (size, 16 << 10), "body": (size, 16 << 30),
           "memory": (size, 64 << 20), "idle-upstream": (count, 64)}
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -1,6 +1,7 @@
 """The sidecar's request path as one object: its listener, clients and pools."""
 from __future__ import annotations
 
+import os
 import socket
 
 from ..log import Log
@@ -11,6 +12,7 @@
 from ..net.slots import Slots
 from ..net.stream import Stream
 from ..net.worker import Worker
+from .access import AccessLog
 from .clients import Client
 from .conf import Text
 from .pool import Pool
@@ -30,6 +32,10 @@
         self.holding = self.passing = False     # no RPC begins; idle clients go to another process
         self.pass_on = lambda client: None
         self._sweep = None
+        single = text.single
+        self.access = AccessLog(single["access-log"], single["access-log-form"],
+                                lambda: log.count("access_lines_dropped")) if single["access-log"] else None
+        self.serial, self.process = 0, f"{os.getpid():x}"       # of clients, for the access log
         self.now = loop.clock.now()             # of this turn: for what may be a few ms late
 
     def make_pools(self) -> dict[str, Pool]:
@@ -55,12 +61,22 @@
 
     def take(self, sock: socket.socket, rest: bytes = b"") -> Client:
         client = Client(self)
+        self.serial += 1
+        client.serial = self.serial
         client.stream = Stream.accepted(self.loop, sock, client, Stream.BOUND, self.memory)
         client.number = self.clients.put(client)
         if rest:
             client.stream.incoming.push(rest)
         return client
 
+    def note(self, client: Client, head, began: int, rpc: str, status: int, size: int) -> None:
+        """One line of the access log."""
+        if self.access is not None:
+            id = head.values(b"x-id")
+            self.access.add(began, self.loop.clock.now(), f"{self.process}.{client.serial}", head.method,
+                            head.target.decode("latin-1"), rpc, status, size,
+                            id[0].decode("latin-1") if id else "")
+
     def forget(self, client: Client) -> None:
         if client.number >= 0:
             self.clients.drop(client.number)
@@ -105,3 +121,6 @@
         for pool in self.pools.values():
             pool.close()
         self.worker.close()
+        if self.access is not None:
+            self.access.close()
+            self.log.count("access_lines_failed", self.access.failed)
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -48,6 +48,8 @@
             self.log.trouble("reload_failed", why=str(bad))
             return
         self.log.count("reloads")
+        if self.host.access is not None:
+            self.host.access.reopen()
         for name, pool in self.host.pools.items():
             self.log.event("reloaded", pool=name, **pool.relist(text.pools[name].servers))
 
--- a/indigohitch/standins/load.py
+++ b/indigohitch/standins/load.py
@@ -8,63 +8,12 @@
 import signal
 import sys
 
-import httptools
 import orjson
 
 from ..net.clock import SECOND, Clock
 from ..net.connection import address
 from ..net.loop import Loop
-from ..net.stream import Stream
-
-
-class Wire:
-    """One connection and the request that is out on it."""
-
-    def __init__(self, load: Load, keep: bool) -> None:
-        self.load, self.keep, self.job = load, keep, None
-        self.stream = Stream.dial(load.loop, load.to, self)
-        self.first = b""
-
-    def send(self, job: tuple) -> None:
-        self.job, self.status = job, 0
-        self.parser = httptools.HttpResponseParser(self)
-        self.stream.write(job[1])
-
-    def on_message_complete(self) -> None:
-        self.status = self.parser.get_status_code()
-        self.stays = self.parser.should_keep_alive()
-
-    def opened(self, stream: Stream) -> None:
-        stream.wake()
-
-    def heard(self, stream: Stream) -> None:
-        data = stream.incoming.take()
-        if self.job is None:
-            stream.close("unasked")
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            stream.close("garbled")
-            return
-        if self.status:
-            job, self.job = self.job, None
-            if self.keep and self.stays:
-                self.load.free(self)
-            else:
-                stream.close()
-                self.load.kept_open -= self.keep
-            self.load.over(self, job, self.status, "")
-
-    def drained(self, stream: Stream) -> None:
-        pass
-
-    def closed(self, stream: Stream, why: str) -> None:
-        self.load.spare.pop(self, None)
-        self.load.kept_open -= self.keep
-        if self.job is not None:
-            job, self.job = self.job, None
-            self.load.over(self, job, 0, why)
+from ..net.wire import Wire
 
 
 class Load:
@@ -78,6 +27,7 @@
         rng = random.Random(seed)
         self.uniform, self.randrange, self.prefix = rng.random, rng.randrange, prefix
         self.spare: dict[Wire, None] = {}
+        self.once: set[Wire] = set()            # wires for one request
         self.kept_open = self.out = self.number = 0
         self.results: list[tuple[int, int, int, str, str]] = []     # due, took, status, id, why
         self.reserves: set[str] = set()
@@ -99,14 +49,15 @@
         id, data = self.form(act)
         self.out += 1
         if self.uniform() < self.fresh:
-            wire = Wire(self, False)
+            wire = Wire(self)
+            self.once.add(wire)
         elif self.spare and self.kept_open >= self.kept:
             wire = next(iter(self.spare))       # the one that rested longest: all stay in use
             del self.spare[wire]
         else:
-            wire = Wire(self, True)
+            wire = Wire(self)
             self.kept_open += 1
-        wire.send((due, data, id))
+        wire.send((due, id), data)
 
     def free(self, wire: Wire) -> None:
         if len(self.spare) < self.kept:
@@ -115,9 +66,21 @@
             wire.stream.close()
             self.kept_open -= 1
 
+    def ended(self, wire: Wire) -> None:
+        self.spare.pop(wire, None)
+        if wire in self.once:
+            self.once.discard(wire)
+        else:
+            self.kept_open -= 1
+
     def over(self, wire: Wire, job: tuple, status: int, why: str) -> None:
+        if wire in self.once:
+            self.once.discard(wire)
+            wire.stream.close()
+        elif wire.keeps:
+            self.free(wire)
         self.out -= 1
-        self.results.append((job[0], self.loop.clock.now() - job[0], status, job[2], why))
+        self.results.append((job[0], self.loop.clock.now() - job[0], status, job[1], why))
         if self.then is not None:
             self.then()
 
--- a/indigohitch/standins/server.py
+++ b/indigohitch/standins/server.py
@@ -21,12 +21,16 @@
 import httptools
 import orjson
 
+from ..load.replay.safety import PATH, proof
 from ..net.clock import SECOND, Clock
 from ..net.connection import Listener
 from ..net.loop import Loop
 from ..net.ring import Pool
 from ..net.stream import Stream
 
+# A replay asks for this before it sends what must not run twice.
+PROOF = PATH.encode() + b"?"
+
 
 class Peer:
     def __init__(self, server: Server, sock: socket.socket) -> None:
@@ -83,6 +87,9 @@
         self.busy = True
         method, target, heads, act, got = self.queue.pop(0)
         server = self.server
+        if target.startswith(PROOF):
+            self.answer(200, proof(target.partition(b"nonce=")[2].decode("latin-1")).encode(), {})
+            return
         if target in (b"/stats", b"/health/live"):
             stats = orjson.dumps({"counts": server.counts, "acts": server.acts})
             self.answer(200, stats if target == b"/stats" else b"", {})
@@ -91,7 +98,7 @@
         server.counts[target.split(b"/")[1].decode("latin-1")] += 1
         if id := heads.get(b"x-id"):
             server.acts[id.decode()] = server.acts.get(id.decode(), 0) + 1
-        if "reset" in act:
+        if "reset" in act or server.lose and server.counts["requests"] % server.lose == 0:
             self.reset()
         elif "mute" not in act:
             body = b"x" * int(act["size"]) if "size" in act else b"%s acted %d" % (server.name, got)
@@ -160,9 +167,9 @@
 
 
 class Server:
-    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0) -> None:
-        """`service`: ms that every answer takes."""
-        self.loop, self.name, self.service = loop, name.encode(), service
+    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0, lose: int = 0) -> None:
+        """`service`: ms that every answer takes; `lose`: every so many RPCs one is acted on, and reset."""
+        self.loop, self.name, self.service, self.lose = loop, name.encode(), service, lose
         self.memory = Pool(1 << 30)
         self.counts: Counter[str] = Counter()
         self.acts: dict[str, int] = {}
@@ -180,14 +187,14 @@
         return True
 
 
-def main(at: tuple[str, int], name: str, service: float, also: int = 0) -> None:
+def main(at: tuple[str, int], name: str, service: float, also: int = 0, lose: int = 0) -> None:
     if not at[0].startswith("127."):
         raise SystemExit("a stand-in listens on loopback only")
 
     def failed(broken: BaseException) -> None:
         print(f"stand-in: {type(broken).__name__}: {broken}", file=sys.stderr, flush=True)
     loop = Loop(Clock(), failed)
-    Server(loop, name, at, service).also(also, at[1])
+    Server(loop, name, at, service, lose).also(also, at[1])
     print(f"{name} on {at[0]}:{at[1]}", flush=True)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     signal.signal(signal.SIGINT, lambda *_: sys.exit(0))
