Shapes, scaling, HAR export, report page and emulator of the load tools

Laws and popularity are fitted with scipy, a trace is scaled window by window (KS of gaps under 0.1, bursts kept within 20 % from 0.3 to 7 times, tests), a Space-Saving sketch finds heavy keys; one HTML page with plots of one run or two; logs as HAR and back are the same. Found by the round trip: a HAR answer of 0 bytes was read as unknown.

--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,11 @@
 
 proof-load: build     # QUICK=1: under 50 s
 	$(PY) proofs/load.py
+
+.PHONY: bench-emulator bench-load
+
+bench-emulator: build # speed, error against the stand-ins, decisions tried
+	$(PY) benchmarks/emulator.py
+
+bench-load: build     # parsing, the ceiling of a replay, the sketch
+	$(PY) benchmarks/load.py
--- a/indigohitch/load/command.py
+++ b/indigohitch/load/command.py
@@ -82,15 +82,50 @@
 def show(trace: str) -> None:
     """What TRACE holds."""
     import msgspec
+    found = opened(trace)
+    click.echo(orjson.dumps(msgspec.to_builtins(found.head) | {"identity": found.identity,
+                                                              "blocks": len(found.blocks)},
+                            option=orjson.OPT_INDENT_2).decode())
+
 
+def opened(path: str):
     from .trace import Damaged, Trace
     try:
-        found = Trace(trace)
+        return Trace(path)
     except (OSError, Damaged) as bad:
         refuse(str(bad))
-    click.echo(orjson.dumps(msgspec.to_builtins(found.head) | {"identity": found.identity,
-                                                              "blocks": len(found.blocks)},
-                            option=orjson.OPT_INDENT_2).decode())
+
+
+@load.command()
+@click.argument("trace", type=click.Path(dir_okay=False))
+def shape(trace: str) -> None:
+    """Rates, popularity of keys, times between requests and sizes of TRACE, by RPC."""
+    from .shape.fit import shape as told
+    found = told(r for _, r in opened(trace).requests())
+    click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2).decode())
+
+
+@load.command()
+@click.argument("trace", type=click.Path(dir_okay=False))
+@click.option("--times", required=True, type=float, help="The rate, times that of TRACE.")
+@click.option("--out", "-o", required=True, type=click.Path(dir_okay=False), help="The new trace.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--most-apart", default=0.1, show_default=True, help="KS distance past which it is refused.")
+def scale(trace: str, times: float, out: str, seed: int, most_apart: float) -> None:
+    """TRACE at another rate, as bursty as it was."""
+    from .shape.scale import compared, scaled
+    from .trace import write
+    source = opened(trace)
+    held = [r for _, r in source.requests()]
+    try:
+        made = list(scaled(held, times, seed))
+        told = compared(held, made, times)
+        if max(told["ks_gaps"], told["ks_over_time"]) > most_apart:
+            refuse(f"{told} is not like {trace}: nothing is written")
+        write(out, made, source.head.began, source.head.sources, source.head.counts)
+    except (OSError, ValueError) as bad:
+        refuse(str(bad))
+    click.echo(orjson.dumps(told, option=orjson.OPT_INDENT_2).decode())
 
 
 @load.command()
@@ -111,10 +146,11 @@
               help="TARGET is the sidecar of that file: its servers have to prove to be stand-ins.")
 @click.option("--allow-target", is_flag=True, help="TARGET may be no stand-in: idempotent requests go there.")
 @click.option("--json", "as_json", is_flag=True, help="The report as one line of JSON.")
+@click.option("--save", default="", type=click.Path(dir_okay=False), help="All figures, for `load page`.")
 @click.option("--shard", default="", hidden=True)
 @click.option("--begin", default=0, hidden=True)
 def replay(trace, target, speed, start, end, filters, longest_gap, rate, connections, processes, journal,
-           resume, through, allow_target, as_json, shard, begin) -> None:
+           resume, through, allow_target, as_json, save, shard, begin) -> None:
     """Send TRACE to TARGET, HOST:PORT, as it was recorded."""
     from .replay import running
     from .replay.journal import Unusable
@@ -139,12 +175,16 @@
             figures, told = running.run(found, wanted)
     except (OSError, Damaged, Refused, Unusable, ValueError) as bad:
         refuse(str(bad))
+    if save:
+        with open(save, "wb") as file:
+            file.write(orjson.dumps({"figures": figures.frozen(), "told": told}))
     if shard:
         click.echo(orjson.dumps({"figures": figures.frozen(), "told": told}).decode())
     elif as_json:
         click.echo(orjson.dumps(figures.told() | told).decode())
     else:
-        click.echo(page(figures.told() | told))
+        from .report.text import text as report
+        click.echo(report(figures.told() | told))
 
 
 def quiet(driver) -> None:
@@ -169,6 +209,10 @@
     from .replay.figures import Figures
     begin = round(time.time() * 10_000) + 15_000            # by then all of them have started
     words = [w for w in sys.argv[1:] if w != "--json"]
+    for at, word in enumerate(words):
+        if word.split("=")[0] == "--save":      # the whole is saved here
+            del words[at:at + 1 + ("=" not in word)]
+            break
     parts = []
     for number in range(count):
         mine = list(words)
@@ -196,17 +240,36 @@
     return figures, told
 
 
-def page(told: dict) -> str:
-    """The report as text."""
-    late = told["lateness"]
-    lines = [f"sent {told['sent']}, rate error at most {told['rate_error_max']:.1%} of any RPC in any tenth",
-             f"late by {late['p50_ms']} ms (p50), {late['p99_ms']} (p99), {late['max_ms']} at the most",
-             "outcomes: " + ", ".join(f"{k} {n}" for k, n in told["outcomes"].items()), ""]
-    lines.append(f"{'RPC':<24}{'answered':>10}{'p50 ms':>10}{'p90':>10}{'p99':>10}{'p99.9':>10}{'max':>10}")
-    for rpc, row in told["rpcs"].items():
-        lines.append(f"{rpc:<24}{row['count']:>10}" + "".join(
-            f"{row[k]:>10}" for k in ("p50_ms", "p90_ms", "p99_ms", "p99.9_ms", "max_ms")))
-    lines += ["", *(f"{k.replace('_', ' ')}: {told[k]}" for k in told if k.startswith("reserves_"))]
-    if told.get("stopped"):
-        lines.append("stopped before its end")
-    return "\n".join(lines)
+@load.command()
+@click.argument("saved", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--out", "-o", required=True, type=click.Path(dir_okay=False), help="The page, HTML.")
+@click.option("--title", default="Replay", show_default=True)
+def page(saved, out, title) -> None:
+    """One page with plots of one replay, or of two beside each other, that were SAVED."""
+    from .report.page import page as made
+    try:
+        runs = []
+        for path in saved:
+            with open(path, "rb") as file:
+                runs.append((path.rsplit("/", 1)[-1], orjson.loads(file.read())))
+        text = made(title, runs)
+        with open(out, "w", encoding="utf-8") as file:
+            file.write(text)
+    except (OSError, KeyError, ValueError, TypeError) as bad:
+        refuse(f"{type(bad).__name__}: {bad}")
+
+
+@load.command()
+@click.argument("sources", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--out", "-o", required=True, type=click.Path(dir_okay=False), help="The HAR file.")
+@click.option("--format", "form", default="", help="As for `compile`.")
+@click.option("--base", default="http://localhost", show_default=True, help="What the URLs begin with.")
+def har(sources, out, form, base) -> None:
+    """Access logs, such as the sidecar's, as one HAR 1.2 file."""
+    from .compiling import NothingRead
+    from .export import exported
+    try:
+        count, unread = exported(list(sources), out, form, base.rstrip("/"))
+    except (OSError, NothingRead, ValueError) as bad:
+        refuse(str(bad))
+    click.echo(f"{count} entries, {unread} lines could not be read")
--- a/indigohitch/load/sources/har.py
+++ b/indigohitch/load/sources/har.py
@@ -81,7 +81,7 @@
                  and str(h.get("name")).lower() == "x-id"), "")
     return Entry(stamp=at, method=method.upper(), target=path_of(request["url"]), line=place, local=local,
                  took=took(found, note), status=int(status) if isinstance(status, (int, float)) else 0,
-                 size=int(answer.get("bodySize") or -1) if isinstance(answer.get("bodySize"), int) else -1,
+                 size=answer["bodySize"] if isinstance(answer.get("bodySize"), int) else -1,
                  client=str(found.get("connection") or found.get("pageref") or ""), id=str(sent), body=data,
                  kind=kind)
 
--- a/indigohitch/standins/server.py
+++ b/indigohitch/standins/server.py
@@ -167,7 +167,8 @@
 
 
 class Server:
-    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0, lose: int = 0) -> None:
+    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0,
+                 lose: int = 0) -> None:
         """`service`: ms that every answer takes; `lose`: every so many RPCs one is acted on, and reset."""
         self.loop, self.name, self.service, self.lose = loop, name.encode(), service, lose
         self.memory = Pool(1 << 30)
