Levels hold a queue against the rate of all coordinators, and return twice as fast

At fault: judge divides a queue that all coordinators fill by the tries of one, five times too long a wait, and returns by a tenth only. A test of two cases fails without it.

--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -284,13 +284,14 @@
             return
         # By Little's law, queue over rate is the wait.  A half, and steeper cuts, did no better.
         n, failed = b.tries.read(self.now)
-        wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0)
-                / min(m.soft_deadline for m in self.methods.values()))
+        # The queue is that of all coordinators' RPCs, the rate one's own: the others' are like it.
+        wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0) * b.share
+                / (self.boot.get("coordinators", 1) * min(m.soft_deadline for m in self.methods.values())))
         b.judged, b.wait = self.now, wait
         if wait > 0.25 and 4 * sum(o.wait > 0.25 for o in self.opened()) > len(self.opened()):
             b.admit = max(0.2, b.admit * (0.7 if wait > 0.75 else 0.85))
-        elif wait < 0.1:
-            b.admit = min(1.0, b.admit + 0.1)
+        elif wait < 0.2:
+            b.admit = min(1.0, b.admit + 0.2)
 
     @staticmethod
     def wanted_level(s: Slice) -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 from fleet import Fleet
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
+from world import World
 
 
 def replace(fleet, part=0.6, steps=6):
@@ -151,3 +152,13 @@
     together = [t for times in asked for t in times if t > 5 * SECOND]
     assert all(sum(0 <= t - s < SECOND // 10 for t in together) <= 4 for s in together)
     assert all(len(w.listed) == 6 for w in f.worlds) and all(w.c.opened() for w in f.worlds)
+
+
+@pytest.mark.parametrize("coordinators,cut", [(5, False), (1, True)])
+def test_a_queue_is_held_against_the_rate_of_all_coordinators(coordinators, cut):
+    """Four RPCs wait at each backend: for one coordinator's six a second that is over half of the shortest
+    soft deadline; where four more bring as much, a tenth, and nothing is pushed back."""
+    w = World(coordinators=coordinators, own_number=0)
+    w.start(8, 24)
+    w.run(14 * SECOND, queued={f"b{n}": 4.0 for n in range(8)})
+    assert any(s.level < 1 for s in w.c.slices.values()) == cut
