--- a/indigohitch/load/sources/opened.py
+++ b/indigohitch/load/sources/opened.py
@@ -5,9 +5,8 @@
 import gzip
 import io
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
-ENDINGS = (".gz", ".zst", ".br")
 PIECE = 1 << 18                 # read at once: large enough for the parsers, small beside their memory
 
 
@@ -15,102 +14,88 @@
     """The compressed stream ends, or can't be read, before its end."""
 
 
-def plain_name(path: str) -> str:
-    return next((path[:-len(e)] for e in ENDINGS if path.endswith(e)), path)
-
+class _Unpacked(io.RawIOBase):
+    """What `more` makes of the pieces that `read` gives, as a file; `whole` says at the end whether it came to
+    its own end."""
 
-class _Brotli(io.RawIOBase):
-    """Brotli's decompressor as a file."""
-
-    def __init__(self, file) -> None:
-        import brotli
-        self.file, self.error = file, brotli.error
-        self.decompressor, self.rest, self.over = brotli.Decompressor(), b"", False
+    def __init__(self, read: Callable[[int], bytes], more: Callable[[bytes], bytes],
+                 whole: Callable[[], bool], kind: str) -> None:
+        self.read_piece, self.more, self.whole, self.kind = read, more, whole, kind
+        self.rest, self.over = b"", False
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, into) -> int:
         while not self.rest and not self.over:
-            piece = self.file.read(PIECE)
+            piece = self.read_piece(PIECE)
             if not piece:
                 self.over = True
-                if not self.decompressor.is_finished():
-                    raise Truncated("the brotli stream ends early")
+                if not self.whole():
+                    raise Truncated(f"the {self.kind} stream ends early")
                 break
-            try:
-                self.rest = self.decompressor.process(piece)
-            except self.error:
-                raise Truncated("the brotli stream can't be read") from None
+            self.rest = self.more(piece)
         got, self.rest = self.rest[:len(into)], self.rest[len(into):]
         into[:len(got)] = got
         return len(got)
 
 
-class _Told(io.RawIOBase):
-    """Another stream whose errors of a cut-off file are all Truncated; as many bytes as came before count."""
+def _brotli(file) -> _Unpacked:
+    import brotli
+    unpacker = brotli.Decompressor()
 
-    def __init__(self, stream) -> None:
-        self.stream, self.broken = stream, ""
+    def more(piece: bytes) -> bytes:
+        try:
+            return unpacker.process(piece)
+        except brotli.error:
+            raise Truncated("the brotli stream can't be read") from None
+    return _Unpacked(file.read, more, unpacker.is_finished, "brotli")
 
-    def readable(self) -> bool:
-        return True
 
-    def readinto(self, into) -> int:
-        if self.broken:
-            raise Truncated(self.broken)
+def _zstd(file) -> _Unpacked:
+    import zstandard
+    unpacker = None
+
+    def more(piece: bytes) -> bytes:
+        nonlocal unpacker
+        out = b""
         try:
-            piece = self.stream.read(len(into))
+            while piece:
+                if unpacker is None or unpacker.eof:    # a log that is appended to has several frames
+                    unpacker = zstandard.ZstdDecompressor().decompressobj()
+                out += unpacker.decompress(piece)
+                piece = unpacker.unused_data if unpacker.eof else b""
+        except zstandard.ZstdError:
+            raise Truncated("the zstd stream can't be read") from None
+        return out
+    return _Unpacked(file.read, more, lambda: unpacker is None or unpacker.eof, "zstd")
+
+
+def _gzip(file) -> _Unpacked:
+    unzipped = gzip.GzipFile(fileobj=file)
+
+    def read(size: int) -> bytes:
+        try:
+            return unzipped.read(size)
         except (EOFError, zlib.error, gzip.BadGzipFile) as bad:
             raise Truncated(f"the gzip stream ends early or is damaged: {bad}") from None
-        into[:len(piece)] = piece
-        return len(piece)
+    return _Unpacked(read, lambda piece: piece, lambda: True, "gzip")
 
 
-def opened(path: str) -> io.BufferedReader:
-    """OSError where it can't be had; reading raises Truncated."""
-    file = open(path, "rb")
-    if path.endswith(".gz"):
-        return io.BufferedReader(_Told(gzip.GzipFile(fileobj=file)), PIECE)
-    if path.endswith(".zst"):
-        import zstandard
-        return io.BufferedReader(_Zstd(zstandard, file), PIECE)
-    if path.endswith(".br"):
-        return io.BufferedReader(_Brotli(file), PIECE)
-    return io.BufferedReader(file.detach(), PIECE) if isinstance(file, io.BufferedReader) else file
-
-
-class _Zstd(io.RawIOBase):
-    def __init__(self, zstandard, file) -> None:
-        self.error = zstandard.ZstdError
-        self.file, self.rest, self.eof = file, b"", False
-        self.decompressor = zstandard.ZstdDecompressor().decompressobj(read_across_frames=False)
-        self.make = lambda: zstandard.ZstdDecompressor().decompressobj(read_across_frames=False)
-        self.begun = False
+UNPACK = {".gz": _gzip, ".zst": _zstd, ".br": _brotli}
 
-    def readable(self) -> bool:
-        return True
 
-    def readinto(self, into) -> int:
-        while not self.rest and not self.eof:
-            piece = self.file.read(PIECE)
-            if not piece:
-                self.eof = True
-                if self.begun and not self.decompressor.eof:
-                    raise Truncated("the zstd stream ends early")
-                break
-            try:
-                while piece:
-                    if self.decompressor.eof:           # a log appended to has several frames
-                        self.decompressor = self.make()
-                    self.begun = True
-                    self.rest += self.decompressor.decompress(piece)
-                    piece = self.decompressor.unused_data if self.decompressor.eof else b""
-            except self.error:
-                raise Truncated("the zstd stream can't be read") from None
-        got, self.rest = self.rest[:len(into)], self.rest[len(into):]
-        into[:len(got)] = got
-        return len(got)
+def plain_name(path: str) -> str:
+    return next((path[:-len(ending)] for ending in UNPACK if path.endswith(ending)), path)
+
+
+def opened(path: str) -> io.BufferedReader:
+    """OSError where it can't be had; reading raises Truncated."""
+    file = open(path, "rb", buffering=PIECE)
+    for ending, unpack in UNPACK.items():
+        if path.endswith(ending):
+            return io.BufferedReader(unpack(file), PIECE)
+    return file
 
 
 LINE = 1 << 20                  # the longest line that is read: a URL of a megabyte is no request of ours
