Settings that can't be used end the program with a line that names what is wrong

Seen: a configuration without family-info.report-every started, and the module was begun anew at every turn (four times in two seconds). At fault: bootstrap took what was there and asked for nothing. Now what every turn needs is checked at the start: exit code 1 and its path.

--- a/indigohitch/bootstrap.py
+++ b/indigohitch/bootstrap.py
@@ -65,6 +65,20 @@
         tenths(given.get("memory-span", 0.0)))
 
 
+def _usable(found: dict) -> None:
+    """Guards against a coordinator that starts, and then fails at every turn."""
+    every = found.get("report_every")
+    if not isinstance(every, int):
+        raise ValueError("settings: family-info.report-every is missing")
+    if every <= 0:
+        raise ValueError(f"settings: family-info.report-every is {every / 10} ms")
+    if not found["methods"]:
+        raise ValueError("settings: classes names no method")
+    for method in found["methods"]:
+        if min(method.soft_deadline, method.deadline) <= 0:
+            raise ValueError(f"settings: {method.name}: aim and deadline have to be above 0")
+
+
 def bootstrap(params: dict) -> tuple[dict, list[str]]:
     """The start settings as a flat map, and the names of the load report's columns.  ValueError says
     what can't be read."""
@@ -77,6 +91,7 @@
             if node is not None:
                 found[name] = tenths(node) if in_ms else node
         found["methods"] = tuple(map(_method, params["classes"]))
+        _usable(found)
         return found, list((params.get("report") or {}).get("columns") or ())
     except (KeyError, TypeError, AttributeError) as bad:
         raise ValueError(f"settings: {type(bad).__name__}: {bad}") from None
--- a/indigohitch/load/sources/opened.py
+++ b/indigohitch/load/sources/opened.py
@@ -15,8 +15,8 @@
 
 
 class _Unpacked(io.RawIOBase):
-    """What `more` makes of the pieces that `read` gives, as a file; `whole` says at the end whether it came to
-    its own end."""
+    """What `more` makes of the pieces that `read` gives, as a file; `whole` says at the end whether it came
+    to its own end."""
 
     def __init__(self, read: Callable[[int], bytes], more: Callable[[bytes], bytes],
                  whole: Callable[[], bool], kind: str) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -480,6 +480,18 @@
     assert len(program.said("cannot_start")) == 1 and not program.process.stderr.read()
 
 
+@pytest.mark.parametrize("settings,why", [
+    (SETTINGS | {"classes": []}, "no method"),
+    (SETTINGS | {"family-info": {"admission": "share"}}, "family-info.report-every is missing"),
+    (SETTINGS | {"family-info": SETTINGS["family-info"] | {"report-every": 0.0}}, "family-info.report-every"),
+    (SETTINGS | {"classes": [SETTINGS["classes"][0] | {"aim": -1.0}]}, "search: aim")])
+def test_settings_that_can_not_be_used_are_named(platform, settings, why):
+    program = platform.start(settings=settings)
+    assert program.process.wait(10) == 1
+    program.reader.join(5)
+    assert why in program.said("cannot_start")[0]["why"] and not program.said("defect")
+
+
 def test_an_address_that_can_not_be_had_ends_it(platform):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         for listen in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:0x10"):
