One loader for a changed module in benchmarks, medians of runs in turn, assess reads once

Found by a second reading. assess read the number of coordinators for every backend and reused the name of its tries; it is read once a turn now, behaviour as before.

--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -18,6 +18,8 @@
 import time
 from pathlib import Path
 
+from variant import variant
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
@@ -103,12 +105,7 @@
         assert edge in text, edge
         none = edge.replace("1.25", "1.0").replace("1.10", "1.0").replace("0.25 *", "0.0 *")
         text = text.replace(edge, none)
-    import importlib.util
-    found = importlib.util.module_from_spec(importlib.util.spec_from_loader("indigohitch.logic_bare", None))
-    found.__package__ = "indigohitch"
-    sys.modules[found.__name__] = found
-    exec(compile(text, "logic_bare", "exec"), found.__dict__)
-    return found.Coordinator
+    return variant("logic_bare", text).Coordinator
 
 
 def profile(requests, span, period):
--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -1,8 +1,8 @@
 """Time of a module turn and of a burst of joins, and memory, at two sizes of the fleet, against the module of
 the starting commit in the same run:  make bench-fleet-size  (needs the repository's history).
 
-Each cell runs in a process of its own.  Milliseconds are of process time; the fleet is made up, seeded."""
-import importlib.util
+Each cell runs in a process of its own, seven times in turn; medians.  Milliseconds are of process time; the
+fleet is made up, seeded."""
 import json
 import random
 import resource
@@ -12,9 +12,12 @@
 import time
 from pathlib import Path
 
+from variant import variant
+
 ROOT = Path(__file__).resolve().parent.parent
 START = "0e0778a"               # the text before many coordinators at once
 SIZES = ((640, 120), (1600, 200))
+TIMES = 7                       # runs of each cell, of which the median counts
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
 
@@ -24,13 +27,8 @@
         from indigohitch import logic
         return logic
     text = subprocess.run(["git", "show", f"{START}:indigohitch/logic.py"], cwd=ROOT, check=True,
-                          capture_output=True).stdout
-    spec = importlib.util.spec_from_loader("indigohitch.logic_before", loader=None)
-    found = importlib.util.module_from_spec(spec)
-    found.__package__ = "indigohitch"
-    sys.modules[spec.name] = found
-    exec(compile(text, "logic_before", "exec"), found.__dict__)
-    return found
+                          capture_output=True, text=True).stdout
+    return variant("logic_before", text)
 
 
 def cell(which: str, proxies: int, backends: int) -> dict:
@@ -83,11 +81,15 @@
 def main() -> None:
     rows = []
     for proxies, backends in SIZES:
-        for which in ("before", "now"):
+        runs = {"before": [], "now": []}
+        for which in ("before", "now") * TIMES:         # in turn: the machine's speed drifts
             out = subprocess.run([sys.executable, __file__, which, str(proxies), str(backends)], check=True,
                                  capture_output=True, text=True).stdout
-            rows.append(json.loads(out))
-            print(out.strip())
+            runs[which].append(json.loads(out))
+        for found in runs.values():
+            rows.append({key: value if isinstance(value, (str, int)) else
+                         statistics.median(run[key] for run in found) for key, value in found[0].items()})
+            print(json.dumps(rows[-1]))
     (ROOT / "benchmarks/results/fleet_size.json").write_text(json.dumps(
         {"command": "make bench-fleet-size", "before": START, "cells": rows}, indent=1) + "\n")
 
--- a/indigohitch/logic.py
+++ b/indigohitch/logic.py
@@ -334,6 +334,7 @@
         was, self.strained = self.strained, bad > (0.2 if self.strained else 0.45) * len(opened)
         if was != self.strained:
             self.log(f"strain {('ends', 'begins')[self.strained]}: {bad} of {len(opened)} backends look bad")
+        many, own = self.boot.get("coordinators", 1), self.boot.get("own_number", 0)
         missing = Counter(b.zone for b in opened if b.misses > 1)
         usable = Counter(b.zone for b in opened)
         for b in self.backends.values():
@@ -364,9 +365,7 @@
             b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - self.boot["cold_from"]) * (1 - age))
             # Of several coordinators one, by its id, deals with a cold backend for all: a part each of
             # its cold room would be less than any slice asks for.
-            n = self.boot.get("coordinators", 1)
-            ours = int.from_bytes(b.key, "big") % n == self.boot.get("own_number", 0)
-            b.share = 1.0 if age >= 1 else n if ours else 0.01
+            b.share = 1.0 if age >= 1 else many if int.from_bytes(b.key, "big") % many == own else 0.01
             b.capacity = b.weight * b.health * b.warmth * b.share / b.slowness
             # As many failures as answers beyond what all show; twice as slow as its like; probes missed,
             # unless by most of its zone: that is the way there.
--- a/indigohitch/model/backends.py
+++ b/indigohitch/model/backends.py
@@ -37,7 +37,7 @@
         age = (now - self.started) / self.kind.warm_within if self.started else 1.0
         return min(1.0, self.kind.cold_from + (1 - self.kind.cold_from) * age)
 
-    def takes(self, job, now: int) -> bool:
+    def takes(self, job) -> bool:
         """Begun, or waiting; False: turned away unseen."""
         self.total += 1
         if self.busy < self.kind.cores:
--- a/indigohitch/model/emulator.py
+++ b/indigohitch/model/emulator.py
@@ -145,7 +145,7 @@
         job = slice, rpc, self.now, tries
         backend.held += 1
         busy = backend.busy
-        if not backend.takes(job, self.now):
+        if not backend.takes(job):
             backend.held -= 1
             tries[1] += 1
             seen.refused += 1
