Types between the parts of the fleet, one family of errors, frames below upgrades and fleet

Need: the fleet's packages are to be built side by side; what they share stands first. Change: fleet/terms.py (who, stamps, entries, leases), fleet/ports.py and fleet/ledger/ports.py (how parts meet), fleet/book.py (the replicated state, each proposal once), errors.py (what, where, remedy), packed/ (frames, rows and whole files out of upgrade/).

--- /dev/null
+++ b/indigohitch/fleet/ledger/ports.py
@@ -0,0 +1,178 @@
+"""What goes into the ledger's machine and what comes out of it.  Shapes only; no I/O.
+
+A machine is `Machine(me, held, bootstrap, chance, now)` with `step(now, input) -> list[output]`, in order,
+and `due`, the time at which `Due` is to be put in at the latest.  Nothing that it promises leaves before it
+is on the disk: it puts out `Write`, and sends what hangs on it once `Written` has come.  The driver writes in
+order."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ...packed.rows import Row
+from ..terms import Entry, Proposal, Who
+
+# ---- what lies on a disk ---------------------------------------------------------------------------
+
+
+class Members(Row, frozen=True):
+    """Who belongs to the ledger: the body of a `ledger.members` entry, and part of a snapshot.  Votes count
+    by name and number; followers are told everything and never vote."""
+    voters: tuple[Who, ...]
+    followers: tuple[Who, ...] = ()
+
+
+class Ballot(Row, frozen=True):
+    """What must outlive a crash beside the log: the term, and who got this member's vote in it."""
+    term: int
+    vote: Who | None = None
+
+
+class Snap(Row, frozen=True):
+    """The book as it stood after entry `index`; the log before may be forgotten."""
+    index: int
+    term: int
+    members: Members
+    book: bytes
+
+
+@dataclass(slots=True)
+class Held:
+    """What a disk gave back at a start: entries follow the snapshot without a gap."""
+    ballot: Ballot
+    snap: Snap
+    entries: list[Entry] = field(default_factory=list)
+
+
+# ---- in --------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A word of another member, from words.py."""
+    sender: Who
+    word: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Propose:
+    proposal: Proposal
+
+
+@dataclass(slots=True, frozen=True)
+class Read:
+    """Ask for a read confirmed by a majority; `number` is the asker's, unique while it is out."""
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """An operator's wish: add (as a follower that votes once it has learned), or take out."""
+    who: Who
+    out: bool = False
+    votes: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Written:
+    """All `Write`s up to that number are on the disk."""
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class DiskFailed:
+    """A write came to nothing (full, broken): nothing after the last `Written` is promised.  The member goes
+    on without votes and acknowledgements until `DiskBack`; a leader steps down."""
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class DiskBack:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class Snapped:
+    """The driver's answer to `TakeSnapshot`: on the disk, the log up to it is forgotten there."""
+    snap: Snap
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    pass
+
+
+Input = Heard | Propose | Read | Change | Written | DiskFailed | DiskBack | Snapped | Due
+
+# ---- out -------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: Who
+    word: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """To the disk, in order, then fsync, then `Written(number)`.  `cut`: entries from that index on are void
+    (0: none); `ballot` None: as it was."""
+    number: int
+    ballot: Ballot | None = None
+    cut: int = 0
+    entries: tuple[Entry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Commit:
+    """Apply these to the book, in order."""
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Install:
+    """Set the book to this, write it to the disk in place of the log, then `Snapped`."""
+    snap: Snap
+
+
+@dataclass(slots=True, frozen=True)
+class TakeSnapshot:
+    """The log has grown: encode the book as it stands (at `index`), write it, then `Snapped`."""
+    index: int
+
+
+@dataclass(slots=True, frozen=True)
+class Turned:
+    """A proposal was not taken: `again` tells in how many tenths of a ms to return; `leader` who may take it.
+    What was taken is answered by its entry in a `Commit`."""
+    proposal: Proposal
+    again: int
+    leader: Who | None
+
+
+@dataclass(slots=True, frozen=True)
+class Readable:
+    """That read is confirmed: the book at `index` or later answers it.  `ok` False: not here, ask
+    `leader`."""
+    number: int
+    index: int
+    ok: bool = True
+    leader: Who | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Became:
+    """The role of this member changed: "follower", "asking" (a vote before the vote), "candidate",
+    "leader"."""
+    role: str
+    term: int
+    leader: Who | None
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """For the log: a JSON line."""
+    event: str
+    fields: dict
+
+
+Output = Send | Write | Commit | Install | TakeSnapshot | Turned | Readable | Became | Note
--- /dev/null
+++ b/indigohitch/fleet/ports.py
@@ -0,0 +1,72 @@
+"""How the parts of the fleet meet: what the replicated book wants of a part of it, and what a member's
+process wants of a part's work.  Shapes only."""
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from ..packed.rows import Row
+from .terms import Entry, Lease, Outcome
+
+
+class At(Row, frozen=True):
+    """Where in the ledger an entry stands, for who applies it."""
+    index: int
+    term: int
+    time: int                   # fleet time, tenths of a ms: the same at each member
+    proposer: str
+    incarnation: int
+
+
+class BookPart(Protocol):
+    """A part of the replicated state.  It must come to the same from the same entries at every member: no
+    clock, no chance, no order of a set.  Other parts are at hand by name in `book.parts`."""
+    name: str                           # its kinds are `name.word`
+    kinds: Mapping[str, type[Row]]      # by word: the row that an entry's body holds
+
+    def apply(self, at: At, word: str, body: Row) -> object:
+        """Carries the entry out and returns what the proposer is told (anything msgpack takes); raises
+        `errors.Unfit`, before it has changed anything, where the entry can't be."""
+
+    def row(self) -> Row: ...
+
+    def restore(self, row: bytes) -> None:
+        """From the msgpack of what `row` returned, this version's or one older or newer by one."""
+
+
+class Wanted(Row, frozen=True):
+    """A proposal that a part's work asks the process to make.  `tag` comes back with its outcome."""
+    kind: str
+    body: Row
+    tag: str = ""
+
+
+class Work(Protocol):
+    """A part's own work in one member's process.  No I/O: the process calls it and carries out what it
+    returns. Each call returns the proposals that it wants made."""
+    name: str
+
+    def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
+        """An entry has been applied to the book here (entries from before a snapshot are not told:
+        `restored`)."""
+
+    def restored(self, now: int) -> list[Wanted]:
+        """The book was set to a snapshot, or read from the disk: look at it anew."""
+
+    def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
+        """Each beat (100 ms) and after what changed; `lease`: this member's, None while it has none."""
+
+    def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
+        """What a proposal of this work came to; None: it is not known (it may still come to something), and
+        it may be wanted again: the process sends it under the same number until it is known or out of
+        window."""
+
+    def report(self, now: int) -> bytes:
+        """What the leader is told with each renewal of this member's lease; at most a few KB."""
+
+    def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
+        """At the leader only, each beat: what it proposes for the fleet.  `reports`: the last of each member
+        that holds a lease, by name."""
+
+    def figures(self) -> dict:
+        """For `status`, as plain JSON."""
--- a/indigohitch/upgrade/channel.py
+++ b/indigohitch/upgrade/channel.py
@@ -11,7 +11,7 @@
 from ..net.clock import SECOND
 from ..net.connection import READ, WRITE
 from ..net.loop import Loop
-from .words import Broken, Frames, Word, frame
+from .words import WORDS, Broken, Frames, Word, frame
 
 
 class Channel:
@@ -23,7 +23,7 @@
         """`ended(why, broken)` once: at the end of the channel, or as soon as what comes can't be read."""
         self.loop, self.sock, self.heard, self.ended = loop, sock, heard, ended
         sock.setblocking(False)
-        self.frames = Frames()
+        self.frames = Frames(WORDS)
         self.arrived: deque[int] = deque()              # descriptors not given to a word yet
         self.out: deque[tuple[memoryview, list[int]]] = deque()
         self.open, self._mask, self._waiting = True, READ, False
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -8,13 +8,8 @@
 import random
 from collections import deque
 
-import msgspec
-
 from ..logic import Backend, Coordinator, Part, Slice, Sums
-
-
-class Row(msgspec.Struct, array_like=True):
-    """Fields are only ever added, at the end and with a default."""
+from ..packed.rows import Row
 
 
 class SumsRow(Row):
--- a/indigohitch/upgrade/snapshot.py
+++ b/indigohitch/upgrade/snapshot.py
@@ -5,13 +5,17 @@
 some and the newer brings some that are passed over."""
 from __future__ import annotations
 
-import hashlib
 import os
 import struct
 
 import msgspec
 
-from .module_state import ModuleRow, Row
+from ..errors import Unreadable
+from ..packed.files import write_whole as write
+from ..packed.rows import Row, digest
+from .module_state import ModuleRow
+
+__all__ = ["Snapshot", "Unusable", "decode", "digest", "encode", "read", "write"]
 
 SCHEMA = 1
 MAGIC = b"IHSNAP\r\n"           # as in PNG: a transfer that changes line ends shows itself
@@ -19,8 +23,9 @@
 MOST = 1 << 30
 
 
-class Unusable(ValueError):
+class Unusable(Unreadable):
     """A snapshot that is refused whole."""
+    remedy = "the program begins without it; remove the file if it is of no use"
 
 
 class ServerRow(Row):
@@ -93,10 +98,6 @@
     return _HEAD.pack(MAGIC, version, len(body), digest(body, version)) + body
 
 
-def digest(body: bytes, version: int = SCHEMA) -> bytes:
-    return hashlib.blake2b(body, digest_size=16, salt=version.to_bytes(2, "big")).digest()
-
-
 def decode(data: bytes, own: int = SCHEMA) -> Snapshot:
     """Raises Unusable."""
     if len(data) < _HEAD.size:
@@ -117,32 +118,6 @@
         raise Unusable(f"not in this form: {bad}") from None
 
 
-def write(path: str, data: bytes) -> None:
-    """Whole or not at all: what stood there before stays until all of the new one is on the disk."""
-    part = f"{path}.{os.getpid()}.part"
-    try:
-        fd = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-        try:
-            view = memoryview(data)
-            while view:
-                view = view[os.write(fd, view):]
-            os.fsync(fd)
-        finally:
-            os.close(fd)
-        os.rename(part, path)
-    except OSError:
-        try:
-            os.unlink(part)
-        except OSError:
-            pass
-        raise
-    folder = os.open(os.path.dirname(os.path.abspath(path)), os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
-
-
 def read(path: str) -> Snapshot:
     """Raises OSError, Unusable."""
     with open(path, "rb") as file:
--- a/indigohitch/upgrade/words.py
+++ b/indigohitch/upgrade/words.py
@@ -1,27 +1,13 @@
-"""What the two processes say to each other, and the frames it goes in.  No I/O.
-
-A frame: magic, protocol version, kind, number of descriptors that come with it, length and checksum of its
-body; the body is msgpack of one of the structs below.  The descriptors ride on the frame's first byte."""
+"""What the two processes say to each other, in the frames of `packed`; descriptors ride on a frame's first
+byte.  No I/O."""
 from __future__ import annotations
 
-import struct
-from collections.abc import Iterator
+from ..packed.frames import MOST, Broken, Frames, Kinds
+from ..packed.rows import Row as Word
 
-import msgspec
-import xxhash
+__all__ = ["MOST", "Broken", "Frames", "Word", "WORDS", "frame"]
 
 PROTOCOL = 1
-MAGIC = b"IHup"
-_HEAD = struct.Struct("!4sBBHIQ")
-MOST = 8 << 20                  # of one frame; a larger state goes in several
-
-
-class Broken(ValueError):
-    """Not what the other side would say."""
-
-
-class Word(msgspec.Struct, array_like=True):
-    """Fields are only ever added, at the end and with a default: a version older or newer by one reads it."""
 
 
 class Hello(Word):
@@ -93,41 +79,6 @@
     why: str
 
 
-KINDS: list[type[Word]] = [Hello, Listeners, Piece, Restored, Proven, Passed, Commit, Accepting, Adopted,
-                           Rest, Done, CallOff, Refuse]
-_NUMBER = {kind: number for number, kind in enumerate(KINDS)}
-
-
-def frame(word: Word, descriptors: int = 0) -> bytes:
-    body = msgspec.msgpack.encode(word)
-    if len(body) > MOST:
-        raise ValueError(f"{type(word).__name__} of {len(body)} bytes")
-    return _HEAD.pack(MAGIC, PROTOCOL, _NUMBER[type(word)], descriptors, len(body),
-                      xxhash.xxh3_64_intdigest(body, PROTOCOL << 8 | _NUMBER[type(word)])) + body
-
-
-class Frames:
-    """Frames out of the pieces in which they come."""
-
-    def __init__(self) -> None:
-        self.rest = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[tuple[Word, int]]:
-        """Words with the number of their descriptors; raises Broken, and then is of no more use."""
-        self.rest += data
-        while len(self.rest) >= _HEAD.size:
-            magic, protocol, number, descriptors, length, checksum = _HEAD.unpack_from(self.rest)
-            if magic != MAGIC or not PROTOCOL - 1 <= protocol <= PROTOCOL + 1:
-                raise Broken("another protocol")
-            if number >= len(KINDS) or length > MOST:
-                raise Broken(f"no such word: kind {number}, {length} bytes")
-            if len(self.rest) < _HEAD.size + length:
-                return
-            body = bytes(self.rest[_HEAD.size:_HEAD.size + length])
-            del self.rest[:_HEAD.size + length]
-            if xxhash.xxh3_64_intdigest(body, protocol << 8 | number) != checksum:
-                raise Broken("a frame has another checksum than its body")
-            try:
-                yield msgspec.msgpack.decode(body, type=KINDS[number]), descriptors
-            except msgspec.MsgspecError as bad:
-                raise Broken(f"{KINDS[number].__name__}: {bad}") from None
+WORDS = Kinds(b"IHup", PROTOCOL, [Hello, Listeners, Piece, Restored, Proven, Passed, Commit, Accepting,
+                                    Adopted, Rest, Done, CallOff, Refuse])
+frame = WORDS.frame
--- /dev/null
+++ b/tests/test_fleet_book.py
@@ -0,0 +1,76 @@
+"""The replicated book: once, in order, the same at each member, through snapshots."""
+import random
+
+import msgspec
+import pytest
+
+from indigohitch.errors import Unfit, Unreadable
+from indigohitch.fleet.book import WINDOW, Book
+from indigohitch.fleet.terms import Entry
+from indigohitch.packed.rows import Row
+
+
+class Add(Row):
+    what: str
+    much: int
+
+
+class Sums:
+    name, kinds = "sums", {"add": Add}
+
+    def __init__(self):
+        self.sums = {}
+
+    def apply(self, at, word, body):
+        if body.much < 0:
+            raise Unfit("below 0")
+        self.sums[body.what] = self.sums.get(body.what, 0) + body.much
+        return self.sums[body.what]
+
+    def row(self):
+        return sorted(self.sums.items())
+
+    def restore(self, row):
+        self.sums = dict(msgspec.msgpack.decode(row))
+
+
+def entry(index, number, what="a", much=1, incarnation=1, kind="sums.add"):
+    return Entry(index, 1, kind, msgspec.msgpack.encode(Add(what, much)), "n1", incarnation, number)
+
+
+def test_a_proposal_takes_effect_once():
+    book = Book([Sums()])
+    first = book.apply(entry(1, 1))
+    again = book.apply(entry(2, 1))
+    assert (again.doubled, again.index, again.told) == (True, 1, first.told) and not first.doubled
+    assert book.parts["sums"].sums == {"a": 1}
+    assert book.apply(entry(3, 7 + WINDOW)).refused == ""
+    assert "too old" in book.apply(entry(4, 2)).refused
+    assert book.apply(entry(5, 1, incarnation=2)).refused == ""
+    assert "over" in book.apply(entry(6, 9 + WINDOW)).refused
+
+
+def test_what_can_not_be_changes_nothing():
+    book = Book([Sums()])
+    for index, (kind, much) in enumerate([("sums.add", -1), ("sums.no", 1), ("no.add", 1)], 1):
+        assert book.apply(entry(index, index, much=much, kind=kind)).refused
+    assert book.apply(Entry(4, 1, "sums.add", b"\xc1", "n1", 1, 4)).refused
+    assert book.parts["sums"].sums == {} and book.apply(Entry(5, 2, "", b"")).refused == ""
+    with pytest.raises(ValueError):
+        book.apply(entry(5, 5))
+    with pytest.raises(Unreadable):
+        Book([Sums()]).restore(b"\x93")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_snapshot_anywhere_comes_to_the_same(seed):
+    chance = random.Random(seed)
+    one, other = Book([Sums()]), Book([Sums()])
+    for index in range(1, 200):
+        given = entry(index, chance.randint(max(1, index - 20), index), chance.choice("abc"),
+                      chance.randint(-1, 5), 1 + index // 70)
+        assert one.apply(given) == other.apply(given)
+        if chance.random() < 0.1:
+            data, other = other.snapshot(), Book([Sums()])
+            other.restore(data)
+        assert one.digest() == other.digest()
--- a/tests/test_upgrade_state.py
+++ b/tests/test_upgrade_state.py
@@ -10,6 +10,7 @@
 from indigohitch.interface import ALL_TABLES, SetLevel
 from indigohitch.net.clock import Clock
 from indigohitch.net.loop import Loop
+from indigohitch.packed import frames
 from indigohitch.upgrade import events, module_state, words
 from indigohitch.upgrade import snapshot as shots
 from indigohitch.upgrade.channel import Channel
@@ -56,8 +57,8 @@
             found.parts = [(owner, 0) for owner, _ in found.parts]      # since when each part rests
         return thaw(row, boot)
     monkeypatch.setattr(module_state, "thaw", forgetful)
-    monkeypatch.setattr(module_state.msgspec.msgpack, "encode", lambda row: row)
-    monkeypatch.setattr(module_state.msgspec.msgpack, "decode", lambda row, type: row)
+    monkeypatch.setattr(msgspec.msgpack, "encode", lambda row: row)
+    monkeypatch.setattr(msgspec.msgpack, "decode", lambda row, type: row)
     with pytest.raises(AssertionError):
         test_days_with_upgrades_are_the_days_without(1, monkeypatch)
 
@@ -205,8 +206,8 @@
         frame[5] = 200
     elif harm == "form":
         body = msgspec.msgpack.encode(["x"])
-        frame = words._HEAD.pack(words.MAGIC, 1, 0, 0, len(body),
-                                 words.xxhash.xxh3_64_intdigest(body, 1 << 8)) + body
+        frame = frames._HEAD.pack(words.WORDS.magic, 1, 0, 0, len(body),
+                                 frames.xxhash.xxh3_64_intdigest(body, 1 << 8)) + body
     ends.ours.send(frame)
     ends.ours.close()
     ends.turn()
