--- a/indigohitch/fleet/book.py
+++ b/indigohitch/fleet/book.py
@@ -36,6 +36,8 @@
 class Book:
     def __init__(self, parts: Iterable[BookPart]) -> None:
         self.parts = {part.name: part for part in parts}
+        for part in self.parts.values():
+            part.book = self
         self.index, self.term = 0, 0            # of the last entry applied
         self.proposers: dict[str, Proposed] = {}
 
--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..packed.rows import Row
-from .terms import Entry, Lease, Outcome
+from .terms import Entry, Lease, Outcome, Stamp
+
+if TYPE_CHECKING:
+    from .book import Book
 
 
 class At(Row, frozen=True):
@@ -22,18 +25,32 @@
     """A part of the replicated state.  It must come to the same from the same entries at every member: no
     clock, no chance, no order of a set.  Other parts are at hand by name in `book.parts`."""
     name: str                           # its kinds are `name.word`
+    book: Book                          # set by the book: `self.book.parts["members"]` is another part
     kinds: Mapping[str, type[Row]]      # by word: the row that an entry's body holds
 
     def apply(self, at: At, word: str, body: Row) -> object:
         """Carries the entry out and returns what the proposer is told (anything msgpack takes); raises
         `errors.Unfit`, before it has changed anything, where the entry can't be."""
 
+    def member_gone(self, at: At, name: str, incarnation: int) -> None:
+        """That incarnation holds nothing any more: its lease has surely run out, or it left by itself.  Called
+        by the part `members`, within the entry that says so, for each part of the book that has this."""
+
     def row(self) -> Row: ...
 
     def restore(self, row: bytes) -> None:
         """From the msgpack of what `row` returned, this version's or one older or newer by one."""
 
 
+class Acts(Protocol):
+    """Every act that leaves a process (an order to the relay, a seat given or taken back, a piece of a batch
+    released) is stamped and kept here (fleet/audit)."""
+
+    def stamp(self, now: int, kind: str, about: bytes) -> Stamp | None:
+        """The stamp of an act done now, recorded in this process' chain, `kind` as `seats.given`, `about` what
+        it was about; None while this member may not act: no lease, or its state differs."""
+
+
 class Wanted(Row, frozen=True):
     """A proposal that a part's work asks the process to make.  `tag` comes back with its outcome."""
     kind: str
