--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -33,8 +33,9 @@
         `errors.Unfit`, before it has changed anything, where the entry can't be."""
 
     def member_gone(self, at: At, name: str, incarnation: int) -> None:
-        """That incarnation holds nothing any more: its lease has surely run out, or it left by itself.  Called
-        by the part `members`, within the entry that says so, for each part of the book that has this."""
+        """That incarnation holds nothing any more: its lease has surely run out, or it left by itself.
+        Called by the part `members`, within the entry that says so, for each part of the book that has
+        this."""
 
     def row(self) -> Row: ...
 
@@ -47,8 +48,8 @@
     released) is stamped and kept here (fleet/audit)."""
 
     def stamp(self, now: int, kind: str, about: bytes) -> Stamp | None:
-        """The stamp of an act done now, recorded in this process' chain, `kind` as `seats.given`, `about` what
-        it was about; None while this member may not act: no lease, or its state differs."""
+        """The stamp of an act done now, recorded in this process' chain, `kind` as `seats.given`, `about`
+        what it was about; None while this member may not act: no lease, or its state differs."""
 
 
 class Wanted(Row, frozen=True):
