--- a/tests/orderedlog.py
+++ b/tests/orderedlog.py
@@ -41,8 +41,8 @@
         self.cut = self.alive = self.stopped = False
         self.alive = True
         self.at, self.delay = 0, 0              # entries applied here; hears each so late
-        self.until, self.giver = 0, 0           # of its lease: by its own clock, by the true time
-        self.numbers, self.waiting = 0, {}
+        self.until, self.giver = 0, world.t + SPAN    # of its lease: by its own clock, by the true
+        self.numbers, self.waiting, self.gone = 0, {}, False
         self.reported = {}
         self.book = Book(world.parts())
         self.works = world.works(self)
@@ -71,8 +71,15 @@
                 if (waits := self.waiting.pop(entry.number, None)) is not None:
                     self.ask(waits[0], waits[0].answered(self.now(), waits[1], outcome))
 
+    def join(self):
+        """What was given up comes back as another one."""
+        self.world.began[self.name] = self.incarnation = self.world.began[self.name] + 1
+        self.numbers, self.waiting, self.gone = 0, {}, False
+
     def turn(self):
         if not self.cut:
+            if self.gone:
+                self.join()
             self.delay = self.world.rng.choice((0, 0, 0, 500, 3000))
             self.hear()
             if self.world.leader() is not None:     # renews: it counts from before, the giver from after
@@ -88,12 +95,15 @@
     def __init__(self, rng, names, parts, works):
         self.rng, self.parts, self.works, self.t = rng, lambda: [*parts(), Members()], works, 0
         self.log, self.way, self.began = [], [], {}
-        self.members = {}
+        self.ended = {}
+        self.members, self.past = {}, []        # of processes that ended and hold a lease still
         for name in names:
             self.start(name)
 
     def start(self, name):
         self.began[name] = self.began.get(name, 0) + 1
+        if name in self.members and not self.members[name].gone:
+            self.past.append(self.members[name])
         self.members[name] = Member(self, name, self.began[name])
 
     def leader(self):
@@ -123,12 +133,12 @@
                 member.turn()
         if lead is not None:
             self.lead(lead)
-        for member in self.members.values():    # shut out once the lease has surely run out
-            if lead is not None and member.giver and member.giver < self.t:
-                member.giver = 0
+        for member in [*self.members.values(), *self.past]:     # shut out once the lease has surely run out
+            if lead is not None and not member.gone and member.giver < self.t:
+                member.gone = True
+                self.ended[member.name, member.incarnation] = self.t
                 self.append(Entry(0, 1, "members.gone", msgspec.msgpack.encode(
                     Gone(member.name, member.incarnation)), "ledger", 1, len(self.log) + 1))
-                member.until = 0 if member.cut else member.until
 
     def lead(self, lead):
         for work in lead.works:
--- /dev/null
+++ b/tests/test_batches_fleet.py
@@ -0,0 +1,272 @@
+"""Batches in a simulated fleet: started once, none missed, unclear held, under kills, cuts, delays, drift."""
+import random
+
+import msgspec
+import pytest
+
+from indigohitch.errors import Unfit
+from indigohitch.fleet.batches import runner as running
+from indigohitch.fleet.batches.part import Batches
+from indigohitch.fleet.batches.pieces import Pieces
+from indigohitch.fleet.batches.rows import (
+    Band,
+    Batch,
+    BatchClass,
+    Contract,
+    Cut,
+    Give,
+    Placing,
+    Site,
+    Start,
+    State,
+    Step,
+    Word,
+)
+from indigohitch.fleet.batches.work import BatchesWork
+from indigohitch.fleet.hours import Hours, HoursWork
+from indigohitch.fleet.ports import At, Wanted
+from indigohitch.fleet.terms import Lease, Stamp
+from orderedlog import SECOND, World
+
+TRUE = 10 ** 13
+SLOT = 5 * SECOND
+SITE = Site("eros", "UTC", "", {"std": 6}, (Band((), 0, 24 * 3600 * SECOND, 20_000),))
+CONTRACT = Contract(1, SLOT, (SITE,), (BatchClass("dunning", False, "/", {"std": 300}),
+                                       BatchClass("report", True, "/", {"std": 200})))
+
+
+class Chain:
+    """Stands for the acts of one process."""
+
+    def __init__(self, member):
+        self.member, self.number = member, 0
+
+    def stamp(self, now, kind, about):
+        if self.member.until <= now:
+            return None
+        self.number += 1
+        return Stamp(self.member.name, self.member.incarnation, 1, self.member.book.index, self.number)
+
+
+class Servers:
+    """What was acted on, as the servers know it; answers late, loses some, is down for a while."""
+
+    def __init__(self, world):
+        self.world, self.ran, self.sent, self.way = world, {}, {}, []
+
+    def port(self, member):
+        servers = self
+
+        class Port:
+            def send(self, piece, step, stamp):
+                world = servers.world
+                servers.sent.setdefault((piece, step), []).append((world.t, member.name, stamp))
+                outcome = world.rng.choices(("ok", "not run", "unknown", "lost"), (90, 5, 2, 3))[0]
+                if outcome in ("ok", "unknown") or outcome == "lost" and world.rng.random() < 0.5:
+                    servers.ran.setdefault((piece, step), []).append((world.t, stamp))
+                servers.way.append((world.t + world.rng.randint(100, 4000), member, piece, step, stamp,
+                                    "unknown" if outcome == "lost" else outcome))
+        return Port()
+
+    def turn(self):
+        for one in [one for one in self.way if one[0] <= self.world.t]:
+            self.way.remove(one)
+            _, member, piece, step, stamp, outcome = one
+            if member.alive and not member.stopped:
+                member.works[1].runner.outcome(member.now(), piece, step, stamp, outcome)
+
+
+def build(seed, names=("a", "b", "c", "d", "e")):
+    def works(member):
+        clock = HoursWork(member.book.parts["hours"], member.name, member.wall, lambda: set(names))
+        return [clock, BatchesWork(member.book.parts["batches"], member.name, Chain(member),
+                                   world.servers.port(member), clock.time, {"eros": {"std": 2}}, CONTRACT)]
+    world = World.__new__(World)
+    world.servers = Servers(world)
+    world.__init__(random.Random(seed), names, lambda: [Hours(), Batches()], works)
+    return world
+
+
+def submit(world, batch, rpc, pieces, work=8 * SECOND, steps=16, wide=120):
+    now = TRUE + world.t
+    cuts = tuple(Cut(now + world.rng.randrange(20) * SECOND, now + (wide + world.rng.randrange(60)) * SECOND,
+                     work, steps) for _ in range(pieces))
+    member = world.leader()
+    member.ask(member.works[1], [Wanted("batches.submit", Batch(batch, "whk", rpc, cuts))])
+
+
+class Rules:
+    """Checked after every step."""
+
+    def __init__(self, world):
+        self.world, self.seen = world, {}
+
+    def check(self):
+        world = self.world
+        for member in world.members.values():
+            for id, piece in member.book.parts["batches"].pieces.all.items():
+                assert (id, piece.attempt, piece.stamp) == self.seen.setdefault(
+                    (id, piece.attempt), (id, piece.attempt, piece.stamp)), "two stamps for one start"
+        for (id, step), ran in world.servers.ran.items():
+            if self.of(id).idempotent:
+                continue
+            assert len(ran) <= 1, f"{id} step {step} ran twice"
+        for (id, _), sent in world.servers.sent.items():
+            for t, _, stamp in sent:
+                assert t < world.ended.get((stamp.member, stamp.incarnation), t + 1), "left after it was given up"
+                assert stamp in {known[2] for key, known in self.seen.items() if key[0] == id}, \
+                    "left before the book had its start"
+
+    def of(self, id):
+        newest = max(self.world.members.values(), key=lambda member: member.at)
+        return newest.book.parts["batches"].pieces.all[id]
+
+
+def trouble(world, step, down):
+    """Kills, stops and cuts of single members; a majority always comes back."""
+    rng, members = world.rng, world.members
+    for name in [name for name, until in down.items() if until <= step]:
+        member = members[name]
+        if not member.alive:
+            world.start(name)
+        member.cut = member.stopped = False
+        del down[name]
+    if step % 40 == 7 and len(down) < 2:
+        name = rng.choice([name for name in members if name not in down])
+        member = members[name]
+        kind = rng.choice(("kill", "cut", "stop"))
+        member.alive, member.cut, member.stopped = kind != "kill", kind == "cut", kind == "stop"
+        down[name] = step + rng.randint(5, 60)
+
+
+def played(seed, steps=1500, hurt=True, pieces=6):
+    world, down = build(seed), {}
+    rules = Rules(world)
+    for step in range(steps):
+        if step in (60, 300):
+            submit(world, f"d{step}", "dunning", pieces)
+            submit(world, f"r{step}", "report", pieces)
+        if hurt and step < steps - 500:
+            trouble(world, step, down)
+        world.step()
+        world.servers.turn()
+        rules.check()
+        if step == steps - 400:
+            trouble(world, step + 100, down)            # all come back
+    return world
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_started_once_none_missed_unclear_held(seed):
+    world = played(seed)
+    books = [m.book for m in world.members.values() if m.at == len(world.log)]
+    assert len({book.digest() for book in books}) == 1
+    part = books[0].parts["batches"]
+    assert len(part.pieces.all) == 24
+    for id, piece in part.pieces.all.items():
+        done = sum((id, step) in world.servers.ran for step in range(piece.cut.steps))
+        if piece.state is State.DONE:
+            assert done == piece.cut.steps, "done without having run"
+        else:
+            assert piece.state is State.UNCLEAR and not piece.idempotent and piece.why, (id, piece)
+
+
+def test_without_trouble_all_are_done_where_no_answer_is_lost():
+    world = played(99, steps=900, hurt=False)
+    states = world.members["a"].book.parts["batches"].pieces.counts()
+    assert states["missed"] == 0 and states["done"] + states["unclear"] == 24 and states["done"] >= 12
+
+
+GUARDS = {
+    "own": (Pieces, "own", staticmethod(lambda at, id, piece: None)),
+    "gone": (Pieces, "gone", lambda self, at, *who: [
+        self.free(id, self.all[id], State.WAITING, at) for id in sorted(self.held.get(who, ()))]),
+}
+
+
+@pytest.mark.parametrize("guard", [*GUARDS, "unknown", "lease"])
+def test_each_guard_taken_away_is_found(monkeypatch, guard):
+    if guard in GUARDS:
+        monkeypatch.setattr(*GUARDS[guard])
+    elif guard == "unknown":
+        outcome = running.Runner.outcome
+        monkeypatch.setattr(running.Runner, "outcome", lambda self, now, id, step, stamp, what: outcome(
+            self, now, id, step, stamp, "not run" if what == "unknown" else what))
+    else:
+        turn, leases = running.Runner.turn, {}
+
+        def unleased(self, now, time, lease, *rest):
+            leases[self] = lease or leases.get(self)
+            return turn(self, now, time, leases[self] and Lease(leases[self].incarnation, 1 << 60), *rest)
+        monkeypatch.setattr(running.Runner, "turn", unleased)
+    with pytest.raises((AssertionError, pytest.fail.Exception)):
+        test_only_its_holder_speaks_of_a_piece()
+        for seed in range(8):
+            test_started_once_none_missed_unclear_held(seed)
+
+
+def book_with(idempotent=False, steps=4):
+    part = Batches()
+    part.apply(At(1, 1, 10, "a", 1), "contract", CONTRACT)
+    cut = Cut(TRUE, TRUE + 100 * SECOND, 8 * SECOND, steps)
+    rpc = "report" if idempotent else "dunning"
+    part.apply(At(2, 1, TRUE, "a", 1), "submit", Batch("x", "whk", rpc, (cut,)))
+    piece = part.pieces.all["x.0"]
+    piece.placing = Placing("eros", "std", ((TRUE, TRUE + 20 * SECOND),))
+    part.apply(At(3, 1, TRUE, "a", 1), "give", Give("x.0", "m", 5))
+    part.apply(At(4, 1, TRUE, "m", 5), "start", Start("x.0", 1, Stamp("m", 5, 1, 3, 1)))
+    part.apply(At(5, 1, TRUE, "m", 5), "step", Step("x.0", 1, 2))
+    return part, piece
+
+
+def test_only_its_holder_speaks_of_a_piece():
+    part, piece = book_with()
+    for who in (("m", 4), ("m", 6), ("n", 5)):
+        with pytest.raises(Unfit):
+            part.apply(At(6, 1, TRUE, *who), "step", Step("x.0", 1, 4, "done"))
+    part.apply(At(6, 1, TRUE, "m", 5), "step", Step("x.0", 1, 2, "rests"))
+    with pytest.raises(Unfit):          # a start that came late, of a piece that was given back
+        part.apply(At(7, 1, TRUE, "m", 5), "start", Start("x.0", 2, Stamp("m", 5, 1, 3, 2)))
+
+
+def test_nothing_is_given_to_who_is_gone():
+    part, piece = book_with(idempotent=True)
+    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
+    with pytest.raises(Unfit, match="gone"):
+        part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "m", 5))
+    part.apply(At(8, 1, TRUE, "a", 1), "give", Give("x.0", "m", 6))
+
+
+def test_a_lost_member_s_piece_goes_on_from_its_checkpoint_or_is_held():
+    part, piece = book_with(idempotent=True)
+    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
+    assert piece.state is State.WAITING and piece.step == 2 and not part.pieces.held
+    part, piece = book_with()
+    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
+    assert piece.state is State.UNCLEAR and "lost" in piece.why
+    with pytest.raises(Unfit):
+        part.apply(At(7, 1, TRUE, "m", 5), "step", Step("x.0", 1, 4, "done"))       # of one that was given up
+    with pytest.raises(Unfit):
+        part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "n", 6))
+
+
+@pytest.mark.parametrize("word, step, state", [
+    ("from", 3, State.WAITING), ("done", 0, State.DONE), ("drop", 0, State.DROPPED), ("from", 1, None),
+    ("eh", 0, None)])
+def test_an_operator_s_word_frees_what_is_unclear(word, step, state):
+    part, piece = book_with()
+    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
+    if state is None:
+        with pytest.raises(Unfit) as told:
+            part.apply(At(7, 1, TRUE, "op", 1), "word", Word("x.0", word, step))
+        assert told.value.remedy and piece.state is State.UNCLEAR
+        return
+    part.apply(At(7, 1, TRUE, "op", 1), "word", Word("x.0", word, step))
+    assert piece.state is state and (piece.step == 3) == (word == "from")
+
+
+def test_a_snapshot_gives_the_same_book():
+    part, _ = book_with()
+    other = Batches()
+    other.restore(msgspec.msgpack.encode(part.row()))
+    assert other.row() == part.row() and other.pieces.held == part.pieces.held
