--- /dev/null
+++ b/indigohitch/fleet/disk/folder.py
@@ -0,0 +1,77 @@
+"""A member's folder: whose it is, and what it holds at a start."""
+from __future__ import annotations
+
+from ...errors import NotNow, Unreadable
+from ..terms import Who
+from . import identity as id
+from .files import Files
+from .records import Harmed
+from .recovery import PART, Found, recovered
+
+
+class Folder:
+    """Raises OSError besides what is said."""
+
+    def __init__(self, files: Files, path: str, fleet: str, name: str) -> None:
+        self.files, self.path = files, path
+        self.identity = id.Identity(fleet, name)
+        self.lock = -1
+
+    def take(self) -> None:
+        """Until `leave`, or this process' death, it is no other's.  Raises NotNow."""
+        self.files.folder(self.path)
+        try:
+            self.lock = self.files.locked(f"{self.path}/lock")
+        except BlockingIOError:
+            raise NotNow("another process holds this folder", self.path,
+                         "end it first, or give this member a folder of its own") from None
+
+    def leave(self) -> None:
+        if self.lock >= 0:
+            self.files.close(self.lock)
+            self.lock = -1
+
+    def read(self) -> Found | None:
+        """None where no member has been founded on it.  Raises Unreadable, Harmed."""
+        names = self.files.names(self.path)
+        for name in names:
+            if name.endswith(PART):
+                self.files.remove(f"{self.path}/{name}")
+        if "identity" in names:
+            path = f"{self.path}/identity"
+            found = id.decode(self.files.read(path), path)
+            if (found.fleet, found.name) != (self.identity.fleet, self.identity.name):
+                raise Unreadable(f"the disk of {found.name} of fleet {found.fleet}", path,
+                                 "give this member a folder of its own")
+            self.identity = found
+        found = recovered(self.files, self.path)
+        if not self.identity.number:
+            self.clear(found)
+            return None
+        if not found.segments or not found.books:
+            raise Harmed("an identity, and not all that belongs to it", self.path)
+        return found
+
+    def clear(self, found: Found) -> None:
+        """After a founding that a crash cut short: nothing was promised yet."""
+        if found.held.snap.index or found.held.entries or found.held.ballot.term:
+            raise Harmed("a log and no identity beside it", self.path)
+        for path in [segment.path for segment in found.segments] + found.books:
+            self.files.remove(path)
+
+    def keep(self, **changes) -> None:
+        """Into the identity, at once: rare, and nothing may go on before it."""
+        was = {name: getattr(self.identity, name) for name in changes}
+        for name, value in changes.items():
+            setattr(self.identity, name, value)
+        try:
+            self.files.whole(f"{self.path}/identity", id.encode(self.identity))
+        except OSError:
+            for name, value in was.items():
+                setattr(self.identity, name, value)
+            raise
+
+    def met(self, who: Who) -> None:
+        """Another member showed itself under this number: kept before anything is heard of it."""
+        if who.number > self.identity.met.get(who.name, 0):
+            self.keep(met=self.identity.met | {who.name: who.number})
--- /dev/null
+++ b/indigohitch/fleet/disk/records.py
@@ -0,0 +1,93 @@
+"""Segments as bytes: records with checksums, and what a harmed one is taken for.  No I/O.
+
+One group of writes is one record, and the next is begun only once that one is on the disk.  So what a crash
+can leave unfinished is the last record alone: anything else that can't be read was harmed later."""
+from __future__ import annotations
+
+from ...errors import Unreadable
+from ...packed.frames import HEAD, Broken, Kinds
+from ...packed.rows import Row
+from ..ledger.ports import Ballot
+from ..terms import Entry, Who
+
+MAGIC = b"IHlg"
+REMEDY = ("take the folder away and start the member without it: it is admitted anew under a new number; "
+          "the others hold what it held")
+
+
+class Begin(Row, frozen=True):
+    """First in a segment.  `base`: the last entry before its first; `ballot`: as it stood, so that older
+    segments can go; `anew`: what older segments say is void."""
+    fleet: str
+    who: Who
+    base: int
+    ballot: Ballot
+    anew: bool = False
+
+
+class One(Row, frozen=True):
+    """A write: ports.Write without its number."""
+    ballot: Ballot | None
+    cut: int
+    entries: tuple[Entry, ...]
+
+
+class Group(Row, frozen=True):
+    """What went to the disk together."""
+    writes: tuple[One, ...]
+
+
+RECORDS = Kinds(MAGIC, 1, [Begin, Group])
+
+
+class Harmed(Unreadable):
+    """A file of a member's disk is not what was written there."""
+    remedy = REMEDY
+
+
+def scan(data: bytes, where: str, last: bool) -> tuple[list[tuple[int, Row]], int]:
+    """Records with their offsets, and how much of `data` is good: less than all only in the last segment,
+    whose torn tail is to be cut.  Raises Harmed."""
+    found, at = [], 0
+    while at < len(data):
+        try:
+            row, end = record(data, at)
+        except Broken as broken:
+            if not (last and torn(data, at)):
+                raise Harmed(f"a record can't be read: {broken.what}", f"{where}, byte {at}") from None
+            break
+        found.append((at, row))
+        at = end
+    return found, at
+
+
+def record(data: bytes, at: int) -> tuple[Row, int]:
+    """The record that begins there, and where it ends; raises Broken."""
+    if len(data) - at < HEAD:
+        raise Broken("it ends within its head")
+    protocol, number, _, length, checksum = RECORDS.head(data, at)
+    end = at + HEAD + length
+    if end > len(data):
+        raise Broken(f"it ends {end - len(data)} bytes early")
+    return RECORDS.body(data[at + HEAD:end], protocol, number, checksum), end
+
+
+def torn(data: bytes, at: int) -> bool:
+    """Whether the bad record there may be one that a crash left unfinished: nothing was begun after it."""
+    if len(data) - at < HEAD:
+        return True
+    try:
+        length = RECORDS.head(data, at)[3]
+    except Broken:
+        pass                                    # its head did not all reach the disk, or was harmed
+    else:
+        if at + HEAD + length < len(data):
+            return False
+    place = data.find(MAGIC, at + 1)
+    while place >= 0:
+        try:
+            record(data, place)
+            return False
+        except Broken:
+            place = data.find(MAGIC, place + 1)
+    return True
--- /dev/null
+++ b/indigohitch/fleet/disk/recovery.py
@@ -0,0 +1,121 @@
+"""What a folder gives back at a start."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..ledger.ports import Ballot, Held, Members, Snap
+from ..terms import Entry
+from . import books
+from .files import Files
+from .records import Begin, Group, Harmed, One, scan
+
+SEGMENT, BOOK, PART = "log-", "book-", ".part"
+
+
+def segment_name(number: int) -> str:
+    return f"{SEGMENT}{number:012}"
+
+
+def book_name(index: int) -> str:
+    return f"{BOOK}{index:012}"
+
+
+@dataclass(slots=True)
+class Segment:
+    number: int
+    path: str
+    highest: int                # of the entries that it holds, or its base
+    size: int = 0
+
+
+@dataclass(slots=True)
+class Found:
+    held: Held
+    segments: list[Segment] = field(default_factory=list)
+    books: list[str] = field(default_factory=list)      # paths; the last one is in force
+    cut: tuple[str, int] | None = None                  # a torn tail: file, and how much of it was good
+    void: list[str] = field(default_factory=list)       # segments that a later one has replaced
+    follows: bool = True                                # the log agrees with the snapshot, and goes on there
+
+
+class Log:
+    """Entries after the snapshot, as the records tell them one after the other."""
+
+    def __init__(self, base: int) -> None:
+        self.base, self.entries = base, []
+
+    @property
+    def last(self) -> int:
+        return self.entries[-1].index if self.entries else self.base
+
+    def write(self, one: One, where: str = "in memory") -> None:
+        """Raises Harmed where the entries do not follow."""
+        if one.cut:
+            del self.entries[max(0, one.cut - self.base - 1):]
+        for entry in one.entries:
+            if entry.index != self.last + 1:
+                raise Harmed(f"entry {entry.index} stands after {self.last}", where)
+            self.entries.append(entry)
+
+    def agrees(self, snap: Snap) -> bool:
+        """Whether it goes on at the snapshot's end (Ongaro and Ousterhout 2014, 7)."""
+        if self.base >= snap.index:
+            return True
+        place = snap.index - self.base - 1
+        return place < len(self.entries) and self.entries[place].term == snap.term
+
+    def after(self, snap: Snap) -> list[Entry]:
+        """What follows the snapshot: all, if the log agrees with it, else nothing."""
+        return self.entries[max(0, snap.index - self.base):] if self.agrees(snap) else []
+
+
+def recovered(files: Files, folder: str) -> Found:
+    """Reads only.  Raises OSError, Harmed."""
+    names = files.names(folder)
+    found = Found(Held(Ballot(0), Snap(0, 0, Members(()), b"")))
+    found.books = [f"{folder}/{name}" for name in names if name.startswith(BOOK) and not name.endswith(PART)]
+    if found.books:
+        found.held.snap = books.decode(files.read(found.books[-1]), found.books[-1])
+    paths = [(int(name[len(SEGMENT):]), f"{folder}/{name}") for name in names
+             if name.startswith(SEGMENT) and not name.endswith(PART)]
+    read = []
+    for number, path in reversed(paths):
+        data = files.read(path)
+        rows, good = scan(data, path, not read)
+        if not rows or not isinstance(rows[0][1], Begin):
+            raise Harmed("a segment has no beginning", path)
+        if good < len(data):
+            found.cut = (path, good)
+        read.insert(0, (number, path, rows, good))
+        if rows[0][1].anew:                     # a crash came before the older ones were taken away
+            found.void = [path for older, path in paths if older < number]
+            break
+    replay(found, read)
+    return found
+
+
+def replay(found: Found, read: list) -> None:
+    snap, log, before = found.held.snap, None, 0
+    if not read and snap.index:
+        raise Harmed("the log is missing beside its snapshot", found.books[-1])
+    for number, path, rows, good in read:
+        begin = rows[0][1]
+        if log is None:
+            if begin.base > snap.index:
+                raise Harmed(f"entries {snap.index + 1} to {begin.base} are missing before it", path)
+            log = Log(begin.base)
+        elif number != before + 1 or begin.base != log.last:
+            raise Harmed("a segment before it is missing", path)
+        before, highest = number, begin.base
+        found.held.ballot = begin.ballot
+        for at, row in rows[1:]:
+            where = f"{path}, byte {at}"
+            if not isinstance(row, Group):
+                raise Harmed("a segment begins twice", where)
+            for one in row.writes:
+                log.write(one, where)
+                found.held.ballot = one.ballot or found.held.ballot
+                highest = max(highest, log.last)
+        found.segments.append(Segment(number, path, highest, good))
+    if log is not None:
+        found.held.entries, found.follows = log.after(snap), log.agrees(snap)
--- /dev/null
+++ b/indigohitch/fleet/disk/segments.py
@@ -0,0 +1,153 @@
+"""Segments on the disk: appended to, begun, taken away.  Called from the disk's thread, one call at a time.
+
+A segment is made whole, with its first record, before anything is appended; so a torn record is never the
+first one."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from ..ledger.ports import Ballot, Snap
+from ..terms import Entry, Who
+from . import books
+from .files import Files
+from .records import RECORDS, Begin, Group, One
+from .recovery import Segment, book_name, segment_name
+
+# Of a segment: large enough that making one (two fsyncs more) is rare, small enough that little lies beside a
+# snapshot that covers it.
+SIZE = 4 << 20
+# Of entries in one record: an eighth of what a frame takes, so that one larger entry still fits.
+MOST_GROUP = 1 << 20
+
+
+def weight(entry: Entry) -> int:
+    """About how many bytes it takes."""
+    return len(entry.body) + 64 + len(entry.kind) + len(entry.proposer)
+
+
+def groups(writes: Iterable[One]) -> Iterable[Group]:
+    """As few records as fit their bound, in order; a write too large for one goes in several, its ballot and
+    cut in the first."""
+    waiting, size = [], 0
+    for one in writes:
+        part: list[Entry] = []
+        for entry in one.entries:
+            if part and size + weight(entry) > MOST_GROUP:
+                yield Group((*waiting, One(one.ballot, one.cut, tuple(part))))
+                one, waiting, part, size = One(None, 0, ()), [], [], 0
+            part.append(entry)
+            size += weight(entry)
+        waiting.append(msgspec.structs.replace(one, entries=tuple(part)))
+        if size > MOST_GROUP:
+            yield Group(tuple(waiting))
+            waiting, size = [], 0
+    if waiting:
+        yield Group(tuple(waiting))
+
+
+class Segments:
+    def __init__(self, files: Files, folder: str, fleet: str, who: Who, stood: list[Segment],
+                 read: list[str], size: int = SIZE) -> None:
+        """`stood`: segments found at the start, in order; `read`: paths of snapshots found."""
+        self.files, self.folder, self.fleet, self.who, self.size = files, folder, fleet, who, size
+        self.stood, self.books = stood, read
+        self.fd = -1
+        self.ballot, self.last = Ballot(0), 0           # as the records so far tell them
+
+    def open(self, ballot: Ballot, last: int) -> None:
+        """Go on after what was found; raises OSError."""
+        self.ballot, self.last = ballot, last
+        if self.stood:
+            self.fd = self.files.append_to(self.stood[-1].path)
+        else:
+            self.begin(b"")
+
+    def begin(self, rest: bytes, base: int | None = None, anew: bool = False) -> None:
+        base = self.last if base is None else base
+        number = self.stood[-1].number + 1 if self.stood else 1
+        path = f"{self.folder}/{segment_name(number)}"
+        data = RECORDS.frame(Begin(self.fleet, self.who, base, self.ballot, anew)) + rest
+        self.files.whole(path, data)
+        self.close()
+        self.fd = self.files.append_to(path)
+        self.stood.append(Segment(number, path, max(base, self.last), len(data)))
+
+    def write(self, writes: list[One]) -> None:
+        """On the disk when it returns.  Raises OSError: then nothing of these is known to be there, and
+        `anew` is the only way on."""
+        for group in groups(writes):
+            self.append(RECORDS.frame(group))
+            self.took(group.writes)
+            if self.stood[-1].size > self.size:
+                self.begin(b"")
+
+    def append(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self.files.write(self.fd, view):]
+        self.files.fsync(self.fd)
+        self.stood[-1].size += len(data)
+
+    def took(self, writes: Iterable[One]) -> None:
+        for one in writes:
+            self.ballot = one.ballot or self.ballot
+            if one.cut:
+                self.last = min(self.last, one.cut - 1)
+            if one.entries:
+                self.last = one.entries[-1].index
+                self.stood[-1].highest = max(self.stood[-1].highest, self.last)
+
+    def snapshot(self, snap: Snap, follows: bool) -> None:
+        """Written; then what it covers is taken away, if the log `follows` it, else all.  Raises OSError."""
+        if not follows:
+            self.anew(snap, self.ballot, ())
+            return
+        self.put(snap)
+        if self.stood[-1].size > self.size // 4:
+            self.begin(b"")                     # so that the next snapshot covers what stands now
+        self.drop_books(snap)
+        while len(self.stood) > 1 and self.stood[0].highest <= snap.index:
+            self.drop(self.stood.pop(0))
+
+    def put(self, snap: Snap) -> None:
+        path = f"{self.folder}/{book_name(snap.index)}"
+        self.files.whole(path, books.encode(snap))
+        if path not in self.books:
+            self.books.append(path)
+
+    def anew(self, snap: Snap, ballot: Ballot, entries: tuple[Entry, ...]) -> None:
+        """All of it into files of their own, trusting none that stands; then those go.  Raises OSError."""
+        self.close()
+        old, self.ballot, self.last = list(self.stood), ballot, entries[-1].index if entries else snap.index
+        self.put(snap)
+        frames = b"".join(RECORDS.frame(group) for group in groups([One(ballot, 0, entries)]))
+        self.begin(frames, snap.index, True)
+        self.stood = self.stood[-1:]
+        for segment in old:
+            self.drop(segment)
+        self.drop_books(snap)
+
+    def drop(self, segment: Segment) -> None:
+        """One that stays, because it can't be removed, is passed over at the next start."""
+        try:
+            self.files.remove(segment.path)
+        except OSError:
+            pass
+
+    def drop_books(self, kept: Snap) -> None:
+        for path in [path for path in self.books if path != f"{self.folder}/{book_name(kept.index)}"]:
+            try:
+                self.files.remove(path)
+                self.books.remove(path)
+            except OSError:
+                pass
+
+    def close(self) -> None:
+        if self.fd >= 0:
+            fd, self.fd = self.fd, -1
+            try:
+                self.files.close(fd)
+            except OSError:
+                pass
--- /dev/null
+++ b/indigohitch/fleet/disk/store.py
@@ -0,0 +1,204 @@
+"""A member's disk as the node uses it: asked in the loop, done in a thread, told in the loop, in order.
+
+What is asked while a write is out goes together in the next one.  After a write or fsync that failed nothing
+is trusted to be on the disk: all of the log that counts, which is kept here as well, goes into files of their
+own, again and again until that has worked."""
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Deadline, Loop
+from ...net.worker import Worker
+from ..ledger.ports import Ballot, DiskBack, DiskFailed, Held, Input, Members, Snap, Snapped, Write, Written
+from ..terms import Who
+from .files import Files
+from .folder import Folder
+from .records import One
+from .recovery import Found
+from .recovery import Log as Kept
+from .segments import Segments
+
+# After a write that failed: often enough that a freed disk is used soon, rarely enough not to add to the load
+# of one that is in trouble.
+AGAIN = SECOND // 2
+
+
+class State(enum.Enum):
+    CLOSED = "closed"
+    FRESH = "fresh"             # the folder is ours, and nothing is on it yet
+    IDLE = "idle"
+    BUSY = "busy"               # one job is with the thread
+    FAILED = "failed"           # nothing is promised; waits to try again
+    MENDING = "mending"         # tries
+
+
+class Disk:
+    """`open`, `found` and `met` raise; what fails later is told as `DiskFailed`."""
+
+    def __init__(self, loop: Loop, log: Log, folder: str, fleet: str, name: str,
+                 told: Callable[[Input], None], files: Files | None = None) -> None:
+        self.loop, self.log, self.told = loop, log, told
+        self.files = files or Files()
+        self.folder = Folder(self.files, folder, fleet, name)
+        self.state, self.why = State.CLOSED, ""
+        self.worker: Worker | None = None
+        self.segments: Segments | None = None
+        self.kept, self.snap, self.ballot = Kept(0), Snap(0, 0, Members(()), b""), Ballot(0)
+        self.waiting: list[tuple[int, One] | tuple[Snap, bool]] = []
+        self.again: Deadline | None = None
+        self.syncs = self.failures = 0
+
+    @property
+    def identity(self):
+        return self.folder.identity
+
+    # ---- the start and the end ---------------------------------------------------------------------
+
+    def open(self) -> Held | None:
+        """What it holds; None for a folder with nothing in it.  Raises NotNow (another process holds it),
+        Unreadable, Harmed, OSError."""
+        self.folder.take()
+        try:
+            found = self.folder.read()
+            self.worker = Worker(self.loop)
+            if found is None:
+                self.state = State.FRESH
+                return None
+            self.stood(found)
+        except BaseException:
+            self.close()
+            raise
+        return Held(self.ballot, self.snap, list(self.kept.entries))
+
+    def stood(self, found: Found) -> None:
+        if found.cut is not None:
+            path, good = found.cut
+            self.log.trouble("torn_tail_cut", file=path, at=good, remedy="none needed: nothing hung on it")
+            self.files.cut(path, good)
+        for path in found.void:
+            self.files.remove(path)
+        self.begin(found, self.identity.number)
+
+    def found(self, number: int, founders: tuple[str, ...], members: Members) -> Held:
+        """The disk is this member's from here on, with an empty book.  Raises OSError."""
+        held = Held(Ballot(0), Snap(0, 0, members, b""))
+        self.begin(Found(held), number)
+        self.segments.put(held.snap)
+        self.folder.keep(number=number, founders=founders)
+        return held
+
+    def begin(self, found: Found, number: int) -> None:
+        held, identity = found.held, self.identity
+        self.snap, self.ballot = held.snap, held.ballot
+        self.kept = Kept(held.snap.index)
+        self.kept.entries = list(held.entries)
+        self.segments = Segments(self.files, self.folder.path, identity.fleet, Who(identity.name, number),
+                                 found.segments, found.books)
+        if found.follows:
+            self.segments.open(held.ballot, self.kept.last)
+        else:
+            self.segments.anew(held.snap, held.ballot, ())
+        self.state = State.IDLE
+
+    def close(self) -> None:
+        """What was asked for is done first; then the folder may be another process'."""
+        if self.again is not None:
+            self.again.cancel()
+        if self.worker is not None:
+            self.worker.settle()
+            while self.state is State.BUSY:
+                self.worker.settle()
+            self.worker.close()
+            self.worker = None
+        self.state = State.CLOSED
+        if self.segments is not None:
+            self.segments.close()
+        self.folder.leave()
+
+    # ---- asked by the machine's driver -------------------------------------------------------------
+
+    def write(self, write: Write) -> None:
+        """`Written` comes once it is on the disk."""
+        base, cut = self.kept.base, write.cut
+        entries = tuple(entry for entry in write.entries if entry.index > base)     # else: in the snapshot
+        if entries and entries[0].index <= self.kept.last:
+            cut = min(cut or entries[0].index, entries[0].index)
+        one = One(write.ballot, max(cut, base + 1) if cut else 0, entries)
+        self.ballot = write.ballot or self.ballot
+        self.kept.write(one)
+        self.ask((write.number, one))
+
+    def snapshot(self, snap: Snap, follows: bool) -> None:
+        """Of our own, which the log `follows`, or the leader's in place of it.  `Snapped` comes once it is on
+        the disk."""
+        if snap.index < self.kept.base:
+            return
+        self.kept.entries = self.kept.after(snap) if follows else []
+        self.kept.base, self.snap = snap.index, snap
+        self.ask((snap, follows))
+
+    def ask(self, job: tuple) -> None:
+        if self.state in (State.IDLE, State.BUSY, State.MENDING):
+            self.waiting.append(job)
+            self.go()
+
+    def go(self) -> None:
+        if self.state is not State.IDLE or not self.waiting:
+            return
+        self.state = State.BUSY
+        first, follows = self.waiting[0]
+        if isinstance(first, Snap):
+            del self.waiting[0]
+            self.do(lambda: self.segments.snapshot(first, follows),
+                    lambda: self.told(Snapped(first)))
+            return
+        count = next((n for n, job in enumerate(self.waiting) if isinstance(job[0], Snap)), len(self.waiting))
+        writes, self.waiting = self.waiting[:count], self.waiting[count:]
+        self.do(lambda: self.segments.write([one for _, one in writes]),
+                lambda: self.told(Written(writes[-1][0])))
+
+    def do(self, job: Callable[[], None], worked: Callable[[], None] = lambda: None) -> None:
+        self.syncs += 1
+
+        def done(result: object, broken: BaseException | None) -> None:
+            if broken is not None:
+                if not isinstance(broken, OSError):
+                    self.loop.failed(broken)
+                self.fail(broken)
+                return
+            mending, self.state = self.state is State.MENDING, State.IDLE
+            if mending:
+                self.log.event("disk_back", folder=self.folder.path)
+                self.told(DiskBack())
+            else:
+                worked()
+            self.go()
+        self.worker.do(job, done)
+
+    # ---- what goes wrong ---------------------------------------------------------------------------
+
+    def fail(self, broken: BaseException) -> None:
+        first = self.state is not State.MENDING
+        self.state, self.why = State.FAILED, str(broken)
+        self.waiting.clear()                    # all of it is kept, and goes when it can
+        self.failures += 1
+        self.log.trouble("disk_failed", folder=self.folder.path, why=self.why,
+                         remedy="make room or mend the disk: it is tried again by itself")
+        if first:
+            self.told(DiskFailed(self.why))
+        self.again = self.loop.after(AGAIN, self.mend)
+
+    def mend(self) -> None:
+        if self.state is not State.FAILED:
+            return
+        self.state = State.MENDING
+        snap, ballot, entries = self.snap, self.ballot, tuple(self.kept.entries)
+        self.do(lambda: self.segments.anew(snap, ballot, entries))
+
+    def figures(self) -> dict:
+        return {"state": self.state.value, "syncs": self.syncs, "failures": self.failures,
+                "segments": len(self.segments.stood) if self.segments else 0, "snapshot": self.snap.index,
+                "entries": len(self.kept.entries), **({"why": self.why} if self.why else {})}
