--- /dev/null
+++ b/indigohitch/fleet/ledger/following.py
@@ -0,0 +1,117 @@
+"""What a follower does with a leader's words: entries, beats, pieces of a snapshot.  No I/O.
+
+Ongaro and Ousterhout 2014, 5.3 and 7."""
+from __future__ import annotations
+
+from ...packed.rows import digest
+from ..terms import Who
+from .ports import Snap
+from .state import Role, State
+from .words import Append, Appended, Piece, Pieced
+
+
+class Following:
+    def __init__(self, state: State) -> None:
+        self.state = state
+        self.agreed = 0             # up to here the log is as this term's leader has it
+        self.agreed_in = 0          # that term
+        self.round = 0              # of the last word of that leader
+        self.owed = False           # an answer waits for the ballot to be written
+        self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
+        self.pieces = bytearray()
+
+    def led_by(self, sender: Who, word: Append | Piece) -> bool:
+        """Whether the word is of this term's leader."""
+        state = self.state
+        if word.term < state.term:
+            if not state.durable.failed:
+                state.send(sender, Appended(state.term, False, 0))
+            return False
+        if word.term > state.term:
+            state.vote(word.term, None)
+        if state.role is Role.LEADER:
+            raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
+        if self.agreed_in != word.term:
+            self.agreed, self.agreed_in, self.round, self.owed = 0, word.term, 0, False
+        state.be(Role.FOLLOWER, sender)
+        state.heard = state.now
+        state.wait_anew()
+        return True
+
+    def heard_append(self, sender: Who, word: Append) -> None:
+        if not self.led_by(sender, word):
+            return
+        state, log = self.state, self.state.log
+        self.round = max(self.round, word.round)
+        index, entries = word.prev_index, word.entries
+        if index < log.base:                    # what stands there was committed: it is the same
+            entries = entries[log.base - index:]
+            index = min(index + len(word.entries), log.base)
+        elif log.term(index) != word.prev_term:
+            if not state.durable.failed:
+                at, term = log.hint(index, word.prev_term)
+                state.send(sender, Appended(state.term, False, at, index, term, word.round))
+            return
+        known = 0
+        for entry in entries:
+            if log.term(entry.index) != entry.term:
+                break
+            known += 1
+        fresh = entries[known:]
+        if fresh:
+            first = fresh[0].index
+            state.store(first if first <= log.last else 0, fresh)
+        self.agreed = max(self.agreed, index + len(entries))
+        if self.coming and self.agreed >= self.coming[0]:
+            self.drop()
+        state.commit_to(min(word.commit, self.agreed))
+        self.answer()
+
+    def answer(self) -> None:
+        """What is on the disk and as the leader has it; nothing before the ballot is there."""
+        state = self.state
+        self.owed = not state.durable.safe
+        if not self.owed:
+            match = min(max(self.agreed, state.commit), state.durable.match)
+            state.send(state.leader, Appended(state.term, True, match, round=self.round))
+
+    def written(self, before: int) -> None:
+        """More may be acknowledged than `before`, or at last."""
+        state = self.state
+        if (state.role is Role.FOLLOWER and state.leader is not None and state.durable.safe
+                and self.agreed_in == state.term and (self.owed or state.durable.match > before)):
+            self.answer()
+
+    # ---- a snapshot in pieces ----------------------------------------------------------------------
+
+    def drop(self) -> None:
+        self.coming, self.pieces = None, bytearray()
+
+    def heard_piece(self, sender: Who, word: Piece) -> None:
+        """Pieces are taken in order, one snapshot at a time; the answer says from where to go on, so that one
+        that was broken off is gone on with."""
+        if not self.led_by(sender, word):
+            return
+        state = self.state
+        if word.index <= state.commit or state.log.term(word.index) == word.snap_term:
+            self.drop()
+            self.agreed = max(self.agreed, word.index)
+            state.commit_to(word.index)
+            self.answer()
+            return
+        if state.durable.failed:
+            return
+        of = (word.index, word.snap_term, word.digest)
+        if of != self.coming:
+            self.coming, self.pieces = of, bytearray()
+        if word.offset == len(self.pieces):
+            self.pieces += word.data
+        if len(self.pieces) >= word.total:
+            book = bytes(self.pieces)
+            self.drop()
+            if digest(book) == word.digest:
+                state.install(Snap(word.index, word.snap_term, word.members, book))
+                self.agreed = max(self.agreed, word.index)
+                return                          # answered once it is written
+            state.note("snapshot_spoilt", index=word.index, sender=sender.name)
+        state.send(sender, Pieced(state.term, word.index, len(self.pieces)))
--- /dev/null
+++ b/indigohitch/fleet/ledger/leading.py
@@ -0,0 +1,185 @@
+"""What a leader does: takes proposals, keeps its peers up, commits, changes members, gives its place up.
+No I/O.
+
+Ongaro and Ousterhout 2014, 5.3, 5.4.2 and 8; the dissertation, 3.10, 4.2, 6.2 and 10.2.1."""
+from __future__ import annotations
+
+from ..terms import Entry, Proposal, Who
+from .log import weight
+from .members import next_step, proposed
+from .peers import Peer
+from .ports import Change, Turned
+from .reads import Reads
+from .state import Role, State
+from .words import Append, Appended, Pieced, Take
+
+
+class Leading:
+    """From its election to its end; then a new one begins anew."""
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+        self.reads = Reads(state, state.log.last + 1)
+        self.peers: dict[Who, Peer] = {}
+        self.wishes: dict[Who, Change] = {}     # not reached yet
+        self.open = sum(map(weight, state.log.some(state.commit + 1, state.log.last)))  # bytes not committed
+        self.beat_due = state.now + state.bootstrap["beat"]
+        self.heir: Who | None = None            # to whom the place is given up
+        self.heir_until = 0
+        state.be(Role.LEADER, state.me)
+        self.renew_peers()
+        self.add(Entry(state.log.last + 1, state.term, "", b""))
+        self.beat()
+
+    # ---- entries -----------------------------------------------------------------------------------
+
+    def add(self, entry: Entry) -> None:
+        self.open += weight(entry)
+        self.state.store(0, (entry,))
+        if self.state.belonging.index == entry.index:
+            self.renew_peers()
+
+    def renew_peers(self) -> None:
+        """One that was taken out stays until it has heard of it."""
+        for who in self.state.belonging.everyone:
+            if who != self.state.me and who not in self.peers:
+                self.peers[who] = Peer(self.state, who)
+
+    def feed(self) -> None:
+        for peer in self.peers.values():
+            peer.feed(self.reads.round)
+
+    def propose(self, proposal: Proposal) -> None:
+        """What is not committed is bounded, in number and in bytes; above it the proposer comes back."""
+        state, bootstrap = self.state, self.state.bootstrap
+        most = bootstrap["append_most"] * bootstrap["inflight"]
+        if self.heir is not None:
+            state.out.append(Turned(proposal, bootstrap["beat"], None))
+        elif state.log.last - state.commit >= bootstrap["proposals_most"] or self.open >= most:
+            state.out.append(Turned(proposal, bootstrap["beat"], state.me))
+        else:
+            self.add(Entry(state.log.last + 1, state.term, proposal.kind, proposal.body, proposal.proposer,
+                           proposal.incarnation, proposal.number))
+            self.feed()
+
+    def advance(self) -> None:
+        """Commit what a majority holds, if it is of this term: older entries go with it (5.4.2).  The leader
+        counts for itself only what its own disk holds."""
+        state = self.state
+        held = sorted((state.durable.match if who == state.me else
+                       self.peers[who].match if who in self.peers else 0
+                       for who in state.belonging.voters), reverse=True)
+        index = held[state.belonging.majority - 1]
+        if index > state.commit and state.log.term(index) == state.term:
+            self.open -= sum(map(weight, state.log.some(state.commit + 1, index)))
+            state.commit_to(index)
+            self.changed()
+        while self.reads.answer():
+            self.new_round()
+
+    # ---- answers -----------------------------------------------------------------------------------
+
+    def heard(self, sender: Who, word: Appended | Pieced) -> None:
+        peer = self.peers.get(sender)
+        if peer is None or word.term != self.state.term:
+            return
+        if isinstance(word, Pieced):
+            peer.pieced(word)
+            return
+        self.reads.heard(sender, word.round)
+        more = peer.appended(word)
+        peer.feed(self.reads.round)
+        if more and sender in self.wishes:
+            self.wish(self.wishes[sender])
+        if more or self.reads.waiting:
+            self.advance()
+        self.hand_on()
+
+    # ---- time --------------------------------------------------------------------------------------
+
+    def due(self) -> None:
+        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2)."""
+        state = self.state
+        heard = {who for who, peer in self.peers.items() if not peer.silent} | {state.me}
+        if len(heard & state.belonging.voters) < state.belonging.majority:
+            state.note("majority_lost", term=state.term, heard=sorted(who.name for who in heard))
+            state.be(Role.FOLLOWER, None)
+            return
+        if self.heir is not None and state.now >= self.heir_until:
+            state.note("not_handed_over", term=state.term, to=self.heir.name)
+            self.heir = None
+        for wish in list(self.wishes.values()):
+            self.wish(wish)
+        self.beat()
+        last = state.belonging.index
+        for who in [who for who, peer in self.peers.items() if who not in state.belonging.everyone
+                    and (peer.silent or peer.match >= last <= state.commit)]:
+            del self.peers[who]         # it has been told with this beat that its end is committed
+
+    def beat(self) -> None:
+        self.beat_due = self.state.now + self.state.bootstrap["beat"]
+        for peer in self.peers.values():
+            peer.beat(self.reads.round)
+
+    # ---- reads -------------------------------------------------------------------------------------
+
+    def read(self, number: int) -> None:
+        if self.reads.ask(number):
+            self.new_round()
+            self.advance()              # alone, it is its own majority
+
+    def new_round(self) -> None:
+        round, state = self.reads.begin(), self.state
+        for who in self.peers:
+            if who in state.belonging.voters:
+                state.send(who, Append(state.term, 0, 0, 0, (), round))
+
+    # ---- members -----------------------------------------------------------------------------------
+
+    def change(self, change: Change) -> None:
+        """A wish is kept until it is reached or this leader ends; who has it asks till the members are so."""
+        self.wishes[change.who] = change
+        self.wish(change)
+
+    def wish(self, change: Change) -> None:
+        """The next step towards it, if none is under way."""
+        state, peer = self.state, self.peers.get(change.who)
+        if state.commit < max(state.belonging.index, self.reads.first):
+            return
+        try:
+            members = next_step(state.belonging.members, change.who, change.out, change.votes,
+                                peer is not None and peer.learned)
+        except ValueError as bad:
+            self.wishes.pop(change.who, None)
+            state.note("change_refused", who=change.who.name, number=change.who.number, why=str(bad))
+            return
+        if members is not None:
+            self.add(proposed(members, state.log.last + 1, state.term))
+            self.feed()
+        elif change.out or not change.votes or change.who in state.belonging.voters:
+            del self.wishes[change.who]
+
+    def changed(self) -> None:
+        """A leader that doesn't vote any more ends once that is committed (dissertation, 4.2.2)."""
+        state = self.state
+        if state.me not in state.belonging.voters and state.commit >= state.belonging.index:
+            self.beat()                 # so that the others know it to be committed
+            state.be(Role.FOLLOWER, None)
+
+    # ---- giving up the place -----------------------------------------------------------------------
+
+    def hand_over(self, to: Who | None) -> None:
+        state = self.state
+        able = [(peer.match, who) for who, peer in self.peers.items()
+                if who in state.belonging.voters and not peer.silent and (to is None or who == to)]
+        if not able:
+            state.note("not_handed_over", term=state.term, to=to.name if to else "")
+            return
+        self.heir = max(able)[1]
+        self.heir_until = state.now + state.bootstrap["election"]
+        self.hand_on()
+
+    def hand_on(self) -> None:
+        """Once the heir has all that this one has."""
+        if self.heir in self.peers and self.peers[self.heir].match >= self.state.log.last:
+            self.state.send(self.heir, Take(self.state.term))
--- /dev/null
+++ b/indigohitch/fleet/ledger/peers.py
@@ -0,0 +1,162 @@
+"""How far a peer is, by its leader's reckoning, and what may be sent to it now.  No I/O.
+
+Each peer has its own, so that a slow one holds up nobody, and holds little: `inflight` messages of
+`append_most` bytes, or one piece of a snapshot."""
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+from ...packed.rows import digest
+from ..terms import Who
+from .ports import Snap
+from .state import State
+from .words import Append, Appended, Piece, Pieced
+
+
+class Way(enum.Enum):
+    PROBING = "probing"         # where its log ends as ours is not known: one message at a time
+    STREAMING = "streaming"     # one after the other, without waiting for answers
+    SNAPSHOT = "snapshot"       # the log before was forgotten: pieces, one at a time
+
+
+class Peer:
+    def __init__(self, state: State, who: Who) -> None:
+        self.state, self.who = state, who
+        self.match, self.next = 0, state.log.last + 1
+        self.way, self.probed = Way.PROBING, False
+        self.out: deque[int] = deque()          # last entry of each message that is out
+        # As if just heard: a new leader has an election's time to find its majority.
+        self.heard = state.now
+        self.snap: Snap | None = None
+        self.offset = 0
+        self.piece_at = 0                       # when the last piece went out
+        self.again = False                      # it went out again: the answer counts wherever it stands
+        self.digest = b""
+        # Rounds of learning (dissertation, 4.2.1): where the log ended as this one began, and when.
+        self.target, self.since, self.learned = state.log.last, state.now, False
+
+    @property
+    def silent(self) -> bool:
+        return self.state.now - self.heard >= self.state.bootstrap["election"]
+
+    # ---- sending -----------------------------------------------------------------------------------
+
+    def feed(self, round: int) -> None:
+        """What it lacks, as far as may be out at a time."""
+        state, log = self.state, self.state.log
+        if self.way is Way.SNAPSHOT or (self.way is Way.PROBING and self.probed):
+            return
+        while self.next <= log.last and len(self.out) < state.bootstrap["inflight"]:
+            if self.next <= log.base:
+                self.begin_snapshot()
+                return
+            entries = log.up_to(self.next, state.bootstrap["append_most"])
+            self.append(entries, round)
+            if self.way is Way.PROBING:
+                self.probed = True
+                return
+            self.next += len(entries)
+            self.out.append(self.next - 1)
+
+    def beat(self, round: int) -> None:
+        """That a leader is there; and one that lost what was sent says so by its answer."""
+        if self.way is Way.SNAPSHOT:
+            # Sent again only where an answer is overdue; one that says nothing is asked with few bytes.
+            if self.silent and (self.offset or self.snap is not self.state.log.snap):
+                self.begin_snapshot()
+            elif self.state.now - self.piece_at >= self.state.bootstrap["election"]:
+                self.again = True
+                self.piece()
+            self.state.send(self.who, Append(self.state.term, 0, 0, 0, (), round))
+            return
+        if self.next <= self.state.log.base:
+            self.begin_snapshot()
+            return
+        self.probed = self.silent and self.way is Way.PROBING
+        before = len(self.state.out)
+        if self.way is Way.PROBING:
+            self.feed(round)
+        if len(self.state.out) == before:
+            self.append((), round)
+
+    def append(self, entries: tuple, round: int) -> None:
+        state = self.state
+        self.state.send(self.who, Append(state.term, self.next - 1, state.log.term(self.next - 1),
+                                         state.commit, entries, round))
+
+    # ---- answers -----------------------------------------------------------------------------------
+
+    def appended(self, word: Appended) -> bool:
+        """Whether it is known to have more than before."""
+        self.heard = self.state.now
+        if not word.ok:
+            self.backed(word)
+            return False
+        more = word.match > self.match
+        if more:
+            self.match = word.match
+            while self.out and self.out[0] <= self.match:
+                self.out.popleft()
+        if self.way is Way.SNAPSHOT:
+            if self.match >= self.snap.index:
+                self.stream()
+        elif self.way is Way.PROBING and (more or word.match >= self.next - 1):
+            self.stream()
+        self.next = max(self.next, self.match + 1)
+        self.learn()
+        return more
+
+    def stream(self) -> None:
+        self.way, self.probed, self.snap = Way.STREAMING, False, None
+        self.next = max(self.next, self.match + 1)
+        self.out.clear()
+
+    def backed(self, word: Appended) -> None:
+        """Its log differs at `prev_index`, or ends before it: go back to where both may agree (the search by
+        terms of 5.3, from both sides)."""
+        if self.way is Way.SNAPSHOT or word.prev_index <= self.match:
+            return
+        if self.way is Way.PROBING and word.prev_index != self.next - 1:
+            return                              # of a message from before
+        at, _ = self.state.log.hint(min(word.match, word.prev_index - 1), word.hint_term)
+        self.next = max(self.match, at) + 1
+        self.way, self.probed = Way.PROBING, False
+        self.out.clear()
+
+    def learn(self) -> None:
+        """It has learned once a round, to where the log ended as it began, took less than an election's
+        time."""
+        state = self.state
+        if not self.learned and self.match >= self.target:
+            self.learned = state.now - self.since < state.bootstrap["election"]
+            self.target, self.since = state.log.last, state.now
+
+    # ---- a snapshot --------------------------------------------------------------------------------
+
+    def begin_snapshot(self) -> None:
+        """Of the newest; a peer that keeps answering gets the one that was begun to its end."""
+        self.way, self.probed, self.offset = Way.SNAPSHOT, False, 0
+        self.out.clear()
+        self.next = self.match + 1
+        if self.snap is not self.state.log.snap:
+            self.snap = self.state.log.snap
+            self.digest = digest(self.snap.book)
+        self.piece()
+
+    def piece(self) -> None:
+        state, snap = self.state, self.snap
+        data = snap.book[self.offset:self.offset + (0 if self.silent else state.bootstrap["piece"])]
+        self.piece_at = state.now
+        state.send(self.who, Piece(state.term, snap.index, snap.term, snap.members, len(snap.book),
+                                   self.digest, self.offset, data))
+
+    def pieced(self, word: Pieced) -> None:
+        """It goes on from where the peer is; an answer that comes twice sends nothing twice."""
+        self.heard = self.state.now
+        if self.way is not Way.SNAPSHOT or word.index != self.snap.index:
+            return
+        if word.offset > self.offset or self.again:
+            self.offset, self.again = word.offset, False
+            if self.offset < len(self.snap.book):
+                self.piece()
--- a/indigohitch/fleet/ledger/ports.py
+++ b/indigohitch/fleet/ledger/ports.py
@@ -101,7 +101,14 @@
     pass
 
 
-Input = Heard | Propose | Read | Change | Written | DiskFailed | DiskBack | Snapped | Due
+@dataclass(slots=True, frozen=True)
+class HandOver:
+    """A leader that will end gives its place to another voter, the one named or the one furthest on; until
+    then it turns proposals away, and after an election's time without success it goes on leading."""
+    to: Who | None = None
+
+
+Input = Heard | Propose | Read | Change | Written | DiskFailed | DiskBack | Snapped | Due | HandOver
 
 # ---- out -------------------------------------------------------------------------------------------
 
@@ -136,8 +143,11 @@
 
 @dataclass(slots=True, frozen=True)
 class TakeSnapshot:
-    """The log has grown: encode the book as it stands (at `index`), write it, then `Snapped`."""
+    """The log has grown: encode the book as it stands (at `index`), write it, then `Snapped`.  `term` and
+    `members` as they are to stand in it."""
     index: int
+    term: int
+    members: Members
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/indigohitch/fleet/ledger/state.py
@@ -0,0 +1,145 @@
+"""What a member of the ledger is at this moment: term, role, log, members, commit; what its parts share.
+No I/O."""
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Mapping
+
+from ..terms import Entry, Who
+from .durable import Durable
+from .log import Log
+from .members import Belonging
+from .ports import Ballot, Became, Commit, Held, Install, Note, Output, Send, Snap, TakeSnapshot
+
+
+class Role(enum.Enum):
+    FOLLOWER = "follower"
+    ASKING = "asking"           # for votes before the vote
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class State:
+    """`bootstrap`: spans `election` and `beat` in tenths of a ms; bytes `log_most` (of entries after a
+    snapshot, before the next is taken), `append_most` (of a message), `piece` (of a snapshot); counts
+    `inflight` (messages out to a peer) and `proposals_most`."""
+
+    def __init__(self, me: Who, held: Held, bootstrap: Mapping[str, int], chance: Callable[[], float],
+                 now: int) -> None:
+        self.me, self.bootstrap, self.chance, self.now = me, bootstrap, chance, now
+        self.log = Log(held.snap, held.entries)
+        self.belonging = Belonging(held.snap.index, held.snap.members)
+        self.belonging.appended(held.entries)
+        # A ballot is written before the entries of its term; one that is behind them was never promised.
+        self.ballot = max(held.ballot, Ballot(self.log.last_term), key=lambda ballot: ballot.term)
+        self.durable = Durable(self.log.last)
+        self.commit = held.snap.index
+        self.role, self.leader = Role.FOLLOWER, None
+        self.told = (self.role, self.ballot.term, self.leader)
+        self.heard = now - 2 * bootstrap["election"]    # when a leader was last heard
+        self.election_due = 0
+        self.snapping = False                           # a snapshot of our own is being taken
+        self.out: list[Output] = []
+        self.wait_anew()
+
+    @property
+    def term(self) -> int:
+        return self.ballot.term
+
+    def wait_anew(self) -> None:
+        """Until this member asks for votes: an election's time, up to twice as long by chance, so that few
+        ask at once (Ongaro and Ousterhout 2014, 5.2)."""
+        self.election_due = self.now + int(self.bootstrap["election"] * (1 + self.chance()))
+
+    @property
+    def led(self) -> bool:
+        """A leader was heard within the shortest election's time, or this is one: no vote is given now, and
+        no term moved by who asks for one, so that a member that comes back doesn't unseat a leader
+        (dissertation, 4.2.3)."""
+        return self.role is Role.LEADER or (self.leader is not None
+                                            and self.now - self.heard < self.bootstrap["election"])
+
+    # ---- saying and writing ------------------------------------------------------------------------
+
+    def send(self, to: Who, word) -> None:
+        self.out.append(Send(to, word))
+
+    def promise(self, to: Who, word) -> None:
+        """To be sent once all that was put out so far is written; with a disk out of order never."""
+        durable = self.durable
+        if durable.failed:
+            return
+        if durable.done >= durable.number:
+            self.send(to, word)
+        else:
+            durable.promises.append((durable.number, Send(to, word)))
+
+    def note(self, event: str, **fields) -> None:
+        self.out.append(Note(event, fields))
+
+    def be(self, role: Role, leader: Who | None) -> None:
+        if (role, self.term, leader) != self.told:
+            self.role, self.leader, self.told = role, leader, (role, self.term, leader)
+            self.out.append(Became(role.value, self.term, leader))
+
+    def vote(self, term: int, who: Who | None) -> None:
+        """Term and vote, to the disk too."""
+        self.ballot = Ballot(term, who)
+        self.out += self.durable.write(self.ballot, 0, (), self.log.last)
+
+    def store(self, cut: int, entries: tuple[Entry, ...]) -> None:
+        """Entries to the log's end, after it was cut from `cut` on (0: not)."""
+        if cut:
+            if cut <= self.commit:
+                raise ValueError(f"entry {cut} was committed and is to be void")
+            self.log.cut(cut)
+            self.belonging.cut(cut)
+        self.log.append(entries)
+        self.belonging.appended(entries)
+        self.out += self.durable.write(None, cut, entries, self.log.last)
+
+    def commit_to(self, index: int) -> None:
+        if index <= self.commit:
+            return
+        self.out.append(Commit(self.log.some(self.commit + 1, index)))
+        self.commit = index
+        self.compact()
+
+    # ---- snapshots ---------------------------------------------------------------------------------
+
+    def compact(self) -> None:
+        """Memory and disk are bounded: the book takes the place of a log that has grown."""
+        if (self.log.grown > self.bootstrap["log_most"] and self.commit > self.log.snap.index
+                and not (self.snapping or self.durable.failed or self.durable.installing)):
+            self.snapping = True
+            self.out.append(TakeSnapshot(self.commit, self.log.term(self.commit),
+                                         self.belonging.at(self.commit)))
+
+    def install(self, snap: Snap) -> None:
+        """In place of a log that is behind it."""
+        self.log.replace(snap)
+        self.belonging.replace(snap.index, snap.members)
+        self.commit, self.snapping = snap.index, False
+        self.durable.install(snap.index)
+        if not self.durable.failed:
+            self.out.append(Install(snap))
+
+    def snapped(self, snap: Snap) -> None:
+        self.durable.snapped(snap.index)
+        if snap.index > self.log.snap.index:
+            self.snapping = False
+            self.log.snapped(snap, self.bootstrap["log_most"] // 2)
+            self.belonging.snapped(self.log.base)
+            self.compact()
+
+    def disk_back(self) -> None:
+        """All that the disk doesn't hold for sure is written anew."""
+        if not self.durable.failed:
+            return
+        self.durable.failed = self.snapping = False
+        if self.durable.installing:
+            self.out.append(Install(self.log.snap))
+        first = max(self.durable.stable, self.log.snap.index if self.durable.installing else 0) + 1
+        self.out += self.durable.write(self.ballot, first, self.log.some(first, self.log.last),
+                                       self.log.last)
+        self.compact()
--- /dev/null
+++ b/indigohitch/fleet/ledger/votes.py
@@ -0,0 +1,121 @@
+"""Votes: who asks for them, who gives them, and the vote before the vote.  No I/O.
+
+Ongaro and Ousterhout 2014, 5.2 and 5.4.1; the dissertation, 9.6 (the vote before the vote), 4.2.3 (none
+against a leader that is heard) and 3.10 (a leader that gives its place up)."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..terms import Who
+from .state import Role, State
+from .words import Ask, Take, Vote
+
+
+class Votes:
+    def __init__(self, state: State, elected: Callable[[], None]) -> None:
+        self.state, self.elected = state, elected
+        self.given: set[Who] = set()
+        self.handed = False
+
+    # ---- asking ------------------------------------------------------------------------------------
+
+    @property
+    def may_stand(self) -> bool:
+        state = self.state
+        return (state.me in state.belonging.voters and not state.durable.failed
+                and not state.durable.installing and not state.belonging.outdated(state.me))
+
+    def due(self) -> None:
+        """No leader was heard for this member's time."""
+        state = self.state
+        state.wait_anew()
+        if not self.may_stand:
+            state.be(Role.FOLLOWER, None)
+            return
+        state.be(Role.ASKING, None)
+        self.given = {state.me}
+        self.ask(state.term + 1, pre=True)
+        self.counted()
+
+    def stand(self, handed: bool = False) -> None:
+        """In the next term, with the own vote; it counts, and the others are asked, once it is written."""
+        state = self.state
+        state.wait_anew()
+        state.vote(state.term + 1, state.me)
+        state.be(Role.CANDIDATE, None)
+        self.given, self.handed = set(), handed
+
+    def written(self) -> None:
+        state = self.state
+        if state.role is Role.CANDIDATE and not self.given and state.durable.safe:
+            self.given = {state.me}
+            self.ask(state.term, pre=False)
+            self.counted()
+
+    def ask(self, term: int, pre: bool) -> None:
+        log = self.state.log
+        word = Ask(term, log.last, log.last_term, pre, self.handed and not pre)
+        for who in self.state.belonging.members.voters:
+            if who != self.state.me:
+                self.state.send(who, word)
+
+    def heard_vote(self, sender: Who, word: Vote) -> None:
+        state = self.state
+        if not word.given:
+            if word.term > state.term:
+                state.vote(word.term, None)
+                state.be(Role.FOLLOWER, None)
+            return
+        if word.pre:
+            fits = state.role is Role.ASKING and word.term == state.term + 1
+        else:
+            fits = state.role is Role.CANDIDATE and word.term == state.term and bool(self.given)
+        if fits and sender in state.belonging.voters:
+            self.given.add(sender)
+            self.counted()
+
+    def counted(self) -> None:
+        state = self.state
+        if len(self.given & state.belonging.voters) < state.belonging.majority:
+            return
+        if state.role is Role.ASKING:
+            self.stand()
+        elif state.role is Role.CANDIDATE:
+            self.elected()
+
+    def heard_take(self, sender: Who, word: Take) -> None:
+        state = self.state
+        if word.term == state.term and sender == state.leader and self.may_stand:
+            self.stand(handed=True)
+
+    # ---- being asked -------------------------------------------------------------------------------
+
+    def heard_ask(self, sender: Who, word: Ask) -> None:
+        """`Vote` goes out once it is written.  Who isn't in this member's list may ask: the list may be
+        behind."""
+        state = self.state
+        if state.durable.failed:
+            return
+        fits = (word.last_term, word.last_index) >= (state.log.last_term, state.log.last)
+        if word.pre:
+            given = fits and word.term > state.term and not state.led
+            state.send(sender, Vote(word.term if given else state.term, given, True))
+            return
+        if word.term < state.term or (state.led and not word.handed):
+            state.send(sender, Vote(state.term, False))
+            return
+        if word.term > state.term:
+            vote = sender if fits else None
+            state.vote(word.term, vote)
+            state.be(Role.FOLLOWER, None)
+        else:
+            vote = state.ballot.vote
+            if vote is None and fits and state.role in (Role.FOLLOWER, Role.ASKING):
+                vote = sender
+                state.vote(word.term, vote)
+                state.be(Role.FOLLOWER, state.leader)
+        if vote == sender:
+            state.wait_anew()
+            state.promise(sender, Vote(word.term, True))
+        else:
+            state.send(sender, Vote(state.term, False))
--- /dev/null
+++ b/indigohitch/fleet/ledger/words.py
@@ -0,0 +1,74 @@
+"""What the ledger's machines say to each other (Ongaro and Ousterhout 2014, figures 2 and 13, and the
+dissertation, 4.2.3, 3.10, 6.4, 9.6).  Rows only; fields are only ever added at the end."""
+from __future__ import annotations
+
+from ...packed.rows import Row
+from ..terms import Entry
+from .ports import Members
+
+
+class Ask(Row, frozen=True):
+    """For a vote in `term`, by one whose log ends so.  `pre`: would you?  It binds nobody and moves no term.
+    `handed`: the leader itself has asked the sender to stand."""
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool = False
+    handed: bool = False
+
+
+class Vote(Row, frozen=True):
+    """`term` as asked for where it is given, else the sender's own."""
+    term: int
+    given: bool
+    pre: bool = False
+
+
+class Append(Row, frozen=True):
+    """Entries that follow the one at `prev_index`, of `prev_term`; without any it is a beat.  `round` counts
+    the rounds of reads of that leader: an answer that says it was sent after that round began."""
+    term: int
+    prev_index: int
+    prev_term: int
+    commit: int
+    entries: tuple[Entry, ...] = ()
+    round: int = 0
+
+
+class Appended(Row, frozen=True):
+    """`ok`: all up to `match` is on the sender's disk and as the leader has it.  Not `ok`: nothing stands at
+    `prev_index` as the leader has it; what the sender holds up to there is at most of `hint_term`, up to
+    `match`."""
+    term: int
+    ok: bool
+    match: int
+    prev_index: int = 0
+    hint_term: int = 0
+    round: int = 0
+
+
+class Piece(Row, frozen=True):
+    """Of a snapshot of `total` bytes with that digest, from `offset` on."""
+    term: int
+    index: int
+    snap_term: int
+    members: Members
+    total: int
+    digest: bytes
+    offset: int
+    data: bytes
+
+
+class Pieced(Row, frozen=True):
+    """Of the snapshot at `index` the sender holds the first `offset` bytes."""
+    term: int
+    index: int
+    offset: int
+
+
+class Take(Row, frozen=True):
+    """Stand now: the leader gives its place up to you, whose log ends as its own."""
+    term: int
+
+
+WORDS = (Ask, Vote, Append, Appended, Piece, Pieced, Take)
