--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -29,7 +29,7 @@
 from indigohitch.model.backends import Kind  # noqa: E402
 from indigohitch.model.emulator import Emulator, World  # noqa: E402
 from indigohitch.net.clock import SECOND  # noqa: E402
-from indigohitch.sidecar.routes import slice_of  # noqa: E402
+from indigohitch.sidecar.keys import slice_of  # noqa: E402
 
 
 def made(seconds, rate, slices, seed, spread=0.9):
--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -6,9 +6,12 @@
 
 import click
 
+from .errors import Trouble
+
 
 class Lazy(click.Group):
-    """`load` needs libraries that a coordinator does without: imported once it is asked for."""
+    """`load` needs libraries that a coordinator does without: imported once it is asked for.  Here alone a
+    command's trouble is shown: what happened, where, and what to do."""
 
     def list_commands(self, ctx):
         return sorted([*super().list_commands(ctx), "load"])
@@ -19,6 +22,19 @@
         from .load.command import load
         return load
 
+    def invoke(self, ctx):
+        try:
+            return super().invoke(ctx)
+        except (Trouble, OSError) as bad:
+            click.echo(shown(bad), err=True)
+            sys.exit(1)
+
+
+def shown(bad: Trouble | OSError) -> str:
+    if isinstance(bad, OSError):
+        return f"{bad.filename}: {bad.strerror}" if bad.filename and bad.strerror else str(bad)
+    return bad.text() + (f"\n  {bad.remedy}" if bad.remedy else "")
+
 
 @click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="indigohitch", prog_name="indigohitch")
@@ -34,40 +50,31 @@
         from .service import main as serve
         sys.exit(serve())
     from . import coordinator
-    from .sidecar import conf
-    try:
-        sys.exit(coordinator.main(operator))
-    except (conf.Mistakes, OSError) as bad:
-        refuse(str(bad))
-
-
-def refuse(text: str) -> None:
-    click.echo(text, err=True)
-    sys.exit(1)
+    sys.exit(coordinator.main(operator))
 
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def sidecar(file: str) -> None:
     """A sidecar, as FILE says."""
-    from .sidecar import conf, service
-    try:
-        sys.exit(service.main(file))
-    except (conf.Mistakes, OSError) as bad:
-        refuse(str(bad))
+    from .sidecar import service
+    sys.exit(service.main(file))
 
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
-    """Read FILE and tell all that is wrong with it, each with its line."""
-    from .sidecar import conf
-    try:
-        text = conf.load(file)
-    except (conf.Mistakes, OSError) as bad:
-        refuse(str(bad))
-    click.echo(f"{file}: {len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
-               f"{sum(len(p.servers) for p in text.pools.values())} servers")
+    """Read FILE, a sidecar's or a coordinator's, and tell all that is wrong with it, each with its line."""
+    from .directives import either
+    text = either.load(file)
+    if text.pools:
+        said = (f"{len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
+                f"{sum(len(p.servers) for p in text.pools.values())} servers")
+    else:
+        said = "a coordinator's"
+    if text.fleet is not None:
+        said += f"; {text.fleet.me} of fleet {text.fleet.name}, {len(text.fleet.members)} members"
+    click.echo(f"{file}: {said}")
 
 
 @main.command("stand-in")
@@ -78,55 +85,48 @@
 @click.option("--lose", default=0, help="Every so many RPCs, act on one and reset instead of answering.")
 def stand_in(address: str, name: str, service: float, also: int, lose: int) -> None:
     """A stand-in server on ADDRESS (loopback only), for trials."""
+    from .errors import Unfit
     from .net.connection import address as read
     from .standins.server import main as serve
     try:
         serve(read(address), name, service, also, lose)
-    except (ValueError, OSError) as bad:
-        refuse(str(bad))
+    except ValueError as bad:
+        raise Unfit(str(bad), "stand-in", "name an address such as 127.0.0.1:9001") from None
 
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--wait", default=60.0, help="Seconds until no answer is taken for one.", show_default=True)
 def upgrade(file: str, wait: float) -> None:
-    """Let the sidecar of FILE replace itself by its program on disk as it is now."""
+    """Let the program of FILE replace itself by its program on disk as it is now."""
     tell(asked(file, "upgrade", wait))
 
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def status(file: str) -> None:
-    """What the sidecar of FILE does now."""
+    """What the program of FILE does now."""
     tell(asked(file, "status", 5.0))
 
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def snapshot(file: str) -> None:
-    """Let the sidecar of FILE write its state to the path in its line `state`."""
+    """Let the program of FILE write its state to the path in its line `state`."""
     tell(asked(file, "snapshot", 30.0))
 
 
-def control_of(file: str) -> str:
-    """Of a sidecar's file, or of a coordinator's."""
-    from .sidecar import conf
-    try:
-        return conf.load_operator(file).single["control"]
-    except conf.Mistakes:
-        return conf.load(file).single["control"]
-
-
 def asked(file: str, what: str, wait: float) -> dict:
     from .control import ask
-    from .sidecar import conf
+    from .directives import either
+    from .errors import NotNow, Unfit
+    path = either.load(file).single["control"]
+    if not path:
+        raise Unfit("no line `control`", file, "add `control /run/...sock` and start the program anew")
     try:
-        path = control_of(file)
-        if not path:
-            refuse(f"{file}: no line `control`")
         return ask(path, what, wait)
-    except (conf.Mistakes, OSError, ValueError) as bad:
-        refuse(str(bad))
+    except OSError as bad:
+        raise NotNow(f"no answer: {bad.strerror or bad}", path, f"start the program of {file}") from None
 
 
 def tell(found: dict) -> None:
--- a/indigohitch/control.py
+++ b/indigohitch/control.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from .errors import Unreadable
 from .net.connection import Connection, Listener
 from .net.loop import Loop
 
@@ -91,12 +92,12 @@
 
 
 def ask(path: str, what: str, wait: float = 60.0) -> dict:
-    """For the command line: ask and wait.  Raises OSError, ValueError."""
+    """For the command line: ask and wait.  Raises OSError, Unreadable."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
         sock.settimeout(wait)
         sock.connect(path)
         sock.sendall(orjson.dumps({"ask": what}) + b"\n")
         line = sock.makefile("rb").readline()
     if not line:
-        raise ValueError("the program ended before it answered")
+        raise Unreadable("the program ended before it answered", path, "its log says why")
     return orjson.loads(line)
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -6,16 +6,17 @@
 import socket
 from collections.abc import Mapping
 
+from .directives import operator_file
+from .directives.texts import Text
 from .platformlink.front import Front
 from .platformlink.handover import Handover
 from .replaceable import Replaceable
 from .service import UNUSABLE, configuration
-from .sidecar import conf
 from .upgrade import launch
 
 
 class Coordinating(Replaceable):
-    def __init__(self, environ: Mapping[str, str], text: conf.Text) -> None:
+    def __init__(self, environ: Mapping[str, str], text: Text) -> None:
         self.environ, self.source = environ, text.source
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
@@ -42,7 +43,7 @@
 
     def program_now(self) -> list[str]:
         try:
-            return conf.load_operator(self.source).single["program"]
+            return operator_file.load(self.source).single["program"]
         except (OSError, ValueError):
             return self.lines["program"]
 
@@ -61,8 +62,8 @@
 
 
 def main(file: str) -> int:
-    """Raises conf.Mistakes, OSError."""
+    """Raises Mistakes, OSError."""
     channel = launch.inherited()
-    text = conf.load_operator(file)
+    text = operator_file.load(file)
     os.set_blocking(1, False)
     return Coordinating(os.environ, text).run(channel)
--- a/indigohitch/sidecar/routes.py
+++ b/indigohitch/directives/routes.py
@@ -1,4 +1,4 @@
-"""Which RPC a request is, and which slice its key belongs to.  No I/O.
+"""The table of routes: which RPC a request is.  No I/O.
 
 A route is a method and a path pattern: literal segments, `{name}` for one segment, a last `**` for any rest.
 They stand in a trie of segments, so that a look-up costs the path's segments and not the routes.  The most
@@ -6,9 +6,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from urllib.parse import unquote_to_bytes
 
-import xxhash
+from ..errors import Unfit
 
 REST = "**"
 
@@ -32,7 +31,7 @@
     rest: dict[str, Route] = field(default_factory=dict)
 
 
-class Doubled(ValueError):
+class Doubled(Unfit):
     """The same method and pattern a second time."""
 
 
@@ -93,24 +92,3 @@
                     other |= found
         route = node.rest.get(method) or node.rest.get("*")
         return route if route is not None else other or bool(node.rest)
-
-
-def key_of(route: Route, target: str, path: str, header) -> bytes | None:
-    """The key that the route names, None where the request has none.  `header(name)` gives its values."""
-    kind, name = route.key
-    if kind == "path":
-        names = segments(path)
-        return unquote_to_bytes(names[int(name)]) if int(name) < len(names) else None
-    if kind == "header":
-        values = header(name.encode())
-        return values[0].strip() if values else None
-    if kind == "query":
-        for pair in target.partition("?")[2].split("&"):
-            found, _, value = pair.partition("=")
-            if found == name:
-                return unquote_to_bytes(value.replace("+", " "))
-    return None
-
-
-def slice_of(key: bytes, slices: int) -> int:
-    return xxhash.xxh3_64_intdigest(key) % slices
--- a/indigohitch/errors.py
+++ b/indigohitch/errors.py
@@ -12,9 +12,12 @@
         self.remedy = remedy or self.remedy
         super().__init__(what)
 
+    def text(self) -> str:
+        """All but the remedy."""
+        return f"{self.where}: {self.what}" if self.where else self.what
+
     def __str__(self) -> str:
-        text = f"{self.where}: {self.what}" if self.where else self.what
-        return f"{text} ({self.remedy})" if self.remedy else text
+        return f"{self.text()} ({self.remedy})" if self.remedy else self.text()
 
     def fields(self) -> dict[str, str]:
         """For a log line."""
--- a/indigohitch/load/command.py
+++ b/indigohitch/load/command.py
@@ -9,8 +9,10 @@
 import click
 import orjson
 
+from ..directives import sidecar_file, words
+from ..directives.lines import Mistakes
+from ..directives.texts import Text
 from ..net.connection import address
-from ..sidecar import conf
 from .timeline import RULES
 
 
@@ -27,15 +29,15 @@
         if isinstance(value, int):
             return value
         try:
-            return conf.span(value)
+            return words.span(value)
         except ValueError as bad:
             self.fail(str(bad), param, ctx)
 
 
-def text_of(path: str) -> conf.Text:
+def text_of(path: str) -> Text:
     try:
-        return conf.load(path)
-    except (conf.Mistakes, OSError) as bad:
+        return sidecar_file.load(path)
+    except (Mistakes, OSError) as bad:
         refuse(str(bad))
 
 
--- a/indigohitch/sidecar/access.py
+++ b/indigohitch/sidecar/access.py
@@ -10,7 +10,6 @@
 
 import orjson
 
-FORMS = ("json", "combined")
 QUEUE = 20_000                  # lines: four seconds of all that one core serves, some 4 MB
 LINES = 500                     # written at once
 
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -7,7 +7,7 @@
 from ..net.stream import Stream
 from .framing import Body
 from .heads import Refused, RequestHead, plain
-from .routes import key_of, slice_of
+from .keys import key_of, slice_of
 from .rpc import Rpc
 
 
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from .. import interface as face
+from ..directives.texts import Server as Told
 from ..net.connection import Listener
 from ..upgrade import events
 from ..upgrade import snapshot as shots
 from ..upgrade.giving import Connection
 from ..upgrade.module_state import freeze, thaw
 from .clients import Client
-from .conf import Server as Told
 from .host import Host
 from .pool import Pool
 
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -4,6 +4,7 @@
 import os
 import socket
 
+from ..directives.texts import Text
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.connection import Listener
@@ -14,7 +15,6 @@
 from ..net.worker import Worker
 from .access import AccessLog
 from .clients import Client
-from .conf import Text
 from .pool import Pool
 
 
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -6,12 +6,12 @@
 
 from .. import interface as face
 from ..bootstrap import load_report
+from ..directives.texts import PoolText
 from ..gather import Gathering
 from ..logic import Coordinator
 from ..net.http import Answer
 from ..net.http import Client as Caller
 from ..request import Table
-from .conf import PoolText
 from .servers import Server
 
 PROXY = 0                       # the sidecar itself, the one proxy that is joined
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -4,15 +4,16 @@
 import os
 import resource
 
+from ..directives import sidecar_file
+from ..directives.texts import Text
 from ..replaceable import Replaceable
 from ..upgrade import launch
-from . import conf
 from .handover import Handover
 from .host import Host
 
 
 class Sidecar(Replaceable):
-    def __init__(self, source: str, text: conf.Text) -> None:
+    def __init__(self, source: str, text: Text) -> None:
         self.source, self.text = source, text
         super().__init__(text.single["name"], text.single, text.waits)
 
@@ -28,12 +29,12 @@
 
     def without_state(self) -> None:
         self.host.close()
-        self.text = conf.load(self.source)
+        self.text = sidecar_file.load(self.source)
         self.side = self.giving.side = self.make_side()
 
     def program_now(self) -> list[str]:
         try:
-            return conf.load(self.source).single["program"]
+            return sidecar_file.load(self.source).single["program"]
         except (OSError, ValueError):
             return self.lines["program"]
 
@@ -41,7 +42,7 @@
         """Servers as the file names them now; all else in it waits for an upgrade.  A file with a mistake
         changes nothing."""
         try:
-            text = conf.load(self.source)
+            text = sidecar_file.load(self.source)
             if text.pools.keys() != self.text.pools.keys():
                 raise ValueError("other pools: this takes an upgrade")
         except (OSError, ValueError) as bad:
@@ -73,9 +74,9 @@
 
 
 def main(source: str) -> int:
-    """Raises conf.Mistakes, OSError."""
+    """Raises Mistakes, OSError."""
     channel = launch.inherited()
-    text = conf.load(source)
+    text = sidecar_file.load(source)
     os.set_blocking(1, False)           # a log that nobody reads must not hold up the service
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = 2 * text.limits["clients"] + 256       # each client may have a server's connection
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -13,6 +13,8 @@
 import pytest
 
 from field import Field, until
+from indigohitch.directives.lines import Mistakes
+from indigohitch.directives.sidecar_file import read
 from indigohitch.load import trace
 from indigohitch.load.entry import SECOND, Request
 from indigohitch.load.replay import safety
@@ -21,7 +23,6 @@
 from indigohitch.load.replay.running import left
 from indigohitch.load.replay.schedule import Pace, Plan, filtered, passes
 from indigohitch.sidecar.access import QUEUE, AccessLog
-from indigohitch.sidecar.conf import Mistakes, read
 from world import free_address
 
 ROOT = Path(__file__).parent.parent
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,29 @@
+"""A pool whose module breaks."""
+import os
+
+from indigohitch.directives.sidecar_file import read
+from indigohitch.log import Log
+from indigohitch.net.clock import SECOND, Clock
+from indigohitch.net.loop import Loop
+from indigohitch.sidecar.host import Host
+from test_directives import TEXT
+
+
+def test_a_defect_of_the_module_makes_a_new_one_that_is_told_what_stands():
+    failures = []
+    loop = Loop(Clock(), failures.append)
+    host = Host(loop, Log(loop.clock, "t", os.open(os.devnull, os.O_WRONLY)), read(TEXT))
+    pool = host.pools["nodes"]
+    pool.start()
+    stood = [list(table.servers) for table in pool.tables]
+    broken = pool.coordinator
+    broken.handle = lambda now, events: 1 / 0
+    end = loop.clock.now() + 3 * SECOND
+    while loop.clock.now() < end and not (pool.coordinator is not broken and pool.coordinator.slices):
+        loop.after(100, lambda: None)
+        loop.turn()
+        host.turn()
+    assert isinstance(failures[0], ZeroDivisionError) and host.log.counts["module_begun_anew"] == 1
+    assert len(pool.coordinator.slices) == 8 and [list(t.servers) for t in pool.tables] == stood
+    assert all(s.stored for s in pool.coordinator.slices.values())
+    host.close()
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,56 @@
+"""The table of routes against a walk over all of them, and keys."""
+import random
+import re
+
+import pytest
+
+from indigohitch.directives.routes import Doubled, Route, Routes
+from indigohitch.sidecar.keys import key_of, slice_of
+
+
+def plain_find(routes, method, path):
+    """As the trie should: the most literal first, by a walk over all routes."""
+    def fits(route):
+        parts = [p for p in route.pattern.strip("/").split("/") if p]
+        form = ""
+        for part in parts:
+            form += "(/.*)?" if part == "**" else "/[^/]+" if part.startswith("{") else "/" + re.escape(part)
+        return re.fullmatch(form or "/", "/" + path.strip("/"))
+
+    def rank(route):
+        names = [p for p in route.pattern.strip("/").split("/") if p]
+        return [0 if not n.startswith("{") and n != "**" else 1 if n != "**" else 2 for n in names] + [1.5]
+    fit = sorted((r for r in routes if fits(r)), key=rank)
+    best = [r for r in fit if r.method == method]
+    return best[0] if best else 405 if fit else 404
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_trie_finds_what_a_walk_over_all_routes_finds(seed):
+    rng = random.Random(seed)
+    routes = Routes()
+    for line in range(150):
+        parts = [rng.choice(["a", "b", "c", "{x}"]) for _ in range(rng.randint(0, 4))]
+        parts += ["**"] * (rng.random() < 0.2)
+        try:
+            method = rng.choice(["GET", "POST"])
+            routes.add(Route(method, "/" + "/".join(parts), None, None, ("none", ""), line))
+        except Doubled:
+            pass
+    for _ in range(2000):
+        path = "/" + "/".join(rng.choice("abcd") for _ in range(rng.randint(0, 5)))
+        method = rng.choice(["GET", "POST", "PUT"])
+        assert routes.find(method, path) == plain_find(routes.all, method, path), (method, path)
+
+
+def test_keys():
+    route = Route("GET", "/places/{id}", None, None, ("path", "1"))
+    assert key_of(route, "/places/a%20b?x=1", "/places/a%20b", None) == b"a b"
+    route.key = ("query", "x")
+    assert key_of(route, "/places/7?y=2&x=1+2", "/places/7", None) == b"1 2"
+    route.key = ("header", "x-block")
+    assert key_of(route, "", "", lambda name: [b" k "] if name == b"x-block" else []) == b"k"
+    counts = [0] * 16
+    for n in range(4000):
+        counts[slice_of(b"%d" % n, 16)] += 1
+    assert min(counts) > 180
