A member's node: links, founding and admission, proposals, leases, joined to machine, disk and book

The fleet's machine and book had no process. Links dial each way with a greeting of fleet, number, start and protocol; a new disk founds only where no voter ever met its name, else it is admitted under a number never used; proposals go to the leader under one number until known.

--- a/indigohitch/control.py
+++ b/indigohitch/control.py
@@ -13,24 +13,28 @@
 
 
 class Asker:
-    LINE = 4096
+    LINE = 64 << 10             # a proposal's body is the longest thing that is told
 
     def __init__(self, control: Control) -> None:
         self.control, self.connection = control, None
 
     def heard(self, connection: Connection) -> None:
-        line = connection.incoming.line()
-        if line is None:
-            if len(connection.incoming) > self.LINE:
-                connection.close()
-            return
+        while (line := connection.incoming.line()) is not None:
+            self.ask(line)
+            if not connection.open:
+                return
+        if len(connection.incoming) > self.LINE:
+            connection.close()
+
+    def ask(self, line: bytes) -> None:
         try:
             asked = orjson.loads(line)
             what = str(asked["ask"])
         except (ValueError, KeyError, TypeError):
             self.answer({"error": "one line of JSON with `ask` is wanted"})
             return
-        self.control.asked(what, self.answer)
+        mark = {"mark": asked["mark"]} if "mark" in asked else {}       # for who asks several things at once
+        self.control.asked(what, asked, lambda told: self.answer(told | mark))
 
     def answer(self, told: dict) -> None:
         """At any time later, once."""
@@ -44,9 +48,10 @@
 class Control:
     MOST = 16                   # askers at once: people, and scripts of theirs
 
-    def __init__(self, loop: Loop, path: str, asked: Callable[[str, Callable[[dict], None]], None],
+    def __init__(self, loop: Loop, path: str, asked: Callable[[str, dict, Callable[[dict], None]], None],
                  listening: socket.socket | None = None) -> None:
-        """Raises OSError.  A path that a dead program left behind is taken; one that answers is not."""
+        """`asked(what, line, answer)`.  Raises OSError.  A path that a dead program left behind is taken; one
+        that answers is not."""
         self.loop, self.path, self.asked = loop, path, asked
         self.askers: set[Asker] = set()
         self.listener = Listener(loop, None, self.greet, lambda why: None, listening or self.opened(path))
@@ -75,7 +80,7 @@
         if len(self.askers) >= self.MOST:
             return False
         asker = Asker(self)
-        asker.connection = Connection.accepted(self.loop, sock, asker, 1 << 16, self.loop.pool)
+        asker.connection = Connection.accepted(self.loop, sock, asker, 2 * Asker.LINE, self.loop.pool)
         self.askers.add(asker)
         return True
 
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -63,7 +63,10 @@
 
 def main(file: str) -> int:
     """Raises Mistakes, OSError."""
-    channel = launch.inherited()
     text = operator_file.load(file)
+    if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
+        from .fleet.node import alone
+        return alone.main(text)
+    channel = launch.inherited()
     os.set_blocking(1, False)
     return Coordinating(os.environ, text).run(channel)
--- /dev/null
+++ b/indigohitch/fleet/links/ends.py
@@ -0,0 +1,206 @@
+"""The two ends of a link: the connection that is dialled, and the one that is accepted."""
+from __future__ import annotations
+
+import enum
+import socket
+from typing import TYPE_CHECKING
+
+from ...net.clock import SECOND
+from ...net.connection import Connection
+from ...packed.frames import Broken, Frames
+from ...packed.rows import Row
+from ..terms import Who
+from .words import Greeting, Pulse, Pulsed, Refused, Welcome
+
+if TYPE_CHECKING:
+    from .links import Links
+
+# A connect or a greeting that takes longer than this on one site's net comes to nothing.
+GREET = SECOND
+PULSE = SECOND // 2
+# Longer than any pause of a healthy process; a link on which nothing comes back any more is dialled anew, as
+# what waits on it is old by then.
+SILENT = 2 * SECOND
+# Until a link is dialled anew: the first time, and at most; a member that is back hears a leader within the
+# time of an election or two.
+REST, LONGEST_REST = SECOND // 20, SECOND // 2
+# Of the kernel's buffer for one link: what waits in it can't be taken back when it has grown old.
+KERNEL = 128 << 10
+
+
+class Phase(enum.Enum):
+    RESTING = "resting"
+    DIALLING = "dialling"
+    GREETING = "greeting"       # connected; the other end has not answered the greeting
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class Dialled:
+    """Our words to one member.  What it can't take is dropped, never kept waiting: the ledger says again what
+    matters."""
+
+    def __init__(self, links: Links, name: str, to: tuple[str, int]) -> None:
+        self.links, self.name, self.to = links, name, to
+        self.phase, self.since = Phase.RESTING, 0
+        self.due, self.rest = 0, REST           # of the next dialling
+        self.connection: Connection | None = None
+        self.welcome: Welcome | None = None     # the last one: facts in it stay true
+        self.alive = self.pulses = self.pulse_due = self.dropped = 0
+
+    @property
+    def who(self) -> Who | None:
+        return self.welcome.who if self.phase is Phase.OPEN else None
+
+    def be(self, phase: Phase) -> None:
+        self.phase, self.since = phase, self.links.loop.clock.now()
+
+    def beat(self, now: int) -> None:
+        if self.phase is Phase.RESTING:
+            if now >= self.due:
+                self.dial()
+        elif self.phase in (Phase.DIALLING, Phase.GREETING):
+            if now - self.since > GREET:
+                self.connection.close("no answer")
+        elif now - self.alive > SILENT:
+            self.links.log.trouble("member_silent", member=self.name, ms=(now - self.alive) / 10,
+                                   remedy="see whether it runs and whether its address is reached")
+            self.connection.close("silent")
+        elif now >= self.pulse_due:
+            self.pulses += 1
+            self.pulse_due = now + PULSE
+            self.write(Pulse(self.pulses))
+
+    def dial(self) -> None:
+        self.links.log.count("links_dialled")
+        try:
+            self.connection = Connection.dial(self.links.loop, self.to, self)
+        except OSError as bad:
+            self.lost(str(bad))
+            return
+        self.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL)
+        self.frames = Frames(self.links.kinds)
+        self.be(Phase.DIALLING)
+
+    def opened(self, connection: Connection) -> None:
+        links = self.links
+        self.be(Phase.GREETING)
+        self.write(Greeting(links.fleet, links.me, links.token))
+
+    def heard(self, connection: Connection) -> None:
+        try:
+            for word, _ in self.frames.feed(connection.incoming.take()):
+                self.take(word)
+                if not connection.open:
+                    return
+        except Broken as broken:
+            self.links.spoilt(self.name, broken)
+            connection.close("spoilt")
+
+    def take(self, word: Row) -> None:
+        now = self.links.loop.clock.now()
+        match word:
+            case Welcome() if self.phase is Phase.GREETING:
+                if not self.links.welcomed(self, word):
+                    self.connection.close("not who was called")
+                    return
+                self.welcome, self.alive, self.pulse_due, self.rest = word, now, now + PULSE, REST
+                self.be(Phase.OPEN)
+                self.links.up(self)
+            case Refused(why):
+                self.links.log.trouble("refused_by_member", member=self.name, why=why)
+                self.rest = LONGEST_REST
+                self.connection.close("refused")
+            case Pulsed():
+                self.alive = now
+
+    def say(self, word: Row) -> bool:
+        """False where it was dropped."""
+        if self.phase is not Phase.OPEN:
+            self.dropped += 1
+            return False
+        return self.write(word)
+
+    def write(self, word: Row) -> bool:
+        data = self.links.kinds.frame(word)
+        if self.connection.outgoing.room() < len(data):
+            self.dropped += 1
+            self.links.log.count("words_dropped")
+            return False
+        self.connection.write(data)
+        return True
+
+    def closed(self, connection: Connection, why: str) -> None:
+        if connection is self.connection and self.phase is not Phase.CLOSED:
+            self.lost(why)
+
+    def lost(self, why: str) -> None:
+        """Dialled again after a rest that grows, spread so that many do not come at once."""
+        was, self.connection = self.phase, None
+        self.be(Phase.RESTING)
+        self.due = self.since + int(self.rest * (0.5 + self.links.chance()))
+        self.rest = min(2 * self.rest, LONGEST_REST)
+        if was is Phase.OPEN:
+            self.links.down(self, why)
+
+    def come(self, who: Who, token: int) -> None:
+        """The other end has shown itself: it is worth dialling at once; anew where it is not the one that
+        was met here, but has begun again or got its number."""
+        if self.phase is Phase.OPEN and (self.welcome.who, self.welcome.token) != (who, token):
+            self.connection.close("it began anew")
+        if self.phase is Phase.RESTING:
+            self.due, self.rest = 0, REST
+            self.beat(self.links.loop.clock.now())
+
+    def close(self) -> None:
+        self.be(Phase.CLOSED)
+        if self.connection is not None:
+            self.connection.close()
+
+
+class Accepted:
+    """Another one's words to us; a stranger until it has greeted."""
+
+    def __init__(self, links: Links, sock: socket.socket) -> None:
+        self.links, self.who, self.token = links, None, 0
+        self.since = self.heard_at = links.loop.clock.now()
+        self.frames = Frames(links.kinds)
+        self.connection = Connection.accepted(links.loop, sock, self, links.kinds.most + (64 << 10),
+                                              links.loop.pool)
+
+    def heard(self, connection: Connection) -> None:
+        self.heard_at = self.links.loop.clock.now()
+        try:
+            for word, _ in self.frames.feed(connection.incoming.take()):
+                self.take(word)
+                if not connection.open:
+                    return
+        except Broken as broken:
+            self.links.spoilt(self.who.name if self.who else "", broken)
+            self.close()
+
+    def take(self, word: Row) -> None:
+        if self.who is None:
+            if isinstance(word, Greeting):
+                self.links.greeted(self, word)
+            else:
+                self.links.log.trouble("stranger", why=f"{type(word).__name__} before a greeting",
+                                       remedy="keep others off the members' port")
+                self.close()
+        elif isinstance(word, Pulse):
+            self.answer(Pulsed(word.number))
+        else:
+            self.links.heard(self.who, word)
+
+    def answer(self, word: Row) -> None:
+        data = self.links.kinds.frame(word)
+        if self.connection.open and self.connection.outgoing.room() >= len(data):
+            self.connection.write(data)
+
+    def closed(self, connection: Connection, why: str) -> None:
+        self.links.gone(self)
+
+    def close(self) -> None:
+        if self.connection.open:
+            self.connection.close()
+        self.links.gone(self)
--- /dev/null
+++ b/indigohitch/fleet/links/links.py
@@ -0,0 +1,160 @@
+"""All links of a member: its listener, whom it dials, who came."""
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Mapping
+
+from ...log import Log
+from ...net.connection import Listener
+from ...net.loop import Loop
+from ...packed.frames import Broken, Kinds
+from ...packed.rows import Row
+from ..terms import Who
+from .ends import GREET, Accepted, Dialled, Phase
+from .greeting import REMEDIES, refused, unspoken
+from .words import Greeting, Refused, Welcome
+
+# Connections that have not greeted yet: members dial one each, and anyone may knock.
+STRANGERS = 32
+
+
+class Links:
+    """`heard(who, word)`: a member's word.  `met(who) -> why`: a number shows itself; "" once it is kept.
+    `welcome(who) -> Welcome`: what one who greets is told.  `up(name)`, `down(name)`: our words reach it, or
+    don't any more.  `chance`: of a seeded generator, for the spread of diallings."""
+
+    def __init__(self, loop: Loop, log: Log, kinds: Kinds, fleet: str, me: Who, token: int,
+                 chance: Callable[[], float]) -> None:
+        self.loop, self.log, self.kinds, self.fleet, self.token = loop, log, kinds, fleet, token
+        self.me, self.chance = me, chance
+        self.peers: dict[str, Dialled] = {}
+        self.strangers: set[Accepted] = set()
+        self.came: dict[str, Accepted] = {}
+        self.listener: Listener | None = None
+        self.on_heard: Callable[[Who, Row], None] = lambda who, word: None
+        self.on_met: Callable[[Who], str] = lambda who: ""
+        self.on_up: Callable[[str], None] = lambda name: None
+        self.on_down: Callable[[str], None] = lambda name: None
+        self.facts: Callable[[Who], Welcome] = lambda who: Welcome(self.me, self.token)
+        self.known: Callable[[str], int] = lambda name: 0       # the highest number met of a name
+
+    def start(self, at: tuple[str, int]) -> None:
+        """Raises OSError where the address can't be had."""
+        self.listener = Listener(self.loop, at, self.knock,
+                                 lambda why: self.log.trouble("accept_failed", why=why))
+
+    def relist(self, peers: Mapping[str, tuple[str, int]]) -> None:
+        """The others, by name, with the addresses at which this one reaches them."""
+        for name, link in list(self.peers.items()):
+            if peers.get(name) != link.to:
+                del self.peers[name]
+                link.close()
+        for name in [name for name in self.came if name not in peers]:
+            self.came[name].close()
+        for name, to in peers.items():
+            if name not in self.peers:
+                self.peers[name] = Dialled(self, name, to)
+
+    def renumber(self, me: Who) -> None:
+        """This member has got its number: the others hear of it by new greetings."""
+        self.me = me
+        for name, link in list(self.peers.items()):
+            link.close()
+            self.peers[name] = Dialled(self, name, link.to)
+        self.beat()
+
+    def beat(self) -> None:
+        now = self.loop.clock.now()
+        for link in list(self.peers.values()):
+            link.beat(now)
+        for stranger in [s for s in self.strangers if now - s.since > GREET]:
+            self.log.trouble("stranger", why="no greeting", remedy="keep others off the members' port")
+            stranger.close()
+
+    # ---- our words ---------------------------------------------------------------------------------
+
+    def say(self, to: Who, word: Row) -> bool:
+        """To the member of that number, and no other that bears its name; False where it was dropped."""
+        link = self.peers.get(to.name)
+        return link is not None and link.who == to and link.say(word)
+
+    def say_to(self, name: str, word: Row) -> bool:
+        """Whatever its number."""
+        link = self.peers.get(name)
+        return link is not None and link.say(word)
+
+    def welcomed(self, link: Dialled, welcome: Welcome) -> bool:
+        """Whether who answers is who was dialled."""
+        why = f"{welcome.who.name} answers" if welcome.who.name != link.name else unspoken(welcome)
+        why = why or self.on_met(welcome.who)
+        if why:
+            self.log.trouble("not_who_was_dialled", member=link.name, why=why,
+                             remedy="see the address of that member in this file")
+        return not why
+
+    def up(self, link: Dialled) -> None:
+        self.log.event("member_reached", member=link.name, number=link.welcome.who.number)
+        self.on_up(link.name)
+
+    def down(self, link: Dialled, why: str) -> None:
+        self.log.trouble("member_lost", member=link.name, why=why)
+        self.on_down(link.name)
+
+    # ---- others' -----------------------------------------------------------------------------------
+
+    def knock(self, sock: socket.socket) -> bool:
+        if len(self.strangers) >= STRANGERS:
+            self.log.trouble("strangers_too_many", remedy="keep others off the members' port")
+            return False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.strangers.add(Accepted(self, sock))
+        return True
+
+    def greeted(self, one: Accepted, greeting: Greeting) -> None:
+        name = greeting.who.name
+        why, kind = refused(greeting, self.fleet, self.me.name, self.peers, self.known(name))
+        if not why and greeting.who.number and (why := self.on_met(greeting.who)):
+            kind = ""
+        if why:
+            self.log.trouble("member_refused", why=why, remedy=REMEDIES.get(kind, "it will come again"))
+            one.answer(Refused(why))
+            one.close()
+            return
+        self.strangers.discard(one)
+        if (before := self.came.get(name)) is not None:
+            before.close()                      # it has dialled anew: the old one is dead, or will be
+        one.who, one.token = greeting.who, greeting.token
+        self.came[name] = one
+        one.answer(self.facts(greeting.who))
+        self.peers[name].come(greeting.who, greeting.token)
+
+    def heard(self, who: Who, word: Row) -> None:
+        self.on_heard(who, word)
+
+    def spoilt(self, name: str, broken: Broken) -> None:
+        self.log.trouble("frame_spoilt", member=name or "unknown", why=broken.what,
+                         remedy="keep others off the members' port; if it is a member, see the network")
+
+    def gone(self, one: Accepted) -> None:
+        self.strangers.discard(one)
+        if one.who is not None and self.came.get(one.who.name) is one:
+            del self.came[one.who.name]
+
+    # ---- the end -----------------------------------------------------------------------------------
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        for link in self.peers.values():
+            link.close()
+        for one in [*self.strangers, *self.came.values()]:
+            one.close()
+
+    def figures(self) -> dict:
+        now = self.loop.clock.now()
+        return {name: {"phase": link.phase.value, "number": link.welcome.who.number if link.welcome else 0,
+                       "waiting": len(link.connection.outgoing) if link.connection else 0,
+                       "dropped": link.dropped, "reached": link.phase is Phase.OPEN,
+                       "heard_ms_ago": (now - self.came[name].heard_at) / 10 if name in self.came else None}
+                for name, link in sorted(self.peers.items())}
--- /dev/null
+++ b/indigohitch/fleet/node/admitting.py
@@ -0,0 +1,93 @@
+"""A new disk's way into the ledger, and who was left out: the asking and the leader's answer."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...net.clock import SECOND
+from ..ledger.ports import Change, Members
+from ..terms import Who
+from . import founding
+from .words import Admit, Admitted
+
+if TYPE_CHECKING:
+    from .node import Node
+
+ASK = SECOND // 2               # some beats: a change of members takes two commits
+SAY = 10 * SECOND               # between two log lines on the same waiting
+
+
+class Admitting:
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.admission = founding.Admission()
+        self.ask_due = self.say_due = 0
+
+    def beat(self, now: int) -> None:
+        node = self.node
+        if node.phase.value == "fresh":
+            self.fresh(now)
+        elif node.phase.value == "taking part" and now >= self.ask_due:
+            me, members = node.links.me, node.driver.members
+            if not founding.stands(me, node.votes, members):
+                self.ask(now, me.number)
+
+    # ---- with a new disk ---------------------------------------------------------------------------
+
+    def fresh(self, now: int) -> None:
+        node, voters = self.node, self.node.listed()
+        welcomes = {name: link.welcome for name, link in node.links.peers.items()}
+        way, why = founding.way(node.text.me, node.votes, voters, welcomes)
+        if way is founding.Way.FOUND:
+            node.log.event("founds", voters=list(voters))
+            self.begin(1, voters, founding.founders(voters))
+        elif way is founding.Way.ASK and now >= self.ask_due:
+            self.ask(now, 0)
+        if why and now >= self.say_due:
+            self.say_due = now + SAY
+            node.log.event("not_a_member_yet", why=why, way=way.value,
+                           remedy="start the members it waits for; see that all files list the same")
+
+    def begin(self, number: int, founders: tuple[str, ...], members: Members) -> None:
+        try:
+            held = self.node.disk.found(number, founders, members)
+        except OSError as bad:
+            self.node.log.trouble("not_founded", why=str(bad), remedy="make room, or mend the disk")
+            return
+        self.node.take_part(held)
+
+    def ask(self, now: int, number: int) -> None:
+        """All that can be reached: whoever leads answers."""
+        self.ask_due = now + ASK
+        node = self.node
+        for name in node.links.peers:
+            node.links.say_to(name, Admit(node.text.me, node.token, number, node.votes))
+        if node.driver.leads:
+            self.asked(node.links.me, Admit(node.text.me, node.token, number, node.votes))
+
+    def admitted(self, who: Who, word: Admitted) -> None:
+        node = self.node
+        if node.phase.value != "fresh" or word.token != node.token or word.who.name != node.text.me:
+            return
+        node.log.event("admitted", number=word.who.number, by=who.name)
+        self.begin(word.who.number, word.founders, Members(()))
+
+    # ---- at the leader -----------------------------------------------------------------------------
+
+    def asked(self, sender: Who, word: Admit) -> None:
+        """A number is told only once the entry that holds it is committed: two that both believe they lead
+        never give the same one out."""
+        node, name = self.node, sender.name
+        listed = node.text.members.get(name)
+        if not node.driver.leads or listed is None or node.phase.value != "taking part":
+            return
+        machine = node.driver.machine
+        who = self.admission.who(word, machine.members, node.disk.identity.met.get(name, 0))
+        if who is None:
+            node.log.trouble("old_disk", member=name, number=word.number,
+                             remedy="take its folder away and start it without")
+            return
+        if not founding.stands(who, listed.votes, machine.members):
+            node.driver.step(Change(who, votes=listed.votes))
+        committed = machine.state.belonging.index <= machine.commit
+        if not word.number and committed and who in machine.state.belonging.everyone:
+            node.links.say_to(name, Admitted(who, word.token, node.disk.identity.founders))
--- /dev/null
+++ b/indigohitch/fleet/node/alone.py
@@ -0,0 +1,134 @@
+"""A member of the fleet without a front, as a process: it votes and keeps the record."""
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+
+from ...directives import operator_file
+from ...directives.texts import Text
+from ...net.connection import Listener
+from ...replaceable import Replaceable
+from ...upgrade import launch
+from ...upgrade import snapshot as shots
+from .inside import Handed, Inside
+
+
+class Bare:
+    """All that is handed over is the control socket: the record is on the disk (upgrade.giving.Side)."""
+
+    def __init__(self, clock, controls: Callable[[], Listener | None],
+                 control_taken: Callable[[socket.socket], None], reload: Callable[[], None]) -> None:
+        self.clock, self.controls, self.control_taken, self.reload = clock, controls, control_taken, reload
+        self.given: dict[str, socket.socket] = {}
+        self.state: shots.Snapshot | None = None
+
+    def listeners(self) -> dict[str, socket.socket]:
+        control = self.controls()
+        return {"control": control.sock} if control else {}
+
+    def settle(self, on: bool) -> None: ...
+
+    def settled(self) -> bool:
+        return True
+
+    def snapshot(self) -> shots.Snapshot:
+        return shots.Snapshot("member", self.clock.now())
+
+    def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
+        taken(shots.encode(self.snapshot()), None)
+
+    def thaw(self) -> None: ...
+
+    def accept(self, on: bool) -> None:
+        if control := self.controls():
+            control.accept(on)
+
+    def rest(self) -> bytes:
+        return b""
+
+    def idle(self) -> list:
+        return []
+
+    def adopt(self, kind: str, sock: socket.socket, rest: bytes) -> None:
+        sock.close()
+
+    def drain(self, pass_on: Callable) -> None: ...
+
+    def drained(self) -> bool:
+        return True
+
+    def rehearse(self, at: int) -> bytes:
+        return b""
+
+    # ---- in the new process
+
+    def restore(self, state: shots.Snapshot, listeners: dict[str, socket.socket]) -> None:
+        if state.kind != "member":
+            raise ValueError(f"the state of a {state.kind}")
+        self.state, self.given = state, listeners
+
+    def again(self) -> shots.Snapshot:
+        return self.state
+
+    def rehearse_copy(self, state: shots.Snapshot, at: int) -> bytes:
+        return b""
+
+    def take_rest(self, rest: bytes) -> None: ...
+
+    def fresh(self, listeners: dict[str, socket.socket]) -> None:
+        self.given = listeners
+
+    def begin(self, restored: bool) -> None:
+        if "control" in self.given:
+            self.control_taken(self.given["control"])
+
+
+class Alone(Replaceable):
+    def __init__(self, text: Text, follows: bool) -> None:
+        self.text, self.follows = text, follows
+        super().__init__(text.single["name"], text.single, text.waits)
+
+    def make_side(self) -> Handed:
+        self.inside = Inside(self.loop, self.log, self.text.fleet, True, self.follows, self.cut_short)
+        return Handed(Bare(self.clock, self.controls, self.control_taken, self.reload), self.inside)
+
+    def cut_short(self, why: str) -> None:
+        self.loop.after(0, lambda: self.end_with(1))
+
+    def more_figures(self) -> dict:
+        return self.inside.figures()
+
+    def more_asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
+        return self.inside.asked(what, line, answer)
+
+    def program_now(self) -> list[str]:
+        try:
+            return operator_file.load(self.text.source).single["program"]
+        except (OSError, ValueError):
+            return self.lines["program"]
+
+    def reload(self) -> None:
+        """Members, their addresses and what the file contracts; a file with a mistake changes nothing."""
+        try:
+            self.inside.reread(operator_file.load(self.text.source).fleet)
+        except (OSError, ValueError) as bad:
+            self.log.trouble("reload_failed", why=str(bad))
+            return
+        self.log.count("reloads")
+
+    def begin_to_end(self) -> None:
+        self.inside.leave()
+
+    def all_done(self) -> bool:
+        return self.inside.left
+
+    def close(self) -> None:
+        self.inside.close()
+
+
+def main(text: Text) -> int:
+    """Raises OSError."""
+    channel = launch.inherited()
+    os.set_blocking(1, False)
+    return Alone(text, channel is not None).run(channel)
--- /dev/null
+++ b/indigohitch/fleet/node/asked.py
@@ -0,0 +1,100 @@
+"""What people and proofs ask a node over the control socket, beside `status`:
+
+    {"ask": "note TEXT"}                    written down in the book for all to see
+    {"ask": "notes"}                        those kept
+    {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
+    {"ask": "read"}                         an index confirmed by a majority, and the book's digest there
+    {"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+    {"ask": "ledger"}                       the last entries, each with a digest
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ...errors import NotNow
+from ...packed.rows import digest
+from ..terms import Outcome
+from .words import BODY
+
+if TYPE_CHECKING:
+    from .node import Node
+
+SHOWN = 256                     # entries of `ledger`
+
+
+class Asked:
+    def __init__(self, node: Node | None, answer: Callable[[dict], None]) -> None:
+        self.node, self.answer = node, answer
+
+    def word(self, what: str, line: dict) -> bool:
+        """False: no word of ours."""
+        first, _, rest = what.partition(" ")
+        action = {"note": self.note, "notes": self.notes, "propose": self.propose, "read": self.read,
+                  "book": self.book, "ledger": self.ledger}.get(first)
+        if action is None:
+            return False
+        if self.node is None or self.node.driver.machine is None:
+            self.answer({"error": "this process takes no part in the fleet now", "again_ms": 500})
+            return True
+        try:
+            action(rest, line)
+        except NotNow as late:
+            self.answer({"error": late.what, "again_ms": late.again / 10})
+        return True
+
+    def note(self, rest: str, line: dict) -> None:
+        self.put("notes.add", msgspec.msgpack.encode([rest]))
+
+    def propose(self, rest: str, line: dict) -> None:
+        self.put(str(line.get("kind", rest)), msgspec.msgpack.encode(line.get("body", [])))
+
+    def put(self, kind: str, body: bytes) -> None:
+        if len(body) > BODY or not kind or kind.startswith("ledger."):
+            self.answer({"error": f"no entry of this kind or size: {kind[:40]}, {len(body)} bytes"})
+            return
+        self.node.traffic.propose(kind, body, self.known)
+
+    def known(self, outcome: Outcome | None) -> None:
+        if outcome is None:
+            self.answer({"error": "not known: this member began anew; it may have taken effect",
+                         "unknown": True})
+            return
+        told = {"index": outcome.index, "doubled": outcome.doubled}
+        if outcome.refused:
+            told |= {"refused": outcome.refused, "error": outcome.refused}
+        elif outcome.told:
+            told["told"] = msgspec.msgpack.decode(outcome.told)
+        self.answer(told)
+
+    def read(self, rest: str, line: dict) -> None:
+        def done(index: int | None) -> None:
+            if index is None:
+                self.answer({"error": "no majority confirmed it", "again_ms": 100})
+            else:
+                self.answer({"index": index, "digest": self.node.book.digest().hex()})
+        self.node.traffic.read(done)
+
+    def notes(self, rest: str, line: dict) -> None:
+        self.book("notes", line)
+
+    def book(self, rest: str, line: dict) -> None:
+        book = self.node.book
+        told: dict = {"index": book.index, "term": book.term, "digest": book.digest().hex()}
+        if rest == "notes":
+            told["texts"] = [text for _, text in book.parts["notes"].texts]
+        elif rest in book.parts:
+            told["part"] = msgspec.to_builtins(book.parts[rest].row(), str_keys=True)
+        elif rest:
+            told = {"error": f"no part {rest[:40]}; there are {', '.join(book.parts)}"}
+        self.answer(told)
+
+    def ledger(self, rest: str, line: dict) -> None:
+        recent = list(self.node.driver.recent)[-SHOWN:]
+        self.answer({"index": self.node.book.index, "digest": self.node.book.digest().hex(), "entries": [
+            {"index": entry.index, "term": entry.term, "kind": entry.kind, "proposer": entry.proposer,
+             "incarnation": entry.incarnation, "number": entry.number, "refused": outcome.refused,
+             "doubled": outcome.doubled, "digest": digest(msgspec.msgpack.encode(entry)).hex()}
+            for entry, outcome in recent]})
--- /dev/null
+++ b/indigohitch/fleet/node/driver.py
@@ -0,0 +1,148 @@
+"""Carries out what the ledger's machine says: to the disk, over the links, into the book.
+
+Inputs are taken one after the other, also those that come while one is being carried out."""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from ...log import Log
+from ...net.loop import Deadline, Loop
+from ..book import Book
+from ..disk.store import Disk
+from ..ledger.machine import Machine
+from ..ledger.ports import (
+    Became,
+    Commit,
+    Due,
+    Held,
+    Input,
+    Install,
+    Members,
+    Note,
+    Output,
+    Readable,
+    Send,
+    Snap,
+    TakeSnapshot,
+    Turned,
+    Write,
+)
+from ..links.links import Links
+from ..terms import Entry, Outcome, Proposal, Who
+
+RECENT = 512                    # entries whose digests people can ask for
+
+
+class Driver:
+    """`broken(why)`: the machine or the book met what must never be; this member has to end."""
+
+    def __init__(self, loop: Loop, log: Log, disk: Disk, links: Links, book: Book, bootstrap: Mapping,
+                 chance: Callable[[], float], broken: Callable[[BaseException], None]) -> None:
+        self.loop, self.log, self.disk, self.links, self.book = loop, log, disk, links, book
+        self.bootstrap, self.chance, self.broken = bootstrap, chance, broken
+        self.machine: Machine | None = None
+        self.waiting: deque[Input] = deque()
+        self.stepping = False
+        self.timer: Deadline | None = None
+        self.recent: deque[tuple[Entry, Outcome]] = deque(maxlen=RECENT)
+        self.on_applied: Callable[[Entry, Outcome], None] = lambda entry, outcome: None
+        self.on_restored: Callable[[], None] = lambda: None
+        self.on_turned: Callable[[Proposal, int], None] = lambda proposal, again: None
+        self.on_readable: Callable[[int, int, bool], None] = lambda number, index, ok: None
+        self.on_became: Callable[[Became], None] = lambda became: None
+
+    def begin(self, me: Who, held: Held) -> None:
+        """Raises Unreadable for a book that can't be read."""
+        if held.snap.book:
+            self.book.restore(held.snap.book)
+        self.machine = Machine(me, held, self.bootstrap, self.chance, self.loop.clock.now())
+        self.on_restored()
+        self.arm()
+
+    @property
+    def members(self) -> Members:
+        return self.machine.members if self.machine is not None else Members(())
+
+    @property
+    def leads(self) -> bool:
+        return self.machine is not None and self.machine.role.value == "leader"
+
+    @property
+    def leader(self) -> Who | None:
+        return self.machine.leader if self.machine is not None else None
+
+    # ---- in and out --------------------------------------------------------------------------------
+
+    def step(self, input: Input) -> None:
+        if self.machine is None:
+            return
+        self.waiting.append(input)
+        if self.stepping:
+            return
+        self.stepping = True
+        try:
+            while self.waiting and self.machine is not None:
+                for output in self.machine.step(self.loop.clock.now(), self.waiting.popleft()):
+                    self.carry(output)
+        except Exception as broken:             # whatever it is, going on could break a promise
+            self.end()
+            self.broken(broken)
+        finally:
+            self.stepping = False
+        self.arm()
+
+    def carry(self, output: Output) -> None:
+        match output:
+            case Send(to, word):
+                self.links.say(to, word)
+            case Write():
+                self.disk.write(output)
+            case Commit(entries):
+                for entry in entries:
+                    self.apply(entry)
+            case Install(snap):
+                self.book.restore(snap.book)
+                self.disk.snapshot(snap, False)
+                self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
+                self.on_restored()
+            case TakeSnapshot(index, term, members):
+                self.disk.snapshot(Snap(index, term, members, self.book.snapshot()), True)
+            case Turned(proposal, again):
+                self.on_turned(proposal, again)
+            case Readable(number, index, ok):
+                self.on_readable(number, index, ok)
+            case Became():
+                self.log.event("ledger_role", role=output.role, term=output.term,
+                               leader=output.leader.name if output.leader else "")
+                self.on_became(output)
+            case Note(event, fields):
+                self.log.event(event, **fields)
+
+    def apply(self, entry: Entry) -> None:
+        outcome = self.book.apply(entry)
+        self.recent.append((entry, outcome))
+        self.on_applied(entry, outcome)
+
+    # ---- time --------------------------------------------------------------------------------------
+
+    def arm(self) -> None:
+        """One deadline; where the machine's has moved later, the one that stands looks again."""
+        if self.machine is None or self.timer is not None and self.timer.when <= self.machine.due:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.at(self.machine.due, self.due)
+
+    def due(self) -> None:
+        self.timer = None
+        if self.machine is not None and self.loop.clock.now() >= self.machine.due:
+            self.step(Due())
+        self.arm()
+
+    def end(self) -> None:
+        self.machine = None
+        self.waiting.clear()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- /dev/null
+++ b/indigohitch/fleet/node/inside.py
@@ -0,0 +1,129 @@
+"""A node within a process that can be upgraded: opened, left and closed as the process' phases want it."""
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Callable
+
+from ...directives.fleet import FleetText
+from ...errors import Trouble
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Loop
+from ...upgrade.giving import Side
+from .asked import Asked
+from .figures import figures
+from .node import Node
+
+AGAIN = SECOND // 5             # a disk or port that the process before this one still holds
+# Of a leaving that no majority takes note of: the lease runs out instead.
+LEAVING = 3 * SECOND // 2
+
+
+class Inside:
+    """`alone`: the process is nothing but this member, and ends where it can't be one; else its front goes on
+    without the fleet.  `follows`: it was started for an upgrade.  `ended`: the member can't go on."""
+
+    def __init__(self, loop: Loop, log: Log, text: FleetText, alone: bool, follows: bool,
+                 ended: Callable[[str], None]) -> None:
+        self.loop, self.log, self.text, self.alone, self.follows = loop, log, text, alone, follows
+        self.on_ended = ended
+        self.node: Node | None = None
+        self.why, self.until = "", 0
+        self.wanted = False
+
+    def open(self) -> None:
+        """Raises Trouble, OSError only for a member alone at its first start."""
+        self.wanted = True
+        # Members that draw the same numbers would ask for votes at the same time: a seed of each start.
+        node = Node(self.loop, self.log, self.text, random.Random(secrets.randbits(64)), self.ended)
+        try:
+            node.open()
+        except (Trouble, OSError) as bad:
+            if self.alone and not self.follows:
+                raise
+            self.failed(bad)
+            return
+        self.node, self.why = node, ""
+
+    def failed(self, bad: Trouble | OSError) -> None:
+        self.why = str(bad)
+        fields = bad.fields() if isinstance(bad, Trouble) else {"why": str(bad)}
+        self.log.trouble("member_not_open", **fields)
+        if isinstance(bad, ValueError):         # what lies there can't be read: it will not be better later
+            self.on_ended(self.why)
+        else:
+            self.loop.after(AGAIN, self.again)
+
+    def again(self) -> None:
+        if self.wanted and self.node is None:
+            self.open()
+
+    def ended(self, why: str) -> None:
+        self.why = why
+        self.on_ended(why)
+
+    def leave(self) -> None:
+        if self.node is not None:
+            self.until = self.loop.clock.now() + LEAVING
+            self.node.leave(self.alone)
+
+    @property
+    def left(self) -> bool:
+        return self.node is None or self.node.left or self.loop.clock.now() >= self.until
+
+    def stay(self) -> None:
+        if self.node is not None:
+            self.node.stay()
+
+    def close(self) -> None:
+        self.wanted = False
+        if self.node is not None:
+            node, self.node = self.node, None
+            node.close()
+
+    def reread(self, text: FleetText | None) -> None:
+        """Raises Unfit."""
+        if self.node is not None and text is not None:
+            self.node.reread(text)
+
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
+        return Asked(self.node, answer).word(what, line)
+
+    def figures(self) -> dict:
+        if self.node is None:
+            return {"fleet": {"name": self.text.name, "phase": "closed", "why": self.why}}
+        return {"fleet": figures(self.node) | ({"why": self.why} if self.why else {})}
+
+
+class Handed:
+    """A side of an upgrade (upgrade.giving.Side) whose process has a node too.  Disk and port have one owner:
+    the old process closes them before its word goes out, the new one opens them after."""
+
+    def __init__(self, side: Side, inside: Inside) -> None:
+        self.side, self.inside = side, inside
+
+    def __getattr__(self, name: str):
+        return getattr(self.side, name)
+
+    def settle(self, on: bool) -> None:
+        self.side.settle(on)
+        if on:
+            self.inside.leave()
+        else:
+            self.inside.stay()
+
+    def settled(self) -> bool:
+        return self.side.settled() and self.inside.left
+
+    def accept(self, on: bool) -> None:
+        if not on:
+            self.inside.close()
+        self.side.accept(on)
+        if on and self.inside.node is None:     # taken back: the new process is dead
+            self.inside.follows = True
+            self.inside.open()
+
+    def begin(self, restored: bool) -> None:
+        self.side.begin(restored)
+        self.inside.open()
--- /dev/null
+++ b/indigohitch/fleet/node/node.py
@@ -0,0 +1,254 @@
+"""A member of the fleet: its phases, its beat, and how its parts hang together."""
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+
+from ...directives.fleet import FleetText
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Deadline, Loop
+from ..disk.files import Files
+from ..disk.store import Disk
+from ..ledger.ports import Became, HandOver, Held
+from ..links.links import Links
+from ..links.words import Welcome
+from ..terms import Entry, Lease, Outcome, Who
+from .admitting import Admitting
+from .driver import Driver
+from .joining import Joining
+from .joining import Phase as Join
+from .leasing import Leasing
+from .standard import Place, assembled
+from .traffic import Traffic
+from .words import KINDS
+from .working import Working
+
+BEAT = SECOND // 10
+# Of the machine: a message of entries small enough that a beat is not late behind it on a slow link, and so
+# many of them under way that 50 MB/s pass at a round trip of 10 ms.
+BOUNDS = {"append_most": 64 << 10, "piece": 64 << 10, "inflight": 8, "proposals_most": 1024}
+
+
+class Phase(enum.Enum):
+    CLOSED = "closed"
+    FRESH = "fresh"             # its disk is new: it founds with the others, or asks to be admitted
+    TAKING_PART = "taking part"
+    LEAVING = "leaving"         # gives its place up, and its incarnation
+    BROKEN = "broken"           # met what must never be: it says and promises nothing any more
+
+
+class Node:
+    """`ended(why)`: this member can't go on.  `chance`: seeded; for waits, spreads and tokens."""
+
+    def __init__(self, loop: Loop, log: Log, text: FleetText, chance: random.Random,
+                 ended: Callable[[str], None], files: Files | None = None) -> None:
+        self.loop, self.log, self.text, self.ended = loop, log, text, ended
+        self.phase, self.beating = Phase.CLOSED, None
+        self.token = chance.getrandbits(62)
+        self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
+        self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
+        self.assembly = assembled(Place(loop, log, text, self.voters, self.lease))
+        self.book = self.assembly.book
+        waits: dict[str, int] = text.waits
+        bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
+        self.driver = Driver(loop, log, self.disk, self.links, self.book, bootstrap, chance.random,
+                             self.broken)
+        self.traffic = Traffic(self)
+        proposals = self.traffic.proposals
+        self.joining = Joining(log, text.me, self.votes, lambda: chance.getrandbits(62), proposals,
+                               self.joined)
+        self.working = Working(loop, log, self.assembly.works, proposals,
+                               lambda: self.joining.phase is Join.IN, self.traffic.send)
+        self.leasing = Leasing(text.me, waits["lease"], text.drift, self.book, loop.clock, self.traffic.read,
+                               self.traffic.tell, self.shut_out, self.working.reports, lambda: 0)
+        self.admitting = Admitting(self)
+        self.wire()
+
+    def wire(self) -> None:
+        """Who hears whom."""
+        driver, links = self.driver, self.links
+        driver.on_applied, driver.on_restored = self.applied, self.working.restored
+        driver.on_turned, driver.on_readable = self.traffic.turned, self.traffic.readable
+        driver.on_became = self.became
+        links.on_heard, links.on_met, links.facts = self.traffic.heard, self.met, self.facts
+        links.known = lambda name: self.disk.identity.met.get(name, 0)
+
+    def disk_told(self, told) -> None:
+        self.driver.step(told)
+
+    # ---- what the file says ------------------------------------------------------------------------
+
+    @property
+    def votes(self) -> bool:
+        return self.text.members[self.text.me].votes
+
+    def listed(self) -> tuple[str, ...]:
+        return tuple(sorted(name for name, member in self.text.members.items() if member.votes))
+
+    def voters(self) -> tuple[str, ...]:
+        return tuple(who.name for who in self.driver.members.voters)
+
+    def reread(self, text: FleetText) -> None:
+        """Addresses and members as the file has them now; its other lines take a start."""
+        self.text.members, self.text.edition, self.text.parts = text.members, text.edition, text.parts
+        self.relist()
+
+    def relist(self) -> None:
+        self.links.relist({name: member.address for name, member in self.text.members.items()
+                           if name != self.text.me})
+
+    # ---- phases ------------------------------------------------------------------------------------
+
+    def be(self, phase: Phase) -> None:
+        self.log.event("node", was=self.phase.value, now=phase.value)
+        self.phase = phase
+
+    def open(self) -> None:
+        """Raises Trouble and OSError: it stays closed."""
+        held = self.disk.open()
+        try:
+            self.links.start(self.text.members[self.text.me].address)
+        except OSError:
+            self.disk.close()
+            raise
+        self.relist()
+        if held is None:
+            self.be(Phase.FRESH)
+        else:
+            self.take_part(held)
+        self.beat()
+
+    def take_part(self, held: Held) -> None:
+        identity = self.disk.identity
+        me = Who(identity.name, identity.number)
+        self.log.event("member", number=me.number, term=held.ballot.term, snapshot=held.snap.index,
+                       entries=len(held.entries))
+        self.links.renumber(me)
+        self.be(Phase.TAKING_PART)
+        self.driver.begin(me, held)
+        self.joining.join(self.loop.clock.now())
+
+    def broken(self, bad: BaseException) -> None:
+        """Going on could break a promise: the others do without this one."""
+        self.loop.failed(bad)
+        self.stop(f"{type(bad).__name__}: {bad}", "keep the folder for who looks into it; start the member "
+                                                  "again, or without its folder if it comes again")
+
+    def stop(self, why: str, remedy: str) -> None:
+        self.log.trouble("member_stops", why=why, remedy=remedy)
+        self.be(Phase.BROKEN)
+        self.driver.end()
+        self.links.close()
+        self.ended(why)
+
+    def leave(self, give_up: bool) -> None:
+        """Its place as a leader; with `give_up` also its incarnation, once nothing hangs on that any more.
+        `left` once that is done."""
+        if self.phase is Phase.TAKING_PART:
+            self.be(Phase.LEAVING)
+            if give_up:
+                self.joining.leave(self.loop.clock.now())
+                self.traffic.send()
+            self.hand_over()
+
+    @property
+    def gives_up(self) -> bool:
+        return self.joining.phase is Join.LEAVING
+
+    def hand_over(self) -> None:
+        """After what it proposes itself is known: from then on it turns all away."""
+        if self.phase is Phase.LEAVING and self.driver.leads:
+            if not self.gives_up:
+                self.driver.step(HandOver())
+            self.loop.after(self.text.waits["election"], self.hand_over)
+
+    @property
+    def left(self) -> bool:
+        return self.phase is not Phase.LEAVING or not self.gives_up and (
+            not self.driver.leads or len(self.driver.members.voters) <= 1)
+
+    def stay(self) -> None:
+        """After all; under a new incarnation, where it had given the old one up."""
+        if self.phase is Phase.LEAVING:
+            self.be(Phase.TAKING_PART)
+            if self.joining.phase is not Join.IN:
+                self.joining.again()
+
+    def close(self) -> None:
+        """Disk and port may be another process' from here on."""
+        if self.phase is Phase.CLOSED:
+            return
+        if self.beating is not None:
+            self.beating.cancel()
+            self.beating = None
+        self.disk.close()               # first: what it still tells may be said
+        self.driver.end()
+        self.links.close()
+        self.be(Phase.CLOSED)
+
+    # ---- the beat ----------------------------------------------------------------------------------
+
+    def beat(self) -> None:
+        self.beating: Deadline | None = self.loop.after(BEAT, self.beat)
+        now = self.loop.clock.now()
+        self.links.beat()
+        self.admitting.beat(now)
+        if self.phase in (Phase.TAKING_PART, Phase.LEAVING):
+            self.traffic.reads.beat(now)
+            self.traffic.send()
+        if self.phase is Phase.TAKING_PART:
+            if self.joining.phase is Join.OUT:
+                self.joining.join(now)
+            self.leasing.ask(now, self.leader_name)
+            self.working.turn(now, self.lease(now))
+            if self.driver.leads:
+                self.working.lead(now, self.leasing.told(now))
+
+    @property
+    def leader_name(self) -> str:
+        return self.driver.leader.name if self.driver.leader is not None else ""
+
+    def lease(self, now: int) -> Lease | None:
+        return self.leasing.lease(now) if self.phase is Phase.TAKING_PART else None
+
+    def joined(self, incarnation: int) -> None:
+        self.leasing.holder.begin(incarnation)
+        self.loop.after(0, lambda: self.leasing.ask(self.loop.clock.now(), self.leader_name))
+
+    def shut_out(self, why: str) -> None:
+        """This incarnation is over; the process comes back under another."""
+        if self.phase is Phase.TAKING_PART and self.joining.phase is Join.IN:
+            self.log.trouble("shut_out", why=why, incarnation=self.joining.incarnation,
+                             remedy="none needed: it joins again once it is up to date")
+            self.joining.join(self.loop.clock.now())
+
+    # ---- what is told ------------------------------------------------------------------------------
+
+    def applied(self, entry: Entry, outcome: Outcome) -> None:
+        self.traffic.proposals.applied(entry, outcome)
+        self.traffic.reads.applied(self.book.index)
+        self.working.applied(entry, outcome)
+
+    def became(self, became: Became) -> None:
+        self.leasing.became(became.role == "leader", became.term)
+        if became.leader is not None:
+            self.traffic.proposals.hurry(self.loop.clock.now())
+            self.loop.after(0, self.traffic.send)
+
+    def facts(self, who: Who) -> Welcome:
+        """For one who greets."""
+        identity = self.disk.identity
+        return Welcome(self.links.me, self.token, identity.met.get(who.name, 0),
+                       identity.founders if identity.number else self.listed())
+
+    def met(self, who: Who) -> str:
+        """Why it may not speak; its number is kept."""
+        if 0 < who.number < self.disk.identity.met.get(who.name, 0):
+            return f"{who.name} comes with an old disk, number {who.number}"
+        try:
+            self.disk.folder.met(who)
+        except OSError as bad:
+            return f"its number can't be kept: {bad}"
+        return ""
--- /dev/null
+++ b/indigohitch/fleet/node/working.py
@@ -0,0 +1,96 @@
+"""Calls the works of this process and makes the proposals that they want."""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from ...errors import NotNow
+from ...log import Log
+from ...net.loop import Loop
+from ..ports import Wanted, Work
+from ..terms import Entry, Lease, Outcome
+from .proposals import Proposals
+from .words import BODY
+
+# Proposals of works that wait for room.  What finds none is answered as not known, and wanted again.
+MOST = 256
+
+
+class Working:
+    """A work that fails is a defect of that work: it is told, and the others go on."""
+
+    def __init__(self, loop: Loop, log: Log, works: Iterable[Work], proposals: Proposals,
+                 may: Callable[[], bool], send: Callable[[], None]) -> None:
+        """`may`: this process has an incarnation to propose under; `send`: proposals are there to go out."""
+        self.loop, self.log, self.works = loop, log, list(works)
+        self.proposals, self.may, self.send = proposals, may, send
+        self.waiting: deque[tuple[Work, Wanted]] = deque()
+        self.unmade: deque[tuple[Work, str]] = deque(maxlen=MOST)       # told with the next beat, not at once
+
+    def call(self, work: Work, action: Callable, *args):
+        try:
+            return action(*args)
+        except Exception as broken:
+            self.log.count(f"defects_of_{work.name}")
+            self.loop.failed(broken)
+            return None
+
+    def each(self, what: str, *args) -> None:
+        for work in self.works:
+            self.want(work, self.call(work, getattr(work, what), *args))
+
+    def want(self, work: Work, wanted: list[Wanted] | None) -> None:
+        for one in wanted or ():
+            if len(self.waiting) >= MOST:
+                self.log.count("proposals_without_room")
+                self.unmade.append((work, one.tag))
+            else:
+                self.waiting.append((work, one))
+        self.put()
+
+    def put(self) -> None:
+        while self.waiting and self.may():
+            work, one = self.waiting[0]
+            body = msgspec.msgpack.encode(one.body)
+            if len(body) > BODY:
+                self.log.trouble("proposal_too_large", kind=one.kind, bytes=len(body))
+                self.waiting.popleft()
+                continue
+            try:
+                self.proposals.put(self.loop.clock.now(), one.kind, body,
+                                   lambda outcome, work=work, tag=one.tag: self.answered(work, tag, outcome))
+            except NotNow:
+                break                           # the next turn looks again
+            self.waiting.popleft()
+        self.send()
+
+    # ---- what works hear ---------------------------------------------------------------------------
+
+    def answered(self, work: Work, tag: str, outcome: Outcome | None) -> None:
+        self.want(work, self.call(work, work.answered, self.loop.clock.now(), tag, outcome))
+
+    def applied(self, entry: Entry, outcome: Outcome) -> None:
+        self.each("applied", self.loop.clock.now(), entry, outcome)
+
+    def restored(self) -> None:
+        self.each("restored", self.loop.clock.now())
+
+    def turn(self, now: int, lease: Lease | None) -> None:
+        unmade, self.unmade = list(self.unmade), deque(maxlen=MOST)
+        for work, tag in unmade:
+            self.answered(work, tag, None)
+        self.put()
+        self.each("turn", now, lease)
+
+    def lead(self, now: int, reports: Mapping[str, Mapping[str, bytes]]) -> None:
+        for work in self.works:
+            self.want(work, self.call(work, work.lead, now, reports.get(work.name, {})))
+
+    def reports(self, now: int) -> dict[str, bytes]:
+        found = {work.name: self.call(work, work.report, now) for work in self.works}
+        return {name: report for name, report in found.items() if report}
+
+    def figures(self) -> dict:
+        return {work.name: self.call(work, work.figures) or {} for work in self.works}
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -11,17 +11,16 @@
 from collections.abc import Callable
 
 from .control import Control
+from .errors import Trouble
 from .net.clock import SECOND
 from .net.connection import Listener
 from .process import Process
+from .statefile import StateFile
 from .upgrade import snapshot as shots
 from .upgrade.giving import Giving, Side
 from .upgrade.machine import Phase as Handing
 from .upgrade.taking import Taking
 
-# What a state that does not fit shows itself by.
-UNFIT = (shots.Unusable, ValueError, IndexError, KeyError, TypeError, AttributeError)
-
 
 class Phase(enum.Enum):
     STARTING = "starting"
@@ -40,6 +39,7 @@
         super().__init__(Phase.STARTING, name)
         self.lines, self.waits, self.code = lines, waits, 0
         self.control: Control | None = None
+        self.state = StateFile(lines["state"], self.clock, self.log)
         self.side: Side = self.make_side()
         self.askers: list[Callable[[dict], None]] = []
         self.giving = Giving(self.loop, self.log, self.side, lines["program"], waits, self.handed_over,
@@ -57,6 +57,10 @@
     def more_figures(self) -> dict:
         return {}
 
+    def more_asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
+        """Another word on the control socket; False: it is none of ours."""
+        return False
+
     def program_now(self) -> list[str]:
         """The operator's line `program` as it is now; of a file with mistakes, as it was: the new process
         reads that file too, and says what is wrong with it."""
@@ -100,6 +104,10 @@
                 self.side.fresh({})
             self.side.begin(restored)
             self.open_control()
+        except Trouble as bad:
+            self.log.event("cannot_start", **bad.fields())
+            self.become(Phase.ENDED)
+            return False
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
             self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
             self.become(Phase.ENDED)
@@ -108,22 +116,10 @@
         return True
 
     def restore(self) -> bool:
-        """From the state's file, if there is one that fits; one that does not changes nothing."""
-        path = self.lines["state"]
-        if not path or not os.path.exists(path):
-            return False
-        try:
-            state = shots.read(path)
-            # Its times are the wall's; where that has been set back since, go on from there.
-            if state.taken > self.clock.now():
-                self.clock.follow(state.taken)
-            self.side.restore(state, {})
-        except (OSError, *UNFIT) as bad:
-            self.log.trouble("state_refused", path=path, why=f"{type(bad).__name__}: {bad}")
+        restored = self.state.restore(self.side)
+        if restored is None:
             self.without_state()
-            return False
-        self.log.event("state_read", path=path, age_ms=(self.clock.now() - state.taken) / 10)
-        return True
+        return bool(restored)
 
     def open_control(self) -> None:
         if self.control is None and self.lines["control"]:
@@ -174,14 +170,14 @@
         elif self.phase is Phase.SERVING:
             self.giving.step("told_to_end", "SIGTERM")
 
-    def asked(self, what: str, answer: Callable[[dict], None]) -> None:
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> None:
         if what == "status":
             answer(self.figures())
         elif what == "upgrade":
             self.upgrade(answer)
         elif what == "snapshot":
-            answer(self.save() if self.lines["state"] else {"error": "the file has no line `state`"})
-        else:
+            answer(self.state.save(self.side))
+        elif not self.more_asked(what, line, answer):
             answer({"error": f"no such word: {what[:40]}"})
 
     def figures(self) -> dict:
@@ -207,17 +203,6 @@
         for answer in askers:
             answer(told if told["result"] == "upgraded" else told | {"error": told["result"]})
 
-    def save(self) -> dict:
-        """The state into its file, whole or not at all."""
-        path, data = self.lines["state"], shots.encode(self.side.snapshot())
-        try:
-            shots.write(path, data)
-        except OSError as bad:
-            self.log.trouble("state_not_written", path=path, why=str(bad))
-            return {"error": str(bad)}
-        self.log.event("state_written", path=path, bytes=len(data))
-        return {"path": path, "bytes": len(data)}
-
     # ---- the end -----------------------------------------------------------------------------------
 
     @property
@@ -233,7 +218,7 @@
         self.become(Phase.ENDING)
         self.begin_to_end()
         if self.lines["state"]:
-            self.save()
+            self.state.save(self.side)
         self.loop.after(self.waits["drain"], self.end)
         self.wait_for_last()
 
