--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -29,6 +29,7 @@
             return False
         if word.term > state.term:
             state.vote(word.term, None)
+            state.be(Role.FOLLOWER, sender)
         if state.role is Role.LEADER:
             raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
         if self.agreed_in != word.term:
--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -70,13 +70,17 @@
                        self.peers[who].match if who in self.peers else 0
                        for who in state.belonging.voters), reverse=True)
         index = held[state.belonging.majority - 1]
-        if index > state.commit and state.log.term(index) == state.term:
+        if index > state.commit and self.own_term(index):
             self.open -= sum(map(weight, state.log.some(state.commit + 1, index)))
             state.commit_to(index)
             self.changed()
         while self.reads.answer():
             self.new_round()
 
+    def own_term(self, index: int) -> bool:
+        """An older entry on a majority of disks may yet be void (figure 8)."""
+        return self.state.log.term(index) == self.state.term
+
     # ---- answers -----------------------------------------------------------------------------------
 
     def heard(self, sender: Who, word: Appended | Pieced) -> None:
@@ -141,10 +145,14 @@
         self.wishes[change.who] = change
         self.wish(change)
 
+    @property
+    def may_change(self) -> bool:
+        return self.state.commit >= max(self.state.belonging.index, self.reads.first)
+
     def wish(self, change: Change) -> None:
         """The next step towards it, if none is under way."""
         state, peer = self.state, self.peers.get(change.who)
-        if state.commit < max(state.belonging.index, self.reads.first):
+        if not self.may_change:
             return
         try:
             members = next_step(state.belonging.members, change.who, change.out, change.votes,
--- /dev/null
+++ b/proofs/ledger_disk.py
@@ -0,0 +1,52 @@
+"""A disk that keeps what it said it kept, and at a crash sometimes more, in order; for simulated members."""
+from __future__ import annotations
+
+from collections import deque
+
+from indigohitch.fleet.ledger.ports import Ballot, Held, Install, Snap, Snapped, Write, Written
+
+
+class Disk:
+    def __init__(self, snap: Snap) -> None:
+        self.ballot, self.snap, self.entries = Ballot(0), snap, []
+        self.queue = deque()                    # asked for, not yet confirmed: Write, Install or Snap
+        self.failed = False
+
+    def carry_out(self) -> Written | Snapped:
+        """The next in order, wholly; returns what the member is told."""
+        op = self.queue.popleft()
+        if isinstance(op, Write):
+            if op.ballot is not None:
+                self.ballot = op.ballot
+            if op.cut:
+                del self.entries[max(0, op.cut - self.snap.index - 1):]
+            fresh = [entry for entry in op.entries if entry.index > self.snap.index]
+            if fresh and fresh[0].index != self.last + 1:
+                raise ValueError(f"a gap on the disk: {fresh[0].index} after {self.last}")
+            self.entries += fresh
+            return Written(op.number)
+        snap = op.snap if isinstance(op, Install) else op
+        if snap.index > self.snap.index:
+            keep = [] if isinstance(op, Install) else self.entries[snap.index - self.snap.index:]
+            self.snap, self.entries = snap, keep
+        return Snapped(snap)
+
+    def lose(self, chance) -> None:
+        """A crash or a failure: some of what was under way may have got there."""
+        for _ in range(int(chance() * (len(self.queue) + 1))):
+            self.carry_out()
+        self.queue.clear()
+
+    @property
+    def last(self) -> int:
+        return self.snap.index + len(self.entries)
+
+    def term(self, index: int) -> int | None:
+        """Of the entry there; -1: within the snapshot."""
+        at = index - self.snap.index
+        if at <= 0:
+            return -1
+        return self.entries[at - 1].term if at <= len(self.entries) else None
+
+    def held(self) -> Held:
+        return Held(self.ballot, self.snap, list(self.entries))
--- /dev/null
+++ b/proofs/ledger_faults.py
@@ -0,0 +1,167 @@
+"""One schedule: what goes wrong when, by its seed; then quiet, after which all must be well again."""
+from __future__ import annotations
+
+from indigohitch.fleet.ledger.ports import Change, DiskBack, DiskFailed, HandOver, Members
+from indigohitch.fleet.terms import Who
+from proofs.ledger_checks import Breach
+from proofs.ledger_station import Station
+from proofs.ledger_world import World
+
+STORM, QUIET = 24_000, 26_000   # ten and eleven shortest elections' times
+FAULTS = ("cut_one_way", "cut_off", "heal", "kill", "kill_all", "stop", "slow_disk", "disk_fails",
+          "hand_over", "change", "calm")
+
+
+class Schedule:
+    def __init__(self, seed: int) -> None:
+        self.world = world = World(seed, 3 if seed % 2 else 5)
+        self.random = world.random
+        pick = self.random.choice
+        world.loss, world.doubling = pick((0, 0, 0.03, 0.15)), pick((0, 0, 0.05, 0.2))
+        world.delay, world.in_order = pick((5, 20, 120)), self.random.random() < 0.3
+        self.weights = [pick((0, 1, 4)) for _ in FAULTS]
+        self.wishes: list[Change] = []
+        self.changed = False
+
+    def run(self) -> dict:
+        """Its tally; raises `Breach` for a broken promise, and whatever a machine raises."""
+        world, random = self.world, self.random
+        pace = random.choice((300, 900))
+        time = int(random.expovariate(1 / pace))
+        while time < STORM:
+            world.at(time, self.fault)
+            time += 1 + int(random.expovariate(1 / pace))
+        for time in range(0, STORM + QUIET, 180):
+            world.at(time, self.use)
+        world.run(STORM)
+        self.heal()
+        for station in world.stations.values():
+            station.stopped_until = 0
+            self.mend(station)
+            world.start(station)
+        world.loss = world.doubling = 0
+        world.run(STORM + QUIET)
+        self.well()
+        return world.tally
+
+    # ---- who uses it -------------------------------------------------------------------------------
+
+    def use(self) -> None:
+        world, random = self.world, self.random
+        world.propose(world.now < STORM + QUIET - 8000)
+        leading = [s for s in world.stations.values() if s.machine is not None and s.machine.leading]
+        if leading:
+            world.read(random.choice(leading))
+            for change in self.wishes:
+                world.step(random.choice(leading), change)
+
+    # ---- what goes wrong ---------------------------------------------------------------------------
+
+    def fault(self) -> None:
+        name = self.random.choices(FAULTS, self.weights)[0] if any(self.weights) else "calm"
+        station = self.random.choice(list(self.world.stations.values()))
+        leaders = [s for s in self.world.stations.values() if s.machine is not None and s.machine.leading]
+        if leaders and self.random.random() < 0.5:
+            station = self.random.choice(leaders)
+        getattr(self, name)(station)
+
+    def calm(self, station: Station) -> None:
+        """Nothing, this time."""
+
+    def others(self, station: Station) -> list[str]:
+        return [name for name in self.world.stations if name != station.me.name]
+
+    def cut_one_way(self, station: Station) -> None:
+        self.world.tally["cuts"] += 1
+        other, me = self.random.choice(self.others(station)), station.me.name
+        self.world.cuts.add((me, other) if self.random.random() < 0.5 else (other, me))
+
+    def cut_off(self, station: Station) -> None:
+        self.world.tally["cuts"] += 1
+        way, me = self.random.random(), station.me.name
+        for other in self.others(station):
+            if way < 0.7:
+                self.world.cuts.add((me, other))
+            if way > 0.3:
+                self.world.cuts.add((other, me))
+
+    def heal(self, station: Station | None = None) -> None:
+        self.world.cuts.clear()
+
+    def kill(self, station: Station) -> None:
+        self.world.crash(station)
+        self.world.at(self.world.now + 100 + int(self.random.random() * 6000), self.world.start, station)
+
+    def kill_all(self, station: Station) -> None:
+        for one in self.world.stations.values():
+            self.kill(one)
+
+    def stop(self, station: Station) -> None:
+        self.world.tally["stops"] += 1
+        station.stopped_until = self.world.now + 500 + int(self.random.random() * 7000)
+
+    def slow_disk(self, station: Station) -> None:
+        station.slow = self.random.choice((1, 10, 60))
+
+    def disk_fails(self, station: Station) -> None:
+        disk = station.disk
+        if station.machine is not None and not disk.failed and station.stopped_until <= self.world.now:
+            self.world.tally["disk_failures"] += 1
+            disk.lose(self.random.random)
+            disk.failed = True
+            self.world.step(station, DiskFailed("full"))
+            self.world.at(self.world.now + 1000 + int(self.random.random() * 5000), self.mend, station)
+
+    def mend(self, station: Station) -> None:
+        station.slow = 1
+        if station.disk.failed:
+            station.disk.failed = False
+            self.world.step(station, DiskBack())
+
+    def hand_over(self, station: Station) -> None:
+        if station.machine is not None and station.stopped_until <= self.world.now:
+            self.world.tally["hand_overs"] += 1
+            self.world.step(station, HandOver())
+
+    def change(self, station: Station) -> None:
+        """Once a schedule: a voter or a follower more, a voter less, or one whose disk is lost."""
+        if self.changed:
+            return
+        self.changed = True
+        self.world.tally["changes"] += 1
+        way = self.random.randrange(4)
+        if way == 0:
+            self.wishes = [Change(station.me, out=True)]
+        elif way == 3:
+            self.world.crash(station)
+            self.begin(Who(station.me.name, station.me.number + 1), True)
+        else:
+            self.begin(Who("x", 1), way == 1)
+
+    def begin(self, who: Who, votes: bool) -> None:
+        """A member with an empty disk."""
+        station = self.world.stations[who.name] = Station(who, Members(()), self.random.random)
+        self.world.start(station)
+        self.wishes = [Change(who, votes=votes)]
+
+    # ---- after quiet -------------------------------------------------------------------------------
+
+    def well(self) -> None:
+        """One leads, its members are as wished, all hold what it holds, and every proposal came in."""
+        world = self.world
+        leading = [s for s in world.stations.values() if s.machine.leading]
+        if len(leading) != 1:
+            raise Breach(f"{len(leading)} lead after quiet")
+        machine = leading[0].machine
+        members = machine.members
+        for wish in self.wishes:
+            among = members.voters if wish.votes and not wish.out else members.voters + members.followers
+            if (wish.who in among) is wish.out:
+                raise Breach(f"{wish} is not reached after quiet")
+        last = len(world.checks.committed)
+        for who in members.voters + members.followers:
+            commit = world.stations[who.name].machine.commit
+            if commit < last:
+                raise Breach(f"{who.name} lags after quiet: {commit}, {last}")
+        if world.open:
+            raise Breach(f"proposals {sorted(world.open)} not in after quiet")
--- /dev/null
+++ b/proofs/ledger_guards.py
@@ -0,0 +1,75 @@
+"""Guards of the ledger's machine that can be taken away, to show that the schedules find what each is for.
+
+The machine has no switch for it: its methods are replaced here for as long as a schedule runs."""
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from indigohitch.fleet.ledger.durable import Durable
+from indigohitch.fleet.ledger.leading import Leading
+from indigohitch.fleet.ledger.ports import Ballot
+from indigohitch.fleet.ledger.reads import Reads
+from indigohitch.fleet.ledger.state import State
+from indigohitch.fleet.ledger.votes import Votes
+
+
+def promised_early():
+    """What is asked of the disk counts at once."""
+    write = Durable.write
+
+    def early(self, ballot, cut, entries, last):
+        out = write(self, ballot, cut, entries, last)
+        if not self.failed:
+            self.done, self.stable = self.number, last
+        return out
+    return Durable, "write", early
+
+
+def voted_twice():
+    """A vote in this term is forgotten when the next one asks."""
+    heard = Votes.heard_ask
+
+    def twice(self, sender, word):
+        if not word.pre and word.term == self.state.term:
+            self.state.ballot = Ballot(word.term, None)
+        heard(self, sender, word)
+    return Votes, "heard_ask", twice
+
+
+def any_term():
+    """A leader commits entries of older terms by counting."""
+    return Leading, "own_term", lambda self, index: True
+
+
+def read_alone():
+    """A leader answers reads without asking anybody."""
+    return Reads, "confirmed", lambda self: self.round
+
+
+def not_sticky():
+    """A vote is given against a leader that is heard, and without a vote before it."""
+    return State, "led", property(lambda self: False)
+
+
+def changes_at_once():
+    """A change of the members doesn't wait for the one before it."""
+    return Leading, "may_change", property(lambda self: True)
+
+
+GUARDS = {"written": promised_early, "vote_once": voted_twice, "own_term": any_term,
+          "read_quorum": read_alone, "prevote_sticky": not_sticky, "one_change": changes_at_once}
+
+
+@contextmanager
+def taken_away(name: str | None) -> Iterator[None]:
+    if name is None:
+        yield
+        return
+    where, method, instead = GUARDS[name]()
+    before = where.__dict__[method]
+    setattr(where, method, instead)
+    try:
+        yield
+    finally:
+        setattr(where, method, before)
--- /dev/null
+++ b/proofs/ledger_world.py
@@ -0,0 +1,222 @@
+"""Members of a ledger in simulated time: links that lose, double, reorder and are cut, disks that lose what
+wasn't synced, clocks that drift, processes that stop.  All by one seed."""
+from __future__ import annotations
+
+import heapq
+from random import Random
+
+import msgspec
+
+from indigohitch.fleet.ledger.ports import (
+    Became,
+    Commit,
+    Due,
+    Heard,
+    Install,
+    Members,
+    Propose,
+    Read,
+    Readable,
+    Send,
+    Snap,
+    TakeSnapshot,
+    Turned,
+    Write,
+)
+from indigohitch.fleet.ledger.words import Append, Ask, Piece
+from indigohitch.fleet.terms import Proposal, Who
+from proofs.ledger_checks import Checks
+from proofs.ledger_station import Add, Station
+
+
+class World:
+    def __init__(self, seed: int, size: int) -> None:
+        self.random = Random(seed)
+        self.now, self.order, self.events = 0, 0, []
+        self.checks = Checks(self)
+        self.cuts, self.loss, self.doubling, self.delay, self.in_order = set(), 0.0, 0.0, 20, False
+        self.arrivals = {}                      # link -> the last arrival, where order is kept
+        founders = Members(tuple(Who(name, 1) for name in "abcdefg"[:size]))
+        self.stations = {who.name: Station(who, founders, self.random.random) for who in founders.voters}
+        self.tally = dict.fromkeys(("steps", "commits", "kills", "cuts", "reads", "snapshots", "elections",
+                                    "disk_failures", "changes", "hand_overs", "stops"), 0)
+        self.open = {}                          # proposal's number -> proposal, not known to be committed
+        self.numbers = 0
+        self.carry = {Send: self.send, Write: self.to_disk, Install: self.install, Commit: self.commit,
+                      TakeSnapshot: self.snapshot, Turned: self.turned, Readable: self.readable,
+                      Became: self.became}
+        for station in self.stations.values():
+            self.start(station)
+
+    # ---- time --------------------------------------------------------------------------------------
+
+    def at(self, time: int, act, *args) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (time, self.order, act, args))
+
+    def run(self, until: int) -> None:
+        events = self.events
+        while events and events[0][0] <= until:
+            time, _, act, args = heapq.heappop(events)
+            self.now = max(self.now, time)
+            act(*args)
+        self.now = until
+
+    # ---- members -----------------------------------------------------------------------------------
+
+    def start(self, station: Station) -> None:
+        if station.machine is None:
+            station.start(self.now)
+            self.wake(station)
+
+    def crash(self, station: Station) -> None:
+        if station.machine is not None:
+            station.crash()
+            self.tally["kills"] += 1
+
+    def step(self, station: Station, input) -> None:
+        self.tally["steps"] += 1
+        for output in station.machine.step(station.local(self.now), input):
+            act = self.carry.get(type(output))
+            if act is not None and station.machine is not None:
+                act(station, output)
+        self.wake(station)
+
+    def wake(self, station: Station) -> None:
+        due = station.machine.due
+        if due != station.due_at:
+            station.due_at = due
+            self.at(station.when(due), self.timed, station, station.epoch, due)
+
+    def timed(self, station: Station, epoch: int, due: int) -> None:
+        if self.held_up(station, epoch, self.timed, station, epoch, due) or station.due_at != due:
+            return
+        station.due_at = 0
+        self.step(station, Due())
+
+    def held_up(self, station: Station, epoch: int, act, *args) -> bool:
+        """What comes to a stopped process waits, in order; what comes to one that ended is lost."""
+        if station.epoch != epoch:
+            return True
+        if station.stopped_until > self.now:
+            self.at(station.stopped_until, act, *args)
+            return True
+        return False
+
+    # ---- links -------------------------------------------------------------------------------------
+
+    def send(self, station: Station, output: Send) -> None:
+        self.checks.sent(station, output.to, output.word)
+        link, chance = (station.me.name, output.to.name), self.random.random
+        if link in self.cuts or chance() < self.loss:
+            return
+        for _ in range(2 if chance() < self.doubling else 1):
+            arrival = self.now + 1 + int(self.delay * (0.5 + chance()) * (1 if chance() < 0.95 else 8))
+            if self.in_order:
+                arrival = self.arrivals[link] = max(arrival, self.arrivals.get(link, 0))
+            self.at(arrival, self.deliver, station.me, output.to, output.word)
+
+    def deliver(self, sender: Who, to: Who, word) -> None:
+        station = self.stations.get(to.name)
+        if station is None or station.me != to or station.machine is None:
+            return
+        if self.held_up(station, station.epoch, self.deliver, sender, to, word):
+            return
+        local = station.local(self.now)
+        heard, ballot = station.hears_leader(local), station.machine.state.ballot
+        if type(word) in (Append, Piece) and word.term >= station.machine.term:
+            station.heard = local
+        self.step(station, Heard(sender, word))
+        if type(word) is Ask and heard:
+            self.checks.asked(station, ballot, sender, word)
+
+    # ---- disks -------------------------------------------------------------------------------------
+
+    def to_disk(self, station: Station, op) -> None:
+        if type(op) is Write:
+            self.checks.written(station, op)
+        station.disk.queue.append(op)
+        if len(station.disk.queue) == 1:
+            self.write_next(station)
+
+    def write_next(self, station: Station) -> None:
+        span = int((2 + self.random.random() * 60) * station.slow)
+        self.at(self.now + span, self.disk_done, station, station.epoch)
+
+    def disk_done(self, station: Station, epoch: int) -> None:
+        if epoch != station.epoch or not station.disk.queue:
+            return
+        if self.held_up(station, epoch, self.disk_done, station, epoch):
+            return
+        if not station.disk.failed:
+            told = station.disk.carry_out()
+            if station.disk.queue:
+                self.write_next(station)
+            self.step(station, told)
+
+    def install(self, station: Station, output: Install) -> None:
+        station.book.restore(output.snap.book)
+        self.tally["snapshots"] += 1
+        self.to_disk(station, output)
+
+    def snapshot(self, station: Station, output: TakeSnapshot) -> None:
+        book = station.book
+        self.checks.snapshot(book, output)
+        self.to_disk(station, Snap(output.index, output.term, output.members, book.snapshot()))
+
+    def disk_term(self, who: Who, index: int) -> int | None:
+        station = self.stations.get(who.name)
+        return station.disk.term(index) if station is not None and station.me == who else None
+
+    # ---- clients -----------------------------------------------------------------------------------
+
+    def commit(self, station: Station, output: Commit) -> None:
+        self.checks.commits(station, output.entries)
+        for entry in output.entries:
+            self.checks.applied(station, entry, station.book.apply(entry))
+            if self.open.pop(entry.number, None) is not None:
+                self.tally["commits"] += 1
+            self.checks.told(entry.index)
+
+    def propose(self, fresh: bool) -> None:
+        """A new one, or one again that isn't known yet; to any member."""
+        if self.open and (not fresh or len(self.open) > 12 or self.random.random() < 0.5):
+            number = self.random.choice(sorted(self.open))
+        elif not fresh:
+            return
+        else:
+            self.numbers += 1
+            number = self.numbers
+            body = msgspec.msgpack.encode(Add(number))
+            self.open[number] = Proposal("p", 1, number, "toy.add", body)
+        self.offer(self.random.choice(list(self.stations.values())), self.open[number])
+
+    def offer(self, station: Station, proposal: Proposal) -> None:
+        if station.machine is not None and not self.held_up(station, station.epoch, self.offer, station,
+                                                            proposal):
+            self.step(station, Propose(proposal))
+
+    def turned(self, station: Station, output: Turned) -> None:
+        leader = output.leader and self.stations.get(output.leader.name)
+        if leader is not None and leader is not station and output.proposal.number in self.open:
+            self.at(self.now + 10, self.offer, leader, output.proposal)
+
+    def read(self, station: Station) -> None:
+        self.numbers += 1
+        self.checks.read_begins(self.numbers)
+        self.ask(station, station.epoch, self.numbers)
+
+    def ask(self, station: Station, epoch: int, number: int) -> None:
+        if station.machine is not None and not self.held_up(station, epoch, self.ask, station, epoch,
+                                                            number):
+            self.step(station, Read(number))
+
+    def readable(self, station: Station, output: Readable) -> None:
+        self.tally["reads"] += output.ok
+        self.checks.read_ends(station, output)
+
+    def became(self, station: Station, output: Became) -> None:
+        if output.leader is None:
+            station.heard = None
+        self.tally["elections"] += output.role == "leader"
+        self.checks.became(station, output)
