One family of errors: each refusal names place and remedy; unknown logs are read by their first lines

A dozen kinds of ValueError said what was wrong and nothing more; each command caught and printed its own. They are kinds of Trouble now, shown by the command line in one place and in log lines with where and remedy. `load compile a.log` on a common log said only that 6 lines can't be read: it tries the formats on the first lines and says which it took; where none fits, or another one was asked for, the remedy names it.

--- a/indigohitch/bootstrap.py
+++ b/indigohitch/bootstrap.py
@@ -5,6 +5,9 @@
 from __future__ import annotations
 
 from . import interface as face
+from .errors import Unfit
+
+REMEDY = "mend `settings` in the configuration"
 
 _REPEAT = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
 
@@ -69,14 +72,14 @@
     """Guards against a coordinator that starts, and then fails at every turn."""
     every = found.get("report_every")
     if not isinstance(every, int):
-        raise ValueError("settings: family-info.report-every is missing")
+        raise Unfit("family-info.report-every is missing", "settings", REMEDY)
     if every <= 0:
-        raise ValueError(f"settings: family-info.report-every is {every / 10} ms")
+        raise Unfit(f"family-info.report-every is {every / 10} ms", "settings", REMEDY)
     if not found["methods"]:
-        raise ValueError("settings: classes names no method")
+        raise Unfit("classes names no method", "settings", REMEDY)
     for method in found["methods"]:
         if min(method.soft_deadline, method.deadline) <= 0:
-            raise ValueError(f"settings: {method.name}: aim and deadline have to be above 0")
+            raise Unfit(f"{method.name}: aim and deadline have to be above 0", "settings", REMEDY)
 
 
 def bootstrap(params: dict) -> tuple[dict, list[str]]:
@@ -94,7 +97,7 @@
         _usable(found)
         return found, list((params.get("report") or {}).get("columns") or ())
     except (KeyError, TypeError, AttributeError) as bad:
-        raise ValueError(f"settings: {type(bad).__name__}: {bad}") from None
+        raise Unfit(f"{type(bad).__name__}: {bad}", "settings", REMEDY) from None
 
 
 def load_report(pairs) -> dict[str, float]:
--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -6,7 +6,7 @@
 
 import click
 
-from .errors import Trouble
+from .errors import REMEDIES, Trouble
 
 
 class Lazy(click.Group):
@@ -31,9 +31,12 @@
 
 
 def shown(bad: Trouble | OSError) -> str:
-    if isinstance(bad, OSError):
-        return f"{bad.filename}: {bad.strerror}" if bad.filename and bad.strerror else str(bad)
-    return bad.text() + (f"\n  {bad.remedy}" if bad.remedy else "")
+    if isinstance(bad, Trouble):
+        what, remedy = bad.text(), bad.remedy
+    else:
+        what = f"{bad.filename}: {bad.strerror}" if bad.filename and bad.strerror else str(bad)
+        remedy = REMEDIES.get(bad.errno, "")
+    return what + (f"\n  {remedy}" if remedy else "")
 
 
 @click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -8,10 +8,11 @@
 
 from .directives import operator_file
 from .directives.texts import Text
+from .errors import told
 from .platformlink.front import Front
 from .platformlink.handover import Handover
 from .replaceable import Replaceable
-from .service import UNUSABLE, configuration
+from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
 
 
@@ -51,7 +52,7 @@
         try:
             self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
         except UNUSABLE as bad:
-            self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
+            self.log.trouble("reload_failed", **told(bad, REMEDY))
 
     def all_done(self) -> bool:
         return self.side.front.relay.idle
--- a/indigohitch/errors.py
+++ b/indigohitch/errors.py
@@ -1,6 +1,8 @@
 """The one family of errors: each says what happened, where, and what an operator can do."""
 from __future__ import annotations
 
+import errno
+
 
 class Trouble(Exception):
     """`what` happened, `where` (file and line, peer, entry; may be empty), `remedy` (what an operator can do;
@@ -39,3 +41,21 @@
     def __init__(self, what: str, where: str = "", remedy: str = "", again: int = 10_000) -> None:
         self.again = again
         super().__init__(what, where, remedy)
+
+
+# What an operator can do where the system refuses.
+REMEDIES = {errno.EADDRINUSE: "free the address, or name another one",
+            errno.EADDRNOTAVAIL: "name an address of this machine",
+            errno.ENOENT: "make it, or name what is there", errno.EACCES: "let this user have it",
+            errno.ENOSPC: "make room on the disk", errno.EDQUOT: "make room on the disk",
+            errno.EROFS: "name a folder that can be written to",
+            errno.EMFILE: "raise the limit on descriptors",
+            errno.ECONNREFUSED: "start the program that listens there"}
+
+
+def told(bad: BaseException, remedy: str = "") -> dict[str, str]:
+    """Any exception for a log line; `remedy`: where it has none of its own."""
+    if isinstance(bad, Trouble):
+        return bad.fields()
+    remedy = REMEDIES.get(getattr(bad, "errno", None), remedy)
+    return {"why": f"{type(bad).__name__}: {bad}"} | ({"remedy": remedy} if remedy else {})
--- a/indigohitch/load/compiling.py
+++ b/indigohitch/load/compiling.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from ..errors import Unreadable
 from . import trace
 from .entry import Request
 from .kinds import Kind
@@ -13,9 +14,10 @@
 from .timeline.order import timeline
 
 ENDINGS = {".har": "har", ".json": "json", ".jsonl": "json"}
+FORMATS = "har|json|common|combined, or the words of a LogFormat"
 
 
-class NothingRead(ValueError):
+class NothingRead(Unreadable):
     """No request at all."""
 
 
@@ -25,6 +27,19 @@
     MOST = 1000
     counts: Counter = field(default_factory=Counter)
     unread: list[str] = field(default_factory=list)
+    formats: dict[str, str] = field(default_factory=dict)       # by file: as what it was read
+    guessed: list[str] = field(default_factory=list)    # files whose name does not tell that
+
+    def nothing(self, paths: list[str]) -> NothingRead:
+        """The error that says so, and how the first file could be read, if anyhow."""
+        from .sources import guess
+        path, remedy = paths[0], f"name the format: --format {FORMATS}"
+        with opened.opened(path) as stream:
+            name, count = guess.form(stream)
+        if count and name != self.formats[path]:
+            remedy = f"--format {name} reads it"
+        return NothingRead(f"no request; {self.counts['unread']} lines can't be read as {self.formats[path]}",
+                           ", ".join(paths), remedy)
 
     def reader(self, path: str):
         def unread(place: int, why: str) -> None:
@@ -35,12 +50,18 @@
 
 
 def source(path: str, form: str, ends: bool, told: Told, place: int) -> Iterator:
-    """The entries of one file; `form`: "har", "json", "common", "combined", a LogFormat, "": by its name."""
+    """The entries of one file; `form`: "har", "json", "common", "combined", a LogFormat, "": by its name,
+    else by its first lines."""
     unread, note = told.reader(path)
     plain = opened.plain_name(path)
-    if not form:
-        form = next((kind for ending, kind in ENDINGS.items() if plain.endswith(ending)), "combined")
     stream = opened.opened(path)
+    if not form:
+        form = next((kind for ending, kind in ENDINGS.items() if plain.endswith(ending)), "")
+    if not form:
+        from .sources import guess
+        form, _ = guess.form(stream)
+        told.guessed.append(path)
+    told.formats[path] = form
     if form == "har":
         from .sources import har
         entries = har.read(stream, unread, note)
@@ -55,14 +76,14 @@
 
 def compiled(paths: list[str], out: str, kind: Kind, form: str = "", ends: bool = False,
              off: frozenset[str] = frozenset(), seed: int = 1) -> tuple[trace.Head, Told]:
-    """Raises OSError, NothingRead, ValueError for a format that can't be read."""
+    """Raises OSError, NothingRead, Unfit for a format that can't be read."""
     told = Told()
     rules = frozenset(RULES) - off
     times = timeline([source(path, form, ends, told, place) for place, path in enumerate(paths)], rules, seed,
                      told.counts)
     first = next(times, None)
     if first is None:
-        raise NothingRead(f"no request in {', '.join(paths)}; {told.counts['unread']} lines can't be read")
+        raise told.nothing(paths)
     began, connections = first[0], {}
 
     def requests() -> Iterator[Request]:
--- a/indigohitch/load/entry.py
+++ b/indigohitch/load/entry.py
@@ -3,6 +3,8 @@
 
 import msgspec
 
+from ..errors import Unreadable
+
 SECOND = 10_000
 
 
@@ -42,8 +44,8 @@
     kind: str = ""
 
 
-class Unread(ValueError):
-    """A line that can't be read."""
+class Unread(Unreadable):
+    """A line that can't be read; who reads it knows where."""
 
 
 def path_of(target: str) -> str:
--- a/indigohitch/load/export.py
+++ b/indigohitch/load/export.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from .compiling import NothingRead, Told, source
+from .compiling import Told, source
 from .entry import Entry
 from .timeline import RULES
 from .timeline.order import timeline
@@ -32,8 +32,8 @@
             "timings": {"send": 0, "wait": ms, "receive": 0}}
 
 
-def exported(paths: list[str], out: str, form: str, base: str) -> tuple[int, int]:
-    """How many entries, and how many lines could not be read.  Raises OSError, NothingRead."""
+def exported(paths: list[str], out: str, form: str, base: str) -> tuple[int, Told]:
+    """How many entries, and what could not be read.  Raises OSError, NothingRead."""
     told, count = Told(), 0
     times = timeline([source(path, form, False, told, place) for place, path in enumerate(paths)],
                      frozenset(RULES), 1, Counter())
@@ -46,6 +46,6 @@
         file.write(b"\n]}}\n")
     if not count:
         os.unlink(part)
-        raise NothingRead(f"no request in {', '.join(paths)}")
+        raise told.nothing(paths)
     os.replace(part, out)
-    return count, told.counts["unread"]
+    return count, told
--- a/indigohitch/load/replay/journal.py
+++ b/indigohitch/load/replay/journal.py
@@ -14,9 +14,12 @@
 
 import orjson
 
+from ...errors import Unreadable
 
-class Unusable(ValueError):
+
+class Unusable(Unreadable):
     """A journal that is of another replay, or damaged."""
+    remedy = "begin with a new journal, once it is known that the last replay may be sent again"
 
 
 def line(kind: str, number: int) -> bytes:
@@ -42,15 +45,15 @@
         try:
             told = orjson.loads(first)
         except orjson.JSONDecodeError:
-            raise Unusable(f"{path}: no journal") from None
+            raise Unusable("no journal", path, "name a file of a journal, or one that is not there") from None
         if told != head:
             differ = sorted(k for k in head if not isinstance(told, dict) or told.get(k) != head[k])
-            raise Unusable(f"{path}: of another replay ({', '.join(differ)} differ); begin with a new one")
+            raise Unusable(f"of another replay ({', '.join(differ)} differ)", path, "begin with a new one")
         for at, text in enumerate(lines, 2):
             kind, _, rest = text.decode("latin-1").partition(" ")
             number = rest.partition(" ")[0]
             if kind not in ("S", "A") or not number.isdigit() or text + b"\n" != line(kind, int(number)):
-                raise Unusable(f"{path}:{at}: damaged; what went can't be known any more")
+                raise Unusable("damaged; what went can't be known any more", f"{path}:{at}")
             (self.sending if kind == "S" else self.acted).add(int(number))
 
     def send(self, numbers: list[int]) -> None:
--- a/indigohitch/load/replay/safety.py
+++ b/indigohitch/load/replay/safety.py
@@ -6,13 +6,14 @@
 
 import hashlib
 
+from ...errors import Unfit
 from ..entry import Request
 
 PATH = "/.well-known/indigohitch-stand-in"
 KEY = b"indigohitch stand-in"
 
 
-class Refused(ValueError):
+class Refused(Unfit):
     """The replay does not begin; the text names the line."""
 
 
@@ -30,13 +31,16 @@
               sources: list[str]) -> None:
     """Raises Refused.  `unsafe`: the first non-idempotent request of what is to be sent, if any; `allowed`:
     the user says that the target may be no stand-in."""
-    where = "" if unsafe is None else (f"{sources[unsafe.file]}:{unsafe.line}: {unsafe.method} "
-                                       f"{unsafe.target} ({unsafe.rpc}) is non-idempotent")
-    if unsafe is not None and not proven:
-        raise Refused(f"{where}, and the target has not proved to be a stand-in; filter such RPCs out")
-    if unsafe is not None and not journal:
-        raise Refused(f"{where}: name a journal, or a second run would send it again")
+    if unsafe is not None and not (proven and journal):
+        where = f"{sources[unsafe.file]}:{unsafe.line}"
+        what = f"{unsafe.method} {unsafe.target} ({unsafe.rpc}) is non-idempotent"
+        if not proven:
+            raise Refused(f"{what}, and the target has not proved to be a stand-in", where,
+                          "filter such RPCs out, as with --filter method=GET")
+        raise Refused(f"{what}, and a second run would send it again", where,
+                      "name a journal: --journal FILE")
     if not loopback(host) and not allowed:
-        raise Refused(f"{host} is not on loopback, and --allow-target is not given")
+        raise Refused("the target is not on loopback", host, "--allow-target sends idempotent RPCs there")
     if not proven and not allowed:
-        raise Refused("the target has not proved to be a stand-in, and --allow-target is not given")
+        raise Refused("the target has not proved to be a stand-in", host,
+                      "start `indigohitch stand-in` there, or give --allow-target for idempotent RPCs")
--- a/indigohitch/load/replay/schedule.py
+++ b/indigohitch/load/replay/schedule.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from ...errors import Unfit
 from ..entry import SECOND, Request
 
 FILTERS = ("rpc", "method", "path", "status")
@@ -14,7 +15,7 @@
     """`rpc=search`, `path=/vacancies/*`; ValueError for anything else."""
     name, equals, pattern = text.partition("=")
     if not equals or name not in FILTERS or not pattern:
-        raise ValueError(f"{text!r}: NAME=PATTERN is wanted, with one of {', '.join(FILTERS)}")
+        raise Unfit(f"{text!r}: NAME=PATTERN is wanted, with one of {', '.join(FILTERS)}", "--filter")
     return name, pattern
 
 
@@ -41,9 +42,9 @@
 
     def __post_init__(self) -> None:
         if not 0 < self.speed < 1e6:
-            raise ValueError(f"a speed of {self.speed} can't be kept")
+            raise Unfit(f"a speed of {self.speed} can't be kept", "--speed", "above 0, under a million")
         if not 0 <= self.shard < self.shards:
-            raise ValueError(f"shard {self.shard + 1} of {self.shards}")
+            raise Unfit(f"shard {self.shard + 1} of {self.shards}")
 
     def due(self, requests: Iterable[tuple[int, Request]]) -> Iterator[tuple[int, int, Request]]:
         """(due, number, request) in order.  Gaps are cut before the shards part: all keep one time."""
--- a/indigohitch/load/shape/scale.py
+++ b/indigohitch/load/shape/scale.py
@@ -11,6 +11,7 @@
 import numpy as np
 from scipy import stats
 
+from ...errors import Unfit
 from ..entry import SECOND, Request
 from .fit import dispersion, gaps_to_rate
 
@@ -47,7 +48,7 @@
 def scaled(requests: Iterable[Request], times: float, seed: int = 1) -> Iterator[Request]:
     """In order of time; `times` is above 0."""
     if not 0 < times <= 1000:
-        raise ValueError(f"{times} times the rate")
+        raise Unfit(f"{times} times the rate", "--times", "above 0, 1000 at most")
     draw, held, begin = np.random.default_rng(seed), [], 0
     for request in requests:
         if held and request.at >= begin + WINDOW:
--- a/indigohitch/load/sources/logs.py
+++ b/indigohitch/load/sources/logs.py
@@ -7,10 +7,12 @@
 import orjson
 from apachelogs import COMBINED, COMMON, InvalidEntryError, LogParser
 
+from ...errors import Unfit
 from ..entry import SECOND, Entry, Unread, path_of
 from .opened import LINE, Truncated, lines
 
 NAMED = {"common": COMMON, "combined": COMBINED}
+FORMATS = "har, json, common, combined, or the words of a LogFormat"
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -18,11 +20,15 @@
     """Lines of a LogFormat.  Its `%t` is of the request's begin, unless `ends`."""
 
     def __init__(self, format: str, ends: bool = False) -> None:
-        """ValueError where the format can't be read, or names no request or no time."""
+        """Unfit where the format can't be read, or names no request or no time."""
         self.ends, text = ends, NAMED.get(format, format)
-        self.parser = LogParser(text, encoding="latin-1")
+        try:
+            self.parser = LogParser(text, encoding="latin-1")
+        except ValueError as bad:
+            raise Unfit(f"the format {format!r} can't be read: {bad}", "--format", FORMATS) from None
         if not any(word in text for word in ("%r", "%U")) or not any(w in text for w in ("%t", "}t")):
-            raise ValueError(f"the format {format!r} names no request (%r, %U) or no time (%t)")
+            raise Unfit(f"the format {format!r} names no request (%r, %U) or no time (%t)", "--format",
+                        FORMATS)
 
     def entry(self, line: bytes, number: int) -> Entry:
         try:
@@ -108,6 +114,6 @@
                 try:
                     yield form.entry(line, number)
                 except Unread as bad:
-                    unread(number, str(bad))
+                    unread(number, bad.what)
     except Truncated as bad:
         unread(abs(number) + 1, str(bad))
--- a/indigohitch/load/sources/opened.py
+++ b/indigohitch/load/sources/opened.py
@@ -7,10 +7,12 @@
 import zlib
 from collections.abc import Callable, Iterator
 
+from ...errors import Unreadable
+
 PIECE = 1 << 18                 # read at once: large enough for the parsers, small beside their memory
 
 
-class Truncated(ValueError):
+class Truncated(Unreadable):
     """The compressed stream ends, or can't be read, before its end."""
 
 
--- a/indigohitch/load/trace.py
+++ b/indigohitch/load/trace.py
@@ -16,6 +16,7 @@
 import xxhash
 import zstandard
 
+from ..errors import Unfit, Unreadable
 from .entry import Request
 
 MAGIC, VERSION = b"IHTRACE", 1
@@ -23,8 +24,9 @@
 LEVEL = 6                       # of zstd: past it packing costs more than it saves
 
 
-class Damaged(ValueError):
+class Damaged(Unreadable):
     """What is no trace, or not whole."""
+    remedy = "compile it anew from its sources"
 
 
 class Head(msgspec.Struct):
@@ -67,7 +69,7 @@
             held.clear()
         for request in requests:
             if request.at < last:
-                raise ValueError("a trace is written in order of time")
+                raise Unfit("a trace is written in order of time", path)
             last, count, unsafe = request.at, count + 1, unsafe + request.unsafe
             held.append(request)
             if len(held) == BLOCK:
@@ -93,18 +95,18 @@
         self.file.seek(0)
         first = self.file.read(8)
         if first[:7] != MAGIC:
-            raise Damaged(f"{path}: no trace")
+            raise Damaged("no trace", path)
         if first[7] != VERSION:
-            raise Damaged(f"{path}: version {first[7]}, and only {VERSION} can be read")
+            raise Damaged(f"version {first[7]}, and only {VERSION} can be read", path)
         self.file.seek(max(8, end - 16))
         tail = self.file.read()
         if len(tail) != 16 or tail[8:] != first:
-            raise Damaged(f"{path}: cut off: it has no index")
+            raise Damaged("cut off: it has no index", path)
         found = self.block(struct.unpack("<Q", tail[:8])[0])
         try:
             index = msgspec.msgpack.decode(found, type=Index)
         except msgspec.DecodeError as bad:
-            raise Damaged(f"{path}: its index can't be read: {bad}") from None
+            raise Damaged(f"its index can't be read: {bad}", path) from None
         self.head, self.blocks = index.head, index.blocks
         self.identity = f"{xxhash.xxh3_64_intdigest(found):016x}"      # of what it holds, not of its name
 
@@ -112,11 +114,11 @@
         self.file.seek(place)
         lead = self.file.read(12)
         if len(lead) < 12:
-            raise Damaged(f"{self.path}: cut off at {place}")
+            raise Damaged(f"cut off at {place}", self.path)
         length, told = struct.unpack("<IQ", lead)
         data = self.file.read(length)
         if len(data) < length or xxhash.xxh3_64_intdigest(data) != told:
-            raise Damaged(f"{self.path}: the block at {place} is damaged")
+            raise Damaged(f"the block at {place} is damaged", self.path)
         return zstandard.ZstdDecompressor().decompress(data)
 
     def requests(self, start: int = 0, end: int | None = None) -> Iterator[tuple[int, Request]]:
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -61,11 +61,11 @@
                 hub.hear(report(kind, words, hub.known))
                 hub.log.count(f"lines_{kind}")
         except Garbled as bad:
-            hub.drop(connection, "connection_garbled", why=str(bad), line=line[:80])
+            hub.drop(connection, "connection_garbled", **bad.fields(), line=line[:80])
             return
         except Unreadable as bad:
             self.spoilt += 1
-            hub.log.trouble("line_spoilt", why=str(bad), line=line[:80], zone=self.zone)
+            hub.log.trouble("line_spoilt", **bad.fields(), line=line[:80], zone=self.zone)
             if not self.zone or self.spoilt >= self.SPOILT:
                 hub.drop(connection, "lines_all_spoilt")
             return
--- a/indigohitch/platformlink/words.py
+++ b/indigohitch/platformlink/words.py
@@ -5,16 +5,19 @@
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
+from .. import errors
 from .. import interface as face
 from ..bootstrap import load_report, tenths
 
 
-class Unreadable(ValueError):
+class Unreadable(errors.Unreadable):
     """A message that is not what the protocol page says."""
+    remedy = "bring the sender to this program's version of the protocol"
 
 
-class Garbled(ValueError):
+class Garbled(errors.Unreadable):
     """What came is no message at all: where the next one begins can't be known."""
+    remedy = "find who connects there"
 
 
 @dataclass(slots=True)
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from .control import Control
+from .errors import told
 from .net.clock import SECOND
 from .net.connection import Listener
 from .process import Process
@@ -101,7 +102,7 @@
             self.side.begin(restored)
             self.open_control()
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
-            self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
+            self.log.event("cannot_start", **told(bad, "mend the file that this program was started with"))
             self.become(Phase.ENDED)
             return False
         self.begun()
@@ -119,7 +120,7 @@
                 self.clock.follow(state.taken)
             self.side.restore(state, {})
         except (OSError, *UNFIT) as bad:
-            self.log.trouble("state_refused", path=path, why=f"{type(bad).__name__}: {bad}")
+            self.log.trouble("state_refused", path=path, **told(bad, shots.Unusable.remedy))
             self.without_state()
             return False
         self.log.event("state_read", path=path, age_ms=(self.clock.now() - state.taken) / 10)
@@ -143,12 +144,12 @@
             try:
                 self.open_control()
             except OSError as bad:
-                self.log.trouble("no_control", why=str(bad))
+                self.log.trouble("no_control", **told(bad))
         if path := self.lines["pidfile"]:
             try:
                 shots.write(path, b"%d\n" % os.getpid())
             except OSError as bad:
-                self.log.trouble("no_pidfile", why=str(bad))
+                self.log.trouble("no_pidfile", **told(bad))
         self.become(Phase.SERVING)
         if self.taking is not None and self.taking.reload:
             self.reload()
@@ -213,7 +214,7 @@
         try:
             shots.write(path, data)
         except OSError as bad:
-            self.log.trouble("state_not_written", path=path, why=str(bad))
+            self.log.trouble("state_not_written", path=path, **told(bad))
             return {"error": str(bad)}
         self.log.event("state_written", path=path, bytes=len(data))
         return {"path": path, "bytes": len(data)}
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -8,12 +8,14 @@
 
 import orjson
 
+from .errors import told
 from .net.clock import SECOND
 from .platformlink.front import Front
 from .process import Process
 
 # What a configuration that can't be read, or lacks something, shows itself by.
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
+REMEDY = "mend the file that BALANCER_CONFIG names"
 
 
 class Phase(enum.Enum):
@@ -48,7 +50,7 @@
         try:
             self.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
         except UNUSABLE as bad:
-            self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
+            self.log.trouble("reload_failed", **told(bad, REMEDY))
 
     def run(self) -> int:
         """Returns the exit code."""
@@ -56,7 +58,7 @@
             self.front = Front(self.loop, self.log,
                                configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"))
         except UNUSABLE as bad:
-            self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
+            self.log.event("cannot_start", **told(bad, REMEDY))
             self.become(Phase.ENDED)
             return 1
         self.become(Phase.LISTENING)
--- a/indigohitch/sidecar/framing.py
+++ b/indigohitch/sidecar/framing.py
@@ -1,11 +1,13 @@
 """Where a body ends: by its length, in chunks, or with its connection.  No I/O: works on a ring."""
 from __future__ import annotations
 
+from ..errors import Unreadable
 from ..net.ring import Ring
 
 
-class Malformed(ValueError):
+class Malformed(Unreadable):
     """The body is not framed as its head said."""
+    remedy = "its sender has to frame it as RFC 9112, 7.1, says"
 
 
 class Body:
--- a/indigohitch/sidecar/heads.py
+++ b/indigohitch/sidecar/heads.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from ..errors import Unreadable
 from .framing import Body
 
 # Of the hop, not of the RPC (RFC 9110, 7.6.1).  Framing headers are set anew.
@@ -18,8 +19,9 @@
            503: b"Service Unavailable", 504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 
 
-class Refused(ValueError):
+class Refused(Unreadable):
     """A head that is not passed on; `status` says why."""
+    remedy = "its sender has to write it as RFC 9112 says"
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -6,6 +6,7 @@
 
 from ..directives import sidecar_file
 from ..directives.texts import Text
+from ..errors import Unfit, told
 from ..replaceable import Replaceable
 from ..upgrade import launch
 from .handover import Handover
@@ -44,9 +45,9 @@
         try:
             text = sidecar_file.load(self.source)
             if text.pools.keys() != self.text.pools.keys():
-                raise ValueError("other pools: this takes an upgrade")
+                raise Unfit("other pools", self.source, "`indigohitch upgrade` puts them in force")
         except (OSError, ValueError) as bad:
-            self.log.trouble("reload_failed", why=str(bad))
+            self.log.trouble("reload_failed", **told(bad))
             return
         self.log.count("reloads")
         if self.host.access is not None:
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 
+from ..errors import told
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.loop import Deadline, Loop
@@ -170,7 +171,7 @@
                 self.side.fresh(self.listeners)
             self.side.begin(self.machine.state)
         except OSError as bad:
-            self.log.event("cannot_start", why=str(bad))
+            self.log.event("cannot_start", **told(bad))
             self.ended(1)
             return
         self.adopt(passed)
