--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ...directives.fleet import FleetText
-from ...errors import Trouble
+from ...errors import Trouble, told
 from ...log import Log
 from ...net.clock import SECOND
 from ...net.loop import Loop
@@ -48,8 +48,7 @@
 
     def failed(self, bad: Trouble | OSError) -> None:
         self.why = str(bad)
-        fields = bad.fields() if isinstance(bad, Trouble) else {"why": str(bad)}
-        self.log.trouble("member_not_open", **fields)
+        self.log.trouble("member_not_open", **told(bad))
         if isinstance(bad, ValueError):         # what lies there can't be read: it will not be better later
             self.on_ended(self.why)
         else:
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from .control import Control
-from .errors import Trouble
+from .errors import Trouble, told
 from .net.clock import SECOND
 from .net.connection import Listener
 from .process import Process
@@ -104,12 +104,8 @@
                 self.side.fresh({})
             self.side.begin(restored)
             self.open_control()
-        except Trouble as bad:
-            self.log.event("cannot_start", **bad.fields())
-            self.become(Phase.ENDED)
-            return False
-        except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
-            self.log.event("cannot_start", why=f"{type(bad).__name__}: {bad}")
+        except (Trouble, OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
+            self.log.event("cannot_start", **told(bad, "mend the file that this program was started with"))
             self.become(Phase.ENDED)
             return False
         self.begun()
@@ -139,12 +135,12 @@
             try:
                 self.open_control()
             except OSError as bad:
-                self.log.trouble("no_control", why=str(bad))
+                self.log.trouble("no_control", **told(bad))
         if path := self.lines["pidfile"]:
             try:
                 shots.write(path, b"%d\n" % os.getpid())
             except OSError as bad:
-                self.log.trouble("no_pidfile", why=str(bad))
+                self.log.trouble("no_pidfile", **told(bad))
         self.become(Phase.SERVING)
         if self.taking is not None and self.taking.reload:
             self.reload()
--- a/indigohitch/statefile.py
+++ b/indigohitch/statefile.py
@@ -3,6 +3,7 @@
 
 import os
 
+from .errors import told
 from .log import Log
 from .net.clock import Clock
 from .upgrade import snapshot as shots
@@ -29,7 +30,7 @@
                 self.clock.follow(state.taken)
             side.restore(state, {})
         except (OSError, *UNFIT) as bad:
-            self.log.trouble("state_refused", path=self.path, why=f"{type(bad).__name__}: {bad}")
+            self.log.trouble("state_refused", path=self.path, **told(bad, shots.Unusable.remedy))
             return None
         self.log.event("state_read", path=self.path, age_ms=(self.clock.now() - state.taken) / 10)
         return True
@@ -42,7 +43,7 @@
         try:
             shots.write(self.path, data)
         except OSError as bad:
-            self.log.trouble("state_not_written", path=self.path, why=str(bad))
+            self.log.trouble("state_not_written", path=self.path, **told(bad))
             return {"error": str(bad)}
         self.log.event("state_written", path=self.path, bytes=len(data))
         return {"path": self.path, "bytes": len(data)}
