--- /dev/null
+++ b/indigohitch/fleet/node/belonging.py
@@ -0,0 +1,93 @@
+"""Drives this process' part in the roster (members/work): what it proposes under, its lease, and while it
+leads the leases of all."""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ...errors import NotNow
+from ...log import Log
+from ...packed.rows import Row
+from ..ledger.ports import Became
+from ..members.leases import Answer, ReadFirst
+from ..members.work import Membership, Phase
+from ..terms import Lease
+from .proposals import Proposals
+
+
+def wall() -> int:
+    """This machine's wall clock, tenths of a ms of Unix time."""
+    return time.time_ns() // 100_000
+
+
+class Belonging:
+    """`read(done)`: one confirmed by a majority, `done(index or None)`; `tell(name, word)`: to a member, this
+    one too; `acts()`: how many acts it has stamped."""
+
+    def __init__(self, log: Log, clock, membership: Membership, proposals: Proposals, read: Callable,
+                 tell: Callable[[str, Row], None], acts: Callable[[], int]) -> None:
+        self.log, self.clock, self.membership, self.proposals = log, clock, membership, proposals
+        self.read, self.tell, self.acts = read, tell, acts
+        self.phase = membership.phase           # as last logged
+
+    def lease(self, now: int) -> Lease | None:
+        return self.membership.lease(now)
+
+    @property
+    def may_propose(self) -> bool:
+        """For other works than the roster's: this incarnation counts."""
+        return self.membership.phase in (Phase.COMPARED, Phase.VALID)
+
+    @property
+    def leaves(self) -> bool:
+        """It has said that it leaves, and the book does not say so yet."""
+        membership = self.membership
+        return membership.phase is Phase.LEFT and not membership.roster.unfit(membership.me,
+                                                                              membership.incarnation)
+
+    def look(self) -> None:
+        """After anything that may have moved it: what it proposes under, and what people are told."""
+        membership = self.membership
+        if (proposer := membership.proposer()) != (self.proposals.proposer, self.proposals.incarnation):
+            self.proposals.begin(*proposer)
+        if membership.phase is self.phase:
+            return
+        was, self.phase = self.phase, membership.phase
+        fields = {"was": was.value, "now": self.phase.value, "incarnation": membership.incarnation}
+        if self.phase is Phase.DIFFERS:
+            index, own, agreed = membership.evidence
+            self.log.trouble("state_differs", index=index, own=own.hex(), agreed=agreed.hex(),
+                             remedy="keep the folder for who looks into it, and start the member without it")
+        elif self.phase is Phase.REPLACED:
+            self.log.trouble("replaced", **fields, remedy="another process bears this name: end one of them")
+        else:
+            self.log.event("membership", **fields, **({"why": membership.refusal} if membership.refusal
+                                                      else {}))
+
+    # ---- words -------------------------------------------------------------------------------------
+
+    def renew(self, now: int, leader: str, reports: Callable[[int], dict[str, bytes]]) -> None:
+        """To the leader, if one is due."""
+        if leader and now >= self.membership.holder.due:
+            word = self.membership.renew(now, wall(), self.acts(), reports(now))
+            if word is not None:
+                self.tell(leader, word)
+
+    def heard(self, sender: str, word: Row) -> None:
+        self.carry(self.membership.heard(self.clock.now(), sender, word))
+
+    def became(self, became: Became) -> None:
+        self.membership.became(self.clock.now(), became.role, became.term)
+
+    def carry(self, out: list[ReadFirst | Answer]) -> None:
+        for one in out:
+            match one:
+                case ReadFirst(number):
+                    def done(index: int | None, number: int = number) -> None:
+                        self.carry(self.membership.readable(self.clock.now(), number, index is not None))
+                    try:
+                        self.read(done)
+                    except NotNow:              # it asks again with the next renewals
+                        self.log.count("reads_without_room")
+                case Answer(to, word):
+                    self.tell(to, word)
--- a/indigohitch/fleet/node/figures.py
+++ b/indigohitch/fleet/node/figures.py
@@ -22,14 +22,14 @@
         "role": machine.role.value if machine else "none", "term": machine.term if machine else 0,
         "leader": driver.leader.name if driver.leader else "",
         "index": machine.commit if machine else 0, "applied": node.book.index, "time": node.book.time,
-        "incarnation": node.joining.incarnation, "joined": node.joining.phase.value,
+        "incarnation": node.assembly.membership.incarnation,
         "lease_ms": lease.left(now) / 10 if lease else 0,
         "voters": [who(one) for one in members.voters], "followers": [who(one) for one in members.followers],
         "edition": node.text.edition, "proposals": len(node.traffic.proposals.open),
         "proposals_waiting": len(node.working.waiting), "reads": len(node.traffic.reads.open),
         "disk": node.disk.figures(), "links": node.links.figures(), "works": node.working.figures()}
     if driver.leads:
-        until = node.leasing.giver.until
+        until = node.assembly.membership.giver.until
         found["leases"] = {f"{name} {incarnation}": max(0, end - now) / 10
                            for (name, incarnation), end in sorted(until.items())}
     return found
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -14,12 +14,11 @@
 from ..ledger.ports import Became, HandOver, Held
 from ..links.links import Links
 from ..links.words import Welcome
+from ..members.work import Phase as Member
 from ..terms import Entry, Lease, Outcome, Who
 from .admitting import Admitting
+from .belonging import Belonging
 from .driver import Driver
-from .joining import Joining
-from .joining import Phase as Join
-from .leasing import Leasing
 from .standard import Place, assembled
 from .traffic import Traffic
 from .words import KINDS
@@ -49,20 +48,20 @@
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
-        self.assembly = assembled(Place(loop, log, text, self.voters, self.lease))
+        self.assembly = assembled(Place(loop, log, text, self.voters, self.lease,
+                                        lambda: chance.getrandbits(62)))
         self.book = self.assembly.book
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
         self.driver = Driver(loop, log, self.disk, self.links, self.book, bootstrap, chance.random,
                              self.broken)
         self.traffic = Traffic(self)
-        proposals = self.traffic.proposals
-        self.joining = Joining(log, text.me, self.votes, lambda: chance.getrandbits(62), proposals,
-                               self.joined)
+        membership, proposals = self.assembly.membership, self.traffic.proposals
+        self.belonging = Belonging(log, loop.clock, membership, proposals, self.traffic.read,
+                                   self.traffic.tell, lambda: 0)
         self.working = Working(loop, log, self.assembly.works, proposals,
-                               lambda: self.joining.phase is Join.IN, self.traffic.send)
-        self.leasing = Leasing(text.me, waits["lease"], text.drift, self.book, loop.clock, self.traffic.read,
-                               self.traffic.tell, self.shut_out, self.working.reports, lambda: 0)
+                               lambda work: work is membership or self.belonging.may_propose,
+                               self.traffic.send)
         self.admitting = Admitting(self)
         self.wire()
 
@@ -128,7 +127,6 @@
         self.links.renumber(me)
         self.be(Phase.TAKING_PART)
         self.driver.begin(me, held)
-        self.joining.join(self.loop.clock.now())
 
     def broken(self, bad: BaseException) -> None:
         """Going on could break a promise: the others do without this one."""
@@ -149,32 +147,27 @@
         if self.phase is Phase.TAKING_PART:
             self.be(Phase.LEAVING)
             if give_up:
-                self.joining.leave(self.loop.clock.now())
-                self.traffic.send()
+                self.working.want(self.assembly.membership, self.assembly.membership.leave())
             self.hand_over()
 
-    @property
-    def gives_up(self) -> bool:
-        return self.joining.phase is Join.LEAVING
-
     def hand_over(self) -> None:
         """After what it proposes itself is known: from then on it turns all away."""
         if self.phase is Phase.LEAVING and self.driver.leads:
-            if not self.gives_up:
+            if not self.belonging.leaves:
                 self.driver.step(HandOver())
-            self.loop.after(self.text.waits["election"], self.hand_over)
+            self.loop.after(self.text.waits["election"] // 2, self.hand_over)
 
     @property
     def left(self) -> bool:
-        return self.phase is not Phase.LEAVING or not self.gives_up and (
+        return self.phase is not Phase.LEAVING or not self.belonging.leaves and (
             not self.driver.leads or len(self.driver.members.voters) <= 1)
 
     def stay(self) -> None:
         """After all; under a new incarnation, where it had given the old one up."""
         if self.phase is Phase.LEAVING:
             self.be(Phase.TAKING_PART)
-            if self.joining.phase is not Join.IN:
-                self.joining.again()
+            if self.assembly.membership.phase is Member.LEFT:
+                self.assembly.membership.anew()
 
     def close(self) -> None:
         """Disk and port may be another process' from here on."""
@@ -199,40 +192,35 @@
             self.traffic.reads.beat(now)
             self.traffic.send()
         if self.phase is Phase.TAKING_PART:
-            if self.joining.phase is Join.OUT:
-                self.joining.join(now)
-            self.leasing.ask(now, self.leader_name)
+            self.belonging.renew(now, self.leader_name, self.working.reports)
             self.working.turn(now, self.lease(now))
             if self.driver.leads:
-                self.working.lead(now, self.leasing.told(now))
+                self.lead(now)
+        self.belonging.look()
+
+    def lead(self, now: int) -> None:
+        self.working.lead(now, self.assembly.membership.told)
+        if self.assembly.membership.phase is Member.DIFFERS:
+            self.driver.step(HandOver())        # nobody is to go by a state that is not the others'
 
     @property
     def leader_name(self) -> str:
         return self.driver.leader.name if self.driver.leader is not None else ""
 
     def lease(self, now: int) -> Lease | None:
-        return self.leasing.lease(now) if self.phase is Phase.TAKING_PART else None
-
-    def joined(self, incarnation: int) -> None:
-        self.leasing.holder.begin(incarnation)
-        self.loop.after(0, lambda: self.leasing.ask(self.loop.clock.now(), self.leader_name))
-
-    def shut_out(self, why: str) -> None:
-        """This incarnation is over; the process comes back under another."""
-        if self.phase is Phase.TAKING_PART and self.joining.phase is Join.IN:
-            self.log.trouble("shut_out", why=why, incarnation=self.joining.incarnation,
-                             remedy="none needed: it joins again once it is up to date")
-            self.joining.join(self.loop.clock.now())
+        return self.belonging.lease(now) if self.phase is Phase.TAKING_PART else None
 
     # ---- what is told ------------------------------------------------------------------------------
 
     def applied(self, entry: Entry, outcome: Outcome) -> None:
         self.traffic.proposals.applied(entry, outcome)
         self.traffic.reads.applied(self.book.index)
+        self.belonging.look()
         self.working.applied(entry, outcome)
+        self.belonging.look()
 
     def became(self, became: Became) -> None:
-        self.leasing.became(became.role == "leader", became.term)
+        self.belonging.became(became)
         if became.leader is not None:
             self.traffic.proposals.hurry(self.loop.clock.now())
             self.loop.after(0, self.traffic.send)
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -10,9 +10,10 @@
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
+from ..members.work import Membership
 from ..ports import Acts, BookPart, Work
 from ..terms import Lease
-from .leasing import wall
+from .belonging import wall
 from .notes import Notes
 
 
@@ -24,12 +25,14 @@
     text: FleetText
     voters: Callable[[], Collection[str]]
     lease: Callable[[int], Lease | None]
+    token: Callable[[], int]            # 62 bits of chance
 
 
 @dataclass(slots=True)
 class Assembly:
     book: Book
-    works: list[Work] = field(default_factory=list)
+    membership: Membership
+    works: list[Work] = field(default_factory=list)     # the membership first
     acts: Acts | None = None
 
 
@@ -39,6 +42,8 @@
 
 
 def assembled(place: Place) -> Assembly:
-    book = Book(parts())
-    hours = HoursWork(book.parts["hours"], place.text.me, wall, place.voters)
-    return Assembly(book, [hours])
+    book, text = Book(parts()), place.text
+    membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
+                            text.drift, place.token)
+    hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
+    return Assembly(book, membership, [membership, hours])
--- a/indigohitch/fleet/node/traffic.py
+++ b/indigohitch/fleet/node/traffic.py
@@ -28,9 +28,8 @@
             ReadAt: self.on_read_at,
             Admit: lambda who, word: node.admitting.asked(who, word),
             Admitted: lambda who, word: node.admitting.admitted(who, word),
-            Renew: lambda who, word: node.leasing.came(who.name, word),
-            Renewed: lambda who, word: node.leasing.answered(word),
-            NotRenewed: lambda who, word: node.leasing.answered(word)}
+            **dict.fromkeys((Renew, Renewed, NotRenewed),
+                            lambda who, word: node.belonging.heard(who.name, word))}
 
     def heard(self, who: Who, word: Row) -> None:
         if type(word) in MACHINE:
--- a/indigohitch/fleet/node/working.py
+++ b/indigohitch/fleet/node/working.py
@@ -22,8 +22,8 @@
     """A work that fails is a defect of that work: it is told, and the others go on."""
 
     def __init__(self, loop: Loop, log: Log, works: Iterable[Work], proposals: Proposals,
-                 may: Callable[[], bool], send: Callable[[], None]) -> None:
-        """`may`: this process has an incarnation to propose under; `send`: proposals are there to go out."""
+                 may: Callable[[Work], bool], send: Callable[[], None]) -> None:
+        """`may(work)`: it may propose now; `send`: proposals are there to go out."""
         self.loop, self.log, self.works = loop, log, list(works)
         self.proposals, self.may, self.send = proposals, may, send
         self.waiting: deque[tuple[Work, Wanted]] = deque()
@@ -51,11 +51,13 @@
         self.put()
 
     def put(self) -> None:
-        while self.waiting and self.may():
+        while self.waiting:
             work, one = self.waiting[0]
             body = msgspec.msgpack.encode(one.body)
-            if len(body) > BODY:
-                self.log.trouble("proposal_too_large", kind=one.kind, bytes=len(body))
+            if len(body) > BODY or not self.may(work):
+                if len(body) > BODY:
+                    self.log.trouble("proposal_too_large", kind=one.kind, bytes=len(body))
+                self.unmade.append((work, one.tag))
                 self.waiting.popleft()
                 continue
             try:
@@ -84,9 +86,9 @@
         self.put()
         self.each("turn", now, lease)
 
-    def lead(self, now: int, reports: Mapping[str, Mapping[str, bytes]]) -> None:
+    def lead(self, now: int, reports: Callable[[int, str], Mapping[str, bytes]]) -> None:
         for work in self.works:
-            self.want(work, self.call(work, work.lead, now, reports.get(work.name, {})))
+            self.want(work, self.call(work, work.lead, now, reports(now, work.name)))
 
     def reports(self, now: int) -> dict[str, bytes]:
         found = {work.name: self.call(work, work.report, now) for work in self.works}
