--- a/indigohitch/standins/breaker.py
+++ b/indigohitch/standins/breaker.py
@@ -18,12 +18,13 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 from ..net.clock import SECOND, Clock
 from ..net.connection import READ
 from ..net.loop import Loop
-from .lanes import Gate, Lane
+from .lanes import NONE, Fault, Gate, Lane
 
 
 class Breaker:
@@ -106,17 +107,22 @@
 
     # ---- faults --------------------------------------------------------------------------------------
 
-    def _set(self, pairs: list[tuple[str, str]], said: str, **words) -> None:
+    def stand(self, wanted: Mapping[tuple[str, str], Fault], said: str = "") -> None:
+        """These faults stand on lanes (sender, receiver), and no others."""
         def change() -> None:
-            for pair in pairs:
-                for word, value in words.items():
-                    setattr(self.lanes[pair], word, value)
+            differ = [lane for pair, lane in self.lanes.items() if lane.fault != wanted.get(pair, NONE)]
+            for lane in differ:
+                lane.fault = wanted.get((lane.sender, lane.receiver), NONE)
             for gate in self.gates.values():
                 gate.changed()
-            for pair in pairs:
-                self.lanes[pair].changed()
+            for lane in differ:
+                lane.changed()
         self._do(change, said)
 
+    def _set(self, pairs: Iterable[tuple[str, str]], said: str, **words) -> None:
+        stands = {pair: lane.fault for pair, lane in self.lanes.items()}
+        self.stand(stands | {pair: replace(stands[pair], **words) for pair in pairs}, said)
+
     def cut(self, sender: str, receiver: str, both: bool = False) -> None:
         """Silence from `sender` to `receiver`, or both ways."""
         pairs = [(sender, receiver), *([(receiver, sender)] if both else [])]
@@ -160,18 +166,13 @@
 
     def heal(self, lose: bool = False) -> None:
         """No fault stands any more; `lose`: what waits is lost with its connections, else it comes late."""
-        def change() -> None:
-            held = [gate for gate in self.gates.values() if gate.forth.cut or gate.back.cut]
-            for gate in held if lose else ():
-                gate.reset()
-            for lane in self.lanes.values():
-                lane.clear()
+        def let() -> None:
             for gate in self.gates.values():
+                if lose and (gate.forth.fault.cut or gate.back.fault.cut):
+                    gate.reset()
                 gate.refuse(False)
-                gate.changed()
-            for lane in self.lanes.values():
-                lane.changed()
-        self._do(change, "heal lose" if lose else "heal")
+        self._do(let)
+        self.stand({}, "heal lose" if lose else "heal")
 
     def figures(self) -> dict[str, int]:
         """Bytes that passed and pieces spoilt, of all lanes."""
--- a/indigohitch/standins/lanes.py
+++ b/indigohitch/standins/lanes.py
@@ -9,6 +9,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..net.clock import SECOND
 from ..net.connection import Listener
@@ -21,18 +22,26 @@
 HELD = 256 << 10
 
 
-class Lane:
-    """`cut`; `delay` and `spread`: tenths of a ms; `trickle`: bytes a second, 0 for no bound; `spoil`: the
-    share of pieces in which one byte is changed."""
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """What stands on a lane.  `delay`, up to `spread` more: tenths of a ms, in order; `trickle`: bytes a
+    second, 0 for no bound; `spoil`: the share of pieces in which one byte is changed."""
+    cut: bool = False
+    delay: int = 0
+    spread: int = 0
+    trickle: int = 0
+    spoil: float = 0.0
+
+
+NONE = Fault()
 
+
+class Lane:
     def __init__(self, sender: str, receiver: str, uniform: Callable[[], float]) -> None:
         self.sender, self.receiver, self.uniform = sender, receiver, uniform
         self.halves: set[Half] = set()
         self.bytes = self.spoilt = 0
-        self.clear()
-
-    def clear(self) -> None:
-        self.cut, self.delay, self.spread, self.trickle, self.spoil = False, 0, 0, 0, 0.0
+        self.fault = NONE
 
     def changed(self) -> None:
         for half in list(self.halves):
@@ -40,7 +49,7 @@
 
     def passed(self, data: bytes) -> bytes:
         self.bytes += len(data)
-        if not self.spoil or self.uniform() >= self.spoil:
+        if not self.fault.spoil or self.uniform() >= self.fault.spoil:
             return data
         self.spoilt += 1
         at = int(self.uniform() * len(data))
@@ -63,8 +72,8 @@
         lane.halves.add(self)
 
     def take(self, data: bytes) -> None:
-        lane = self.lane
-        wait = lane.delay + int(lane.spread * lane.uniform()) if lane.delay or lane.spread else 0
+        fault = self.lane.fault
+        wait = fault.delay + int(fault.spread * self.lane.uniform()) if fault.spread else fault.delay
         self.last = max(self.last, self.loop.clock.now() + wait)
         self.queue.append((self.last, data))
         self.held += len(data)
@@ -78,14 +87,14 @@
         while source is not None and source.open and len(source.incoming) and self.held < HELD:
             self.take(source.incoming.take(min(len(source.incoming), HELD)))
             source.wake()
-        if lane.cut or sink is None or sink.connecting or not sink.open:
+        if lane.fault.cut or sink is None or sink.connecting or not sink.open:
             return
         now, allowed = self.loop.clock.now(), HELD
-        if lane.trickle and self.queue:
+        if lane.fault.trickle and self.queue:
             if now < self.next:
                 self.timer = self.loop.at(self.next, self.pump)
                 return
-            self.next, allowed = now + DRIP, max(1, lane.trickle * DRIP // SECOND)
+            self.next, allowed = now + DRIP, max(1, lane.fault.trickle * DRIP // SECOND)
         while self.queue and self.queue[0][0] <= now and allowed > 0:
             room = min(sink.room(), allowed)
             if room <= 0:
@@ -98,7 +107,8 @@
             allowed -= len(data)
             sink.write(lane.passed(data))
         if self.queue:
-            self.timer = self.loop.at(max(self.next if lane.trickle else now, self.queue[0][0]), self.pump)
+            earliest = self.next if lane.fault.trickle else now
+            self.timer = self.loop.at(max(earliest, self.queue[0][0]), self.pump)
         elif source is not None and source.open and len(source.incoming):
             self.timer = self.loop.at(now, self.pump)       # left while the queue was full
         elif self.ended and not len(sink.outgoing):
@@ -125,7 +135,7 @@
 
     def dial(self) -> None:
         """A connection needs both lanes: until then nothing comes of it, and who dialled is not told."""
-        if self.far is not None or self.forth.lane.cut or self.back.lane.cut:
+        if self.far is not None or self.forth.lane.fault.cut or self.back.lane.fault.cut:
             return
         try:
             self.far = Stream.dial(self.gate.loop, self.gate.to, self)
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -232,10 +232,10 @@
             if s != r:
                 breaker.gate(s, r, echoes[r].at)
     breaker.cut_off("a", hears=True)
-    assert {p for p, lane in breaker.lanes.items() if lane.cut} == {("a", "b"), ("a", "c")}
+    assert {p for p, lane in breaker.lanes.items() if lane.fault.cut} == {("a", "b"), ("a", "c")}
     breaker.heal()
     breaker.part("ab")
-    assert {p for p, lane in breaker.lanes.items() if lane.cut} == {
+    assert {p for p, lane in breaker.lanes.items() if lane.fault.cut} == {
         ("a", "c"), ("b", "c"), ("c", "a"), ("c", "b")}
     assert [what for _, what in breaker.told] == ["cut_off a hears", "heal", "part a,b"]
     breaker.close()
