--- a/proofs/fleetkit/checks.py
+++ b/proofs/fleetkit/checks.py
@@ -39,8 +39,10 @@
 class Notes:
     """Clients that propose notes through members in turn, each once, and remember what they were told."""
 
-    def __init__(self, fleet: Fleet, clients: int = 3, prefix: str = "n", wait: float = 4.0) -> None:
-        self.fleet, self.prefix, self.wait = fleet, prefix, wait
+    def __init__(self, fleet: Fleet, clients: int = 3, prefix: str = "n", wait: float = 4.0,
+                 gap: float = 0.03) -> None:
+        """`gap`: seconds that a client rests after each answer; the book keeps 4096 notes."""
+        self.fleet, self.prefix, self.wait, self.gap = fleet, prefix, wait, gap
         self.acknowledged: dict[str, float] = {}        # text: when (time.monotonic)
         self.sent: dict[str, float] = {}                # text: when it went out
         self.pushed_back = self.unknown = 0
@@ -66,6 +68,7 @@
             told = self.fleet.note(voters[(client + number) % len(voters)], text, self.wait)
             if told and told.get("index") and not told.get("refused"):
                 self.acknowledged[text] = time.monotonic()
+                time.sleep(self.gap)
             elif told and "again_ms" in told:
                 self.pushed_back += 1
                 time.sleep(min(0.2, told["again_ms"] / 1000))
--- a/proofs/fleetkit/processes.py
+++ b/proofs/fleetkit/processes.py
@@ -119,8 +119,8 @@
         return [e["text"] for e in self.log() if "text" in e and not e["event"] and e["text"].strip()]
 
 
-def program(kind: str, clocks: bool) -> list[str]:
+def program(kind: str, altered: bool) -> list[str]:
     """The words before FILE; `kind`: "run" (a member without a front) or "sidecar"."""
-    first = ([sys.executable, str(Path(__file__).parent / "clocks.py")] if clocks
+    first = ([sys.executable, str(Path(__file__).parent / "altered.py")] if altered
              else [sys.executable, "-m", "indigohitch"])
     return [*first, *(["run", "--operator"] if kind == "run" else ["sidecar"])]
