--- a/proofs/fleetkit/__init__.py
+++ b/proofs/fleetkit/__init__.py
@@ -26,7 +26,7 @@
 from .checks import Notes, books, settled
 from .faults import Event, Player, drawn
 from .files import Pool
-from .fleet import Fleet
+from .fleet import DISKS, Fleet
 from .processes import until
 
-__all__ = ["Event", "Fleet", "Notes", "Player", "Pool", "books", "drawn", "settled", "until"]
+__all__ = ["DISKS", "Event", "Fleet", "Notes", "Player", "Pool", "books", "drawn", "settled", "until"]
--- a/proofs/fleetkit/checks.py
+++ b/proofs/fleetkit/checks.py
@@ -45,6 +45,7 @@
         self.fleet, self.prefix, self.wait, self.gap = fleet, prefix, wait, gap
         self.acknowledged: dict[str, float] = {}        # text: when (time.monotonic)
         self.sent: dict[str, float] = {}                # text: when it went out
+        self.highest = 0                                # entry of any acknowledged so far
         self.pushed_back = self.unknown = 0
         self.stopping = False
         self._threads = [threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(clients)]
@@ -68,6 +69,7 @@
             told = self.fleet.note(voters[(client + number) % len(voters)], text, self.wait)
             if told and told.get("index") and not told.get("refused"):
                 self.acknowledged[text] = time.monotonic()
+                self.highest = max(self.highest, told["index"])
                 time.sleep(self.gap)
             elif told and "again_ms" in told:
                 self.pushed_back += 1
@@ -76,6 +78,11 @@
                 self.unknown += 1
                 time.sleep(0.02)
 
+    def first_after(self, since: float) -> float | None:
+        """When the first note that was sent after `since` was acknowledged."""
+        return min((at for text, at in list(self.acknowledged.items()) if self.sent[text] > since),
+                   default=None)
+
     def judged(self, texts: list[str]) -> tuple[list[str], list[str]]:
         """Of the notes that a book holds: those acknowledged that it lacks, those it has more than once."""
         counts = Counter(texts)
--- /dev/null
+++ b/proofs/fleetkit/disks.py
@@ -0,0 +1,33 @@
+"""Run first by a member (Fleet(patch=...)): its disk is full while a file `full` stands in its folder, and
+FLEET_DISK=lying makes it say that all is on the disk, and write nothing."""
+import errno
+import os
+from pathlib import Path
+
+from indigohitch.fleet.disk.files import Files
+
+_write, _fsync, _whole = Files.write, Files.fsync, Files.whole
+_FULL = Path(os.environ.get("FLEET_FOLDER", "/nowhere")) / "full"
+LYING = os.environ.get("FLEET_DISK") == "lying"
+
+
+def checked() -> None:
+    if _FULL.exists():
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def write(self: Files, fd: int, data: bytes) -> int:
+    return len(data) if LYING else _write(self, fd, data)
+
+
+def fsync(self: Files, fd: int) -> None:
+    checked()
+    _fsync(self, fd)
+
+
+def whole(self: Files, path: str, data: bytes) -> None:
+    checked()
+    _whole(self, path, data)
+
+
+Files.write, Files.fsync, Files.whole = write, fsync, whole
--- a/proofs/fleetkit/fleet.py
+++ b/proofs/fleetkit/fleet.py
@@ -15,6 +15,7 @@
 from .processes import Member, program, until
 
 # Short, for proofs of seconds: four elections to a lease, as the file's checks want it.
+DISKS = Path(__file__).parent / "disks.py"
 WAITS = ["wait lease 2s", "wait election 300ms", "wait beat 50ms", "drift 0.001"]
 
 
@@ -23,15 +24,17 @@
                  more: list[str] | None = None, pools: list[Pool] | None = None,
                  waits: list[str] | None = None, each: dict[str, list[str]] | None = None,
                  name: str = "proof", clocks: bool = False, drifts: dict[str, float] | None = None,
-                 environment: dict[str, str] | None = None, patch: Path | str = "") -> None:
+                 environment: dict[str, str] | None = None, patch: Path | str = "",
+                 relay: bool = True) -> None:
         """`more`: lines of each file; `each`: further ones by member; `drifts`: by member, with `clocks`;
-        `patch`: a file of Python that each member runs first (altered.py)."""
+        `patch`: a file of Python that each member runs first (altered.py); without `relay` the members
+        reach each other directly."""
         self.path, self.name, self.seed = Path(path), name, seed
         self.pools, self.waits, self.each = pools or [], WAITS if waits is None else waits, each or {}
         self.more, self.clocks, self.drifts = more or [], clocks, drifts or {}
         self.environment = (environment or {}) | ({"FLEET_PATCH": str(patch)} if patch else {})
         self.altered = clocks or bool(patch)
-        self.breaker = Breaker(seed)
+        self.breaker, self.relay = Breaker(seed), relay
         self.places: dict[str, Place] = {}
         self.members: dict[str, Member] = {}
         self.listed: dict[str, list[str]] = {}          # by member: whom its file lists, if not all
@@ -50,10 +53,10 @@
         folder.mkdir(parents=True, exist_ok=True)
         place = self.places[name] = Place(name, votes, folder, sidecar)
         environment = self.environment | ({
-            "FLEET_CLOCK": str(folder / "clock"), "FLEET_DRIFT": str(self.drifts.get(name, 0))}
-            if self.clocks else {})
-        self.members[name] = Member(folder, program("sidecar" if sidecar else "run", self.altered), place.file,
-                                    place.control, environment)
+            "FLEET_FOLDER": str(folder), "FLEET_CLOCK": str(folder / "clock"),
+            "FLEET_DRIFT": str(self.drifts.get(name, 0))} if self.altered else {})
+        words = program("sidecar" if sidecar else "run", self.altered)
+        self.members[name] = Member(folder, words, place.file, place.control, environment)
 
     def write(self, more: list[str] | None = None, only: list[str] | None = None) -> None:
         """The files, anew; `more` instead of the lines so far; `only`: of these members."""
@@ -72,7 +75,9 @@
                                     if other.name in self.listed.get(name, self.places)], lines)
 
     def address(self, place: Place, other: Place) -> str:
-        at = other.at if place is other else self.breaker.gate(place.name, other.name, other.at)
+        at = other.at
+        if self.relay and place is not other:
+            at = self.breaker.gate(place.name, other.name, at)
         return f"{at[0]}:{at[1]}"
 
     @property
@@ -194,6 +199,13 @@
         except (OSError, ValueError):
             return None
 
+    def fill(self, name: str, on: bool = True) -> None:
+        """Its disk is full (patch=DISKS), or has room again."""
+        assert self.altered, "a Fleet with patch=DISKS is wanted"
+        self.did(f"disk of {name} {'full' if on else 'has room'}")
+        path = self.places[name].folder / "full"
+        path.touch() if on else path.unlink(missing_ok=True)
+
     def jump(self, name: str, seconds: float) -> None:
         """Its wall clock is off by that, from now on."""
         assert self.clocks, "a Fleet with clocks=True is wanted"
