--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -1,4 +1,4 @@
-"""Commits a second and their latency at 1, 3, 5 and 7 members, with and without fsync, against a single process
+"""Commits a second and their latency at 1, 3, 5 and 7 members, with and without fsync, against one process
 that appends and syncs; and how long a member takes to catch up against how far it is behind.
 
 Clients are connections to the leader's control socket, each with one note out at a time: what is measured is
