--- a/proofs/fleetkit/__init__.py
+++ b/proofs/fleetkit/__init__.py
@@ -23,10 +23,16 @@
 Files: `files` (what operators write), `processes` (one member's process), `fleet` (all of them), `faults`
 (seeded plans and who plays them), `checks` (what must hold at the end), `altered` (the program
 with wrong clocks, or with a guard taken away: `Fleet(patch=FILE)` runs FILE in each member first)."""
-from .checks import Notes, books, settled
-from .faults import Event, Player, drawn
-from .files import Pool
-from .fleet import DISKS, Fleet
-from .processes import until
+import sys
+from pathlib import Path
+
+if str(Path(__file__).parent.parent.parent) not in sys.path:
+    sys.path.insert(0, str(Path(__file__).parent.parent.parent))
+
+from .checks import Notes, books, settled  # noqa: E402
+from .faults import Event, Player, drawn  # noqa: E402
+from .files import Pool  # noqa: E402
+from .fleet import DISKS, Fleet  # noqa: E402
+from .processes import until  # noqa: E402
 
 __all__ = ["DISKS", "Event", "Fleet", "Notes", "Player", "Pool", "books", "drawn", "settled", "until"]
