--- /dev/null
+++ b/indigohitch/fleet/members/entries.py
@@ -0,0 +1,82 @@
+"""The entries of the part `members`, and what the book keeps of a member and a change.  Shapes only."""
+from __future__ import annotations
+
+import enum
+
+from ...packed.rows import Row
+
+
+class Join(Row):
+    """By `name?token`: a process that has just started, or one that was shut out and begins anew."""
+    name: str
+    token: int
+    votes: bool = False
+
+
+class Leave(Row):
+    """By the member itself, at an orderly end, after its last act."""
+    name: str
+    incarnation: int
+
+
+class ShutOut(Row):
+    name: str
+    incarnation: int
+    why: str
+
+
+class Gone(Row):
+    """By the leader, once the lease has surely run out by its reckoning."""
+    name: str
+    incarnation: int
+
+
+class Compare(Row):
+    """A point at which every member takes the digest of its book."""
+
+
+class Agreed(Row):
+    """What most members had there: who has another shuts itself out."""
+    index: int
+    digest: bytes
+
+
+class Back(Row):
+    """Compared and found equal at point `index`: it may act."""
+    name: str
+    incarnation: int
+    index: int
+
+
+class InForce(Row):
+    """Every member that may act has taken all changes up to `version`.  `taken`: name, incarnation, and how
+    many acts it had stamped when it said that it goes by `version` or later; the audit holds it to that."""
+    version: int
+    taken: tuple[tuple[str, int, int], ...] = ()
+
+
+class Life(enum.StrEnum):
+    COMPARED = "being compared"
+    VALID = "valid"
+    SHUT_OUT = "shut out"
+    GONE = "gone"
+
+
+class Member(Row):
+    """One incarnation of a name."""
+    name: str
+    incarnation: int
+    votes: bool
+    joined: int                 # the entry
+    life: Life = Life.COMPARED
+    since: int = 0              # the entry that made it so
+    why: str = ""
+
+
+class Change(Row):
+    """What members must take.  `hard`: nobody may act by what was before once it is in force; else they may
+    for `allowed` longer."""
+    index: int
+    what: str
+    hard: bool
+    allowed: int = 0
--- /dev/null
+++ b/indigohitch/fleet/members/judge.py
@@ -0,0 +1,183 @@
+"""What the leader makes of its members: who is current, behind, a straggler, and what it proposes.  No I/O.
+
+A soft change allows a member its stated time on the old version.  For a hard one, and for a member that lags
+far behind, it is a share of a lease.  Who is later than that is brought up, as long as it moves and not for
+longer than `BRINGING` leases, or shut out; who isn't heard of for a lease is shut out.  What a hard change
+takes away is free only with `in_force`, when every member that may act has taken it."""
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ...packed.rows import Row
+from ..terms import Standing
+from .entries import Agreed, Back, Compare, Gone, InForce, Life, Member, ShutOut
+from .roster import Roster
+from .words import Renew
+
+# Entries that a member may lack without being behind: some beats' worth under a burst of proposals.
+LAG = 512
+# Leases for which a straggler that moves is brought up before it is shut out: 2,000 entries or a snapshot of
+# some MB take a fraction of one; who needs longer is better off starting anew than acting on what is old.
+BRINGING = 5
+# Leases from one point of comparing to the next, while entries come: a digest of a large book takes some ms.
+COMPARING = 5
+
+
+@dataclass(slots=True)
+class Seen:
+    """What the leader knows of one incarnation; times by the leader's clock."""
+    heard: int                  # when it last asked for a lease
+    moved: int                  # when `applied` last grew
+    applied: int = 0
+    acts: int = 0
+    digest_at: int = 0
+    digest: bytes = b""
+    late: int = 0               # since when it is a straggler; 0: it isn't
+
+    def renewed(self, now: int, word: Renew) -> None:
+        self.heard = now
+        if word.applied > self.applied:
+            self.applied, self.moved, self.acts = word.applied, now, word.acts
+        self.digest_at, self.digest = word.digest_at, word.digest
+
+
+class Judge:
+    """At the leader only, from its election on.  `over(now, name, incarnation)`: has that lease surely run
+    out (leases.Giver.over)."""
+
+    def __init__(self, roster: Roster, span: int, over: Callable[[int, str, int], bool]) -> None:
+        self.roster, self.span, self.over = roster, span, over
+        self.elected = self.now = 0                     # `now`: of the last look, for `status`
+        self.seen: dict[tuple[str, int], Seen] = {}
+        self.known_since: dict[int, int] = {}           # change -> when this leader first saw it
+        self.point, self.pointed = 0, 0      # of comparing: which, since when
+
+    def begin(self, now: int) -> None:
+        self.elected = self.now = self.pointed = now
+        self.point = self.roster.compared
+        self.seen.clear()
+        self.known_since.clear()
+
+    def heard(self, now: int, name: str, word: Renew) -> None:
+        self.of(now, name, word.incarnation).renewed(now, word)
+
+    def of(self, now: int, name: str, incarnation: int) -> Seen:
+        if (name, incarnation) not in self.seen:
+            self.seen[name, incarnation] = Seen(now, now)
+        return self.seen[name, incarnation]
+
+    # ---- standings ---------------------------------------------------------------------------------
+
+    def standing(self, now: int, member: Member) -> Standing:
+        """Shut out, gone and back are told by entries; the rest by what was heard."""
+        if member.life is not Life.VALID:
+            return {Life.SHUT_OUT: Standing.SHUT_OUT, Life.GONE: Standing.GONE,
+                    Life.COMPARED: Standing.BACK}[member.life]
+        seen = self.of(now, member.name, member.incarnation)
+        due = min(self.deadlines(now, member, seen), default=None)
+        if due is None:
+            seen.late = 0
+            return Standing.CURRENT
+        if now < due:
+            return Standing.BEHIND
+        seen.late = seen.late or now
+        moving = now < seen.moved + self.span and now < seen.late + BRINGING * self.span
+        return Standing.BROUGHT_UP if moving else Standing.STRAGGLER
+
+    def deadlines(self, now: int, member: Member, seen: Seen) -> Iterator[int]:
+        """Until when it may lack what it lacks."""
+        for change in self.roster.changes:
+            if not self.took(member, seen, change.index):
+                since = self.known_since.setdefault(change.index, now)
+                yield since + (self.span // 2 if change.hard else change.allowed)
+        if self.roster.book.index - max(seen.applied, member.since) > LAG:
+            yield max(seen.moved, self.elected) + self.span // 2
+
+    @staticmethod
+    def took(member: Member, seen: Seen, version: int) -> bool:
+        """It acts by `version` or later: it says so, or it acts only since an entry after it."""
+        return member.since > version or seen.applied >= version
+
+    def silent(self, now: int, member: Member) -> bool:
+        return now >= self.of(now, member.name, member.incarnation).heard + self.span
+
+    # ---- proposals ---------------------------------------------------------------------------------
+
+    def proposals(self, now: int) -> list[Row]:
+        """Each is wanted until its entry is applied; the same now, the same again."""
+        self.now, members = now, list(self.roster.members.values())
+        for one in self.seen.keys() - self.roster.members.keys():
+            del self.seen[one]
+        for change in self.known_since.keys() - {change.index for change in self.roster.changes}:
+            del self.known_since[change]
+        wanted: list[Row] = []
+        for member in members:
+            if member.life is Life.SHUT_OUT and self.over(now, member.name, member.incarnation):
+                wanted.append(Gone(member.name, member.incarnation))
+            elif why := self.why_out(now, member):
+                wanted.append(ShutOut(member.name, member.incarnation, why))
+        wanted += self.taken(now)
+        return wanted + self.comparing(now, [m for m in members if m.life in (Life.VALID, Life.COMPARED)])
+
+    def why_out(self, now: int, member: Member) -> str:
+        if member.life in (Life.VALID, Life.COMPARED) and self.silent(now, member):
+            return "not heard of for a lease"
+        if self.differs(now, member):
+            return "its state differs"
+        if self.standing(now, member) is Standing.STRAGGLER:
+            return "a straggler that isn't brought up"
+        return ""
+
+    def differs(self, now: int, member: Member) -> bool:
+        seen, agreed = self.of(now, member.name, member.incarnation), self.roster.agreed
+        return (member.life in (Life.VALID, Life.COMPARED) and seen.digest_at == agreed.index > 0
+                and seen.digest != agreed.digest)
+
+    def taken(self, now: int) -> list[Row]:
+        """The last change that all have taken.  One shut out counts until it is gone."""
+        present = [(member, self.of(now, member.name, member.incarnation))
+                   for member in self.roster.present()]
+        for change in reversed(self.roster.changes):
+            if all(member.life is Life.VALID and self.took(member, seen, change.index)
+                   for member, seen in present):
+                return [InForce(change.index, tuple((member.name, member.incarnation, seen.acts)
+                                                    for member, seen in present
+                                                    if seen.applied >= change.index))]
+        return []
+
+    # ---- comparing ---------------------------------------------------------------------------------
+
+    def comparing(self, now: int, members: list[Member]) -> list[Row]:
+        roster = self.roster
+        if roster.compared != self.point:
+            self.point, self.pointed = roster.compared, now
+        agreed, wanted = roster.agreed, []
+        for member in members:
+            seen = self.of(now, member.name, member.incarnation)
+            if (member.life is Life.COMPARED and seen.digest_at == agreed.index > member.joined
+                    and seen.digest == agreed.digest):
+                wanted.append(Back(member.name, member.incarnation, agreed.index))
+        told = [self.of(now, member.name, member.incarnation) for member in members]
+        if roster.compared > agreed.index:
+            own = roster.digests.get(roster.compared)
+            counts = Counter(seen.digest for seen in told if seen.digest_at == roster.compared)
+            waited = now >= self.pointed + self.span // 2
+            if own is not None and counts and (waited or counts.total() == len(told)):
+                wanted.append(Agreed(roster.compared, self.most(counts, own)))
+            elif waited:
+                wanted.append(Compare())        # nobody could tell, or this leader was set to a later state
+            return wanted
+        missed = now >= self.pointed + self.span        # one that was brought up past the point
+        new = any(member.life is Life.COMPARED and (
+            member.joined > roster.compared or (missed and one.digest_at < roster.compared))
+            for member, one in zip(members, told))
+        busy = roster.book.index > agreed.index + 2 and now >= self.pointed + COMPARING * self.span
+        return wanted + [Compare()] if new or busy else wanted
+
+    @staticmethod
+    def most(counts: Counter[bytes], own: bytes) -> bytes:
+        """What more than half have; where no digest has that, the leader's, whose log the others follow."""
+        digest, count = counts.most_common(1)[0]
+        return digest if 2 * count > counts.total() else own
--- /dev/null
+++ b/indigohitch/fleet/members/roster.py
@@ -0,0 +1,194 @@
+"""The roster: who is a member under which incarnation, who may act, which changes are in force.  A part of
+the book: the same at every member after the same entry.
+
+An incarnation goes one way: being compared, valid, shut out, gone.  It is given by `join` and never again;
+one that joins later shuts out those before it.  `gone` is proposed by the leader once that lease has surely
+run out (leases.py), and only there the other parts hear that what it held is free."""
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from ...errors import Unfit, Unreadable
+from ...packed.rows import Row
+from ..book import Book
+from ..ports import At
+from .entries import (
+    Agreed,
+    Back,
+    Change,
+    Compare,
+    Gone,
+    InForce,
+    Join,
+    Leave,
+    Life,
+    Member,
+    ShutOut,
+)
+
+# Start tokens remembered for each name, so that a join that comes twice is answered, not carried out twice.
+TOKENS = 8
+# Changes not yet in force that are told apart; a fleet has a handful.  Beyond, a later one stands for both.
+CHANGES = 256
+FORM = 1
+LATER = "a later incarnation has joined"
+
+
+class RosterRow(Row):
+    members: list[Member]
+    highest: dict[str, int]
+    tokens: dict[str, list[tuple[int, int]]]
+    changes: list[Change]
+    in_force: int
+    compared: int
+    agreed: Agreed
+    form: int = FORM
+
+
+class Roster:
+    name = "members"
+    kinds: Mapping[str, type[Row]] = {"join": Join, "leave": Leave, "shut_out": ShutOut, "gone": Gone,
+                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce}
+    book: Book
+
+    def __init__(self) -> None:
+        self.members: dict[tuple[str, int], Member] = {}        # not gone, and the last one of each name
+        self.highest: dict[str, int] = {}                       # incarnation given, by name
+        self.tokens: dict[str, list[tuple[int, int]]] = {}      # token, incarnation
+        self.changes: list[Change] = []                         # not in force
+        self.in_force = 0               # the last change that is
+        self.compared = 0               # the last point of comparing
+        self.agreed = Agreed(0, b"")
+        self.digests: dict[int, bytes] = {}     # this member's own, at the last points: not part of the state
+
+    # ---- asked by other parts, works and the leader --------------------------------------------------
+
+    def unfit(self, name: str, incarnation: int) -> str:
+        """Why it may not act; "" where it may, as far as entries tell (it needs its lease too)."""
+        if (member := self.members.get((name, incarnation))) is not None:
+            return "" if member.life is Life.VALID else member.life.value
+        return LATER if incarnation < self.highest.get(name, 0) else "not joined"
+
+    def valid(self) -> list[Member]:
+        return [member for member in self.members.values() if member.life is Life.VALID]
+
+    def present(self) -> list[Member]:
+        """All that may still act: those valid, and those shut out whose lease may run."""
+        return [member for member in self.members.values() if member.life in (Life.VALID, Life.SHUT_OUT)]
+
+    def changed(self, at: At, what: str, hard: bool = False, allowed: int = 0) -> None:
+        """For parts, within the entry that changes what the fleet acts by.  A hard one (a contract cut, a
+        member or server removed) may count on the old version's end only once it is in force: `in_force`
+        has reached that entry, and `change_in_force(at, version)` of each part that has it is called."""
+        change = Change(at.index, what, hard, allowed)
+        same = [n for n, one in enumerate(self.changes) if (one.what, one.hard) == (what, hard)]
+        if same and (not hard or len(self.changes) >= CHANGES):
+            del self.changes[same[-1]]
+        elif len(self.changes) >= CHANGES:
+            del self.changes[0]
+        self.changes.append(change)
+
+    # ---- entries -----------------------------------------------------------------------------------
+
+    def apply(self, at: At, word: str, body: Row) -> object:
+        return getattr(self, f"on_{word}")(at, body)
+
+    def on_join(self, at: At, join: Join) -> int:
+        """The incarnation: it only grows for that name."""
+        tokens = self.tokens.setdefault(join.name, [])
+        for token, incarnation in tokens:
+            if token == join.token:
+                return incarnation
+        self.highest[join.name] = incarnation = self.highest.get(join.name, 0) + 1
+        tokens.append((join.token, incarnation))
+        del tokens[:-TOKENS]
+        for old in [p for p in self.book.proposers if p.startswith(f"{join.name}?") and p != at.proposer]:
+            del self.book.proposers[old]        # starts that are over would pile up
+        for member in [member for member in self.members.values() if member.name == join.name]:
+            self.shut(at, member, LATER)
+            if member.life is Life.GONE:
+                self.members.pop((member.name, member.incarnation), None)
+        self.members[join.name, incarnation] = Member(join.name, incarnation, join.votes, at.index,
+                                                      since=at.index)
+        return incarnation
+
+    def shut(self, at: At, member: Member, why: str) -> None:
+        """One that was never valid holds nothing: it is gone at once."""
+        if member.life is Life.VALID:
+            member.life, member.since, member.why = Life.SHUT_OUT, at.index, why
+        elif member.life is Life.COMPARED:
+            member.why = why
+            self.end(at, member)
+
+    def end(self, at: At, member: Member) -> None:
+        member.life, member.since = Life.GONE, at.index
+        for part in self.book.parts.values():
+            if (hear := getattr(part, "member_gone", None)) is not None:
+                hear(at, member.name, member.incarnation)
+        if member.incarnation < self.highest[member.name]:      # of each name the last one gone is told of
+            del self.members[member.name, member.incarnation]
+
+    def known(self, name: str, incarnation: int, *lives: Life) -> Member:
+        member = self.members.get((name, incarnation))
+        if member is None or member.life not in lives:
+            raise Unfit(f"{name} {incarnation} is {member.life.value if member else 'not known'}")
+        return member
+
+    def on_leave(self, at: At, leave: Leave) -> None:
+        if (at.proposer, at.incarnation) != (leave.name, leave.incarnation):
+            raise Unfit("a member leaves by itself")
+        member = self.known(leave.name, leave.incarnation, Life.COMPARED, Life.VALID, Life.SHUT_OUT)
+        member.why = "left"
+        self.end(at, member)
+
+    def on_shut_out(self, at: At, out: ShutOut) -> None:
+        self.shut(at, self.known(out.name, out.incarnation, Life.COMPARED, Life.VALID), out.why)
+
+    def on_gone(self, at: At, gone: Gone) -> None:
+        self.end(at, self.known(gone.name, gone.incarnation, Life.SHUT_OUT))
+
+    def on_compare(self, at: At, body: Compare) -> int:
+        """The digest as the book stands within this entry; each member's is its own, and not told here."""
+        self.compared = at.index
+        self.digests[at.index] = self.book.digest()
+        for old in sorted(self.digests)[:-TOKENS]:
+            del self.digests[old]
+        return at.index
+
+    def on_agreed(self, at: At, agreed: Agreed) -> None:
+        if agreed.index <= self.agreed.index:
+            raise Unfit(f"point {agreed.index} after {self.agreed.index}")
+        self.agreed = agreed
+
+    def on_back(self, at: At, back: Back) -> None:
+        member = self.known(back.name, back.incarnation, Life.COMPARED)
+        if back.index < member.joined:
+            raise Unfit(f"compared at {back.index}, joined at {member.joined}")
+        member.life, member.since = Life.VALID, at.index
+
+    def on_in_force(self, at: At, body: InForce) -> None:
+        if not self.in_force < body.version < at.index:
+            raise Unfit(f"version {body.version} after {self.in_force}")
+        self.in_force = body.version
+        self.changes = [change for change in self.changes if change.index > body.version]
+        for part in self.book.parts.values():
+            if (hear := getattr(part, "change_in_force", None)) is not None:
+                hear(at, body.version)
+
+    # ---- as a whole --------------------------------------------------------------------------------
+
+    def row(self) -> RosterRow:
+        return RosterRow(list(self.members.values()), self.highest, self.tokens, self.changes, self.in_force,
+                         self.compared, self.agreed)
+
+    def restore(self, row: bytes) -> None:
+        try:
+            row = msgspec.msgpack.decode(row, type=RosterRow)
+        except msgspec.MsgspecError as bad:
+            raise Unreadable(f"not a roster: {bad}") from None
+        self.members = {(member.name, member.incarnation): member for member in row.members}
+        self.highest, self.tokens, self.changes = row.highest, row.tokens, row.changes
+        self.in_force, self.compared, self.agreed = row.in_force, row.compared, row.agreed
+        self.digests.clear()
