A node beside a sidecar's and a coordinator's front; disk and port have one owner in an upgrade

The old process gives its place up while it settles and closes its node before its word goes out; what an upgrade called off leaves is taken up again. An orderly end leaves only once nothing is in hand.

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -14,15 +14,20 @@
 from .replaceable import Replaceable
 from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
+from .upgrade.giving import Side
 
 
 class Coordinating(Replaceable):
-    def __init__(self, environ: Mapping[str, str], text: Text) -> None:
-        self.environ, self.source = environ, text.source
+    def __init__(self, environ: Mapping[str, str], text: Text, follows: bool) -> None:
+        self.environ, self.source, self.fleet, self.follows = environ, text.source, text.fleet, follows
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
-    def make_side(self) -> Handover:
-        return Handover(None, self.make, self.controls, self.control_taken, self.reload)
+    def make_side(self) -> Side:
+        side = Handover(None, self.make, self.controls, self.control_taken, self.reload)
+        if self.fleet is None:
+            return side
+        from .fleet.node.inside import beside
+        return beside(self, side, self.fleet, False, self.follows)
 
     def make(self, listening: socket.socket | None) -> Front:
         return Front(self.loop, self.log,
@@ -53,6 +58,11 @@
             self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
         except UNUSABLE as bad:
             self.log.trouble("reload_failed", **told(bad, REMEDY))
+        if self.beside is not None:
+            try:
+                self.beside.reread(operator_file.load(self.source).fleet)
+            except (OSError, ValueError) as bad:
+                self.log.trouble("reload_failed", **told(bad))
 
     def all_done(self) -> bool:
         return self.side.front.relay.idle
@@ -70,4 +80,4 @@
         return alone.main(text)
     channel = launch.inherited()
     os.set_blocking(1, False)
-    return Coordinating(os.environ, text).run(channel)
+    return Coordinating(os.environ, text, channel is not None).run(channel)
--- a/indigohitch/fleet/links/ends.py
+++ b/indigohitch/fleet/links/ends.py
@@ -175,6 +175,8 @@
                 self.take(word)
                 if not connection.open:
                     return
+            if not self.links.kinds.magic.startswith(self.frames.rest[:4]):
+                raise Broken("another protocol")        # less than a head: nobody need wait for the rest
         except Broken as broken:
             self.links.spoilt(self.who.name if self.who else "", broken)
             self.close()
--- a/indigohitch/fleet/node/alone.py
+++ b/indigohitch/fleet/node/alone.py
@@ -11,7 +11,8 @@
 from ...replaceable import Replaceable
 from ...upgrade import launch
 from ...upgrade import snapshot as shots
-from .inside import Handed, Inside
+from ...upgrade.giving import Side
+from .inside import beside
 
 
 class Bare:
@@ -89,18 +90,9 @@
         self.text, self.follows = text, follows
         super().__init__(text.single["name"], text.single, text.waits)
 
-    def make_side(self) -> Handed:
-        self.inside = Inside(self.loop, self.log, self.text.fleet, True, self.follows, self.cut_short)
-        return Handed(Bare(self.clock, self.controls, self.control_taken, self.reload), self.inside)
-
-    def cut_short(self, why: str) -> None:
-        self.loop.after(0, lambda: self.end_with(1))
-
-    def more_figures(self) -> dict:
-        return self.inside.figures()
-
-    def more_asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
-        return self.inside.asked(what, line, answer)
+    def make_side(self) -> Side:
+        side = Bare(self.clock, self.controls, self.control_taken, self.reload)
+        return beside(self, side, self.text.fleet, True, self.follows)
 
     def program_now(self) -> list[str]:
         try:
@@ -111,21 +103,12 @@
     def reload(self) -> None:
         """Members, their addresses and what the file contracts; a file with a mistake changes nothing."""
         try:
-            self.inside.reread(operator_file.load(self.text.source).fleet)
+            self.beside.reread(operator_file.load(self.text.source).fleet)
         except (OSError, ValueError) as bad:
             self.log.trouble("reload_failed", why=str(bad))
             return
         self.log.count("reloads")
 
-    def begin_to_end(self) -> None:
-        self.inside.leave()
-
-    def all_done(self) -> bool:
-        return self.inside.left
-
-    def close(self) -> None:
-        self.inside.close()
-
 
 def main(text: Text) -> int:
     """Raises OSError."""
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -10,10 +10,11 @@
 from ...log import Log
 from ...net.clock import SECOND
 from ...net.loop import Loop
+from ...replaceable import Replaceable
 from ...upgrade.giving import Side
 from .asked import Asked
 from .figures import figures
-from .node import Node
+from .node import Node, Phase
 
 AGAIN = SECOND // 5             # a disk or port that the process before this one still holds
 # Of a leaving that no majority takes note of: the lease runs out instead.
@@ -62,10 +63,11 @@
         self.why = why
         self.on_ended(why)
 
-    def leave(self) -> None:
-        if self.node is not None:
+    def leave(self, give_up: bool) -> None:
+        """`give_up`: its incarnation too, as nothing hangs on that any more."""
+        if self.node is not None and self.node.phase is Phase.TAKING_PART:
             self.until = self.loop.clock.now() + LEAVING
-            self.node.leave(self.alone)
+            self.node.leave(give_up)
 
     @property
     def left(self) -> bool:
@@ -108,7 +110,8 @@
     def settle(self, on: bool) -> None:
         self.side.settle(on)
         if on:
-            self.inside.leave()
+            # What a front has in hand goes on under its incarnation until the lease runs out.
+            self.inside.leave(self.inside.alone)
         else:
             self.inside.stay()
 
@@ -126,3 +129,16 @@
     def begin(self, restored: bool) -> None:
         self.side.begin(restored)
         self.inside.open()
+
+
+def beside(process: Replaceable, side: Side, text: FleetText | None, alone: bool, follows: bool) -> Side:
+    """Puts a node beside the process' front, where its file has a fleet."""
+    if text is None:
+        return side
+
+    def ended(why: str) -> None:
+        if alone:
+            process.loop.after(0, lambda: process.end_with(1))
+    if process.beside is None:
+        process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
+    return Handed(side, process.beside)
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from .control import Control
 from .errors import Trouble, told
@@ -22,6 +23,16 @@
 from .upgrade.taking import Taking
 
 
+class Beside(Protocol):
+    """What lives in the process beside its front: a member of the fleet (fleet/node/inside)."""
+    left: bool                          # nothing is waited for any more
+
+    def figures(self) -> dict: ...
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool: ...
+    def leave(self, give_up: bool) -> None: ...
+    def close(self) -> None: ...
+
+
 class Phase(enum.Enum):
     STARTING = "starting"
     TAKING_OVER = "taking over"
@@ -39,6 +50,7 @@
         super().__init__(Phase.STARTING, name)
         self.lines, self.waits, self.code = lines, waits, 0
         self.control: Control | None = None
+        self.beside: Beside | None = None
         self.state = StateFile(lines["state"], self.clock, self.log)
         self.side: Side = self.make_side()
         self.askers: list[Callable[[dict], None]] = []
@@ -57,10 +69,6 @@
     def more_figures(self) -> dict:
         return {}
 
-    def more_asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
-        """Another word on the control socket; False: it is none of ours."""
-        return False
-
     def program_now(self) -> list[str]:
         """The operator's line `program` as it is now; of a file with mistakes, as it was: the new process
         reads that file too, and says what is wrong with it."""
@@ -173,13 +181,13 @@
             self.upgrade(answer)
         elif what == "snapshot":
             answer(self.state.save(self.side))
-        elif not self.more_asked(what, line, answer):
+        elif self.beside is None or not self.beside.asked(what, line, answer):
             answer({"error": f"no such word: {what[:40]}"})
 
     def figures(self) -> dict:
         return {"name": self.log.name, "pid": os.getpid(), "phase": self.phase.value,
                 "upgrade": self.giving.machine.phase.value, "counters": dict(sorted(self.log.counts.items())),
-                **self.more_figures()}
+                **(self.beside.figures() if self.beside is not None else {}), **self.more_figures()}
 
     def upgrade(self, answer: Callable[[dict], None]) -> None:
         follows = self.taking is not None and not self.taking.over
@@ -220,13 +228,20 @@
 
     def wait_for_last(self) -> None:
         if self.phase is Phase.ENDING:
-            if self.all_done():
+            if self.all_done() and (self.beside is None or self.leaves_beside()):
                 self.end()
             else:
                 self.loop.after(self.POLL, self.wait_for_last)
 
+    def leaves_beside(self) -> bool:
+        """Only once nothing is in hand that hangs on it."""
+        self.beside.leave(True)
+        return self.beside.left
+
     def end(self) -> None:
         if self.phase is not Phase.ENDED:
+            if self.beside is not None:
+                self.beside.close()
             self.close()
             if self.control is not None:
                 self.control.close(unlink=not self.handed)
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -9,18 +9,23 @@
 from ..errors import Unfit, told
 from ..replaceable import Replaceable
 from ..upgrade import launch
+from ..upgrade.giving import Side
 from .handover import Handover
 from .host import Host
 
 
 class Sidecar(Replaceable):
-    def __init__(self, source: str, text: Text) -> None:
-        self.source, self.text = source, text
+    def __init__(self, source: str, text: Text, follows: bool = False) -> None:
+        self.source, self.text, self.follows = source, text, follows
         super().__init__(text.single["name"], text.single, text.waits)
 
-    def make_side(self) -> Handover:
+    def make_side(self) -> Side:
         self.host = Host(self.loop, self.log, self.text)
-        return Handover(self.host, self.controls, self.control_taken, self.reload)
+        side = Handover(self.host, self.controls, self.control_taken, self.reload)
+        if self.text.fleet is None:
+            return side
+        from ..fleet.node.inside import beside
+        return beside(self, side, self.text.fleet, False, self.follows)
 
     def turn(self) -> None:
         self.host.turn()
@@ -52,6 +57,8 @@
         self.log.count("reloads")
         if self.host.access is not None:
             self.host.access.reopen()
+        if self.beside is not None:
+            self.beside.reread(text.fleet)
         for name, pool in self.host.pools.items():
             self.log.event("reloaded", pool=name, **pool.relist(text.pools[name].servers))
 
@@ -84,4 +91,4 @@
     if soft != resource.RLIM_INFINITY and soft < wanted:
         resource.setrlimit(resource.RLIMIT_NOFILE,
                            (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard))
-    return Sidecar(source, text).run(channel)
+    return Sidecar(source, text, channel is not None).run(channel)
