--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -4,21 +4,28 @@
 import os
 import resource
 
+from ..directives import sidecar_file
+from ..directives.texts import Text
+from ..errors import Unfit, told
 from ..replaceable import Replaceable
 from ..upgrade import launch
-from . import conf
+from ..upgrade.giving import Side
 from .handover import Handover
 from .host import Host
 
 
 class Sidecar(Replaceable):
-    def __init__(self, source: str, text: conf.Text) -> None:
-        self.source, self.text = source, text
+    def __init__(self, source: str, text: Text, follows: bool = False) -> None:
+        self.source, self.text, self.follows = source, text, follows
         super().__init__(text.single["name"], text.single, text.waits)
 
-    def make_side(self) -> Handover:
+    def make_side(self) -> Side:
         self.host = Host(self.loop, self.log, self.text)
-        return Handover(self.host, self.controls, self.control_taken, self.reload)
+        side = Handover(self.host, self.controls, self.control_taken, self.reload)
+        if self.text.fleet is None:
+            return side
+        from ..fleet.node.inside import beside
+        return beside(self, side, self.text.fleet, False, self.follows)
 
     def turn(self) -> None:
         self.host.turn()
@@ -28,12 +35,12 @@
 
     def without_state(self) -> None:
         self.host.close()
-        self.text = conf.load(self.source)
+        self.text = sidecar_file.load(self.source)
         self.side = self.giving.side = self.make_side()
 
     def program_now(self) -> list[str]:
         try:
-            return conf.load(self.source).single["program"]
+            return sidecar_file.load(self.source).single["program"]
         except (OSError, ValueError):
             return self.lines["program"]
 
@@ -41,15 +48,17 @@
         """Servers as the file names them now; all else in it waits for an upgrade.  A file with a mistake
         changes nothing."""
         try:
-            text = conf.load(self.source)
+            text = sidecar_file.load(self.source)
             if text.pools.keys() != self.text.pools.keys():
-                raise ValueError("other pools: this takes an upgrade")
+                raise Unfit("other pools", self.source, "`indigohitch upgrade` puts them in force")
         except (OSError, ValueError) as bad:
-            self.log.trouble("reload_failed", why=str(bad))
+            self.log.trouble("reload_failed", **told(bad))
             return
         self.log.count("reloads")
         if self.host.access is not None:
             self.host.access.reopen()
+        if self.beside is not None:
+            self.beside.reread(text.fleet)
         for name, pool in self.host.pools.items():
             self.log.event("reloaded", pool=name, **pool.relist(text.pools[name].servers))
 
@@ -73,13 +82,13 @@
 
 
 def main(source: str) -> int:
-    """Raises conf.Mistakes, OSError."""
+    """Raises Mistakes, OSError."""
     channel = launch.inherited()
-    text = conf.load(source)
+    text = sidecar_file.load(source)
     os.set_blocking(1, False)           # a log that nobody reads must not hold up the service
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = 2 * text.limits["clients"] + 256       # each client may have a server's connection
     if soft != resource.RLIM_INFINITY and soft < wanted:
         resource.setrlimit(resource.RLIMIT_NOFILE,
                            (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard))
-    return Sidecar(source, text).run(channel)
+    return Sidecar(source, text, channel is not None).run(channel)
