Seats: contracts and shares in the book, giving from a share under lease, a server's own meter

Licence seats need a decision part before anything can talk: the book's part, the desk of a member, the leader's moves, ends by the server's clock. 200 seeded schedules (tests/seatworld.py: drift of 5 %, kills, stops, cuts, restarts, changed contracts, doubled and late RPCs) by a true meter: none over the contract, nothing leaked after quiet.

--- /dev/null
+++ b/indigohitch/fleet/seats/moving.py
@@ -0,0 +1,76 @@
+"""How the leader spreads the seats of one pool over the members.  Pure.
+
+The design's own mechanism: whole seats, from the member with most idle to the one with most wanting, only for
+a positive gain, beyond a dead band, with a budget a round.  What a member should have is its part under
+max-min fairness: who wants less than an equal part gets what it wants, the others share the rest."""
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+# A member keeps one seat more than it wants, lest one seat goes to and fro with each job; not where another
+# one that wants some has none at all.
+BAND = 1
+# Of a pool in a round (half a second): a pool is spread anew in about two seconds, and a burst at one member
+# moves a quarter of it at the most before the others' reports are in.
+BUDGET = 4
+
+
+@dataclass(slots=True, frozen=True)
+class Wish:
+    """`net`: seats held and not owed; `used`: most in use lately; `missed`: asks that found none lately."""
+    name: str
+    incarnation: int
+    net: int
+    used: int
+    missed: int
+
+    @property
+    def demand(self) -> int:
+        return self.used + self.missed
+
+
+def parts(size: int, demands: Sequence[int]) -> tuple[list[int], int]:
+    """Whole seats of `size` for each demand, max-min fair; and how many nobody wants."""
+    found, left = [0] * len(demands), size
+    order = sorted(range(len(demands)), key=lambda i: (demands[i], i))
+    for place, i in enumerate(order):
+        found[i] = min(demands[i], left // (len(order) - place))
+        left -= found[i]
+    return found, left
+
+
+def spread(size: int, free: int, coming: int, wishes: Sequence[Wish]
+           ) -> tuple[list[tuple[Wish, int]], list[tuple[Wish, int]]]:
+    """What to grant now and what to recall in this round, of a pool of `size` with so many free seats and
+    so many that are owed and on their way back."""
+    if not wishes:
+        return [], []
+    wishes = sorted(wishes, key=lambda w: w.name)
+    due, spare = parts(size, [w.demand for w in wishes])
+    stock = spare // len(wishes)
+    have = [w.net for w in wishes]
+    granted = [0] * len(wishes)
+    for extra in (0, stock):            # first what is wanted, then an equal part of what is not
+        for i in sorted(range(len(wishes)), key=lambda i: have[i] - due[i]):
+            count = min(free, max(0, due[i] + extra - have[i]))
+            granted[i] += count
+            have[i] += count
+            free -= count
+    grants = [(w, n) for w, n in zip(wishes, granted) if n]
+    return grants, recalls(size, coming, wishes, due, have)
+
+
+def recalls(size: int, coming: int, wishes: Sequence[Wish], due: list[int], have: list[int]
+            ) -> list[tuple[Wish, int]]:
+    lacking = [d - h for d, h in zip(due, have) if d > h]
+    most = min(sum(lacking) - coming, max(1, size // BUDGET))
+    starved = any(h == 0 < d for d, h in zip(due, have))
+    taken, rest = [0] * len(wishes), list(have)
+    for _ in range(max(0, most)):
+        i = max(range(len(wishes)), key=lambda i: rest[i] - due[i])
+        if rest[i] - due[i] <= (0 if starved else BAND):
+            break
+        rest[i] -= 1
+        taken[i] += 1
+    return [(w, n) for w, n in zip(wishes, taken) if n]
--- /dev/null
+++ b/indigohitch/fleet/seats/nodeclock.py
@@ -0,0 +1,130 @@
+"""A job's end by the clock of the server that runs it, and the server's own check.  No I/O.
+
+A server tells its boot id and its monotonic clock with every answer.  Who has such a reading knows how far
+that clock has come at the least: clocks of one bound on drift run apart by that share of the time since.  So
+a job that must be over by an instant of the holder is given the server's time that surely comes before it."""
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from .contract import Given, Pass
+
+
+@dataclass(slots=True)
+class Reading:
+    boot: str
+    clock: int                  # the server's, read before it answered
+    at: int                     # the holder's, when the answer had come
+
+
+class Nodes:
+    """The last reading of each server, at one holder.  `bootstrap["drift"]`: how far two clocks run apart at
+    most, as a share."""
+
+    def __init__(self, bootstrap: dict) -> None:
+        self.drift = bootstrap["drift"]
+        self.readings: dict[str, Reading] = {}
+
+    def heard(self, server: str, boot: str, clock: int, now: int) -> None:
+        known = self.readings.get(server)
+        if known is None or known.boot != boot or clock > known.clock:     # answers may cross
+            self.readings[server] = Reading(boot, clock, now)
+
+    def forget(self, server: str) -> None:
+        self.readings.pop(server, None)
+
+    def end(self, server: str, until: int) -> tuple[str, int]:
+        """Boot id and the server's time that comes before the holder's `until`.  ("", 0) where that server
+        was never heard: it refuses this, and can be heard then."""
+        known = self.readings.get(server)
+        if known is None:
+            return "", 0
+        return known.boot, known.clock + int(max(0, until - known.at) * (1 - self.drift))
+
+
+class Verdict(enum.Enum):
+    """Only LATE tells the holder that nothing of the giving runs there: of the others a copy may."""
+    TAKEN = "taken"
+    LATE = "late"               # its end has passed, or it is of another boot
+    OLD = "old"                 # the seat has been given again since
+    TWICE = "twice"             # this very giving has been here
+
+
+class Meter:
+    """At a server: which seats its jobs use.  A job is refused that came too late, and ends at its end.
+
+    What it has seen is forgotten with its boot id, so nothing from before is taken afterwards."""
+
+    SWEPT = 1024                # stamps kept before those whose end has passed are looked for
+
+    def __init__(self, boot: str) -> None:
+        self.boot, self.sweep_at = boot, self.SWEPT
+        self.last: dict[tuple[str, int], tuple[int, int]] = {}  # by seat: the greatest (counter, use)
+        self.seen: dict[tuple[str, int, int], int] = {}         # by stamp: its end, after which it is late
+        self.jobs: dict[int, Pass] = {}
+        self.serial = 0
+        self.refused = dict.fromkeys(Verdict, 0)
+
+    def takes(self, now: int, shown: Pass) -> tuple[Verdict, int]:
+        """`now` by the server's monotonic clock.  With TAKEN the job's number, for `ended`."""
+        verdict = self.verdict(now, shown)
+        self.refused[verdict] += verdict is not Verdict.TAKEN
+        if verdict is not Verdict.TAKEN:
+            return verdict, 0
+        given = shown.given
+        self.last[given.feature, given.number] = (given.counter, given.use)
+        self.seen[self.name_of(shown)] = shown.until
+        self.serial += 1
+        self.jobs[self.serial] = shown
+        return verdict, self.serial
+
+    def verdict(self, now: int, shown: Pass) -> Verdict:
+        given, last = shown.given, self.last.get((shown.given.feature, shown.given.number))
+        if shown.boot != self.boot or now >= shown.until:
+            return Verdict.LATE
+        if last is not None and (given.counter, given.use) < last:
+            return Verdict.OLD
+        if self.name_of(shown) in self.seen or last == (given.counter, given.use) and not given.shared:
+            return Verdict.TWICE
+        return Verdict.TAKEN
+
+    @staticmethod
+    def name_of(shown: Pass) -> tuple[str, int, int]:
+        return shown.stamp.member, shown.stamp.incarnation, shown.stamp.number
+
+    def ended(self, job: int) -> bool:
+        """False: it had been ended."""
+        return self.jobs.pop(job, None) is not None
+
+    def overdue(self, now: int) -> list[int]:
+        """Jobs whose end has come; they have to be ended now, whatever they are at."""
+        over = [job for job, shown in self.jobs.items() if now >= shown.until]
+        for job in over:
+            del self.jobs[job]
+        if len(self.seen) > self.sweep_at:
+            self.seen = {name: until for name, until in self.seen.items() if until > now}
+            self.sweep_at = max(self.SWEPT, 2 * len(self.seen))
+        return over
+
+    def in_use(self, feature: str) -> set[int]:
+        return {shown.given.number for shown in self.jobs.values() if shown.given.feature == feature}
+
+
+def header(shown: Pass) -> str:
+    """`feature number counter use shared boot until member incarnation term version number`."""
+    g, s = shown.given, shown.stamp
+    return " ".join(map(str, (g.feature, g.number, g.counter, g.use, int(g.shared), shown.boot or "-",
+                              shown.until, s.member, s.incarnation, s.term, s.version, s.number)))
+
+
+def read(text: str) -> Pass | None:
+    """None for what is no pass."""
+    from ..terms import Stamp
+    words = text.split()
+    try:
+        feature, number, counter, use, shared, boot, until, member, *stamp = words
+        return Pass(Given(feature, int(number), int(counter), int(use), shared == "1"),
+                    "" if boot == "-" else boot, int(until), Stamp(member, *map(int, stamp)))
+    except (ValueError, TypeError):
+        return None
--- /dev/null
+++ b/indigohitch/fleet/seats/work.py
@@ -0,0 +1,114 @@
+"""The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from ..ports import Acts, Wanted
+from ..terms import Entry, Lease, Outcome
+from .contract import Contract, Grant, Recall, Report
+from .desk import Desk
+from .moving import Wish, spread
+from .part import Seats
+
+ROUND = 5_000                   # of moves: as often as members report with a lease of 2 s
+
+
+class SeatsWork:
+    """ports.Work.  `contract`: what this member's file contracts, None where it says nothing of seats."""
+    name = "seats"
+
+    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, contract: Contract | None,
+                 bootstrap: dict) -> None:
+        self.part, self.contract = part, contract
+        self.desk = Desk(name, part, acts, fleet_time, bootstrap)
+        self.out: set[str] = set()              # tags of proposals that are not answered
+        self.next_round = 0
+        self.refused = ""                       # why our contract was not taken
+
+    # ---- of any member -----------------------------------------------------------------------------
+
+    def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
+        if not entry.kind.startswith(("seats.", "members.")):
+            return []
+        self.desk.follow()
+        return self.returns()
+
+    def restored(self, now: int) -> list[Wanted]:
+        self.desk.follow()
+        return self.returns()
+
+    def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
+        self.desk.turn(now, lease)
+        wanted = self.returns()
+        if lease is not None and self.contract is not None and self.contract.edition > self.part.edition:
+            wanted += self.want("contract", "seats.contract", self.contract)
+        return wanted
+
+    def returns(self) -> list[Wanted]:
+        wanted = []
+        for row in self.desk.returns():
+            wanted += self.want(f"return {row.feature} {row.pool}", "seats.return", row)
+        return wanted
+
+    def want(self, tag: str, kind: str, row) -> list[Wanted]:
+        """One of a tag at a time: what it was for may look different once it is answered."""
+        if tag in self.out:
+            return []
+        self.out.add(tag)
+        return [Wanted(kind, row, tag)]
+
+    def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
+        self.out.discard(tag)
+        if tag == "contract" and outcome is not None:
+            self.refused = outcome.refused
+        return []
+
+    def report(self, now: int) -> bytes:
+        lease = self.desk.lease
+        rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
+        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows))
+
+    def figures(self) -> dict:
+        standing = self.part.edition
+        return {"edition": standing, "refused_contract": self.refused, "counts": self.desk.counts,
+                "features": {name: {
+                    "seats": f.terms.seats, "held": f.held(), "free": len(f.free) if not f.over() else 0,
+                    "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
+                                                    if of == name),
+                    "members": {f"{s.name} {s.pool}".strip(): len(s.seats) for s in f.shares.values()}}
+                    for name, f in self.part.features.items()}}
+
+    # ---- of the leader -----------------------------------------------------------------------------
+
+    def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
+        told: dict[str, Report] = {}
+        for name, raw in sorted(reports.items()):
+            try:
+                told[name] = msgspec.msgpack.decode(raw, type=Report)
+            except msgspec.MsgspecError:
+                continue                        # of a version that tells it otherwise: no grants to it
+        moves, wanted = now >= self.next_round, []
+        if moves:
+            self.next_round = now + ROUND
+        lately = {(name, feature, pool): (used, missed) for name, report in told.items()
+                  for feature, pool, used, missed in report.wanting}
+        for feature, found in self.part.features.items():
+            for pool, size in found.terms.pools().items():
+                if any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out):
+                    continue                    # what is under way would be counted twice
+                wishes = []
+                for name, report in told.items():
+                    share = found.shares.get((pool, name, report.incarnation))
+                    if report.incarnation > self.part.gone.get(name, 0):
+                        wishes.append(Wish(name, report.incarnation, share.net if share is not None else 0,
+                                           *lately.get((name, feature, pool), (0, 0))))
+                coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
+                grants, back = spread(size, found.room(pool), coming, wishes)
+                for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
+                    word = kind.__name__.lower()
+                    for wish, count in rows:
+                        wanted += self.want(f"lead {feature} {pool} {word} {wish.name}", f"seats.{word}",
+                                            kind(feature, pool, wish.name, wish.incarnation, count))
+        return wanted
