--- a/indigohitch/fleet/batches/contract.py
+++ b/indigohitch/fleet/batches/contract.py
@@ -9,12 +9,11 @@
 from functools import lru_cache
 from zoneinfo import ZoneInfo
 
+from ...directives.tariffs import DAYS
 from ...errors import Unfit
 from ...net.clock import SECOND
 from .rows import Band, Contract, Site
 
-DAYS = ("workday", "saturday", "sunday", "holiday")
-DAY = 24 * 3600 * SECOND        # on the clock
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
--- a/indigohitch/fleet/batches/prices.py
+++ b/indigohitch/fleet/batches/prices.py
@@ -8,25 +8,21 @@
 missing on another), and the price of a kWh in cents, which may be below 0."""
 from __future__ import annotations
 
-import re
 from collections.abc import Collection, Iterator
 from datetime import UTC, datetime, timedelta
 
 import msgspec
 
+from ...directives.tariffs import price
 from ...errors import Unfit, Unreadable
 from ...net.clock import SECOND
 from ...packed.rows import digest
 from .rows import Prices
 
-CENT = 1000                     # the unit of prices is a thousandth of it
 HOUR = 3600 * SECOND
-# Ten times what a kWh has cost in the dearest hour on record: beyond it a point or a digit is wrong.
-MOST = 4000 * CENT
-LINES = 20_000                  # four weeks of quarters for seven sites; the list is one entry of the ledger
+LINES = 3000                    # a month of hours for four sites; a list is one entry, 48 KB at most
 EACH = {"1h": HOUR, "30m": HOUR // 2, "15m": HOUR // 4, "5m": HOUR // 12, "1m": HOUR // 60,
         "10s": 10 * SECOND, "1s": SECOND}
-_PRICE = re.compile(r"-?\d{1,7}(\.\d{1,3})?\Z")
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -66,11 +62,13 @@
             continue
         if len(words) != 3:
             raise bad(at, f"{len(words)} words", "a line is SITE START PRICE")
-        site, start, price = words
+        site, start, told = words
         if site not in sites:
             raise bad(at, f"no site {site}", f"there are {', '.join(sorted(sites))}")
-        if not _PRICE.match(price) or abs(float(price)) * CENT > MOST:
-            raise bad(at, f"{price!r} is no price", "cents for a kWh as a number such as 24.5")
+        try:
+            cents = price(told)
+        except ValueError as no:
+            raise bad(at, str(no), "a number in each line") from None
         try:
             time = moment(start)
         except Unfit as unfit:
@@ -80,7 +78,7 @@
                       "starts lie `each` apart, counted from the full hour of UTC")
         if (first := lines.setdefault((site, time), at)) != at:
             raise bad(at, f"{site} {start} stands already in line {first}", "one price for each start")
-        found.setdefault(site, {})[time] = round(float(price) * CENT)
+        found.setdefault(site, {})[time] = cents
     if not edition or not found:
         raise bad(1, "no edition" if found else "no prices", "a first line `edition N`, and prices")
     for site, prices in found.items():
--- a/indigohitch/fleet/batches/runner.py
+++ b/indigohitch/fleet/batches/runner.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -37,14 +36,6 @@
     def send(self, piece: str, step: int, stamp: Stamp) -> None: ...
 
 
-class Seats(Protocol):
-    """What a class's pieces need beside lanes (fleet/seats); None takes the whole lot or nothing."""
-
-    def take(self, now: int, piece: str, wanted: Mapping[str, int]) -> bool: ...
-
-    def give_back(self, now: int, piece: str) -> None: ...
-
-
 @dataclass(slots=True)
 class Run:
     phase: Phase = Phase.HELD
@@ -58,8 +49,8 @@
 
 
 class Runner:
-    def __init__(self, part: Batches, acts: Acts, port: Port, seats: Seats | None = None) -> None:
-        self.part, self.acts, self.port, self.seats = part, acts, port, seats
+    def __init__(self, part: Batches, acts: Acts, port: Port) -> None:
+        self.part, self.acts, self.port = part, acts, port
         self.runs: dict[str, Run] = {}
         self.steps = self.paused = 0            # sent; times that strain held a step back
         self.lease: Lease | None = None         # as of the last turn, as is `strained`
@@ -73,18 +64,13 @@
             return []                           # what is out ends by itself; nothing else goes
         held = self.part.pieces.held.get((me, lease.incarnation), {})
         for id in [id for id in self.runs if id not in held]:
-            self.let_go(now, id)
+            del self.runs[id]
         wanted = []
         for id in list(held):
             run, piece = self.runs.setdefault(id, Run()), self.part.pieces.all[id]
             wanted += self.one(now, time, id, run, piece, lanes)
         return wanted
 
-    def let_go(self, now: int, id: str) -> None:
-        del self.runs[id]
-        if self.seats is not None:
-            self.seats.give_back(now, id)
-
     def one(self, now: int, time: int, id: str, run: Run, piece: Piece, lanes: int) -> list[Wanted]:
         if run.phase in (Phase.OUT, Phase.ENDING):
             return []
@@ -127,9 +113,6 @@
         return sum(run.phase is not Phase.HELD for run in self.runs.values())
 
     def start(self, now: int, id: str, run: Run, piece: Piece) -> list[Wanted]:
-        rpc = self.part.rpc(piece.rpc)
-        if rpc is None or self.seats is not None and rpc.seats and not self.seats.take(now, id, rpc.seats):
-            return []
         stamp = self.acts.stamp(now, "batches.start", id.encode())
         if stamp is None:
             return []
@@ -172,7 +155,7 @@
         else:
             run.why = why or outcome
 
-    def answered(self, now: int, tag: str, refused: bool | None) -> None:
+    def answered(self, tag: str, refused: bool | None) -> None:
         """What a proposal came to; `refused` None: nobody knows, it is proposed anew."""
         word, _, id = tag.partition(" ")
         run = self.runs.get(id)
@@ -180,7 +163,7 @@
             return
         if refused is False:
             if word == "end":
-                self.let_go(now, id)            # it may be given to us anew
+                del self.runs[id]               # it may be given to us anew
             return
         if word == "start" and run.phase is Phase.STARTING:
             run.phase, run.attempt = Phase.HELD, run.attempt if refused is None else 0
--- a/indigohitch/fleet/batches/strain.py
+++ b/indigohitch/fleet/batches/strain.py
@@ -10,6 +10,7 @@
 # Tails of 1.25 are not to be had: at 1.15 of the calm level, and half a ms against the clock's own grain.
 OVER, GRAIN = 1.15, 5
 CALM_FOR = 2 * SECOND           # so long below before batches go on: two windows may be luck
+MEAN = 5 * SECOND               # what is told of the load is a mean over this
 SLOW = 16                       # windows over which the calm level follows what is calm
 FORGETS = 400                   # windows of strain on end after which that is how it is now, and calm
 
@@ -23,13 +24,22 @@
         self.pauses = 0
         self.busy = False           # batches run here: what is felt may be their doing
         self._window: list[int] = []
+        self._took, self._since, self._mean = 0, 0, 0
         self._until, self._in_a_row = 0, 0
 
     def felt(self, now: int, latency: int) -> None:
         """One interactive RPC was answered, `latency` after it came."""
         self._window.append(latency)
+        self._took += latency
         self.turn(now)
 
+    def at_once(self, now: int) -> int:
+        """Hundredths of interactive RPCs under way at a time, over the last `MEAN` (Little's law)."""
+        if now - self._since >= MEAN:
+            self._mean = 100 * self._took // (now - self._since) if self._since else 0
+            self._took, self._since = 0, now
+        return self._mean
+
     def turn(self, now: int) -> bool:
         """Is there strain?  Silence counts as calm: nobody is there to be hurt."""
         if now >= self._until:
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -14,7 +14,7 @@
 from .part import Batches
 from .rounds import Round
 from .rows import Contract, Give, Late, Load, Plan, Prices, State
-from .runner import Port, Runner, Seats
+from .runner import Port, Runner
 from .strain import Strain
 
 AHEAD = 3 * SECOND // 10        # a piece is given so long before its run: two entries of the ledger
@@ -25,11 +25,11 @@
 
 
 class Report(Row, frozen=True):
-    """What a member tells with each renewal: `offers` are the lanes it has, by site and kind; `loads` the
-    share (per cent) of a site's lanes that interactive RPCs take, as its decision module sees it."""
+    """What a member tells with each renewal: `offers` are the lanes it has, by site and kind; `at_once` how
+    many hundredths of interactive RPCs are under way here at a time."""
     incarnation: int
     offers: dict[str, dict[str, int]] = {}
-    loads: dict[str, int] = {}
+    at_once: int = 0
     strained: bool = False
 
 
@@ -42,12 +42,11 @@
     def __init__(self, part: Batches, me: str, acts: Acts, port: Port, fleet_time: Callable[[int], int],
                  offers: Mapping[str, Mapping[str, int]], told: Contract | None = None,
                  listed: Callable[[], Prices | None] = lambda: None,
-                 loads: Callable[[], Mapping[str, int]] = dict, borrowed: Seats | None = None,
                  seats: Callable[[], Mapping[str, int]] = dict) -> None:
         self.part, self.me, self.fleet_time = part, me, fleet_time
         self.offers = {site: dict(kinds) for site, kinds in offers.items()}
-        self.told, self.listed, self.loads, self.seats = told, listed, loads, seats
-        self.runner, self.strain = Runner(part, acts, port, borrowed), Strain()
+        self.told, self.listed, self.seats = told, listed, seats
+        self.runner, self.strain = Runner(part, acts, port), Strain()
         self.lease: Lease | None = None
         self.trouble = ""               # of the contract or the prices: for the log and `status`
         self._out: dict[str, int] = {}  # proposals without a word yet, by tag: since when
@@ -67,7 +66,7 @@
 
     def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
         self._out.pop(tag, None)
-        self.runner.answered(now, tag, None if outcome is None else bool(outcome.refused))
+        self.runner.answered(tag, None if outcome is None else bool(outcome.refused))
         if outcome is not None and outcome.refused and tag in ("contract", "prices"):
             self.trouble = outcome.refused
         return []
@@ -75,13 +74,13 @@
     def report(self, now: int) -> bytes:
         if self.lease is None:
             return b""
-        loads = {site: max(0, min(100, share)) for site, share in sorted(self.loads().items())}
-        return msgspec.msgpack.encode(
-            Report(self.lease.incarnation, self.offers, loads, self.strain.strained))
+        return msgspec.msgpack.encode(Report(self.lease.incarnation, self.offers, self.strain.at_once(now),
+                                             self.strain.strained))
 
-    def felt(self, now: int, latency: int) -> None:
-        """An interactive RPC was answered here."""
-        self.strain.felt(now, latency)
+    def felt(self, now: int, rpc: str, latency: int) -> None:
+        """An RPC was answered here; those of batches don't count."""
+        if self.part.rpc(rpc) is None:
+            self.strain.felt(now, latency)
 
     # ---- each beat ---------------------------------------------------------------------------------
 
@@ -152,11 +151,12 @@
     def new_loads(self, now: int, time: int, heard: Mapping[str, Report]) -> list[Wanted]:
         wanted = []
         for site in self.part.contract.sites:
-            shares = [report.loads[site.name] for report in heard.values() if site.name in report.loads]
-            if not shares or now < self._loads_at.get(site.name, 0):
+            there = [report.at_once for report in heard.values() if site.name in report.offers]
+            if not there or now < self._loads_at.get(site.name, 0):
                 continue
             self._loads_at[site.name] = now + LOADS
-            share, hour = max(shares), contract.hour_of_day(site, time)
+            share = min(100, sum(there) // max(1, sum(site.lanes.values())))
+            hour = contract.hour_of_day(site, time)
             if abs(share - self.part.loads.get(site.name, {}).get(hour, 0)) >= MOVED:
                 wanted += self.once(now, f"load {site.name}",
                                     Wanted("batches.load", Load(site.name, hour, share), f"load {site.name}"))
