--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -81,6 +81,7 @@
         """An RPC was answered here; those of batches don't count."""
         if self.part.rpc(rpc) is None:
             self.strain.felt(now, latency)
+            self.runner.strained = self.strain.strained     # at once: the next step does not go out
 
     # ---- each beat ---------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -5,6 +5,8 @@
     {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
     {"ask": "read"}                         an index confirmed by a majority, and the book's digest there
     {"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+    {"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
+    {"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
     {"ask": "ledger"}                       the last entries, each with a digest
 """
 from __future__ import annotations
@@ -14,8 +16,9 @@
 
 import msgspec
 
-from ...errors import NotNow
+from ...errors import NotNow, Unfit
 from ...packed.rows import digest
+from ..batches.asking import batch_of, word_of
 from ..terms import Outcome
 from .words import BODY
 
@@ -33,7 +36,8 @@
         """False: no word of ours."""
         first, _, rest = what.partition(" ")
         action = {"note": self.note, "notes": self.notes, "propose": self.propose, "read": self.read,
-                  "book": self.book, "ledger": self.ledger}.get(first)
+                  "book": self.book, "ledger": self.ledger,
+                  "batch": self.batch, "piece": self.piece}.get(first)
         if action is None:
             return False
         if self.node is None or self.node.driver.machine is None:
@@ -43,6 +47,8 @@
             action(rest, line)
         except NotNow as late:
             self.answer({"error": late.what, "again_ms": late.again / 10})
+        except Unfit as unfit:
+            self.answer({"error": str(unfit)})
         return True
 
     def note(self, rest: str, line: dict) -> None:
@@ -51,6 +57,12 @@
     def propose(self, rest: str, line: dict) -> None:
         self.put(str(line.get("kind", rest)), msgspec.msgpack.encode(line.get("body", [])))
 
+    def batch(self, rest: str, line: dict) -> None:
+        self.put("batches.submit", msgspec.msgpack.encode(batch_of(line.get("batch"))))
+
+    def piece(self, rest: str, line: dict) -> None:
+        self.put("batches.word", msgspec.msgpack.encode(word_of(rest)))
+
     def put(self, kind: str, body: bytes) -> None:
         if len(body) > BODY or not kind or kind.startswith("ledger."):
             self.answer({"error": f"no entry of this kind or size: {kind[:40]}, {len(body)} bytes"})
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -88,6 +88,11 @@
         if self.node is not None and text is not None:
             self.node.reread(text)
 
+    def felt(self, now: int, rpc: str, latency: int) -> None:
+        """The front here has answered an RPC."""
+        if self.node is not None:
+            self.node.assembly.felt(now, rpc, latency)
+
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
         return Asked(self.node, answer).word(what, line)
 
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -82,6 +82,9 @@
             rpc.deadline.cancel()
         self.host.note(rpc.client, rpc.head, rpc.due - rpc.route.rpc.deadline, rpc.route.rpc.name, status,
                        rpc.answer.body.total if rpc.answer is not None else 0)
+        if status:
+            now = self.host.loop.clock.now()
+            self.host.felt(now, rpc.route.rpc.name, now - rpc.due + rpc.route.rpc.deadline)
         self.host.log.counts["rpc_ok" if 0 < status < 500 else "rpc_not_ok"] += 1
         if status >= 500 and (sums := self.demand.get((rpc.slice, rpc.route.rpc.name))):
             sums[1] += 1
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -25,7 +25,9 @@
         if self.text.fleet is None:
             return side
         from ..fleet.node.inside import beside
-        return beside(self, side, self.text.fleet, False, self.follows)
+        side = beside(self, side, self.text.fleet, False, self.follows)
+        self.host.felt = self.beside.felt
+        return side
 
     def turn(self) -> None:
         self.host.turn()
--- /dev/null
+++ b/proofs/batches.py
@@ -0,0 +1,227 @@
+"""Batches on a fleet of processes: three members that vote, two sidecars that run pieces, three servers.
+
+First a small case of batches planned by dated prices, whose cost is held against running at once and against
+the optimum; then interactive RPCs with a burst, alone and beside batches; then further batches under kills,
+stops and cuts, with a running piece's sidecar killed, and an operator's words on what is unclear.
+
+Time is scaled down: a slot is a second where it would be a quarter of an hour.  QUICK=1: under 50 s.
+BROKEN=1 takes away the guard that holds a lost piece as unclear, and the proof has to fail.  The last line is
+one JSON object; the exit code is 1 where a promise is broken."""
+import json
+import math
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+HERE = Path(__file__).parent
+sys.path[:0] = [str(HERE.parent), str(HERE)]
+
+from batchkit.costs import Case  # noqa: E402
+from batchkit.field import Field, wait_for  # noqa: E402
+from fleetkit import Player, drawn, until  # noqa: E402
+
+QUICK, BROKEN = (os.environ.get(name) == "1" for name in ("QUICK", "BROKEN"))
+SECONDS = 14 if QUICK else 40           # of the small case
+LOADED = 7 if QUICK else 30             # of the interactive RPCs
+CHAOS = 8 if QUICK else 60
+RATE, BURST = 30, 50                    # a second, at each sidecar
+KINDS = {"kill": 2, "stop": 2, "cut": 3, "deaf": 1, "mute": 1, "slow": 1}
+
+
+class Interactive:
+    """Open loops at both sidecars, with a burst from a third of their time to a half."""
+
+    def __init__(self, field, seconds, seed):
+        self.processes, self.latencies, self.lost = [], [], 0
+        for place, name in enumerate(field.cars):
+            for rate, wait, span in ((RATE, 0, seconds), (BURST, seconds / 3, seconds / 6)):
+                program = (f"import sys, time; time.sleep({wait}); "
+                           "from indigohitch.standins.load import main; main(sys.argv[1:])")
+                words = [sys.executable, "-c", program, field.fleet.listen[name], "open", str(rate),
+                         str(span), "20", "0.1", "0.2", str(seed + place)]
+                self.processes.append(subprocess.Popen(words, cwd=HERE.parent, stdout=subprocess.PIPE))
+
+    def p99(self):
+        """Of all that was answered, ms."""
+        for process in self.processes:
+            told = json.loads(process.communicate()[0])
+            self.latencies += [took for _, took, status, *_ in told["results"] if 0 < status < 500]
+            self.lost += told["lost"]
+        ordered = sorted(self.latencies)
+        return ordered[len(ordered) * 99 // 100] / 10
+
+
+class Proof:
+    def __init__(self, path):
+        self.begun, self.rng = time.monotonic(), random.Random(28)
+        self.field = Field(path, patch=HERE / "batchkit" / "broken.py" if BROKEN else "")
+        self.fleet = self.field.fleet
+        self.wrong, self.unclear, self.kills, self.cuts = [], {}, 0, 0
+
+    def say(self, text):
+        print(f"{time.monotonic() - self.begun:6.1f} s  {text}", flush=True)
+
+    def must(self, holds, what):
+        if not holds:
+            self.wrong.append(what)
+            self.say(f"BROKEN: {what}")
+
+    # ---- the small case ------------------------------------------------------------------------------
+
+    def prices(self):
+        """Dear first, cheap later, and uneven: two waves over the small case, then level."""
+        self.from_ = math.floor(time.time())
+        waves = [24 + 14 * math.cos(4 * math.pi * n / SECONDS) + self.rng.uniform(-2, 2) for n in range(400)]
+        self.list = [round(price, 3) for price in waves]
+        self.field.list(1, self.from_, self.list)
+
+    def small(self):
+        begin = math.ceil(time.time()) + 1
+        end = begin + SECONDS
+        wide = [(begin + self.rng.randrange(3), end - self.rng.randrange(4), 1.4, 14) for _ in range(6)]
+        self.field.submit("sr", "report", wide)
+        self.field.submit("sd", "dunning", [(begin, end, 1.4, 14) for _ in range(3)])
+        self.case = Case(self.field.part(), int(begin - 1) * 10_000, "s")
+        self.at_once, self.best, self.greedy = self.case.at_once(), self.case.best(), self.case.greedy()
+        self.say(f"small case: at once {self.at_once}, planned at best {self.best} cents")
+        return end
+
+    def corrected(self):
+        """A spoilt list of prices is refused, and the last good one stands."""
+        text = self.field.prices.read_text()
+        self.field.prices.write_text(text.replace("edition 1", "edition 2").replace(".", " fifteen", 1))
+        until(lambda: any(self.fleet.said(name, "prices_refused") for name in self.fleet.voters), 12,
+              "a refusal")
+        self.must(self.field.part().prices.edition == 1, "a spoilt list of prices stands")
+
+    def interactive(self):
+        """p99 alone and beside batches, ms, and how many were lost."""
+        alone = Interactive(self.field, LOADED, 1)
+        self.corrected()
+        without = alone.p99()
+        now = math.ceil(time.time())
+        self.field.submit("ir", "report", [(now, now + 2 * LOADED + 8, 1.4, 14) for _ in range(2 * LOADED)])
+        beside = Interactive(self.field, LOADED, 1)
+        p99 = beside.p99()
+        steps = sum(id.startswith("ir.") for _, id in self.field.ran())
+        self.say(f"interactive p99: {without} ms alone, {p99} ms beside {steps} steps; {beside.lost} lost")
+        return without, p99, beside.lost
+
+    # ---- trouble -------------------------------------------------------------------------------------
+
+    def batches_in_trouble(self):
+        now = math.ceil(time.time())
+        last = now + CHAOS + (8 if QUICK else 25)
+        self.field.submit("tr", "report", [(now, last - self.rng.randrange(5), 1.4, 14)
+                                           for _ in range(CHAOS)])
+        self.field.submit("td", "dunning", [(now, last, 1.4, 14) for _ in range(CHAOS // 2)])
+
+    def kill_one_that_runs(self):
+        """A sidecar that runs a piece of what is not idempotent, at a step after the first."""
+        def runs():
+            part = self.field.part()
+            for id, piece in part.pieces.all.items() if part else ():
+                if piece.state.value == "running" and not piece.idempotent and any(
+                        ran[1].startswith(f"{id}.") for ran in self.field.ran()):
+                    return piece.member, id
+            return None
+        name, id = until(runs, 20, "a running piece of dunning")
+        self.fleet.kill(name)
+        self.kills += 1
+        self.say(f"{name} killed while it ran {id}")
+        time.sleep(0.5)
+        self.fleet.restart(name)
+        return id
+
+    def trouble(self):
+        plan = drawn(28, self.fleet, CHAOS, KINDS, gap=1.6, span=(0.5, 1.8))
+        player = Player(self.fleet, plan).start()
+        lost = self.kill_one_that_runs()
+        player.join()
+        self.kills += player.counts.get("kill", 0)
+        self.cuts += sum(player.counts.get(kind, 0) for kind in ("cut", "deaf", "mute"))
+        self.say(f"played: {player.counts}")
+        return lost
+
+    # ---- the end -------------------------------------------------------------------------------------
+
+    def word(self, id, piece):
+        """What is unclear goes on after the last step that a server acted on."""
+        acts, steps = self.field.servers.acts(), piece.cut.steps
+        ran = sum(f"{id}.{step}" in acts for step in range(steps))
+        told = self.field.tell(self.fleet.voters[0], {
+            "ask": f"piece {id} from {ran}" if ran < steps else f"piece {id} done"})
+        if "told" in told:
+            self.unclear[id] = piece.why
+            self.say(f"{id}: {piece.why}; an operator said: it ran to step {ran}")
+
+    def over(self):
+        """All have come to their end; on what is unclear an operator says a word."""
+        part = self.field.part()
+        for id, piece in part.pieces.all.items() if part else ():
+            if piece.state.value == "unclear":
+                self.word(id, piece)
+        return part is not None and not part.pieces.open
+
+    def twice(self):
+        return {id: count for id, count in self.field.servers.acts().items()
+                if count > 1 and id.split(".")[0] in ("sd", "td")}
+
+    def run(self):
+        self.prices()
+        self.fleet.start()
+        until(lambda: (p := self.field.part()) and p.prices, 15, "prices in the book")
+        self.say("the fleet stands")
+        wait_for(self.small())
+        until(self.over, 10, "the small case to be over")
+        cost, peak_over, pauses = self.case.run(self.field.ran())
+        self.say(f"it ran for {cost} cents with {pauses} pauses; planned alone for {self.greedy}")
+        without, beside, lost = self.interactive()
+        self.batches_in_trouble()
+        held = self.trouble()
+        until(self.over, 60, "all to be over")
+        part = self.field.part()
+        counts, twice = part.pieces.counts(), self.twice()
+        missed = [id for id, piece in part.pieces.all.items() if piece.state.value == "missed"]
+        planned = [id for id in missed if part.pieces.all[id].version]
+        acts = self.field.servers.acts()
+        gaps = [id for id, piece in part.pieces.all.items() if piece.state.value == "done"
+                and any(f"{id}.{step}" not in acts for step in range(piece.cut.steps))]
+        self.must(not twice, f"ran twice: {twice}")
+        self.must(not planned, f"missed though planned: {planned}")
+        self.must(not lost, f"{lost} interactive RPCs lost beside batches")
+        self.must(not gaps, f"done without having run whole: {gaps}")
+        self.must(cost <= 1.1 * self.best, f"cost {cost} over 1.1 of the optimum {self.best}")
+        self.must(cost < self.at_once, "no cheaper than at once")
+        self.must(beside <= 1.25 * without, f"interactive p99 {beside} over 1.25 of {without} ms")
+        self.must(peak_over == 0, f"{peak_over} W over the peak")
+        self.must(held in self.unclear or BROKEN, f"{held} was not held as unclear")
+        print(json.dumps({
+            "pieces": len(part.pieces.all), "done": counts["done"], "twice": len(twice),
+            "unclear": len(self.unclear), "deadlines_missed": len(missed), "cost": cost,
+            "cost_at_once": self.at_once, "cost_optimum": self.best, "peak_over": peak_over, "interactive_p99_ms": beside,
+            "interactive_p99_without_ms": without, "kills": self.kills, "cuts": self.cuts,
+            "slot_s": 1, "wrong": self.wrong, "seconds": round(time.monotonic() - self.begun, 1)}))
+        return not self.wrong
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="proof-batches-", ignore_cleanup_errors=True) as path:
+        proof = Proof(Path(path))
+        try:
+            good = proof.run()
+        except AssertionError as bad:
+            proof.fleet.show()
+            print(json.dumps({"wrong": [*proof.wrong, str(bad)]}))
+            good = False
+        finally:
+            proof.field.close()
+    sys.exit(not good)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proofs/batchkit/__init__.py
@@ -0,0 +1,2 @@
+"""For proofs/batches.py: `field` (processes), `crowded` (a server), `costs` (plans compared), `broken` (a
+guard taken away)."""
