--- a/indigohitch/fleet/batches/pieces.py
+++ b/indigohitch/fleet/batches/pieces.py
@@ -60,6 +60,7 @@
         if at.time >= piece.cut.latest:
             raise Unfit(f"{body.piece}: its latest time has come")
         piece.state, piece.attempt, piece.stamp = State.RUNNING, body.attempt, body.stamp
+        piece.since = at.time
         return piece.step
 
     def step(self, at: At, body: Step) -> int:
@@ -72,7 +73,7 @@
             raise Unfit(f"{body.piece}: step {body.step} {body.end} after {piece.step} of {piece.cut.steps}")
         if (body.end == "done") != (body.step == piece.cut.steps):
             raise Unfit(f"{body.piece}: {body.end or 'goes on'} at step {body.step} of {piece.cut.steps}")
-        piece.step = body.step
+        piece.step, piece.since = body.step, at.time
         if body.end == "rests":
             self.free(body.piece, piece, State.MISSED if at.time >= piece.cut.latest else State.WAITING, at)
         elif body.end:
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -12,7 +12,7 @@
 from .plan import DEAD, Plan
 from .rows import Piece, Placing, Site, State
 
-PUTS, LOOKS = 512, 16           # a step: some ms of a leader's loop, whose beat is 100
+PUTS, LOOKS = 128, 4            # a step: about a ms of a leader's loop
 MOVES = 256                     # changes in one entry: the budget of a round
 TIGHT = 512                     # pieces with least time to spare that are placed anew where one does not fit
 SLOTS = 4096                    # six weeks of quarters; what comes later is planned later
@@ -74,7 +74,9 @@
             return None
         runs = [(max(begin // self.slot, self.now), -(-end // self.slot)) for begin, end in placing.runs]
         slots = tuple(at - self.now for begin, end in runs for at in range(begin, end))
-        time = sum(max(0, end - max(begin, self.time)) for begin, end in placing.runs)
+        # What runs goes on since its last checkpoint, as far as is known.
+        since = piece.since if piece.state is State.RUNNING else self.time
+        time = sum(max(0, end - max(begin, since)) for begin, end in placing.runs)
         wanted = self.left(piece) - (BEGIN if self.begun(piece) else 0)
         return Spot((placing.site, placing.kind), slots) if slots and time >= wanted else None
 
--- a/indigohitch/fleet/batches/rows.py
+++ b/indigohitch/fleet/batches/rows.py
@@ -117,6 +117,7 @@
     stamp: Stamp | None = None  # of the last start
     over: int = 0               # when it came to its end
     why: str = ""
+    since: int = 0              # when `step` was told, or it was started
 
 
 # ---- entries of a piece ----------------------------------------------------------------------------
--- a/indigohitch/fleet/batches/runner.py
+++ b/indigohitch/fleet/batches/runner.py
@@ -43,8 +43,7 @@
     step: int = 0               # surely done
     due: int = 0                # when the next step may go, own monotonic clock
     back: int = BACK
-    told: int = 0               # of the last checkpoint
-    told_at: int = 0
+    told_at: int = 0            # the last checkpoint
     why: str = ""               # it can't go on: "unclear"
 
 
@@ -96,7 +95,7 @@
             run.step = piece.step
         if run.phase in (Phase.STARTING, Phase.HELD):
             run.phase, run.step, run.due = Phase.BETWEEN, piece.step, now
-            run.told, run.told_at = piece.step, now
+            run.told_at = now
         if run.why:
             return self.end(id, run, piece, "unclear")
         if run.step == piece.cut.steps:
@@ -104,8 +103,8 @@
         if over or not may_run:
             return self.end(id, run, piece, "rests")
         self.go_on(now, id, run, piece)
-        if run.step > run.told and now - run.told_at >= max(CHECK, piece.cut.work // PARTS):
-            run.told, run.told_at = run.step, now
+        if now - run.told_at >= max(CHECK, piece.cut.work // PARTS):
+            run.told_at = now                   # also where nothing went on: the plan has to know
             return [Wanted("batches.step", Step(id, run.attempt, run.step), f"step {id}")]
         return []
 
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -18,7 +18,8 @@
 from .strain import Strain
 
 AHEAD = 3 * SECOND // 10        # a piece is given so long before its run: two entries of the ledger
-ROUND = SECOND                  # from the end of one round to the next: what changed is in the plan soon
+ROUND = SECOND // 2             # from the end of one round to the next: what changed is in the plan soon
+STEPS = 4                       # of a round in one beat: some ms of its 100
 PATIENCE = 5 * SECOND           # a proposal without a word for so long is made anew
 LOADS = 10 * SECOND             # how often what the interactive RPCs take may be told anew, for a site
 MOVED = 10                      # per cent by which it has to differ
@@ -200,18 +201,19 @@
         return free
 
     def plan(self, now: int, time: int) -> list[Wanted]:
-        """One step of a round each beat; its changes are one entry."""
+        """Some steps of a round each beat; its changes are one entry."""
         if self._round is None:
             if now < self._round_at or "plan" in self._out and now - self._out["plan"] < PATIENCE:
                 return []
             new = Round(self.part, time, self.seats())
             self._round = new, new.steps()
         round, steps = self._round
-        try:
-            next(steps)
+        for _ in range(STEPS):
+            if next(steps, round) is round:     # it has no further one
+                break
+        else:
             return []
-        except StopIteration:
-            self._round, self._round_at = None, now + ROUND
+        self._round, self._round_at = None, now + ROUND
         self.rounds, self.moves = self.rounds + 1, self.moves + len(round.changes)
         if not round.changes:
             return []
