--- a/indigohitch/fleet/ledger/votes.py
+++ b/indigohitch/fleet/ledger/votes.py
@@ -21,8 +21,12 @@
 
     @property
     def may_stand(self) -> bool:
+        """Also one that the last entry takes out, until that is committed: it may be the only one that has
+        the entry (dissertation, 4.2.2)."""
         state = self.state
-        return (state.me in state.belonging.voters and not state.durable.failed
+        belongs = (state.me in state.belonging.voters
+                   or state.me in state.belonging.at(state.commit).voters)
+        return (belongs and not state.durable.failed
                 and not state.durable.installing and not state.belonging.outdated(state.me))
 
     def due(self) -> None:
--- a/proofs/ledger_station.py
+++ b/proofs/ledger_station.py
@@ -42,8 +42,8 @@
 
 
 class Station:
-    def __init__(self, me, members, chance) -> None:
-        self.me, self.chance = me, chance
+    def __init__(self, me, members, bootstrap, chance) -> None:
+        self.me, self.bootstrap, self.chance = me, bootstrap, chance
         self.rate = 1 + DRIFT * (2 * chance() - 1)
         self.offset = int(chance() * 1e6)
         self.disk = Disk(Snap(0, 0, members, b""))
@@ -69,7 +69,7 @@
         self.book = Book([Toy()])
         if held.snap.book:
             self.book.restore(held.snap.book)
-        self.machine = Machine(self.me, held, BOOTSTRAP, self.chance, self.local(now))
+        self.machine = Machine(self.me, held, self.bootstrap, self.chance, self.local(now))
         self.epoch += 1
         self.heard, self.due_at, self.stopped_until = None, 0, 0
 
