--- a/proofs/ledger_checks.py
+++ b/proofs/ledger_checks.py
@@ -35,7 +35,12 @@
                 raise Breach(f"logs differ at {entry.index} of term {entry.term}")
 
     def commits(self, station, entries) -> None:
-        """The same everywhere, in order, and on the disks of a majority the first time it is told."""
+        """The same everywhere, in order, and on the disks of a majority the first time it is told.  A leader
+        commits older entries only along with one of its own term (figure 8)."""
+        machine = station.machine
+        if machine.leading is not None and entries[-1].term != machine.term:
+            raise Breach(f"{station.me.name} commits {entries[-1].index} of term {entries[-1].term} alone, "
+                         f"leading in {machine.term}")
         for entry in entries:
             if entry.index <= len(self.committed):
                 if self.committed[entry.index - 1] != entry:
--- a/proofs/ledger_faults.py
+++ b/proofs/ledger_faults.py
@@ -7,7 +7,7 @@
 from proofs.ledger_station import Station
 from proofs.ledger_world import World
 
-STORM, QUIET = 24_000, 26_000   # ten and eleven shortest elections' times
+STORM, QUIET = 24_000, 28_000   # ten and twelve shortest elections' times
 FAULTS = ("cut_one_way", "cut_off", "split", "heal", "kill", "kill_all", "stop", "slow_disk",
           "disk_fails", "hand_over", "change", "calm")
 
@@ -51,9 +51,9 @@
     def use(self) -> None:
         world, random = self.world, self.random
         leading = [s for s in world.stations.values() if s.machine is not None and s.machine.leading]
-        if world.now < STORM + QUIET - 8000:
+        if world.now < STORM + QUIET - 11_000:
             world.propose(random.choice(list(world.stations.values())), True)
-        elif leading:
+        elif leading and world.now < STORM + QUIET - 3000:
             world.propose(leading[0], False)
         if leading:
             for station in leading:
