--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -9,19 +9,28 @@
 import signal
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from .control import Control
-from .errors import told
+from .errors import Trouble, told
 from .net.clock import SECOND
 from .net.connection import Listener
 from .process import Process
+from .statefile import StateFile
 from .upgrade import snapshot as shots
 from .upgrade.giving import Giving, Side
 from .upgrade.machine import Phase as Handing
 from .upgrade.taking import Taking
 
-# What a state that does not fit shows itself by.
-UNFIT = (shots.Unusable, ValueError, IndexError, KeyError, TypeError, AttributeError)
+
+class Beside(Protocol):
+    """What lives in the process beside its front: a member of the fleet (fleet/node/inside)."""
+    left: bool                          # nothing is waited for any more
+
+    def figures(self) -> dict: ...
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool: ...
+    def leave(self, give_up: bool) -> None: ...
+    def close(self) -> None: ...
 
 
 class Phase(enum.Enum):
@@ -41,6 +50,8 @@
         super().__init__(Phase.STARTING, name)
         self.lines, self.waits, self.code = lines, waits, 0
         self.control: Control | None = None
+        self.beside: Beside | None = None
+        self.state = StateFile(lines["state"], self.clock, self.log)
         self.side: Side = self.make_side()
         self.askers: list[Callable[[dict], None]] = []
         self.giving = Giving(self.loop, self.log, self.side, lines["program"], waits, self.handed_over,
@@ -101,7 +112,7 @@
                 self.side.fresh({})
             self.side.begin(restored)
             self.open_control()
-        except (OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
+        except (Trouble, OSError, ValueError, KeyError, TypeError, AttributeError) as bad:
             self.log.event("cannot_start", **told(bad, "mend the file that this program was started with"))
             self.become(Phase.ENDED)
             return False
@@ -109,22 +120,10 @@
         return True
 
     def restore(self) -> bool:
-        """From the state's file, if there is one that fits; one that does not changes nothing."""
-        path = self.lines["state"]
-        if not path or not os.path.exists(path):
-            return False
-        try:
-            state = shots.read(path)
-            # Its times are the wall's; where that has been set back since, go on from there.
-            if state.taken > self.clock.now():
-                self.clock.follow(state.taken)
-            self.side.restore(state, {})
-        except (OSError, *UNFIT) as bad:
-            self.log.trouble("state_refused", path=path, **told(bad, shots.Unusable.remedy))
+        restored = self.state.restore(self.side)
+        if restored is None:
             self.without_state()
-            return False
-        self.log.event("state_read", path=path, age_ms=(self.clock.now() - state.taken) / 10)
-        return True
+        return bool(restored)
 
     def open_control(self) -> None:
         if self.control is None and self.lines["control"]:
@@ -175,20 +174,20 @@
         elif self.phase is Phase.SERVING:
             self.giving.step("told_to_end", "SIGTERM")
 
-    def asked(self, what: str, answer: Callable[[dict], None]) -> None:
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> None:
         if what == "status":
             answer(self.figures())
         elif what == "upgrade":
             self.upgrade(answer)
         elif what == "snapshot":
-            answer(self.save() if self.lines["state"] else {"error": "the file has no line `state`"})
-        else:
+            answer(self.state.save(self.side))
+        elif self.beside is None or not self.beside.asked(what, line, answer):
             answer({"error": f"no such word: {what[:40]}"})
 
     def figures(self) -> dict:
         return {"name": self.log.name, "pid": os.getpid(), "phase": self.phase.value,
                 "upgrade": self.giving.machine.phase.value, "counters": dict(sorted(self.log.counts.items())),
-                **self.more_figures()}
+                **(self.beside.figures() if self.beside is not None else {}), **self.more_figures()}
 
     def upgrade(self, answer: Callable[[dict], None]) -> None:
         follows = self.taking is not None and not self.taking.over
@@ -208,17 +207,6 @@
         for answer in askers:
             answer(told if told["result"] == "upgraded" else told | {"error": told["result"]})
 
-    def save(self) -> dict:
-        """The state into its file, whole or not at all."""
-        path, data = self.lines["state"], shots.encode(self.side.snapshot())
-        try:
-            shots.write(path, data)
-        except OSError as bad:
-            self.log.trouble("state_not_written", path=path, **told(bad))
-            return {"error": str(bad)}
-        self.log.event("state_written", path=path, bytes=len(data))
-        return {"path": path, "bytes": len(data)}
-
     # ---- the end -----------------------------------------------------------------------------------
 
     @property
@@ -234,19 +222,26 @@
         self.become(Phase.ENDING)
         self.begin_to_end()
         if self.lines["state"]:
-            self.save()
+            self.state.save(self.side)
         self.loop.after(self.waits["drain"], self.end)
         self.wait_for_last()
 
     def wait_for_last(self) -> None:
         if self.phase is Phase.ENDING:
-            if self.all_done():
+            if self.all_done() and (self.beside is None or self.leaves_beside()):
                 self.end()
             else:
                 self.loop.after(self.POLL, self.wait_for_last)
 
+    def leaves_beside(self) -> bool:
+        """Only once nothing is in hand that hangs on it."""
+        self.beside.leave(True)
+        return self.beside.left
+
     def end(self) -> None:
         if self.phase is not Phase.ENDED:
+            if self.beside is not None:
+                self.beside.close()
             self.close()
             if self.control is not None:
                 self.control.close(unlink=not self.handed)
