Audit: chains of acts, their heads in the ledger, the judge over all records

Acts were kept nowhere. Each is stamped under a lease, written before it is done, chained by digest; heads go into the ledger each second; check() holds all folders against them.

--- /dev/null
+++ b/indigohitch/fleet/audit/acts.py
@@ -0,0 +1,68 @@
+"""Acts of this process: each is stamped under a valid lease and recorded before it is done (ports.Acts)."""
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from ...errors import NotNow
+from ..book import Book
+from ..terms import Lease, Stamp
+from .chain import Chain
+from .files import Store
+
+# Acts whose record must outlive a loss of power, as what follows from them isn't bounded by a lease: a piece
+# of a batch that was let go may have run, and who gave on a member's things must be known.  All others are
+# written before the act, so that they outlive the process, and are on the disk with the next beat.
+FIRM = frozenset({"batches.released", "batches.started"})
+
+
+class ChainedActs:
+    def __init__(self, me: str, lease: Callable[[int], Lease | None], book: Book, store: Store,
+                 trouble: Callable[[NotNow], None], firm: frozenset[str] = FIRM,
+                 when: Callable[[int], int] = lambda now: now) -> None:
+        """`lease(now)`: work.Membership.lease; `when(now)`: fleet time as this member reckons it; `trouble`
+        is told what an operator should know."""
+        self.me, self.lease, self.book, self.store = me, lease, book, store
+        self.trouble, self.firm, self.when = trouble, firm, when
+        self.chain: Chain | None = None
+        self.counts: Counter[str] = Counter()       # by kind; `refused`, `unwritten`
+
+    @property
+    def number(self) -> int:
+        """Acts stamped by this incarnation: for Renew.acts."""
+        return self.chain.number if self.chain is not None else 0
+
+    def stamp(self, now: int, kind: str, about: bytes) -> Stamp | None:
+        """None: this member may not act now (no lease, or the record can't be written).  `now` read right
+        before: between it and the act the process may be stopped (docs/audit.md, what can't be)."""
+        lease = self.lease(now)
+        if lease is None:
+            self.counts["refused"] += 1
+            return None
+        return self.recorded(now, kind, about, lease)
+
+    def recorded(self, now: int, kind: str, about: bytes, lease: Lease) -> Stamp | None:
+        if self.chain is None or self.chain.incarnation != lease.incarnation:
+            self.chain = Chain(self.me, lease.incarnation)
+        record = self.chain.next(self.book.term, self.book.index, kind, about, self.when(now),
+                                 lease.left(now))
+        try:
+            self.store.append(record, kind in self.firm)
+        except OSError as bad:
+            self.counts["unwritten"] += 1
+            self.trouble(NotNow(f"an act can't be recorded, so it isn't done: {bad.strerror}",
+                                str(self.store.folder), "make room on that disk; acts go on by themselves"))
+            return None
+        self.chain.take(record)
+        self.counts[kind] += 1
+        return record.stamp
+
+    def sync(self) -> bool:
+        """All acts so far are on the disk; False where that failed: it is tried again."""
+        try:
+            self.store.sync()
+        except OSError as bad:
+            self.trouble(NotNow(f"acts are not on the disk: {bad.strerror}", str(self.store.folder),
+                                "make room on that disk, or look at its health"))
+            return False
+        return True
--- /dev/null
+++ b/indigohitch/fleet/audit/check.py
@@ -0,0 +1,131 @@
+"""The judge over all records: holds what lies in the members' folders against what the ledger tells.  No
+I/O."""
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+
+from ...net.clock import SECOND
+from ...packed.rows import Row
+from .chain import Record, root
+from .heads import Facts, Kept
+
+# By how much two members' reckonings of one instant may differ: an act that seems later than its member's end
+# by less than that proves nothing (fleet time is slewed, docs/audit.md).
+APART = SECOND // 2
+
+
+class Finding(Row, frozen=True):
+    """`kind`: `missing`, `doubled`, `order`, `changed`, `old_version`, `after_gone`, `no_lease`, `unknown`,
+    `contradiction`."""
+    kind: str
+    member: str
+    incarnation: int
+    number: int                 # of the record, or the first one concerned
+    what: str
+
+
+class Acted(Row, frozen=True):
+    """A member's acts by one version: how many, and from when to when by its own reckoning."""
+    member: str
+    incarnation: int
+    version: int
+    acts: int
+    begun: int
+    ended: int
+
+
+Records = Mapping[str, Mapping[int, Sequence[Record]]]      # by member, by incarnation, as they lie there
+
+
+def check(records: Records, facts: Facts, apart: int = APART) -> list[Finding]:
+    """All that is wrong, by member, incarnation and number."""
+    found: list[Finding] = []
+    for member in sorted(records.keys() | facts.kept.keys()):
+        kept = {one.incarnation: one for one in facts.kept.get(member, ())}
+        chains = records.get(member, {})
+        for incarnation in sorted(chains.keys() | kept.keys()):
+            one = One(member, incarnation, chains.get(incarnation, ()), kept.get(incarnation))
+            found += [*one.chained(), *one.headed(), *one.allowed(facts, apart)]
+    found += [Finding("contradiction", later.member, later.incarnation, later.number,
+                      f"a head of {later.number} after one of {known.number}")
+              for known, later in facts.evidence]
+    return found
+
+
+def acted(records: Records) -> list[Acted]:
+    """Who acted by which version, from when to when."""
+    told = []
+    for member, chains in sorted(records.items()):
+        for incarnation, chain in sorted(chains.items()):
+            spans: dict[int, list[int]] = {}
+            for record in chain:
+                spans.setdefault(record.stamp.version, []).append(record.at)
+            told += [Acted(member, incarnation, version, len(times), min(times), max(times))
+                     for version, times in sorted(spans.items())]
+    return told
+
+
+class One:
+    """The records of one incarnation."""
+
+    def __init__(self, member: str, incarnation: int, chain: Sequence[Record], kept: Kept | None) -> None:
+        self.member, self.incarnation, self.chain, self.kept = member, incarnation, chain, kept
+
+    def finding(self, kind: str, number: int, what: str) -> Finding:
+        return Finding(kind, self.member, self.incarnation, number, what)
+
+    def chained(self) -> Iterator[Finding]:
+        """In itself: numbers without a gap, digests that meet, nothing that goes back."""
+        last = None
+        for record in self.chain:
+            stamp = record.stamp
+            if (stamp.member, stamp.incarnation) != (self.member, self.incarnation):
+                yield self.finding("changed", stamp.number, f"stamped {stamp.member} {stamp.incarnation}")
+            before = last.stamp.number if last is not None else 0
+            if last is None and 1 < stamp.number <= (self.kept.first if self.kept else 1):
+                pass                            # what was before was given up, and the ledger knows
+            elif stamp.number > before + 1:
+                yield self.finding("missing", before + 1, f"{before + 1} to {stamp.number - 1}")
+            elif stamp.number == before:
+                yield self.finding("doubled", stamp.number, "comes twice")
+            elif stamp.number < before:
+                yield self.finding("order", stamp.number, f"comes after {before}")
+            elif record.before != (last.digest() if last else root(self.member, self.incarnation)):
+                yield self.finding("changed", before or 1, "its digest isn't what the next record holds")
+            if last is not None and (stamp.term, stamp.version) < (last.stamp.term, last.stamp.version):
+                yield self.finding("order", stamp.number, f"by version {stamp.version} after "
+                                                          f"{last.stamp.version}")
+            last = record
+
+    def headed(self) -> Iterator[Finding]:
+        """Against its last head in the ledger: what was told there lies here."""
+        kept = self.kept
+        if kept is None or not kept.number:
+            return
+        at = next((record for record in self.chain if record.stamp.number == kept.number), None)
+        if at is None:
+            last = self.chain[-1].stamp.number if self.chain else 0
+            yield self.finding("missing", last + 1, f"the ledger knows of {kept.number}")
+        elif at.digest() != kept.digest:
+            yield self.finding("changed", kept.number, "the ledger knows another digest")
+
+    def allowed(self, facts: Facts, apart: int) -> Iterator[Finding]:
+        """Each act was one that its member might do."""
+        if self.chain and self.kept is None:
+            yield self.finding("unknown", 1, "the ledger knows nothing of this incarnation")
+        kept = self.kept or Kept(self.incarnation)
+        bounds = [(acts, held.version) for held in facts.held for name, incarnation, acts in held.taken
+                  if (name, incarnation) == (self.member, self.incarnation)]
+        for record in self.chain:
+            stamp = record.stamp
+            if record.left <= 0:
+                yield self.finding("no_lease", stamp.number, "its lease had run out")
+            if any(0 < end <= stamp.version for end in (kept.shut_out, kept.gone)):
+                yield self.finding("after_gone", stamp.number, "it knew that it was shut out")
+            elif kept.gone_at and record.at > kept.gone_at + apart:
+                yield self.finding("after_gone", stamp.number,
+                                   f"{record.at - kept.gone_at} after its lease had run out")
+            for acts, version in bounds:
+                if stamp.number > acts and stamp.version < version:
+                    yield self.finding("old_version", stamp.number, f"by {stamp.version}, and {version} "
+                                                                    "was in force")
--- /dev/null
+++ b/indigohitch/fleet/audit/work.py
@@ -0,0 +1,103 @@
+"""The audit's part in a member's process: heads of its chain into the ledger, evidence kept, figures."""
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from ...errors import Trouble
+from ...net.clock import SECOND
+from ..members.work import Membership
+from ..ports import Wanted
+from ..terms import Entry, Lease, Outcome
+from .acts import ChainedActs
+from .heads import Head, Heads
+
+# From one head to the next while acts come: what is rewritten within a second of being done and before its
+# head is committed can't be told; each head is an entry of some 60 bytes a member.
+GAP = SECOND
+
+
+class Auditing:
+    name = "audit"
+
+    def __init__(self, acts: ChainedActs, heads: Heads, membership: Membership,
+                 trouble: Callable[[Trouble], None]) -> None:
+        self.acts, self.heads, self.membership, self.trouble = acts, heads, membership, trouble
+        self.kept = False                       # the evidence of a state that differs
+        self.out: Head | None = None            # proposed, its outcome not known
+        self.told = 0, 0                        # incarnation and number of the last head taken
+        self.due = 0
+        self.wrong = ""                         # what the ledger said against this member's chain
+
+    def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
+        return []
+
+    def restored(self, now: int) -> list[Wanted]:
+        return []
+
+    def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
+        """Only what is on the disk goes into a head.  One that shut itself out tells its last one still, as
+        long as the ledger takes it."""
+        if self.membership.evidence is not None and not self.kept:
+            self.kept = True
+            self.differs(*self.membership.evidence)
+        if not self.acts.sync():
+            return []
+        return self.head(now) if now >= self.due else []
+
+    def head(self, now: int) -> list[Wanted]:
+        chain = self.acts.chain
+        if chain is None or self.out is not None or (chain.incarnation, chain.number) <= self.told:
+            return []
+        self.due = now + GAP
+        first, oldest = self.acts.store.wanted()
+        self.out = Head(chain.member, chain.incarnation, chain.number, chain.head, first, oldest)
+        return [Wanted("audit.head", self.out, "head")]
+
+    def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
+        head, self.out = self.out, None
+        if head is None or outcome is None:
+            return []
+        if outcome.refused:                     # gone: the ledger takes no more of this incarnation
+            self.told = max(self.told, (head.incarnation, head.number))
+        elif why := msgspec.msgpack.decode(outcome.told):
+            self.wrong, self.told = why, (head.incarnation, head.number)
+            self.trouble(Trouble(f"the chain of acts {why}", f"{head.member} {head.incarnation}",
+                                 "two processes write under one name, or its folder was changed: stop this "
+                                 "member and keep its folder"))
+        else:
+            self.told = head.incarnation, head.number
+            self.acts.store.give_up(head.first, head.oldest)
+        return []
+
+    def differs(self, point: int, own: bytes, others: bytes) -> None:
+        """This member's state is another than the others' (members.Phase.DIFFERS): the evidence is kept."""
+        book = self.acts.book
+        try:
+            self.acts.store.keep(f"{point}-{book.index}.book", book.snapshot())
+        except OSError as bad:
+            self.trouble(Trouble(f"the evidence can't be written: {bad.strerror}",
+                                 str(self.acts.store.folder)))
+        self.trouble(Trouble(f"the state at entry {point} is {own.hex()}, of the others {others.hex()}: this "
+                             "member acts no more", str(self.acts.store.folder),
+                             "keep this folder for whoever looks into it, and start the member with an empty "
+                             "one: it learns the state anew"))
+
+    def report(self, now: int) -> bytes:
+        return b""
+
+    def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
+        return []
+
+    def figures(self) -> dict:
+        facts, chain = self.heads.facts, self.acts.chain
+        return {"acts": {kind: count for kind, count in sorted(self.acts.counts.items())},
+                "chain": {"incarnation": chain.incarnation, "number": chain.number, "head": chain.head.hex(),
+                          "told": self.told[1]} if chain is not None else None,
+                "wrong": self.wrong, "torn_bytes_cut": self.acts.store.cut,
+                "heads": [{"member": name, "incarnation": one.incarnation, "number": one.number,
+                           "digest": one.digest.hex(), "shut_out": one.shut_out, "gone": one.gone}
+                          for name, lives in sorted(facts.kept.items()) for one in lives],
+                "in_force": [{"version": held.version, "entry": held.index} for held in facts.held],
+                "contradictions": len(facts.evidence)}
--- a/indigohitch/fleet/members/entries.py
+++ b/indigohitch/fleet/members/entries.py
@@ -26,9 +26,10 @@
 
 
 class Gone(Row):
-    """By the leader, once the lease has surely run out by its reckoning."""
+    """By the leader, once the lease has surely run out by its reckoning; `when` that was, by its clock."""
     name: str
     incarnation: int
+    when: int = 0
 
 
 class Compare(Row):
--- a/indigohitch/fleet/members/judge.py
+++ b/indigohitch/fleet/members/judge.py
@@ -51,6 +51,7 @@
         self.roster, self.span, self.over = roster, span, over
         self.elected = self.now = 0                     # `now`: of the last look, for `status`
         self.seen: dict[tuple[str, int], Seen] = {}
+        self.condemned: dict[tuple[str, int], str] = {}     # proposed to be shut out, and why
         self.known_since: dict[int, int] = {}           # change -> when this leader first saw it
         self.point, self.pointed = 0, 0      # of comparing: which, since when
 
@@ -58,6 +59,7 @@
         self.elected = self.now = self.pointed = now
         self.point = self.roster.compared
         self.seen.clear()
+        self.condemned.clear()
         self.known_since.clear()
 
     def heard(self, now: int, name: str, word: Renew) -> None:
@@ -108,32 +110,39 @@
     def proposals(self, now: int) -> list[Row]:
         """Each is wanted until its entry is applied; the same now, the same again."""
         self.now, members = now, list(self.roster.members.values())
-        for one in self.seen.keys() - self.roster.members.keys():
-            del self.seen[one]
+        for known in (self.seen, self.condemned):
+            for one in known.keys() - self.roster.members.keys():
+                del known[one]
         for change in self.known_since.keys() - {change.index for change in self.roster.changes}:
             del self.known_since[change]
         wanted: list[Row] = []
         for member in members:
             if member.life is Life.SHUT_OUT and self.over(now, member.name, member.incarnation):
-                wanted.append(Gone(member.name, member.incarnation))
-            elif why := self.why_out(now, member):
+                wanted.append(Gone(member.name, member.incarnation, now))
+            elif member.life in (Life.VALID, Life.COMPARED) and (why := self.why_out(now, member)):
                 wanted.append(ShutOut(member.name, member.incarnation, why))
         wanted += self.taken(now)
         return wanted + self.comparing(now, [m for m in members if m.life in (Life.VALID, Life.COMPARED)])
 
     def why_out(self, now: int, member: Member) -> str:
-        if member.life in (Life.VALID, Life.COMPARED) and self.silent(now, member):
-            return "not heard of for a lease"
-        if self.differs(now, member):
-            return "its state differs"
-        if self.standing(now, member) is Standing.STRAGGLER:
-            return "a straggler that isn't brought up"
-        return ""
+        """Once it is proposed it is wanted until it is so: its lease isn't renewed from then on."""
+        one = member.name, member.incarnation
+        if (why := self.condemned.get(one)) is not None:
+            return why
+        if self.silent(now, member):
+            why = "not heard of for a lease"
+        elif self.differs(now, member):
+            why = "its state differs"
+        elif self.standing(now, member) is Standing.STRAGGLER:
+            why = "a straggler that isn't brought up"
+        else:
+            return ""
+        self.condemned[one] = why
+        return why
 
     def differs(self, now: int, member: Member) -> bool:
         seen, agreed = self.of(now, member.name, member.incarnation), self.roster.agreed
-        return (member.life in (Life.VALID, Life.COMPARED) and seen.digest_at == agreed.index > 0
-                and seen.digest != agreed.digest)
+        return seen.digest_at == agreed.index > 0 and seen.digest != agreed.digest
 
     def taken(self, now: int) -> list[Row]:
         """The last change that all have taken.  One shut out counts until it is gone."""
--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -97,15 +97,14 @@
 
 
 class Giver:
-    """The leader's side.  `fit(name, incarnation)` says why that one gets none, "" where it does, from the
-    book (roster.Roster.unfit)."""
+    """The leader's side.  `fit(name, incarnation)` says why that one gets none, "" where it does: by the book
+    (roster.Roster.unfit), and nobody whose shutting out this leader has proposed."""
 
     def __init__(self, span: int, drift: float, fit: Callable[[str, int], str]) -> None:
         self.span, self.length, self.fit = span, given(span, drift), fit
         self.term = 0                                   # 0: does not lead
         self.assumed = 0                                # until then anyone may hold one, of a leader before
         self.until: dict[tuple[str, int], int] = {}     # given by this one since its election
-        self.stopped: set[tuple[str, int]] = set()      # proposed to be shut out: no more renewals
         self.waiting: dict[str, Renew] = {}
         self.round: Round | None = None
         self.reads = 0
@@ -118,7 +117,6 @@
         self.term, self.round = 0, None
         self.waiting.clear()
         self.until.clear()
-        self.stopped.clear()
 
     def came(self, now: int, name: str, word: Renew) -> list[ReadFirst | Answer]:
         if not self.term:
@@ -152,15 +150,11 @@
             return NotRenewed(word.number, word.incarnation, "no majority confirmed the leader")
         if why := self.fit(*one):
             return NotRenewed(word.number, word.incarnation, why, why in OVER)
-        if one in self.stopped:
-            return NotRenewed(word.number, word.incarnation, "about to be shut out")
+        for old in [old for old in self.until if now >= self.until[old]]:
+            del self.until[old]
         self.until[one] = max(self.until.get(one, 0), now + self.length)
         return Renewed(word.number, word.incarnation, self.term)
 
-    def stop(self, name: str, incarnation: int) -> None:
-        """Before its shutting out is proposed."""
-        self.stopped.add((name, incarnation))
-
     def over(self, now: int, name: str, incarnation: int) -> bool:
         """Its lease has surely run out, by the giver's reckoning.  True only at a leader."""
         return bool(self.term) and now >= max(self.assumed, self.until.get((name, incarnation), 0))
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -81,7 +81,8 @@
     def changed(self, at: At, what: str, hard: bool = False, allowed: int = 0) -> None:
         """For parts, within the entry that changes what the fleet acts by.  A hard one (a contract cut, a
         member or server removed) may count on the old version's end only once it is in force: `in_force`
-        has reached that entry, and `change_in_force(at, version)` of each part that has it is called."""
+        has reached that entry, and `change_in_force(at, version, taken)` of each part that has it is
+        called."""
         change = Change(at.index, what, hard, allowed)
         same = [n for n, one in enumerate(self.changes) if (one.what, one.hard) == (what, hard)]
         if same and (not hard or len(self.changes) >= CHANGES):
@@ -112,21 +113,28 @@
                 self.members.pop((member.name, member.incarnation), None)
         self.members[join.name, incarnation] = Member(join.name, incarnation, join.votes, at.index,
                                                       since=at.index)
+        self.tell("member_joined", at, join.name, incarnation)
         return incarnation
 
+    def tell(self, what: str, *about: object) -> None:
+        """To each part of the book that has a method of that name."""
+        for part in self.book.parts.values():
+            if (hear := getattr(part, what, None)) is not None:
+                hear(*about)
+
     def shut(self, at: At, member: Member, why: str) -> None:
         """One that was never valid holds nothing: it is gone at once."""
         if member.life is Life.VALID:
             member.life, member.since, member.why = Life.SHUT_OUT, at.index, why
+            self.tell("member_shut_out", at, member.name, member.incarnation)
         elif member.life is Life.COMPARED:
             member.why = why
             self.end(at, member)
 
-    def end(self, at: At, member: Member) -> None:
+    def end(self, at: At, member: Member, when: int = 0) -> None:
         member.life, member.since = Life.GONE, at.index
-        for part in self.book.parts.values():
-            if (hear := getattr(part, "member_gone", None)) is not None:
-                hear(at, member.name, member.incarnation)
+        self.tell("member_ended", at, member.name, member.incarnation, when)
+        self.tell("member_gone", at, member.name, member.incarnation)
         if member.incarnation < self.highest[member.name]:      # of each name the last one gone is told of
             del self.members[member.name, member.incarnation]
 
@@ -147,7 +155,7 @@
         self.shut(at, self.known(out.name, out.incarnation, Life.COMPARED, Life.VALID), out.why)
 
     def on_gone(self, at: At, gone: Gone) -> None:
-        self.end(at, self.known(gone.name, gone.incarnation, Life.SHUT_OUT))
+        self.end(at, self.known(gone.name, gone.incarnation, Life.SHUT_OUT), gone.when)
 
     def on_compare(self, at: At, body: Compare) -> int:
         """The digest as the book stands within this entry; each member's is its own, and not told here."""
@@ -173,9 +181,7 @@
             raise Unfit(f"version {body.version} after {self.in_force}")
         self.in_force = body.version
         self.changes = [change for change in self.changes if change.index > body.version]
-        for part in self.book.parts.values():
-            if (hear := getattr(part, "change_in_force", None)) is not None:
-                hear(at, body.version)
+        self.tell("change_in_force", at, body.version, body.taken)
 
     # ---- as a whole --------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/members/work.py
+++ b/indigohitch/fleet/members/work.py
@@ -39,7 +39,7 @@
         self.me, self.votes, self.roster, self.draw = me, votes, roster, token
         self.phase, self.incarnation, self.token = Phase.JOINING, 0, token()
         self.holder = Holder(span, drift)
-        self.giver = Giver(span, drift, roster.unfit)
+        self.giver = Giver(span, drift, self.unfit)
         self.judge = Judge(roster, span, self.giver.over)
         self.reports: dict[str, tuple[int, Mapping[str, bytes]]] = {}   # at the leader: when, by work
         self.out: set[str] = set()              # tags of proposals whose outcome isn't known
@@ -58,6 +58,11 @@
             return None
         return self.holder.lease(now)
 
+    def unfit(self, name: str, incarnation: int) -> str:
+        """Why the leader gives it no lease."""
+        return self.roster.unfit(name, incarnation) or (
+            "about to be shut out" if (name, incarnation) in self.judge.condemned else "")
+
     # ---- words -------------------------------------------------------------------------------------
 
     def renew(self, now: int, wall: int, acts: int, reports: Mapping[str, bytes]) -> Renew | None:
@@ -170,8 +175,6 @@
         for row in self.judge.proposals(now):
             kind = type(row).__name__
             tag = f"{kind} {getattr(row, 'name', '')} {getattr(row, 'incarnation', '')}"
-            if kind == "ShutOut":
-                self.giver.stop(row.name, row.incarnation)
             if tag not in self.out:
                 self.out.add(tag)
                 wanted.append(Wanted(f"members.{WORD[kind]}", row, tag))
