--- a/indigohitch/fleet/disk/store.py
+++ b/indigohitch/fleet/disk/store.py
@@ -8,6 +8,7 @@
 import enum
 from collections.abc import Callable
 
+from ...errors import told
 from ...log import Log
 from ...net.clock import SECOND
 from ...net.loop import Deadline, Loop
@@ -185,8 +186,8 @@
         self.state, self.why = State.FAILED, str(broken)
         self.waiting.clear()                    # all of it is kept, and goes when it can
         self.failures += 1
-        self.log.trouble("disk_failed", folder=self.folder.path, why=self.why,
-                         remedy="make room or mend the disk: it is tried again by itself")
+        self.log.trouble("disk_failed", folder=self.folder.path,
+                         **told(broken, "mend the disk: it is tried again by itself"))
         if first:
             self.told(DiskFailed(self.why))
         self.again = self.loop.after(AGAIN, self.mend)
--- /dev/null
+++ b/indigohitch/fleet/node/standard.py
@@ -0,0 +1,49 @@
+"""What every member of a fleet has: the parts of the book, and its works."""
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from ...directives.fleet import FleetText
+from ...log import Log
+from ...net.loop import Loop
+from ..book import Book
+from ..hours import Hours, HoursWork
+from ..members.roster import Roster
+from ..members.work import Membership
+from ..ports import Acts, BookPart, Work
+from ..terms import Lease
+from .belonging import wall
+from .notes import Notes
+
+
+@dataclass(slots=True)
+class Place:
+    """What a work may know of the process it is in."""
+    loop: Loop
+    log: Log
+    text: FleetText
+    voters: Callable[[], Collection[str]]
+    lease: Callable[[int], Lease | None]
+    token: Callable[[], int]            # 62 bits of chance
+
+
+@dataclass(slots=True)
+class Assembly:
+    book: Book
+    membership: Membership
+    works: list[Work] = field(default_factory=list)     # the membership first
+    acts: Acts | None = None
+
+
+def parts() -> list[BookPart]:
+    """In a fixed order; each only knows those before it."""
+    return [Notes(), Roster(), Hours()]
+
+
+def assembled(place: Place) -> Assembly:
+    book, text = Book(parts()), place.text
+    membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
+                            text.drift, place.token)
+    hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
+    return Assembly(book, membership, [membership, hours])
