--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -1,8 +1,8 @@
 """Members with seats, servers with clocks of their own and a sound log, in a simulated true time, by seed.
 
 True time is what nobody in it can read.  Clocks drift by up to DRIFT; words, RPCs and answers come late,
-twice or not at all; members are stopped, cut, killed and begun anew, servers restarted, the contract changed.  The
-world's own meter counts the jobs that truly run."""
+twice or not at all; members are stopped, cut, killed and begun anew, servers restarted, the contract changed. A
+meter of the world's own meter counts the jobs that truly run."""
 import msgspec
 
 from indigohitch.fleet.book import Book
