Tests run on eight processes: addresses stay held, files split by job, waits for conditions

Eight share it (addopts; files that are named run in one). A free address was let go before a program listened there, so that another test or a connection going out could get it: it stays bound now.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -84,7 +84,7 @@
     """Asked for more and more: the highest rate at which 99 % were sent less than 50 ms late."""
     from indigohitch.load import trace
     from indigohitch.load.entry import SECOND, Request
-    from world import free_address
+    from waiting import free_address
     rows = []
     for processes in (1, 2, 4):
         best = None
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,17 @@
+"""What many files of tests share."""
+import pytest
+
+from stage import Platform
+
+
+def pytest_xdist_auto_num_workers(config):
+    """Eight for the whole; files that are named run in this process, at once."""
+    named = [word for word in config.invocation_params.args if word.split("::")[0].endswith(".py")]
+    return 0 if named else 8
+
+
+@pytest.fixture
+def platform(tmp_path):
+    found = Platform(tmp_path)
+    yield found
+    found.close()
--- /dev/null
+++ b/tests/test_access_log.py
@@ -0,0 +1,79 @@
+"""The sidecar's access log, and read back."""
+import json
+import os
+import signal
+import subprocess
+import threading
+import time
+
+import pytest
+
+from field import Field
+from indigohitch.directives.lines import Mistakes
+from indigohitch.directives.sidecar_file import read
+from indigohitch.load import trace
+from indigohitch.sidecar.access import QUEUE, AccessLog
+from recorded import LOAD, ROOT
+from waiting import eventually
+
+
+def test_a_slow_or_full_disk_delays_nobody(tmp_path):
+    dropped, gate, full = [], threading.Event(), [False]
+
+    def write(file, data):
+        gate.wait()
+        if full[0]:
+            raise OSError(28, "No space left on device")
+        return os.write(file, data[:5000])              # never all at once
+    log = AccessLog(str(tmp_path / "a"), "json", lambda: dropped.append(1), write)
+    began = time.monotonic()
+    for n in range(QUEUE + 5000):
+        log.add(n, n + 1, "c", "GET", "/x", "r", 200, 1, "")
+    assert time.monotonic() - began < 1.0
+    assert 4000 < len(dropped) <= 5000                  # of those in hand some are out of the queue
+    gate.set()
+    eventually(lambda: not log.queue)
+    log.close()
+    lines = (tmp_path / "a").read_bytes().splitlines()
+    assert len(lines) == QUEUE + 5000 - len(dropped) and json.loads(lines[-1])["method"] == "GET"
+    full[0] = True
+    log = AccessLog(str(tmp_path / "b"), "combined", lambda: None, write)
+    log.add(0, 1, "c", "GET", "/x", "r", 200, 1, "")
+    log.close()
+    assert log.failed == 1
+
+
+def test_the_file_names_the_access_log():
+    lines = "listen 127.0.0.1:80\nrpc a idempotent\npool p\nserver s 127.0.0.1:81 pool p\n" \
+            "route GET /x rpc a pool p\n"
+    assert read(lines + "access-log /x/y").single["access-log"] == "/x/y"
+    with pytest.raises(Mistakes, match=":6: .*json or combined"):
+        read(lines + "access-log-form xml")
+
+
+@pytest.mark.parametrize("form", ["json", "combined"])
+def test_recorded_by_the_sidecar_and_read_back(tmp_path, form):
+    log = tmp_path / "access.log"
+    field = Field(tmp_path, more=[f"access-log {log}", f"access-log-form {form}"])
+    try:
+        field.start()
+        for n in range(5):
+            assert field.get(f"/vacancies/{n}?q=%22x").status == 200
+        assert field.get("/places/7/reserve", "POST", b"{}", id="r1").status == 200
+        assert field.get("/nowhere").status == 404
+        os.rename(log, tmp_path / "moved")              # rotated under load
+        field.process.send_signal(signal.SIGHUP)
+        eventually(log.exists)
+        field.get("/vacancies/9")
+    finally:
+        field.process.terminate()
+        field.process.wait()
+        field.close()
+    out = subprocess.run([*LOAD, "compile", str(tmp_path / "moved"), str(log), "-o", str(tmp_path / "t"),
+                          "--format", form, "--routes", str(field.file), "--strict"], capture_output=True,
+                         text=True, cwd=ROOT, check=True)
+    assert json.loads(out.stdout)["requests"] == 8
+    found = [r for _, r in trace.Trace(str(tmp_path / "t")).requests()]
+    assert [r.target for r in found if r.status == 404] == ["/nowhere"]
+    assert sorted(r.rpc for r in found if r.unsafe) == ["place-reserve"]
+    assert sum(r.target.endswith("?q=%22x") for r in found) == 5 and {r.status for r in found} == {200, 404}
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,71 @@
+"""The program moved to other addresses by its file and a signal."""
+import signal
+
+import pytest
+
+from stage import SETTINGS, drain, heartbeat, none_lost
+from waiting import eventually, free_address
+
+
+def test_reload_moves_to_other_addresses(platform):
+    program = platform.serving()
+    for times in (1, 2):
+        left = platform.move()
+        platform.change(f"b{times}", "DRAINING")        # meets the reload
+        eventually(lambda n=times: len(program.said("reloaded", moved=True)) == n)
+        eventually(lambda n=times: len(program.said("news_begun")) == n + 1)
+        assert not program.said("news_lost") and not program.said("discovery_failed")
+        for peer in left:
+            peer.close()
+        drain(platform, f"b{times}")
+    assert none_lost(platform) and heartbeat(platform) and not program.said("defect")
+    assert not any("needs_restart" in e for e in program.said("reloaded"))
+    platform.reload(limits={"cores": 1.0, "memory_mb": 64, "sockets": 256},
+                    store={"address": platform.relay.address}, discovery=platform.discovery.address,
+                    settings=SETTINGS | {"period": 8.0})
+    eventually(lambda: program.said("reloaded", moved=False, needs_restart=["limits", "settings.period"]))
+    assert program.end() == 0
+
+
+def test_reload_to_addresses_that_are_not_up_yet(platform):
+    program, coming = platform.serving(), [free_address(), free_address()]
+    for _ in range(2):                          # one in the middle of the other
+        platform.reload(store={"address": coming[0]}, discovery=coming[1])
+        platform.reload(store={"address": free_address()}, discovery=free_address())
+    platform.reload(store={"address": coming[0]}, discovery=coming[1])
+    eventually(lambda: program.said("news_lost", why="connect_failed"))
+    eventually(lambda: program.said("discovery_not_there_yet"))
+    platform.change("b1", "DRAINING")           # what is still open there tells it; no call gets through yet
+    eventually(lambda: program.said("relay_call_unclear", why="connect_failed"))
+    for peer in platform.move([int(at.rpartition(":")[2]) for at in coming]):
+        peer.close()
+    drain(platform, "b1")
+    drain(platform, "b2")
+    eventually(lambda: len(program.said("news_begun")) == 2)
+    assert none_lost(platform) and heartbeat(platform)
+
+
+@pytest.mark.parametrize("text", ["{", "[]", "{}", None, '{"store": {"address": "nowhere"}}'])
+def test_a_file_that_can_not_be_used_changes_nothing(platform, text):
+    program = platform.serving()
+    if text is None:
+        program.file.unlink()
+    elif "store" in text:
+        platform.reload(store={"address": "nowhere"})
+    else:
+        program.file.write_text(text)
+    program.process.send_signal(signal.SIGHUP)
+    eventually(lambda: program.said("reload_failed"))
+    drain(platform, "b1")
+    assert not program.said("reloaded") and not program.said("news_lost") and none_lost(platform)
+
+
+def test_reload_meets_the_end(platform):
+    program = platform.serving()
+    platform.relay_faults += ["silent"] * 99
+    platform.change("b1", "DRAINING")
+    eventually(lambda: program.said("relay_call_unclear"))
+    platform.move()
+    program.process.send_signal(signal.SIGHUP)
+    assert program.end() == 0
+    assert program.log[-1]["event"] == "counters"
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,97 @@
+"""The program from its start to its end."""
+import socket
+import time
+
+import pytest
+
+from program import Program
+from stage import SETTINGS, drain, heartbeat, none_lost
+from waiting import eventually
+
+
+def test_a_day_in_small(platform):
+    program = platform.serving()
+    assert heartbeat(platform)
+    drain(platform, "b1")
+    platform.change("b1", "SERVING", started=int(time.time() * 1000))
+    drain(platform, "b2")
+    eventually(lambda: {b for b, _ in platform.probed} >= set("b0 b3 b4 b5".split()))
+    assert program.end() == 0 and not program.process.stderr.read()
+    assert [e["now"] for e in program.said("phase")] == ["listening", "serving", "ending", "ended"]
+    counters = program.log[-1]
+    assert counters["event"] == "counters" and counters["heartbeats_answered"] == 1
+    assert counters["orders_stand"] == counters["orders"] and counters["probes_ok"] >= 4
+    assert none_lost(platform)
+
+
+def test_restart_from_nothing_with_an_old_list(platform):
+    platform.serving()
+    drain(platform, "b1")
+    platform.program.process.kill()
+    platform.program.process.wait()
+    platform.add("b9")
+    with platform.lock:
+        for table in list(platform.tables.values())[:4]:
+            table.clear()
+            table["b9"] = 1.0                   # known to the store, not to the list of old
+    platform.change("b0", "DELETED")
+    program = platform.serving()                # its `known` still has b0 and b1, and no b9
+    eventually(platform.agrees)
+    program.counters()
+    assert not any(o.startswith("put") and ",b9,0.0" in o for call in platform.calls for o in call)
+
+
+@pytest.mark.parametrize("phase", ["listening", "serving", "calling"])
+def test_told_to_end_in_any_phase(platform, phase):
+    if phase == "listening":
+        platform.news_faults += ["silent"] * 9
+        program = platform.start()
+        eventually(lambda: program.said("phase", now="listening"))
+    else:
+        program = platform.serving()
+    if phase == "calling":
+        platform.relay_faults += ["silent"] * 99
+        platform.change("b1", "DRAINING")
+        eventually(lambda: program.said("relay_call_unclear"))
+    assert program.end() == 0
+    assert program.said("phase", now="ended") and program.log[-1]["event"] == "counters"
+
+
+def test_a_module_that_breaks_is_begun_anew(platform):
+    family = SETTINGS["family-info"] | {"egress-per-s": "fast"}
+    program = platform.start(settings=SETTINGS | {"family-info": family})
+    eventually(lambda: program.said("phase", now="serving"))
+    platform.change("b1", "DRAINING")
+    eventually(lambda: program.counters().get("module_begun_anew", 0) > 1)
+    assert "TypeError" in program.said("defect")[0]["error"] and heartbeat(platform)
+
+
+@pytest.mark.parametrize("config", [
+    "no JSON", "[]", "{}", '{"seed":"1","settings":{"classes":[{}]}}',
+    '{"seed":"1","settings":{"classes":[]},"known":{"instances":[{}]}}', None])
+def test_a_configuration_that_can_not_be_read_ends_it(tmp_path, config):
+    program = Program(tmp_path, config or "", **{} if config else {"BALANCER_CONFIG": "/nowhere/config.json"})
+    assert program.process.wait(10) not in (0, None)
+    program.reader.join(5)
+    assert len(program.said("cannot_start")) == 1 and not program.process.stderr.read()
+
+
+@pytest.mark.parametrize("settings,why", [
+    (SETTINGS | {"classes": []}, "no method"),
+    (SETTINGS | {"family-info": {"admission": "share"}}, "family-info.report-every is missing"),
+    (SETTINGS | {"family-info": SETTINGS["family-info"] | {"report-every": 0.0}}, "family-info.report-every"),
+    (SETTINGS | {"classes": [SETTINGS["classes"][0] | {"aim": -1.0}]}, "search: aim")])
+def test_settings_that_can_not_be_used_are_named(platform, settings, why):
+    program = platform.start(settings=settings)
+    assert program.process.wait(10) == 1
+    program.reader.join(5)
+    assert why in program.said("cannot_start")[0]["why"] and not program.said("defect")
+
+
+def test_an_address_that_can_not_be_had_ends_it(platform):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        for listen in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:0x10"):
+            program = platform.start(listen=listen, settings=SETTINGS)
+            assert program.process.wait(10) not in (0, None)
+            program.reader.join(5)
+            assert len(program.said("cannot_start")) == 1 and not program.process.stderr.read()
