--- a/indigohitch/directives/lines.py
+++ b/indigohitch/directives/lines.py
@@ -62,7 +62,7 @@
 
     def read(self, text: str) -> Reader:
         """Raises Mistakes."""
-        self.end = text.count("\n") + 1
+        self.end = len((text + " ").splitlines())
         for at, line in enumerate(text.splitlines(), 1):
             self.guarded(at, self.directive, at, line)
         for at, word, rest in self._later:
--- a/indigohitch/load/replay/standins.py
+++ b/indigohitch/load/replay/standins.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from ...errors import Unreadable
 from .safety import PATH, proof
 
 
@@ -33,10 +34,16 @@
 
 
 def acts(servers: list[tuple[str, int]], name: str) -> dict[int, int]:
-    """How often each numbered request of the replay `name` was acted on, by all of them."""
+    """How often each numbered request of the replay `name` was acted on, by all of them.  Raises OSError,
+    Unreadable."""
     found: dict[int, int] = {}
     for at in servers:
-        for id, count in orjson.loads(asked(at, "/stats") or b"{}").get("acts", {}).items():
+        try:
+            told = orjson.loads(asked(at, "/stats") or b"{}").get("acts", {})
+        except (http.client.HTTPException, ValueError, AttributeError) as bad:
+            raise Unreadable(f"no answer that can be read: {type(bad).__name__}: {bad}", "{}:{}".format(*at),
+                             "once it answers, --resume with the same journal asks it again") from None
+        for id, count in told.items():
             trace, _, number = id.rpartition("-")
             if trace == name and number.isdigit():
                 found[int(number)] = found.get(int(number), 0) + count
--- a/indigohitch/packed/frames.py
+++ b/indigohitch/packed/frames.py
@@ -8,7 +8,7 @@
 import msgspec
 import xxhash
 
-from ..errors import Unreadable
+from ..errors import Unfit, Unreadable
 from .rows import Row
 
 _HEAD = struct.Struct("!4sBBHIQ")
@@ -29,10 +29,10 @@
         self.numbers = {kind: number for number, kind in enumerate(rows)}
 
     def frame(self, row: Row, descriptors: int = 0) -> bytes:
-        """Raises ValueError for a body larger than a frame takes."""
+        """Raises Unfit for a body larger than a frame takes."""
         body, number = msgspec.msgpack.encode(row), self.numbers[type(row)]
         if len(body) > self.most:
-            raise ValueError(f"{type(row).__name__} of {len(body)} bytes")
+            raise Unfit(f"{type(row).__name__} of {len(body)} bytes", "", f"a frame takes {self.most}")
         return _HEAD.pack(self.magic, self.protocol, number, descriptors, len(body),
                           xxhash.xxh3_64_intdigest(body, self.protocol << 8 | number)) + body
 
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -154,7 +154,7 @@
 
     def restore(self, state: shots.Snapshot, listeners: dict[str, socket.socket]) -> None:
         if state.coordinator is None:
-            raise ValueError(f"the state of a {state.kind}")
+            raise shots.Unusable(f"the state of a {state.kind}")
         self.fresh(listeners)
         self.state, self.taken = state.coordinator, state.taken
         restore_front(self.front, self.state)
