--- a/proofs/ledger_faults.py
+++ b/proofs/ledger_faults.py
@@ -35,6 +35,8 @@
             time += 1 + int(random.expovariate(1 / pace))
         for time in range(0, STORM + QUIET, 180):
             world.at(time, self.use)
+        for time in range(0, STORM + QUIET - 4000, 1200):
+            world.at(time, world.leases.beat)
         world.run(STORM)
         self.heal()
         for station in world.stations.values():
--- /dev/null
+++ b/proofs/ledger_leases.py
@@ -0,0 +1,100 @@
+"""One thing that one member at a time may act on, under leases given through reads of the ledger.
+
+The holder counts its lease from before it asked, shorter by the drift of its clock; the giver from after it
+answered, longer by it; and a new leader takes every member to hold one as it is elected."""
+from __future__ import annotations
+
+import msgspec
+
+from indigohitch.fleet.ledger.ports import Propose, Read
+from indigohitch.fleet.terms import Proposal
+from proofs.ledger_checks import Breach
+from proofs.ledger_station import DRIFT, Name
+
+SPAN = 5000                     # of a lease
+
+
+class Leases:
+    def __init__(self, world) -> None:
+        self.world = world
+        self.renewals = {}                      # number of a read -> (leader, its epoch, member, asked at)
+        self.moves = 0
+
+    # ---- who acts ----------------------------------------------------------------------------------
+
+    def acting(self) -> list:
+        """A process that is stopped counts too: it may be between its look at the clock and its act."""
+        now = self.world.now
+        return [s for s in self.world.stations.values() if s.machine is not None and s.lease is not None
+                and s.book.parts["toy"].holder == s.me.name and s.lease > s.local(now)]
+
+    def check(self) -> None:
+        acting = self.acting()
+        if len(acting) > 1:
+            raise Breach(f"{' and '.join(s.me.name for s in acting)} act under one lease")
+
+    # ---- renewing ----------------------------------------------------------------------------------
+
+    def beat(self) -> None:
+        """Each member asks the leader that it knows; a leader moves the thing on now and then."""
+        world = self.world
+        for station in list(world.stations.values()):
+            if station.machine is None or station.stopped_until > world.now:
+                continue
+            leader = station.machine.leader
+            if leader is not None:
+                world.post(station.me, leader, self.asked, station.me, station.local(world.now),
+                           station.epoch)
+            if station.machine.leading is not None:
+                self.lead(station)
+
+    def asked(self, leader, who, asked_at, epoch) -> None:
+        """The leader answers once a read that began after this is confirmed."""
+        if leader.machine.leading is None:
+            return
+        world = self.world
+        world.numbers += 1
+        self.renewals[world.numbers] = (leader.epoch, who, asked_at, epoch)
+        world.checks.read_begins(world.numbers)
+        world.step(leader, Read(world.numbers))
+
+    def confirmed(self, leader, readable) -> None:
+        of_epoch, who, asked_at, epoch = self.renewals.pop(readable.number)
+        toy = leader.book.parts["toy"]
+        shut = who.name == toy.holder and (toy.shut or who.name in leader.shutting)
+        if not readable.ok or of_epoch != leader.epoch or shut or leader.book.index < readable.index:
+            return
+        world = self.world
+        leader.given[who.name] = leader.local(world.now) + int(SPAN * (1 + DRIFT))
+        world.post(leader.me, who, self.renewed, asked_at, epoch, leader.book.index)
+
+    def renewed(self, station, asked_at, epoch, index) -> None:
+        """Of use once the book here is as new as that which the leader looked at."""
+        if station.epoch == epoch and station.book.index >= index:
+            until = asked_at + int(SPAN * (1 - DRIFT))
+            station.lease = max(until, station.lease or 0)
+            self.check()
+
+    # ---- moving it on ------------------------------------------------------------------------------
+
+    def elected(self, station) -> None:
+        station.given, station.shutting = {}, set()
+        station.elected_at = station.local(self.world.now)
+
+    def lead(self, station) -> None:
+        toy, now = station.book.parts["toy"], station.local(self.world.now)
+        if not toy.shut:
+            if self.world.random.random() < 0.3:
+                station.shutting.add(toy.holder)
+                self.propose(station, "shut", toy.holder)
+            return
+        free = max(station.given.get(toy.holder, 0), station.elected_at + int(SPAN * (1 + DRIFT)))
+        if not toy.holder or now >= free:
+            station.shutting.clear()
+            self.propose(station, "hold", self.world.random.choice(sorted(self.world.stations)))
+
+    def propose(self, station, word: str, name: str) -> None:
+        self.moves += 1
+        body = msgspec.msgpack.encode(Name(name))
+        self.world.step(station, Propose(Proposal(f"leases {station.me.name}", station.epoch, self.moves,
+                                                  f"toy.{word}", body)))
--- a/proofs/ledger_station.py
+++ b/proofs/ledger_station.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from indigohitch.errors import Unfit
 from indigohitch.fleet.book import Book
 from indigohitch.fleet.ledger.machine import Machine
 from indigohitch.fleet.ledger.ports import Snap
@@ -13,32 +14,50 @@
 
 BOOTSTRAP = {"election": 2400, "beat": 600, "log_most": 2500, "append_most": 300, "piece": 400,
              "inflight": 3, "proposals_most": 24}
-DRIFT = 0.001                   # of a member's clock, at most
+DRIFT = 0.02                    # of a member's clock, at most; more than real, so that it matters
 
 
 class Add(Row):
     number: int
-    count: int = 0
+
+
+class Name(Row):
+    name: str
+
+
+class ToyRow(Row):
+    chain: int
+    count: int
+    holder: str
+    shut: bool
 
 
 class Toy:
-    """A part of the book: a chain over all that was added, and where."""
-    name, kinds = "toy", {"add": Add}
+    """A part of the book: a chain over all that was added, and where; and one thing that a member holds,
+    which goes to another only after it was shut."""
+    name, kinds = "toy", {"add": Add, "shut": Name, "hold": Name}
 
     def __init__(self) -> None:
-        self.chain, self.count = 0, 0
+        self.restore(msgspec.msgpack.encode(ToyRow(0, 0, "", True)))
 
     def apply(self, at, word, body) -> int:
-        self.chain = zlib.crc32(b"%d %d" % (body.number, at.index), self.chain)
-        self.count += 1
+        if word == "shut":
+            self.shut = self.shut or body.name == self.holder
+        elif word == "hold":
+            if not self.shut:
+                raise Unfit("it is held")
+            self.holder, self.shut = body.name, False
+        else:
+            self.chain = zlib.crc32(b"%d %d" % (body.number, at.index), self.chain)
+            self.count += 1
         return self.count
 
-    def row(self) -> Add:
-        return Add(self.chain, self.count)
+    def row(self) -> ToyRow:
+        return ToyRow(self.chain, self.count, self.holder, self.shut)
 
     def restore(self, row) -> None:
-        row = msgspec.msgpack.decode(row, type=Add)
-        self.chain, self.count = row.number, row.count
+        row = msgspec.msgpack.decode(row, type=ToyRow)
+        self.chain, self.count, self.holder, self.shut = row.chain, row.count, row.holder, row.shut
 
 
 class Station:
@@ -72,6 +91,8 @@
         self.machine = Machine(self.me, held, self.bootstrap, self.chance, self.local(now))
         self.epoch += 1
         self.heard, self.due_at, self.stopped_until = None, 0, 0
+        self.lease = None                       # until when, by its own clock, it may act
+        self.given = {}                         # as leader: until when each member may, by this clock
 
     def crash(self) -> None:
         """Memory is lost, and of what was asked of the disk what it hadn't confirmed, or some of it."""
--- a/proofs/ledger_world.py
+++ b/proofs/ledger_world.py
@@ -27,6 +27,7 @@
 from indigohitch.fleet.ledger.words import Append, Ask, Piece
 from indigohitch.fleet.terms import Proposal, Who
 from proofs.ledger_checks import Checks
+from proofs.ledger_leases import Leases
 from proofs.ledger_station import BOOTSTRAP, Add, Station
 
 
@@ -34,7 +35,7 @@
     def __init__(self, seed: int, size: int) -> None:
         self.random = Random(seed)
         self.now, self.order, self.events = 0, 0, []
-        self.checks = Checks(self)
+        self.checks, self.leases = Checks(self), Leases(self)
         self.cuts, self.loss, self.doubling, self.delay, self.in_order = set(), 0.0, 0.0, 20, False
         self.arrivals = {}                      # link -> the last arrival, where order is kept
         founders = Members(tuple(Who(name, 1) for name in "abcdefg"[:size]))
@@ -117,21 +118,27 @@
 
     def send(self, station: Station, output: Send) -> None:
         self.checks.sent(station, output.to, output.word)
-        link, chance = (station.me.name, output.to.name), self.random.random
+        self.post(station.me, output.to, self.heard, station.me, output.word)
+
+    def post(self, sender: Who, to: Who, act, *args) -> None:
+        """`act(station, *args)` at the member `to`, if it gets there."""
+        link, chance = (sender.name, to.name), self.random.random
         if link in self.cuts or chance() < self.loss:
             return
         for _ in range(2 if chance() < self.doubling else 1):
             arrival = self.now + 1 + int(self.delay * (0.5 + chance()) * (1 if chance() < 0.95 else 8))
             if self.in_order:
                 arrival = self.arrivals[link] = max(arrival, self.arrivals.get(link, 0))
-            self.at(arrival, self.deliver, station.me, output.to, output.word)
+            self.at(arrival, self.deliver, to, act, args)
 
-    def deliver(self, sender: Who, to: Who, word) -> None:
+    def deliver(self, to: Who, act, args) -> None:
         station = self.stations.get(to.name)
         if station is None or station.me != to or station.machine is None:
             return
-        if self.held_up(station, station.epoch, self.deliver, sender, to, word):
-            return
+        if not self.held_up(station, station.epoch, self.deliver, to, act, args):
+            act(station, *args)
+
+    def heard(self, station: Station, sender: Who, word) -> None:
         local = station.local(self.now)
         heard, ballot = station.hears_leader(local), station.machine.state.ballot
         if type(word) in (Append, Piece) and word.term >= station.machine.term:
@@ -185,9 +192,10 @@
         self.checks.commits(station, output.entries)
         for entry in output.entries:
             self.checks.applied(station, entry, station.book.apply(entry))
-            if self.open.pop(entry.number, None) is not None:
+            if entry.proposer == "p" and self.open.pop(entry.number, None) is not None:
                 self.tally["commits"] += 1
             self.checks.told(entry.index)
+        self.leases.check()
 
     def propose(self, station: Station, fresh: bool) -> None:
         """A new one, or one again that isn't known yet."""
@@ -208,9 +216,9 @@
             self.step(station, Propose(proposal))
 
     def turned(self, station: Station, output: Turned) -> None:
-        leader = output.leader and self.stations.get(output.leader.name)
-        if leader is not None and leader is not station and output.proposal.number in self.open:
-            self.at(self.now + 10, self.offer, leader, output.proposal)
+        leader, proposal = output.leader and self.stations.get(output.leader.name), output.proposal
+        if leader not in (None, station) and self.open.get(proposal.number) is proposal:
+            self.at(self.now + 10, self.offer, leader, proposal)
 
     def read(self, station: Station) -> None:
         self.numbers += 1
@@ -230,11 +238,15 @@
     def readable(self, station: Station, output: Readable) -> None:
         self.tally["reads"] += output.ok
         self.checks.read_ends(station, output)
+        if output.number in self.leases.renewals:
+            self.leases.confirmed(station, output)
 
     def became(self, station: Station, output: Became) -> None:
         if output.leader is None:
             station.heard = None
         self.tally["elections"] += output.role == "leader"
         self.checks.became(station, output)
+        if output.role == "leader":
+            self.leases.elected(station)
         if output.role == "leader" and self.hunter is not None:
             self.at(self.now + int(self.random.random() ** 2 * 600), self.hunter, station)
