--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -6,21 +6,28 @@
 import socket
 from collections.abc import Mapping
 
+from .directives import operator_file
+from .directives.texts import Text
+from .errors import told
 from .platformlink.front import Front
 from .platformlink.handover import Handover
 from .replaceable import Replaceable
-from .service import UNUSABLE, configuration
-from .sidecar import conf
+from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
+from .upgrade.giving import Side
 
 
 class Coordinating(Replaceable):
-    def __init__(self, environ: Mapping[str, str], text: conf.Text) -> None:
-        self.environ, self.source = environ, text.source
+    def __init__(self, environ: Mapping[str, str], text: Text, follows: bool) -> None:
+        self.environ, self.source, self.fleet, self.follows = environ, text.source, text.fleet, follows
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
-    def make_side(self) -> Handover:
-        return Handover(None, self.make, self.controls, self.control_taken, self.reload)
+    def make_side(self) -> Side:
+        side = Handover(None, self.make, self.controls, self.control_taken, self.reload)
+        if self.fleet is None:
+            return side
+        from .fleet.node.inside import beside
+        return beside(self, side, self.fleet, False, self.follows)
 
     def make(self, listening: socket.socket | None) -> Front:
         return Front(self.loop, self.log,
@@ -42,7 +49,7 @@
 
     def program_now(self) -> list[str]:
         try:
-            return conf.load_operator(self.source).single["program"]
+            return operator_file.load(self.source).single["program"]
         except (OSError, ValueError):
             return self.lines["program"]
 
@@ -50,7 +57,12 @@
         try:
             self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
         except UNUSABLE as bad:
-            self.log.trouble("reload_failed", why=f"{type(bad).__name__}: {bad}")
+            self.log.trouble("reload_failed", **told(bad, REMEDY))
+        if self.beside is not None:
+            try:
+                self.beside.reread(operator_file.load(self.source).fleet)
+            except (OSError, ValueError) as bad:
+                self.log.trouble("reload_failed", **told(bad))
 
     def all_done(self) -> bool:
         return self.side.front.relay.idle
@@ -61,8 +73,11 @@
 
 
 def main(file: str) -> int:
-    """Raises conf.Mistakes, OSError."""
+    """Raises Mistakes, OSError."""
+    text = operator_file.load(file)
+    if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
+        from .fleet.node import alone
+        return alone.main(text)
     channel = launch.inherited()
-    text = conf.load_operator(file)
     os.set_blocking(1, False)
-    return Coordinating(os.environ, text).run(channel)
+    return Coordinating(os.environ, text, channel is not None).run(channel)
