--- a/indigohitch/fleet/audit/acts.py
+++ b/indigohitch/fleet/audit/acts.py
@@ -13,7 +13,7 @@
 # Acts whose record must outlive a loss of power, as what follows from them isn't bounded by a lease: a piece
 # of a batch that was let go may have run, and who gave on a member's things must be known.  All others are
 # written before the act, so that they outlive the process, and are on the disk with the next beat.
-FIRM = frozenset({"batches.released", "batches.started"})
+FIRM = frozenset({"batches.start"})
 
 
 class ChainedActs:
@@ -57,6 +57,10 @@
         self.counts[kind] += 1
         return record.stamp
 
+    def close(self) -> None:
+        self.sync()
+        self.store.shut()
+
     def sync(self) -> bool:
         """All acts so far are on the disk; False where that failed: it is tried again."""
         try:
--- a/indigohitch/fleet/audit/files.py
+++ b/indigohitch/fleet/audit/files.py
@@ -21,17 +21,17 @@
     """Of one process.  An incarnation's files are written by one process only; a new one begins others."""
 
     def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES) -> None:
-        """Raises OSError."""
+        """Touches nothing yet: as long as another process has this member's disk, the folder is its own."""
         self.folder, self.file, self.files = Path(folder), file, files
-        self.folder.mkdir(parents=True, exist_ok=True)
         self.fd, self.size, self.incarnation = -1, 0, 0
         self.written = 0                        # the last number of this chain
         self.unsynced: list[bytes] = []         # frames that may not be on the disk
-        self.cut = self.mend()
+        self.cut = -1                           # bytes of torn tails that were; -1: not looked at yet
 
     def mend(self) -> int:
         """Cut torn tails of processes that died; how many bytes.  What is spoilt elsewhere stays as it is:
         it is evidence."""
+        self.folder.mkdir(parents=True, exist_ok=True)
         cut = 0
         for path in sorted(self.folder.glob("chain-*")):
             data = path.read_bytes()
@@ -74,6 +74,8 @@
 
     def begin(self, incarnation: int, number: int) -> None:
         self.shut()
+        if self.cut < 0:
+            self.cut = self.mend()
         path = self.folder / f"chain-{incarnation}-{number}"
         self.fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
         self.size, self.incarnation = 0, incarnation
@@ -119,6 +121,7 @@
 
     def keep(self, name: str, data: bytes) -> None:
         """Evidence, written whole, never over what lies there.  Raises OSError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
         path = self.folder / f"evidence-{name}"
         if not path.exists():
             write_whole(str(path), data)
--- a/indigohitch/fleet/audit/work.py
+++ b/indigohitch/fleet/audit/work.py
@@ -55,6 +55,10 @@
         self.out = Head(chain.member, chain.incarnation, chain.number, chain.head, first, oldest)
         return [Wanted("audit.head", self.out, "head")]
 
+    def last(self, now: int) -> list[Wanted]:
+        """Before this incarnation leaves, after its last act."""
+        return self.head(now) if self.acts.sync() else []
+
     def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
         head, self.out = self.out, None
         if head is None or outcome is None:
@@ -95,7 +99,7 @@
         return {"acts": {kind: count for kind, count in sorted(self.acts.counts.items())},
                 "chain": {"incarnation": chain.incarnation, "number": chain.number, "head": chain.head.hex(),
                           "told": self.told[1]} if chain is not None else None,
-                "wrong": self.wrong, "torn_bytes_cut": self.acts.store.cut,
+                "wrong": self.wrong, "torn_bytes_cut": max(0, self.acts.store.cut),
                 "heads": [{"member": name, "incarnation": one.incarnation, "number": one.number,
                            "digest": one.digest.hex(), "shut_out": one.shut_out, "gone": one.gone}
                           for name, lives in sorted(facts.kept.items()) for one in lives],
--- a/indigohitch/fleet/members/entries.py
+++ b/indigohitch/fleet/members/entries.py
@@ -26,7 +26,8 @@
 
 
 class Gone(Row):
-    """By the leader, once the lease has surely run out by its reckoning; `when` that was, by its clock."""
+    """By the leader, once the lease has surely run out by its reckoning; `when` that was in fleet time,
+    0: not known."""
     name: str
     incarnation: int
     when: int = 0
@@ -49,6 +50,14 @@
     index: int
 
 
+class Announce(Row):
+    """Something that members go by has changed, and no part of the book holds it (their files' classes and
+    servers): this entry is its version.  `hard` and `allowed` as in `Change`."""
+    what: str
+    hard: bool
+    allowed: int = 0
+
+
 class InForce(Row):
     """Every member that may act has taken all changes up to `version`.  `taken`: name, incarnation, and how
     many acts it had stamped when it said that it goes by `version` or later; the audit holds it to that."""
--- a/indigohitch/fleet/members/judge.py
+++ b/indigohitch/fleet/members/judge.py
@@ -50,6 +50,7 @@
     def __init__(self, roster: Roster, span: int, over: Callable[[int, str, int], bool]) -> None:
         self.roster, self.span, self.over = roster, span, over
         self.elected = self.now = 0                     # `now`: of the last look, for `status`
+        self.when: Callable[[int], int] = lambda now: now       # fleet time; 0: not known
         self.seen: dict[tuple[str, int], Seen] = {}
         self.condemned: dict[tuple[str, int], str] = {}     # proposed to be shut out, and why
         self.known_since: dict[int, int] = {}           # change -> when this leader first saw it
@@ -118,7 +119,7 @@
         wanted: list[Row] = []
         for member in members:
             if member.life is Life.SHUT_OUT and self.over(now, member.name, member.incarnation):
-                wanted.append(Gone(member.name, member.incarnation, now))
+                wanted.append(Gone(member.name, member.incarnation, self.when(now)))
             elif member.life in (Life.VALID, Life.COMPARED) and (why := self.why_out(now, member)):
                 wanted.append(ShutOut(member.name, member.incarnation, why))
         wanted += self.taken(now)
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -16,6 +16,7 @@
 from ..ports import At
 from .entries import (
     Agreed,
+    Announce,
     Back,
     Change,
     Compare,
@@ -50,7 +51,8 @@
 class Roster:
     name = "members"
     kinds: Mapping[str, type[Row]] = {"join": Join, "leave": Leave, "shut_out": ShutOut, "gone": Gone,
-                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce}
+                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce,
+                                      "change": Announce}
     book: Book
 
     def __init__(self) -> None:
@@ -176,6 +178,10 @@
             raise Unfit(f"compared at {back.index}, joined at {member.joined}")
         member.life, member.since = Life.VALID, at.index
 
+    def on_change(self, at: At, change: Announce) -> int:
+        self.changed(at, change.what, change.hard, change.allowed)
+        return at.index
+
     def on_in_force(self, at: At, body: InForce) -> None:
         if not self.in_force < body.version < at.index:
             raise Unfit(f"version {body.version} after {self.in_force}")
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -58,7 +58,7 @@
         self.traffic = Traffic(self)
         membership, proposals = self.assembly.membership, self.traffic.proposals
         self.belonging = Belonging(log, loop.clock, membership, proposals, self.traffic.read,
-                                   self.traffic.tell, lambda: 0)
+                                   self.traffic.tell, lambda: self.assembly.acts.number)
         self.working = Working(loop, log, self.assembly.works, proposals,
                                lambda work: work is membership or self.belonging.may_propose,
                                self.traffic.send)
@@ -147,6 +147,8 @@
         if self.phase is Phase.TAKING_PART:
             self.be(Phase.LEAVING)
             if give_up:
+                auditing = self.assembly.auditing
+                self.working.want(auditing, auditing.last(self.loop.clock.now()))
                 self.working.want(self.assembly.membership, self.assembly.membership.leave())
             self.hand_over()
 
@@ -176,6 +178,7 @@
         if self.beating is not None:
             self.beating.cancel()
             self.beating = None
+        self.assembly.acts.close()
         self.disk.close()               # first: what it still tells may be said
         self.driver.end()
         self.links.close()
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -5,13 +5,18 @@
 from dataclasses import dataclass, field
 
 from ...directives.fleet import FleetText
+from ...errors import Trouble, told
 from ...log import Log
 from ...net.loop import Loop
+from ..audit.acts import ChainedActs
+from ..audit.files import Store
+from ..audit.heads import Heads
+from ..audit.work import Auditing
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
-from ..ports import Acts, BookPart, Work
+from ..ports import BookPart, Work
 from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
@@ -32,13 +37,14 @@
 class Assembly:
     book: Book
     membership: Membership
+    acts: ChainedActs
+    auditing: Auditing
     works: list[Work] = field(default_factory=list)     # the membership first
-    acts: Acts | None = None
 
 
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours()]
+    return [Notes(), Roster(), Hours(), Heads()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -46,4 +52,11 @@
     membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
                             text.drift, place.token)
     hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
-    return Assembly(book, membership, [membership, hours])
+    membership.judge.when = hours.time
+
+    def trouble(bad: Trouble) -> None:
+        place.log.trouble("audit", **told(bad))
+    acts = ChainedActs(text.me, place.lease, book, Store(f"{text.folder}/audit"), trouble,
+                       when=hours.time)
+    auditing = Auditing(acts, book.parts["audit"], membership, trouble)
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing])
