--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -30,8 +30,12 @@
         return beside(self, side, self.fleet, False, self.follows)
 
     def make(self, listening: socket.socket | None) -> Front:
-        return Front(self.loop, self.log,
-                     configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"), listening)
+        front = Front(self.loop, self.log,
+                      configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"), listening)
+        if self.fleet is not None:
+            from .fleet.audit.orders import stamped
+            front.relay.allowed = stamped(self.clock, lambda: self.beside.node)
+        return front
 
     def turn(self) -> None:
         if self.side.front is not None:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -108,6 +108,9 @@
         self.written: deque[int] = deque()      # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None   # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
+        # Set from outside where others must know who ordered what: asked with the orders of each call right
+        # before it goes; False: it may not.
+        self.allowed: Callable[[str], bool] | None = None
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
         self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
         self.failures, self.idle = 0, True
@@ -156,9 +159,17 @@
             self.log.trouble("call_held_back", calls=len(self.waiting))
             self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
+        orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
+        if self.allowed is not None and not self.allowed(orders):
+            # What was decided before is void by the time that it may: the module is told what stands then.
+            void = self.pending()
+            self.log.count("orders_not_allowed", len(void))
+            self.waiting.clear()
+            self.idle, self.failures = True, 0
+            self.dropped(void)
+            return
         self.written.append(now)
-        body = urlencode({"Action": "CommitChanges",
-                          "orders": ";".join(encode(o, self.methods) for o in self.waiting[0])})
+        body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
         self.client.request("POST", "/", self.SPAN, self._answered, body.encode("ascii"),
