--- /dev/null
+++ b/tests/test_node_parts.py
@@ -0,0 +1,159 @@
+"""Decisions of a node without sockets: proposals, reads, founding, admission."""
+import random
+import subprocess
+import sys
+
+import pytest
+
+from indigohitch.errors import NotNow
+from indigohitch.fleet.book import WINDOW, Book
+from indigohitch.fleet.ledger.ports import Members
+from indigohitch.fleet.links.words import Welcome
+from indigohitch.fleet.node.founding import Admission, Way, way
+from indigohitch.fleet.node.notes import LONGEST, Notes
+from indigohitch.fleet.node.proposals import MOST, Proposals
+from indigohitch.fleet.node.reads import WAIT, Reads
+from indigohitch.fleet.node.words import WORDS, Admit
+from indigohitch.fleet.terms import Entry, Who
+
+VOTERS = ("a", "b", "c")
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_each_proposal_takes_effect_once_and_is_answered_once(seed):
+    """Words lost, doubled, late and turned away: each is in the book once, and its owner hears once."""
+    chance = random.Random(seed)
+    proposals, book = Proposals("a", 1, 100), Book([Notes()])
+    answers, sent, put, now, index = {}, [], 0, 0, 0
+    while put < 300 or proposals.open:
+        now += chance.randint(0, 60)
+        if put < 300 and chance.random() < 0.6:
+            try:
+                proposals.put(now, "notes.add", b"\x91\xa4%04d" % put,
+                              lambda outcome, n=put: answers.setdefault(n, []).append(outcome))
+                put += 1
+            except NotNow:
+                assert len(proposals.open) >= MOST or put - min(proposals.open) > MOST
+        for one in proposals.due(now):
+            if chance.random() < 0.8:
+                sent += [one.proposal] * chance.choice((0, 1, 1, 2))
+                proposals.sent(now, one)
+        if sent and chance.random() < 0.7:
+            taken = sent.pop(chance.randrange(len(sent)))
+            if chance.random() < 0.2:
+                proposals.turned(now, "a", 1, taken.number, 30)
+                continue
+            index += 1
+            entry = Entry(index, 1, taken.kind, taken.body, "a", 1, taken.number)
+            proposals.applied(entry, book.apply(entry))
+        if chance.random() < 0.02:
+            proposals.hurry(now)
+        assert len(proposals.open) <= MOST
+        numbers = list(proposals.open)
+        assert not numbers or numbers[-1] - numbers[0] < WINDOW
+    texts = [text for _, text in book.parts["notes"].texts]
+    assert sorted(texts) == [f"{n:04}" for n in range(300)]
+    assert all(len(found) == 1 and not found[0].refused for found in answers.values()) and len(answers) == 300
+
+
+def test_another_incarnation_gives_up_what_is_out():
+    proposals, told = Proposals("a", 1, 100), []
+    proposals.put(0, "notes.add", b"", told.append)
+    proposals.begin("a", 2)
+    assert told == [None] and not proposals.open
+    proposals.put(0, "notes.add", b"", told.append)
+    assert proposals.due(0)[0].proposal.incarnation == 2
+    proposals.turned(0, "a", 1, 1, 5000)                # of the one before
+    assert proposals.due(0)
+
+
+def test_reads_wait_for_the_book_and_end_in_time():
+    reads, told = Reads(), []
+    number = reads.begin(0, told.append)
+    reads.answered(number, 7, True, 5)
+    assert told == []
+    reads.applied(6)
+    reads.applied(7)
+    assert told == [7]
+    reads.answered(reads.begin(0, told.append), 0, False, 7)
+    assert told == [7, None]
+    reads.begin(0, told.append)
+    late = reads.begin(0, told.append)
+    reads.answered(late, 100, True, 7)
+    reads.beat(WAIT)
+    assert told == [7, None, None, None] and not reads.open and not reads.behind
+    reads.answered(late, 100, True, 200)
+    assert len(told) == 4
+
+
+def welcomed(name, number=0, met=0, founders=VOTERS):
+    return Welcome(Who(name, number), 1, met, founders)
+
+
+@pytest.mark.parametrize("votes, welcomes, expected", [
+    (True, {}, Way.WAIT),
+    (True, {"b": welcomed("b"), "c": None}, Way.WAIT),
+    (True, {"b": welcomed("b"), "c": welcomed("c")}, Way.FOUND),
+    (True, {"b": welcomed("b", 1), "c": welcomed("c")}, Way.FOUND),         # it founded a moment before
+    (True, {"b": welcomed("b", 1, met=1), "c": None}, Way.ASK),
+    (True, {"b": welcomed("b"), "c": welcomed("c", 1, met=3)}, Way.ASK),
+    (True, {"b": welcomed("b", 1, founders=("b", "c")), "c": None}, Way.ASK),       # older than this file
+    (True, {"b": welcomed("b", founders=("a", "b")), "c": welcomed("c")}, Way.WAIT),
+    (False, {}, Way.ASK)])
+def test_what_a_new_disk_may_do(votes, welcomes, expected):
+    assert way("a", votes, VOTERS, welcomes)[0] is expected
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_number_is_given_to_two_disks(seed):
+    """Disks are lost, leaders change and forget, answers are lost: a number is one disk's."""
+    chance, members, met = random.Random(seed), Members((Who("a", 1), Who("b", 1))), 1
+    admission, given, token = Admission(), {}, 1
+    for _ in range(200):
+        what = chance.random()
+        if what < 0.3:
+            token += 1                                      # another disk, or another start of a fresh one
+        elif what < 0.4:
+            admission = Admission()                         # another leader
+        who = admission.who(Admit("c", token), members, met)
+        assert given.setdefault(who.number, token) == token and who.number > met
+        if chance.random() < 0.5:                           # the entry is committed: all leaders know of it
+            members = Members(members.voters, (who,))
+        else:
+            del given[who.number]                           # nobody was told
+        if chance.random() < 0.3 and members.followers:
+            met = max(met, members.followers[0].number)     # it was met: that process has its number
+            token += 1
+
+
+def test_an_old_disk_is_not_admitted():
+    assert Admission().who(Admit("a", 1, number=1), Members((Who("a", 2),)), 0) is None
+    assert Admission().who(Admit("a", 1, number=1), Members(()), 2) is None
+    assert Admission().who(Admit("a", 1, number=2), Members((Who("a", 1),)), 2) == Who("a", 2)
+
+
+def test_a_note_too_long_changes_nothing():
+    book = Book([Notes()])
+    text = b"\x91\xda" + (LONGEST + 1).to_bytes(2, "big") + b"x" * (LONGEST + 1)
+    assert "characters" in book.apply(Entry(1, 1, "notes.add", text, "a", 1, 1)).refused
+    assert not book.parts["notes"].texts
+
+
+def test_words_keep_their_numbers_on_the_wire():
+    """A word moved would be read as another by a member of the version before."""
+    assert [word.__name__ for word in WORDS][:21] == [
+        "Greeting", "Welcome", "Refused", "Pulse", "Pulsed", "Ask", "Vote", "Append", "Appended", "Piece",
+        "Pieced", "Take", "Renew", "Renewed", "NotRenewed", "Forward", "TurnedAway", "ReadAsk", "ReadAt",
+        "Admit", "Admitted"]
+
+
+def test_the_platforms_program_imports_nothing_of_the_fleet():
+    """Its start goes as far as it does without a configuration."""
+    code = ("import runpy, sys\n"
+            "try:\n    runpy.run_module('indigohitch', run_name='__main__')\n"
+            "except SystemExit:\n    pass\n"
+            "print([m for m in sys.modules if '.fleet' in m or '.upgrade' in m or '.packed' in m], "
+            "'indigohitch.service' in sys.modules)")
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, env={"PATH": ""},
+                           timeout=30)
+    assert found.stdout.splitlines()[-1] == "[] True", found
