--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -61,6 +61,8 @@
         for name, link in list(self.peers.items()):
             link.close()
             self.peers[name] = Dialled(self, name, link.to)
+        for one in list(self.came.values()):    # who dialled us knows the old number: it dials anew
+            one.close()
         self.beat()
 
     def beat(self) -> None:
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -102,10 +102,11 @@
                 for entry in entries:
                     self.apply(entry)
             case Install(snap):
-                self.book.restore(snap.book)
+                if snap.index > self.book.index:        # else it comes again, after a disk that failed
+                    self.book.restore(snap.book)
+                    self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
+                    self.on_restored()
                 self.disk.snapshot(snap, False)
-                self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
-                self.on_restored()
             case TakeSnapshot(index, term, members):
                 self.disk.snapshot(Snap(index, term, members, self.book.snapshot()), True)
             case Turned(proposal, again):
