--- /dev/null
+++ b/indigohitch/fleet/seats/told.py
@@ -0,0 +1,31 @@
+"""What the operator's file contracts, and this member's work on it."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ...directives.fleet import FleetText
+from ...net.clock import SECOND
+from ..ports import Acts
+from .contract import Contract, Terms
+from .part import Seats
+from .work import SeatsWork
+
+# A refused tenant is told to come again in some seconds: its place is kept a little longer than that.
+COME_BACK = SECOND
+HOLD = 5 * SECOND // 2
+
+
+def contract(text: FleetText) -> Contract | None:
+    """None where the file has no line `seats`: then it says nothing of them."""
+    rows = text.parts.get("seats", [])
+    if not text.edition or not rows:
+        return None
+    return Contract(text.edition, tuple(
+        Terms(row.feature, row.seats, row.kind, row.since, row.until, row.linger, row.drain,
+              tuple(sorted(row.keep.items()))) for row in sorted(rows, key=lambda row: row.feature)))
+
+
+def work(text: FleetText, part: Seats, acts: Acts, fleet_time: Callable[[int], int]) -> SeatsWork:
+    """`text` is read anew where its edition has changed: a reload may change it in place."""
+    return SeatsWork(text.me, part, acts, fleet_time, lambda: contract(text),
+                     {"come_back": COME_BACK, "hold": HOLD})
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,7 +1,7 @@
 """The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -16,11 +16,11 @@
 
 
 class SeatsWork:
-    """ports.Work.  `contract`: what this member's file contracts, None where it says nothing of seats."""
+    """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
     name = "seats"
 
-    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, contract: Contract | None,
-                 bootstrap: dict) -> None:
+    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time: Callable[[int], int],
+                 contract: Callable[[], Contract | None], bootstrap: dict) -> None:
         self.part, self.contract = part, contract
         self.desk = Desk(name, part, acts, fleet_time, bootstrap)
         self.out: set[str] = set()              # tags of proposals that are not answered
@@ -42,8 +42,9 @@
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
         self.desk.turn(now, lease)
         wanted = self.returns()
-        if lease is not None and self.contract is not None and self.contract.edition > self.part.edition:
-            wanted += self.want("contract", "seats.contract", self.contract)
+        own = self.contract()
+        if lease is not None and own is not None and own.edition > self.part.edition:
+            wanted += self.want("contract", "seats.contract", own)
         return wanted
 
     def returns(self) -> list[Wanted]:
--- a/indigohitch/request.py
+++ b/indigohitch/request.py
@@ -72,7 +72,7 @@
     """The final answer, at once: its status, and in how many seconds to return where the settings tell."""
     if left <= 0:
         return 504, None                # its deadline has passed: who asked has gone
-    if outcome in (UNSENT, "no_line", "pushed_back"):
+    if outcome in (UNSENT, "no_line", "pushed_back", "no_seat"):
         back = boot.get("come_back")    # nothing of it ran, so it may come again
         return 503, None if back is None else max(1, -(-back // 10_000))
     return 502, None                    # it may have run: no word that invites a repeat
--- a/indigohitch/sidecar/heads.py
+++ b/indigohitch/sidecar/heads.py
@@ -78,9 +78,9 @@
             raise Refused(400, "Content-Length is doubled or not a number")
         return Body(Body.LENGTH, int(length))
 
-    def passed_on(self) -> bytes:
-        """The fields for the next hop, each with its CRLF; Via is added to, not doubled."""
-        drop, out, via = HOP | self.connection, [], b""
+    def passed_on(self, less: frozenset[bytes] = frozenset()) -> bytes:
+        """The fields for the next hop but `less`, each with its CRLF; Via is added to, not doubled."""
+        drop, out, via = HOP | self.connection | less, [], b""
         for low, name, value in self.fields:
             if low == b"via":
                 via += value + b", "
@@ -131,10 +131,10 @@
     def values(self, name: bytes) -> list[bytes]:
         return [value for low, _, value in self.fields if low == name]
 
-    def onward(self) -> bytes:
-        """The head as the server gets it."""
-        return b"%b %b HTTP/1.1\r\n%b%b\r\n" % (self.method.encode(), self.target, self.passed_on(),
-                                                framed(self.body))
+    def onward(self, more: bytes = b"", less: frozenset[bytes] = frozenset()) -> bytes:
+        """The head as the server gets it: with these lines more, without these fields."""
+        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (self.method.encode(), self.target, self.passed_on(less),
+                                                  framed(self.body), more)
 
 
 class AnswerHead(_Head):
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -23,6 +23,7 @@
 
     def __init__(self, loop: Loop, log: Log, text: Text) -> None:
         self.loop, self.log, self.text = loop, log, text
+        self.seating = None                     # where the file has a fleet: sidecar/seating.py
         loop.pool = Memory(text.limits["memory"])
         self.memory = Memory(text.limits["memory"])
         self.clients: Slots[Client] = Slots()
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -1,5 +1,5 @@
-"""One RPC from its head to the end of its answer: its tries, and both streams.  What is decided on it (the
-line, in or pushed back, another try, the final answer) is decided in request.py."""
+"""One RPC from its head to the end of its answer: its tries and its end; passing.py moves both streams.  What
+is decided on it (the line, in or pushed back, another try, the final answer) is decided in request.py."""
 from __future__ import annotations
 
 import enum
@@ -8,8 +8,9 @@
 from ..net.clock import SECOND
 from ..net.loop import Deadline
 from ..net.stream import Stream
-from .framing import LAST_CHUNK, Body, Malformed, chunk
-from .heads import AnswerHead, Refused, RequestHead, plain
+from . import passing
+from .framing import Body
+from .heads import AnswerHead, RequestHead, plain
 from .servers import Server, Upstream
 
 
@@ -21,11 +22,11 @@
 
 
 class Rpc:
+    UNRUN = ("no_line", "pushed_back", "no_seat")
     CROSSED = SECOND // 20      # a close that crosses what we wrote is here by then
-    PIECE = 32 << 10            # of a body, moved at once: half a ring
 
     __slots__ = ("client", "head", "route", "pool", "slice", "table", "phase", "tried", "upstream", "server",
-                 "began", "deadline", "due", "body", "last_chunk", "answer", "chunks", "connect_by")
+                 "began", "deadline", "due", "body", "last_chunk", "answer", "chunks", "connect_by", "seat")
 
     def __init__(self, client, head: RequestHead, route, pool, slice: int) -> None:
         self.client, self.head, self.route, self.pool, self.slice = client, head, route, pool, slice
@@ -39,6 +40,7 @@
         self.due = self.began + route.rpc.deadline
         self.deadline: Deadline | None = None
         self.connect_by: Deadline | None = None
+        self.seat = None                        # of this try, where it needs one
 
     # ---- tries -------------------------------------------------------------------------------------
 
@@ -55,7 +57,13 @@
         if server is None:
             self.give_up("no_line")
             return
-        host, self.server, self.phase = self.pool.host, server, Phase.CONNECTING
+        host = self.pool.host
+        if host.seating is not None and self.route.rpc.name in host.seating.needed:
+            self.seat = host.seating.take(self, server)
+            if self.seat is None:
+                self.give_up("no_seat")
+                return
+        self.server, self.phase = server, Phase.CONNECTING
         self.tried.append(server)
         server.held += 1
         self.began = host.loop.clock.now()
@@ -79,14 +87,16 @@
         if self.connect_by is not None:
             self.connect_by.cancel()
             self.connect_by = None
-        self.phase = Phase.SENT
-        self.pump_request(self.head.onward())
+        self.phase, seating = Phase.SENT, self.pool.host.seating
+        head = self.head.onward() if seating is None else self.head.onward(
+            seating.shown(self.seat, self.server) if self.seat is not None else b"", seating.OWN)
+        passing.request_on(self, head)
 
-    def try_failed(self, outcome: str, of: Upstream | None = None) -> None:
+    def try_failed(self, outcome: str, of: Upstream | None = None, blamed: bool = True) -> None:
         """This try has come to nothing: another, or the end."""
         if self.phase is Phase.OVER or of is not None and of is not self.upstream:
             return
-        self.leave(failed=True)
+        self.leave(failed=True if blamed else None)
         host, left = self.pool.host, self.due - self.pool.host.loop.clock.now()
         whole = not self.body.total
         if request.further(self.table, self.route.rpc.repeat, outcome, len(self.tried), whole, left):
@@ -102,6 +112,9 @@
         if self.connect_by is not None:
             self.connect_by.cancel()
             self.connect_by = None
+        if self.phase is Phase.CONNECTING:
+            self.seat_over()
+        self.seat = None                        # what may run keeps it until its end
         if server is None:
             return
         server.held -= 1
@@ -120,64 +133,38 @@
             else:
                 upstream.stream.close()
 
-    # ---- the request's way -------------------------------------------------------------------------
+    def seat_over(self) -> None:
+        """The job is over, or nothing of it went out."""
+        if self.seat is not None:
+            self.pool.host.seating.over(self.seat)
+            self.seat = None
 
-    def pump_request(self, out: bytes = b"") -> None:
-        """Move what has come of the body; `out` goes before it."""
-        stream, client, body = self.upstream.stream, self.client, self.body
-        ring = client.stream.incoming
-        try:
-            while not body.done:
-                data = body.take(ring, min(self.PIECE, stream.room() - len(out) - 32))
-                if not data and not body.done:
-                    break
-                out += chunk(data) if body.kind == Body.CHUNKED else data
-                if body.total > self.pool.host.text.limits["body"]:
-                    self.refuse(413, "the body is too large")
-                    return
-                if len(out) >= self.PIECE:
-                    stream.write(out)
-                    out = b""
-        except Malformed as bad:
-            self.refuse(400, str(bad))
-            return
-        if body.done and body.kind == Body.CHUNKED and not self.last_chunk:
-            out, self.last_chunk = out + LAST_CHUNK, True
-        if out:
-            stream.write(out)
-        if body.kind != Body.NONE:
-            client.stream.wake()
+    # ---- both ways ---------------------------------------------------------------------------------
 
     def client_more(self) -> None:
         if self.phase in (Phase.SENT, Phase.ANSWERING) and self.upstream is not None and not self.body.done:
-            self.pump_request()
+            passing.request_on(self)
 
     def upstream_drained(self) -> None:
         self.client_more()
 
-    # ---- the answer's way --------------------------------------------------------------------------
+    def client_drained(self) -> None:
+        if self.phase is Phase.ANSWERING and self.upstream is not None:
+            passing.answer_on(self)
 
     def answer_came(self) -> None:
         if self.phase is Phase.ANSWERING:
-            self.pump_answer()
+            passing.answer_on(self)
             return
-        stream, client = self.upstream.stream, self.client
-        while self.answer is None:
-            end = stream.incoming.until(b"\r\n\r\n")
-            if not end:
-                if len(stream.incoming) > self.pool.host.text.limits["head"]:
-                    self.try_failed(request.SENT)
-                return
-            try:
-                head = AnswerHead(stream.incoming.take(end), self.head.method)
-            except Refused as bad:
-                self.pool.host.log.trouble("answer_refused", server=self.server.name, why=str(bad))
-                self.try_failed(request.SENT)
+        head, seating = passing.answer_head(self), self.pool.host.seating
+        if head is None:
+            return
+        if seating is not None:
+            seating.heard(self.server, head)
+            if self.seat is not None and (outcome := seating.refused(self.seat, head)):
+                self.answer = None
+                self.try_failed(outcome, blamed=False)
                 return
-            if not head.interim:
-                self.answer = head
-            elif self.head.version == "1.1" and client.stream.room() > 4096:
-                client.stream.write(head.onward(False, False))
         if self.deadline is not None:
             self.deadline.cancel()              # of the answer's end nobody has said when; silence ends it
         self.phase = Phase.ANSWERING
@@ -186,43 +173,15 @@
         self.chunks = head.body.kind in (Body.CHUNKED, Body.TO_END) and self.head.version == "1.1"
         # Closed after it: a body that only its end can end, and a request of which more may come, or what is
         # left of it would be read as the next.  A client of HTTP/1.0 never keeps.
-        client.close_after |= not self.body.done or not self.head.keep
-        self.pump_answer(head.onward(self.chunks, client.close_after))
-
-    def pump_answer(self, out: bytes = b"") -> None:
-        stream, to, body = self.upstream.stream, self.client.stream, self.answer.body
-        self.client.since = self.pool.host.now
-        try:
-            while not body.done:
-                data = body.take(stream.incoming, min(self.PIECE, to.room() - len(out) - 32))
-                if not data and not body.done:
-                    break
-                out += chunk(data) if self.chunks else data
-                if len(out) >= self.PIECE:
-                    to.write(out)
-                    out = b""
-        except Malformed as bad:
-            self.pool.host.log.trouble("answer_refused", server=self.server.name, why=str(bad))
-            self.cut_off()
-            return
-        if body.done and self.chunks:
-            out += LAST_CHUNK
-        if out:
-            to.write(out)
-        if body.done:
-            self.complete()
-        elif self.upstream is not None:
-            stream.wake()
-
-    def client_drained(self) -> None:
-        if self.phase is Phase.ANSWERING and self.upstream is not None:
-            self.pump_answer()
+        self.client.close_after |= not self.body.done or not self.head.keep
+        passing.answer_on(self, head.onward(self.chunks, self.client.close_after))
 
     def complete(self) -> None:
         head, stream = self.answer, self.upstream.stream
         self.phase = Phase.OVER
         keep = (head.keep and self.body.done and stream.open and not len(stream.incoming)
                 and not len(stream.outgoing))
+        self.seat_over()
         self.leave(failed=head.status >= 500, keep=keep)
         self.pool.done(self, head.status)
         self.client.finished()
@@ -231,7 +190,7 @@
         upstream = self.upstream
         if self.phase is Phase.ANSWERING:
             if why == "ended":
-                self.drain_ended()
+                passing.answer_ended(self)
             else:
                 self.cut_off()
         elif self.phase is Phase.CONNECTING:
@@ -241,23 +200,6 @@
             crossed = upstream.used and soon and not len(upstream.stream.incoming)
             self.try_failed(request.CROSSED if crossed else request.SENT)
 
-    def drain_ended(self) -> None:
-        """The server ended its connection: what it left in the ring counts, whether or not it fits now."""
-        stream, body, to = self.upstream.stream, self.answer.body, self.client.stream
-        try:
-            data = body.take(stream.incoming, 1 << 30)
-        except Malformed:
-            data = b""
-        if not body.ended():
-            self.cut_off()
-            return
-        out = (chunk(data) + LAST_CHUNK) if self.chunks else data
-        if out and not to.outgoing.push(out):
-            to.outgoing.allow(to.outgoing.most + len(out))      # at most a ring more, and only now
-            to.outgoing.push(out)
-        to.flush_soon()
-        self.complete()
-
     # ---- the end -----------------------------------------------------------------------------------
 
     def too_late(self) -> None:
@@ -269,7 +211,7 @@
         """The client hears so at once."""
         host = self.pool.host
         status, back = request.given_up(outcome, self.due - host.loop.clock.now(), self.pool.boot)
-        host.log.count(f"rpc_{outcome}" if outcome in ("no_line", "pushed_back") else "rpc_aborted")
+        host.log.count(f"rpc_{outcome}" if outcome in self.UNRUN else "rpc_aborted")
         self.end_with(status, {503: "no server now", 502: "no answer from the server",
                                504: "the deadline has passed"}[status], back)
 
@@ -300,9 +242,9 @@
     def abandon(self) -> None:
         """The client has gone: nobody wants the answer."""
         if self.phase is not Phase.OVER:
-            self.phase = Phase.OVER
             if self.deadline is not None:
                 self.deadline.cancel()
             self.leave(failed=None)
+            self.phase = Phase.OVER
             self.pool.host.log.count("rpc_abandoned")
             self.pool.done(self, 0)
--- /dev/null
+++ b/indigohitch/sidecar/seating.py
@@ -0,0 +1,75 @@
+"""Seats for the sidecar's RPCs: asked for before one goes out, shown to the server, given back at its end.
+
+Towards a server: `X-Seat` holds the pass (fleet/seats/nodeclock.header).  From it: `X-Node: BOOT CLOCK`, its
+boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: late|old|twice` where it
+took the RPC for one without a valid seat, and has begun nothing."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .. import request
+from ..directives.texts import Text
+from ..fleet.seats.contract import Pass
+from ..fleet.seats.desk import Desk, Ticket
+from ..fleet.seats.nodeclock import Nodes, Verdict, header
+from ..log import Log
+
+SEAT, NODE, REFUSED = b"x-seat", b"x-node", b"x-seat-refused"
+
+
+class Seating:
+    OWN = frozenset((SEAT,))    # a client has none to show
+
+    def __init__(self, text: Text, log: Log, clock, desk: Callable[[], Desk | None]) -> None:
+        """`desk()`: of the member in this process, None while it takes no part."""
+        self.needed, self.log, self.clock, self.desk = text.seats, log, clock, desk
+        self.rows = {row.feature: row for row in text.fleet.parts.get("seats", [])} if text.fleet else {}
+        self.nodes = Nodes({"drift": text.fleet.drift if text.fleet else 0.0})
+
+    def take(self, rpc, server) -> Ticket | None:
+        """A seat for a try of this RPC at that server, until its deadline at most; None: there is none."""
+        feature, desk, now = self.needed[rpc.route.rpc.name], self.desk(), self.clock.now()
+        if desk is None:
+            self.log.count("seats_without_fleet")
+            return None
+        row = self.rows[feature]
+        tenant, user = (self.named(rpc, name) for name in (row.tenant_header, row.user_header))
+        found = desk.ask(now, feature, tenant, server.name if row.kind == "node" else user, rpc.due - now)
+        return found if isinstance(found, Ticket) else None
+
+    @staticmethod
+    def named(rpc, name: str) -> str:
+        """What the client says in that header, 64 letters of it at most."""
+        values = rpc.head.values(name.lower().encode()) if name else ()
+        return values[0].decode("latin-1")[:64] if values else ""
+
+    def shown(self, ticket: Ticket, server) -> bytes:
+        """The header's line."""
+        boot, until = self.nodes.end(server.name, ticket.until)
+        return b"X-Seat: %b\r\n" % header(Pass(ticket.given, boot, until, ticket.stamp)).encode("latin-1")
+
+    def heard(self, server, head) -> None:
+        """The clock that an answer's head tells."""
+        if (told := head.value(NODE)) is not None:
+            try:
+                boot, clock = told.decode("ascii").split()
+                self.nodes.heard(server.name, boot, int(clock), self.clock.now())
+            except ValueError:
+                self.log.trouble("node_clock_unreadable", server=server.name, told=told[:80])
+
+    def refused(self, ticket: Ticket, head) -> str:
+        """What became of a try that the server took for one without a seat; "" where it did not.  Only a late
+        one has surely not run: of another a copy may."""
+        told = head.value(REFUSED)
+        if told is None:
+            return ""
+        self.log.count("seats_refused_at_server")
+        if told != Verdict.LATE.value.encode():
+            return request.SENT
+        self.over(ticket)
+        return request.UNSENT
+
+    def over(self, ticket: Ticket) -> None:
+        """Its job is over, or nothing of it ran, for certain.  Else nothing is told: it ends by itself."""
+        if (desk := self.desk()) is not None:
+            desk.ended(self.clock.now(), ticket)
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -1,8 +1,8 @@
 """Members with seats, servers with clocks of their own and a sound log, in a simulated true time, by seed.
 
 True time is what nobody in it can read.  Clocks drift by up to DRIFT; words, RPCs and answers come late,
-twice or not at all; members are stopped, cut, killed and begun anew, servers restarted, the contract changed. A
-meter of the world's own meter counts the jobs that truly run."""
+twice or not at all; members are stopped, cut, killed and begun anew, servers restarted, the contract
+changed.  The world's own meter counts the jobs that truly run."""
 import msgspec
 
 from indigohitch.fleet.book import Book
@@ -93,7 +93,7 @@
         self.until = self.at = self.number = self.acts = 0
         self.out, self.book = {}, Book([Seats(), Members()])
         self.nodes = Nodes(BOOT)
-        self.work = SeatsWork(name, self.book.parts["seats"], self, self.fleet, world.contract, BOOT)
+        self.work = SeatsWork(name, self.book.parts["seats"], self, self.fleet, lambda: world.contract, BOOT)
 
     def fleet(self, now):
         return self.book.parts["seats"].edition and 10 ** 9 + self.world.t      # here without error
--- a/tests/seatworld.py
+++ b/tests/seatworld.py
@@ -80,8 +80,6 @@
 
     def change(self, *terms):
         self.contract = Contract(self.contract.edition + 1, tuple(terms))
-        for member in self.members.values():
-            member.work.contract = self.contract
 
     # ---- the truth
 
