--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -86,13 +86,16 @@
 @click.option("--service", default=0.0, help="Time that an answer takes, in ms.", show_default=True)
 @click.option("--also", default=0, help="So many further loopback addresses, at the same port.")
 @click.option("--lose", default=0, help="Every so many RPCs, act on one and reset instead of answering.")
-def stand_in(address: str, name: str, service: float, also: int, lose: int) -> None:
+@click.option("--licensed", multiple=True, help="RPCs whose path begins so need a seat.")
+@click.option("--meter", default="/dev/null", help="Where beginnings and ends of their jobs are written.")
+def stand_in(address: str, name: str, service: float, also: int, lose: int, licensed: tuple[str, ...],
+             meter: str) -> None:
     """A stand-in server on ADDRESS (loopback only), for trials."""
     from .errors import Unfit
     from .net.connection import address as read
     from .standins.server import main as serve
     try:
-        serve(read(address), name, service, also, lose)
+        serve(read(address), name, service, also, lose, licensed, meter)
     except ValueError as bad:
         raise Unfit(str(bad), "stand-in", "name an address such as 127.0.0.1:9001") from None
 
