--- a/indigohitch/directives/seats.py
+++ b/indigohitch/directives/seats.py
@@ -78,6 +78,7 @@
 
 def on_seats(at: int, rest: list[str], reader: Reader) -> None:
     if len(rest) < 2:
+        reader.lines.setdefault(("seats", "".join(rest)), at)   # who needs it is not told that it is missing
         raise ValueError("seats FEATURE NUMBER kind job|node|user ...")
     feature = reader.told("seats", words.name, rest[0])
     reader.once(at, "seats", feature)
--- a/tests/test_directives_seats.py
+++ b/tests/test_directives_seats.py
@@ -14,8 +14,8 @@
 
 
 def test_a_contract_is_told():
-    text = sidecar_file.read(WHOLE + "seats geocoder 40 from 2026-01-01 to 2026-12-31 drain 10s keep b=2,a=4\n"
-                             "seats reader 6 kind node linger 2s to 2026-12-31T18:00\n")
+    text = sidecar_file.read(WHOLE + "seats geocoder 40 from 2026-01-01 to 2026-12-31 drain 10s keep "
+                             "b=2,a=4\nseats reader 6 kind node linger 2s to 2026-12-31T18:00\n")
     assert text.seats == {"search": "geocoder"}
     assert contract(text.fleet) == Contract(3, (
         Terms("geocoder", 40, "job", 20454 * DAY, 20819 * DAY, 0, 10 * SECOND, (("a", 4), ("b", 2))),
@@ -31,7 +31,8 @@
     ("seats geocoder 4 kind seat", "job, node, user"), ("seats geocoder 4 linger 2s", "linger is for"),
     ("seats geocoder 4 keep a=3,b=2", "5 are kept"), ("seats geocoder 4 keep a", "TENANT=NUMBER"),
     ("seats geocoder 4 keep a=1,a=1", "twice"), ("seats geocoder 4 kind user", "no line `seat-user`"),
-    ("seats reader 4", "no line `seats geocoder`"), ("seats geocoder 4\nseats geocoder 4", "already in line")])
+    ("seats reader 4", "no line `seats geocoder`"),
+    ("seats geocoder 4\nseats geocoder 4", "already in line")])
 def test_mistakes_of_a_contract(line, why):
     with pytest.raises(Mistakes) as found:
         sidecar_file.read(WHOLE + line + "\n")
