--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -12,6 +12,7 @@
 from ...net.loop import Loop
 from ...replaceable import Replaceable
 from ...upgrade.giving import Side
+from ..ports import Work
 from .asked import Asked
 from .figures import figures
 from .node import Node, Phase
@@ -91,6 +92,11 @@
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
         return Asked(self.node, answer).word(what, line)
 
+    def work(self, name: str) -> Work | None:
+        """A part's work in this process, None while the node is closed."""
+        works = self.node.assembly.works if self.node is not None else ()
+        return next((work for work in works if work.name == name), None)
+
     def figures(self) -> dict:
         if self.node is None:
             return {"fleet": {"name": self.text.name, "phase": "closed", "why": self.why}}
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -25,7 +25,16 @@
         if self.text.fleet is None:
             return side
         from ..fleet.node.inside import beside
-        return beside(self, side, self.text.fleet, False, self.follows)
+        side = beside(self, side, self.text.fleet, False, self.follows)
+        if self.text.seats:
+            from .seating import Seating
+            self.host.seating = Seating(self.text, self.log, self.loop.clock, self.desk)
+        return side
+
+    def desk(self):
+        """That seats are asked for at; None while this member takes no part."""
+        work = self.beside.work("seats")
+        return work.desk if work is not None else None
 
     def turn(self) -> None:
         self.host.turn()
