--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -12,11 +12,15 @@
 from ..audit.files import Store
 from ..audit.heads import Heads
 from ..audit.work import Auditing
+from ..batches.inside import work_of as batches_work
+from ..batches.part import Batches
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
 from ..ports import BookPart, Work
+from ..seats.part import Seats
+from ..seats.told import work as seats_work
 from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
@@ -44,7 +48,7 @@
 
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours(), Heads()]
+    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -59,4 +63,6 @@
     acts = ChainedActs(text.me, place.lease, book, Store(f"{text.folder}/audit"), trouble,
                        when=hours.time)
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
-    return Assembly(book, membership, acts, auditing, [membership, hours, auditing])
+    seats = seats_work(text, book.parts["seats"], acts, hours.time)
+    batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches])
