--- a/indigohitch/fleet/node/admitting.py
+++ b/indigohitch/fleet/node/admitting.py
@@ -91,3 +91,15 @@
         committed = machine.state.belonging.index <= machine.commit
         if not word.number and committed and who in machine.state.belonging.everyone:
             node.links.say_to(name, Admitted(who, word.token, node.disk.identity.founders))
+
+    def take_out(self, name: str) -> str:
+        """Why it can't be.  An operator's word, not the file's: a leader whose file is behind the others'
+        would take out who has just come."""
+        node = self.node
+        if name in node.text.members:
+            return f"{name} stands in this member's file: take its line away in all files first"
+        found = [who for who in node.driver.members.voters + node.driver.members.followers
+                 if who.name == name]
+        for who in found:
+            node.driver.step(Change(who, out=True))
+        return "" if found else f"no member {name[:64]}"
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -5,6 +5,7 @@
     {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
     {"ask": "read"}                         an index confirmed by a majority, and the book's digest there
     {"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+    {"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
     {"ask": "ledger"}                       the last entries, each with a digest
 """
 from __future__ import annotations
@@ -15,7 +16,6 @@
 import msgspec
 
 from ...errors import NotNow
-from ...packed.rows import digest
 from ..terms import Outcome
 from .words import BODY
 
@@ -33,7 +33,7 @@
         """False: no word of ours."""
         first, _, rest = what.partition(" ")
         action = {"note": self.note, "notes": self.notes, "propose": self.propose, "read": self.read,
-                  "book": self.book, "ledger": self.ledger}.get(first)
+                  "book": self.book, "ledger": self.ledger, "out": self.out}.get(first)
         if action is None:
             return False
         if self.node is None or self.node.driver.machine is None:
@@ -45,6 +45,14 @@
             self.answer({"error": late.what, "again_ms": late.again / 10})
         return True
 
+    def out(self, rest: str, line: dict) -> None:
+        node, leader = self.node, self.node.leader_name
+        if not node.driver.leads:
+            self.answer({"error": f"{leader or 'nobody'} leads: ask there", "leader": leader})
+            return
+        why = node.admitting.take_out(rest)
+        self.answer({"error": why} if why else {"result": "it goes out with the next entries"})
+
     def note(self, rest: str, line: dict) -> None:
         self.put("notes.add", msgspec.msgpack.encode([rest]))
 
@@ -96,5 +104,5 @@
         self.answer({"index": self.node.book.index, "digest": self.node.book.digest().hex(), "entries": [
             {"index": entry.index, "term": entry.term, "kind": entry.kind, "proposer": entry.proposer,
              "incarnation": entry.incarnation, "number": entry.number, "refused": outcome.refused,
-             "doubled": outcome.doubled, "digest": digest(msgspec.msgpack.encode(entry)).hex()}
-            for entry, outcome in recent]})
+             "doubled": outcome.doubled, "digest": check.hex()}
+            for entry, check, outcome in recent]})
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -6,8 +6,11 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from ...log import Log
 from ...net.loop import Deadline, Loop
+from ...packed.rows import digest
 from ..book import Book
 from ..disk.store import Disk
 from ..ledger.machine import Machine
@@ -45,7 +48,7 @@
         self.waiting: deque[Input] = deque()
         self.stepping = False
         self.timer: Deadline | None = None
-        self.recent: deque[tuple[Entry, Outcome]] = deque(maxlen=RECENT)
+        self.recent: deque[tuple[Entry, bytes, Outcome]] = deque(maxlen=RECENT)     # without bodies; digests
         self.on_applied: Callable[[Entry, Outcome], None] = lambda entry, outcome: None
         self.on_restored: Callable[[], None] = lambda: None
         self.on_turned: Callable[[Proposal, int], None] = lambda proposal, again: None
@@ -122,7 +125,9 @@
 
     def apply(self, entry: Entry) -> None:
         outcome = self.book.apply(entry)
-        self.recent.append((entry, outcome))
+        check = digest(msgspec.msgpack.encode(entry))
+        self.recent.append((msgspec.structs.replace(entry, body=b""), check,
+                            msgspec.structs.replace(outcome, told=b"")))
         self.on_applied(entry, outcome)
 
     # ---- time --------------------------------------------------------------------------------------
