--- a/indigohitch/request.py
+++ b/indigohitch/request.py
@@ -51,10 +51,6 @@
         return level >= 1.0 or uniform() < level
 
 
-def proves_unrun(outcome: str) -> bool:
-    return outcome == UNSENT
-
-
 def further(table: Table, repeat: str, outcome: str, tried: int, whole: bool, left: int) -> bool:
     """Another try?  `tried` were made, `whole`: all of the RPC is still in hand, `left` of its deadline.
 
@@ -64,7 +60,7 @@
     if left <= 0 or not whole or tried > (0, 1, 1, 2)[table.tries]:
         return False
     if repeat != "idempotent":
-        return proves_unrun(outcome)
+        return outcome == UNSENT
     return outcome in (UNSENT, CROSSED) or table.tries >= 2
 
 
@@ -72,7 +68,7 @@
     """The final answer, at once: its status, and in how many seconds to return where the settings tell."""
     if left <= 0:
         return 504, None                # its deadline has passed: who asked has gone
-    if outcome in (UNSENT, "no_line", "pushed_back"):
+    if outcome in (UNSENT, "no_line", "pushed_back", "no_seat"):
         back = boot.get("come_back")    # nothing of it ran, so it may come again
         return 503, None if back is None else max(1, -(-back // 10_000))
     return 502, None                    # it may have run: no word that invites a repeat
