--- a/indigohitch/fleet/members/judge.py
+++ b/indigohitch/fleet/members/judge.py
@@ -21,6 +21,8 @@
 # Leases for which a straggler that moves is brought up before it is shut out: 2,000 entries or a snapshot of
 # some MB take a fraction of one; who needs longer is better off starting anew than acting on what is old.
 BRINGING = 5
+# Leases for which a member that asks may take nothing while there are entries: it hears none.
+DEAF = 2
 # Leases from one point of comparing to the next, while entries come: a digest of a large book takes some ms.
 COMPARING = 5
 
@@ -34,12 +36,14 @@
     acts: int = 0
     digest_at: int = 0
     digest: bytes = b""
+    lacks: int = 0              # since when it lacks anything and has taken nothing; 0: it doesn't
+    lags: int = 0               # since when it lacks more than LAG entries
     late: int = 0               # since when it is a straggler; 0: it isn't
 
     def renewed(self, now: int, word: Renew) -> None:
         self.heard = now
         if word.applied > self.applied:
-            self.applied, self.moved, self.acts = word.applied, now, word.acts
+            self.applied, self.moved, self.acts, self.lacks = word.applied, now, word.acts, 0
         self.digest_at, self.digest = word.digest_at, word.digest
 
 
@@ -96,7 +100,19 @@
                 since = self.known_since.setdefault(change.index, now)
                 yield since + (self.span // 2 if change.hard else change.allowed)
         if self.roster.book.index - max(seen.applied, member.since) > LAG:
-            yield max(seen.moved, self.elected) + self.span // 2
+            seen.lags = seen.lags or now
+            yield seen.lags + self.span // 2
+        else:
+            seen.lags = 0
+
+    def deaf(self, now: int, member: Member) -> bool:
+        """It asks and hears nothing: it has no lease, and would keep for good what it holds."""
+        seen = self.of(now, member.name, member.incarnation)
+        if self.roster.book.index <= max(seen.applied, member.since):
+            seen.lacks = 0
+            return False
+        seen.lacks = seen.lacks or now
+        return now >= seen.lacks + DEAF * self.span
 
     @staticmethod
     def took(member: Member, seen: Seen, version: int) -> bool:
@@ -132,6 +148,8 @@
             return why
         if self.silent(now, member):
             why = "not heard of for a lease"
+        elif self.deaf(now, member):
+            why = "it asks, and takes no entry"
         elif self.differs(now, member):
             why = "its state differs"
         elif self.standing(now, member) is Standing.STRAGGLER:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 
-from fleet_sim import SPAN, STEP, Alter, World
+from fleet_sim import SPAN, STEP, Alter, Take, World
 from indigohitch.fleet.audit.check import check
 from indigohitch.fleet.members.leases import Giver
 from indigohitch.fleet.members.roster import Roster
@@ -191,3 +191,15 @@
     other = Roster()
     other.restore(msgspec.msgpack.encode(roster.row()))
     assert other.row() == roster.row() and len(other.members) >= 5
+
+
+def test_one_that_asks_and_hears_nothing_is_shut_out():
+    """Cut one way: its askings come, no answer and no entry goes to it."""
+    world = settled()
+    one = follower(world)
+    world.cuts |= {(m, one.name) for m in world.members if m != one.name}
+    for _ in range(10):
+        world.propose(world.leader, "things.take", Take("x"))
+        world.run(1)
+    roster = world.leader.book.parts["members"]
+    assert roster.unfit(one.name, 1) == "gone" and "takes no entry" in roster.members[one.name, 1].why
