--- a/indigohitch/fleet/seats/moving.py
+++ b/indigohitch/fleet/seats/moving.py
@@ -24,6 +24,7 @@
     net: int
     used: int
     missed: int
+    stocks: bool = True         # takes a part of what nobody wants
 
     @property
     def demand(self) -> int:
@@ -48,12 +49,12 @@
         return [], []
     wishes = sorted(wishes, key=lambda w: w.name)
     due, spare = parts(size, [w.demand for w in wishes])
-    stock = spare // len(wishes)
+    stock = spare // max(1, sum(w.stocks for w in wishes))
     have = [w.net for w in wishes]
     granted = [0] * len(wishes)
     for extra in (0, stock):            # first what is wanted, then an equal part of what is not
         for i in sorted(range(len(wishes)), key=lambda i: have[i] - due[i]):
-            count = min(free, max(0, due[i] + extra - have[i]))
+            count = min(free, max(0, due[i] + extra * wishes[i].stocks - have[i]))
             granted[i] += count
             have[i] += count
             free -= count
@@ -67,9 +68,13 @@
     most = min(sum(lacking) - coming, max(1, size // BUDGET))
     starved = any(h == 0 < d for d, h in zip(due, have))
     taken, rest = [0] * len(wishes), list(have)
+
+    def idle(i: int) -> int:
+        """Beyond the band."""
+        return rest[i] - due[i] - (BAND if wishes[i].stocks and not starved else 0)
     for _ in range(max(0, most)):
-        i = max(range(len(wishes)), key=lambda i: rest[i] - due[i])
-        if rest[i] - due[i] <= (0 if starved else BAND):
+        i = max(range(len(wishes)), key=idle)
+        if idle(i) <= 0:
             break
         rest[i] -= 1
         taken[i] += 1
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -20,8 +20,9 @@
     name = "seats"
 
     def __init__(self, name: str, part: Seats, acts: Acts, fleet_time: Callable[[int], int],
-                 contract: Callable[[], Contract | None], bootstrap: dict) -> None:
-        self.part, self.contract = part, contract
+                 contract: Callable[[], Contract | None], stocks: bool, bootstrap: dict) -> None:
+        """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
+        self.part, self.contract, self.stocks = part, contract, stocks
         self.desk = Desk(name, part, acts, fleet_time, bootstrap)
         self.out: set[str] = set()              # tags of proposals that are not answered
         self.next_round = 0
@@ -69,13 +70,14 @@
     def report(self, now: int) -> bytes:
         lease = self.desk.lease
         rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
-        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows))
+        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows,
+                                             self.stocks))
 
     def figures(self) -> dict:
         standing = self.part.edition
         return {"edition": standing, "refused_contract": self.refused, "counts": self.desk.counts,
                 "features": {name: {
-                    "seats": f.terms.seats, "held": f.held(), "free": len(f.free) if not f.over() else 0,
+                    "seats": f.terms.seats, "held": f.held(), "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
                                                     if of == name),
                     "members": {f"{s.name} {s.pool}".strip(): len(s.seats) for s in f.shares.values()}}
@@ -104,7 +106,7 @@
                     share = found.shares.get((pool, name, report.incarnation))
                     if report.incarnation > self.part.gone.get(name, 0):
                         wishes.append(Wish(name, report.incarnation, share.net if share is not None else 0,
-                                           *lately.get((name, feature, pool), (0, 0))))
+                                           *lately.get((name, feature, pool), (0, 0)), report.stocks))
                 coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
                 grants, back = spread(size, found.room(pool), coming, wishes)
                 for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
--- a/indigohitch/standins/seated.py
+++ b/indigohitch/standins/seated.py
@@ -1,7 +1,7 @@
 """The licensed software at a stand-in server: takes RPCs by their seats, ends jobs at their end, and writes
 down each beginning and end by the machine's monotonic clock, which a proof merges into the truth of all.
 
-    + NS JOB FEATURE NUMBER COUNTER USE SHARED          a job began
+    + NS JOB FEATURE NUMBER COUNTER USE SHARED MEMBER   a job began
     - NS JOB                                            it is over"""
 from __future__ import annotations
 
@@ -41,7 +41,8 @@
         if verdict is not Verdict.TAKEN:
             return 0, b"X-Seat-Refused: %b\r\n" % verdict.value.encode()
         g = shown.given
-        self.note(f"+ {time.monotonic_ns()} {job} {g.feature} {g.number} {g.counter} {g.use} {g.shared:d}")
+        self.note(f"+ {time.monotonic_ns()} {job} {g.feature} {g.number} {g.counter} {g.use} {g.shared:d} "
+                  f"{shown.stamp.member}")
         self.cuts[job] = cut
         self.loop.after(shown.until - now, self.sweep)
         return job, b""
--- a/indigohitch/standins/server.py
+++ b/indigohitch/standins/server.py
@@ -124,6 +124,8 @@
             self.answer(*answer)
 
     def reset(self) -> None:
+        if not self.stream.open:
+            return
         self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.stream.close()
 
--- /dev/null
+++ b/proofs/seats.py
@@ -0,0 +1,204 @@
+"""Licence seats over real processes: never more in use than contracted, by the servers' own meter.
+
+Voters and three sidecars with a relay of faults between each pair, four stand-in servers that check passes,
+end jobs at their end and write down what truly ran.  First wanting is skewed: one sidecar's clients want more
+than there is.  Then one tenant of another asks for everything, beside one that wants two seats.  Then sidecars
+are killed, stopped for longer than a lease and cut off, servers killed with their jobs, the leader killed; last
+the contract is cut to a third while a sidecar that holds seats is cut off.  Then quiet: all must be free.
+
+QUICK=1: three voters, each fault once.  BROKEN=1 takes a guard away (seats_unheard.py) and has to fail.  The
+last line is one JSON object; the exit code is 1 where a promise is broken."""
+from __future__ import annotations
+
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from fleetkit import Fleet, Pool, until
+from seats_clients import Clients, p99
+from seats_truth import NS, Servers, Truth
+
+QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
+CONTRACT, CUT = 45, 15
+LEASE = 2.0
+FEATURE = "geocoder"
+RPCS = [f"rpc geocode idempotent soft 1s deadline 3s seat {FEATURE}"]
+ROUTES = ["route GET /geocode/{id} rpc geocode pool nodes"]
+
+
+def contract(edition: int, seats: int) -> list[str]:
+    return [f"edition {edition}", f"seats {FEATURE} {seats} kind job drain 2s", "seat-tenant X-Tenant"]
+
+
+class Proof:
+    def __init__(self) -> None:
+        self.begun = time.monotonic()
+        self.path = Path(tempfile.mkdtemp(prefix="proof-seats-"))
+        self.servers = Servers(self.path, 4, 5.0)
+        pool = Pool(servers=self.servers.at, rpcs=RPCS, routes=ROUTES)
+        self.fleet = Fleet(self.path, voters=3 if QUICK else 5, sidecars=3, more=contract(1, CONTRACT),
+                           pools=[pool],
+                           patch=Path(__file__).parent / "seats_unheard.py" if BROKEN else "")
+        self.clients: list[Clients] = []
+        self.counts = {"kills": 0, "cuts": 0, "refused_late": 0}
+
+    def say(self, text: str) -> None:
+        print(f"{time.monotonic() - self.begun:6.1f} s  {text}", flush=True)
+
+    def add(self, sidecar: str, *rest, **words) -> Clients:
+        self.clients.append(Clients(self.fleet.listen[sidecar], *rest, **words))
+        return self.clients[-1]
+
+    def seats(self, name: str = "") -> dict:
+        """The book's view at a member, the leader if none is named; {} while that can't be had."""
+        name = name or self.fleet.leader()
+        found = (self.fleet.of_fleet(name) or {}) if name else {}
+        return found.get("works", {}).get("seats", {}).get("features", {}).get(FEATURE, {})
+
+    # ---- in turn -------------------------------------------------------------------------------------
+
+    def skewed(self) -> None:
+        """A third for each would be a static split; the first sidecar's clients want all."""
+        busy = [self.add("s1", "many", 54, wait=400), self.add("s2", "few", 2, wait=400),
+                self.add("s3", "few", 2, wait=400)]
+        until(lambda: self.seats().get("members", {}).get("s1", 0) >= CONTRACT - 7, 12, "seats at s1")
+        time.sleep(1.5)
+        since = time.monotonic_ns()
+        time.sleep(4 if QUICK else 10)
+        self.window = since, time.monotonic_ns()
+        self.say(f"skewed: {self.seats().get('members')}")
+        for clients in busy:
+            clients.stop()
+
+    def everything(self) -> None:
+        """A tenant that asks for everything, beside one that wants one seat at a time."""
+        self.add("s2", "all", 40)
+        self.add("s1", "some", 6)
+        self.add("s3", "some", 6)
+        time.sleep(2.0)
+        small = self.add("s2", "small", 2, rest=0.02)
+        time.sleep(3 if QUICK else 8)
+        self.waits = list(small.waits)
+        self.say(f"everything: small waited {p99(self.waits)} ms at p99, {len(self.waits)} times")
+        # Jobs whose answers never come: only their end at the server frees their seats.
+        self.add("s1", "mute", 2, wait=0, act="mute")
+
+    def killed(self, name: str) -> None:
+        self.say(f"kill {name}, holding {self.seats().get('members', {}).get(name)}")
+        if name in self.servers.at:
+            self.servers.kill(name)
+            self.servers.start(name)
+        else:
+            self.fleet.kill(name)
+            self.fleet.restart(name)
+        self.counts["kills"] += 1
+        time.sleep(1.0)
+
+    def stopped(self, name: str) -> None:
+        """For longer than its lease: its seats are others' when it goes on."""
+        self.fleet.stop(name)
+        until(lambda: name not in self.seats().get("members", {}), 12, f"seats of {name} to be free")
+        self.say(f"stopped {name} has no seats; it goes on")
+        self.fleet.go_on(name)
+
+    def cut_off(self, name: str) -> None:
+        self.fleet.breaker.cut_off(name)
+        self.counts["cuts"] += 1
+        until(lambda: name not in self.seats().get("members", {}), 12, f"seats of {name} to be free")
+        self.say(f"cut off {name} has no seats")
+        self.fleet.breaker.heal()
+
+    def contract_cut(self, name: str) -> None:
+        """To a third, while one that holds seats can't hear of it."""
+        until(lambda: self.seats().get("members", {}).get(name), 15, f"seats at {name}")
+        self.fleet.breaker.cut_off(name)
+        self.counts["cuts"] += 1
+        since = time.monotonic()
+        self.fleet.write(more=contract(2, CUT))
+        self.fleet.hup_all()
+        until(lambda: self.seats().get("seats") == CUT and not self.seats().get("over"), 15, "the cut")
+        self.in_force = time.monotonic_ns()
+        self.cut_took = time.monotonic() - since
+        self.say(f"cut to {CUT} in force after {self.cut_took:.1f} s: {self.seats().get('members')}")
+        time.sleep(1.5)
+        self.fleet.breaker.heal()
+        time.sleep(1.0)
+
+    def quieted(self) -> int:
+        """What is not free after quiet: seats in use, owed or with members that don't live, and jobs."""
+        for clients in self.clients:
+            clients.stop()
+        for clients in self.clients:
+            clients.join()
+        self.servers.quiet(10)
+        self.fleet.ready(20)
+        names = list(self.fleet.listen)
+
+        def leaked() -> int:
+            found = [self.seats(name) for name in names]
+            if not all(found):
+                return CONTRACT
+            return (sum(f["in_use"] for f in found) + found[0]["over"]
+                    + abs(CUT - found[0]["held"] - found[0]["free"])
+                    + sum(n for who, n in found[0]["members"].items() if who not in self.fleet.members))
+        try:
+            until(lambda: not leaked(), 10)
+        except AssertionError:
+            pass
+        return leaked()
+
+    def run(self) -> int:
+        with self.fleet as fleet:
+            fleet.start()
+            until(lambda: self.seats().get("seats") == CONTRACT, 10, "the contract")
+            self.say("started")
+            self.skewed()
+            self.everything()
+            for name in ("s1", "n1", "") if QUICK else ("s1", "n1", "", "s2", "n2", "n3", ""):
+                self.killed(name or until(fleet.leader, 10, "a leader"))
+            self.stopped("s2")
+            self.cut_off("s1")
+            self.contract_cut("s2")
+            leaked = self.quieted()
+            self.counts["refused_late"] = sum(self.servers.refused().values())
+            noise = fleet.noise()
+        self.servers.close()
+        return self.told(leaked, noise)
+
+    def told(self, leaked: int, noise: list[str]) -> int:
+        truth = Truth(self.servers, FEATURE)
+        since, before = self.window
+        use = truth.mean(since, before) / CONTRACT
+        # A static split would have given the first its third, always in use, and the others as they were.
+        static = (CONTRACT / 3 + sum(min(CONTRACT / 3, truth.mean(since, before, name))
+                                     for name in ("s2", "s3"))) / CONTRACT
+        result = {
+            "contract": CONTRACT, "peak_in_use": truth.peak(), "contract_cut": CUT,
+            "peak_after_cut": truth.peak(self.in_force + NS // 1000), "doubled": truth.doubled,
+            "given": truth.given, "refused": sum(c.refused for c in self.clients), **self.counts,
+            "leaked": leaked, "use_share": round(use, 3), "static_use_share": round(static, 3),
+            "wait_ms_p99": p99(self.waits), "cut_in_force_s": round(self.cut_took, 2),
+            "without_return": sum(c.without_return for c in self.clients), "noise": len(noise)}
+        broken = [name for name, bad in {
+            "peak_in_use": result["peak_in_use"] > CONTRACT, "peak_after_cut": result["peak_after_cut"] > CUT,
+            "doubled": result["doubled"], "leaked": leaked, "use_share": use < 0.9 or use <= static,
+            "wait_ms_p99": result["wait_ms_p99"] > 1000 * LEASE, "without_return": result["without_return"],
+            "given": result["given"] < 200, "noise": result["noise"]}.items() if bad]
+        for line in noise[:20]:
+            print(line)
+        print(json.dumps(result | {"broken": broken}))
+        return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    proof = Proof()
+    try:
+        code = proof.run()
+    except AssertionError as bad:
+        proof.servers.close()
+        print(json.dumps({"broken": [str(bad)]}))
+        code = 1
+    sys.exit(code)
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -93,7 +93,8 @@
         self.until = self.at = self.number = self.acts = 0
         self.out, self.book = {}, Book([Seats(), Members()])
         self.nodes = Nodes(BOOT)
-        self.work = SeatsWork(name, self.book.parts["seats"], self, self.fleet, lambda: world.contract, BOOT)
+        self.work = SeatsWork(name, self.book.parts["seats"], self, self.fleet, lambda: world.contract,
+                              name != "m0", BOOT)
 
     def fleet(self, now):
         return self.book.parts["seats"].edition and 10 ** 9 + self.world.t      # here without error
