--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -44,6 +44,7 @@
     acts: ChainedActs
     auditing: Auditing
     works: list[Work] = field(default_factory=list)     # the membership first
+    felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None     # an RPC was answered here
 
 
 def parts() -> list[BookPart]:
@@ -65,4 +66,5 @@
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
     seats = seats_work(text, book.parts["seats"], acts, hours.time)
     batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
-    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches])
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches],
+                    batches.felt)
