--- a/indigohitch/fleet/batches/strain.py
+++ b/indigohitch/fleet/batches/strain.py
@@ -1,7 +1,7 @@
 """Strain of the interactive RPCs, as one member feels it: its latency against its own calm.  No I/O.
 
-No one is asked: some slow RPCs, one soon after the other, pause the batches here at once.  A cumulative
-sum (Page 1954) tells them from the odd slow one: it grows with each RPC over the line, shrinks with the others."""
+No one is asked: some slow RPCs, one soon after the other, pause the batches here at once.  A cumulative sum
+(Page 1954) tells them from the odd slow one: it grows with each RPC over the line, shrinks with the others."""
 from __future__ import annotations
 
 from ...net.clock import SECOND
