--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -149,7 +149,8 @@
 
     def ended(why: str) -> None:
         if alone:
-            process.loop.after(0, lambda: process.end_with(1))
+            process.code = 1
+            process.loop.after(0, process.end)
     if process.beside is None:
         process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
     return Handed(side, process.beside)
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -44,7 +44,8 @@
     def __init__(self, loop: Loop, log: Log, text: FleetText, chance: random.Random,
                  ended: Callable[[str], None], files: Files | None = None) -> None:
         self.loop, self.log, self.text, self.ended = loop, log, text, ended
-        self.phase, self.beating = Phase.CLOSED, None
+        self.phase = Phase.CLOSED
+        self.beating: Deadline | None = None
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
@@ -137,6 +138,8 @@
     def stop(self, why: str, remedy: str) -> None:
         self.log.trouble("member_stops", why=why, remedy=remedy)
         self.be(Phase.BROKEN)
+        if self.beating is not None:
+            self.beating.cancel()
         self.driver.end()
         self.links.close()
         self.ended(why)
@@ -187,7 +190,7 @@
     # ---- the beat ----------------------------------------------------------------------------------
 
     def beat(self) -> None:
-        self.beating: Deadline | None = self.loop.after(BEAT, self.beat)
+        self.beating = self.loop.after(BEAT, self.beat)
         now = self.loop.clock.now()
         self.links.beat()
         self.admitting.beat(now)
--- /dev/null
+++ b/tests/disks.py
@@ -0,0 +1,80 @@
+"""A disk in a loop of its own, and faults at its calls to the operating system."""
+import os
+import time
+
+from indigohitch.fleet.disk.files import Files
+from indigohitch.fleet.disk.store import Disk
+from indigohitch.fleet.ledger.ports import Members, Written
+from indigohitch.fleet.terms import Entry, Who
+from indigohitch.log import Log
+from indigohitch.net.clock import Clock
+from indigohitch.net.loop import Loop
+
+NOWHERE = os.open(os.devnull, os.O_WRONLY)
+MEMBERS = Members((Who("a", 1), Who("b", 1), Who("c", 1)))
+
+
+class Faulty(Files):
+    """Room for so many bytes; fsyncs fail while `stuck`."""
+
+    def __init__(self):
+        self.room, self.stuck, self.written = 1 << 60, False, 0
+
+    def write(self, fd, data):
+        if self.room <= 0:
+            raise OSError(28, "No space left on device")
+        count = super().write(fd, data[:self.room])
+        self.room -= count
+        return count
+
+    def fsync(self, fd):
+        if self.stuck:
+            raise OSError(5, "Input/output error")
+        super().fsync(fd)
+
+    def whole(self, path, data):
+        if self.stuck or len(data) > self.room:
+            raise OSError(28, "No space left on device")
+        super().whole(path, data)
+
+
+class Bench:
+    def __init__(self, folder, files=None):
+        self.failed = []
+        clock = Clock()
+        self.loop = Loop(clock, self.failed.append)
+        self.told = []
+        self.disk = Disk(self.loop, Log(clock, out=NOWHERE), str(folder), "whk", "a",
+                         self.told.append, files)
+
+    def founded(self):
+        assert self.disk.open() is None
+        self.disk.found(1, ("a", "b", "c"), MEMBERS)
+        return self
+
+    def until(self, holds):
+        end = time.monotonic() + 10
+        while not holds():
+            assert time.monotonic() < end, (self.told, self.failed)
+            self.loop.after(100, lambda: None)
+            self.loop.turn()
+
+    def wrote(self, write):
+        self.disk.write(write)
+        self.until(lambda: Written(write.number) in self.told)
+
+    def close(self):
+        self.disk.close()
+        self.loop.close()
+        assert not self.failed
+
+
+def entry(index, term=1, body=b"x"):
+    return Entry(index, term, "t.add", body, "a", 1, index)
+
+
+def held(folder):
+    bench = Bench(folder)
+    found = bench.disk.open()
+    bench.close()
+    return found
