--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -44,7 +44,8 @@
     def __init__(self, loop: Loop, log: Log, text: FleetText, chance: random.Random,
                  ended: Callable[[str], None], files: Files | None = None) -> None:
         self.loop, self.log, self.text, self.ended = loop, log, text, ended
-        self.phase, self.beating = Phase.CLOSED, None
+        self.phase = Phase.CLOSED
+        self.beating: Deadline | None = None
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
@@ -58,7 +59,7 @@
         self.traffic = Traffic(self)
         membership, proposals = self.assembly.membership, self.traffic.proposals
         self.belonging = Belonging(log, loop.clock, membership, proposals, self.traffic.read,
-                                   self.traffic.tell, lambda: 0)
+                                   self.traffic.tell, lambda: self.assembly.acts.number)
         self.working = Working(loop, log, self.assembly.works, proposals,
                                lambda work: work is membership or self.belonging.may_propose,
                                self.traffic.send)
@@ -137,16 +138,20 @@
     def stop(self, why: str, remedy: str) -> None:
         self.log.trouble("member_stops", why=why, remedy=remedy)
         self.be(Phase.BROKEN)
+        if self.beating is not None:
+            self.beating.cancel()
         self.driver.end()
         self.links.close()
         self.ended(why)
 
     def leave(self, give_up: bool) -> None:
-        """Its place as a leader; with `give_up` also its incarnation, once nothing hangs on that any more.
-        `left` once that is done."""
+        """Its place as a leader; with `give_up` also its incarnation, once nothing hangs on that any more;
+        where a work has something out, its lease runs out instead.  `left` once that is done."""
         if self.phase is Phase.TAKING_PART:
             self.be(Phase.LEAVING)
-            if give_up:
+            if give_up and not self.working.holds(self.loop.clock.now()):
+                auditing = self.assembly.auditing
+                self.working.want(auditing, auditing.last(self.loop.clock.now()))
                 self.working.want(self.assembly.membership, self.assembly.membership.leave())
             self.hand_over()
 
@@ -176,6 +181,7 @@
         if self.beating is not None:
             self.beating.cancel()
             self.beating = None
+        self.assembly.acts.close()
         self.disk.close()               # first: what it still tells may be said
         self.driver.end()
         self.links.close()
@@ -184,7 +190,7 @@
     # ---- the beat ----------------------------------------------------------------------------------
 
     def beat(self) -> None:
-        self.beating: Deadline | None = self.loop.after(BEAT, self.beat)
+        self.beating = self.loop.after(BEAT, self.beat)
         now = self.loop.clock.now()
         self.links.beat()
         self.admitting.beat(now)
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,7 +1,7 @@
 """The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -16,12 +16,13 @@
 
 
 class SeatsWork:
-    """ports.Work.  `contract`: what this member's file contracts, None where it says nothing of seats."""
+    """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
     name = "seats"
 
-    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, contract: Contract | None,
-                 bootstrap: dict) -> None:
-        self.part, self.contract = part, contract
+    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time: Callable[[int], int],
+                 contract: Callable[[], Contract | None], stocks: bool, bootstrap: dict) -> None:
+        """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
+        self.part, self.contract, self.stocks = part, contract, stocks
         self.desk = Desk(name, part, acts, fleet_time, bootstrap)
         self.out: set[str] = set()              # tags of proposals that are not answered
         self.next_round = 0
@@ -42,8 +43,9 @@
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
         self.desk.turn(now, lease)
         wanted = self.returns()
-        if lease is not None and self.contract is not None and self.contract.edition > self.part.edition:
-            wanted += self.want("contract", "seats.contract", self.contract)
+        own = self.contract()
+        if lease is not None and own is not None and own.edition > self.part.edition:
+            wanted += self.want("contract", "seats.contract", own)
         return wanted
 
     def returns(self) -> list[Wanted]:
@@ -68,13 +70,19 @@
     def report(self, now: int) -> bytes:
         lease = self.desk.lease
         rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
-        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows))
+        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows,
+                                             self.stocks))
+
+    def holds(self, now: int) -> bool:
+        """Jobs with seats are out: what this member holds is not free before their end."""
+        self.desk.passed(now)
+        return any(hold.bound for hold in self.desk.holds.values())
 
     def figures(self) -> dict:
         standing = self.part.edition
         return {"edition": standing, "refused_contract": self.refused, "counts": self.desk.counts,
                 "features": {name: {
-                    "seats": f.terms.seats, "held": f.held(), "free": len(f.free) if not f.over() else 0,
+                    "seats": f.terms.seats, "held": f.held(), "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
                                                     if of == name),
                     "members": {f"{s.name} {s.pool}".strip(): len(s.seats) for s in f.shares.values()}}
@@ -103,7 +111,7 @@
                     share = found.shares.get((pool, name, report.incarnation))
                     if report.incarnation > self.part.gone.get(name, 0):
                         wishes.append(Wish(name, report.incarnation, share.net if share is not None else 0,
-                                           *lately.get((name, feature, pool), (0, 0))))
+                                           *lately.get((name, feature, pool), (0, 0)), report.stocks))
                 coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
                 grants, back = spread(size, found.room(pool), coming, wishes)
                 for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
