--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -26,6 +26,7 @@
             return side
         from ..fleet.node.inside import beside
         side = beside(self, side, self.text.fleet, False, self.follows)
+        self.host.felt = self.beside.felt
         if self.text.seats:
             from .seating import Seating
             self.host.seating = Seating(self.text, self.log, self.loop.clock, self.desk)
