--- a/proofs/fleetkit/fleet.py
+++ b/proofs/fleetkit/fleet.py
@@ -124,7 +124,7 @@
     # ---- asked ---------------------------------------------------------------------------------------
 
     def ask(self, name: str, what: str, wait: float = 1.0) -> dict | None:
-        return self.members[name].ask(what, wait)
+        return self.members[name].ask(what, wait) if name else None     # no leader: no answer
 
     def status(self, name: str) -> dict | None:
         return self.ask(name, "status")
