--- a/indigohitch/fleet/audit/files.py
+++ b/indigohitch/fleet/audit/files.py
@@ -139,14 +139,28 @@
     found, at = [], 0
     while at + HEAD <= len(data) and any(data[at:at + HEAD]):      # zeros: space that was never written
         try:
-            protocol, number, _, length, checksum = KINDS.head(data, at)
+            protocol, number, descriptors, length, checksum = KINDS.head(data, at)
+            if descriptors:                     # the one field that the checksum doesn't hold
+                raise Broken("a frame with descriptors")
             if at + HEAD + length > len(data):
                 break
             found.append(KINDS.body(data[at + HEAD:at + HEAD + length], protocol, number, checksum))
         except Broken as bad:
             return found, at, bad.what
         at += HEAD + length
-    return found, at, ""
+    return found, at, "a length that can't be" if followed(data, at) else ""
+
+
+def followed(data: bytes, at: int) -> bool:
+    """A whole frame lies somewhere after: what begins there is no torn tail."""
+    while (at := data.find(KINDS.magic, at + 1)) >= 0 and at + HEAD <= len(data):
+        try:
+            protocol, number, _, length, checksum = KINDS.head(data, at)
+            KINDS.body(data[at + HEAD:at + HEAD + length], protocol, number, checksum)
+            return True
+        except Broken:
+            continue
+    return False
 
 
 def read(folder: str | os.PathLike) -> tuple[dict[int, list[Record]], list[Unreadable]]:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -135,6 +135,15 @@
     data = bytearray(path.read_bytes())
     data[len(data) // 2] ^= 1
     path.write_bytes(data)
+    assert read(acting.store.folder)[1]
+    data[len(data) // 2] ^= 1
+    for at in range(60, 200):                   # whichever byte of a frame
+        data[at] ^= 0x20
+        path.write_bytes(data)
+        assert read(acting.store.folder)[1], at
+        data[at] ^= 0x20
+    data[len(data) // 2] ^= 1
+    path.write_bytes(data)
     records, troubles = read(acting.store.folder)
     assert troubles and path.name in troubles[0].where and troubles[0].remedy
     assert any(f.kind == "missing" for f in found(acting, {1: records[1]}))
