--- a/indigohitch/fleet/audit/acts.py
+++ b/indigohitch/fleet/audit/acts.py
@@ -14,6 +14,7 @@
 # of a batch that was let go may have run, and who gave on a member's things must be known.  All others are
 # written before the act, so that they outlive the process, and are on the disk with the next beat.
 FIRM = frozenset({"batches.start"})
+SPANS = 8                       # versions whose acts are told of in `status`; the records have all
 
 
 class ChainedActs:
@@ -26,6 +27,7 @@
         self.trouble, self.firm, self.when = trouble, firm, when
         self.chain: Chain | None = None
         self.counts: Counter[str] = Counter()       # by kind; `refused`, `unwritten`
+        self.spans: dict[int, list[int]] = {}       # by version acted on: acts, when the first, the last
 
     @property
     def number(self) -> int:
@@ -55,6 +57,10 @@
             return None
         self.chain.take(record)
         self.counts[kind] += 1
+        span = self.spans.setdefault(self.book.parts["members"].version, [0, record.at, 0])
+        span[0], span[2] = span[0] + 1, record.at
+        if len(self.spans) > SPANS:
+            del self.spans[min(self.spans)]
         return record.stamp
 
     def close(self) -> None:
--- a/indigohitch/fleet/audit/check.py
+++ b/indigohitch/fleet/audit/check.py
@@ -16,7 +16,7 @@
 
 class Finding(Row, frozen=True):
     """`kind`: `missing`, `doubled`, `order`, `changed`, `old_version`, `after_gone`, `no_lease`, `unknown`,
-    `contradiction`."""
+    `contradiction`, `spoilt`."""
     kind: str
     member: str
     incarnation: int
@@ -45,69 +45,82 @@
         chains = records.get(member, {})
         for incarnation in sorted(chains.keys() | kept.keys()):
             one = One(member, incarnation, chains.get(incarnation, ()), kept.get(incarnation))
-            found += [*one.chained(), *one.headed(), *one.allowed(facts, apart)]
+            found += [*one.whole(), *one.allowed(facts, apart)]
     found += [Finding("contradiction", later.member, later.incarnation, later.number,
                       f"a head of {later.number} after one of {known.number}")
               for known, later in facts.evidence]
     return found
 
 
-def acted(records: Records) -> list[Acted]:
-    """Who acted by which version, from when to when."""
+def acted(records: Records, versions: Sequence[int] = ()) -> list[Acted]:
+    """Who acted by which version, from when to when.  `versions`: entries that changed what is acted by, in
+    order; an act goes by the last one up to its stamp's.  Without them each entry counts as one."""
     told = []
     for member, chains in sorted(records.items()):
         for incarnation, chain in sorted(chains.items()):
             spans: dict[int, list[int]] = {}
             for record in chain:
-                spans.setdefault(record.stamp.version, []).append(record.at)
+                version = record.stamp.version
+                if versions:
+                    version = max((one for one in versions if one <= version), default=0)
+                spans.setdefault(version, []).append(record.at)
             told += [Acted(member, incarnation, version, len(times), min(times), max(times))
                      for version, times in sorted(spans.items())]
     return told
 
 
-class One:
-    """The records of one incarnation."""
+class Links:
+    """One chain, record after record."""
 
-    def __init__(self, member: str, incarnation: int, chain: Sequence[Record], kept: Kept | None) -> None:
-        self.member, self.incarnation, self.chain, self.kept = member, incarnation, chain, kept
+    def __init__(self, member: str, incarnation: int, kept: Kept | None) -> None:
+        self.member, self.incarnation, self.kept = member, incarnation, kept
+        self.last: Record | None = None
 
     def finding(self, kind: str, number: int, what: str) -> Finding:
         return Finding(kind, self.member, self.incarnation, number, what)
 
-    def chained(self) -> Iterator[Finding]:
-        """In itself: numbers without a gap, digests that meet, nothing that goes back."""
-        last = None
-        for record in self.chain:
-            stamp = record.stamp
-            if (stamp.member, stamp.incarnation) != (self.member, self.incarnation):
-                yield self.finding("changed", stamp.number, f"stamped {stamp.member} {stamp.incarnation}")
-            before = last.stamp.number if last is not None else 0
-            if last is None and 1 < stamp.number <= (self.kept.first if self.kept else 1):
-                pass                            # what was before was given up, and the ledger knows
-            elif stamp.number > before + 1:
-                yield self.finding("missing", before + 1, f"{before + 1} to {stamp.number - 1}")
-            elif stamp.number == before:
-                yield self.finding("doubled", stamp.number, "comes twice")
-            elif stamp.number < before:
-                yield self.finding("order", stamp.number, f"comes after {before}")
-            elif record.before != (last.digest() if last else root(self.member, self.incarnation)):
-                yield self.finding("changed", before or 1, "its digest isn't what the next record holds")
-            if last is not None and (stamp.term, stamp.version) < (last.stamp.term, last.stamp.version):
-                yield self.finding("order", stamp.number, f"by version {stamp.version} after "
-                                                          f"{last.stamp.version}")
-            last = record
-
-    def headed(self) -> Iterator[Finding]:
-        """Against its last head in the ledger: what was told there lies here."""
+    def next(self, record: Record) -> Iterator[Finding]:
+        """In itself: numbers without a gap, digests that meet, nothing that goes back; and as the ledger
+        knows it."""
+        stamp, last, self.last = record.stamp, self.last, record
+        if (stamp.member, stamp.incarnation) != (self.member, self.incarnation):
+            yield self.finding("changed", stamp.number, f"stamped {stamp.member} {stamp.incarnation}")
+        before = last.stamp.number if last is not None else 0
+        if last is None and 1 < stamp.number <= (self.kept.first if self.kept else 1):
+            pass                                # what was before was given up, and the ledger knows
+        elif stamp.number > before + 1:
+            yield self.finding("missing", before + 1, f"{before + 1} to {stamp.number - 1}")
+        elif stamp.number == before:
+            yield self.finding("doubled", stamp.number, "comes twice")
+        elif stamp.number < before:
+            yield self.finding("order", stamp.number, f"comes after {before}")
+        elif record.before != (last.digest() if last else root(self.member, self.incarnation)):
+            yield self.finding("changed", before or 1, "its digest isn't what the next record holds")
+        if last is not None and (stamp.term, stamp.version) < (last.stamp.term, last.stamp.version):
+            yield self.finding("order", stamp.number, f"by version {stamp.version} after "
+                                                      f"{last.stamp.version}")
         kept = self.kept
-        if kept is None or not kept.number:
-            return
-        at = next((record for record in self.chain if record.stamp.number == kept.number), None)
-        if at is None:
-            last = self.chain[-1].stamp.number if self.chain else 0
-            yield self.finding("missing", last + 1, f"the ledger knows of {kept.number}")
-        elif at.digest() != kept.digest:
-            yield self.finding("changed", kept.number, "the ledger knows another digest")
+        if kept is not None and stamp.number == kept.number and record.digest() != kept.digest:
+            yield self.finding("changed", stamp.number, "the ledger knows another digest")
+
+    def end(self) -> Iterator[Finding]:
+        """What the ledger was told of lies here."""
+        last = self.last.stamp.number if self.last is not None else 0
+        if self.kept is not None and last < self.kept.number:
+            yield self.finding("missing", last + 1, f"the ledger knows of {self.kept.number}")
+
+
+class One(Links):
+    """All records of one incarnation."""
+
+    def __init__(self, member: str, incarnation: int, chain: Sequence[Record], kept: Kept | None) -> None:
+        super().__init__(member, incarnation, kept)
+        self.chain = chain
+
+    def whole(self) -> Iterator[Finding]:
+        for record in self.chain:
+            yield from self.next(record)
+        yield from self.end()
 
     def allowed(self, facts: Facts, apart: int) -> Iterator[Finding]:
         """Each act was one that its member might do."""
--- a/indigohitch/fleet/audit/work.py
+++ b/indigohitch/fleet/audit/work.py
@@ -7,15 +7,35 @@
 
 from ...errors import Trouble
 from ...net.clock import SECOND
+from ...packed.rows import Row
 from ..members.work import Membership
 from ..ports import Wanted
 from ..terms import Entry, Lease, Outcome
 from .acts import ChainedActs
+from .check import Finding
 from .heads import Head, Heads
+from .scrub import Scrub
 
 # From one head to the next while acts come: what is rewritten within a second of being done and before its
 # head is committed can't be told; each head is an entry of some 60 bytes a member.
 GAP = SECOND
+TOLD = 4                        # findings in a report; the member's own log has them all
+
+
+class Report(Row):
+    """Of one member to the leader.  `versions`: entry that changed what is acted by, acts, first, last."""
+    acts: int
+    versions: list[tuple[int, int, int, int]]
+    findings: list[Finding]
+    rounds: int                 # how often it has read its whole folder
+
+
+def shown(report: Report) -> dict:
+    return {"acts": report.acts, "rounds": report.rounds,
+            "versions": [{"version": version, "acts": acts, "from_ms": begun / 10, "to_ms": ended / 10}
+                         for version, acts, begun, ended in report.versions],
+            "findings": [{"kind": one.kind, "incarnation": one.incarnation, "number": one.number,
+                          "what": one.what} for one in report.findings]}
 
 
 class Auditing:
@@ -29,6 +49,8 @@
         self.told = 0, 0                        # incarnation and number of the last head taken
         self.due = 0
         self.wrong = ""                         # what the ledger said against this member's chain
+        self.scrub = Scrub(acts.me, acts.store, lambda: heads.facts)
+        self.told_by: Mapping[str, bytes] = {}  # at the leader: the last reports
 
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
         return []
@@ -42,10 +64,22 @@
         if self.membership.evidence is not None and not self.kept:
             self.kept = True
             self.differs(*self.membership.evidence)
+        self.look(now)
         if not self.acts.sync():
             return []
         return self.head(now) if now >= self.due else []
 
+    def look(self, now: int) -> None:
+        try:
+            found = self.scrub.step(now)
+        except OSError as bad:
+            self.trouble(Trouble(f"the acts can't be read: {bad.strerror}", str(self.acts.store.folder)))
+            return
+        for one in found:
+            self.trouble(Trouble(f"record {one.number} is {one.kind}: {one.what}",
+                                 f"{one.member} {one.incarnation}", "keep the folder, and compare it with a "
+                                 "copy: someone or the disk changed what was written"))
+
     def head(self, now: int) -> list[Wanted]:
         chain = self.acts.chain
         if chain is None or self.out is not None or (chain.incarnation, chain.number) <= self.told:
@@ -89,14 +123,28 @@
                              "one: it learns the state anew"))
 
     def report(self, now: int) -> bytes:
-        return b""
+        return msgspec.msgpack.encode(Report(
+            self.acts.number, [(version, *span) for version, span in sorted(self.acts.spans.items())],
+            self.scrub.found[:TOLD], self.scrub.rounds))
 
     def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
+        self.told_by = reports
         return []
 
+    def members(self) -> dict:
+        """At the leader: what each member tells of itself."""
+        told = {}
+        for name, report in sorted(self.told_by.items()):
+            try:
+                told[name] = shown(msgspec.msgpack.decode(report, type=Report))
+            except msgspec.MsgspecError:
+                told[name] = {"unreadable": True}
+        return told
+
     def figures(self) -> dict:
         facts, chain = self.heads.facts, self.acts.chain
-        return {"acts": {kind: count for kind, count in sorted(self.acts.counts.items())},
+        return {"own": shown(msgspec.msgpack.decode(self.report(0), type=Report)), "members": self.members(),
+                "acts": {kind: count for kind, count in sorted(self.acts.counts.items())},
                 "chain": {"incarnation": chain.incarnation, "number": chain.number, "head": chain.head.hex(),
                           "told": self.told[1]} if chain is not None else None,
                 "wrong": self.wrong, "torn_bytes_cut": max(0, self.acts.store.cut),
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -73,6 +73,11 @@
             return "" if member.life is Life.VALID else member.life.value
         return LATER if incarnation < self.highest.get(name, 0) else "not joined"
 
+    @property
+    def version(self) -> int:
+        """The last entry that changed what the fleet acts by."""
+        return self.changes[-1].index if self.changes else self.in_force
+
     def valid(self) -> list[Member]:
         return [member for member in self.members.values() if member.life is Life.VALID]
 
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -94,6 +94,7 @@
                                      lambda: self.chance.getrandbits(62))
         self.acts = ChainedActs(self.name, self.membership.lease, self.book, self.store, self.troubles.append)
         self.auditing = Auditing(self.acts, parts["audit"], self.membership, self.troubles.append)
+        self.auditing.scrub.step = lambda now: []       # there are no files
         self.out, self.numbers, self.wants = {}, count(1), []
         self.leads = 0                  # the term in which it believes that it leads
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,9 +9,10 @@
 from indigohitch.errors import Unfit
 from indigohitch.fleet.audit.acts import ChainedActs
 from indigohitch.fleet.audit.check import acted, check
-from indigohitch.fleet.audit.files import Store, chains, read
+from indigohitch.fleet.audit.files import KINDS, Store, chains, frames, read
 from indigohitch.fleet.audit.gate import Gate
 from indigohitch.fleet.audit.heads import EVIDENCE, Head, Heads
+from indigohitch.fleet.audit.scrub import Scrub
 from indigohitch.fleet.book import Book
 from indigohitch.fleet.members.roster import Roster
 from indigohitch.fleet.ports import At
@@ -149,6 +150,36 @@
     assert any(f.kind == "missing" for f in found(acting, {1: records[1]}))
 
 
+def scrubbed(acting, rounds=2):
+    """What the member itself finds in its folder while it runs."""
+    scrub, now = Scrub("m", acting.store, lambda: acting.heads.facts), 0
+    while scrub.rounds < rounds:
+        now += SECOND
+        scrub.step(now)
+    return {one.kind for one in scrub.found}
+
+
+def test_a_member_finds_what_was_changed_while_it_runs(tmp_path, monkeypatch):
+    monkeypatch.setattr("indigohitch.fleet.audit.scrub.PIECE", 1500)
+    one = Acting(tmp_path / "audit", file=4000)
+    for _ in range(3):
+        one.do(60)
+        assert not scrubbed(one)
+        one.tell()
+        assert not scrubbed(one)
+    path = chains(one.store.folder)[1][1]
+    whole = path.read_bytes()
+    path.write_bytes(whole[:900] + bytes([whole[900] ^ 1]) + whole[901:])
+    assert "spoilt" in scrubbed(one)
+    records, *_ = frames(whole)
+    path.write_bytes(b"".join(KINDS.frame(r) for r in records if r.stamp.number % 7))
+    assert scrubbed(one) == {"missing"}
+    path.write_bytes(b"".join(KINDS.frame(msgspec.structs.replace(r, kind="other")) for r in records))
+    assert scrubbed(one) == {"changed"}
+    path.write_bytes(whole)
+    assert not scrubbed(one)
+
+
 def test_files_have_a_limit_and_only_what_the_ledger_knows_to_go_goes(tmp_path):
     one = Acting(tmp_path, file=2000, files=4)
     for _ in range(8):
