--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -89,6 +89,11 @@
         if self.node is not None and text is not None:
             self.node.reread(text)
 
+    def felt(self, now: int, rpc: str, latency: int) -> None:
+        """The front here has answered an RPC."""
+        if self.node is not None:
+            self.node.assembly.felt(now, rpc, latency)
+
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
         return Asked(self.node, answer).word(what, line)
 
@@ -144,7 +149,8 @@
 
     def ended(why: str) -> None:
         if alone:
-            process.loop.after(0, lambda: process.end_with(1))
+            process.code = 1
+            process.loop.after(0, process.end)
     if process.beside is None:
         process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
     return Handed(side, process.beside)
