--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -1,6 +1,6 @@
 """All at once: five coordinators before stand-in relays, three sidecars before stand-in servers; RPCs, seats,
-batches, notes, reads and drains; members killed, stopped, cut off and slowed, overlapping; the leader upgraded
-by hand-over meanwhile, and a contract cut to a third while a sidecar that holds seats is cut off.
+batches, notes, reads and drains; members killed, stopped, cut off and slowed, overlapping; the leader
+upgraded by hand-over meanwhile, and a contract cut to a third while a sidecar that holds seats is cut off.
 
 Judged by each part's own checkers: notes and reads (ledger), the servers' meter (seats), their counts of acts
 (batches, reservations), the chained records (audit), the relays (takeover, drains).  QUICK=1: under 50 s.
