--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,31 @@
 
 bench-load: build     # parsing, the ceiling of a replay, the sketch
 	$(PY) benchmarks/load.py
+
+.PHONY: proof-ledger proof-audit proof-seats proof-batches proof-fleet
+
+proof-ledger: build   # QUICK=1: under 50 s, as for each of these
+	$(PY) proofs/ledger.py
+
+proof-audit: build
+	$(PY) proofs/audit.py
+
+proof-seats: build
+	$(PY) proofs/seats.py
+
+proof-batches: build
+	$(PY) proofs/batches.py
+
+proof-fleet: build    # all at once
+	$(PY) proofs/fleet.py
+
+.PHONY: bench-ledger bench-seats bench-batches
+
+bench-ledger: build   # commits a second and latency at 3, 5, 7 members, catching up
+	$(PY) benchmarks/ledger.py
+
+bench-seats: build    # local giving against a round trip each; 50 members and 2,000 nodes
+	$(PY) benchmarks/seats.py
+
+bench-batches: build  # planning time and cost; 50 members and 2,000 nodes
+	$(PY) benchmarks/batches.py
