--- a/proofs/ledger_guards.py
+++ b/proofs/ledger_guards.py
@@ -12,6 +12,7 @@
 from indigohitch.fleet.ledger.reads import Reads
 from indigohitch.fleet.ledger.state import State
 from indigohitch.fleet.ledger.votes import Votes
+from proofs.ledger_leases import Leases
 
 
 def promised_early():
@@ -57,8 +58,14 @@
     return Leading, "may_change", property(lambda self: True)
 
 
+def nobody_before():
+    """A new leader takes nobody to hold a lease that another gave."""
+    return Leases, "over_at", lambda self, station, name: station.given.get(name, 0)
+
+
 GUARDS = {"written": promised_early, "vote_once": voted_twice, "own_term": any_term,
-          "read_quorum": read_alone, "prevote_sticky": not_sticky, "one_change": changes_at_once}
+          "read_quorum": read_alone, "prevote_sticky": not_sticky, "one_change": changes_at_once,
+          "leases_assumed": nobody_before}
 
 
 @contextmanager
@@ -68,6 +75,8 @@
         return
     where, method, instead = GUARDS[name]()
     before = where.__dict__[method]
+    if not isinstance(instead, property):
+        instead.__name__ = method               # so that what refers to it can be pickled
     setattr(where, method, instead)
     try:
         yield
--- /dev/null
+++ b/proofs/ledger_members.py
@@ -0,0 +1,174 @@
+"""Members of a small ledger by number: each place that one can be in, and each move from it, once."""
+from __future__ import annotations
+
+import pickle
+from typing import NamedTuple
+
+from indigohitch.fleet.ledger.machine import Machine
+from indigohitch.fleet.ledger.ports import (
+    Ballot,
+    Commit,
+    Due,
+    Heard,
+    Held,
+    Members,
+    Readable,
+    Send,
+    Snap,
+    Write,
+    Written,
+)
+from indigohitch.fleet.ledger.state import Role
+from indigohitch.fleet.ledger.words import Appended, Ask, Vote
+from indigohitch.fleet.terms import Entry
+
+BOOTSTRAP = {"election": 1000, "beat": 500, "log_most": 1 << 30, "append_most": 100, "piece": 100,
+             "inflight": 2, "proposals_most": 8}
+
+
+class Found(Exception):
+    """A promise is broken."""
+
+
+def none() -> float:
+    """Chance: timers end when the scene says so."""
+    return 0.0
+
+
+def canonical(machine: Machine) -> tuple:
+    """All that its next steps hang on; times and numbers of writes count from now."""
+    state, following, leading = machine.state, machine.following, machine.leading
+    durable, now = state.durable, state.now
+    led = None
+    if leading is not None:
+        reads = leading.reads
+        led = (reads.first, reads.round, tuple(sorted(reads.echoed.items())), tuple(reads.waiting),
+               leading.beat_due - now,
+               tuple((who, peer.match, peer.next, peer.way, peer.probed, tuple(peer.out),
+                      min(now - peer.heard, BOOTSTRAP["election"])) for who, peer in leading.peers.items()))
+    return (state.me, state.role, state.ballot, state.leader, state.commit,
+            tuple((entry.term, entry.kind, entry.number) for entry in state.log.entries),
+            durable.stable, durable.number - durable.done, durable.ballot_at > durable.done,
+            tuple((number - durable.done, last) for number, last in durable.pending),
+            tuple((number - durable.done, send) for number, send in durable.promises),
+            min(now - state.heard, BOOTSTRAP["election"]), state.election_due - now,
+            frozenset(machine.votes.given), machine.votes.handed,
+            following.agreed, following.agreed_in, following.round, following.owed, led)
+
+
+class Done(NamedTuple):
+    """What a move of one member came to."""
+    place: int
+    words: tuple[int, ...]          # that it sent
+    commits: tuple[Entry, ...]
+    read: Readable | None
+
+
+def written(disk: tuple, write: Write) -> tuple:
+    ballot, held = disk
+    return write.ballot or ballot, (held[:write.cut - 1] if write.cut else held) + write.entries
+
+
+class Places:
+    """A place is all that concerns one member: its machine (None while it is down), what its disk holds, and
+    what waits to be written.  Places and words are numbered, and each move from a place is done once."""
+
+    def __init__(self, voters: tuple) -> None:
+        self.voters = voters
+        self.numbers: dict[tuple, int] = {}
+        self.places: list[tuple] = []           # pickled machine or None, disk, queue
+        self.leads: list[int | None] = []       # the term that it leads
+        self.logs: list[tuple[int, ...]] = []   # terms of its log
+        self.word_numbers: dict[tuple, int] = {}
+        self.words: list[tuple] = []            # from, to, word
+        self.moves: dict[tuple, Done] = {}
+        self.vain: dict[tuple, bool] = {}
+
+    def place(self, machine: Machine | None, disk: tuple, queue: tuple) -> int:
+        key = (machine and canonical(machine), disk, queue)
+        number = self.numbers.get(key)
+        if number is None:
+            number = self.numbers[key] = len(self.places)
+            self.places.append((machine and pickle.dumps(machine), disk, queue))
+            leading = machine is not None and machine.leading is not None
+            self.leads.append(machine.term if leading else None)
+            self.logs.append(tuple(e.term for e in machine.state.log.entries) if machine else ())
+        return number
+
+    def word(self, sender: int, to: int, word) -> int:
+        key = (sender, to, word)
+        number = self.word_numbers.get(key)
+        if number is None:
+            number = self.word_numbers[key] = len(self.words)
+            self.words.append(key)
+        return number
+
+    def started(self, at: int, disk: tuple) -> int:
+        ballot, entries = disk
+        held = Held(ballot, Snap(0, 0, Members(self.voters), b""), list(entries))
+        return self.place(Machine(self.voters[at], held, BOOTSTRAP, none, 0), disk, ())
+
+    def move(self, at: int, place: int, what, at_once: bool) -> Done:
+        """`what`: the number of a word that comes, or "crash", "start", "write", or an input.  `at_once`:
+        what is asked of the disk is written before anything else comes.  Raises `Found`."""
+        done = self.moves.get((at, place, what, at_once))
+        if done is None:
+            done = self.moves[at, place, what, at_once] = self.moved(at, place, what, at_once)
+        return done
+
+    def moved(self, at: int, place: int, what, at_once: bool) -> Done:
+        pickled, disk, queue = self.places[place]
+        if what == "crash":
+            return Done(self.place(None, disk, ()), (), (), None)
+        if what == "start":
+            return Done(self.started(at, disk), (), (), None)
+        if pickled is None:
+            return Done(place, (), (), None)
+        machine = pickle.loads(pickled)
+        now = machine.state.now
+        if what == "write":
+            for write in queue:
+                disk = written(disk, write)
+            queue, what = (), Written(machine.state.durable.number)
+        elif type(what) is int:
+            sender, _, word = self.words[what]
+            what = Heard(self.voters[sender], word)
+        elif type(what) is Due:
+            now = max(now, machine.due)
+        words, commits, read = [], (), None
+        outputs = machine.step(now, what)
+        for output in outputs:
+            kind = type(output)
+            if kind is Send:
+                self.sent(at, disk[0], output.word)
+                words.append(self.word(at, self.voters.index(output.to), output.word))
+            elif kind is Write and at_once and not queue:
+                disk = written(disk, output)
+                outputs += machine.step(now, Written(output.number))
+            elif kind is Write:
+                queue += (Write(0, output.ballot, output.cut, output.entries),)
+            elif kind is Commit:
+                commits += output.entries
+            elif kind is Readable:
+                read = output
+        return Done(self.place(machine, disk, queue), tuple(words), commits, read)
+
+    def in_vain(self, word: int, place: int) -> bool:
+        """An answer that can change nothing any more, whenever it comes: it is of a term before that on its
+        receiver's disk, or a vote of that term when the receiver isn't standing (and never will again)."""
+        vain = self.vain.get((word, place))
+        if vain is None:
+            row, (pickled, (ballot, _), _) = self.words[word][2], self.places[place]
+            vain = type(row) in (Vote, Appended) and row.term < ballot.term
+            if type(row) is Vote and row.term == ballot.term and pickled is not None:
+                vain = row.pre or not row.given or pickle.loads(pickled).role is not Role.CANDIDATE
+            self.vain[word, place] = vain
+        return vain
+
+    def sent(self, at: int, ballot: Ballot, word) -> None:
+        """No vote is told, the own neither, before it is on the disk."""
+        if type(word) is Vote and word.given and not word.pre and ballot.term <= word.term:
+            if ballot.term < word.term or ballot.vote is None:
+                raise Found(f"{self.voters[at].name} tells a vote that its disk doesn't hold")
+        elif type(word) is Ask and not word.pre and ballot != Ballot(word.term, self.voters[at]):
+            raise Found(f"{self.voters[at].name} asks for votes without its own on the disk")
