--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -17,6 +17,7 @@
         self.agreed_in = 0          # that term
         self.round = 0              # of the last word of that leader
         self.owed = False           # an answer waits for the ballot to be written
+        self.told = 0               # up to where it was acknowledged in this term
         self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
         self.pieces = bytearray()
 
@@ -33,7 +34,7 @@
         if state.role is Role.LEADER:
             raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
         if self.agreed_in != word.term:
-            self.agreed, self.agreed_in, self.round, self.owed = 0, word.term, 0, False
+            self.agreed, self.agreed_in, self.round, self.owed, self.told = 0, word.term, 0, False, 0
         state.be(Role.FOLLOWER, sender)
         state.heard = state.now
         state.wait_anew()
@@ -73,14 +74,18 @@
         state = self.state
         self.owed = not state.durable.safe
         if not self.owed:
-            match = min(max(self.agreed, state.commit), state.durable.match)
-            state.send(state.leader, Appended(state.term, True, match, round=self.round))
+            self.told = self.match
+            state.send(state.leader, Appended(state.term, True, self.told, round=self.round))
 
-    def written(self, before: int) -> None:
-        """More may be acknowledged than `before`, or at last."""
+    @property
+    def match(self) -> int:
+        return min(max(self.agreed, self.state.commit), self.state.durable.match)
+
+    def written(self) -> None:
+        """More may be acknowledged than was, or something at last."""
         state = self.state
         if (state.role is Role.FOLLOWER and state.leader is not None and state.durable.safe
-                and self.agreed_in == state.term and (self.owed or state.durable.match > before)):
+                and self.agreed_in == state.term and (self.owed or self.match > self.told)):
             self.answer()
 
     # ---- a snapshot in pieces ----------------------------------------------------------------------
--- a/indigohitch/fleet/ledger/machine.py
+++ b/indigohitch/fleet/ledger/machine.py
@@ -139,18 +139,17 @@
     # ---- by the disk -------------------------------------------------------------------------------
 
     def written(self, input: Written) -> None:
-        state, before = self.state, self.state.durable.match
-        state.out += state.durable.written(input.number)
-        self.kept(before)
+        self.state.out += self.state.durable.written(input.number)
+        self.kept()
 
     def snapped(self, input: Snapped) -> None:
-        before = self.state.durable.match
         self.state.snapped(input.snap)
-        self.kept(before)
+        self.kept()
 
-    def kept(self, before: int) -> None:
+    def kept(self) -> None:
+        """More lies on the disk: what waited for it."""
         self.votes.written()
-        self.following.written(before)
+        self.following.written()
         if self.leading is not None:
             self.leading.advance()
 
--- /dev/null
+++ b/tests/ledger_group.py
@@ -0,0 +1,133 @@
+"""Machines of a ledger side by side, with words and disks in hand, for plain cases."""
+from collections import deque
+
+from indigohitch.fleet.ledger.machine import Machine
+from indigohitch.fleet.ledger.ports import (
+    Ballot,
+    Commit,
+    Due,
+    Heard,
+    Held,
+    Install,
+    Members,
+    Propose,
+    Send,
+    Snap,
+    Snapped,
+    TakeSnapshot,
+    Write,
+    Written,
+)
+from indigohitch.fleet.ledger.words import Vote
+from indigohitch.fleet.terms import Entry, Proposal, Who
+
+BOOTSTRAP = {"election": 3000, "beat": 500, "log_most": 1 << 20, "append_most": 1000, "piece": 100,
+             "inflight": 3, "proposals_most": 16}
+A, B, C, D = (Who(name, 1) for name in "abcd")
+
+
+def entries(*terms):
+    return [Entry(at + 1, term, "x.y", b"") for at, term in enumerate(terms)]
+
+
+def machine(me=A, voters=(A, B, C), ballot=None, snap=None, log=(), now=0, **bootstrap):
+    held = Held(ballot or Ballot(0), snap or Snap(0, 0, Members(tuple(voters)), b""), list(log))
+    return Machine(me, held, {**BOOTSTRAP, **bootstrap}, lambda: 0.0, now)
+
+
+def stand(one):
+    """Up to its own vote being on the disk and the others asked; what comes out then."""
+    one.step(one.due, Due())
+    one.step(one.due, Heard(B, Vote(one.term + 1, True, True)))
+    return one.step(one.state.now, Written(one.state.durable.number))
+
+
+def lead(one):
+    """By the vote of B."""
+    stand(one)
+    return one.step(one.state.now, Heard(B, Vote(one.term, True)))
+
+
+def proposal(number, body=b""):
+    return Proposal("p", 1, number, "x.y", body)
+
+
+def of(kind, outputs):
+    return [output for output in outputs if type(output) is kind]
+
+
+def words(kind, outputs):
+    return [(o.to, o.word) for o in outputs if type(o) is Send and type(o.word) is kind]
+
+
+class Group:
+    """Words arrive at once and in order, unless their sender or receiver is in `cut`; disks write at once,
+    unless their member is in `slow`."""
+
+    def __init__(self, *who, **bootstrap):
+        self.now, self.bootstrap = 0, bootstrap
+        self.machines, self.cut, self.slow = {}, set(), set()
+        self.applied, self.told, self.unwritten, self.sent = {}, {}, {}, []
+        self.queue = deque()
+        for one in who:
+            self.add(machine(one, who, **bootstrap))
+
+    def add(self, machine):
+        me = machine.state.me
+        self.machines[me] = machine
+        self.applied[me], self.told[me], self.unwritten[me] = [], [], []
+
+    def step(self, me, input):
+        self.queue.append((me, input))
+        while self.queue:
+            me, input = self.queue.popleft()
+            if me in self.machines:
+                for output in self.machines[me].step(self.now, input):
+                    self.carry_out(me, output)
+
+    def carry_out(self, me, output):
+        kind = type(output)
+        if kind is Send:
+            self.sent.append((me, output.to, output.word))
+            if me not in self.cut and output.to not in self.cut:
+                self.queue.append((output.to, Heard(me, output.word)))
+        elif kind is Write:
+            if me in self.slow:
+                self.unwritten[me].append(output)
+            else:
+                self.queue.append((me, Written(output.number)))
+        elif kind is Commit:
+            self.applied[me] += output.entries
+        elif kind is TakeSnapshot:
+            book = b"%d" % output.index * 100
+            self.queue.append((me, Snapped(Snap(output.index, output.term, output.members, book))))
+        elif kind is Install:
+            self.applied[me].append(output)
+            self.queue.append((me, Snapped(output.snap)))
+        else:
+            self.told[me].append(output)
+
+    def due(self, me):
+        """Its timer ends; nobody else's does."""
+        self.now = max(self.now, self.machines[me].due)
+        self.step(me, Due())
+
+    def pass_time(self, span):
+        until = self.now + span
+        while True:
+            me = min(self.machines, key=lambda me: self.machines[me].due)
+            if self.machines[me].due > until:
+                break
+            self.due(me)
+        self.now = until
+
+    def propose(self, me, *numbers):
+        for number in numbers:
+            self.step(me, Propose(proposal(number)))
+
+    def leaders(self):
+        return [me for me, machine in self.machines.items() if machine.leading is not None]
+
+    def numbers(self, me):
+        """Of the proposals that it applied."""
+        return [entry.number for entry in self.applied[me] if type(entry) is Entry and entry.number]
--- /dev/null
+++ b/tests/test_ledger_entries.py
@@ -0,0 +1,221 @@
+"""Entries of the ledger: taken, sent, written, committed; slow and failing members; reads."""
+import pytest
+
+from indigohitch.fleet.ledger.ports import (
+    Ballot,
+    Commit,
+    DiskBack,
+    DiskFailed,
+    Heard,
+    Propose,
+    Read,
+    Readable,
+    Turned,
+    Write,
+    Written,
+)
+from indigohitch.fleet.ledger.words import Append, Appended
+from indigohitch.fleet.terms import Entry
+from ledger_group import BOOTSTRAP, A, B, C, Group, entries, lead, machine, of, proposal, words
+
+
+def led(*who, **bootstrap):
+    group = Group(*who or (A, B, C), **bootstrap)
+    group.due(A)
+    return group
+
+
+def test_proposals_come_to_all_in_one_order():
+    group = led()
+    group.propose(A, 1, 2, 3)
+    group.pass_time(BOOTSTRAP["beat"])
+    assert group.numbers(A) == group.numbers(B) == group.numbers(C) == [1, 2, 3]
+
+
+def test_follower_turns_proposals_and_reads_to_the_leader():
+    group = led()
+    group.propose(B, 1)
+    group.step(B, Read(7))
+    assert [type(told) for told in group.told[B][-2:]] == [Turned, Readable]
+    assert [told.leader for told in group.told[B][-2:]] == [A, A] and not group.told[B][-1].ok
+
+
+def test_nothing_is_acknowledged_before_it_is_written():
+    one = machine(B)
+    out = one.step(1, Heard(A, Append(1, 0, 0, 0, tuple(entries(1, 1)))))
+    assert not words(Appended, out)
+    assert words(Appended, one.step(2, Written(of(Write, out)[0].number)))[0][1].match == 0
+    assert words(Appended, one.step(3, Written(of(Write, out)[1].number)))[0][1].match == 2
+
+
+def test_leader_counts_itself_only_once_it_has_written():
+    group = led()
+    group.cut.add(C)
+    group.slow.add(A)
+    group.propose(A, 1)
+    assert group.numbers(A) == [] and group.machines[B].state.log.last == 2
+    group.step(A, Written(group.unwritten[A][-1].number))
+    assert group.numbers(A) == [1]
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting():
+    """Figure 8: a majority holds entry 2 of term 2, and yet it may be void until one of term 4 stands."""
+    one = machine(A, ballot=Ballot(3), log=entries(1, 2))
+    lead(one)
+    now = one.state.now
+    one.step(now, Written(one.state.durable.number))
+    assert not of(Commit, one.step(now, Heard(B, Appended(4, True, 2))))
+    committed = of(Commit, one.step(now, Heard(B, Appended(4, True, 3))))
+    assert [entry.term for entry in committed[0].entries] == [1, 2, 4]
+
+
+def test_tail_that_a_later_leader_doesnt_have_is_void():
+    one = machine(B, ballot=Ballot(2), log=entries(1, 2, 2))
+    refused = one.step(1, Heard(A, Append(3, 3, 3, 0)))
+    one.step(2, Written(one.state.durable.number))
+    assert words(Appended, refused)[0][1] == Appended(3, False, 3, 3, 2)
+    out = one.step(3, Heard(A, Append(3, 1, 1, 1, (Entry(2, 3, "x.y", b""),))))
+    assert of(Write, out)[0].cut == 2 and one.state.log.last == 2
+    assert of(Commit, out)[0].entries == tuple(entries(1))
+    with pytest.raises(ValueError, match="committed"):
+        one.step(4, Heard(A, Append(3, 0, 0, 0, (Entry(1, 3, "x.y", b""),))))
+
+
+def test_acknowledgement_covers_no_entry_that_the_leader_may_not_have():
+    one = machine(B, ballot=Ballot(1), log=entries(1, 1, 1))
+    one.step(1, Heard(A, Append(2, 1, 1, 0)))
+    assert words(Appended, one.step(2, Written(one.state.durable.number)))[0][1].match == 1
+
+
+def test_member_far_behind_is_found_in_few_steps():
+    group = Group(A, B, C)
+    group.machines.clear()
+    group.add(machine(A, ballot=Ballot(9), log=entries(*[1] * 50, *[8] * 50)))
+    group.add(machine(B, ballot=Ballot(9), log=entries(*[1] * 50, *[2] * 60)))
+    group.add(machine(C, ballot=Ballot(9)))
+    group.due(A)
+    group.pass_time(BOOTSTRAP["beat"])
+    assert len(group.applied[B]) == len(group.applied[C]) == 101
+    refusals = [to for sender, to, word in group.sent if type(word) is Appended and not word.ok]
+    assert len(refusals) <= 4
+
+
+def test_what_is_not_committed_is_bounded_and_the_proposer_told_when_to_come_back():
+    group = led()
+    group.cut.update((B, C))
+    group.propose(A, *range(1, 40))
+    turned = [told for told in group.told[A] if type(told) is Turned]
+    assert group.machines[A].state.log.last <= BOOTSTRAP["proposals_most"] + 1
+    assert len(turned) == 39 - BOOTSTRAP["proposals_most"]
+    assert {told.again for told in turned} == {BOOTSTRAP["beat"]}
+    for body in range(3):
+        group.step(A, Propose(proposal(100 + body, bytes(2000))))
+    assert type(group.told[A][-1]) is Turned
+
+
+def test_slow_member_holds_nobody_up_and_little_is_out_to_it():
+    group = led(inflight=2, append_most=200)
+    group.slow.add(C)
+    group.propose(A, *range(1, 30))
+    assert group.numbers(A) == list(range(1, 30))
+    out = [word for _, to, word in group.sent if to == C and type(word) is Append and word.entries]
+    assert len(out) <= 4 and len(group.unwritten[C]) <= 4
+    group.slow.clear()
+    while group.unwritten[C]:
+        group.step(C, Written(group.unwritten[C].pop().number))
+    group.pass_time(3 * BOOTSTRAP["beat"])
+    assert group.numbers(C) == list(range(1, 30))
+
+
+def test_lost_words_are_sent_again():
+    group = led()
+    group.cut.add(C)
+    group.propose(A, 1, 2)
+    group.cut.clear()
+    group.propose(A, 3)
+    group.pass_time(2 * BOOTSTRAP["beat"])
+    assert group.numbers(C) == [1, 2, 3]
+
+
+def test_full_disk_ends_promises_and_the_lead_not_the_member():
+    group = led()
+    group.slow.add(A)
+    group.propose(A, 1)
+    group.step(A, DiskFailed("full"))
+    assert not group.leaders() and group.machines[A].role.value == "follower"
+    group.slow.clear()
+    group.pass_time(2 * BOOTSTRAP["election"])
+    leader = group.leaders()[0]
+    assert leader != A
+    group.propose(leader, 2)
+    group.step(A, DiskBack())
+    group.pass_time(2 * BOOTSTRAP["beat"])
+    assert group.numbers(A) == group.numbers(leader)
+    assert group.machines[A].state.durable.stable == group.machines[leader].state.durable.stable
+
+
+def test_what_a_failed_disk_may_hold_is_written_anew():
+    one = machine(B)
+    one.step(1, Heard(A, Append(1, 0, 0, 0, tuple(entries(1, 1)))))
+    one.step(2, Written(2))
+    one.step(3, Heard(A, Append(1, 2, 1, 0, (Entry(3, 1, "x.y", b""),))))
+    one.step(4, DiskFailed("full"))
+    assert one.step(5, Written(3)) == []
+    again = of(Write, one.step(6, DiskBack()))[0]
+    assert (again.ballot, again.cut, [entry.index for entry in again.entries]) == (Ballot(1), 3, [3])
+
+
+# ---- reads -------------------------------------------------------------------------------------------
+
+
+def reads(group, me=A):
+    return [told for told in group.told[me] if type(told) is Readable]
+
+
+def test_read_is_answered_by_a_majority_asked_after_it_came():
+    group = led()
+    group.propose(A, 1)
+    group.cut.update((B, C))
+    group.step(A, Read(1))
+    assert not reads(group)
+    group.cut.discard(C)
+    group.pass_time(BOOTSTRAP["beat"])
+    assert reads(group) == [Readable(1, 2)]
+
+
+def test_echo_of_an_earlier_round_confirms_nothing():
+    group = led()
+    group.step(A, Read(1))
+    group.cut.update((B, C))
+    group.step(A, Read(2))
+    group.step(A, Heard(B, Appended(1, True, 1, round=1)))
+    assert [told.number for told in reads(group)] == [1]
+    group.step(A, Heard(B, Appended(1, True, 1, round=2)))
+    assert [told.number for told in reads(group)] == [1, 2]
+
+
+def test_new_leader_answers_reads_once_an_entry_of_its_own_is_committed():
+    one = machine(A)
+    lead(one)
+    now = one.state.now
+    one.step(now, Read(1))
+    assert not of(Readable, one.step(now, Heard(B, Appended(1, True, 0, round=1))))
+    one.step(now, Written(one.state.durable.number))
+    assert of(Readable, one.step(now, Heard(B, Appended(1, True, 1, round=1)))) == [Readable(1, 1)]
+
+
+def test_reads_of_a_leader_that_ends_are_refused_and_their_number_is_bounded():
+    group = led()
+    group.cut.update((B, C))
+    for number in range(BOOTSTRAP["proposals_most"] + 3):
+        group.step(A, Read(number))
+    assert [told.ok for told in reads(group)] == [False] * 3
+    group.pass_time(BOOTSTRAP["election"] + BOOTSTRAP["beat"])
+    assert len(reads(group)) == BOOTSTRAP["proposals_most"] + 3 and not any(told.ok for told in reads(group))
+
+
+def test_one_alone_is_its_own_majority():
+    group = led(A)
+    group.propose(A, 1)
+    group.step(A, Read(1))
+    assert group.numbers(A) == [1] and reads(group) == [Readable(1, 2)]
