--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -12,6 +12,7 @@
 from ...net.loop import Loop
 from ...replaceable import Replaceable
 from ...upgrade.giving import Side
+from ..ports import Work
 from .asked import Asked
 from .figures import figures
 from .node import Node, Phase
@@ -88,9 +89,19 @@
         if self.node is not None and text is not None:
             self.node.reread(text)
 
+    def felt(self, now: int, rpc: str, latency: int) -> None:
+        """The front here has answered an RPC."""
+        if self.node is not None:
+            self.node.assembly.felt(now, rpc, latency)
+
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
         return Asked(self.node, answer).word(what, line)
 
+    def work(self, name: str) -> Work | None:
+        """A part's work in this process, None while the node is closed."""
+        works = self.node.assembly.works if self.node is not None else ()
+        return next((work for work in works if work.name == name), None)
+
     def figures(self) -> dict:
         if self.node is None:
             return {"fleet": {"name": self.text.name, "phase": "closed", "why": self.why}}
@@ -138,7 +149,8 @@
 
     def ended(why: str) -> None:
         if alone:
-            process.loop.after(0, lambda: process.end_with(1))
+            process.code = 1
+            process.loop.after(0, process.end)
     if process.beside is None:
         process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
     return Handed(side, process.beside)
