--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -104,10 +104,13 @@
     # ---- time --------------------------------------------------------------------------------------
 
     def due(self) -> None:
-        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2)."""
+        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2).  A beat
+        that comes late by another says that this process stood still: answers may lie unread, so it judges
+        at the next."""
         state = self.state
         heard = {who for who, peer in self.peers.items() if not peer.silent} | {state.me}
-        if len(heard & state.belonging.voters) < state.belonging.majority:
+        stood_still = state.now - self.beat_due >= state.bootstrap["beat"]
+        if len(heard & state.belonging.voters) < state.belonging.majority and not stood_still:
             state.note("majority_lost", term=state.term, heard=sorted(who.name for who in heard))
             state.be(Role.FOLLOWER, None)
             return
