--- a/indigohitch/fleet/node/admitting.py
+++ b/indigohitch/fleet/node/admitting.py
@@ -7,6 +7,7 @@
 from ..ledger.ports import Change, Members
 from ..terms import Who
 from . import founding
+from .phases import Phase
 from .words import Admit, Admitted
 
 if TYPE_CHECKING:
@@ -24,9 +25,9 @@
 
     def beat(self, now: int) -> None:
         node = self.node
-        if node.phase.value == "fresh":
+        if node.phase is Phase.FRESH:
             self.fresh(now)
-        elif node.phase.value == "taking part" and now >= self.ask_due:
+        elif node.phase is Phase.TAKING_PART and now >= self.ask_due:
             me, members = node.links.me, node.driver.members
             if not founding.stands(me, node.votes, members):
                 self.ask(now, me.number)
@@ -66,7 +67,7 @@
 
     def admitted(self, who: Who, word: Admitted) -> None:
         node = self.node
-        if node.phase.value != "fresh" or word.token != node.token or word.who.name != node.text.me:
+        if node.phase is not Phase.FRESH or word.token != node.token or word.who.name != node.text.me:
             return
         node.log.event("admitted", number=word.who.number, by=who.name)
         self.begin(word.who.number, word.founders, Members(()))
@@ -78,7 +79,7 @@
         never give the same one out."""
         node, name = self.node, sender.name
         listed = node.text.members.get(name)
-        if not node.driver.leads or listed is None or node.phase.value != "taking part":
+        if not node.driver.leads or listed is None or node.phase is not Phase.TAKING_PART:
             return
         machine = node.driver.machine
         who = self.admission.who(word, machine.members, node.disk.identity.met.get(name, 0))
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -15,7 +15,8 @@
 from ..ports import Work
 from .asked import Asked
 from .figures import figures
-from .node import Node, Phase
+from .node import Node
+from .phases import Phase
 
 AGAIN = SECOND // 5             # a disk or port that the process before this one still holds
 # Of a leaving that no majority takes note of: the lease runs out instead.
@@ -68,15 +69,15 @@
         """`give_up`: its incarnation too, as nothing hangs on that any more."""
         if self.node is not None and self.node.phase is Phase.TAKING_PART:
             self.until = self.loop.clock.now() + LEAVING
-            self.node.leave(give_up)
+            self.node.leaving.leave(give_up)
 
     @property
     def left(self) -> bool:
-        return self.node is None or self.node.left or self.loop.clock.now() >= self.until
+        return self.node is None or self.node.leaving.left or self.loop.clock.now() >= self.until
 
     def stay(self) -> None:
         if self.node is not None:
-            self.node.stay()
+            self.node.leaving.stay()
 
     def close(self) -> None:
         self.wanted = False
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -1,7 +1,6 @@
 """A member of the fleet: its phases, its beat, and how its parts hang together."""
 from __future__ import annotations
 
-import enum
 import random
 from collections.abc import Callable
 
@@ -19,6 +18,8 @@
 from .admitting import Admitting
 from .belonging import Belonging
 from .driver import Driver
+from .leaving import Leaving
+from .phases import Phase
 from .standard import Place, assembled
 from .traffic import Traffic
 from .words import KINDS
@@ -30,14 +31,6 @@
 BOUNDS = {"append_most": 64 << 10, "piece": 64 << 10, "inflight": 8, "proposals_most": 1024}
 
 
-class Phase(enum.Enum):
-    CLOSED = "closed"
-    FRESH = "fresh"             # its disk is new: it founds with the others, or asks to be admitted
-    TAKING_PART = "taking part"
-    LEAVING = "leaving"         # gives its place up, and its incarnation
-    BROKEN = "broken"           # met what must never be: it says and promises nothing any more
-
-
 class Node:
     """`ended(why)`: this member can't go on.  `chance`: seeded; for waits, spreads and tokens."""
 
@@ -63,7 +56,7 @@
         self.working = Working(loop, log, self.assembly.works, proposals,
                                lambda work: work is membership or self.belonging.may_propose,
                                self.traffic.send)
-        self.admitting = Admitting(self)
+        self.admitting, self.leaving = Admitting(self), Leaving(self)
         self.wire()
 
     def wire(self) -> None:
@@ -144,36 +137,6 @@
         self.links.close()
         self.ended(why)
 
-    def leave(self, give_up: bool) -> None:
-        """Its place as a leader; with `give_up` also its incarnation, once nothing hangs on that any more;
-        where a work has something out, its lease runs out instead.  `left` once that is done."""
-        if self.phase is Phase.TAKING_PART:
-            self.be(Phase.LEAVING)
-            if give_up and not self.working.holds(self.loop.clock.now()):
-                auditing = self.assembly.auditing
-                self.working.want(auditing, auditing.last(self.loop.clock.now()))
-                self.working.want(self.assembly.membership, self.assembly.membership.leave())
-            self.hand_over()
-
-    def hand_over(self) -> None:
-        """After what it proposes itself is known: from then on it turns all away."""
-        if self.phase is Phase.LEAVING and self.driver.leads:
-            if not self.belonging.leaves:
-                self.driver.step(HandOver())
-            self.loop.after(self.text.waits["election"] // 2, self.hand_over)
-
-    @property
-    def left(self) -> bool:
-        return self.phase is not Phase.LEAVING or not self.belonging.leaves and (
-            not self.driver.leads or len(self.driver.members.voters) <= 1)
-
-    def stay(self) -> None:
-        """After all; under a new incarnation, where it had given the old one up."""
-        if self.phase is Phase.LEAVING:
-            self.be(Phase.TAKING_PART)
-            if self.assembly.membership.phase is Member.LEFT:
-                self.assembly.membership.anew()
-
     def close(self) -> None:
         """Disk and port may be another process' from here on."""
         if self.phase is Phase.CLOSED:
@@ -197,11 +160,11 @@
         if self.phase in (Phase.TAKING_PART, Phase.LEAVING):
             self.traffic.reads.beat(now)
             self.traffic.send()
-        if self.phase is Phase.TAKING_PART:
+        if self.works:
             self.belonging.renew(now, self.leader_name, self.working.reports)
             self.working.turn(now, self.lease(now))
-            if self.driver.leads:
-                self.lead(now)
+        if self.phase is Phase.TAKING_PART and self.driver.leads:
+            self.lead(now)
         self.belonging.look()
 
     def lead(self, now: int) -> None:
@@ -213,8 +176,14 @@
     def leader_name(self) -> str:
         return self.driver.leader.name if self.driver.leader is not None else ""
 
+    @property
+    def works(self) -> bool:
+        """Its incarnation counts: a front that is being upgraded acts until disk and port are given over."""
+        return self.phase is Phase.TAKING_PART or (
+            self.phase is Phase.LEAVING and self.assembly.membership.phase is not Member.LEFT)
+
     def lease(self, now: int) -> Lease | None:
-        return self.belonging.lease(now) if self.phase is Phase.TAKING_PART else None
+        return self.belonging.lease(now) if self.works else None
 
     # ---- what is told ------------------------------------------------------------------------------
 
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -8,7 +8,8 @@
 import pytest
 
 from proofs.fleetkit import Fleet, until
-from world import Platform, eventually
+from stage import Platform
+from waiting import eventually
 
 FAULTY = Path(__file__).parent / "faulty.py"
 QUICK = ["wait start 2s", "wait takeover 1s", "wait commit 500ms", "wait watch 300ms", "wait drain 2s"]
