--- a/indigohitch/fleet/disk/recovery.py
+++ b/indigohitch/fleet/disk/recovery.py
@@ -50,8 +50,10 @@
 
     def write(self, one: One, where: str = "in memory") -> None:
         """Raises Harmed where the entries do not follow."""
-        if one.cut:
-            del self.entries[max(0, one.cut - self.base - 1):]
+        if one.cut > self.base:
+            del self.entries[one.cut - self.base - 1:]
+        elif one.cut:                           # back into a segment that a snapshot has covered since
+            self.base, self.entries = one.cut - 1, []
         for entry in one.entries:
             if entry.index != self.last + 1:
                 raise Harmed(f"entry {entry.index} stands after {self.last}", where)
@@ -78,8 +80,12 @@
         found.held.snap = books.decode(files.read(found.books[-1]), found.books[-1])
     paths = [(int(name[len(SEGMENT):]), f"{folder}/{name}") for name in names
              if name.startswith(SEGMENT) and not name.endswith(PART)]
-    read = []
-    for number, path in reversed(paths):
+    read: list[tuple] = []
+    while paths:
+        number, path = paths.pop()
+        if read and number != read[0][0] - 1:
+            paths.append((number, path))        # what lies before a gap was taken away, and not for good yet
+            break
         data = files.read(path)
         rows, good = scan(data, path, not read)
         if not rows or not isinstance(rows[0][1], Begin):
@@ -88,14 +94,15 @@
             found.cut = (path, good)
         read.insert(0, (number, path, rows, good))
         if rows[0][1].anew:                     # a crash came before the older ones were taken away
-            found.void = [path for older, path in paths if older < number]
             break
+    found.void = [path for _, path in paths]
     replay(found, read)
     return found
 
 
 def replay(found: Found, read: list) -> None:
-    snap, log, before = found.held.snap, None, 0
+    """Segments that follow one another.  Raises Harmed where they do not go back to the snapshot."""
+    snap, log = found.held.snap, None
     if not read and snap.index:
         raise Harmed("the log is missing beside its snapshot", found.books[-1])
     for number, path, rows, good in read:
@@ -104,9 +111,9 @@
             if begin.base > snap.index:
                 raise Harmed(f"entries {snap.index + 1} to {begin.base} are missing before it", path)
             log = Log(begin.base)
-        elif number != before + 1 or begin.base != log.last:
-            raise Harmed("a segment before it is missing", path)
-        before, highest = number, begin.base
+        elif begin.base != log.last:
+            raise Harmed(f"it goes on after entry {begin.base}, the one before ends at {log.last}", path)
+        highest = begin.base
         found.held.ballot = begin.ballot
         for at, row in rows[1:]:
             where = f"{path}, byte {at}"
