--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -1,5 +1,5 @@
 """All at once: five coordinators before stand-in relays, three sidecars before stand-in servers; RPCs, seats,
-batches, notes, reads and drains; members killed, stopped, cut off and slowed, overlapping; the leader upgraded
+batches, notes, reads and drains; members killed, stopped, cut off and slowed at once; the leader upgraded
 by hand-over meanwhile, and a contract cut to a third while a sidecar that holds seats is cut off.
 
 Judged by each part's own checkers: notes and reads (ledger), the servers' meter (seats), their counts of acts
@@ -77,8 +77,9 @@
         fleet.breaker.heal()
 
     def trouble(self) -> None:
-        player = Player(self.fleet, drawn(SEED, self.fleet, SECONDS, KINDS, gap=1.2)).start()
-        player.join()
+        player = Player(self.fleet, drawn(SEED, self.fleet, SECONDS, KINDS, gap=1.2))
+        self.platforms.undisturbed = player.undisturbed
+        player.start().join()
         self.player = player
         self.say(f"played {sum(player.counts.values())} faults: {player.counts}")
 
--- a/proofs/fleetkit/faults.py
+++ b/proofs/fleetkit/faults.py
@@ -58,6 +58,7 @@
         self.fleet, self.plan, self.also = fleet, sorted(plan, key=lambda e: e.at), also or {}
         self.held: dict[str, Event] = {}                # by member
         self.counts: dict[str, int] = {}
+        self.freed: dict[str, float] = {}               # by member: when (time.monotonic) its last one ended
         self.leaders: list[float] = []                  # when (time.monotonic) a leader was taken away
         self.bad: BaseException | None = None
         self.stopping = False
@@ -73,6 +74,10 @@
         if self.bad is not None:
             raise self.bad
 
+    def undisturbed(self, name: str) -> float:
+        """Since when nothing has been done to it; infinity while something is."""
+        return float("inf") if name in self.held else self.freed.get(name, 0.0)
+
     def _guarded(self) -> None:
         try:
             self._play()
@@ -87,6 +92,7 @@
                 if event.at + event.span <= now:
                     del self.held[name]
                     self._over(name, event)
+                    self.freed[name] = time.monotonic()
             while waiting and waiting[0].at <= now:
                 event = waiting.pop(0)
                 if name := self._chosen(event.whom):
