--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -208,3 +208,24 @@
         fleet.ready(names=[name])
         noted(fleet, f"after {name}")
     assert noted(fleet, "last") > before
+
+
+def test_a_member_is_added_learns_votes_and_is_taken_out(fleet):
+    fleet.place("v4", True)
+    fleet.write()
+    fleet.hup_all()
+    fleet.restart("v4")
+    until(lambda: "v4" in votes(fleet), 20, "it to vote")
+    noted(fleet, "new here")
+    until(lambda: "new here" in fleet.ask("v4", "book notes", 5)["texts"])
+    fleet.end("v4")
+    gone = fleet.places.pop("v4"), fleet.members.pop("v4")
+    gone[0].close()
+    fleet.write()
+    fleet.hup_all()
+    until(lambda: fleet.ask(leader(fleet), "out v4", 3.0) and "v4" not in votes(fleet), 20, "it to be out")
+    assert noted(fleet, "without it")
+
+
+def votes(fleet):
+    return [one["name"] for one in (fleet.of_fleet(fleet.leader()) or {"voters": []})["voters"]]
