--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -77,8 +77,9 @@
         fleet.breaker.heal()
 
     def trouble(self) -> None:
-        player = Player(self.fleet, drawn(SEED, self.fleet, SECONDS, KINDS, gap=1.2)).start()
-        player.join()
+        player = Player(self.fleet, drawn(SEED, self.fleet, SECONDS, KINDS, gap=1.2))
+        self.platforms.undisturbed = player.undisturbed
+        player.start().join()
         self.player = player
         self.say(f"played {sum(player.counts.values())} faults: {player.counts}")
 
