--- a/indigohitch/fleet/batches/part.py
+++ b/indigohitch/fleet/batches/part.py
@@ -8,6 +8,7 @@
 from ...errors import Unfit
 from ...net.clock import SECOND
 from ...packed.rows import Row, digest
+from ..members.roster import changed
 from ..ports import At
 from . import prices
 from .pieces import Pieces
@@ -109,12 +110,14 @@
             raise Unfit(f"edition {body.edition} of the contract; {self.contract.edition} stands",
                         remedy="a changed contract has a higher edition")
         self.contract = body
+        changed(self.book, at, "electricity")
         return body.edition
 
     def on_prices(self, at: At, body: Prices) -> int:
         prices.check(body, self.prices, self.list_digest, at.time)
         self.prices = prices.merged(body, self.prices, at.time - KEPT)
         self.list_digest = prices.fingerprint(body)
+        changed(self.book, at, "prices")
         return body.edition
 
     def on_load(self, at: At, body: Load) -> int:
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ...errors import Unfit, Unreadable
+from ...net.clock import SECOND
 from ...packed.rows import Row
 from ..book import Book
 from ..ports import At
@@ -209,3 +210,10 @@
         self.highest, self.tokens, self.changes = row.highest, row.tokens, row.changes
         self.in_force, self.compared, self.agreed = row.in_force, row.compared, row.agreed
         self.digests.clear()
+
+
+def changed(book: Book | None, at: At, what: str, hard: bool = False, allowed: int = SECOND) -> None:
+    """For other parts of the book: `Roster.changed`, where the book has a roster."""
+    roster = book.parts.get("members") if book is not None else None
+    if isinstance(roster, Roster):
+        roster.changed(at, what, hard, allowed)
--- a/indigohitch/fleet/seats/part.py
+++ b/indigohitch/fleet/seats/part.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...errors import Unfit, Unreadable
+from ..members.roster import changed
 from ..ports import At
 from .contract import Contract, FeatureRow, Grant, Recall, Return, SeatsRow, Share, Terms
 
@@ -100,6 +101,9 @@
         if bad or len(named) < len(body.terms):
             raise Unfit(f"contracts that can't be: {', '.join(bad) or 'one feature twice'}")
         self.edition = body.edition
+        cut = any(f.terms.seats > (named[name].seats if name in named else 0)
+                  for name, f in self.features.items())
+        changed(self.book, at, "seats", hard=cut)
         for feature in sorted(named.keys() | self.features.keys()):
             found = self.features.get(feature)
             if found is None:
--- a/proofs/audit_platform.py
+++ b/proofs/audit_platform.py
@@ -14,7 +14,8 @@
 from fleetkit import Fleet  # noqa: E402
 
 from indigohitch.fleet.audit.orders import about  # noqa: E402
-from world import SETTINGS, Platform, free_address  # noqa: E402
+from stage import SETTINGS, Platform  # noqa: E402
+from waiting import free_address  # noqa: E402
 
 GRACE = 5.0                     # s; a lease of two, an election, and time to drain what was taken over
 SLICES, BACKENDS = 6, 4
