--- a/indigohitch/standins/server.py
+++ b/indigohitch/standins/server.py
@@ -9,7 +9,8 @@
     mute            never answer
     doubled         an answer with two lengths
 `X-Id` names an act: how often each was acted on is kept.  GET /stats tells the counts, GET /health/live
-answers 200.  With licensed paths it takes these by their seats alone (seated.py)."""
+answers 200.  With licensed paths it takes these by their seats alone (seated.py); an RPC by an older stamp
+than has come is refused (stamped.py)."""
 from __future__ import annotations
 
 import signal
@@ -28,6 +29,7 @@
 from ..net.ring import Pool
 from ..net.stream import Stream
 from .seated import Seated
+from .stamped import Stamped
 
 # A replay asks for this before it sends what must not run twice.
 PROOF = PATH.encode() + b"?"
@@ -96,6 +98,13 @@
                                  | ({"seats": server.seated.figures()} if server.seated else {}))
             self.answer(200, stats if target == b"/stats" else b"", {})
             return
+        if server.stamped.told(target):
+            self.answer(200, b"", {})
+            return
+        if why := server.stamped.why_not(heads):
+            server.counts["older_stamps"] += 1
+            self.answer(409, why.encode(), {})
+            return
         if server.seated is not None and server.seated.needs(target):
             job, self.more = server.seated.begin(heads.get(b"x-seat"), self.reset)
             if not job:
@@ -189,7 +198,7 @@
     def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0,
                  lose: int = 0, seated: Seated | None = None) -> None:
         """`service`: ms that every answer takes; `lose`: every so many RPCs one is acted on, and reset."""
-        self.seated = seated
+        self.seated, self.stamped = seated, Stamped()
         self.loop, self.name, self.service, self.lose = loop, name.encode(), service, lose
         self.memory = Pool(1 << 30)
         self.counts: Counter[str] = Counter()
--- a/proofs/audit.py
+++ b/proofs/audit.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 
 import msgspec
+from audit_asked import Server
 from audit_platform import Platforms
 from audit_stragglers import Stragglers
 from audit_tamper import KINDS_OF, tampered
@@ -67,10 +68,10 @@
             late = self.late
             late.change(False)
             steps = [lambda: late.stopped(late.follower()), lambda: late.stopped(late.follower(), False),
-                     lambda: late.cut(late.leader())]
+                     lambda: late.cut(late.leader()), late.behind]
             if not QUICK:
                 steps += [lambda: late.stopped(late.leader()), lambda: late.cut(late.follower()),
-                          lambda: late.cut(late.follower(), hears=False), late.behind,
+                          lambda: late.cut(late.follower(), hears=False),
                           lambda: late.cut(late.follower(), heard=False),
                           lambda: late.stopped(late.leader(), False), lambda: late.stopped(late.follower())]
             for step in steps:
@@ -105,6 +106,7 @@
         for finding in whole.findings[:10]:
             self.say(f"found: {finding}")
         known = {name: {one.incarnation: one.number for one in lives} for name, lives in facts.kept.items()}
+        late, late_right = self.late_stamps(folders, facts)
         spoilt, found = self.tampered(folders, facts, known)
         same = {}
         for told in filter(None, digests.values()):
@@ -118,9 +120,26 @@
             + self.unrecorded(folders),
             "disagreements": whole.count("contradiction") + sum(len(one) > 1 for one in same.values()),
             "tampered": spoilt, "tampered_found": found, "drains_over": len(platforms.over),
+            "stamps_shown": late, "stamps_judged_right": late_right,
             "drains": platforms.drains, "takeovers": platforms.takeovers, "wrong": self.late.wrong,
             "seconds": round(time.monotonic() - self.begun, 1)}
 
+    def late_stamps(self, folders: dict[str, Path], facts: Facts) -> tuple[int, int]:
+        """To a receiver that knows who is gone: the last stamp of each incarnation that is; and how many of
+        those were refused, and those of the valid ones taken."""
+        server, sent, right = Server(), 0, 0
+        try:
+            for name, folder in folders.items():
+                ended = {one.incarnation for one in facts.kept[name] if one.gone}
+                for incarnation in ended:
+                    server.ask(f"/fleet/gone/{name}/{incarnation}")
+                for incarnation, chain in read(folder)[0].items():
+                    status = server.ask("/pieces/1", chain[-1].stamp)
+                    sent, right = sent + 1, right + (status == (409 if incarnation in ended else 200))
+        finally:
+            server.close()
+        return sent, right
+
     def unrecorded(self, folders: dict[str, Path]) -> int:
         """Calls that came to a relay and stand in no record of the coordinator before it."""
         missing = 0
@@ -152,6 +171,8 @@
                            "drains_over", "wrong") if result[key]]
     if result["tampered"] != result["tampered_found"] or not result["tampered"]:
         bad.append("tampered_found")
+    if result["stamps_shown"] != result["stamps_judged_right"]:
+        bad.append("stamps_judged_right")
     if result["stragglers"] != result["brought_up"] + result["shut_out"] or not result["brought_up"]:
         bad.append("stragglers")
     if bad:
--- a/proofs/audit_asked.py
+++ b/proofs/audit_asked.py
@@ -1,8 +1,12 @@
-"""Entries proposed over a member's control socket."""
+"""Entries proposed over a member's control socket; RPCs with a stamp to a stand-in server."""
 from __future__ import annotations
 
+import http.client
 import json
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 
 def put(path: str, kind: str, body: list, wait: float = 3.0) -> dict | None:
@@ -34,3 +38,30 @@
         sock.sendall(b"".join(json.dumps(line).encode() + b"\n" for line in lines))
         with sock.makefile("rb") as file:
             return [json.loads(file.readline()) for _ in lines]
+
+
+class Server:
+    """A stand-in server as a process, that checks stamps."""
+
+    def __init__(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", "stand-in",
+                                         f"127.0.0.1:{self.port}"], cwd=Path(__file__).parent.parent,
+                                        stdout=subprocess.PIPE)
+        self.process.stdout.readline()
+
+    def ask(self, target: str, stamp=None) -> int:
+        """The status of the answer; `stamp`: a fleet.terms.Stamp that the RPC bears."""
+        link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=10)
+        heads = {} if stamp is None else {"X-Stamp": ".".join(map(str, (
+            stamp.member, stamp.incarnation, stamp.term, stamp.version, stamp.number)))}
+        try:
+            link.request("POST", target, b"", heads)
+            return link.getresponse().status
+        finally:
+            link.close()
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -10,7 +10,6 @@
 from indigohitch.fleet.audit.acts import ChainedActs
 from indigohitch.fleet.audit.check import acted, check
 from indigohitch.fleet.audit.files import KINDS, Store, chains, frames, read
-from indigohitch.fleet.audit.gate import Gate
 from indigohitch.fleet.audit.heads import EVIDENCE, Head, Heads
 from indigohitch.fleet.audit.scrub import Scrub
 from indigohitch.fleet.book import Book
@@ -232,16 +231,3 @@
     other = Heads()
     other.restore(msgspec.msgpack.encode(heads.row()))
     assert other.row() == heads.row() and len(other.facts.evidence) <= EVIDENCE
-
-
-def test_a_stamp_from_before_a_shutting_out_is_refused():
-    gate = Gate()
-    assert not any(gate.admits(Stamp("m", 1, 1, 10, number), "seat") for number in (1, 2))
-    assert "older" in gate.admits(Stamp("m", 1, 1, 10, 2), "seat")
-    gate.end("m", 1)
-    assert "shut out" in gate.admits(Stamp("m", 1, 1, 12, 3), "seat")
-    assert not gate.admits(Stamp("m", 3, 1, 12, 1), "seat")
-    assert "before one" in gate.admits(Stamp("m", 2, 1, 12, 9))
-    gate.in_force(20)
-    assert "in force" in gate.admits(Stamp("m", 3, 1, 19, 2)) and not gate.admits(Stamp("n", 1, 2, 20, 1))
-    assert gate.refused == 4
--- /dev/null
+++ b/tests/test_audit_gate.py
@@ -0,0 +1,26 @@
+"""Receivers that can check a stamp refuse an older one."""
+from indigohitch.fleet.audit.gate import Gate
+from indigohitch.fleet.terms import Stamp
+from indigohitch.standins.stamped import Stamped
+
+
+def test_a_stand_in_server_refuses_older_stamps():
+    stamped = Stamped()
+    assert not stamped.why_not({}) and "read" in stamped.why_not({b"x-stamp": b"m.1.x.2.3"})
+    assert not stamped.why_not({b"x-stamp": b"a.m.2.1.9.4"}) and stamped.why_not({b"x-stamp": b"a.m.1.1.9.5"})
+    assert stamped.told(b"/fleet/gone/a.m/2") and not stamped.told(b"/vacancies/12")
+    assert "shut out" in stamped.why_not({b"x-stamp": b"a.m.2.1.9.6"})
+    assert stamped.told(b"/fleet/in-force/12") and stamped.why_not({b"x-stamp": b"o.1.1.11.1"})
+
+
+def test_a_stamp_from_before_a_shutting_out_is_refused():
+    gate = Gate()
+    assert not any(gate.admits(Stamp("m", 1, 1, 10, number), "seat") for number in (1, 2))
+    assert "older" in gate.admits(Stamp("m", 1, 1, 10, 2), "seat")
+    gate.end("m", 1)
+    assert "shut out" in gate.admits(Stamp("m", 1, 1, 12, 3), "seat")
+    assert not gate.admits(Stamp("m", 3, 1, 12, 1), "seat")
+    assert "before one" in gate.admits(Stamp("m", 2, 1, 12, 9))
+    gate.in_force(20)
+    assert "in force" in gate.admits(Stamp("m", 3, 1, 19, 2)) and not gate.admits(Stamp("n", 1, 2, 20, 1))
+    assert gate.refused == 4
