--- a/proofs/audit.py
+++ b/proofs/audit.py
@@ -34,7 +34,7 @@
 class Proof:
     def __init__(self) -> None:
         self.path, self.begun = Path(tempfile.mkdtemp(prefix="proof-audit-")), time.monotonic()
-        self.fleet = Fleet(self.path, voters=5, patch=Path(__file__).parent / "audit_guard.py",
+        self.fleet = Fleet(self.path, voters=5, clocks=True, patch=Path(__file__).parent / "audit_guard.py",
                            environment={"AUDIT_BROKEN": "1"} if BROKEN else {})
         self.platforms = Platforms(self.fleet)
         self.late = Stragglers(self.fleet, self.platforms, QUICK, self.say)
@@ -68,7 +68,7 @@
             late = self.late
             late.change(False)
             steps = [lambda: late.stopped(late.follower()), lambda: late.stopped(late.follower(), False),
-                     lambda: late.cut(late.leader()), late.behind]
+                     lambda: late.cut(late.leader()), late.behind, late.jumped]
             if not QUICK:
                 steps += [lambda: late.stopped(late.leader()), lambda: late.cut(late.follower()),
                           lambda: late.cut(late.follower(), hears=False),
--- a/proofs/audit_stragglers.py
+++ b/proofs/audit_stragglers.py
@@ -36,8 +36,8 @@
         self.versions += 1
         return self.propose("members.change", [f"list of servers {self.versions}", hard, 10_000])
 
-    def work(self, name: str) -> dict:
-        return ((self.fleet.of_fleet(name) or {}).get("works") or {}).get("members") or {}
+    def work(self, name: str, work: str = "members") -> dict:
+        return ((self.fleet.of_fleet(name) or {}).get("works") or {}).get(work) or {}
 
     def in_force(self) -> int:
         return max((self.work(name).get("in_force", 0) for name in self.fleet.voters), default=0)
@@ -89,7 +89,7 @@
                        self.enforced, True)
 
     def behind(self) -> None:
-        """Thousands of entries are missed within a stop shorter than a lease, on a fleet that goes on."""
+        """Two thousand entries are missed within a stop shorter than a lease, on a fleet that goes on."""
         name, fleet = self.follower(), self.fleet
         entries = LAG + 200 if self.quick else 2000
 
@@ -104,9 +104,20 @@
             for thread in threads:
                 thread.join()
             self.say(f"{name} lacks {fleet.of_fleet(lead)['applied'] - index} entries")
-        self.straggler("thousands of entries behind", name, lambda: fleet.stop(name),
+        self.straggler("many entries behind", name, lambda: fleet.stop(name),
                        lambda: fleet.go_on(name), hold, False)
 
+    def jumped(self) -> None:
+        """Killed, and back on a machine whose wall clock is an hour ahead: acts are told by fleet time."""
+        name, fleet = self.follower(), self.fleet
+        before = self.work(name)["incarnation"]
+        fleet.kill(name)
+        fleet.jump(name, 3600)
+        fleet.restart(name)
+        until(lambda: self.valid(name) and self.work(name)["incarnation"] > before, 25, f"{name} to be back")
+        until(lambda: self.work(name, "audit").get("own", {}).get("acts", 0) >= 2, 15, f"acts of {name}")
+        self.say(f"{name} killed, and back with its wall clock an hour ahead")
+
     def differs(self) -> None:
         name = self.follower()
         (self.fleet.places[name].folder / "differ").touch()
