--- a/indigohitch/fleet/audit/heads.py
+++ b/indigohitch/fleet/audit/heads.py
@@ -12,7 +12,7 @@
 from ..ports import At
 
 # Incarnations of a name whose last head is kept, and changes in force: those whose records can still lie in a
-# folder (files.FILES files of some 20,000 records).
+# folder with few acts in each.  What is older is not judged any more.
 KEPT = 64
 # Heads that contradict one another; each is a reason to look at once, and the first ones tell the most.
 EVIDENCE = 64
--- a/indigohitch/fleet/audit/scrub.py
+++ b/indigohitch/fleet/audit/scrub.py
@@ -49,7 +49,9 @@
         found: list[Finding] = []
         if self.links is None or self.links.incarnation != incarnation:
             found += self.ended()
-            self.links = Links(self.member, incarnation, self.kept().get(incarnation))
+            kept = self.kept()
+            past = Kept(incarnation, first=first) if incarnation < min(kept, default=0) else None
+            self.links = Links(self.member, incarnation, kept.get(incarnation, past))
         elif not self.at and self.links.last is not None and first <= self.links.last.stamp.number:
             self.links = Links(self.member, incarnation, Kept(incarnation, first=first))    # files.Store.sync
         records, end, spoilt = frames(data)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -10,7 +10,7 @@
 from indigohitch.fleet.audit.acts import ChainedActs
 from indigohitch.fleet.audit.check import acted, check
 from indigohitch.fleet.audit.files import KINDS, Store, chains, frames, read
-from indigohitch.fleet.audit.heads import EVIDENCE, Head, Heads
+from indigohitch.fleet.audit.heads import EVIDENCE, KEPT, Head, Heads
 from indigohitch.fleet.audit.scrub import Scrub
 from indigohitch.fleet.book import Book
 from indigohitch.fleet.members.roster import Roster
@@ -116,6 +116,13 @@
     assert [f.number for f in found(acting) if f.kind == "no_lease"] == [41]
 
 
+def test_what_the_ledger_has_let_go_is_not_judged(acting):
+    for incarnation in range(2, 2 + KEPT):
+        acting.heads.member_joined(None, "m", incarnation)
+    assert [one.incarnation for one in acting.heads.facts.kept["m"]] == list(range(2, 2 + KEPT))
+    assert not found(acting) and not scrubbed(acting)
+
+
 def test_without_a_lease_nothing_is_stamped(acting):
     acting.lease = None
     assert acting.do(2) is None and acting.acts.counts["refused"] == 2
--- a/tests/test_audit_gate.py
+++ b/tests/test_audit_gate.py
@@ -1,6 +1,11 @@
 """Receivers that can check a stamp refuse an older one."""
+from indigohitch import interface as face
 from indigohitch.fleet.audit.gate import Gate
 from indigohitch.fleet.terms import Stamp
+from indigohitch.log import Log
+from indigohitch.net.clock import Clock
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink.relay import Relay
 from indigohitch.standins.stamped import Stamped
 
 
@@ -24,3 +29,22 @@
     gate.in_force(20)
     assert "in force" in gate.admits(Stamp("m", 3, 1, 19, 2)) and not gate.admits(Stamp("n", 1, 2, 20, 1))
     assert gate.refused == 4
+
+
+def test_orders_that_may_not_go_are_void_and_told():
+    """What was decided while this coordinator might act doesn't go later (platformlink/relay)."""
+    clock = Clock()
+    relay = Relay(Loop(clock, print), Log(clock, out=-1), ("127.0.0.1", 1), ["search"], 0, 0)
+    went, void, may = [], [], False
+    relay.client.request = lambda *words: went.append(words[4])
+    relay.dropped = void.extend
+    relay.allowed = lambda orders: may and orders.startswith("put,3,b1")
+    first, second = face.SetLine(3, "b1", 1.0), face.SetLine(4, "b2", 1.0)
+    relay.hold(True)
+    relay.order([first])
+    relay.order([second])
+    relay.hold(False)
+    assert void == [first, second] and relay.idle and not relay.waiting and not went
+    may = True
+    relay.order([first])
+    assert len(went) == 1 and b"put%2C3%2Cb1" in went[0] and relay.waiting
