--- a/indigohitch/fleet/audit/acts.py
+++ b/indigohitch/fleet/audit/acts.py
@@ -26,6 +26,7 @@
         self.me, self.lease, self.book, self.store = me, lease, book, store
         self.trouble, self.firm, self.when = trouble, firm, when
         self.chain: Chain | None = None
+        self.safe: tuple[int, int, bytes] | None = None     # the head of what is on the disk
         self.counts: Counter[str] = Counter()       # by kind; `refused`, `unwritten`
         self.spans: dict[int, list[int]] = {}       # by version acted on: acts, when the first, the last
 
@@ -65,14 +66,36 @@
 
     def close(self) -> None:
         self.sync()
-        self.store.shut()
+        self.store.close()
 
     def sync(self) -> bool:
         """All acts so far are on the disk; False where that failed: it is tried again."""
         try:
             self.store.sync()
         except OSError as bad:
-            self.trouble(NotNow(f"acts are not on the disk: {bad.strerror}", str(self.store.folder),
-                                "make room on that disk, or look at its health"))
+            self.unsafe(bad)
             return False
+        self.safe = self.head()
         return True
+
+    def sync_soon(self) -> None:
+        """With each beat; `safe` follows."""
+        upto = self.head()
+        if upto == self.safe or upto is None:
+            return
+
+        def done(bad: OSError | None) -> None:
+            if bad is not None:
+                self.unsafe(bad)
+            elif self.safe is None or upto[:2] > self.safe[:2]:
+                self.safe = upto
+        self.store.sync_soon(done)
+
+    def unsafe(self, bad: OSError) -> None:
+        self.trouble(NotNow(f"acts are not on the disk: {bad.strerror}", str(self.store.folder),
+                            "make room on that disk, or look at its health"))
+
+    def head(self) -> tuple[int, int, bytes] | None:
+        """Incarnation, number and digest of the last record."""
+        chain = self.chain
+        return (chain.incarnation, chain.number, chain.head) if chain is not None else None
--- a/indigohitch/fleet/audit/files.py
+++ b/indigohitch/fleet/audit/files.py
@@ -4,9 +4,11 @@
 
 import os
 import re
+from collections.abc import Callable
 from pathlib import Path
 
 from ...errors import Unreadable
+from ...net.worker import Worker
 from ...packed.files import sync_folder, write_whole
 from ...packed.frames import HEAD, Broken, Kinds
 from .chain import Record
@@ -20,8 +22,11 @@
 class Store:
     """Of one process.  An incarnation's files are written by one process only; a new one begins others."""
 
-    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES) -> None:
-        """Touches nothing yet: as long as another process has this member's disk, the folder is its own."""
+    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES,
+                 begun: Callable[[], Worker] | None = None) -> None:
+        """Touches nothing yet: as long as another process has this member's disk, the folder is its own.
+        `begun`: the thread that waits for the disk; without one the caller does."""
+        self.begun, self.worker, self.syncing = begun, None, False
         self.folder, self.file, self.files = Path(folder), file, files
         self.fd, self.size, self.incarnation = -1, 0, 0
         self.written = 0                        # the last number of this chain
@@ -100,6 +105,43 @@
             raise
         self.unsynced.clear()
 
+    def sync_soon(self, done: Callable[[OSError | None], None]) -> None:
+        """All that was appended so far; the process goes on meanwhile.  Not while one is out."""
+        if self.syncing:
+            return
+        if self.begun is None or self.fd < 0 or not self.unsynced:
+            try:
+                self.sync()                     # nothing to do, or what may be lost is to be written again
+            except OSError as bad:
+                done(bad)
+            else:
+                done(None)
+            return
+        self.syncing, fd, chain, upto = True, os.dup(self.fd), self.incarnation, self.written
+
+        def call() -> None:
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+
+        def over(result: object, bad: BaseException | None) -> None:
+            self.syncing = False
+            if chain == self.incarnation:
+                if bad is not None:
+                    self.shut()
+                else:                           # what came meanwhile waits for the next
+                    del self.unsynced[:max(0, len(self.unsynced) - (self.written - upto))]
+            done(bad)
+        self.worker = self.worker or self.begun()
+        self.worker.do(call, over)
+
+    def close(self) -> None:
+        if self.worker is not None:
+            self.worker.settle()
+            self.worker.close()
+        self.shut()
+
     def shut(self) -> None:
         if self.fd >= 0:
             os.close(self.fd)
--- a/indigohitch/fleet/audit/work.py
+++ b/indigohitch/fleet/audit/work.py
@@ -65,8 +65,7 @@
             self.kept = True
             self.differs(*self.membership.evidence)
         self.look(now)
-        if not self.acts.sync():
-            return []
+        self.acts.sync_soon()
         return self.head(now) if now >= self.due else []
 
     def look(self, now: int) -> None:
@@ -81,12 +80,10 @@
                                  "copy: someone or the disk changed what was written"))
 
     def head(self, now: int) -> list[Wanted]:
-        chain = self.acts.chain
-        if chain is None or self.out is not None or (chain.incarnation, chain.number) <= self.told:
+        if self.acts.safe is None or self.out is not None or self.acts.safe[:2] <= self.told:
             return []
         self.due = now + GAP
-        first, oldest = self.acts.store.wanted()
-        self.out = Head(chain.member, chain.incarnation, chain.number, chain.head, first, oldest)
+        self.out = Head(self.acts.me, *self.acts.safe, *self.acts.store.wanted())
         return [Wanted("audit.head", self.out, "head")]
 
     def last(self, now: int) -> list[Wanted]:
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -8,6 +8,7 @@
 from ...errors import Trouble, told
 from ...log import Log
 from ...net.loop import Loop
+from ...net.worker import Worker
 from ..audit.acts import ChainedActs
 from ..audit.files import Store
 from ..audit.heads import Heads
@@ -61,8 +62,8 @@
 
     def trouble(bad: Trouble) -> None:
         place.log.trouble("audit", **told(bad))
-    acts = ChainedActs(text.me, place.lease, book, Store(f"{text.folder}/audit"), trouble,
-                       when=hours.time)
+    acts = ChainedActs(text.me, place.lease, book, Store(
+        f"{text.folder}/audit", begun=lambda: Worker(place.loop)), trouble, when=hours.time)
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
     seats = seats_work(text, book.parts["seats"], acts, hours.time)
     batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -68,6 +68,9 @@
     def sync(self):
         pass
 
+    def sync_soon(self, done):
+        done(None)
+
     def wanted(self):
         return 1, 0
 
