--- a/indigohitch/fleet/seats/moving.py
+++ b/indigohitch/fleet/seats/moving.py
@@ -38,12 +38,19 @@
 def parts(size: int, demands: Sequence[int], turn: int = 0) -> tuple[list[int], int]:
     """Whole seats of `size` for each demand, max-min fair; and how many nobody wants.  What can't be shared
     evenly goes to others with each turn."""
-    found, left = [0] * len(demands), size
-    order = sorted(range(len(demands)), key=lambda i: (demands[i], (i + turn) % len(demands)))
-    for place, i in enumerate(order):
-        found[i] = min(demands[i], left // (len(order) - place))
-        left -= found[i]
-    return found, left
+    left, level = size, 0
+    rest = sorted(demands)
+    for place, demand in enumerate(rest):       # who wants less than an equal part gets what it wants
+        level = left // (len(rest) - place)
+        if demand > level:
+            break
+        left, level = left - demand, demand
+    found = [min(demand, level) for demand in demands]
+    left = size - sum(found)
+    order = sorted(range(len(demands)), key=lambda i: (i + turn) % len(demands))
+    for i in [i for i in order if demands[i] > level][:left]:
+        found[i] += 1
+    return found, size - sum(found)
 
 
 def spread(size: int, free: int, coming: int, wishes: Sequence[Wish], turn: int = 0
