--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -12,13 +12,15 @@
 from ..audit.files import Store
 from ..audit.heads import Heads
 from ..audit.work import Auditing
+from ..batches.inside import work_of as batches_work
+from ..batches.part import Batches
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
 from ..ports import BookPart, Work
-from ..seats import told as told_seats
 from ..seats.part import Seats
+from ..seats.told import work as seats_work
 from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
@@ -42,11 +44,12 @@
     acts: ChainedActs
     auditing: Auditing
     works: list[Work] = field(default_factory=list)     # the membership first
+    felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None     # an RPC was answered here
 
 
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours(), Heads(), Seats()]
+    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -61,5 +64,7 @@
     acts = ChainedActs(text.me, place.lease, book, Store(f"{text.folder}/audit"), trouble,
                        when=hours.time)
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
-    seats = told_seats.work(text, book.parts["seats"], acts, hours.time)
-    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats])
+    seats = seats_work(text, book.parts["seats"], acts, hours.time)
+    batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches],
+                    batches.felt)
