--- a/indigohitch/fleet/seats/nodeclock.py
+++ b/indigohitch/fleet/seats/nodeclock.py
@@ -31,9 +31,6 @@
         if known is None or known.boot != boot or clock > known.clock:     # answers may cross
             self.readings[server] = Reading(boot, clock, now)
 
-    def forget(self, server: str) -> None:
-        self.readings.pop(server, None)
-
     def end(self, server: str, until: int) -> tuple[str, int]:
         """Boot id and the server's time that comes before the holder's `until`.  ("", 0) where that server
         was never heard: it refuses this, and can be heard then."""
--- a/indigohitch/fleet/seats/part.py
+++ b/indigohitch/fleet/seats/part.py
@@ -29,6 +29,13 @@
     def held(self, pool: str | None = None) -> int:
         return sum(len(s.seats) for s in self.shares.values() if pool is None or s.pool == pool)
 
+    def by_member(self) -> dict[str, int]:
+        """Seats held, of all pools and incarnations."""
+        found: dict[str, int] = {}
+        for share in self.shares.values():
+            found[share.name] = found.get(share.name, 0) + len(share.seats)
+        return found
+
     def over(self) -> int:
         """Seats held beyond the contract: it is in force once this is 0."""
         return max(0, self.held() - self.terms.seats)
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -81,14 +81,12 @@
         return any(hold.bound for hold in self.desk.holds.values())
 
     def figures(self) -> dict:
-        standing = self.part.edition
-        return {"edition": standing, "refused_contract": self.refused, "counts": self.desk.counts,
+        return {"edition": self.part.edition, "refused_contract": self.refused, "counts": self.desk.counts,
                 "features": {name: {
                     "seats": f.terms.seats, "held": f.held(), "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
                                                     if of == name),
-                    "members": {f"{s.name} {s.pool}".strip(): len(s.seats) for s in f.shares.values()}}
-                    for name, f in self.part.features.items()}}
+                    "members": f.by_member()} for name, f in self.part.features.items()}}
 
     # ---- of the leader -----------------------------------------------------------------------------
 
