--- a/indigohitch/fleet/seats/nodeclock.py
+++ b/indigohitch/fleet/seats/nodeclock.py
@@ -41,12 +41,17 @@
 
 
 class Verdict(enum.Enum):
-    """Only LATE tells the holder that nothing of the giving runs there: of the others a copy may."""
+    """LATE and UNREAD tell the holder that nothing of the giving runs there: of the others a copy may."""
     TAKEN = "taken"
+    UNREAD = "unread"           # from one that has not heard this server's clock yet
     LATE = "late"               # its end has passed, or it is of another boot
     OLD = "old"                 # the seat has been given again since
     TWICE = "twice"             # this very giving has been here
 
+    @property
+    def unrun(self) -> bool:
+        return self in (Verdict.UNREAD, Verdict.LATE)
+
 
 class Meter:
     """At a server: which seats its jobs use.  A job is refused that came too late, and ends at its end.
@@ -78,6 +83,8 @@
 
     def verdict(self, now: int, shown: Pass) -> Verdict:
         given, last = shown.given, self.last.get((shown.given.feature, shown.given.number))
+        if not shown.boot:
+            return Verdict.UNREAD
         if shown.boot != self.boot or now >= shown.until:
             return Verdict.LATE
         if last is not None and (given.counter, given.use) < last:
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -1,8 +1,8 @@
 """Seats for the sidecar's RPCs: asked for before one goes out, shown to the server, given back at its end.
 
 Towards a server: `X-Seat` holds the pass (fleet/seats/nodeclock.header).  From it: `X-Node: BOOT CLOCK`, its
-boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: late|old|twice` where it
-took the RPC for one without a valid seat, and has begun nothing."""
+boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: unread|late|old|twice`
+where it took the RPC for one without a valid seat, and has begun nothing."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,6 +15,7 @@
 from ..log import Log
 
 SEAT, NODE, REFUSED = b"x-seat", b"x-node", b"x-seat-refused"
+UNRUN = frozenset(verdict.value.encode() for verdict in Verdict if verdict.unrun)
 
 
 class Seating:
@@ -59,13 +60,13 @@
                 self.log.trouble("node_clock_unreadable", server=server.name, told=told[:80])
 
     def refused(self, ticket: Ticket, head) -> str:
-        """What became of a try that the server took for one without a seat; "" where it did not.  Only a late
-        one has surely not run: of another a copy may."""
+        """What became of a try that the server took for one without a seat; "" where it did not.  Of one
+        refused as old or doubled a copy may run."""
         told = head.value(REFUSED)
         if told is None:
             return ""
         self.log.count("seats_refused_at_server")
-        if told != Verdict.LATE.value.encode():
+        if told not in UNRUN:
             return request.SENT
         self.over(ticket)
         return request.UNSENT
--- a/indigohitch/standins/seated.py
+++ b/indigohitch/standins/seated.py
@@ -37,7 +37,7 @@
         """The job's number, or 0 and the line that says why not.  `cut` is called where it is ended here."""
         self.sweep()
         now, shown = self.clock(), read(raw.decode("latin-1")) if raw else None
-        verdict, job = self.meter.takes(now, shown) if shown is not None else (Verdict.LATE, 0)
+        verdict, job = self.meter.takes(now, shown) if shown is not None else (Verdict.UNREAD, 0)
         if verdict is not Verdict.TAKEN:
             return 0, b"X-Seat-Refused: %b\r\n" % verdict.value.encode()
         g = shown.given
--- a/proofs/seats.py
+++ b/proofs/seats.py
@@ -3,9 +3,9 @@
 Voters and three sidecars with a relay of faults between each pair, four stand-in servers that check passes,
 end jobs at their end and write down what truly ran.  First wanting is skewed: one sidecar's clients want
 more than there is.  Then one tenant of another asks for everything, beside one that wants two seats.  Then
-sidecars are killed, stopped for longer than a lease and cut off, servers killed with their jobs, the leader
-killed; last the contract is cut to a third while a sidecar that holds seats is cut off.  Then quiet: all must
-be free.
+sidecars are killed, ended, stopped for longer than a lease and cut off, servers killed with their jobs, RPCs
+held on their way until they are late, the leader killed; last the contract is cut to a third while a sidecar
+that holds seats is cut off.  Then quiet: all must be free.
 
 QUICK=1: three voters, each fault once.  BROKEN=1 takes a guard away (seats_unheard.py) and has to fail.  The
 last line is one JSON object; the exit code is 1 where a promise is broken."""
@@ -22,6 +22,8 @@
 from seats_clients import Clients, p99
 from seats_truth import NS, Servers, Truth
 
+from indigohitch.standins.breaker import Breaker
+
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
 CONTRACT, CUT = 45, 15
 LEASE = 2.0
@@ -38,8 +40,10 @@
     def __init__(self) -> None:
         self.begun = time.monotonic()
         self.path = Path(tempfile.mkdtemp(prefix="proof-seats-"))
-        self.servers = Servers(self.path, 4, 5.0)
-        pool = Pool(servers=self.servers.at, rpcs=RPCS, routes=ROUTES)
+        self.servers, self.way = Servers(self.path, 4, 5.0), Breaker(2)
+        host, port = self.servers.at["n4"].split(":")
+        slow = "{}:{}".format(*self.way.gate("sidecars", "n4", (host, int(port))))
+        pool = Pool(servers=self.servers.at | {"n4": slow}, rpcs=RPCS, routes=ROUTES)
         self.fleet = Fleet(self.path, voters=3 if QUICK else 5, sidecars=3, more=contract(1, CONTRACT),
                            pools=[pool],
                            patch=Path(__file__).parent / "seats_unheard.py" if BROKEN else "")
@@ -113,6 +117,15 @@
         self.say(f"stopped {name} has no seats; it goes on")
         self.fleet.go_on(name)
 
+    def delayed(self) -> None:
+        """RPCs to one server wait on their way until their seats are given to others: it must begin none."""
+        before = self.servers.stats("n4")["refused"].get("late", 0)
+        self.way.cut("sidecars", "n4")
+        time.sleep(3.5)                         # over the deadline and the lease
+        self.way.heal()
+        until(lambda: self.servers.stats("n4")["refused"].get("late", 0) > before, 5, "RPCs that come late")
+        self.say(f"delayed: {self.servers.stats('n4')['refused']['late'] - before} came too late")
+
     def ended(self, name: str) -> None:
         """In order, while jobs of it are out of which nothing is heard: what it held waits for their end."""
         self.say(f"end {name}, holding {self.seats().get('members', {}).get(name)}")
@@ -181,6 +194,7 @@
         self.everything()
         for name in ("s1", "n1", "") if QUICK else ("s1", "n1", "", "s2", "n2", "n3", ""):
             self.killed(name or until(self.fleet.leader, 10, "a leader"))
+        self.delayed()
         self.ended("s1")
         self.stopped("s2")
         if not QUICK:
@@ -188,7 +202,7 @@
         self.cut_off("s1")
         self.contract_cut("s2")
         leaked = self.quieted()
-        self.counts["refused_late"] = sum(self.servers.refused().values())
+        self.counts["refused_late"] = self.servers.refused().get("late", 0)
         return leaked
 
     def run(self) -> int:
@@ -202,6 +216,7 @@
         for clients in self.clients:
             clients.join()
         self.servers.close()
+        self.way.close()
         return self.told(leaked, noise, wrong)
 
     def told(self, leaked: int, noise: list[str], wrong: list[str]) -> int:
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -65,7 +65,7 @@
         verdict, job = meter.takes(self.clock(world.t), shown)
         if verdict is not Verdict.TAKEN:
             world.counts[verdict.value] += 1
-            if verdict is Verdict.LATE:         # else a copy of it may run
+            if verdict.unrun:                   # else a copy of it may run
                 answer((meter.boot, self.clock(world.t)))
             return
         self.running[job] = shown.given
--- a/tests/test_seats_schedules.py
+++ b/tests/test_seats_schedules.py
@@ -53,7 +53,7 @@
 
         def judged(self, now, shown):
             found = was(self, now, shown)
-            wanted = found is verdict and shown.boot and (shown.boot == self.boot) is of_this_boot
+            wanted = found is verdict and (shown.boot == self.boot) is of_this_boot
             return nodeclock.Verdict.TAKEN if wanted else found
         monkeypatch.setattr(nodeclock.Meter, "verdict", judged)
     return guard
