--- a/indigohitch/fleet/seats/desk.py
+++ b/indigohitch/fleet/seats/desk.py
@@ -100,6 +100,10 @@
             self.sweep_at = max(self.SWEPT, 2 * len(self.due))
         heappush(self.due, (when, self.order, what))
 
+    def kind(self, feature: str) -> str:
+        found = self.part.features.get(feature)
+        return found.terms.kind if found is not None else "job"
+
     # ---- giving ------------------------------------------------------------------------------------
 
     def ask(self, now: int, feature: str, tenant: str, key: str, longest: int, back: int = 0
@@ -120,7 +124,8 @@
             until = min(until, now + terms.until - fleet)
         if until - now < LEAST:
             return self.none("no lease", self.bootstrap["come_back"], "no_lease")
-        key = {"node": key, "user": f"{tenant}/{key}"}.get(terms.kind, "")
+        # A user who isn't named has a seat for each job: more than it may need, never one for two people.
+        key = {"node": key, "user": key and f"{tenant}\0{key}"}.get(terms.kind, "")
         bound = hold = None
         for pool in (tenant, COMMON) if tenant and tenant in found.pools else (COMMON,):
             hold = self.hold(feature, pool)
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -13,6 +13,7 @@
 from ..fleet.seats.desk import Desk, Ticket
 from ..fleet.seats.nodeclock import Nodes, Verdict, header
 from ..log import Log
+from ..packed.rows import digest
 
 SEAT, NODE, REFUSED = b"x-seat", b"x-node", b"x-seat-refused"
 UNRUN = frozenset(verdict.value.encode() for verdict in Verdict if verdict.unrun)
@@ -35,19 +36,25 @@
             return None
         row = self.rows[feature]
         tenant, user = (self.named(rpc, name) for name in (row.tenant_header, row.user_header))
-        found = desk.ask(now, feature, tenant, server.name if row.kind == "node" else user, rpc.due - now,
-                         rpc.pool.boot.get("come_back", 0))
+        found = desk.ask(now, feature, tenant, self.node(server) if desk.kind(feature) == "node" else user,
+                         rpc.due - now, rpc.pool.boot.get("come_back", 0))
         return found if isinstance(found, Ticket) else None
 
+    @staticmethod
+    def node(server) -> str:
+        """Names are of a pool; the same server may stand in two."""
+        return "{}:{}".format(*server.address)
+
     @staticmethod
     def named(rpc, name: str) -> str:
-        """What the client says in that header, 64 letters of it at most."""
+        """What the client says in that header; of a long one its digest, as it is kept for a while."""
         values = rpc.head.values(name.lower().encode()) if name else ()
-        return values[0].decode("latin-1")[:64] if values else ""
+        value = values[0] if values else b""
+        return value.decode("latin-1") if len(value) <= 64 else digest(value).hex()
 
     def shown(self, ticket: Ticket, server) -> bytes:
         """The header's line."""
-        boot, until = self.nodes.end(server.name, ticket.until)
+        boot, until = self.nodes.end(self.node(server), ticket.until)
         return b"X-Seat: %b\r\n" % header(Pass(ticket.given, boot, until, ticket.stamp)).encode("latin-1")
 
     def heard(self, server, head) -> None:
@@ -55,7 +62,7 @@
         if (told := head.value(NODE)) is not None:
             try:
                 boot, clock = told.decode("ascii").split()
-                self.nodes.heard(server.name, boot, int(clock), self.clock.now())
+                self.nodes.heard(self.node(server), boot, int(clock), self.clock.now())
             except ValueError:
                 self.log.trouble("node_clock_unreadable", server=server.name, told=told[:80])
 
--- a/tests/seatworld.py
+++ b/tests/seatworld.py
@@ -13,7 +13,8 @@
 class World:
     def __init__(self, rng, names, terms, servers=4):
         self.rng, self.t, self.heap, self.order = rng, 0, [], 0
-        self.counts = dict.fromkeys(("asked", "given", "unread", "late", "old", "twice", "ended_at_end", "peak"), 0)
+        self.counts = dict.fromkeys(("asked", "given", "unread", "late", "old", "twice", "ended_at_end",
+                                     "peak"), 0)
         self.features, self.log, self.began = [t.feature for t in terms], [], {}
         self.true = Book([Seats(), Members()])      # what is committed, at once
         self.giver, self.reports = {}, {}           # by member: incarnation, true time; last report
--- a/tests/test_seats_processes.py
+++ b/tests/test_seats_processes.py
@@ -2,6 +2,7 @@
 import http.client
 import sys
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,7 @@
 from seats_truth import Servers, Truth  # noqa: E402
 
 RPCS = ["rpc geocode idempotent soft 1s deadline 1500ms seat geo", "rpc plain idempotent"]
+USER = "seat-user X-User"
 ROUTES = ["route GET /geocode/{id} rpc geocode pool nodes", "route GET /plain/{id} rpc plain pool nodes",
           "route POST /geocode/{id} rpc geocode pool nodes"]
 
@@ -19,7 +21,7 @@
 def fleet(tmp_path_factory):
     path = tmp_path_factory.mktemp("seats")
     servers = Servers(path, 2, 2.0)
-    with Fleet(path, voters=1, sidecars=1, relay=False, more=["edition 1", "seats geo 2 drain 1s"],
+    with Fleet(path, voters=1, sidecars=1, relay=False, more=["edition 1", "seats geo 2 drain 1s", USER],
                pools=[Pool(servers=servers.at, rpcs=RPCS, routes=ROUTES)]) as found:
         found.servers = servers
         found.start()
@@ -29,7 +31,8 @@
 
 
 def seats(fleet):
-    return (fleet.of_fleet("s1") or {}).get("works", {}).get("seats", {}).get("features", {}).get("geo", {})
+    found = (fleet.of_fleet("s1") or {}).get("works", {}).get("seats", {})
+    return found.get("features", {}).get("geo", {}) | {"edition": found.get("edition")}
 
 
 def ask(fleet, target="/geocode/1", act="", method="GET", body=None, **headers):
@@ -84,11 +87,22 @@
     assert Truth(fleet.servers, "geo").peak() == 2
 
 
+def test_a_node_and_a_user_share_their_seat(fleet):
+    for edition, kind, given in ((2, "node linger 200ms", 6), (3, "user linger 200ms", 6), (4, "job", 2)):
+        fleet.write(more=[f"edition {edition}", f"seats geo 2 kind {kind} drain 1s", USER])
+        fleet.hup_all()
+        until(lambda edition=edition: seats(fleet)["edition"] == edition and seats(fleet)["in_use"] == 0)
+        with ThreadPoolExecutor(6) as clients:
+            found = list(clients.map(lambda n: ask(fleet, f"/geocode/{n}", "wait=700",
+                                                   **{"X-User": f"u{n % 2}"}).status, range(6)))
+        assert found.count(200) == given, (kind, found)
+
+
 def test_a_contract_that_ends_ends_giving(fleet):
-    fleet.write(more=["edition 2", "seats geo 1 drain 1s"])
+    fleet.write(more=["edition 5", "seats geo 1 drain 1s"])
     fleet.hup_all()
     until(lambda: seats(fleet).get("seats") == 1 and not seats(fleet)["over"])
-    fleet.write(more=["edition 3", "seats geo 1 to 2020-01-01"])
+    fleet.write(more=["edition 6", "seats geo 1 to 2020-01-01"])
     fleet.hup_all()
     until(lambda: ask(fleet).status == 503)
     assert ask(fleet, "/plain/1").status == 200
