A process test waits for the refusal itself, not for the process to be missing

Seen: once in three full runs under a load of 20, cannot_start was not said yet when the member did not show as running; between fork and exec a process has no command line. Change: the test waits for the log event, then for the end.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -142,8 +142,9 @@
     at = whole.index(b"IHlg", 4) + 40       # in the second record: many more follow, however they came
     file.write_bytes(whole[:at] + bytes([whole[at] ^ 255]) + whole[at + 1:])
     fleet.restart(name)
-    until(lambda: not fleet.members[name].runs, 10, "it to refuse")
-    assert fleet.said(name, "cannot_start")[-1]["remedy"]
+    refused = until(lambda: fleet.said(name, "cannot_start"), 30, "it to refuse")
+    assert refused[-1]["remedy"]
+    until(lambda: not fleet.members[name].runs, 30, "it to end")
     file.write_bytes(whole)
 
 
