--- a/indigohitch/fleet/seats/desk.py
+++ b/indigohitch/fleet/seats/desk.py
@@ -40,7 +40,8 @@
 
 
 class Desk:
-    """`bootstrap`: `hold`, how long a refused tenant's place is kept; `come_back`, when to ask again."""
+    """`bootstrap`: `hold`, how long a refused tenant's place is kept; `come_back`, when to ask again;
+    `drift`, by how much clocks run apart, as a share."""
     SWEPT = 256                 # ends in the heap before those of jobs that are over are looked for
 
     def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, bootstrap: dict) -> None:
@@ -121,7 +122,7 @@
             return self.none("the contract does not run", max(early, self.bootstrap["come_back"]))
         until = min(self.lease.until if self.lease is not None else now, now + longest)
         if terms.until:
-            until = min(until, now + terms.until - fleet)
+            until = min(until, now + int((terms.until - fleet) * (1 - self.bootstrap["drift"])))
         if until - now < LEAST:
             return self.none("no lease", self.bootstrap["come_back"], "no_lease")
         # A user who isn't named has a seat for each job: more than it may need, never one for two people.
--- a/indigohitch/fleet/seats/told.py
+++ b/indigohitch/fleet/seats/told.py
@@ -27,5 +27,6 @@
 
 def work(text: FleetText, part: Seats, acts: Acts, fleet_time: Callable[[int], int]) -> SeatsWork:
     """`text` is read anew where its edition has changed: a reload may change it in place."""
+    bootstrap = {"come_back": COME_BACK, "hold": HOLD, "drift": text.drift}
     return SeatsWork(text.me, part, acts, fleet_time, lambda: contract(text),
-                     not text.members[text.me].votes, {"come_back": COME_BACK, "hold": HOLD})
+                     not text.members[text.me].votes, bootstrap)
