--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -18,6 +18,7 @@
         self.round = 0              # of the last word of that leader
         self.owed = False           # an answer waits for the ballot to be written
         self.told = 0               # up to where it was acknowledged in this term
+        self.echoed = 0             # the last round that was echoed in it
         self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
         self.pieces = bytearray()
 
@@ -34,7 +35,8 @@
         if state.role is Role.LEADER:
             raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
         if self.agreed_in != word.term:
-            self.agreed, self.agreed_in, self.round, self.owed, self.told = 0, word.term, 0, False, 0
+            self.agreed, self.agreed_in, self.round = 0, word.term, 0
+            self.owed, self.told, self.echoed = False, 0, 0
         state.be(Role.FOLLOWER, sender)
         state.heard = state.now
         state.wait_anew()
@@ -67,14 +69,16 @@
         if self.coming and self.agreed >= self.coming[0]:
             self.drop()
         state.commit_to(min(word.commit, self.agreed))
-        self.answer()
+        # New entries are answered once they are written; a round of reads doesn't wait for the disk.
+        if not fresh or self.round > self.echoed:
+            self.answer()
 
     def answer(self) -> None:
         """What is on the disk and as the leader has it; nothing before the ballot is there."""
         state = self.state
         self.owed = not state.durable.safe
         if not self.owed:
-            self.told = self.match
+            self.told, self.echoed = self.match, self.round
             state.send(state.leader, Appended(state.term, True, self.told, round=self.round))
 
     @property
--- a/proofs/ledger_members.py
+++ b/proofs/ledger_members.py
@@ -53,7 +53,8 @@
             tuple((number - durable.done, send) for number, send in durable.promises),
             min(now - state.heard, BOOTSTRAP["election"]), state.election_due - now,
             frozenset(machine.votes.given), machine.votes.handed,
-            following.agreed, following.agreed_in, following.round, following.owed, following.told, led)
+            following.agreed, following.agreed_in, following.round, following.owed, following.told,
+            following.echoed, led)
 
 
 class Done(NamedTuple):
