--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -53,7 +53,12 @@
         """What is not committed is bounded, in number and in bytes; above it the proposer comes back."""
         state, bootstrap = self.state, self.state.bootstrap
         most = bootstrap["append_most"] * bootstrap["inflight"]
-        if self.heir is not None:
+        if len(proposal.body) > most:
+            # One entry goes in one word: a larger one would never reach anybody, and hold up all behind it.
+            state.note("proposal_too_large", kind=proposal.kind, proposer=proposal.proposer,
+                       bytes=len(proposal.body), most=most, remedy="propose it in parts")
+            state.out.append(Turned(proposal, bootstrap["election"], None))
+        elif self.heir is not None:
             state.out.append(Turned(proposal, bootstrap["beat"], None))
         elif state.log.last - state.commit >= bootstrap["proposals_most"] or self.open >= most:
             state.out.append(Turned(proposal, bootstrap["beat"], state.me))
--- a/proofs/ledger_leases.py
+++ b/proofs/ledger_leases.py
@@ -12,7 +12,7 @@
 from proofs.ledger_checks import Breach
 from proofs.ledger_station import DRIFT, Name
 
-SPAN = 5000                     # of a lease
+SPAN = 8000                     # of a lease: longer than an election takes, so that one outlives its leader
 
 
 class Leases:
@@ -98,6 +98,7 @@
 
     def propose(self, station, word: str, name: str) -> None:
         self.moves += 1
+        self.world.tally["leases"] += word == "hold"
         body = msgspec.msgpack.encode(Name(name))
         self.world.step(station, Propose(Proposal(f"leases {station.me.name}", station.epoch, self.moves,
                                                   f"toy.{word}", body)))
--- a/proofs/ledger_world.py
+++ b/proofs/ledger_world.py
@@ -27,7 +27,7 @@
 from proofs.ledger_station import BOOTSTRAP, Station
 
 TALLY = ("steps", "commits", "kills", "cuts", "reads", "snapshots", "elections", "disk_failures", "changes",
-         "hand_overs", "stops", "voided")
+         "hand_overs", "stops", "voided", "leases")
 
 
 class World:
--- a/tests/test_ledger_entries.py
+++ b/tests/test_ledger_entries.py
@@ -115,6 +115,14 @@
     assert type(group.told[A][-1]) is Turned
 
 
+def test_proposal_that_no_word_takes_is_turned_away_and_noted():
+    group = led()
+    group.step(A, Propose(proposal(1, bytes(BOOTSTRAP["append_most"] * BOOTSTRAP["inflight"] + 1))))
+    note, turned = group.told[A][-2:]
+    assert note.event == "proposal_too_large" and turned.again == BOOTSTRAP["election"]
+    assert group.machines[A].state.log.last == 1
+
+
 def test_slow_member_holds_nobody_up_and_little_is_out_to_it():
     group = led(inflight=2, append_most=200)
     group.slow.add(C)
