--- a/indigohitch/fleet/audit/files.py
+++ b/indigohitch/fleet/audit/files.py
@@ -4,24 +4,29 @@
 
 import os
 import re
+from collections.abc import Callable
 from pathlib import Path
 
 from ...errors import Unreadable
+from ...net.worker import Worker
 from ...packed.files import sync_folder, write_whole
 from ...packed.frames import HEAD, Broken, Kinds
 from .chain import Record
 
 KINDS = Kinds(b"IHAU", 1, [Record])
-FILE = 4 << 20                  # bytes, then the next one: some 20,000 records
-FILES = 32                      # kept; the ledger is told which records lie there before those go
+FILE = 1 << 20                  # bytes, then the next one: some 8,000 records, read within 50 ms
+FILES = 64                      # kept; the ledger is told which records lie there before those go
 NAME = re.compile(r"chain-(\d+)-(\d+)$")
 
 
 class Store:
     """Of one process.  An incarnation's files are written by one process only; a new one begins others."""
 
-    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES) -> None:
-        """Touches nothing yet: as long as another process has this member's disk, the folder is its own."""
+    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES,
+                 begun: Callable[[], Worker] | None = None) -> None:
+        """Touches nothing yet: as long as another process has this member's disk, the folder is its own.
+        `begun`: the thread that waits for the disk; without one the caller does."""
+        self.begun, self.worker, self.syncing = begun, None, False
         self.folder, self.file, self.files = Path(folder), file, files
         self.fd, self.size, self.incarnation = -1, 0, 0
         self.written = 0                        # the last number of this chain
@@ -29,11 +34,12 @@
         self.cut = -1                           # bytes of torn tails that were; -1: not looked at yet
 
     def mend(self) -> int:
-        """Cut torn tails of processes that died; how many bytes.  What is spoilt elsewhere stays as it is:
-        it is evidence."""
+        """Cut torn tails of processes that died, each in the last file of its incarnation; how many bytes.
+        What is spoilt elsewhere stays as it is: it is evidence."""
         self.folder.mkdir(parents=True, exist_ok=True)
         cut = 0
-        for path in sorted(self.folder.glob("chain-*")):
+        last = {incarnation: path for (incarnation, _), path in chains(self.folder)}
+        for path in last.values():
             data = path.read_bytes()
             _, end, spoilt = frames(data)
             if end < len(data) and not spoilt:
@@ -99,6 +105,43 @@
             raise
         self.unsynced.clear()
 
+    def sync_soon(self, done: Callable[[OSError | None], None]) -> None:
+        """All that was appended so far; the process goes on meanwhile.  Not while one is out."""
+        if self.syncing:
+            return
+        if self.begun is None or self.fd < 0 or not self.unsynced:
+            try:
+                self.sync()                     # nothing to do, or what may be lost is to be written again
+            except OSError as bad:
+                done(bad)
+            else:
+                done(None)
+            return
+        self.syncing, fd, chain, upto = True, os.dup(self.fd), self.incarnation, self.written
+
+        def call() -> None:
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+
+        def over(result: object, bad: BaseException | None) -> None:
+            self.syncing = False
+            if chain == self.incarnation:
+                if bad is not None:
+                    self.shut()
+                else:                           # what came meanwhile waits for the next
+                    del self.unsynced[:max(0, len(self.unsynced) - (self.written - upto))]
+            done(bad)
+        self.worker = self.worker or self.begun()
+        self.worker.do(call, over)
+
+    def close(self) -> None:
+        if self.worker is not None:
+            self.worker.settle()
+            self.worker.close()
+        self.shut()
+
     def shut(self) -> None:
         if self.fd >= 0:
             os.close(self.fd)
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -1,8 +1,8 @@
 """Seats for the sidecar's RPCs: asked for before one goes out, shown to the server, given back at its end.
 
 Towards a server: `X-Seat` holds the pass (fleet/seats/nodeclock.header).  From it: `X-Node: BOOT CLOCK`, its
-boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: late|old|twice` where it
-took the RPC for one without a valid seat, and has begun nothing."""
+boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: unread|late|old|twice`
+where it took the RPC for one without a valid seat, and has begun nothing."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -13,8 +13,10 @@
 from ..fleet.seats.desk import Desk, Ticket
 from ..fleet.seats.nodeclock import Nodes, Verdict, header
 from ..log import Log
+from ..packed.rows import digest
 
 SEAT, NODE, REFUSED = b"x-seat", b"x-node", b"x-seat-refused"
+UNRUN = frozenset(verdict.value.encode() for verdict in Verdict if verdict.unrun)
 
 
 class Seating:
@@ -34,18 +36,25 @@
             return None
         row = self.rows[feature]
         tenant, user = (self.named(rpc, name) for name in (row.tenant_header, row.user_header))
-        found = desk.ask(now, feature, tenant, server.name if row.kind == "node" else user, rpc.due - now)
+        found = desk.ask(now, feature, tenant, self.node(server) if desk.kind(feature) == "node" else user,
+                         rpc.due - now, rpc.pool.boot.get("come_back", 0))
         return found if isinstance(found, Ticket) else None
 
+    @staticmethod
+    def node(server) -> str:
+        """Names are of a pool; the same server may stand in two."""
+        return "{}:{}".format(*server.address)
+
     @staticmethod
     def named(rpc, name: str) -> str:
-        """What the client says in that header, 64 letters of it at most."""
+        """What the client says in that header; of a long one its digest, as it is kept for a while."""
         values = rpc.head.values(name.lower().encode()) if name else ()
-        return values[0].decode("latin-1")[:64] if values else ""
+        value = values[0] if values else b""
+        return value.decode("latin-1") if len(value) <= 64 else digest(value).hex()
 
     def shown(self, ticket: Ticket, server) -> bytes:
         """The header's line."""
-        boot, until = self.nodes.end(server.name, ticket.until)
+        boot, until = self.nodes.end(self.node(server), ticket.until)
         return b"X-Seat: %b\r\n" % header(Pass(ticket.given, boot, until, ticket.stamp)).encode("latin-1")
 
     def heard(self, server, head) -> None:
@@ -53,18 +62,18 @@
         if (told := head.value(NODE)) is not None:
             try:
                 boot, clock = told.decode("ascii").split()
-                self.nodes.heard(server.name, boot, int(clock), self.clock.now())
+                self.nodes.heard(self.node(server), boot, int(clock), self.clock.now())
             except ValueError:
                 self.log.trouble("node_clock_unreadable", server=server.name, told=told[:80])
 
     def refused(self, ticket: Ticket, head) -> str:
-        """What became of a try that the server took for one without a seat; "" where it did not.  Only a late
-        one has surely not run: of another a copy may."""
+        """What became of a try that the server took for one without a seat; "" where it did not.  Of one
+        refused as old or doubled a copy may run."""
         told = head.value(REFUSED)
         if told is None:
             return ""
         self.log.count("seats_refused_at_server")
-        if told != Verdict.LATE.value.encode():
+        if told not in UNRUN:
             return request.SENT
         self.over(ticket)
         return request.UNSENT
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -139,7 +139,7 @@
     fleet.kill(name)
     file = segments(fleet, name)[-1]
     whole = file.read_bytes()
-    at = len(whole) // 2
+    at = whole.index(b"IHlg", 4) + 40       # in the second record: many more follow, however they came
     file.write_bytes(whole[:at] + bytes([whole[at] ^ 255]) + whole[at + 1:])
     fleet.restart(name)
     until(lambda: not fleet.members[name].runs, 10, "it to refuse")
@@ -176,7 +176,7 @@
 
 
 def test_a_wall_clock_that_jumps_moves_nothing(fleet):
-    before = fleet.of_fleet(leader(fleet))["time"]
+    before = until(lambda: fleet.of_fleet(leader(fleet))["time"], 10, "a fleet time")
     fleet.jump("v1", 3600)
     noted(fleet, "forward")
     time.sleep(1.5)
@@ -208,3 +208,24 @@
         fleet.ready(names=[name])
         noted(fleet, f"after {name}")
     assert noted(fleet, "last") > before
+
+
+def test_a_member_is_added_learns_votes_and_is_taken_out(fleet):
+    fleet.place("v4", True)
+    fleet.write()
+    fleet.hup_all()
+    fleet.restart("v4")
+    until(lambda: "v4" in votes(fleet), 20, "it to vote")
+    noted(fleet, "new here")
+    until(lambda: "new here" in fleet.ask("v4", "book notes", 5)["texts"])
+    fleet.end("v4")
+    gone = fleet.places.pop("v4"), fleet.members.pop("v4")
+    gone[0].close()
+    fleet.write()
+    fleet.hup_all()
+    until(lambda: fleet.ask(leader(fleet), "out v4", 3.0) and "v4" not in votes(fleet), 20, "it to be out")
+    assert noted(fleet, "without it")
+
+
+def votes(fleet):
+    return [one["name"] for one in (fleet.of_fleet(fleet.leader()) or {"voters": []})["voters"]]
