A leader whose words come later and later is not heard: a follower asks for votes (ledger)

Over a link that trickles (300 bytes a second) a leader's beats came on, each later, and answers came back at once: it kept its place, and nothing was committed for 3 to 5.4 s in proofs/ledger_processes.py. An Append now bears the leader's clock; one that is later than an election's time over the quickest of that leader doesn't count as a sign of life.

--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -3,12 +3,42 @@
 Ongaro and Ousterhout 2014, 5.3 and 7."""
 from __future__ import annotations
 
+from ...net.clock import SECOND
 from ...packed.rows import digest
 from ..terms import Who
 from .ports import Snap
 from .state import Role, State
 from .words import Append, Appended, Piece, Pieced
 
+# How long the quickest way of a word from a leader is remembered.  Clocks that differ by a thousandth part by
+# 20 ms in twice that, which is little against an election's time.
+QUICKEST = 10 * SECOND
+
+
+class Lateness:
+    """By how much a leader's words come later than its quickest did.  Two clocks are compared by differences
+    alone, over a time in which their drift is small."""
+
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self.begin(0)
+
+    def begin(self, now: int) -> None:
+        """Of another leader."""
+        self.until = now + QUICKEST
+        self.least = self.before = 1 << 62
+
+    def late(self, now: int, at: int) -> bool:
+        """Whether a word sent at `at`, by the leader's clock, came too late to tell that the leader is there:
+        over a link that trickles its beats come on, each later than the one before, and what it proposes is
+        as good as lost."""
+        if not at:
+            return False
+        if now >= self.until:
+            self.until, self.before, self.least = now + QUICKEST, self.least, 1 << 62
+        self.least = min(self.least, now - at)
+        return now - at - min(self.least, self.before) > self.bound
+
 
 class Following:
     def __init__(self, state: State) -> None:
@@ -19,6 +49,7 @@
         self.owed = False           # an answer waits for the ballot to be written
         self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
         self.pieces = bytearray()
+        self.lateness = Lateness(state.bootstrap["election"])
 
     def led_by(self, sender: Who, word: Append | Piece) -> bool:
         """Whether the word is of this term's leader."""
@@ -34,9 +65,11 @@
             raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
         if self.agreed_in != word.term:
             self.agreed, self.agreed_in, self.round, self.owed = 0, word.term, 0, False
+            self.lateness.begin(state.now)
         state.be(Role.FOLLOWER, sender)
-        state.heard = state.now
-        state.wait_anew()
+        if isinstance(word, Piece) or not self.lateness.late(state.now, word.at):
+            state.heard = state.now
+            state.wait_anew()
         return True
 
     def heard_append(self, sender: Who, word: Append) -> None:
--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -138,7 +138,7 @@
         round, state = self.reads.begin(), self.state
         for who in self.peers:
             if who in state.belonging.voters:
-                state.send(who, Append(state.term, 0, 0, 0, (), round))
+                state.send(who, Append(state.term, 0, 0, 0, (), round, state.now))
 
     # ---- members -----------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/ledger/peers.py
+++ b/indigohitch/fleet/ledger/peers.py
@@ -68,7 +68,7 @@
             elif self.state.now - self.piece_at >= self.state.bootstrap["election"]:
                 self.again = True
                 self.piece()
-            self.state.send(self.who, Append(self.state.term, 0, 0, 0, (), round))
+            self.state.send(self.who, Append(self.state.term, 0, 0, 0, (), round, self.state.now))
             return
         if self.next <= self.state.log.base:
             self.begin_snapshot()
@@ -83,7 +83,7 @@
     def append(self, entries: tuple, round: int) -> None:
         state = self.state
         self.state.send(self.who, Append(state.term, self.next - 1, state.log.term(self.next - 1),
-                                         state.commit, entries, round))
+                                         state.commit, entries, round, state.now))
 
     # ---- answers -----------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/ledger/words.py
+++ b/indigohitch/fleet/ledger/words.py
@@ -26,13 +26,15 @@
 
 class Append(Row, frozen=True):
     """Entries that follow the one at `prev_index`, of `prev_term`; without any it is a beat.  `round` counts
-    the rounds of reads of that leader: an answer that says it was sent after that round began."""
+    the rounds of reads of that leader: an answer that says it was sent after that round began.  `at`: the
+    leader's clock as it was sent, of use only against other words of the same leader; 0: not told."""
     term: int
     prev_index: int
     prev_term: int
     commit: int
     entries: tuple[Entry, ...] = ()
     round: int = 0
+    at: int = 0
 
 
 class Appended(Row, frozen=True):
