--- a/proofs/seats.py
+++ b/proofs/seats.py
@@ -3,9 +3,9 @@
 Voters and three sidecars with a relay of faults between each pair, four stand-in servers that check passes,
 end jobs at their end and write down what truly ran.  First wanting is skewed: one sidecar's clients want
 more than there is.  Then one tenant of another asks for everything, beside one that wants two seats.  Then
-sidecars are killed, stopped for longer than a lease and cut off, servers killed with their jobs, the leader
-killed; last the contract is cut to a third while a sidecar that holds seats is cut off.  Then quiet: all must
-be free.
+sidecars are killed, ended, stopped for longer than a lease and cut off, servers killed with their jobs, RPCs
+held on their way until they are late, the leader killed; last the contract is cut to a third while a sidecar
+that holds seats is cut off.  Then quiet: all must be free.
 
 QUICK=1: three voters, each fault once.  BROKEN=1 takes a guard away (seats_unheard.py) and has to fail.  The
 last line is one JSON object; the exit code is 1 where a promise is broken."""
@@ -22,6 +22,8 @@
 from seats_clients import Clients, p99
 from seats_truth import NS, Servers, Truth
 
+from indigohitch.standins.breaker import Breaker
+
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
 CONTRACT, CUT = 45, 15
 LEASE = 2.0
@@ -38,8 +40,10 @@
     def __init__(self) -> None:
         self.begun = time.monotonic()
         self.path = Path(tempfile.mkdtemp(prefix="proof-seats-"))
-        self.servers = Servers(self.path, 4, 5.0)
-        pool = Pool(servers=self.servers.at, rpcs=RPCS, routes=ROUTES)
+        self.servers, self.way = Servers(self.path, 4, 5.0), Breaker(2)
+        host, port = self.servers.at["n4"].split(":")
+        slow = "{}:{}".format(*self.way.gate("sidecars", "n4", (host, int(port))))
+        pool = Pool(servers=self.servers.at | {"n4": slow}, rpcs=RPCS, routes=ROUTES)
         self.fleet = Fleet(self.path, voters=3 if QUICK else 5, sidecars=3, more=contract(1, CONTRACT),
                            pools=[pool],
                            patch=Path(__file__).parent / "seats_unheard.py" if BROKEN else "")
@@ -88,7 +92,8 @@
         self.waits = list(small.waits)
         self.say(f"everything: small waited {p99(self.waits)} ms at p99, {len(self.waits)} times")
         # Jobs whose answers never come: only their end at the server frees their seats.
-        self.add("s1", "mute", 2, wait=0, act="mute")
+        for name in ("s1", "s2"):
+            self.add(name, "mute", 2, wait=0, act="mute")
 
     def killed(self, name: str) -> None:
         self.say(f"kill {name}, holding {self.seats().get('members', {}).get(name)}")
@@ -101,14 +106,40 @@
         self.counts["kills"] += 1
         time.sleep(1.0)
 
+    def holding(self, name: str, least: int = 1) -> None:
+        until(lambda: self.seats().get("members", {}).get(name, 0) >= least, 15, f"seats at {name}")
+
     def stopped(self, name: str) -> None:
         """For longer than its lease: its seats are others' when it goes on."""
+        self.holding(name)
         self.fleet.stop(name)
         until(lambda: name not in self.seats().get("members", {}), 12, f"seats of {name} to be free")
         self.say(f"stopped {name} has no seats; it goes on")
         self.fleet.go_on(name)
 
+    def delayed(self) -> None:
+        """RPCs to one server wait on their way until their seats are given to others: it must begin none."""
+        before = self.servers.stats("n4")["refused"].get("late", 0)
+        self.way.cut("sidecars", "n4")
+        time.sleep(3.5)                         # over the deadline and the lease
+        self.way.heal()
+        until(lambda: self.servers.stats("n4")["refused"].get("late", 0) > before, 5, "RPCs that come late")
+        self.say(f"delayed: {self.servers.stats('n4')['refused']['late'] - before} came too late")
+
+    def ended(self, name: str) -> None:
+        """In order, while jobs of it are out of which nothing is heard: what it held waits for their end."""
+        self.say(f"end {name}, holding {self.seats().get('members', {}).get(name)}")
+        self.fleet.end(name)
+        self.fleet.restart(name)
+
+    def upgraded(self, name: str) -> None:
+        """The old process answers what it has in hand, the new one is another incarnation."""
+        told = self.fleet.upgrade(name) or {}
+        self.say(f"upgrade {name}: {told.get('result')}")
+        assert told.get("result") == "upgraded", told
+
     def cut_off(self, name: str) -> None:
+        self.holding(name)
         self.fleet.breaker.cut_off(name)
         self.counts["cuts"] += 1
         until(lambda: name not in self.seats().get("members", {}), 12, f"seats of {name} to be free")
@@ -117,7 +148,7 @@
 
     def contract_cut(self, name: str) -> None:
         """To a third, while one that holds seats can't hear of it."""
-        until(lambda: self.seats().get("members", {}).get(name), 15, f"seats at {name}")
+        self.holding(name, CUT // 2 + 1)
         self.fleet.breaker.cut_off(name)
         self.counts["cuts"] += 1
         since = time.monotonic()
@@ -163,11 +194,15 @@
         self.everything()
         for name in ("s1", "n1", "") if QUICK else ("s1", "n1", "", "s2", "n2", "n3", ""):
             self.killed(name or until(self.fleet.leader, 10, "a leader"))
+        self.delayed()
+        self.ended("s1")
         self.stopped("s2")
+        if not QUICK:
+            self.upgraded("s3")
         self.cut_off("s1")
         self.contract_cut("s2")
         leaked = self.quieted()
-        self.counts["refused_late"] = sum(self.servers.refused().values())
+        self.counts["refused_late"] = self.servers.refused().get("late", 0)
         return leaked
 
     def run(self) -> int:
@@ -181,6 +216,7 @@
         for clients in self.clients:
             clients.join()
         self.servers.close()
+        self.way.close()
         return self.told(leaked, noise, wrong)
 
     def told(self, leaked: int, noise: list[str], wrong: list[str]) -> int:
