A sidecar that is told to end refuses new connections instead of holding them

Need: after SIGTERM clients go on sending; what comes then is answered or its connection closed, never swallowed. Seen in the text: `Sidecar.begin_to_end` only stopped accepting, which is right for a hand-over (the next process accepts at the same socket), but at a planned end nobody comes: who connected while an answer was in hand waited in the kernel for up to `wait drain` (30 s) and was reset then. Change: the listening socket is closed at once; kept connections as before (answered, or closed).

--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -110,11 +110,15 @@
                                     for s in pool.servers.values() if s.listed}}
             for pool in self.pools.values()}}
 
+    def stop_listening(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
     def close(self) -> None:
         if self._sweep is not None:
             self._sweep.cancel()
-        if self.listener is not None:
-            self.listener.close()
+        self.stop_listening()
         for client in list(self.clients):
             client.stream.close()
             client.gone()
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -63,7 +63,8 @@
             self.log.event("reloaded", pool=name, **pool.relist(text.pools[name].servers))
 
     def begin_to_end(self) -> None:
-        self.host.listener.accept(False)
+        # No process comes after this one: who has connected and is not accepted yet must hear it at once.
+        self.host.stop_listening()
 
     def all_done(self) -> bool:
         for client in list(self.host.clients):
