--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -73,6 +73,8 @@
         if index > state.commit and self.own_term(index):
             self.open -= sum(map(weight, state.log.some(state.commit + 1, index)))
             state.commit_to(index)
+            # Who waits for it elsewhere hears of it soon, and not with each commit under load.
+            self.beat_due = min(self.beat_due, state.now + state.bootstrap["beat"] // 10)
             self.changed()
         while self.reads.answer():
             self.new_round()
@@ -102,10 +104,13 @@
     # ---- time --------------------------------------------------------------------------------------
 
     def due(self) -> None:
-        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2)."""
+        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2).  A beat
+        that comes late by another says that this process stood still: answers may lie unread, so it judges
+        at the next."""
         state = self.state
         heard = {who for who, peer in self.peers.items() if not peer.silent} | {state.me}
-        if len(heard & state.belonging.voters) < state.belonging.majority:
+        stood_still = state.now - self.beat_due >= state.bootstrap["beat"]
+        if len(heard & state.belonging.voters) < state.belonging.majority and not stood_still:
             state.note("majority_lost", term=state.term, heard=sorted(who.name for who in heard))
             state.be(Role.FOLLOWER, None)
             return
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -11,11 +11,13 @@
 import msgspec
 
 from ...errors import Unfit, Unreadable
+from ...net.clock import SECOND
 from ...packed.rows import Row
 from ..book import Book
 from ..ports import At
 from .entries import (
     Agreed,
+    Announce,
     Back,
     Change,
     Compare,
@@ -50,7 +52,8 @@
 class Roster:
     name = "members"
     kinds: Mapping[str, type[Row]] = {"join": Join, "leave": Leave, "shut_out": ShutOut, "gone": Gone,
-                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce}
+                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce,
+                                      "change": Announce}
     book: Book
 
     def __init__(self) -> None:
@@ -71,6 +74,11 @@
             return "" if member.life is Life.VALID else member.life.value
         return LATER if incarnation < self.highest.get(name, 0) else "not joined"
 
+    @property
+    def version(self) -> int:
+        """The last entry that changed what the fleet acts by."""
+        return self.changes[-1].index if self.changes else self.in_force
+
     def valid(self) -> list[Member]:
         return [member for member in self.members.values() if member.life is Life.VALID]
 
@@ -176,6 +184,10 @@
             raise Unfit(f"compared at {back.index}, joined at {member.joined}")
         member.life, member.since = Life.VALID, at.index
 
+    def on_change(self, at: At, change: Announce) -> int:
+        self.changed(at, change.what, change.hard, change.allowed)
+        return at.index
+
     def on_in_force(self, at: At, body: InForce) -> None:
         if not self.in_force < body.version < at.index:
             raise Unfit(f"version {body.version} after {self.in_force}")
@@ -198,3 +210,10 @@
         self.highest, self.tokens, self.changes = row.highest, row.tokens, row.changes
         self.in_force, self.compared, self.agreed = row.in_force, row.compared, row.agreed
         self.digests.clear()
+
+
+def changed(book: Book | None, at: At, what: str, hard: bool = False, allowed: int = SECOND) -> None:
+    """For other parts of the book: `Roster.changed`, where the book has a roster."""
+    roster = book.parts.get("members") if book is not None else None
+    if isinstance(roster, Roster):
+        roster.changed(at, what, hard, allowed)
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,7 +1,7 @@
 """The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -9,22 +9,25 @@
 from ..terms import Entry, Lease, Outcome
 from .contract import Contract, Grant, Recall, Report
 from .desk import Desk
-from .moving import Wish, spread
-from .part import Seats
+from .moving import TURN, Wish, spread
+from .part import Feature, Seats
 
 ROUND = 5_000                   # of moves: as often as members report with a lease of 2 s
+FED = 15_000                    # after a grant, until a report shows what of it is used
 
 
 class SeatsWork:
-    """ports.Work.  `contract`: what this member's file contracts, None where it says nothing of seats."""
+    """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
     name = "seats"
 
-    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, contract: Contract | None,
-                 bootstrap: dict) -> None:
-        self.part, self.contract = part, contract
+    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time: Callable[[int], int],
+                 contract: Callable[[], Contract | None], stocks: bool, bootstrap: dict) -> None:
+        """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
+        self.part, self.contract, self.stocks = part, contract, stocks
         self.desk = Desk(name, part, acts, fleet_time, bootstrap)
         self.out: set[str] = set()              # tags of proposals that are not answered
         self.next_round = 0
+        self.fed: dict[tuple[str, str, str], int] = {}      # feature, pool, member: new to it until
         self.refused = ""                       # why our contract was not taken
 
     # ---- of any member -----------------------------------------------------------------------------
@@ -42,8 +45,9 @@
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
         self.desk.turn(now, lease)
         wanted = self.returns()
-        if lease is not None and self.contract is not None and self.contract.edition > self.part.edition:
-            wanted += self.want("contract", "seats.contract", self.contract)
+        own = self.contract()
+        if lease is not None and own is not None and own.edition > self.part.edition:
+            wanted += self.want("contract", "seats.contract", own)
         return wanted
 
     def returns(self) -> list[Wanted]:
@@ -68,17 +72,21 @@
     def report(self, now: int) -> bytes:
         lease = self.desk.lease
         rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
-        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows))
+        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows,
+                                             self.stocks))
+
+    def holds(self, now: int) -> bool:
+        """Jobs with seats are out: what this member holds is not free before their end."""
+        self.desk.passed(now)
+        return any(hold.bound for hold in self.desk.holds.values())
 
     def figures(self) -> dict:
-        standing = self.part.edition
-        return {"edition": standing, "refused_contract": self.refused, "counts": self.desk.counts,
+        return {"edition": self.part.edition, "refused_contract": self.refused, "counts": self.desk.counts,
                 "features": {name: {
-                    "seats": f.terms.seats, "held": f.held(), "free": len(f.free) if not f.over() else 0,
+                    "seats": f.terms.seats, "held": f.held(), "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
                                                     if of == name),
-                    "members": {f"{s.name} {s.pool}".strip(): len(s.seats) for s in f.shares.values()}}
-                    for name, f in self.part.features.items()}}
+                    "members": f.by_member()} for name, f in self.part.features.items()}}
 
     # ---- of the leader -----------------------------------------------------------------------------
 
@@ -95,20 +103,27 @@
         lately = {(name, feature, pool): (used, missed) for name, report in told.items()
                   for feature, pool, used, missed in report.wanting}
         for feature, found in self.part.features.items():
-            for pool, size in found.terms.pools().items():
+            for pool, size in found.pools.items():
                 if any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out):
                     continue                    # what is under way would be counted twice
-                wishes = []
-                for name, report in told.items():
-                    share = found.shares.get((pool, name, report.incarnation))
-                    if report.incarnation > self.part.gone.get(name, 0):
-                        wishes.append(Wish(name, report.incarnation, share.net if share is not None else 0,
-                                           *lately.get((name, feature, pool), (0, 0))))
+                wishes = [self.wish(now, found, pool, name, report, lately) for name, report in told.items()
+                          if report.incarnation > self.part.gone.get(name, 0)]
                 coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
-                grants, back = spread(size, found.room(pool), coming, wishes)
+                grants, back = spread(size, found.room(pool), coming, wishes, now // TURN)
                 for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
                     word = kind.__name__.lower()
                     for wish, count in rows:
+                        if kind is Grant:
+                            self.fed[feature, pool, wish.name] = now + FED
                         wanted += self.want(f"lead {feature} {pool} {word} {wish.name}", f"seats.{word}",
                                             kind(feature, pool, wish.name, wish.incarnation, count))
         return wanted
+
+    def wish(self, now: int, found: Feature, pool: str, name: str, report: Report, lately: Mapping) -> Wish:
+        feature = found.terms.feature
+        share = found.shares.get((pool, name, report.incarnation))
+        net = share.net if share is not None else 0
+        used, missed = lately.get((name, feature, pool), (0, 0))
+        if now < self.fed.get((feature, pool, name), 0):
+            used = max(used, net)
+        return Wish(name, report.incarnation, net, used, missed, report.stocks)
