--- a/indigohitch/fleet/audit/files.py
+++ b/indigohitch/fleet/audit/files.py
@@ -4,36 +4,42 @@
 
 import os
 import re
+from collections.abc import Callable
 from pathlib import Path
 
 from ...errors import Unreadable
+from ...net.worker import Worker
 from ...packed.files import sync_folder, write_whole
 from ...packed.frames import HEAD, Broken, Kinds
 from .chain import Record
 
 KINDS = Kinds(b"IHAU", 1, [Record])
-FILE = 4 << 20                  # bytes, then the next one: some 20,000 records
-FILES = 32                      # kept; the ledger is told which records lie there before those go
+FILE = 1 << 20                  # bytes, then the next one: some 8,000 records, read within 50 ms
+FILES = 64                      # kept; the ledger is told which records lie there before those go
 NAME = re.compile(r"chain-(\d+)-(\d+)$")
 
 
 class Store:
     """Of one process.  An incarnation's files are written by one process only; a new one begins others."""
 
-    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES) -> None:
-        """Raises OSError."""
+    def __init__(self, folder: str | os.PathLike, file: int = FILE, files: int = FILES,
+                 begun: Callable[[], Worker] | None = None) -> None:
+        """Touches nothing yet: as long as another process has this member's disk, the folder is its own.
+        `begun`: the thread that waits for the disk; without one the caller does."""
+        self.begun, self.worker, self.syncing = begun, None, False
         self.folder, self.file, self.files = Path(folder), file, files
-        self.folder.mkdir(parents=True, exist_ok=True)
         self.fd, self.size, self.incarnation = -1, 0, 0
         self.written = 0                        # the last number of this chain
         self.unsynced: list[bytes] = []         # frames that may not be on the disk
-        self.cut = self.mend()
+        self.cut = -1                           # bytes of torn tails that were; -1: not looked at yet
 
     def mend(self) -> int:
-        """Cut torn tails of processes that died; how many bytes.  What is spoilt elsewhere stays as it is:
-        it is evidence."""
+        """Cut torn tails of processes that died, each in the last file of its incarnation; how many bytes.
+        What is spoilt elsewhere stays as it is: it is evidence."""
+        self.folder.mkdir(parents=True, exist_ok=True)
         cut = 0
-        for path in sorted(self.folder.glob("chain-*")):
+        last = {incarnation: path for (incarnation, _), path in chains(self.folder)}
+        for path in last.values():
             data = path.read_bytes()
             _, end, spoilt = frames(data)
             if end < len(data) and not spoilt:
@@ -74,6 +80,8 @@
 
     def begin(self, incarnation: int, number: int) -> None:
         self.shut()
+        if self.cut < 0:
+            self.cut = self.mend()
         path = self.folder / f"chain-{incarnation}-{number}"
         self.fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
         self.size, self.incarnation = 0, incarnation
@@ -97,6 +105,43 @@
             raise
         self.unsynced.clear()
 
+    def sync_soon(self, done: Callable[[OSError | None], None]) -> None:
+        """All that was appended so far; the process goes on meanwhile.  Not while one is out."""
+        if self.syncing:
+            return
+        if self.begun is None or self.fd < 0 or not self.unsynced:
+            try:
+                self.sync()                     # nothing to do, or what may be lost is to be written again
+            except OSError as bad:
+                done(bad)
+            else:
+                done(None)
+            return
+        self.syncing, fd, chain, upto = True, os.dup(self.fd), self.incarnation, self.written
+
+        def call() -> None:
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+
+        def over(result: object, bad: BaseException | None) -> None:
+            self.syncing = False
+            if chain == self.incarnation:
+                if bad is not None:
+                    self.shut()
+                else:                           # what came meanwhile waits for the next
+                    del self.unsynced[:max(0, len(self.unsynced) - (self.written - upto))]
+            done(bad)
+        self.worker = self.worker or self.begun()
+        self.worker.do(call, over)
+
+    def close(self) -> None:
+        if self.worker is not None:
+            self.worker.settle()
+            self.worker.close()
+        self.shut()
+
     def shut(self) -> None:
         if self.fd >= 0:
             os.close(self.fd)
@@ -119,6 +164,7 @@
 
     def keep(self, name: str, data: bytes) -> None:
         """Evidence, written whole, never over what lies there.  Raises OSError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
         path = self.folder / f"evidence-{name}"
         if not path.exists():
             write_whole(str(path), data)
@@ -136,14 +182,28 @@
     found, at = [], 0
     while at + HEAD <= len(data) and any(data[at:at + HEAD]):      # zeros: space that was never written
         try:
-            protocol, number, _, length, checksum = KINDS.head(data, at)
+            protocol, number, descriptors, length, checksum = KINDS.head(data, at)
+            if descriptors:                     # the one field that the checksum doesn't hold
+                raise Broken("a frame with descriptors")
             if at + HEAD + length > len(data):
                 break
             found.append(KINDS.body(data[at + HEAD:at + HEAD + length], protocol, number, checksum))
         except Broken as bad:
             return found, at, bad.what
         at += HEAD + length
-    return found, at, ""
+    return found, at, "a length that can't be" if followed(data, at) else ""
+
+
+def followed(data: bytes, at: int) -> bool:
+    """A whole frame lies somewhere after: what begins there is no torn tail."""
+    while (at := data.find(KINDS.magic, at + 1)) >= 0 and at + HEAD <= len(data):
+        try:
+            protocol, number, _, length, checksum = KINDS.head(data, at)
+            KINDS.body(data[at + HEAD:at + HEAD + length], protocol, number, checksum)
+            return True
+        except Broken:
+            continue
+    return False
 
 
 def read(folder: str | os.PathLike) -> tuple[dict[int, list[Record]], list[Unreadable]]:
--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -3,12 +3,42 @@
 Ongaro and Ousterhout 2014, 5.3 and 7."""
 from __future__ import annotations
 
+from ...net.clock import SECOND
 from ...packed.rows import digest
 from ..terms import Who
 from .ports import Snap
 from .state import Role, State
 from .words import Append, Appended, Piece, Pieced
 
+# How long the quickest way of a word from a leader is remembered.  Clocks that differ by a thousandth part by
+# 20 ms in twice that, which is little against an election's time.
+QUICKEST = 10 * SECOND
+
+
+class Lateness:
+    """By how much a leader's words come later than its quickest did.  Two clocks are compared by differences
+    alone, over a time in which their drift is small."""
+
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self.begin(0)
+
+    def begin(self, now: int) -> None:
+        """Of another leader."""
+        self.until = now + QUICKEST
+        self.least = self.before = 1 << 62
+
+    def late(self, now: int, at: int) -> bool:
+        """Whether a word sent at `at`, by the leader's clock, came too late to tell that the leader is there:
+        over a link that trickles its beats come on, each later than the one before, and what it proposes is
+        as good as lost."""
+        if not at:
+            return False
+        if now >= self.until:
+            self.until, self.before, self.least = now + QUICKEST, self.least, 1 << 62
+        self.least = min(self.least, now - at)
+        return now - at - min(self.least, self.before) > self.bound
+
 
 class Following:
     def __init__(self, state: State) -> None:
@@ -17,8 +47,11 @@
         self.agreed_in = 0          # that term
         self.round = 0              # of the last word of that leader
         self.owed = False           # an answer waits for the ballot to be written
+        self.told = 0               # up to where it was acknowledged in this term
+        self.echoed = 0             # the last round that was echoed in it
         self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
         self.pieces = bytearray()
+        self.lateness = Lateness(state.bootstrap["election"])
 
     def led_by(self, sender: Who, word: Append | Piece) -> bool:
         """Whether the word is of this term's leader."""
@@ -33,10 +66,13 @@
         if state.role is Role.LEADER:
             raise ValueError(f"two leaders in term {word.term}: {sender.name} too")
         if self.agreed_in != word.term:
-            self.agreed, self.agreed_in, self.round, self.owed = 0, word.term, 0, False
+            self.agreed, self.agreed_in, self.round = 0, word.term, 0
+            self.owed, self.told, self.echoed = False, 0, 0
+            self.lateness.begin(state.now)
         state.be(Role.FOLLOWER, sender)
-        state.heard = state.now
-        state.wait_anew()
+        if isinstance(word, Piece) or not self.lateness.late(state.now, word.at):
+            state.heard = state.now
+            state.wait_anew()
         return True
 
     def heard_append(self, sender: Who, word: Append) -> None:
@@ -66,21 +102,27 @@
         if self.coming and self.agreed >= self.coming[0]:
             self.drop()
         state.commit_to(min(word.commit, self.agreed))
-        self.answer()
+        # New entries are answered once they are written; a round of reads doesn't wait for the disk.
+        if not fresh or self.round > self.echoed:
+            self.answer()
 
     def answer(self) -> None:
         """What is on the disk and as the leader has it; nothing before the ballot is there."""
         state = self.state
         self.owed = not state.durable.safe
         if not self.owed:
-            match = min(max(self.agreed, state.commit), state.durable.match)
-            state.send(state.leader, Appended(state.term, True, match, round=self.round))
+            self.told, self.echoed = self.match, self.round
+            state.send(state.leader, Appended(state.term, True, self.told, round=self.round))
+
+    @property
+    def match(self) -> int:
+        return min(max(self.agreed, self.state.commit), self.state.durable.match)
 
-    def written(self, before: int) -> None:
-        """More may be acknowledged than `before`, or at last."""
+    def written(self) -> None:
+        """More may be acknowledged than was, or something at last."""
         state = self.state
         if (state.role is Role.FOLLOWER and state.leader is not None and state.durable.safe
-                and self.agreed_in == state.term and (self.owed or state.durable.match > before)):
+                and self.agreed_in == state.term and (self.owed or self.match > self.told)):
             self.answer()
 
     # ---- a snapshot in pieces ----------------------------------------------------------------------
--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -53,7 +53,12 @@
         """What is not committed is bounded, in number and in bytes; above it the proposer comes back."""
         state, bootstrap = self.state, self.state.bootstrap
         most = bootstrap["append_most"] * bootstrap["inflight"]
-        if self.heir is not None:
+        if len(proposal.body) > most:
+            # One entry goes in one word: a larger one would never reach anybody, and hold up all behind it.
+            state.note("proposal_too_large", kind=proposal.kind, proposer=proposal.proposer,
+                       bytes=len(proposal.body), most=most, remedy="propose it in parts")
+            state.out.append(Turned(proposal, bootstrap["election"], None))
+        elif self.heir is not None:
             state.out.append(Turned(proposal, bootstrap["beat"], None))
         elif state.log.last - state.commit >= bootstrap["proposals_most"] or self.open >= most:
             state.out.append(Turned(proposal, bootstrap["beat"], state.me))
@@ -73,6 +78,8 @@
         if index > state.commit and self.own_term(index):
             self.open -= sum(map(weight, state.log.some(state.commit + 1, index)))
             state.commit_to(index)
+            # Who waits for it elsewhere hears of it soon, and not with each commit under load.
+            self.beat_due = min(self.beat_due, state.now + state.bootstrap["beat"] // 10)
             self.changed()
         while self.reads.answer():
             self.new_round()
@@ -102,10 +109,13 @@
     # ---- time --------------------------------------------------------------------------------------
 
     def due(self) -> None:
-        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2)."""
+        """Each beat.  Who hears no majority for an election's time leads nobody (dissertation, 6.2).  A beat
+        that comes late by another says that this process stood still: answers may lie unread, so it judges
+        at the next."""
         state = self.state
         heard = {who for who, peer in self.peers.items() if not peer.silent} | {state.me}
-        if len(heard & state.belonging.voters) < state.belonging.majority:
+        stood_still = state.now - self.beat_due >= state.bootstrap["beat"]
+        if len(heard & state.belonging.voters) < state.belonging.majority and not stood_still:
             state.note("majority_lost", term=state.term, heard=sorted(who.name for who in heard))
             state.be(Role.FOLLOWER, None)
             return
@@ -136,7 +146,7 @@
         round, state = self.reads.begin(), self.state
         for who in self.peers:
             if who in state.belonging.voters:
-                state.send(who, Append(state.term, 0, 0, 0, (), round))
+                state.send(who, Append(state.term, 0, 0, 0, (), round, state.now))
 
     # ---- members -----------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -5,6 +5,7 @@
     {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
     {"ask": "read"}                         an index confirmed by a majority, and the book's digest there
     {"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+    {"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
     {"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
     {"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
     {"ask": "ledger"}                       the last entries, each with a digest
@@ -17,7 +18,6 @@
 import msgspec
 
 from ...errors import NotNow, Unfit
-from ...packed.rows import digest
 from ..batches.asking import batch_of, word_of
 from ..terms import Outcome
 from .words import BODY
@@ -36,7 +36,7 @@
         """False: no word of ours."""
         first, _, rest = what.partition(" ")
         action = {"note": self.note, "notes": self.notes, "propose": self.propose, "read": self.read,
-                  "book": self.book, "ledger": self.ledger,
+                  "book": self.book, "ledger": self.ledger, "out": self.out,
                   "batch": self.batch, "piece": self.piece}.get(first)
         if action is None:
             return False
@@ -51,6 +51,14 @@
             self.answer({"error": str(unfit)})
         return True
 
+    def out(self, rest: str, line: dict) -> None:
+        node, leader = self.node, self.node.leader_name
+        if not node.driver.leads:
+            self.answer({"error": f"{leader or 'nobody'} leads: ask there", "leader": leader})
+            return
+        why = node.admitting.take_out(rest)
+        self.answer({"error": why} if why else {"result": "it goes out with the next entries"})
+
     def note(self, rest: str, line: dict) -> None:
         self.put("notes.add", msgspec.msgpack.encode([rest]))
 
@@ -108,5 +116,5 @@
         self.answer({"index": self.node.book.index, "digest": self.node.book.digest().hex(), "entries": [
             {"index": entry.index, "term": entry.term, "kind": entry.kind, "proposer": entry.proposer,
              "incarnation": entry.incarnation, "number": entry.number, "refused": outcome.refused,
-             "doubled": outcome.doubled, "digest": digest(msgspec.msgpack.encode(entry)).hex()}
-            for entry, outcome in recent]})
+             "doubled": outcome.doubled, "digest": check.hex()}
+            for entry, check, outcome in recent]})
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -6,8 +6,11 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from ...log import Log
 from ...net.loop import Deadline, Loop
+from ...packed.rows import digest
 from ..book import Book
 from ..disk.store import Disk
 from ..ledger.machine import Machine
@@ -45,7 +48,7 @@
         self.waiting: deque[Input] = deque()
         self.stepping = False
         self.timer: Deadline | None = None
-        self.recent: deque[tuple[Entry, Outcome]] = deque(maxlen=RECENT)
+        self.recent: deque[tuple[Entry, bytes, Outcome]] = deque(maxlen=RECENT)     # without bodies; digests
         self.on_applied: Callable[[Entry, Outcome], None] = lambda entry, outcome: None
         self.on_restored: Callable[[], None] = lambda: None
         self.on_turned: Callable[[Proposal, int], None] = lambda proposal, again: None
@@ -102,10 +105,11 @@
                 for entry in entries:
                     self.apply(entry)
             case Install(snap):
-                self.book.restore(snap.book)
+                if snap.index > self.book.index:        # else it comes again, after a disk that failed
+                    self.book.restore(snap.book)
+                    self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
+                    self.on_restored()
                 self.disk.snapshot(snap, False)
-                self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
-                self.on_restored()
             case TakeSnapshot(index, term, members):
                 self.disk.snapshot(Snap(index, term, members, self.book.snapshot()), True)
             case Turned(proposal, again):
@@ -121,7 +125,9 @@
 
     def apply(self, entry: Entry) -> None:
         outcome = self.book.apply(entry)
-        self.recent.append((entry, outcome))
+        check = digest(msgspec.msgpack.encode(entry))
+        self.recent.append((msgspec.structs.replace(entry, body=b""), check,
+                            msgspec.structs.replace(outcome, told=b"")))
         self.on_applied(entry, outcome)
 
     # ---- time --------------------------------------------------------------------------------------
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -12,9 +12,11 @@
 from ...net.loop import Loop
 from ...replaceable import Replaceable
 from ...upgrade.giving import Side
+from ..ports import Work
 from .asked import Asked
 from .figures import figures
-from .node import Node, Phase
+from .node import Node
+from .phases import Phase
 
 AGAIN = SECOND // 5             # a disk or port that the process before this one still holds
 # Of a leaving that no majority takes note of: the lease runs out instead.
@@ -67,15 +69,15 @@
         """`give_up`: its incarnation too, as nothing hangs on that any more."""
         if self.node is not None and self.node.phase is Phase.TAKING_PART:
             self.until = self.loop.clock.now() + LEAVING
-            self.node.leave(give_up)
+            self.node.leaving.leave(give_up)
 
     @property
     def left(self) -> bool:
-        return self.node is None or self.node.left or self.loop.clock.now() >= self.until
+        return self.node is None or self.node.leaving.left or self.loop.clock.now() >= self.until
 
     def stay(self) -> None:
         if self.node is not None:
-            self.node.stay()
+            self.node.leaving.stay()
 
     def close(self) -> None:
         self.wanted = False
@@ -96,6 +98,11 @@
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
         return Asked(self.node, answer).word(what, line)
 
+    def work(self, name: str) -> Work | None:
+        """A part's work in this process, None while the node is closed."""
+        works = self.node.assembly.works if self.node is not None else ()
+        return next((work for work in works if work.name == name), None)
+
     def figures(self) -> dict:
         if self.node is None:
             return {"fleet": {"name": self.text.name, "phase": "closed", "why": self.why}}
@@ -143,7 +150,8 @@
 
     def ended(why: str) -> None:
         if alone:
-            process.loop.after(0, lambda: process.end_with(1))
+            process.code = 1
+            process.loop.after(0, process.end)
     if process.beside is None:
         process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
     return Handed(side, process.beside)
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -5,16 +5,24 @@
 from dataclasses import dataclass, field
 
 from ...directives.fleet import FleetText
+from ...errors import Trouble, told
 from ...log import Log
 from ...net.loop import Loop
-from ..batches.inside import work_of as batches_of
+from ...net.worker import Worker
+from ..audit.acts import ChainedActs
+from ..audit.files import Store
+from ..audit.heads import Heads
+from ..audit.work import Auditing
+from ..batches.inside import work_of as batches_work
 from ..batches.part import Batches
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
-from ..ports import Acts, BookPart, Work
-from ..terms import Lease, Stamp
+from ..ports import BookPart, Work
+from ..seats.part import Seats
+from ..seats.told import work as seats_work
+from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
 
@@ -34,30 +42,15 @@
 class Assembly:
     book: Book
     membership: Membership
+    acts: ChainedActs
+    auditing: Auditing
     works: list[Work] = field(default_factory=list)     # the membership first
-    acts: Acts | None = None
     felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None     # an RPC was answered here
 
 
-class Numbered:
-    """Acts, stamped by a lease and counted; the audit keeps them."""
-
-    def __init__(self, me: str, book: Book, lease: Callable[[int], Lease | None]) -> None:
-        self.me, self.book, self.lease = me, book, lease
-        self.incarnation = self.number = 0
-
-    def stamp(self, now: int, kind: str, about: bytes) -> Stamp | None:
-        if (lease := self.lease(now)) is None:
-            return None
-        if lease.incarnation != self.incarnation:
-            self.incarnation, self.number = lease.incarnation, 0
-        self.number += 1
-        return Stamp(self.me, self.incarnation, self.book.term, self.book.index, self.number)
-
-
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours(), Batches()]
+    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -65,6 +58,14 @@
     membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
                             text.drift, place.token)
     hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
-    acts = Numbered(text.me, book, place.lease)
-    batches = batches_of(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
-    return Assembly(book, membership, [membership, hours, batches], acts, batches.felt)
+    membership.judge.when = hours.time
+
+    def trouble(bad: Trouble) -> None:
+        place.log.trouble("audit", **told(bad))
+    acts = ChainedActs(text.me, place.lease, book, Store(
+        f"{text.folder}/audit", begun=lambda: Worker(place.loop)), trouble, when=hours.time)
+    auditing = Auditing(acts, book.parts["audit"], membership, trouble)
+    seats = seats_work(text, book.parts["seats"], acts, hours.time)
+    batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches],
+                    batches.felt)
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -23,6 +23,7 @@
 
     def __init__(self, loop: Loop, log: Log, text: Text) -> None:
         self.loop, self.log, self.text = loop, log, text
+        self.seating = None                     # where the file has a fleet: sidecar/seating.py
         self.felt = lambda now, rpc, latency: None      # where the file has a fleet, its batches hear it
         loop.pool = Memory(text.limits["memory"])
         self.memory = Memory(text.limits["memory"])
@@ -111,11 +112,15 @@
                                     for s in pool.servers.values() if s.listed}}
             for pool in self.pools.values()}}
 
+    def stop_listening(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
     def close(self) -> None:
         if self._sweep is not None:
             self._sweep.cancel()
-        if self.listener is not None:
-            self.listener.close()
+        self.stop_listening()
         for client in list(self.clients):
             client.stream.close()
             client.gone()
--- a/proofs/ledger_processes.py
+++ b/proofs/ledger_processes.py
@@ -47,8 +47,7 @@
 class Proof:
     def __init__(self, seed: int, quick: bool, broken: bool) -> None:
         self.quick, self.seed = quick, seed
-        self.path = Path(tempfile.mkdtemp(prefix="proof-ledger-"))
-        self.fleet = Fleet(self.path, voters=5, seed=seed, patch=DISKS,
+        self.fleet = Fleet(Path(tempfile.mkdtemp(prefix="proof-ledger-")), voters=5, seed=seed, patch=DISKS,
                            environment={"FLEET_DISK": "lying"} if broken else {})
         self.failovers: list[float] = []
         self.wrong: list[str] = []
@@ -192,10 +191,11 @@
     def run(self) -> dict:
         self.begun = time.monotonic()
         fleet = self.fleet
-        steps = [self.killed, self.stopped, lambda: self.parted("both"), self.memory_lost, self.disk_lost]
+        steps = [self.killed, self.stopped, lambda: self.parted("both"), self.memory_lost, self.disk_lost,
+                 self.two_leaders, self.trickling]
         if not self.quick:
-            steps += [self.two_leaders, lambda: self.parted("hears"), lambda: self.parted("heard"),
-                      self.trickling, self.majority_lost, self.disk_full, self.one_by_one, self.killed]
+            steps += [lambda: self.parted("hears"), lambda: self.parted("heard"), self.majority_lost,
+                      self.disk_full, self.one_by_one, self.killed]
         try:
             fleet.start()
             self.say("five members, one leads")
--- a/proofs/ledger_world.py
+++ b/proofs/ledger_world.py
@@ -5,18 +5,13 @@
 import heapq
 from random import Random
 
-import msgspec
-
 from indigohitch.fleet.ledger.ports import (
     Became,
-    Change,
     Commit,
     Due,
     Heard,
     Install,
     Members,
-    Propose,
-    Read,
     Readable,
     Send,
     Snap,
@@ -25,28 +20,32 @@
     Write,
 )
 from indigohitch.fleet.ledger.words import Append, Ask, Piece
-from indigohitch.fleet.terms import Proposal, Who
+from indigohitch.fleet.terms import Who
 from proofs.ledger_checks import Checks
-from proofs.ledger_station import BOOTSTRAP, Add, Station
+from proofs.ledger_clients import Clients
+from proofs.ledger_leases import Leases
+from proofs.ledger_station import BOOTSTRAP, Station
+
+TALLY = ("steps", "commits", "kills", "cuts", "reads", "snapshots", "elections", "disk_failures", "changes",
+         "hand_overs", "stops", "voided", "leases")
 
 
 class World:
     def __init__(self, seed: int, size: int) -> None:
         self.random = Random(seed)
         self.now, self.order, self.events = 0, 0, []
-        self.checks = Checks(self)
+        self.checks, self.leases = Checks(self), Leases(self)
         self.cuts, self.loss, self.doubling, self.delay, self.in_order = set(), 0.0, 0.0, 20, False
         self.arrivals = {}                      # link -> the last arrival, where order is kept
         founders = Members(tuple(Who(name, 1) for name in "abcdefg"[:size]))
         self.bootstrap = {**BOOTSTRAP, "append_most": self.random.choice((100, 300, 1000))}
         self.stations, self.disks = {}, {}
-        self.tally = dict.fromkeys(("steps", "commits", "kills", "cuts", "reads", "snapshots", "elections",
-                                    "disk_failures", "changes", "hand_overs", "stops", "voided"), 0)
+        self.tally = dict.fromkeys(TALLY, 0)
         self.hunter = None                      # told of each new leader, a little later
-        self.open = {}                          # proposal's number -> proposal, not known to be committed
-        self.numbers = 0
+        self.clients = Clients(self)
         self.carry = {Send: self.send, Write: self.to_disk, Install: self.install, Commit: self.commit,
-                      TakeSnapshot: self.snapshot, Turned: self.turned, Readable: self.readable,
+                      TakeSnapshot: self.snapshot, Turned: self.clients.turned,
+                      Readable: self.clients.readable,
                       Became: self.became}
         for who in founders.voters:
             self.begin(who, founders)
@@ -117,26 +116,33 @@
 
     def send(self, station: Station, output: Send) -> None:
         self.checks.sent(station, output.to, output.word)
-        link, chance = (station.me.name, output.to.name), self.random.random
+        self.post(station.me, output.to, self.heard, station.me, output.word)
+
+    def post(self, sender: Who, to: Who, act, *args) -> None:
+        """`act(station, *args)` at the member `to`, if it gets there."""
+        link, chance = (sender.name, to.name), self.random.random
         if link in self.cuts or chance() < self.loss:
             return
         for _ in range(2 if chance() < self.doubling else 1):
             arrival = self.now + 1 + int(self.delay * (0.5 + chance()) * (1 if chance() < 0.95 else 8))
             if self.in_order:
                 arrival = self.arrivals[link] = max(arrival, self.arrivals.get(link, 0))
-            self.at(arrival, self.deliver, station.me, output.to, output.word)
+            self.at(arrival, self.deliver, to, act, args)
 
-    def deliver(self, sender: Who, to: Who, word) -> None:
+    def deliver(self, to: Who, act, args) -> None:
         station = self.stations.get(to.name)
         if station is None or station.me != to or station.machine is None:
             return
-        if self.held_up(station, station.epoch, self.deliver, sender, to, word):
-            return
+        if not self.held_up(station, station.epoch, self.deliver, to, act, args):
+            act(station, *args)
+
+    def heard(self, station: Station, sender: Who, word) -> None:
         local = station.local(self.now)
         heard, ballot = station.hears_leader(local), station.machine.state.ballot
-        if type(word) in (Append, Piece) and word.term >= station.machine.term:
-            station.heard = local
+        leads = type(word) in (Append, Piece) and word.term >= station.machine.term
         self.step(station, Heard(sender, word))
+        if leads and station.machine is not None and station.machine.state.heard == local:
+            station.heard = local               # one that came too late tells of no leader
         if type(word) is Ask and heard:
             self.checks.asked(station, ballot, sender, word)
 
@@ -145,6 +151,7 @@
     def to_disk(self, station: Station, op) -> None:
         if type(op) is Write:
             self.checks.written(station, op)
+            self.checks.proposed(station, op)
             self.tally["voided"] += bool(op.cut)
         station.disk.queue.append(op)
         if len(station.disk.queue) == 1:
@@ -179,62 +186,21 @@
         """On the disk of that member, or as it was when it got lost."""
         return self.disks[who].term(index) if who in self.disks else None
 
-    # ---- clients -----------------------------------------------------------------------------------
+    # ---- what the machine says ---------------------------------------------------------------------
 
     def commit(self, station: Station, output: Commit) -> None:
         self.checks.commits(station, output.entries)
         for entry in output.entries:
             self.checks.applied(station, entry, station.book.apply(entry))
-            if self.open.pop(entry.number, None) is not None:
-                self.tally["commits"] += 1
-            self.checks.told(entry.index)
-
-    def propose(self, station: Station, fresh: bool) -> None:
-        """A new one, or one again that isn't known yet."""
-        if self.open and (not fresh or len(self.open) > 12 or self.random.random() < 0.5):
-            number = self.random.choice(sorted(self.open))
-        elif not fresh:
-            return
-        else:
-            self.numbers += 1
-            number = self.numbers
-            body = msgspec.msgpack.encode(Add(number))
-            self.open[number] = Proposal("p", 1, number, "toy.add", body)
-        self.offer(station, self.open[number])
-
-    def offer(self, station: Station, proposal: Proposal) -> None:
-        if station.machine is not None and not self.held_up(station, station.epoch, self.offer, station,
-                                                            proposal):
-            self.step(station, Propose(proposal))
-
-    def turned(self, station: Station, output: Turned) -> None:
-        leader = output.leader and self.stations.get(output.leader.name)
-        if leader is not None and leader is not station and output.proposal.number in self.open:
-            self.at(self.now + 10, self.offer, leader, output.proposal)
-
-    def read(self, station: Station) -> None:
-        self.numbers += 1
-        self.checks.read_begins(self.numbers)
-        self.ask(station, station.epoch, self.numbers)
-
-    def ask(self, station: Station, epoch: int, number: int) -> None:
-        if station.machine is not None and not self.held_up(station, epoch, self.ask, station, epoch,
-                                                            number):
-            self.step(station, Read(number))
-
-    def ask_change(self, station: Station, change: Change) -> None:
-        if station.machine is not None and not self.held_up(station, station.epoch, self.ask_change, station,
-                                                            change):
-            self.step(station, change)
-
-    def readable(self, station: Station, output: Readable) -> None:
-        self.tally["reads"] += output.ok
-        self.checks.read_ends(station, output)
+            self.clients.told(entry)
+        self.leases.check()
 
     def became(self, station: Station, output: Became) -> None:
         if output.leader is None:
             station.heard = None
         self.tally["elections"] += output.role == "leader"
         self.checks.became(station, output)
+        if output.role == "leader":
+            self.leases.elected(station)
         if output.role == "leader" and self.hunter is not None:
             self.at(self.now + int(self.random.random() ** 2 * 600), self.hunter, station)
