--- a/indigohitch/fleet/batches/inside.py
+++ b/indigohitch/fleet/batches/inside.py
@@ -11,6 +11,7 @@
 from ...net.clock import SECOND
 from ...net.loop import Loop
 from ..ports import Acts
+from ..seats.contract import COMMON
 from . import prices
 from .asking import contract_of
 from .part import Batches
@@ -70,6 +71,13 @@
     def back(piece, step, stamp, outcome, why) -> None:
         work.runner.outcome(loop.clock.now(), piece, step, stamp, outcome, why)
     sending = Sending(loop, part, {(run.site, run.kind): run.to for run in found.runs}, back)
+
+    def seats() -> dict[str, int]:
+        """Those that nobody has kept: a sidecar asks for one for each step (docs/seats.md)."""
+        known = part.book.parts.get("seats")
+        time = fleet_time(loop.clock.now())
+        return {name: found.terms.pools()[COMMON] if found.terms.valid(time) else 0
+                for name, found in sorted(known.features.items())} if known is not None else {}
     work = BatchesWork(part, text.me, acts, sending, fleet_time, offers, contract_of(found, text.edition),
-                       PriceFile(log, found.prices, found.sites, loop.clock))
+                       PriceFile(log, found.prices, found.sites, loop.clock), seats)
     return work
--- a/indigohitch/fleet/batches/part.py
+++ b/indigohitch/fleet/batches/part.py
@@ -106,6 +106,8 @@
         self.pieces.over = {}
 
     def on_contract(self, at: At, body: Contract) -> int:
+        if body == self.contract:
+            return body.edition                 # told by two leaders, one after the other
         if self.contract is not None and body.edition <= self.contract.edition:
             raise Unfit(f"edition {body.edition} of the contract; {self.contract.edition} stands",
                         remedy="a changed contract has a higher edition")
--- a/indigohitch/fleet/batches/plan.py
+++ b/indigohitch/fleet/batches/plan.py
@@ -5,9 +5,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from heapq import heappop, heappush
 
 from .placing import Field, Spot, Task
+from .slack import least_slack
 
 # A piece that is planned moves only for this share of its cost: a list of prices corrected by a cent or two
 # in fifty leaves the plan as it is, and no piece costs more than this above its best place.
@@ -20,6 +20,7 @@
 # Rounds over all pieces: the first ones move each alone, which is ten times as fast and most of the gain;
 # then together with who is in the way, until nothing moves or the plan counts as settled.
 ALONE, PASSES = 2, 6
+ANEW = 64                       # new ones that are placed both ways: small cases end at 1.02 instead of 1.07
 
 
 class Plan:
@@ -201,41 +202,29 @@
             if not moved and deep:
                 return
 
+    def both_ways(self) -> Iterator[bool]:
+        """As `looks`; then, where few are new, these once more from nothing: who draws most chooses first.
+        The cheaper of the two stands."""
+        yield from self.looks()
+        new = [task for id, task in self.tasks.items() if task.fresh and id in self.spots and not task.fixed]
+        if not 1 < len(new) <= ANEW:
+            return
+        before, cost = dict(self.spots), self.cost()
+        for task in new:
+            self.take(task)
+        for task in sorted(new, key=lambda t: (-max(t.power.values()), t.last - t.first, t.id)):
+            if (best := self.field.best(task)) is not None:
+                self.put(task, best[1])
+        try:
+            if all(task.id in self.spots for task in new):
+                yield from self.looks()
+        finally:
+            if self.cost() >= cost or len(self.spots) < len(before):
+                for id in list(self.spots):
+                    self.take(self.tasks[id])
+                for id, spot in before.items():
+                    self.put(self.tasks[id], spot)
+
     def settle(self) -> None:
-        for _ in self.looks():
+        for _ in self.both_ways():
             pass
-
-
-def least_slack(field: Field, tasks: list[Task]) -> dict[str, Spot]:
-    """Of two that are ready the one with less time to spare runs, and of equals the one that ran just now.
-    A piece stays at the place where it began.  Those that come out whole."""
-    left = {task.id: task.need for task in tasks}
-    at_place, slots = {}, {task.id: [] for task in tasks}
-    coming = sorted(tasks, key=lambda task: (task.first, task.id), reverse=True)
-    ready: list[tuple] = []
-    for now in range(field.count):
-        while coming and coming[-1].first <= now:
-            task = coming.pop()
-            heappush(ready, (task.last - task.need, 1, task.id, task))
-        again = []
-        while ready and any(room[now] > 0 for room in field.room.values()):
-            slack, _, id, task = heappop(ready)
-            if slack < now:
-                continue                # can't be in time any more
-            places = [at_place[id]] if id in at_place else task.power
-            place = next((p for p in places if p in field.room and field.fits(task, p, now)), None)
-            if place is None:
-                again.append((slack, 1, id, task))
-                continue
-            field.put(task, Spot(place, (now,)))
-            at_place[id] = place
-            slots[id].append(now)
-            left[id] -= 1
-            if left[id]:
-                again.append((slack + 1, 0, id, task))
-        for one in again:
-            heappush(ready, one)
-    for task in tasks:
-        if slots[task.id]:
-            field.take(task, Spot(at_place[task.id], tuple(slots[task.id])))
-    return {task.id: Spot(at_place[task.id], tuple(slots[task.id])) for task in tasks if not left[task.id]}
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -153,7 +153,7 @@
 
     @staticmethod
     def cheaper(plan: Plan) -> Iterator[None]:
-        for count, _ in enumerate(plan.looks()):
+        for count, _ in enumerate(plan.both_ways()):
             if plan.moves >= MOVES:
                 return
             if count % LOOKS == LOOKS - 1:
