--- /dev/null
+++ b/tests/test_batches_parts.py
@@ -0,0 +1,151 @@
+"""Batches' directives, what people ask, how steps go out, strain, and the list of prices on a disk."""
+import pytest
+
+from indigohitch.directives import operator_file, sidecar_file
+from indigohitch.directives.lines import Mistakes
+from indigohitch.errors import Unfit
+from indigohitch.fleet.batches.asking import batch_of, contract_of, word_of
+from indigohitch.fleet.batches.inside import PriceFile
+from indigohitch.fleet.batches.rows import Word
+from indigohitch.fleet.batches.sending import outcome
+from indigohitch.fleet.batches.strain import Strain
+from indigohitch.log import Log
+from indigohitch.net.http import Answer
+
+FILE = """name n1
+fleet whk
+member n1 127.0.0.1:7401 votes
+ledger /tmp/n1
+edition 3
+batch-slot 15m
+site eros zone Europe/Berlin holidays DE-BE
+lanes eros std 8
+band eros workday,saturday 06:00-22:00 24.5
+band eros any 00:00-24:00 -1.25
+peak eros 40kW surcharge 12
+batch-class dunning non-idempotent path /d/{piece}/{step} power std=1.5kW pause 0.4 seats geo=1 sites eros
+prices /tmp/prices.txt
+runs eros std 4 to 127.0.0.1:8080
+"""
+
+
+def test_a_file_s_contract():
+    text = operator_file.read(FILE).fleet.parts["batches"][0]
+    got = contract_of(text, 3)
+    site, (rpc,) = got.sites[0], got.classes
+    assert (got.slot, site.lanes, site.peak, site.surcharge) == (9_000_000, {"std": 8}, 40_000, 12_000)
+    assert [(b.days, b.begin, b.end, b.price) for b in site.bands] == [
+        (("workday", "saturday"), 216_000_000, 792_000_000, 24_500), ((), 0, 864_000_000, -1250)]
+    assert (rpc.idempotent, rpc.power, rpc.pause, rpc.seats) == (False, {"std": 1500}, 400, {"geo": 1})
+    assert text.runs[0].to == ("127.0.0.1", 8080) and text.prices == "/tmp/prices.txt"
+
+
+@pytest.mark.parametrize("change, line, why", [
+    (("edition 3\n", "\n"), 7, "edition"), (("15m", "7m"), 6, "divides the hour"), (("15m", "1h"), 6, ""),
+    (("zone Europe/Berlin ", ""), 7, "zone"), (("DE-BE", "Berlin"), 7, "country"),
+    (("lanes eros std 8\n", "\n"), 7, "lanes"), (("eros workday", "mars workday"), 9, "no site mars"),
+    (("06:00-22:00", "22:00-06:00"), 9, "two lines"), (("06:00", "06:10"), 7, "slot"),
+    (("24.5", "cheap"), 9, "price"), (("surcharge 12", "surcharge 0"), 11, "surcharge"),
+    (("std=1.5kW", "std=much"), 12, "power"), (("std=1.5kW", "old=1.5kW"), 12, "nodes of its kinds"),
+    (("sites eros", "sites mars"), 12, "no site mars"), (("runs eros std", "runs eros old"), 14, "no lanes"),
+    ((" to 127.0.0.1:8080", ""), 14, "no sidecar")])
+def test_each_mistake_has_its_line(change, line, why):
+    if not why:
+        assert operator_file.read(FILE.replace(*change)).fleet.parts["batches"][0].slot == 36_000_000
+        return
+    with pytest.raises(Mistakes) as told:
+        operator_file.read(FILE.replace(*change))
+    assert (line, True) in [(at, why in text) for at, text in told.value.found], told.value.found
+
+
+def test_a_sidecar_runs_pieces_through_itself():
+    text = sidecar_file.read("""name s1
+listen 127.0.0.1:8080
+rpc d idempotent
+pool p
+server a 127.0.0.1:9 pool p
+route POST /d/{x} rpc d pool p
+fleet whk
+member n1 127.0.0.1:7401 votes
+member s1 127.0.0.1:7402 follows
+ledger /tmp/s1
+runs eros std 2
+""")
+    assert text.fleet.parts["batches"][0].runs[0].to == ("127.0.0.1", 8080)
+
+
+PIECE = {"earliest": "2026-12-02T18:00+01:00", "latest": "2026-12-03T06:00+01:00", "work": "40m",
+         "steps": 200}
+BATCH = {"id": "b", "tenant": "t", "class": "c", "pieces": [PIECE]}
+
+
+def test_a_batch_as_people_say_it():
+    (cut,) = batch_of(BATCH).cuts
+    assert (cut.latest - cut.earliest, cut.work, cut.steps) == (12 * 36_000_000, 24_000_000, 200)
+    for spoilt in (None, [], BATCH | {"id": ""}, BATCH | {"pieces": "all"}, BATCH | {"pieces": [{}]}, *(
+            BATCH | {"pieces": [PIECE | wrong]}
+            for wrong in ({"steps": "many"}, {"work": "40"}, {"latest": "2026-12-03T06:00"}))):
+        with pytest.raises(Unfit) as told:
+            batch_of(spoilt)
+        assert "dunning-7" in told.value.remedy
+    assert word_of("b.1 from 8") == Word("b.1", "from", 8) and word_of("b.1 done") == Word("b.1", "done")
+    for spoilt in ("", "b.1", "b.1 from", "b.1 from x", "b.1 again"):
+        with pytest.raises(Unfit):
+            word_of(spoilt)
+
+
+@pytest.mark.parametrize("answer, word", [
+    (Answer("answered", 200), "ok"), (Answer("connect_failed"), "not run"), (Answer("unreached"), "not run"),
+    (Answer("timeout"), "unknown"), (Answer("reset"), "unknown"), (Answer("answered", 502), "unknown"),
+    (Answer("answered", 503, b"no server now\n"), "not run"), (Answer("answered", 503, b"eh"), "unknown"),
+    (Answer("answered", 404), "refused"), (Answer("answered", 429), "not run")])
+def test_only_what_surely_never_ran_counts_as_that(answer, word):
+    assert outcome(answer)[0] == word
+
+
+def felt(strain, now, latencies):
+    for latency in latencies:
+        now += 300
+        strain.felt(now, latency)
+        strain.turn(now)
+    return now
+
+
+def test_strain_pauses_soon_and_is_over_soon_and_noise_is_none():
+    strain = Strain()
+    now = felt(strain, 0, [400, 410, 420, 405, 430, 400, 410, 420, 405, 430, 410, 900] * 20)  # one is slow by chance
+    assert not strain.strained and strain.pauses == 0
+    now = felt(strain, now, [700] * 6)
+    assert strain.strained
+    now = felt(strain, now, [410] * 40)
+    assert not strain.strained
+    now = felt(strain, now, [700] * 8)
+    assert strain.strained and not strain.turn(now + 20_000)            # nobody is there any more
+
+
+def test_batches_can_t_raise_what_counts_as_calm():
+    strain = Strain()
+    now, calm = felt(strain, 0, [400, 410, 420] * 20), strain.calm
+    strain.busy = True
+    felt(strain, now, [round(calm * 1.1)] * 5000)
+    assert strain.calm <= calm
+
+
+class Clock:
+    time = 0
+
+    def now(self):
+        self.time += 60_000
+        return self.time
+
+
+def test_a_spoilt_list_on_the_disk_leaves_the_last_good_one(tmp_path):
+    path, log = tmp_path / "prices.txt", Log(Clock(), out=-1)
+    file = PriceFile(log, str(path), {"eros"}, Clock())
+    assert file() is None and log.counts["prices_missing"] == 1
+    path.write_text("edition 1\neros 2026-12-02T14:00+01:00 20\n")
+    assert file().edition == 1
+    path.write_text("edition 2\neros 2026-12-02T14:00+01:00 twenty\n")
+    assert file().edition == 1 and file().edition == 1 and log.counts["prices_refused"] == 1
+    path.write_text("edition 2\neros 2026-12-02T14:00+01:00 21.5\n")
+    assert file().edition == 2
