--- a/indigohitch/load/replay/command.py
+++ b/indigohitch/load/replay/command.py
@@ -57,9 +57,8 @@
 @click.option("--json", "as_json", is_flag=True, help="The report as one line of JSON.")
 @click.option("--save", default="", type=click.Path(dir_okay=False), help="All figures, for `load page`.")
 @click.option("--shard", default="", hidden=True)
-@click.option("--begin", default=0, hidden=True)
 def replay(trace, target, speed, start, end, filters, longest_gap, rate, connections, processes, journal,
-           resume, through, allow_target, as_json, save, shard, begin) -> None:
+           resume, through, allow_target, as_json, save, shard) -> None:
     """Send TRACE to TARGET, HOST:PORT, as it was recorded."""
     from ..trace import Trace
     from . import running
@@ -77,7 +76,8 @@
         figures, told = in_processes(processes, running.span(found, plan))
     else:
         wanted = running.Wanted(target, plan, servers, allow_target, journal, resume, rate / of,
-                                max(1, connections // of), begin, quiet if shard else progress, stoppable)
+                                max(1, connections // of), quiet if shard else progress,
+                                Together() if shard else stoppable)
         figures, told = running.run(found, wanted)
     if save:
         with open(save, "wb") as file:
@@ -108,10 +108,23 @@
         signal.signal(number, lambda *_: driver.stop())
 
 
+class Together:
+    """In a process among several: tells that it is ready, and is told when all begin."""
+
+    def __init__(self) -> None:
+        self.told = False
+
+    def __call__(self, driver) -> None:
+        stoppable(driver)
+        if not self.told:
+            self.told = True
+            click.echo("ready")
+            driver.begin = int(sys.stdin.readline() or 0) or driver.begin
+
+
 def in_processes(count: int, span: int):
     """The same command line for each, which sends the connections that are its own."""
     from .figures import Figures
-    begin = round(time.time() * 10_000) + 15_000            # by then all of them have started
     words = [w for w in sys.argv[1:] if w != "--json"]
     for at, word in enumerate(words):
         if word.split("=")[0] == "--save":      # the whole is saved here
@@ -125,10 +138,21 @@
                 mine[at + 1] += f".{number}"
             elif word.startswith("--journal="):
                 mine[at] += f".{number}"
-        mine += ["--shard", f"{number}/{count}", "--begin", str(begin)]
-        parts.append(subprocess.Popen([sys.executable, "-m", "indigohitch", *mine], stdout=subprocess.PIPE))
+        mine += ["--shard", f"{number}/{count}"]
+        parts.append(subprocess.Popen([sys.executable, "-m", "indigohitch", *mine], stdin=subprocess.PIPE,
+                                      stdout=subprocess.PIPE))
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda got, _: [part.send_signal(got) for part in parts if part.poll() is None])
+    for part in parts:
+        part.stdout.readline()                  # it is ready, or has ended
+    begin = round(time.time() * 10_000) + 2000
+    for part in parts:
+        try:
+            with part.stdin as pipe:
+                pipe.write(b"%d\n" % begin)
+        except BrokenPipeError:
+            pass
+        part.stdin = None
     figures, told = Figures(span), {"processes": count}
     failed = 0
     for part in parts:
--- a/indigohitch/load/replay/drive.py
+++ b/indigohitch/load/replay/drive.py
@@ -34,16 +34,15 @@
     SPAN = 10 * SECOND          # for an answer: twice the longest deadline of the users' RPCs
 
     def __init__(self, to: tuple[str, int], due: Iterator[Job], figures: Figures, pace: Pace,
-                 connections: int, journal: Journal | None, name: str, begin: int = 0) -> None:
-        """`name`: of the trace, for the ids of non-idempotent requests; `begin`: Unix time at which the
-        schedule starts, 0: now."""
+                 connections: int, journal: Journal | None, name: str) -> None:
+        """`name`: of the trace, for the ids of non-idempotent requests."""
         def failed(broken: BaseException) -> None:
             raise broken
         self.loop = Loop(Clock(), failed)
         self.loop.pool.left = 1 << 30           # a tool: no limit but the machine's
         self.to, self.due, self.figures, self.pace, self.most = to, due, figures, pace, connections
         self.journal, self.name, self.host = journal, name, f"{to[0]}:{to[1]}"
-        self.begin = begin or self.loop.clock.now()
+        self.begin = self.loop.clock.now()      # of the schedule, Unix time; may be set until `run`
         self.next: Job | None = None
         self.waiting: deque[Job] = deque()      # due, and no wire for them
         self.idle: OrderedDict[Wire, int] = OrderedDict()       # each with its connection, oldest first
--- a/indigohitch/load/replay/running.py
+++ b/indigohitch/load/replay/running.py
@@ -31,7 +31,6 @@
     resume: bool = False
     rate: float = 0.0
     connections: int = 512
-    begin: int = 0
     tell: Callable[[Driver], None] = field(default=lambda driver: None)
     started: Callable[[Driver], None] = field(default=lambda driver: None)
 
@@ -100,8 +99,7 @@
             settle(journal, wanted.servers, name)
     figures = Figures(span(trace, plan))
     jobs = left(selected(trace, plan), journal, wanted.resume)
-    driver = Driver(wanted.to, jobs, figures, Pace(wanted.rate), wanted.connections, journal, name,
-                    wanted.begin)
+    driver = Driver(wanted.to, jobs, figures, Pace(wanted.rate), wanted.connections, journal, name)
     driver.tell = lambda: wanted.tell(driver)
     wanted.started(driver)
     driver.run()
