--- a/indigohitch/fleet/audit/acts.py
+++ b/indigohitch/fleet/audit/acts.py
@@ -13,7 +13,8 @@
 # Acts whose record must outlive a loss of power, as what follows from them isn't bounded by a lease: a piece
 # of a batch that was let go may have run, and who gave on a member's things must be known.  All others are
 # written before the act, so that they outlive the process, and are on the disk with the next beat.
-FIRM = frozenset({"batches.released", "batches.started"})
+FIRM = frozenset({"batches.start"})
+SPANS = 8                       # versions whose acts are told of in `status`; the records have all
 
 
 class ChainedActs:
@@ -25,7 +26,9 @@
         self.me, self.lease, self.book, self.store = me, lease, book, store
         self.trouble, self.firm, self.when = trouble, firm, when
         self.chain: Chain | None = None
+        self.safe: tuple[int, int, bytes] | None = None     # the head of what is on the disk
         self.counts: Counter[str] = Counter()       # by kind; `refused`, `unwritten`
+        self.spans: dict[int, list[int]] = {}       # by version acted on: acts, when the first, the last
 
     @property
     def number(self) -> int:
@@ -55,14 +58,44 @@
             return None
         self.chain.take(record)
         self.counts[kind] += 1
+        span = self.spans.setdefault(self.book.parts["members"].version, [0, record.at, 0])
+        span[0], span[2] = span[0] + 1, record.at
+        if len(self.spans) > SPANS:
+            del self.spans[min(self.spans)]
         return record.stamp
 
+    def close(self) -> None:
+        self.sync()
+        self.store.close()
+
     def sync(self) -> bool:
         """All acts so far are on the disk; False where that failed: it is tried again."""
         try:
             self.store.sync()
         except OSError as bad:
-            self.trouble(NotNow(f"acts are not on the disk: {bad.strerror}", str(self.store.folder),
-                                "make room on that disk, or look at its health"))
+            self.unsafe(bad)
             return False
+        self.safe = self.head()
         return True
+
+    def sync_soon(self) -> None:
+        """With each beat; `safe` follows."""
+        upto = self.head()
+        if upto == self.safe or upto is None:
+            return
+
+        def done(bad: OSError | None) -> None:
+            if bad is not None:
+                self.unsafe(bad)
+            elif self.safe is None or upto[:2] > self.safe[:2]:
+                self.safe = upto
+        self.store.sync_soon(done)
+
+    def unsafe(self, bad: OSError) -> None:
+        self.trouble(NotNow(f"acts are not on the disk: {bad.strerror}", str(self.store.folder),
+                            "make room on that disk, or look at its health"))
+
+    def head(self) -> tuple[int, int, bytes] | None:
+        """Incarnation, number and digest of the last record."""
+        chain = self.chain
+        return (chain.incarnation, chain.number, chain.head) if chain is not None else None
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -5,13 +5,23 @@
 from dataclasses import dataclass, field
 
 from ...directives.fleet import FleetText
+from ...errors import Trouble, told
 from ...log import Log
 from ...net.loop import Loop
+from ...net.worker import Worker
+from ..audit.acts import ChainedActs
+from ..audit.files import Store
+from ..audit.heads import Heads
+from ..audit.work import Auditing
+from ..batches.inside import work_of as batches_work
+from ..batches.part import Batches
 from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
-from ..ports import Acts, BookPart, Work
+from ..ports import BookPart, Work
+from ..seats.part import Seats
+from ..seats.told import work as seats_work
 from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
@@ -32,13 +42,15 @@
 class Assembly:
     book: Book
     membership: Membership
+    acts: ChainedActs
+    auditing: Auditing
     works: list[Work] = field(default_factory=list)     # the membership first
-    acts: Acts | None = None
+    felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None     # an RPC was answered here
 
 
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours()]
+    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -46,4 +58,14 @@
     membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
                             text.drift, place.token)
     hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
-    return Assembly(book, membership, [membership, hours])
+    membership.judge.when = hours.time
+
+    def trouble(bad: Trouble) -> None:
+        place.log.trouble("audit", **told(bad))
+    acts = ChainedActs(text.me, place.lease, book, Store(
+        f"{text.folder}/audit", begun=lambda: Worker(place.loop)), trouble, when=hours.time)
+    auditing = Auditing(acts, book.parts["audit"], membership, trouble)
+    seats = seats_work(text, book.parts["seats"], acts, hours.time)
+    batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
+    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches],
+                    batches.felt)
--- /dev/null
+++ b/tests/test_audit_gate.py
@@ -0,0 +1,50 @@
+"""Receivers that can check a stamp refuse an older one."""
+from indigohitch import interface as face
+from indigohitch.fleet.audit.gate import Gate
+from indigohitch.fleet.terms import Stamp
+from indigohitch.log import Log
+from indigohitch.net.clock import Clock
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink.relay import Relay
+from indigohitch.standins.stamped import Stamped
+
+
+def test_a_stand_in_server_refuses_older_stamps():
+    stamped = Stamped()
+    assert not stamped.why_not({}) and "read" in stamped.why_not({b"x-stamp": b"m.1.x.2.3"})
+    assert not stamped.why_not({b"x-stamp": b"a.m.2.1.9.4"}) and stamped.why_not({b"x-stamp": b"a.m.1.1.9.5"})
+    assert stamped.told(b"/fleet/gone/a.m/2") and not stamped.told(b"/vacancies/12")
+    assert "shut out" in stamped.why_not({b"x-stamp": b"a.m.2.1.9.6"})
+    assert stamped.told(b"/fleet/in-force/12") and stamped.why_not({b"x-stamp": b"o.1.1.11.1"})
+
+
+def test_a_stamp_from_before_a_shutting_out_is_refused():
+    gate = Gate()
+    assert not any(gate.admits(Stamp("m", 1, 1, 10, number), "seat") for number in (1, 2))
+    assert "older" in gate.admits(Stamp("m", 1, 1, 10, 2), "seat")
+    gate.end("m", 1)
+    assert "shut out" in gate.admits(Stamp("m", 1, 1, 12, 3), "seat")
+    assert not gate.admits(Stamp("m", 3, 1, 12, 1), "seat")
+    assert "before one" in gate.admits(Stamp("m", 2, 1, 12, 9))
+    gate.in_force(20)
+    assert "in force" in gate.admits(Stamp("m", 3, 1, 19, 2)) and not gate.admits(Stamp("n", 1, 2, 20, 1))
+    assert gate.refused == 4
+
+
+def test_orders_that_may_not_go_are_void_and_told():
+    """What was decided while this coordinator might act doesn't go later (platformlink/relay)."""
+    clock = Clock()
+    relay = Relay(Loop(clock, print), Log(clock, out=-1), ("127.0.0.1", 1), ["search"], 0, 0)
+    went, void, may = [], [], False
+    relay.client.request = lambda *words: went.append(words[4])
+    relay.dropped = void.extend
+    relay.allowed = lambda orders: may and orders.startswith("put,3,b1")
+    first, second = face.SetLine(3, "b1", 1.0), face.SetLine(4, "b2", 1.0)
+    relay.hold(True)
+    relay.order([first])
+    relay.order([second])
+    relay.hold(False)
+    assert void == [first, second] and relay.idle and not relay.waiting and not went
+    may = True
+    relay.order([first])
+    assert len(went) == 1 and b"put%2C3%2Cb1" in went[0] and relay.waiting
