--- a/proofs/ledger_model.py
+++ b/proofs/ledger_model.py
@@ -64,13 +64,13 @@
 
 FRESH = disk(0)
 SCENES = (
-    Scene("two stand at once", (FRESH,) * 3, (), Bounds("ab", 0, 0), Bounds("ab", 0, 0, prompt=True)),
-    Scene("one stands, one crashes", (FRESH,) * 3, (), Bounds("a", 1, 1, 1), Bounds("a", 1, 0)),
-    Scene("another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 0, 1), Bounds("bc", 0, 0, prompt=True)),
-    Scene("a read while another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 0, 0, 1),
+    Scene("two stand at once", (FRESH,) * 3, (), Bounds("ab", 1, 0), Bounds("ab", 0, 0, prompt=True)),
+    Scene("one stands, some crash", (FRESH,) * 3, (), Bounds("a", 2, 1, 1), Bounds("a", 1, 0)),
+    Scene("another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 1, 1), Bounds("bc", 0, 0, prompt=True)),
+    Scene("a read while another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 1, 0, 1),
           Bounds("bc", 0, 0, 0, 1, prompt=True)),
     Scene("an entry of an old term (figure 8)", (disk(3, 1, 2), disk(3, 1), disk(3, 1, 3)), (),
-          Bounds("ac", 0, 1, prompt=True), Bounds("ac", 0, 0, prompt=True)),
+          Bounds("abc", 0, 0, prompt=True), Bounds("ac", 0, 0, prompt=True)),
 )
 
 
