--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -14,7 +14,7 @@
 from .replaceable import Replaceable
 from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
-from .upgrade.giving import Side
+from .upgrade.side import Side
 
 
 class Coordinating(Replaceable):
--- a/indigohitch/fleet/node/alone.py
+++ b/indigohitch/fleet/node/alone.py
@@ -11,12 +11,12 @@
 from ...replaceable import Replaceable
 from ...upgrade import launch
 from ...upgrade import snapshot as shots
-from ...upgrade.giving import Side
+from ...upgrade.side import Side
 from .inside import beside
 
 
 class Bare:
-    """All that is handed over is the control socket: the record is on the disk (upgrade.giving.Side)."""
+    """All that is handed over is the control socket: the record is on the disk (upgrade.side.Side)."""
 
     def __init__(self, clock, controls: Callable[[], Listener | None],
                  control_taken: Callable[[socket.socket], None], reload: Callable[[], None]) -> None:
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -11,7 +11,7 @@
 from ...net.clock import SECOND
 from ...net.loop import Loop
 from ...replaceable import Replaceable
-from ...upgrade.giving import Side
+from ...upgrade.side import Side
 from ..ports import Work
 from .asked import Asked
 from .figures import figures
@@ -110,7 +110,7 @@
 
 
 class Handed:
-    """A side of an upgrade (upgrade.giving.Side) whose process has a node too.  Disk and port have one owner:
+    """A side of an upgrade (upgrade.side.Side) whose process has a node too.  Disk and port have one owner:
     the old process closes them before its word goes out, the new one opens them after."""
 
     def __init__(self, side: Side, inside: Inside) -> None:
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -17,8 +17,8 @@
 from ..net.connection import Listener
 from ..upgrade import events
 from ..upgrade import snapshot as shots
-from ..upgrade.giving import Connection
 from ..upgrade.module_state import freeze, thaw
+from ..upgrade.side import Connection
 from . import tables
 from .front import Front
 
@@ -60,7 +60,7 @@
 
 
 class Handover:
-    """Of a front; see upgrade.giving.Side.  In the new process `make(listening)` makes the front."""
+    """Of a front; see upgrade.side.Side.  In the new process `make(listening)` makes the front."""
 
     def __init__(self, front: Front | None, make: Callable[[socket.socket | None], Front],
                  controls: Callable[[], Listener | None], control_taken: Callable[[socket.socket], None],
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -18,8 +18,9 @@
 from .process import Process
 from .statefile import StateFile
 from .upgrade import snapshot as shots
-from .upgrade.giving import Giving, Side
-from .upgrade.machine import Phase as Handing
+from .upgrade.giving import Giving
+from .upgrade.phases import Phase as Handing
+from .upgrade.side import Side
 from .upgrade.taking import Taking
 
 
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -12,8 +12,8 @@
 from ..net.connection import Listener
 from ..upgrade import events
 from ..upgrade import snapshot as shots
-from ..upgrade.giving import Connection
 from ..upgrade.module_state import freeze, thaw
+from ..upgrade.side import Connection
 from .clients import Client
 from .host import Host
 from .pool import Pool
@@ -63,7 +63,7 @@
 
 
 class Handover:
-    """Of a host; see upgrade.giving.Side."""
+    """Of a host; see upgrade.side.Side."""
 
     def __init__(self, host: Host, controls: Callable[[], Listener | None],
                  control_taken: Callable[[socket.socket], None], reload: Callable[[], None]) -> None:
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -9,7 +9,7 @@
 from ..errors import Unfit, told
 from ..replaceable import Replaceable
 from ..upgrade import launch
-from ..upgrade.giving import Side
+from ..upgrade.side import Side
 from .handover import Handover
 from .host import Host
 
--- a/indigohitch/statefile.py
+++ b/indigohitch/statefile.py
@@ -7,7 +7,7 @@
 from .log import Log
 from .net.clock import Clock
 from .upgrade import snapshot as shots
-from .upgrade.giving import Side
+from .upgrade.side import Side
 
 # What a state that does not fit shows itself by.
 UNFIT = (shots.Unusable, ValueError, IndexError, KeyError, TypeError, AttributeError)
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -1,9 +1,7 @@
 """The old process' side of an upgrade: drives a `Giver` with what happens, and does what it says."""
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 from ..log import Log
 from ..net.clock import SECOND
@@ -11,37 +9,11 @@
 from . import snapshot as shots
 from . import words
 from .channel import Channel
+from .giver import Giver
 from .launch import Started
-from .machine import Giver, Phase
-
-Connection = tuple[str, socket.socket, bytes]   # its kind, the socket, and what it brought that nobody read
-
-
-class Side(Protocol):
-    """What a program offers so that it can be handed over."""
-    # in the old process
-    def listeners(self) -> dict[str, socket.socket]: ...
-    def settle(self, on: bool) -> None: ...             # begin nothing that a state can't hold
-    def settled(self) -> bool: ...
-    def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
-        """The module stands still from here on; its state, or why there is none, at once or later."""
-    def thaw(self) -> None: ...                         # it goes on
-    def accept(self, on: bool) -> None: ...
-    def rest(self) -> bytes: ...                        # what came since the state or the last rest
-    def idle(self) -> list[Connection]: ...             # take out what can be passed on
-    def adopt(self, kind: str, sock: socket.socket, rest: bytes) -> None: ...
-    def drain(self, pass_on: Callable[[Connection], bool]) -> None: ...
-    def drained(self) -> bool: ...
-    def rehearse(self, at: int) -> bytes: ...           # digest of the next orders; moves the module
-    def reload(self) -> None: ...
-
-    # in the new process
-    def restore(self, state: shots.Snapshot, listeners: dict[str, socket.socket]) -> None: ...
-    def again(self) -> shots.Snapshot: ...              # the restored state, as it would be handed over
-    def rehearse_copy(self, state: shots.Snapshot, at: int) -> bytes: ...
-    def take_rest(self, rest: bytes) -> None: ...
-    def fresh(self, listeners: dict[str, socket.socket]) -> None: ...       # without a state
-    def begin(self, restored: bool) -> None: ...        # accept; OSError where nothing is to accept at
+from .passing import Passing
+from .phases import Phase
+from .side import Connection, Side
 
 
 class Giving:
@@ -52,7 +24,6 @@
              "watch": SECOND}           # the old one stands by: a first accept or plan that fails shows
     POLL = SECOND // 200
     ENDING = SECOND // 5                # from the end of its channel to the death of a process that ends
-    MOST_RESTS = 1 << 20                # unread bytes of connections in one frame: an eighth of its bound
     PIECE = 1 << 16                     # of the state: a frame that a socket's buffer takes in one go
     REHEARSE = 2 * SECOND               # ahead: four beats, so that the module has something to order
 
@@ -69,9 +40,9 @@
         self.started: Started | None = None
         self.channel: Channel | None = None
         self.deadline: Deadline | None = None
-        self.passed: dict[int, Connection] = {}         # not known to have their owner
+        self.passing = Passing(self.say)
         self.reload = False                     # SIGHUP came meanwhile
-        self.state, self.theirs, self.number = b"", b"", 0
+        self.state, self.theirs = b"", b""
         self.figures: dict = {}
 
     @property
@@ -86,14 +57,13 @@
                            **({"why": why} if why else {}))
             if self.deadline is not None:
                 self.deadline.cancel()
-                self.deadline = None
             self.arm()
         for act in acts:
             getattr(self, f"do_{act.value}")()
 
     def arm(self) -> None:
-        if (name := self.machine.wait) is not None:
-            self.deadline = self.loop.after(self.waits[name], self.overdue)
+        name = self.machine.wait
+        self.deadline = self.loop.after(self.waits[name], self.overdue) if name else None
 
     def overdue(self) -> None:
         self.step("deadline")
@@ -118,9 +88,7 @@
                 self.theirs = orders
                 self.step("proven")
             case words.Adopted(numbers):
-                for number in numbers:
-                    if number in self.passed:
-                        self.passed.pop(number)[1].close()
+                self.passing.adopted(numbers)
             case words.Accepting():
                 self.step("accepting")
             case words.Refuse(why):
@@ -135,33 +103,30 @@
             self.channel = None
         else:
             self.channel = None
-            # A process that ends closes its channel first; how it ended tells more.  Once nobody accepts here
-            # there is no time for that.
+            # A process that ends closes its channel first; how it ended tells more.  If nobody accepts: now.
             span = 0 if self.machine.phase is Phase.COMMITTED else self.ENDING
             self.loop.after(span, lambda: started is self.started and self.step("eof", why))
 
-    def died(self, why: str) -> None:
+    def died(self, started: Started, why: str) -> None:
+        if started is not self.started:
+            return                              # of an earlier upgrade, which was killed late
         if self.channel is not None:
             self.channel.read()                 # its last words came first
         self.step("died", why)
 
     # ---- what is done ------------------------------------------------------------------------------
 
-    def say(self, word: words.Word, descriptors: Sequence[int] = ()) -> None:
+    def say(self, word: words.Word, descriptors: Sequence[int] = (), last: bool = False) -> None:
         if self.channel is not None:
             self.channel.say(word, descriptors)
+            if last:
+                self.channel.flush_hard()
 
     def do_spawn(self) -> None:
         self.figures = {"asked": self.loop.clock.now()}
         self.reload = False
-        one: list[Started] = []
-
-        def died(why: str) -> None:
-            if one and one[0] is self.started:      # not of an earlier upgrade, which was killed late
-                self.died(why)
         try:
-            self.started = Started(self.loop, self.program, died)
-            one.append(self.started)
+            self.started = Started(self.loop, self.program, self.died)
         except OSError as bad:
             self.step("refused", f"the new program can't be started: {bad}")
             return
@@ -170,14 +135,15 @@
 
     def do_settle(self) -> None:
         self.side.settle(True)
-        self.poll_settled()
+        self.poll(Phase.SETTLING, self.side.settled, "settled")
 
-    def poll_settled(self) -> None:
-        if self.machine.phase is Phase.SETTLING:
-            if self.side.settled():
-                self.step("settled")
+    def poll(self, phase: Phase, there: Callable[[], bool], event: str) -> None:
+        """As long as the phase lasts: `event` once `there`."""
+        if self.machine.phase is phase:
+            if there():
+                self.step(event)
             else:
-                self.loop.after(self.POLL, self.poll_settled)
+                self.loop.after(self.POLL, lambda: self.poll(phase, there, event))
 
     def do_give(self) -> None:
         began, started = self.loop.clock.now(), self.started
@@ -205,70 +171,38 @@
         self.figures["stopped"] = self.loop.clock.now()
         self.side.accept(False)
         try:
-            self.pass_all()
+            self.passing.own(self.side.idle())
+            self.figures["passed"] = len(self.passing.out)
+            self.passing.all()
+            self.say(words.Commit(self.side.rest(), self.reload))
         except OSError as bad:                  # whatever this process lacks now, it can take back
             self.step("refused", f"nothing could be passed: {bad}")
 
-    def pass_all(self) -> None:
-        for connection in self.side.idle():     # each is ours to take back from here on
-            self.number += 1
-            self.passed[self.number] = connection
-        self.figures["passed"] = len(self.passed)
-        batch: list[tuple[int, Connection]] = []
-        size = 0
-        for entry in self.passed.items():
-            batch.append(entry)
-            size += len(entry[1][2])
-            if len(batch) >= Channel.MOST_DESCRIPTORS or size > self.MOST_RESTS:
-                self.send(batch)
-                batch, size = [], 0
-        self.send(batch)
-        self.say(words.Commit(self.side.rest(), self.reload))
-
-    def send(self, batch: list[tuple[int, Connection]]) -> None:
-        if batch:
-            self.say(words.Passed([number for number, _ in batch], [c[2] for _, c in batch],
-                                  [c[0] for _, c in batch]), [c[1].fileno() for _, c in batch])
-
     def do_release(self) -> None:
         """All that was passed before the word is the new one's; it said so before it said that it accepts."""
-        for number in list(self.passed):
-            self.passed.pop(number)[1].close()
+        self.passing.adopted(list(self.passing.out))
         self.figures["gap_ms"] = (self.loop.clock.now() - self.figures["stopped"]) / 10
 
     def do_drain(self) -> None:
         self.side.drain(self.pass_on)
         self.log.event("upgraded", **self.told())
         self.loop.after(self.waits["watch"], lambda: self.step("watched"))
-        self.poll_drained()
-
-    def poll_drained(self) -> None:
-        if self.machine.phase is Phase.DRAINING:
-            if self.side.drained() and not self.passed:
-                self.step("drained")
-            else:
-                self.loop.after(self.POLL, self.poll_drained)
+        self.poll(Phase.DRAINING, lambda: self.side.drained() and not self.passing.out, "drained")
 
     def pass_on(self, connection: Connection) -> bool:
         """One that came free while we drain; False: the new process can't be reached."""
-        if self.channel is None or self.machine.phase is not Phase.DRAINING:
-            return False
-        self.number += 1
-        self.passed[self.number] = connection
-        try:
-            self.send([(self.number, connection)])
-        except OSError:
-            del self.passed[self.number]
+        reached = self.channel is not None and self.machine.phase is Phase.DRAINING
+        if not reached or not self.passing.one(connection):
             return False
         self.log.count("connections_passed_late")
         return True
 
     def do_reclaim(self) -> None:
-        self.log.trouble("upgrade_taken_back", why=self.machine.result, connections=len(self.passed))
-        passed, self.passed = self.passed, {}
+        passed = self.passing.back()
+        self.log.trouble("upgrade_taken_back", why=self.machine.result, connections=len(passed))
         self.side.settle(False)
         self.side.accept(True)
-        for connection in passed.values():
+        for connection in passed:
             self.side.adopt(*connection)
         self.close()
 
@@ -280,9 +214,7 @@
 
     def do_call_off(self) -> None:
         self.log.trouble("upgrade_called_off", why=self.machine.result)
-        self.say(words.CallOff(self.machine.result))
-        if self.channel is not None:
-            self.channel.flush_hard()
+        self.say(words.CallOff(self.machine.result), last=True)
         self.side.settle(False)
 
     def do_kill(self) -> None:
@@ -309,9 +241,7 @@
         # Our module has retired: its next step shows whether the new one's is the same.
         self.log.event("state_compared", equal=self.side.rehearse(self.rehearse_at) == self.theirs)
         self.say(words.Rest(self.side.rest()))
-        self.say(words.Done())
-        if self.channel is not None:
-            self.channel.flush_hard()
+        self.say(words.Done(), last=True)
 
     def do_end(self) -> None:
         self.close()
--- a/indigohitch/upgrade/launch.py
+++ b/indigohitch/upgrade/launch.py
@@ -50,7 +50,8 @@
 class Started:
     """A new program, with the other end of its channel."""
 
-    def __init__(self, loop: Loop, program: Sequence[str], died: Callable[[str], None]) -> None:
+    def __init__(self, loop: Loop, program: Sequence[str],
+                 died: Callable[[Started, str], None]) -> None:
         """Raises OSError where it can't be started."""
         ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
         told = {VARIABLE: f"{theirs.fileno()}:{os.getpid()}"}
@@ -71,7 +72,7 @@
         code = self.process.poll()
         if code is None:                        # the pidfd is readable before the child can be waited for
             code = self.process.wait()
-        self._died(f"the new process ended with {code}")
+        self._died(self, f"the new process ended with {code}")
 
     def kill(self) -> None:
         self.watch.kill()
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -12,9 +12,10 @@
 from . import snapshot as shots
 from . import words
 from .channel import Channel
-from .giving import Connection, Side
 from .launch import Watch
-from .machine import Phase, Taker
+from .phases import Phase
+from .side import Connection, Side
+from .taker import Taker
 
 
 class Taking:
@@ -194,5 +195,3 @@
         if self.watch is not None:
             self.watch.close()
             self.watch = None
-
-
--- a/tests/test_upgrade_machine.py
+++ b/tests/test_upgrade_machine.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from indigohitch.upgrade.machine import Act, Giver, Phase
+from indigohitch.upgrade.giver import Giver
+from indigohitch.upgrade.phases import Act, Phase
 from upgrade_pair import CONNECTIONS, Pair
 
 
--- a/tests/upgrade_pair.py
+++ b/tests/upgrade_pair.py
@@ -1,6 +1,8 @@
 """Both sides of an upgrade on lists: what giving.py and taking.py do for the machines, with the rules checked
 after every step."""
-from indigohitch.upgrade.machine import Giver, Phase, Taker
+from indigohitch.upgrade.giver import Giver
+from indigohitch.upgrade.phases import Phase
+from indigohitch.upgrade.taker import Taker
 
 CONNECTIONS = range(6)
 
