--- a/indigohitch/fleet/batches/inside.py
+++ b/indigohitch/fleet/batches/inside.py
@@ -15,7 +15,7 @@
 from . import prices
 from .asking import contract_of
 from .part import Batches
-from .rows import Prices
+from .rows import Contract, Prices
 from .sending import Sending
 from .work import BatchesWork
 
@@ -63,7 +63,17 @@
             fleet_time: Callable[[int], int]) -> BatchesWork:
     """Of this member.  A file without a word on batches makes a member that runs none, and leads by what the
     book has."""
-    found = next(iter(text.parts.get("batches", ())), BatchesText())
+    def written() -> BatchesText:
+        """As the file has it now: a SIGHUP reads it anew."""
+        return next(iter(text.parts.get("batches", ())), BatchesText())
+    found, kept = written(), (BatchesText(), 0, None)
+
+    def contracted() -> Contract | None:
+        nonlocal kept
+        now = written()
+        if kept[0] is not now or kept[1] != text.edition:
+            kept = now, text.edition, contract_of(now, text.edition)
+        return kept[2]
     offers: dict[str, dict[str, int]] = {}
     for run in found.runs:
         offers.setdefault(run.site, {})[run.kind] = run.lanes
@@ -78,6 +88,6 @@
         time = fleet_time(loop.clock.now())
         return {name: found.terms.pools()[COMMON] if found.terms.valid(time) else 0
                 for name, found in sorted(known.features.items())} if known is not None else {}
-    work = BatchesWork(part, text.me, acts, sending, fleet_time, offers, contract_of(found, text.edition),
+    work = BatchesWork(part, text.me, acts, sending, fleet_time, offers, contracted,
                        PriceFile(log, found.prices, found.sites, loop.clock), seats)
     return work
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -36,12 +36,13 @@
 
 class BatchesWork:
     """`fleet_time(now)`; `offers`: the lanes of this member, by site and kind; `told` and `listed`: the
-    contract and the dated prices of its own file, None where there are none; `loads()`: by site; `seats` by
+    contract and the dated prices of its own file as they are now, None where there are none; `seats` by
     feature: what the fleet's batches may use at a time."""
     name = "batches"
 
     def __init__(self, part: Batches, me: str, acts: Acts, port: Port, fleet_time: Callable[[int], int],
-                 offers: Mapping[str, Mapping[str, int]], told: Contract | None = None,
+                 offers: Mapping[str, Mapping[str, int]],
+                 told: Callable[[], Contract | None] = lambda: None,
                  listed: Callable[[], Prices | None] = lambda: None,
                  seats: Callable[[], Mapping[str, int]] = dict) -> None:
         self.part, self.me, self.fleet_time = part, me, fleet_time
@@ -138,7 +139,7 @@
         return wanted + self.plan(now, time)
 
     def new_contract(self, now: int) -> list[Wanted]:
-        told, stands = self.told, self.part.contract
+        told, stands = self.told(), self.part.contract
         if told is None or stands is not None and told.edition <= stands.edition:
             if told is not None and told.edition == stands.edition and told != stands:
                 self.trouble = f"edition {told.edition} of the contract in this file is not what stands"
--- a/tests/test_batches_fleet.py
+++ b/tests/test_batches_fleet.py
@@ -1,10 +1,8 @@
 """Batches in a simulated fleet: started once, none missed, unclear held, under kills, cuts, delays, drift."""
 import random
 
-import msgspec
 import pytest
 
-from indigohitch.errors import Unfit
 from indigohitch.fleet.batches import runner as running
 from indigohitch.fleet.batches.part import Batches
 from indigohitch.fleet.batches.pieces import Pieces
@@ -14,19 +12,15 @@
     BatchClass,
     Contract,
     Cut,
-    Give,
-    Placing,
     Site,
-    Start,
     State,
-    Step,
-    Word,
 )
 from indigohitch.fleet.batches.work import BatchesWork
 from indigohitch.fleet.hours import Hours, HoursWork
-from indigohitch.fleet.ports import At, Wanted
+from indigohitch.fleet.ports import Wanted
 from indigohitch.fleet.terms import Lease, Stamp
 from orderedlog import SECOND, World
+from test_batches_pieces import test_only_its_holder_speaks_of_a_piece as only_its_holder_speaks
 
 TRUE = 10 ** 13
 SLOT = 5 * SECOND
@@ -80,7 +74,8 @@
     def works(member):
         clock = HoursWork(member.book.parts["hours"], member.name, member.wall, lambda: set(names))
         return [clock, BatchesWork(member.book.parts["batches"], member.name, Chain(member),
-                                   world.servers.port(member), clock.time, {"eros": {"std": 2}}, CONTRACT)]
+                                   world.servers.port(member), clock.time, {"eros": {"std": 2}},
+                                   lambda: CONTRACT)]
     world = World.__new__(World)
     world.servers = Servers(world)
     world.__init__(random.Random(seed), names, lambda: [Hours(), Batches()], works)
@@ -193,73 +188,6 @@
             return turn(self, now, time, leases[self] and Lease(leases[self].incarnation, 1 << 60), *rest)
         monkeypatch.setattr(running.Runner, "turn", unleased)
     with pytest.raises((AssertionError, pytest.fail.Exception)):
-        test_only_its_holder_speaks_of_a_piece()
+        only_its_holder_speaks()
         for seed in range(6):
             test_started_once_none_missed_unclear_held(seed)
-
-
-def book_with(idempotent=False, steps=4):
-    part = Batches()
-    part.apply(At(1, 1, 10, "a", 1), "contract", CONTRACT)
-    cut = Cut(TRUE, TRUE + 100 * SECOND, 8 * SECOND, steps)
-    rpc = "report" if idempotent else "dunning"
-    part.apply(At(2, 1, TRUE, "a", 1), "submit", Batch("x", "whk", rpc, (cut,)))
-    piece = part.pieces.all["x.0"]
-    piece.placing = Placing("eros", "std", ((TRUE, TRUE + 20 * SECOND),))
-    part.apply(At(3, 1, TRUE, "a", 1), "give", Give("x.0", "m", 5))
-    part.apply(At(4, 1, TRUE, "m", 5), "start", Start("x.0", 1, Stamp("m", 5, 1, 3, 1)))
-    part.apply(At(5, 1, TRUE, "m", 5), "step", Step("x.0", 1, 2))
-    return part, piece
-
-
-def test_only_its_holder_speaks_of_a_piece():
-    part, piece = book_with()
-    for who in (("m", 4), ("m", 6), ("n", 5)):
-        with pytest.raises(Unfit):
-            part.apply(At(6, 1, TRUE, *who), "step", Step("x.0", 1, 4, "done"))
-    part.apply(At(6, 1, TRUE, "m", 5), "step", Step("x.0", 1, 2, "rests"))
-    with pytest.raises(Unfit):          # a start that came late, of a piece that was given back
-        part.apply(At(7, 1, TRUE, "m", 5), "start", Start("x.0", 2, Stamp("m", 5, 1, 3, 2)))
-
-
-def test_nothing_is_given_to_who_is_gone():
-    part, piece = book_with(idempotent=True)
-    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
-    with pytest.raises(Unfit, match="gone"):
-        part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "m", 5))
-    part.apply(At(8, 1, TRUE, "a", 1), "give", Give("x.0", "m", 6))
-
-
-def test_a_lost_member_s_piece_goes_on_from_its_checkpoint_or_is_held():
-    part, piece = book_with(idempotent=True)
-    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
-    assert piece.state is State.WAITING and piece.step == 2 and not part.pieces.held
-    part, piece = book_with()
-    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
-    assert piece.state is State.UNCLEAR and "lost" in piece.why
-    with pytest.raises(Unfit):
-        part.apply(At(7, 1, TRUE, "m", 5), "step", Step("x.0", 1, 4, "done"))       # of one that was given up
-    with pytest.raises(Unfit):
-        part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "n", 6))
-
-
-@pytest.mark.parametrize("word, step, state", [
-    ("from", 3, State.WAITING), ("done", 0, State.DONE), ("drop", 0, State.DROPPED), ("from", 1, None),
-    ("eh", 0, None)])
-def test_an_operator_s_word_frees_what_is_unclear(word, step, state):
-    part, piece = book_with()
-    part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
-    if state is None:
-        with pytest.raises(Unfit) as told:
-            part.apply(At(7, 1, TRUE, "op", 1), "word", Word("x.0", word, step))
-        assert told.value.remedy and piece.state is State.UNCLEAR
-        return
-    part.apply(At(7, 1, TRUE, "op", 1), "word", Word("x.0", word, step))
-    assert piece.state is state and (piece.step == 3) == (word == "from")
-
-
-def test_a_snapshot_gives_the_same_book():
-    part, _ = book_with()
-    other = Batches()
-    other.restore(msgspec.msgpack.encode(part.row()))
-    assert other.row() == part.row() and other.pieces.held == part.pieces.held
--- a/tests/test_batches_parts.py
+++ b/tests/test_batches_parts.py
@@ -113,7 +113,7 @@
 
 def test_strain_pauses_soon_and_is_over_soon_and_noise_is_none():
     strain = Strain()
-    now = felt(strain, 0, [400, 410, 420, 405, 430, 400, 410, 420, 405, 430, 410, 900] * 20)  # one is slow by chance
+    now = felt(strain, 0, [400, 410, 420, 405, 430, 400, 410, 420, 405, 430, 410, 900] * 20)    # one is slow
     assert not strain.strained and strain.pauses == 0
     now = felt(strain, now, [700] * 6)
     assert strain.strained
