--- a/benchmarks/batches_model.py
+++ b/benchmarks/batches_model.py
@@ -128,6 +128,7 @@
             while changes := planning.changed(planning.plan):       # an entry takes so many
                 self.tell("plan", Changes(self.part.version, changes))
                 planning.before |= {id: self.part.pieces.all[id].placing for id in changes}
+                planning.spots |= {id: planning.plan.spots.get(id) for id in changes}
         self.planning_ms.append((time.process_time() - began) * 1000)
 
     def run(self, id, lost, watts):
--- a/indigohitch/fleet/batches/plan.py
+++ b/indigohitch/fleet/batches/plan.py
@@ -20,7 +20,10 @@
 # Rounds over all pieces: the first ones move each alone, which is ten times as fast and most of the gain;
 # then together with who is in the way, until nothing moves or the plan counts as settled.
 ALONE, PASSES = 2, 6
-ANEW = 64                       # new ones that are placed both ways: small cases end at 1.02 instead of 1.07
+# New ones that are placed both ways: small cases end at 1.02 instead of 1.07.  Only in a plan of so many at
+# most, as that is one step.
+ANEW, ALL = 64, 512
+RANKED = 128                    # ranked in a step: a ms
 
 
 class Plan:
@@ -175,24 +178,23 @@
             self.put(task, (new if gains else old)[task.id])
         return gains
 
-    def dearest(self) -> list[Task]:
-        """All that may move, the dearest slot first."""
-        field = self.field
-
-        def worst(task: Task) -> int:
-            (site, kind), slots = self.spots[task.id]
-            peak, surcharge = field.peaks.get(site, (0, 0))
-            dear = max(field.prices[site, kind][at] + (surcharge if field.drawn[site][at] > peak else 0)
-                       for at in slots)
-            return dear * task.power[site, kind]
-        free = [task for id, task in self.tasks.items() if id in self.spots and not task.fixed]
-        return sorted(free, key=lambda task: (-worst(task), task.id))
+    def dear(self, task: Task) -> int:
+        """What its dearest slot costs, the peak's surcharge with it."""
+        field, ((site, kind), slots) = self.field, self.spots[task.id]
+        peak, surcharge = field.peaks.get(site, (0, 0))
+        return task.power[site, kind] * max(
+            field.prices[site, kind][at] + (surcharge if field.drawn[site][at] > peak else 0) for at in slots)
 
     def looks(self) -> Iterator[bool]:
         """One look a step, until nothing moves any more: who drives this has the budget."""
         for number in range(PASSES):
-            moved, deep = False, number >= ALONE
-            for task in self.dearest():
+            moved, deep, ranked = False, number >= ALONE, []
+            for count, (id, task) in enumerate(list(self.tasks.items()), 1):
+                if id in self.spots and not task.fixed:
+                    ranked.append((-self.dear(task), id, task))
+                if count % RANKED == 0:
+                    yield moved
+            for _, _, task in sorted(ranked, key=lambda one: one[:2]):
                 if task.id in self.spots:
                     moved |= self.look(task, deep)
                     yield moved
@@ -207,7 +209,7 @@
         The cheaper of the two stands."""
         yield from self.looks()
         new = [task for id, task in self.tasks.items() if task.fresh and id in self.spots and not task.fixed]
-        if not 1 < len(new) <= ANEW:
+        if not 1 < len(new) <= ANEW or len(self.spots) > ALL:
             return
         before, cost = dict(self.spots), self.cost()
         for task in new:
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -14,7 +14,7 @@
 
 PUTS, LOOKS = 128, 2            # a step: some ms of a leader's loop
 MOVES = 256                     # changes in one entry: the budget of a round
-TIGHT = 512                     # pieces with least time to spare that are placed anew where one does not fit
+TIGHT = 128                     # pieces with least time to spare that are placed anew where one does not fit
 SLOTS = 4096                    # six weeks of quarters; what comes later is planned later
 BEGIN = 3 * SECOND // 10        # to be given, to start: three entries of the ledger
 SPARE = 20                      # one in so much more than the work: beats, checkpoints, tries again
@@ -31,21 +31,27 @@
         self.now = time // self.slot            # the slot that runs
         self.base = part.version
         self.before: dict[str, Placing | None] = {}
+        self.spots: dict[str, Spot | None] = {}         # as they were
         self.plan: Plan | None = None
         self.changes: dict[str, Placing | None] = {}
 
     # ---- the field ---------------------------------------------------------------------------------
 
     def field(self, count: int) -> Field:
+        return next(found for found in self.fields(count) if found is not None)
+
+    def fields(self, count: int) -> Iterator[Field | None]:
+        """The field, after a None for each site."""
         prices, lanes, peaks = {}, {}, {}
         for site in self.part.contract.sites:
+            yield None
             costs, shares = self.by_slot(site, count)
             for kind, most in sorted(site.lanes.items()):
                 prices[site.name, kind] = costs
                 lanes[site.name, kind] = [most * (100 - share) // 100 for share in shares]
             if site.peak:
                 peaks[site.name] = (site.peak, site.surcharge)
-        return Field(count, prices, lanes, peaks, self.seats)
+        yield Field(count, prices, lanes, peaks, self.seats)
 
     def by_slot(self, site: Site, count: int) -> tuple[list[int], list[int]]:
         """Prices, and the share of the lanes that interactive RPCs want.  A price that nobody knows is taken
@@ -116,8 +122,10 @@
         part = self.part
         ids = list(part.pieces.open)
         latest = max((part.pieces.all[id].cut.latest for id in ids), default=0)
-        self.plan = plan = Plan(self.field(max(1, min(latest // self.slot - self.now, SLOTS))), self.dead)
-        yield
+        fields = self.fields(max(1, min(latest // self.slot - self.now, SLOTS)))
+        while (field := next(fields)) is None:
+            yield
+        self.plan = plan = Plan(field, self.dead)
         new = []
         for count, id in enumerate(ids):
             piece = part.pieces.all.get(id)
@@ -127,7 +135,7 @@
             task = self.task(id, piece, spot)
             if task is None:
                 continue
-            self.before[id] = piece.placing
+            self.before[id], self.spots[id] = piece.placing, spot
             known = spot is not None and spot.place in plan.field.room and spot.slots[-1] < plan.field.count
             if known and spot.place in task.power:
                 plan.put(task, spot)
@@ -163,8 +171,8 @@
         changes: dict[str, Placing | None] = {}
         for id, before in self.before.items():
             spot, piece = plan.spots.get(id), self.part.pieces.all.get(id)
-            if piece is None or piece.placing is not before:
-                continue                        # the book has gone on meanwhile
+            if spot is not None and spot == self.spots[id] or piece is None or piece.placing is not before:
+                continue                        # as it was, or the book has gone on meanwhile
             if spot is None:
                 if before is not None and piece.state is State.WAITING and before.runs[-1][1] <= self.time:
                     changes[id] = None
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -173,7 +173,8 @@
             piece = part.pieces.all[id]
             if piece.state in (State.WAITING, State.GIVEN) and time >= piece.cut.latest:
                 late.append(id)
-            elif piece.state is State.WAITING and piece.placing is not None and any(
+            elif piece.state is State.WAITING and piece.placing is not None and (
+                    piece.placing.runs[0][0] - AHEAD <= time) and any(
                     begin - AHEAD <= time < end for begin, end in piece.placing.runs):
                 place = (piece.placing.site, piece.placing.kind)
                 there = [(-lanes, name) for name, lanes in free.get(place, {}).items() if lanes > 0]
