--- a/benchmarks/batches_model.py
+++ b/benchmarks/batches_model.py
@@ -3,8 +3,8 @@
 
 Ten sites in two time zones, each with its own load of interactive RPCs by the hour (what they leave are
 lanes), a contracted peak and dated prices.  Every eight hours some hundred pieces come.  A leader plans in
-rounds, one a slot and some more as pieces come.  Each fifth member is lost once in the middle of a slot: what is idempotent goes on
-from its checkpoint, what is not waits an hour for an operator's word."""
+rounds, one a slot and some more as pieces come.  Each fifth member is lost once in the middle of a slot: what
+is idempotent goes on from its checkpoint, what is not waits an hour for an operator's word."""
 import math
 import random
 import time
