Who refuses an upgrade is heard though a write to it failed first

A new process that refuses says why and ends while the state is still written to it. The failed write closed the channel in the same turn, before the last words were read: the upgrade was told as `the new process ended with 1` instead of `descriptors ran out` (seen on a loaded machine in tests/test_upgrade.py). What came is read first now. The test holds the clock still; it failed before.

--- a/indigohitch/upgrade/channel.py
+++ b/indigohitch/upgrade/channel.py
@@ -59,7 +59,7 @@
                     self.loop.after(self.AGAIN, self._again)
                 return
             why = f"write: {failed.strerror}"
-            self.loop.after(0, lambda: self.end(why, False))
+            self.loop.after(0, lambda: self._lost(why))
             return
         self._watch(READ | WRITE if self.out else READ)
 
@@ -68,6 +68,10 @@
         if self.open:
             self._flush()
 
+    def _lost(self, why: str) -> None:
+        self.read()                             # who refuses says why, and ends while we still write
+        self.end(why, False)
+
     def _watch(self, mask: int) -> None:
         if mask != self._mask:
             self.loop.change(self.sock, self.number, mask)
--- a/tests/test_upgrade_state.py
+++ b/tests/test_upgrade_state.py
@@ -214,3 +214,19 @@
     ends.ours.close()
     ends.turn()
     assert len(ends.ended) == 1 and why in ends.ended[0][0] and ends.ended[0][1] and not ends.heard
+
+
+def test_last_words_count_though_a_write_fails_first():
+    """Who refuses says why and ends, while the state is still being written to it."""
+    ends = Ends()
+    now = ends.loop.clock.now()
+    ends.loop.clock.now = lambda: now           # the failed write is dealt with in this turn
+
+    def meanwhile():
+        ends.ours.send(words.frame(words.Refuse("no room")))
+        ends.ours.close()
+        ends.channel.say(words.Piece(b"x" * 1000))
+    ends.loop.after(0, meanwhile)
+    ends.loop.turn()
+    assert [word for word, _ in ends.heard] == [words.Refuse("no room")]
+    assert len(ends.ended) == 1 and not ends.ended[0][1]
