--- a/proofs/audit.py
+++ b/proofs/audit.py
@@ -43,18 +43,6 @@
     def say(self, text: str) -> None:
         print(f"{time.monotonic() - self.begun:6.1f} s  {text}", flush=True)
 
-    def drains(self) -> None:
-        """One backend after the other drains and serves again: orders from every coordinator."""
-        n = 0
-        while self.busy:
-            backend, n = f"b{n % 4}", n + 1
-            self.platforms.drain(backend)
-            end = time.monotonic() + 8
-            while self.busy and not self.platforms.drained(backend) and time.monotonic() < end:
-                time.sleep(0.02)
-            self.platforms.serve(backend)
-            time.sleep(0.3)
-
     # ---- the run -------------------------------------------------------------------------------------
 
     def run(self) -> dict:
@@ -63,7 +51,8 @@
             fleet.start()
             until(lambda: all(self.late.valid(name) for name in fleet.voters), 20, "all to be valid")
             self.platforms.start()
-            threading.Thread(target=self.drains, daemon=True).start()
+            threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.3),
+            daemon=True).start()
             self.say("five coordinators, all valid")
             late = self.late
             late.change(False)
--- a/proofs/audit_platform.py
+++ b/proofs/audit_platform.py
@@ -91,6 +91,18 @@
         return not any(backend in table for relay in self.relays.values()
                        for table in list(relay.tables.values()))
 
+    def in_turn(self, busy: Callable[[], bool], rest: float) -> None:
+        """One backend after the other drains and serves again: orders from every coordinator."""
+        n = 0
+        while busy():
+            backend, n = f"b{n % 4}", n + 1
+            self.drain(backend)
+            end = time.monotonic() + 8
+            while busy() and not self.drained(backend) and time.monotonic() < end:
+                time.sleep(0.02)
+            self.serve(backend)
+            time.sleep(rest)
+
     # ---- slices --------------------------------------------------------------------------------------
 
     def hand(self, slice: int, one: str, other: str) -> None:
--- a/proofs/fleet_load.py
+++ b/proofs/fleet_load.py
@@ -119,22 +119,11 @@
             load = Load((host, int(port)), seed=n, kept=10, prefix=f"c{n}-")
             self.loads.append(load)
             self.threads.append(threading.Thread(target=load.run_open, args=(RATE, seconds), daemon=True))
-        self.threads.append(threading.Thread(target=self.drains, daemon=True))
+        self.threads.append(threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.5),
+            daemon=True))
         for thread in self.threads:
             thread.start()
 
-    def drains(self) -> None:
-        """One backend after the other drains and serves again: orders from every coordinator."""
-        n = 0
-        while self.busy:
-            backend, n = f"b{n % 4}", n + 1
-            self.platforms.drain(backend)
-            end = time.monotonic() + 8
-            while self.busy and not self.platforms.drained(backend) and time.monotonic() < end:
-                time.sleep(0.02)
-            self.platforms.serve(backend)
-            time.sleep(0.5)
-
     def end(self) -> None:
         self.busy = False
         self.seats.stop()
