--- a/proofs/audit.py
+++ b/proofs/audit.py
@@ -52,7 +52,7 @@
             until(lambda: all(self.late.valid(name) for name in fleet.voters), 20, "all to be valid")
             self.platforms.start()
             threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.3),
-            daemon=True).start()
+                             daemon=True).start()
             self.say("five coordinators, all valid")
             late = self.late
             late.change(False)
--- a/proofs/fleet_load.py
+++ b/proofs/fleet_load.py
@@ -120,7 +120,7 @@
             self.loads.append(load)
             self.threads.append(threading.Thread(target=load.run_open, args=(RATE, seconds), daemon=True))
         self.threads.append(threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.5),
-            daemon=True))
+                                             daemon=True))
         for thread in self.threads:
             thread.start()
 
