check: no file ends in a traceback, zones and calendars are looked up, batches' seats and paths too

Tracebacks: a span or size of 400 digits (OverflowError), `batch-slot 0s` with a band (ZeroDivisionError). Said to be good: all waits 0, 10.0.0.256, a port in other digits, a zone or country nobody knows, a path with `{pice}`, a class with seats that nothing contracts, a socket's path over 107 bytes, a slot of 1.5 s.

--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -70,6 +70,11 @@
     """Read FILE, a sidecar's or a coordinator's, and tell all that is wrong with it, each with its line."""
     from .directives import either
     text = either.load(file)
+    if text.fleet is not None and "batches" in text.fleet.parts:
+        from .directives.lines import Mistakes
+        from .fleet.batches.contract import mistakes
+        if found := [one for part in text.fleet.parts["batches"] for one in mistakes(part)]:
+            raise Mistakes(file, found)
     if text.pools:
         said = (f"{len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
                 f"{sum(len(p.servers) for p in text.pools.values())} servers")
--- a/indigohitch/directives/batches.py
+++ b/indigohitch/directives/batches.py
@@ -32,6 +32,7 @@
     begin: int                  # tenths of a ms on the day's clock
     end: int
     price: int                  # thousandths of a cent
+    line: int
 
 
 @dataclass(slots=True)
@@ -82,7 +83,15 @@
 
 
 SITE = {"zone": zone, "holidays": country}
-CLASS = {"path": words.path, "power": pairs(power), "pause": price, "seats": pairs(words.count),
+def filled(text: str) -> str:
+    """A path whose `{piece}` and `{step}` are filled in for each RPC."""
+    left = words.path(text).replace("{piece}", "").replace("{step}", "")
+    if set(left) & set("{}") or not text.isprintable() or " " in text:
+        raise ValueError(f"{text!r}: a path without blanks is wanted; {{piece}} and {{step}} are filled in")
+    return text
+
+
+CLASS = {"path": filled, "power": pairs(power), "pause": price, "seats": pairs(words.count),
          "sites": names}
 
 
@@ -120,7 +129,7 @@
     if len(rest) != 4:
         raise ValueError("band SITE DAYS FROM-TO CENTS")
     span = reader.told("band", hours, rest[2])
-    band = BandText(reader.told("band", days, rest[1]), *span, reader.told("band", price, rest[3]))
+    band = BandText(reader.told("band", days, rest[1]), *span, reader.told("band", price, rest[3]), at)
     site_of(reader, at, rest[0]).bands.append(band)
 
 
@@ -141,7 +150,7 @@
     reader.once(at, "batch-class", name)
     told = reader.options(at, rest[2:], CLASS)
     for wanted in ("path", "power"):
-        if wanted not in told:
+        if wanted not in told and wanted not in rest[2::2]:      # else what is wrong with it is told
             reader.wrong(at, f"batch-class {name}: no {wanted}")
     if told.get("pause", 0) < 0:
         reader.wrong(at, f"batch-class {name}: a pause that pays is none")
@@ -176,21 +185,26 @@
     if contracted and ("directive", "edition") not in reader.lines:
         reader.wrong(min(contracted), "a contract without a line `edition`, which numbers what the file "
                                       "contracts")
-    if text.slot < SECOND or 3600 * SECOND % text.slot:
+    even = text.slot >= SECOND and not text.slot % SECOND and not 3600 * SECOND % text.slot
+    if not even:
         reader.wrong(reader.lines["directive", "batch-slot"],
                      "a slot of whole seconds that divides the hour is wanted, as 15m")
     for site in text.sites.values():
         if not site.lanes:
             reader.wrong(site.line, f"site {site.name}: no line `lanes` says how many pieces run there")
-        if any(band.begin % text.slot or band.end % text.slot for band in site.bands):
-            reader.wrong(site.line, f"site {site.name}: a band does not begin and end with a slot")
+        for band in site.bands:
+            if even and (band.begin % text.slot or band.end % text.slot):
+                reader.wrong(band.line, f"site {site.name}: a band does not begin and end with a slot")
     kinds = {kind for site in text.sites.values() for kind in site.lanes}
     for one in text.classes.values():
-        if not kinds & set(one.power):
+        if one.power and not kinds & set(one.power):
             reader.wrong(one.line, f"batch-class {one.name}: no site has nodes of its kinds")
         for name in one.sites:
             if name not in text.sites:
                 reader.wrong(one.line, f"batch-class {one.name}: no site {name}")
+        for feature in one.seats:
+            if ("seats", feature) not in reader.lines:
+                reader.wrong(one.line, f"batch-class {one.name}: no line `seats {feature}` contracts any")
     for run in text.runs:
         run.to = run.to or reader.given["directive"].get("listen")
         if run.to is None:
--- a/indigohitch/directives/fleet.py
+++ b/indigohitch/directives/fleet.py
@@ -17,7 +17,6 @@
 from dataclasses import dataclass, field
 
 from ..net.clock import SECOND
-from ..net.connection import address
 from . import words
 from .lines import Reader, Vocabulary
 
@@ -79,7 +78,7 @@
     if len(rest) != 3:
         raise ValueError("member NAME HOST:PORT votes|follows")
     name = reader.guarded(at, reader.told, "member", words.name, rest[0])
-    where = reader.guarded(at, reader.told, "member", address, rest[1])
+    where = reader.guarded(at, reader.told, "member", words.place, rest[1])
     if rest[2] not in ("votes", "follows"):
         reader.wrong(at, f"{rest[2]!r}: votes or follows is wanted")
     if name is None:
@@ -144,6 +143,8 @@
 
     def line(*keys: str) -> int:
         return next((reader.lines["wait", key] for key in keys if ("wait", key) in reader.lines), fleet.line)
+    if not beat:
+        reader.wrong(line("beat"), "a beat of 0 ms would never rest")
     if lease < LEASE_ELECTIONS * election:
         reader.wrong(line("lease", "election"), f"a lease of {lease / 10:g} ms is under {LEASE_ELECTIONS} "
                                                 f"elections of {election / 10:g} ms")
--- a/indigohitch/directives/lines.py
+++ b/indigohitch/directives/lines.py
@@ -16,7 +16,7 @@
 
 class Mistakes(Unreadable):
     """All that is wrong with a file: (line, reason) each, in order."""
-    remedy = "mend these lines; docs/sidecar.md lists the words"
+    remedy = "mend these lines; docs/sidecar.md lists the words, docs/fleet-operators.md those of a fleet"
 
     def __init__(self, source: str, found: list[tuple[int, str]]) -> None:
         self.source, self.found = source, sorted(found)
--- a/indigohitch/directives/sidecar_file.py
+++ b/indigohitch/directives/sidecar_file.py
@@ -20,12 +20,12 @@
 from .lines import Follows, Mistakes, Reader, Vocabulary
 from .routes import Doubled, Route
 from .texts import Carried, PoolText, Server, Text
-from .words import count, form, name, path, positive, size, span, words
+from .words import count, form, name, path, positive, size, socket_path, span, words
 
 # Directives of one value: its reader and its default.  The defaults are chosen for small installations: a
 # parent's phone sends heads of under 2 KB; 60 s is what clients keep idle; 10 s carries 16 KB at any speed.
 SINGLE = {
-    "name": (name, "sidecar"), "listen": (address, None), "control": (path, ""), "state": (path, ""),
+    "name": (name, "sidecar"), "listen": (address, None), "control": (socket_path, ""), "state": (path, ""),
     "pidfile": (path, ""), "seed": (count, 1), "zone": (name, "local"), "program": (words, []),
     "access-log": (path, ""), "access-log-form": (form, "json"),
 }
@@ -167,7 +167,7 @@
     with open(source, "rb") as file:
         raw = file.read()
     try:
-        return raw.decode()
+        return raw.decode("utf-8-sig")       # some editors put a mark before the text
     except UnicodeDecodeError as bad:
         line = raw[:bad.start].count(b"\n") + 1
         raise Mistakes(source, [(line, "not UTF-8")]) from None
--- a/indigohitch/directives/words.py
+++ b/indigohitch/directives/words.py
@@ -3,12 +3,18 @@
 
 import re
 import shlex
+import socket
 
 from ..net.clock import SECOND
+from ..net.connection import address
 
 _SPANS = {"ms": SECOND // 1000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
 _SIZES = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+# No more digits than a float tells apart: a number beyond them is a slip, and could be taken for infinite.
+_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+_MEASURE = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,15})?)([A-Za-z]*)")
+SOCKET_MOST = 107               # bytes of a Unix socket's path, by the kernel
 FORMS = ("json", "combined")    # of an access log
 
 
@@ -23,7 +29,7 @@
 
 
 def _measured(text: str, units: dict[str, int], what: str) -> float:
-    match = re.fullmatch(r"(\d+(?:\.\d+)?)([A-Za-z]*)", text)
+    match = _MEASURE.fullmatch(text)
     if match is None or match[2] not in units:
         missing = match is not None and not match[2]
         raise ValueError(f"{text!r} {'has no unit' if missing else 'is not'}: {what} is wanted")
@@ -31,7 +37,7 @@
 
 
 def number(text: str) -> float:
-    if not re.fullmatch(r"\d+(\.\d+)?", text):
+    if not _NUMBER.fullmatch(text):
         raise ValueError(f"{text!r} is not a number")
     return float(text)
 
@@ -60,6 +66,23 @@
     return text
 
 
+def socket_path(text: str) -> str:
+    if len(path(text).encode()) > SOCKET_MOST:
+        raise ValueError(f"a socket's path has {SOCKET_MOST} bytes at most, this one {len(text.encode())}")
+    return text
+
+
+def place(text: str) -> tuple[str, int]:
+    """`HOST:PORT`; digits and dots alone are an address, not a name that could be looked up."""
+    host, port = address(text)
+    if not host.strip("0123456789."):
+        try:
+            socket.inet_pton(socket.AF_INET, host)
+        except OSError:
+            raise ValueError(f"{host} is no address: one such as 10.0.0.1 is wanted") from None
+    return host, port
+
+
 def form(text: str) -> str:
     if text not in FORMS:
         raise ValueError(f"{text!r}: {' or '.join(FORMS)} is wanted")
--- a/indigohitch/fleet/batches/contract.py
+++ b/indigohitch/fleet/batches/contract.py
@@ -9,6 +9,7 @@
 from functools import lru_cache
 from zoneinfo import ZoneInfo
 
+from ...directives.batches import BatchesText
 from ...directives.tariffs import DAYS
 from ...errors import Unfit
 from ...net.clock import SECOND
@@ -82,6 +83,19 @@
     return band.price if band is not None else None
 
 
+def mistakes(text: BatchesText) -> list[tuple[int, str]]:
+    """Lines whose zone or country nobody knows: their form alone does not show it."""
+    found = []
+    for site in text.sites.values():
+        for known, name in ((zone, site.zone), (lambda place: _holidays(place, 2026), site.holidays)):
+            try:
+                if name:
+                    known(name)
+            except Unfit as bad:
+                found.append((site.line, f"site {site.name}: {bad}"))
+    return found
+
+
 def check(contract: Contract) -> None:
     """What directives can't see by themselves.  Raises Unfit."""
     for site in contract.sites:
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -17,7 +17,7 @@
 def address(text: str) -> tuple[str, int]:
     """`host:port` as the socket calls want it; ValueError if it is not that."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ValueError(f"not host:port: {text!r}")
     return host, int(port)
 
--- a/tests/test_directives_fleet.py
+++ b/tests/test_directives_fleet.py
@@ -43,6 +43,9 @@
     ("member n3 127.0.0.1:7403 maybe", 7, "votes or follows"),
     ("member n3 127.0.0.1:7403", 7, "member NAME HOST:PORT"),
     ("member _ 127.0.0.1:7403 votes", 7, "is no name"),
+    ("member n3 10.0.0.256:7403 votes", 7, "no address"), ("member n3 127.0.0.1:² votes", 7, "not host:port"),
+    ("wait beat 0s", 7, "a beat of 0 ms"), (f"wait lease {'9' * 400}s", 7, "a span like"),
+    (f"limit ledger {'9' * 400}GB", 7, "a size like"), (f"control /{'x' * 107}", 7, "107 bytes at most"),
     ("wait lease 1100ms", 7, "under 4 elections"), ("wait election 600ms", 7, "under 4 elections"),
     ("wait beat 200ms", 7, "under 2 beats"), ("drift 0.2", 7, "from 0 to 0.1"),
     ("drift -1", 7, "not a number"),
@@ -112,6 +115,8 @@
         assert either.is_operators(text) == operators
     file.write_text(FLEET)
     assert either.load(str(file)).fleet.name == "whk"
+    file.write_bytes(b"\xef\xbb\xbf" + FLEET.encode())        # some editors put a mark before the text
+    assert either.load(str(file)).fleet.me == "n1"
     file.write_bytes(TEXT.encode() + b"name \xff\n")
     with pytest.raises(Mistakes, match=":6: not UTF-8"):
         either.load(str(file))
