--- a/indigohitch/fleet/ledger/machine.py
+++ b/indigohitch/fleet/ledger/machine.py
@@ -76,6 +76,13 @@
     def term(self) -> int:
         return self.state.term
 
+    @property
+    def settled(self) -> bool:
+        """Leads, and an entry of its own is committed and put out: its book holds all that was committed
+        before its election.  Until then it may stand far back (all have just started), and nothing is to be
+        decided by it."""
+        return self.leading is not None and self.state.commit >= self.leading.reads.first
+
     @property
     def leader(self) -> Who | None:
         return self.state.leader
--- a/proofs/ledger_leases.py
+++ b/proofs/ledger_leases.py
@@ -46,7 +46,7 @@
             if leader is not None:
                 world.post(station.me, leader, self.asked, station.me, station.local(world.now),
                            station.epoch)
-            if station.machine.leading is not None and moving:
+            if station.machine.settled and moving:
                 self.lead(station)
 
     def asked(self, leader, who, asked_at, epoch) -> None:
--- /dev/null
+++ b/tests/test_ledger_reads.py
@@ -0,0 +1,84 @@
+"""Reads of the ledger, confirmed by a majority, and from when on a leader's book may be gone by."""
+from indigohitch.fleet.ledger.ports import Heard, Read, Readable, Written
+from indigohitch.fleet.ledger.words import Appended
+from ledger_group import BOOTSTRAP, A, B, C, Group, lead, machine, of
+
+
+def led(*who):
+    group = Group(*who or (A, B, C))
+    group.due(A)
+    return group
+
+
+def reads(group, me=A):
+    return [told for told in group.told[me] if type(told) is Readable]
+
+
+def test_read_is_answered_by_a_majority_asked_after_it_came():
+    group = led()
+    group.propose(A, 1)
+    group.cut.update((B, C))
+    group.step(A, Read(1))
+    assert not reads(group)
+    group.cut.discard(C)
+    group.pass_time(BOOTSTRAP["beat"])
+    assert reads(group) == [Readable(1, 2)]
+
+
+def test_echo_of_an_earlier_round_confirms_nothing():
+    group = led()
+    group.step(A, Read(1))
+    group.cut.update((B, C))
+    group.step(A, Read(2))
+    group.step(A, Heard(B, Appended(1, True, 1, round=1)))
+    assert [told.number for told in reads(group)] == [1]
+    group.step(A, Heard(B, Appended(1, True, 1, round=2)))
+    assert [told.number for told in reads(group)] == [1, 2]
+
+
+def test_new_leader_answers_reads_once_an_entry_of_its_own_is_committed():
+    one = machine(A)
+    lead(one)
+    now = one.state.now
+    one.step(now, Read(1))
+    assert not of(Readable, one.step(now, Heard(B, Appended(1, True, 0, round=1))))
+    one.step(now, Written(one.state.durable.number))
+    assert of(Readable, one.step(now, Heard(B, Appended(1, True, 1, round=1)))) == [Readable(1, 1)]
+
+
+def test_leader_is_settled_once_an_entry_of_its_own_is_committed():
+    group = Group(A, B, C)
+    group.due(A)
+    group.propose(A, 1, 2)
+    group.cut.update((A, B))
+    before = group.machines[C].state
+    group.machines[C] = machine(C, ballot=before.ballot, log=before.log.entries, now=group.now)
+    assert group.machines[C].commit == 0
+    group.cut.clear()
+    group.cut.add(A)
+    group.slow.add(B)
+    group.pass_time(3 * BOOTSTRAP["election"])
+    assert not any(one.settled for one in group.machines.values())
+    group.slow.clear()
+    for write in group.unwritten[B]:
+        group.step(B, Written(write.number))
+    group.pass_time(3 * BOOTSTRAP["election"])
+    leader = group.leaders()[0]
+    assert group.machines[leader].settled and group.numbers(leader) == [1, 2]
+
+
+def test_reads_of_a_leader_that_ends_are_refused_and_their_number_is_bounded():
+    group = led()
+    group.cut.update((B, C))
+    for number in range(BOOTSTRAP["proposals_most"] + 3):
+        group.step(A, Read(number))
+    assert [told.ok for told in reads(group)] == [False] * 3
+    group.pass_time(BOOTSTRAP["election"] + BOOTSTRAP["beat"])
+    assert len(reads(group)) == BOOTSTRAP["proposals_most"] + 3 and not any(told.ok for told in reads(group))
+
+
+def test_one_alone_is_its_own_majority():
+    group = led(A)
+    group.propose(A, 1)
+    group.step(A, Read(1))
+    assert group.numbers(A) == [1] and reads(group) == [Readable(1, 2)]
