--- a/indigohitch/standins/seated.py
+++ b/indigohitch/standins/seated.py
@@ -2,7 +2,10 @@
 down each beginning and end by the machine's monotonic clock, which a proof merges into the truth of all.
 
     + NS JOB FEATURE NUMBER COUNTER USE SHARED MEMBER   a job began
-    - NS JOB                                            it is over"""
+    - NS JOB                                            it is over
+    - NS JOB UNTIL                                      it was ended here, as its seat was its until UNTIL
+
+A server that got no processor writes the last one late: no job of it ran meanwhile, and UNTIL counts."""
 from __future__ import annotations
 
 import os
@@ -20,7 +23,7 @@
         self.loop, self.paths = loop, tuple(path.encode() for path in paths)
         self.meter = Meter(f"{os.getpid():x}-{secrets.token_hex(4)}")
         self.out = os.open(log, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
-        self.cuts: dict[int, Callable[[], None]] = {}
+        self.cuts: dict[int, tuple[Callable[[], None], int]] = {}     # and until when, ns
 
     @staticmethod
     def clock() -> int:
@@ -43,12 +46,13 @@
         g = shown.given
         self.note(f"+ {time.monotonic_ns()} {job} {g.feature} {g.number} {g.counter} {g.use} {g.shared:d} "
                   f"{shown.stamp.member}")
-        self.cuts[job] = cut
+        self.cuts[job] = cut, shown.until * 100_000
         self.loop.after(shown.until - now, self.sweep)
         return job, b""
 
     def end(self, job: int) -> bool:
         """False: it was ended before."""
+        self.sweep()
         if not self.meter.ended(job):
             return False
         self.note(f"- {time.monotonic_ns()} {job}")
@@ -57,8 +61,9 @@
 
     def sweep(self) -> None:
         for job in self.meter.overdue(self.clock()):
-            self.note(f"- {time.monotonic_ns()} {job}")
-            self.cuts.pop(job)()
+            cut, until = self.cuts.pop(job)
+            self.note(f"- {time.monotonic_ns()} {job} {until}")
+            cut()
 
     def note(self, line: str) -> None:
         os.write(self.out, f"{line}\n".encode())
--- a/proofs/seats_truth.py
+++ b/proofs/seats_truth.py
@@ -84,7 +84,8 @@
                     events.append((int(when), 1, tuple(map(str, open_jobs[job][0])), seat[1], seat[5]))
                 elif job in open_jobs:
                     key, member = open_jobs.pop(job)
-                    events.append((int(when), -1, tuple(map(str, key)), "", member))
+                    when = min(int(when), int(seat[0])) if seat else int(when)
+                    events.append((when, -1, tuple(map(str, key)), "", member))
             events += [(dead or 1 << 62, -1, tuple(map(str, key)), "", member)
                        for key, member in open_jobs.values()]
         self.given = sum(sign > 0 for _, sign, *_ in events)
