A leader just elected after a start decides nothing before its book has caught up

Cause: Node.beat called the works' lead as soon as the machine led. Change: it needs machine.settled (an entry of its own term is committed and applied).

--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -163,7 +163,8 @@
         if self.works:
             self.belonging.renew(now, self.leader_name, self.working.reports)
             self.working.turn(now, self.lease(now))
-        if self.phase is Phase.TAKING_PART and self.driver.leads:
+        # One elected right after a start decides nothing until its book holds what was committed before.
+        if self.phase is Phase.TAKING_PART and self.driver.machine.settled:
             self.lead(now)
         self.belonging.look()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -199,3 +199,25 @@
     world.until(lambda: node.assembly.membership.phase is Member.DIFFERS)
     assert not node.lease(world.clock.now())
     assert node.log.said("state_differs")[0]["own"] != node.log.said("state_differs")[0]["agreed"]
+
+
+def test_a_leader_elected_after_a_start_decides_by_no_old_book(world):
+    world.start().valid()
+    for n in range(20):
+        world.put("v1", f"note {n}")
+    world.level()
+    stood, led = world.nodes["v1"].book.index, []
+    for name in list(world.nodes):
+        world.kill(name)
+    world.start()
+    for node in world.nodes.values():
+        node.lead = lambda now, node=node: led.append(node.book.index)
+
+    def beaten():
+        """Each looks in every turn what there is to lead: no beat misses the moment by luck."""
+        for node in world.nodes.values():
+            node.beating.cancel()
+            node.beat()
+        return led
+    world.until(beaten)
+    assert min(led) >= stood
