--- a/benchmarks/batches_model.py
+++ b/benchmarks/batches_model.py
@@ -125,10 +125,8 @@
             planning = Round(self.part, self.now - SLOT // 4)       # before the slot begins
             for _ in zip(range(len(self.part.pieces.open)), planning.steps()):
                 pass
-            while changes := planning.changed(planning.plan):       # an entry takes so many
+            while changes := planning.take():                       # an entry takes so many
                 self.tell("plan", Changes(self.part.version, changes))
-                planning.before |= {id: self.part.pieces.all[id].placing for id in changes}
-                planning.spots |= {id: planning.plan.spots.get(id) for id in changes}
         self.planning_ms.append((time.process_time() - began) * 1000)
 
     def run(self, id, lost, watts):
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -31,11 +31,9 @@
         self.offered = offered or {}
         self.slot = part.contract.slot
         self.now = time // self.slot            # the slot that runs
-        self.base = part.version
         self.before: dict[str, Placing | None] = {}
         self.spots: dict[str, Spot | None] = {}         # as they were
         self.plan: Plan | None = None
-        self.changes: dict[str, Placing | None] = {}
 
     # ---- the field ---------------------------------------------------------------------------------
 
@@ -121,7 +119,7 @@
     # ---- the round ---------------------------------------------------------------------------------
 
     def steps(self) -> Iterator[None]:
-        """Carries the round out, some ms of work a step; then `changes` stands."""
+        """Carries the round out, some ms of work a step; then `take` tells what came of it."""
         part = self.part
         ids = list(part.pieces.open)
         latest = max((part.pieces.all[id].cut.latest for id in ids), default=0)
@@ -149,7 +147,13 @@
                 yield
         yield from self.at_once(plan, new)
         yield from self.cheaper(plan)
-        self.changes = self.changed(plan)
+
+    def take(self) -> dict[str, Placing | None]:
+        """The next changes, as many as an entry takes, each once; empty after the last."""
+        changes = self.changed(self.plan)
+        for id in changes:
+            del self.before[id]
+        return changes
 
     def at_once(self, plan: Plan, new: list[Task]) -> Iterator[None]:
         failed = False
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -208,9 +208,9 @@
         return free
 
     def plan(self, now: int, time: int, offered: Mapping[tuple[str, str], int]) -> list[Wanted]:
-        """Some steps of a round each beat; its changes are one entry."""
+        """Some steps of a round each beat; then its changes, one entry after the other."""
         if self._round is None:
-            if now < self._round_at or "plan" in self._out and now - self._out["plan"] < PATIENCE:
+            if now < self._round_at:
                 return []
             new = Round(self.part, time, self.seats(), offered)
             self._round = new, new.steps()
@@ -220,11 +220,14 @@
                 break
         else:
             return []
-        self._round, self._round_at = None, now + ROUND
-        self.rounds, self.moves = self.rounds + 1, self.moves + len(round.changes)
-        if not round.changes:
+        if "plan" in self._out and now - self._out["plan"] < PATIENCE:
             return []
-        return self.once(now, "plan", Wanted("batches.plan", Plan(round.base, round.changes), "plan"))
+        changes = round.take()
+        if not changes:
+            self._round, self._round_at, self.rounds = None, now + ROUND, self.rounds + 1
+            return []
+        self.moves += len(changes)
+        return self.once(now, "plan", Wanted("batches.plan", Plan(self.part.version, changes), "plan"))
 
     def figures(self) -> dict:
         part = self.part
