--- a/proofs/batchkit/costs.py
+++ b/proofs/batchkit/costs.py
@@ -28,7 +28,6 @@
             task.last = part.pieces.all[task.id].cut.latest // self.slot - self.round.now
         self.count = max(task.last for task in self.tasks)
         cuts = {id: part.pieces.all[id].cut for id in ids}
-        self.steps = {id: cut.steps for id, cut in cuts.items()}
         self.pace = {id: cut.work / cut.steps for id, cut in cuts.items()}
 
     def field(self):
@@ -56,8 +55,8 @@
 
     def run(self, ran: list[tuple[float, str]]) -> tuple[float, int, int]:
         """By the steps that truly went out: cents, the watts over the peak in the worst slot (a mean over the
-        slot, as meters have it), and how many pauses there were.  A step costs what a kWh cost as it went
-        out; to be held against plans of whole slots each piece draws for all that it was planned for."""
+        slot, as meters have it), and how many pauses there were.  As in a plan, a slot in which a piece ran
+        counts whole; where it was done in fewer than planned, the others count as these did."""
         field, tasks = self.field(), {task.id: task for task in self.tasks}
         place = next(iter(field.room))
         used: dict[str, dict[int, int]] = {}
@@ -71,10 +70,11 @@
         for piece, slots in used.items():
             task = tasks[piece]
             for slot, steps in slots.items():
-                share = task.need * steps / self.steps[piece]
-                total += field.prices[place][slot] * task.power[place] * share
                 watts[slot] = watts.get(slot, 0) + task.power[place] * steps * self.pace[piece] / self.slot
-            runs = [slot for slot in sorted(slots) if slots[slot] > 1]      # one step may slip over the edge
+            # One step may slip over the edge.
+            runs = [slot for slot in sorted(slots) if slots[slot] > 1] or sorted(slots)
+            each = sum(field.prices[place][slot] for slot in runs) / len(runs)
+            total += each * max(task.need, len(runs)) * task.power[place]
             gaps = sum(b > a + 1 for a, b in zip(runs, runs[1:]))
             pauses, total = pauses + gaps, total + gaps * task.pause
         peak, surcharge = field.peaks["eros"]
