Both processes of an upgrade told to end do end

Seen by the process proofs: SIGTERM to old and new within the watch span; the new one ended with 0, the old one took back and went on serving. Cause: Giver.on_told_to_end passed the word over while it drained. Change: it is kept until it is known who accepts, as after the commit.

--- a/indigohitch/upgrade/giver.py
+++ b/indigohitch/upgrade/giver.py
@@ -39,10 +39,11 @@
     def on_told_to_end(self, why: str) -> list[Act]:
         """SIGTERM.  Before the word has gone out the upgrade is called off and this process ends as always;
         later it ends anyway, and the new one is the service."""
-        if self.phase in (Phase.COMMITTED, Phase.RECLAIMING):
-            self.ending = True              # once it is known who accepts
+        if self.phase in (Phase.COMMITTED, Phase.RECLAIMING, Phase.DRAINING):
+            # Once it is known who accepts.  Both may have been told: then neither goes on.
+            self.ending = True
             return []
-        if self.phase in (Phase.DRAINING, Phase.ENDED):
+        if self.phase is Phase.ENDED:
             return []
         acts = self.called_off("told to end") if self.phase in self.BEFORE_COMMIT else []
         self.ending = True
--- a/tests/test_upgrade_machine.py
+++ b/tests/test_upgrade_machine.py
@@ -77,6 +77,14 @@
     assert giver.step("told_to_end")[-2:] == [Act.THAW, Act.END]
 
 
+def test_both_told_to_end_while_the_old_one_drains_end_both():
+    giver = Giver()
+    for event in ("asked", "hello", "settled", "restored", "proven", "accepting", "told_to_end"):
+        giver.step(event)
+    assert giver.phase is Phase.DRAINING
+    assert giver.step("died")[-1] is Act.END
+
+
 def test_told_to_end_after_the_word_waits_until_it_is_known_who_accepts():
     giver = Giver()
     for event in ("asked", "hello", "settled", "restored", "proven"):
