--- /dev/null
+++ b/indigohitch/versions/session.py
@@ -0,0 +1,293 @@
+"""One relay: what it holds, what it may hold, and what goes to it next.  No I/O.
+
+On one connection messages are applied in order or not at all (a relay answers a gap with a NACK), so after a
+break what may be held is the last acknowledged content followed by some number of the messages sent since: a
+set, of which the relay's digest picks one.  A relay whose digest is none of these, and of no version kept,
+holds something unknown: it is set whole, in ranges, but only where its parts' digests differ."""
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from ..net.clock import SECOND
+from . import delta
+from .tables import PART, PARTS, Root
+from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
+
+# An answer is a round trip and a stall away; ten times what a relay on another continent takes.
+SILENCE = 2 * SECOND
+# What a relay refused, or lied about, is not tried again at once: the window would be spent on it.
+PAUSE = 10 * SECOND
+
+Plan = Callable[[Sequence[Root], Root, Guard], list[Put]]
+
+
+class Phase(enum.Enum):
+    AWAY = "away"               # no connection
+    MOVING = "moving"           # what it holds is known, or one of a few
+    MENDING = "mending"         # what it holds is unknown; it is set whole
+    ASIDE = "aside"             # it refused, or its digests are not true: until `aside_until`
+
+
+class Session:
+    """`find`: the content of a kept version by digest; `plan`: delta.ordered, or one that remembers."""
+
+    def __init__(self, relay: str, channel: Channel, find: Callable[[bytes], Root | None],
+                 plan: Plan = delta.ordered) -> None:
+        self.relay, self.channel, self.find, self.plan = relay, channel, find, plan
+        self.phase = Phase.AWAY
+        self.connection = 0
+        self.wanted: Version | None = None
+        self.guard = Guard()
+        self.known: Root | None = None          # acknowledged
+        self.flight: deque[Message] = deque()   # sent since, unanswered
+        self.possible: list[Root] = []          # where it is not known which: one of these
+        self.parts: tuple[bytes, ...] = ()      # of an unknown content
+        self.goal: Root | None = None           # what setting whole leads to
+        self.puts: deque[Put] = deque()         # the way to `planned`
+        self.wholes: deque[Whole] = deque()
+        self.planned: Root | None = None
+        self.sequence = self.after = 0
+        self.sent: deque[int] = deque()         # times, within the window
+        self.free_at = self.heard_at = self.aside_until = 0
+        self.lies = 0
+
+    # ---- what happens ------------------------------------------------------------------------------
+
+    def want(self, version: Version, guard: Guard) -> None:
+        """What it must come to; what is under way is not waited for, but counted in."""
+        self.wanted, self.guard, self.planned = version, guard, None
+        self.puts.clear()
+        if self.phase is Phase.ASIDE and not self.lies:
+            self.phase = self.going()           # it refused another version
+
+    def joined(self, now: int, connection: int, claim: Claim | None) -> None:
+        """`claim` None: this relay tells no digest."""
+        if connection <= self.connection:
+            return                              # late news of a connection that was replaced
+        may = self.may_hold()
+        self.connection, self.heard_at, self.free_at = connection, now, 0
+        self.sequence = self.after = 0
+        self.flight.clear()
+        self.settle(now, may, claim)
+
+    def lost(self, connection: int) -> None:
+        if connection == self.connection:
+            self.phase, self.possible = Phase.AWAY, self.may_hold()
+            self.known = self.possible[0] if len(self.possible) == 1 else None
+            self.flight.clear()
+            self.forget_plan()
+
+    def acked(self, now: int, ack: Ack) -> None:
+        if ack.connection != self.connection or self.phase is Phase.AWAY or not self.flight \
+                or not self.flight[0].sequence <= ack.sequence <= self.flight[-1].sequence:
+            return                              # late, or said twice
+        self.heard_at = now
+        while self.flight and self.flight[0].sequence <= ack.sequence:
+            message = self.flight.popleft()
+            if self.known is not None:
+                self.known = applied(self.known, message)
+            elif self.possible:
+                self.possible = unlike(applied(root, message) for root in self.possible)
+        if self.possible and ack.digest:
+            self.possible = [root for root in self.possible if root.digest == ack.digest]
+            if not self.possible:
+                self.lied(now)
+                return
+        if len(self.possible) == 1:
+            self.known, self.possible = self.possible[0], []
+        if self.phase is Phase.MENDING and self.goal is not None and not self.wholes and not self.flight:
+            self.known, self.goal, self.phase = self.goal, None, Phase.MOVING
+            self.planned = None
+        if self.known is not None and ack.digest and ack.digest != self.known.digest:
+            self.lied(now)
+        elif self.known is not None and self.settled:
+            self.lies = 0
+
+    def nacked(self, now: int, nack: Nack) -> None:
+        if nack.connection != self.connection or self.phase is Phase.AWAY \
+                or all(message.sequence != nack.refused for message in self.flight):
+            return                              # said of a message that was given up already
+        self.heard_at = now
+        may = self.may_hold()
+        self.flight.clear()
+        self.after = nack.sequence
+        self.settle(now, may, nack.claim)
+        if not nack.gap:
+            self.phase, self.aside_until = Phase.ASIDE, now + PAUSE
+
+    # ---- what it holds -----------------------------------------------------------------------------
+
+    @property
+    def settled(self) -> bool:
+        return self.wanted is not None and not self.flight and self.known is not None \
+            and self.phase is not Phase.AWAY and self.known == self.wanted.root
+
+    def may_hold(self) -> list[Root]:
+        """All that it may hold now; empty: anything."""
+        roots = [self.known] if self.known is not None else list(self.possible)
+        return unlike(self.prefixes(roots))
+
+    def prefixes(self, roots: list[Root]):
+        for root in roots:
+            yield root
+            for message in self.flight:
+                root = applied(root, message)
+                yield root
+
+    def settle(self, now: int, may: list[Root], claim: Claim | None) -> None:
+        self.known, self.possible, self.goal = None, [], None
+        self.forget_plan()
+        if claim is None:
+            self.possible = may
+        else:
+            same = [root for root in may if root.digest == claim.digest]
+            self.known = same[0] if same else self.find(claim.digest)
+        self.parts = claim.parts if claim is not None and len(claim.parts) == PARTS else ()
+        if len(self.possible) == 1:
+            self.known, self.possible = self.possible[0], []
+        if self.lies and now < self.aside_until:
+            self.phase = Phase.ASIDE
+        else:
+            self.phase = self.going()
+
+    def going(self) -> Phase:
+        return Phase.MOVING if self.known is not None or self.possible else Phase.MENDING
+
+    def lied(self, now: int) -> None:
+        """Its digest is not that of what it took.  Once may be a harmed message; then it has to wait, so
+        that one relay does not cost a full resend after the other."""
+        self.lies += 1
+        self.known, self.possible, self.goal, self.parts = None, [], None, ()
+        self.flight.clear()
+        self.forget_plan()
+        self.phase = Phase.MENDING
+        if self.lies > 1:
+            self.phase, self.aside_until = Phase.ASIDE, now + PAUSE
+
+    def forget_plan(self) -> None:
+        self.puts.clear()
+        self.wholes.clear()
+        self.planned = None
+
+    # ---- what goes out -----------------------------------------------------------------------------
+
+    def due(self, now: int) -> list[Message]:
+        """Messages that may go now, in order; the caller sends them, or says that the connection is lost."""
+        if self.phase is Phase.ASIDE and now >= self.aside_until:
+            self.phase = self.going()
+        if self.wanted is None or self.phase in (Phase.AWAY, Phase.ASIDE):
+            return []
+        out = []
+        if self.flight and now - self.heard_at >= SILENCE and self.free(now):
+            self.heard_at = now
+            out.append(self.message(now))       # it answers for all before, or with a gap
+        while self.free(now):
+            self.plan_on()
+            puts, wholes = self.chunk()
+            if not puts and not wholes:
+                break
+            out.append(self.message(now, puts, wholes))
+        return out
+
+    def free(self, now: int) -> bool:
+        """Whether the channel takes a message now."""
+        while self.sent and self.sent[0] <= now - Channel.WINDOW:
+            self.sent.popleft()
+        waiting = sum(message.lines() for message in self.flight)
+        return len(self.sent) < self.channel.messages and now >= self.free_at \
+            and waiting + self.channel.lines <= max(self.channel.queue, self.channel.lines)
+
+    def next_due(self, now: int) -> int | None:
+        """When `due` may have something again that it has not now, if nothing is heard; None: never."""
+        if self.phase is Phase.ASIDE:
+            return self.aside_until
+        if self.phase is Phase.AWAY or self.wanted is None or self.settled:
+            return None
+        times = [self.heard_at + SILENCE] if self.flight else []
+        if self.free_at > now:
+            times.append(self.free_at)
+        if len(self.sent) >= self.channel.messages:
+            times.append(self.sent[0] + Channel.WINDOW)
+        return min(times) if times else now
+
+    def ahead(self) -> list[Root]:
+        """What it holds once all that is in flight has been taken."""
+        roots = [self.known] if self.known is not None else list(self.possible)
+        for message in self.flight:
+            roots = [applied(root, message) for root in roots]
+        return unlike(roots)
+
+    def plan_on(self) -> None:
+        if self.phase is Phase.MENDING:
+            if self.goal is None:
+                self.goal = delta.stripped(self.wanted.root, self.guard)
+                self.wholes.extend(whole(self.goal, self.parts, self.channel.lines))
+            return
+        if self.planned != self.wanted.root or self.planned is None:
+            self.puts = deque(self.plan(self.ahead(), self.wanted.root, self.guard))
+            self.planned = self.wanted.root
+
+    def chunk(self) -> tuple[list[Put], list[Whole]]:
+        """As many steps as one message takes; a range set whole goes alone if it is larger."""
+        puts, wholes, room = [], [], self.channel.lines
+        if self.phase is Phase.MENDING:
+            while self.wholes and (size := sum(len(lines) for _, lines in self.wholes[0].tables)) <= room:
+                wholes.append(self.wholes.popleft())
+                room -= max(size, 1)
+            if self.wholes and not wholes:
+                wholes.append(self.wholes.popleft())
+        else:
+            while self.puts and len(puts) < room:
+                puts.append(self.puts.popleft())
+        return puts, wholes
+
+    def message(self, now: int, puts: Sequence[Put] = (), wholes: Sequence[Whole] = ()) -> Message:
+        self.sequence += 1
+        message = Message(self.connection, self.sequence, self.after, self.wanted.mark, tuple(puts),
+                          tuple(wholes))
+        self.after = self.sequence
+        if not self.flight:
+            self.heard_at = now
+        self.flight.append(message)
+        self.sent.append(now)
+        self.free_at = now + self.channel.stall * message.lines()
+        return message
+
+
+def whole(goal: Root, parts: Sequence[bytes], most: int) -> list[Whole]:
+    """Ranges of the parts that differ, none of more than `most` lines unless one slice has more."""
+    own, found = goal.parts(), []
+    for number in range(PARTS):
+        if parts and parts[number] == own[number]:
+            continue
+        first, tables, size = number * PART, [], 0
+        for slice, table in goal.items(number * PART, number * PART + PART - 1):
+            if tables and size + len(table.lines) > most:
+                found.append(Whole(first, slice - 1, tuple(tables)))
+                first, tables, size = slice, [], 0
+            tables.append((slice, table.lines))
+            size += len(table.lines)
+        found.append(Whole(first, number * PART + PART - 1, tuple(tables)))
+    return merged(found, most) if not parts else found
+
+
+def merged(ranges: list[Whole], most: int) -> list[Whole]:
+    """Neighbours without much in them become one."""
+    found: list[Whole] = []
+    for one in ranges:
+        last = found[-1] if found else None
+        if last is not None and last.last + 1 == one.first and size(last) + size(one) <= most:
+            found[-1] = Whole(last.first, one.last, last.tables + one.tables)
+        else:
+            found.append(one)
+    return found
+
+
+def size(one: Whole) -> int:
+    return sum(len(lines) for _, lines in one.tables)
+
+
+def unlike(roots) -> list[Root]:
+    return list(dict.fromkeys(roots))
--- /dev/null
+++ b/indigohitch/versions/terms.py
@@ -0,0 +1,122 @@
+"""The words between the parts: versions, messages to a relay and its answers.  No I/O.
+
+Times are whole tenths of a ms.  A `Mark` is a version and its acknowledgement in one: it goes out with the
+messages and comes back in the answers."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..net.clock import SECOND
+from ..packed.rows import Row
+from .tables import Root
+
+
+class Mark(Row, frozen=True):
+    """Numbers alone say nothing: two programs may both have made a version 7."""
+    number: int
+    digest: bytes
+
+    def text(self) -> str:
+        return f"{self.number}-{self.digest.hex()[:12]}"
+
+
+@dataclass(slots=True, frozen=True, eq=False)
+class Version:
+    number: int
+    root: Root
+    parent: Mark | None
+    cause: str                  # which decision, or which operator
+    at: int
+
+    @property
+    def mark(self) -> Mark:
+        return Mark(self.number, self.root.digest)
+
+
+class Put(Row, frozen=True):
+    """One line; weight 0 removes it."""
+    slice: int
+    backend: str
+    weight: float
+
+
+class Whole(Row, frozen=True):
+    """All lines of the slices from `first` to `last`, in one step: what is not listed goes."""
+    first: int
+    last: int
+    tables: tuple[tuple[int, dict[str, float]], ...]
+
+
+Step = Put | Whole
+
+
+class Message(Row, frozen=True):
+    """`sequence` only grows on a connection, from 1; `after`: of the message that it must follow, so that a
+    relay that missed one takes none after it.  Without steps it only asks."""
+    connection: int
+    sequence: int
+    after: int
+    mark: Mark
+    puts: tuple[Put, ...] = ()
+    wholes: tuple[Whole, ...] = ()
+
+    def lines(self) -> int:
+        return len(self.puts) + sum(len(lines) for one in self.wholes for _, lines in one.tables)
+
+
+class Claim(Row, frozen=True):
+    """What a relay says that it holds.  `parts`: Root.parts, or nothing."""
+    digest: bytes
+    parts: tuple[bytes, ...] = ()
+
+
+class Ack(Row, frozen=True):
+    connection: int
+    sequence: int
+    mark: Mark
+    digest: bytes               # of all that it holds now; empty: this relay tells none
+
+
+class Nack(Row, frozen=True):
+    """`refused`: sequence of the message; `sequence`: the last one taken.  `gap`: one between is missing;
+    else the relay won't take what it was sent."""
+    connection: int
+    refused: int
+    sequence: int
+    gap: bool
+    claim: Claim
+    why: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Guard:
+    """What is forbidden on the way.  `cold`: the most weight, over all slices, that a cold backend may have;
+    `warm`: backends that may stand in for a moment."""
+    draining: frozenset[str] = frozenset()
+    cold: dict[str, float] = field(default_factory=dict)
+    warm: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Channel:
+    """To one relay.  The window is the platform's: so many messages in 10 s."""
+    messages: int = 40
+    lines: int = 200            # most in one message
+    queue: int = 1000           # most lines that wait unanswered
+    stall: int = 1              # for each line, the relay answers nothing else that long
+    WINDOW = 10 * SECOND
+
+
+def applied(root: Root, message: Message) -> Root:
+    """What a relay holds after it; raises Unfit."""
+    for one in message.wholes:
+        changes: dict[int, dict] = {slice: {} for slice, _ in root.items(one.first, one.last)}
+        root = root.changed(changes | dict(one.tables))
+    changes = {}
+    for put in message.puts:
+        if put.slice not in changes:
+            changes[put.slice] = dict(root.lines_of(put.slice))
+        changes[put.slice].pop(put.backend, None)
+        if put.weight:
+            changes[put.slice][put.backend] = put.weight
+    return root.changed(changes)
