Sessions of relays held against a plain model; desk, pins, ways back, staged pushes, a store

Hypothesis drives a session through losses, breaks, restarts, repeats and lies; what a relay truly holds is always in the set of what it may hold, no slice goes bare, the window holds.

--- /dev/null
+++ b/indigohitch/versions/keeping.py
@@ -0,0 +1,106 @@
+"""Versions kept: the last ones, the named ones, and what some relay holds or may hold.  No I/O.
+
+Memory is bounded by what is said of it: `last` versions, `NAMED` names, and one version for each content that
+a relay holds (they share what they have in common; relays that hold the same count once)."""
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from ..errors import Unfit
+from .tables import Root
+from .terms import Mark, Version
+
+LAST = 64                       # about an hour of a busy module; a version of one line takes some kB
+NAMED = 32                      # an operator's; each may hold a whole table alive
+
+
+class Keeping:
+    def __init__(self, last: int = LAST) -> None:
+        self.last = last
+        self.order: dict[int, Version] = {}     # by number, oldest first
+        self.names: dict[str, int] = {}
+        self.held: Counter[bytes] = Counter()   # digests, by how many relays hold or may hold it
+        self.digests: dict[bytes, Version] = {}
+        self.standing: set[int] = set()         # pinned, or pushed in stages: kept without a name
+        self.patient = False                    # after a start, until relays have had time to come back
+
+    @property
+    def newest(self) -> Version | None:
+        return next(reversed(self.order.values()), None)
+
+    def add(self, version: Version) -> list[Version]:
+        """Returns those forgotten for it.  Raises Unfit for a number that is not new."""
+        if self.newest is not None and version.number <= self.newest.number:
+            raise Unfit(f"version {version.number} after {self.newest.number}", "", "numbers only grow")
+        self.order[version.number] = version
+        self.digests[version.root.digest] = version
+        return self.forget()
+
+    def name(self, name: str, number: int) -> None:
+        """Raises Unfit."""
+        if number not in self.order:
+            raise Unfit(f"version {number} is not kept", "", "`show` what is kept, and name one of those")
+        if name not in self.names and len(self.names) >= NAMED:
+            raise Unfit(f"{NAMED} versions have names", name, "take one of the names away")
+        self.names[name] = number
+
+    def unname(self, name: str) -> list[Version]:
+        self.names.pop(name, None)
+        return self.forget()
+
+    def get(self, which: str | int) -> Version:
+        """By name, number or Mark.text().  Raises Unfit."""
+        text = str(which)
+        number = self.names.get(text)
+        if number is None and (head := text.partition("-")[0]).isdigit():
+            number = int(head)
+        found = self.order.get(number) if number is not None else None
+        if found is None or "-" in text and text not in self.names and found.mark.text() != text:
+            raise Unfit(f"no version {text}", "", "list those that are kept")
+        return found
+
+    def known(self, mark: Mark) -> bool:
+        """Whether this version ever was, as far as it is kept."""
+        found = self.order.get(mark.number)
+        return found is not None and found.mark == mark
+
+    def find(self, digest: bytes) -> Root | None:
+        found = self.digests.get(digest)
+        return found.root if found is not None else None
+
+    def holds(self, before: Iterable[bytes], now: Iterable[bytes]) -> list[Version]:
+        """A relay held, or may have held, contents of those digests, and now of these."""
+        self.held.update(now)
+        for digest in before:
+            self.held[digest] -= 1
+            if self.held[digest] <= 0:
+                del self.held[digest]
+        return self.forget()
+
+    def forget(self) -> list[Version]:
+        """The newest with a content is the one that relays are counted at."""
+        if self.patient or len(self.order) <= self.last:
+            return []
+        named = self.standing.union(self.names.values())
+        gone = [version for version in list(self.order.values())[:-self.last]
+                if version.number not in named
+                and not (self.held[version.root.digest] and self.digests[version.root.digest] is version)]
+        for version in gone:
+            del self.order[version.number]
+            if self.digests[version.root.digest] is version:
+                del self.digests[version.root.digest]
+        return gone
+
+
+class Memory:
+    """A store for a process that keeps nothing on a disk; store.Store has the same calls."""
+
+    def __init__(self, last: int = LAST) -> None:
+        self.keeping, self.pinned = Keeping(last), None
+
+    def add(self, version: Version) -> None:
+        self.keeping.add(version)
+
+    def pin(self, number: int, by: str, at: int) -> None:
+        self.keeping.standing = {number} if number else set()
--- /dev/null
+++ b/indigohitch/versions/ranges.py
@@ -0,0 +1,40 @@
+"""Setting a relay whole: ranges of slices, each in one step, so that none is bare in between.  No I/O."""
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .tables import PART, PARTS, Root
+from .terms import Whole
+
+
+def whole(goal: Root, parts: Sequence[bytes], most: int) -> list[Whole]:
+    """Ranges of the parts that differ, none of more than `most` lines unless one slice has more."""
+    own, found = goal.parts(), []
+    for number in range(PARTS):
+        if parts and parts[number] == own[number]:
+            continue
+        first, tables, size = number * PART, [], 0
+        for slice, table in goal.items(number * PART, number * PART + PART - 1):
+            if tables and size + len(table.lines) > most:
+                found.append(Whole(first, slice - 1, tuple(tables)))
+                first, tables, size = slice, [], 0
+            tables.append((slice, table.lines))
+            size += len(table.lines)
+        found.append(Whole(first, number * PART + PART - 1, tuple(tables)))
+    return merged(found, most) if not parts else found
+
+
+def merged(ranges: list[Whole], most: int) -> list[Whole]:
+    """Neighbours without much in them become one."""
+    found: list[Whole] = []
+    for one in ranges:
+        last = found[-1] if found else None
+        if last is not None and last.last + 1 == one.first and size(last) + size(one) <= most:
+            found[-1] = Whole(last.first, one.last, last.tables + one.tables)
+        else:
+            found.append(one)
+    return found
+
+
+def size(one: Whole) -> int:
+    return sum(len(lines) for _, lines in one.tables)
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -12,8 +12,11 @@
 
 from ..net.clock import SECOND
 from . import delta
-from .tables import PART, PARTS, Root
+from .holding import ahead, prefixes, unlike
+from .ranges import size, whole
+from .tables import PARTS, Root
 from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
+from .window import Window
 
 # An answer is a round trip and a stall away; ten times what a relay on another continent takes.
 SILENCE = 2 * SECOND
@@ -49,8 +52,8 @@
         self.wholes: deque[Whole] = deque()
         self.planned: Root | None = None
         self.sequence = self.after = 0
-        self.sent: deque[int] = deque()         # times, within the window
-        self.free_at = self.heard_at = self.aside_until = 0
+        self.window = Window(channel)
+        self.heard_at = self.aside_until = 0
         self.lies = 0
 
     # ---- what happens ------------------------------------------------------------------------------
@@ -67,7 +70,7 @@
         if connection <= self.connection:
             return                              # late news of a connection that was replaced
         may = self.may_hold()
-        self.connection, self.heard_at, self.free_at = connection, now, 0
+        self.connection, self.heard_at = connection, now
         self.sequence = self.after = 0
         self.flight.clear()
         self.settle(now, may, claim)
@@ -127,14 +130,13 @@
     def may_hold(self) -> list[Root]:
         """All that it may hold now; empty: anything."""
         roots = [self.known] if self.known is not None else list(self.possible)
-        return unlike(self.prefixes(roots))
+        return prefixes(roots, self.flight)
 
-    def prefixes(self, roots: list[Root]):
-        for root in roots:
-            yield root
-            for message in self.flight:
-                root = applied(root, message)
-                yield root
+    def digests(self) -> set[bytes]:
+        """Of versions that it holds, may hold or must come to."""
+        held = {root.digest for root in (self.known, *self.possible) if root is not None}
+        held.update(message.mark.digest for message in self.flight)
+        return held | ({self.wanted.root.digest} if self.wanted is not None else set())
 
     def settle(self, now: int, may: list[Root], claim: Claim | None) -> None:
         self.known, self.possible, self.goal = None, [], None
@@ -192,12 +194,7 @@
         return out
 
     def free(self, now: int) -> bool:
-        """Whether the channel takes a message now."""
-        while self.sent and self.sent[0] <= now - Channel.WINDOW:
-            self.sent.popleft()
-        waiting = sum(message.lines() for message in self.flight)
-        return len(self.sent) < self.channel.messages and now >= self.free_at \
-            and waiting + self.channel.lines <= max(self.channel.queue, self.channel.lines)
+        return self.window.free(now, self.flight)
 
     def next_due(self, now: int) -> int | None:
         """When `due` may have something again that it has not now, if nothing is heard; None: never."""
@@ -206,18 +203,14 @@
         if self.phase is Phase.AWAY or self.wanted is None or self.settled:
             return None
         times = [self.heard_at + SILENCE] if self.flight else []
-        if self.free_at > now:
-            times.append(self.free_at)
-        if len(self.sent) >= self.channel.messages:
-            times.append(self.sent[0] + Channel.WINDOW)
+        if (opens := self.window.opens(now)) is not None:
+            times.append(opens)
         return min(times) if times else now
 
     def ahead(self) -> list[Root]:
         """What it holds once all that is in flight has been taken."""
         roots = [self.known] if self.known is not None else list(self.possible)
-        for message in self.flight:
-            roots = [applied(root, message) for root in roots]
-        return unlike(roots)
+        return ahead(roots, self.flight)
 
     def plan_on(self) -> None:
         if self.phase is Phase.MENDING:
@@ -233,9 +226,9 @@
         """As many steps as one message takes; a range set whole goes alone if it is larger."""
         puts, wholes, room = [], [], self.channel.lines
         if self.phase is Phase.MENDING:
-            while self.wholes and (size := sum(len(lines) for _, lines in self.wholes[0].tables)) <= room:
+            while self.wholes and (more := size(self.wholes[0])) <= room:
                 wholes.append(self.wholes.popleft())
-                room -= max(size, 1)
+                room -= max(more, 1)
             if self.wholes and not wholes:
                 wholes.append(self.wholes.popleft())
         else:
@@ -251,43 +244,5 @@
         if not self.flight:
             self.heard_at = now
         self.flight.append(message)
-        self.sent.append(now)
-        self.free_at = now + self.channel.stall * message.lines()
+        self.window.takes(now, message)
         return message
-
-
-def whole(goal: Root, parts: Sequence[bytes], most: int) -> list[Whole]:
-    """Ranges of the parts that differ, none of more than `most` lines unless one slice has more."""
-    own, found = goal.parts(), []
-    for number in range(PARTS):
-        if parts and parts[number] == own[number]:
-            continue
-        first, tables, size = number * PART, [], 0
-        for slice, table in goal.items(number * PART, number * PART + PART - 1):
-            if tables and size + len(table.lines) > most:
-                found.append(Whole(first, slice - 1, tuple(tables)))
-                first, tables, size = slice, [], 0
-            tables.append((slice, table.lines))
-            size += len(table.lines)
-        found.append(Whole(first, number * PART + PART - 1, tuple(tables)))
-    return merged(found, most) if not parts else found
-
-
-def merged(ranges: list[Whole], most: int) -> list[Whole]:
-    """Neighbours without much in them become one."""
-    found: list[Whole] = []
-    for one in ranges:
-        last = found[-1] if found else None
-        if last is not None and last.last + 1 == one.first and size(last) + size(one) <= most:
-            found[-1] = Whole(last.first, one.last, last.tables + one.tables)
-        else:
-            found.append(one)
-    return found
-
-
-def size(one: Whole) -> int:
-    return sum(len(lines) for _, lines in one.tables)
-
-
-def unlike(roots) -> list[Root]:
-    return list(dict.fromkeys(roots))
