--- /dev/null
+++ b/tests/deskroom.py
@@ -0,0 +1,111 @@
+"""A desk and relays for tests, and files in memory."""
+import errno
+
+from indigohitch import interface as face
+from indigohitch.fleet.disk.files import Files
+from indigohitch.standins.tabled import Tabled
+from indigohitch.versions.checks import Facts
+from indigohitch.versions.desk import Desk
+from indigohitch.versions.keeping import Memory
+from indigohitch.versions.terms import Channel
+
+SLICES = 100
+READY = {name: "ready" for name in "abcd"}
+FACTS = Facts(READY, frozenset(range(SLICES)))
+
+
+def line(slice, backend, weight=1.0):
+    return face.SetLine(slice, backend, weight)
+
+
+def moved(slice, old, new):
+    return [line(slice, new), line(slice, old, 0)]
+
+
+class Room:
+    """A desk and its relays, with nothing lost between them."""
+
+    def __init__(self, relays=3, store=None, facts=FACTS):
+        self.said, self.now = [], 0
+        self.store = store or Memory()
+        self.desk = Desk(self.store, facts, Channel(), self.hear)
+        self.relays = {}
+        if self.desk.current is None:
+            self.desk.ordered(0, [line(slice, "ab"[slice % 2]) for slice in range(SLICES)], "first")
+        for number in range(relays):
+            self.join(f"r{number}", Tabled())
+        self.go()
+
+    def hear(self, event, **fields):
+        self.said.append((event, fields))
+
+    def join(self, name, relay):
+        self.relays[name] = relay
+        session = self.desk.relay(name)
+        connection = session.connection + 1
+        session.joined(self.now, connection, relay.joins(connection))
+
+    def go(self, most=300):
+        lines = 0
+        for _ in range(most):
+            self.now += 100
+            for name, relay in self.relays.items():
+                session = self.desk.sessions[name]
+                for message in session.due(self.now):
+                    lines += message.lines()
+                    said = relay.takes(message)
+                    if said is not None:
+                        (session.nacked if hasattr(said, "gap") else session.acked)(self.now, said)
+                self.desk.count(session)
+        return lines
+
+    def same(self):
+        assert all(relay.root == self.desk.root for relay in self.relays.values())
+
+
+class Plain(Files):
+    """Files in memory: the same calls; `room` bytes are left."""
+
+    def __init__(self):
+        self.held, self.open, self.room = {}, {}, 1 << 40
+
+    def folder(self, path):
+        pass
+
+    def names(self, folder):
+        return sorted(path[len(folder) + 1:] for path in self.held)
+
+    def read(self, path):
+        return bytes(self.held[path])
+
+    def whole(self, path, data):
+        if len(data) > self.room:
+            raise OSError(errno.ENOSPC, "full")
+        self.held[path] = bytearray(data)
+
+    def append_to(self, path):
+        fd = max(self.open, default=0) + 1
+        self.open[fd] = path
+        return fd
+
+    def write(self, fd, data):
+        part = bytes(data[:max(1, len(data) // 2)])
+        if len(part) > self.room:
+            self.held[self.open[fd]] += part[:self.room]        # a torn record
+            self.room = 0
+            raise OSError(errno.ENOSPC, "full")
+        self.room -= len(part)
+        self.held[self.open[fd]] += part
+        return len(part)
+
+    def fsync(self, fd):
+        pass
+
+    def close(self, fd):
+        del self.open[fd]
+
+    def cut(self, path, size):
+        del self.held[path][size:]
+
+    def remove(self, path):
+        del self.held[path]
--- /dev/null
+++ b/tests/test_versions_delta.py
@@ -0,0 +1,43 @@
+"""Deltas: the fewest lines, in an order that is safe at each step."""
+import random
+
+import pytest
+
+from indigohitch.versions import delta
+from indigohitch.versions.tables import difference, root_of
+from indigohitch.versions.terms import Guard, Mark, Message, Put, applied
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_delta_is_minimal_and_safe_at_each_step(seed):
+    chance = random.Random(seed)
+    names = [f"n{number}" for number in range(8)]
+
+    def tables():
+        return {slice: {name: 1.0 for name in chance.sample(names, chance.randint(1, 2))}
+                for slice in range(30)}
+    start, to = root_of(tables()), root_of(tables())
+    weight = [sum(table.lines.get("n0", 0) for _, table in root.items()) for root in (start, to)]
+    guard = Guard(frozenset({"n7"}), {"n0": max(weight)}, ("w",))
+    puts = delta.ordered([start], to, guard)
+    differs = sum(len(set((a.lines if a else {}).items()) ^ set((b.lines if b else {}).items()))
+                  for _, a, b in difference(start, to))
+    assert len(puts) == differs + 2 * sum(put.backend == "w" and put.weight > 0 for put in puts)
+    held = start
+    for put in puts:
+        held = applied(held, Message(1, 1, 0, Mark(1, to.digest), (put,)))
+        assert held.slices == 30, "bare"
+        assert sum(table.lines.get("n0", 0) for _, table in held.items()) <= max(weight), "cold"
+    assert held == to
+    leave = [number for number, put in enumerate(puts) if put.backend == "n7" and not put.weight]
+    other = [number for number, put in enumerate(puts) if put.backend != "n7" and not put.weight
+             and all(one.backend != "n7" or one.slice != put.slice for one in puts)]
+    assert not leave or not other or sum(leave) / len(leave) < sum(other) / len(other)
+
+
+def test_cold_backends_that_wait_for_each_other_pass_by_way_of_a_warm_one():
+    start, to = root_of({1: {"a": 1.0}, 2: {"b": 1.0}}), root_of({1: {"b": 1.0}, 2: {"a": 1.0}})
+    puts = delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}, warm=("w",)))
+    assert [put for put in puts if put.backend == "w"] == [Put(1, "w", 1.0), Put(1, "w", 0)]
+    with pytest.raises(Exception, match="cold backends wait"):
+        delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}))
--- /dev/null
+++ b/tests/test_versions_store.py
@@ -0,0 +1,171 @@
+"""The store against a plain model, killed at every boundary and at seeded offsets; a full disk; harm."""
+import os
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from indigohitch.errors import Unfit
+from indigohitch.fleet.disk.files import Files
+from indigohitch.versions.store import Harmed, Store, read
+from indigohitch.versions.tables import Root, root_of
+from indigohitch.versions.terms import Version
+from tests.deskroom import Plain
+
+
+def opened(files, last=8, size=1 << 20):
+    store = Store(files, "f", size)
+    store.open(last)
+    return store
+
+
+def written(count, seed=1):
+    """A store with so many versions; the root and the length of the file after each."""
+    chance, files = random.Random(seed), Plain()
+    store = opened(files, last=count)
+    ends, root = [], Root()
+    for number in range(1, count + 1):
+        root = root.changed({chance.randrange(300): {f"n{chance.randrange(5)}": 1.0} for _ in range(3)})
+        store.add(Version(number, root, None, f"order {number}", number * 10))
+        ends.append((len(files.held[store.path]), root))
+    return files, store.path, ends
+
+
+def check_cut(files, path, ends, at):
+    files.held[path] = files.held[path][:at]
+    store = opened(files, last=100)
+    whole = [root for end, root in ends if end <= at]
+    assert [version.root for version in store.keeping.order.values()] == whole      # all, and no other
+    assert len(files.held[store.path]) <= at
+    store.add(Version(1000, Root().with_line(7, "x", 1.0), None, "after", 0))       # it goes on
+    again = opened(files, last=100)
+    assert [v.root for v in again.keeping.order.values()] == [*whole, Root().with_line(7, "x", 1.0)]
+
+
+def test_killed_at_every_boundary_and_at_200_offsets():
+    files, path, ends = written(20)
+    data, chance = bytes(files.held[path]), random.Random(5)
+    assert len(read(data, path)[0]) == 21
+    start = data.find(b"IHvt", 1)                       # after the first record, which is written whole
+    for at in [start, *(end for end, _ in ends), *(chance.randrange(start, len(data)) for _ in range(200))]:
+        files.held = {path: bytearray(data)}
+        check_cut(files, path, ends, at)
+
+
+def test_a_byte_changed_before_the_end_is_harm_and_never_a_wrong_table():
+    files, path, ends = written(8)
+    data, chance, harmed = bytes(files.held[path]), random.Random(6), 0
+    for _ in range(200):
+        spoilt, at = bytearray(data), chance.randrange(len(data))
+        spoilt[at] ^= 1 << chance.randrange(8)
+        files.held = {path: spoilt}
+        try:
+            store = opened(files, last=100)
+        except Harmed:
+            harmed += 1
+            continue
+        roots = [version.root for version in store.keeping.order.values()]
+        assert roots == [root for _, root in ends][:len(roots)] and at >= ends[-2][0]
+    assert harmed > 100
+
+
+def test_a_full_disk_keeps_nothing_of_the_call_and_goes_on_when_there_is_room():
+    files, _, ends = written(3)
+    store = opened(files)
+    files.room = 20
+    with pytest.raises(OSError):
+        store.add(Version(4, root_of({1: {"z": 1.0}}), None, "x", 0))
+    assert store.keeping.newest.number == 3
+    with pytest.raises(OSError):
+        store.add(Version(4, root_of({1: {"z": 1.0}}), None, "x", 0))
+    files.room = 1 << 30
+    store.add(Version(4, root_of({1: {"y": 1.0}}), None, "x", 0))
+    assert opened(files).keeping.newest.root == root_of({1: {"y": 1.0}})
+    assert opened(files).keeping.get(3).root == ends[2][1]
+
+
+def test_on_a_real_disk(tmp_path):
+    store = Store(Files(), str(tmp_path))
+    store.open()
+    store.add(Version(1, root_of({1: {"a": 1.0}}), None, "x", 0))
+    store.name("good", 1)
+    store.close()
+    with open(store.path, "ab") as file:
+        file.write(b"IHvt torn")
+    again = Store(Files(), str(tmp_path))
+    again.open()
+    assert again.keeping.get("good").root == root_of({1: {"a": 1.0}})
+    assert os.path.getsize(again.path) == again.good
+    again.close()
+
+
+class Stores(RuleBasedStateMachine):
+    """The model: a list of versions, a dict of names, the pin."""
+
+    def __init__(self):
+        super().__init__()
+        self.files = Plain()
+        self.store = opened(self.files, last=4, size=600)
+        self.store.keeping.patient = False
+        self.made, self.names, self.pin = {}, {}, None
+
+    @rule(slice=st.integers(0, 600), backend=st.sampled_from("abc"), weight=st.sampled_from((0, 1.0, 2.0)))
+    def add(self, slice, backend, weight):
+        root = self.store.root.with_line(slice, backend, weight)
+        version = Version(max(self.made, default=0) + 1, root, None, "x", 0)
+        self.store.add(version)
+        self.made[version.number] = root
+
+    @rule(name=st.sampled_from(("good", "better")), back=st.integers(0, 5))
+    def name(self, name, back):
+        number = max(self.made, default=0) - back
+        try:
+            self.store.name(name, max(0, number))
+        except Unfit:
+            assert number not in self.store.keeping.order
+            return
+        self.names.pop(name, None)
+        if number > 0:
+            self.names[name] = number
+
+    @rule()
+    def pin_newest(self):
+        if self.made:
+            self.pin = max(self.made)
+            self.store.pin(self.pin, "operator", 5)
+
+    @rule(room=st.integers(0, 40), slice=st.integers(0, 600))
+    def full(self, room, slice):
+        number = max(self.made, default=0) + 1
+        self.files.room = room
+        root = self.store.root.with_line(slice, "full", 1.0)
+        try:
+            self.store.add(Version(number, root, None, "x", 0))
+            self.made[number] = root
+        except OSError:
+            assert number not in self.store.keeping.order
+        self.files.room = 1 << 40
+
+    @rule(torn=st.binary(max_size=30))
+    def killed(self, torn):
+        if self.store.fd >= 0:
+            self.files.held[self.store.path] += torn
+        self.files.open.clear()
+        self.store = opened(self.files, last=4, size=600)
+        self.store.keeping.patient = False
+
+    @invariant()
+    def same(self):
+        kept, store = self.store.keeping, self.store
+        assert all(version.root == self.made[number] for number, version in kept.order.items())
+        must = set(sorted(self.made)[-4:]) | set(self.names.values()) | ({self.pin} if self.pin else set())
+        assert must <= set(kept.order)
+        assert kept.names == self.names
+        assert (store.pinned.number if store.pinned else None) == self.pin
+
+
+TestStores = Stores.TestCase
+TestStores.settings = settings(max_examples=100, stateful_step_count=40, deadline=None, database=None,
+                               derandomize=True)
