--- a/indigohitch/versions/desk.py
+++ b/indigohitch/versions/desk.py
@@ -61,7 +61,7 @@
         """News of backends.  Raises OSError."""
         self.facts = facts
         for session in self.sessions.values():
-            session.guard = facts.guard()
+            session.guarded(facts.guard())
         if self.pushing.staged is not None:
             self.pushing.amend(now)
             for session in self.sessions.values():
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -9,10 +9,11 @@
 import enum
 from collections import deque
 from collections.abc import Callable, Sequence
+from itertools import islice
 
 from ..net.clock import SECOND
 from . import delta
-from .holding import ahead, prefixes, unlike
+from .holding import Holding, unlike
 from .ranges import size, whole
 from .tables import PARTS, Root
 from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
@@ -33,19 +34,16 @@
     ASIDE = "aside"             # it refused, or its digests are not true: until `aside_until`
 
 
-class Session:
+class Session(Holding):
     """`find`: the content of a kept version by digest; `plan`: delta.ordered, or one that remembers."""
 
     def __init__(self, relay: str, channel: Channel, find: Callable[[bytes], Root | None],
                  plan: Plan = delta.ordered) -> None:
         self.relay, self.channel, self.find, self.plan = relay, channel, find, plan
+        super().__init__()
         self.phase = Phase.AWAY
         self.connection = 0
-        self.wanted: Version | None = None
-        self.guard = Guard()
-        self.known: Root | None = None          # acknowledged
-        self.flight: deque[Message] = deque()   # sent since, unanswered
-        self.possible: list[Root] = []          # where it is not known which: one of these
+        self.guard = Guard()                    # may be newer than `wanted`
         self.parts: tuple[bytes, ...] = ()      # of an unknown content
         self.goal: Root | None = None           # what setting whole leads to
         self.puts: deque[Put] = deque()         # the way to `planned`
@@ -65,6 +63,12 @@
         if self.phase is Phase.ASIDE and not self.lies:
             self.phase = self.going()           # it refused another version
 
+    def guarded(self, guard: Guard) -> None:
+        """News of backends: what is not sent yet is looked at anew."""
+        if guard != self.guard:
+            self.guard, self.planned = guard, None
+            self.puts.clear()
+
     def joined(self, now: int, connection: int, claim: Claim | None) -> None:
         """`claim` None: this relay tells no digest."""
         if connection <= self.connection:
@@ -72,6 +76,7 @@
         may = self.may_hold()
         self.connection, self.heard_at = connection, now
         self.sequence = self.after = 0
+        self.window.told(now, claim.heard if claim is not None else 0)
         self.flight.clear()
         self.settle(now, may, claim)
 
@@ -120,23 +125,15 @@
         if not nack.gap:
             self.phase, self.aside_until = Phase.ASIDE, now + PAUSE
 
+    def going(self) -> Phase:
+        return Phase.MOVING if self.known is not None or self.possible else Phase.MENDING
+
     # ---- what it holds -----------------------------------------------------------------------------
 
     @property
     def settled(self) -> bool:
-        return self.wanted is not None and not self.flight and self.known is not None \
-            and self.phase is not Phase.AWAY and self.known == self.wanted.root
-
-    def may_hold(self) -> list[Root]:
-        """All that it may hold now; empty: anything."""
-        roots = [self.known] if self.known is not None else list(self.possible)
-        return prefixes(roots, self.flight)
-
-    def digests(self) -> set[bytes]:
-        """Of versions that it holds, may hold or must come to."""
-        held = {root.digest for root in (self.known, *self.possible) if root is not None}
-        held.update(message.mark.digest for message in self.flight)
-        return held | ({self.wanted.root.digest} if self.wanted is not None else set())
+        return self.wanted is not None and self.phase is not Phase.AWAY and not self.flight \
+            and self.known == self.wanted.root
 
     def settle(self, now: int, may: list[Root], claim: Claim | None) -> None:
         self.known, self.possible, self.goal = None, [], None
@@ -154,9 +151,6 @@
         else:
             self.phase = self.going()
 
-    def going(self) -> Phase:
-        return Phase.MOVING if self.known is not None or self.possible else Phase.MENDING
-
     def lied(self, now: int) -> None:
         """Its digest is not that of what it took.  Once may be a harmed message; then it has to wait, so
         that one relay does not cost a full resend after the other."""
@@ -181,21 +175,20 @@
             self.phase = self.going()
         if self.wanted is None or self.phase in (Phase.AWAY, Phase.ASIDE):
             return []
-        out = []
-        if self.flight and now - self.heard_at >= SILENCE and self.free(now):
+        out: list[Message] = []
+        if self.flight and now - self.heard_at >= SILENCE and self.window.free(now, self.flight, True):
             self.heard_at = now
             out.append(self.message(now))       # it answers for all before, or with a gap
-        while self.free(now):
+        while self.window.free(now, self.flight, bool(self.guard.draining)):
             self.plan_on()
+            if not self.urgent and not self.window.free(now, self.flight):
+                break
             puts, wholes = self.chunk()
             if not puts and not wholes:
                 break
             out.append(self.message(now, puts, wholes))
         return out
 
-    def free(self, now: int) -> bool:
-        return self.window.free(now, self.flight)
-
     def next_due(self, now: int) -> int | None:
         """When `due` may have something again that it has not now, if nothing is heard; None: never."""
         if self.phase is Phase.ASIDE:
@@ -203,14 +196,14 @@
         if self.phase is Phase.AWAY or self.wanted is None or self.settled:
             return None
         times = [self.heard_at + SILENCE] if self.flight else []
-        if (opens := self.window.opens(now)) is not None:
+        if (opens := self.window.opens(now, self.urgent)) is not None:
             times.append(opens)
         return min(times) if times else now
 
-    def ahead(self) -> list[Root]:
-        """What it holds once all that is in flight has been taken."""
-        roots = [self.known] if self.known is not None else list(self.possible)
-        return ahead(roots, self.flight)
+    @property
+    def urgent(self) -> bool:
+        """A draining backend's lines wait to go: the window's reserve is for these."""
+        return any(put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines))
 
     def plan_on(self) -> None:
         if self.phase is Phase.MENDING:
--- a/indigohitch/versions/terms.py
+++ b/indigohitch/versions/terms.py
@@ -65,9 +65,11 @@
 
 
 class Claim(Row, frozen=True):
-    """What a relay says that it holds.  `parts`: Root.parts, or nothing."""
+    """What a relay says that it holds.  `parts`: Root.parts, or nothing; `heard`: messages that came to it in
+    the last 10 s, so that a program that was restarted does not fill the window twice."""
     digest: bytes
     parts: tuple[bytes, ...] = ()
+    heard: int = 0
 
 
 class Ack(Row, frozen=True):
--- /dev/null
+++ b/proofs/versions.py
@@ -0,0 +1,246 @@
+"""Random versions, rollbacks, drains, pins and restarts, with stand-in relays on loopback behind a relay of
+faults; after quiet every relay must hold the exact intended table.
+
+    python proofs/versions.py           1,000 steps; QUICK=1: 200, under 50 s; SEED=7
+    BROKEN=1 ...                        old lines are removed before new ones are there: must fail
+
+The last line is JSON.  Exit code 1 on a breach."""
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from dataclasses import replace
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from indigohitch import interface as face  # noqa: E402
+from indigohitch.standins.breaker import Breaker  # noqa: E402
+from indigohitch.versions import cost, delta  # noqa: E402
+from indigohitch.versions.checks import Facts  # noqa: E402
+from indigohitch.versions.tables import Root, root_of  # noqa: E402
+from indigohitch.versions.terms import Channel  # noqa: E402
+from proofs.versions_program import Program  # noqa: E402
+from proofs.versions_relays import Relay, Truth  # noqa: E402
+
+QUICK = os.environ.get("QUICK") == "1"
+STEPS, RELAYS, SLICES, BACKENDS = (200 if QUICK else 1000), 10, 400, 24
+PACE = 0.12                     # s between steps: some 80 in a window of 40 messages
+GRACE = 6.0                     # s, of a drain
+COLD_CAP, COLD_FOR = 26.0, 6.0       # a move brings at most 24
+CHANNEL = Channel(messages=40, lines=60, queue=240, stall=5)
+
+
+class World:
+    def __init__(self, folder: str, seed: int) -> None:
+        self.folder, self.chance, self.truth = folder, random.Random(seed), Truth()
+        self.facts = Facts({f"n{n}": "ready" for n in range(BACKENDS)}, frozenset(range(SLICES)), blast=0.9)
+        self.breaker = Breaker(seed)
+        self.relays: list[Relay] = []
+        self.drains: dict[str, float] = {}              # backend: since when
+        self.cold_until: dict[str, float] = {}
+        self.counts = dict.fromkeys(("versions", "rollbacks", "restarts", "refused", "drains", "cold"), 0)
+        self.drain_over = self.naive = self.recovered = self.lost_versions = 0
+        self.slow: Relay | None = None
+
+    # ---- steps -----------------------------------------------------------------------------------------
+
+    async def begin(self) -> None:
+        self.program = Program(self.folder, self.facts, CHANNEL)
+        self.port = await self.program.listen(0)
+        self.made(self.program.desk.ordered(0, [face.SetLine(slice, f"n{slice % BACKENDS}", 1.0)
+                                                for slice in range(SLICES)], "first"))
+        for number in range(RELAYS):
+            at = self.breaker.gate(f"r{number}", "program", ("127.0.0.1", self.port))
+            self.relays.append(Relay(f"r{number}", at, self.truth, number,
+                                     CHANNEL.messages))
+        self.tasks = [asyncio.create_task(relay.live()) for relay in self.relays]
+        await self.quiet(20)
+
+    def made(self, version) -> None:
+        """A naive program sends every line to every relay for each."""
+        if version is not None:
+            self.counts["versions"] += 1
+            self.naive += version.root.lines * RELAYS
+        else:
+            self.counts["refused"] += bool(self.program.desk.faults)
+
+    def ready(self) -> list[str]:
+        return [name for name, state in self.facts.states.items() if state == "ready"
+                and name not in self.facts.cold]
+
+    def at(self) -> int:
+        return int(time.monotonic() * 10_000)
+
+    def news(self, cause: str, **words) -> None:
+        self.facts = replace(self.facts, **words)
+        self.truth.cold = dict(self.facts.cold)
+        self.made(self.program.desk.heard(self.at(), self.facts, cause))
+
+    def move(self) -> None:
+        orders, desk = [], self.program.desk
+        spare = self.ready() + [name for name, cap in self.facts.cold.items()
+                                if self.weight(desk.asked, name) + 24 <= cap]
+        for slice in self.chance.sample(range(SLICES), self.chance.choice((1, 1, 2, 5, 12))):
+            target = self.chance.choice(spare)
+            orders += [face.SetLine(slice, target, self.chance.choice((1.0, 1.0, 2.0)))]
+            orders += [face.SetLine(slice, name, 0) for name in desk.asked.lines_of(slice) if name != target]
+        self.made(desk.ordered(self.at(), orders, "move"))
+
+    def weight(self, root: Root, name: str) -> float:
+        return sum(table.lines.get(name, 0) for _, table in root.items())
+
+    def away(self, name: str) -> list[face.Order]:
+        ready, found = self.ready(), []
+        for slice, table in self.program.desk.asked.items():
+            if name in table.lines:
+                found += [face.SetLine(slice, self.chance.choice(ready), 1.0), face.SetLine(slice, name, 0)]
+        return found
+
+    def drain(self) -> None:
+        if len(self.drains) < 3:
+            name = self.chance.choice(self.ready())
+            self.drains[name] = time.monotonic()
+            self.counts["drains"] += 1
+            self.news("drain", states={**self.facts.states, name: "draining"})
+            self.made(self.program.desk.ordered(self.at(), self.away(name), "drain"))
+
+    def drained(self) -> None:
+        """After the grace, no relay that could be reached in it has a line there."""
+        at = time.monotonic()
+        for name, since in list(self.drains.items()):
+            if at - since >= GRACE:
+                for relay in self.relays:
+                    if at - self.program.joined_at.get(relay.name, at) >= GRACE / 2:
+                        self.drain_over += sum(name in table.lines
+                                               for _, table in relay.tabled.root.items())
+                del self.drains[name]
+                self.news("it is back", states={**self.facts.states, name: "ready"})
+                desk = self.program.desk
+                if self.weight(desk.root, name) + self.weight(desk.asked, name) == 0:
+                    self.cold(name)
+        for name, until in list(self.cold_until.items()):
+            if at >= until:
+                del self.cold_until[name]
+                for relay in self.relays:
+                    relay.most.pop(name, None)
+                self.news("warm", cold={n: cap for n, cap in self.facts.cold.items() if n != name})
+
+    def cold(self, name: str) -> None:
+        """It was restarted: no line stands there, and only few may come."""
+        self.counts["cold"] += 1
+        self.cold_until[name] = time.monotonic() + COLD_FOR
+        self.news("cold", cold={**self.facts.cold, name: COLD_CAP})
+        for relay in self.relays:
+            relay.turned_cold(name)
+
+    def back(self) -> None:
+        desk = self.program.desk
+        version = self.chance.choice(list(desk.keeping.order.values())[-30:])
+        _, made = desk.rollback(self.at(), version.number, "proof", frozenset({"blast"}))
+        self.counts["rollbacks"] += 1
+        self.made(made)
+
+    def unpin(self) -> None:
+        if (desk := self.program.desk).pin is not None:
+            for name, state in self.facts.states.items():       # the module goes on ordering meanwhile
+                if state != "ready" or self.weight(desk.asked, name) > self.facts.cold.get(name, 1e9):
+                    desk.ordered(self.at(), self.away(name), "away")
+            self.made(self.program.desk.unpinned(self.at(), "proof"))
+
+    def trouble(self) -> None:
+        relay = self.chance.choice(self.relays)
+        kind = self.chance.choice(("reset", "cut", "slow", "spoil", "heal", "restart"))
+        if kind == "reset":
+            self.breaker.reset(relay.name, "program")
+        elif kind == "cut":
+            relay.cut()
+        elif kind == "slow":
+            self.breaker.slow("program", relay.name, 20, 60)
+        elif kind == "spoil":
+            self.breaker.spoil("program", relay.name, 0.05)
+        elif kind == "heal":
+            self.breaker.heal()
+        else:
+            old = self.chance.choice(list(self.program.desk.keeping.order.values())).root
+            relay.restart(self.chance.choice((Root(), old, old, root_of({3: {"n1": 4.0}}))))
+            self.counts["restarts"] += 1
+
+    async def killed(self) -> None:
+        desk = self.program.desk
+        was = [(version.number, version.root.digest) for version in desk.keeping.order.values()][-20:]
+        asked, pinned = desk.asked, desk.pin is not None
+        await self.program.kill()
+        self.program = Program(self.folder, self.facts, CHANNEL)
+        held = [(version.number, version.root.digest)
+                for version in self.program.desk.keeping.order.values()][-20:]
+        same = held == was and (self.program.desk.pin is not None) == pinned
+        self.recovered += same
+        self.lost_versions += not same
+        self.program.desk.asked = asked                 # the module of a program that restarts asks anew
+        await self.program.listen(self.port)
+
+    async def step(self, number: int) -> None:
+        self.drained()
+        if number % 50 == 49:
+            await self.killed()
+        kind = self.chance.choices((self.move, self.drain, self.back, self.unpin, self.trouble),
+                                   (70, 6, 4, 12, 10))[0]
+        kind()
+        await asyncio.sleep(PACE)
+
+    async def quiet(self, most: float) -> None:
+        until = time.monotonic() + most
+        while time.monotonic() < until and not all(self.right(relay) for relay in self.relays):
+            await asyncio.sleep(0.05)
+
+    def right(self, relay: Relay) -> bool:
+        session = self.program.desk.sessions.get(relay.name)
+        return relay.tabled.root == self.program.desk.root and session is not None and session.settled
+
+    async def run(self) -> dict:
+        await self.begin()
+        for number in range(STEPS):
+            await self.step(number)
+        self.breaker.heal()
+        for relay in self.relays:
+            relay.lossy = False
+        await self.quiet(30)
+        mismatched = sum(not self.right(relay) for relay in self.relays)
+        for relay in self.relays:
+            relay.ending = True
+            at = time.monotonic()
+            for slice in list(relay.bare):
+                relay.over(slice, at)
+        await self.program.kill()
+        await asyncio.gather(*self.tasks)
+        self.breaker.close()
+        return {"steps": STEPS, "relays": RELAYS, "mismatched": mismatched,
+                "messages_over": self.truth.over, "bare_ms_max": self.truth.bare_ms,
+                "drain_over": self.drain_over, "cold_over": self.truth.cold_over,
+                "lines_sent": self.truth.lines, "lines_naive": self.naive, "recovered": self.recovered,
+                "lost_versions": self.lost_versions, **self.counts}
+
+
+def removals_first(froms, to, guard):
+    return [put for puts in delta.changes(froms, to).values() for put in sorted(puts, key=lambda p: p.weight)]
+
+
+def main() -> int:
+    if os.environ.get("BROKEN") == "1":
+        cost.delta.ordered = removals_first
+    with tempfile.TemporaryDirectory() as folder:
+        found = asyncio.run(World(folder, int(os.environ.get("SEED", "1"))).run())
+    bad = [name for name in ("mismatched", "messages_over", "bare_ms_max", "drain_over", "cold_over",
+                             "lost_versions") if found[name]]
+    bad += ["lines_sent"] if found["lines_sent"] * 5 >= found["lines_naive"] else []
+    print(json.dumps(found | {"breaches": bad}))
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/proofs/versions_program.py
@@ -0,0 +1,89 @@
+"""The program's side for proofs/versions.py: a desk with its store on a disk, and its relays' connections."""
+from __future__ import annotations
+
+import asyncio
+import time
+
+from indigohitch.fleet.disk.files import Files
+from indigohitch.packed.frames import Broken, Frames
+from indigohitch.versions.checks import Facts
+from indigohitch.versions.desk import Desk
+from indigohitch.versions.store import Store
+from indigohitch.versions.terms import Ack, Channel, Nack
+from indigohitch.versions.words import WORDS, Hello, Joined, Welcome
+
+TURN = 0.01                     # s
+
+
+def now() -> int:
+    return int(time.monotonic() * 10_000)
+
+
+class Program:
+    """`kill` leaves all as it stands; another one on the same folder goes on."""
+
+    def __init__(self, folder: str, facts: Facts, channel: Channel) -> None:
+        self.store = Store(Files(), folder, 1 << 20)
+        self.store.open()
+        self.desk = Desk(self.store, facts, channel)
+        self.writers: dict[str, asyncio.StreamWriter] = {}
+        self.connection = 0
+        self.joined_at: dict[str, float] = {}
+        self.server: asyncio.Server | None = None
+        self.turning: asyncio.Task | None = None
+
+    async def listen(self, port: int) -> int:
+        self.server = await asyncio.start_server(self.relay, "127.0.0.1", port)
+        self.turning = asyncio.create_task(self.turns())
+        return self.server.sockets[0].getsockname()[1]
+
+    async def kill(self) -> None:
+        self.turning.cancel()
+        self.server.close()
+        for writer in self.writers.values():
+            writer.transport.abort()
+        self.writers.clear()
+        self.store.close()
+        await asyncio.sleep(0)
+
+    async def relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        name, frames, connection = "", Frames(WORDS), 0
+        try:
+            while data := await reader.read(1 << 16):
+                for word, _ in frames.feed(data):
+                    if isinstance(word, Hello):
+                        name = word.relay
+                        self.connection = connection = self.connection + 1
+                        if name in self.writers:
+                            self.writers[name].transport.abort()
+                        self.writers[name] = writer
+                        writer.write(WORDS.frame(Welcome(connection)))
+                    elif connection:
+                        self.heard(name, connection, word)
+        except (OSError, Broken):
+            pass
+        finally:
+            writer.transport.abort()
+            if self.writers.get(name) is writer:
+                del self.writers[name]
+                self.desk.relay(name).lost(connection)
+                self.joined_at.pop(name, None)
+
+    def heard(self, name: str, connection: int, word) -> None:
+        session = self.desk.relay(name)
+        if isinstance(word, Joined):
+            self.joined_at[name] = time.monotonic()
+            session.joined(now(), connection, word.claim)
+        elif isinstance(word, Ack):
+            session.acked(now(), word)
+        elif isinstance(word, Nack):
+            session.nacked(now(), word)
+        self.desk.count(session)
+
+    async def turns(self) -> None:
+        while True:
+            for name, session in list(self.desk.sessions.items()):
+                for message in session.due(now()):
+                    if (writer := self.writers.get(name)) is not None:
+                        writer.write(WORDS.frame(message))
+            await asyncio.sleep(TURN)
