--- a/indigohitch/versions/cost.py
+++ b/indigohitch/versions/cost.py
@@ -7,7 +7,9 @@
 from math import ceil
 
 from . import delta
-from .tables import PARTS, Root
+from .delta import stripped
+from .ranges import size, whole
+from .tables import Root
 from .terms import Channel, Guard, Put
 
 # Units are lines sent.  A message costs its head and an answer: about that of twenty lines, in bytes; a line
@@ -32,14 +34,17 @@
                  lines + MESSAGE * messages + WORK * work)
 
 
-def full(to: Root, channel: Channel) -> Price:
-    return price("full", to.lines, channel, 0, max(1, min(PARTS, to.slices), ceil(to.lines / channel.lines))
-                 if to.lines < channel.lines else ceil(to.lines / channel.lines) + 1)
+def full(start: Root | None, to: Root, guard: Guard, channel: Channel) -> Price:
+    """All anew, in ranges: where the content is known, only of the parts that differ."""
+    ranges = whole(stripped(to, guard), start.parts() if start is not None else (), channel.lines)
+    lines = sum(size(one) for one in ranges)
+    return price("full", lines, channel, 0, ceil(lines / channel.lines) + 1)
 
 
 class Planner:
-    """Remembers deltas made, since relays come in crowds.  What it gives is what delta.ordered gives, or a
-    chain of such: each link is safe, and so is the whole."""
+    """Remembers deltas made, since relays come in crowds.  A chain of such is priced beside the others, for
+    an operator to see; it is not sent, since it is never shorter than the delta that it would save working
+    out, and its links may set lines of a backend that has gone since."""
 
     def __init__(self, channel: Channel, kept: int = KEPT) -> None:
         self.channel, self.kept = channel, kept
@@ -79,7 +84,7 @@
 
     def prices(self, start: Root | None, to: Root) -> list[Price]:
         """The cheapest first; of a relay whose content is not known there is only the full one."""
-        found = [full(to, self.channel)]
+        found = [full(start, to, self.guard, self.channel)]
         if start is not None:
             lines = sum(len(puts) for puts in delta.changes([start], to).values())
             found.append(price("delta", lines, self.channel, lines))
--- a/indigohitch/versions/ranges.py
+++ b/indigohitch/versions/ranges.py
@@ -3,8 +3,12 @@
 
 from collections.abc import Sequence
 
+from .delta import stripped
 from .tables import PART, PARTS, Root
-from .terms import Whole
+from .terms import Channel, Guard, Put, Whole
+
+# Lines below which ranges are not looked at: digests of all parts and a message more are worth about as much.
+MANY = 100
 
 
 def whole(goal: Root, parts: Sequence[bytes], most: int) -> list[Whole]:
@@ -38,3 +42,12 @@
 
 def size(one: Whole) -> int:
     return sum(len(lines) for _, lines in one.tables)
+
+
+def shorter(puts: Sequence[Put], held: Root, to: Root, guard: Guard, channel: Channel) -> list[Whole]:
+    """Ranges that take fewer lines than these puts: where most lines of a part change, each costs its old one
+    too.  Empty: the puts are less."""
+    if len(puts) < MANY:
+        return []
+    ranges = whole(stripped(to, guard), held.parts(), channel.lines)
+    return ranges if sum(size(one) for one in ranges) < len(puts) else []
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -14,13 +14,13 @@
 from ..net.clock import SECOND
 from . import delta
 from .holding import Holding, unlike
-from .ranges import size, whole
+from .ranges import shorter, size, whole
 from .tables import PARTS, Root
 from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
 from .window import Window
 
-# An answer is a round trip and a stall away; ten times what a relay on another continent takes.
-SILENCE = 2 * SECOND
+# An answer is a round trip and a stall away; some five times what a relay on another continent takes.
+SILENCE = SECOND
 # What a relay refused, or lied about, is not tried again at once: the window would be spent on it.
 PAUSE = 10 * SECOND
 
@@ -58,16 +58,23 @@
 
     def want(self, version: Version, guard: Guard) -> None:
         """What it must come to; what is under way is not waited for, but counted in."""
-        self.wanted, self.guard, self.planned = version, guard, None
-        self.puts.clear()
+        self.wanted, self.guard = version, guard
+        self.plan_anew()
         if self.phase is Phase.ASIDE and not self.lies:
             self.phase = self.going()           # it refused another version
 
     def guarded(self, guard: Guard) -> None:
         """News of backends: what is not sent yet is looked at anew."""
         if guard != self.guard:
-            self.guard, self.planned = guard, None
-            self.puts.clear()
+            self.guard = guard
+            self.plan_anew()
+
+    def plan_anew(self) -> None:
+        """A relay that is set whole comes first to what was begun."""
+        self.planned = None
+        self.puts.clear()
+        if self.phase is not Phase.MENDING:
+            self.wholes.clear()
 
     def joined(self, now: int, connection: int, claim: Claim | None) -> None:
         """`claim` None: this relay tells no digest."""
@@ -108,6 +115,8 @@
         if self.phase is Phase.MENDING and self.goal is not None and not self.wholes and not self.flight:
             self.known, self.goal, self.phase = self.goal, None, Phase.MOVING
             self.planned = None
+        if self.known is not None and self.wanted is not None and self.known == self.wanted.root:
+            self.known = self.wanted.root       # one for all relays
         if self.known is not None and ack.digest and ack.digest != self.known.digest:
             self.lied(now)
         elif self.known is not None and self.settled:
@@ -143,7 +152,8 @@
         else:
             same = [root for root in may if root.digest == claim.digest]
             self.known = same[0] if same else self.find(claim.digest)
-        self.parts = claim.parts if claim is not None and len(claim.parts) == PARTS else ()
+        told = claim is not None and len(claim.parts) == PARTS and self.known is None
+        self.parts = claim.parts if told else ()
         if len(self.possible) == 1:
             self.known, self.possible = self.possible[0], []
         if self.lies and now < self.aside_until:
@@ -152,8 +162,7 @@
             self.phase = self.going()
 
     def lied(self, now: int) -> None:
-        """Its digest is not that of what it took.  Once may be a harmed message; then it has to wait, so
-        that one relay does not cost a full resend after the other."""
+        """Its digest is not that of what it took.  The second time it waits before it is set whole again."""
         self.lies += 1
         self.known, self.possible, self.goal, self.parts = None, [], None, ()
         self.flight.clear()
@@ -212,21 +221,21 @@
                 self.wholes.extend(whole(self.goal, self.parts, self.channel.lines))
             return
         if self.planned != self.wanted.root or self.planned is None:
-            self.puts = deque(self.plan(self.ahead(), self.wanted.root, self.guard))
-            self.planned = self.wanted.root
+            roots, to = self.ahead(), self.wanted.root
+            puts, self.planned = self.plan(roots, to, self.guard), to
+            if len(roots) == 1 and (ranges := shorter(puts, roots[0], to, self.guard, self.channel)):
+                self.wholes.extend(ranges)
+                puts = self.plan([delta.stripped(to, self.guard)], to, self.guard)
+            self.puts = deque(puts)
 
     def chunk(self) -> tuple[list[Put], list[Whole]]:
         """As many steps as one message takes; a range set whole goes alone if it is larger."""
         puts, wholes, room = [], [], self.channel.lines
-        if self.phase is Phase.MENDING:
-            while self.wholes and (more := size(self.wholes[0])) <= room:
-                wholes.append(self.wholes.popleft())
-                room -= max(more, 1)
-            if self.wholes and not wholes:
-                wholes.append(self.wholes.popleft())
-        else:
-            while self.puts and len(puts) < room:
-                puts.append(self.puts.popleft())
+        while self.wholes and (size(self.wholes[0]) <= room or not wholes):
+            room -= max(size(self.wholes[0]), 1)
+            wholes.append(self.wholes.popleft())
+        while self.puts and not wholes and len(puts) < room:
+            puts.append(self.puts.popleft())
         return puts, wholes
 
     def message(self, now: int, puts: Sequence[Put] = (), wholes: Sequence[Whole] = ()) -> Message:
--- a/tests/test_versions_delta.py
+++ b/tests/test_versions_delta.py
@@ -3,9 +3,11 @@
 
 import pytest
 
+from indigohitch.standins.tabled import Tabled
 from indigohitch.versions import delta
+from indigohitch.versions.session import Session
 from indigohitch.versions.tables import difference, root_of
-from indigohitch.versions.terms import Guard, Mark, Message, Put, applied
+from indigohitch.versions.terms import Channel, Guard, Mark, Message, Put, Version, applied
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -41,3 +43,19 @@
     assert [put for put in puts if put.backend == "w"] == [Put(1, "w", 1.0), Put(1, "w", 0)]
     with pytest.raises(Exception, match="cold backends wait"):
         delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}))
+
+
+def test_where_nearly_all_changes_ranges_are_sent_and_no_slice_goes_bare():
+    start = root_of({slice: {"a": 1.0} for slice in range(1000)})
+    to = root_of({slice: {"b": 1.0} for slice in range(1000)} | {7: {"b": 1.0, "c": 1.0}})
+    relay, session = Tabled(start), Session("r", Channel(), {start.digest: start}.get)
+    session.joined(0, 1, relay.joins(1))
+    session.want(Version(1, to, None, "x", 0), Guard(cold={"c": 1.0}))
+    lines = now = 0
+    while not session.settled:
+        now += 500
+        for message in session.due(now):
+            lines += message.lines()
+            session.acked(now, relay.takes(message))
+            assert relay.root.slices == 1000
+    assert relay.root == to and lines == 1001           # the delta has 2,001
