--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -65,9 +65,8 @@
 
     def guarded(self, guard: Guard) -> None:
         """News of backends: what is not sent yet is looked at anew."""
-        if guard != self.guard:
-            self.guard = guard
-            self.plan_anew()
+        self.guard = guard
+        self.plan_anew()
 
     def plan_anew(self) -> None:
         """A relay that is set whole comes first to what was begun."""
@@ -79,7 +78,7 @@
     def joined(self, now: int, connection: int, claim: Claim | None) -> None:
         """`claim` None: this relay tells no digest."""
         if connection <= self.connection:
-            return                              # late news of a connection that was replaced
+            return                              # late news of one that was replaced
         may = self.may_hold()
         self.connection, self.heard_at = connection, now
         self.sequence = self.after = 0
@@ -211,8 +210,9 @@
 
     @property
     def urgent(self) -> bool:
-        """A draining backend's lines wait to go: the window's reserve is for these."""
-        return any(put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines))
+        """A draining backend's lines wait to go, or may: the window's reserve is for these."""
+        return bool(self.guard.draining and self.wholes) \
+            or any(put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines))
 
     def plan_on(self) -> None:
         if self.phase is Phase.MENDING:
--- a/tests/deskroom.py
+++ b/tests/deskroom.py
@@ -7,7 +7,9 @@
 from indigohitch.versions.checks import Facts
 from indigohitch.versions.desk import Desk
 from indigohitch.versions.keeping import Memory
-from indigohitch.versions.terms import Channel
+from indigohitch.versions.session import Session
+from indigohitch.versions.tables import root_of
+from indigohitch.versions.terms import Channel, Guard, Version
 
 SLICES = 100
 READY = {name: "ready" for name in "abcd"}
@@ -109,3 +111,31 @@
 
     def remove(self, path):
         del self.held[path]
+
+
+def version(number, root):
+    return Version(number, root, None, "test", 0)
+
+
+def quiet(session, relay, now, most=400):
+    """No more trouble: time goes on until it is settled; returns the time."""
+    for _ in range(most):
+        for message in session.due(now):
+            said = relay.takes(message)
+            if said is not None:
+                (session.nacked if hasattr(said, "gap") else session.acked)(now, said)
+        if session.settled:
+            return now
+        due = session.next_due(now)
+        now = max(now + 1, due if due is not None else now)
+    raise AssertionError(f"not settled: {session.phase} {session.flight}")
+
+
+def settled(tables):
+    root = root_of(tables)
+    roots = {root.digest: root}
+    relay, session = Tabled(root), Session("r", Channel(), roots.get)
+    session.joined(0, 1, relay.joins(1))
+    session.want(version(1, root), Guard())
+    assert session.settled and not session.due(0)
+    return relay, session, roots
--- /dev/null
+++ b/tests/test_versions_cases.py
@@ -0,0 +1,159 @@
+"""Sessions, case by case: what a relay missed, claims, refuses, says late or not truly."""
+from indigohitch.net.clock import SECOND
+from indigohitch.standins.tabled import Tabled
+from indigohitch.versions.session import PAUSE, Phase, Session
+from indigohitch.versions.tables import Root, root_of
+from indigohitch.versions.terms import Ack, Channel, Claim, Guard, Nack, applied
+from indigohitch.versions.window import SPREAD
+from tests.deskroom import quiet, settled, version
+
+
+def test_a_missed_version_is_answered_with_a_gap_and_costs_only_its_lines():
+    relay, session, _ = settled({1: {"a": 1.0}, 2: {"a": 1.0}})
+    session.want(version(2, session.known.with_line(1, "b", 1.0)), Guard())
+    session.due(0)                                      # lost
+    session.want(version(3, session.wanted.root.with_line(2, "c", 1.0)), Guard())
+    (second,) = session.due(10)
+    nack = relay.takes(second)
+    assert nack.gap
+    session.nacked(20, nack)
+    (again,) = session.due(30)
+    assert again.lines() == 2
+    session.acked(40, relay.takes(again))
+    assert session.settled and relay.root == session.wanted.root
+
+
+def test_an_answer_for_what_was_superseded_moves_what_is_known_not_what_is_wanted():
+    relay, session, _ = settled({1: {"a": 1.0}})
+    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    (first,) = session.due(0)
+    session.want(version(3, root_of({1: {"c": 1.0}})), Guard())
+    session.acked(10, relay.takes(first))
+    assert session.known == root_of({1: {"b": 1.0}}) and not session.settled
+    quiet(session, relay, 20)
+    assert relay.root == root_of({1: {"c": 1.0}})
+
+
+def test_a_claim_of_a_version_that_never_was_sets_only_the_parts_that_differ():
+    tables = {slice: {"a": 1.0} for slice in range(0, 2560, 16)}
+    _, session, _ = settled(tables)
+    relay = Tabled(root_of(tables | {16: {"strange": 1.0}}))
+    session.lost(1)
+    session.joined(5, 2, relay.joins(2))
+    assert session.phase is Phase.MENDING
+    (message,) = session.due(10)
+    assert message.lines() == 16                        # one part of 256 slices
+    session.acked(20, relay.takes(message))
+    assert session.settled and relay.root == session.wanted.root
+
+
+def test_a_relay_that_lies_is_set_whole_once_and_then_left_for_a_while():
+    relay, session, _ = settled({1: {"a": 1.0}})
+    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    relay.lies = 2
+    sent, now = 0, 0
+    while session.phase is not Phase.ASIDE:
+        for message in session.due(now):
+            sent += 1
+            session.acked(now, relay.takes(message))
+        now += 1
+    assert sent == 2 and not session.due(now) and session.next_due(now) > now + PAUSE - 10
+    quiet(session, relay, now)
+    assert relay.root == session.wanted.root
+
+
+def test_a_refusal_is_not_repeated_until_another_version_is_wanted():
+    relay, session, _ = settled({1: {"a": 1.0}})
+    relay.refuses = True
+    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    (message,) = session.due(0)
+    session.nacked(5, relay.takes(message))
+    assert session.phase is Phase.ASIDE and not session.due(6)
+    relay.refuses = False
+    session.want(version(3, root_of({1: {"c": 1.0}})), Guard())
+    quiet(session, relay, 7)
+    assert relay.root == session.wanted.root
+
+
+def test_a_relay_without_digests_is_brought_there_from_all_that_it_may_hold():
+    """Whichever of the messages it took, after the next ones it is right."""
+    start = root_of({1: {"a": 1.0}, 2: {"a": 1.0}})
+    for taken in range(4):
+        session = Session("r", Channel(lines=1), {start.digest: start}.get)
+        session.joined(0, 1, Tabled(start).joins(1))
+        session.want(version(1, root_of({1: {"b": 1.0}, 2: {"a": 1.0, "c": 2.0}})), Guard())
+        held, now = start, 0
+        sent = []
+        while len(sent) < 3:
+            sent += session.due(now)
+            now += 1
+        for message in sent[:taken]:
+            held = applied(held, message)
+        session.lost(1)
+        session.joined(now, 2, None)
+        assert held in session.possible
+        session.want(version(2, root_of({1: {"d": 1.0}, 2: {"a": 1.0}})), Guard())
+        for step in range(50):
+            for message in session.due(now + step * 10):
+                held = applied(held, message)
+                assert held.lines_of(1) and held.lines_of(2)
+        assert held == session.wanted.root
+
+
+def test_answers_of_an_earlier_connection_say_nothing_of_this_one():
+    """Sequences begin anew, so a late answer may name one that is in flight here."""
+    relay, session, roots = settled({1: {"a": 1.0}})
+    old_ack = Ack(1, 1, session.wanted.mark, root_of({1: {"b": 1.0}}).digest)
+    old_nack = Nack(1, 1, 0, True, Claim(Root().digest))
+    session.joined(5, 2, relay.joins(2))
+    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    (message,) = session.due(10)
+    for late, tell in ((old_ack, session.acked), (old_nack, session.nacked)):
+        tell(20, late)
+        assert list(session.flight) == [message] and session.known == root_of({1: {"a": 1.0}})
+    session.joined(30, 1, Claim(Root().digest))
+    assert session.connection == 2 and session.known == root_of({1: {"a": 1.0}})
+    session.acked(40, relay.takes(message))
+    assert session.settled
+
+
+def sent_until_shut(session, relay, now):
+    """One line a version, until the window takes no more; returns messages."""
+    count = 0
+    while True:
+        session.want(version(count + 2, session.known.with_line(1, "a", count + 2.0)), Guard())
+        messages = session.due(now)
+        if not messages:
+            return count
+        count += len(messages)
+        for message in messages:
+            session.acked(now, relay.takes(message))
+        now += 10
+
+
+def test_a_drain_goes_out_though_the_window_is_shut_for_all_else():
+    relay, session, _ = settled({1: {"a": 1.0}, 2: {"d": 1.0}})
+    assert sent_until_shut(session, relay, 100) == 30
+    session.want(version(99, session.known.changed({2: {"a": 1.0}})), Guard(frozenset({"d"})))
+    (message,) = session.due(5000)
+    session.acked(5001, relay.takes(message))
+    assert session.settled and "d" not in relay.root.lines_of(2)
+
+
+def test_a_program_that_was_restarted_does_not_fill_the_window_twice():
+    relay, session, roots = settled({1: {"a": 1.0}})
+    again = Session("r", Channel(), roots.get)
+    claim = relay.joins(2)
+    again.joined(50, 2, Claim(claim.digest, claim.parts, 25))
+    again.want(session.wanted, Guard())
+    assert again.settled and sent_until_shut(again, relay, 100) == 5
+    assert again.next_due(1000) == 50 + Channel.WINDOW + SPREAD
+
+
+def test_a_lie_that_was_made_good_is_forgotten():
+    relay, session, _ = settled({1: {"a": 1.0}})
+    for number, backend in enumerate("bcd", 2):
+        relay.lies = 1
+        session.want(version(number, root_of({1: {backend: 1.0}})), Guard())
+        quiet(session, relay, number * SECOND)
+        assert session.lies == 0
