--- a/proofs/versions.py
+++ b/proofs/versions.py
@@ -44,7 +44,7 @@
         self.drains: dict[str, float] = {}              # backend: since when
         self.cold_until: dict[str, float] = {}
         self.counts = dict.fromkeys(("versions", "rollbacks", "restarts", "refused", "drains", "cold"), 0)
-        self.drain_over = self.naive = self.recovered = self.lost_versions = 0
+        self.drain_over = self.naive = self.recovered = self.lost_versions = self.lines = 0
         self.slow: Relay | None = None
 
     # ---- steps -----------------------------------------------------------------------------------------
@@ -174,6 +174,7 @@
         desk = self.program.desk
         was = [(version.number, version.root.digest) for version in desk.keeping.order.values()][-20:]
         asked, pinned = desk.asked, desk.pin is not None
+        self.lines += self.program.lines
         await self.program.kill()
         self.program = Program(self.folder, self.facts, CHANNEL)
         held = [(version.number, version.root.digest)
@@ -222,7 +223,7 @@
         return {"steps": STEPS, "relays": RELAYS, "mismatched": mismatched,
                 "messages_over": self.truth.over, "bare_ms_max": self.truth.bare_ms,
                 "drain_over": self.drain_over, "cold_over": self.truth.cold_over,
-                "lines_sent": self.truth.lines, "lines_naive": self.naive, "recovered": self.recovered,
+                "lines_sent": self.lines + self.program.lines, "lines_naive": self.naive, "recovered": self.recovered,
                 "lost_versions": self.lost_versions, **self.counts}
 
 
--- a/proofs/versions_program.py
+++ b/proofs/versions_program.py
@@ -27,7 +27,7 @@
         self.store.open()
         self.desk = Desk(self.store, facts, channel)
         self.writers: dict[str, asyncio.StreamWriter] = {}
-        self.connection = 0
+        self.connection = self.lines = 0                # lines: sent, whatever became of them
         self.joined_at: dict[str, float] = {}
         self.server: asyncio.Server | None = None
         self.turning: asyncio.Task | None = None
@@ -84,6 +84,7 @@
         while True:
             for name, session in list(self.desk.sessions.items()):
                 for message in session.due(now()):
+                    self.lines += message.lines()
                     if (writer := self.writers.get(name)) is not None:
                         writer.write(WORDS.frame(message))
             await asyncio.sleep(TURN)
