--- /dev/null
+++ b/tests/test_versions_sessions.py
@@ -0,0 +1,113 @@
+"""Sessions under any course of events, against a plain model: what the relay truly holds."""
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from indigohitch.net.clock import SECOND
+from indigohitch.standins.tabled import Tabled
+from indigohitch.versions.session import PAUSE, Phase, Session
+from indigohitch.versions.tables import Root, root_of
+from indigohitch.versions.terms import Channel, Guard
+from tests.deskroom import quiet, version
+
+NAMES = ("a", "b", "c", "w")
+LINES = st.dictionaries(st.sampled_from(NAMES), st.sampled_from((1.0, 2.0)), min_size=1)
+TABLES = st.dictionaries(st.sampled_from((0, 1, 255, 256, 65535)), LINES, min_size=5)
+CHANNEL = Channel(messages=6, lines=3, queue=8, stall=100)
+
+
+class Sessions(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now, self.numbers = 0, 0
+        self.roots = {Root().digest: Root()}
+        self.relay = Tabled()
+        self.session = Session("r", CHANNEL, self.roots.get)
+        self.down, self.up, self.times = [], [], []
+        self.connection = 0
+        self.served = set()                             # slices that had lines, and have to keep them
+        self.join()
+
+    def join(self):
+        self.connection += 1
+        self.session.joined(self.now, self.connection, self.relay.joins(self.connection))
+
+    @rule(tables=TABLES)
+    def want(self, tables):
+        self.numbers += 1
+        root = root_of(tables)
+        self.roots[root.digest] = root
+        self.session.want(version(self.numbers, root), Guard())
+
+    @rule(wait=st.sampled_from((0, 300, SECOND, 3 * SECOND)))
+    def send(self, wait):
+        self.now += wait
+        for message in self.session.due(self.now):
+            self.down.append(message)
+            self.times.append(self.now)
+
+    @rule(lost=st.booleans())
+    def arrive(self, lost):
+        if self.down:
+            message = self.down.pop(0)
+            if not lost and (said := self.relay.takes(message)) is not None:
+                self.up.append(said)
+
+    @rule(lost=st.booleans())
+    def answer(self, lost):
+        if self.up:
+            said = self.up.pop(0)
+            if not lost:
+                (self.session.nacked if hasattr(said, "gap") else self.session.acked)(self.now, said)
+
+    @rule(again=st.integers(0, 3))
+    def said_twice(self, again):
+        """The same message comes to the relay once more, and the same answer to the session."""
+        if self.down and self.down[0].sequence == self.relay.taken + 1:
+            said = [self.relay.takes(self.down[0]) for _ in range(again)]
+            self.up += [one for one in said if one is not None]
+
+    @rule(heard=st.booleans())
+    def broken(self, heard):
+        self.down.clear()
+        late, self.up = self.up, []
+        if heard:
+            self.session.lost(self.connection)
+        self.join()
+        for said in late:                               # of the connection before: they must say nothing
+            (self.session.nacked if hasattr(said, "gap") else self.session.acked)(self.now, said)
+
+    @rule(tables=TABLES, empty=st.booleans())
+    def restarted(self, tables, empty):
+        """With nothing, or with what never was a version."""
+        self.relay.root = Root() if empty else root_of(tables)
+        self.served.clear()
+        self.broken(True)
+
+    @rule()
+    def lies(self):
+        self.relay.lies = 1
+
+    @invariant()
+    def truth(self):
+        session, held = self.session, self.relay.root
+        if session.phase is Phase.MOVING and session.connection == self.relay.connection \
+                and not self.relay.lies:
+            assert held in session.may_hold()           # in a set, and the true one is in it
+        bare = {slice for slice in self.served if not held.lines_of(slice)}
+        assert not bare, f"bare: {bare}"
+        self.served |= {slice for slice, _ in held.items()}
+        for at in self.times:
+            assert sum(at <= other < at + Channel.WINDOW for other in self.times) <= CHANNEL.messages
+
+    def teardown(self):
+        if self.session.wanted is not None:
+            self.relay.lies = 0
+            self.broken(True)
+            quiet(self.session, self.relay, self.now + PAUSE)
+            assert self.relay.root == self.session.wanted.root
+
+
+TestSessions = Sessions.TestCase
+TestSessions.settings = settings(max_examples=150, stateful_step_count=40, deadline=None, database=None,
+                                 derandomize=True)
