--- a/indigohitch/standins/tabled.py
+++ b/indigohitch/standins/tabled.py
@@ -6,9 +6,12 @@
 
 
 class Tabled:
+    MOST = 1000                 # lines remembered since the last whole version
+
     def __init__(self, root: Root | None = None) -> None:
         self.root = root or Root()
         self.connection = self.taken = 0
+        self.base, self.since = b"", ()
         self.refuses = False
         self.lies = 0               # answers still to be given with a digest that is not true
 
@@ -17,7 +20,7 @@
         return self.claim()
 
     def claim(self) -> Claim:
-        return Claim(self.root.digest, self.root.parts())
+        return Claim(self.root.digest, self.root.parts(), 0, self.base, self.since)
 
     def takes(self, message: Message) -> Ack | Nack | None:
         if message.connection != self.connection:
@@ -29,6 +32,11 @@
         if self.refuses and message.lines():
             return Nack(self.connection, message.sequence, self.taken, False, self.claim(), "refused")
         self.root, self.taken = applied(self.root, message), message.sequence
+        self.since += message.puts
+        if self.root.digest == message.mark.digest:
+            self.base, self.since = message.mark.digest, ()
+        elif message.wholes or len(self.since) > self.MOST:
+            self.base, self.since = b"", ()
         return self.ack(message)
 
     def ack(self, message: Message) -> Ack:
--- a/indigohitch/versions/holding.py
+++ b/indigohitch/versions/holding.py
@@ -2,10 +2,10 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from .tables import Root
-from .terms import Message, Version, applied
+from .terms import Claim, Mark, Message, Version, applied
 
 
 def unlike(roots: Iterable[Root]) -> list[Root]:
@@ -29,6 +29,14 @@
     return unlike(roots)
 
 
+def claimed(claim: Claim, find: Callable[[bytes], Root | None]) -> Root | None:
+    """A kept version, or one with the lines set since; believed only if the digest is that of the claim."""
+    root = find(claim.digest)
+    if root is None and claim.base and (base := find(claim.base)) is not None:
+        root = applied(base, Message(0, 0, 0, Mark(0, claim.digest), claim.since))
+    return root if root is not None and root.digest == claim.digest else None
+
+
 class Holding:
     """What one relay holds, may hold, and must come to."""
 
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -13,7 +13,7 @@
 
 from ..net.clock import SECOND
 from . import delta
-from .holding import Holding, unlike
+from .holding import Holding, claimed, unlike
 from .ranges import shorter, size, whole
 from .tables import PARTS, Root
 from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
@@ -150,7 +150,7 @@
             self.possible = may
         else:
             same = [root for root in may if root.digest == claim.digest]
-            self.known = same[0] if same else self.find(claim.digest)
+            self.known = same[0] if same else claimed(claim, self.find)
         told = claim is not None and len(claim.parts) == PARTS and self.known is None
         self.parts = claim.parts if told else ()
         if len(self.possible) == 1:
--- a/indigohitch/versions/terms.py
+++ b/indigohitch/versions/terms.py
@@ -66,10 +66,14 @@
 
 class Claim(Row, frozen=True):
     """What a relay says that it holds.  `parts`: Root.parts, or nothing; `heard`: messages that came to it in
-    the last 10 s, so that a program that was restarted does not fill the window twice."""
+    the last 10 s, so that a program that was restarted does not fill the window twice.  `base`: digest of the
+    last version that it held whole, and `since` the lines set after that, if they are few: by these a program
+    that was killed within a delta knows what its relays hold."""
     digest: bytes
     parts: tuple[bytes, ...] = ()
     heard: int = 0
+    base: bytes = b""
+    since: tuple[Put, ...] = ()
 
 
 class Ack(Row, frozen=True):
--- a/proofs/versions.py
+++ b/proofs/versions.py
@@ -223,8 +223,8 @@
         return {"steps": STEPS, "relays": RELAYS, "mismatched": mismatched,
                 "messages_over": self.truth.over, "bare_ms_max": self.truth.bare_ms,
                 "drain_over": self.drain_over, "cold_over": self.truth.cold_over,
-                "lines_sent": self.lines + self.program.lines, "lines_naive": self.naive, "recovered": self.recovered,
-                "lost_versions": self.lost_versions, **self.counts}
+                "lines_sent": self.lines + self.program.lines, "lines_naive": self.naive,
+                "recovered": self.recovered, "lost_versions": self.lost_versions, **self.counts}
 
 
 def removals_first(froms, to, guard):
--- a/proofs/versions_relays.py
+++ b/proofs/versions_relays.py
@@ -7,10 +7,12 @@
 import time
 from collections import deque
 
+import msgspec
+
 from indigohitch.packed.frames import Broken, Frames
 from indigohitch.standins.tabled import Tabled
 from indigohitch.versions.tables import Root
-from indigohitch.versions.terms import Claim, Message, applied
+from indigohitch.versions.terms import Message, applied
 from indigohitch.versions.words import WORDS, Hello, Joined, Welcome
 
 
@@ -57,7 +59,7 @@
             for word, _ in frames.feed(data):
                 if isinstance(word, Welcome):
                     claim = self.tabled.joins(word.connection)
-                    self.say(Joined(word.connection, Claim(claim.digest, claim.parts, self.heard())))
+                    self.say(Joined(word.connection, msgspec.structs.replace(claim, heard=self.heard())))
                     continue
                 self.came.append(time.monotonic())
                 self.truth.over += self.heard() > self.messages
--- a/tests/test_versions_cases.py
+++ b/tests/test_versions_cases.py
@@ -158,3 +158,18 @@
         session.want(version(number, root_of({1: {backend: 1.0}})), Guard())
         quiet(session, relay, number * SECOND)
         assert session.lies == 0
+
+
+def test_a_program_killed_within_a_delta_knows_what_its_relay_holds():
+    relay, session, roots = settled({slice: {"a": 1.0} for slice in range(300)})
+    relay.base = session.known.digest
+    session.want(version(2, root_of({slice: {"a": 1.0, "b": 1.0} for slice in range(300)})), Guard())
+    relay.takes(session.due(0)[0])                      # 200 lines, the first of two messages
+    again = Session("r", Channel(), roots.get)
+    again.joined(50, 2, relay.joins(2))
+    again.want(session.wanted, Guard())
+    assert again.known == relay.root and sum(message.lines() for message in again.due(60)) == 100
+    told = relay.joins(3)
+    fresh = Session("r", Channel(), roots.get)
+    fresh.joined(70, 3, Claim(told.digest, told.parts, 0, told.base, told.since[1:]))
+    assert fresh.phase is Phase.MENDING                 # lines that do not give the digest are not believed
