--- a/tests/test_versions_model.py
+++ b/tests/test_versions_model.py
@@ -33,7 +33,8 @@
         s, r = self.session, self.relay
         return repr((r.root.digest, r.base, r.since, r.taken, r.connection, self.down, self.up, s.phase,
                      s.connection, s.known and s.known.digest, [p.digest for p in s.possible], s.flight,
-                     s.puts, s.wholes, s.wanted and s.wanted.number, s.sequence, s.after, self.breaks, self.losses))
+                     s.puts, s.wholes, s.wanted and s.wanted.number, s.sequence, s.after, self.breaks,
+                     self.losses))
 
 
 def moves(side):
