--- a/Makefile
+++ b/Makefile
@@ -91,3 +91,11 @@
 
 bench-batches: build  # planning time and cost; 50 members and 2,000 nodes
 	$(PY) benchmarks/batches.py
+
+.PHONY: proof-versions bench-versions
+
+proof-versions: build # QUICK=1: under 50 s
+	$(PY) proofs/versions.py
+
+bench-versions: build # a one-line version, deltas, 5,000 relays
+	$(PY) benchmarks/versions.py
--- a/tests/test_versions_desk.py
+++ b/tests/test_versions_desk.py
@@ -204,3 +204,13 @@
     with pytest.raises(Unfit):
         keeping.get(5)
     assert keeping.get(keeping.get(19).mark.text()).number == 19
+
+
+def test_a_content_that_stands_twice_is_found_in_the_version_that_is_kept():
+    keeping, root, other = Keeping(last=1), root_of({1: {"a": 1.0}}), root_of({1: {"b": 1.0}})
+    keeping.add(Version(1, root, None, "x", 0))
+    keeping.name("good", 1)
+    keeping.add(Version(2, root, None, "x", 0))
+    keeping.add(Version(3, other, None, "x", 0))        # the second goes, the first has a name
+    assert list(keeping.order) == [1, 3] and keeping.find(root.digest) is root
+    assert keeping.unname("good")[0].number == 1 and keeping.find(root.digest) is None
