--- a/indigohitch/versions/keeping.py
+++ b/indigohitch/versions/keeping.py
@@ -88,7 +88,7 @@
                 and not (self.held[version.root.digest] and self.digests[version.root.digest] is version)]
         for version in gone:
             del self.order[version.number]
-        # A content may stand in an older version too, which is kept by its name: it is found there from now on.
+        # A content may stand in an older version too, kept by its name: it is found there from now on.
         lost = {v.root.digest for v in gone if self.digests[v.root.digest] is v}
         for digest in lost:
             del self.digests[digest]
