A call to the relay that is unclear never lies in the channel twice beyond its bound

The log of n1 at 16.018 s: a call of 243 orders (58,320 lines to 240 proxies) answered with what can't be read, sent again in the same millisecond, unclear again (timeout), sent a third time. Excluded: the module's own count (54,900 lines at 16.0 s, within its 0.8 of the cap); news, discovery (nothing logged in that second). At fault: Relay._answered, which sent any unclear call again by AGAIN = (0, ...): it counted repeats as messages, not as lines, and the module counts a call once.

Change: platformlink/backlog.py (no I/O) bounds what may wait in the channel by all that went, at the pace that the settings state; a repeat waits until it fits (call_waits_for_the_channel). A mark that a proxy answers shows that its call was carried out, and it is not sent again (calls_shown_by_marks). Orders in the relay's words go to platformlink/calls.py.

test_calls_that_go_again_count_as_messages held only as long as marks were not heard: its stand-in now keeps them to itself, the bound it asserts is the same; what happens where they are told is tests/test_crossing_backlog.py.

--- /dev/null
+++ b/indigohitch/platformlink/calls.py
@@ -0,0 +1,84 @@
+"""What a call to the relay holds: orders in its words, what is void among them, and what its answer says."""
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from xml.etree import ElementTree
+
+from .. import interface as face
+from ..net.http import Answer
+
+BYTES = 60_000                  # of orders that a call may carry, says the protocol
+
+
+def encode(order: face.Order, methods: Sequence[str]) -> str:
+    """An order in the relay's words."""
+    match order:
+        case face.SetLine(table, backend, weight):
+            return f"put,{table},{backend},{weight}"
+        case face.ClearTable(table):
+            return f"wipe,{table}"
+        case face.Withdraw(backend, out):
+            return f"{'eject' if out else 'uneject'},{backend}"
+        case face.SetLevel(table, places, level, tries):
+            whose = "*" if table == face.ALL_TABLES else table
+            return f"gate,{whose},{'+'.join(methods[p] for p in places) or '*'},{level},{tries}"
+        case face.Mark(mark, everyone):
+            return f"fence,{mark},{int(everyone)}"
+    raise TypeError(f"not an order for the relay: {order}")
+
+
+def key(order: face.Order) -> tuple:
+    """What an order sets: a later one of the same key makes it void."""
+    match order:
+        case face.SetLine(table, backend, _):
+            return "line", table, backend
+        case face.SetLevel(table, places, _, _):
+            return "level", table, places
+        case face.Withdraw(backend, _):
+            return "out", backend
+        case face.ClearTable(table):
+            return "table", table
+    return ("mark",)
+
+
+def merge(orders: Sequence[face.Order]) -> list[face.Order]:
+    """The same end with no order that a later one makes void."""
+    last: dict[tuple, face.Order] = {}
+    for order in orders:
+        if isinstance(order, face.ClearTable):
+            for old in [k for k in last if k[0] in ("line", "level") and k[1] == order.table]:
+                del last[old]
+        last.pop(key(order), None)
+        last[key(order)] = order
+    return list(last.values())
+
+
+def pieces(orders: Sequence[face.Order], methods: Sequence[str]) -> Iterator[list[face.Order]]:
+    """One reply of the module: a call of its own, or several where it is too long for one."""
+    call, room = [], BYTES + 1
+    for order in orders:
+        size = len(encode(order, methods)) + 1
+        if room < size:
+            yield call
+            call, room = [], BYTES + 1
+        call.append(order)
+        room -= size
+    yield call
+
+
+def read_answer(answer: Answer) -> int | str:
+    """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
+    if answer.outcome != "answered":
+        raise ValueError(answer.outcome)
+    if b"<!" in answer.body:                    # entities can swell without bound, no answer needs them
+        raise ValueError("a document type")
+    try:
+        root = ElementTree.fromstring(answer.body)
+    except ElementTree.ParseError as bad:
+        raise ValueError(f"no XML: {bad}") from None
+    if (code := root.findtext(".//Code")) is not None:
+        return code.strip()
+    count = (root.findtext(".//results/item/ok_count") or "").strip()
+    if answer.status != 200 or not (count.isascii() and count.isdigit()):
+        raise ValueError(f"status {answer.status}, no count")
+    return int(count)
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -13,6 +13,7 @@
 from ..net.connection import address
 from ..net.loop import Loop
 from ..net.ring import Pool
+from .backlog import Backlog
 from .collectors import Collectors
 from .discovery import Discovery, read_list
 from .holdings import Holdings
@@ -43,8 +44,10 @@
         self.discovery = Discovery(loop, log, discovery, known.version, self.hear_list)
         self.probes = Probes(loop, log, bool(columns), limits.probes, self.hear)
         self.relay = Relay(loop, log, store, [method.name for method in self.boot["methods"]],
-                           self.boot.get("messages_most", 0), self.boot.get("counted_over", 0))
-        self.holdings = Holdings(loop, log, self.hear, self.relay.pending, self.relay.order)
+                           self.boot.get("messages_most", 0), self.boot.get("counted_over", 0),
+                           Backlog(self.boot.get("queue_cap", 0), self.boot.get("lines_per_s", 0)),
+                           lambda: len(self.holdings.proxies), self.boot.get("envelope", 0))
+        self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
@@ -128,6 +131,14 @@
             self.log.count("orders", len(call))
             self.relay.order(call)
 
+    # ---- news --------------------------------------------------------------------------------------
+
+    def hear_news(self, *events: face.Event) -> None:
+        for event in events:
+            if isinstance(event, face.Acked):
+                self.relay.answered_mark(event.mark)
+        self.hear(*events)
+
     # ---- discovery ---------------------------------------------------------------------------------
 
     def hear_list(self, news: face.BackendList, addresses: dict[str, str]) -> None:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -2,91 +2,16 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from urllib.parse import urlencode
-from xml.etree import ElementTree
 
 from .. import interface as face
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.http import Answer, Client
 from ..net.loop import Deadline, Loop
-
-BYTES = 60_000                  # of orders that a call may carry, says the protocol
-
-
-def encode(order: face.Order, methods: Sequence[str]) -> str:
-    """An order in the relay's words."""
-    match order:
-        case face.SetLine(table, backend, weight):
-            return f"put,{table},{backend},{weight}"
-        case face.ClearTable(table):
-            return f"wipe,{table}"
-        case face.Withdraw(backend, out):
-            return f"{'eject' if out else 'uneject'},{backend}"
-        case face.SetLevel(table, places, level, tries):
-            whose = "*" if table == face.ALL_TABLES else table
-            return f"gate,{whose},{'+'.join(methods[p] for p in places) or '*'},{level},{tries}"
-        case face.Mark(mark, everyone):
-            return f"fence,{mark},{int(everyone)}"
-    raise TypeError(f"not an order for the relay: {order}")
-
-
-def key(order: face.Order) -> tuple:
-    """What an order sets: a later one of the same key makes it void."""
-    match order:
-        case face.SetLine(table, backend, _):
-            return "line", table, backend
-        case face.SetLevel(table, places, _, _):
-            return "level", table, places
-        case face.Withdraw(backend, _):
-            return "out", backend
-        case face.ClearTable(table):
-            return "table", table
-    return ("mark",)
-
-
-def merge(orders: Sequence[face.Order]) -> list[face.Order]:
-    """The same end with no order that a later one makes void."""
-    last: dict[tuple, face.Order] = {}
-    for order in orders:
-        if isinstance(order, face.ClearTable):
-            for old in [k for k in last if k[0] in ("line", "level") and k[1] == order.table]:
-                del last[old]
-        last.pop(key(order), None)
-        last[key(order)] = order
-    return list(last.values())
-
-
-def pieces(orders: Sequence[face.Order], methods: Sequence[str]) -> Iterator[list[face.Order]]:
-    """One reply of the module: a call of its own, or several where it is too long for one."""
-    call, room = [], BYTES + 1
-    for order in orders:
-        size = len(encode(order, methods)) + 1
-        if room < size:
-            yield call
-            call, room = [], BYTES + 1
-        call.append(order)
-        room -= size
-    yield call
-
-
-def read_answer(answer: Answer) -> int | str:
-    """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
-    if answer.outcome != "answered":
-        raise ValueError(answer.outcome)
-    if b"<!" in answer.body:                    # entities can swell without bound, no answer needs them
-        raise ValueError("a document type")
-    try:
-        root = ElementTree.fromstring(answer.body)
-    except ElementTree.ParseError as bad:
-        raise ValueError(f"no XML: {bad}") from None
-    if (code := root.findtext(".//Code")) is not None:
-        return code.strip()
-    count = (root.findtext(".//results/item/ok_count") or "").strip()
-    if answer.status != 200 or not (count.isascii() and count.isdigit()):
-        raise ValueError(f"status {answer.status}, no count")
-    return int(count)
+from .backlog import Backlog
+from .calls import encode, merge, pieces, read_answer
 
 
 class Relay:
@@ -102,9 +27,16 @@
     MARGIN = SECOND // 2        # by which one call may take longer to the relay than the next
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str], most: int,
-                 over: int) -> None:
-        """A proxy may get `most` messages (0: any number) within `over`."""
+                 over: int, backlog: Backlog, proxies: Callable[[], int], head: int) -> None:
+        """A proxy may get `most` messages (0: any number) within `over`; each has `head` lines of its own."""
         self.loop, self.log, self.methods, self.most, self.over = loop, log, methods, most, over
+        self.backlog, self.proxies, self.head = backlog, proxies, head
+        self.size = 0                           # lines in the channel of the call that went last
+        # A mark that a proxy answers shows that the call it ends was carried out.  One that an earlier call
+        # had, as after a module that began anew, shows nothing: hence the marks of the last calls.
+        self.marks: deque[int] = deque(maxlen=256)
+        self.shown_by, self.shown = -1, False   # the mark that would show it of the first call; it has
+        self.first: list[face.Order] | None = None      # the call that these are about
         self.written: deque[int] = deque()      # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None   # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
@@ -122,7 +54,8 @@
         if to == self.client.to:
             return False
         self.client.retire()
-        self.client, self.failures = Client(self.loop, to, self.CONNECT, self.IDLE), 0
+        # A call that is unclear stays one that goes again, soon.
+        self.client, self.failures = Client(self.loop, to, self.CONNECT, self.IDLE), min(self.failures, 1)
         return True
 
     def pending(self) -> list[face.Order]:
@@ -159,6 +92,12 @@
             self.log.trouble("call_held_back", calls=len(self.waiting))
             self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
+        size = (len(self.waiting[0]) + self.head) * self.proxies()
+        if self.failures and (when := self.backlog.fits_at(now, size)) > now:
+            # Carried out the first time it lies in the channel still: the same again would be too much there.
+            self.log.trouble("call_waits_for_the_channel", lines=size, for_ms=(when - now) / 10)
+            self.due = self.loop.at(when, self._call)
+            return
         orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
         if self.allowed is not None and not self.allowed(orders):
             # What was decided before is void by the time that it may: the module is told what stands then.
@@ -168,7 +107,10 @@
             self.idle, self.failures = True, 0
             self.dropped(void)
             return
+        self._to_be_shown()
         self.written.append(now)
+        self.backlog.sent(now, size)
+        self.size = size
         body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
@@ -179,7 +121,7 @@
         orders, self.out = self.waiting[0], False
         try:
             if answer.outcome in ("connect_failed", "unreached"):
-                self.written.pop()
+                self._not_carried_out()
             said = read_answer(answer)
             if isinstance(said, int) and said > len(orders):
                 raise ValueError(f"{said} taken of {len(orders)}")
@@ -192,23 +134,55 @@
         elif said == "ValidationError":
             # The same again would be turned away again: never in a loop.
             self.log.trouble("relay_call_invalid", orders=len(orders), first=encode(orders[0], self.methods))
-            self.written.pop()
+            self._not_carried_out()
             self.waiting.popleft()
             self.failures = 0
             self.dropped(orders)
             self._call()
         elif said == "Throttling":
             self.log.count("relay_throttled")
-            self.written.pop()
+            self._not_carried_out()
             self.due = self.loop.after(self.THROTTLED, self._call)
         else:
             # Carried out or not at all: the same once more, before anything later.
             self.log.trouble("relay_call_unclear", why=said, orders=len(orders), tries=self.failures + 1,
                              after_ms=answer.duration / 10)
+            if self.shown:
+                self._stands_as_shown()
+                return
             step = self.AGAIN[min(self.failures, len(self.AGAIN) - 1)]
             self.failures += 1
             self.due = self.loop.after(step, self._call)
 
+    def _not_carried_out(self) -> None:
+        self.written.pop()
+        self.backlog.taken_back(self.size)
+
+    def _to_be_shown(self) -> None:
+        if self.first is self.waiting[0]:
+            return
+        self.first, self.shown_by, self.shown = self.waiting[0], -1, False
+        last = self.first[-1]
+        if isinstance(last, face.Mark) and last.mark not in self.marks:
+            self.shown_by = last.mark
+            self.marks.append(last.mark)
+
+    def answered_mark(self, mark: int) -> None:
+        """A proxy has applied all up to this mark: the call that ends with it was carried out, to its end."""
+        if mark != self.shown_by or not self.waiting or self.first is not self.waiting[0]:
+            return
+        self.shown = True
+        if self.failures and not self.out:
+            if self.due is not None:
+                self.due.cancel()
+            self._stands_as_shown()
+
+    def _stands_as_shown(self) -> None:
+        self.log.count("calls_shown_by_marks")
+        self.failures = 0
+        self._taken(len(self.waiting[0]))
+        self._call()
+
     def _taken(self, count: int) -> None:
         orders = self.waiting.popleft()
         self.log.count("orders_stand", count)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -40,6 +40,7 @@
         self.tables = {s: {f"b{s % backends}": 1.0} for s in range(slices)}
         self.out, self.refused, self.calls, self.marks, self.news = set(), set(), [], [], []
         self.times = []                         # of the calls carried out
+        self.marks_told = True                  # proxies answer marks
         self.known = self.whole()
 
     # ---- backends and discovery
@@ -126,7 +127,7 @@
                     (self.out.add if kind == "eject" else self.out.discard)(words[0])
                 elif kind == "fence":
                     self.marks.append(int(words[0]))
-                    for proxy in self.proxies:
+                    for proxy in self.proxies if self.marks_told else ():
                         self.tell("done", id=proxy, seq=words[0], ms=3.5)
             return len(orders)
 
--- a/tests/test_audit_gate.py
+++ b/tests/test_audit_gate.py
@@ -5,6 +5,7 @@
 from indigohitch.log import Log
 from indigohitch.net.clock import Clock
 from indigohitch.net.loop import Loop
+from indigohitch.platformlink.backlog import Backlog
 from indigohitch.platformlink.relay import Relay
 from indigohitch.standins.stamped import Stamped
 
@@ -34,7 +35,8 @@
 def test_orders_that_may_not_go_are_void_and_told():
     """What was decided while this coordinator might act doesn't go later (platformlink/relay)."""
     clock = Clock()
-    relay = Relay(Loop(clock, print), Log(clock, out=-1), ("127.0.0.1", 1), ["search"], 0, 0)
+    relay = Relay(Loop(clock, print), Log(clock, out=-1), ("127.0.0.1", 1), ["search"], 0, 0,
+                  Backlog(0, 0), lambda: 0, 0)
     went, void, may = [], [], False
     relay.client.request = lambda *words: went.append(words[4])
     relay.dropped = void.extend
--- /dev/null
+++ b/tests/test_crossing_backlog.py
@@ -0,0 +1,69 @@
+"""A call to the relay whose outcome is unclear, and the channel in which it may lie already."""
+import pytest
+
+from indigohitch.net.clock import SECOND
+from indigohitch.platformlink.backlog import Backlog
+from stage import SETTINGS, drain, none_lost
+from waiting import eventually
+
+UNCLEAR = ["reset done", "silent done", "garbage done", "rubbish done"]
+
+
+def serving(platform, cap):
+    family = SETTINGS["family-info"] | {"queue-cap": cap, "egress-per-s": 40.0, "envelope": 2.0}
+    program = platform.start(settings=SETTINGS | {"family-info": family})
+    eventually(lambda: program.said("phase", now="serving"))
+    eventually(lambda: platform.calls and not program.counters().get("calls_waiting"))
+    return program
+
+
+def rounds(platform, mark):
+    """When the call with this mark was carried out, each time."""
+    return [at for at, call in zip(platform.times, platform.calls) if f"fence,{mark},0" in call]
+
+
+@pytest.mark.parametrize("fault", UNCLEAR)
+def test_a_mark_answered_shows_that_the_call_stands(platform, fault):
+    """The same again would lie in the channel twice, and count twice among a proxy's messages."""
+    program = serving(platform, 30.0)
+    platform.relay_faults.append(fault)
+    drain(platform, "b1")
+    eventually(lambda: not platform.relay_faults and program.counters().get("calls_shown_by_marks") == 1)
+    drain(platform, "b2")
+    assert len(platform.marks) == len(set(platform.marks)) and none_lost(platform)
+
+
+@pytest.mark.parametrize("fault", UNCLEAR)
+def test_the_same_again_waits_until_it_fits_into_the_channel(platform, fault):
+    """Found on a day of six in ten replaced: 109,816 lines waited where 86,000 may."""
+    program = serving(platform, 30.0)
+    platform.marks_told = False
+    platform.relay_faults.append(fault)
+    drain(platform, "b1")
+    said = eventually(lambda: program.said("call_waits_for_the_channel"))
+    eventually(lambda: len(rounds(platform, platform.marks[-1])) == 2)
+    first, again = rounds(platform, platform.marks[-1])
+    lines = said[0]["lines"]
+    assert lines <= 30 < 2 * lines and again - first >= (2 * lines - 30) / 40.0 - 0.01
+
+
+@pytest.mark.parametrize("fault", ["reset", "silent", "garbage", "503"])
+def test_one_not_carried_out_goes_again(platform, fault):
+    serving(platform, 30.0)
+    platform.relay_faults.append(fault)
+    drain(platform, "b1")
+    assert not platform.relay_faults and none_lost(platform)
+
+
+def test_what_may_wait_in_the_channel_at_any_moment():
+    backlog = Backlog(cap=1000, pace=500)
+    backlog.sent(0, 700)
+    assert backlog.fits_at(0, 300) == 0
+    assert backlog.fits_at(0, 700) == 8001              # 400 too many, at 500 a second
+    assert backlog.fits_at(SECOND // 2, 700) == 8001
+    backlog.sent(8001, 700)
+    assert backlog.fits_at(8001, 700) > 8001 + SECOND
+    backlog.taken_back(700)
+    assert backlog.fits_at(8001, 700) == 8001
+    assert backlog.fits_at(8001, 5000) == 8001 + 6000   # more than the cap alone: once nothing waits
+    assert Backlog(cap=0, pace=0).fits_at(5, 10 ** 9) == 5
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -6,9 +6,9 @@
 from indigohitch import interface as face
 from indigohitch.net.http import Answer
 from indigohitch.platformlink import tables
+from indigohitch.platformlink.calls import BYTES, encode, merge, pieces, read_answer
 from indigohitch.platformlink.discovery import read_list
 from indigohitch.platformlink.news import EventStream
-from indigohitch.platformlink.relay import BYTES, encode, merge, pieces, read_answer
 from indigohitch.platformlink.words import NEWS, Garbled, Known, Unreadable, report, split
 
 
