Bytes that nobody asked for are never the answer to the sidecar's next RPC

Forced on a host turned by hand (tests/seam.py), every byte of client and server written by the test. Faults: - servers.py Server.spare looked at a kept connection only for an RPC that must not go out twice. An idempotent one took a connection on which a second answer lay unread, and gave it to its client. Now each reuse looks (net/http.py stands, one recv with MSG_PEEK an RPC); it also saves the try on one that has ended. - rpc.py kept `last_chunk` from the first try: an empty body in chunks that met the end of a kept connection went out again without its last chunk and hung until the deadline.

--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -196,7 +196,7 @@
         return exchange
 
     def spare(self) -> Connection | None:
-        """The connection at rest, if it can serve: of a request that meets its end nobody knows the outcome."""
+        """The connection at rest, if it can serve: what meets its end may have been done or not."""
         connection = self._wake()
         if connection is None or stands(connection.sock):
             return connection
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -67,8 +67,7 @@
         self.tried.append(server)
         server.held += 1
         self.began = host.loop.clock.now()
-        # A kept connection that has ended would be met by a write: for what can't go out again, look first.
-        upstream = server.spare(self.route.rpc.repeat != "idempotent")
+        upstream = server.spare()
         if upstream is not None:
             upstream.rpc, self.upstream = self, upstream
             self.connected()
@@ -87,7 +86,7 @@
         if self.connect_by is not None:
             self.connect_by.cancel()
             self.connect_by = None
-        self.phase, seating = Phase.SENT, self.pool.host.seating
+        self.phase, seating, self.last_chunk = Phase.SENT, self.pool.host.seating, False
         head = self.head.onward() if seating is None else self.head.onward(
             seating.shown(self.seat, self.server) if self.seat is not None else b"", seating.OWN)
         passing.request_on(self, head)
--- a/indigohitch/sidecar/servers.py
+++ b/indigohitch/sidecar/servers.py
@@ -1,8 +1,7 @@
 """A server as the sidecar meets it: what is out at it, its kept connections, and what was met there."""
 from __future__ import annotations
 
-import socket
-
+from ..net.http import stands
 from ..net.stream import Stream
 
 
@@ -21,11 +20,12 @@
     def forget_sums(self) -> None:
         self.tries = self.failures = self.oks = self.time = 0
 
-    def spare(self, surely: bool) -> Upstream | None:
-        """A kept connection; `surely`: one that has not been closed as far as can be seen now."""
+    def spare(self) -> Upstream | None:
+        """A kept connection, silent as far as can be seen now: its end would cost an RPC that must not go out
+        twice, and bytes that nobody asked for would be the answer to the next."""
         while self.idle:
             found = self.idle.pop()
-            if not surely or found.stands():
+            if stands(found.stream.sock):
                 return found
             found.stream.close()
         return None
@@ -53,15 +53,6 @@
         self.server, self.rpc, self.used, self.since = server, rpc, False, 0
         self.stream: Stream | None = None
 
-    def stands(self) -> bool:
-        try:
-            self.stream.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False                            # closed, or it says what nobody asked
-
     # ---- what the stream tells
 
     def opened(self, stream: Stream) -> None:
--- /dev/null
+++ b/tests/seam.py
@@ -0,0 +1,123 @@
+"""A sidecar's host on a loop turned by hand, between clients and a server whose bytes the test writes."""
+import os
+import select
+import socket
+
+from indigohitch.directives.sidecar_file import read
+from indigohitch.log import Log
+from indigohitch.net.clock import Clock
+from indigohitch.net.loop import Loop
+from indigohitch.sidecar.host import Host
+
+TEXT = """listen {}:{}
+rpc search idempotent soft 1s deadline 4s
+rpc reserve non-idempotent soft 1s deadline 4s
+pool nodes slices 1
+server n1 {}:{} pool nodes
+route GET /a/{{b}} rpc search pool nodes key path 1
+route POST /a/{{b}} rpc search pool nodes key path 1
+route POST /r/{{b}} rpc reserve pool nodes key path 1
+"""
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+READ = b"GET /a/1 HTTP/1.1\r\nHost: t\r\n\r\n"
+RESERVE = b"POST /r/1 HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n"
+
+
+class Shifted(Clock):
+    """A clock that the test puts forward."""
+    by = 0
+
+    def now(self):
+        return super().now() + self.by
+
+
+def readable(*socks):
+    return len(select.select(socks, [], [], 0)[0]) == len(socks)
+
+
+def come(*socks):
+    """Bytes or the end have arrived in the kernel at each."""
+    for sock in socks:
+        assert select.select([sock], [], [], 10)[0]
+
+
+class Seam:
+    def __init__(self):
+        self.broken = []
+        self.clock = Shifted()
+        self.loop = Loop(self.clock, self.broken.append)
+        self.server = socket.create_server(("127.0.0.1", 0))
+        ours = socket.create_server(("127.0.0.1", 0))
+        self.at = ours.getsockname()
+        text = read(TEXT.format(*self.at, *self.server.getsockname()))
+        self.host = Host(self.loop, Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY)), text)
+        self.pool = self.host.pools["nodes"]
+        self.pool.start()
+        self.host.start(ours)
+        self.host.go()
+        self.socks = []
+
+    def turn(self):
+        self.loop.after(10, lambda: None)           # never waits for long
+        self.loop.turn()
+        self.host.turn()
+
+    def until(self, holds):
+        for _ in range(3000):
+            if holds():
+                return
+            self.turn()
+        raise AssertionError("never came true")
+
+    def client(self, data=b"", buffer=0):
+        """A client's side, and ours, once the host has it."""
+        sock = socket.socket()
+        if buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        sock.settimeout(10)
+        sock.connect(self.at)
+        self.socks.append(sock)
+        before = self.host.serial
+        self.until(lambda: self.host.serial > before)
+        sock.sendall(data)
+        return sock, next(c for c in self.host.clients if c.serial == self.host.serial)
+
+    def asked(self, sock=None):
+        """The server's side of a connection, new unless named, and the RPC that came there."""
+        if sock is None:
+            self.until(lambda: readable(self.server))
+            sock, _ = self.server.accept()
+            self.socks.append(sock)
+        self.until(lambda: readable(sock))
+        return sock, sock.recv(1 << 16)
+
+    def said(self, sock):
+        """What the client has, at once all of what came."""
+        self.until(lambda: readable(sock))
+        return sock.recv(1 << 16)
+
+    def rest(self, sock):
+        """All up to the end; raises ConnectionResetError."""
+        found = b""
+        while part := self.said(sock):
+            found += part
+        return found
+
+    def kept(self):
+        """A client, and a server's connection that has served it once and stands idle."""
+        sock, client = self.client(READ)
+        server, _ = self.asked()
+        server.sendall(OK % (1, b"1"))
+        assert self.said(sock).endswith(b"\r\n\r\n1") and len(self.idle) == 1
+        return sock, client, server
+
+    @property
+    def idle(self):
+        return self.pool.servers["n1"].idle
+
+    def close(self):
+        assert not self.broken
+        self.host.close()
+        for sock in (self.server, *self.socks):
+            sock.close()
+        self.loop.close()
