Relay calls: one long reply goes at once, and a dropped call in doubt has its effect read

Found by reading relay.py against each pair of events, forced with a client that answers when the test says: - Relay.order: a reply of more than nine calls of 60,000 bytes, come while nothing waits, was merged and never begun (`elif self.idle`); no later reply began it either while that many waited. - Relay._call: where a call may not go (audit's stamp is refused, as in a partition), all that waits was dropped and the module told what stood, also where the first had gone without an answer and may have been carried out. Its line then stood in the store unknown to all. Now the news are asked for anew (News.anew, taken out of News.move): another stream begins with what stands. A move of the relay kept no memory of the doubt.

Right as it was, each under a test now: pop() takes the call's own entry after connect_failed, unreached, Throttling and ValidationError, and repeats count; a call in doubt goes again as it was before what is merged, held or moved; a move while one is out leaves it at the old address; the later order for one line wins.

--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -47,6 +47,7 @@
         self.holdings = Holdings(loop, log, self.hear, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
+        self.relay.doubted = self.news.anew
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
         self.known = Known(frozenset(zones if zones is not None else (e.zone for e in known.entries)),
                            frozenset(method.name for method in self.boot["methods"]),
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -77,13 +77,17 @@
         """Ask at another address.  The stream that tells goes on until one there does."""
         if to == self.client.to:
             return False
+        self.client = Client(self.loop, to, self.CONNECT)
+        self.anew()
+        return True
+
+    def anew(self) -> None:
+        """Have all that stands told again.  The stream that tells goes on until another does."""
         if self.again is not None:
             self.again.cancel()
         if self.coming is not None:
             self.coming.drop()
-        self.client = Client(self.loop, to, self.CONNECT)
         self.open()
-        return True
 
     def _part(self, exchange: Exchange, part: bytes) -> None:
         if exchange is self.coming:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -111,9 +111,10 @@
         # Set from outside where others must know who ordered what: asked with the orders of each call right
         # before it goes; False: it may not.
         self.allowed: Callable[[str], bool] | None = None
+        self.doubted: Callable[[], None] = lambda: None     # a dropped call may stand: read what does
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
         self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
-        self.failures, self.idle = 0, True
+        self.failures, self.idle = 0, True      # failures: of the first, which may stand if there are any
         self.held = self.out = False            # no call begins; one has gone and nothing is known of it yet
         self.due: Deadline | None = None        # when the next one is to begin, where that waits
 
@@ -122,7 +123,8 @@
         if to == self.client.to:
             return False
         self.client.retire()
-        self.client, self.failures = Client(self.loop, to, self.CONNECT, self.IDLE), 0
+        self.client = Client(self.loop, to, self.CONNECT, self.IDLE)
+        self.failures = min(self.failures, 1)   # soon tried there, but what is in doubt stays so
         return True
 
     def pending(self) -> list[face.Order]:
@@ -136,7 +138,7 @@
             out, later = self.waiting.popleft(), self.pending()
             self.waiting = deque([out, *pieces(merge(later), self.methods)])
             self.log.trouble("calls_merged", orders=len(later))
-        elif self.idle:
+        if self.idle:                           # merged or not: one reply may be more calls than may wait
             self._call()
 
     def hold(self, on: bool) -> None:
@@ -162,11 +164,13 @@
         orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
         if self.allowed is not None and not self.allowed(orders):
             # What was decided before is void by the time that it may: the module is told what stands then.
-            void = self.pending()
+            void, doubt = self.pending(), self.failures > 0
             self.log.count("orders_not_allowed", len(void))
             self.waiting.clear()
             self.idle, self.failures = True, 0
             self.dropped(void)
+            if doubt:
+                self.doubted()
             return
         self.written.append(now)
         body = urlencode({"Action": "CommitChanges", "orders": orders})
--- /dev/null
+++ b/tests/test_crossing_relay.py
@@ -0,0 +1,211 @@
+"""Calls to the relay that cross each other, a bound, a move or a ban: the client below answers when told."""
+import os
+from urllib.parse import parse_qs
+
+import pytest
+
+from indigohitch import interface as face
+from indigohitch.log import Log
+from indigohitch.net.clock import SECOND
+from indigohitch.net.http import Answer
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink import relay as calls
+from indigohitch.platformlink.front import Front
+from seam import Shifted
+from stage import SETTINGS
+from waiting import free_address
+
+MARGIN = calls.Relay.MARGIN
+
+
+class Told:
+    """In the place of net.http.Client."""
+
+    def __init__(self, loop, to, *spans):
+        self.to, self.asked, self.retired = to, [], False
+
+    def request(self, method, target, span, done, body, kind):
+        self.asked.append((parse_qs(body.decode())["orders"][0], done))
+
+    def retire(self):
+        self.retired = True
+
+
+class Room:
+    def __init__(self, monkeypatch, most=0, over=0):
+        monkeypatch.setattr(calls, "Client", Told)
+        self.clock = Shifted()
+        self.loop = Loop(self.clock, self.fail)
+        self.log = Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY))
+        self.relay = calls.Relay(self.loop, self.log, ("127.0.0.1", 1), ["search"], most, over)
+        self.stand, self.void = [], []
+        self.relay.stands, self.relay.dropped = self.stand.extend, self.void.extend
+
+    def fail(self, broken):
+        raise broken
+
+    def order(self, *weights, table=1):
+        self.relay.order([face.SetLine(table, "b1", float(w)) for w in weights])
+
+    def out(self):
+        """The call that is out, and who hears of it."""
+        assert self.relay.out
+        return self.relay.client.asked[-1]
+
+    def answer(self, outcome="answered", taken=1, code=""):
+        body = (f"<R><Error><Code>{code}</Code></Error></R>" if code else
+                f"<R><results><item><ok_count>{taken}</ok_count></item></results></R>")
+        self.out()[1](Answer(outcome, 400 if code else 200, body.encode()))
+
+    def go(self, span=0):
+        self.clock.by += span
+        self.loop.after(0, lambda: None)
+        self.loop.turn()
+
+
+@pytest.fixture
+def room(monkeypatch):
+    return Room(monkeypatch)
+
+
+@pytest.mark.parametrize("outcome, code, counted", [
+    ("connect_failed", "", 0), ("unreached", "", 0), ("answered", "Throttling", 0),
+    ("answered", "ValidationError", 0), ("reset", "", 1), ("timeout", "", 1), ("unreadable", "", 1),
+    ("answered", "Other", 1), ("answered", "", 1)])
+def test_what_may_have_gone_out_counts_as_a_message(monkeypatch, outcome, code, counted):
+    room = Room(monkeypatch, most=9, over=SECOND)
+    room.order(1)
+    room.answer("reset")
+    room.go(10)
+    before = list(room.relay.written)
+    assert len(before) == 2                         # the call, and itself again
+    room.answer(outcome, code=code)
+    assert list(room.relay.written)[:1 + counted] == before[:1 + counted]
+    if code not in ("Throttling", "Other") and outcome != "reset":
+        return
+    room.go(SECOND // 2)
+    assert len(room.relay.written) == 2 + counted   # and once more
+
+
+def test_repeats_never_exceed_the_bound(monkeypatch):
+    room = Room(monkeypatch, most=3, over=SECOND)
+    room.order(1)
+    sent, outcomes = [], ["reset", "Throttling", "timeout", "connect_failed", "unreadable"] * 6
+    while outcomes:
+        if not room.relay.out:
+            room.go(100)
+            continue
+        how = outcomes.pop(0)
+        if how not in ("Throttling", "connect_failed"):
+            sent.append(room.relay.written[-1])
+        room.answer("answered" if how == "Throttling" else how, code=how if how == "Throttling" else "")
+    assert len(sent) == 18
+    assert min(late - early for early, late in zip(sent, sent[3:])) >= SECOND + MARGIN
+    assert {orders for orders, _ in room.relay.client.asked} == {"put,1,b1,1.0"}
+
+
+def test_a_call_in_doubt_goes_again_as_it_was_before_what_is_merged(room):
+    room.order(1)
+    room.answer("timeout")
+    for weight in range(2, 30):
+        room.order(weight)
+    assert room.log.counts["calls_merged"]
+    room.go(10)
+    assert room.out()[0] == "put,1,b1,1.0"
+    while not room.relay.idle:
+        room.answer()
+    weights = [order.weight for order in room.stand]
+    assert weights[0] == 1.0 and weights[-1] == 29.0 and weights == sorted(weights) and len(weights) < 12
+
+
+def test_one_reply_of_more_calls_than_may_wait_goes_at_once(room):
+    orders = [face.SetLine(n, f"backend-{n:06}", 1.0) for n in range(30_000)]
+    room.relay.order(orders)
+    while not room.relay.idle:
+        room.answer(taken=len(room.relay.waiting[0]))
+    assert room.stand == orders
+
+
+@pytest.mark.parametrize("outcome", ["answered", "timeout", "connect_failed"])
+def test_a_move_while_a_call_is_out(room, outcome):
+    """It ends where it began; only in doubt it goes to the new address, as it was, before the next."""
+    room.order(1)
+    old = room.relay.client
+    assert room.relay.move(("127.0.0.1", 2)) and old.retired
+    room.order(2)
+    assert not room.relay.client.asked
+    old.asked[0][1](Answer(outcome, 200, b"<R><results><item><ok_count>1</ok_count></item></results></R>"))
+    room.go(10)
+    seen = [orders for orders, _ in room.relay.client.asked]
+    assert len(old.asked) == 1 and seen == ["put,1,b1,1.0" if outcome != "answered" else "put,1,b1,2.0"]
+
+
+def test_a_hold_while_a_call_in_doubt_waits(room):
+    room.order(1)
+    room.relay.hold(True)
+    room.answer("timeout")
+    room.go(10)
+    room.order(2)
+    assert not room.relay.out                       # nothing begins, and nothing is lost
+    room.relay.hold(False)
+    assert room.out()[0] == "put,1,b1,1.0"
+    room.answer()
+    assert room.out()[0] == "put,1,b1,2.0"
+
+
+@pytest.mark.parametrize("moved", [False, True])
+@pytest.mark.parametrize("outcome, doubts", [("timeout", 1), ("answered", 0)])
+def test_a_call_in_doubt_that_may_not_go_again_has_what_stands_read(room, outcome, doubts, moved):
+    """It may have been carried out: to tell the module what stood before would be a guess."""
+    asked = []
+    room.relay.doubted = lambda: asked.append(1)
+    room.order(1)
+    room.order(2)
+    room.relay.allowed = lambda orders: False
+    room.answer(outcome)
+    if moved:
+        room.relay.move(("127.0.0.1", 2))
+    room.go(10)
+    assert len(asked) == doubts and room.void and room.relay.idle
+
+
+def test_an_order_for_the_same_line_while_one_is_in_doubt(room):
+    """The later one wins, whichever came of the first."""
+    room.order(5)
+    room.answer("unreadable")
+    room.order(0)
+    room.go(10)
+    room.answer()
+    room.answer()
+    assert [order.weight for order in room.stand] == [5.0, 0.0]
+
+
+def test_what_stands_is_read_again_after_a_call_in_doubt_was_dropped(platform):
+    """Carried out without an answer, and then no call may go: no other stream would tell of its line."""
+    def fail(broken):
+        raise broken
+    loop = Loop(Shifted(), fail)
+    log = Log(loop.clock, "t", os.open(os.devnull, os.O_WRONLY))
+    front = Front(loop, log, {
+        "listen": free_address(), "discovery": platform.discovery.address, "seed": "1", "settings": SETTINGS,
+        "known": platform.known, "limits": platform.limits, "store": {"address": platform.relay.address}})
+
+    def until(holds):
+        for _ in range(20_000):
+            if holds():
+                return
+            loop.after(10, lambda: None)
+            loop.turn()
+            front.gathering.turn()
+        raise AssertionError("never came true")
+    front.start()
+    until(lambda: front.holdings.begun and front.relay.idle and platform.agrees())
+    platform.relay_faults.append("silent done")
+    front.relay.order([face.SetLine(3, "b1", 1.0)])
+    until(lambda: "b1" in platform.tables[3])
+    front.relay.allowed = lambda orders: False
+    until(lambda: log.counts["orders_not_allowed"])
+    assert "b1" not in front.holdings.stood[3].lines
+    until(lambda: "b1" in front.holdings.stood[3].lines)
+    front.close()
+    loop.close()
