--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -46,6 +46,7 @@
 class Exchange:
     """One request and its answer, in a numbered slot of its client while it lasts."""
     CROSSED = SECOND // 20      # a close that crosses the request is here by then; later it is an answer
+    UNREAD = SECOND // 4        # to read what a socket holds, some MB at 64 KiB a turn
     BODY = 8 << 20              # a list of ten thousand backends is two; more is no answer of ours
 
     def __init__(self, client: Client, request: bytes, span: int, done: Callable[[Answer], None],
@@ -88,7 +89,16 @@
     def _rearm(self) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
-        self.deadline = self.client.loop.after(self.span, lambda: self.end("timeout"))
+        self.deadline = self.client.loop.after(self.span, self._late)
+
+    def _late(self, until: int = 0) -> None:
+        """What came in time counts, also where this process stood still and one turn does not read it all."""
+        now = self.client.loop.clock.now()
+        until = until or now + self.UNREAD
+        if now > until or stands(self.connection.sock):
+            self.end("timeout")
+        else:
+            self.deadline = self.client.loop.after(1, lambda: self._late(until))
 
     # ---- what the connection tells
 
--- a/indigohitch/request.py
+++ b/indigohitch/request.py
@@ -11,7 +11,7 @@
 from itertools import accumulate
 
 # What can have become of a try.  UNSENT: not one byte went out on a connection that stood.  CROSSED: a kept
-# connection ended in order as the RPC went out, without a byte of an answer.  SENT: all other ends.
+# connection ended or was reset as the RPC went out, without a byte of an answer.  SENT: all other ends.
 UNSENT, CROSSED, SENT = "unsent", "crossed", "sent"
 
 
@@ -56,7 +56,7 @@
 
     A non-idempotent RPC goes out again only if not one byte of it can have been acted on, whatever the
     orders say.  For an idempotent one the level of further tries decides; a kept connection that its server
-    closed in order just then counts as proof enough for it, as it may run twice."""
+    closed just then counts as proof enough for it, as it may run twice."""
     if left <= 0 or not whole or tried > (0, 1, 1, 2)[table.tries]:
         return False
     if repeat != "idempotent":
--- a/tests/test_crossing_idle.py
+++ b/tests/test_crossing_idle.py
@@ -5,61 +5,7 @@
 
 import pytest
 
-from indigohitch.net.clock import SECOND, Clock
-from indigohitch.net.http import Client
-from indigohitch.net.loop import Loop
-
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
-
-
-class Wire:
-    def __init__(self, idle=SECOND):
-        self.broken, self.answers = [], []
-        self.loop = Loop(Clock(), self.broken.append)
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.client = Client(self.loop, self.listener.getsockname(), idle_span=idle)
-        self.peers = []
-
-    def turn(self, until):
-        for _ in range(2000):
-            if until():
-                return
-            self.loop.after(10, lambda: None)       # a turn never waits for long
-            self.loop.turn()
-        raise AssertionError("never came true")
-
-    def ask(self, method="POST", body=b"x", span=5 * SECOND):
-        self.client.request(method, "/", span, self.answers.append, body, "text/plain")
-
-    def accepted(self):
-        """The peer's side of the next connection, once all of a request has come."""
-        self.turn(lambda: readable(self.listener))
-        self.peers.append(self.listener.accept()[0])
-        return self.heard(self.peers[-1])
-
-    def heard(self, peer):
-        self.turn(lambda: readable(peer))
-        assert peer.recv(1 << 16)
-        return peer
-
-    def answered(self, count):
-        self.turn(lambda: len(self.answers) == count)
-        return self.answers[-1]
-
-    def come(self):
-        """What the peer did is in the kernel, unread."""
-        assert select.select([self.client._resting.sock], [], [], 10)[0]
-
-    def close(self):
-        assert not self.broken
-        self.client.close()
-        for sock in (self.listener, *self.peers):
-            sock.close()
-        self.loop.close()
-
-
-def readable(sock):
-    return bool(select.select([sock], [], [], 0)[0])
+from seam import OK, Wire, readable
 
 
 @pytest.fixture
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -40,6 +40,35 @@
     assert not readable(seam.server) and not seam.idle
 
 
+@pytest.mark.parametrize("how, again", [("end", True), ("reset", True), ("part", False)])
+def test_what_may_run_twice_goes_again_where_a_kept_connection_ended_without_a_byte(seam, how, again):
+    """By a reset too: the server closed with the RPC unread.  On a new connection it is the server's end."""
+    sock, _, server = seam.kept()
+    sock.sendall(READ)
+    for _ in range(2 if again else 1):
+        server, _ = seam.asked(server)
+        ends(server, how)
+        server = None
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
+def test_a_new_connection_that_ends_has_ended_on_the_rpc(seam):
+    sock, _ = seam.client(READ)
+    server, _ = seam.asked()
+    server.close()
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
+def test_a_kept_connection_that_ends_later_has_ended_on_the_rpc(seam):
+    """The level of further tries is for proof only: it has run for a while, perhaps."""
+    sock, client, server = seam.kept()
+    sock.sendall(READ)
+    seam.asked(server)
+    seam.clock.by += 10_000
+    server.close()
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
 def test_a_reservation_never_takes_a_connection_that_shows_its_end(seam):
     sock, client, server = seam.kept()
     sock.sendall(RESERVE)
