--- /dev/null
+++ b/tests/test_crossing_retries.py
@@ -0,0 +1,228 @@
+"""An RPC on which two things meet: its answer, its deadline, the end of its connection, another's bytes."""
+import socket
+
+import pytest
+
+from peers import reset
+from seam import OK, READ, RESERVE, Seam, come, readable
+
+
+@pytest.fixture
+def seam():
+    found = Seam()
+    yield found
+    found.close()
+
+
+def ends(sock, how):
+    """The server lets go of a connection."""
+    if how == "reset":
+        reset(sock)
+    else:
+        sock.sendall({"part": b"HTTP/1.1 200 OK\r\nConte", "end": b""}[how])
+        sock.close()
+
+
+@pytest.mark.parametrize("kept", [True, False])
+@pytest.mark.parametrize("how", ["end", "part", "reset"])
+def test_a_reservation_goes_out_once_whatever_its_connection_does(seam, kept, how):
+    """And the client hears in the turn that shows it."""
+    sock, client, server = seam.kept() if kept else (*seam.client(), None)
+    seam.pool.tables[0].tries = 3                   # whatever the orders say
+    sock.sendall(RESERVE)
+    server, _ = seam.asked(server)
+    at = client.rpc.upstream.stream.sock
+    ends(server, how)
+    come(at)
+    seam.turn()
+    seam.turn()                                     # after a part: the end is read in the next
+    assert readable(sock) and sock.recv(4096).startswith(b"HTTP/1.1 502 ")
+    assert not readable(seam.server) and not seam.idle
+
+
+@pytest.mark.parametrize("how, again", [("end", True), ("reset", True), ("part", False)])
+def test_what_may_run_twice_goes_again_where_a_kept_connection_ended_without_a_byte(seam, how, again):
+    """By a reset too: the server closed with the RPC unread.  On a new connection it is the server's end."""
+    sock, _, server = seam.kept()
+    sock.sendall(READ)
+    for _ in range(2 if again else 1):
+        server, _ = seam.asked(server)
+        ends(server, how)
+        server = None
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
+def test_a_new_connection_that_ends_has_ended_on_the_rpc(seam):
+    sock, _ = seam.client(READ)
+    server, _ = seam.asked()
+    server.close()
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
+def test_a_kept_connection_that_ends_later_has_ended_on_the_rpc(seam):
+    """The level of further tries is for proof only: it has run for a while, perhaps."""
+    sock, client, server = seam.kept()
+    sock.sendall(READ)
+    seam.asked(server)
+    seam.clock.by += 10_000
+    server.close()
+    assert seam.said(sock).startswith(b"HTTP/1.1 502 ") and not readable(seam.server)
+
+
+def test_a_reservation_never_takes_a_connection_that_shows_its_end(seam):
+    sock, client, server = seam.kept()
+    sock.sendall(RESERVE)
+    come(client.stream.sock)                        # made ready first: it is met first
+    server.close()
+    come(seam.idle[0].stream.sock)
+    other, request = seam.asked()
+    assert request.startswith(b"POST /r/1 ")
+    other.sendall(OK % (1, b"2"))
+    assert seam.said(sock).endswith(b"\r\n\r\n2")
+
+
+def test_bytes_that_nobody_asked_for_are_no_answer_to_the_next(seam):
+    """A second answer lies in the kernel as the next RPC takes the connection."""
+    sock, _ = seam.client(READ + READ)
+    server, _ = seam.asked()
+    first = OK.replace(b"%d", b"%04d") % (4096 - 41, b"x" * (4096 - 41))
+    assert len(first) == 4096                       # as much as is read at once
+    server.sendall(first + OK % (5, b"other"))
+    other, _ = seam.asked()
+    other.sendall(OK % (1, b"2"))
+    found = b""
+    while not found.endswith(b"\r\n\r\n2"):
+        found += seam.said(sock)
+    assert b"other" not in found
+
+
+def test_an_empty_body_in_chunks_is_whole_at_the_second_try_too(seam):
+    """The kept connection ends as the RPC goes out: it may go again, and with its last chunk."""
+    sock, _, server = seam.kept()
+    sock.sendall(b"POST /a/1 HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+    _, first = seam.asked(server)
+    server.close()
+    other, second = seam.asked()
+    assert first == second and second.endswith(b"\r\n\r\n0\r\n\r\n")
+    other.sendall(OK % (1, b"2"))
+    assert seam.said(sock).endswith(b"\r\n\r\n2")
+
+
+@pytest.mark.parametrize("request_", [READ, RESERVE])
+def test_an_answer_that_is_there_in_the_turn_of_the_deadline_counts(seam, request_):
+    sock, client = seam.client(request_)
+    server, _ = seam.asked()
+    server.sendall(OK % (1, b"1"))
+    come(client.rpc.upstream.stream.sock)
+    seam.clock.by += 100_000
+    seam.turn()
+    assert readable(sock) and sock.recv(4096).endswith(b"\r\n\r\n1")
+
+
+def test_a_late_answer_is_never_another_rpcs(seam):
+    sock, client = seam.client(READ)
+    server, _ = seam.asked()
+    seam.clock.by += 100_000
+    seam.turn()
+    assert readable(sock) and sock.recv(4096).startswith(b"HTTP/1.1 504 ")
+    try:
+        server.sendall(OK % (5, b"other"))
+    except OSError:
+        pass
+    sock.sendall(READ)
+    other, _ = seam.asked()
+    other.sendall(OK % (1, b"2"))
+    assert seam.said(sock).endswith(b"\r\n\r\n2")
+
+
+def test_a_repeat_of_the_client_is_an_rpc_of_its_own(seam):
+    """The first is still in flight: neither waits for the other, gets its answer or ends it."""
+    (one, _), (two, _) = seam.client(RESERVE), seam.client(RESERVE)
+    (first, _), (second, _) = seam.asked(), seam.asked()
+    second.sendall(OK % (1, b"2"))
+    assert seam.said(two).endswith(b"2")
+    first.sendall(OK % (1, b"1"))
+    assert seam.said(one).endswith(b"1")
+
+
+def test_who_spoke_while_the_process_stood_still_was_not_silent(seam):
+    """The sweep is due in the turn that reads it."""
+    half, _ = seam.client(READ[:10])
+    slow, client = seam.client(READ[:10])
+    seam.until(lambda: len(client.stream.incoming) == 10)
+    seam.clock.by += 600_000
+    half.sendall(READ[10:])
+    seam.turn()
+    seam.turn()
+    server, _ = seam.asked()
+    server.sendall(OK % (1, b"1"))
+    slow.sendall(READ[10:])
+    seam.asked(server)
+    server.sendall(OK % (1, b"2"))
+    assert seam.said(half).endswith(b"1") and seam.said(slow).endswith(b"2")
+    assert "client_too_slow" not in seam.host.log.counts
+
+
+# ---- the end of the process
+
+
+def test_what_has_come_as_the_end_begins_is_answered(seam):
+    sock, _, server = seam.kept()
+    sock.sendall(READ + READ)
+    come(next(iter(seam.host.clients)).stream.sock)
+    waits = socket.create_connection(seam.at, 10)           # in the accept queue
+    waits.sendall(READ)
+    seam.socks.append(waits)
+    seam.host.accept_last()
+    seam.host.stop_listening()
+    assert not seam.host.finish()
+    for of in (server, None):
+        of, _ = seam.asked(of)
+        seam.host.finish()
+        of.sendall(OK % (1, b"2"))
+    for one in (sock, waits):
+        found = seam.rest(one)
+        assert found.count(b"200 OK") == 1 and b"Connection: close" in found and found.endswith(b"2")
+        one.close()
+    seam.until(seam.host.finish)
+
+
+@pytest.mark.parametrize("read", [True, False])
+def test_half_a_head_at_the_end_costs_no_answer_that_is_on_its_way(seam, read):
+    """Closed at once, the connection would be reset by what is unread or comes later."""
+    sock, client = seam.client(READ, buffer=4096)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+    server, _ = seam.asked()
+    size = 150_000
+    server.sendall(OK % (size, b"x" * size))
+    seam.until(lambda: client.rpc is None and client.idle and seam.idle)
+    sock.sendall(READ[:10])
+    come(client.stream.sock)
+    if read:
+        seam.until(lambda: len(client.stream.incoming) == 10)
+    seam.host.finish()
+    seam.turn()
+    seam.host.finish()
+    sock.sendall(READ[10:])
+    found = seam.rest(sock)
+    assert found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"\r\n\r\n" + b"x" * size)
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_more_while_the_last_answer_is_on_its_way_costs_it_nothing(seam):
+    sock, client = seam.client(READ, buffer=4096)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+    server, _ = seam.asked()
+    server.sendall(OK % (150_000, b"x" * 150_000))
+    seam.until(lambda: client.rpc is None and client.idle)
+    seam.host.finish()
+    sock.sendall(READ)
+    found = seam.rest(sock)
+    assert found.endswith(b"\r\n\r\n" + b"x" * 150_000)
+
+
+def test_an_idle_client_is_closed_at_once(seam):
+    sock, _, _ = seam.kept()
+    assert seam.host.finish() and not len(seam.host.clients)
+    assert sock.recv(10) == b""
