SIGTERM: what came with it is answered and closed in order, a drain told before it ordered

- Connection.close was a bare close(): over unread input that is a reset.
So a `reject` or `hb_ok` right before it came with a reset, at the end and at every Collectors.drop.
- Collectors.close closed the listener over its accept queue, which resets all in it: now 256 at most are accepted, each open connection is read once more and answered, then closed.
Not where another process accepts (upgrade).
- Service.run left what was gathered: a drain told within 10 ms before the signal got no orders.
- Process.ready heard several signals in the order of a set: SIGHUP before SIGTERM, whichever came first.
- Service.end: a defect in closing raised out of run (exit code 1), or, out of GRACE's deadline, left a process that never ends.
Now it is logged and the process ends.

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from .clock import SECOND
+from .closing import close_in_order
 from .loop import Deadline, Loop
 from .ring import Pool, Ring
 
@@ -83,7 +84,10 @@
             return
         self.open = False
         self.loop.forget(self.sock, self._number)
-        self.sock.close()
+        if why:                                 # it is broken, or its peer has ended it
+            self.sock.close()
+        else:
+            close_in_order(self.sock)
         if why:
             self.reader.closed(self, why)       # it may look at what was left unread
         self.incoming.close()
@@ -152,6 +156,7 @@
     """Accepts up to `most` connections; `greet` makes the reader of each."""
     PAUSE = SECOND // 10        # after a failed accept: short for those who wait, long enough not to spin
     BURST = 64                  # accepts a turn
+    LAST = 4                    # bursts before it closes: more than that in the queue come from a flood
 
     def __init__(self, loop: Loop, at: tuple[str, int], greet: Callable[[socket.socket], bool],
                  trouble: Callable[[str], None], listening: socket.socket | None = None) -> None:
@@ -189,22 +194,39 @@
             self.loop.pause(self.sock)
 
     def ready(self, readable: bool, writable: bool) -> None:
+        self._burst()
+
+    def accept_last(self) -> None:
+        """Before it closes: who has connected by then is greeted, and not reset by the kernel.  Nothing to do
+        while it is off, as another process accepts at this socket."""
+        if not self.accepting:
+            return
+        if self._paused is not None:
+            self._paused.cancel()
+            self._resume()
+        for _ in range(self.LAST):
+            if not self._burst():
+                return
+
+    def _burst(self) -> bool:
+        """Whether more may wait."""
         for _ in range(self.BURST):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as failed:
                 if failed.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # The waiting connection stays readable: without a pause the loop would spin on it.
                     self.trouble(failed.strerror)
                     self.loop.pause(self.sock)
                     self._paused = self.loop.after(self.PAUSE, self._resume)
-                    return
+                    return False
                 continue                # that one broke before it was accepted
             sock.setblocking(False)
             if not self.greet(sock):
-                sock.close()
+                close_in_order(sock)
+        return True
 
     def _resume(self) -> None:
         self._paused = None
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -175,7 +175,11 @@
         self.sweep = self.loop.after(self.SWEEP, self.drop_late)
 
     def close(self) -> None:
+        """Who has connected and what they said by now is heard and answered once more."""
         self.sweep.cancel()
+        self.listener.accept_last()
         self.listener.close()
-        for connection in [*self.strangers, *self.members]:
+        for connection in [*self.members, *self.strangers]:
+            if connection.open:
+                self.loop.guarded(connection.ready, True, False)
             connection.close()
--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -38,7 +38,7 @@
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        for number in set(self._wake.recv(256)):
+        for number in dict.fromkeys(self._wake.recv(256)):      # each once, in the order in which they came
             self.signalled(number)
 
     def signalled(self, number: int) -> None:
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -43,6 +43,7 @@
         super().__init__(Phase.STARTING, environ.get("BALANCER_NAME", ""))
         self.environ = environ
         self.front: Front | None = None
+        self.decided = False        # while it ends: on all that was told before
 
     def reload(self) -> None:
         """The file as it is now; one that can't be used changes nothing.  It is newer than the variable
@@ -65,11 +66,13 @@
         self.front.start()
         while self.phase is not Phase.ENDED:
             self.loop.turn()
+            if self.phase is not Phase.ENDED and not self.decided:
+                self.loop.guarded(self.front.gathering.turn)
             if self.phase is Phase.ENDING:
-                if self.front.relay.idle:
+                # A drain that was told right before the signal still gets its orders.
+                self.decided |= not self.front.gathering.events
+                if self.decided and self.front.relay.idle:
                     self.end()
-                continue
-            self.loop.guarded(self.front.gathering.turn)
             if self.phase is Phase.LISTENING and self.front.holdings.begun:
                 self.become(Phase.SERVING)
         self.log.counters()
@@ -88,7 +91,7 @@
 
     def end(self) -> None:
         if self.phase is Phase.ENDING:
-            self.front.close()
+            self.loop.guarded(self.front.close)         # a defect in it must not keep the process
             self.become(Phase.ENDED)
 
 
