A slice that changes hands across a call, or is half told, is believed as it stands

Seen, all in Holdings (platformlink/holdings.py): - A slice taken and given while a call with orders for it is out: the relay may have met them before the giving, when they changed nothing, yet `_settle` told the module `ahead`, with them carried out. Believed {b0, b1} where {b0} stands: with b0 draining the module would have removed the only line. Now such orders go once more after the giving, and what is told comes true whichever way it went (`_repeat`). - An answer between a giving (or a late line) and its telling: `stands` reached `stood`, not `fresh`, and `_settle` put the older table over it. What was answered meanwhile is kept and carried out on what settles. - Answers of an earlier tenure, kept since a stream was asked for, were carried out on the table of the next. - A stream that ended, or was replaced, within a table: `_settle` in `news_asked` and `news_opening` took the half for the whole; a slice of which only `owner` had come was an empty one, told to the module as such, which gives it a line elsewhere at once. What was not settled is forgotten now (`news_lost`): the next stream tells it whole. The same for the state of an upgrade, which took half tables too (`settle_now`). - A slice given and taken in one piece was told and untold; now nothing is.

Excluded: what waits and is not out is carried out after the giving, so `ahead` holds for it as it did; levels were reset already; lost orders of a slice that changed hands are told only while it is in charge.

--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -88,7 +88,6 @@
         return not self.front.relay.out
 
     def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
-        self.front.holdings.settle_now()        # lines that came for a slice: the module hears of them later
         self.front.gathering.held = True
         try:
             state = shots.encode(self.snapshot())
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -17,6 +17,7 @@
     def __init__(self, answered: list[face.Order]) -> None:
         self.proxies: set[int] = set()          # named in it
         self.slices: set[int] = set()
+        self.taken: set[int] = set()            # taken away since, perhaps given again
         self.answered = answered                # orders answered since it was asked for
 
 
@@ -34,6 +35,7 @@
         self.proxies: dict[int, face.ProxyJoined] = {}
         self.stood: tables.Tables = {}          # what stands in the store, by slice in charge
         self.fresh: tables.Tables = {}          # slices given, not told to the module yet
+        self.since: list[face.Order] = []       # orders answered while some were
         self.settling: Deadline | None = None
         self.opening: Opening | None = None
         self.asked: list[face.Order] | None = None      # orders answered since the next stream was asked for
@@ -44,13 +46,16 @@
 
     def news_asked(self) -> None:
         """Another stream takes its view of what stands from here on; an earlier one may go on."""
-        self._settle()
         self.asked = []
 
     def news_opening(self) -> None:
-        self._settle()
+        self.news_lost()
         self.opening, self.asked = Opening(self.asked or []), None
 
+    def news_lost(self) -> None:
+        """What the stream told last may be half a table: the next one tells it whole."""
+        self._unsettled()
+
     def news(self, event: face.Event) -> None:
         match event:
             case face.ProxyJoined(proxy):
@@ -67,11 +72,15 @@
                 # Given anew a slice loses its level; named at the start of the news it may be the same still.
                 known = self.stood.get(number) if self.opening is not None else None
                 self.fresh[number] = tables.Table(level=known.level if known is not None else None)
+                if self.opening is None or number in self.opening.taken:
+                    self._repeat(number)
                 self._settle_soon()
             case face.Charge(number, False):
-                self._settle()
+                self.fresh.pop(number, None)
+                self._forget(number)
                 if self.opening is not None:
                     self.opening.slices.discard(number)
+                    self.opening.taken.add(number)
                 if self.stood.pop(number, None) is not None:
                     self.hear(event)
             case face.StoredLine(number, backend, weight):
@@ -105,21 +114,44 @@
         span = self.SETTLE if self.opening is None else self.SETTLE_AT_START
         self.settling = self.loop.after(span, self._settle)
 
-    def _settle(self) -> None:
-        """The lines of the slices given have all come: tell the module, but not what it knows already."""
+    def _unsettled(self) -> tuple[tables.Tables, list[face.Order]]:
+        """The slices not told yet, no longer ours to tell, and what was answered meanwhile."""
         if self.settling is not None:
             self.settling.cancel()
             self.settling = None
-        before, fresh, self.fresh = self.ahead(), self.fresh, {}
+        fresh, since, self.fresh, self.since = self.fresh, self.since, {}, []
+        return fresh, since
+
+    def _settle(self) -> None:
+        """The lines of the slices given have all come: tell the module, but not what it knows already."""
+        before, (fresh, since) = self.ahead(), self._unsettled()
         self.stood |= fresh
+        # What was answered since the stream was asked for, or since the slice was given, may or may not be in
+        # what it tells.
+        tables.carry_out(fresh, since if self.opening is None else self.opening.answered)
         if self.opening is not None:
-            # What was answered since the stream was asked for may or may not be in what it tells.
-            tables.carry_out(fresh, self.opening.answered)
             self.opening.slices |= set(fresh)
         after = self.ahead()
         self._tell([n for n in fresh if self.opening is None or n not in before
                     or before[n].lines != after[n].lines])
 
+    def _forget(self, number: int) -> None:
+        """What was answered for a slice that is taken away says nothing of it once it is given again."""
+        lists = [self.since, self.asked, self.opening and self.opening.answered]
+        for answered in filter(None, lists):
+            answered[:] = [order for order in answered if getattr(order, "table", None) != number]
+
+    def _repeat(self, number: int) -> None:
+        """A call that is out may have met the slice before it was given, when its orders changed nothing, or
+        will meet it now.  Once more after it, they stand in the end, as the module is told.  Levels are reset
+        anyway."""
+        self._forget(number)
+        again = [order for order in self.pending()
+                 if getattr(order, "table", None) == number and not isinstance(order, face.SetLevel)]
+        if again:
+            self.log.event("orders_repeated", slice=number, orders=len(again))
+            self.order(again)
+
     # ---- orders ------------------------------------------------------------------------------------
 
     def ahead(self) -> tables.Tables:
@@ -130,6 +162,8 @@
 
     def stands(self, orders: list[face.Order]) -> None:
         tables.carry_out(self.stood, orders)
+        if self.fresh:
+            self.since += orders
         if self.opening is not None:
             self.opening.answered += orders
         if self.asked is not None:
@@ -144,10 +178,6 @@
     def tell_lost_soon(self) -> None:
         self.loop.after(self.RETELL, self._tell_lost)
 
-    def settle_now(self) -> None:
-        """Lines that came for a slice are told, whether or not more may come."""
-        self._settle()
-
     def _tell_lost(self) -> None:
         lost, self.lost = self.lost, set()
         self._tell(sorted(lost & set(self.stood)))
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -19,6 +19,7 @@
     def news_opening(self) -> None: ...
     def news(self, event: face.Event) -> None: ...
     def news_alive(self) -> None: ...
+    def news_lost(self) -> None: ...
 
 
 class EventStream:
@@ -114,6 +115,7 @@
         self.log.trouble("news_lost", why=answer.outcome, status=answer.status, after_ms=answer.duration / 10)
         if exchange is self.current:
             self.current = None
+            self.hearer.news_lost()
         else:
             self.coming = None
         if self.coming is None and self.again is None:
--- /dev/null
+++ b/tests/test_crossing_handovers.py
@@ -0,0 +1,214 @@
+"""Slices taken and given, and news that begin anew, each across a call to the relay that is out."""
+import itertools
+
+import pytest
+
+from hours import Hours
+from indigohitch import interface as face
+from indigohitch.net.loop import Deadline
+from indigohitch.platformlink.holdings import Holdings
+from test_holdings import Told
+
+SLICE = 5
+OURS = [face.SetLine(SLICE, "b1", 1.0), face.SetLine(SLICE, "b0", 0.0)]         # a move from b0 to b1
+NAMED = [face.Charge(SLICE, True), face.StoredLine(SLICE, "b0", 1.0)]
+
+
+class Relay:
+    """The store, and calls one at a time; what the coordinator takes for standing beside it."""
+
+    def __init__(self):
+        self.store, self.held, self.calls, self.carried = {"b0": 1.0}, True, [], 0
+        self.told, self.hours = Told(), Hours()
+        self.hours.after = lambda span, action: Deadline(0, action)     # settled by hand
+        self.holdings = Holdings(self.hours, self.told, self.told.hear,
+                                 lambda: [o for call in self.calls for o in call], self.calls.append)
+        self.holdings.news_asked()
+        self.holdings.news_opening()
+        self.hear(*NAMED)
+        self.holdings.news_alive()
+
+    def hear(self, *events):
+        for event in events:
+            self.holdings.news(event)
+
+    def order(self, *orders):
+        """The module orders, and takes it for standing."""
+        self.calls.append(list(orders))
+        for order in orders:
+            self.told.tables[SLICE].pop(order.backend, None)
+            if order.weight:
+                self.told.tables[SLICE][order.backend] = order.weight
+
+    def carry_out(self):
+        for order in self.calls[self.carried] if self.held else ():
+            if isinstance(order, face.SetLine):
+                self.store.pop(order.backend, None)
+                if order.weight:
+                    self.store[order.backend] = order.weight
+        self.carried += 1
+
+    def answer(self):
+        self.carried -= 1
+        self.holdings.stands(self.calls.pop(0))
+
+    def change(self, held, lines=None):
+        """Taken, or given with these lines; the news of it."""
+        self.held = held
+        self.store = self.store if lines is None else dict(lines)
+        return [face.Charge(SLICE, False)] if not held else [
+            face.Charge(SLICE, True), *(face.StoredLine(SLICE, b, w) for b, w in self.store.items())]
+
+    def end(self):
+        self.holdings._settle()
+        while self.calls:
+            if not self.carried:
+                self.carry_out()
+            self.answer()
+        return self.told.tables.get(SLICE), self.store if self.held else None
+
+
+CHANGES = {"taken and given": [(False, None), (True, None)],
+           "taken, changed by another, given": [(False, None), (True, {"b2": 1.0, "b3": 1.0})],
+           "given twice": [(True, None), (True, {"b0": 1.0})],
+           "taken, given, taken": [(False, None), (True, None), (False, None)]}
+
+
+@pytest.mark.parametrize("name", CHANGES)
+def test_a_slice_changes_hands_across_a_call_that_is_out(name):
+    """The call is carried out before, between or after the changes; its answer is heard anywhere among the
+    news, and these come in one piece, or cut anywhere with a pause in which what came is settled."""
+    changes, met = CHANGES[name], 0
+    for carried, at, pause, first in itertools.product(range(len(changes) + 1), range(7), range(7),
+                                                       ("answer", "settle")):
+        relay, told = Relay(), []
+        relay.order(*OURS)
+        for n, change in enumerate([*changes, None]):
+            if n == carried:
+                relay.carry_out()
+                if at < len(told):
+                    break                       # it can't be answered before
+            told += relay.change(*change) if change else []
+        else:
+            for n in range(len(told) + 1):
+                if n == pause and first == "settle":
+                    relay.holdings._settle()
+                if n == min(at, len(told)):
+                    relay.answer()
+                if n == pause and first == "answer":
+                    relay.holdings._settle()
+                relay.hear(*told[n:n + 1])
+            believed, stands = relay.end()
+            assert believed == stands, (carried, at, pause, first)
+            met += 1
+    assert met > 100
+
+
+@pytest.mark.parametrize("carried", ["before the view", "after the view"])
+@pytest.mark.parametrize("answered", ["before", "between", "after", "alive"])
+def test_news_begin_anew_across_a_call_that_is_out(carried, answered):
+    """Its answer: before the new stream's first byte, in its start, before and after its sign of life."""
+    relay = Relay()
+    relay.order(*OURS)
+    relay.holdings.news_lost()
+    relay.holdings.news_asked()
+    if carried == "before the view":
+        relay.carry_out()
+    view = relay.change(True)
+    if carried == "after the view":
+        relay.carry_out()
+    relay.answer() if answered == "before" else None
+    relay.holdings.news_opening()
+    for event in view:
+        relay.hear(event)
+        relay.answer() if answered == "between" and event is view[0] else None
+    relay.answer() if answered == "after" else None
+    relay.holdings.news_alive()
+    relay.answer() if answered == "alive" else None
+    believed, stands = relay.end()
+    assert believed == stands == {"b1": 1.0}
+    assert relay.told.charges == 1              # the module heard nothing that it knew
+
+
+def test_an_answer_between_a_line_that_came_late_and_its_telling():
+    relay = Relay()
+    relay.order(face.SetLine(SLICE, "b0", 0.0))
+    relay.store["b1"] = 1.0
+    relay.hear(face.StoredLine(SLICE, "b1", 1.0))
+    relay.carry_out()
+    relay.answer()
+    believed, stands = relay.end()
+    assert believed == stands == {"b1": 1.0}
+
+
+@pytest.mark.parametrize("end", ["lost", "another stream"])
+def test_a_table_that_a_stream_left_half_told_is_not_taken_for_the_whole(end):
+    """Seen: a slice of which only `owner` had come was an empty one, and got a line at another backend."""
+    relay = Relay()
+    relay.holdings.news_asked()
+    relay.holdings.news_opening()
+    relay.hear(NAMED[0])                        # ... and its line is cut off
+    if end == "lost":
+        relay.holdings.news_lost()
+    relay.holdings.news_asked()
+    assert relay.told.tables == {SLICE: {"b0": 1.0}}
+    relay.holdings.news_opening()
+    relay.holdings._settle()
+    assert relay.told.tables == {SLICE: {"b0": 1.0}}
+    relay.hear(*NAMED)
+    relay.holdings.news_alive()
+    assert relay.told.tables == {SLICE: {"b0": 1.0}} and relay.told.charges == 1
+
+
+def test_given_and_taken_in_one_piece_is_nothing():
+    relay = Relay()
+    relay.hear(face.Charge(7, True), face.StoredLine(7, "b1", 1.0), face.Charge(7, False))
+    relay.holdings._settle()
+    assert relay.told.charges == 1 and set(relay.told.tables) == {SLICE}
+
+
+def test_taken_in_the_start_of_the_news_and_named_after_it_in_one_piece():
+    """An earlier tenure's answers say nothing of what stands in the next."""
+    relay = Relay()
+    relay.order(*OURS)
+    relay.holdings.news_asked()
+    relay.carry_out()
+    relay.answer()
+    relay.holdings.news_opening()
+    relay.hear(*relay.change(True))
+    relay.hear(*relay.change(False))
+    relay.hear(*relay.change(True, {"b2": 1.0}))
+    relay.holdings.news_alive()
+    believed, stands = relay.end()
+    assert believed == stands == {"b2": 1.0}
+
+
+def test_orders_are_told_as_lost_only_for_slices_still_in_charge():
+    relay = Relay()
+    relay.holdings.dropped([face.SetLine(SLICE, "b3", 1.0), face.SetLine(8, "b3", 1.0)])
+    relay.hear(*relay.change(False))
+    relay.hear(*relay.change(True, {"b2": 1.0}))
+    relay.holdings._tell_lost()                 # between the giving and the telling of it
+    believed, stands = relay.end()
+    assert believed == stands == {"b2": 1.0} and set(relay.told.tables) == {SLICE}
+    relay.holdings.dropped([face.SetLine(SLICE, "b3", 1.0)])
+    relay.hear(*relay.change(False))
+    relay.holdings._tell_lost()
+    assert relay.told.tables == {}
+
+
+
+
+@pytest.mark.parametrize("answered", ["before the giving", "before it is told", "after"])
+def test_a_level_that_was_out_when_the_slice_was_given_is_taken_back(answered):
+    relay = Relay()
+    relay.order(face.SetLine(SLICE, "b0", 1.0))
+    relay.calls[0].append(face.SetLevel(SLICE, (), 0.6, 1))
+    relay.carry_out()
+    relay.hear(*relay.change(False))
+    relay.answer() if answered == "before the giving" else None
+    relay.hear(*relay.change(True))
+    relay.answer() if answered == "before it is told" else None
+    relay.holdings._settle()
+    last = [o for call in relay.calls for o in call if isinstance(o, face.SetLevel)][-1:]
+    assert [o.level for o in last] == ([] if answered == "before the giving" else [1.0])
