The state of a coordinator holds all that its tables and lists were told

Seen: what news and discovery told within the gathering's span (10 ms, or the settings' batch gap) before the state was taken, at an upgrade or for the state's file, was in `holdings`, `listed` and discovery's version, but not yet in the module, and was not handed on: `rest` leaves out all that the new process asks for itself. It asks from that version on, and takes a slice that stands as known for told. So a backend that drains was never heard of, a slice given was in nobody's hands, a proxy that left was waited for.

The same way a module that broke and was begun anew (`Front._begin_anew`: told all after 0.5 s) was handed over empty, and nobody told the new one: it is told all before the state is taken, or, where it breaks on that, by the new process at its begin. So a program with a defect can still be upgraded to one without.

Excluded: the sidecar, whose `rest` hands on all that waits; what comes after the state was taken, which the new process' news and watch tell it.

--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -88,15 +88,22 @@
         return not self.front.relay.out
 
     def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
-        self.front.gathering.held = True
         try:
             state = shots.encode(self.snapshot())
         except Exception as broken:
             taken(None, broken)
         else:
+            self.front.gathering.held = True
             taken(state, None)
 
     def snapshot(self) -> shots.Snapshot:
+        """What stands in tables, lists and versions the module has been told: else whoever goes on from there
+        would take it for told, and never tell it."""
+        gathering = self.front.gathering
+        if self.front.anew:
+            self.front._tell_all()
+        gathering.ready |= bool(gathering.events)
+        gathering.turn()
         return shots.Snapshot("coordinator", self.front.loop.clock.now(), None, front_state(self.front))
 
     def thaw(self) -> None:
@@ -183,6 +190,8 @@
         front.start()
         if not restored:
             return
+        if not front.coordinator.next_beat:     # it broke as the state was taken, and has heard nothing since
+            front._tell_all()
         self.timer_again()
         if self.state.watching:
             front.discovery.subscribe(True)
--- /dev/null
+++ b/tests/test_crossing_upgrades.py
@@ -0,0 +1,122 @@
+"""Upgrades that meet news, signals, deadlines and each other's ends."""
+import contextlib
+import json
+
+import pytest
+
+from indigohitch import interface as face
+from indigohitch.log import Log
+from indigohitch.logic import Coordinator
+from indigohitch.net.clock import Clock
+from indigohitch.net.http import Answer
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink.front import Front
+from indigohitch.platformlink.handover import Handover
+from indigohitch.upgrade import snapshot as shots
+from stage import SETTINGS
+from waiting import free_address
+
+
+class Bench:
+    """Fronts of two processes in this one, on one loop that is turned by hand."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.log = Log(self.clock, "n0")
+        self.defects = []
+        self.loop = Loop(self.clock, self.defects.append)
+        entries = [{"instanceId": f"b{n}", "hostPort": free_address(), "zone": "east", "machineType": "std",
+                    "cell": 0, "lifecycle": "SERVING", "weight": 6.0, "startedAtMs": 0} for n in range(4)]
+        self.found = {"name": "n0", "listen": free_address(), "discovery": free_address(),
+                      "seed": "8c1f30d2", "settings": SETTINGS, "store": {"address": free_address()},
+                      "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+                      "known": {"generation": 1, "reset": True, "instances": entries}}
+        self.old, self.new = self.side(), self.side()
+        self.old.fresh({})
+        self.front = self.old.front
+        self.front.relay.hold(True)             # nothing here answers
+        self.front.holdings.news_asked()
+        self.front.holdings.news_opening()
+        self.news(face.ProxyJoined(1, "east", 5.0, True), face.ProxyJoined(2, "east", 5.0, True),
+                  face.Charge(3, True), face.StoredLine(3, "b0", 1.0),
+                  face.Charge(4, True), face.StoredLine(4, "b1", 1.0))
+        self.front.holdings.news_alive()
+        self.handed()
+
+    def side(self):
+        return Handover(None, self.make, lambda: None, lambda sock: None, lambda: None)
+
+    def make(self, listening):
+        return Front(self.loop, self.log, self.found | {"listen": free_address()})
+
+    def news(self, *events):
+        for event in events:
+            self.front.holdings.news(event)
+
+    def handed(self):
+        """What came so far goes to the module."""
+        self.front.gathering.ready = True
+        self.front.gathering.turn()
+
+    def over(self):
+        """The state goes to the new process, by way of bytes."""
+        taken = []
+        self.old.freeze(lambda state, broken: taken.append((state, broken)))
+        assert taken[0][1] is None, taken
+        state = shots.decode(taken[0][0])
+        self.new.restore(state, {})
+        assert shots.encode(self.new.again()) == taken[0][0]
+        return self.new.front
+
+
+@pytest.fixture
+def bench():
+    found = Bench()
+    yield found
+    for side in (found.old, found.new):
+        with contextlib.suppress(AttributeError):
+            side.front.close()
+    found.loop.close()
+
+
+@pytest.mark.parametrize("way", ["upgrade", "file"])
+def test_what_waits_for_the_module_is_in_the_state(bench, way):
+    """Told within the gathering's span before the state is taken; the new process knows it as told."""
+    entry = bench.found["known"]["instances"][1] | {"lifecycle": "DRAINING"}
+    body = json.dumps({"generation": 2, "reset": False, "instances": [entry]}).encode()
+    bench.front.discovery._told(Answer("answered", 200, body))
+    bench.news(face.ProxyLeft(1), face.Charge(3, False), face.Charge(9, True), face.StoredLine(9, "b2", 1.0))
+    bench.front.holdings._settle()
+    if way == "upgrade":
+        front = bench.over()
+    else:
+        bench.new.restore(shots.decode(shots.encode(bench.old.snapshot())), {})
+        front = bench.new.front
+    module = front.coordinator
+    assert front.discovery.version == 2 and module.backends["b1"].state == "draining"
+    assert set(module.proxies) == set(front.holdings.proxies) == {2}
+    assert set(module.slices) == set(front.holdings.stood) == {4, 9}
+
+
+@pytest.mark.parametrize("broken", ["before", "as the state is taken", "at every turn"])
+def test_a_module_begun_anew_is_told_what_stands_whoever_goes_on(bench, broken, monkeypatch):
+    def breaks(now, events):
+        raise ZeroDivisionError
+    bench.front.coordinator.handle = breaks
+    bench.news(face.ProxyJoined(3, "east", 5.0, True))
+    if broken == "before":
+        bench.handed()                          # a new module, which hears of little before it is told all
+        bench.news(face.ProxyJoined(3, "east", 5.0, True))
+        bench.handed()
+    elif broken == "at every turn":
+        with monkeypatch.context() as patched:
+            patched.setattr(Coordinator, "handle", lambda module, now, events: breaks(now, events))
+            bench.over()
+    if broken != "at every turn":
+        bench.over()
+    bench.new.begin(True)
+    front = bench.front = bench.new.front
+    bench.handed()
+    module = front.coordinator
+    assert bench.defects and set(module.slices) == {3, 4} and set(module.proxies) == {1, 2, 3}
+    assert {id for id, b in module.backends.items() if b.state == "ready"} == {"b0", "b1", "b2", "b3"}
