A server that moves with the sidecar's file takes its lines along

Seen: a reload (or an upgrade) whose file names a server at another address left its old object in the tables. The module takes its lines for standing, so it orders nothing and every RPC of these slices went on to the old address for good; the rest that its orders did take out they looked for under the new object, and an upgrade after it had to fail, as the tables held a server that the pool doesn't know (handover.place). Excluded: the module (it hears of the later start and begins the server cold, as it should), the reader.

At fault: sidecar/pool.py `add`, which put the new object under the name and left the tables as they were; the old object stayed `listed`, so that connections in hand were kept with it and never swept. Change: `replace` puts the new one in its place in each table, keeps whether it is shut out, and unlists the old one. An RPC in hand ends where it began.

--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -40,13 +40,21 @@
     def add(self, told) -> Server:
         server = self.servers.get(told.name)
         if server is None or server.address != told.address:
-            if server is not None:
-                server.drop_idle()
-            server = Server(told.name, told.address, self.host.text.limits["idle-upstream"])
+            was, server = server, Server(told.name, told.address, self.host.text.limits["idle-upstream"])
             self.servers[told.name] = server
+            if was is not None:
+                self.replace(was, server)
         server.listed = True
         return server
 
+    def replace(self, was: Server, server: Server) -> None:
+        """The same name at another address: its lines go there.  To the module they stand as before, so no
+        order of its would ever take them from the old address."""
+        server.withdrawn, was.listed = was.withdrawn, False     # what is out at the old one is not kept
+        was.drop_idle()
+        for table in self.tables:
+            table.servers = [server if s is was else s for s in table.servers]
+
     def start(self) -> None:
         """As one that has just joined: all slices are its own, and no line stands.  Nobody is answered
         yet, so this may take its time."""
