A reload to an address that no request can name changes nothing

Seen: a file whose `store.address` has a host outside ASCII (`réseau:6400`) passed `address`, so the reload moved discovery and the relay's calls and then failed in the news' first request: `reload_failed`, with half of it done. The next call to the relay failed in the same way after `out` was set, and no call ever began again, also not after the operator mended the file: drains were not told to anyone until a restart. A host with spaces or control characters was taken too. A time such as 1e308 ms in `settings` left `bootstrap` as OverflowError: a traceback at start and a `defect` at reload in place of what to mend.

At fault: net/connection.py `address` (any host that is not empty), bootstrap.py `bootstrap` (KeyError, TypeError, AttributeError only). Change: both say so while the file is read, before anything moves.

Test: tests/test_reload.py::test_a_file_of_which_a_part_can_not_be_used_changes_nothing, ten parts beside good new addresses for the others. It takes over the case "nowhere" of the test above it, as strictly.

--- a/indigohitch/bootstrap.py
+++ b/indigohitch/bootstrap.py
@@ -96,7 +96,7 @@
         found["methods"] = tuple(map(_method, params["classes"]))
         _usable(found)
         return found, list((params.get("report") or {}).get("columns") or ())
-    except (KeyError, TypeError, AttributeError) as bad:
+    except (KeyError, TypeError, AttributeError, OverflowError) as bad:
         raise Unfit(f"{type(bad).__name__}: {bad}", "settings", REMEDY) from None
 
 
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -17,7 +17,9 @@
 def address(text: str) -> tuple[str, int]:
     """`host:port` as the socket calls want it; ValueError if it is not that."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    # A host that no request can name would be found out by the first one, half way through a move to it.
+    named = colon and host and host.isascii() and host.isprintable() and " " not in host
+    if not named or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ValueError(f"not host:port: {text!r}")
     return host, int(port)
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from peers import Peer
 from stage import SETTINGS, drain, heartbeat, none_lost
 from waiting import eventually, free_address
 
@@ -45,16 +46,35 @@
     assert none_lost(platform) and heartbeat(platform)
 
 
-@pytest.mark.parametrize("text", ["{", "[]", "{}", None, '{"store": {"address": "nowhere"}}'])
+@pytest.mark.parametrize("text", ["{", "[]", "{}", None])
 def test_a_file_that_can_not_be_used_changes_nothing(platform, text):
     program = platform.serving()
     if text is None:
         program.file.unlink()
-    elif "store" in text:
-        platform.reload(store={"address": "nowhere"})
     else:
         program.file.write_text(text)
     program.process.send_signal(signal.SIGHUP)
+    unchanged(platform)
+
+
+@pytest.mark.parametrize("part", [
+    {"store": {"address": "nowhere"}}, {"store": {"address": "r\u00e9seau:6400"}}, {"store": {}},
+    {"store": {"address": "a b:6400"}}, {"store": {"address": "a\r\nb:6400"}}, {"limits": {}},
+    {"settings": SETTINGS | {"period": 1e308}}, {"settings": SETTINGS | {"classes": []}},
+    {"known": {"generation": 1, "reset": True, "instances": [{}]}}, {"seed": "xyz"}])
+def test_a_file_of_which_a_part_can_not_be_used_changes_nothing(platform, part):
+    """Nor does its good half come in: it names another discovery, and a relay where that is not the part."""
+    program, coming = platform.serving(), [Peer(platform._relay), Peer(platform._discovery)]
+    platform.reload(**{"store": {"address": coming[0].address}, "discovery": coming[1].address} | part)
+    unchanged(platform)
+    assert [peer.connections for peer in coming] == [0, 0] and not program.said("defect")
+    for peer in coming:
+        peer.close()
+
+
+def unchanged(platform):
+    """The file was turned away; relay, news and discovery are those of before, and calls go."""
+    program = platform.program
     eventually(lambda: program.said("reload_failed"))
     drain(platform, "b1")
     assert not program.said("reloaded") and not program.said("news_lost") and none_lost(platform)
