An upgrade after a reload stays at the reload's addresses; a failed signal takes no other along

Seen: a coordinator with an operator's file that was moved by SIGHUP and then upgraded went back to the discovery that BALANCER_DISCOVERY had named at the start, beside the relay that the file names: half of the old. Where that discovery was gone it heard of no drain any more. And of two signals in one turn the second was lost where the first failed: a SIGTERM beside a SIGHUP whose reload met a defect was never heard.

At fault: coordinator.py `make` of the new process reads the variable, which `launch.Started` hands on and the reload had overruled for the old process only; process.py `ready`, a loop without a guard a signal. Change: a reload that went through takes the variable out of the environment; each signal of a turn is guarded by itself, in the order of their numbers (it was that by the chance of a set's order), so a reload goes before the end. Excluded, each with a test: two SIGHUPs in one turn (one reload, to the later file, nothing asked at the first one's addresses); SIGHUP in the turn of SIGTERM; settings, limits, seed or known by half; what `needs_restart` compares with (the file of the start, which is what is in force, also at a second reload).

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from collections.abc import Mapping
+from collections.abc import MutableMapping
 
 from .directives import operator_file
 from .directives.texts import Text
@@ -18,7 +18,7 @@
 
 
 class Coordinating(Replaceable):
-    def __init__(self, environ: Mapping[str, str], text: Text, follows: bool) -> None:
+    def __init__(self, environ: MutableMapping[str, str], text: Text, follows: bool) -> None:
         self.environ, self.source, self.fleet, self.follows = environ, text.source, text.fleet, follows
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
@@ -60,6 +60,7 @@
     def reload(self) -> None:
         try:
             self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
+            self.environ.pop("BALANCER_DISCOVERY", None)        # older than the file, also for who follows
         except UNUSABLE as bad:
             self.log.trouble("reload_failed", **told(bad, REMEDY))
         if self.beside is not None:
--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -38,8 +38,8 @@
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        for number in set(self._wake.recv(256)):
-            self.signalled(number)
+        for number in sorted(set(self._wake.recv(256))):        # a reload goes before the end
+            self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
         raise NotImplementedError
