--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -39,7 +39,7 @@
 
     def ready(self, readable: bool, writable: bool) -> None:
         for number in dict.fromkeys(self._wake.recv(256)):      # each once, in the order in which they came
-            self.signalled(number)
+            self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
         raise NotImplementedError
