A start answers callers who wait before its module's first turn, and waits for a held address

Seen: with 10,000 backends in `known` the module's first turn takes 320 ms, with 2,000 60 ms (machine busy), and it was due before the first callers were even accepted: Service.run gave the module its turn at the end of the same turn of the loop that accepts, so an `hb` in the accept queue waited for it. And a start while the process before it still listens (SIGTERM, its end comes up to 0.7 s and a SIGKILL later) ended at once with exit code 1 (Listener.opened, EADDRINUSE). Excluded: relay and discovery away, throttling, silent, blackholed, alone and together: none of them holds hb_ok up, and each has a test now; a log that nobody reads; lingering connections of the process before (SO_REUSEADDR).

Change, in service.py alone: one turn of the loop before the module may have one; the address is opened first, before `known` is read (callers wait in the queue instead of being refused), tried again for 4 s while it is in use (`address_held` in the log), and SIGTERM ends that wait, SIGHUP has the file read anew. Later it is the same error.

--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -2,14 +2,17 @@
 from __future__ import annotations
 
 import enum
+import errno
 import os
 import signal
+import socket
 from collections.abc import Mapping
 
 import orjson
 
 from .errors import told
 from .net.clock import SECOND
+from .net.connection import Listener, address
 from .platformlink.front import Front
 from .process import Process
 
@@ -38,11 +41,14 @@
 
 class Service(Process):
     GRACE = SECOND // 4         # of the 0.7 s until SIGKILL
+    # The process before this one holds the address until it has ended, 0.7 s and a SIGKILL after its SIGTERM.
+    HELD, AGAIN = 4 * SECOND, SECOND // 50
 
     def __init__(self, environ: Mapping[str, str]) -> None:
         super().__init__(Phase.STARTING, environ.get("BALANCER_NAME", ""))
         self.environ = environ
         self.front: Front | None = None
+        self.file_is_newer = False
 
     def reload(self) -> None:
         """The file as it is now; one that can't be used changes nothing.  It is newer than the variable
@@ -55,14 +61,20 @@
     def run(self) -> int:
         """Returns the exit code."""
         try:
-            self.front = Front(self.loop, self.log,
-                               configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"))
+            found = configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY")
+            listening = self.listening(address(found["listen"]))
+            if listening is None:
+                return 0
+            if self.file_is_newer:
+                found = configuration(self.environ, "BALANCER_LISTEN")
+            self.front = Front(self.loop, self.log, found, listening)
         except UNUSABLE as bad:
             self.log.event("cannot_start", **told(bad, REMEDY))
             self.become(Phase.ENDED)
             return 1
         self.become(Phase.LISTENING)
         self.front.start()
+        self.loop.turn()            # accepts who waits already: heard in the next, before the module's first
         while self.phase is not Phase.ENDED:
             self.loop.turn()
             if self.phase is Phase.ENDING:
@@ -75,9 +87,28 @@
         self.log.counters()
         return 0
 
+    def listening(self, at: tuple[str, int]) -> socket.socket | None:
+        """Who connects from here on waits to be accepted.  None: told to end before the address was had."""
+        until = self.clock.now() + self.HELD
+        while self.phase is Phase.STARTING:
+            try:
+                return Listener.opened(at)
+            except OSError as held:
+                if held.errno != errno.EADDRINUSE or self.clock.now() >= until:
+                    raise
+                self.log.trouble("address_held", listen=f"{at[0]}:{at[1]}")
+            self.loop.after(self.AGAIN, lambda: None)
+            self.loop.turn()
+        return None
+
     def signalled(self, number: int) -> None:
         if number == signal.SIGUSR1:
             self.log.counters()
+        elif self.phase is Phase.STARTING:
+            if number == signal.SIGHUP:
+                self.file_is_newer = True       # than what was read before the wait for the address
+            else:
+                self.become(Phase.ENDED)
         elif self.phase not in (Phase.LISTENING, Phase.SERVING):
             pass                                # it ends: nothing is moved any more
         elif number == signal.SIGHUP:
