--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -38,7 +38,8 @@
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        for number in dict.fromkeys(self._wake.recv(256)):      # each once, in the order in which they came
+        # Each once; which of two came first the kernel does not tell.  By number a reload goes before the end.
+        for number in sorted(set(self._wake.recv(256))):
             self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
