A backend told gone twice in one answer of discovery no longer deafens the coordinator

Seen: a change answer that names one backend as DELETED, SERVING and DELETED again (all of it happened during one watch) raised KeyError in Front.hear_list (`del self.addresses[...]`, the second time), out of Discovery._told and so before the next watch was sent: nobody watched any more, and the module, which was not told of a failure, never asked anew. Excluded: the module, which reads entries into a dict by id.

Change: read_list keeps one entry an id, the last; so no id comes twice to anyone.

--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -20,17 +20,17 @@
     """A list in discovery's form as the module's event, and the addresses in it.  ValueError if it is
     none: half a list would make backends vanish."""
     try:
-        entries, addresses = [], {}
+        entries, addresses = {}, {}             # an id told twice: what came last holds
         for entry in found["instances"]:
             id, weight = entry["instanceId"], float(entry["weight"])
             started = float(entry["startedAtMs"])
             if not isinstance(id, str) or not math.isfinite(weight) or not math.isfinite(started):
                 raise ValueError("entry out of form")
-            entries.append(face.Listed(id, _STATE[entry["lifecycle"]], weight, str(entry["zone"]),
-                                       int(entry["cell"]), str(entry["machineType"]), tenths(started)))
+            entries[id] = face.Listed(id, _STATE[entry["lifecycle"]], weight, str(entry["zone"]),
+                                      int(entry["cell"]), str(entry["machineType"]), tenths(started))
             addresses[id] = str(entry["hostPort"])
         scope = "remembered" if remembered else "full" if found["reset"] else "changes"
-        return face.BackendList(scope, int(found["generation"]), tuple(entries)), addresses
+        return face.BackendList(scope, int(found["generation"]), tuple(entries.values())), addresses
     except (KeyError, TypeError, AttributeError, OverflowError) as bad:
         raise ValueError(f"{type(bad).__name__}: {bad}") from None
 
--- a/tests/test_discovered.py
+++ b/tests/test_discovered.py
@@ -27,6 +27,17 @@
     moved.close()
 
 
+def test_a_backend_told_gone_twice_in_one_answer_does_not_deafen(platform):
+    program = platform.serving()
+    with platform.lock:                         # in one answer to the watch
+        platform.change("b5", "DELETED")
+        platform.add("b5")
+        platform.change("b5", "DELETED")
+    drain(platform, "b1")
+    eventually(lambda: not any("b5" in t for t in platform.tables.values()))
+    assert not program.said("defect")
+
+
 def test_probes_tell_what_happened(platform):
     platform.behaviour = {"b0": "503", "b1": "silent", "b2": "reset", "b3": "garbage", "b4": "rubbish"}
     platform.backends["b5"].close()
