An older list counts only once discovery is known to have begun anew; moves keep a watch out

Seen, each in a test on the real loop and sockets, with the answers of both calls in hand: - Discovery._told took any whole list: one that crossed a newer answer set `version` down and a DRAINING backend to SERVING. - It told the entries of a `changes` answer from before what is held, set `version` down, and asked for the whole list beside the watch; if that call failed, only the module's next turn asked again. - After an older list was taken, a watch sent from the newer generation still counted: its changes left a gap. - Discovery._watched dropped the old address's watch on any status 200 of the new one: rubbish left nobody watching. An old watch that had answered was not asked for again, so nobody watched there either; its failure reached no log; and the new address was tried no sooner for it. - A new address was asked for changes from a generation that the old one gave: a gap if its count is another. - A move while discovery failed waited for the module's turn, up to 4 s. - The new address was tried each 100 ms for as long as the old watch lasted: now doubled up to 1 s.

Change: generations.py, without I/O, judges each answer by the generation held when its call was sent. Older than that and sent before: a crossing, void. Older though sent since: a doubt; the whole list is asked for at once (a stale answer that comes alone ends there) and again a second after, and only a whole list, sent for after that second and no older than the first, is believed. Until then what is held stands. The ask is the watch's own next call, so a failure of it reaches the module. At an address moved to the whole list is asked for, and the old watch goes on, and is asked for again, until one counts.

--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -12,6 +12,7 @@
 from ..net.clock import SECOND
 from ..net.http import Answer, Client, Exchange
 from ..net.loop import Deadline, Loop
+from .generations import Ask, Generations, Verdict
 
 _STATE = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 
@@ -43,86 +44,139 @@
     # For the answer beyond the wait.  Calls queue there for up to 2 s; what a watch had to tell counts as
     # told 2 s after its wait, so it is given up before.
     SPAN, WATCH_SPAN = 3 * SECOND, SECOND * 3 // 2
-    AGAIN = SECOND // 10        # at an address it moves to, while a watch elsewhere still tells
+    # At an address it moves to, while a watch elsewhere still tells; doubled up to a second, that may last.
+    AGAIN = SECOND // 10
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], version: int,
                  tell: Callable[[face.BackendList, dict[str, str]], None]) -> None:
-        self.loop, self.log, self.tell, self.version = loop, log, tell, version
+        self.loop, self.log, self.tell = loop, log, tell
+        self.generations = Generations(version)
         self.client = self._client(to)
-        self.watching = False
+        self.subscribed = self.watching = False         # `watching` ends where the module has to ask anew
         self.watch: Exchange | None = None
         self.again: Deadline | None = None
         self.left: Exchange | None = None       # the watch at the address that it moves away from
+        self.based, self.tries = True, 0        # a list from this address is held, or changes would not do
 
     def _client(self, to: tuple[str, int]) -> Client:
         return Client(self.loop, to, connect_span=SECOND, idle_span=SECOND)
 
+    @property
+    def version(self) -> int:
+        return self.generations.held
+
+    def restore(self, version: int) -> None:
+        """As another process held it."""
+        self.generations = Generations(version)
+
     def move(self, to: tuple[str, int]) -> bool:
-        """Watch at another address.  The watch that is out goes on until one there has answered."""
+        """Watch at another address.  The watch at the old one goes on until a list has come from there."""
         if to == self.client.to:
             return False
         self.client.retire()
         self.client = self._client(to)
+        self.generations.moved()
         if self.left is None:
             self.left = self.watch
         elif self.watch is not None:            # moved again before the last address has answered
             self.watch.drop()
-        if self.watch is not None or self.again is not None:
-            self._watch(0)
+        self.based, self.tries = False, 0
+        if self.subscribed:                     # also where the last address failed: the new one may not
+            self.watching = True
+            self._watch()
         return True
 
     def subscribe(self, on: bool) -> None:
-        self.watching = on
+        self.watching = self.subscribed = on
         if on and self.watch is None and self.again is None:
-            self._watch(0)                      # what was missed comes at once, without a wait
+            self._watch()                       # what was missed comes at once, without a wait
 
     def fetch(self) -> None:
-        self.client.request("GET", self.PATH, self.SPAN, self._told)
+        self._ask(self.client, 0, True, self._fetched)
 
-    def _watch(self, hold: int) -> None:
+    def _ask(self, client: Client, hold: int, whole: bool,
+             done: Callable[[Client, Ask, Answer], None]) -> Exchange:
+        ask = self.generations.ask(self.loop.clock.now(), whole)
+        target = self.PATH if whole else f"{self.PATH}?from={ask.base}&hold_ms={hold * 1000 // SECOND}"
+        return client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
+                              lambda answer: done(client, ask, answer))
+
+    def _watch(self, hold: int = 0) -> None:
         if self.again is not None:
             self.again.cancel()
             self.again = None
-        client, target = self.client, f"{self.PATH}?from={self.version}&hold_ms={hold * 1000 // SECOND}"
-        self.watch = client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
-                                    lambda answer: self._watched(client, answer))
+        whole = not self.based or self.generations.doubt is not None
+        self.watch = self._ask(self.client, 0 if whole else hold, whole, self._watched)
+
+    def _watch_at(self, when: int) -> None:
+        self.again = self.loop.at(when, self._watch)
 
-    def _watched(self, client: Client, answer: Answer) -> None:
+    def _watched(self, client: Client, ask: Ask, answer: Answer) -> None:
         if client is not self.client:
-            self.left = None                    # what it had to tell counts; its end says nothing of the new
-            if answer.outcome == "answered":
-                self._told(answer)
+            self._watched_left(client, ask, answer)
             return
         self.watch = None
-        if self.left is not None and (answer.outcome != "answered" or answer.status != 200):
-            self.log.trouble("discovery_not_there_yet", why=answer.outcome, status=answer.status)
-            self.again = self.loop.after(self.AGAIN, lambda: self._watch(0))
+        try:
+            verdict = self._judged(ask, answer)
+        except ValueError as bad:
+            if self.left is None:
+                self.watching = False           # the module hears that it failed and asks anew
+                self._failed(bad, answer)
+                return
+            self.log.trouble("discovery_not_there_yet", why=str(bad), status=answer.status)
+            self._watch_at(self.loop.clock.now() + min(self.AGAIN << self.tries, SECOND))
+            self.tries = min(self.tries + 1, 4)
             return
-        if self.left is not None:
-            self.left.drop()
-            self.left = None
-        if not self._told(answer):
-            self.watching = False               # the module hears that it failed and asks anew
+        if verdict.counts:
+            self.based = True
+            if self.left is not None:
+                self.left.drop()
+                self.left = None
+        if self.watching and verdict is Verdict.DOUBTED:
+            self._watch_at(self.generations.ask_again_at(self.loop.clock.now()))
         elif self.watching:
             self._watch(self.HOLD)
 
-    def _told(self, answer: Answer) -> bool:
+    def _watched_left(self, client: Client, ask: Ask, answer: Answer) -> None:
+        """What it had to tell counts; its end says nothing of the new address, which alone is left then."""
+        self.left = None
         try:
-            if answer.outcome != "answered":
-                raise ValueError(answer.outcome)
-            if answer.status != 200:
-                raise ValueError(f"status {answer.status}")
-            news, addresses = read_list(orjson.loads(answer.body))
+            if self._judged(ask, answer).counts and self.watching:
+                self.left = self._ask(client, self.HOLD, False, self._watched)
         except ValueError as bad:
-            self.log.trouble("discovery_failed", why=str(bad), after_ms=answer.duration / 10)
-            self.tell(face.BackendList("failed", self.version, ()), {})
-            return False
-        if news.version < self.version and news.scope == "changes":
-            self.fetch()                        # it began anew and counts from the start: ask what holds now
-        self.version = news.version
+            self.log.trouble("discovery_left_ended", why=str(bad), after_ms=answer.duration / 10)
+        if self.left is None and self.again is not None:
+            self._watch()
+
+    def _fetched(self, client: Client, ask: Ask, answer: Answer) -> None:
+        try:
+            self._judged(ask, answer)
+        except ValueError as bad:
+            self._failed(bad, answer)
+
+    def _failed(self, why: ValueError, answer: Answer) -> None:
+        self.log.trouble("discovery_failed", why=str(why), after_ms=answer.duration / 10)
+        self.tell(face.BackendList("failed", self.version, ()), {})
+
+    def _judged(self, ask: Ask, answer: Answer) -> Verdict:
+        """Tell what counts; ValueError if it is no list."""
+        if answer.outcome != "answered":
+            raise ValueError(answer.outcome)
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+        news, addresses = read_list(orjson.loads(answer.body))
+        held = self.version
+        verdict = self.generations.judge(ask, news, self.loop.clock.now())
         self.log.count("discovery_answers")
-        self.tell(news, addresses)
-        return True
+        if verdict is Verdict.BEGUN_ANEW:
+            self.log.trouble("discovery_began_anew", generation=news.version, held=held)
+        elif verdict is not Verdict.COUNTS:
+            self.log.trouble("discovery_older", verdict=verdict.value, generation=news.version, held=held)
+        if verdict.counts:
+            self.tell(news, addresses)
+        return verdict
 
     def close(self) -> None:
+        if self.left is not None:
+            self.left.drop()
         self.client.close()
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -48,7 +48,7 @@
     front.addresses = dict(state.addresses)
     front.heard_of.clear()
     front.heard_of.update(dict.fromkeys(state.heard_of))        # the reader of lines holds the same dict
-    front.discovery.version = state.version
+    front.discovery.restore(state.version)
     relay, holdings = front.relay, front.holdings
     relay.held = True
     relay.waiting = deque([events.unpack(order) for order in call] for call in state.waiting)
