A service that is told to end ends, also while the one before it stands by; no SIGHUP is lost

Seen: - SIGTERM to the new process while the old one stood by or drained: the old one took its end for a death and served on (giver.py, `on_died` in DRAINING), with the control socket unlinked and a pid file of a dead process. Now the new one says so (the word `Refuse`, Act.LEAVE); where the channel is cut, its exit code 0 does. The old one ends once nothing is in its hand, and writes no state over that of the new one. A new one that was told so while it was being reclaimed ends the old one too (`late`). - SIGHUP to the old one once `commit` was sent: kept for a word that had gone (`Replaceable.signalled`); a relay's move was lost. Now it is sent on by the pidfd, and one that meets the new process before it serves is kept there. - SIGHUP during an upgrade that came to nothing before the state was taken: only `do_thaw` read the file again, and nothing had been frozen. - The time to stand by (`watched`) of an upgrade that was taken back counted for the next one. - After a take-back the pid file named the dead process.

--- /dev/null
+++ b/indigohitch/pidfile.py
@@ -0,0 +1,21 @@
+"""The file that names the process that is the service, for whoever sends it signals."""
+from __future__ import annotations
+
+import os
+
+from .errors import told
+from .log import Log
+from .packed.files import write_whole
+
+
+class PidFile:
+    def __init__(self, path: str, log: Log) -> None:
+        """`path` empty: none is kept."""
+        self.path, self.log = path, log
+
+    def write(self) -> None:
+        if self.path:
+            try:
+                write_whole(self.path, b"%d\n" % os.getpid())
+            except OSError as bad:
+                self.log.trouble("no_pidfile", **told(bad))
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -15,9 +15,9 @@
 from .errors import Trouble, told
 from .net.clock import SECOND
 from .net.connection import Listener
+from .pidfile import PidFile
 from .process import Process
 from .statefile import StateFile
-from .upgrade import snapshot as shots
 from .upgrade.giving import Giving
 from .upgrade.phases import Phase as Handing
 from .upgrade.side import Side
@@ -53,10 +53,12 @@
         self.control: Control | None = None
         self.beside: Beside | None = None
         self.state = StateFile(lines["state"], self.clock, self.log)
+        self.pidfile = PidFile(lines["pidfile"], self.log)
         self.side: Side = self.make_side()
         self.askers: list[Callable[[dict], None]] = []
         self.giving = Giving(self.loop, self.log, self.side, lines["program"], waits, self.handed_over,
                              self.reported)
+        self.giving.taken_back = self.pidfile.write
         self.taking: Taking | None = None
 
     # ---- what a program adds -----------------------------------------------------------------------
@@ -145,11 +147,7 @@
                 self.open_control()
             except OSError as bad:
                 self.log.trouble("no_control", **told(bad))
-        if path := self.lines["pidfile"]:
-            try:
-                shots.write(path, b"%d\n" % os.getpid())
-            except OSError as bad:
-                self.log.trouble("no_pidfile", **told(bad))
+        self.pidfile.write()
         self.become(Phase.SERVING)
         if self.taking is not None and self.taking.reload:
             self.reload()
@@ -167,13 +165,16 @@
             self.upgrade(lambda told: None)
         elif number == signal.SIGHUP:
             if self.giving.under_way:
-                self.giving.reload = True       # by whoever is the service afterwards
+                self.giving.reload_later()
+            elif self.phase is Phase.TAKING_OVER:
+                self.taking.reload = True
             elif self.phase is Phase.SERVING:
                 self.reload()
-        elif self.phase is Phase.TAKING_OVER:
-            self.taking.step("told_to_end", "SIGTERM")
-        elif self.phase is Phase.SERVING:
-            self.giving.step("told_to_end", "SIGTERM")
+        else:
+            if self.taking is not None:         # once it serves it only tells the one that stands by
+                self.taking.step("told_to_end", "SIGTERM")
+            if self.phase is Phase.SERVING:
+                self.giving.step("told_to_end", "SIGTERM")
 
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> None:
         if what == "status":
--- a/indigohitch/upgrade/giver.py
+++ b/indigohitch/upgrade/giver.py
@@ -13,7 +13,9 @@
         self.phase = Phase.SERVING
         self.result = ""            # of the last upgrade: "upgraded", or why not
         self.frozen = self.ending = False
-        self.watched = self.drained = False     # of the draining: stood by long enough; nothing left in hand
+        # Of the draining: stood by long enough; nothing left in hand; the new one was told to end.
+        self.watched = self.drained = self.left = False
+        self.late = False           # while it is reclaimed, the new one says that it accepts
 
     @property
     def wait(self) -> str | None:
@@ -75,10 +77,11 @@
         return [Act.COMMIT]
 
     def on_accepting(self, why: str) -> list[Act]:
+        self.late |= self.phase is Phase.RECLAIMING
         if self.phase is not Phase.COMMITTED:
             return []
         self.phase, self.result = Phase.DRAINING, "upgraded"
-        self.watched = self.drained = False
+        self.watched = self.drained = self.left = False
         return [Act.RELEASE, Act.REPORT, Act.DRAIN]
 
     def on_drained(self, why: str) -> list[Act]:
@@ -107,9 +110,14 @@
         return acts
 
     def on_refused(self, why: str) -> list[Act]:
-        """The new one will not be; by the rules it ends now, and it never accepted."""
+        """The new one will not be; by the rules it ends now, and it never accepted.  Or it was the service
+        and was told to end: then this one is not to go on in its place."""
         if self.phase in self.BEFORE_COMMIT:
             return self.called_off(why)
+        if self.phase is Phase.DRAINING:
+            self.watched = self.left = True
+            return self.done()
+        self.ending |= self.phase is Phase.RECLAIMING and self.late
         return self.reclaim(why)
 
     def on_eof(self, why: str) -> list[Act]:
@@ -136,14 +144,14 @@
         """After the word it may accept already: only its death makes room."""
         if self.phase is not Phase.COMMITTED:
             return []
-        self.phase, self.result = Phase.RECLAIMING, why
+        self.phase, self.result, self.late = Phase.RECLAIMING, why, False
         return [Act.KILL]
 
     def on_died(self, why: str) -> list[Act]:
         why = why or "the new process died"
         if self.phase in self.BEFORE_COMMIT:
             return self.called_off(why)
-        if self.phase in (Phase.COMMITTED, Phase.RECLAIMING, Phase.DRAINING):
+        if self.phase in (Phase.COMMITTED, Phase.RECLAIMING, Phase.DRAINING) and not self.left:
             late = self.phase is Phase.DRAINING
             self.result = self.result if self.phase is Phase.RECLAIMING else why
             self.phase, self.frozen = Phase.SERVING, False
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -1,27 +1,23 @@
 """The old process' side of an upgrade: drives a `Giver` with what happens, and does what it says."""
 from __future__ import annotations
 
+import signal
 from collections.abc import Callable, Sequence
 
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.loop import Deadline, Loop
-from . import snapshot as shots
-from . import words
+from . import hearing, words
 from .channel import Channel
 from .giver import Giver
 from .launch import Started
 from .passing import Passing
 from .phases import Phase
 from .side import Connection, Side
+from .waits import waits as waits_told
 
 
 class Giving:
-    # For each phase, how long at most.  Restoring 10,000 slices takes half a second on a busy core; a new
-    # interpreter with all libraries a second where the disk is cold.
-    WAITS = {"start": 10 * SECOND, "settle": 2 * SECOND, "give": 10 * SECOND, "prove": 10 * SECOND,
-             "commit": 2 * SECOND, "drain": 30 * SECOND, "reclaim": SECOND,
-             "watch": SECOND}           # the old one stands by: a first accept or plan that fails shows
     POLL = SECOND // 200
     ENDING = SECOND // 5                # from the end of its channel to the death of a process that ends
     PIECE = 1 << 16                     # of the state: a frame that a socket's buffer takes in one go
@@ -31,10 +27,7 @@
                  ended: Callable[[], None], reported: Callable[[dict], None]) -> None:
         """`ended`: this process has nothing more to do.  `reported`: what the upgrade came to."""
         self.loop, self.log, self.side, self.program = loop, log, side, program
-        known = {name: span for name, span in waits.items() if name in self.WAITS}
-        if "takeover" in waits:
-            known |= {"give": waits["takeover"], "prove": waits["takeover"]}
-        self.waits = self.WAITS | known
+        self.waits = waits_told(waits)
         self.ended, self.reported = ended, reported
         self.machine = Giver()
         self.started: Started | None = None
@@ -42,6 +35,7 @@
         self.deadline: Deadline | None = None
         self.passing = Passing(self.say)
         self.reload = False                     # SIGHUP came meanwhile
+        self.taken_back: Callable[[], None] = lambda: None      # this process is the service again
         self.state, self.theirs = b"", b""
         self.figures: dict = {}
 
@@ -60,6 +54,16 @@
             self.arm()
         for act in acts:
             getattr(self, f"do_{act.value}")()
+        if self.reload and machine.phase is Phase.SERVING:
+            self.reload = False
+            if not machine.ending:
+                self.loop.after(0, self.side.reload)
+
+    def reload_later(self) -> None:
+        """By whoever is the service afterwards; the word for it may have gone out without it."""
+        self.reload = True
+        if self.machine.phase in (Phase.COMMITTED, Phase.DRAINING):
+            self.started.watch.kill(signal.SIGHUP)
 
     def arm(self) -> None:
         name = self.machine.wait
@@ -73,28 +77,12 @@
     # ---- what is heard -----------------------------------------------------------------------------
 
     def heard(self, word: words.Word, descriptors: list[int]) -> None:
-        match word:
-            case words.Hello(protocol, schema):
-                if abs(protocol - words.PROTOCOL) > 1 or abs(schema - shots.SCHEMA) > 1:
-                    self.step("refused", f"the new program reads schema {schema}, this one {shots.SCHEMA}")
-                else:
-                    self.step("hello")
-            case words.Restored(digest):
-                if digest == shots.digest(self.state):
-                    self.step("restored")
-                else:
-                    self.step("refused", "the state came out different")
-            case words.Proven(orders):
-                self.theirs = orders
-                self.step("proven")
-            case words.Adopted(numbers):
-                self.passing.adopted(numbers)
-            case words.Accepting():
-                self.step("accepting")
-            case words.Refuse(why):
-                self.step("refused", why)
-            case _:
-                self.step("broken", f"{type(word).__name__} from the new process")
+        if isinstance(word, words.Adopted):
+            self.passing.adopted(word.numbers)
+            return
+        if isinstance(word, words.Proven):
+            self.theirs = word.orders
+        self.step(*hearing.event(word, self.state))
 
     def channel_ended(self, why: str, broken: bool) -> None:
         started = self.started
@@ -112,7 +100,9 @@
             return                              # of an earlier upgrade, which was killed late
         if self.channel is not None:
             self.channel.read()                 # its last words came first
-        self.step("died", why)
+        # A service that ended in order was told to, whether or not its word for that came through.
+        ended = self.machine.phase is Phase.DRAINING and started.process.returncode == 0
+        self.step("refused" if ended else "died", why)
 
     # ---- what is done ------------------------------------------------------------------------------
 
@@ -186,8 +176,11 @@
     def do_drain(self) -> None:
         self.side.drain(self.pass_on)
         self.log.event("upgraded", **self.told())
-        self.loop.after(self.waits["watch"], lambda: self.step("watched"))
-        self.poll(Phase.DRAINING, lambda: self.side.drained() and not self.passing.out, "drained")
+        started = self.started
+        self.loop.after(self.waits["watch"], lambda: started is self.started and self.step("watched"))
+        # What was passed to a new one that was told to end has nobody any more.
+        self.poll(Phase.DRAINING, lambda: self.side.drained() and (self.machine.left or not self.passing.out),
+                  "drained")
 
     def pass_on(self, connection: Connection) -> bool:
         """One that came free while we drain; False: the new process can't be reached."""
@@ -205,12 +198,11 @@
         for connection in passed:
             self.side.adopt(*connection)
         self.close()
+        self.taken_back()
 
     def do_thaw(self) -> None:
         self.side.thaw()
         self.state = b""
-        if self.reload:
-            self.loop.after(0, self.side.reload)
 
     def do_call_off(self) -> None:
         self.log.trouble("upgrade_called_off", why=self.machine.result)
--- a/indigohitch/upgrade/phases.py
+++ b/indigohitch/upgrade/phases.py
@@ -57,3 +57,4 @@
     ACCEPT = "accept"           # say that what was passed is ours, then begin
     BEGIN = "begin"             # without the old one: with what is in hand
     REFUSE = "refuse"           # say why it will not be
+    LEAVE = "leave"             # it is the service, and was told to end: say so to the one that stands by
--- a/indigohitch/upgrade/taker.py
+++ b/indigohitch/upgrade/taker.py
@@ -68,8 +68,11 @@
         return self.on_told_to_end(why) if not self.accepting else []
 
     def on_told_to_end(self, why: str) -> list[Act]:
-        if self.phase is Phase.ENDED:
+        if self.phase in (Phase.SERVING, Phase.ENDED):
             return []
+        if self.phase is Phase.FOLLOWING:       # the service; as such it ends by other means
+            self.phase = Phase.SERVING
+            return [Act.LEAVE]
         self.phase = Phase.ENDED
         return [Act.END]
 
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -93,7 +93,8 @@
                 else:
                     self.passed += found
             case words.Commit(rest, reload):
-                self.rest, self.reload = rest, reload
+                self.rest = rest
+                self.reload |= reload
                 self.step("commit")
             case words.Rest(rest):
                 self.side.take_rest(rest)
@@ -184,6 +185,11 @@
         if self.channel is not None:
             self.channel.flush_hard()
 
+    def do_leave(self) -> None:
+        self.say(words.Refuse("told to end"))
+        if self.channel is not None:
+            self.channel.flush_hard()
+
     def do_end(self) -> None:
         self.close()
         self.ended(1)
--- /dev/null
+++ b/tests/test_upgrade_signals.py
@@ -0,0 +1,117 @@
+"""Signals and deaths that meet an upgrade in the phase in which the old process stands by."""
+import os
+import signal
+import threading
+from pathlib import Path
+from unittest import mock
+
+import pytest
+
+from field import Field
+from indigohitch import control
+from indigohitch.upgrade import giving
+from stage import Platform
+from waiting import eventually
+
+
+@pytest.fixture
+def field(tmp_path):
+    """Its old process stands by for longer than any test takes, with nothing in hand."""
+    found = Field(tmp_path, more=["wait watch 60s", "wait drain 60s", "wait start 60s"]).start()
+    yield found
+    found.close()
+
+
+def upgraded(field):
+    before = field.pid()
+    assert field.ask("upgrade")["result"] == "upgraded"
+    return before, field.pid()
+
+
+def test_the_service_is_told_to_end_while_the_old_one_stands_by(field):
+    """Seen: the old one took its end for a death and went on, with no control socket and no pid file."""
+    old, new = upgraded(field)
+    os.kill(new, signal.SIGTERM)
+    eventually(lambda: not field.mine(old) and not field.mine(new), 10)
+    assert not field.said("upgrade_taken_back") and not Path(field.socket).exists()
+
+
+def test_sighup_to_the_old_one_after_the_word_is_heard_by_the_service(field):
+    old, _ = upgraded(field)
+    field.write(servers=field.servers[:1])
+    os.kill(old, signal.SIGHUP)
+    eventually(lambda: field.said("reloaded"))
+    eventually(lambda: {field.get(f"/vacancies/{n}").headers["X-Server"] for n in range(20)} == {"s0"})
+
+
+def test_sighup_during_an_upgrade_that_comes_to_nothing_early(field):
+    """Before the state was taken: nothing thawed, and nothing was read either."""
+    before = field.pid()
+    field.fault("start", "hang")
+    asking = threading.Thread(target=lambda: field.ask("upgrade"))
+    asking.start()
+    eventually(lambda: field.said("fault", point="start"))
+    field.write(servers=field.servers[:1])
+    os.kill(before, signal.SIGHUP)
+    for _ in range(2):                          # turns of its loop after the signal
+        assert field.ask("status")["upgrade"] == "offered"
+    assert not field.said("reloaded")
+    for child in Path(f"/proc/{before}/task/{before}/children").read_text().split():
+        os.kill(int(child), signal.SIGKILL)
+    asking.join()
+    eventually(lambda: field.said("reloaded"))
+    eventually(lambda: {field.get(f"/vacancies/{n}").headers["X-Server"] for n in range(20)} == {"s0"})
+
+
+def test_the_pid_file_names_the_old_one_again_once_it_took_over_again(field):
+    old, new = upgraded(field)
+    assert (field.path / "pid").read_text() == f"{new}\n"
+    os.kill(new, signal.SIGKILL)
+    eventually(lambda: field.said("upgrade_taken_back"))
+    eventually(lambda: (field.path / "pid").read_text() == f"{old}\n")
+    assert field.pid() == old and field.get().status == 200
+
+
+def test_a_relays_move_to_the_old_one_after_the_word(tmp_path):
+    platform = Platform(tmp_path)
+    file = tmp_path / "operator.conf"
+    file.write_text(f"control {tmp_path / 'control'}\nwait watch 60s\nwait drain 60s\n")
+    try:
+        program = platform.serving(["run", "--operator", str(file)])
+        assert control.ask(str(tmp_path / "control"), "upgrade")["result"] == "upgraded"
+        eventually(lambda: len(program.said("news_begun")) == 2)
+        left = platform.move()                  # the signal goes to the process that was started
+        eventually(lambda: program.said("reloaded", moved=True))
+        eventually(lambda: len(program.said("news_begun")) == 3)
+        for peer in left:
+            peer.close()
+        platform.change("b1", "DRAINING")
+        eventually(lambda: platform.agrees() and not any("b1" in t for t in platform.tables.values()))
+    finally:
+        for started in platform.program.said("starts"):
+            os.kill(started["pid"], signal.SIGKILL)
+        platform.close()
+
+
+def test_an_earlier_upgrades_time_to_stand_by_does_not_end_a_later_one(monkeypatch):
+    """Taken back, and asked for again within that time."""
+    monkeypatch.setattr(giving, "Started", mock.MagicMock(side_effect=lambda *_: mock.MagicMock()))
+    monkeypatch.setattr(giving, "Channel", mock.MagicMock())
+    loop, side, due = mock.MagicMock(), mock.MagicMock(), []
+    loop.clock.now.return_value = 1000
+    loop.after = lambda span, action: due.append((span, action)) or mock.MagicMock()
+    side.settled.return_value = side.drained.return_value = False
+    side.listeners.return_value, side.idle.return_value, side.rest.return_value = {}, [], b""
+    given = giving.Giving(loop, mock.MagicMock(), side, [], {"watch": 7}, lambda: None, lambda told: None)
+    stood = []
+    for end in ("died", ""):
+        for event in ("asked", "hello", "settled", "restored", "proven", "accepting"):
+            given.step(event)
+        stood += [action for span, action in due if span == 7]
+        due.clear()
+        if end:
+            given.step(end)
+    stood[0]()
+    assert not given.machine.watched
+    stood[1]()
+    assert given.machine.watched
--- a/tests/upgrade_pair.py
+++ b/tests/upgrade_pair.py
@@ -14,6 +14,11 @@
         self.inbox = []                         # what the other said, not delivered yet
         self.cut = self.heard_cut = False       # of its end of the channel
         self.sees_death = self.saw_death = self.started = False
+        self.in_order = False                   # a service that was told to end, and did
+
+    @property
+    def accepting(self):
+        return self.alive and not self.told_to_end and self.machine.accepting
 
 
 class Pair:
@@ -36,6 +41,8 @@
             return
         was = process.machine.phase
         self.steps.append((side, event, was.value))
+        # As replaceable.py: a new one that is the service ends as any does, at some later time.
+        process.told_to_end |= event == "told_to_end" and side == "new" and process.machine.accepting
         for act in process.machine.step(event):
             getattr(self, f"{side}_{act.value}")()
         self.check()
@@ -68,7 +75,6 @@
         assert not self.passed, "released what nobody said to have"
 
     def old_drain(self): pass
-
     def old_thaw(self): pass
 
     def old_reclaim(self):
@@ -82,8 +88,7 @@
     def old_call_off(self):
         self.say(self.new, "call_off")
 
-    def old_done(self):
-        self.say(self.new, "done")
+    def old_done(self): self.say(self.new, "done")
 
     def old_report(self):
         self.reports.append(self.old.machine.result)
@@ -119,9 +124,13 @@
         self.held = set()
 
     def new_refuse(self): self.say(self.old, "refused")
-
+    def new_leave(self): self.say(self.old, "refused")
     def new_end(self): self.exit(self.new)
 
+    def new_ends_in_order(self):
+        self.new.in_order = True
+        self.exit(self.new)
+
     # ---- what happens
 
     def kill(self, process):
@@ -167,13 +176,7 @@
             elif process.cut and not process.heard_cut:
                 found += [lambda side=side: self.eof(side)]
             if process.sees_death and not process.saw_death:
-                def death(side=side, p=process):
-                    while p.inbox and p.alive:      # its last words came first
-                        self.deliver(side)
-                    if p.alive:
-                        p.saw_death = True
-                        self.step(side, "died")
-                found += [death] * 2
+                found += [lambda side=side: self.death(side)] * 2
         phase = self.old.machine.phase
         if self.old.alive:
             found += {Phase.SETTLING: [lambda: self.step("old", "settled")] * 4,
@@ -181,6 +184,8 @@
                                        lambda: self.step("old", "watched")]}.get(phase, [])
         if self.new and self.new.alive and not self.new.hung and not self.new.started:
             found += [lambda: (setattr(self.new, "started", True), self.step("new", "started"))] * 4
+        if self.new and self.new.alive and not self.new.hung and self.new.told_to_end:
+            found += [self.new_ends_in_order]
         if faults:
             if self.new and self.new.alive:
                 found += [lambda: self.kill(self.new), lambda: setattr(self.new, "hung", True), self.cut]
@@ -188,6 +193,15 @@
                 found += [lambda: self.kill(self.old)]
         return found
 
+    def death(self, side):
+        process = self.old if side == "old" else self.new
+        while process.inbox and process.alive:      # its last words came first
+            self.deliver(side)
+        if process.alive:
+            process.saw_death = True
+            ended = side == "old" and self.new.in_order and process.machine.phase is Phase.DRAINING
+            self.step(side, "refused" if ended else "died")
+
     def eof(self, side):
         (self.old if side == "old" else self.new).heard_cut = True
         self.step(side, "eof")
@@ -215,7 +229,7 @@
     # ---- what must hold
 
     def check(self):
-        accepting = [p for p in (self.old, self.new) if p and p.alive and p.machine.accepting]
+        accepting = [p for p in (self.old, self.new) if p and p.accepting]
         assert len(accepting) <= 1, "two accept"
         if self.new:
             assert not self.old.reads & self.new.reads, "two read one connection"
