--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -38,8 +38,8 @@
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        for number in set(self._wake.recv(256)):
-            self.signalled(number)
+        for number in dict.fromkeys(self._wake.recv(256)):      # each once, in the order in which they came
+            self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
         raise NotImplementedError
