Signals of one turn are heard by number: a reload before the end, whichever was sent first

Of two signals pending at once the kernel runs the handler of the higher number first (frames are stacked), so the order of arrival can't be read off the wakeup socket: seen as 'ValueError: reloaded is not in list' where SIGTERM and SIGHUP met a stopped process.

--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -38,7 +38,7 @@
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        # Each once; which of two came first the kernel does not tell.  By number a reload goes before the end.
+        # Each once; which of two came first the kernel does not tell: by number, a reload before the end.
         for number in sorted(set(self._wake.recv(256))):
             self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
