A flood of strangers gets a bounded part of each turn, and takes no place of a collector

Measured in process, the real loop and sockets, one turn with 64 strangers who had sent `hb` without end: 1,048,576 answers, each a write of its own, 19.9 s of CPU, and no deadline or relay answer in all that time; of 400 rejected in one turn 104 ms.

- Loop: who is in the crowd (strangers) comes last in a turn, the longest unserved first, 32 a turn; the others stay ready.
Connection.pace: a stranger brings one read of 256 bytes a turn.
A collector as before 16 reads of 4 KiB, also once its ring has grown (it read up to 16 MiB then); on one that asks for `hb`, one read.
All `hb` of a read are answered with one write.
- Answers that nobody reads took up to 1 MiB a stranger out of the collectors' pool: now 4 KiB outside of it.
- Collectors.greet: with all places taken by collectors, a zone's only one was turned away while another zone held several.
Now the oldest of a zone that has a newer one gives way (`collector_dropped_for_room`).

(`stopped` moved from a test file to program.py.)

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -26,7 +26,7 @@
 class Reader(Protocol):
     """Who owns what a connection brings."""
     def opened(self, connection: Connection) -> None: ...
-    def heard(self, connection: Connection) -> None: ...
+    def heard(self, connection: Connection) -> bool | None: ...     # True: no more of it this turn
     def closed(self, connection: Connection, why: str) -> None: ...
 
 
@@ -42,6 +42,7 @@
         self.incoming = Ring(most, pool or loop.pool)
         self.outgoing = Ring(self.BOUND, pool or loop.pool)
         self.connecting, self.open = False, True
+        self.reads, self.step = self.READS, self.BOUND
         self._writing = False
         self._number = -1
 
@@ -69,6 +70,11 @@
             raise
         return connection
 
+    def pace(self, reads: int, step: int, crowd: bool) -> None:
+        """What it may bring a turn: so many reads of `step` bytes; as one of the crowd, only in its turn."""
+        self.reads, self.step = reads, step
+        self.loop.crowd(self._number, crowd)
+
     def write(self, data: bytes) -> None:
         """What goes wrong here is told in a turn of its own: never while the reader is writing."""
         if not self.open:
@@ -136,9 +142,9 @@
             self._read()
 
     def _read(self) -> None:
-        for _ in range(self.READS):
+        for _ in range(self.reads):
             try:
-                got = self.incoming.fill(self.sock)
+                got = self.incoming.fill(self.sock, self.step)
             except BlockingIOError:
                 return
             except OSError:
@@ -147,8 +153,7 @@
             if got == 0:
                 self.close("ended")
                 return
-            self.reader.heard(self)
-            if got < 0 or not self.open:
+            if self.reader.heard(self) or got < 0 or not self.open:
                 return
 
 
--- a/indigohitch/net/loop.py
+++ b/indigohitch/net/loop.py
@@ -30,6 +30,7 @@
 class Loop:
     POOL = 16 << 20             # for the connections that are ours, until the limits are read
     SWEPT = 256                 # deadlines in the heap before the cancelled are looked for
+    CROWD = 32                  # of those in the crowd a turn: with what one may bring, 10 ms at the worst
 
     def __init__(self, clock: Clock, failed: Callable[[BaseException], None]) -> None:
         self.clock, self.failed = clock, failed
@@ -39,6 +40,9 @@
         self._due: list[tuple[int, int, Deadline]] = []
         self._sweep_at = self.SWEPT
         self._order = 0                         # two due at one time: first come, first served
+        # Who comes last in a turn and may have to wait for a later one, by number: the turn that served it.
+        self._crowd: dict[int, int] = {}
+        self._turns = 0
 
     def at(self, when: int, action: Callable[[], None]) -> Deadline:
         deadline = Deadline(when, action)
@@ -71,6 +75,25 @@
     def forget(self, sock, number: int) -> None:
         self._selector.unregister(sock)
         self.watched.drop(number)
+        self._crowd.pop(number, None)
+
+    def crowd(self, number: int, on: bool) -> None:
+        """Whether it is one of many that nobody knows: all of them together get a bounded share of a turn."""
+        if on:
+            self._crowd[number] = 0
+        else:
+            self._crowd.pop(number, None)
+
+    def _in_order(self, ready: list) -> list:
+        """The crowd last, who has waited the longest first; the rest of it stays ready for a later turn."""
+        if not self._crowd:
+            return ready
+        crowd = [entry for entry in ready if entry[0] in self._crowd]
+        crowd.sort(key=lambda entry: self._crowd[entry[0]])
+        del crowd[self.CROWD:]
+        self._turns += 1
+        self._crowd.update((entry[0], self._turns) for entry in crowd)
+        return [entry for entry in ready if entry[0] not in self._crowd] + crowd
 
     def guarded(self, action: Callable, *args) -> None:
         try:
@@ -85,7 +108,7 @@
         if self._due:
             wait = max(0, self._due[0][0] - self.clock.now()) / SECOND
         ready = [(key.data, self.watched.get(key.data), mask) for key, mask in self._selector.select(wait)]
-        for number, owner, mask in ready:
+        for number, owner, mask in self._in_order(ready):
             if owner is not None and self.watched.get(number) is owner:     # not closed earlier this turn
                 self.guarded(owner.ready, bool(mask & selectors.EVENT_READ),
                               bool(mask & selectors.EVENT_WRITE))
--- a/indigohitch/net/ring.py
+++ b/indigohitch/net/ring.py
@@ -57,14 +57,14 @@
         self._pool.give(self._counted())
         self._block, self._head, self._size, self._scanned = bytearray(), 0, 0, 0
 
-    def fill(self, sock: socket.socket) -> int:
-        """Read once from the socket: bytes read, 0 at its end, -1 if there is no room."""
+    def fill(self, sock: socket.socket, most: int = 1 << 20) -> int:
+        """Read once from the socket, `most` bytes: bytes read, 0 at its end, -1 if there is no room."""
         if self._size == len(self._block) and not self._grow(1):
             return -1
         tail = (self._head + self._size) % len(self._block)
         end = len(self._block) if tail >= self._head else self._head
         with memoryview(self._block) as view:
-            got = sock.recv_into(view[tail:end])
+            got = sock.recv_into(view[tail:min(end, tail + most)])
         self._size += got
         return got
 
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -22,35 +22,54 @@
     # Spoilt lines in a row that end a connection: of forty lines about one came spoilt on bad days, so this
     # many never come by chance; a connection that goes on like that is of no use to its owner either.
     SPOILT = 20
+    # What one may bring a turn: a stranger the shortest messages there are, a collector the sums of a period
+    # at once (half of them would look like a jump of demand).
+    STRANGER_READS, STRANGER_STEP = 1, 256
+    READS, STEP = 16, 4096
+    # Answers that wait to be written, to all that one read may ask for.  A stranger's stay in the first block
+    # of its ring: the pool is for collectors.
+    STRANGER_OWED, OWED = 4096, 8192
 
     def __init__(self, collectors: Collectors) -> None:
         self.collectors, self.zone = collectors, ""
         self.began = self.heard_at = collectors.loop.clock.now()
         self.unfinished_since = 0               # when the line began that has not all come, 0: none
         self.spoilt = 0                         # lines dropped since the last good one
+        self.asked = 0                          # signs of life that are asked for and not answered yet
 
-    def heard(self, connection: Connection) -> None:
+    def begin(self, connection: Connection) -> None:
+        connection.outgoing.allow(self.OWED if self.zone else self.STRANGER_OWED)
+        if self.zone:
+            connection.pace(self.READS, self.STEP, crowd=False)
+        else:
+            connection.pace(self.STRANGER_READS, self.STRANGER_STEP, crowd=True)
+
+    def heard(self, connection: Connection) -> bool:
+        """What asks for signs of life is read once a turn, whoever it is."""
         ring, hub = connection.incoming, self.collectors
         while connection.open and (line := ring.line()) is not None:
             self.unfinished_since = 0
-            if line:
+            if line == b"hb":
+                self.asked += 1
+            elif line:
                 self.line(connection, line)
+        asked = self.answer(connection)
         if not connection.open:
-            return
+            return asked
         if len(ring) > (self.MESSAGE if self.zone else self.STRANGER_LINE) or ring.full:
             hub.drop(connection, "line_too_long")
         elif not len(ring):
             self.unfinished_since = 0
         elif not self.unfinished_since:
             self.unfinished_since = hub.loop.clock.now()
+        return asked
 
     def line(self, connection: Connection, line: bytes) -> None:
         hub = self.collectors
         try:
             kind, words = split(line)
             if kind == "hb":
-                connection.write(b"hb_ok\r\n")
-                hub.log.count("heartbeats_answered")
+                self.asked += 1
                 return                          # shows life, not that it is a collector: its time runs on
             if kind == "telemetry":
                 self.join(connection, text(words, "site"))
@@ -71,12 +90,21 @@
             return
         self.spoilt, self.heard_at = 0, hub.loop.clock.now()
 
+    def answer(self, connection: Connection) -> bool:
+        """All that one read asked for with one write; whether it asked."""
+        asked, self.asked = self.asked, 0
+        if asked and connection.open:
+            connection.write(b"hb_ok\r\n" * asked)
+            self.collectors.log.count("heartbeats_answered", asked)
+        return asked > 0
+
     def join(self, connection: Connection, zone: str) -> None:
         if zone not in self.collectors.known.zones:
             raise Unreadable("site: no such zone")
         if not self.zone:
             self.zone = zone
             connection.incoming.allow(self.MESSAGE + self.STRANGER_LINE)
+            self.begin(connection)
             self.collectors.joined(connection)
 
     def closed(self, connection: Connection, why: str) -> None:
@@ -115,16 +143,25 @@
             # what it said has not been read yet.
             oldest = next(iter(self.strangers), None)
             if oldest is None:
-                self.log.trouble("accepted_too_many")
-                return False
+                if (spare := self.spare_member()) is None:
+                    self.log.trouble("accepted_too_many")
+                    return False
+                self.drop(spare, "collector_dropped_for_room")
+                continue
             oldest.ready(True, False)
             if oldest in self.strangers:
                 self.drop(oldest, "stranger_dropped_for_room")
         connection = Connection.accepted(self.loop, sock, Caller(self), Caller.STRANGER_LINE, self.pool)
+        connection.reader.begin(connection)
         self.strangers[connection] = None
         self.log.count("accepted")
         return True
 
+    def spare_member(self) -> Connection | None:
+        """The oldest of a zone that has another one since: a zone without any must find a place."""
+        last = {c.reader.zone: c for c in self.members}
+        return next((c for c in self.members if last[c.reader.zone] is not c), None)
+
     def adopt(self, sock: socket.socket, rest: bytes, zone: str, began: int, heard_at: int, unfinished: int,
               spoilt: int) -> None:
         """A caller of the process before this one, with what it said that was not read."""
@@ -134,6 +171,7 @@
         (self.members if zone else self.strangers)[connection] = None
         caller.zone, caller.began, caller.heard_at = zone, began, heard_at
         caller.unfinished_since, caller.spoilt = unfinished, spoilt
+        caller.begin(connection)
         if not connection.incoming.push(rest):
             self.drop(connection, "accepted_no_memory")     # its owner comes again, and says it whole
         elif rest:
@@ -155,6 +193,7 @@
     def drop(self, connection: Connection, event: str, **fields) -> None:
         """A stranger hears that it is not wanted; nothing is ever written to a collector."""
         self.log.trouble(event, zone=connection.reader.zone, **fields)
+        connection.reader.answer(connection)
         if not connection.reader.zone:
             connection.write(b"reject\r\n")
         connection.close()
--- a/tests/program.py
+++ b/tests/program.py
@@ -41,3 +41,21 @@
         ending, ended = (self.said("phase", now=now)[0]["ms"] for now in ("ending", "ended"))
         assert ended - ending < self.bound
         return code
+
+
+class stopped:
+    """Nothing of the program runs meanwhile; what happens within it meets at one turn."""
+    def __init__(self, program, *signals):
+        self.process, self.signals = program.process, signals
+
+    def __enter__(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+        def stands():
+            with open(f"/proc/{self.process.pid}/stat") as file:
+                return file.read().rpartition(")")[2].split()[0] == "T"
+        eventually(stands)
+
+    def __exit__(self, *_):
+        for number in (*self.signals, signal.SIGCONT):
+            self.process.send_signal(number)
--- /dev/null
+++ b/tests/test_crossing_floods.py
@@ -0,0 +1,175 @@
+"""Strangers and floods against the loop: what one turn may cost, and what all others get meanwhile."""
+import os
+import socket
+
+import pytest
+
+from indigohitch.log import Log
+from indigohitch.net.clock import Clock
+from indigohitch.net.connection import Connection
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink.collectors import Collectors
+from indigohitch.platformlink.limits import Limits
+from indigohitch.platformlink.words import Known
+from program import stopped
+from waiting import eventually
+
+REPORT = b"range_stats range=3 lane=search count=40 fail=1 over=1000.0\r\n"
+HB, MANY = b"hb\r\n", 20_000
+# The bounds of a turn: so many strangers, of each so many heartbeats in one read.
+CROWD, READ, BURST = 32, 256 // len(HB), 64
+
+
+class Hall:
+    """The real loop and what accepts callers, driven turn by turn."""
+    def __init__(self, callers=512):
+        self.out = os.open(os.devnull, os.O_WRONLY)
+        clock, self.defects, self.heard, self.callers = Clock(), [], [], []
+        self.log = Log(clock, "n0", self.out)
+        self.loop = Loop(clock, self.defects.append)
+        self.hub = Collectors(self.loop, self.log, self.heard.append, ("127.0.0.1", 0),
+                              Limits(callers, 8, 1 << 24, 1 << 20),
+                              Known(frozenset({"east", "west"}), frozenset({"search"}), 99, {"b1"}))
+
+    def call(self, said=b"", buffer=0):
+        sock = socket.socket()
+        if buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        sock.connect(self.hub.listener.sock.getsockname())
+        sock.setblocking(False)
+        self.callers.append(sock)
+        if said:
+            sock.send(said)
+        return sock
+
+    def accepted(self, count):
+        while self.log.counts["accepted"] < count:
+            self.loop.turn()
+
+    def turn(self):
+        """What one turn adds to the counters."""
+        before = self.log.counts.copy()
+        self.loop.turn()
+        return self.log.counts - before
+
+    def close(self):
+        self.hub.close()
+        self.loop.close()
+        for sock in self.callers:
+            sock.close()
+        os.close(self.out)
+        assert not self.defects
+
+
+@pytest.fixture
+def hall():
+    found = Hall()
+    yield found
+    found.close()
+
+
+def test_strangers_who_flood_share_a_bounded_part_of_each_turn(hall, monkeypatch):
+    """64 of them held up one turn for 20 s, and each answer was a write of its own."""
+    writes, write = [], Connection.write
+    monkeypatch.setattr(Connection, "write", lambda c, data: writes.append(c) or write(c, data))
+    count = 4 * CROWD
+    for _ in range(count):
+        hall.call()
+    hall.accepted(count)
+    for sock in hall.callers:
+        sock.send(HB * MANY)
+    for turn in range(1, 9):
+        assert hall.turn()["heartbeats_answered"] <= CROWD * READ and len(writes) <= turn * CROWD
+        if turn == 4:
+            assert len(set(writes)) == count    # each had its turn before any had a second one
+    assert hall.log.counts["heartbeats_answered"] == 8 * CROWD * READ
+
+
+def test_a_collector_and_a_deadline_pass_by_the_flood(hall):
+    for _ in range(4 * CROWD):
+        hall.call()
+    collector = hall.call(b"telemetry site=east\r\n")
+    hall.accepted(len(hall.callers))
+    while "collector" not in hall.log.counts:
+        hall.loop.turn()
+    for sock in hall.callers[:-1]:
+        sock.send(HB * MANY)
+    hall.turn()
+    sent = REPORT * 500
+    collector.send(sent)
+    due = []
+    hall.loop.after(0, lambda: due.append(True))
+    hall.turn()                                 # in one turn: half of a period's sums would look like a jump
+    assert len(hall.heard) == sent.count(b"\n") and due
+    hall.call(b"telemetry site=west\r\n" + REPORT)
+    late = [hall.turn() for _ in range(3)]      # accepted, and read as soon as it has its turn
+    assert sum(turn["collector"] for turn in late) == 1
+
+
+def test_a_drain_passes_by_the_flood(platform):
+    program = platform.serving()
+    strangers = [platform.call() for _ in range(64)]
+    eventually(lambda: program.counters().get("accepted") == len(strangers))
+    sent = 0
+    with stopped(program):
+        for sock in strangers:
+            sock.setblocking(False)
+            sent += sock.send(HB * MANY) // len(HB)
+        platform.change("b1", "DRAINING")
+    eventually(lambda: platform.agrees() and not any("b1" in table for table in platform.tables.values()))
+    assert program.counters()["heartbeats_answered"] < sent / 2
+    for sock in strangers:
+        sock.close()
+
+
+def test_a_zone_named_first_buys_no_flood_of_heartbeats(hall):
+    sock = hall.call(b"telemetry site=east\r\n")
+    while "collector" not in hall.log.counts:
+        hall.loop.turn()
+    sock.send(HB * MANY)
+    for _ in range(4):
+        assert 0 < hall.turn()["heartbeats_answered"] <= 4096 // len(HB)
+    assert hall.hub.members                     # what it asked for in one read, it is owed
+
+
+def test_connects_by_the_hundred_cost_a_turn_no_more_than_a_burst():
+    hall = Hall(callers=64)
+    for _ in range(64):
+        hall.call()
+    hall.accepted(64)
+    for _ in range(200):
+        hall.call(HB * 1000)
+    for _ in range(3):
+        added = hall.turn()
+        assert added["accepted"] <= BURST and added["stranger_dropped_for_room"] <= BURST
+        assert added["heartbeats_answered"] <= (CROWD + BURST) * READ
+    hall.close()
+
+
+def test_one_that_reads_no_answer_takes_nothing_from_the_collectors(hall):
+    deaf = hall.call(buffer=4096)
+    hall.accepted(1)
+    (connection,) = hall.hub.strangers
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    while connection.open:
+        try:
+            deaf.send(HB * 1000)
+        except BlockingIOError:
+            pass
+        hall.loop.turn()
+        assert len(connection.outgoing) <= 4096 and hall.hub.pool.left == 1 << 20
+    assert hall.log.counts["accepted_flooded"] == 1
+
+
+def test_collectors_that_fill_all_places_leave_one_for_each_zone():
+    hall = Hall(callers=4)
+    for _ in range(4):
+        hall.call(b"telemetry site=east\r\n")
+    while hall.log.counts["collector"] < 4:
+        hall.loop.turn()
+    hall.call(b"telemetry site=west\r\n")
+    while hall.log.counts["collector"] < 5 and not hall.log.counts["accepted_too_many"]:
+        hall.loop.turn()
+    assert [c.reader.zone for c in hall.hub.members] == ["east", "east", "east", "west"]
+    assert hall.log.counts["collector_dropped_for_room"] == 1
+    hall.close()
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -12,31 +12,13 @@
 
 from indigohitch.process import Process
 from indigohitch.service import Phase, Service
-from program import Program
+from program import Program, stopped
 from stage import Platform, heartbeat, none_lost
 from waiting import eventually
 
 REPORT = b"range_stats range=3 lane=search count=40 fail=1 over=1000.0\r\n"
 
 
-class stopped:
-    """Nothing of the program runs meanwhile; what happens within it meets at one turn."""
-    def __init__(self, program, *signals):
-        self.process, self.signals = program.process, signals
-
-    def __enter__(self):
-        self.process.send_signal(signal.SIGSTOP)
-
-        def stands():
-            with open(f"/proc/{self.process.pid}/stat") as file:
-                return file.read().rpartition(")")[2].split()[0] == "T"
-        eventually(stands)
-
-    def __exit__(self, *_):
-        for number in (*self.signals, signal.SIGCONT):
-            self.process.send_signal(number)
-
-
 def told_in_order(sock):
     """All it hears up to an orderly end: a reset raises."""
     sock.settimeout(5)
