The log: no line longer than a pipe takes at once, and none glued to the rest of another

A caller that had named a zone and sent a word of a MiB got it back whole in the `why` of `line_spoilt`, 20 times a second: Log.event wrote any length, and words.report names the kind as it came. A pipe that is nearly full takes a part of what is over 4,096 bytes; the next event then stood on the same line and both were lost to whoever reads JSON.

Excluded: kinds of trouble and counters are constants or checked words, none is made from what a stranger says.

--- a/indigohitch/log.py
+++ b/indigohitch/log.py
@@ -10,11 +10,14 @@
 
 
 class Log:
+    LINE = 4096                 # a pipe takes as much whole or not at all
+    TEXT = 1000                 # of a field, where a line would be longer: what came may be a MiB
     RATE = 20                   # lines a second of one kind of trouble: shows it, does not become it
 
     def __init__(self, clock: Clock, name: str = "", out: int = 1) -> None:
         self.clock, self.name, self.out = clock, name, out
         self.counts: Counter[str] = Counter()
+        self._part = False
         self._second, self._said, self._unsaid = 0, Counter(), Counter()
 
     def count(self, what: str, by: int = 1) -> None:
@@ -23,8 +26,12 @@
     def event(self, what: str, **fields) -> None:
         line = {"ms": self.clock.now() / 10, "coordinator": self.name, "event": what} | fields
         data = orjson.dumps(line, default=str) + b"\n"
+        if len(data) > self.LINE:
+            line |= {name: text[:self.TEXT] for name, text in line.items() if isinstance(text, str)}
+            data = orjson.dumps(line, default=str) + b"\n"
         try:
-            os.write(self.out, data)
+            # After a line of which only a part was taken the next one begins anew.
+            self._part = os.write(self.out, b"\n" * self._part + data) < len(data)
         except OSError:                 # nobody reads the log any more, or it is full: go on serving
             self.counts["log_lines_lost"] += 1
 
--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -34,7 +34,7 @@
         self.phase = phase
 
     def failed(self, broken: BaseException) -> None:
-        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}",
+        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}"[:500],
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
--- a/tests/test_crossing_floods.py
+++ b/tests/test_crossing_floods.py
@@ -2,8 +2,10 @@
 import os
 import socket
 
+import orjson
 import pytest
 
+from hours import Hours
 from indigohitch.log import Log
 from indigohitch.net.clock import Clock
 from indigohitch.net.connection import Connection
@@ -173,3 +175,20 @@
     assert [c.reader.zone for c in hall.hub.members] == ["east", "east", "east", "west"]
     assert hall.log.counts["collector_dropped_for_room"] == 1
     hall.close()
+
+
+def test_no_line_of_the_log_grows_with_what_strangers_say():
+    read, write = os.pipe()
+    os.set_blocking(write, False)
+    log = Log(Hours(), "n0", write)
+    log.trouble("line_spoilt", why="x" * (1 << 20), line=b"x" * 80)
+    (line,) = os.read(read, 1 << 20).splitlines()
+    assert len(line) < 4096 and orjson.loads(line)["why"] == "x" * 1000
+    log.event("reloaded", needs_restart=["settings"] * 20_000)      # more than the pipe takes at once
+    os.read(read, 1 << 20)
+    log.event("phase", now="serving")
+    log.event("phase", now="ending")
+    rest, *lines = os.read(read, 1 << 20).splitlines()
+    assert not rest and [orjson.loads(line)["now"] for line in lines] == ["serving", "ending"]
+    os.close(read)
+    os.close(write)
