--- a/tests/test_crossing_readiness.py
+++ b/tests/test_crossing_readiness.py
@@ -173,6 +173,27 @@
     assert [e["now"] for e in program.said("phase")] == ["listening", "ending", "ended"]
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_signals_before_they_can_be_heard_do_not_end_it(platform, number):
+    """A library that it imports first stands still here until the signal has come."""
+    (platform.path / "orjson.py").write_text(f"""
+import sys
+open({str(platform.path / "importing")!r}, "w").close()
+open({str(platform.path / "go_on")!r}).close()
+sys.path.remove({str(platform.path)!r})
+del sys.modules["orjson"]
+import orjson
+""")
+    os.mkfifo(platform.path / "go_on")
+    platform.program = program = Program(platform.path, written(platform).read_text(),
+                                         PYTHONPATH=str(platform.path))
+    eventually((platform.path / "importing").exists)
+    program.process.send_signal(number)
+    eventually(lambda: writer(platform.path / "go_on") or program.process.poll() is not None)
+    eventually(lambda: program.said("phase", now="serving") or program.process.poll() is not None)
+    assert program.process.poll() is None and program.end() == 0
+
+
 def again(platform):
     """The program once more, under the same address."""
     program = platform.start(listen=platform.found["listen"])
