A change of the list heard as an upgrade takes the state is asked for again by the next process

Seen: a list that waits in the gathering (10 ms) when Handover.freeze takes the state is in `version` and `listed`, but the module frozen beside them has not heard it, and Handover.rest hands on sums and marks only (HANDED_ON). The new process then watched from that generation, so a drain heard in those milliseconds was never told to its module. Excluded: what is heard later, as the state's generation is from before it.

Change: Discovery.restore asks for the whole list first; it counts, as it is no older than what is held.

Tests seen to fail without it: tests/test_crossing_lists_program.py:: test_a_change_heard_as_the_state_is_taken_reaches_the_next_process, "never came true" (20 s) for `coordinator.backends["b1"].state == "draining"`; tests/test_crossing_lists_moves.py:: test_what_another_process_held_is_asked_for_whole, "'...?from=45&hold_ms=0' == '/registry/instances'".

--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -66,8 +66,9 @@
         return self.generations.held
 
     def restore(self, version: int) -> None:
-        """As another process held it."""
-        self.generations = Generations(version)
+        """As another process held it.  Its module may not have heard the last of that yet, so all is asked
+        for."""
+        self.generations, self.based = Generations(version), False
 
     def move(self, to: tuple[str, int]) -> bool:
         """Watch at another address.  The watch at the old one goes on until a list has come from there."""
--- a/tests/test_crossing_lists_moves.py
+++ b/tests/test_crossing_lists_moves.py
@@ -148,3 +148,13 @@
     assert room.others[0].quiet()
     room.discovery.subscribe(True)
     assert room.others[0].call().target == room.discovery.PATH
+
+
+def test_what_another_process_held_is_asked_for_whole(room):
+    """Its module may not have heard the last of what its generation stands for."""
+    room.discovery.restore(45)
+    room.discovery.subscribe(True)
+    call = room.registry.call()
+    assert call.target == room.discovery.PATH
+    room.hears(lambda: call.full(45, DRAINS))
+    assert "from=45" in room.registry.call().target
--- a/tests/test_crossing_lists_program.py
+++ b/tests/test_crossing_lists_program.py
@@ -1,9 +1,16 @@
-"""The program, and lists that are older than what it holds."""
+"""The program, and lists that are older than what it holds or meet an upgrade."""
 import json
+import os
 
+from indigohitch.log import Log
+from indigohitch.net.clock import SECOND, Clock
+from indigohitch.net.loop import Loop
+from indigohitch.platformlink.front import Front
+from indigohitch.platformlink.handover import Handover
+from indigohitch.upgrade import snapshot as shots
 from peers import http
-from stage import drain
-from waiting import eventually
+from stage import SETTINGS, drain
+from waiting import eventually, free_address
 
 
 def test_an_older_list_brings_no_drained_backend_back(platform):
@@ -36,3 +43,43 @@
     eventually(lambda: program.said("discovery_began_anew"))
     drain(platform, "b2")
     assert not any({"b1", "b5"} & set(t) for t in platform.tables.values())
+
+
+def test_a_change_heard_as_the_state_is_taken_reaches_the_next_process(platform):
+    """Its generation is in the state, and the module there has not heard it."""
+    defects = []
+    loop = Loop(Clock(), defects.append)
+    log = Log(loop.clock, "n0", os.memfd_create("log"))
+
+    def made(listening=None):
+        return Front(loop, log, {
+            "name": "n0", "listen": free_address(), "discovery": platform.discovery.address, "seed": "8c1f",
+            "known": platform.known, "settings": SETTINGS, "limits": platform.limits,
+            "store": {"address": platform.relay.address}})
+
+    def until(holds, *fronts):
+        end = loop.clock.now() + 20 * SECOND
+        while not holds():
+            assert loop.clock.now() < end, "never came true"
+            loop.after(50, lambda: None)
+            loop.turn()
+            for front in fronts:
+                front.gathering.turn()
+    front = made()
+    until(lambda: front.coordinator.list_fresh, front)
+    platform.change("b1", "DRAINING")
+    until(lambda: front.discovery.version == platform.version)      # the module is not asked meanwhile
+    old, states = Handover(front, made, lambda: None, None, None), []
+    old.freeze(lambda state, broken: states.append(state))
+    assert front.coordinator.backends["b1"].state == "ready"
+    new = Handover(None, made, lambda: None, None, None)
+    new.restore(shots.decode(states[0]), {})
+    new.take_rest(old.rest())
+    new.begin(True)
+    until(lambda: new.front.discovery.watch and new.front.coordinator.backends["b1"].state == "draining",
+          new.front)
+    for each in (front, new.front):
+        each.close()
+    loop.close()
+    os.close(log.out)
+    assert not defects
