What the address left behind goes on telling no longer ends the doubt in the new one's count

Where the new one counts from another start, each answer of the old one ended the doubt, and the new list was not believed as long as the old one told something each second.

Change: Generations.ask is told which address it is for (`left`).

Test seen to fail without it: tests/test_crossing_lists_moves.py:: test_another_count_at_the_new_address_is_believed_though_the_old_one_still_tells (now with answers of the old one after the doubt began), "never came true" for the list of generation 4.

--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -97,7 +97,7 @@
 
     def _ask(self, client: Client, hold: int, whole: bool,
              done: Callable[[Client, Ask, Answer], None]) -> Exchange:
-        ask = self.generations.ask(self.loop.clock.now(), whole)
+        ask = self.generations.ask(self.loop.clock.now(), whole, left=client is not self.client)
         target = self.PATH if whole else f"{self.PATH}?from={ask.base}&hold_ms={hold * 1000 // SECOND}"
         return client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
                               lambda answer: done(client, ask, answer))
--- a/indigohitch/platformlink/generations.py
+++ b/indigohitch/platformlink/generations.py
@@ -58,9 +58,10 @@
         self._asks = self._learnt = 0           # asks sent in all, and before `held` was learnt
         self._count = self._place = 0
 
-    def ask(self, now: int, whole: bool) -> Ask:
+    def ask(self, now: int, whole: bool, left: bool = False) -> Ask:
+        """`left`: it goes to the address that is moved away from."""
         self._asks += 1
-        return Ask(self._asks, None if whole else self.held, now, self._count, self._place)
+        return Ask(self._asks, None if whole else self.held, now, self._count, -1 if left else self._place)
 
     def moved(self) -> None:
         """To another address: what the last one still answers counts, yet says nothing of the new one."""
--- a/tests/test_crossing_lists_moves.py
+++ b/tests/test_crossing_lists_moves.py
@@ -125,6 +125,9 @@
     new.call().full(3, entry("b0"), SERVES)
     new.call().full(3, entry("b0"), SERVES)
     room.hears(lambda: watch.changes(42, DRAINS))
+    for generation in (43, 44):                 # the next ones are sent, and answered, after the doubt began
+        watch = room.registry.call()
+        room.hears(lambda w=watch, n=generation: w.changes(n, DRAINS))
     watch = room.registry.call()
     room.forward(SECOND)
     assert room.state["b1"] == "draining" and not watch.given_up
