--- a/indigohitch/platformlink/generations.py
+++ b/indigohitch/platformlink/generations.py
@@ -92,7 +92,7 @@
         elif news.scope == "full" and ask.sent >= self.doubt.since + self.BELIEF:
             self.doubt = None
             self._count += 1
-            self._learnt, self.held = self._asks, news.version
+            self.held = news.version
             return Verdict.BEGUN_ANEW
         self.doubt.answers += 1
         return Verdict.DOUBTED
