A test: a remembered list of a higher count stands until a new one is believed

What the configuration knows after a restart may be of a count before. The first answer is then older than what is held: nothing is told for a second, then the whole list, also where the second call fails.

--- a/tests/test_crossing_lists.py
+++ b/tests/test_crossing_lists.py
@@ -107,6 +107,29 @@
     assert "from=3" in room.registry.call().target and len(room.told) == told
 
 
+@pytest.mark.parametrize("failing", [False, True])
+def test_a_remembered_list_from_another_count_stands_until_a_new_one_is_believed(failing):
+    """As after a restart: nothing was heard yet, and what the configuration knows is of a higher count."""
+    room = Room(version=99)
+    room.discovery.subscribe(True)
+    first = room.registry.call()
+    assert "from=99" in first.target and "hold_ms=0" in first.target
+    first.full(5, entry("b0"), SERVES)
+    second = room.registry.call()
+    if failing:
+        assert room.hears(second.fail).scope == "failed"
+        room.forward(SECOND)                    # the module's wait
+        room.discovery.subscribe(True)
+    else:
+        second.full(5, entry("b0"), SERVES)
+        room.answered(2)
+        assert not room.told
+        room.forward(SECOND)
+    room.hears(lambda: room.registry.call().full(5, entry("b0"), SERVES))
+    assert room.state == {"b0": "ready", "b1": "ready"} and "from=5" in room.registry.call().target
+    room.close()
+
+
 def test_older_and_older_lists_begin_their_time_anew(room):
     room.begin(45).full(41, SERVES)
     room.registry.call().full(41, SERVES)
