--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -66,8 +66,9 @@
         return self.generations.held
 
     def restore(self, version: int) -> None:
-        """As another process held it."""
-        self.generations = Generations(version)
+        """As another process held it.  Its module may not have heard the last of that yet, so all is asked
+        for."""
+        self.generations, self.based = Generations(version), False
 
     def move(self, to: tuple[str, int]) -> bool:
         """Watch at another address.  The watch at the old one goes on until a list has come from there."""
@@ -96,7 +97,7 @@
 
     def _ask(self, client: Client, hold: int, whole: bool,
              done: Callable[[Client, Ask, Answer], None]) -> Exchange:
-        ask = self.generations.ask(self.loop.clock.now(), whole)
+        ask = self.generations.ask(self.loop.clock.now(), whole, left=client is not self.client)
         target = self.PATH if whole else f"{self.PATH}?from={ask.base}&hold_ms={hold * 1000 // SECOND}"
         return client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
                               lambda answer: done(client, ask, answer))
--- a/tests/test_crossing_lists_moves.py
+++ b/tests/test_crossing_lists_moves.py
@@ -125,6 +125,9 @@
     new.call().full(3, entry("b0"), SERVES)
     new.call().full(3, entry("b0"), SERVES)
     room.hears(lambda: watch.changes(42, DRAINS))
+    for generation in (43, 44):                 # the next ones are sent, and answered, after the doubt began
+        watch = room.registry.call()
+        room.hears(lambda w=watch, n=generation: w.changes(n, DRAINS))
     watch = room.registry.call()
     room.forward(SECOND)
     assert room.state["b1"] == "draining" and not watch.given_up
@@ -148,3 +151,13 @@
     assert room.others[0].quiet()
     room.discovery.subscribe(True)
     assert room.others[0].call().target == room.discovery.PATH
+
+
+def test_what_another_process_held_is_asked_for_whole(room):
+    """Its module may not have heard the last of what its generation stands for."""
+    room.discovery.restore(45)
+    room.discovery.subscribe(True)
+    call = room.registry.call()
+    assert call.target == room.discovery.PATH
+    room.hears(lambda: call.full(45, DRAINS))
+    assert "from=45" in room.registry.call().target
