A server that moves to another address takes the lines with it

pool.py add made another object for a name whose address changed, and the tables kept the old one: after SIGHUP (or an upgrade with another file) every RPC went on to the old address, for as long as the lines stood; an order of weight 0 removed the new object's line, which there was none of, and the state for an upgrade met a server that it had no place for (handover.py pool_row). Now the lines, and a withdrawal that stands, are the new object's; an RPC that is out ends at the old address and its connection is not kept.

--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -40,13 +40,21 @@
     def add(self, told) -> Server:
         server = self.servers.get(told.name)
         if server is None or server.address != told.address:
-            if server is not None:
-                server.drop_idle()
-            server = Server(told.name, told.address, self.host.text.limits["idle-upstream"])
+            left, server = server, Server(told.name, told.address, self.host.text.limits["idle-upstream"])
             self.servers[told.name] = server
+            if left is not None:
+                self.move(left, server)
         server.listed = True
         return server
 
+    def move(self, left: Server, server: Server) -> None:
+        """Orders name a server, wherever it is: what they made of it holds at its new address.  RPCs that are
+        out at the old one come to their end there."""
+        server.withdrawn, left.listed = left.withdrawn, False
+        left.drop_idle()
+        for table in self.tables:
+            table.servers = [server if s is left else s for s in table.servers]
+
     def start(self) -> None:
         """As one that has just joined: all slices are its own, and no line stands.  Nobody is answered
         yet, so this may take its time."""
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -1,5 +1,6 @@
 """An RPC on which two things meet: its answer, its deadline, the end of its connection, another's bytes."""
 import socket
+from dataclasses import replace
 
 import pytest
 
@@ -192,3 +193,29 @@
     server.sendall(OK % (1, b"2"))
     assert seam.said(half).endswith(b"1") and seam.said(slow).endswith(b"2")
     assert "client_too_slow" not in seam.host.log.counts
+
+
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_a_server_that_moves_while_an_rpc_is_out_at_it(seam, withdrawn):
+    """The answer from the old address counts, and every next RPC goes to the new one, as the orders stand."""
+    sock, _, _ = seam.kept()
+    sock.sendall(READ)
+    seam.turn()
+    found = seam.pool.servers["n1"]
+    old, seam.server = seam.server, socket.create_server(("127.0.0.1", 0))
+    server = seam.socks[-1]                         # of the kept connection
+    found.withdrawn = withdrawn
+    seam.pool.relist({"n1": replace(seam.pool.text.servers["n1"], address=seam.server.getsockname())})
+    seam.asked(server)
+    server.sendall(OK % (1, b"1"))
+    assert seam.said(sock).endswith(b"\r\n\r\n1")
+    assert not found.idle and all(found not in table.servers for table in seam.pool.tables)
+    sock.sendall(READ)
+    if withdrawn:
+        assert seam.said(sock).startswith(b"HTTP/1.1 503 ")
+    else:
+        other, _ = seam.asked()
+        other.sendall(OK % (1, b"2"))
+        assert seam.said(sock).endswith(b"\r\n\r\n2")
+    assert not readable(old) and seam.pool.servers["n1"].held == 0
+    old.close()
