--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -114,7 +114,7 @@
             self.client.loop.failed(broken.__context__ or broken)
             self.end("unreadable")
             return
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self.complete:
                 self.end("unreadable")
                 return
@@ -155,7 +155,7 @@
             self.body += part
 
     def on_message_complete(self) -> None:
-        if not self.complete and 100 <= self.status < 200 and self.status != 101:
+        if not self.complete and 100 <= self.status < 200:
             self.status, self.framed = 0, False     # interim: the answer itself is still to come
             return
         self.keep &= not self.complete  # a second answer to one request: no more on that connection
--- a/tests/test_crossing_idle.py
+++ b/tests/test_crossing_idle.py
@@ -108,6 +108,14 @@
     assert wire.answered(2).body == b"2" and len(wire.peers) == 1
 
 
+@pytest.mark.parametrize("upgrade", [b"", b"Connection: upgrade\r\nUpgrade: x\r\n"])
+def test_a_switch_of_protocols_that_nobody_asked_for_is_no_answer(wire, upgrade):
+    """A status below 400 would count as done."""
+    wire.ask()
+    wire.accepted().sendall(b"HTTP/1.1 101 Switching Protocols\r\n%b\r\n" % upgrade)
+    assert wire.answered(1).outcome == "unreadable" and wire.client._resting is None
+
+
 @pytest.mark.parametrize("head", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
 def test_an_end_after_an_interim_answer_is_no_answer(wire, head):
     wire.ask()
