Tests: a server's answer, a deadline and a full table of descriptors as the sidecar ends

Right as it was, under tests now, turn by turn in tests/test_planned_end.py: the answer before and after the end begins, with and without a second request behind it; a deadline due in that turn; a listener that rests for want of descriptors.

--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -160,3 +160,47 @@
     sock, _, _ = seam.kept()
     assert seam.host.finish() and not len(seam.host.clients)
     assert sock.recv(10) == b""
+
+
+@pytest.mark.parametrize("first", ["answer", "end"])
+@pytest.mark.parametrize("behind", [b"", READ])
+def test_a_servers_answer_in_the_turn_of_the_end(seam, first, behind):
+    """Whichever is met first, and with a second request behind: the answer, then an end in order."""
+    sock, client = seam.client(READ + behind)
+    server, _ = seam.asked()
+    at = client.rpc.upstream.stream.sock
+    server.sendall(OK % (1, b"1"))
+    come(at)
+    if first == "end":
+        seam.host.finish()
+    seam.turn()
+    seam.host.finish()
+    if behind and first == "answer":                # it had begun before the end
+        seam.asked(server)
+        server.sendall(OK % (1, b"2"))
+    found = seam.rest(sock)
+    assert found.count(b" 200 OK") == (2 if behind and first == "answer" else 1)
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_a_deadline_due_in_the_turn_of_the_end(seam):
+    sock, _ = seam.client(READ)
+    seam.asked()
+    seam.clock.by += 100_000
+    assert not seam.host.finish()
+    seam.turn()
+    assert seam.rest(sock).startswith(b"HTTP/1.1 504 ")
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_the_end_while_no_descriptor_was_left_to_accept(seam):
+    """The listener rests then, unknown to the selector: the end goes its way."""
+    seam.loop.pause(seam.host.listener.sock)
+    seam.host.listener._paused = seam.loop.after(100_000, seam.host.listener._resume)
+    waits = socket.create_connection(seam.at, 10)
+    seam.socks.append(waits)
+    seam.host.accept_last()
+    seam.host.stop_listening()
+    assert seam.host.finish() and waits.recv(10) == b""
