--- a/Makefile
+++ b/Makefile
@@ -112,3 +112,8 @@
 	test -z "$$missing" || { echo "make sites: missing in $(KIT)/sites:$$missing" >&2; exit 1; }
 	@for f in real.json wire.json unlock.txt; do cp -f "$(KIT)/sites/$$f" "$(SITES_DIR)/$$f" || exit 1; done
 	@echo "laid in $(SITES_DIR): real.json wire.json unlock.txt"
+
+.PHONY: bench-readiness
+
+bench-readiness: build      # from the start of the process to the first hb_ok; QUICK=1: under 20 s
+	$(PY) benchmarks/readiness.py
--- a/tests/test_crossing_readiness.py
+++ b/tests/test_crossing_readiness.py
@@ -12,44 +12,10 @@
 from indigohitch.logic import Coordinator
 from indigohitch.platformlink.front import Front
 from indigohitch.service import Service
-from peers import Peer, http
 from program import Program
 from stage import SETTINGS, drain, heartbeat
 from waiting import eventually, free_address
-
-
-class Blackhole:
-    """A listener whose accept queue is full: who connects is not answered at all."""
-
-    def __init__(self):
-        self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(0)
-        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
-        self.filling = []
-        for _ in range(4):
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(self.sock.getsockname())
-            self.filling.append(sock)
-
-    def close(self):
-        for sock in (self.sock, *self.filling):
-            sock.close()
-
-
-class Away:
-    def __init__(self):
-        self.address, self.close = free_address(), lambda: None
-
-
-def throttling():
-    return Peer(lambda sock, *_: http(sock, "<Response><Error><Code>Throttling</Code></Error></Response>",
-                                      "503 Service Unavailable"))
-
-
-def silent():
-    return Peer(lambda *_: "hang")
+from withholding import KINDS, Away
 
 
 def written(platform):
@@ -63,9 +29,6 @@
     return file
 
 
-KINDS = (Away, throttling, silent, Blackhole)
-
-
 @pytest.mark.parametrize("store,discovery", [*((k, k) for k in KINDS), *((k, None) for k in KINDS),
                                              *((None, k) for k in KINDS)])
 def test_ready_whatever_relay_and_discovery_withhold(platform, store, discovery):
