A backend shut out before is shut out again at its next drain, also as a proxy joins

Seen: `on_joined` puts every backend that was let in again (`returned`) among the `withdrawn` ones, as the proxy may hold what it never heard taken back; all others have heard it. If such a backend drains before the beat that tells the newcomer, `push` (logic/sending.py) took it for shut out everywhere: `b not in c.withdrawn`. Where its lines can't be out within the grace they stayed at it, past the grace. News that begin anew name every proxy as joined, so a break of the news beside a second drain is enough. Now what is also in `returned` may be shut out, and is out of `returned` from then on.

--- a/indigohitch/logic/sending.py
+++ b/indigohitch/logic/sending.py
@@ -76,7 +76,7 @@
     over = (c.now + (c.channel.backlog + need * len(c.proxies)) / c.channel.pace()
             + c.boot.get("transit_most", 0) - c.boot.get("drain_grace", face.SECOND))
     shut = {b: None for s in changed for b in s.stored if b.state in LEAVING
-            and b not in c.withdrawn and over > max(b.told, s.since)}
+            and b not in c.withdrawn - c.returned and over > max(b.told, s.since)}
     lines, left = 0, set()
     for s, change in zip(changed, deltas):
         if lines + len(change) <= room - len(shut):
@@ -87,7 +87,7 @@
             left.update(s.stored)
     shut = [b for b in shut if b in left][:room - lines]
     c.orders += [face.Withdraw(b.id, True) for b in shut]
-    c.withdrawn.update(shut)
+    c.withdrawn, c.returned = c.withdrawn.union(shut), c.returned.difference(shut)
     for s in (trimmed := trimmed[:room - lines - len(shut)]):
         s.level = wanted_level(s)
         c.orders.append(face.SetLevel(s.number, (), s.level, 1))
--- a/tests/test_logic_sending.py
+++ b/tests/test_logic_sending.py
@@ -96,6 +96,27 @@
     assert [o for o in w.step(0, face.ProxyJoined(0, "east", 5.0, False)) if isinstance(o, face.Withdraw)]
 
 
+def test_a_proxy_joins_with_the_second_drain_of_what_was_shut_out_and_let_in():
+    """It may hold what it never heard taken back; all others have heard it, and must hear it anew."""
+    w = World(queue_cap=9000, lines_per_s=6000, drain_grace=2 * SECOND, transit_most=4000, messages_most=0)
+    w.start(60, 300, proxies=90)
+    w.run(10 * SECOND)
+    struck = [f"b{i}" for i in range(24)]
+    w.step(0, changes(*(entry(b, "draining") for b in struck)))
+    for _ in range(20):
+        w.step(SECOND, *w.probes(), *w.acks())
+    w.step(0, changes(*(entry(b, started=w.now) for b in struck)))
+    w.run(160 * SECOND)
+    drains = changes(*(entry(b, "draining") for b in struck))
+    orders = w.step(0, face.ProxyJoined(0, "east", 5.0, False), drains)
+    left = {b for b in struck if any(b in t for t in w.tables.values())}
+    shut = [o.backend for o in orders if isinstance(o, face.Withdraw) and o.out]
+    assert left and left <= set(shut) and len(shut) == len(set(shut))
+    for _ in range(20):                         # World.check: out within the grace
+        orders = w.step(SECOND, *w.probes(), *w.acks())
+        assert not [o for o in orders if isinstance(o, face.Withdraw)]
+
+
 def test_lines_too_many_at_a_cold_backend_do_not_wait_for_a_turn():
     """Found on a hunted day: with the ordinary messages used up a restarted backend kept all its slices."""
     w = World()
