--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -34,11 +34,12 @@
         self.phase = phase
 
     def failed(self, broken: BaseException) -> None:
-        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}",
+        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}"[:500],
                          trace="".join(traceback.format_exception(broken))[-2000:])
 
     def ready(self, readable: bool, writable: bool) -> None:
-        for number in dict.fromkeys(self._wake.recv(256)):      # each once, in the order in which they came
+        # Each once; which of two came first the kernel does not tell: by number, a reload before the end.
+        for number in sorted(set(self._wake.recv(256))):
             self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
