The state's file holds what went after SIGTERM; a new process that can't begin makes room

Seen: - The state was written as the end began (replaceable.py, `handed_over`) and calls to the relay went on until none waited: a restart from it sent them again, over whatever was decided since, and their messages to the proxies were missing in the window. Now it is written again at the end, where that is reached; the first one stands for an end that is cut short. - taking.py, `do_accept`: where `begin` raised, `adopted` and `accepting` had been said and the process lived on, taking over for ever, while the old one ended. Now it begins first, says so then, and ends with code 1 where it can't: the old one is told of nothing, waits for its death and takes all back.

Seen to fail without the change (tests/test_upgrade_signals.py): AssertionError: assert (not [[['SetLevel', 65535, [], 1.0, 1], ['Mark', 1, False]]]) RuntimeError: no

--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -73,8 +73,7 @@
         return {}
 
     def program_now(self) -> list[str]:
-        """The operator's line `program` as it is now; of a file with mistakes, as it was: the new process
-        reads that file too, and says what is wrong with it."""
+        """The line `program` as it is now; of a file with mistakes, which the new one tells, as it was."""
         return self.lines["program"]
 
     def reload(self) -> None: ...
@@ -223,8 +222,7 @@
             return
         self.become(Phase.ENDING)
         self.begin_to_end()
-        if self.lines["state"]:
-            self.state.save(self.side)
+        self.state.save(self.side)              # and again at the end, where that is reached
         self.loop.after(self.waits["drain"], self.end)
         self.wait_for_last()
 
@@ -242,6 +240,8 @@
 
     def end(self) -> None:
         if self.phase is not Phase.ENDED:
+            if self.phase is Phase.ENDING:      # with what was still sent, and counts, since
+                self.state.save(self.side)
             if self.beside is not None:
                 self.beside.close()
             self.close()
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -155,10 +155,15 @@
 
     def do_accept(self) -> None:
         passed, self.passed = self.passed, []
-        self.say(words.Adopted([number for number, _ in passed]))
+        try:
+            self.side.take_rest(self.rest)
+            self.side.begin(True)
+        except Exception as bad:                # dead it makes room for the old one, which has everything yet
+            self.log.event("cannot_start", **told(bad))
+            self.do_end()
+            return
+        self.say(words.Adopted([number for number, _ in passed]))       # before a byte is read of them
         self.say(words.Accepting())
-        self.side.take_rest(self.rest)
-        self.side.begin(True)
         self.adopt(passed)
         self.began()
 
--- a/tests/test_upgrade_signals.py
+++ b/tests/test_upgrade_signals.py
@@ -1,6 +1,7 @@
 """Signals and deaths that meet an upgrade in the phase in which the old process stands by."""
 import os
 import signal
+import socket
 import threading
 from pathlib import Path
 from unittest import mock
@@ -9,7 +10,10 @@
 
 from field import Field
 from indigohitch import control
-from indigohitch.upgrade import giving
+from indigohitch.upgrade import giving, words
+from indigohitch.upgrade import snapshot as shots
+from indigohitch.upgrade.phases import Phase
+from indigohitch.upgrade.taking import Taking
 from stage import Platform
 from waiting import eventually
 
@@ -115,3 +119,42 @@
     assert not given.machine.watched
     stood[1]()
     assert given.machine.watched
+
+
+def test_a_call_that_went_after_sigterm_is_in_the_state_of_the_end(tmp_path):
+    """Seen: the file held it as one that waits, and not among the messages that count."""
+    platform, state = Platform(tmp_path), tmp_path / "state"
+    file = tmp_path / "operator.conf"
+    file.write_text(f"control {tmp_path / 'control'}\nstate {state}\n")
+    try:
+        program = platform.serving(["run", "--operator", str(file)])
+        eventually(platform.agrees)
+        platform.relay_faults += ["Throttling"] * 10 ** 6
+        platform.change("b1", "DRAINING")
+        eventually(lambda: control.ask(str(tmp_path / "control"), "status")["calls_waiting"])
+        program.process.send_signal(signal.SIGTERM)
+        eventually(lambda: program.said("state_written"))
+        first, calls, turned = shots.read(str(state)), len(platform.calls), len(platform.relay_faults)
+        assert first.coordinator.waiting
+        eventually(lambda: len(platform.relay_faults) < turned - 2)     # what was out then was turned away
+        platform.relay_faults.clear()
+        assert program.process.wait(10) == 0
+        assert len(platform.calls) > calls
+        ended = shots.read(str(state)).coordinator
+        assert not ended.waiting and ended.written[-1] > first.taken
+    finally:
+        platform.close()
+
+
+def test_a_new_process_that_can_not_begin_makes_room():
+    """After the word: it says nothing of what was passed, and is dead soon, so the old one has all of it."""
+    side, ended, began = mock.MagicMock(), [], []
+    side.begin.side_effect = RuntimeError("no")
+    pair = socket.socketpair()
+    loop = mock.MagicMock()
+    taking = Taking(loop, mock.MagicMock(), side, pair[0], os.getpid(), lambda: began.append(1), ended.append)
+    taking.machine.phase = Phase.PROVEN
+    taking.heard(words.Commit(b""), [])
+    assert pair[1].recv(100) == b""             # closed without a word
+    pair[1].close()
+    assert ended == [1] and not began and not side.adopt.called
