The upgrade's crossing test tells a list by way of the judge of generations

Both mends of a list that waits in the gathering stay: one hands its content on, the other asks for the whole list (a state file may be old).

--- a/tests/test_crossing_upgrades.py
+++ b/tests/test_crossing_upgrades.py
@@ -84,7 +84,8 @@
     """Told within the gathering's span before the state is taken; the new process knows it as told."""
     entry = bench.found["known"]["instances"][1] | {"lifecycle": "DRAINING"}
     body = json.dumps({"generation": 2, "reset": False, "instances": [entry]}).encode()
-    bench.front.discovery._told(Answer("answered", 200, body))
+    discovery = bench.front.discovery
+    discovery._judged(discovery.generations.ask(0, False), Answer("answered", 200, body))
     bench.news(face.ProxyLeft(1), face.Charge(3, False), face.Charge(9, True), face.StoredLine(9, "b2", 1.0))
     bench.front.holdings._settle()
     if way == "upgrade":
