Descriptors are dealt out within what there are, also below 96 of them

limits.py says that the last quarter holds what must always get through. Of 32 descriptors callers could take 16 and probes 8, of 64 they left 16, and 24 are needed: strangers and probes then took those of the relay, discovery and the probes themselves, and a probe without a descriptor is told to the module as a refused connect of its backend. Now both shares give way where the rest would be under 24. From 96 descriptors on nothing changes.

--- a/indigohitch/platformlink/limits.py
+++ b/indigohitch/platformlink/limits.py
@@ -10,9 +10,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """Half of the descriptors are for callers and a quarter for probes at once; the last quarter holds what
-    must always get through: two connections to the relay and one of its news, twice while it moves, as
-    many to discovery, and the process' own ten."""
+    """Half of the descriptors are for callers and a quarter for probes at once, less where the last quarter
+    does not hold what must always get through."""
     callers: int                # accepted connections
     probes: int                 # probes that are out at once
     calls_pool: int             # bytes that wait on the connections we opened
@@ -20,6 +19,11 @@
 
     # Python with the modules loaded takes 21 MB; a tenth more for the tables, the list and garbage.
     PROGRAM = 24 * MB
+    # Two connections to the relay and one of its news, twice while it moves, as many to discovery, the ten of
+    # the process itself, one accepted for which another gives way, and a file that is read again.
+    OWN = 24
+    # With fewer than that it can't serve; what is missing then is met at each call.
+    LEAST_CALLERS, LEAST_PROBES = 4, 2
     # A single ring at its bound, so that one message of the longest kind always fits.
     LEAST_POOL = 2 * MB
 
@@ -32,4 +36,7 @@
         spare = int(told["memory_mb"]) * MB - cls.PROGRAM
         # A quarter each: a ring that grows holds its old block a moment longer, and the rest is not ours.
         share = max(cls.LEAST_POOL, spare // 4)
-        return cls(max(16, sockets // 2), max(8, sockets // 4), min(16 * MB, share), min(32 * MB, share))
+        rest = sockets - cls.OWN
+        callers = max(cls.LEAST_CALLERS, min(sockets // 2, rest * 2 // 3))
+        probes = max(cls.LEAST_PROBES, min(sockets // 4, rest // 3))
+        return cls(callers, probes, min(16 * MB, share), min(32 * MB, share))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,9 +1,11 @@
 """The program spoken to over sockets: collectors and strangers."""
+import resource
 import threading
 import time
 
 import pytest
 
+from indigohitch.platformlink.limits import Limits
 from stage import Platform, drain, heartbeat, none_lost
 from waiting import eventually
 
@@ -188,3 +190,29 @@
         for sock in callers:
             sock.close()
         platform.close()
+
+
+@pytest.mark.parametrize("sockets,callers,probes", [(32, 5, 2), (64, 26, 13), (96, 48, 24), (1024, 512, 256)])
+def test_descriptors_are_dealt_out_within_what_there_are(sockets, callers, probes):
+    found = Limits.of({"sockets": sockets, "memory_mb": 192})
+    assert (found.callers, found.probes) == (callers, probes) and callers + probes + 24 <= sockets
+
+
+def test_strangers_and_probes_leave_the_last_descriptors_to_our_own_calls(tmp_path):
+    platform = Platform(tmp_path, backends=16, sockets=32)
+    program = platform.serving()
+    resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (32, 32))
+    strangers = [platform.call() for _ in range(40)]
+    eventually(lambda: program.counters().get("accepted") == 40)
+    probed = [f"b{n}" for n in range(4, 16)]
+    platform.behaviour |= dict.fromkeys(probed, "silent")
+    for backend in probed:
+        platform.change(backend, "SERVING", started=int(time.time() * 1000))
+    eventually(lambda: {b for b, _ in platform.probed} >= set(probed))
+    platform.change("b1", "DRAINING")           # slices are split by then: more lines than `drain` waits for
+    eventually(lambda: not any("b1" in table for table in platform.tables.values()))
+    counters = program.counters()
+    assert not {"accept_failed", "probes_connect_failed", "discovery_failed"} & counters.keys(), counters
+    for sock in strangers:
+        sock.close()
+    platform.close()
