--- a/tests/test_crossing_lists_program.py
+++ b/tests/test_crossing_lists_program.py
@@ -71,7 +71,7 @@
     until(lambda: front.discovery.version == platform.version)      # the module is not asked meanwhile
     old, states = Handover(front, made, lambda: None, None, None), []
     old.freeze(lambda state, broken: states.append(state))
-    assert front.coordinator.backends["b1"].state == "draining"     # it hears what waits for it, at the latest now
+    assert front.coordinator.backends["b1"].state == "draining"     # it hears what waits, at the latest now
     new = Handover(None, made, lambda: None, None, None)
     new.restore(shots.decode(states[0]), {})
     new.take_rest(old.rest())
