Test: no counter is made of what a caller says

Counters and kinds of trouble are the bound of the log (20 lines a second each), and of its last line. Judged right as it is; a kind counted before it is read would make one each.

Seen to fail with the two lines of Caller.line exchanged: 'lines_kind0' among 40 more.

--- a/tests/test_crossing_floods.py
+++ b/tests/test_crossing_floods.py
@@ -226,6 +226,13 @@
     assert hall.log.counts["accept_failed"] == 2 and hall.hub.listener.sock.fileno() < 0
 
 
+def test_no_counter_is_made_of_what_is_said(hall):
+    hall.call(b"telemetry site=east\r\n" + b"".join(b"kind%d a=1\r\n" % n + REPORT for n in range(40)))
+    while len(hall.heard) < 40:
+        hall.loop.turn()
+    assert sorted(hall.log.counts) == ["accepted", "collector", "line_spoilt", "lines_range_stats"]
+
+
 def test_collectors_that_fill_all_places_leave_one_for_each_zone():
     hall = Hall(callers=4)
     for _ in range(4):
