A coordinator with an operator's file also decides on what was told before its end

Coordinating.all_done asked for the relay alone: without a line `state` (whose writing hands over what was gathered) a drain told within 10 ms before SIGTERM went with the process, as it did in Service. Now it ends once what was gathered by then is handed over, and the relay is done; `wait drain` bounds both, as before.

The test of Service's drain runs for both programs, and begins with another drain: by then the module knows its slices and a watch is out. A first form without that passed for Service only, as the operator's program is `serving` at once.

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -11,7 +11,7 @@
 from .errors import told
 from .platformlink.front import Front
 from .platformlink.handover import Handover
-from .replaceable import Replaceable
+from .replaceable import Phase, Replaceable
 from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
 from .upgrade.side import Side
@@ -20,6 +20,7 @@
 class Coordinating(Replaceable):
     def __init__(self, environ: MutableMapping[str, str], text: Text, follows: bool) -> None:
         self.environ, self.source, self.fleet, self.follows = environ, text.source, text.fleet, follows
+        self.decided = False            # while it ends: on all that was told before
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
     def make_side(self) -> Side:
@@ -39,7 +40,9 @@
 
     def turn(self) -> None:
         if self.side.front is not None:
-            self.side.front.gathering.turn()
+            gathering = self.side.front.gathering
+            gathering.turn()
+            self.decided = self.phase is Phase.ENDING and (self.decided or not gathering.events)
 
     def without_state(self) -> None:
         if self.side.front is not None:
@@ -70,7 +73,7 @@
                 self.log.trouble("reload_failed", **told(bad))
 
     def all_done(self) -> bool:
-        return self.side.front.relay.idle
+        return self.decided and self.side.front.relay.idle
 
     def close(self) -> None:
         if self.side.front is not None:
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -13,7 +13,7 @@
 from indigohitch.process import Process
 from indigohitch.service import Phase, Service
 from program import Program, stopped
-from stage import Platform, heartbeat, none_lost
+from stage import Platform, drain, heartbeat, none_lost
 from waiting import eventually
 
 REPORT = b"range_stats range=3 lane=search count=40 fail=1 over=1000.0\r\n"
@@ -103,10 +103,13 @@
     return not any(b in table for table in platform.tables.values() for b in backends)
 
 
-def test_a_drain_told_right_before_the_signal_is_ordered(gated):
-    """It waited among what is gathered, and went with the process."""
-    program = gated.serving()
-    eventually(lambda: gated.told == gated.version)
+@pytest.mark.parametrize("lines", [None, "wait drain 400ms\n"])
+def test_a_drain_told_right_before_the_signal_is_ordered(gated, lines):
+    """It waited among what is gathered, and went with the process; `lines`: of an operator's file."""
+    operator = gated.path / "operator.conf"
+    operator.write_text(lines or "")
+    program = gated.serving(["run", "--operator", str(operator)] if lines else ())
+    drain(gated, "b0")                          # it has a module that knows its slices, and watches
     with stopped(program, signal.SIGTERM):
         gated.change("b1", "DRAINING")
         eventually(lambda: gated.told == gated.version)
