Instances with settings far apart, interleaved in one process, act as each alone to the byte

Looked through: every name at module or class level of indigohitch/, every mutable default, cache and `global` (by a scan of the sources). Found: tables of constants, `msgspec` and dataclass defaults that are copied, and two caches of fleet/batches/contract.py, keyed by the name of a time zone and by country and year, which hold no setting. Nothing there keeps what came with a configuration, a list or a class' name, so no code is changed. `loop.pool` is of a loop, and a loop has one front.

--- /dev/null
+++ b/tests/test_crossing_wire.py
@@ -0,0 +1,210 @@
+"""Several instances on one wire, with settings far apart: the lines of each are those that it writes alone,
+however their batches and messages come one between the other."""
+import hashlib
+import random
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+import apart
+from apart import ALL, short, shuffled, splits
+from indigohitch import interface as face
+from indigohitch.benchlink import codec
+from indigohitch.benchlink.host import Host
+from indigohitch.bootstrap import _LOAD
+
+STATE, SCOPE, OUTCOME = ({ours: wire for wire, ours in table.items()}
+                         for table in (codec._STATE, codec._SCOPE, codec._OUTCOME))
+
+
+@pytest.fixture
+def days(monkeypatch):
+    return [apart.day(place, monkeypatch) for place in range(len(ALL))]
+
+
+@pytest.fixture(autouse=True)
+def nothing_is_kept_at_module_or_class_level():
+    before = apart.kept()
+    assert len(before) > 10 and "indigohitch.benchlink.codec._STATE" in before
+    yield
+    assert apart.kept() == before
+
+
+def row(place, load):
+    """A load report as this instance's columns have it."""
+    values = [load.get(_LOAD.get(column)) for column in ALL[place]["report"]["columns"]]
+    return [value / 10 if value is not None and _LOAD.get(column) == "service_time" else value
+            for column, value in zip(ALL[place]["report"]["columns"], values)]
+
+
+def words(place, event):
+    """An event as the bench says it: one message, or a list and what names it, which come together."""
+    match event:
+        case face.BackendList("failed"):
+            return [{"type": "Endpoints", "kind": "refused"}]
+        case face.BackendList(scope, version, entries):
+            members = [{"backend": e.backend, "condition": STATE[e.state], "share": e.weight,
+                        "campus": e.zone, "block": e.cell, "model": e.kind, "launched": e.started / 10}
+                       for e in entries]
+            return [{"type": "List", "buffer": 0, "members": members},
+                    {"type": "Endpoints", "kind": SCOPE[scope], "number": version, "buffer": 0}]
+        case face.Probed(backend, outcome, duration, load):
+            said = {"type": "ProbeResult", "backend": backend, "state-code": OUTCOME[outcome],
+                    "duration": duration / 10, "health-info": row(place, load)}
+        case face.SliceDemand(number, method, total, errors, elapsed):
+            said = {"type": "Heat", "table": number, "tier-class": method, "total": total, "errors": errors,
+                    "elapsed": elapsed / 10}
+        case face.Traffic(zone, backend, tries, failures, duration, elapsed, load):
+            said = {"type": "TrafficReport", "backend": backend, "campus": zone, "total": tries,
+                    "errors": failures, "duration": duration / 10, "elapsed": elapsed / 10,
+                    "health-info": row(place, load)}
+        case face.ProxyJoined(proxy, zone, rate, fresh):
+            said = {"type": "Connected", "edge": proxy, "campus": zone, "share": rate, "active": fresh}
+        case face.ProxyLeft(proxy):
+            said = {"type": "LostStream", "edge": proxy}
+        case face.Acked(proxy, mark, duration):
+            said = {"type": "Installed", "edge": proxy, "number": mark, "duration": duration / 10}
+        case face.Charge(number, held):
+            said = {"type": "AssignedToMe", "table": number, "active": held}
+        case face.StoredLine(number, backend, weight):
+            said = {"type": "StoredLine", "table": number, "backend": backend, "share": weight}
+        case face.TimerDue(tag):
+            said = {"type": "TickDue", "tag": tag}
+    return [said]
+
+
+def batches(place, day, number=None):
+    """(now, messages), the first of which configures; what comes together stays together."""
+    number = place if number is None else number
+    born = [{"type": "Configure", "rng-seed": 7 + place, "params": ALL[place]}]
+    told = [[*([born] if not n else []), *(words(place, e) for e in events)]
+            for n, (_, events) in enumerate(day)]
+    lines = [[[codec.decode(msgspec.json.encode(said | {"coordinator": number})) for said in together]
+              for together in batch] for batch in told]
+    return [(now, batch) for (now, _), batch in zip(day, lines)]
+
+
+def flat(batch):
+    return [message for together in batch for message in together]
+
+
+class Watched(Host):
+    """Keeps what each instance heard too: a load report read by another's columns may change no order."""
+    def __init__(self):
+        super().__init__()
+        self.heard = {}
+
+    def _run(self, now, waiting, number):
+        self.heard[number] = [repr(event) for event in waiting.get(number) or ()]
+        super()._run(now, waiting, number)
+
+
+def said(host):
+    """By instance, what it heard and the lines that it wrote, since the last time."""
+    found, host.heard = host.heard, {}
+    for line in host.out:
+        assert b"GiveIn" not in line, line
+        found[msgspec.json.decode(line)["coordinator"]].append(line)
+    host.out.clear()
+    return found
+
+
+def alone(batches, number):
+    host, out = Watched(), []
+    for now, batch in batches:
+        host.batch(now, flat(batch))
+        out.append(said(host).get(number, []))
+    return out
+
+
+def interleaved(host, days, split):
+    at, out = [0] * len(days), [[] for _ in days]
+    for place in split:
+        now, batch = days[place][at[place]]
+        host.batch(now, flat(batch))
+        found = said(host)
+        assert found.keys() <= {place}
+        out[place].append(found.get(place, []))
+        at[place] += 1
+    return out
+
+
+def test_three_under_every_split_of_a_short_day(monkeypatch):
+    days = [batches(place, short(apart.day(place, monkeypatch, 5), 3 - place // 2)) for place in range(3)]
+    wanted, tried = [alone(day, place) for place, day in enumerate(days)], 0
+    assert all(len(set(map(tuple, orders))) == len(orders) for orders in wanted)
+    for split in splits(3, 3, 2):
+        assert interleaved(Watched(), days, split) == wanted, split
+        tried += 1
+    assert tried == 560
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_three_under_drawn_splits_of_a_long_day(days, seed):
+    days = [batches(place, day) for place, day in enumerate(days)]
+    wanted = [alone(day, place) for place, day in enumerate(days)]
+    assert all(len(set(map(tuple, orders))) > 40 for orders in wanted)
+    assert interleaved(Watched(), days, shuffled(random.Random(seed), *map(len, days))) == wanted
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_messages_of_three_in_each_batch(days, seed):
+    """All three in one batch, message between message, each list under the same number."""
+    days = [batches(place, [(now, events) for (now, _), (_, events) in zip(days[0], day)])
+            for place, day in enumerate(days)]
+    count = min(map(len, days))
+    wanted = [alone(day[:count], place) for place, day in enumerate(days)]
+    host, rng, out = Watched(), random.Random(seed), [[] for _ in days]
+    for n in range(count):
+        left, mixed = [list(day[n][1]) for day in days], []
+        for place in shuffled(rng, *map(len, left)):
+            mixed += left[place].pop(0)
+        host.batch(days[0][n][0], mixed)
+        found = said(host)
+        for place in range(3):
+            out[place].append(found.get(place, []))
+    assert out == wanted
+
+
+def test_one_that_comes_back_with_other_settings_is_a_new_one(days):
+    """Under the number of one that was switched off, in the batch of its end or later."""
+    host, other = Watched(), alone(batches(2, days[2], 0), 0)
+    off = [codec.decode(b'{"type":"PowerOff","coordinator":0}')]
+    for together in (False, True):
+        for now, batch in batches(1, days[1], 0)[:40]:
+            host.batch(now, flat(batch))
+        said(host)
+        if not together:
+            host.batch(now, off)
+            assert not said(host) and not host.instances
+        out = []
+        for n, (now, batch) in enumerate(batches(2, days[2], 0)):
+            host.batch(now, [*(off if together and n == 0 else ()), *flat(batch)])
+            out.append(said(host).get(0, []))
+        assert out == other
+
+
+OWN_PROCESS = """
+import sys; sys.path[:0] = ["tests", "."]
+import hashlib, pytest, apart, test_crossing_wire as wire
+day = apart.day({0}, pytest.MonkeyPatch())
+print(hashlib.blake2b(b"".join(apart.alone({0}, day))).hexdigest())
+print(hashlib.blake2b(repr(wire.alone(wire.batches({0}, day), {0})).encode()).hexdigest())
+"""
+
+
+def test_each_as_in_a_process_of_its_own(days):
+    """What the first one leaves in the process would be in all that is tried here, also of one alone."""
+    wanted = [subprocess.run([sys.executable, "-c", OWN_PROCESS.format(place)], capture_output=True,
+                             check=True, text=True, cwd=Path(__file__).parents[1]).stdout.split() for place in range(3)]
+    split = shuffled(random.Random(9), *map(len, days))
+    ones, at, ordered = [apart.instance(place) for place in range(3)], [0] * 3, [b""] * 3
+    for place in split:
+        ordered[place] += apart.letters(ones[place].handle(*days[place][at[place]]))
+        at[place] += 1
+    lines = interleaved(Watched(), [batches(place, day) for place, day in enumerate(days)], split)
+    assert wanted == [[hashlib.blake2b(one).hexdigest(), hashlib.blake2b(repr(other).encode()).hexdigest()]
+                      for one, other in zip(ordered, lines)]
