--- a/tests/test_crossing_wire.py
+++ b/tests/test_crossing_wire.py
@@ -198,8 +198,10 @@
 
 def test_each_as_in_a_process_of_its_own(days):
     """What the first one leaves in the process would be in all that is tried here, also of one alone."""
-    wanted = [subprocess.run([sys.executable, "-c", OWN_PROCESS.format(place)], capture_output=True,
-                             check=True, text=True, cwd=Path(__file__).parents[1]).stdout.split() for place in range(3)]
+    def own(place):
+        return subprocess.run([sys.executable, "-c", OWN_PROCESS.format(place)], capture_output=True,
+                              check=True, text=True, cwd=Path(__file__).parents[1]).stdout.split()
+    wanted = [own(place) for place in range(3)]
     split = shuffled(random.Random(9), *map(len, days))
     ones, at, ordered = [apart.instance(place) for place in range(3)], [0] * 3, [b""] * 3
     for place in split:
