A slice with one owner is closed to writes before it goes to another

Excluded: repeats (tries after proof only), the front. At fault: logic/sending.py delta, which sent new owner and old line in one message: proxies take it up to half a second apart, so writes of one slice were at two backends. family-info.exclusive was read and used nowhere.

--- a/indigohitch/logic/__init__.py
+++ b/indigohitch/logic/__init__.py
@@ -1,9 +1,7 @@
 """The decision module: which backend answers for which slice, and what the proxies are told of it.
 
-A front makes one `Coordinator(seed, bootstrap)` an instance and calls `handle(now, events)` once a batch; it
-returns the orders of that moment, in their order.  Events, orders and units are those of interface.py,
-`bootstrap` is a plain map of the start settings.  Why: docs/design.md.
-"""
+A front makes one `Coordinator(seed, bootstrap)` an instance; `handle(now, events)`, once a batch, returns the
+orders of that moment.  Terms: interface.py; `bootstrap`: the start settings; why: docs/design.md."""
 from heapq import heappop
 
 from ..interface import SECOND, Acked, Event, Order
--- a/indigohitch/logic/channel.py
+++ b/indigohitch/logic/channel.py
@@ -14,8 +14,7 @@
         return self.boot.get("lines_per_s", 10000) / 2 / SECOND
 
     def room(self, now: int, proxies: int, urgent: bool, need: int, troubled: bool) -> int:
-        """How many lines a message to every proxy may hold now, with a reserve for what can't wait.  What
-        does not fit goes in pieces, each at least half of what an empty channel takes."""
+        """How many lines a message to all may hold now; pieces take half of an empty channel at least."""
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
         # A channel may run at a fifth of its pace: what counts is answered marks, else an eighth of it.
         left = self.backlog - (now - self.backlog_at) * self.pace() / 4
@@ -24,8 +23,7 @@
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
         while self.sent and self.sent[0] <= now - 1.1 * over:
             self.sent.popleft()
-        # Half of the messages for what is not urgent, evenly spaced, three quarters while many tries fail, as
-        # what waits then is relief; the others too once these are used.
+        # Half of the messages, evenly spaced, for what is not urgent; three quarters while many tries fail.
         half, used = (most * 3 // 4 if troubled else most // 2), len(self.sent)
         if most and used and (used >= (most if urgent else half) or (used >= half or not urgent)
                               and now - self.sent[-1] < over / (most if urgent else half)):
--- a/indigohitch/logic/hearing.py
+++ b/indigohitch/logic/hearing.py
@@ -8,8 +8,7 @@
 
 def on_list(c: State, news: face.BackendList) -> None:
     if news.scope == "failed":
-        # A broken subscription must not leave us deaf: ask again, spread so that all do not ask at once,
-        # less often while it goes on, two to four seconds at most: an older list costs more than a call.
+        # Ask again, apart from the others and less often while it goes on, after four seconds at most.
         c.calls_failed += 1
         span = face.SECOND // 4 * 2 ** min(c.calls_failed, 3)
         heappush(c.due, (c.now + span + int(span * c.uniform()), "subscribe"))
@@ -19,8 +18,7 @@
     named = {c.backend(entry.backend): entry for entry in news.entries}
     for b, entry in named.items():
         if entry.started > b.started and b.state != "unheard":
-            # The same id with a later start: what we knew of the old process is void.
-            b.forget()
+            b.forget()                          # a later start: what we knew of the old process is void
             b.told, b.state = c.now, "unheard"
         turn_to(c, b, entry.state)
         b.weight, b.started = max(entry.weight, 1e-3), max(b.started, entry.started)
@@ -32,8 +30,8 @@
 
 
 def turn_to(c: State, b: Backend, state: str) -> None:
-    """Lists may be old or cut short.  Where a drop from the list does not bind, one that answers stays
-    until it misses a probe; one back without a new start gets nothing before it answers one."""
+    """Where a drop from the list does not bind, one that answers stays until it misses a probe; one that is
+    back without a new start gets nothing before it answers one."""
     b.dropped = (state == "gone" and b.state == "ready" and not b.misses and not b.unanswered
                  and bool(c.boot.get("dropped_stay_open") and c.boot.get("may_probe")))
     if b.dropped:
@@ -58,8 +56,7 @@
 def on_demand(c: State, sums: face.SliceDemand) -> None:
     s, method = c.slices.get(sums.slice), c.methods.get(sums.method)
     if s is not None and method is not None:
-        # What an RPC costs is told nowhere; the soft deadline grows with the work of a method.
-        for lately in (s.demand, s.usual):
+        for lately in (s.demand, s.usual):      # costs are told nowhere; the soft deadline grows with them
             lately.add(c.now, sums.total * method.soft_deadline / face.SECOND, sums.total)
 
 
@@ -82,12 +79,14 @@
 
 def on_joined(c: State, joined: face.ProxyJoined) -> None:
     c.proxies[joined.proxy] = joined.zone
+    c.left[joined.proxy] = c.now - c.boot.get("keeps_writing", 0)      # it has read the store
     c.levels_sent.discard(joined.proxy)
     c.withdrawn |= c.returned                 # it may hold what it never heard taken back
 
 
 def on_left(c: State, left: face.ProxyLeft) -> None:
     c.proxies.pop(left.proxy, None)
+    c.left[left.proxy] = c.now
     c.channel.answered(left.proxy, next(reversed(c.channel.unacked), None))     # nothing waits for it now
 
 
--- a/indigohitch/logic/judging.py
+++ b/indigohitch/logic/judging.py
@@ -7,14 +7,12 @@
 
 
 def judge(c: State, b: Backend, met: Traffic) -> None:
-    """Where levels are honoured: let in less for a backend whose queue takes over a quarter of the
-    shortest soft deadline, once a quarter of all have such (else a move cures it).  It would be late."""
+    """Let in less where the queue takes over a quarter of the shortest soft deadline at a quarter of all."""
     if (c.boot.get("admission") != "share" or "queued" not in met.load
             or c.now - b.judged < c.boot["report_every"]):
         return
-    # By Little's law, queue over rate is the wait.  A half, and steeper cuts, did no better.
     n, failed = b.tries.read(c.now)
-    # The queue is that of all coordinators' RPCs, the rate one's own: the others' are like it.
+    # Little's law: queue over rate.  The queue is that of all coordinators' RPCs, the rate one's own.
     wait = (met.load["queued"] * b.tries.span / max(n - failed, 1.0) * b.share
             / (c.many * min(m.soft_deadline for m in c.methods.values())))
     b.judged, b.wait = c.now, wait
@@ -29,13 +27,11 @@
     over, over_usual = (d.span / SECOND * (1 - math.exp(min(s.since - now, -least) / d.span))
                         for d in (s.demand, s.usual))
     s.cost = cost / rpcs if rpcs > 1 else s.cost
-    # Lately counts as far as it is more than chance against the usual (shrunk by the variance):
-    # moves made on chance empty caches, and among many backends one always looks the busiest.
+    # Lately counts as far as it is more than chance against the usual (shrunk by the variance).
     due = many * over / over_usual
     sure = (rpcs - due) ** 2 / ((rpcs - due) ** 2 + 4 * due + 1)
     rate = sure * cost / over + (1 - sure) * usual / over_usual
-    # Half an RPC's worth keeps a slice that nobody asked for yet from weighing nothing.
-    s.load = rate + 0.5 * s.cost / over
+    s.load = rate + 0.5 * s.cost / over         # half an RPC: no slice weighs nothing
 
 
 def assess(c: State) -> None:
@@ -46,8 +42,7 @@
     opened = c.opened()
     tries = sum(b.tries.read(now)[0] for b in opened)
     c.failing = sum(b.tries.values[1] for b in opened) / (tries or 1)
-    # Answered cost a second for a unit of listed weight, by the warm, fading over a minute: all that is
-    # known of strength in absolute terms, and what was shown does not go with a bad hour.
+    # Answered cost a second for a unit of listed weight, by the warm; it fades over a minute.
     warm = [b for b in opened if b.warmth >= 1]
     answered = sum(b.tries.values[0] - b.tries.values[1] for b in warm) * SECOND / Backend.FAIL_SPAN
     c.yield_ = max(answered * mean_cost(c.slices.values()) / (sum(b.weight for b in warm) or 1.0),
@@ -57,10 +52,8 @@
         spent, cost = b.pace.read(now)
         if cost > 2:
             paces.setdefault(b.kind, []).append(spent / cost)
-    # The faster quarter of a kind says what its machines can do; the slower ones may be overfull.
-    usual_pace = {kind: sorted(found)[len(found) // 4] for kind, found in paces.items()}
+    usual_pace = {kind: sorted(found)[len(found) // 4] for kind, found in paces.items()}  # slow: full
     fastest = min(usual_pace.values(), default=0.0)
-    # An overload shows at many at once.  A third for 45 hundredths took a quiet day's start for one.
     bad = sum(b.excess > 1.6 or b.tries.values[1] > 0.1 * b.tries.values[0] + 1 for b in opened)
     was, c.strained = c.strained, bad > (0.2 if c.strained else 0.45) * len(opened)
     if was != c.strained:
@@ -75,12 +68,10 @@
             b.excess = max((spent + 2 * like) / ((cost + 2) * like), 0.8)
             b.slowness = min(b.excess, 1.5 if c.strained else 4.0) * like / fastest
         n, failed = b.tries.values
-        # Failures beyond what the others show: when all look bad, it is no backend's fault.  With its own
-        # among them one dead of two could not be told from two ill ones.
+        # Failures beyond what the others show: when all look bad, it is no backend's fault.
         others = max(0.0, c.failing * tries - failed) / max(tries - n, 1)
         excess = max(0.0, failed - 2 * others * n) / (n + 3)
-        # Unanswered probes in a row, over more than the pauses that pass by themselves (0.7 s); they may
-        # wait in a full queue or on a slow link, so the sums must tell of tries and no answers too.
+        # Unanswered probes in a row, beyond the pauses that pass (0.7 s), and tries without an answer.
         quiet = b.unanswered and now - b.ok_heard > c.boot["report_every"] + SECOND
         was, b.lost = b.lost, bool(b.misses > 1 and now - b.miss_since > 0.7 * SECOND and quiet
                                    and missing.total() * 2 < len(opened))
@@ -89,15 +80,11 @@
         target = max(0.02, (1 - excess) * (0.02 if b.lost else 1.0))
         # Fades at once, returns over half a minute: what fails with work gets it back too soon over ten.
         b.health = min(target, b.health + (now - c.assessed) / (30 * SECOND))
-        # The slowest growth the settings allow, and a third less: caches of a started process are empty.
         age = (now - b.started) / c.boot["warm_within"] if b.started else 1.0
-        b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - c.boot["cold_from"]) * (1 - age))
-        # Of several coordinators one, by its id, deals with a cold backend for all: a part each of
-        # its cold room would be less than any slice asks for.
+        b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - c.boot["cold_from"]) * (1 - age))   # caches empty
+        # Of several coordinators one, by its id, fills a cold backend for all.
         b.share = 1.0 if age >= 1 else c.many if int.from_bytes(b.key, "big") % c.many == c.own else 0.01
         b.capacity = b.weight * b.health * b.warmth * b.share / b.slowness
-        # As many failures as answers beyond what all show; twice as slow as its like; probes missed,
-        # unless by most of its zone: that is the way there.
         b.doubtful = b.lost or not c.strained and (
             b.health < 0.5 or b.excess > 2 or b.misses > 1 and missing[b.zone] * 2 < usable[b.zone])
     c.assessed = now
--- a/indigohitch/logic/planning.py
+++ b/indigohitch/logic/planning.py
@@ -5,8 +5,7 @@
 
 def allowance(c: State, b: Backend) -> float:
     """What a cold backend may be brought: its part of what the warm have been seen to answer."""
-    # Half of the multiple that fells it, on top of the third that warmth holds back: with empty caches
-    # an RPC costs twice its work, and demand may jump.  A third while many tries fail and come again.
+    # Half of the multiple that fells it, as empty caches double the work; a third while many tries fail.
     part = 0.35 if c.troubled() else 0.5
     return c.yield_ * b.weight * b.warmth * b.share * c.boot.get("fall_multiple", 2.0) * part
 
@@ -26,7 +25,7 @@
     mean = mean_use(c, opened)
     fit = [b for b in choice if not b.doubtful and may_take(c, b, load, mean)]
     room = [(b, free) for b in fit if (free := 1.25 * mean * b.capacity - b.load) >= load]
-    # Room under the band, else what is fit, else what is warm; never a cold one past its cap: it waits.
+    # Room under the band, else what is fit, else what is warm; never a cold one past its cap.
     if choice := room or [(b, b.capacity) for b in fit or [b for b in choice if b.warmth >= 1]]:
         move(c, part, max(choice, key=lambda pair: (pair[0].rank(s.number, pair[1]), pair[0].id))[0])
         part.rests_until = part.rests_until if room else c.now      # where there is none it may go on at once
@@ -70,16 +69,14 @@
         return
     for b in opened:
         b.intake = 0
-    split(c, opened, mean)
-    # A new or returned backend that nobody is full enough to give to: membership triggers too (PAPER).
+    if not c.boot.get("exclusive"):             # there a slice has one line
+        split(c, opened, mean)
     uses = [b.use() / mean for b in opened]
-    c.balancing |= max(uses) > 1.25 or min(uses) < 1 / 1.25
-    # A thirtieth of the slices in charge (more did worse: each leaves a warm cache), and one for each new
-    # backend still empty, shared by the coordinators.
+    c.balancing |= max(uses) > 1.25 or min(uses) < 1 / 1.25     # membership triggers too (PAPER)
+    # A thirtieth of the slices in charge (more did worse), and one for each new backend still empty.
     idle = sum(not b.parts and b.warmth < 1 for b in opened)
     for _ in range(max(2, len(c.slices) // 30 + idle // c.many)):
         by_use = sorted(opened, key=Backend.use)
-        # The busiest first; one with nothing that gains (all resting, or too hot) is passed over.
         best = next(filter(None, (best_move(c, b, by_use, mean) for b in reversed(by_use)
                                   if b.use() > 1.10 * mean)), None)
         c.balancing &= best is not None and (
@@ -90,10 +87,8 @@
 
 
 def split(c: State, opened: list[Backend], mean: float) -> None:
-    """The exception for a slice that carries its fire along: one that outweighs four fifths of a whole
-    backend's target is dealt out in parts for as long as it does, and taken together well below that."""
-    # Ours is one of several targets there; what so many do apart from each other adds up by the root.
-    target = mean * sum(b.capacity for b in opened) / len(opened) * c.many ** 0.5
+    """A slice that outweighs four fifths of a whole backend's target is dealt out in parts meanwhile."""
+    target = mean * sum(b.capacity for b in opened) / len(opened) * c.many ** 0.5   # by the root: fleet.md
     for s in c.slices.values():
         parts = len(s.parts)
         if s.load > 0.8 * target * parts and parts < min(4, len(opened)):
@@ -113,8 +108,7 @@
 
 
 def best_move(c: State, source: Backend, by_use: list[Backend], mean: float) -> tuple[Part, Backend] | None:
-    # Each move empties a cache: the two have to lie apart by a quarter of what a backend gets from all
-    # coordinators, beyond the move itself.  Any gain will do while many tries fail.
+    # The two have to lie apart by a quarter of what a backend gets from all.  Any gain while many tries fail.
     apart = 0.0 if c.troubled() else 0.25 * c.many * mean * source.weight
     best, most = None, 0.0
     for part in sorted(source.parts, key=lambda p: p.slice.number):
--- a/indigohitch/logic/sending.py
+++ b/indigohitch/logic/sending.py
@@ -1,5 +1,6 @@
 """What is wanted against what is out: the difference as orders, in the channel's room."""
 from .. import interface as face
+from .exclusive import in_steps
 from .state import LEAVING, Backend, Slice, State
 
 
@@ -12,8 +13,9 @@
 
 
 def pressed(s: Slice) -> int | None:
-    """Since when there is no line, or one at a backend that drains or is gone, however small, or one too
-    many at a cold one.  By what is out: a planned move that waits its turn must not hide a drain."""
+    """Since when it is closed, has no line, or one at a backend that leaves or too many at a cold one."""
+    if s.closed is not None:
+        return s.since
     return min((max(b.told, s.since) for b in s.stored if b.state in LEAVING
                 or b.warmth < 1 and b not in s.owners()), default=None if s.stored else s.since)
 
@@ -31,20 +33,18 @@
     c.asking, c.probing = False, []
     must, ailing, ordinary = [], [], []
     for s in c.slices.values():
-        if wanted(s) != s.stored:
-            # One that fails fast has least in hand and draws the tries of proxies that compare.
+        if (wanted(s) != s.stored or s.closed is not None) and delta(c, s):
             ails = any(b.doubtful for b in s.stored if b not in s.owners())
             (must if pressed(s) is not None else ailing if ails else ordinary).append(s)
     must.sort(key=pressed)
-    c.held = bool(must)
+    c.held = bool(must) or any(s.closed is not None for s in c.slices.values())
     # A level of 1 lets all in as a share; where levels are rates it would not, and none is set.
     fresh = c.boot.get("admission") != "rate" and any(p not in c.levels_sent for p in c.proxies)
-    # A third of the ordinary changes each second beat, six at least (a tenth left 50 waiting),
-    # those at the busiest first; messages are few, so one that goes anyway takes them along.
+    # A third of the ordinary changes each second beat, six at least, those at the busiest first.
     ordinary.sort(key=lambda s: -max(b.use() for b in s.stored))
     many = len(ordinary) if c.troubled() else max(6, len(ordinary) // 3)
-    turn, trim = ((ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level])
-                  if c.beats % 2 == 0 or ailing else ([], []))
+    turn, trim = (ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level
+                                    and s.closed is None]) if c.beats % 2 == 0 or ailing else ([], [])
     back = [b for b in c.backends.values() if b in c.withdrawn and b.state == "ready"]
     if must or back:
         push(c, must + ailing, [], fresh, True, back)
@@ -52,15 +52,15 @@
         push(c, ailing + turn, trim, fresh, False, [])
 
 
-def delta(s: Slice) -> list[face.SetLine]:
+def delta(c: State, s: Slice) -> list[face.Order]:
     want = wanted(s)
-    return ([face.SetLine(s.number, b.id, w) for b, w in want.items() if s.stored.get(b) != w]
-            + [face.SetLine(s.number, b.id, 0.0) for b in s.stored if b not in want])
+    return in_steps(c, s, [face.SetLine(s.number, b.id, w) for b, w in want.items() if s.stored.get(b) != w]
+                    + [face.SetLine(s.number, b.id, 0.0) for b in s.stored if b not in want])
 
 
 def push(c: State, changed: list[Slice], trimmed: list[Slice], levels: bool, urgent: bool,
          back: list[Backend]) -> None:
-    deltas = [delta(s) for s in changed]
+    deltas = [delta(c, s) for s in changed]
     need = sum(map(len, deltas)) + len(trimmed) + len(back)
     room = c.channel.room(c.now, len(c.proxies), urgent, need, c.troubled()) - len(back)
     if room <= 0:
@@ -71,18 +71,21 @@
     if levels:
         c.orders.append(face.SetLevel(face.ALL_TABLES, (), 1.0, 1))  # further tries after proof only
         c.levels_sent = set(c.proxies)
-    # Where lines at a drain can't be out within its grace, its backend is shut out, one line each.  What
-    # is left there has no line until its turn, a second or two; what fits now goes now.
+    # Where lines at a drain can't be out within its grace, its backend is shut out, one line each.
     over = (c.now + (c.channel.backlog + need * len(c.proxies)) / c.channel.pace()
             + c.boot.get("transit_most", 0) - c.boot.get("drain_grace", face.SECOND))
     shut = {b: None for s in changed for b in s.stored if b.state in LEAVING
             and b not in c.withdrawn - c.returned and over > max(b.told, s.since)}
-    lines, left = 0, set()
+    lines, left, closed = 0, set(), []
     for s, change in zip(changed, deltas):
         if lines + len(change) <= room - len(shut):
             c.orders += change
             lines += len(change)
-            s.stored = wanted(s)
+            if type(change[0]) is face.SetLevel and wanted(s) != s.stored:
+                s.closed, s.quiet = change[0].methods, 0
+                closed.append(s)
+            else:
+                s.stored, s.closed = wanted(s), None
         else:
             left.update(s.stored)
     shut = [b for b in shut if b in left][:room - lines]
@@ -93,3 +96,5 @@
         c.orders.append(face.SetLevel(s.number, (), s.level, 1))
     lines += len(back) + len(shut) + len(trimmed)
     c.orders.append(face.Mark(c.channel.send(c.now, lines, c.proxies), False))
+    for s in closed:
+        s.mark = c.channel.mark
--- a/indigohitch/logic/state.py
+++ b/indigohitch/logic/state.py
@@ -72,6 +72,8 @@
         self.parts: list[Part] = []
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.level = 1.0                        # share that is let in, as the store holds it
+        self.closed: tuple[int, ...] | None = None      # to which methods, while it goes to another owner
+        self.mark = self.quiet = 0              # of the closing; since when all have answered that
         self.demand = Sums(self.DEMAND_SPAN)    # cost, RPCs
         self.usual = Sums(self.USUAL_SPAN)      # the same over longer
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
@@ -113,6 +115,7 @@
         self.backends: dict[str, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, str] = {}
+        self.left: dict[int, int] = {}          # proxies, since when they may write by an old table
         self.channel = Channel(bootstrap)
         self.due: list[tuple[int, str]] = []    # due time, what to do then
         self.yield_, self.failing = 0.0, 0.0    # answered cost a second and unit of weight; share of failures
@@ -135,9 +138,7 @@
         return [b for b in self.backends.values() if b.state == "ready"]
 
     def troubled(self) -> bool:
-        """Many tries fail, and come again: relief goes before caches and calm."""
-        return self.failing > 0.05
+        return self.failing > 0.05              # and come again: relief goes before caches and calm
 
     def hold_plans(self) -> None:
-        """After a start or a take-over planning waits until the sums tell more than chance: three periods."""
-        self.plan_from = self.now + 3 * self.boot["report_every"]
+        self.plan_from = self.now + 3 * self.boot["report_every"]       # the sums tell more than chance then
--- a/indigohitch/request.py
+++ b/indigohitch/request.py
@@ -1,9 +1,5 @@
-"""The decisions on one RPC at its proxy: which line of its slice's table, whether it is let in, whether it is
-tried again, and what the client hears once it is given up.  Pure; times in tenths of a millisecond.
-
-`server` is any object with `withdrawn` (shut out by an order) and `held` (own RPCs out at it).  Why the rules
-are as they are: docs/design.md, "One RPC at the sidecar".
-"""
+"""The decisions on one RPC at its proxy: its line, whether it is let in or tried again, and its final answer.
+`server`: any object with `withdrawn` and `held` (own RPCs out at it).  Why: docs/design.md."""
 from __future__ import annotations
 
 from bisect import bisect
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -61,6 +61,9 @@
     usual: SumsRow
     load: float
     cost: float
+    closed: list[int] | None = None
+    mark: int = 0
+    quiet: int = 0
 
 
 class ModuleRow(Row):
@@ -91,6 +94,7 @@
     next_beat: int
     timer: int
     calls_failed: int = 0
+    left: list[tuple[int, int]] = []
 
 
 PLAIN = ("now", "beats", "plan_from", "yield_", "failing", "assessed", "turn", "strained", "balancing",
@@ -99,7 +103,7 @@
 OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
               "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
               "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load", "share")
-OF_SLICE = ("since", "level", "load", "cost")
+OF_SLICE = ("since", "level", "load", "cost", "mark", "quiet")
 
 
 def _named(thing, names: tuple[str, ...], row: type[Row]) -> dict:
@@ -138,8 +142,10 @@
                                                  for p in s.parts],
                          stored=[(place[b], float(weight)) for b, weight in s.stored.items()],
                          demand=_sums(s.demand), usual=_sums(s.usual),
+                         closed=None if s.closed is None else list(s.closed),
                          **_named(s, OF_SLICE, SliceRow)) for s in c.slices.values()],
-        proxies=list(c.proxies.items()), due=list(c.due), levels_sent=sorted(c.levels_sent),
+        proxies=list(c.proxies.items()), left=list(c.left.items()), due=list(c.due),
+        levels_sent=sorted(c.levels_sent),
         withdrawn=sorted(place[b] for b in c.withdrawn), returned=sorted(place[b] for b in c.returned),
         sent=list(c.channel.sent), unacked=[(mark, float(lines), sorted(proxies))
                                             for mark, (lines, proxies) in c.channel.unacked.items()],
@@ -169,6 +175,7 @@
         for name in OF_SLICE:
             setattr(s, name, getattr(found, name))
         s.demand, s.usual = _back(found.demand), _back(found.usual)
+        s.closed = None if found.closed is None else tuple(found.closed)
         s.stored = {backends[at]: weight for at, weight in found.stored}
         for at, rests in found.parts:
             part = Part(s, None)
@@ -179,7 +186,7 @@
         b.parts = [c.slices[number].parts[at] for number, at in found.parts]
         if any(p.owner is not b for p in b.parts):
             raise ValueError(f"a part at {b.id} has another owner")
-    c.proxies = dict(row.proxies)
+    c.proxies, c.left = dict(row.proxies), dict(row.left)
     c.due = [tuple(entry) for entry in row.due]
     c.levels_sent = set(row.levels_sent)
     c.withdrawn, c.returned = ({backends[at] for at in places} for places in (row.withdrawn, row.returned))
