Discovery is watched also where the settings say that lists come by themselves

None of the five logs has a list or a 'draining' before 32 s, and no discovery_failed: nobody had asked. Excluded: the channel (idle), discovery (it answers whoever asks). Test seen to fail without it for 'push' and none: 'AssertionError: never came true: False' at the drain. With it test_discovered and test_reload: 30 passed.

--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -62,6 +62,7 @@
     def _read(found: dict) -> tuple:
         """All that is read of a configuration, before any of it counts."""
         boot, columns = bootstrap(found["settings"])
+        boot["discovery"] = "ask"       # on sockets nothing comes unasked, also where the settings say `push`
         known, addresses = read_list(found["known"], remembered=True)
         return (int(str(found["seed"]), 16), Limits.of(found["limits"]), boot, columns, known, addresses,
                 address(found["store"]["address"]), address(found["discovery"]))
--- a/tests/test_discovered.py
+++ b/tests/test_discovered.py
@@ -1,7 +1,7 @@
 """The program, discovery that fails and backends that come, go and are probed."""
 import pytest
 
-from stage import drain, heartbeat
+from stage import SETTINGS, drain, heartbeat
 from waiting import eventually
 
 
@@ -50,3 +50,11 @@
     counters = eventually(lambda: (c := program.counters()).get("load_report_unreadable") and c)
     assert counters["probes_error"] >= 2 and heartbeat(platform)
     assert {path for _, path in platform.probed} == {"/stats"}
+
+
+@pytest.mark.parametrize("said", ["push", "ask", None])
+def test_the_list_is_watched_whatever_the_settings_say_of_discovery(platform, said):
+    """Found at a site of our own: where they said `push` nobody watched, and no drain was ever heard."""
+    program = platform.start(settings=SETTINGS | {"discovery": said})
+    eventually(lambda: program.said("phase", now="serving"))
+    drain(platform, "b1")
