KNOWN-RED.txt: listed tests are run as strictly expected failures and printed

The test command reads the list at the root: `test | cause | issue`, three lines at most. Each test on it gets a strict xfail, in the sole process or in each worker; one that passes fails the run. The closing lines print what is listed, each with its outcome. A fourth line, one out of form or twice, or a test that doesn't exist ends the run at once with exit code 4. Whether a test exists is decided by collecting its id by itself, so a run of other files finds it not run, not missing; with parameters the id has to be exact.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """What many files of tests share."""
 import pytest
 
+import known_red
 from stage import Platform
 
 
@@ -10,6 +11,10 @@
     return 0 if named else 8
 
 
+def pytest_configure(config):
+    known_red.begin(config)
+
+
 @pytest.fixture
 def platform(tmp_path):
     found = Platform(tmp_path)
