Closed slices stay closed: to who joins, under a level of the same message, and without levels

Change: no trim of a closed slice; where levels are not honoured its line is taken out, for three quarters of the time that a proxy may be without one at most; a join closes again.

--- a/indigohitch/logic/__init__.py
+++ b/indigohitch/logic/__init__.py
@@ -29,7 +29,6 @@
             getattr(self, heappop(self.due)[1])()
         if due := now >= self.next_beat:
             self.beat()
-        # Answers to marks come by the hundred: they count with what comes next, a beat at most.
         if heard := due or any(not isinstance(e, Acked) for e in events):
             self.decide()
         if heard or self.held:
@@ -55,7 +54,6 @@
 
     def beat(self) -> None:
         self.next_beat, self.beats = self.now + self.BEAT, self.beats + 1
-        # Only silence needs probes, the sums say nothing of it: each two seconds, for several as for one.
         self.probing = [b for i, b in enumerate(self.backends.values()) if self.boot.get("may_probe")
                         and b.state == "ready" and not b.probe_out
                         and (b.misses or (self.beats + i) % (4 * self.many) == 0)]
--- a/indigohitch/logic/channel.py
+++ b/indigohitch/logic/channel.py
@@ -28,7 +28,6 @@
         if most and used and (used >= (most if urgent else half) or (used >= half or not urgent)
                               and now - self.sent[-1] < over / (most if urgent else half)):
             return 0
-        # Half for what is not urgent, or where proxies are too many for that, eight lines to each.
         each, head = proxies or 1, self.boot.get("envelope", 0) + 2
         share = self.boot.get("queue_cap", 10 ** 6) * 0.8
         share = share if urgent else min(share, max(share * (0.5, 0.8)[troubled], each * (head + 8)))
--- a/indigohitch/logic/exclusive.py
+++ b/indigohitch/logic/exclusive.py
@@ -1,25 +1,28 @@
 """Slices with one owner: no write of a slice is at two backends, nor at a former owner after a later one."""
-from .. import interface as face
+from ..interface import SECOND, Order, SetLevel, SetLine
 from .state import LEAVING, Slice, State
 
 
-def in_steps(c: State, s: Slice, lines: list[face.Order]) -> list[face.Order]:
+def in_steps(c: State, s: Slice, lines: list[Order]) -> list[Order]:
     """Of a change of owner what may go now: proxies take it at different times, so the slice is closed to
     writes first (to all where its owner must be left), and the new owner stands once nothing is in hand."""
     if not c.boot.get("exclusive") or not s.stored:
         return lines
-    closed = () if any(b.state in LEAVING for b in s.stored) else tuple(
+    unlevelled = c.boot.get("admission") == "none"          # closed by taking its line out
+    closed = () if unlevelled or any(b.state in LEAVING for b in s.stored) else tuple(
         place for place, writes in enumerate(c.boot.get("method_writes") or ()) if writes)
-    if lines and s.closed not in ((), closed):
-        return [face.SetLevel(s.number, closed, 0.0, 1)]
-    return [*reversed(lines), face.SetLevel(s.number, (), s.level, 1)] if not lines or done(c, s) else []
+    if lines and (s.closed not in ((), closed) or c.joined > s.closed_at and not unlevelled):
+        return ([SetLine(s.number, b.id, 0.0) for b in s.stored] if unlevelled
+                else [SetLevel(s.number, closed, 0.0, 1)])
+    ready = not lines or done(c, s, unlevelled)
+    return [*reversed(lines), SetLevel(s.number, (), s.level, 1)] if ready else []
 
 
-def done(c: State, s: Slice) -> bool:
-    """All proxies that are here have said that they closed it, and what they or any other had in hand by then
-    is done: one that left, or had not heard of the slice's last hand-over, writes on for a while."""
+def done(c: State, s: Slice, unlevelled: bool) -> bool:
+    """All who are here have closed it (who joins reads lines, not levels), and nothing is in hand any more."""
     if c.channel.unacked.get(s.mark, (0, ()))[1]:
         return False
     s.quiet = s.quiet or c.now
-    others = max([s.since, *c.left.values()]) + c.boot.get("keeps_writing", 0)
-    return c.now >= max(s.quiet, others) + c.boot.get("settle", 0)
+    over = max(s.quiet, *c.left.values(), s.since + c.boot.get("keeps_writing", 0)) + c.boot.get("settle", 0)
+    longest = c.boot.get("bare_limit", SECOND) * 3 // 4     # that a proxy may be without a line, less the way
+    return c.now >= (min(over, s.closed_at + longest) if unlevelled else over)
--- a/indigohitch/logic/hearing.py
+++ b/indigohitch/logic/hearing.py
@@ -78,15 +78,15 @@
 
 
 def on_joined(c: State, joined: face.ProxyJoined) -> None:
-    c.proxies[joined.proxy] = joined.zone
-    c.left[joined.proxy] = c.now - c.boot.get("keeps_writing", 0)      # it has read the store
+    c.proxies[joined.proxy], c.joined = joined.zone, c.now
+    c.left[joined.proxy] = c.now                # until when it may have written by an old table
     c.levels_sent.discard(joined.proxy)
     c.withdrawn |= c.returned                 # it may hold what it never heard taken back
 
 
 def on_left(c: State, left: face.ProxyLeft) -> None:
     c.proxies.pop(left.proxy, None)
-    c.left[left.proxy] = c.now
+    c.left[left.proxy] = c.now + c.boot.get("keeps_writing", 0)
     c.channel.answered(left.proxy, next(reversed(c.channel.unacked), None))     # nothing waits for it now
 
 
--- a/indigohitch/logic/sending.py
+++ b/indigohitch/logic/sending.py
@@ -43,8 +43,8 @@
     # A third of the ordinary changes each second beat, six at least, those at the busiest first.
     ordinary.sort(key=lambda s: -max(b.use() for b in s.stored))
     many = len(ordinary) if c.troubled() else max(6, len(ordinary) // 3)
-    turn, trim = (ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level
-                                    and s.closed is None]) if c.beats % 2 == 0 or ailing else ([], [])
+    turn, trim = ((ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level])
+                  if c.beats % 2 == 0 or ailing else ([], []))
     back = [b for b in c.backends.values() if b in c.withdrawn and b.state == "ready"]
     if must or back:
         push(c, must + ailing, [], fresh, True, back)
@@ -81,8 +81,8 @@
         if lines + len(change) <= room - len(shut):
             c.orders += change
             lines += len(change)
-            if type(change[0]) is face.SetLevel and wanted(s) != s.stored:
-                s.closed, s.quiet = change[0].methods, 0
+            if wanted(s) != s.stored and c.boot.get("exclusive") and s.stored and len(change) == 1:
+                s.closed, s.closed_at, s.quiet = getattr(change[0], "methods", ()), c.now, 0
                 closed.append(s)
             else:
                 s.stored, s.closed = wanted(s), None
@@ -91,7 +91,7 @@
     shut = [b for b in shut if b in left][:room - lines]
     c.orders += [face.Withdraw(b.id, True) for b in shut]
     c.withdrawn, c.returned = c.withdrawn.union(shut), c.returned.difference(shut)
-    for s in (trimmed := trimmed[:room - lines - len(shut)]):
+    for s in (trimmed := [s for s in trimmed if s.closed is None][:room - lines - len(shut)]):
         s.level = wanted_level(s)
         c.orders.append(face.SetLevel(s.number, (), s.level, 1))
     lines += len(back) + len(shut) + len(trimmed)
--- a/indigohitch/logic/state.py
+++ b/indigohitch/logic/state.py
@@ -73,7 +73,7 @@
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.level = 1.0                        # share that is let in, as the store holds it
         self.closed: tuple[int, ...] | None = None      # to which methods, while it goes to another owner
-        self.mark = self.quiet = 0              # of the closing; since when all have answered that
+        self.mark = self.closed_at = self.quiet = 0     # of the closing; since when all have answered it
         self.demand = Sums(self.DEMAND_SPAN)    # cost, RPCs
         self.usual = Sums(self.USUAL_SPAN)      # the same over longer
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
@@ -111,11 +111,11 @@
         self.boot, self.uniform = bootstrap, random.Random(seed).random
         self.many, self.own = bootstrap.get("coordinators", 1), bootstrap.get("own_number", 0)
         self.methods = {m.name: m for m in bootstrap["methods"]}
-        self.now, self.orders, self.beats = 0, [], 0
+        self.now, self.joined, self.orders, self.beats = 0, 0, [], 0    # joined: the last proxy
         self.backends: dict[str, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, str] = {}
-        self.left: dict[int, int] = {}          # proxies, since when they may write by an old table
+        self.left: dict[int, int] = {}          # until when a proxy may write by an old table
         self.channel = Channel(bootstrap)
         self.due: list[tuple[int, str]] = []    # due time, what to do then
         self.yield_, self.failing = 0.0, 0.0    # answered cost a second and unit of weight; share of failures
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -63,6 +63,7 @@
     cost: float
     closed: list[int] | None = None
     mark: int = 0
+    closed_at: int = 0
     quiet: int = 0
 
 
@@ -95,15 +96,16 @@
     timer: int
     calls_failed: int = 0
     left: list[tuple[int, int]] = []
+    joined: int = 0
 
 
 PLAIN = ("now", "beats", "plan_from", "yield_", "failing", "assessed", "turn", "strained", "balancing",
-         "held", "list_fresh", "next_beat", "timer", "calls_failed")
+         "held", "list_fresh", "next_beat", "timer", "calls_failed", "joined")
 OF_CHANNEL = ("mark", "backlog", "backlog_at")
 OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
               "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
               "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load", "share")
-OF_SLICE = ("since", "level", "load", "cost", "mark", "quiet")
+OF_SLICE = ("since", "level", "load", "cost", "mark", "closed_at", "quiet")
 
 
 def _named(thing, names: tuple[str, ...], row: type[Row]) -> dict:
