--- a/indigohitch/logic/exclusive.py
+++ b/indigohitch/logic/exclusive.py
@@ -19,7 +19,7 @@
 
 
 def done(c: State, s: Slice, unlevelled: bool) -> bool:
-    """All who are here have closed it (who joins reads lines, not levels), and nothing is in hand any more."""
+    """All who are here have closed it (who joins reads no levels), and nothing is in hand any more."""
     if c.channel.unacked.get(s.mark, (0, ()))[1]:
         return False
     s.quiet = s.quiet or c.now
