--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from .clock import SECOND
+from .closing import close_in_order
 from .loop import Deadline, Loop
 from .ring import Pool, Ring
 
@@ -17,7 +18,9 @@
 def address(text: str) -> tuple[str, int]:
     """`host:port` as the socket calls want it; ValueError if it is not that."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    # A host that no request can name would be found out by the first one, half way through a move to it.
+    named = colon and host and host.isascii() and host.isprintable() and " " not in host
+    if not named or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ValueError(f"not host:port: {text!r}")
     return host, int(port)
 
@@ -25,7 +28,7 @@
 class Reader(Protocol):
     """Who owns what a connection brings."""
     def opened(self, connection: Connection) -> None: ...
-    def heard(self, connection: Connection) -> None: ...
+    def heard(self, connection: Connection) -> bool | None: ...     # True: no more of it this turn
     def closed(self, connection: Connection, why: str) -> None: ...
 
 
@@ -41,6 +44,7 @@
         self.incoming = Ring(most, pool or loop.pool)
         self.outgoing = Ring(self.BOUND, pool or loop.pool)
         self.connecting, self.open = False, True
+        self.reads, self.step = self.READS, self.BOUND
         self._writing = False
         self._number = -1
 
@@ -68,6 +72,11 @@
             raise
         return connection
 
+    def pace(self, reads: int, step: int, crowd: bool) -> None:
+        """What it may bring a turn: so many reads of `step` bytes; as one of the crowd, only in its turn."""
+        self.reads, self.step = reads, step
+        self.loop.crowd(self._number, crowd)
+
     def write(self, data: bytes) -> None:
         """What goes wrong here is told in a turn of its own: never while the reader is writing."""
         if not self.open:
@@ -83,7 +92,10 @@
             return
         self.open = False
         self.loop.forget(self.sock, self._number)
-        self.sock.close()
+        if why:                                 # it is broken, or its peer has ended it
+            self.sock.close()
+        else:
+            close_in_order(self.sock)
         if why:
             self.reader.closed(self, why)       # it may look at what was left unread
         self.incoming.close()
@@ -132,9 +144,9 @@
             self._read()
 
     def _read(self) -> None:
-        for _ in range(self.READS):
+        for _ in range(self.reads):
             try:
-                got = self.incoming.fill(self.sock)
+                got = self.incoming.fill(self.sock, self.step)
             except BlockingIOError:
                 return
             except OSError:
@@ -143,8 +155,7 @@
             if got == 0:
                 self.close("ended")
                 return
-            self.reader.heard(self)
-            if got < 0 or not self.open:
+            if self.reader.heard(self) or got < 0 or not self.open:
                 return
 
 
@@ -152,6 +163,7 @@
     """Accepts up to `most` connections; `greet` makes the reader of each."""
     PAUSE = SECOND // 10        # after a failed accept: short for those who wait, long enough not to spin
     BURST = 64                  # accepts a turn
+    LAST = 2                    # bursts before it closes: more than that in the queue come from a flood
 
     def __init__(self, loop: Loop, at: tuple[str, int], greet: Callable[[socket.socket], bool],
                  trouble: Callable[[str], None], listening: socket.socket | None = None) -> None:
@@ -189,22 +201,39 @@
             self.loop.pause(self.sock)
 
     def ready(self, readable: bool, writable: bool) -> None:
+        self._burst()
+
+    def accept_last(self) -> None:
+        """Before it closes: who has connected by then is greeted, and not reset by the kernel.  Nothing to do
+        while it is off, as another process accepts at this socket."""
+        if not self.accepting:
+            return
+        if self._paused is not None:
+            self._paused.cancel()
+            self._resume()
+        for _ in range(self.LAST):
+            if not self._burst():
+                return
+
+    def _burst(self) -> bool:
+        """Whether more may wait."""
         for _ in range(self.BURST):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as failed:
                 if failed.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # The waiting connection stays readable: without a pause the loop would spin on it.
                     self.trouble(failed.strerror)
                     self.loop.pause(self.sock)
                     self._paused = self.loop.after(self.PAUSE, self._resume)
-                    return
+                    return False
                 continue                # that one broke before it was accepted
             sock.setblocking(False)
             if not self.greet(sock):
-                sock.close()
+                close_in_order(sock)
+        return True
 
     def _resume(self) -> None:
         self._paused = None
--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 as a client speaks it: one exchange a request, parsed by httptools, ended by a deadline."""
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -30,9 +31,22 @@
     return head.encode("ascii") + b"\r\n" + body
 
 
+def stands(sock: socket.socket) -> bool:
+    """Of a connection at rest: neither its end has come, nor a byte, which nobody can have asked for.  Looked
+    at before each reuse: in the turn that brings it, whoever takes the connection may be first."""
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
 class Exchange:
     """One request and its answer, in a numbered slot of its client while it lasts."""
     CROSSED = SECOND // 20      # a close that crosses the request is here by then; later it is an answer
+    UNREAD = SECOND // 4        # to read what a socket holds, some MB at 64 KiB a turn
     BODY = 8 << 20              # a list of ten thousand backends is two; more is no answer of ours
 
     def __init__(self, client: Client, request: bytes, span: int, done: Callable[[Answer], None],
@@ -75,7 +89,16 @@
     def _rearm(self) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
-        self.deadline = self.client.loop.after(self.span, lambda: self.end("timeout"))
+        self.deadline = self.client.loop.after(self.span, self._late)
+
+    def _late(self, until: int = 0) -> None:
+        """What came in time counts, also where this process stood still and one turn does not read it all."""
+        now = self.client.loop.clock.now()
+        until = until or now + self.UNREAD
+        if now > until or stands(self.connection.sock):
+            self.end("timeout")
+        else:
+            self.deadline = self.client.loop.after(1, lambda: self._late(until))
 
     # ---- what the connection tells
 
@@ -91,9 +114,11 @@
             self.client.loop.failed(broken.__context__ or broken)
             self.end("unreadable")
             return
-        except httptools.HttpParserError:
-            self.end("unreadable")
-            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.complete:
+                self.end("unreadable")
+                return
+            self.keep = False           # the answer is whole, and what came behind it is nobody's
         if self.over:
             return                      # ended by what it told
         if len(self.body) > self.BODY:
@@ -130,6 +155,9 @@
             self.body += part
 
     def on_message_complete(self) -> None:
+        if not self.complete and 100 <= self.status < 200:
+            self.status, self.framed = 0, False     # interim: the answer itself is still to come
+            return
         self.keep &= not self.complete  # a second answer to one request: no more on that connection
         self.complete = True
 
@@ -145,7 +173,8 @@
             self.deadline.cancel()
         connection, self.connection = self.connection, None
         if connection is not None:
-            if outcome == "answered" and self.keep and client.idle_span:
+            # Answered before the request was all out, it may be cut off any moment.
+            if outcome == "answered" and self.keep and client.idle_span and not len(connection.outgoing):
                 client.rest(connection)
             else:
                 connection.close()
@@ -177,6 +206,14 @@
         return exchange
 
     def spare(self) -> Connection | None:
+        """The connection at rest, if it can serve: what meets its end may have been done or not."""
+        connection = self._wake()
+        if connection is None or stands(connection.sock):
+            return connection
+        connection.close()
+        return None
+
+    def _wake(self) -> Connection | None:
         connection, self._resting = self._resting, None
         if self._deadline is not None:
             self._deadline.cancel()
@@ -189,7 +226,7 @@
         self._deadline = self.loop.after(self.idle_span, self.drop_spare)
 
     def drop_spare(self) -> None:
-        connection = self.spare()
+        connection = self._wake()
         if connection is not None:
             connection.close()
 
@@ -202,7 +239,7 @@
         self.drop_spare()               # nobody asked: whatever it is, no next answer may begin with it
 
     def closed(self, connection: Connection, why: str) -> None:
-        self.spare()
+        self._wake()
 
     def close(self) -> None:
         """Drop everything without a word to those who wait."""
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -48,7 +48,7 @@
     front.addresses = dict(state.addresses)
     front.heard_of.clear()
     front.heard_of.update(dict.fromkeys(state.heard_of))        # the reader of lines holds the same dict
-    front.discovery.version = state.version
+    front.discovery.restore(state.version)
     relay, holdings = front.relay, front.holdings
     relay.held = True
     relay.waiting = deque([events.unpack(order) for order in call] for call in state.waiting)
@@ -88,16 +88,22 @@
         return not self.front.relay.out
 
     def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
-        self.front.holdings.settle_now()        # lines that came for a slice: the module hears of them later
-        self.front.gathering.held = True
         try:
             state = shots.encode(self.snapshot())
         except Exception as broken:
             taken(None, broken)
         else:
+            self.front.gathering.held = True
             taken(state, None)
 
     def snapshot(self) -> shots.Snapshot:
+        """What stands in tables, lists and versions the module has been told: else whoever goes on from there
+        would take it for told, and never tell it."""
+        gathering = self.front.gathering
+        if self.front.anew:
+            self.front._tell_all()
+        gathering.ready |= bool(gathering.events)
+        gathering.turn()
         return shots.Snapshot("coordinator", self.front.loop.clock.now(), None, front_state(self.front))
 
     def thaw(self) -> None:
@@ -184,6 +190,8 @@
         front.start()
         if not restored:
             return
+        if not front.coordinator.next_beat:     # it broke as the state was taken, and has heard nothing since
+            front._tell_all()
         self.timer_again()
         if self.state.watching:
             front.discovery.subscribe(True)
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -19,6 +19,7 @@
     def news_opening(self) -> None: ...
     def news(self, event: face.Event) -> None: ...
     def news_alive(self) -> None: ...
+    def news_lost(self) -> None: ...
 
 
 class EventStream:
@@ -77,13 +78,17 @@
         """Ask at another address.  The stream that tells goes on until one there does."""
         if to == self.client.to:
             return False
+        self.client = Client(self.loop, to, self.CONNECT)
+        self.anew()
+        return True
+
+    def anew(self) -> None:
+        """Have all that stands told again.  The stream that tells goes on until another does."""
         if self.again is not None:
             self.again.cancel()
         if self.coming is not None:
             self.coming.drop()
-        self.client = Client(self.loop, to, self.CONNECT)
         self.open()
-        return True
 
     def _part(self, exchange: Exchange, part: bytes) -> None:
         if exchange is self.coming:
@@ -114,6 +119,7 @@
         self.log.trouble("news_lost", why=answer.outcome, status=answer.status, after_ms=answer.duration / 10)
         if exchange is self.current:
             self.current = None
+            self.hearer.news_lost()
         else:
             self.coming = None
         if self.coming is None and self.again is None:
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -93,7 +93,8 @@
                 else:
                     self.passed += found
             case words.Commit(rest, reload):
-                self.rest, self.reload = rest, reload
+                self.rest = rest
+                self.reload |= reload
                 self.step("commit")
             case words.Rest(rest):
                 self.side.take_rest(rest)
@@ -154,10 +155,15 @@
 
     def do_accept(self) -> None:
         passed, self.passed = self.passed, []
-        self.say(words.Adopted([number for number, _ in passed]))
+        try:
+            self.side.take_rest(self.rest)
+            self.side.begin(True)
+        except Exception as bad:                # dead it makes room for the old one, which has everything yet
+            self.log.event("cannot_start", **told(bad))
+            self.do_end()
+            return
+        self.say(words.Adopted([number for number, _ in passed]))       # before a byte is read of them
         self.say(words.Accepting())
-        self.side.take_rest(self.rest)
-        self.side.begin(True)
         self.adopt(passed)
         self.began()
 
@@ -184,6 +190,11 @@
         if self.channel is not None:
             self.channel.flush_hard()
 
+    def do_leave(self) -> None:
+        self.say(words.Refuse("told to end"))
+        if self.channel is not None:
+            self.channel.flush_hard()
+
     def do_end(self) -> None:
         self.close()
         self.ended(1)
--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -6,6 +6,7 @@
 import pytest
 
 from field import Field, answers
+from seam import OK, READ, Seam, come
 from waiting import eventually
 
 HELD = b"GET /vacancies/1 HTTP/1.1\r\nHost: x\r\nX-Act: wait=1500\r\n\r\n"
@@ -19,6 +20,13 @@
     field.close()
 
 
+@pytest.fixture
+def seam():
+    found = Seam()
+    yield found
+    found.close()
+
+
 def over(sock):
     """Closed or reset by the other side."""
     sock.settimeout(5)
@@ -48,7 +56,7 @@
     assert field.process.wait(10) == 0
 
 
-def test_one_that_waits_to_be_accepted_hears_of_the_end(field):
+def test_one_that_waits_to_be_accepted_is_answered(field):
     """It connected and sent its RPC before the signal; the process sees both at once."""
     host, port = field.listen.split(":")
     field.process.send_signal(signal.SIGSTOP)
@@ -57,9 +65,142 @@
     field.process.send_signal(signal.SIGTERM)
     field.process.send_signal(signal.SIGCONT)
     held.settimeout(5)
-    try:
-        said = held.makefile("rb").read()
-    except ConnectionResetError:
-        said = b""
-    assert not said or said.startswith(b"HTTP/1.1 200")
+    assert held.makefile("rb").read().startswith(b"HTTP/1.1 200")
     assert field.process.wait(10) == 0
+
+
+def test_all_that_clients_do_in_the_turn_of_the_signal(field):
+    """A request, half a head, half a body, two at once, a new connection; SIGHUP before, SIGTERM again: each
+    hears an answer or an end in order, never a reset."""
+    whole, half, twice, quiet = [field.raw(PLAIN) for _ in range(4)]
+    body = field.raw(b"POST /places/1/reserve HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
+    for sock in (whole, half, twice, quiet):
+        assert answers(sock, 1)[0][0] == 200
+    eventually(lambda: field.ask("status")["in_hand"] == 1)
+    field.process.send_signal(signal.SIGSTOP)
+    whole.sendall(PLAIN)
+    half.sendall(PLAIN[:9])
+    twice.sendall(PLAIN + PLAIN)
+    new = field.raw(PLAIN)
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGCONT):
+        field.process.send_signal(number)
+    eventually(lambda: field.said("phase", now="ending"))
+    field.process.send_signal(signal.SIGTERM)
+    body.sendall(b"cd")
+    found = [answers(sock, 3) for sock in (whole, twice, new, body, half, quiet)]       # to the end of each
+    assert all(status == 200 for some in found for status, _ in some)
+    assert [len(some) for some in found][:1] + [len(some) for some in found][2:] == [1, 1, 1, 0, 0]
+    assert len(found[1]) in (1, 2)
+    for sock in (whole, half, twice, quiet, new, body):
+        sock.close()
+    assert field.process.wait(10) == 0 and not field.said("defect")
+    assert [e["now"] for e in field.said("phase")] == ["serving", "ending", "ended"]
+
+
+# ---- turn by turn
+
+
+def test_what_has_come_as_the_end_begins_is_answered(seam):
+    sock, _, server = seam.kept()
+    sock.sendall(READ + READ)
+    come(next(iter(seam.host.clients)).stream.sock)
+    waits = socket.create_connection(seam.at, 10)           # in the accept queue
+    waits.sendall(READ)
+    seam.socks.append(waits)
+    seam.host.accept_last()
+    seam.host.stop_listening()
+    assert not seam.host.finish()
+    for of in (server, None):
+        of, _ = seam.asked(of)
+        seam.host.finish()
+        of.sendall(OK % (1, b"2"))
+    for one in (sock, waits):
+        found = seam.rest(one)
+        assert found.count(b"200 OK") == 1 and b"Connection: close" in found and found.endswith(b"2")
+        one.close()
+    seam.until(seam.host.finish)
+
+
+@pytest.mark.parametrize("read", [True, False])
+def test_half_a_head_at_the_end_costs_no_answer_that_is_on_its_way(seam, read):
+    """Closed at once, the connection would be reset by what is unread or comes later."""
+    sock, client = seam.client(READ, buffer=4096)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+    server, _ = seam.asked()
+    size = 150_000
+    server.sendall(OK % (size, b"x" * size))
+    seam.until(lambda: client.rpc is None and client.idle and seam.idle)
+    sock.sendall(READ[:10])
+    come(client.stream.sock)
+    if read:
+        seam.until(lambda: len(client.stream.incoming) == 10)
+    seam.host.finish()
+    seam.turn()
+    seam.host.finish()
+    sock.sendall(READ[10:])
+    found = seam.rest(sock)
+    assert found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"\r\n\r\n" + b"x" * size)
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_more_while_the_last_answer_is_on_its_way_costs_it_nothing(seam):
+    sock, client = seam.client(READ, buffer=4096)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+    server, _ = seam.asked()
+    server.sendall(OK % (150_000, b"x" * 150_000))
+    seam.until(lambda: client.rpc is None and client.idle)
+    seam.host.finish()
+    sock.sendall(READ)
+    found = seam.rest(sock)
+    assert found.endswith(b"\r\n\r\n" + b"x" * 150_000)
+
+
+def test_an_idle_client_is_closed_at_once(seam):
+    sock, _, _ = seam.kept()
+    assert seam.host.finish() and not len(seam.host.clients)
+    assert sock.recv(10) == b""
+
+
+@pytest.mark.parametrize("first", ["answer", "end"])
+@pytest.mark.parametrize("behind", [b"", READ])
+def test_a_servers_answer_in_the_turn_of_the_end(seam, first, behind):
+    """Whichever is met first, and with a second request behind: the answer, then an end in order."""
+    sock, client = seam.client(READ + behind)
+    server, _ = seam.asked()
+    at = client.rpc.upstream.stream.sock
+    server.sendall(OK % (1, b"1"))
+    come(at)
+    if first == "end":
+        seam.host.finish()
+    seam.turn()
+    seam.host.finish()
+    if behind and first == "answer":                # it had begun before the end
+        seam.asked(server)
+        server.sendall(OK % (1, b"2"))
+    found = seam.rest(sock)
+    assert found.count(b" 200 OK") == (2 if behind and first == "answer" else 1)
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_a_deadline_due_in_the_turn_of_the_end(seam):
+    sock, _ = seam.client(READ)
+    seam.asked()
+    seam.clock.by += 100_000
+    assert not seam.host.finish()
+    seam.turn()
+    assert seam.rest(sock).startswith(b"HTTP/1.1 504 ")
+    sock.close()
+    seam.until(seam.host.finish)
+
+
+def test_the_end_while_no_descriptor_was_left_to_accept(seam):
+    """The listener rests then, unknown to the selector: the end goes its way."""
+    seam.loop.pause(seam.host.listener.sock)
+    seam.host.listener._paused = seam.loop.after(100_000, seam.host.listener._resume)
+    waits = socket.create_connection(seam.at, 10)
+    seam.socks.append(waits)
+    seam.host.accept_last()
+    seam.host.stop_listening()
+    assert seam.host.finish() and waits.recv(10) == b""
