--- a/Makefile
+++ b/Makefile
@@ -99,3 +99,16 @@
 
 bench-versions: build # a one-line version, deltas, 5,000 relays
 	$(PY) benchmarks/versions.py
+
+.PHONY: sites
+
+KIT = ../given/kit
+SITES_DIR = deploy/sites
+
+sites:                # lays the bench's own files beside our site files; KIT=... where the kit lies elsewhere
+	@test -d "$(KIT)/sites" || { echo "make sites: no kit at $(KIT) (no folder $(KIT)/sites): give KIT=..." >&2; exit 1; }
+	@missing=; for f in real.json wire.json unlock.txt; do \
+	  test -f "$(KIT)/sites/$$f" || missing="$$missing $$f"; done; \
+	test -z "$$missing" || { echo "make sites: missing in $(KIT)/sites:$$missing" >&2; exit 1; }
+	@for f in real.json wire.json unlock.txt; do cp -f "$(KIT)/sites/$$f" "$(SITES_DIR)/$$f" || exit 1; done
+	@echo "laid in $(SITES_DIR): real.json wire.json unlock.txt"
