--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -1,4 +1,5 @@
 """Batches in a member's process: it runs pieces; where it leads it plans, gives, and tells what is late."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
@@ -17,17 +18,18 @@
 from .runner import Port, Runner
 from .strain import Strain
 
-AHEAD = 3 * SECOND // 10        # a piece is given so long before its run: two entries of the ledger
-ROUND = SECOND // 2             # from the end of one round to the next: what changed is in the plan soon
-STEPS = 2                       # of a round in one beat: about 10 ms of its 100
-PATIENCE = 5 * SECOND           # a proposal without a word for so long is made anew
-LOADS = 10 * SECOND             # how often what the interactive RPCs take may be told anew, for a site
-MOVED = 10                      # per cent by which it has to differ
+AHEAD = 3 * SECOND // 10  # a piece is given so long before its run: two entries of the ledger
+ROUND = SECOND // 2  # from the end of one round to the next: what changed is in the plan soon
+STEPS = 2  # of a round in one beat: about 10 ms of its 100
+PATIENCE = 5 * SECOND  # a proposal without a word for so long is made anew
+LOADS = 10 * SECOND  # how often what the interactive RPCs take may be told anew, for a site
+MOVED = 10  # per cent by which it has to differ
 
 
 class Report(Row, frozen=True):
     """What a member tells with each renewal: `offers` are the lanes it has, by site and kind; `at_once` how
     many hundredths of interactive RPCs are under way here at a time."""
+
     incarnation: int
     offers: dict[str, dict[str, int]] = {}
     at_once: int = 0
@@ -38,19 +40,27 @@
     """`fleet_time(now)`; `offers`: the lanes of this member, by site and kind; `told` and `listed`: the
     contract and the dated prices of its own file as they are now, None where there are none; `seats` by
     feature: what the fleet's batches may use at a time."""
+
     name = "batches"
 
-    def __init__(self, part: Batches, me: str, acts: Acts, port: Port, fleet_time: Callable[[int], int],
-                 offers: Mapping[str, Mapping[str, int]],
-                 told: Callable[[], Contract | None] = lambda: None,
-                 listed: Callable[[], Prices | None] = lambda: None,
-                 seats: Callable[[], Mapping[str, int]] = dict) -> None:
+    def __init__(
+        self,
+        part: Batches,
+        me: str,
+        acts: Acts,
+        port: Port,
+        fleet_time: Callable[[int], int],
+        offers: Mapping[str, Mapping[str, int]],
+        told: Callable[[], Contract | None] = lambda: None,
+        listed: Callable[[], Prices | None] = lambda: None,
+        seats: Callable[[], Mapping[str, int]] = dict,
+    ) -> None:
         self.part, self.me, self.fleet_time = part, me, fleet_time
         self.offers = {site: dict(kinds) for site, kinds in offers.items()}
         self.told, self.listed, self.seats = told, listed, seats
         self.runner, self.strain = Runner(part, acts, port), Strain()
         self.lease: Lease | None = None
-        self.trouble = ""               # of the contract or the prices: for the log and `status`
+        self.trouble = ""  # of the contract or the prices: for the log and `status`
         self._out: dict[str, int] = {}  # proposals without a word yet, by tag: since when
         self._round: tuple[Round, Iterator[None]] | None = None
         self._round_at, self._loads_at = 0, {}
@@ -60,7 +70,7 @@
     # ---- told by the process -----------------------------------------------------------------------
 
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
-        return []                       # what is wanted stands in the book: `turn` looks there
+        return []  # what is wanted stands in the book: `turn` looks there
 
     def restored(self, now: int) -> list[Wanted]:
         self._round = None
@@ -76,14 +86,15 @@
     def report(self, now: int) -> bytes:
         if self.lease is None:
             return b""
-        return msgspec.msgpack.encode(Report(self.lease.incarnation, self.offers, self.strain.at_once(now),
-                                             self.strain.strained))
+        return msgspec.msgpack.encode(
+            Report(self.lease.incarnation, self.offers, self.strain.at_once(now), self.strain.strained)
+        )
 
     def felt(self, now: int, rpc: str, latency: int) -> None:
         """An RPC was answered here; those of batches don't count."""
         if self.part.rpc(rpc) is None:
             self.strain.felt(now, latency)
-            self.runner.strained = self.strain.strained     # at once: the next step does not go out
+            self.runner.strained = self.strain.strained  # at once: the next step does not go out
 
     # ---- each beat ---------------------------------------------------------------------------------
 
@@ -130,7 +141,7 @@
             try:
                 heard[name] = msgspec.msgpack.decode(report, type=Report)
             except msgspec.MsgspecError:
-                continue                # it holds no lease yet, or says what it should not
+                continue  # it holds no lease yet, or says what it should not
         wanted = self.new_contract(now)
         if self.part.contract is None:
             return wanted
@@ -166,8 +177,11 @@
             share = min(100, sum(there) // max(1, sum(site.lanes.values())))
             hour = contract.hour_of_day(site, time)
             if abs(share - self.part.loads.get(site.name, {}).get(hour, 0)) >= MOVED:
-                wanted += self.once(now, f"load {site.name}",
-                                    Wanted("batches.load", Load(site.name, hour, share), f"load {site.name}"))
+                wanted += self.once(
+                    now,
+                    f"load {site.name}",
+                    Wanted("batches.load", Load(site.name, hour, share), f"load {site.name}"),
+                )
         return wanted
 
     def give(self, now: int, time: int, heard: Mapping[str, Report]) -> list[Wanted]:
@@ -178,14 +192,25 @@
             piece = part.pieces.all[id]
             if piece.state in (State.WAITING, State.GIVEN) and time >= piece.cut.latest:
                 late.append(id)
-            elif piece.state is State.WAITING and piece.placing is not None and (
-                    piece.placing.runs[0][0] - AHEAD <= time) and any(
-                    begin - AHEAD <= time < end for begin, end in piece.placing.runs):
+            elif (
+                piece.state is State.WAITING
+                and piece.placing is not None
+                and (piece.placing.runs[0][0] - AHEAD <= time)
+                and any(begin - AHEAD <= time < end for begin, end in piece.placing.runs)
+            ):
                 place = (piece.placing.site, piece.placing.kind)
                 there = [(-lanes, name) for name, lanes in free.get(place, {}).items() if lanes > 0]
-                if there and (one := self.once(now, f"give {id}", Wanted(
-                        "batches.give", Give(id, min(there)[1], heard[min(there)[1]].incarnation),
-                        f"give {id}"))):
+                if there and (
+                    one := self.once(
+                        now,
+                        f"give {id}",
+                        Wanted(
+                            "batches.give",
+                            Give(id, min(there)[1], heard[min(there)[1]].incarnation),
+                            f"give {id}",
+                        ),
+                    )
+                ):
                     free[place][min(there)[1]] -= 1
                     wanted += one
         if late:
@@ -216,7 +241,7 @@
             self._round = new, new.steps()
         round, steps = self._round
         for _ in range(STEPS):
-            if next(steps, round) is round:     # it has no further one
+            if next(steps, round) is round:  # it has no further one
                 break
         else:
             return []
@@ -231,11 +256,22 @@
 
     def figures(self) -> dict:
         part = self.part
-        return {"pieces": part.pieces.counts(), "plan": part.version, "rounds": self.rounds,
-                "moves": self.moves, "contract": part.contract.edition if part.contract is not None else 0,
-                "prices": part.prices.edition if part.prices is not None else 0,
-                "held": {id: run.phase.value for id, run in self.runner.runs.items()},
-                "steps": self.runner.steps, "paused": self.runner.paused, "strained": self.strain.strained,
-                "calm_ms": round(self.strain.calm / 10, 1), "trouble": self.trouble,
-                "unclear": {id: part.pieces.all[id].why for id in part.pieces.open
-                            if part.pieces.all[id].state is State.UNCLEAR}}
+        return {
+            "pieces": part.pieces.counts(),
+            "plan": part.version,
+            "rounds": self.rounds,
+            "moves": self.moves,
+            "contract": part.contract.edition if part.contract is not None else 0,
+            "prices": part.prices.edition if part.prices is not None else 0,
+            "held": {id: run.phase.value for id, run in self.runner.runs.items()},
+            "steps": self.runner.steps,
+            "paused": self.runner.paused,
+            "strained": self.strain.strained,
+            "calm_ms": round(self.strain.calm / 10, 1),
+            "trouble": self.trouble,
+            "unclear": {
+                id: part.pieces.all[id].why
+                for id in part.pieces.open
+                if part.pieces.all[id].state is State.UNCLEAR
+            },
+        }
--- a/indigohitch/fleet/book.py
+++ b/indigohitch/fleet/book.py
@@ -1,6 +1,7 @@
 """The replicated state: parts by name, entries applied in order, each proposal once.  No I/O.
 
 Deterministic: the same entries give the same digest at every member (tests/test_fleet_book.py)."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -15,11 +16,12 @@
 # Proposals of one incarnation that may be out at a time, and outcomes kept to answer one that comes twice.  A
 # member's works make a few a second, and a proposal is given up after some elections' time.
 WINDOW = 256
-FORM = 1                        # of the book's snapshot
+FORM = 1  # of the book's snapshot
 
 
 class Proposed(Row):
     """What is known of one proposer: of its last incarnation only, as an older one is dead."""
+
     incarnation: int
     highest: int
     outcomes: dict[int, Outcome]
@@ -38,7 +40,7 @@
         self.parts = {part.name: part for part in parts}
         for part in self.parts.values():
             part.book = self
-        self.index, self.term = 0, 0            # of the last entry applied
+        self.index, self.term = 0, 0  # of the last entry applied
         self.proposers: dict[str, Proposed] = {}
 
     @property
@@ -81,8 +83,9 @@
         except msgspec.MsgspecError as bad:
             return Outcome(entry.index, f"{entry.kind}: {bad}")
         try:
-            told = part.apply(At(entry.index, entry.term, self.time, entry.proposer, entry.incarnation),
-                              word, body)
+            told = part.apply(
+                At(entry.index, entry.term, self.time, entry.proposer, entry.incarnation), word, body
+            )
         except Unfit as unfit:
             return Outcome(entry.index, unfit.what)
         return Outcome(entry.index, "", msgspec.msgpack.encode(told))
@@ -100,8 +103,10 @@
         except msgspec.MsgspecError as bad:
             raise Unreadable(f"not a book: {bad}") from None
         if not FORM - 1 <= row.form <= FORM + 1:
-            raise Unreadable(f"a book of form {row.form}; this program reads {FORM - 1} to {FORM + 1}",
-                             remedy="bring this member's program up to that of the others")
+            raise Unreadable(
+                f"a book of form {row.form}; this program reads {FORM - 1} to {FORM + 1}",
+                remedy="bring this member's program up to that of the others",
+            )
         self.index, self.term, self.proposers = row.index, row.term, row.proposers
         for name, part in self.parts.items():
             if name in row.parts:
--- a/indigohitch/fleet/disk/books.py
+++ b/indigohitch/fleet/disk/books.py
@@ -1,4 +1,5 @@
 """Snapshots of the book as bytes.  Form: magic, form, length, digest, msgpack of `ports.Snap`.  No I/O."""
+
 from __future__ import annotations
 
 import struct
@@ -24,7 +25,7 @@
     if len(data) < _HEAD.size:
         raise Harmed("a snapshot ends within its head", where)
     magic, form, length, check = _HEAD.unpack_from(data)
-    body = data[_HEAD.size:]
+    body = data[_HEAD.size :]
     if magic != MAGIC or not FORM - 1 <= form <= FORM + 1:
         raise Harmed("not a snapshot of this program", where)
     if len(body) != length or digest(body, form) != check:
--- a/indigohitch/fleet/disk/files.py
+++ b/indigohitch/fleet/disk/files.py
@@ -1,4 +1,5 @@
 """The calls to the operating system that the disk's files hang on, in one object: faults are put in here."""
+
 from __future__ import annotations
 
 import fcntl
--- a/indigohitch/fleet/disk/folder.py
+++ b/indigohitch/fleet/disk/folder.py
@@ -1,4 +1,5 @@
 """A member's folder: whose it is, and what it holds at a start."""
+
 from __future__ import annotations
 
 from ...errors import NotNow, Unreadable
@@ -23,8 +24,11 @@
         try:
             self.lock = self.files.locked(f"{self.path}/lock")
         except BlockingIOError:
-            raise NotNow("another process holds this folder", self.path,
-                         "end it first, or give this member a folder of its own") from None
+            raise NotNow(
+                "another process holds this folder",
+                self.path,
+                "end it first, or give this member a folder of its own",
+            ) from None
 
     def leave(self) -> None:
         if self.lock >= 0:
@@ -41,8 +45,11 @@
             path = f"{self.path}/identity"
             found = id.decode(self.files.read(path), path)
             if (found.fleet, found.name) != (self.identity.fleet, self.identity.name):
-                raise Unreadable(f"the disk of {found.name} of fleet {found.fleet}", path,
-                                 "give this member a folder of its own")
+                raise Unreadable(
+                    f"the disk of {found.name} of fleet {found.fleet}",
+                    path,
+                    "give this member a folder of its own",
+                )
             self.identity = found
         found = recovered(self.files, self.path)
         if not self.identity.number:
--- a/indigohitch/fleet/disk/records.py
+++ b/indigohitch/fleet/disk/records.py
@@ -2,6 +2,7 @@
 
 One group of writes is one record, and the next is begun only once that one is on the disk.  So what a crash
 can leave unfinished is the last record alone: anything else that can't be read was harmed later."""
+
 from __future__ import annotations
 
 from ...errors import Unreadable
@@ -11,13 +12,16 @@
 from ..terms import Entry, Who
 
 MAGIC = b"IHlg"
-REMEDY = ("take the folder away and start the member without it: it is admitted anew under a new number; "
-          "the others hold what it held")
+REMEDY = (
+    "take the folder away and start the member without it: it is admitted anew under a new number; "
+    "the others hold what it held"
+)
 
 
 class Begin(Row, frozen=True):
     """First in a segment.  `base`: the last entry before its first; `ballot`: as it stood, so that older
     segments can go; `anew`: what older segments say is void."""
+
     fleet: str
     who: Who
     base: int
@@ -27,6 +31,7 @@
 
 class One(Row, frozen=True):
     """A write: ports.Write without its number."""
+
     ballot: Ballot | None
     cut: int
     entries: tuple[Entry, ...]
@@ -34,6 +39,7 @@
 
 class Group(Row, frozen=True):
     """What went to the disk together."""
+
     writes: tuple[One, ...]
 
 
@@ -42,6 +48,7 @@
 
 class Harmed(Unreadable):
     """A file of a member's disk is not what was written there."""
+
     remedy = REMEDY
 
 
@@ -67,11 +74,11 @@
         raise Broken("it ends within its head")
     protocol, number, descriptors, length, checksum = RECORDS.head(data, at)
     if descriptors:
-        raise Broken("its head was changed")    # records have none; the checksum does not cover their number
+        raise Broken("its head was changed")  # records have none; the checksum does not cover their number
     end = at + HEAD + length
     if end > len(data):
         raise Broken(f"it ends {end - len(data)} bytes early")
-    return RECORDS.body(data[at + HEAD:end], protocol, number, checksum), end
+    return RECORDS.body(data[at + HEAD : end], protocol, number, checksum), end
 
 
 def torn(data: bytes, at: int) -> bool:
@@ -81,7 +88,7 @@
     try:
         length = RECORDS.head(data, at)[3]
     except Broken:
-        pass                                    # its head did not all reach the disk, or was harmed
+        pass  # its head did not all reach the disk, or was harmed
     else:
         if at + HEAD + length < len(data):
             return False
--- a/indigohitch/fleet/disk/recovery.py
+++ b/indigohitch/fleet/disk/recovery.py
@@ -1,4 +1,5 @@
 """What a folder gives back at a start."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -24,7 +25,7 @@
 class Segment:
     number: int
     path: str
-    highest: int                # of the entries that it holds, or its base
+    highest: int  # of the entries that it holds, or its base
     size: int = 0
 
 
@@ -32,10 +33,10 @@
 class Found:
     held: Held
     segments: list[Segment] = field(default_factory=list)
-    books: list[str] = field(default_factory=list)      # paths; the last one is in force
-    cut: tuple[str, int] | None = None                  # a torn tail: file, and how much of it was good
-    void: list[str] = field(default_factory=list)       # segments that a later one has replaced
-    follows: bool = True                                # the log agrees with the snapshot, and goes on there
+    books: list[str] = field(default_factory=list)  # paths; the last one is in force
+    cut: tuple[str, int] | None = None  # a torn tail: file, and how much of it was good
+    void: list[str] = field(default_factory=list)  # segments that a later one has replaced
+    follows: bool = True  # the log agrees with the snapshot, and goes on there
 
 
 class Log:
@@ -51,8 +52,8 @@
     def write(self, one: One, where: str = "in memory") -> None:
         """Raises Harmed where the entries do not follow."""
         if one.cut > self.base:
-            del self.entries[one.cut - self.base - 1:]
-        elif one.cut:                           # back into a segment that a snapshot has covered since
+            del self.entries[one.cut - self.base - 1 :]
+        elif one.cut:  # back into a segment that a snapshot has covered since
             self.base, self.entries = one.cut - 1, []
         for entry in one.entries:
             if entry.index != self.last + 1:
@@ -68,7 +69,7 @@
 
     def after(self, snap: Snap) -> list[Entry]:
         """What follows the snapshot: all, if the log agrees with it, else nothing."""
-        return self.entries[max(0, snap.index - self.base):] if self.agrees(snap) else []
+        return self.entries[max(0, snap.index - self.base) :] if self.agrees(snap) else []
 
 
 def recovered(files: Files, folder: str) -> Found:
@@ -78,13 +79,16 @@
     found.books = [f"{folder}/{name}" for name in names if name.startswith(BOOK) and not name.endswith(PART)]
     if found.books:
         found.held.snap = books.decode(files.read(found.books[-1]), found.books[-1])
-    paths = [(int(name[len(SEGMENT):]), f"{folder}/{name}") for name in names
-             if name.startswith(SEGMENT) and not name.endswith(PART)]
+    paths = [
+        (int(name[len(SEGMENT) :]), f"{folder}/{name}")
+        for name in names
+        if name.startswith(SEGMENT) and not name.endswith(PART)
+    ]
     read: list[tuple] = []
     while paths:
         number, path = paths.pop()
         if read and number != read[0][0] - 1:
-            paths.append((number, path))        # what lies before a gap was taken away, and not for good yet
+            paths.append((number, path))  # what lies before a gap was taken away, and not for good yet
             break
         data = files.read(path)
         rows, good = scan(data, path, not read)
@@ -93,7 +97,7 @@
         if good < len(data):
             found.cut = (path, good)
         read.insert(0, (number, path, rows, good))
-        if rows[0][1].anew:                     # a crash came before the older ones were taken away
+        if rows[0][1].anew:  # a crash came before the older ones were taken away
             break
     found.void = [path for _, path in paths]
     replay(found, read)
--- a/indigohitch/fleet/disk/segments.py
+++ b/indigohitch/fleet/disk/segments.py
@@ -2,6 +2,7 @@
 
 A segment is made whole, with its first record, before anything is appended; so a torn record is never the
 first one."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -48,13 +49,21 @@
 
 
 class Segments:
-    def __init__(self, files: Files, folder: str, fleet: str, who: Who, stood: list[Segment],
-                 read: list[str], size: int = SIZE) -> None:
+    def __init__(
+        self,
+        files: Files,
+        folder: str,
+        fleet: str,
+        who: Who,
+        stood: list[Segment],
+        read: list[str],
+        size: int = SIZE,
+    ) -> None:
         """`stood`: segments found at the start, in order; `read`: paths of snapshots found."""
         self.files, self.folder, self.fleet, self.who, self.size = files, folder, fleet, who, size
         self.stood, self.books = stood, read
         self.fd = -1
-        self.ballot, self.last = Ballot(0), 0           # as the records so far tell them
+        self.ballot, self.last = Ballot(0), 0  # as the records so far tell them
 
     def open(self, ballot: Ballot, last: int) -> None:
         """Go on after what was found; raises OSError."""
@@ -86,7 +95,7 @@
     def append(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[self.files.write(self.fd, view):]
+            view = view[self.files.write(self.fd, view) :]
         self.files.fsync(self.fd)
         self.stood[-1].size += len(data)
 
@@ -106,7 +115,7 @@
             return
         self.put(snap)
         if self.stood[-1].size > self.size // 4:
-            self.begin(b"")                     # so that the next snapshot covers what stands now
+            self.begin(b"")  # so that the next snapshot covers what stands now
         self.drop_books(snap)
         while len(self.stood) > 1 and self.stood[0].highest <= snap.index:
             self.drop(self.stood.pop(0))
--- a/indigohitch/fleet/disk/store.py
+++ b/indigohitch/fleet/disk/store.py
@@ -3,6 +3,7 @@
 What is asked while a write is out goes together in the next one.  After a write or fsync that failed nothing
 is trusted to be on the disk: all of the log that counts, which is kept here as well, goes into files of their
 own, again and again until that has worked."""
+
 from __future__ import annotations
 
 import enum
@@ -29,18 +30,26 @@
 
 class State(enum.Enum):
     CLOSED = "closed"
-    FRESH = "fresh"             # the folder is ours, and nothing is on it yet
+    FRESH = "fresh"  # the folder is ours, and nothing is on it yet
     IDLE = "idle"
-    BUSY = "busy"               # one job is with the thread
-    FAILED = "failed"           # nothing is promised; waits to try again
-    MENDING = "mending"         # tries
+    BUSY = "busy"  # one job is with the thread
+    FAILED = "failed"  # nothing is promised; waits to try again
+    MENDING = "mending"  # tries
 
 
 class Disk:
     """`open`, `found` and `met` raise; what fails later is told as `DiskFailed`."""
 
-    def __init__(self, loop: Loop, log: Log, folder: str, fleet: str, name: str,
-                 told: Callable[[Input], None], files: Files | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        folder: str,
+        fleet: str,
+        name: str,
+        told: Callable[[Input], None],
+        files: Files | None = None,
+    ) -> None:
         self.loop, self.log, self.told = loop, log, told
         self.files = files or Files()
         self.folder = Folder(self.files, folder, fleet, name)
@@ -96,8 +105,14 @@
         self.snap, self.ballot = held.snap, held.ballot
         self.kept = Kept(held.snap.index)
         self.kept.entries = list(held.entries)
-        self.segments = Segments(self.files, self.folder.path, identity.fleet, Who(identity.name, number),
-                                 found.segments, found.books)
+        self.segments = Segments(
+            self.files,
+            self.folder.path,
+            identity.fleet,
+            Who(identity.name, number),
+            found.segments,
+            found.books,
+        )
         if found.follows:
             self.segments.open(held.ballot, self.kept.last)
         else:
@@ -124,7 +139,7 @@
     def write(self, write: Write) -> None:
         """`Written` comes once it is on the disk."""
         base, cut = self.kept.base, write.cut
-        entries = tuple(entry for entry in write.entries if entry.index > base)     # else: in the snapshot
+        entries = tuple(entry for entry in write.entries if entry.index > base)  # else: in the snapshot
         if entries and entries[0].index <= self.kept.last:
             cut = min(cut or entries[0].index, entries[0].index)
         one = One(write.ballot, max(cut, base + 1) if cut else 0, entries)
@@ -153,13 +168,13 @@
         first, follows = self.waiting[0]
         if isinstance(first, Snap):
             del self.waiting[0]
-            self.do(lambda: self.segments.snapshot(first, follows),
-                    lambda: self.told(Snapped(first)))
+            self.do(lambda: self.segments.snapshot(first, follows), lambda: self.told(Snapped(first)))
             return
         count = next((n for n, job in enumerate(self.waiting) if isinstance(job[0], Snap)), len(self.waiting))
         writes, self.waiting = self.waiting[:count], self.waiting[count:]
-        self.do(lambda: self.segments.write([one for _, one in writes]),
-                lambda: self.told(Written(writes[-1][0])))
+        self.do(
+            lambda: self.segments.write([one for _, one in writes]), lambda: self.told(Written(writes[-1][0]))
+        )
 
     def do(self, job: Callable[[], None], worked: Callable[[], None] = lambda: None) -> None:
         self.syncs += 1
@@ -177,6 +192,7 @@
             else:
                 worked()
             self.go()
+
         self.worker.do(job, done)
 
     # ---- what goes wrong ---------------------------------------------------------------------------
@@ -184,10 +200,13 @@
     def fail(self, broken: BaseException) -> None:
         first = self.state is not State.MENDING
         self.state, self.why = State.FAILED, str(broken)
-        self.waiting.clear()                    # all of it is kept, and goes when it can
+        self.waiting.clear()  # all of it is kept, and goes when it can
         self.failures += 1
-        self.log.trouble("disk_failed", folder=self.folder.path,
-                         **told(broken, "mend the disk: it is tried again by itself"))
+        self.log.trouble(
+            "disk_failed",
+            folder=self.folder.path,
+            **told(broken, "mend the disk: it is tried again by itself"),
+        )
         if first:
             self.told(DiskFailed(self.why))
         self.again = self.loop.after(AGAIN, self.mend)
@@ -200,6 +219,12 @@
         self.do(lambda: self.segments.anew(snap, ballot, entries))
 
     def figures(self) -> dict:
-        return {"state": self.state.value, "syncs": self.syncs, "failures": self.failures,
-                "segments": len(self.segments.stood) if self.segments else 0, "snapshot": self.snap.index,
-                "entries": len(self.kept.entries), **({"why": self.why} if self.why else {})}
+        return {
+            "state": self.state.value,
+            "syncs": self.syncs,
+            "failures": self.failures,
+            "segments": len(self.segments.stood) if self.segments else 0,
+            "snapshot": self.snap.index,
+            "entries": len(self.kept.entries),
+            **({"why": self.why} if self.why else {}),
+        }
--- a/indigohitch/fleet/hours.py
+++ b/indigohitch/fleet/hours.py
@@ -3,6 +3,7 @@
 The leader proposes the median of the voters' wall clocks, once a second; one member's clock that jumps moves
 nothing.  Between two ticks each member goes on by its own monotonic clock.  What is agreed on never goes
 back, and is slewed: it runs faster or slower than the leader's monotonic clock by at most 1 in `SLEW`."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping
@@ -15,19 +16,19 @@
 from .ports import At, Wanted
 from .terms import Entry, Lease, Outcome
 
-TICK = SECOND                   # tariffs go by minutes, contracts end by the second
+TICK = SECOND  # tariffs go by minutes, contracts end by the second
 # A clock that is off by a second is right again after 200; a span of fleet time is true to half of a percent.
 SLEW = 200
-STALE = 10 * SECOND             # some renewals of the longest usual lease: an older reading is no reading
-PATIENCE = 5 * SECOND           # a tick that came to nothing by then is proposed anew
-STEADY = SECOND // 2            # two ticks as far apart as they were heard, within this: they came live
+STALE = 10 * SECOND  # some renewals of the longest usual lease: an older reading is no reading
+PATIENCE = 5 * SECOND  # a tick that came to nothing by then is proposed anew
+STEADY = SECOND // 2  # two ticks as far apart as they were heard, within this: they came live
 # Ways only ever make a tick late: the earliest one counts, and is given up for later ones at 1 in `FADE`,
 # faster than a leader slows down.
 FADE = 50
 
 
 class Tick(Row, frozen=True):
-    time: int                   # Unix time, tenths of a ms
+    time: int  # Unix time, tenths of a ms
 
 
 class HoursRow(Row):
@@ -36,6 +37,7 @@
 
 class Hours:
     """The part `hours` of the book."""
+
     name = "hours"
     kinds = {"tick": Tick}
 
@@ -62,7 +64,7 @@
 
     def __init__(self) -> None:
         self.time, self.heard = 0, 0
-        self.steady = False             # ticks come as they are proposed: this is no old log being read
+        self.steady = False  # ticks come as they are proposed: this is no old log being read
         self._last, self._shown = (0, 0), 0
 
     def tick(self, time: int, heard: int, own: bool = False) -> None:
@@ -92,15 +94,19 @@
     return ordered[(len(ordered) - 1) // 2], ordered[len(ordered) // 2]
 
 
-def proposed(now: int, running: Running, readings: Mapping[str, tuple[int, int]],
-             voters: Collection[str]) -> int | None:
+def proposed(
+    now: int, running: Running, readings: Mapping[str, tuple[int, int]], voters: Collection[str]
+) -> int | None:
     """The fleet time to propose, or None while fewer than a majority of `voters` can be read.
 
     `readings`: by member its wall clock and the own monotonic time when that came.  Where the number of
     readings is even, the fleet time that runs decides between the two in the middle: of two clocks the one
     that jumped is not followed."""
-    walls = [wall + now - came for name, (wall, came) in sorted(readings.items())
-             if name in voters and now - came <= STALE]
+    walls = [
+        wall + now - came
+        for name, (wall, came) in sorted(readings.items())
+        if name in voters and now - came <= STALE
+    ]
     if 2 * len(walls) <= len(voters):
         return None
     low, high = middle(walls)
@@ -115,22 +121,25 @@
 
 class Reading(Row, frozen=True):
     """What a member tells with each renewal."""
+
     wall: int
-    number: int = 0             # grows: a reading that was heard before is known by it
+    number: int = 0  # grows: a reading that was heard before is known by it
 
 
 class HoursWork:
     """Fleet time in a member's process.  `wall`: its wall clock, Unix time in tenths of a ms; `voters`: the
     names of those that vote; `me`: this member's."""
+
     name = "hours"
 
-    def __init__(self, part: Hours, me: str, wall: Callable[[], int],
-                 voters: Callable[[], Collection[str]]) -> None:
+    def __init__(
+        self, part: Hours, me: str, wall: Callable[[], int], voters: Callable[[], Collection[str]]
+    ) -> None:
         self.part, self.me, self.wall, self.voters = part, me, wall, voters
         self.running = Running()
         self.readings: dict[str, tuple[int, int]] = {}
         self._seen: dict[str, bytes] = {}
-        self._out: tuple[int, int] | None = None        # the tick proposed, and when
+        self._out: tuple[int, int] | None = None  # the tick proposed, and when
         self._number = 0
 
     def time(self, now: int) -> int:
@@ -170,7 +179,7 @@
                 self._seen[name] = report
                 try:
                     self.readings[name] = msgspec.msgpack.decode(report, type=Reading).wall, now
-                except msgspec.MsgspecError:    # a spoilt report is no reading
+                except msgspec.MsgspecError:  # a spoilt report is no reading
                     self.readings.pop(name, None)
         for name in [name for name in self.readings if name not in reports]:
             del self.readings[name], self._seen[name]
--- a/indigohitch/fleet/ledger/durable.py
+++ b/indigohitch/fleet/ledger/durable.py
@@ -2,6 +2,7 @@
 
 Nothing is promised before it is there: votes, the member's own and others', and entries acknowledged, also
 those that a leader counts for itself."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -11,13 +12,13 @@
 
 class Durable:
     def __init__(self, stable: int) -> None:
-        self.number = 0             # of the last write that was put out
-        self.stable = stable        # entries up to here lie on the disk
+        self.number = 0  # of the last write that was put out
+        self.stable = stable  # entries up to here lie on the disk
         self.failed = False
-        self.ballot_at = 0          # the write that holds the ballot; done once `done` reaches it
+        self.ballot_at = 0  # the write that holds the ballot; done once `done` reaches it
         self.done = 0
-        self.installing = 0         # index of a snapshot that is being written in place of the log
-        self.pending: deque[list[int]] = deque()        # [number, last entry that it makes stable]
+        self.installing = 0  # index of a snapshot that is being written in place of the log
+        self.pending: deque[list[int]] = deque()  # [number, last entry that it makes stable]
         self.promises: deque[tuple[int, Send]] = deque()
 
     @property
--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -1,6 +1,7 @@
 """What a follower does with a leader's words: entries, beats, pieces of a snapshot.  No I/O.
 
 Ongaro and Ousterhout 2014, 5.3 and 7."""
+
 from __future__ import annotations
 
 from ...net.clock import SECOND
@@ -43,13 +44,13 @@
 class Following:
     def __init__(self, state: State) -> None:
         self.state = state
-        self.agreed = 0             # up to here the log is as this term's leader has it
-        self.agreed_in = 0          # that term
-        self.round = 0              # of the last word of that leader
-        self.owed = False           # an answer waits for the ballot to be written
-        self.told = 0               # up to where it was acknowledged in this term
-        self.echoed = 0             # the last round that was echoed in it
-        self.coming: tuple | None = None        # the snapshot whose pieces come: index, term, digest
+        self.agreed = 0  # up to here the log is as this term's leader has it
+        self.agreed_in = 0  # that term
+        self.round = 0  # of the last word of that leader
+        self.owed = False  # an answer waits for the ballot to be written
+        self.told = 0  # up to where it was acknowledged in this term
+        self.echoed = 0  # the last round that was echoed in it
+        self.coming: tuple | None = None  # the snapshot whose pieces come: index, term, digest
         self.pieces = bytearray()
         self.lateness = Lateness(state.bootstrap["election"])
 
@@ -81,8 +82,8 @@
         state, log = self.state, self.state.log
         self.round = max(self.round, word.round)
         index, entries = word.prev_index, word.entries
-        if index < log.base:                    # what stands there was committed: it is the same
-            entries = entries[log.base - index:]
+        if index < log.base:  # what stands there was committed: it is the same
+            entries = entries[log.base - index :]
             index = min(index + len(word.entries), log.base)
         elif log.term(index) != word.prev_term:
             if not state.durable.failed:
@@ -121,8 +122,13 @@
     def written(self) -> None:
         """More may be acknowledged than was, or something at last."""
         state = self.state
-        if (state.role is Role.FOLLOWER and state.leader is not None and state.durable.safe
-                and self.agreed_in == state.term and (self.owed or self.match > self.told)):
+        if (
+            state.role is Role.FOLLOWER
+            and state.leader is not None
+            and state.durable.safe
+            and self.agreed_in == state.term
+            and (self.owed or self.match > self.told)
+        ):
             self.answer()
 
     # ---- a snapshot in pieces ----------------------------------------------------------------------
@@ -155,6 +161,6 @@
             if digest(book) == word.digest:
                 state.install(Snap(word.index, word.snap_term, word.members, book))
                 self.agreed = max(self.agreed, word.index)
-                return                          # answered once it is written
+                return  # answered once it is written
             state.note("snapshot_spoilt", index=word.index, sender=sender.name)
         state.send(sender, Pieced(state.term, word.index, len(self.pieces)))
--- a/indigohitch/fleet/ledger/leading.py
+++ b/indigohitch/fleet/ledger/leading.py
@@ -2,6 +2,7 @@
 No I/O.
 
 Ongaro and Ousterhout 2014, 5.3, 5.4.2 and 8; the dissertation, 3.10, 4.2, 6.2 and 10.2.1."""
+
 from __future__ import annotations
 
 from ..terms import Entry, Proposal, Who
@@ -21,10 +22,10 @@
         self.state = state
         self.reads = Reads(state, state.log.last + 1)
         self.peers: dict[Who, Peer] = {}
-        self.wishes: dict[Who, Change] = {}     # not reached yet
+        self.wishes: dict[Who, Change] = {}  # not reached yet
         self.open = sum(map(weight, state.log.some(state.commit + 1, state.log.last)))  # bytes not committed
         self.beat_due = state.now + state.bootstrap["beat"]
-        self.heir: Who | None = None            # to whom the place is given up
+        self.heir: Who | None = None  # to whom the place is given up
         self.heir_until = 0
         state.be(Role.LEADER, state.me)
         self.renew_peers()
@@ -55,25 +56,44 @@
         most = bootstrap["append_most"] * bootstrap["inflight"]
         if len(proposal.body) > most:
             # One entry goes in one word: a larger one would never reach anybody, and hold up all behind it.
-            state.note("proposal_too_large", kind=proposal.kind, proposer=proposal.proposer,
-                       bytes=len(proposal.body), most=most, remedy="propose it in parts")
+            state.note(
+                "proposal_too_large",
+                kind=proposal.kind,
+                proposer=proposal.proposer,
+                bytes=len(proposal.body),
+                most=most,
+                remedy="propose it in parts",
+            )
             state.out.append(Turned(proposal, bootstrap["election"], None))
         elif self.heir is not None:
             state.out.append(Turned(proposal, bootstrap["beat"], None))
         elif state.log.last - state.commit >= bootstrap["proposals_most"] or self.open >= most:
             state.out.append(Turned(proposal, bootstrap["beat"], state.me))
         else:
-            self.add(Entry(state.log.last + 1, state.term, proposal.kind, proposal.body, proposal.proposer,
-                           proposal.incarnation, proposal.number))
+            self.add(
+                Entry(
+                    state.log.last + 1,
+                    state.term,
+                    proposal.kind,
+                    proposal.body,
+                    proposal.proposer,
+                    proposal.incarnation,
+                    proposal.number,
+                )
+            )
             self.feed()
 
     def advance(self) -> None:
         """Commit what a majority holds, if it is of this term: older entries go with it (5.4.2).  The leader
         counts for itself only what its own disk holds."""
         state = self.state
-        held = sorted((state.durable.match if who == state.me else
-                       self.peers[who].match if who in self.peers else 0
-                       for who in state.belonging.voters), reverse=True)
+        held = sorted(
+            (
+                state.durable.match if who == state.me else self.peers[who].match if who in self.peers else 0
+                for who in state.belonging.voters
+            ),
+            reverse=True,
+        )
         index = held[state.belonging.majority - 1]
         if index > state.commit and self.own_term(index):
             self.open -= sum(map(weight, state.log.some(state.commit + 1, index)))
@@ -126,9 +146,12 @@
             self.wish(wish)
         self.beat()
         last = state.belonging.index
-        for who in [who for who, peer in self.peers.items() if who not in state.belonging.everyone
-                    and (peer.silent or peer.match >= last <= state.commit)]:
-            del self.peers[who]         # it has been told with this beat that its end is committed
+        for who in [
+            who
+            for who, peer in self.peers.items()
+            if who not in state.belonging.everyone and (peer.silent or peer.match >= last <= state.commit)
+        ]:
+            del self.peers[who]  # it has been told with this beat that its end is committed
 
     def beat(self) -> None:
         self.beat_due = self.state.now + self.state.bootstrap["beat"]
@@ -140,7 +163,7 @@
     def read(self, number: int) -> None:
         if self.reads.ask(number):
             self.new_round()
-            self.advance()              # alone, it is its own majority
+            self.advance()  # alone, it is its own majority
 
     def new_round(self) -> None:
         round, state = self.reads.begin(), self.state
@@ -165,8 +188,13 @@
         if not self.may_change:
             return
         try:
-            members = next_step(state.belonging.members, change.who, change.out, change.votes,
-                                peer is not None and peer.learned)
+            members = next_step(
+                state.belonging.members,
+                change.who,
+                change.out,
+                change.votes,
+                peer is not None and peer.learned,
+            )
         except ValueError as bad:
             self.wishes.pop(change.who, None)
             state.note("change_refused", who=change.who.name, number=change.who.number, why=str(bad))
@@ -181,15 +209,18 @@
         """A leader that doesn't vote any more ends once that is committed (dissertation, 4.2.2)."""
         state = self.state
         if state.me not in state.belonging.voters and state.commit >= state.belonging.index:
-            self.beat()                 # so that the others know it to be committed
+            self.beat()  # so that the others know it to be committed
             state.be(Role.FOLLOWER, None)
 
     # ---- giving up the place -----------------------------------------------------------------------
 
     def hand_over(self, to: Who | None) -> None:
         state = self.state
-        able = [(peer.match, who) for who, peer in self.peers.items()
-                if who in state.belonging.voters and not peer.silent and (to is None or who == to)]
+        able = [
+            (peer.match, who)
+            for who, peer in self.peers.items()
+            if who in state.belonging.voters and not peer.silent and (to is None or who == to)
+        ]
         if not able:
             state.note("not_handed_over", term=state.term, to=to.name if to else "")
             return
--- a/indigohitch/fleet/ledger/log.py
+++ b/indigohitch/fleet/ledger/log.py
@@ -1,6 +1,7 @@
 """The log as a member holds it in memory: entries from a snapshot on, and a stretch before it.  No I/O.
 
 What stays before the snapshot saves a member that lags a little from being sent the whole book."""
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -29,7 +30,7 @@
         """All of it by a snapshot."""
         self.snap, self.base, self.base_term = snap, snap.index, snap.term
         self.entries: list[Entry] = []
-        self.grown = 0                      # bytes of entries after the snapshot
+        self.grown = 0  # bytes of entries after the snapshot
 
     @property
     def last(self) -> int:
@@ -62,7 +63,7 @@
         del self.entries[at:]
 
     def some(self, first: int, last: int) -> tuple[Entry, ...]:
-        return tuple(self.entries[first - self.base - 1:last - self.base])
+        return tuple(self.entries[first - self.base - 1 : last - self.base])
 
     def up_to(self, first: int, most: int) -> tuple[Entry, ...]:
         """From `first` on, as many as weigh `most` bytes, at least one if there is any."""
--- a/indigohitch/fleet/ledger/machine.py
+++ b/indigohitch/fleet/ledger/machine.py
@@ -2,6 +2,7 @@
 
 By the published Raft algorithm (Ongaro and Ousterhout 2014, and Ongaro's dissertation); docs/ledger.md says
 what is kept and how.  `ports.py` has what goes in and what comes out."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
@@ -36,18 +37,34 @@
     member one without members.  `chance`: a random number from 0 to below 1.  Raises ValueError only for
     what must never be (a committed entry void, two leaders in a term): the member has to end."""
 
-    def __init__(self, me: Who, held: Held, bootstrap: Mapping[str, int], chance: Callable[[], float],
-                 now: int) -> None:
+    def __init__(
+        self, me: Who, held: Held, bootstrap: Mapping[str, int], chance: Callable[[], float], now: int
+    ) -> None:
         self.state = State(me, held, bootstrap, chance, now)
         self.votes = Votes(self.state, self.elected)
         self.following = Following(self.state)
         self.leading: Leading | None = None
-        self.steps = {Heard: self.heard, Propose: self.propose, Read: self.read, Change: self.change,
-                      Written: self.written, DiskFailed: self.disk_failed, DiskBack: self.disk_back,
-                      Snapped: self.snapped, Due: self.timed, HandOver: self.hand_over}
-        self.words = {Ask: self.votes.heard_ask, Vote: self.votes.heard_vote, Take: self.votes.heard_take,
-                      Append: self.following.heard_append, Piece: self.following.heard_piece,
-                      Appended: self.answered, Pieced: self.answered}
+        self.steps = {
+            Heard: self.heard,
+            Propose: self.propose,
+            Read: self.read,
+            Change: self.change,
+            Written: self.written,
+            DiskFailed: self.disk_failed,
+            DiskBack: self.disk_back,
+            Snapped: self.snapped,
+            Due: self.timed,
+            HandOver: self.hand_over,
+        }
+        self.words = {
+            Ask: self.votes.heard_ask,
+            Vote: self.votes.heard_vote,
+            Take: self.votes.heard_take,
+            Append: self.following.heard_append,
+            Piece: self.following.heard_piece,
+            Appended: self.answered,
+            Pieced: self.answered,
+        }
 
     # ---- from outside ------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/ledger/members.py
+++ b/indigohitch/fleet/ledger/members.py
@@ -4,6 +4,7 @@
 log (Ongaro's dissertation, 4.1 and 4.2).  A change of the voters adds one or takes one out, so that any two
 majorities before and after have a member in common.  A leader proposes one only when the one before is
 committed and an entry of its own term is (the correction of 2015 to 4.1)."""
+
 from __future__ import annotations
 
 import msgspec
@@ -30,7 +31,7 @@
         self.renew()
 
     def renew(self) -> None:
-        self.index, self.members = self.steps[-1]       # of the last change, committed or not
+        self.index, self.members = self.steps[-1]  # of the last change, committed or not
         self.voters = frozenset(self.members.voters)
         self.everyone = self.members.voters + self.members.followers
         self.majority = len(self.voters) // 2 + 1
@@ -64,8 +65,9 @@
 
 
 def without(members: Members, who: Who) -> Members:
-    return Members(tuple(w for w in members.voters if w != who),
-                   tuple(w for w in members.followers if w != who))
+    return Members(
+        tuple(w for w in members.voters if w != who), tuple(w for w in members.followers if w != who)
+    )
 
 
 def next_step(members: Members, who: Who, out: bool, votes: bool, learned: bool) -> Members | None:
--- a/indigohitch/fleet/ledger/peers.py
+++ b/indigohitch/fleet/ledger/peers.py
@@ -2,6 +2,7 @@
 
 Each peer has its own, so that a slow one holds up nobody, and holds little: `inflight` messages of
 `append_most` bytes, or one piece of a snapshot."""
+
 from __future__ import annotations
 
 import enum
@@ -15,9 +16,9 @@
 
 
 class Way(enum.Enum):
-    PROBING = "probing"         # where its log ends as ours is not known: one message at a time
-    STREAMING = "streaming"     # one after the other, without waiting for answers
-    SNAPSHOT = "snapshot"       # the log before was forgotten: pieces, one at a time
+    PROBING = "probing"  # where its log ends as ours is not known: one message at a time
+    STREAMING = "streaming"  # one after the other, without waiting for answers
+    SNAPSHOT = "snapshot"  # the log before was forgotten: pieces, one at a time
 
 
 class Peer:
@@ -25,13 +26,13 @@
         self.state, self.who = state, who
         self.match, self.next = 0, state.log.last + 1
         self.way, self.probed = Way.PROBING, False
-        self.out: deque[int] = deque()          # last entry of each message that is out
+        self.out: deque[int] = deque()  # last entry of each message that is out
         # As if just heard: a new leader has an election's time to find its majority.
         self.heard = state.now
         self.snap: Snap | None = None
         self.offset = 0
-        self.piece_at = 0                       # when the last piece went out
-        self.again = False                      # it went out again: the answer counts wherever it stands
+        self.piece_at = 0  # when the last piece went out
+        self.again = False  # it went out again: the answer counts wherever it stands
         self.digest = b""
         # Rounds of learning (dissertation, 4.2.1): where the log ended as this one began, and when.
         self.target, self.since, self.learned = state.log.last, state.now, False
@@ -82,8 +83,18 @@
 
     def append(self, entries: tuple, round: int) -> None:
         state = self.state
-        self.state.send(self.who, Append(state.term, self.next - 1, state.log.term(self.next - 1),
-                                         state.commit, entries, round, state.now))
+        self.state.send(
+            self.who,
+            Append(
+                state.term,
+                self.next - 1,
+                state.log.term(self.next - 1),
+                state.commit,
+                entries,
+                round,
+                state.now,
+            ),
+        )
 
     # ---- answers -----------------------------------------------------------------------------------
 
@@ -118,7 +129,7 @@
         if self.way is Way.SNAPSHOT or word.prev_index <= self.match:
             return
         if self.way is Way.PROBING and word.prev_index != self.next - 1:
-            return                              # of a message from before
+            return  # of a message from before
         at, _ = self.state.log.hint(min(word.match, word.prev_index - 1), word.hint_term)
         self.next = max(self.match, at) + 1
         self.way, self.probed = Way.PROBING, False
@@ -146,10 +157,21 @@
 
     def piece(self) -> None:
         state, snap = self.state, self.snap
-        data = snap.book[self.offset:self.offset + (0 if self.silent else state.bootstrap["piece"])]
+        data = snap.book[self.offset : self.offset + (0 if self.silent else state.bootstrap["piece"])]
         self.piece_at = state.now
-        state.send(self.who, Piece(state.term, snap.index, snap.term, snap.members, len(snap.book),
-                                   self.digest, self.offset, data))
+        state.send(
+            self.who,
+            Piece(
+                state.term,
+                snap.index,
+                snap.term,
+                snap.members,
+                len(snap.book),
+                self.digest,
+                self.offset,
+                data,
+            ),
+        )
 
     def pieced(self, word: Pieced) -> None:
         """It goes on from where the peer is; an answer that comes twice sends nothing twice."""
--- a/indigohitch/fleet/ledger/ports.py
+++ b/indigohitch/fleet/ledger/ports.py
@@ -4,6 +4,7 @@
 and `due`, the time at which `Due` is to be put in at the latest.  Nothing that it promises leaves before it
 is on the disk: it puts out `Write`, and sends what hangs on it once `Written` has come.  The driver writes in
 order."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -17,18 +18,21 @@
 class Members(Row, frozen=True):
     """Who belongs to the ledger: the body of a `ledger.members` entry, and part of a snapshot.  Votes count
     by name and number; followers are told everything and never vote."""
+
     voters: tuple[Who, ...]
     followers: tuple[Who, ...] = ()
 
 
 class Ballot(Row, frozen=True):
     """What must outlive a crash beside the log: the term, and who got this member's vote in it."""
+
     term: int
     vote: Who | None = None
 
 
 class Snap(Row, frozen=True):
     """The book as it stood after entry `index`; the log before may be forgotten."""
+
     index: int
     term: int
     members: Members
@@ -38,6 +42,7 @@
 @dataclass(slots=True)
 class Held:
     """What a disk gave back at a start: entries follow the snapshot without a gap."""
+
     ballot: Ballot
     snap: Snap
     entries: list[Entry] = field(default_factory=list)
@@ -49,6 +54,7 @@
 @dataclass(slots=True, frozen=True)
 class Heard:
     """A word of another member, from words.py."""
+
     sender: Who
     word: Row
 
@@ -61,12 +67,14 @@
 @dataclass(slots=True, frozen=True)
 class Read:
     """Ask for a read confirmed by a majority; `number` is the asker's, unique while it is out."""
+
     number: int
 
 
 @dataclass(slots=True, frozen=True)
 class Change:
     """An operator's wish: add (as a follower that votes once it has learned), or take out."""
+
     who: Who
     out: bool = False
     votes: bool = True
@@ -75,6 +83,7 @@
 @dataclass(slots=True, frozen=True)
 class Written:
     """All `Write`s up to that number are on the disk."""
+
     number: int
 
 
@@ -82,6 +91,7 @@
 class DiskFailed:
     """A write came to nothing (full, broken): nothing after the last `Written` is promised.  The member goes
     on without votes and acknowledgements until `DiskBack`; a leader steps down."""
+
     why: str
 
 
@@ -93,6 +103,7 @@
 @dataclass(slots=True, frozen=True)
 class Snapped:
     """The driver's answer to `TakeSnapshot`: on the disk, the log up to it is forgotten there."""
+
     snap: Snap
 
 
@@ -105,6 +116,7 @@
 class HandOver:
     """A leader that will end gives its place to another voter, the one named or the one furthest on; until
     then it turns proposals away, and after an election's time without success it goes on leading."""
+
     to: Who | None = None
 
 
@@ -123,6 +135,7 @@
 class Write:
     """To the disk, in order, then fsync, then `Written(number)`.  `cut`: entries from that index on are void
     (0: none); `ballot` None: as it was."""
+
     number: int
     ballot: Ballot | None = None
     cut: int = 0
@@ -132,12 +145,14 @@
 @dataclass(slots=True, frozen=True)
 class Commit:
     """Apply these to the book, in order."""
+
     entries: tuple[Entry, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class Install:
     """Set the book to this, write it to the disk in place of the log, then `Snapped`."""
+
     snap: Snap
 
 
@@ -145,6 +160,7 @@
 class TakeSnapshot:
     """The log has grown: encode the book as it stands (at `index`), write it, then `Snapped`.  `term` and
     `members` as they are to stand in it."""
+
     index: int
     term: int
     members: Members
@@ -154,6 +170,7 @@
 class Turned:
     """A proposal was not taken: `again` tells in how many tenths of a ms to return; `leader` who may take it.
     What was taken is answered by its entry in a `Commit`."""
+
     proposal: Proposal
     again: int
     leader: Who | None
@@ -163,6 +180,7 @@
 class Readable:
     """That read is confirmed: the book at `index` or later answers it.  `ok` False: not here, ask
     `leader`."""
+
     number: int
     index: int
     ok: bool = True
@@ -173,6 +191,7 @@
 class Became:
     """The role of this member changed: "follower", "asking" (a vote before the vote), "candidate",
     "leader"."""
+
     role: str
     term: int
     leader: Who | None
@@ -181,6 +200,7 @@
 @dataclass(slots=True, frozen=True)
 class Note:
     """For the log: a JSON line."""
+
     event: str
     fields: dict
 
--- a/indigohitch/fleet/ledger/reads.py
+++ b/indigohitch/fleet/ledger/reads.py
@@ -2,6 +2,7 @@
 
 The dissertation, 6.4.  A round is one count over all words of a leader: an answer that echoes it was sent
 after the round began, by a member that knew of no later leader."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -15,10 +16,10 @@
     """Of one leader, from its election on."""
 
     def __init__(self, state: State, first: int) -> None:
-        self.state, self.first = state, first           # its first entry
+        self.state, self.first = state, first  # its first entry
         self.round = 0
         self.echoed: dict[Who, int] = {}
-        self.waiting: deque[tuple[int, int, int]] = deque()     # number, round, index
+        self.waiting: deque[tuple[int, int, int]] = deque()  # number, round, index
 
     @property
     def open(self) -> bool:
@@ -28,7 +29,7 @@
     def ask(self, number: int) -> bool:
         """Whether a round has to begin now: those that come while one is out share the next."""
         if len(self.waiting) >= self.state.bootstrap["proposals_most"]:
-            self.state.out.append(Readable(number, 0, False))       # memory is bounded: come back
+            self.state.out.append(Readable(number, 0, False))  # memory is bounded: come back
             return False
         begin = not self.open
         self.waiting.append((number, self.round + 1, max(self.state.commit, self.first)))
@@ -45,8 +46,10 @@
     def confirmed(self) -> int:
         """The last round that a majority has echoed."""
         belonging = self.state.belonging
-        rounds = sorted((self.round if who == self.state.me else self.echoed.get(who, 0)
-                         for who in belonging.voters), reverse=True)
+        rounds = sorted(
+            (self.round if who == self.state.me else self.echoed.get(who, 0) for who in belonging.voters),
+            reverse=True,
+        )
         return rounds[belonging.majority - 1]
 
     def answer(self) -> bool:
--- a/indigohitch/fleet/ledger/state.py
+++ b/indigohitch/fleet/ledger/state.py
@@ -1,5 +1,6 @@
 """What a member of the ledger is at this moment: term, role, log, members, commit; what its parts share.
 No I/O."""
+
 from __future__ import annotations
 
 import enum
@@ -14,7 +15,7 @@
 
 class Role(enum.Enum):
     FOLLOWER = "follower"
-    ASKING = "asking"           # for votes before the vote
+    ASKING = "asking"  # for votes before the vote
     CANDIDATE = "candidate"
     LEADER = "leader"
 
@@ -24,8 +25,9 @@
     snapshot, before the next is taken), `append_most` (of a message), `piece` (of a snapshot); counts
     `inflight` (messages out to a peer) and `proposals_most`."""
 
-    def __init__(self, me: Who, held: Held, bootstrap: Mapping[str, int], chance: Callable[[], float],
-                 now: int) -> None:
+    def __init__(
+        self, me: Who, held: Held, bootstrap: Mapping[str, int], chance: Callable[[], float], now: int
+    ) -> None:
         self.me, self.bootstrap, self.chance, self.now = me, bootstrap, chance, now
         self.log = Log(held.snap, held.entries)
         self.belonging = Belonging(held.snap.index, held.snap.members)
@@ -36,9 +38,9 @@
         self.commit = held.snap.index
         self.role, self.leader = Role.FOLLOWER, None
         self.told = (self.role, self.ballot.term, self.leader)
-        self.heard = now - 2 * bootstrap["election"]    # when a leader was last heard
+        self.heard = now - 2 * bootstrap["election"]  # when a leader was last heard
         self.election_due = 0
-        self.snapping = False                           # a snapshot of our own is being taken
+        self.snapping = False  # a snapshot of our own is being taken
         self.out: list[Output] = []
         self.wait_anew()
 
@@ -56,8 +58,9 @@
         """A leader was heard within the shortest election's time, or this is one: no vote is given now, and
         no term moved by who asks for one, so that a member that comes back doesn't unseat a leader
         (dissertation, 4.2.3)."""
-        return self.role is Role.LEADER or (self.leader is not None
-                                            and self.now - self.heard < self.bootstrap["election"])
+        return self.role is Role.LEADER or (
+            self.leader is not None and self.now - self.heard < self.bootstrap["election"]
+        )
 
     # ---- saying and writing ------------------------------------------------------------------------
 
@@ -109,11 +112,15 @@
 
     def compact(self) -> None:
         """Memory and disk are bounded: the book takes the place of a log that has grown."""
-        if (self.log.grown > self.bootstrap["log_most"] and self.commit > self.log.snap.index
-                and not (self.snapping or self.durable.failed or self.durable.installing)):
+        if (
+            self.log.grown > self.bootstrap["log_most"]
+            and self.commit > self.log.snap.index
+            and not (self.snapping or self.durable.failed or self.durable.installing)
+        ):
             self.snapping = True
-            self.out.append(TakeSnapshot(self.commit, self.log.term(self.commit),
-                                         self.belonging.at(self.commit)))
+            self.out.append(
+                TakeSnapshot(self.commit, self.log.term(self.commit), self.belonging.at(self.commit))
+            )
 
     def install(self, snap: Snap) -> None:
         """In place of a log that is behind it."""
@@ -140,6 +147,5 @@
         if self.durable.installing:
             self.out.append(Install(self.log.snap))
         first = max(self.durable.stable, self.log.snap.index if self.durable.installing else 0) + 1
-        self.out += self.durable.write(self.ballot, first, self.log.some(first, self.log.last),
-                                       self.log.last)
+        self.out += self.durable.write(self.ballot, first, self.log.some(first, self.log.last), self.log.last)
         self.compact()
--- a/indigohitch/fleet/ledger/votes.py
+++ b/indigohitch/fleet/ledger/votes.py
@@ -2,6 +2,7 @@
 
 Ongaro and Ousterhout 2014, 5.2 and 5.4.1; the dissertation, 9.6 (the vote before the vote), 4.2.3 (none
 against a leader that is heard) and 3.10 (a leader that gives its place up)."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -24,10 +25,13 @@
         """Also one that the last entry takes out, until that is committed: it may be the only one that has
         the entry (dissertation, 4.2.2)."""
         state = self.state
-        belongs = (state.me in state.belonging.voters
-                   or state.me in state.belonging.at(state.commit).voters)
-        return (belongs and not state.durable.failed
-                and not state.durable.installing and not state.belonging.outdated(state.me))
+        belongs = state.me in state.belonging.voters or state.me in state.belonging.at(state.commit).voters
+        return (
+            belongs
+            and not state.durable.failed
+            and not state.durable.installing
+            and not state.belonging.outdated(state.me)
+        )
 
     def due(self) -> None:
         """No leader was heard for this member's time."""
--- a/indigohitch/fleet/ledger/words.py
+++ b/indigohitch/fleet/ledger/words.py
@@ -1,5 +1,6 @@
 """What the ledger's machines say to each other (Ongaro and Ousterhout 2014, figures 2 and 13, and the
 dissertation, 4.2.3, 3.10, 6.4, 9.6).  Rows only; fields are only ever added at the end."""
+
 from __future__ import annotations
 
 from ...packed.rows import Row
@@ -10,6 +11,7 @@
 class Ask(Row, frozen=True):
     """For a vote in `term`, by one whose log ends so.  `pre`: would you?  It binds nobody and moves no term.
     `handed`: the leader itself has asked the sender to stand."""
+
     term: int
     last_index: int
     last_term: int
@@ -19,6 +21,7 @@
 
 class Vote(Row, frozen=True):
     """`term` as asked for where it is given, else the sender's own."""
+
     term: int
     given: bool
     pre: bool = False
@@ -28,6 +31,7 @@
     """Entries that follow the one at `prev_index`, of `prev_term`; without any it is a beat.  `round` counts
     the rounds of reads of that leader: an answer that says it was sent after that round began.  `at`: the
     leader's clock as it was sent, of use only against other words of the same leader; 0: not told."""
+
     term: int
     prev_index: int
     prev_term: int
@@ -41,6 +45,7 @@
     """`ok`: all up to `match` is on the sender's disk and as the leader has it.  Not `ok`: nothing stands at
     `prev_index` as the leader has it; what the sender holds up to there is at most of `hint_term`, up to
     `match`."""
+
     term: int
     ok: bool
     match: int
@@ -51,6 +56,7 @@
 
 class Piece(Row, frozen=True):
     """Of a snapshot of `total` bytes with that digest, from `offset` on."""
+
     term: int
     index: int
     snap_term: int
@@ -63,6 +69,7 @@
 
 class Pieced(Row, frozen=True):
     """Of the snapshot at `index` the sender holds the first `offset` bytes."""
+
     term: int
     index: int
     offset: int
@@ -70,6 +77,7 @@
 
 class Take(Row, frozen=True):
     """Stand now: the leader gives its place up to you, whose log ends as its own."""
+
     term: int
 
 
--- a/indigohitch/fleet/links/ends.py
+++ b/indigohitch/fleet/links/ends.py
@@ -1,4 +1,5 @@
 """The two ends of a link: the connection that is dialled, and the one that is accepted."""
+
 from __future__ import annotations
 
 import enum
@@ -31,7 +32,7 @@
 class Phase(enum.Enum):
     RESTING = "resting"
     DIALLING = "dialling"
-    GREETING = "greeting"       # connected; the other end has not answered the greeting
+    GREETING = "greeting"  # connected; the other end has not answered the greeting
     OPEN = "open"
     CLOSED = "closed"
 
@@ -43,9 +44,9 @@
     def __init__(self, links: Links, name: str, to: tuple[str, int]) -> None:
         self.links, self.name, self.to = links, name, to
         self.phase, self.since = Phase.RESTING, 0
-        self.due, self.rest = 0, REST           # of the next dialling
+        self.due, self.rest = 0, REST  # of the next dialling
         self.connection: Connection | None = None
-        self.welcome: Welcome | None = None     # the last one: facts in it stay true
+        self.welcome: Welcome | None = None  # the last one: facts in it stay true
         self.alive = self.pulses = self.pulse_due = self.dropped = 0
 
     @property
@@ -63,8 +64,12 @@
             if now - self.since > GREET:
                 self.connection.close("no answer")
         elif now - self.alive > SILENT:
-            self.links.log.trouble("member_silent", member=self.name, ms=(now - self.alive) / 10,
-                                   remedy="see whether it runs and whether its address is reached")
+            self.links.log.trouble(
+                "member_silent",
+                member=self.name,
+                ms=(now - self.alive) / 10,
+                remedy="see whether it runs and whether its address is reached",
+            )
             self.connection.close("silent")
         elif now >= self.pulse_due:
             self.pulses += 1
@@ -165,8 +170,9 @@
         self.links, self.who, self.token = links, None, 0
         self.since = self.heard_at = links.loop.clock.now()
         self.frames = Frames(links.kinds)
-        self.connection = Connection.accepted(links.loop, sock, self, links.kinds.most + (64 << 10),
-                                              links.loop.pool)
+        self.connection = Connection.accepted(
+            links.loop, sock, self, links.kinds.most + (64 << 10), links.loop.pool
+        )
 
     def heard(self, connection: Connection) -> None:
         self.heard_at = self.links.loop.clock.now()
@@ -176,7 +182,7 @@
                 if not connection.open:
                     return
             if not self.links.kinds.magic.startswith(self.frames.rest[:4]):
-                raise Broken("another protocol")        # less than a head: nobody need wait for the rest
+                raise Broken("another protocol")  # less than a head: nobody need wait for the rest
         except Broken as broken:
             self.links.spoilt(self.who.name if self.who else "", broken)
             self.close()
@@ -186,8 +192,11 @@
             if isinstance(word, Greeting):
                 self.links.greeted(self, word)
             else:
-                self.links.log.trouble("stranger", why=f"{type(word).__name__} before a greeting",
-                                       remedy="keep others off the members' port")
+                self.links.log.trouble(
+                    "stranger",
+                    why=f"{type(word).__name__} before a greeting",
+                    remedy="keep others off the members' port",
+                )
                 self.close()
         elif isinstance(word, Pulse):
             self.answer(Pulsed(word.number))
--- a/indigohitch/fleet/links/greeting.py
+++ b/indigohitch/fleet/links/greeting.py
@@ -1,4 +1,5 @@
 """Whether one who greets may speak.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Container
--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -1,4 +1,5 @@
 """All links of a member: its listener, whom it dials, who came."""
+
 from __future__ import annotations
 
 import socket
@@ -23,8 +24,9 @@
     `welcome(who) -> Welcome`: what one who greets is told.  `up(name)`, `down(name)`: our words reach it, or
     don't any more.  `chance`: of a seeded generator, for the spread of diallings."""
 
-    def __init__(self, loop: Loop, log: Log, kinds: Kinds, fleet: str, me: Who, token: int,
-                 chance: Callable[[], float]) -> None:
+    def __init__(
+        self, loop: Loop, log: Log, kinds: Kinds, fleet: str, me: Who, token: int, chance: Callable[[], float]
+    ) -> None:
         self.loop, self.log, self.kinds, self.fleet, self.token = loop, log, kinds, fleet, token
         self.me, self.chance = me, chance
         self.peers: dict[str, Dialled] = {}
@@ -36,12 +38,13 @@
         self.on_up: Callable[[str], None] = lambda name: None
         self.on_down: Callable[[str], None] = lambda name: None
         self.facts: Callable[[Who], Welcome] = lambda who: Welcome(self.me, self.token)
-        self.known: Callable[[str], int] = lambda name: 0       # the highest number met of a name
+        self.known: Callable[[str], int] = lambda name: 0  # the highest number met of a name
 
     def start(self, at: tuple[str, int]) -> None:
         """Raises OSError where the address can't be had."""
-        self.listener = Listener(self.loop, at, self.knock,
-                                 lambda why: self.log.trouble("accept_failed", why=why))
+        self.listener = Listener(
+            self.loop, at, self.knock, lambda why: self.log.trouble("accept_failed", why=why)
+        )
 
     def relist(self, peers: Mapping[str, tuple[str, int]]) -> None:
         """The others, by name, with the addresses at which this one reaches them."""
@@ -61,7 +64,7 @@
         for name, link in list(self.peers.items()):
             link.close()
             self.peers[name] = Dialled(self, name, link.to)
-        for one in list(self.came.values()):    # who dialled us knows the old number: it dials anew
+        for one in list(self.came.values()):  # who dialled us knows the old number: it dials anew
             one.close()
         self.beat()
 
@@ -90,8 +93,12 @@
         why = f"{welcome.who.name} answers" if welcome.who.name != link.name else unspoken(welcome)
         why = why or self.on_met(welcome.who)
         if why:
-            self.log.trouble("not_who_was_dialled", member=link.name, why=why,
-                             remedy="see the address of that member in this file")
+            self.log.trouble(
+                "not_who_was_dialled",
+                member=link.name,
+                why=why,
+                remedy="see the address of that member in this file",
+            )
         return not why
 
     def up(self, link: Dialled) -> None:
@@ -124,7 +131,7 @@
             return
         self.strangers.discard(one)
         if (before := self.came.get(name)) is not None:
-            before.close()                      # it has dialled anew: the old one is dead, or will be
+            before.close()  # it has dialled anew: the old one is dead, or will be
         one.who, one.token = greeting.who, greeting.token
         self.came[name] = one
         one.answer(self.facts(greeting.who))
@@ -134,8 +141,12 @@
         self.on_heard(who, word)
 
     def spoilt(self, name: str, broken: Broken) -> None:
-        self.log.trouble("frame_spoilt", member=name or "unknown", why=broken.what,
-                         remedy="keep others off the members' port; if it is a member, see the network")
+        self.log.trouble(
+            "frame_spoilt",
+            member=name or "unknown",
+            why=broken.what,
+            remedy="keep others off the members' port; if it is a member, see the network",
+        )
 
     def gone(self, one: Accepted) -> None:
         self.strangers.discard(one)
@@ -155,8 +166,14 @@
 
     def figures(self) -> dict:
         now = self.loop.clock.now()
-        return {name: {"phase": link.phase.value, "number": link.welcome.who.number if link.welcome else 0,
-                       "waiting": len(link.connection.outgoing) if link.connection else 0,
-                       "dropped": link.dropped, "reached": link.phase is Phase.OPEN,
-                       "heard_ms_ago": (now - self.came[name].heard_at) / 10 if name in self.came else None}
-                for name, link in sorted(self.peers.items())}
+        return {
+            name: {
+                "phase": link.phase.value,
+                "number": link.welcome.who.number if link.welcome else 0,
+                "waiting": len(link.connection.outgoing) if link.connection else 0,
+                "dropped": link.dropped,
+                "reached": link.phase is Phase.OPEN,
+                "heard_ms_ago": (now - self.came[name].heard_at) / 10 if name in self.came else None,
+            }
+            for name, link in sorted(self.peers.items())
+        }
--- a/indigohitch/fleet/links/words.py
+++ b/indigohitch/fleet/links/words.py
@@ -2,17 +2,19 @@
 
 A dials B, and what A has to say to B goes over that connection; what B says to A goes over the one that B
 dials.  Back over a dialled connection come only answers to these words."""
+
 from __future__ import annotations
 
 from ...packed.rows import Row
 from ..terms import Who
 
-PROTOCOL = 1                    # of this program's words; it understands one less and one more
+PROTOCOL = 1  # of this program's words; it understands one less and one more
 LOWEST, HIGHEST = max(1, PROTOCOL - 1), PROTOCOL
 
 
 class Greeting(Row, frozen=True):
     """First word of who dials.  `token`: of its start, 62 random bits; `who.number` 0: it has none yet."""
+
     fleet: str
     who: Who
     token: int
@@ -23,6 +25,7 @@
 class Welcome(Row, frozen=True):
     """`met`: the highest number that the answering one ever met of the asker's name; `founders`: the voters
     at its founding, or those its file lists if it has not been founded."""
+
     who: Who
     token: int
     met: int = 0
@@ -33,11 +36,13 @@
 
 class Refused(Row, frozen=True):
     """The connection is closed after it."""
+
     why: str
 
 
 class Pulse(Row, frozen=True):
     """Is there anyone?"""
+
     number: int
 
 
--- a/indigohitch/fleet/members/entries.py
+++ b/indigohitch/fleet/members/entries.py
@@ -1,4 +1,5 @@
 """The entries of the part `members`, and what the book keeps of a member and a change.  Shapes only."""
+
 from __future__ import annotations
 
 import enum
@@ -8,6 +9,7 @@
 
 class Join(Row):
     """By `name?token`: a process that has just started, or one that was shut out and begins anew."""
+
     name: str
     token: int
     votes: bool = False
@@ -15,6 +17,7 @@
 
 class Leave(Row):
     """By the member itself, at an orderly end, after its last act."""
+
     name: str
     incarnation: int
 
@@ -28,6 +31,7 @@
 class Gone(Row):
     """By the leader, once the lease has surely run out by its reckoning; `when` that was in fleet time,
     0: not known."""
+
     name: str
     incarnation: int
     when: int = 0
@@ -39,12 +43,14 @@
 
 class Agreed(Row):
     """What most members had there: who has another shuts itself out."""
+
     index: int
     digest: bytes
 
 
 class Back(Row):
     """Compared and found equal at point `index`: it may act."""
+
     name: str
     incarnation: int
     index: int
@@ -53,6 +59,7 @@
 class Announce(Row):
     """Something that members go by has changed, and no part of the book holds it (their files' classes and
     servers): this entry is its version.  `hard` and `allowed` as in `Change`."""
+
     what: str
     hard: bool
     allowed: int = 0
@@ -61,6 +68,7 @@
 class InForce(Row):
     """Every member that may act has taken all changes up to `version`.  `taken`: name, incarnation, and how
     many acts it had stamped when it said that it goes by `version` or later; the audit holds it to that."""
+
     version: int
     taken: tuple[tuple[str, int, int], ...] = ()
 
@@ -74,18 +82,20 @@
 
 class Member(Row):
     """One incarnation of a name."""
+
     name: str
     incarnation: int
     votes: bool
-    joined: int                 # the entry
+    joined: int  # the entry
     life: Life = Life.COMPARED
-    since: int = 0              # the entry that made it so
+    since: int = 0  # the entry that made it so
     why: str = ""
 
 
 class Change(Row):
     """What members must take.  `hard`: nobody may act by what was before once it is in force; else they may
     for `allowed` longer."""
+
     index: int
     what: str
     hard: bool
--- a/indigohitch/fleet/members/judge.py
+++ b/indigohitch/fleet/members/judge.py
@@ -4,6 +4,7 @@
 far behind, it is a share of a lease.  Who is later than that is brought up, as long as it moves and not for
 longer than `BRINGING` leases, or shut out; who isn't heard of for a lease is shut out.  What a hard change
 takes away is free only with `in_force`, when every member that may act has taken it."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -30,15 +31,16 @@
 @dataclass(slots=True)
 class Seen:
     """What the leader knows of one incarnation; times by the leader's clock."""
-    heard: int                  # when it last asked for a lease
-    moved: int                  # when `applied` last grew
+
+    heard: int  # when it last asked for a lease
+    moved: int  # when `applied` last grew
     applied: int = 0
     acts: int = 0
     digest_at: int = 0
     digest: bytes = b""
-    lacks: int = 0              # since when it lacks anything and has taken nothing; 0: it doesn't
-    lags: int = 0               # since when it lacks more than LAG entries
-    late: int = 0               # since when it is a straggler; 0: it isn't
+    lacks: int = 0  # since when it lacks anything and has taken nothing; 0: it doesn't
+    lags: int = 0  # since when it lacks more than LAG entries
+    late: int = 0  # since when it is a straggler; 0: it isn't
 
     def renewed(self, now: int, word: Renew) -> None:
         self.heard = now
@@ -53,12 +55,12 @@
 
     def __init__(self, roster: Roster, span: int, over: Callable[[int, str, int], bool]) -> None:
         self.roster, self.span, self.over = roster, span, over
-        self.elected = self.now = 0                     # `now`: of the last look, for `status`
-        self.when: Callable[[int], int] = lambda now: now       # fleet time; 0: not known
+        self.elected = self.now = 0  # `now`: of the last look, for `status`
+        self.when: Callable[[int], int] = lambda now: now  # fleet time; 0: not known
         self.seen: dict[tuple[str, int], Seen] = {}
-        self.condemned: dict[tuple[str, int], str] = {}     # proposed to be shut out, and why
-        self.known_since: dict[int, int] = {}           # change -> when this leader first saw it
-        self.point, self.pointed = 0, 0      # of comparing: which, since when
+        self.condemned: dict[tuple[str, int], str] = {}  # proposed to be shut out, and why
+        self.known_since: dict[int, int] = {}  # change -> when this leader first saw it
+        self.point, self.pointed = 0, 0  # of comparing: which, since when
 
     def begin(self, now: int) -> None:
         self.elected = self.now = self.pointed = now
@@ -80,8 +82,9 @@
     def standing(self, now: int, member: Member) -> Standing:
         """Shut out, gone and back are told by entries; the rest by what was heard."""
         if member.life is not Life.VALID:
-            return {Life.SHUT_OUT: Standing.SHUT_OUT, Life.GONE: Standing.GONE,
-                    Life.COMPARED: Standing.BACK}[member.life]
+            return {Life.SHUT_OUT: Standing.SHUT_OUT, Life.GONE: Standing.GONE, Life.COMPARED: Standing.BACK}[
+                member.life
+            ]
         seen = self.of(now, member.name, member.incarnation)
         due = min(self.deadlines(now, member, seen), default=None)
         if due is None:
@@ -165,14 +168,24 @@
 
     def taken(self, now: int) -> list[Row]:
         """The last change that all have taken.  One shut out counts until it is gone."""
-        present = [(member, self.of(now, member.name, member.incarnation))
-                   for member in self.roster.present()]
+        present = [
+            (member, self.of(now, member.name, member.incarnation)) for member in self.roster.present()
+        ]
         for change in reversed(self.roster.changes):
-            if all(member.life is Life.VALID and self.took(member, seen, change.index)
-                   for member, seen in present):
-                return [InForce(change.index, tuple((member.name, member.incarnation, seen.acts)
-                                                    for member, seen in present
-                                                    if seen.applied >= change.index))]
+            if all(
+                member.life is Life.VALID and self.took(member, seen, change.index)
+                for member, seen in present
+            ):
+                return [
+                    InForce(
+                        change.index,
+                        tuple(
+                            (member.name, member.incarnation, seen.acts)
+                            for member, seen in present
+                            if seen.applied >= change.index
+                        ),
+                    )
+                ]
         return []
 
     # ---- comparing ---------------------------------------------------------------------------------
@@ -184,8 +197,11 @@
         agreed, wanted = roster.agreed, []
         for member in members:
             seen = self.of(now, member.name, member.incarnation)
-            if (member.life is Life.COMPARED and seen.digest_at == agreed.index > member.joined
-                    and seen.digest == agreed.digest):
+            if (
+                member.life is Life.COMPARED
+                and seen.digest_at == agreed.index > member.joined
+                and seen.digest == agreed.digest
+            ):
                 wanted.append(Back(member.name, member.incarnation, agreed.index))
         told = [self.of(now, member.name, member.incarnation) for member in members]
         if roster.compared > agreed.index:
@@ -195,12 +211,14 @@
             if own is not None and counts and (waited or counts.total() == len(told)):
                 wanted.append(Agreed(roster.compared, self.most(counts, own)))
             elif waited:
-                wanted.append(Compare())        # nobody could tell, or this leader was set to a later state
+                wanted.append(Compare())  # nobody could tell, or this leader was set to a later state
             return wanted
-        missed = now >= self.pointed + self.span        # one that was brought up past the point
-        new = any(member.life is Life.COMPARED and (
-            member.joined > roster.compared or (missed and one.digest_at < roster.compared))
-            for member, one in zip(members, told))
+        missed = now >= self.pointed + self.span  # one that was brought up past the point
+        new = any(
+            member.life is Life.COMPARED
+            and (member.joined > roster.compared or (missed and one.digest_at < roster.compared))
+            for member, one in zip(members, told)
+        )
         busy = roster.book.index > agreed.index + 2 and now >= self.pointed + COMPARING * self.span
         return wanted + [Compare()] if new or busy else wanted
 
--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -9,6 +9,7 @@
 came. Whoever is elected later got a vote of one of that majority after it confirmed, so what was answered was
 asked before the election: a new leader that takes every member to hold a lease until `span * (1 + drift)`
 after its election is never too early.  tests/test_members_leases.py walks the orders with drifting clocks."""
+
 from __future__ import annotations
 
 import math
@@ -44,7 +45,7 @@
         self.span, self.length = span, held(span, drift)
         self.incarnation = self.until = 0
         self.number, self.due = 0, 0
-        self.sent: dict[int, int] = {}          # number -> when, before it went out
+        self.sent: dict[int, int] = {}  # number -> when, before it went out
 
     def begin(self, incarnation: int) -> None:
         """A new incarnation holds nothing, whatever the last one held."""
@@ -80,6 +81,7 @@
 class ReadFirst(Row, frozen=True):
     """Put `Read(number)` into the ledger's machine, and call `confirmed` once it is answered and the book has
     been applied up to the index that the answer names."""
+
     number: int
 
 
@@ -91,6 +93,7 @@
 @dataclass(slots=True)
 class Round:
     """A read that is out, and the askings that it will answer: all of them came before it began."""
+
     number: int
     begun: int
     askings: dict[str, Renew] = field(default_factory=dict)
@@ -102,9 +105,9 @@
 
     def __init__(self, span: int, drift: float, fit: Callable[[str, int], str]) -> None:
         self.span, self.length, self.fit = span, given(span, drift), fit
-        self.term = 0                                   # 0: does not lead
-        self.assumed = 0                                # until then anyone may hold one, of a leader before
-        self.until: dict[tuple[str, int], int] = {}     # given by this one since its election
+        self.term = 0  # 0: does not lead
+        self.assumed = 0  # until then anyone may hold one, of a leader before
+        self.until: dict[tuple[str, int], int] = {}  # given by this one since its election
         self.waiting: dict[str, Renew] = {}
         self.round: Round | None = None
         self.reads = 0
@@ -140,8 +143,9 @@
         if self.round is None or number != self.round.number or not self.term:
             return []
         askings, self.round = self.round.askings, None
-        out: list[ReadFirst | Answer] = [Answer(name, self.answer(now, name, word, ok))
-                                         for name, word in askings.items()]
+        out: list[ReadFirst | Answer] = [
+            Answer(name, self.answer(now, name, word, ok)) for name, word in askings.items()
+        ]
         return out + self.read(now)
 
     def answer(self, now: int, name: str, word: Renew, ok: bool) -> Renewed | NotRenewed:
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -4,6 +4,7 @@
 An incarnation goes one way: being compared, valid, shut out, gone.  It is given by `join` and never again;
 one that joins later shuts out those before it.  `gone` is proposed by the leader once that lease has surely
 run out (leases.py), and only there the other parts hear that what it held is free."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -51,20 +52,28 @@
 
 class Roster:
     name = "members"
-    kinds: Mapping[str, type[Row]] = {"join": Join, "leave": Leave, "shut_out": ShutOut, "gone": Gone,
-                                      "compare": Compare, "agreed": Agreed, "back": Back, "in_force": InForce,
-                                      "change": Announce}
+    kinds: Mapping[str, type[Row]] = {
+        "join": Join,
+        "leave": Leave,
+        "shut_out": ShutOut,
+        "gone": Gone,
+        "compare": Compare,
+        "agreed": Agreed,
+        "back": Back,
+        "in_force": InForce,
+        "change": Announce,
+    }
     book: Book
 
     def __init__(self) -> None:
-        self.members: dict[tuple[str, int], Member] = {}        # not gone, and the last one of each name
-        self.highest: dict[str, int] = {}                       # incarnation given, by name
-        self.tokens: dict[str, list[tuple[int, int]]] = {}      # token, incarnation
-        self.changes: list[Change] = []                         # not in force
-        self.in_force = 0               # the last change that is
-        self.compared = 0               # the last point of comparing
+        self.members: dict[tuple[str, int], Member] = {}  # not gone, and the last one of each name
+        self.highest: dict[str, int] = {}  # incarnation given, by name
+        self.tokens: dict[str, list[tuple[int, int]]] = {}  # token, incarnation
+        self.changes: list[Change] = []  # not in force
+        self.in_force = 0  # the last change that is
+        self.compared = 0  # the last point of comparing
         self.agreed = Agreed(0, b"")
-        self.digests: dict[int, bytes] = {}     # this member's own, at the last points: not part of the state
+        self.digests: dict[int, bytes] = {}  # this member's own, at the last points: not part of the state
 
     # ---- asked by other parts, works and the leader --------------------------------------------------
 
@@ -114,13 +123,14 @@
         tokens.append((join.token, incarnation))
         del tokens[:-TOKENS]
         for old in [p for p in self.book.proposers if p.startswith(f"{join.name}?") and p != at.proposer]:
-            del self.book.proposers[old]        # starts that are over would pile up
+            del self.book.proposers[old]  # starts that are over would pile up
         for member in [member for member in self.members.values() if member.name == join.name]:
             self.shut(at, member, LATER)
             if member.life is Life.GONE:
                 self.members.pop((member.name, member.incarnation), None)
-        self.members[join.name, incarnation] = Member(join.name, incarnation, join.votes, at.index,
-                                                      since=at.index)
+        self.members[join.name, incarnation] = Member(
+            join.name, incarnation, join.votes, at.index, since=at.index
+        )
         self.tell("member_joined", at, join.name, incarnation)
         return incarnation
 
@@ -143,7 +153,7 @@
         member.life, member.since = Life.GONE, at.index
         self.tell("member_ended", at, member.name, member.incarnation, when)
         self.tell("member_gone", at, member.name, member.incarnation)
-        if member.incarnation < self.highest[member.name]:      # of each name the last one gone is told of
+        if member.incarnation < self.highest[member.name]:  # of each name the last one gone is told of
             del self.members[member.name, member.incarnation]
 
     def known(self, name: str, incarnation: int, *lives: Life) -> Member:
@@ -198,8 +208,15 @@
     # ---- as a whole --------------------------------------------------------------------------------
 
     def row(self) -> RosterRow:
-        return RosterRow(list(self.members.values()), self.highest, self.tokens, self.changes, self.in_force,
-                         self.compared, self.agreed)
+        return RosterRow(
+            list(self.members.values()),
+            self.highest,
+            self.tokens,
+            self.changes,
+            self.in_force,
+            self.compared,
+            self.agreed,
+        )
 
     def restore(self, row: bytes) -> None:
         try:
--- a/indigohitch/fleet/members/work.py
+++ b/indigohitch/fleet/members/work.py
@@ -4,6 +4,7 @@
 The process that drives it (node/): proposes under `proposer()`; sends what `renew` returns to the leader, the
 leader's own too; hands words to `heard`, roles to `became`, confirmed reads to `readable`, and carries out
 what they return at once.  It acts only under `lease(now)`, asked right before the act."""
+
 from __future__ import annotations
 
 import enum
@@ -22,29 +23,30 @@
 
 
 class Phase(enum.StrEnum):
-    JOINING = "joining"         # has no incarnation
+    JOINING = "joining"  # has no incarnation
     COMPARED = "being compared"
-    VALID = "valid"             # may act while its lease lasts
-    DIFFERS = "differs"         # its state isn't the others': it acts no more, and keeps the evidence
-    REPLACED = "replaced"       # another process of this name has joined later
+    VALID = "valid"  # may act while its lease lasts
+    DIFFERS = "differs"  # its state isn't the others': it acts no more, and keeps the evidence
+    REPLACED = "replaced"  # another process of this name has joined later
     LEFT = "left"
 
 
 class Membership:
     name = "members"
 
-    def __init__(self, me: str, votes: bool, roster: Roster, span: int, drift: float,
-                 token: Callable[[], int]) -> None:
+    def __init__(
+        self, me: str, votes: bool, roster: Roster, span: int, drift: float, token: Callable[[], int]
+    ) -> None:
         """`span` of a lease, `drift` as in leases.py; `token()`: 62 bits of chance, another at each call."""
         self.me, self.votes, self.roster, self.draw = me, votes, roster, token
         self.phase, self.incarnation, self.token = Phase.JOINING, 0, token()
         self.holder = Holder(span, drift)
         self.giver = Giver(span, drift, self.unfit)
         self.judge = Judge(roster, span, self.giver.over)
-        self.reports: dict[str, tuple[int, Mapping[str, bytes]]] = {}   # at the leader: when, by work
-        self.out: set[str] = set()              # tags of proposals whose outcome isn't known
-        self.evidence: tuple[int, bytes, bytes] | None = None   # point, own digest, that of the others
-        self.refusal = ""                       # why there is no lease, as last told
+        self.reports: dict[str, tuple[int, Mapping[str, bytes]]] = {}  # at the leader: when, by work
+        self.out: set[str] = set()  # tags of proposals whose outcome isn't known
+        self.evidence: tuple[int, bytes, bytes] | None = None  # point, own digest, that of the others
+        self.refusal = ""  # why there is no lease, as last told
 
     def proposer(self) -> tuple[str, int]:
         """Under which name and incarnation this process proposes."""
@@ -61,7 +63,8 @@
     def unfit(self, name: str, incarnation: int) -> str:
         """Why the leader gives it no lease."""
         return self.roster.unfit(name, incarnation) or (
-            "about to be shut out" if (name, incarnation) in self.judge.condemned else "")
+            "about to be shut out" if (name, incarnation) in self.judge.condemned else ""
+        )
 
     # ---- words -------------------------------------------------------------------------------------
 
@@ -74,8 +77,9 @@
             return None
         point = self.roster.compared
         own = self.roster.digests.get(point, b"")
-        return Renew(number, self.incarnation, self.roster.book.index, point if own else 0, own, wall, acts,
-                     reports)
+        return Renew(
+            number, self.incarnation, self.roster.book.index, point if own else 0, own, wall, acts, reports
+        )
 
     def heard(self, now: int, sender: str, word: Row) -> list[ReadFirst | Answer]:
         """`now` read after the word came."""
@@ -107,8 +111,11 @@
 
     def told(self, now: int, work: str) -> dict[str, bytes]:
         """For that work's `lead`: the last report of each member heard of within a lease."""
-        return {name: reports[work] for name, (at, reports) in self.reports.items()
-                if work in reports and now < at + self.holder.span}
+        return {
+            name: reports[work]
+            for name, (at, reports) in self.reports.items()
+            if work in reports and now < at + self.holder.span
+        }
 
     # ---- as a work -----------------------------------------------------------------------------------
 
@@ -182,14 +189,33 @@
 
     def figures(self) -> dict:
         now_leads = bool(self.giver.term)
-        return {"phase": self.phase.value, "incarnation": self.incarnation, "refusal": self.refusal,
-                "leads": now_leads, "in_force": self.roster.in_force, "agreed": self.roster.agreed.index,
-                "members": [{"name": member.name, "incarnation": member.incarnation, "votes": member.votes,
-                             "life": member.life.value, "since": member.since, "why": member.why,
-                             **({"standing": self.judge.standing(self.judge.now, member).value}
-                                if now_leads else {})}
-                            for member in self.roster.members.values()]}
-
-
-WORD = {"ShutOut": "shut_out", "Gone": "gone", "Compare": "compare", "Agreed": "agreed", "Back": "back",
-        "InForce": "in_force"}
+        return {
+            "phase": self.phase.value,
+            "incarnation": self.incarnation,
+            "refusal": self.refusal,
+            "leads": now_leads,
+            "in_force": self.roster.in_force,
+            "agreed": self.roster.agreed.index,
+            "members": [
+                {
+                    "name": member.name,
+                    "incarnation": member.incarnation,
+                    "votes": member.votes,
+                    "life": member.life.value,
+                    "since": member.since,
+                    "why": member.why,
+                    **({"standing": self.judge.standing(self.judge.now, member).value} if now_leads else {}),
+                }
+                for member in self.roster.members.values()
+            ],
+        }
+
+
+WORD = {
+    "ShutOut": "shut_out",
+    "Gone": "gone",
+    "Compare": "compare",
+    "Agreed": "agreed",
+    "Back": "back",
+    "InForce": "in_force",
+}
--- a/indigohitch/fleet/node/admitting.py
+++ b/indigohitch/fleet/node/admitting.py
@@ -1,4 +1,5 @@
 """A new disk's way into the ledger, and who was left out: the asking and the leader's answer."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -13,8 +14,8 @@
 if TYPE_CHECKING:
     from .node import Node
 
-ASK = SECOND // 2               # some beats: a change of members takes two commits
-SAY = 10 * SECOND               # between two log lines on the same waiting
+ASK = SECOND // 2  # some beats: a change of members takes two commits
+SAY = 10 * SECOND  # between two log lines on the same waiting
 
 
 class Admitting:
@@ -45,8 +46,12 @@
             self.ask(now, 0)
         if why and now >= self.say_due:
             self.say_due = now + SAY
-            node.log.event("not_a_member_yet", why=why, way=way.value,
-                           remedy="start the members it waits for; see that all files list the same")
+            node.log.event(
+                "not_a_member_yet",
+                why=why,
+                way=way.value,
+                remedy="start the members it waits for; see that all files list the same",
+            )
 
     def begin(self, number: int, founders: tuple[str, ...], members: Members) -> None:
         try:
@@ -84,8 +89,12 @@
         machine = node.driver.machine
         who = self.admission.who(word, machine.members, node.disk.identity.met.get(name, 0))
         if who is None:
-            node.log.trouble("old_disk", member=name, number=word.number,
-                             remedy="take its folder away and start it without")
+            node.log.trouble(
+                "old_disk",
+                member=name,
+                number=word.number,
+                remedy="take its folder away and start it without",
+            )
             return
         if not founding.stands(who, listed.votes, machine.members):
             node.driver.step(Change(who, votes=listed.votes))
@@ -99,8 +108,9 @@
         node = self.node
         if name in node.text.members:
             return f"{name} stands in this member's file: take its line away in all files first"
-        found = [who for who in node.driver.members.voters + node.driver.members.followers
-                 if who.name == name]
+        found = [
+            who for who in node.driver.members.voters + node.driver.members.followers if who.name == name
+        ]
         for who in found:
             node.driver.step(Change(who, out=True))
         return "" if found else f"no member {name[:64]}"
--- a/indigohitch/fleet/node/alone.py
+++ b/indigohitch/fleet/node/alone.py
@@ -1,4 +1,5 @@
 """A member of the fleet without a front, as a process: it votes and keeps the record."""
+
 from __future__ import annotations
 
 import os
@@ -18,8 +19,13 @@
 class Bare:
     """All that is handed over is the control socket: the record is on the disk (upgrade.side.Side)."""
 
-    def __init__(self, clock, controls: Callable[[], Listener | None],
-                 control_taken: Callable[[socket.socket], None], reload: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock,
+        controls: Callable[[], Listener | None],
+        control_taken: Callable[[socket.socket], None],
+        reload: Callable[[], None],
+    ) -> None:
         self.clock, self.controls, self.control_taken, self.reload = clock, controls, control_taken, reload
         self.given: dict[str, socket.socket] = {}
         self.state: shots.Snapshot | None = None
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -1,15 +1,16 @@
 """What people and proofs ask a node over the control socket, beside `status`:
 
-    {"ask": "note TEXT"}                    written down in the book for all to see
-    {"ask": "notes"}                        those kept
-    {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
-    {"ask": "read"}                         an index confirmed by a majority, and the book's digest there
-    {"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
-    {"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
-    {"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
-    {"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
-    {"ask": "ledger"}                       the last entries, each with a digest
+{"ask": "note TEXT"}                    written down in the book for all to see
+{"ask": "notes"}                        those kept
+{"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
+{"ask": "read"}                         an index confirmed by a majority, and the book's digest there
+{"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+{"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
+{"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
+{"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
+{"ask": "ledger"}                       the last entries, each with a digest
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -25,7 +26,7 @@
 if TYPE_CHECKING:
     from .node import Node
 
-SHOWN = 256                     # entries of `ledger`
+SHOWN = 256  # entries of `ledger`
 
 
 class Asked:
@@ -35,9 +36,17 @@
     def word(self, what: str, line: dict) -> bool:
         """False: no word of ours."""
         first, _, rest = what.partition(" ")
-        action = {"note": self.note, "notes": self.notes, "propose": self.propose, "read": self.read,
-                  "book": self.book, "ledger": self.ledger, "out": self.out,
-                  "batch": self.batch, "piece": self.piece}.get(first)
+        action = {
+            "note": self.note,
+            "notes": self.notes,
+            "propose": self.propose,
+            "read": self.read,
+            "book": self.book,
+            "ledger": self.ledger,
+            "out": self.out,
+            "batch": self.batch,
+            "piece": self.piece,
+        }.get(first)
         if action is None:
             return False
         if self.node is None or self.node.driver.machine is None:
@@ -79,8 +88,9 @@
 
     def known(self, outcome: Outcome | None) -> None:
         if outcome is None:
-            self.answer({"error": "not known: this member began anew; it may have taken effect",
-                         "unknown": True})
+            self.answer(
+                {"error": "not known: this member began anew; it may have taken effect", "unknown": True}
+            )
             return
         told = {"index": outcome.index, "doubled": outcome.doubled}
         if outcome.refused:
@@ -95,6 +105,7 @@
                 self.answer({"error": "no majority confirmed it", "again_ms": 100})
             else:
                 self.answer({"index": index, "digest": self.node.book.digest().hex()})
+
         self.node.traffic.read(done)
 
     def notes(self, rest: str, line: dict) -> None:
@@ -113,8 +124,23 @@
 
     def ledger(self, rest: str, line: dict) -> None:
         recent = list(self.node.driver.recent)[-SHOWN:]
-        self.answer({"index": self.node.book.index, "digest": self.node.book.digest().hex(), "entries": [
-            {"index": entry.index, "term": entry.term, "kind": entry.kind, "proposer": entry.proposer,
-             "incarnation": entry.incarnation, "number": entry.number, "refused": outcome.refused,
-             "doubled": outcome.doubled, "digest": check.hex()}
-            for entry, check, outcome in recent]})
+        self.answer(
+            {
+                "index": self.node.book.index,
+                "digest": self.node.book.digest().hex(),
+                "entries": [
+                    {
+                        "index": entry.index,
+                        "term": entry.term,
+                        "kind": entry.kind,
+                        "proposer": entry.proposer,
+                        "incarnation": entry.incarnation,
+                        "number": entry.number,
+                        "refused": outcome.refused,
+                        "doubled": outcome.doubled,
+                        "digest": check.hex(),
+                    }
+                    for entry, check, outcome in recent
+                ],
+            }
+        )
--- a/indigohitch/fleet/node/belonging.py
+++ b/indigohitch/fleet/node/belonging.py
@@ -1,5 +1,6 @@
 """Drives this process' part in the roster (members/work): what it proposes under, its lease, and while it
 leads the leases of all."""
+
 from __future__ import annotations
 
 import time
@@ -24,11 +25,19 @@
     """`read(done)`: one confirmed by a majority, `done(index or None)`; `tell(name, word)`: to a member, this
     one too; `acts()`: how many acts it has stamped."""
 
-    def __init__(self, log: Log, clock, membership: Membership, proposals: Proposals, read: Callable,
-                 tell: Callable[[str, Row], None], acts: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        log: Log,
+        clock,
+        membership: Membership,
+        proposals: Proposals,
+        read: Callable,
+        tell: Callable[[str, Row], None],
+        acts: Callable[[], int],
+    ) -> None:
         self.log, self.clock, self.membership, self.proposals = log, clock, membership, proposals
         self.read, self.tell, self.acts = read, tell, acts
-        self.phase = membership.phase           # as last logged
+        self.phase = membership.phase  # as last logged
 
     def lease(self, now: int) -> Lease | None:
         return self.membership.lease(now)
@@ -42,8 +51,9 @@
     def leaves(self) -> bool:
         """It has said that it leaves, and the book does not say so yet."""
         membership = self.membership
-        return membership.phase is Phase.LEFT and not membership.roster.unfit(membership.me,
-                                                                              membership.incarnation)
+        return membership.phase is Phase.LEFT and not membership.roster.unfit(
+            membership.me, membership.incarnation
+        )
 
     def look(self) -> None:
         """After anything that may have moved it: what it proposes under, and what people are told."""
@@ -56,13 +66,19 @@
         fields = {"was": was.value, "now": self.phase.value, "incarnation": membership.incarnation}
         if self.phase is Phase.DIFFERS:
             index, own, agreed = membership.evidence
-            self.log.trouble("state_differs", index=index, own=own.hex(), agreed=agreed.hex(),
-                             remedy="keep the folder for who looks into it, and start the member without it")
+            self.log.trouble(
+                "state_differs",
+                index=index,
+                own=own.hex(),
+                agreed=agreed.hex(),
+                remedy="keep the folder for who looks into it, and start the member without it",
+            )
         elif self.phase is Phase.REPLACED:
             self.log.trouble("replaced", **fields, remedy="another process bears this name: end one of them")
         else:
-            self.log.event("membership", **fields, **({"why": membership.refusal} if membership.refusal
-                                                      else {}))
+            self.log.event(
+                "membership", **fields, **({"why": membership.refusal} if membership.refusal else {})
+            )
 
     # ---- words -------------------------------------------------------------------------------------
 
@@ -83,11 +99,13 @@
         for one in out:
             match one:
                 case ReadFirst(number):
+
                     def done(index: int | None, number: int = number) -> None:
                         self.carry(self.membership.readable(self.clock.now(), number, index is not None))
+
                     try:
                         self.read(done)
-                    except NotNow:              # it asks again with the next renewals
+                    except NotNow:  # it asks again with the next renewals
                         self.log.count("reads_without_room")
                 case Answer(to, word):
                     self.tell(to, word)
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -1,6 +1,7 @@
 """Carries out what the ledger's machine says: to the disk, over the links, into the book.
 
 Inputs are taken one after the other, also those that come while one is being carried out."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -34,21 +35,30 @@
 from ..links.links import Links
 from ..terms import Entry, Outcome, Proposal, Who
 
-RECENT = 512                    # entries whose digests people can ask for
+RECENT = 512  # entries whose digests people can ask for
 
 
 class Driver:
     """`broken(why)`: the machine or the book met what must never be; this member has to end."""
 
-    def __init__(self, loop: Loop, log: Log, disk: Disk, links: Links, book: Book, bootstrap: Mapping,
-                 chance: Callable[[], float], broken: Callable[[BaseException], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        disk: Disk,
+        links: Links,
+        book: Book,
+        bootstrap: Mapping,
+        chance: Callable[[], float],
+        broken: Callable[[BaseException], None],
+    ) -> None:
         self.loop, self.log, self.disk, self.links, self.book = loop, log, disk, links, book
         self.bootstrap, self.chance, self.broken = bootstrap, chance, broken
         self.machine: Machine | None = None
         self.waiting: deque[Input] = deque()
         self.stepping = False
         self.timer: Deadline | None = None
-        self.recent: deque[tuple[Entry, bytes, Outcome]] = deque(maxlen=RECENT)     # without bodies; digests
+        self.recent: deque[tuple[Entry, bytes, Outcome]] = deque(maxlen=RECENT)  # without bodies; digests
         self.on_applied: Callable[[Entry, Outcome], None] = lambda entry, outcome: None
         self.on_restored: Callable[[], None] = lambda: None
         self.on_turned: Callable[[Proposal, int], None] = lambda proposal, again: None
@@ -88,7 +98,7 @@
             while self.waiting and self.machine is not None:
                 for output in self.machine.step(self.loop.clock.now(), self.waiting.popleft()):
                     self.carry(output)
-        except Exception as broken:             # whatever it is, going on could break a promise
+        except Exception as broken:  # whatever it is, going on could break a promise
             self.end()
             self.broken(broken)
         finally:
@@ -105,7 +115,7 @@
                 for entry in entries:
                     self.apply(entry)
             case Install(snap):
-                if snap.index > self.book.index:        # else it comes again, after a disk that failed
+                if snap.index > self.book.index:  # else it comes again, after a disk that failed
                     self.book.restore(snap.book)
                     self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
                     self.on_restored()
@@ -117,8 +127,12 @@
             case Readable(number, index, ok):
                 self.on_readable(number, index, ok)
             case Became():
-                self.log.event("ledger_role", role=output.role, term=output.term,
-                               leader=output.leader.name if output.leader else "")
+                self.log.event(
+                    "ledger_role",
+                    role=output.role,
+                    term=output.term,
+                    leader=output.leader.name if output.leader else "",
+                )
                 self.on_became(output)
             case Note(event, fields):
                 self.log.event(event, **fields)
@@ -126,8 +140,9 @@
     def apply(self, entry: Entry) -> None:
         outcome = self.book.apply(entry)
         check = digest(msgspec.msgpack.encode(entry))
-        self.recent.append((msgspec.structs.replace(entry, body=b""), check,
-                            msgspec.structs.replace(outcome, told=b"")))
+        self.recent.append(
+            (msgspec.structs.replace(entry, body=b""), check, msgspec.structs.replace(outcome, told=b""))
+        )
         self.on_applied(entry, outcome)
 
     # ---- time --------------------------------------------------------------------------------------
--- a/indigohitch/fleet/node/figures.py
+++ b/indigohitch/fleet/node/figures.py
@@ -1,4 +1,5 @@
 """What a node tells of itself in `status`."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -18,18 +19,31 @@
     machine, lease = driver.machine, node.lease(now)
     members = driver.members
     found = {
-        "name": node.text.name, "me": who(node.links.me), "phase": node.phase.value,
-        "role": machine.role.value if machine else "none", "term": machine.term if machine else 0,
+        "name": node.text.name,
+        "me": who(node.links.me),
+        "phase": node.phase.value,
+        "role": machine.role.value if machine else "none",
+        "term": machine.term if machine else 0,
         "leader": driver.leader.name if driver.leader else "",
-        "index": machine.commit if machine else 0, "applied": node.book.index, "time": node.book.time,
+        "index": machine.commit if machine else 0,
+        "applied": node.book.index,
+        "time": node.book.time,
         "incarnation": node.assembly.membership.incarnation,
         "lease_ms": lease.left(now) / 10 if lease else 0,
-        "voters": [who(one) for one in members.voters], "followers": [who(one) for one in members.followers],
-        "edition": node.text.edition, "proposals": len(node.traffic.proposals.open),
-        "proposals_waiting": len(node.working.waiting), "reads": len(node.traffic.reads.open),
-        "disk": node.disk.figures(), "links": node.links.figures(), "works": node.working.figures()}
+        "voters": [who(one) for one in members.voters],
+        "followers": [who(one) for one in members.followers],
+        "edition": node.text.edition,
+        "proposals": len(node.traffic.proposals.open),
+        "proposals_waiting": len(node.working.waiting),
+        "reads": len(node.traffic.reads.open),
+        "disk": node.disk.figures(),
+        "links": node.links.figures(),
+        "works": node.working.figures(),
+    }
     if driver.leads:
         until = node.assembly.membership.giver.until
-        found["leases"] = {f"{name} {incarnation}": max(0, end - now) / 10
-                           for (name, incarnation), end in sorted(until.items())}
+        found["leases"] = {
+            f"{name} {incarnation}": max(0, end - now) / 10
+            for (name, incarnation), end in sorted(until.items())
+        }
     return found
--- a/indigohitch/fleet/node/founding.py
+++ b/indigohitch/fleet/node/founding.py
@@ -5,6 +5,7 @@
 help to elect a leader that lacks what was committed.  So a new disk founds under number 1 only if every other
 voter that its file lists has answered and none ever met a number of this name; else the leader admits it
 under a number that was never used."""
+
 from __future__ import annotations
 
 import enum
@@ -18,12 +19,11 @@
 
 class Way(enum.Enum):
     FOUND = "found"
-    ASK = "ask"                 # to be admitted
+    ASK = "ask"  # to be admitted
     WAIT = "wait"
 
 
-def way(name: str, votes: bool, voters: tuple[str, ...], welcomes: Mapping[str, Welcome]
-        ) -> tuple[Way, str]:
+def way(name: str, votes: bool, voters: tuple[str, ...], welcomes: Mapping[str, Welcome]) -> tuple[Way, str]:
     """What to do, and for the log why.  `voters`: all that the file lists, in order of name; `welcomes`: the
     last of each member that has answered since this process began."""
     known = {who: w for who, w in welcomes.items() if w is not None}
@@ -48,7 +48,7 @@
     """At the leader."""
 
     def __init__(self) -> None:
-        self.given: dict[str, tuple[int, int]] = {}     # name -> start token, number
+        self.given: dict[str, tuple[int, int]] = {}  # name -> start token, number
 
     def who(self, asked: Admit, members: Members, met: int) -> Who | None:
         """The number under which it is to be in the ledger; None for a disk that was replaced since."""
--- a/indigohitch/fleet/node/inside.py
+++ b/indigohitch/fleet/node/inside.py
@@ -1,4 +1,5 @@
 """A node within a process that can be upgraded: opened, left and closed as the process' phases want it."""
+
 from __future__ import annotations
 
 import random
@@ -18,7 +19,7 @@
 from .node import Node
 from .phases import Phase
 
-AGAIN = SECOND // 5             # a disk or port that the process before this one still holds
+AGAIN = SECOND // 5  # a disk or port that the process before this one still holds
 # Of a leaving that no majority takes note of: the lease runs out instead.
 LEAVING = 3 * SECOND // 2
 
@@ -27,8 +28,9 @@
     """`alone`: the process is nothing but this member, and ends where it can't be one; else its front goes on
     without the fleet.  `follows`: it was started for an upgrade.  `ended`: the member can't go on."""
 
-    def __init__(self, loop: Loop, log: Log, text: FleetText, alone: bool, follows: bool,
-                 ended: Callable[[str], None]) -> None:
+    def __init__(
+        self, loop: Loop, log: Log, text: FleetText, alone: bool, follows: bool, ended: Callable[[str], None]
+    ) -> None:
         self.loop, self.log, self.text, self.alone, self.follows = loop, log, text, alone, follows
         self.on_ended = ended
         self.node: Node | None = None
@@ -52,7 +54,7 @@
     def failed(self, bad: Trouble | OSError) -> None:
         self.why = str(bad)
         self.log.trouble("member_not_open", **told(bad))
-        if isinstance(bad, ValueError):         # what lies there can't be read: it will not be better later
+        if isinstance(bad, ValueError):  # what lies there can't be read: it will not be better later
             self.on_ended(self.why)
         else:
             self.loop.after(AGAIN, self.again)
@@ -134,7 +136,7 @@
         if not on:
             self.inside.close()
         self.side.accept(on)
-        if on and self.inside.node is None:     # taken back: the new process is dead
+        if on and self.inside.node is None:  # taken back: the new process is dead
             self.inside.follows = True
             self.inside.open()
 
@@ -152,6 +154,7 @@
         if alone:
             process.code = 1
             process.loop.after(0, process.end)
+
     if process.beside is None:
         process.beside = Inside(process.loop, process.log, text, alone, follows, ended)
     return Handed(side, process.beside)
--- a/indigohitch/fleet/node/leaving.py
+++ b/indigohitch/fleet/node/leaving.py
@@ -1,4 +1,5 @@
 """A member's orderly way out: its place as a leader, its incarnation; and back where it stays after all."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -40,8 +41,11 @@
     @property
     def left(self) -> bool:
         node = self.node
-        return node.phase is not Phase.LEAVING or not node.belonging.leaves and (
-            not node.driver.leads or len(node.driver.members.voters) <= 1)
+        return (
+            node.phase is not Phase.LEAVING
+            or not node.belonging.leaves
+            and (not node.driver.leads or len(node.driver.members.voters) <= 1)
+        )
 
     def stay(self) -> None:
         """After all; under a new incarnation, where it had given the old one up."""
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -1,4 +1,5 @@
 """A member of the fleet: its phases, its beat, and how its parts hang together."""
+
 from __future__ import annotations
 
 import random
@@ -34,28 +35,49 @@
 class Node:
     """`ended(why)`: this member can't go on.  `chance`: seeded; for waits, spreads and tokens."""
 
-    def __init__(self, loop: Loop, log: Log, text: FleetText, chance: random.Random,
-                 ended: Callable[[str], None], files: Files | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        text: FleetText,
+        chance: random.Random,
+        ended: Callable[[str], None],
+        files: Files | None = None,
+    ) -> None:
         self.loop, self.log, self.text, self.ended = loop, log, text, ended
         self.phase = Phase.CLOSED
         self.beating: Deadline | None = None
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
-        self.assembly = assembled(Place(loop, log, text, self.voters, self.lease,
-                                        lambda: chance.getrandbits(62)))
+        self.assembly = assembled(
+            Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
+        )
         self.book = self.assembly.book
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
-        self.driver = Driver(loop, log, self.disk, self.links, self.book, bootstrap, chance.random,
-                             self.broken)
+        self.driver = Driver(
+            loop, log, self.disk, self.links, self.book, bootstrap, chance.random, self.broken
+        )
         self.traffic = Traffic(self)
         membership, proposals = self.assembly.membership, self.traffic.proposals
-        self.belonging = Belonging(log, loop.clock, membership, proposals, self.traffic.read,
-                                   self.traffic.tell, lambda: self.assembly.acts.number)
-        self.working = Working(loop, log, self.assembly.works, proposals,
-                               lambda work: work is membership or self.belonging.may_propose,
-                               self.traffic.send)
+        self.belonging = Belonging(
+            log,
+            loop.clock,
+            membership,
+            proposals,
+            self.traffic.read,
+            self.traffic.tell,
+            lambda: self.assembly.acts.number,
+        )
+        self.working = Working(
+            loop,
+            log,
+            self.assembly.works,
+            proposals,
+            lambda work: work is membership or self.belonging.may_propose,
+            self.traffic.send,
+        )
         self.admitting, self.leaving = Admitting(self), Leaving(self)
         self.wire()
 
@@ -89,8 +111,9 @@
         self.relist()
 
     def relist(self) -> None:
-        self.links.relist({name: member.address for name, member in self.text.members.items()
-                           if name != self.text.me})
+        self.links.relist(
+            {name: member.address for name, member in self.text.members.items() if name != self.text.me}
+        )
 
     # ---- phases ------------------------------------------------------------------------------------
 
@@ -116,8 +139,13 @@
     def take_part(self, held: Held) -> None:
         identity = self.disk.identity
         me = Who(identity.name, identity.number)
-        self.log.event("member", number=me.number, term=held.ballot.term, snapshot=held.snap.index,
-                       entries=len(held.entries))
+        self.log.event(
+            "member",
+            number=me.number,
+            term=held.ballot.term,
+            snapshot=held.snap.index,
+            entries=len(held.entries),
+        )
         self.links.renumber(me)
         self.be(Phase.TAKING_PART)
         self.driver.begin(me, held)
@@ -125,8 +153,11 @@
     def broken(self, bad: BaseException) -> None:
         """Going on could break a promise: the others do without this one."""
         self.loop.failed(bad)
-        self.stop(f"{type(bad).__name__}: {bad}", "keep the folder for who looks into it; start the member "
-                                                  "again, or without its folder if it comes again")
+        self.stop(
+            f"{type(bad).__name__}: {bad}",
+            "keep the folder for who looks into it; start the member "
+            "again, or without its folder if it comes again",
+        )
 
     def stop(self, why: str, remedy: str) -> None:
         self.log.trouble("member_stops", why=why, remedy=remedy)
@@ -145,7 +176,7 @@
             self.beating.cancel()
             self.beating = None
         self.assembly.acts.close()
-        self.disk.close()               # first: what it still tells may be said
+        self.disk.close()  # first: what it still tells may be said
         self.driver.end()
         self.links.close()
         self.be(Phase.CLOSED)
@@ -171,7 +202,7 @@
     def lead(self, now: int) -> None:
         self.working.lead(now, self.assembly.membership.told)
         if self.assembly.membership.phase is Member.DIFFERS:
-            self.driver.step(HandOver())        # nobody is to go by a state that is not the others'
+            self.driver.step(HandOver())  # nobody is to go by a state that is not the others'
 
     @property
     def leader_name(self) -> str:
@@ -181,7 +212,8 @@
     def works(self) -> bool:
         """Its incarnation counts: a front that is being upgraded acts until disk and port are given over."""
         return self.phase is Phase.TAKING_PART or (
-            self.phase is Phase.LEAVING and self.assembly.membership.phase is not Member.LEFT)
+            self.phase is Phase.LEAVING and self.assembly.membership.phase is not Member.LEFT
+        )
 
     def lease(self, now: int) -> Lease | None:
         return self.belonging.lease(now) if self.works else None
@@ -204,8 +236,12 @@
     def facts(self, who: Who) -> Welcome:
         """For one who greets."""
         identity = self.disk.identity
-        return Welcome(self.links.me, self.token, identity.met.get(who.name, 0),
-                       identity.founders if identity.number else self.listed())
+        return Welcome(
+            self.links.me,
+            self.token,
+            identity.met.get(who.name, 0),
+            identity.founders if identity.number else self.listed(),
+        )
 
     def met(self, who: Who) -> str:
         """Why it may not speak; its number is kept."""
--- a/indigohitch/fleet/node/notes.py
+++ b/indigohitch/fleet/node/notes.py
@@ -1,4 +1,5 @@
 """The part `notes` of the book: what operators write down for all members to see.  No I/O."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -10,7 +11,7 @@
 from ..book import Book
 from ..ports import At
 
-KEPT = 4096                     # some months of an operator's; what is older goes
+KEPT = 4096  # some months of an operator's; what is older goes
 LONGEST = 1024
 
 
@@ -29,7 +30,7 @@
     book: Book
 
     def __init__(self) -> None:
-        self.texts: deque[tuple[int, str]] = deque(maxlen=KEPT)     # entry, text
+        self.texts: deque[tuple[int, str]] = deque(maxlen=KEPT)  # entry, text
         self.count = 0
 
     def apply(self, at: At, word: str, body: Add) -> int:
--- a/indigohitch/fleet/node/proposals.py
+++ b/indigohitch/fleet/node/proposals.py
@@ -2,6 +2,7 @@
 
 They are sent again and again: the leader may be gone, the word lost, the entry taken back.  The book lets
 each take effect once, as long as its number is within the window; so none leaves it before it is known."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -11,8 +12,8 @@
 from ..book import WINDOW
 from ..terms import Entry, Outcome, Proposal
 
-MOST = WINDOW // 2              # out at a time; the rest of the window is for those that come again late
-LONGEST = 8                     # of what a sending again waits, in first waits
+MOST = WINDOW // 2  # out at a time; the rest of the window is for those that come again late
+LONGEST = 8  # of what a sending again waits, in first waits
 
 Done = Callable[[Outcome | None], None]
 
@@ -21,7 +22,7 @@
 class Open:
     proposal: Proposal
     done: Done
-    due: int                    # to be sent (again)
+    due: int  # to be sent (again)
     wait: int
 
 
@@ -43,8 +44,11 @@
         """Raises NotNow where too many are out."""
         first = next(iter(self.open), self.number + 1)
         if len(self.open) >= MOST or self.number + 1 - first >= WINDOW - 1:
-            raise NotNow(f"{len(self.open)} proposals are out", remedy="come back once some are known",
-                         again=self.again)
+            raise NotNow(
+                f"{len(self.open)} proposals are out",
+                remedy="come back once some are known",
+                again=self.again,
+            )
         self.number += 1
         proposal = Proposal(self.proposer, self.incarnation, self.number, kind, body)
         self.open[self.number] = Open(proposal, done, now, self.again)
--- a/indigohitch/fleet/node/reads.py
+++ b/indigohitch/fleet/node/reads.py
@@ -1,4 +1,5 @@
 """Reads confirmed by a majority, asked here or by another member.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -6,10 +7,10 @@
 from ...errors import NotNow
 from ...net.clock import SECOND
 
-WAIT = 2 * SECOND               # longer than an election: who asked asks again
+WAIT = 2 * SECOND  # longer than an election: who asked asks again
 MOST = 1024
 
-Done = Callable[[int | None], None]     # the index that the book has reached; None: not confirmed
+Done = Callable[[int | None], None]  # the index that the book has reached; None: not confirmed
 
 
 class Reads:
@@ -17,8 +18,8 @@
 
     def __init__(self) -> None:
         self.number = 0
-        self.open: dict[int, tuple[int, Done]] = {}     # number -> when it is given up, its owner
-        self.behind: list[tuple[int, int, Done]] = []   # confirmed; the book is not there yet
+        self.open: dict[int, tuple[int, Done]] = {}  # number -> when it is given up, its owner
+        self.behind: list[tuple[int, int, Done]] = []  # confirmed; the book is not there yet
 
     def begin(self, now: int, done: Done) -> int:
         """Raises NotNow."""
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -1,4 +1,5 @@
 """What every member of a fleet has: the parts of the book, and its works."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
@@ -30,12 +31,13 @@
 @dataclass(slots=True)
 class Place:
     """What a work may know of the process it is in."""
+
     loop: Loop
     log: Log
     text: FleetText
     voters: Callable[[], Collection[str]]
     lease: Callable[[int], Lease | None]
-    token: Callable[[], int]            # 62 bits of chance
+    token: Callable[[], int]  # 62 bits of chance
 
 
 @dataclass(slots=True)
@@ -44,8 +46,8 @@
     membership: Membership
     acts: ChainedActs
     auditing: Auditing
-    works: list[Work] = field(default_factory=list)     # the membership first
-    felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None     # an RPC was answered here
+    works: list[Work] = field(default_factory=list)  # the membership first
+    felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None  # an RPC was answered here
 
 
 def parts() -> list[BookPart]:
@@ -55,17 +57,31 @@
 
 def assembled(place: Place) -> Assembly:
     book, text = Book(parts()), place.text
-    membership = Membership(text.me, text.members[text.me].votes, book.parts["members"], text.waits["lease"],
-                            text.drift, place.token)
+    membership = Membership(
+        text.me,
+        text.members[text.me].votes,
+        book.parts["members"],
+        text.waits["lease"],
+        text.drift,
+        place.token,
+    )
     hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
     membership.judge.when = hours.time
 
     def trouble(bad: Trouble) -> None:
         place.log.trouble("audit", **told(bad))
-    acts = ChainedActs(text.me, place.lease, book, Store(
-        f"{text.folder}/audit", begun=lambda: Worker(place.loop)), trouble, when=hours.time)
+
+    acts = ChainedActs(
+        text.me,
+        place.lease,
+        book,
+        Store(f"{text.folder}/audit", begun=lambda: Worker(place.loop)),
+        trouble,
+        when=hours.time,
+    )
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
     seats = seats_work(text, book.parts["seats"], acts, hours.time)
     batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
-    return Assembly(book, membership, acts, auditing, [membership, hours, auditing, seats, batches],
-                    batches.felt)
+    return Assembly(
+        book, membership, acts, auditing, [membership, hours, auditing, seats, batches], batches.felt
+    )
--- a/indigohitch/fleet/node/traffic.py
+++ b/indigohitch/fleet/node/traffic.py
@@ -1,4 +1,5 @@
 """What goes between this node and the others beside the machines' words: proposals, reads, leases' words."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -24,12 +25,16 @@
         self.proposals = Proposals(node.text.me, node.token, 2 * node.text.waits["election"])
         self.reads = Reads()
         self.by_word: dict[type[Row], Callable] = {
-            Forward: self.on_forward, TurnedAway: self.on_turned_away, ReadAsk: self.on_read_ask,
+            Forward: self.on_forward,
+            TurnedAway: self.on_turned_away,
+            ReadAsk: self.on_read_ask,
             ReadAt: self.on_read_at,
             Admit: lambda who, word: node.admitting.asked(who, word),
             Admitted: lambda who, word: node.admitting.admitted(who, word),
-            **dict.fromkeys((Renew, Renewed, NotRenewed),
-                            lambda who, word: node.belonging.heard(who.name, word))}
+            **dict.fromkeys(
+                (Renew, Renewed, NotRenewed), lambda who, word: node.belonging.heard(who.name, word)
+            ),
+        }
 
     def heard(self, who: Who, word: Row) -> None:
         if type(word) in MACHINE:
@@ -63,7 +68,7 @@
             elif self.links.say(leader, Forward(one.proposal)):
                 self.proposals.sent(now, one)
             else:
-                return                          # the next beat tries again
+                return  # the next beat tries again
 
     def turned(self, proposal: Proposal, again: int) -> None:
         """The machine here did not take it, whoever made it."""
@@ -90,8 +95,9 @@
     def on_read_ask(self, who: Who, word: ReadAsk) -> None:
         def done(index: int | None) -> None:
             self.links.say_to(who.name, ReadAt(word.number, index or 0, index is not None))
+
         if not self.driver.leads:
-            done(None)                          # no leader's leader is asked in turn
+            done(None)  # no leader's leader is asked in turn
             return
         try:
             self.read(done)
--- a/indigohitch/fleet/node/words.py
+++ b/indigohitch/fleet/node/words.py
@@ -1,5 +1,6 @@
 """What members' nodes say to each other beside the ledger's machines, and all words of a link by number.
 Rows only; fields are only ever added at the end."""
+
 from __future__ import annotations
 
 from ...packed.frames import Kinds
@@ -12,11 +13,13 @@
 
 class Forward(Row, frozen=True):
     """To the leader: a proposal of the sender."""
+
     proposal: Proposal
 
 
 class TurnedAway(Row, frozen=True):
     """It was not taken: come back in `again` tenths of a ms."""
+
     proposer: str
     incarnation: int
     number: int
@@ -25,11 +28,13 @@
 
 class ReadAsk(Row, frozen=True):
     """To the leader: how far must a book be that answers now?"""
+
     number: int
 
 
 class ReadAt(Row, frozen=True):
     """`ok` False: who was asked doesn't lead."""
+
     number: int
     index: int
     ok: bool = True
@@ -38,6 +43,7 @@
 class Admit(Row, frozen=True):
     """To whoever leads: the sender is not in the ledger as its file has it.  `number` 0: its disk is new;
     `token` of its start."""
+
     name: str
     token: int
     number: int = 0
@@ -46,16 +52,36 @@
 
 class Admitted(Row, frozen=True):
     """That number is in the ledger, and is the asker's if it bears that token."""
+
     who: Who
     token: int
     founders: tuple[str, ...]
 
 
 # In the order of their numbers on the wire: what is added goes to the end.
-WORDS = (links.Greeting, links.Welcome, links.Refused, links.Pulse, links.Pulsed,
-         ledger.Ask, ledger.Vote, ledger.Append, ledger.Appended, ledger.Piece, ledger.Pieced, ledger.Take,
-         members.Renew, members.Renewed, members.NotRenewed,
-         Forward, TurnedAway, ReadAsk, ReadAt, Admit, Admitted)
+WORDS = (
+    links.Greeting,
+    links.Welcome,
+    links.Refused,
+    links.Pulse,
+    links.Pulsed,
+    ledger.Ask,
+    ledger.Vote,
+    ledger.Append,
+    ledger.Appended,
+    ledger.Piece,
+    ledger.Pieced,
+    ledger.Take,
+    members.Renew,
+    members.Renewed,
+    members.NotRenewed,
+    Forward,
+    TurnedAway,
+    ReadAsk,
+    ReadAt,
+    Admit,
+    Admitted,
+)
 MACHINE = frozenset(ledger.WORDS)
 # Of one frame: four messages of entries; a proposal's body is a tenth of it at most.
 KINDS = Kinds(b"IHfl", links.PROTOCOL, WORDS, 512 << 10)
--- a/indigohitch/fleet/node/working.py
+++ b/indigohitch/fleet/node/working.py
@@ -1,4 +1,5 @@
 """Calls the works of this process and makes the proposals that they want."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -21,13 +22,20 @@
 class Working:
     """A work that fails is a defect of that work: it is told, and the others go on."""
 
-    def __init__(self, loop: Loop, log: Log, works: Iterable[Work], proposals: Proposals,
-                 may: Callable[[Work], bool], send: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        works: Iterable[Work],
+        proposals: Proposals,
+        may: Callable[[Work], bool],
+        send: Callable[[], None],
+    ) -> None:
         """`may(work)`: it may propose now; `send`: proposals are there to go out."""
         self.loop, self.log, self.works = loop, log, list(works)
         self.proposals, self.may, self.send = proposals, may, send
         self.waiting: deque[tuple[Work, Wanted]] = deque()
-        self.unmade: deque[tuple[Work, str]] = deque(maxlen=MOST)       # told with the next beat, not at once
+        self.unmade: deque[tuple[Work, str]] = deque(maxlen=MOST)  # told with the next beat, not at once
 
     def call(self, work: Work, action: Callable, *args):
         try:
@@ -61,10 +69,14 @@
                 self.waiting.popleft()
                 continue
             try:
-                self.proposals.put(self.loop.clock.now(), one.kind, body,
-                                   lambda outcome, work=work, tag=one.tag: self.answered(work, tag, outcome))
+                self.proposals.put(
+                    self.loop.clock.now(),
+                    one.kind,
+                    body,
+                    lambda outcome, work=work, tag=one.tag: self.answered(work, tag, outcome),
+                )
             except NotNow:
-                break                           # the next turn looks again
+                break  # the next turn looks again
             self.waiting.popleft()
         self.send()
 
--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -1,5 +1,6 @@
 """How the parts of the fleet meet: what the replicated book wants of a part of it, and what a member's
 process wants of a part's work.  Shapes only."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -14,9 +15,10 @@
 
 class At(Row, frozen=True):
     """Where in the ledger an entry stands, for who applies it."""
+
     index: int
     term: int
-    time: int                   # fleet time, tenths of a ms: the same at each member
+    time: int  # fleet time, tenths of a ms: the same at each member
     proposer: str
     incarnation: int
 
@@ -24,9 +26,10 @@
 class BookPart(Protocol):
     """A part of the replicated state.  It must come to the same from the same entries at every member: no
     clock, no chance, no order of a set.  Other parts are at hand by name in `book.parts`."""
-    name: str                           # its kinds are `name.word`
-    book: Book                          # set by the book: `self.book.parts["members"]` is another part
-    kinds: Mapping[str, type[Row]]      # by word: the row that an entry's body holds
+
+    name: str  # its kinds are `name.word`
+    book: Book  # set by the book: `self.book.parts["members"]` is another part
+    kinds: Mapping[str, type[Row]]  # by word: the row that an entry's body holds
 
     def apply(self, at: At, word: str, body: Row) -> object:
         """Carries the entry out and returns what the proposer is told (anything msgpack takes); raises
@@ -54,6 +57,7 @@
 
 class Wanted(Row, frozen=True):
     """A proposal that a part's work asks the process to make.  `tag` comes back with its outcome."""
+
     kind: str
     body: Row
     tag: str = ""
@@ -62,6 +66,7 @@
 class Work(Protocol):
     """A part's own work in one member's process.  No I/O: the process calls it and carries out what it
     returns. Each call returns the proposals that it wants made."""
+
     name: str
 
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
--- a/indigohitch/fleet/seats/contract.py
+++ b/indigohitch/fleet/seats/contract.py
@@ -1,24 +1,26 @@
 """What is contracted, what entries say of seats, and what a seat's stamp holds.  Shapes only.
 
 Spans are tenths of a ms, instants fleet time (Unix time as the ledger has agreed on it)."""
+
 from __future__ import annotations
 
 from ...packed.rows import Row
 from ..terms import Stamp
 
-COMMON = ""                     # the pool of a feature that any tenant may have seats of
+COMMON = ""  # the pool of a feature that any tenant may have seats of
 
 
 class Terms(Row, frozen=True):
     """One feature's contract.  `kind`: one seat for each "job", each "node", or each "user" of a tenant."""
+
     feature: str
     seats: int
     kind: str = "job"
-    since: int = 0              # 0: it has no beginning; `until` 0: no end
+    since: int = 0  # 0: it has no beginning; `until` 0: no end
     until: int = 0
-    linger: int = 0             # a node's or user's seat stays its own so long after its last job
-    drain: int = 300_000        # of what a cut made too much: its users may go on so long
-    keep: tuple[tuple[str, int], ...] = ()      # tenant, seats that are its own
+    linger: int = 0  # a node's or user's seat stays its own so long after its last job
+    drain: int = 300_000  # of what a cut made too much: its users may go on so long
+    keep: tuple[tuple[str, int], ...] = ()  # tenant, seats that are its own
 
     def pools(self) -> dict[str, int]:
         """Seats by pool: one for each tenant that has some kept, and the common one of the rest."""
@@ -36,12 +38,14 @@
 
 class Contract(Row, frozen=True):
     """All that the file with this number contracts: what it doesn't name has no seats any more."""
+
     edition: int
     terms: tuple[Terms, ...]
 
 
 class Grant(Row, frozen=True):
     """So many free seats of a pool to one incarnation of a member."""
+
     feature: str
     pool: str
     member: str
@@ -51,6 +55,7 @@
 
 class Recall(Row, frozen=True):
     """So many of what it holds are to be returned, the idle ones first: which, only the member knows."""
+
     feature: str
     pool: str
     member: str
@@ -60,6 +65,7 @@
 
 class Return(Row, frozen=True):
     """By who holds them: (number, counter) of seats that it surely gives to nobody any more."""
+
     feature: str
     pool: str
     seats: tuple[tuple[int, int], ...]
@@ -70,12 +76,13 @@
 
 class Share(Row):
     """What one incarnation of a member holds of a pool; only it gives these seats, under its lease."""
+
     pool: str
     name: str
     incarnation: int
-    seats: list[int]            # numbers, ascending
-    debt: int = 0               # of these, to be returned
-    due: int = 0                # fleet time from which users of what is owed get no further job
+    seats: list[int]  # numbers, ascending
+    debt: int = 0  # of these, to be returned
+    due: int = 0  # fleet time from which users of what is owed get no further job
 
     @property
     def net(self) -> int:
@@ -84,7 +91,7 @@
 
 class FeatureRow(Row):
     terms: Terms
-    counters: list[int]         # by number: how often a seat was granted or freed
+    counters: list[int]  # by number: how often a seat was granted or freed
     shares: list[Share]
 
 
@@ -100,6 +107,7 @@
 class Given(Row, frozen=True):
     """One giving of a seat.  (`counter`, `use`) only grows for a number: `counter` by the book, `use` by the
     holder.  `shared`: further jobs of the same node or user may come under it."""
+
     feature: str
     number: int
     counter: int
@@ -109,13 +117,15 @@
 
 class Report(Row, frozen=True):
     """What a member tells the leader with each renewal: by feature and pool the seats that it would use."""
+
     incarnation: int
-    wanting: tuple[tuple[str, str, int, int], ...]      # feature, pool, in use on average, refused lately
-    stocks: bool = True         # it takes a part of what nobody wants, so as to give at once
+    wanting: tuple[tuple[str, str, int, int], ...]  # feature, pool, in use on average, refused lately
+    stocks: bool = True  # it takes a part of what nobody wants, so as to give at once
 
 
 class Pass(Row, frozen=True):
     """What a server is shown: the giving, at which boot of the server and until when by its own clock."""
+
     given: Given
     boot: str
     until: int
--- a/indigohitch/fleet/seats/desk.py
+++ b/indigohitch/fleet/seats/desk.py
@@ -3,6 +3,7 @@
 A seat is given only while the lease is valid and the contract runs, with a stamp, and no longer than both.
 It is free again once its job is known to have ended; a job of which that is not known keeps it until its end,
 which the server has met before (nodeclock.py)."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -16,13 +17,14 @@
 from .hold import Bound, Hold
 from .part import Seats
 
-WINDOW = 10_000                 # what was used on average in the last of these, a second, is what is wanted
-LEAST = 100                     # nothing is given for less than 10 ms: it would be over on its way
+WINDOW = 10_000  # what was used on average in the last of these, a second, is what is wanted
+LEAST = 100  # nothing is given for less than 10 ms: it would be over on its way
 
 
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A seat given to one job, until `until` of the holder's clock at the latest."""
+
     bound: Bound
     until: int
     stamp: Stamp
@@ -36,21 +38,22 @@
 @dataclass(slots=True)
 class NoSeat:
     why: str
-    again: int                  # tenths of a ms until it may be of use to ask again
+    again: int  # tenths of a ms until it may be of use to ask again
 
 
 class Desk:
     """`bootstrap`: `hold`, how long a refused tenant's place is kept; `come_back`, when to ask again;
     `drift`, by how much clocks run apart, as a share."""
-    SWEPT = 256                 # ends in the heap before those of jobs that are over are looked for
+
+    SWEPT = 256  # ends in the heap before those of jobs that are over are looked for
 
     def __init__(self, name: str, part: Seats, acts: Acts, fleet_time, bootstrap: dict) -> None:
         """`fleet_time(now)` tells the fleet's time at `now` of this process, 0 while there is none."""
         self.name, self.part, self.acts, self.fleet_time = name, part, acts, fleet_time
         self.bootstrap = bootstrap
         self.lease: Lease | None = None
-        self.holds: dict[tuple[str, str], Hold] = {}        # by feature and pool
-        self.due: list[tuple[int, int, Ticket | Bound]] = []    # ends of jobs unknown, ends of lingering
+        self.holds: dict[tuple[str, str], Hold] = {}  # by feature and pool
+        self.due: list[tuple[int, int, Ticket | Bound]] = []  # ends of jobs unknown, ends of lingering
         self.order, self.window_at, self.sweep_at = 0, 0, self.SWEPT
         self.counts = {"given": 0, "refused": 0, "no_lease": 0, "unheard": 0}
 
@@ -61,10 +64,11 @@
         if self.lease is None:
             return
         for feature, found in self.part.features.items():
-            known = (pool for of, pool in self.holds if of == feature)      # a pool may not stand any more
+            known = (pool for of, pool in self.holds if of == feature)  # a pool may not stand any more
             for pool in {*found.pools, *(s.pool for s in found.shares.values()), *known}:
                 self.hold(feature, pool).follow(
-                    found.shares.get((pool, self.name, self.lease.incarnation)), found.counters)
+                    found.shares.get((pool, self.name, self.lease.incarnation)), found.counters
+                )
 
     def hold(self, feature: str, pool: str) -> Hold:
         if (feature, pool) not in self.holds:
@@ -73,7 +77,7 @@
 
     def turn(self, now: int, lease: Lease | None) -> None:
         if lease is not None and (self.lease is None or lease.incarnation != self.lease.incarnation):
-            self.holds, self.due, self.lease = {}, [], lease    # a new incarnation holds nothing yet
+            self.holds, self.due, self.lease = {}, [], lease  # a new incarnation holds nothing yet
             self.follow()
         if lease is not None:
             self.lease = lease
@@ -95,7 +99,7 @@
 
     def later(self, when: int, what: Ticket | Bound) -> None:
         self.order += 1
-        if len(self.due) > self.sweep_at:       # most jobs are over long before their end
+        if len(self.due) > self.sweep_at:  # most jobs are over long before their end
             self.due = [due for due in self.due if not (isinstance(due[2], Ticket) and due[2].over)]
             heapify(self.due)
             self.sweep_at = max(self.SWEPT, 2 * len(self.due))
@@ -107,8 +111,9 @@
 
     # ---- giving ------------------------------------------------------------------------------------
 
-    def ask(self, now: int, feature: str, tenant: str, key: str, longest: int, back: int = 0
-            ) -> Ticket | NoSeat:
+    def ask(
+        self, now: int, feature: str, tenant: str, key: str, longest: int, back: int = 0
+    ) -> Ticket | NoSeat:
         """A seat for a job of at most `longest`.  `key`: its node (kind "node") or its user (kind "user");
         `back`: in how long who is refused is told to come again."""
         if self.due and self.due[0][0] <= now:
@@ -146,7 +151,7 @@
         bound.jobs += 1
         self.counts["given"] += 1
         ticket = Ticket(bound, until, stamp)
-        self.later(until, ticket)       # whatever is heard of it or not: no seat is lost for good
+        self.later(until, ticket)  # whatever is heard of it or not: no seat is lost for good
         return ticket
 
     def none(self, why: str, again: int, count: str = "refused") -> NoSeat:
@@ -178,6 +183,7 @@
         for (feature, pool), hold in self.holds.items():
             hold.owe()
             if hold.returning:
-                out.append(Return(feature, pool, tuple((s.number, s.counter)
-                                                       for s in hold.returning.values())))
+                out.append(
+                    Return(feature, pool, tuple((s.number, s.counter) for s in hold.returning.values()))
+                )
         return out
--- a/indigohitch/fleet/seats/hold.py
+++ b/indigohitch/fleet/seats/hold.py
@@ -4,6 +4,7 @@
 that waits longest among those with less than their fair part (an equal part of the seats held, at least one).
 So who comes again within `hold` and has less than its part gets one of the next seats that fall idle: at the
 latest when the jobs that are out now are over, all of which end with the lease (docs/seats.md)."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -14,13 +15,14 @@
 @dataclass(slots=True, eq=False)
 class Bound:
     """A seat in use: by one job, or by the jobs of one node or user."""
+
     hold: Hold
     seat: Seat
-    key: str                    # "" for a single job
+    key: str  # "" for a single job
     tenant: str
     given: Given
     jobs: int = 0
-    free_at: int = 0            # nothing is out: it lingers until then
+    free_at: int = 0  # nothing is out: it lingers until then
 
 
 @dataclass(slots=True, eq=False)
@@ -32,21 +34,21 @@
 
 
 class Hold:
-    MOST = 256                  # tenants whose places are kept: names come from outside, memory is bounded
+    MOST = 256  # tenants whose places are kept: names come from outside, memory is bounded
 
     def __init__(self, feature: str, bootstrap: dict) -> None:
         self.feature, self.wait = feature, bootstrap["hold"]
         self.seats: dict[int, Seat] = {}
         self.idle: list[Seat] = []
-        self.returning: dict[int, Seat] = {}    # proposed to be returned: given to nobody any more
-        self.bound: dict[Bound, None] = {}      # in the order in which they were bound
+        self.returning: dict[int, Seat] = {}  # proposed to be returned: given to nobody any more
+        self.bound: dict[Bound, None] = {}  # in the order in which they were bound
         self.keys: dict[str, Bound] = {}
-        self.uses: dict[str, int] = {}          # bound seats by tenant
-        self.waiting: dict[str, list[int]] = {}     # refused tenants: since, and until when their place is
+        self.uses: dict[str, int] = {}  # bound seats by tenant
+        self.waiting: dict[str, list[int]] = {}  # refused tenants: since, and until when their place is
         self.debt, self.due = 0, 0
-        self.mean = 0                           # seats bound on average in the last window, rounded up
-        self.area = self.began = self.at = 0    # seats x tenths of a ms so far in this one
-        self.missed = self.missed_before = 0    # asks refused for want of a seat
+        self.mean = 0  # seats bound on average in the last window, rounded up
+        self.area = self.began = self.at = 0  # seats x tenths of a ms so far in this one
+        self.missed = self.missed_before = 0  # asks refused for want of a seat
 
     @property
     def usable(self) -> int:
@@ -64,7 +66,7 @@
         for number in sorted(held.keys() - self.seats.keys() - self.returning.keys()):
             seat = self.seats[number] = Seat(number, held[number])
             self.idle.append(seat)
-            self.missed = self.missed_before = 0        # of when it had fewer
+            self.missed = self.missed_before = 0  # of when it had fewer
 
     # ---- giving ------------------------------------------------------------------------------------
 
@@ -88,8 +90,11 @@
             del self.waiting[name]
         part, mine = self.part(), self.uses.get(tenant, 0)
         since = self.waiting[tenant][0] if tenant in self.waiting else now
-        ahead = sum(1 for name, (began, _) in self.waiting.items()
-                    if name != tenant and self.uses.get(name, 0) < part and (mine >= part or began < since))
+        ahead = sum(
+            1
+            for name, (began, _) in self.waiting.items()
+            if name != tenant and self.uses.get(name, 0) < part and (mine >= part or began < since)
+        )
         return spare > ahead
 
     def refuse(self, now: int, tenant: str, back: int) -> None:
@@ -106,7 +111,8 @@
         seat = self.idle.pop()
         seat.uses += 1
         bound = seat.bound = Bound(
-            self, seat, key, tenant, Given(self.feature, seat.number, seat.counter, seat.uses, bool(key)))
+            self, seat, key, tenant, Given(self.feature, seat.number, seat.counter, seat.uses, bool(key))
+        )
         self.bound[bound] = None
         if key:
             self.keys[key] = bound
--- a/indigohitch/fleet/seats/moving.py
+++ b/indigohitch/fleet/seats/moving.py
@@ -3,6 +3,7 @@
 The design's own mechanism: whole seats, from the member with most idle to the one with most wanting, only for
 a positive gain, beyond a dead band, with a budget a round.  What a member should have is its part under
 max-min fairness: who wants less than an equal part gets what it wants, the others share the rest."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -21,12 +22,13 @@
 @dataclass(slots=True, frozen=True)
 class Wish:
     """`net`: seats held and not owed; `used`: in use on average lately; `missed`: asks that found none."""
+
     name: str
     incarnation: int
     net: int
     used: int
     missed: int
-    stocks: bool = True         # takes a part of what nobody wants
+    stocks: bool = True  # takes a part of what nobody wants
 
     @property
     def demand(self) -> int:
@@ -40,7 +42,7 @@
     evenly goes to others with each turn."""
     left, level = size, 0
     rest = sorted(demands)
-    for place, demand in enumerate(rest):       # who wants less than an equal part gets what it wants
+    for place, demand in enumerate(rest):  # who wants less than an equal part gets what it wants
         level = left // (len(rest) - place)
         if demand > level:
             break
@@ -53,8 +55,9 @@
     return found, size - sum(found)
 
 
-def spread(size: int, free: int, coming: int, wishes: Sequence[Wish], turn: int = 0
-           ) -> tuple[list[tuple[Wish, int]], list[tuple[Wish, int]]]:
+def spread(
+    size: int, free: int, coming: int, wishes: Sequence[Wish], turn: int = 0
+) -> tuple[list[tuple[Wish, int]], list[tuple[Wish, int]]]:
     """What to grant now and what to recall in this round, of a pool of `size` with so many free seats and
     so many that are owed and on their way back."""
     if not wishes:
@@ -64,7 +67,7 @@
     stock = spare // max(1, sum(w.stocks for w in wishes))
     have = [w.net for w in wishes]
     granted = [0] * len(wishes)
-    for extra in (0, stock):            # first what is wanted, then an equal part of what is not
+    for extra in (0, stock):  # first what is wanted, then an equal part of what is not
         for i in sorted(range(len(wishes)), key=lambda i: have[i] - due[i]):
             count = min(free, max(0, due[i] + extra * wishes[i].stocks - have[i]))
             granted[i] += count
@@ -74,8 +77,9 @@
     return grants, recalls(size, coming, wishes, due, have)
 
 
-def recalls(size: int, coming: int, wishes: Sequence[Wish], due: list[int], have: list[int]
-            ) -> list[tuple[Wish, int]]:
+def recalls(
+    size: int, coming: int, wishes: Sequence[Wish], due: list[int], have: list[int]
+) -> list[tuple[Wish, int]]:
     lacking = [d - h for d, h in zip(due, have) if d > h]
     most = min(sum(lacking) - coming, max(1, size // BUDGET))
     starved = any(h == 0 < d for d, h in zip(due, have))
@@ -84,6 +88,7 @@
     def idle(i: int) -> int:
         """Beyond the band."""
         return rest[i] - due[i] - (BAND if wishes[i].stocks and not starved else 0)
+
     for _ in range(max(0, most)):
         i = max(range(len(wishes)), key=idle)
         if idle(i) <= 0:
--- a/indigohitch/fleet/seats/nodeclock.py
+++ b/indigohitch/fleet/seats/nodeclock.py
@@ -3,6 +3,7 @@
 A server tells its boot id and its monotonic clock with every answer.  Who has such a reading knows how far
 that clock has come at the least: clocks of one bound on drift run apart by that share of the time since.  So
 a job that must be over by an instant of the holder is given the server's time that surely comes before it."""
+
 from __future__ import annotations
 
 import enum
@@ -14,8 +15,8 @@
 @dataclass(slots=True)
 class Reading:
     boot: str
-    clock: int                  # the server's, read before it answered
-    at: int                     # the holder's, when the answer had come
+    clock: int  # the server's, read before it answered
+    at: int  # the holder's, when the answer had come
 
 
 class Nodes:
@@ -28,7 +29,7 @@
 
     def heard(self, server: str, boot: str, clock: int, now: int) -> None:
         known = self.readings.get(server)
-        if known is None or known.boot != boot or clock > known.clock:     # answers may cross
+        if known is None or known.boot != boot or clock > known.clock:  # answers may cross
             self.readings[server] = Reading(boot, clock, now)
 
     def end(self, server: str, until: int) -> tuple[str, int]:
@@ -42,11 +43,12 @@
 
 class Verdict(enum.Enum):
     """LATE and UNREAD tell the holder that nothing of the giving runs there: of the others a copy may."""
+
     TAKEN = "taken"
-    UNREAD = "unread"           # from one that has not heard this server's clock yet
-    LATE = "late"               # its end has passed, or it is of another boot
-    OLD = "old"                 # the seat has been given again since
-    TWICE = "twice"             # this very giving has been here
+    UNREAD = "unread"  # from one that has not heard this server's clock yet
+    LATE = "late"  # its end has passed, or it is of another boot
+    OLD = "old"  # the seat has been given again since
+    TWICE = "twice"  # this very giving has been here
 
     @property
     def unrun(self) -> bool:
@@ -58,12 +60,12 @@
 
     What it has seen is forgotten with its boot id, so nothing from before is taken afterwards."""
 
-    SWEPT = 1024                # stamps kept before those whose end has passed are looked for
+    SWEPT = 1024  # stamps kept before those whose end has passed are looked for
 
     def __init__(self, boot: str) -> None:
         self.boot, self.sweep_at = boot, self.SWEPT
         self.last: dict[tuple[str, int], tuple[int, int]] = {}  # by seat: the greatest (counter, use)
-        self.seen: dict[tuple[str, int, int], int] = {}         # by stamp: its end, after which it is late
+        self.seen: dict[tuple[str, int, int], int] = {}  # by stamp: its end, after which it is late
         self.jobs: dict[int, Pass] = {}
         self.serial = 0
         self.refused = dict.fromkeys(Verdict, 0)
@@ -118,17 +120,39 @@
 def header(shown: Pass) -> str:
     """`feature number counter use shared boot until member incarnation term version number`."""
     g, s = shown.given, shown.stamp
-    return " ".join(map(str, (g.feature, g.number, g.counter, g.use, int(g.shared), shown.boot or "-",
-                              shown.until, s.member, s.incarnation, s.term, s.version, s.number)))
+    return " ".join(
+        map(
+            str,
+            (
+                g.feature,
+                g.number,
+                g.counter,
+                g.use,
+                int(g.shared),
+                shown.boot or "-",
+                shown.until,
+                s.member,
+                s.incarnation,
+                s.term,
+                s.version,
+                s.number,
+            ),
+        )
+    )
 
 
 def read(text: str) -> Pass | None:
     """None for what is no pass."""
     from ..terms import Stamp
+
     words = text.split()
     try:
         feature, number, counter, use, shared, boot, until, member, *stamp = words
-        return Pass(Given(feature, int(number), int(counter), int(use), shared == "1"),
-                    "" if boot == "-" else boot, int(until), Stamp(member, *map(int, stamp)))
+        return Pass(
+            Given(feature, int(number), int(counter), int(use), shared == "1"),
+            "" if boot == "-" else boot,
+            int(until),
+            Stamp(member, *map(int, stamp)),
+        )
     except (ValueError, TypeError):
         return None
--- a/indigohitch/fleet/seats/part.py
+++ b/indigohitch/fleet/seats/part.py
@@ -5,6 +5,7 @@
 - nothing is granted while the pool or the whole feature holds as much as is contracted: after a cut the seats
   held only become fewer until they fit;
 - only the holder's return, or the word that its incarnation is gone, frees a seat."""
+
 from __future__ import annotations
 
 from bisect import insort
@@ -21,8 +22,8 @@
     def __init__(self, terms: Terms) -> None:
         self.take(terms)
         self.counters: list[int] = []
-        self.free: list[int] = []               # numbers, ascending
-        self.shares: dict[tuple[str, str, int], Share] = {}     # by pool, name, incarnation
+        self.free: list[int] = []  # numbers, ascending
+        self.shares: dict[tuple[str, str, int], Share] = {}  # by pool, name, incarnation
 
     def take(self, terms: Terms) -> None:
         self.terms, self.pools = terms, terms.pools()
@@ -62,8 +63,9 @@
     def settle(self, pool: str, due: int) -> None:
         """Debts, so that what stays is what the contract has: always of the member that keeps most, the first
         by name among equals, so that a cut levels shares; and back in the other order when it has more."""
-        shares = sorted((s for s in self.shares.values() if s.pool == pool),
-                        key=lambda s: (s.name, s.incarnation))
+        shares = sorted(
+            (s for s in self.shares.values() if s.pool == pool), key=lambda s: (s.name, s.incarnation)
+        )
         excess = sum(s.net for s in shares) - self.pools.get(pool, 0)
         while excess > 0:
             share = max(shares, key=lambda s: s.net)
@@ -78,6 +80,7 @@
 
 class Seats:
     """BookPart."""
+
     name = "seats"
     kinds = {"contract": Contract, "grant": Grant, "recall": Recall, "return": Return}
 
@@ -85,7 +88,7 @@
         self.book = None
         self.edition = 0
         self.features: dict[str, Feature] = {}
-        self.gone: dict[str, int] = {}          # by member: the last incarnation that surely holds nothing
+        self.gone: dict[str, int] = {}  # by member: the last incarnation that surely holds nothing
 
     def apply(self, at: At, word: str, body) -> object:
         return getattr(self, f"on_{word}")(at, body)
@@ -104,15 +107,18 @@
             raise Unfit(f"edition {body.edition} of the contracts is older than {self.edition}")
         if body.edition == self.edition:
             if named != {f.terms.feature: f.terms for f in self.features.values() if f.terms.seats}:
-                raise Unfit(f"another edition {body.edition} of the contracts stands",
-                            remedy="give the changed file a higher edition")
+                raise Unfit(
+                    f"another edition {body.edition} of the contracts stands",
+                    remedy="give the changed file a higher edition",
+                )
             return self.edition
         bad = [t.feature for t in body.terms if t.seats < 1 or t.pools()[""] < 0]
         if bad or len(named) < len(body.terms):
             raise Unfit(f"contracts that can't be: {', '.join(bad) or 'one feature twice'}")
         self.edition = body.edition
-        cut = any(f.terms.seats > (named[name].seats if name in named else 0)
-                  for name, f in self.features.items())
+        cut = any(
+            f.terms.seats > (named[name].seats if name in named else 0) for name, f in self.features.items()
+        )
         changed(self.book, at, "seats", hard=cut)
         for feature in sorted(named.keys() | self.features.keys()):
             found = self.features.get(feature)
@@ -131,9 +137,10 @@
             raise Unfit(f"{body.member} {body.incarnation} is gone")
         if body.count < 1 or body.count > found.room(body.pool):
             raise Unfit(f"{body.count} seats of {body.feature}: {found.room(body.pool)} can be granted")
-        share = found.shares.setdefault((body.pool, body.member, body.incarnation),
-                                        Share(body.pool, body.member, body.incarnation, []))
-        given, found.free = found.free[:body.count], found.free[body.count:]
+        share = found.shares.setdefault(
+            (body.pool, body.member, body.incarnation), Share(body.pool, body.member, body.incarnation, [])
+        )
+        given, found.free = found.free[: body.count], found.free[body.count :]
         for number in given:
             found.counters[number] += 1
             insort(share.seats, number)
@@ -168,18 +175,27 @@
     def member_gone(self, at: At, name: str, incarnation: int) -> None:
         self.gone[name] = max(incarnation, self.gone.get(name, 0))
         for feature in self.features.values():
-            for share in [s for s in feature.shares.values()
-                          if s.name == name and s.incarnation == incarnation]:
+            for share in [
+                s for s in feature.shares.values() if s.name == name and s.incarnation == incarnation
+            ]:
                 for number in list(share.seats):
                     feature.drop(share, number)
 
     # ---- as a whole --------------------------------------------------------------------------------
 
     def row(self) -> SeatsRow:
-        return SeatsRow(self.edition, [
-            FeatureRow(f.terms, f.counters, sorted(f.shares.values(), key=lambda s: (s.pool, s.name,
-                                                                                     s.incarnation)))
-            for _, f in sorted(self.features.items())], sorted(self.gone.items()))
+        return SeatsRow(
+            self.edition,
+            [
+                FeatureRow(
+                    f.terms,
+                    f.counters,
+                    sorted(f.shares.values(), key=lambda s: (s.pool, s.name, s.incarnation)),
+                )
+                for _, f in sorted(self.features.items())
+            ],
+            sorted(self.gone.items()),
+        )
 
     def restore(self, row: bytes) -> None:
         try:
--- a/indigohitch/fleet/seats/told.py
+++ b/indigohitch/fleet/seats/told.py
@@ -1,4 +1,5 @@
 """What the operator's file contracts, and this member's work on it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -20,13 +21,27 @@
     rows = text.parts.get("seats", [])
     if not text.edition or not rows:
         return None
-    return Contract(text.edition, tuple(
-        Terms(row.feature, row.seats, row.kind, row.since, row.until, row.linger, row.drain,
-              tuple(sorted(row.keep.items()))) for row in sorted(rows, key=lambda row: row.feature)))
+    return Contract(
+        text.edition,
+        tuple(
+            Terms(
+                row.feature,
+                row.seats,
+                row.kind,
+                row.since,
+                row.until,
+                row.linger,
+                row.drain,
+                tuple(sorted(row.keep.items())),
+            )
+            for row in sorted(rows, key=lambda row: row.feature)
+        ),
+    )
 
 
 def work(text: FleetText, part: Seats, acts: Acts, fleet_time: Callable[[int], int]) -> SeatsWork:
     """`text` is read anew where its edition has changed: a reload may change it in place."""
     bootstrap = {"come_back": COME_BACK, "hold": HOLD, "drift": text.drift}
-    return SeatsWork(text.me, part, acts, fleet_time, lambda: contract(text),
-                     not text.members[text.me].votes, bootstrap)
+    return SeatsWork(
+        text.me, part, acts, fleet_time, lambda: contract(text), not text.members[text.me].votes, bootstrap
+    )
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,4 +1,5 @@
 """The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
@@ -12,23 +13,32 @@
 from .moving import TURN, Wish, spread
 from .part import Feature, Seats
 
-ROUND = 5_000                   # of moves: as often as members report with a lease of 2 s
-FED = 15_000                    # after a grant, until a report shows what of it is used
+ROUND = 5_000  # of moves: as often as members report with a lease of 2 s
+FED = 15_000  # after a grant, until a report shows what of it is used
 
 
 class SeatsWork:
     """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
+
     name = "seats"
 
-    def __init__(self, name: str, part: Seats, acts: Acts, fleet_time: Callable[[int], int],
-                 contract: Callable[[], Contract | None], stocks: bool, bootstrap: dict) -> None:
+    def __init__(
+        self,
+        name: str,
+        part: Seats,
+        acts: Acts,
+        fleet_time: Callable[[int], int],
+        contract: Callable[[], Contract | None],
+        stocks: bool,
+        bootstrap: dict,
+    ) -> None:
         """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
         self.part, self.contract, self.stocks = part, contract, stocks
         self.desk = Desk(name, part, acts, fleet_time, bootstrap)
-        self.out: set[str] = set()              # tags of proposals that are not answered
+        self.out: set[str] = set()  # tags of proposals that are not answered
         self.next_round = 0
-        self.fed: dict[tuple[str, str, str], int] = {}      # feature, pool, member: new to it until
-        self.refused = ""                       # why our contract was not taken
+        self.fed: dict[tuple[str, str, str], int] = {}  # feature, pool, member: new to it until
+        self.refused = ""  # why our contract was not taken
 
     # ---- of any member -----------------------------------------------------------------------------
 
@@ -72,8 +82,9 @@
     def report(self, now: int) -> bytes:
         lease = self.desk.lease
         rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
-        return msgspec.msgpack.encode(Report(lease.incarnation if lease is not None else 0, rows,
-                                             self.stocks))
+        return msgspec.msgpack.encode(
+            Report(lease.incarnation if lease is not None else 0, rows, self.stocks)
+        )
 
     def holds(self, now: int) -> bool:
         """Jobs with seats are out: what this member holds is not free before their end."""
@@ -81,12 +92,22 @@
         return any(hold.bound for hold in self.desk.holds.values())
 
     def figures(self) -> dict:
-        return {"edition": self.part.edition, "refused_contract": self.refused, "counts": self.desk.counts,
-                "features": {name: {
-                    "seats": f.terms.seats, "held": f.held(), "free": max(0, f.terms.seats - f.held()),
-                    "over": f.over(), "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items()
-                                                    if of == name),
-                    "members": f.by_member()} for name, f in self.part.features.items()}}
+        return {
+            "edition": self.part.edition,
+            "refused_contract": self.refused,
+            "counts": self.desk.counts,
+            "features": {
+                name: {
+                    "seats": f.terms.seats,
+                    "held": f.held(),
+                    "free": max(0, f.terms.seats - f.held()),
+                    "over": f.over(),
+                    "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items() if of == name),
+                    "members": f.by_member(),
+                }
+                for name, f in self.part.features.items()
+            },
+        }
 
     # ---- of the leader -----------------------------------------------------------------------------
 
@@ -96,18 +117,24 @@
             try:
                 told[name] = msgspec.msgpack.decode(raw, type=Report)
             except msgspec.MsgspecError:
-                continue                        # of a version that tells it otherwise: no grants to it
+                continue  # of a version that tells it otherwise: no grants to it
         moves, wanted = now >= self.next_round, []
         if moves:
             self.next_round = now + ROUND
-        lately = {(name, feature, pool): (used, missed) for name, report in told.items()
-                  for feature, pool, used, missed in report.wanting}
+        lately = {
+            (name, feature, pool): (used, missed)
+            for name, report in told.items()
+            for feature, pool, used, missed in report.wanting
+        }
         for feature, found in self.part.features.items():
             for pool, size in found.pools.items():
                 if any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out):
-                    continue                    # what is under way would be counted twice
-                wishes = [self.wish(now, found, pool, name, report, lately) for name, report in told.items()
-                          if report.incarnation > self.part.gone.get(name, 0)]
+                    continue  # what is under way would be counted twice
+                wishes = [
+                    self.wish(now, found, pool, name, report, lately)
+                    for name, report in told.items()
+                    if report.incarnation > self.part.gone.get(name, 0)
+                ]
                 coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
                 grants, back = spread(size, found.room(pool), coming, wishes, now // TURN)
                 for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
@@ -115,8 +142,11 @@
                     for wish, count in rows:
                         if kind is Grant:
                             self.fed[feature, pool, wish.name] = now + FED
-                        wanted += self.want(f"lead {feature} {pool} {word} {wish.name}", f"seats.{word}",
-                                            kind(feature, pool, wish.name, wish.incarnation, count))
+                        wanted += self.want(
+                            f"lead {feature} {pool} {word} {wish.name}",
+                            f"seats.{word}",
+                            kind(feature, pool, wish.name, wish.incarnation, count),
+                        )
         return wanted
 
     def wish(self, now: int, found: Feature, pool: str, name: str, report: Report, lately: Mapping) -> Wish:
--- a/indigohitch/gather.py
+++ b/indigohitch/gather.py
@@ -1,4 +1,5 @@
 """What has come, until it goes to the module."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -17,8 +18,8 @@
         self.loop, self.gap, self.hand_over = loop, gap, hand_over
         self.events: list[face.Event] = []
         self.last, self.ready = 0, False
-        self.held = False                       # the module stands still: what comes waits
-        self.busy = False                       # it is at work already, where it works beside the loop
+        self.held = False  # the module stands still: what comes waits
+        self.busy = False  # it is at work already, where it works beside the loop
 
     def add(self, *events: face.Event, span: int = SPAN) -> None:
         if events and not self.events:
--- a/indigohitch/interface.py
+++ b/indigohitch/interface.py
@@ -4,43 +4,48 @@
 ids that the front uses; the module turns them into objects of its own.  A front hands events of one
 moment to `Coordinator.handle` and sends what it returns, in order.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-SECOND = 10_000                 # tenths of a millisecond
+SECOND = 10_000  # tenths of a millisecond
 
 
 @dataclass(slots=True, frozen=True)
 class Method:
     """A method as the start settings describe it (their entry `methods`)."""
+
     name: str
     soft_deadline: int
     deadline: int
     criticality: float
-    repeat: str                 # "idempotent", "tokened" or "non_idempotent"
-    dedup_scope: str            # tokened: who drops a repeat: "all", "zone" or "cell"
-    memory_span: int            # tokened: for how long
+    repeat: str  # "idempotent", "tokened" or "non_idempotent"
+    dedup_scope: str  # tokened: who drops a repeat: "all", "zone" or "cell"
+    memory_span: int  # tokened: for how long
 
 
 # ---- events -------------------------------------------------------------------------------------
 
+
 @dataclass(slots=True, frozen=True)
 class Listed:
     """One entry of a list of backends."""
+
     backend: str
-    state: str                  # "ready", "draining" or "gone"
+    state: str  # "ready", "draining" or "gone"
     weight: float
     zone: str
     cell: int
     kind: str
-    started: int                # 0: long ago
+    started: int  # 0: long ago
 
 
 @dataclass(slots=True, frozen=True)
 class BackendList:
     """News of the backends: `scope` is "changes", "full", "remembered" (full, maybe stale) or
     "failed" (a call or the subscription broke; nothing in it)."""
+
     scope: str
     version: int
     entries: tuple[Listed, ...]
@@ -49,7 +54,7 @@
 @dataclass(slots=True, frozen=True)
 class Probed:
     backend: str
-    outcome: str                # "ok", "error", "full", "timeout", "connect_failed", "reset"
+    outcome: str  # "ok", "error", "full", "timeout", "connect_failed", "reset"
     duration: int
     load: dict[str, float] = field(default_factory=dict)
 
@@ -57,6 +62,7 @@
 @dataclass(slots=True, frozen=True)
 class SliceDemand:
     """RPCs of a method that came for a slice over `elapsed`."""
+
     slice: int
     method: str
     total: int
@@ -67,6 +73,7 @@
 @dataclass(slots=True, frozen=True)
 class ProxyDemand:
     """RPCs of a method that came to a proxy over `elapsed` (deployments without slices)."""
+
     proxy: int
     method: str
     total: int
@@ -78,11 +85,12 @@
 class Traffic:
     """What the joined proxies of a zone met at a backend.  `load` holds the newest load report by
     name: held, queued, busy (share of the cores), service_time, ok_rate, failure_rate."""
+
     zone: str
     backend: str
     tries: int
     failures: int
-    duration: int               # mean of the ok ones, 0 if none
+    duration: int  # mean of the ok ones, 0 if none
     elapsed: int
     load: dict[str, float] = field(default_factory=dict)
 
@@ -110,6 +118,7 @@
 @dataclass(slots=True, frozen=True)
 class Charge:
     """A slice comes into (or leaves) this coordinator's charge; its stored lines follow."""
+
     slice: int
     held: bool
 
@@ -132,17 +141,30 @@
     tag: str
 
 
-Event = (BackendList | Probed | SliceDemand | ProxyDemand | Traffic | ProxyJoined | ProxyLeft | Acked
-         | Charge | StoredLine | PeerNote | TimerDue)
+Event = (
+    BackendList
+    | Probed
+    | SliceDemand
+    | ProxyDemand
+    | Traffic
+    | ProxyJoined
+    | ProxyLeft
+    | Acked
+    | Charge
+    | StoredLine
+    | PeerNote
+    | TimerDue
+)
 
 # ---- orders -------------------------------------------------------------------------------------
 
-ALL_TABLES = 65535              # a SetLevel for every table of this coordinator
+ALL_TABLES = 65535  # a SetLevel for every table of this coordinator
 
 
 @dataclass(slots=True, frozen=True)
 class SetLine:
     """One line of a table; weight 0 removes it."""
+
     table: int
     backend: str
     weight: float
@@ -157,6 +179,7 @@
 class SetLevel:
     """How much of some methods (places in `methods`; none: all) is let in, and further tries:
     0 none, 1 one after proof that the first never ran, 2 one after any failure, 3 two."""
+
     table: int
     methods: tuple[int, ...]
     level: float
@@ -172,6 +195,7 @@
 @dataclass(slots=True, frozen=True)
 class Bind:
     """Deployments without slices: give a proxy a table for some methods (none: all)."""
+
     proxy: int
     table: int
     methods: tuple[int, ...]
@@ -180,6 +204,7 @@
 @dataclass(slots=True, frozen=True)
 class Mark:
     """Ask the proxies reached by these orders (or all) to say when they have applied them."""
+
     mark: int
     everyone: bool
 
@@ -191,7 +216,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TellPeer:
-    peer: int                   # -1: all
+    peer: int  # -1: all
     body: bytes
 
 
@@ -216,5 +241,17 @@
     text: str
 
 
-Order = (SetLine | ClearTable | SetLevel | Withdraw | Bind | Mark | Probe | TellPeer | Subscribe
-         | FetchList | SetTimer | LogLine)
+Order = (
+    SetLine
+    | ClearTable
+    | SetLevel
+    | Withdraw
+    | Bind
+    | Mark
+    | Probe
+    | TellPeer
+    | Subscribe
+    | FetchList
+    | SetTimer
+    | LogLine
+)
--- a/indigohitch/load/entry.py
+++ b/indigohitch/load/entry.py
@@ -1,4 +1,5 @@
 """What passes from the sources to the timeline, and what a trace holds.  Times are whole tenths of a ms."""
+
 from __future__ import annotations
 
 import msgspec
@@ -10,30 +11,32 @@
 
 class Entry(msgspec.Struct):
     """One request as a source tells it."""
-    stamp: int                  # Unix time
+
+    stamp: int  # Unix time
     method: str
-    target: str                 # path and query, as it went over the wire: percent-encoded ASCII
-    line: int                   # where it stands in its file: a line, or an entry of a HAR file
-    grain: int = 1              # what the stamp is rounded down to: SECOND in common logs
-    local: bool = False         # the stamp names no zone: it steps with daylight saving
-    ends: bool = False          # the stamp is of the answer's end
-    took: int = -1              # until the end of the answer, -1: not told
+    target: str  # path and query, as it went over the wire: percent-encoded ASCII
+    line: int  # where it stands in its file: a line, or an entry of a HAR file
+    grain: int = 1  # what the stamp is rounded down to: SECOND in common logs
+    local: bool = False  # the stamp names no zone: it steps with daylight saving
+    ends: bool = False  # the stamp is of the answer's end
+    took: int = -1  # until the end of the answer, -1: not told
     status: int = 0
-    size: int = -1              # of the answer's body
-    client: str = ""            # who asked: requests of one client went over one connection
-    id: str = ""                # the request's own name, where the source has one
+    size: int = -1  # of the answer's body
+    client: str = ""  # who asked: requests of one client went over one connection
+    id: str = ""  # the request's own name, where the source has one
     body: bytes = b""
-    kind: str = ""              # of the body
+    kind: str = ""  # of the body
     file: int = 0
 
 
 class Request(msgspec.Struct, array_like=True):
     """One request of a trace.  Fields are only ever added, at the end and with a default."""
-    at: int                     # since the trace began
+
+    at: int  # since the trace began
     method: str
     target: str
     rpc: str
-    unsafe: bool                # non-idempotent: replayed to proven stand-ins only, once
+    unsafe: bool  # non-idempotent: replayed to proven stand-ins only, once
     connection: int
     file: int
     line: int
@@ -58,5 +61,5 @@
     if not target.startswith("/"):
         target = "/" + target
     if not target.isascii() or any(c <= " " or c == "\x7f" for c in target):
-        target = "".join(chr(b) if 0x20 < b < 0x7f else f"%{b:02X}" for b in target.encode("utf-8"))
+        target = "".join(chr(b) if 0x20 < b < 0x7F else f"%{b:02X}" for b in target.encode("utf-8"))
     return target
--- a/indigohitch/load/kinds.py
+++ b/indigohitch/load/kinds.py
@@ -1,4 +1,5 @@
 """Which RPC a request is, and whether it may run twice: by a sidecar's file, else by HTTP method.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -17,9 +18,11 @@
 
 def by_routes(routes) -> Kind:
     """As the routes of a sidecar's file have it; what has no route there goes by its method."""
+
     def kind(method: str, target: str) -> tuple[str, bool]:
         route = routes.find(method, target.partition("?")[0])
         if isinstance(route, int):
             return by_method(method, target)
         return route.rpc.name, route.rpc.repeat != "idempotent"
+
     return kind
