--- a/indigohitch/load/replay/command.py
+++ b/indigohitch/load/replay/command.py
@@ -1,4 +1,5 @@
 """`indigohitch load replay`"""
+
 from __future__ import annotations
 
 import signal
@@ -16,6 +17,7 @@
 
 class Span(click.ParamType):
     """`1.5s`, `10m`."""
+
     name = "span"
 
     def convert(self, value, param, ctx):
@@ -48,36 +50,73 @@
 @click.option("--rate", default=0.0, help="Requests a second at the most, 0: no ceiling.")
 @click.option("--connections", default=512, show_default=True, help="At once, at the most.")
 @click.option("--processes", default=1, show_default=True, type=click.IntRange(1, 64))
-@click.option("--journal", default="", type=click.Path(dir_okay=False),
-              help="Remembers which non-idempotent requests went.")
+@click.option(
+    "--journal",
+    default="",
+    type=click.Path(dir_okay=False),
+    help="Remembers which non-idempotent requests went.",
+)
 @click.option("--resume", is_flag=True, help="Go on where the journal's replay ended.")
-@click.option("--through", type=click.Path(dir_okay=False),
-              help="TARGET is the sidecar of that file: its servers have to prove to be stand-ins.")
+@click.option(
+    "--through",
+    type=click.Path(dir_okay=False),
+    help="TARGET is the sidecar of that file: its servers have to prove to be stand-ins.",
+)
 @click.option("--allow-target", is_flag=True, help="TARGET may be no stand-in: idempotent requests go there.")
 @click.option("--json", "as_json", is_flag=True, help="The report as one line of JSON.")
 @click.option("--save", default="", type=click.Path(dir_okay=False), help="All figures, for `load page`.")
 @click.option("--shard", default="", hidden=True)
-def replay(trace, target, speed, start, end, filters, longest_gap, rate, connections, processes, journal,
-           resume, through, allow_target, as_json, save, shard) -> None:
+def replay(
+    trace,
+    target,
+    speed,
+    start,
+    end,
+    filters,
+    longest_gap,
+    rate,
+    connections,
+    processes,
+    journal,
+    resume,
+    through,
+    allow_target,
+    as_json,
+    save,
+    shard,
+) -> None:
     """Send TRACE to TARGET, HOST:PORT, as it was recorded."""
     from ..trace import Trace
     from . import running
     from .schedule import Plan, filtered
+
     found, servers = Trace(trace), [target]
     if through:
         text = sidecar_file.load(through)
         if text.single["listen"] != target:
-            raise Unfit(f"its sidecar listens elsewhere than {target[0]}:{target[1]}", through,
-                        "name the address in its line `listen`")
+            raise Unfit(
+                f"its sidecar listens elsewhere than {target[0]}:{target[1]}",
+                through,
+                "name the address in its line `listen`",
+            )
         servers = [s.address for pool in text.pools.values() for s in pool.servers.values()]
     number, of = map(int, shard.split("/")) if shard else (0, processes)
     plan = Plan(speed, start, end, tuple(map(filtered, filters)), longest_gap, number, of)
     if processes > 1 and not shard:
         figures, told = in_processes(processes, running.span(found, plan))
     else:
-        wanted = running.Wanted(target, plan, servers, allow_target, journal, resume, rate / of,
-                                max(1, connections // of), quiet if shard else progress,
-                                Together() if shard else stoppable)
+        wanted = running.Wanted(
+            target,
+            plan,
+            servers,
+            allow_target,
+            journal,
+            resume,
+            rate / of,
+            max(1, connections // of),
+            quiet if shard else progress,
+            Together() if shard else stoppable,
+        )
         figures, told = running.run(found, wanted)
     if save:
         with open(save, "wb") as file:
@@ -88,6 +127,7 @@
         click.echo(orjson.dumps(figures.told() | told).decode())
     else:
         from ..report.text import text as report
+
         click.echo(report(figures.told() | told))
 
 
@@ -98,8 +138,12 @@
 def progress(driver) -> None:
     if sys.stderr.isatty():
         now = (driver.loop.clock.now() - driver.begin) / 10_000
-        click.echo(f"\r{now:6.0f} s  sent {driver.figures.late.get_total_count()}  out {len(driver.out)}  "
-                   f"waiting {len(driver.waiting)}  ", nl=False, err=True)
+        click.echo(
+            f"\r{now:6.0f} s  sent {driver.figures.late.get_total_count()}  out {len(driver.out)}  "
+            f"waiting {len(driver.waiting)}  ",
+            nl=False,
+            err=True,
+        )
 
 
 def stoppable(driver) -> None:
@@ -125,10 +169,11 @@
 def in_processes(count: int, span: int):
     """The same command line for each, which sends the connections that are its own."""
     from .figures import Figures
+
     words = [w for w in sys.argv[1:] if w != "--json"]
     for at, word in enumerate(words):
-        if word.split("=")[0] == "--save":      # the whole is saved here
-            del words[at:at + 1 + ("=" not in word)]
+        if word.split("=")[0] == "--save":  # the whole is saved here
+            del words[at : at + 1 + ("=" not in word)]
             break
     parts = []
     for number in range(count):
@@ -139,12 +184,15 @@
             elif word.startswith("--journal="):
                 mine[at] += f".{number}"
         mine += ["--shard", f"{number}/{count}"]
-        parts.append(subprocess.Popen([sys.executable, "-m", "indigohitch", *mine], stdin=subprocess.PIPE,
-                                      stdout=subprocess.PIPE))
+        parts.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "indigohitch", *mine], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+            )
+        )
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda got, _: [part.send_signal(got) for part in parts if part.poll() is None])
     for part in parts:
-        part.stdout.readline()                  # it is ready, or has ended
+        part.stdout.readline()  # it is ready, or has ended
     begin = round(time.time() * 10_000) + 2000
     for part in parts:
         try:
--- a/indigohitch/load/replay/drive.py
+++ b/indigohitch/load/replay/drive.py
@@ -2,6 +2,7 @@
 
 Each connection of the source has wires of its own here.  What has no wire free opens another; past the
 ceiling it waits, and its lateness shows.  Latency counts from the time a request was due."""
+
 from __future__ import annotations
 
 from collections import OrderedDict, deque
@@ -16,7 +17,7 @@
 from .schedule import Pace
 
 Job = tuple[int, int, Request]  # due, number in the trace
-AHEAD = 64                      # requests begun in one turn of the loop at most: answers must be read too
+AHEAD = 64  # requests begun in one turn of the loop at most: answers must be read too
 
 
 def form(request: Request, host: str, id: str) -> bytes:
@@ -31,24 +32,34 @@
 
 
 class Driver:
-    SPAN = 10 * SECOND          # for an answer: twice the longest deadline of the users' RPCs
-
-    def __init__(self, to: tuple[str, int], due: Iterator[Job], figures: Figures, pace: Pace,
-                 connections: int, journal: Journal | None, name: str) -> None:
+    SPAN = 10 * SECOND  # for an answer: twice the longest deadline of the users' RPCs
+
+    def __init__(
+        self,
+        to: tuple[str, int],
+        due: Iterator[Job],
+        figures: Figures,
+        pace: Pace,
+        connections: int,
+        journal: Journal | None,
+        name: str,
+    ) -> None:
         """`name`: of the trace, for the ids of non-idempotent requests."""
+
         def failed(broken: BaseException) -> None:
             raise broken
+
         self.loop = Loop(Clock(), failed)
-        self.loop.pool.left = 1 << 30           # a tool: no limit but the machine's
+        self.loop.pool.left = 1 << 30  # a tool: no limit but the machine's
         self.to, self.due, self.figures, self.pace, self.most = to, due, figures, pace, connections
         self.journal, self.name, self.host = journal, name, f"{to[0]}:{to[1]}"
-        self.begin = self.loop.clock.now()      # of the schedule, Unix time; may be set until `run`
+        self.begin = self.loop.clock.now()  # of the schedule, Unix time; may be set until `run`
         self.next: Job | None = None
-        self.waiting: deque[Job] = deque()      # due, and no wire for them
-        self.idle: OrderedDict[Wire, int] = OrderedDict()       # each with its connection, oldest first
+        self.waiting: deque[Job] = deque()  # due, and no wire for them
+        self.idle: OrderedDict[Wire, int] = OrderedDict()  # each with its connection, oldest first
         self.rests: dict[int, list[Wire]] = {}  # the same by connection
-        self.of: dict[Wire, int] = {}           # all wires
-        self.out: dict[int, tuple[Wire, Deadline]] = {}         # by the request's number
+        self.of: dict[Wire, int] = {}  # all wires
+        self.out: dict[int, tuple[Wire, Deadline]] = {}  # by the request's number
         self.stopped = False
         self.tell: Callable[[], None] = lambda: None
 
@@ -63,7 +74,7 @@
         while self.next is not None and not self.stopped and len(batch) < AHEAD:
             at = self.pace.sent_at(self.next[0])
             if at > now:
-                self.pace.free = at             # this one's place is taken, by itself
+                self.pace.free = at  # this one's place is taken, by itself
                 self.loop.at(self.begin + at, self.tick)
                 break
             batch.append(self.next)
@@ -86,8 +97,9 @@
         if not again:
             self.figures.went(request.rpc, due, self.loop.clock.now() - self.begin)
         self.out[number] = wire, self.loop.after(self.SPAN, lambda: wire.stream.close("timeout"))
-        wire.send(job, form(request, self.host, self.id(number) if request.unsafe else ""),
-                  request.method == "HEAD")
+        wire.send(
+            job, form(request, self.host, self.id(number) if request.unsafe else ""), request.method == "HEAD"
+        )
         return True
 
     def wire(self, connection: int) -> Wire | None:
@@ -104,7 +116,7 @@
             oldest.stream.close()
         try:
             wire = Wire(self)
-        except OSError:                         # no descriptor left: as if the ceiling were reached
+        except OSError:  # no descriptor left: as if the ceiling were reached
             return None
         self.of[wire] = connection
         return wire
@@ -123,7 +135,7 @@
         due, number, request = job
         self.out.pop(number)[1].cancel()
         if why in ("ended", "reset") and wire.answers and not request.unsafe:
-            self.figures.status["sent-again"] += 1      # its kept connection was being closed
+            self.figures.status["sent-again"] += 1  # its kept connection was being closed
             self.start(job, again=True)
             return
         took = self.loop.clock.now() - self.begin
--- a/indigohitch/load/replay/journal.py
+++ b/indigohitch/load/replay/journal.py
@@ -7,6 +7,7 @@
 
 The last word is a checksum of the rest.  A line that is cut off at the very end was never acted on: its
 sending had not begun.  That holds for the end of the process, not of the machine."""
+
 from __future__ import annotations
 
 import os
@@ -19,12 +20,13 @@
 
 class Unusable(Unreadable):
     """A journal that is of another replay, or damaged."""
+
     remedy = "begin with a new journal, once it is known that the last replay may be sent again"
 
 
 def line(kind: str, number: int) -> bytes:
     text = f"{kind} {number}"
-    return f"{text} {zlib.crc32(text.encode()) & 0xffff:04x}\n".encode()
+    return f"{text} {zlib.crc32(text.encode()) & 0xFFFF:04x}\n".encode()
 
 
 class Journal:
@@ -35,7 +37,7 @@
         self.file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         with open(path, "rb") as file:
             found = file.read()
-        whole = found[:found.rfind(b"\n") + 1]
+        whole = found[: found.rfind(b"\n") + 1]
         if len(whole) < len(found):
             os.ftruncate(self.file, len(whole))
         if not whole:
--- a/indigohitch/load/replay/running.py
+++ b/indigohitch/load/replay/running.py
@@ -1,5 +1,6 @@
 """One replay from its checks to its report: what is left of an earlier run, the loop, and what became of the
 non-idempotent requests that nobody answered."""
+
 from __future__ import annotations
 
 import resource
@@ -16,16 +17,17 @@
 from .safety import may_begin
 from .schedule import Pace, Plan
 
-SETTLE = 1.0                    # seconds until what an earlier process wrote has been acted on, or never will
-ROUNDS = 3                      # of asking what was acted on and sending what was not
+SETTLE = 1.0  # seconds until what an earlier process wrote has been acted on, or never will
+ROUNDS = 3  # of asking what was acted on and sending what was not
 
 
 @dataclass
 class Wanted:
     """What the command line asks for."""
+
     to: tuple[str, int]
     plan: Plan
-    servers: list[tuple[str, int]]              # that have to prove to be stand-ins
+    servers: list[tuple[str, int]]  # that have to prove to be stand-ins
     allowed: bool = False
     journal: str = ""
     resume: bool = False
@@ -42,8 +44,13 @@
 def span(trace: Trace, plan: Plan) -> int:
     """Of the schedule.  With gaps that are cut all of it has to be read."""
     if plan.longest_gap:
-        return max((due for due, _, _ in selected(trace, Plan(plan.speed, plan.start, plan.end, (),
-                                                              plan.longest_gap))), default=0)
+        return max(
+            (
+                due
+                for due, _, _ in selected(trace, Plan(plan.speed, plan.start, plan.end, (), plan.longest_gap))
+            ),
+            default=0,
+        )
     end = trace.head.span if plan.end is None else min(plan.end, trace.head.span)
     return round(max(0, end - plan.start) / plan.speed)
 
@@ -123,15 +130,20 @@
         if not numbers:
             break
         again += len(numbers)
-        jobs = [(0, number, request) for _, number, request in selected(trace, wanted.plan)
-                if number in numbers]
-        extra = Driver(wanted.to, iter(jobs), Figures(SECOND), Pace(wanted.rate), wanted.connections, journal,
-                       name)
+        jobs = [
+            (0, number, request) for _, number, request in selected(trace, wanted.plan) if number in numbers
+        ]
+        extra = Driver(
+            wanted.to, iter(jobs), Figures(SECOND), Pace(wanted.rate), wanted.connections, journal, name
+        )
         wanted.started(extra)
         extra.run()
         driver.stopped |= extra.stopped
     acts = settle(journal, wanted.servers, name)
-    return {"reserves_sent": len(journal.sending), "reserves_acted": len(journal.acted),
-            "reserves_open": len(journal.open_ones()), "reserves_sent_again": again,
-            "reserves_twice": sum(count > 1 for count in acts.values())}
-
+    return {
+        "reserves_sent": len(journal.sending),
+        "reserves_acted": len(journal.acted),
+        "reserves_open": len(journal.open_ones()),
+        "reserves_sent_again": again,
+        "reserves_twice": sum(count > 1 for count in acts.values()),
+    }
--- a/indigohitch/load/replay/schedule.py
+++ b/indigohitch/load/replay/schedule.py
@@ -1,4 +1,5 @@
 """When each request of a trace is due.  No I/O; times are whole tenths of a ms since the replay began."""
+
 from __future__ import annotations
 
 import fnmatch
@@ -21,8 +22,12 @@
 
 def passes(request: Request, filters: Iterable[tuple[str, str]]) -> bool:
     """Of one name any pattern will do, of several names each has to."""
-    told = {"rpc": request.rpc, "method": request.method, "status": str(request.status),
-            "path": request.target.partition("?")[0]}
+    told = {
+        "rpc": request.rpc,
+        "method": request.method,
+        "status": str(request.status),
+        "path": request.target.partition("?")[0],
+    }
     wanted: dict[str, bool] = {}
     for name, pattern in filters:
         wanted[name] = wanted.get(name, False) or fnmatch.fnmatchcase(told[name], pattern)
@@ -32,12 +37,13 @@
 @dataclass(frozen=True)
 class Plan:
     """What of a trace is sent, and how fast."""
+
     speed: float = 1.0
-    start: int = 0              # in the trace
+    start: int = 0  # in the trace
     end: int | None = None
     filters: tuple[tuple[str, str], ...] = ()
-    longest_gap: int = 0        # in the trace; 0: gaps are kept
-    shard: int = 0              # this process sends the connections that are its own
+    longest_gap: int = 0  # in the trace; 0: gaps are kept
+    shard: int = 0  # this process sends the connections that are its own
     shards: int = 1
 
     def __post_init__(self) -> None:
--- a/indigohitch/load/replay/standins.py
+++ b/indigohitch/load/replay/standins.py
@@ -1,4 +1,5 @@
 """What is asked of stand-ins beside the replay: to prove that they are, and what they acted on."""
+
 from __future__ import annotations
 
 import http.client
@@ -41,8 +42,11 @@
         try:
             told = orjson.loads(asked(at, "/stats") or b"{}").get("acts", {})
         except (http.client.HTTPException, ValueError, AttributeError) as bad:
-            raise Unreadable(f"no answer that can be read: {type(bad).__name__}: {bad}", "{}:{}".format(*at),
-                             "once it answers, --resume with the same journal asks it again") from None
+            raise Unreadable(
+                f"no answer that can be read: {type(bad).__name__}: {bad}",
+                "{}:{}".format(*at),
+                "once it answers, --resume with the same journal asks it again",
+            ) from None
         for id, count in told.items():
             trace, _, number = id.rpartition("-")
             if trace == name and number.isdigit():
--- a/indigohitch/load/shape/fit.py
+++ b/indigohitch/load/shape/fit.py
@@ -1,4 +1,5 @@
 """Distributions fitted to a trace, with how far each is off (Kolmogorov-Smirnov).  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -11,17 +12,21 @@
 from .sketch import Frequent
 
 # Of times between requests, by what makes them: chance alone, bursts, sessions, retries.
-KINDS = {"exponential": stats.expon, "gamma": stats.gamma, "weibull": stats.weibull_min,
-         "lognormal": stats.lognorm}
-FITTED = 20_000                 # samples that a fit looks at: more move a parameter by under 1 %
-KEYS = 4096                     # counters of the sketch: a key with a 4,000th of all is found
+KINDS = {
+    "exponential": stats.expon,
+    "gamma": stats.gamma,
+    "weibull": stats.weibull_min,
+    "lognormal": stats.lognorm,
+}
+FITTED = 20_000  # samples that a fit looks at: more move a parameter by under 1 %
+KEYS = 4096  # counters of the sketch: a key with a 4,000th of all is found
 
 
 @dataclass(frozen=True)
 class Fit:
     kind: str
     parameters: tuple[float, ...]
-    ks: float                   # distance from what was fitted, 0 to 1
+    ks: float  # distance from what was fitted, 0 to 1
 
     def sample(self, draw: np.random.Generator, many: int) -> np.ndarray:
         return KINDS[self.kind].rvs(*self.parameters, size=many, random_state=draw)
@@ -37,8 +42,13 @@
     found = []
     for kind, law in KINDS.items():
         parameters = law.fit(values, floc=0)
-        found.append(Fit(kind, tuple(map(float, parameters)),
-                         float(stats.kstest(values, law.cdf, args=parameters).statistic)))
+        found.append(
+            Fit(
+                kind,
+                tuple(map(float, parameters)),
+                float(stats.kstest(values, law.cdf, args=parameters).statistic),
+            )
+        )
     return min(found, key=lambda fit: fit.ks)
 
 
@@ -52,6 +62,7 @@
 
     def unlikely(s: float) -> float:
         return s * weighted + total * float(np.log(np.exp(-s * ranks).sum()))
+
     return float(optimize.minimize_scalar(unlikely, bounds=(0, 4), method="bounded").x)
 
 
@@ -93,10 +104,12 @@
         gaps, size = best(gaps_to_rate(times)), best(np.array(sizes.get(rpc, ()), float))
         sketch = keys[rpc]
         told[rpc] = {
-            "requests": len(times), "a_second": round(len(times) * SECOND / span, 3),
+            "requests": len(times),
+            "a_second": round(len(times) * SECOND / span, 3),
             "dispersion_1s": round(dispersion(times), 3),
             "zipf": round(zipf(sketch.counts.values()), 3),
             "top_keys": [[key, count, over] for key, count, over in sketch.most(5)],
             "between": gaps and {"kind": gaps.kind, "parameters": gaps.parameters, "ks": round(gaps.ks, 4)},
-            "sizes": size and {"kind": size.kind, "parameters": size.parameters, "ks": round(size.ks, 4)}}
+            "sizes": size and {"kind": size.kind, "parameters": size.parameters, "ks": round(size.ks, 4)},
+        }
     return told
--- a/indigohitch/load/shape/scale.py
+++ b/indigohitch/load/shape/scale.py
@@ -3,6 +3,7 @@
 In each window of the source as many requests as it has there times the factor are drawn from those of the
 window itself, with their offsets, keys and kinds: waves, bursts and lulls stay, so do hot keys; a copy lies
 near what it was drawn from, not on it.  Thinning by chance alone would make bursts look like noise."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -15,7 +16,7 @@
 from ..entry import SECOND, Request
 from .fit import dispersion, gaps_to_rate
 
-WINDOW = SECOND                 # bursts that matter to a server are as long as its queue, about a second
+WINDOW = SECOND  # bursts that matter to a server are as long as its queue, about a second
 
 
 def _window(held: list[Request], begin: int, times: float, draw: np.random.Generator) -> list[Request]:
@@ -40,8 +41,11 @@
         i = chosen[place]
         copies[i] = copies.get(i, -1) + 1
         # Copies go over connections of their own: one client does not ask more, there are more of them.
-        made.append(msgspec.structs.replace(held[i], at=int(at[place]),
-                                            connection=held[i].connection + copies[i] * 1_000_003))
+        made.append(
+            msgspec.structs.replace(
+                held[i], at=int(at[place]), connection=held[i].connection + copies[i] * 1_000_003
+            )
+        )
     return made
 
 
@@ -65,13 +69,18 @@
     """How near the two are: distances 0 to 1 (Kolmogorov-Smirnov), and burstiness."""
     one, two = (np.array([r.at for r in rs]) for rs in (source, made))
     keys = {key: n for n, key in enumerate(sorted({r.target for r in source}))}
-    counts = [np.bincount([keys[r.target] for r in rs], minlength=len(keys)) / max(len(rs), 1)
-              for rs in (source, made)]
+    counts = [
+        np.bincount([keys[r.target] for r in rs], minlength=len(keys)) / max(len(rs), 1)
+        for rs in (source, made)
+    ]
     # With chance alone the dispersion stays; what bursts add to it grows with the rate.
     beyond = [dispersion(at) - 1 for at in (one, two)]
-    return {"requests": len(made), "times": round(len(made) / len(source), 4),
-            "ks_gaps": round(float(stats.ks_2samp(gaps_to_rate(one), gaps_to_rate(two)).statistic), 4),
-            "ks_over_time": round(float(stats.ks_2samp(one, two).statistic), 4),
-            "keys_moved": round(float(np.abs(counts[0] - counts[1]).sum() / 2), 4),
-            "dispersion": [round(b + 1, 3) for b in beyond],
-            "burst_kept": round(beyond[1] / (beyond[0] * times), 3) if beyond[0] > 0.1 else None}
+    return {
+        "requests": len(made),
+        "times": round(len(made) / len(source), 4),
+        "ks_gaps": round(float(stats.ks_2samp(gaps_to_rate(one), gaps_to_rate(two)).statistic), 4),
+        "ks_over_time": round(float(stats.ks_2samp(one, two).statistic), 4),
+        "keys_moved": round(float(np.abs(counts[0] - counts[1]).sum() / 2), 4),
+        "dispersion": [round(b + 1, 3) for b in beyond],
+        "burst_kept": round(beyond[1] / (beyond[0] * times), 3) if beyond[0] > 0.1 else None,
+    }
--- a/indigohitch/load/shape/sketch.py
+++ b/indigohitch/load/shape/sketch.py
@@ -2,6 +2,7 @@
 
 Space-Saving (Metwally, Agrawal, El Abbadi 2005): `size` counters; a key without one takes over the smallest
 and its count.  A count is never too low, too high by N / size at the most; what is more frequent is there."""
+
 from __future__ import annotations
 
 from heapq import heapify, heappop, heappush
@@ -16,15 +17,15 @@
             raise ValueError("a sketch needs a counter")
         self.size, self.total = size, 0
         self.counts: dict[K, int] = {}
-        self.over: dict[K, int] = {}            # by how much a count may be too high
-        self._heap: list[tuple[int, int, K]] = []       # lazy: a count here may be old, then it is lower
+        self.over: dict[K, int] = {}  # by how much a count may be too high
+        self._heap: list[tuple[int, int, K]] = []  # lazy: a count here may be old, then it is lower
         self._order = 0
 
     def add(self, key: K, times: int = 1) -> None:
         self.total += times
         counts = self.counts
         if key in counts:
-            counts[key] += times                # the heap learns of it when the key comes up
+            counts[key] += times  # the heap learns of it when the key comes up
             return
         if len(counts) < self.size:
             counts[key], self.over[key] = times, 0
--- a/indigohitch/load/sources/guess.py
+++ b/indigohitch/load/sources/guess.py
@@ -1,4 +1,5 @@
 """What kind of log a stream is whose name does not tell: by its first lines."""
+
 from __future__ import annotations
 
 import orjson
@@ -7,7 +8,7 @@
 from . import logs
 from .opened import PIECE, Truncated
 
-LINES = 20                      # a log that begins with so many others is none that we know
+LINES = 20  # a log that begins with so many others is none that we know
 CANDIDATES = ("combined", "common", "json")
 
 
@@ -17,7 +18,7 @@
     try:
         head = stream.peek(PIECE)
     except Truncated:
-        return CANDIDATES[0], 0                 # reading it will tell
+        return CANDIDATES[0], 0  # reading it will tell
     if begins_har(head):
         return "har", 1
     found = [line for line in head.splitlines()[:LINES] if line]
@@ -41,4 +42,5 @@
         except (Unread, orjson.JSONDecodeError):
             return False
         return True
+
     return one
--- a/indigohitch/load/sources/har.py
+++ b/indigohitch/load/sources/har.py
@@ -2,6 +2,7 @@
 
 Source: the HAR 1.2 specification.  `startedDateTime` is when the request began; `time` is the whole of it,
 else its timings count, of which -1 is not applicable."""
+
 from __future__ import annotations
 
 import base64
@@ -76,14 +77,29 @@
     status = answer.get("status")
     data, kind = body(request)
     if answer.get("redirectURL"):
-        note("redirect")                        # what it led to stands as an entry of its own
-    sent = next((h.get("value", "") for h in request.get("headers") or () if isinstance(h, dict)
-                 and str(h.get("name")).lower() == "x-id"), "")
-    return Entry(stamp=at, method=method.upper(), target=path_of(request["url"]), line=place, local=local,
-                 took=took(found, note), status=int(status) if isinstance(status, (int, float)) else 0,
-                 size=answer["bodySize"] if isinstance(answer.get("bodySize"), int) else -1,
-                 client=str(found.get("connection") or found.get("pageref") or ""), id=str(sent), body=data,
-                 kind=kind)
+        note("redirect")  # what it led to stands as an entry of its own
+    sent = next(
+        (
+            h.get("value", "")
+            for h in request.get("headers") or ()
+            if isinstance(h, dict) and str(h.get("name")).lower() == "x-id"
+        ),
+        "",
+    )
+    return Entry(
+        stamp=at,
+        method=method.upper(),
+        target=path_of(request["url"]),
+        line=place,
+        local=local,
+        took=took(found, note),
+        status=int(status) if isinstance(status, (int, float)) else 0,
+        size=answer["bodySize"] if isinstance(answer.get("bodySize"), int) else -1,
+        client=str(found.get("connection") or found.get("pageref") or ""),
+        id=str(sent),
+        body=data,
+        kind=kind,
+    )
 
 
 def read(stream, unread: Callable[[int, str], None], note: Callable[[str], None]) -> Iterator[Entry]:
--- a/indigohitch/load/sources/logs.py
+++ b/indigohitch/load/sources/logs.py
@@ -1,4 +1,5 @@
 """Access logs: common, combined, any format in LogFormat terms, and the sidecar's own JSON lines."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
@@ -27,8 +28,9 @@
         except ValueError as bad:
             raise Unfit(f"the format {format!r} can't be read: {bad}", "--format", FORMATS) from None
         if not any(word in text for word in ("%r", "%U")) or not any(w in text for w in ("%t", "}t")):
-            raise Unfit(f"the format {format!r} names no request (%r, %U) or no time (%t)", "--format",
-                        FORMATS)
+            raise Unfit(
+                f"the format {format!r} names no request (%r, %U) or no time (%t)", "--format", FORMATS
+            )
 
     def entry(self, line: bytes, number: int) -> Entry:
         try:
@@ -50,16 +52,28 @@
                 raise Unread("no request")
             target += getattr(found, "request_query", None) or ""
         took = -1
-        for name, unit in (("request_duration_microseconds", 0.01), ("request_duration_milliseconds", 10),
-                           ("request_duration_seconds", SECOND)):
+        for name, unit in (
+            ("request_duration_microseconds", 0.01),
+            ("request_duration_milliseconds", 10),
+            ("request_duration_seconds", SECOND),
+        ):
             if getattr(found, name, None) is not None:
                 took = round(getattr(found, name) * unit)
                 break
         sent = getattr(found, "bytes_sent", None)
-        return Entry(stamp=stamp, method=method.upper(), target=path_of(target), line=number, grain=grain,
-                     local=local, ends=self.ends, took=took, status=getattr(found, "final_status", None) or 0,
-                     size=-1 if sent is None else sent, client=str(getattr(found, "remote_host", "") or ""))
-
+        return Entry(
+            stamp=stamp,
+            method=method.upper(),
+            target=path_of(target),
+            line=number,
+            grain=grain,
+            local=local,
+            ends=self.ends,
+            took=took,
+            status=getattr(found, "final_status", None) or 0,
+            size=-1 if sent is None else sent,
+            client=str(getattr(found, "remote_host", "") or ""),
+        )
 
     @staticmethod
     def time(found) -> tuple[int, int, bool]:
@@ -86,17 +100,26 @@
             raise Unread("no JSON") from None
         try:
             body = told["body"].encode("latin-1") if told.get("body") else b""
-            return Entry(stamp=round(told["ms"] * 10), method=told["method"], target=path_of(told["target"]),
-                         line=number, took=round(told.get("took_ms", -0.1) * 10),
-                         status=told.get("status", 0), size=told.get("size", -1),
-                         client=str(told.get("client", "")), id=told.get("id", ""), body=body,
-                         kind=told.get("kind", ""))
+            return Entry(
+                stamp=round(told["ms"] * 10),
+                method=told["method"],
+                target=path_of(told["target"]),
+                line=number,
+                took=round(told.get("took_ms", -0.1) * 10),
+                status=told.get("status", 0),
+                size=told.get("size", -1),
+                client=str(told.get("client", "")),
+                id=told.get("id", ""),
+                body=body,
+                kind=told.get("kind", ""),
+            )
         except (KeyError, TypeError, AttributeError, ValueError, UnicodeError) as bad:
             raise Unread(f"{type(bad).__name__}: {bad}") from None
 
 
-def read(stream, form: Formatted | JsonLines, unread: Callable[[int, str], None],
-         note: Callable[[str], None]) -> Iterator[Entry]:
+def read(
+    stream, form: Formatted | JsonLines, unread: Callable[[int, str], None], note: Callable[[str], None]
+) -> Iterator[Entry]:
     """`unread(line, why)`; `note(name)` counts what is odd but read."""
     number = 0
     try:
@@ -107,7 +130,7 @@
                 try:
                     found = form.entry(line, -number)
                 except Unread:
-                    note("unfinished-line")     # still being written: it is whole the next time
+                    note("unfinished-line")  # still being written: it is whole the next time
                     continue
                 yield found
             elif line:
--- a/indigohitch/load/sources/opened.py
+++ b/indigohitch/load/sources/opened.py
@@ -1,5 +1,6 @@
 """A file of any of the kinds that logs are kept in, as a stream of bytes: plain, gzip, zstd or brotli by its
 ending.  What ends too early is told, after all that was whole."""
+
 from __future__ import annotations
 
 import gzip
@@ -9,7 +10,7 @@
 
 from ...errors import Unreadable
 
-PIECE = 1 << 18                 # read at once: large enough for the parsers, small beside their memory
+PIECE = 1 << 18  # read at once: large enough for the parsers, small beside their memory
 
 
 class Truncated(Unreadable):
@@ -20,8 +21,13 @@
     """What `more` makes of the pieces that `read` gives, as a file; `whole` says at the end whether it came
     to its own end."""
 
-    def __init__(self, read: Callable[[int], bytes], more: Callable[[bytes], bytes],
-                 whole: Callable[[], bool], kind: str) -> None:
+    def __init__(
+        self,
+        read: Callable[[int], bytes],
+        more: Callable[[bytes], bytes],
+        whole: Callable[[], bool],
+        kind: str,
+    ) -> None:
         self.read_piece, self.more, self.whole, self.kind = read, more, whole, kind
         self.rest, self.over = b"", False
 
@@ -37,13 +43,14 @@
                     raise Truncated(f"the {self.kind} stream ends early")
                 break
             self.rest = self.more(piece)
-        got, self.rest = self.rest[:len(into)], self.rest[len(into):]
-        into[:len(got)] = got
+        got, self.rest = self.rest[: len(into)], self.rest[len(into) :]
+        into[: len(got)] = got
         return len(got)
 
 
 def _brotli(file) -> _Unpacked:
     import brotli
+
     unpacker = brotli.Decompressor()
 
     def more(piece: bytes) -> bytes:
@@ -51,11 +58,13 @@
             return unpacker.process(piece)
         except brotli.error:
             raise Truncated("the brotli stream can't be read") from None
+
     return _Unpacked(file.read, more, unpacker.is_finished, "brotli")
 
 
 def _zstd(file) -> _Unpacked:
     import zstandard
+
     unpacker = None
 
     def more(piece: bytes) -> bytes:
@@ -63,13 +72,14 @@
         out = b""
         try:
             while piece:
-                if unpacker is None or unpacker.eof:    # a log that is appended to has several frames
+                if unpacker is None or unpacker.eof:  # a log that is appended to has several frames
                     unpacker = zstandard.ZstdDecompressor().decompressobj()
                 out += unpacker.decompress(piece)
                 piece = unpacker.unused_data if unpacker.eof else b""
         except zstandard.ZstdError:
             raise Truncated("the zstd stream can't be read") from None
         return out
+
     return _Unpacked(file.read, more, lambda: unpacker is None or unpacker.eof, "zstd")
 
 
@@ -81,6 +91,7 @@
             return unzipped.read(size)
         except (EOFError, zlib.error, gzip.BadGzipFile) as bad:
             raise Truncated(f"the gzip stream ends early or is damaged: {bad}") from None
+
     return _Unpacked(read, lambda piece: piece, lambda: True, "gzip")
 
 
@@ -88,7 +99,7 @@
 
 
 def plain_name(path: str) -> str:
-    return next((path[:-len(ending)] for ending in UNPACK if path.endswith(ending)), path)
+    return next((path[: -len(ending)] for ending in UNPACK if path.endswith(ending)), path)
 
 
 def opened(path: str) -> io.BufferedReader:
@@ -100,7 +111,7 @@
     return file
 
 
-LINE = 1 << 20                  # the longest line that is read: a URL of a megabyte is no request of ours
+LINE = 1 << 20  # the longest line that is read: a URL of a megabyte is no request of ours
 
 
 def lines(stream) -> Iterator[tuple[int, bytes | None]]:
--- a/indigohitch/load/timeline/clock.py
+++ b/indigohitch/load/timeline/clock.py
@@ -3,6 +3,7 @@
 A line that lies back a little was logged late and is sorted in; one far off is a stray; several that go on
 from another time mean that the clock was set.  Forward that can't be told from a gap, but in daylight saving:
 stamps without a zone that jump by an hour.  A gap is kept and counted; a replay may cut it."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -10,17 +11,17 @@
 
 from ..entry import SECOND, Entry
 
-WINDOW = 5 * SECOND             # how far back a line may lie: many servers log at the end of answers
-GAP = 60 * SECOND               # without a line for so long: no fluctuation of a load worth replaying
-CONFIRM = 3                     # lines in a row that show that the clock was set; one may be a stray
-HOUR, NEAR = 3600 * SECOND, 120 * SECOND    # a step of daylight saving, with the gap beside it
+WINDOW = 5 * SECOND  # how far back a line may lie: many servers log at the end of answers
+GAP = 60 * SECOND  # without a line for so long: no fluctuation of a load worth replaying
+CONFIRM = 3  # lines in a row that show that the clock was set; one may be a stray
+HOUR, NEAR = 3600 * SECOND, 120 * SECOND  # a step of daylight saving, with the gap beside it
 
 
 class FileClock:
     def __init__(self, rules: frozenset[str], counts: Counter[str]) -> None:
         self.rules, self.counts = rules, counts
-        self.offset, self.last = 0, None        # added to stamps; the newest time so far
-        self.pending: list[tuple[int, Entry]] = []      # from another time: strays, or the clock was set
+        self.offset, self.last = 0, None  # added to stamps; the newest time so far
+        self.pending: list[tuple[int, Entry]] = []  # from another time: strays, or the clock was set
 
     def feed(self, entry: Entry) -> Iterator[tuple[int, Entry]]:
         """What is sure now, each with its time; nearly in order, by WINDOW."""
@@ -47,7 +48,7 @@
         if self.last is not None and at < self.last:
             self.counts["out-of-order"] += entry.grain == 1 or at + entry.grain <= self.last
             if "out-of-order" not in self.rules:
-                at = self.last                  # as it stands in the file
+                at = self.last  # as it stands in the file
         self.last = at if self.last is None else max(self.last, at)
         return at, entry
 
@@ -70,12 +71,12 @@
         elif hour:
             rule, shift = "dst-forward", -min(HOUR, step)
         else:
-            rule = "gap"                        # kept: traffic does stop
+            rule = "gap"  # kept: traffic does stop
         self.counts[rule] += 1
         if rule not in self.rules:
             shift = 0
         self.offset += shift
-        if step + shift < -WINDOW:              # not to be repaired: time goes back here, and so be it
+        if step + shift < -WINDOW:  # not to be repaired: time goes back here, and so be it
             self.last = None
         for at, entry in pending:
             yield self.sure(at + shift, entry)
--- a/indigohitch/load/timeline/order.py
+++ b/indigohitch/load/timeline/order.py
@@ -1,4 +1,5 @@
 """Sorting what is nearly in order, spreading whole seconds, merging files."""
+
 from __future__ import annotations
 
 import random
@@ -38,6 +39,7 @@
         for (at, entry), place in zip(group, places):
             yield at + int(place * entry.grain), entry
         group.clear()
+
     for at, entry in timed:
         if group and group[0][0] != at:
             yield from out()
@@ -51,6 +53,7 @@
 class Doubles:
     """The same request in several files, as where two of them are copies of one log in part.  Within one file
     the same line twice is two requests: the n-th in one file is the n-th in another."""
+
     MEMORY = 10 * SECOND
 
     def __init__(self, counts: Counter[str]) -> None:
@@ -60,8 +63,16 @@
     def again(self, at: int, entry: Entry) -> bool:
         while self.seen and next(iter(self.seen.values()))[0] < at - self.MEMORY:
             self.seen.popitem(last=False)
-        key = (entry.stamp, entry.method, entry.target, entry.client, entry.status, entry.size, entry.id,
-               entry.took)
+        key = (
+            entry.stamp,
+            entry.method,
+            entry.target,
+            entry.client,
+            entry.status,
+            entry.size,
+            entry.id,
+            entry.took,
+        )
         _, times = self.seen.setdefault(key, (at, Counter()))
         times[entry.file] += 1
         if any(times[file] >= times[entry.file] for file in times if file != entry.file):
@@ -70,8 +81,9 @@
         return False
 
 
-def one_file(entries: Iterable[Entry], rules: frozenset[str], draw: random.Random,
-             counts: Counter[str]) -> Iterator[Timed]:
+def one_file(
+    entries: Iterable[Entry], rules: frozenset[str], draw: random.Random, counts: Counter[str]
+) -> Iterator[Timed]:
     """One file's entries in order of time."""
     clock = FileClock(rules, counts)
 
@@ -79,17 +91,21 @@
         for entry in entries:
             yield from clock.feed(entry)
         yield from clock.flush()
+
     timed: Iterable[Timed] = sorted_within(told(), WINDOW + SECOND)
     if "spread-seconds" in rules:
         timed = sorted_within(spread(timed, draw, counts), SECOND)
     return iter(timed)
 
 
-def timeline(files: list[Iterable[Entry]], rules: frozenset[str], seed: int,
-             counts: Counter[str]) -> Iterator[Timed]:
+def timeline(
+    files: list[Iterable[Entry]], rules: frozenset[str], seed: int, counts: Counter[str]
+) -> Iterator[Timed]:
     """All files as one, in order of Unix time."""
-    streams = [one_file(entries, rules, random.Random(seed * 1009 + place), counts)
-               for place, entries in enumerate(files)]
+    streams = [
+        one_file(entries, rules, random.Random(seed * 1009 + place), counts)
+        for place, entries in enumerate(files)
+    ]
     doubles = Doubles(counts)
     for at, entry in merge(*streams, key=lambda timed: timed[0]):
         if len(files) < 2 or "duplicate" not in rules or not doubles.again(at, entry):
--- a/indigohitch/load/trace.py
+++ b/indigohitch/load/trace.py
@@ -6,6 +6,7 @@
     place of the index, magic             16 bytes
 
 A file is written beside its name and put there once whole: half a trace is none."""
+
 from __future__ import annotations
 
 import os
@@ -20,21 +21,22 @@
 from .entry import Request
 
 MAGIC, VERSION = b"IHTRACE", 1
-BLOCK = 4096                    # requests: some 100 KB packed; less packs worse, more is read for nothing
-LEVEL = 6                       # of zstd: past it packing costs more than it saves
+BLOCK = 4096  # requests: some 100 KB packed; less packs worse, more is read for nothing
+LEVEL = 6  # of zstd: past it packing costs more than it saves
 
 
 class Damaged(Unreadable):
     """What is no trace, or not whole."""
+
     remedy = "compile it anew from its sources"
 
 
 class Head(msgspec.Struct):
-    began: int                  # Unix time of the first request, tenths of a ms
+    began: int  # Unix time of the first request, tenths of a ms
     count: int
-    span: int                   # from the first request to the last
+    span: int  # from the first request to the last
     sources: list[str]
-    counts: dict[str, int]      # repairs and what was not read
+    counts: dict[str, int]  # repairs and what was not read
     unsafe: int
 
 
@@ -55,8 +57,9 @@
     return struct.pack("<IQ", len(small), xxhash.xxh3_64_intdigest(small)) + small
 
 
-def write(path: str, requests: Iterable[Request], began: int, sources: list[str],
-          counts: dict[str, int]) -> Head:
+def write(
+    path: str, requests: Iterable[Request], began: int, sources: list[str], counts: dict[str, int]
+) -> Head:
     """The trace at `path`; `counts` is read at the end."""
     blocks, held, count, unsafe, last = [], [], 0, 0, 0
     part = path + ".part"
@@ -67,6 +70,7 @@
             blocks.append(Block(held[0].at, held[-1].at, file.tell(), len(held)))
             file.write(_packed(msgspec.msgpack.encode(held)))
             held.clear()
+
         for request in requests:
             if request.at < last:
                 raise Unfit("a trace is written in order of time", path)
@@ -108,7 +112,7 @@
         except msgspec.DecodeError as bad:
             raise Damaged(f"its index can't be read: {bad}", path) from None
         self.head, self.blocks = index.head, index.blocks
-        self.identity = f"{xxhash.xxh3_64_intdigest(found):016x}"      # of what it holds, not of its name
+        self.identity = f"{xxhash.xxh3_64_intdigest(found):016x}"  # of what it holds, not of its name
 
     def block(self, place: int) -> bytes:
         self.file.seek(place)
--- a/indigohitch/log.py
+++ b/indigohitch/log.py
@@ -1,4 +1,5 @@
 """The log: one JSON line an event, on standard output."""
+
 from __future__ import annotations
 
 import os
@@ -10,9 +11,9 @@
 
 
 class Log:
-    LINE = 4096                 # a pipe takes as much whole or not at all
-    TEXT = 1000                 # of a field, where a line would be longer: what came may be a MiB
-    RATE = 20                   # lines a second of one kind of trouble: shows it, does not become it
+    LINE = 4096  # a pipe takes as much whole or not at all
+    TEXT = 1000  # of a field, where a line would be longer: what came may be a MiB
+    RATE = 20  # lines a second of one kind of trouble: shows it, does not become it
 
     def __init__(self, clock: Clock, name: str = "", out: int = 1) -> None:
         self.clock, self.name, self.out = clock, name, out
@@ -27,12 +28,12 @@
         line = {"ms": self.clock.now() / 10, "coordinator": self.name, "event": what} | fields
         data = orjson.dumps(line, default=str) + b"\n"
         if len(data) > self.LINE:
-            line |= {name: text[:self.TEXT] for name, text in line.items() if isinstance(text, str)}
+            line |= {name: text[: self.TEXT] for name, text in line.items() if isinstance(text, str)}
             data = orjson.dumps(line, default=str) + b"\n"
         try:
             # After a line of which only a part was taken the next one begins anew.
             self._part = os.write(self.out, b"\n" * self._part + data) < len(data)
-        except OSError:                 # nobody reads the log any more, or it is full: go on serving
+        except OSError:  # nobody reads the log any more, or it is full: go on serving
             self.counts["log_lines_lost"] += 1
 
     def trouble(self, what: str, **fields) -> None:
--- a/indigohitch/model/backends.py
+++ b/indigohitch/model/backends.py
@@ -1,4 +1,5 @@
 """A backend of the emulator: cores, a queue, caches by slice, warm-up.  Times are tenths of a ms."""
+
 from __future__ import annotations
 
 import math
@@ -11,13 +12,14 @@
 @dataclass(frozen=True)
 class Kind:
     """What machines of one make are like."""
-    cores: float = 4.0          # math.inf: everything at once, as the stand-in servers do
-    queue: int = 60             # that wait; more are turned away
-    speed: float = 1.0          # of a core
-    cold_from: float = 0.25     # share of the speed at a start
+
+    cores: float = 4.0  # math.inf: everything at once, as the stand-in servers do
+    queue: int = 60  # that wait; more are turned away
+    speed: float = 1.0  # of a core
+    cold_from: float = 0.25  # share of the speed at a start
     warm_within: int = 10 * SECOND
-    cached: float = 0.5         # of the work, for a slice that came lately
-    memory: int = 15 * SECOND   # for so long
+    cached: float = 0.5  # of the work, for a slice that came lately
+    memory: int = 15 * SECOND  # for so long
 
 
 class Backend:
@@ -27,10 +29,10 @@
         self.id, self.kind, self.started = id, kind, started
         self.state = "ready"
         self.held, self.withdrawn = 0, False
-        self.busy, self.waiting = 0, deque()    # jobs
-        self.met: dict[int, int] = {}           # when each slice last came
-        self.slow = 1.0                         # times the work, while it is ill
-        self.spent, self.done = 0.0, 0          # work and answers since the last load report
+        self.busy, self.waiting = 0, deque()  # jobs
+        self.met: dict[int, int] = {}  # when each slice last came
+        self.slow = 1.0  # times the work, while it is ill
+        self.spent, self.done = 0.0, 0  # work and answers since the last load report
         self.total = 0
 
     def warmth(self, now: int) -> float:
--- a/indigohitch/model/emulator.py
+++ b/indigohitch/model/emulator.py
@@ -2,6 +2,7 @@
 
 One heap of events, seeded; no sockets and no clock.  What goes to the module is late and in sums, what comes
 from it takes its time to the proxies, as in service."""
+
 from __future__ import annotations
 
 import random
@@ -22,36 +23,46 @@
 @dataclass(frozen=True)
 class World:
     """What there is beside the trace."""
+
     slices: int
     kinds: tuple[Kind, ...] = (Kind(),)
     methods: tuple[face.Method, ...] = (SEARCH,)
-    costs: dict[str, float] = field(default_factory=dict)       # tenths of a ms of one core, by RPC
+    costs: dict[str, float] = field(default_factory=dict)  # tenths of a ms of one core, by RPC
     coordinators: int = 1
     report: int = 2 * SECOND
-    late: int = SECOND          # of sums
+    late: int = SECOND  # of sums
     transit: int = SECOND // 4  # of orders
-    hop: int = 0                # that an answer takes beyond its service
+    hop: int = 0  # that an answer takes beyond its service
     seed: int = 1
     boot: dict = field(default_factory=dict)
 
     def bootstrap(self, number: int) -> dict:
         kind = self.kinds[0]
-        return {"methods": self.methods, "coordinators": self.coordinators, "own_number": number,
-                "report_every": self.report, "admission": "share", "cold_from": kind.cold_from,
-                "warm_within": kind.warm_within, "drain_grace": 3 * SECOND, "fall_multiple": 4.0,
-                "transit_most": 2 * self.transit} | self.boot
+        return {
+            "methods": self.methods,
+            "coordinators": self.coordinators,
+            "own_number": number,
+            "report_every": self.report,
+            "admission": "share",
+            "cold_from": kind.cold_from,
+            "warm_within": kind.warm_within,
+            "drain_grace": 3 * SECOND,
+            "fall_multiple": 4.0,
+            "transit_most": 2 * self.transit,
+        } | self.boot
 
 
 @dataclass
 class Seen:
     """Of one run."""
+
     asked: int = 0
     in_time: int = 0
     late: int = 0
     refused: int = 0
     moves: int = 0
     took: list[int] = field(default_factory=list)
-    by_second: dict[int, list[int]] = field(default_factory=dict)       # asked, in time
+    by_second: dict[int, list[int]] = field(default_factory=dict)  # asked, in time
 
     def share(self, start: int = 0, end: int | None = None) -> float:
         """Answered within the soft deadline of what was asked, in those seconds."""
@@ -60,15 +71,17 @@
 
 
 class Emulator:
-    BEGIN = 1000 * SECOND       # the module counts from somewhere
+    BEGIN = 1000 * SECOND  # the module counts from somewhere
 
-    def __init__(self, world: World, backends: int, profile: Iterable[face.SliceDemand] = (),
-                 make=Coordinator) -> None:
+    def __init__(
+        self, world: World, backends: int, profile: Iterable[face.SliceDemand] = (), make=Coordinator
+    ) -> None:
         """`profile`: demand that is known at the start; `make(seed, bootstrap)`: the module."""
         self.world, self.random = world, random.Random(world.seed)
         self.now, self.order, self.events = self.BEGIN, count(), []
-        self.backends = {f"b{n}": Backend(f"b{n}", world.kinds[n % len(world.kinds)])
-                         for n in range(backends)}
+        self.backends = {
+            f"b{n}": Backend(f"b{n}", world.kinds[n % len(world.kinds)]) for n in range(backends)
+        }
         self.tables = [Table() for _ in range(world.slices)]
         self.methods = {m.name: m for m in world.methods}
         self.seen = Seen()
@@ -90,9 +103,14 @@
         heappush(self.events, (when, next(self.order), action, words))
 
     def listing(self, scope: str, *which: Backend) -> face.BackendList:
-        return face.BackendList(scope, 1, tuple(
-            face.Listed(b.id, b.state, min(b.kind.cores, 64.0), "", 0, str(b.kind.speed), b.started)
-            for b in which or self.backends.values()))
+        return face.BackendList(
+            scope,
+            1,
+            tuple(
+                face.Listed(b.id, b.state, min(b.kind.cores, 64.0), "", 0, str(b.kind.speed), b.started)
+                for b in which or self.backends.values()
+            ),
+        )
 
     # ---- the module's side -----------------------------------------------------------------------
 
@@ -123,8 +141,10 @@
         every, events = self.world.report, []
         came, self.came[n], tries, self.tries[n] = self.came[n], {}, self.tries[n], {}
         events += [face.SliceDemand(s, rpc, many, 0, every) for (s, rpc), many in came.items()]
-        events += [face.Traffic("", b.id, many, failed, 0, every, b.report() if many > failed else {})
-                   for b, (many, failed) in tries.items()]
+        events += [
+            face.Traffic("", b.id, many, failed, 0, every, b.report() if many > failed else {})
+            for b, (many, failed) in tries.items()
+        ]
         if events:
             self.at(self.now + self.world.late, self.hear, n, *events)
         self.at(self.now + every, self.report, n)
@@ -202,9 +222,8 @@
                 action(*words)
             self.now = at
             self.arrive(slice, rpc)
-        end = self.now + 10 * SECOND            # for what is still at work
+        end = self.now + 10 * SECOND  # for what is still at work
         while events and events[0][0] <= end:
             self.now, _, action, words = heappop(events)
             action(*words)
         return self.seen
-
--- a/indigohitch/net/clock.py
+++ b/indigohitch/net/clock.py
@@ -1,7 +1,8 @@
 """The one clock: Unix time in whole tenths of a millisecond that never steps."""
+
 import time
 
-SECOND = 10_000                 # the unit of every span: tenths of a millisecond
+SECOND = 10_000  # the unit of every span: tenths of a millisecond
 
 
 class Clock:
--- a/indigohitch/net/closing.py
+++ b/indigohitch/net/closing.py
@@ -1,4 +1,5 @@
 """An orderly close of a socket."""
+
 from __future__ import annotations
 
 import socket
@@ -15,6 +16,6 @@
         for _ in range(SCRAPS):
             if not sock.recv_into(SCRAP):
                 break
-    except OSError:                             # all read off, or never connected, or reset by the peer
+    except OSError:  # all read off, or never connected, or reset by the peer
         pass
     sock.close()
--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -1,4 +1,5 @@
 """A TCP connection with one ring buffer a direction, and the listener that accepts them."""
+
 from __future__ import annotations
 
 import errno
@@ -27,19 +28,22 @@
 
 class Reader(Protocol):
     """Who owns what a connection brings."""
+
     def opened(self, connection: Connection) -> None: ...
-    def heard(self, connection: Connection) -> bool | None: ...     # True: no more of it this turn
+    def heard(self, connection: Connection) -> bool | None: ...  # True: no more of it this turn
     def closed(self, connection: Connection, why: str) -> None: ...
 
 
 class Connection:
     """`why` a connection closed: "refused" (never came up), "reset", "ended" (by the peer, in order),
     "flooded" (what waits to be written outgrew its bound)."""
-    BOUND = 1 << 20             # no side of the protocol sends or is owed more at once
-    READS = 16                  # reads a turn: one busy peer must not starve the others
 
-    def __init__(self, loop: Loop, sock: socket.socket, reader: Reader, most: int = BOUND,
-                 pool: Pool | None = None) -> None:
+    BOUND = 1 << 20  # no side of the protocol sends or is owed more at once
+    READS = 16  # reads a turn: one busy peer must not starve the others
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, reader: Reader, most: int = BOUND, pool: Pool | None = None
+    ) -> None:
         self.loop, self.sock, self.reader = loop, sock, reader
         self.incoming = Ring(most, pool or loop.pool)
         self.outgoing = Ring(self.BOUND, pool or loop.pool)
@@ -92,12 +96,12 @@
             return
         self.open = False
         self.loop.forget(self.sock, self._number)
-        if why:                                 # it is broken, or its peer has ended it
+        if why:  # it is broken, or its peer has ended it
             self.sock.close()
         else:
             close_in_order(self.sock)
         if why:
-            self.reader.closed(self, why)       # it may look at what was left unread
+            self.reader.closed(self, why)  # it may look at what was left unread
         self.incoming.close()
         self.outgoing.close()
 
@@ -161,12 +165,19 @@
 
 class Listener:
     """Accepts up to `most` connections; `greet` makes the reader of each."""
-    PAUSE = SECOND // 10        # after a failed accept: short for those who wait, long enough not to spin
-    BURST = 64                  # accepts a turn
-    LAST = 2                    # bursts before it closes: more than that in the queue come from a flood
 
-    def __init__(self, loop: Loop, at: tuple[str, int], greet: Callable[[socket.socket], bool],
-                 trouble: Callable[[str], None], listening: socket.socket | None = None) -> None:
+    PAUSE = SECOND // 10  # after a failed accept: short for those who wait, long enough not to spin
+    BURST = 64  # accepts a turn
+    LAST = 2  # bursts before it closes: more than that in the queue come from a flood
+
+    def __init__(
+        self,
+        loop: Loop,
+        at: tuple[str, int],
+        greet: Callable[[socket.socket], bool],
+        trouble: Callable[[str], None],
+        listening: socket.socket | None = None,
+    ) -> None:
         """`listening`: a socket that listens already, come from another process."""
         self.loop, self.greet, self.trouble = loop, greet, trouble
         self.sock = listening or self.opened(at)
@@ -229,7 +240,7 @@
                     self.loop.pause(self.sock)
                     self._paused = self.loop.after(self.PAUSE, self._resume)
                     return False
-                continue                # that one broke before it was accepted
+                continue  # that one broke before it was accepted
             sock.setblocking(False)
             if not self.greet(sock):
                 close_in_order(sock)
@@ -243,6 +254,6 @@
         if self._paused is not None:
             self._paused.cancel()
             self._resume()
-        self.accept(True)                       # for the selector to forget it
+        self.accept(True)  # for the selector to forget it
         self.loop.forget(self.sock, self._number)
         self.sock.close()
--- a/indigohitch/net/http.py
+++ b/indigohitch/net/http.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 as a client speaks it: one exchange a request, parsed by httptools, ended by a deadline."""
+
 from __future__ import annotations
 
 import socket
@@ -17,6 +18,7 @@
 class Answer:
     """`outcome`: "answered", or why not: "connect_failed", "unreached" (no word on the connect),
     "timeout", "reset", "unreadable".  With the last three the other side may have done what was asked."""
+
     outcome: str
     status: int = 0
     body: bytes = b""
@@ -45,19 +47,26 @@
 
 class Exchange:
     """One request and its answer, in a numbered slot of its client while it lasts."""
-    CROSSED = SECOND // 20      # a close that crosses the request is here by then; later it is an answer
-    UNREAD = SECOND // 4        # to read what a socket holds, some MB at 64 KiB a turn
-    BODY = 8 << 20              # a list of ten thousand backends is two; more is no answer of ours
 
-    def __init__(self, client: Client, request: bytes, span: int, done: Callable[[Answer], None],
-                 stream: Callable[[bytes], None] | None = None) -> None:
+    CROSSED = SECOND // 20  # a close that crosses the request is here by then; later it is an answer
+    UNREAD = SECOND // 4  # to read what a socket holds, some MB at 64 KiB a turn
+    BODY = 8 << 20  # a list of ten thousand backends is two; more is no answer of ours
+
+    def __init__(
+        self,
+        client: Client,
+        request: bytes,
+        span: int,
+        done: Callable[[Answer], None],
+        stream: Callable[[bytes], None] | None = None,
+    ) -> None:
         self.client, self.request, self.done, self.stream = client, request, done, stream
         self.span, self.began = span, client.loop.clock.now()
         self.number = client.exchanges.put(self)
         self.parser = httptools.HttpResponseParser(self)
         self.body, self.status = bytearray(), 0
         self.framed = self.complete = self.keep = self.over = False
-        self.worn_until = 0             # on a connection that had rested, and may just have been closed
+        self.worn_until = 0  # on a connection that had rested, and may just have been closed
         self.connection: Connection | None = None
         self.deadline: Deadline | None = None
 
@@ -77,7 +86,7 @@
             self.deadline.cancel()
         try:
             self.connection = Connection.dial(loop, client.to, self)
-        except OSError:                 # no descriptor left, no way there: told like any refused connect
+        except OSError:  # no descriptor left, no way there: told like any refused connect
             self.deadline = loop.after(0, lambda: self.end("connect_failed"))
             return
         self.deadline = loop.after(client.connect_span, lambda: self.end("unreached"))
@@ -110,7 +119,7 @@
         self.worn_until = 0
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as broken:     # not what came, but what became of it here
+        except httptools.HttpParserCallbackError as broken:  # not what came, but what became of it here
             self.client.loop.failed(broken.__context__ or broken)
             self.end("unreadable")
             return
@@ -118,22 +127,22 @@
             if not self.complete:
                 self.end("unreadable")
                 return
-            self.keep = False           # the answer is whole, and what came behind it is nobody's
+            self.keep = False  # the answer is whole, and what came behind it is nobody's
         if self.over:
-            return                      # ended by what it told
+            return  # ended by what it told
         if len(self.body) > self.BODY:
             self.end("unreadable")
         elif self.complete:
             self.end("answered")
         elif self.stream is not None:
-            self._rearm()               # a stream's deadline is for silence
+            self._rearm()  # a stream's deadline is for silence
 
     def closed(self, connection: Connection, why: str) -> None:
         if self.client.loop.clock.now() < self.worn_until and self.request.startswith(b"GET "):
-            self.worn_until = 0         # closed as the request came: reading again changes nothing
+            self.worn_until = 0  # closed as the request came: reading again changes nothing
             self._dial()
         elif why == "ended" and self.status and not self.framed and self.stream is None:
-            self.end("answered")        # a body without a length ends with its connection
+            self.end("answered")  # a body without a length ends with its connection
         else:
             self.end("connect_failed" if why == "refused" else "reset")
 
@@ -148,7 +157,7 @@
 
     def on_body(self, part: bytes) -> None:
         if self.over or self.complete:
-            return                      # ended by an earlier part of what came in one piece
+            return  # ended by an earlier part of what came in one piece
         if self.stream is not None and self.status == 200:
             self.stream(part)
         else:
@@ -156,7 +165,7 @@
 
     def on_message_complete(self) -> None:
         if not self.complete and 100 <= self.status < 200:
-            self.status, self.framed = 0, False     # interim: the answer itself is still to come
+            self.status, self.framed = 0, False  # interim: the answer itself is still to come
             return
         self.keep &= not self.complete  # a second answer to one request: no more on that connection
         self.complete = True
@@ -180,7 +189,6 @@
                 connection.close()
         self.done(Answer(outcome, self.status, bytes(self.body), client.loop.clock.now() - self.began))
 
-
     def drop(self) -> None:
         """End it without a word to who waits."""
         self.done = lambda answer: None
@@ -191,16 +199,25 @@
     """Requests to one address.  A connection that ended its exchange in order rests for `idle_span`
     and serves the next one; none rests where that is 0."""
 
-    def __init__(self, loop: Loop, to: tuple[str, int], connect_span: int = SECOND // 2,
-                 idle_span: int = 0) -> None:
+    def __init__(
+        self, loop: Loop, to: tuple[str, int], connect_span: int = SECOND // 2, idle_span: int = 0
+    ) -> None:
         self.loop, self.to, self.connect_span, self.idle_span = loop, to, connect_span, idle_span
         self.host = f"{to[0]}:{to[1]}"
         self.exchanges: Slots[Exchange] = Slots()
         self._resting: Connection | None = None
         self._deadline: Deadline | None = None
 
-    def request(self, method: str, target: str, span: int, done: Callable[[Answer], None],
-                body: bytes = b"", kind: str = "", stream=None) -> Exchange:
+    def request(
+        self,
+        method: str,
+        target: str,
+        span: int,
+        done: Callable[[Answer], None],
+        body: bytes = b"",
+        kind: str = "",
+        stream=None,
+    ) -> Exchange:
         exchange = Exchange(self, form(method, target, self.host, body, kind), span, done, stream)
         exchange.start()
         return exchange
@@ -236,7 +253,7 @@
         self.drop_spare()
 
     def heard(self, connection: Connection) -> None:
-        self.drop_spare()               # nobody asked: whatever it is, no next answer may begin with it
+        self.drop_spare()  # nobody asked: whatever it is, no next answer may begin with it
 
     def closed(self, connection: Connection, why: str) -> None:
         self._wake()
--- a/indigohitch/net/loop.py
+++ b/indigohitch/net/loop.py
@@ -1,4 +1,5 @@
 """One loop on `selectors`: sockets that are ready, then deadlines that have passed, turn by turn."""
+
 from __future__ import annotations
 
 import selectors
@@ -13,11 +14,13 @@
 
 class Watched(Protocol):
     """What can be put under watch: a socket's owner."""
+
     def ready(self, readable: bool, writable: bool) -> None: ...
 
 
 class Deadline:
     """A due time in the loop's heap; `cancel` leaves it there, empty, until it comes up."""
+
     __slots__ = ("when", "action")
 
     def __init__(self, when: int, action: Callable[[], None]) -> None:
@@ -28,9 +31,9 @@
 
 
 class Loop:
-    POOL = 16 << 20             # for the connections that are ours, until the limits are read
-    SWEPT = 256                 # deadlines in the heap before the cancelled are looked for
-    CROWD = 32                  # of those in the crowd a turn: with what one may bring, 10 ms at the worst
+    POOL = 16 << 20  # for the connections that are ours, until the limits are read
+    SWEPT = 256  # deadlines in the heap before the cancelled are looked for
+    CROWD = 32  # of those in the crowd a turn: with what one may bring, 10 ms at the worst
 
     def __init__(self, clock: Clock, failed: Callable[[BaseException], None]) -> None:
         self.clock, self.failed = clock, failed
@@ -39,7 +42,7 @@
         self._selector = selectors.DefaultSelector()
         self._due: list[tuple[int, int, Deadline]] = []
         self._sweep_at = self.SWEPT
-        self._order = 0                         # two due at one time: first come, first served
+        self._order = 0  # two due at one time: first come, first served
         # Who comes last in a turn and may have to wait for a later one, by number: the turn that served it.
         self._crowd: dict[int, int] = {}
         self._turns = 0
@@ -90,7 +93,7 @@
             return ready
         crowd = [entry for entry in ready if entry[0] in self._crowd]
         crowd.sort(key=lambda entry: self._crowd[entry[0]])
-        del crowd[self.CROWD:]
+        del crowd[self.CROWD :]
         self._turns += 1
         self._crowd.update((entry[0], self._turns) for entry in crowd)
         return [entry for entry in ready if entry[0] not in self._crowd] + crowd
@@ -98,7 +101,7 @@
     def guarded(self, action: Callable, *args) -> None:
         try:
             action(*args)
-        except Exception as broken:     # a defect met on one connection must not end all the others
+        except Exception as broken:  # a defect met on one connection must not end all the others
             self.failed(broken)
 
     def turn(self) -> None:
@@ -109,9 +112,10 @@
             wait = max(0, self._due[0][0] - self.clock.now()) / SECOND
         ready = [(key.data, self.watched.get(key.data), mask) for key, mask in self._selector.select(wait)]
         for number, owner, mask in self._in_order(ready):
-            if owner is not None and self.watched.get(number) is owner:     # not closed earlier this turn
-                self.guarded(owner.ready, bool(mask & selectors.EVENT_READ),
-                              bool(mask & selectors.EVENT_WRITE))
+            if owner is not None and self.watched.get(number) is owner:  # not closed earlier this turn
+                self.guarded(
+                    owner.ready, bool(mask & selectors.EVENT_READ), bool(mask & selectors.EVENT_WRITE)
+                )
         now = self.clock.now()
         while self._due and self._due[0][0] <= now:
             action = heappop(self._due)[2].action
--- a/indigohitch/net/ring.py
+++ b/indigohitch/net/ring.py
@@ -1,4 +1,5 @@
 """A ring buffer: bytes between a socket and who reads or writes it, in order, in one reused block."""
+
 from __future__ import annotations
 
 import socket
@@ -22,11 +23,11 @@
 
 
 class Ring:
-    FIRST = 4096                # most messages are far smaller; a thousand of these are 4 MB
+    FIRST = 4096  # most messages are far smaller; a thousand of these are 4 MB
 
     def __init__(self, most: int, pool: Pool) -> None:
         self.most, self._pool = most, pool
-        self._block = bytearray()               # most connections never have anything to wait
+        self._block = bytearray()  # most connections never have anything to wait
         self._head = self._size = self._scanned = 0
 
     def __len__(self) -> int:
@@ -41,7 +42,7 @@
         if room < self._size + need or not self._pool.take(self._counted(room) - self._counted()):
             return False
         block = bytearray(room)
-        block[:self._size] = self.peek()
+        block[: self._size] = self.peek()
         self._block, self._head = block, 0
         return True
 
@@ -64,14 +65,14 @@
         tail = (self._head + self._size) % len(self._block)
         end = len(self._block) if tail >= self._head else self._head
         with memoryview(self._block) as view:
-            got = sock.recv_into(view[tail:min(end, tail + most)])
+            got = sock.recv_into(view[tail : min(end, tail + most)])
         self._size += got
         return got
 
     def empty_into(self, sock: socket.socket) -> None:
         """Write once to the socket, as much as it takes."""
         with memoryview(self._block) as view:
-            self.skip(sock.send(view[self._head:min(self._head + self._size, len(self._block))]))
+            self.skip(sock.send(view[self._head : min(self._head + self._size, len(self._block))]))
 
     def push(self, data: bytes) -> bool:
         if not data:
@@ -80,8 +81,8 @@
             return False
         tail = (self._head + self._size) % len(self._block)
         first = min(len(data), len(self._block) - tail)
-        self._block[tail:tail + first] = data[:first]
-        self._block[:len(data) - first] = data[first:]
+        self._block[tail : tail + first] = data[:first]
+        self._block[: len(data) - first] = data[first:]
         self._size += len(data)
         return True
 
@@ -89,8 +90,8 @@
         count = self._size if count is None else count
         end = self._head + count
         if end <= len(self._block):
-            return bytes(self._block[self._head:end])
-        return bytes(self._block[self._head:] + self._block[:end - len(self._block)])
+            return bytes(self._block[self._head : end])
+        return bytes(self._block[self._head :] + self._block[: end - len(self._block)])
 
     def skip(self, count: int) -> None:
         self._size -= count
--- a/indigohitch/net/slots.py
+++ b/indigohitch/net/slots.py
@@ -1,4 +1,5 @@
 """A table of numbered slots: what is in use has a number, freed numbers are used again."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -1,5 +1,6 @@
 """A connection whose reader takes what it can: what it leaves stays in the ring, and once that is full the
 socket is not read, so that a slow reader on one side slows the writer on the other."""
+
 from __future__ import annotations
 
 import socket
@@ -12,13 +13,15 @@
 class Stream(Connection):
     """Its reader has one more word to hear: `drained(connection)`, when what waited has been written.  The
     reader calls `wake` after it took something from `incoming`."""
-    BOUND = 64 << 10            # a ring: 1 GB passes through two of these a direction; more only adds delay
 
-    def __init__(self, loop: Loop, sock: socket.socket, reader, most: int = BOUND,
-                 pool: Pool | None = None) -> None:
+    BOUND = 64 << 10  # a ring: 1 GB passes through two of these a direction; more only adds delay
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, reader, most: int = BOUND, pool: Pool | None = None
+    ) -> None:
         super().__init__(loop, sock, reader, most, pool)
-        self.held = False                   # the ring is full: the socket is not read
-        self._mask = READ                   # what the selector watches now
+        self.held = False  # the ring is full: the socket is not read
+        self._mask = READ  # what the selector watches now
         self._dialled = False
 
     @classmethod
--- a/indigohitch/net/wire.py
+++ b/indigohitch/net/wire.py
@@ -1,4 +1,5 @@
 """One client connection that carries one request after the other, for loads of any kind."""
+
 from __future__ import annotations
 
 from typing import Protocol
@@ -11,6 +12,7 @@
 
 class Load(Protocol):
     """Who sends over wires."""
+
     loop: Loop
     to: tuple[str, int]
 
@@ -25,7 +27,7 @@
     def __init__(self, load: Load) -> None:
         """Begins to connect; raises OSError."""
         self.load, self.job = load, None
-        self.keeps = True                       # another request may follow, as far as is known
+        self.keeps = True  # another request may follow, as far as is known
         self.status = self.answers = 0
         self.stream = Stream.dial(load.loop, load.to, self)
 
@@ -43,7 +45,7 @@
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if status >= 200:                       # an interim one is followed by the answer
+        if status >= 200:  # an interim one is followed by the answer
             self.status, self.keeps = status, self.parser.should_keep_alive()
 
     def opened(self, stream: Stream) -> None:
--- a/indigohitch/net/worker.py
+++ b/indigohitch/net/worker.py
@@ -2,6 +2,7 @@
 
 For what is pure and may take long, such as the decisions on thousands of slices; what it works on is nobody
 else's meanwhile.  Not used on the platform."""
+
 from __future__ import annotations
 
 import queue
@@ -42,11 +43,11 @@
             call, done = entry
             try:
                 self._results.append((done, call(), None))
-            except Exception as broken:         # told where the loop tells of its own
+            except Exception as broken:  # told where the loop tells of its own
                 self._results.append((done, None, broken))
             try:
                 self._wake.send(b"x")
-            except OSError:                     # full: it is awake anyway; closed: nobody waits any more
+            except OSError:  # full: it is awake anyway; closed: nobody waits any more
                 pass
 
     def settle(self) -> None:
--- a/indigohitch/packed/files.py
+++ b/indigohitch/packed/files.py
@@ -1,4 +1,5 @@
 """Files written whole or not at all."""
+
 from __future__ import annotations
 
 import os
@@ -12,7 +13,7 @@
         try:
             view = memoryview(data)
             while view:
-                view = view[os.write(fd, view):]
+                view = view[os.write(fd, view) :]
             os.fsync(fd)
         finally:
             os.close(fd)
--- a/indigohitch/packed/frames.py
+++ b/indigohitch/packed/frames.py
@@ -1,5 +1,6 @@
 """Frames: magic, protocol version, kind, number of descriptors that come with it, length and checksum of its
 body; the body is msgpack of one of the rows of a `Kinds`.  No I/O."""
+
 from __future__ import annotations
 
 import struct
@@ -13,7 +14,7 @@
 
 _HEAD = struct.Struct("!4sBBHIQ")
 HEAD = _HEAD.size
-MOST = 8 << 20                  # of one frame; what is larger goes in several
+MOST = 8 << 20  # of one frame; what is larger goes in several
 
 
 class Broken(Unreadable):
@@ -33,8 +34,17 @@
         body, number = msgspec.msgpack.encode(row), self.numbers[type(row)]
         if len(body) > self.most:
             raise Unfit(f"{type(row).__name__} of {len(body)} bytes", "", f"a frame takes {self.most}")
-        return _HEAD.pack(self.magic, self.protocol, number, descriptors, len(body),
-                          xxhash.xxh3_64_intdigest(body, self.protocol << 8 | number)) + body
+        return (
+            _HEAD.pack(
+                self.magic,
+                self.protocol,
+                number,
+                descriptors,
+                len(body),
+                xxhash.xxh3_64_intdigest(body, self.protocol << 8 | number),
+            )
+            + body
+        )
 
     def head(self, data: bytes | bytearray, at: int = 0) -> tuple[int, int, int, int, int]:
         """Protocol, kind, descriptors, length and checksum of the frame that begins there; raises Broken."""
@@ -68,6 +78,6 @@
             protocol, number, descriptors, length, checksum = self.kinds.head(self.rest)
             if len(self.rest) < HEAD + length:
                 return
-            body = bytes(self.rest[HEAD:HEAD + length])
-            del self.rest[:HEAD + length]
+            body = bytes(self.rest[HEAD : HEAD + length])
+            del self.rest[: HEAD + length]
             yield self.kinds.body(body, protocol, number, checksum), descriptors
--- a/indigohitch/packed/rows.py
+++ b/indigohitch/packed/rows.py
@@ -1,4 +1,5 @@
 """Rows: what goes into snapshots, records and words.  No I/O."""
+
 from __future__ import annotations
 
 import hashlib
--- a/indigohitch/pidfile.py
+++ b/indigohitch/pidfile.py
@@ -1,4 +1,5 @@
 """The file that names the process that is the service, for whoever sends it signals."""
+
 from __future__ import annotations
 
 import os
--- a/indigohitch/platformlink/backlog.py
+++ b/indigohitch/platformlink/backlog.py
@@ -2,6 +2,7 @@
 
 The module counts what it orders, once.  A call whose outcome is unclear may have been carried out, and the
 same again lies in the channel twice: two large ones together are more than the settings let wait there."""
+
 from __future__ import annotations
 
 from ..net.clock import SECOND
@@ -12,7 +13,7 @@
 
     def __init__(self, cap: float, pace: float) -> None:
         self.cap, self.pace = cap, pace
-        self.lines, self.at = 0.0, 0            # that may wait, and when
+        self.lines, self.at = 0.0, 0  # that may wait, and when
 
     def _drain(self, now: int) -> None:
         self.lines = max(0.0, self.lines - (now - self.at) * self.pace / SECOND)
--- a/indigohitch/platformlink/calls.py
+++ b/indigohitch/platformlink/calls.py
@@ -1,4 +1,5 @@
 """What a call to the relay holds: orders in its words, what is void among them, and what its answer says."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
@@ -7,7 +8,7 @@
 from .. import interface as face
 from ..net.http import Answer
 
-BYTES = 60_000                  # of orders that a call may carry, says the protocol
+BYTES = 60_000  # of orders that a call may carry, says the protocol
 
 
 def encode(order: face.Order, methods: Sequence[str]) -> str:
@@ -70,7 +71,7 @@
     """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
     if answer.outcome != "answered":
         raise ValueError(answer.outcome)
-    if b"<!" in answer.body:                    # entities can swell without bound, no answer needs them
+    if b"<!" in answer.body:  # entities can swell without bound, no answer needs them
         raise ValueError("a document type")
     try:
         root = ElementTree.fromstring(answer.body)
--- a/indigohitch/platformlink/collectors.py
+++ b/indigohitch/platformlink/collectors.py
@@ -1,4 +1,5 @@
 """What connects to the coordinator's address: collectors with their lines, and strangers."""
+
 from __future__ import annotations
 
 import socket
@@ -17,8 +18,9 @@
 class Caller:
     """One accepted connection.  Until it has named its zone it is a stranger, and may do so or ask for a
     sign of life; anything else ends it with `reject`."""
-    STRANGER_LINE = 4096        # the longest that one needs who has not named a zone yet
-    MESSAGE = 1 << 20           # the protocol's bound on a message
+
+    STRANGER_LINE = 4096  # the longest that one needs who has not named a zone yet
+    MESSAGE = 1 << 20  # the protocol's bound on a message
     # Spoilt lines in a row that end a connection: of forty lines about one came spoilt on bad days, so this
     # many never come by chance; a connection that goes on like that is of no use to its owner either.
     SPOILT = 20
@@ -33,9 +35,9 @@
     def __init__(self, collectors: Collectors) -> None:
         self.collectors, self.zone = collectors, ""
         self.began = self.heard_at = collectors.loop.clock.now()
-        self.unfinished_since = 0               # when the line began that has not all come, 0: none
-        self.spoilt = 0                         # lines dropped since the last good one
-        self.asked = 0                          # signs of life that are asked for and not answered yet
+        self.unfinished_since = 0  # when the line began that has not all come, 0: none
+        self.spoilt = 0  # lines dropped since the last good one
+        self.asked = 0  # signs of life that are asked for and not answered yet
 
     def begin(self, connection: Connection) -> None:
         connection.outgoing.allow(self.OWED if self.zone else self.STRANGER_OWED)
@@ -70,7 +72,7 @@
             kind, words = split(line)
             if kind == "hb":
                 self.asked += 1
-                return                          # shows life, not that it is a collector: its time runs on
+                return  # shows life, not that it is a collector: its time runs on
             if kind == "telemetry":
                 self.join(connection, text(words, "site"))
             elif not self.zone:
@@ -123,19 +125,28 @@
     # vanished without a word; one whose line does not go on is stuck, and comes back anew.
     SILENCE, UNFINISHED = 120 * SECOND, 3 * SECOND
     SWEEP = SECOND // 5
-    LAST = SECOND // 20         # for what they said before the end: many who flood must not delay it
+    LAST = SECOND // 20  # for what they said before the end: many who flood must not delay it
     # Connections of a zone: its collector's, the one before that broke in silence, and two to spare.
     ZONE = 4
 
-    def __init__(self, loop: Loop, log: Log, hear: Callable, at: tuple[str, int], limits: Limits,
-                 known: Known, listening: socket.socket | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        hear: Callable,
+        at: tuple[str, int],
+        limits: Limits,
+        known: Known,
+        listening: socket.socket | None = None,
+    ) -> None:
         self.loop, self.log, self.hear, self.most, self.known = loop, log, hear, limits.callers, known
         self.pool = Pool(limits.callers_pool)
         # Oldest first, both.
         self.strangers: OrderedDict[Connection, None] = OrderedDict()
         self.members: OrderedDict[Connection, None] = OrderedDict()
-        self.listener = Listener(loop, at, self.greet, lambda why: log.trouble("accept_failed", why=why),
-                                 listening)
+        self.listener = Listener(
+            loop, at, self.greet, lambda why: log.trouble("accept_failed", why=why), listening
+        )
         self.sweep: Deadline = loop.after(self.SWEEP, self.drop_late)
 
     def greet(self, sock: socket.socket) -> bool:
@@ -163,8 +174,16 @@
         last = {c.reader.zone: c for c in self.members}
         return next((c for c in self.members if last[c.reader.zone] is not c), None)
 
-    def adopt(self, sock: socket.socket, rest: bytes, zone: str, began: int, heard_at: int, unfinished: int,
-              spoilt: int) -> None:
+    def adopt(
+        self,
+        sock: socket.socket,
+        rest: bytes,
+        zone: str,
+        began: int,
+        heard_at: int,
+        unfinished: int,
+        spoilt: int,
+    ) -> None:
         """A caller of the process before this one, with what it said that was not read."""
         caller = Caller(self)
         bound = Caller.STRANGER_LINE + (Caller.MESSAGE if zone else 0)
@@ -174,7 +193,7 @@
         caller.unfinished_since, caller.spoilt = unfinished, spoilt
         caller.begin(connection)
         if not connection.incoming.push(rest):
-            self.drop(connection, "accepted_no_memory")     # its owner comes again, and says it whole
+            self.drop(connection, "accepted_no_memory")  # its owner comes again, and says it whole
         elif rest:
             caller.heard(connection)
 
@@ -182,7 +201,7 @@
         zone = connection.reader.zone
         self.strangers.pop(connection, None)
         self.members[connection] = None
-        self.log.trouble("collector", zone=zone)        # at a bounded rate: some join again and again
+        self.log.trouble("collector", zone=zone)  # at a bounded rate: some join again and again
         same = [c for c in self.members if c.reader.zone == zone]
         if len(same) > self.ZONE:
             self.drop(same[0], "collector_replaced")
--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -1,4 +1,5 @@
 """Discovery: the whole list on request, and the watch on changes."""
+
 from __future__ import annotations
 
 import math
@@ -21,14 +22,21 @@
     """A list in discovery's form as the module's event, and the addresses in it.  ValueError if it is
     none: half a list would make backends vanish."""
     try:
-        entries, addresses = {}, {}             # an id told twice: what came last holds
+        entries, addresses = {}, {}  # an id told twice: what came last holds
         for entry in found["instances"]:
             id, weight = entry["instanceId"], float(entry["weight"])
             started = float(entry["startedAtMs"])
             if not isinstance(id, str) or not math.isfinite(weight) or not math.isfinite(started):
                 raise ValueError("entry out of form")
-            entries[id] = face.Listed(id, _STATE[entry["lifecycle"]], weight, str(entry["zone"]),
-                                      int(entry["cell"]), str(entry["machineType"]), tenths(started))
+            entries[id] = face.Listed(
+                id,
+                _STATE[entry["lifecycle"]],
+                weight,
+                str(entry["zone"]),
+                int(entry["cell"]),
+                str(entry["machineType"]),
+                tenths(started),
+            )
             addresses[id] = str(entry["hostPort"])
         scope = "remembered" if remembered else "full" if found["reset"] else "changes"
         return face.BackendList(scope, int(found["generation"]), tuple(entries.values())), addresses
@@ -47,16 +55,22 @@
     # At an address it moves to, while a watch elsewhere still tells; doubled up to a second, that may last.
     AGAIN = SECOND // 10
 
-    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], version: int,
-                 tell: Callable[[face.BackendList, dict[str, str]], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        to: tuple[str, int],
+        version: int,
+        tell: Callable[[face.BackendList, dict[str, str]], None],
+    ) -> None:
         self.loop, self.log, self.tell = loop, log, tell
         self.generations = Generations(version)
         self.client = self._client(to)
-        self.subscribed = self.watching = False         # `watching` ends where the module has to ask anew
+        self.subscribed = self.watching = False  # `watching` ends where the module has to ask anew
         self.watch: Exchange | None = None
         self.again: Deadline | None = None
-        self.left: Exchange | None = None       # the watch at the address that it moves away from
-        self.based, self.tries = True, 0        # a list from this address is held, or changes would not do
+        self.left: Exchange | None = None  # the watch at the address that it moves away from
+        self.based, self.tries = True, 0  # a list from this address is held, or changes would not do
 
     def _client(self, to: tuple[str, int]) -> Client:
         return Client(self.loop, to, connect_span=SECOND, idle_span=SECOND)
@@ -79,10 +93,10 @@
         self.generations.moved()
         if self.left is None:
             self.left = self.watch
-        elif self.watch is not None:            # moved again before the last address has answered
+        elif self.watch is not None:  # moved again before the last address has answered
             self.watch.drop()
         self.based, self.tries = False, 0
-        if self.subscribed:                     # also where the last address failed: the new one may not
+        if self.subscribed:  # also where the last address failed: the new one may not
             self.watching = True
             self._watch()
         return True
@@ -90,17 +104,22 @@
     def subscribe(self, on: bool) -> None:
         self.watching = self.subscribed = on
         if on and self.watch is None and self.again is None:
-            self._watch()                       # what was missed comes at once, without a wait
+            self._watch()  # what was missed comes at once, without a wait
 
     def fetch(self) -> None:
         self._ask(self.client, 0, True, self._fetched)
 
-    def _ask(self, client: Client, hold: int, whole: bool,
-             done: Callable[[Client, Ask, Answer], None]) -> Exchange:
+    def _ask(
+        self, client: Client, hold: int, whole: bool, done: Callable[[Client, Ask, Answer], None]
+    ) -> Exchange:
         ask = self.generations.ask(self.loop.clock.now(), whole, left=client is not self.client)
         target = self.PATH if whole else f"{self.PATH}?from={ask.base}&hold_ms={hold * 1000 // SECOND}"
-        return client.request("GET", target, hold + self.WATCH_SPAN if hold else self.SPAN,
-                              lambda answer: done(client, ask, answer))
+        return client.request(
+            "GET",
+            target,
+            hold + self.WATCH_SPAN if hold else self.SPAN,
+            lambda answer: done(client, ask, answer),
+        )
 
     def _watch(self, hold: int = 0) -> None:
         if self.again is not None:
@@ -121,7 +140,7 @@
             verdict = self._judged(ask, answer)
         except ValueError as bad:
             if self.left is None:
-                self.watching = False           # the module hears that it failed and asks anew
+                self.watching = False  # the module hears that it failed and asks anew
                 self._failed(bad, answer)
                 return
             self.log.trouble("discovery_not_there_yet", why=str(bad), status=answer.status)
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -1,5 +1,6 @@
 """Between the platform's protocol and the decision module: what is heard becomes events, orders become
 calls.  It decides nothing."""
+
 from __future__ import annotations
 
 import socket
@@ -25,8 +26,8 @@
 
 
 class Front:
-    GONE = 256                  # ids off the list that may still be named, as many as the module keeps
-    ANEW = SECOND // 2          # until a new module is told all: what broke the last one may still be there
+    GONE = 256  # ids off the list that may still be named, as many as the module keeps
+    ANEW = SECOND // 2  # until a new module is told all: what broke the last one may still be there
 
     def __init__(self, loop: Loop, log: Log, found: dict, listening: socket.socket | None = None) -> None:
         """Of the configuration `found`, ValueError and KeyError tell what can't be read; of the address
@@ -36,36 +37,55 @@
         self.seed, limits, self.boot, columns, known, self.addresses, store, discovery = self._read(found)
         loop.pool = Pool(limits.calls_pool)
         self.listed = {entry.backend: entry for entry in known.entries}
-        self.heard_of = dict.fromkeys(self.listed)      # oldest first: reports on those gone come late
+        self.heard_of = dict.fromkeys(self.listed)  # oldest first: reports on those gone come late
         self.gathering = Gathering(loop, self.boot.get("batch_gap", 0), self.handle)
         self.hear = self.gathering.add
         self.hear(known)
         self.coordinator, self.anew = Coordinator(self.seed, self.boot), False
         self.discovery = Discovery(loop, log, discovery, known.version, self.hear_list)
         self.probes = Probes(loop, log, bool(columns), limits.probes, self.hear)
-        self.relay = Relay(loop, log, store, [method.name for method in self.boot["methods"]],
-                           self.boot.get("messages_most", 0), self.boot.get("counted_over", 0),
-                           Backlog(self.boot.get("queue_cap", 0), self.boot.get("lines_per_s", 0)),
-                           lambda: len(self.holdings.proxies), self.boot.get("envelope", 0))
+        self.relay = Relay(
+            loop,
+            log,
+            store,
+            [method.name for method in self.boot["methods"]],
+            self.boot.get("messages_most", 0),
+            self.boot.get("counted_over", 0),
+            Backlog(self.boot.get("queue_cap", 0), self.boot.get("lines_per_s", 0)),
+            lambda: len(self.holdings.proxies),
+            self.boot.get("envelope", 0),
+        )
         self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
         self.relay.doubted = self.news.anew
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
-        self.known = Known(frozenset(zones if zones is not None else (e.zone for e in known.entries)),
-                           frozenset(method.name for method in self.boot["methods"]),
-                           slices if slices else face.ALL_TABLES, self.heard_of)
-        self.collectors = Collectors(loop, log, self.hear, address(found["listen"]), limits, self.known,
-                                     listening)
+        self.known = Known(
+            frozenset(zones if zones is not None else (e.zone for e in known.entries)),
+            frozenset(method.name for method in self.boot["methods"]),
+            slices if slices else face.ALL_TABLES,
+            self.heard_of,
+        )
+        self.collectors = Collectors(
+            loop, log, self.hear, address(found["listen"]), limits, self.known, listening
+        )
 
     @staticmethod
     def _read(found: dict) -> tuple:
         """All that is read of a configuration, before any of it counts."""
         boot, columns = bootstrap(found["settings"])
-        boot["discovery"] = "ask"       # on sockets nothing comes unasked, also where the settings say `push`
+        boot["discovery"] = "ask"  # on sockets nothing comes unasked, also where the settings say `push`
         known, addresses = read_list(found["known"], remembered=True)
-        return (int(str(found["seed"]), 16), Limits.of(found["limits"]), boot, columns, known, addresses,
-                address(found["store"]["address"]), address(found["discovery"]))
+        return (
+            int(str(found["seed"]), 16),
+            Limits.of(found["limits"]),
+            boot,
+            columns,
+            known,
+            addresses,
+            address(found["store"]["address"]),
+            address(found["discovery"]),
+        )
 
     def start(self) -> None:
         self.news.open()
@@ -75,13 +95,21 @@
         it.  All else stays as it is; what differs there is logged by name, as it takes a restart."""
         *_, store, discovery = self._read(found)
         told = found["settings"], self.found["settings"]
-        left = [name for name in sorted(found.keys() | self.found.keys())
-                if name not in ("store", "discovery", "settings", "known", "seed")      # new with each start
-                and found.get(name) != self.found.get(name)]
-        left += [f"settings.{name}" for name in sorted(told[0].keys() | told[1].keys())
-                 if told[0].get(name) != told[1].get(name)]
-        moved = [part.move(to) for part, to in
-                 ((self.discovery, discovery), (self.relay, store), (self.news, store))]
+        left = [
+            name
+            for name in sorted(found.keys() | self.found.keys())
+            if name not in ("store", "discovery", "settings", "known", "seed")  # new with each start
+            and found.get(name) != self.found.get(name)
+        ]
+        left += [
+            f"settings.{name}"
+            for name in sorted(told[0].keys() | told[1].keys())
+            if told[0].get(name) != told[1].get(name)
+        ]
+        moved = [
+            part.move(to)
+            for part, to in ((self.discovery, discovery), (self.relay, store), (self.news, store))
+        ]
         self.log.count("reloads")
         self.log.event("reloaded", moved=any(moved), **({"needs_restart": left} if left else {}))
 
@@ -127,7 +155,7 @@
                     self.discovery.fetch()
                 case face.LogLine(text):
                     self.log.event("decision", text=text)
-                case _:                         # Bind, TellPeer: the protocol has no word for them
+                case _:  # Bind, TellPeer: the protocol has no word for them
                     self.log.trouble("order_without_a_call", order=type(order).__name__)
         if call:
             self.log.count("orders", len(call))
@@ -152,9 +180,9 @@
             self.listed[entry.backend] = entry
             self.heard_of.pop(entry.backend, None)
             self.heard_of[entry.backend] = None
-            if entry.state == "gone":           # or the ids of replaced machines would pile up
+            if entry.state == "gone":  # or the ids of replaced machines would pile up
                 del self.listed[entry.backend], self.addresses[entry.backend]
-        for id in [id for id in self.heard_of if id not in self.listed][:-self.GONE]:
+        for id in [id for id in self.heard_of if id not in self.listed][: -self.GONE]:
             del self.heard_of[id]
         self.hear(news)
 
--- a/indigohitch/platformlink/generations.py
+++ b/indigohitch/platformlink/generations.py
@@ -9,6 +9,7 @@
 that does.  Where it ends: a copy that lags for longer than `BELIEF` is believed, and a new count that has
 passed the old one before we ask is not seen to be new; the whole list is asked for wherever one may be met.
 """
+
 from __future__ import annotations
 
 import enum
@@ -20,9 +21,9 @@
 
 class Verdict(enum.Enum):
     COUNTS = "counts"
-    BEGUN_ANEW = "begun anew"       # counts, and discovery counts from the start
-    CROSSED = "crossed"             # older than what is held, or from another count, as it was asked before
-    DOUBTED = "doubted"             # older though it was asked since: what holds has to be asked for
+    BEGUN_ANEW = "begun anew"  # counts, and discovery counts from the start
+    CROSSED = "crossed"  # older than what is held, or from another count, as it was asked before
+    DOUBTED = "doubted"  # older though it was asked since: what holds has to be asked for
 
     @property
     def counts(self) -> bool:
@@ -32,16 +33,18 @@
 @dataclass(slots=True, frozen=True)
 class Ask:
     """A call as it was sent: all that is held from `base` on is asked for, or the whole list (None)."""
+
     number: int
     base: int | None
     sent: int
-    count: int                      # which count of discovery's, and which address it went to
+    count: int  # which count of discovery's, and which address it went to
     place: int
 
 
 @dataclass(slots=True)
 class Doubt:
     """Since when older answers come, the oldest of them, and how many came."""
+
     since: int
     version: int
     answers: int = 0
@@ -55,7 +58,7 @@
     def __init__(self, held: int) -> None:
         self.held = held
         self.doubt: Doubt | None = None
-        self._asks = self._learnt = 0           # asks sent in all, and before `held` was learnt
+        self._asks = self._learnt = 0  # asks sent in all, and before `held` was learnt
         self._count = self._place = 0
 
     def ask(self, now: int, whole: bool, left: bool = False) -> Ask:
@@ -76,7 +79,7 @@
         if news.scope == "changes" and ask.base is None:
             raise ValueError("changes, where the whole list was asked for")
         if ask.count != self._count:
-            return Verdict.CROSSED              # changes since another count's generation would leave a gap
+            return Verdict.CROSSED  # changes since another count's generation would leave a gap
         if news.version >= self.held:
             if ask.place == self._place:
                 self.doubt = None
@@ -88,7 +91,7 @@
 
     def _older(self, ask: Ask, news: face.BackendList, now: int) -> Verdict:
         if self.doubt is None or news.version < self.doubt.version:
-            self.doubt = Doubt(now, news.version)       # older still: it is not settled what holds
+            self.doubt = Doubt(now, news.version)  # older still: it is not settled what holds
         elif news.scope == "full" and ask.sent >= self.doubt.since + self.BELIEF:
             self.doubt = None
             self._count += 1
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -3,6 +3,7 @@
 Callers go over with the line that they have not finished.  Calls to the relay do too: none is out while the
 state is taken, so that each is sent by one process, and the times of those that went count in the next one.
 News, the watch of discovery and probes are asked for anew; each begins with what stands, as after a break."""
+
 from __future__ import annotations
 
 import socket
@@ -30,45 +31,65 @@
 def front_state(front: Front) -> shots.CoordinatorState:
     relay, holdings = front.relay, front.holdings
     return shots.CoordinatorState(
-        freeze(front.coordinator), [list(events.listed(entry)) for entry in front.listed.values()],
-        front.addresses, list(front.heard_of), front.discovery.version, front.discovery.watching,
-        [[list(events.pack(order)) for order in call] for call in relay.waiting], list(relay.written),
-        relay.failures, [list(events.pack(joined)) for joined in holdings.proxies.values()],
-        [shots.StoodRow(number, [(b, float(w)) for b, w in table.lines.items()],
-                        None if table.level is None else list(events.pack(table.level)))
-         for number, table in holdings.stood.items()],
-        holdings.begun, sorted(holdings.lost),
-        [b.id for b in front.coordinator.backends.values() if b.probe_out])
+        freeze(front.coordinator),
+        [list(events.listed(entry)) for entry in front.listed.values()],
+        front.addresses,
+        list(front.heard_of),
+        front.discovery.version,
+        front.discovery.watching,
+        [[list(events.pack(order)) for order in call] for call in relay.waiting],
+        list(relay.written),
+        relay.failures,
+        [list(events.pack(joined)) for joined in holdings.proxies.values()],
+        [
+            shots.StoodRow(
+                number,
+                [(b, float(w)) for b, w in table.lines.items()],
+                None if table.level is None else list(events.pack(table.level)),
+            )
+            for number, table in holdings.stood.items()
+        ],
+        holdings.begun,
+        sorted(holdings.lost),
+        [b.id for b in front.coordinator.backends.values() if b.probe_out],
+    )
 
 
 def restore_front(front: Front, state: shots.CoordinatorState) -> None:
     front.coordinator = thaw(state.module, front.boot)
-    front.gathering.take()                      # the list of the configuration is older than the state
+    front.gathering.take()  # the list of the configuration is older than the state
     front.listed = {entry.backend: entry for entry in (face.Listed(*row) for row in state.listed)}
     front.addresses = dict(state.addresses)
     front.heard_of.clear()
-    front.heard_of.update(dict.fromkeys(state.heard_of))        # the reader of lines holds the same dict
+    front.heard_of.update(dict.fromkeys(state.heard_of))  # the reader of lines holds the same dict
     front.discovery.restore(state.version)
     relay, holdings = front.relay, front.holdings
     relay.held = True
     relay.waiting = deque([events.unpack(order) for order in call] for call in state.waiting)
     relay.written, relay.failures, relay.idle = deque(state.written), state.failures, not state.waiting
     holdings.proxies = {joined.proxy: joined for joined in map(events.unpack, state.proxies)}
-    holdings.stood = {row.number: tables.Table(dict(row.lines), row.level and events.unpack(row.level))
-                      for row in state.stood}
+    holdings.stood = {
+        row.number: tables.Table(dict(row.lines), row.level and events.unpack(row.level))
+        for row in state.stood
+    }
     holdings.begun, holdings.lost = state.begun, set(state.lost)
 
 
 class Handover:
     """Of a front; see upgrade.side.Side.  In the new process `make(listening)` makes the front."""
 
-    def __init__(self, front: Front | None, make: Callable[[socket.socket | None], Front],
-                 controls: Callable[[], Listener | None], control_taken: Callable[[socket.socket], None],
-                 reload: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        front: Front | None,
+        make: Callable[[socket.socket | None], Front],
+        controls: Callable[[], Listener | None],
+        control_taken: Callable[[socket.socket], None],
+        reload: Callable[[], None],
+    ) -> None:
         self.front, self.make, self.controls = front, make, controls
         self.control_taken, self.reload = control_taken, reload
         self.given: dict[str, socket.socket] = {}
-        self.kept: list[face.Event] = []        # given on, until the upgrade stands
+        self.kept: list[face.Event] = []  # given on, until the upgrade stands
         self.state: shots.CoordinatorState | None = None
         self.taken = 0
         self.pass_on: Callable[[Connection], bool] = lambda connection: False
@@ -135,8 +156,9 @@
     def take_out(self, connection: Wire) -> Connection:
         caller = connection.reader
         self.front.collectors.gone(connection)
-        kind = orjson.dumps([caller.zone, caller.began, caller.heard_at, caller.unfinished_since,
-                             caller.spoilt])
+        kind = orjson.dumps(
+            [caller.zone, caller.began, caller.heard_at, caller.unfinished_since, caller.spoilt]
+        )
         return (kind.decode(), *connection.detach())
 
     def adopt(self, kind: str, sock: socket.socket, rest: bytes) -> None:
@@ -190,7 +212,7 @@
         front.start()
         if not restored:
             return
-        if not front.coordinator.next_beat:     # it broke as the state was taken, and has heard nothing since
+        if not front.coordinator.next_beat:  # it broke as the state was taken, and has heard nothing since
             front._tell_all()
         self.timer_again()
         if self.state.watching:
@@ -200,4 +222,3 @@
         if front.holdings.lost:
             front.holdings.tell_lost_soon()
         front.relay.hold(False)
-
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -1,5 +1,6 @@
 """What this coordinator holds, as the relay tells it: the proxies that are joined, the slices in its
 charge and what stands in their tables.  What news and dropped orders change is told to the module."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,32 +16,37 @@
     """The start of the news, until its first sign of life."""
 
     def __init__(self, answered: list[face.Order]) -> None:
-        self.proxies: set[int] = set()          # named in it
+        self.proxies: set[int] = set()  # named in it
         self.slices: set[int] = set()
-        self.taken: set[int] = set()            # taken away since, perhaps given again
-        self.answered = answered                # orders answered since it was asked for
+        self.taken: set[int] = set()  # taken away since, perhaps given again
+        self.answered = answered  # orders answered since it was asked for
 
 
 class Holdings:
     # A slice and its lines come one by one, perhaps in pieces, and the module hears of them together, once
     # nothing more came for so long.  At the start nothing presses, and the first sign of life ends it.
     SETTLE, SETTLE_AT_START = SECOND // 20, SECOND // 10
-    RETELL = SECOND             # after orders were dropped: the module may well order the same again
-
-    def __init__(self, loop: Loop, log: Log, hear: Callable[..., None],
-                 pending: Callable[[], list[face.Order]],
-                 order: Callable[[list[face.Order]], None]) -> None:
+    RETELL = SECOND  # after orders were dropped: the module may well order the same again
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        hear: Callable[..., None],
+        pending: Callable[[], list[face.Order]],
+        order: Callable[[list[face.Order]], None],
+    ) -> None:
         """`pending`: the orders not known to stand; `order`: for the few that make an event true."""
         self.loop, self.log, self.hear, self.pending, self.order = loop, log, hear, pending, order
         self.proxies: dict[int, face.ProxyJoined] = {}
-        self.stood: tables.Tables = {}          # what stands in the store, by slice in charge
-        self.fresh: tables.Tables = {}          # slices given, not told to the module yet
-        self.since: list[face.Order] = []       # orders answered while some were
+        self.stood: tables.Tables = {}  # what stands in the store, by slice in charge
+        self.fresh: tables.Tables = {}  # slices given, not told to the module yet
+        self.since: list[face.Order] = []  # orders answered while some were
         self.settling: Deadline | None = None
         self.opening: Opening | None = None
-        self.asked: list[face.Order] | None = None      # orders answered since the next stream was asked for
-        self.begun = False                      # the news have told once what stands
-        self.lost: set[int] = set()             # tables whose orders were dropped: to be told anew
+        self.asked: list[face.Order] | None = None  # orders answered since the next stream was asked for
+        self.begun = False  # the news have told once what stands
+        self.lost: set[int] = set()  # tables whose orders were dropped: to be told anew
 
     # ---- news --------------------------------------------------------------------------------------
 
@@ -87,7 +93,7 @@
                 if number not in self.fresh and number not in self.stood:
                     self.log.trouble("line_of_a_slice_not_given", slice=number)
                     return
-                if number not in self.fresh:    # a line that comes late joins those told before
+                if number not in self.fresh:  # a line that comes late joins those told before
                     known = self.stood[number]
                     self.fresh[number] = tables.Table(dict(known.lines), known.level)
                 self.fresh[number].lines[backend] = weight
@@ -133,8 +139,9 @@
         if self.opening is not None:
             self.opening.slices |= set(fresh)
         after = self.ahead()
-        self._tell([n for n in fresh if self.opening is None or n not in before
-                    or before[n].lines != after[n].lines])
+        self._tell(
+            [n for n in fresh if self.opening is None or n not in before or before[n].lines != after[n].lines]
+        )
 
     def _forget(self, number: int) -> None:
         """What was answered for a slice that is taken away says nothing of it once it is given again."""
@@ -147,8 +154,11 @@
         will meet it now.  Once more after it, they stand in the end, as the module is told.  Levels are reset
         anyway."""
         self._forget(number)
-        again = [order for order in self.pending()
-                 if getattr(order, "table", None) == number and not isinstance(order, face.SetLevel)]
+        again = [
+            order
+            for order in self.pending()
+            if getattr(order, "table", None) == number and not isinstance(order, face.SetLevel)
+        ]
         if again:
             self.log.event("orders_repeated", slice=number, orders=len(again))
             self.order(again)
@@ -182,7 +192,7 @@
     def _tell_lost(self) -> None:
         lost, self.lost = self.lost, set()
         self._tell(sorted(lost & set(self.stood)))
-        if face.ALL_TABLES in lost:             # one that joins is told the level for all
+        if face.ALL_TABLES in lost:  # one that joins is told the level for all
             self.hear(*self.proxies.values())
 
     def tell_all(self) -> None:
--- a/indigohitch/platformlink/limits.py
+++ b/indigohitch/platformlink/limits.py
@@ -1,5 +1,6 @@
 """What the configured limits leave for each job: descriptors and memory are dealt out here, once, so that
 no kind of caller can take what another needs."""
+
 from __future__ import annotations
 
 import resource
@@ -12,10 +13,11 @@
 class Limits:
     """Half of the descriptors are for callers and a quarter for probes at once, less where the last quarter
     does not hold what must always get through."""
-    callers: int                # accepted connections
-    probes: int                 # probes that are out at once
-    calls_pool: int             # bytes that wait on the connections we opened
-    callers_pool: int           # bytes of unfinished messages of those who have joined
+
+    callers: int  # accepted connections
+    probes: int  # probes that are out at once
+    calls_pool: int  # bytes that wait on the connections we opened
+    callers_pool: int  # bytes of unfinished messages of those who have joined
 
     # Python with the modules loaded takes 21 MB; a tenth more for the tables, the list and garbage.
     PROGRAM = 24 * MB
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -1,4 +1,5 @@
 """The relay's news: an event stream that is kept open, and opened anew when it breaks."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 
 class Hearer(Protocol):
     """What becomes of the news."""
+
     def news_asked(self) -> None: ...
     def news_opening(self) -> None: ...
     def news(self, event: face.Event) -> None: ...
@@ -24,7 +26,8 @@
 
 class EventStream:
     """Server-sent events out of the pieces of a body: `said(kind, data)` an event, `alive()` a comment."""
-    MOST = 1 << 20              # an event of the relay is short; more unfinished than this is none
+
+    MOST = 1 << 20  # an event of the relay is short; more unfinished than this is none
 
     def __init__(self, said: Callable[[str, str], None], alive: Callable[[], None]) -> None:
         self.said, self.alive = said, alive
@@ -55,24 +58,28 @@
 
 
 class News:
-    SILENCE = 2 * SECOND        # a sign of life comes every second: one missed, and the next has not come
-    CONNECT = SECOND // 4       # on one network a connect takes a few ms
-    AGAIN = SECOND // 10        # before the next try: a relay out of reach is not asked without pause
+    SILENCE = 2 * SECOND  # a sign of life comes every second: one missed, and the next has not come
+    CONNECT = SECOND // 4  # on one network a connect takes a few ms
+    AGAIN = SECOND // 10  # before the next try: a relay out of reach is not asked without pause
 
     def __init__(self, loop: Loop, log: Log, to: tuple[str, int], hearer: Hearer) -> None:
         self.loop, self.log, self.hearer = loop, log, hearer
         self.client = Client(loop, to, self.CONNECT)
         self.stream = EventStream(self._said, hearer.news_alive)
-        self.current: Exchange | None = None    # the stream that tells
-        self.coming: Exchange | None = None     # one asked for, that has told nothing yet
+        self.current: Exchange | None = None  # the stream that tells
+        self.coming: Exchange | None = None  # one asked for, that has told nothing yet
         self.again: Deadline | None = None
 
     def open(self) -> None:
         self.again = None
         self.hearer.news_asked()
         self.coming = exchange = self.client.request(
-            "GET", "/stream", self.SILENCE, lambda answer: self._ended(exchange, answer),
-            stream=lambda part: self._part(exchange, part))
+            "GET",
+            "/stream",
+            self.SILENCE,
+            lambda answer: self._ended(exchange, answer),
+            stream=lambda part: self._part(exchange, part),
+        )
 
     def move(self, to: tuple[str, int]) -> bool:
         """Ask at another address.  The stream that tells goes on until one there does."""
@@ -94,7 +101,7 @@
         if exchange is self.coming:
             if self.current is not None:
                 if self.current.connection is not None:
-                    self.current.connection.ready(True, False)      # what it still brought came first
+                    self.current.connection.ready(True, False)  # what it still brought came first
                 if self.current is not None:
                     self.current.drop()
             self.current, self.coming = exchange, None
@@ -102,13 +109,13 @@
             self.hearer.news_opening()
         try:
             self.stream.feed(part)
-        except ValueError as bad:               # UnicodeDecodeError and words.Unreadable are of its kind
+        except ValueError as bad:  # UnicodeDecodeError and words.Unreadable are of its kind
             self.log.trouble("news_unreadable", why=str(bad))
             exchange.end("unreadable")
 
     def _said(self, kind: str, data: str) -> None:
         read = NEWS.get(kind)
-        if read is None:                        # of a later version, perhaps: no reason to break off
+        if read is None:  # of a later version, perhaps: no reason to break off
             self.log.trouble("news_of_unknown_kind", kind=kind[:40])
             return
         event = read(dict(parse_qsl(data, keep_blank_values=True)))
--- a/indigohitch/platformlink/probes.py
+++ b/indigohitch/platformlink/probes.py
@@ -1,4 +1,5 @@
 """Probes of backends at the addresses that discovery gave."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -16,19 +17,20 @@
 
 
 class Probes:
-    SPAN = SECOND * 6 // 10     # a backend that runs answers in a tenth of that
+    SPAN = SECOND * 6 // 10  # a backend that runs answers in a tenth of that
 
-    def __init__(self, loop: Loop, log: Log, reports: bool, most: int,
-                 tell: Callable[[face.Probed], None]) -> None:
+    def __init__(
+        self, loop: Loop, log: Log, reports: bool, most: int, tell: Callable[[face.Probed], None]
+    ) -> None:
         self.loop, self.log, self.most, self.tell = loop, log, most, tell
         self.waiting: deque[tuple[str, str]] = deque()  # for a descriptor: each backend once, says the module
         self.path = "/stats" if reports else "/health/live"
-        self.clients: set[Client] = set()       # of the probes that are out
+        self.clients: set[Client] = set()  # of the probes that are out
 
     def send(self, backend: str, at: str | None) -> None:
         try:
             client = Client(self.loop, address(at or ""), self.SPAN)
-        except ValueError:                      # discovery gave no address that can be dialled
+        except ValueError:  # discovery gave no address that can be dialled
             self.tell(face.Probed(backend, "connect_failed", 0))
             return
         if len(self.clients) >= self.most:
@@ -43,7 +45,7 @@
         outcome = answer.outcome
         if outcome == "answered":
             outcome = "ok" if answer.status == 200 else "error"
-        else:                                   # what answers rubbish runs
+        else:  # what answers rubbish runs
             outcome = {"unreadable": "error", "unreached": "timeout"}.get(outcome, outcome)
         self.log.count(f"probes_{outcome}")
         self.tell(face.Probed(backend, outcome, answer.duration, self._load(answer)))
@@ -55,7 +57,7 @@
             return {}
         try:
             return load_values(orjson.loads(answer.body))
-        except (ValueError, TypeError, AttributeError):         # Unreadable is of the first kind
+        except (ValueError, TypeError, AttributeError):  # Unreadable is of the first kind
             self.log.trouble("load_report_unreadable", body=answer.body[:80])
             return {}
 
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -1,4 +1,5 @@
 """Calls to the relay: one at a time, in the order in which they were given, each until it stands."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -18,37 +19,47 @@
     # Calls that may wait, some ten seconds of the module's replies; past that they are merged, so that all
     # is bounded.
     WAITING = 8
-    SPAN = SECOND // 5          # for an answer that comes within 50 ms or not at all
-    CONNECT = SECOND // 4       # on one network a connect takes a few ms
-    IDLE = SECOND               # the relay closes what stands idle, some day sooner than it says
+    SPAN = SECOND // 5  # for an answer that comes within 50 ms or not at all
+    CONNECT = SECOND // 4  # on one network a connect takes a few ms
+    IDLE = SECOND  # the relay closes what stands idle, some day sooner than it says
     # After an outcome that leaves open what stands, first at once, then by these steps, the last for good.
     AGAIN = (0, SECOND // 20, SECOND // 10, SECOND // 5, SECOND // 2)
-    THROTTLED = SECOND // 20    # soon: before the run begins every call is turned away
-    MARGIN = SECOND // 2        # by which one call may take longer to the relay than the next
-
-    def __init__(self, loop: Loop, log: Log, to: tuple[str, int], methods: Sequence[str], most: int,
-                 over: int, backlog: Backlog, proxies: Callable[[], int], head: int) -> None:
+    THROTTLED = SECOND // 20  # soon: before the run begins every call is turned away
+    MARGIN = SECOND // 2  # by which one call may take longer to the relay than the next
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        to: tuple[str, int],
+        methods: Sequence[str],
+        most: int,
+        over: int,
+        backlog: Backlog,
+        proxies: Callable[[], int],
+        head: int,
+    ) -> None:
         """A proxy may get `most` messages (0: any number) within `over`; each has `head` lines of its own."""
         self.loop, self.log, self.methods, self.most, self.over = loop, log, methods, most, over
         self.backlog, self.proxies, self.head = backlog, proxies, head
-        self.size = 0                           # lines in the channel of the call that went last
+        self.size = 0  # lines in the channel of the call that went last
         # A mark that a proxy answers shows that the call it ends was carried out.  One that an earlier call
         # had, as after a module that began anew, shows nothing: hence the marks of the last calls.
         self.marks: deque[int] = deque(maxlen=256)
-        self.shown_by, self.shown = -1, False   # the mark that would show it of the first call; it has
-        self.first: list[face.Order] | None = None      # the call that these are about
-        self.written: deque[int] = deque()      # when calls went out that the proxies may have heard of
-        self.stands: Callable[[list[face.Order]], None] = lambda orders: None   # what becomes of orders
+        self.shown_by, self.shown = -1, False  # the mark that would show it of the first call; it has
+        self.first: list[face.Order] | None = None  # the call that these are about
+        self.written: deque[int] = deque()  # when calls went out that the proxies may have heard of
+        self.stands: Callable[[list[face.Order]], None] = lambda orders: None  # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
         # Set from outside where others must know who ordered what: asked with the orders of each call right
         # before it goes; False: it may not.
         self.allowed: Callable[[str], bool] | None = None
-        self.doubted: Callable[[], None] = lambda: None     # a dropped call may stand: read what does
+        self.doubted: Callable[[], None] = lambda: None  # a dropped call may stand: read what does
         self.client = Client(loop, to, self.CONNECT, self.IDLE)
-        self.waiting: deque[list[face.Order]] = deque()     # the first is the one that is out
-        self.failures, self.idle = 0, True      # failures: of the first, which may stand if there are any
-        self.held = self.out = False            # no call begins; one has gone and nothing is known of it yet
-        self.due: Deadline | None = None        # when the next one is to begin, where that waits
+        self.waiting: deque[list[face.Order]] = deque()  # the first is the one that is out
+        self.failures, self.idle = 0, True  # failures: of the first, which may stand if there are any
+        self.held = self.out = False  # no call begins; one has gone and nothing is known of it yet
+        self.due: Deadline | None = None  # when the next one is to begin, where that waits
 
     def move(self, to: tuple[str, int]) -> bool:
         """Calls go to another address from the next one on; one that is out ends where it began."""
@@ -56,7 +67,7 @@
             return False
         self.client.retire()
         self.client = Client(self.loop, to, self.CONNECT, self.IDLE)
-        self.failures = min(self.failures, 1)   # soon tried there, but what is in doubt stays so
+        self.failures = min(self.failures, 1)  # soon tried there, but what is in doubt stays so
         return True
 
     def pending(self) -> list[face.Order]:
@@ -70,7 +81,7 @@
             out, later = self.waiting.popleft(), self.pending()
             self.waiting = deque([out, *pieces(merge(later), self.methods)])
             self.log.trouble("calls_merged", orders=len(later))
-        if self.idle:                           # merged or not: one reply may be more calls than may wait
+        if self.idle:  # merged or not: one reply may be more calls than may wait
             self._call()
 
     def hold(self, on: bool) -> None:
@@ -117,8 +128,9 @@
         body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
-        self.client.request("POST", "/", self.SPAN, self._answered, body.encode("ascii"),
-                            "application/x-www-form-urlencoded")
+        self.client.request(
+            "POST", "/", self.SPAN, self._answered, body.encode("ascii"), "application/x-www-form-urlencoded"
+        )
 
     def _answered(self, answer: Answer) -> None:
         orders, self.out = self.waiting[0], False
@@ -148,8 +160,13 @@
             self.due = self.loop.after(self.THROTTLED, self._call)
         else:
             # Carried out or not at all: the same once more, before anything later.
-            self.log.trouble("relay_call_unclear", why=said, orders=len(orders), tries=self.failures + 1,
-                             after_ms=answer.duration / 10)
+            self.log.trouble(
+                "relay_call_unclear",
+                why=said,
+                orders=len(orders),
+                tries=self.failures + 1,
+                after_ms=answer.duration / 10,
+            )
             if self.shown:
                 self._stands_as_shown()
                 return
@@ -193,8 +210,8 @@
         if count < len(orders):
             refused = orders[count]
             self.log.trouble("order_refused", order=encode(refused, self.methods))
-            if orders[count + 1:]:
-                self.waiting.appendleft(orders[count + 1:])
+            if orders[count + 1 :]:
+                self.waiting.appendleft(orders[count + 1 :])
             self.dropped([refused])
 
     def close(self) -> None:
--- a/indigohitch/platformlink/tables.py
+++ b/indigohitch/platformlink/tables.py
@@ -1,5 +1,6 @@
 """What stands in the store for the slices in charge: as the relay told it, changed by the orders that
 it has answered since."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -11,7 +12,7 @@
 @dataclass(slots=True)
 class Table:
     lines: dict[str, float] = field(default_factory=dict)
-    level: face.SetLevel | None = None          # the level of its own, where it has one
+    level: face.SetLevel | None = None  # the level of its own, where it has one
 
 
 Tables = dict[int, Table]
@@ -48,5 +49,8 @@
 
 def levels_reset(numbers: Iterable[int], tables: Tables) -> list[face.Order]:
     """A slice given comes without a level: where one stands, this makes it true."""
-    return [replace(tables[n].level, methods=(), level=1.0) for n in numbers
-            if tables[n].level is not None and tables[n].level.level != 1.0]
+    return [
+        replace(tables[n].level, methods=(), level=1.0)
+        for n in numbers
+        if tables[n].level is not None and tables[n].level.level != 1.0
+    ]
--- a/indigohitch/platformlink/words.py
+++ b/indigohitch/platformlink/words.py
@@ -1,5 +1,6 @@
 """The words of the protocol's messages, and what they say in the module's: one reading for the lines
 of collectors and the relay's news."""
+
 from __future__ import annotations
 
 from collections.abc import Container, Mapping
@@ -12,24 +13,27 @@
 
 class Unreadable(errors.Unreadable):
     """A message that is not what the protocol page says."""
+
     remedy = "bring the sender to this program's version of the protocol"
 
 
 class Garbled(errors.Unreadable):
     """What came is no message at all: where the next one begins can't be known."""
+
     remedy = "find who connects there"
 
 
 @dataclass(slots=True)
 class Known:
     """What a report may name: anything else does not exist."""
+
     zones: frozenset[str]
     methods: frozenset[str]
     slices: int
     backends: Container[str]
 
 
-MOST = 10 ** 9                  # no count, share or time in ms of a report is near it
+MOST = 10**9  # no count, share or time in ms of a report is near it
 
 
 def number(words: Mapping[str, str], name: str) -> float:
@@ -37,7 +41,7 @@
         value = float(words[name])
     except (KeyError, TypeError, ValueError):
         raise Unreadable(f"{name}: not a number") from None
-    if not 0 <= value <= MOST:                  # nor is NaN
+    if not 0 <= value <= MOST:  # nor is NaN
         raise Unreadable(f"{name}: out of range")
     return value
 
@@ -96,7 +100,7 @@
     return count, fail, over
 
 
-HOUR = 3_600_000.0              # in ms: no sum is as old and no answer takes as long
+HOUR = 3_600_000.0  # in ms: no sum is as old and no answer takes as long
 
 
 def _traffic(words, known: Known):
@@ -107,8 +111,15 @@
     if mean > HOUR:
         raise Unreadable("mean: out of range")
     pairs = [pair.partition(":")[::2] for pair in filter(None, words.get("util", "").split(","))]
-    return face.Traffic(listed(words, "site", known.zones), listed(words, "target", known.backends), count,
-                        fail, tenths(mean), tenths(over), load_values(dict(pairs)))
+    return face.Traffic(
+        listed(words, "site", known.zones),
+        listed(words, "target", known.backends),
+        count,
+        fail,
+        tenths(mean),
+        tenths(over),
+        load_values(dict(pairs)),
+    )
 
 
 def _demand(words, known: Known):
@@ -116,8 +127,9 @@
         raise Unreadable("range: does not exist")
     # More may fail than came: what fails in one period came in an earlier one, and is told of good slices.
     count, fail, over = _sums(words)
-    return face.SliceDemand(whole(words, "range"), listed(words, "lane", known.methods), count, fail,
-                            tenths(over))
+    return face.SliceDemand(
+        whole(words, "range"), listed(words, "lane", known.methods), count, fail, tenths(over)
+    )
 
 
 def load_values(found: Mapping[str, object]) -> dict[str, float]:
@@ -139,6 +151,7 @@
     "detach": lambda words: face.ProxyLeft(whole(words, "id")),
     "done": _acked,
     "owner": lambda words: face.Charge(whole(words, "range"), flag(words, "flag")),
-    "entry": lambda words: face.StoredLine(whole(words, "range"), text(words, "target"),
-                                           number(words, "rps")),
+    "entry": lambda words: face.StoredLine(
+        whole(words, "range"), text(words, "target"), number(words, "rps")
+    ),
 }
--- a/indigohitch/process.py
+++ b/indigohitch/process.py
@@ -1,4 +1,5 @@
 """What every long-running command of the program is: named phases, one loop, and signals heard in it."""
+
 from __future__ import annotations
 
 import enum
@@ -23,10 +24,10 @@
         self._wake, wake = socket.socketpair()
         for end in (self._wake, wake):
             end.setblocking(False)
-        self._woken_by = wake               # held, or it would close
+        self._woken_by = wake  # held, or it would close
         signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
         for number in self.SIGNALS:
-            signal.signal(number, lambda *_: None)      # heard through the wakeup socket, in the loop
+            signal.signal(number, lambda *_: None)  # heard through the wakeup socket, in the loop
         self.loop.watch(self._wake, self, READ)
 
     def become(self, phase: enum.Enum) -> None:
@@ -34,13 +35,16 @@
         self.phase = phase
 
     def failed(self, broken: BaseException) -> None:
-        self.log.trouble("defect", error=f"{type(broken).__name__}: {broken}"[:500],
-                         trace="".join(traceback.format_exception(broken))[-2000:])
+        self.log.trouble(
+            "defect",
+            error=f"{type(broken).__name__}: {broken}"[:500],
+            trace="".join(traceback.format_exception(broken))[-2000:],
+        )
 
     def ready(self, readable: bool, writable: bool) -> None:
         # Each once; which of two came first the kernel does not tell: by number, a reload before the end.
         for number in sorted(set(self._wake.recv(256))):
-            self.loop.guarded(self.signalled, number)           # the end is heard though a reload fails
+            self.loop.guarded(self.signalled, number)  # the end is heard though a reload fails
 
     def signalled(self, number: int) -> None:
         raise NotImplementedError
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -2,6 +2,7 @@
 
 Used by the sidecar, and by a coordinator that is run with an operator's file; the platform's `run` has none
 of this and imports none of it."""
+
 from __future__ import annotations
 
 import enum
@@ -26,7 +27,8 @@
 
 class Beside(Protocol):
     """What lives in the process beside its front: a member of the fleet (fleet/node/inside)."""
-    left: bool                          # nothing is waited for any more
+
+    left: bool  # nothing is waited for any more
 
     def figures(self) -> dict: ...
     def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool: ...
@@ -38,13 +40,13 @@
     STARTING = "starting"
     TAKING_OVER = "taking over"
     SERVING = "serving"
-    ENDING = "ending"           # accepts nobody; what is in hand is finished, for a while
+    ENDING = "ending"  # accepts nobody; what is in hand is finished, for a while
     ENDED = "ended"
 
 
 class Replaceable(Process):
     SIGNALS = (*Process.SIGNALS, signal.SIGUSR2)
-    POLL = SECOND // 100        # while it ends: whether the last thing in hand is done
+    POLL = SECOND // 100  # while it ends: whether the last thing in hand is done
 
     def __init__(self, name: str, lines: dict, waits: dict) -> None:
         """`lines`: the operator's `control`, `state`, `pidfile`, `program`; `waits`: `drain`, `start`."""
@@ -56,8 +58,9 @@
         self.pidfile = PidFile(lines["pidfile"], self.log)
         self.side: Side = self.make_side()
         self.askers: list[Callable[[dict], None]] = []
-        self.giving = Giving(self.loop, self.log, self.side, lines["program"], waits, self.handed_over,
-                             self.reported)
+        self.giving = Giving(
+            self.loop, self.log, self.side, lines["program"], waits, self.handed_over, self.reported
+        )
         self.giving.taken_back = self.pidfile.write
         self.taking: Taking | None = None
 
@@ -138,7 +141,7 @@
         if sock.getsockname() == self.lines["control"]:
             self.control = Control(self.loop, self.lines["control"], self.asked, sock)
         else:
-            sock.close()                        # the file names another path by now
+            sock.close()  # the file names another path by now
 
     def begun(self) -> None:
         if self.taking is not None:
@@ -170,7 +173,7 @@
             elif self.phase is Phase.SERVING:
                 self.reload()
         else:
-            if self.taking is not None:         # once it serves it only tells the one that stands by
+            if self.taking is not None:  # once it serves it only tells the one that stands by
                 self.taking.step("told_to_end", "SIGTERM")
             if self.phase is Phase.SERVING:
                 self.giving.step("told_to_end", "SIGTERM")
@@ -186,16 +189,26 @@
             answer({"error": f"no such word: {what[:40]}"})
 
     def figures(self) -> dict:
-        return {"name": self.log.name, "pid": os.getpid(), "phase": self.phase.value,
-                "upgrade": self.giving.machine.phase.value, "counters": dict(sorted(self.log.counts.items())),
-                **(self.beside.figures() if self.beside is not None else {}), **self.more_figures()}
+        return {
+            "name": self.log.name,
+            "pid": os.getpid(),
+            "phase": self.phase.value,
+            "upgrade": self.giving.machine.phase.value,
+            "counters": dict(sorted(self.log.counts.items())),
+            **(self.beside.figures() if self.beside is not None else {}),
+            **self.more_figures(),
+        }
 
     def upgrade(self, answer: Callable[[dict], None]) -> None:
         follows = self.taking is not None and not self.taking.over
         if self.phase is not Phase.SERVING or self.giving.under_way or follows:
-            why = ("an upgrade is under way" if self.giving.under_way
-                   else "the process before this one still drains" if follows
-                   else f"the program is {self.phase.value}")
+            why = (
+                "an upgrade is under way"
+                if self.giving.under_way
+                else "the process before this one still drains"
+                if follows
+                else f"the program is {self.phase.value}"
+            )
             self.log.count("upgrades_not_now")
             answer({"result": "not now", "error": why})
             return
@@ -222,7 +235,7 @@
             return
         self.become(Phase.ENDING)
         self.begin_to_end()
-        self.state.save(self.side)              # and again at the end, where that is reached
+        self.state.save(self.side)  # and again at the end, where that is reached
         self.loop.after(self.waits["drain"], self.end)
         self.wait_for_last()
 
@@ -240,7 +253,7 @@
 
     def end(self) -> None:
         if self.phase is not Phase.ENDED:
-            if self.phase is Phase.ENDING:      # with what was still sent, and counts, since
+            if self.phase is Phase.ENDING:  # with what was still sent, and counts, since
                 self.state.save(self.side)
             if self.beside is not None:
                 self.beside.close()
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -1,4 +1,5 @@
 """The coordinator as a process: its phases from start to exit, and its signals."""
+
 from __future__ import annotations
 
 import enum
@@ -22,10 +23,10 @@
 
 
 class Phase(enum.Enum):
-    STARTING = "starting"       # reads its configuration, opens its address
-    LISTENING = "listening"     # answers; the relay has not told yet what stands
+    STARTING = "starting"  # reads its configuration, opens its address
+    LISTENING = "listening"  # answers; the relay has not told yet what stands
     SERVING = "serving"
-    ENDING = "ending"           # was told to end: finishes the calls that wait, for a moment
+    ENDING = "ending"  # was told to end: finishes the calls that wait, for a moment
     ENDED = "ended"
 
 
@@ -40,7 +41,7 @@
 
 
 class Service(Process):
-    GRACE = SECOND // 4         # of the 0.7 s until SIGKILL
+    GRACE = SECOND // 4  # of the 0.7 s until SIGKILL
     # The process before this one holds the address until it has ended, 0.7 s and a SIGKILL after its SIGTERM.
     HELD, AGAIN = 4 * SECOND, SECOND // 50
 
@@ -48,7 +49,7 @@
         super().__init__(Phase.STARTING, environ.get("BALANCER_NAME", ""))
         self.environ = environ
         self.front: Front | None = None
-        self.decided = False        # while it ends: on all that was told before
+        self.decided = False  # while it ends: on all that was told before
         self.file_is_newer = False
 
     def reload(self) -> None:
@@ -75,7 +76,7 @@
             return 1
         self.become(Phase.LISTENING)
         self.front.start()
-        self.loop.turn()            # accepts who waits already: heard in the next, before the module's first
+        self.loop.turn()  # accepts who waits already: heard in the next, before the module's first
         while self.phase is not Phase.ENDED:
             self.loop.turn()
             if self.phase is not Phase.ENDED and not self.decided:
@@ -109,11 +110,11 @@
             self.log.counters()
         elif self.phase is Phase.STARTING:
             if number == signal.SIGHUP:
-                self.file_is_newer = True       # than what was read before the wait for the address
+                self.file_is_newer = True  # than what was read before the wait for the address
             else:
                 self.become(Phase.ENDED)
         elif self.phase not in (Phase.LISTENING, Phase.SERVING):
-            pass                                # it ends: nothing is moved any more
+            pass  # it ends: nothing is moved any more
         elif number == signal.SIGHUP:
             self.reload()
         else:
@@ -122,10 +123,10 @@
 
     def end(self) -> None:
         if self.phase is Phase.ENDING:
-            self.loop.guarded(self.front.close)         # a defect in it must not keep the process
+            self.loop.guarded(self.front.close)  # a defect in it must not keep the process
             self.become(Phase.ENDED)
 
 
 def main() -> int:
-    os.set_blocking(1, False)           # a log that nobody reads must not hold up the service
+    os.set_blocking(1, False)  # a log that nobody reads must not hold up the service
     return Service(os.environ).run()
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -1,4 +1,5 @@
 """A client's connection: heads out of its ring, one RPC at a time, in order."""
+
 from __future__ import annotations
 
 import fcntl
@@ -17,25 +18,41 @@
 
 class Client:
     """`since` is when it was last heard of, for the sweep that ends who is too slow."""
-    LINGER = 2 * SECOND         # to read the end of an answer before a reset could destroy it
-    TARGET = 8192
-    WAITING = Stream.BOUND // 2     # of earlier answers: the next one's head has to fit in beside them
 
-    __slots__ = ("host", "stream", "rpc", "since", "close_after", "lingering", "_inside", "number", "marked",
-                 "serial")
+    LINGER = 2 * SECOND  # to read the end of an answer before a reset could destroy it
+    TARGET = 8192
+    WAITING = Stream.BOUND // 2  # of earlier answers: the next one's head has to fit in beside them
+
+    __slots__ = (
+        "host",
+        "stream",
+        "rpc",
+        "since",
+        "close_after",
+        "lingering",
+        "_inside",
+        "number",
+        "marked",
+        "serial",
+    )
 
     def __init__(self, host) -> None:
         self.host, self.rpc, self.since = host, None, host.loop.clock.now()
         self.stream: Stream | None = None
         self.close_after = self.lingering = self._inside = False
-        self.marked = 0                         # bytes that waited in the ring at the last sweep
+        self.marked = 0  # bytes that waited in the ring at the last sweep
         self.number = self.serial = -1
 
     @property
     def idle(self) -> bool:
         """Nothing is out for it and nothing waits to be written: it can go to another process."""
-        return (self.rpc is None and not self.lingering and not self.close_after and self.stream.open
-                and not len(self.stream.outgoing))
+        return (
+            self.rpc is None
+            and not self.lingering
+            and not self.close_after
+            and self.stream.open
+            and not len(self.stream.outgoing)
+        )
 
     def heard(self, stream: Stream) -> None:
         if self.lingering:
@@ -66,7 +83,7 @@
         end = ring.until(b"\r\n\r\n")
         most = host.text.limits["head"]
         if not end and len(ring) <= most and not ring.full:
-            while ring.peek(2) == b"\r\n":      # a blank line before a request is read over (RFC 9112, 2.2)
+            while ring.peek(2) == b"\r\n":  # a blank line before a request is read over (RFC 9112, 2.2)
                 ring.skip(2)
             return False
         if not end or end > most:
@@ -143,7 +160,7 @@
         """The process ends and nothing is out for this one.  Closed over bytes unread, or met by more while
         an answer still is on its way, the connection would be reset, and the answer lost."""
         if not self.close_after and not stands(self.stream.sock):
-            self.close_after = True             # the next turn reads it: what stands whole there is the last
+            self.close_after = True  # the next turn reads it: what stands whole there is the last
         elif self.close_after or len(self.stream.incoming) or self.unsent():
             self.linger()
         else:
@@ -183,6 +200,6 @@
         if self.rpc is None:
             if len(self.stream.outgoing):
                 return quiet > waits["stream"]
-            self.marked = len(self.stream.incoming)     # from here on its time runs, whatever trickles in
+            self.marked = len(self.stream.incoming)  # from here on its time runs, whatever trickles in
             return quiet > waits["head" if self.marked else "idle"]
         return quiet > waits["stream"] and (not self.rpc.body.done or self.rpc.answer is not None)
--- a/indigohitch/sidecar/framing.py
+++ b/indigohitch/sidecar/framing.py
@@ -1,4 +1,5 @@
 """Where a body ends: by its length, in chunks, or with its connection.  No I/O: works on a ring."""
+
 from __future__ import annotations
 
 from ..errors import Unreadable
@@ -7,15 +8,17 @@
 
 class Malformed(Unreadable):
     """The body is not framed as its head said."""
+
     remedy = "its sender has to frame it as RFC 9112, 7.1, says"
 
 
 class Body:
     """The body of one message as it comes.  `take` gives its data without the framing; `done` once all of it
     has been taken, never a byte past it: what follows in the ring is the next message."""
+
     NONE, LENGTH, CHUNKED, TO_END = "none", "length", "chunked", "to_end"
-    LINE = 256                  # of a chunk's size with its extensions; sizes are 16 digits at most
-    TRAILERS = 8192             # bytes of trailers, which are read over
+    LINE = 256  # of a chunk's size with its extensions; sizes are 16 digits at most
+    TRAILERS = 8192  # bytes of trailers, which are read over
 
     __slots__ = ("kind", "left", "done", "_state", "_trailers", "total")
 
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -1,4 +1,5 @@
 """The sidecar as something that can be handed over: its state as rows and back, its connections."""
+
 from __future__ import annotations
 
 import random
@@ -33,13 +34,23 @@
     servers = list(pool.servers.values())
     place = {server: at for at, server in enumerate(servers)}
     return shots.PoolRow(
-        pool.name, pool.slices, freeze(pool.coordinator),
+        pool.name,
+        pool.slices,
+        freeze(pool.coordinator),
         [shots.ServerRow(s.name, *s.address, s.withdrawn, s.listed, s.load) for s in servers],
-        [shots.TableRow([(place[s], float(w)) for s, w in zip(t.servers, t.weights)], t.level, t.levels,
-                        t.tries) for t in pool.tables],
-        chance(pool.uniform), pool.version, pool._turn, pool.reported,
+        [
+            shots.TableRow(
+                [(place[s], float(w)) for s, w in zip(t.servers, t.weights)], t.level, t.levels, t.tries
+            )
+            for t in pool.tables
+        ],
+        chance(pool.uniform),
+        pool.version,
+        pool._turn,
+        pool.reported,
         told(pool.text.servers.values()),
-        [b.id for b in pool.coordinator.backends.values() if b.probe_out])
+        [b.id for b in pool.coordinator.backends.values() if b.probe_out],
+    )
 
 
 def restore_pool(pool: Pool, row: shots.PoolRow) -> None:
@@ -58,21 +69,28 @@
             table.set(servers[at], weight)
         table.level, table.levels, table.tries = found.level, found.levels, found.tries
     pool.version, pool._turn, pool.reported = row.version, row.turn, row.reported
-    pool.text.servers = {name: Told(name, (host, port), weight, zone, kind, 0)
-                         for name, host, port, weight, zone, kind in row.listed}
+    pool.text.servers = {
+        name: Told(name, (host, port), weight, zone, kind, 0)
+        for name, host, port, weight, zone, kind in row.listed
+    }
 
 
 class Handover:
     """Of a host; see upgrade.side.Side."""
 
-    def __init__(self, host: Host, controls: Callable[[], Listener | None],
-                 control_taken: Callable[[socket.socket], None], reload: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        controls: Callable[[], Listener | None],
+        control_taken: Callable[[socket.socket], None],
+        reload: Callable[[], None],
+    ) -> None:
         self.host, self.controls, self.control_taken, self.reload = host, controls, control_taken, reload
         self.wanted = {name: dict(pool.servers) for name, pool in host.text.pools.items()}
-        self.cold: list[str] = []               # pools that the state had nothing usable of
+        self.cold: list[str] = []  # pools that the state had nothing usable of
         self.given: dict[str, socket.socket] = {}
         self.rows: dict[str, shots.PoolRow] = {}
-        self.kept: dict[str, list] = {}         # events given on, until the upgrade stands
+        self.kept: dict[str, list] = {}  # events given on, until the upgrade stands
         self.taken = 0
 
     # ---- in the old process ------------------------------------------------------------------------
@@ -91,12 +109,15 @@
 
     def snapshot(self) -> shots.Snapshot:
         if not self.settled():
-            self.host.worker.settle()           # a turn of the module, at most
+            self.host.worker.settle()  # a turn of the module, at most
         return self.rows_now()
 
     def rows_now(self) -> shots.Snapshot:
-        return shots.Snapshot("sidecar", self.host.loop.clock.now(), shots.SidecarState(
-            [pool_row(pool) for pool in self.host.pools.values()]))
+        return shots.Snapshot(
+            "sidecar",
+            self.host.loop.clock.now(),
+            shots.SidecarState([pool_row(pool) for pool in self.host.pools.values()]),
+        )
 
     def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
         """Beside the loop: the module and the tables stand still, RPCs do not."""
@@ -151,8 +172,9 @@
         def passed(client: Client) -> None:
             connection = self.take_out(client)
             if not pass_on(connection):
-                connection[1].close()           # nobody could read on from it; its client will come again
+                connection[1].close()  # nobody could read on from it; its client will come again
                 host.log.count("connections_not_passed")
+
         host.pass_on, host.passing = passed, True
         for client in list(host.clients):
             if client.idle:
@@ -188,8 +210,9 @@
 
     def rehearse_copy(self, state: shots.Snapshot, at: int) -> bytes:
         boots = {name: pool.boot for name, pool in self.host.pools.items() if name not in self.cold}
-        return events.rehearsed((thaw(row.module, boots[row.name]) for row in state.sidecar.pools
-                                 if row.name in boots), at)
+        return events.rehearsed(
+            (thaw(row.module, boots[row.name]) for row in state.sidecar.pools if row.name in boots), at
+        )
 
     def take_rest(self, rest: bytes) -> None:
         for name, (rows, until) in msgspec.msgpack.decode(rest).items():
--- a/indigohitch/sidecar/heads.py
+++ b/indigohitch/sidecar/heads.py
@@ -2,6 +2,7 @@
 
 What two readers could frame differently is refused (RFC 9112, 6.3 and 11.2): framing headers that conflict,
 come twice or are not plain digits, line ends other than CRLF, a request without exactly one Host."""
+
 from __future__ import annotations
 
 import httptools
@@ -10,17 +11,41 @@
 from .framing import Body
 
 # Of the hop, not of the RPC (RFC 9110, 7.6.1).  Framing headers are set anew.
-HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                 b"upgrade", b"content-length", b"proxy-authenticate", b"proxy-authorization"))
+HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+    )
+)
 VIA = b"1.1 indigohitch"
-REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-           413: b"Content Too Large", 414: b"URI Too Long", 417: b"Expectation Failed",
-           431: b"Request Header Fields Too Large", 501: b"Not Implemented", 502: b"Bad Gateway",
-           503: b"Service Unavailable", 504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
+REASONS = {
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    414: b"URI Too Long",
+    417: b"Expectation Failed",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
+}
 
 
 class Refused(Unreadable):
     """A head that is not passed on; `status` says why."""
+
     remedy = "its sender has to write it as RFC 9112 says"
 
     def __init__(self, status: int, why: str) -> None:
@@ -32,7 +57,7 @@
     """What httptools tells of a head, and the checks that both kinds share."""
 
     def __init__(self) -> None:
-        self.fields: list[tuple[bytes, bytes, bytes]] = []      # lower-case name, name, value
+        self.fields: list[tuple[bytes, bytes, bytes]] = []  # lower-case name, name, value
         self.lengths: list[bytes] = []
         self.codings: list[bytes] = []
         self.connection: set[bytes] = set()
@@ -59,7 +84,7 @@
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            pass                            # upgrades are of the hop; the RPC goes on as a plain one
+            pass  # upgrades are of the hop; the RPC goes on as a plain one
         except httptools.HttpParserError as bad:
             raise Refused(400, str(bad)) from None
         if not self.whole:
@@ -118,7 +143,7 @@
         if self.codings and self.version == "1.0":
             raise Refused(400, "chunks in HTTP/1.0")
         self.body = self.framing() or Body(Body.NONE)
-        self.keep = (self.version == "1.1" and b"close" not in self.connection)
+        self.keep = self.version == "1.1" and b"close" not in self.connection
         self.expects = False
         for value in self.values(b"expect"):
             if value.lower() != b"100-continue":
@@ -133,8 +158,13 @@
 
     def onward(self, more: bytes = b"", less: frozenset[bytes] = frozenset()) -> bytes:
         """The head as the server gets it: with these lines more, without these fields."""
-        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (self.method.encode(), self.target, self.passed_on(less),
-                                                  framed(self.body), more)
+        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (
+            self.method.encode(),
+            self.target,
+            self.passed_on(less),
+            framed(self.body),
+            more,
+        )
 
 
 class AnswerHead(_Head):
@@ -148,7 +178,7 @@
         self.interim = 100 <= self.status < 200
         if self.status == 101 or self.status < 100 or self.status > 599:
             raise Refused(502, f"status {self.status}")
-        self.told = self.framing()          # what the head says, though to HEAD no body comes
+        self.told = self.framing()  # what the head says, though to HEAD no body comes
         if method == "HEAD" or self.interim or self.status in (204, 304):
             self.body = Body(Body.NONE)
         else:
@@ -170,15 +200,26 @@
             frame = b"Transfer-Encoding: chunked\r\n"
         else:
             frame = framed(self.told) if self.told and self.told.kind == Body.LENGTH else b""
-        return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (self.status, self.reason, self.passed_on(), frame,
-                                                  b"Connection: close\r\n" if close else b"")
-
-
-def plain(status: int, why: str, retry_after: int | None = None, close: bool = False,
-          head_only: bool = False) -> bytes:
+        return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+            self.status,
+            self.reason,
+            self.passed_on(),
+            frame,
+            b"Connection: close\r\n" if close else b"",
+        )
+
+
+def plain(
+    status: int, why: str, retry_after: int | None = None, close: bool = False, head_only: bool = False
+) -> bytes:
     """An answer of our own, whole."""
     body = why.encode("ascii", "replace") + b"\n"
     return b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n%b%bVia: %b\r\n\r\n%b" % (
-        status, REASONS.get(status, b"Error"), len(body),
+        status,
+        REASONS.get(status, b"Error"),
+        len(body),
         b"" if retry_after is None else b"Retry-After: %d\r\n" % retry_after,
-        b"Connection: close\r\n" if close else b"", VIA, b"" if head_only else body)
+        b"Connection: close\r\n" if close else b"",
+        VIA,
+        b"" if head_only else body,
+    )
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -1,4 +1,5 @@
 """The sidecar's request path as one object: its listener, clients and pools."""
+
 from __future__ import annotations
 
 import os
@@ -19,36 +20,48 @@
 
 
 class Host:
-    SWEEP = SECOND // 2         # slow clients are ended as late as that: their waits are seconds
-    QUEUE = 1024                # as many may wait to be accepted, says Listener.opened
+    SWEEP = SECOND // 2  # slow clients are ended as late as that: their waits are seconds
+    QUEUE = 1024  # as many may wait to be accepted, says Listener.opened
 
     def __init__(self, loop: Loop, log: Log, text: Text) -> None:
         self.loop, self.log, self.text = loop, log, text
-        self.seating = None                     # where the file has a fleet: sidecar/seating.py
-        self.felt = lambda now, rpc, latency: None      # where the file has a fleet, its batches hear it
+        self.seating = None  # where the file has a fleet: sidecar/seating.py
+        self.felt = lambda now, rpc, latency: None  # where the file has a fleet, its batches hear it
         loop.pool = Memory(text.limits["memory"])
         self.memory = Memory(text.limits["memory"])
         self.clients: Slots[Client] = Slots()
         self.worker = Worker(loop)
         self.pools = self.make_pools()
         self.listener: Listener | None = None
-        self.holding = self.passing = False     # no RPC begins; idle clients go to another process
+        self.holding = self.passing = False  # no RPC begins; idle clients go to another process
         self.pass_on = lambda client: None
         self._sweep = None
         single = text.single
-        self.access = AccessLog(single["access-log"], single["access-log-form"],
-                                lambda: log.count("access_lines_dropped")) if single["access-log"] else None
-        self.serial, self.process = 0, f"{os.getpid():x}"       # of clients, for the access log
-        self.now = loop.clock.now()             # of this turn: for what may be a few ms late
+        self.access = (
+            AccessLog(
+                single["access-log"], single["access-log-form"], lambda: log.count("access_lines_dropped")
+            )
+            if single["access-log"]
+            else None
+        )
+        self.serial, self.process = 0, f"{os.getpid():x}"  # of clients, for the access log
+        self.now = loop.clock.now()  # of this turn: for what may be a few ms late
 
     def make_pools(self) -> dict[str, Pool]:
-        return {name: Pool(self, pool, self.text.single["seed"] + place)
-                for place, (name, pool) in enumerate(self.text.pools.items())}
+        return {
+            name: Pool(self, pool, self.text.single["seed"] + place)
+            for place, (name, pool) in enumerate(self.text.pools.items())
+        }
 
     def start(self, listening: socket.socket | None = None) -> None:
         """OSError where the address can't be had; `listening`: a socket that does already."""
-        self.listener = Listener(self.loop, self.text.single["listen"], self.greet,
-                                 lambda why: self.log.trouble("accept_failed", why=why), listening)
+        self.listener = Listener(
+            self.loop,
+            self.text.single["listen"],
+            self.greet,
+            lambda why: self.log.trouble("accept_failed", why=why),
+            listening,
+        )
 
     def go(self) -> None:
         self._sweep = self.loop.after(self.SWEEP, self.sweep)
@@ -76,9 +89,17 @@
         """One line of the access log."""
         if self.access is not None:
             id = head.values(b"x-id")
-            self.access.add(began, self.loop.clock.now(), f"{self.process}.{client.serial}", head.method,
-                            head.target.decode("latin-1"), rpc, status, size,
-                            id[0].decode("latin-1") if id else "")
+            self.access.add(
+                began,
+                self.loop.clock.now(),
+                f"{self.process}.{client.serial}",
+                head.method,
+                head.target.decode("latin-1"),
+                rpc,
+                status,
+                size,
+                id[0].decode("latin-1") if id else "",
+            )
 
     def forget(self, client: Client) -> None:
         if client.number >= 0:
@@ -93,7 +114,7 @@
 
     def sweep(self) -> None:
         now = self.loop.clock.now()
-        late = now - self._sweep.when           # this process stood still for so long: no silence of theirs
+        late = now - self._sweep.when  # this process stood still for so long: no silence of theirs
         for client in self.clients:
             client.since += late
             if client.overdue(now):
@@ -108,12 +129,27 @@
         return sum(client.rpc is not None for client in self.clients)
 
     def figures(self) -> dict:
-        return {"clients": len(self.clients), "in_hand": self.in_hand(), "pools": {
-            pool.name: {"slices": pool.slices, "without_line": sum(not t.servers for t in pool.tables),
-                        "servers": {s.name: {"held": s.held, "idle": len(s.idle), "withdrawn": s.withdrawn,
-                                             "lines": sum(s in t.servers for t in pool.tables)}
-                                    for s in pool.servers.values() if s.listed}}
-            for pool in self.pools.values()}}
+        return {
+            "clients": len(self.clients),
+            "in_hand": self.in_hand(),
+            "pools": {
+                pool.name: {
+                    "slices": pool.slices,
+                    "without_line": sum(not t.servers for t in pool.tables),
+                    "servers": {
+                        s.name: {
+                            "held": s.held,
+                            "idle": len(s.idle),
+                            "withdrawn": s.withdrawn,
+                            "lines": sum(s in t.servers for t in pool.tables),
+                        }
+                        for s in pool.servers.values()
+                        if s.listed
+                    },
+                }
+                for pool in self.pools.values()
+            },
+        }
 
     def accept_last(self) -> None:
         """No process comes after this one: who has connected already would be reset."""
@@ -123,7 +159,7 @@
                 sock.setblocking(False)
                 if not self.greet(sock):
                     sock.close()
-        except OSError:                         # none more, or no descriptor left
+        except OSError:  # none more, or no descriptor left
             pass
 
     def finish(self) -> bool:
--- a/indigohitch/sidecar/keys.py
+++ b/indigohitch/sidecar/keys.py
@@ -1,4 +1,5 @@
 """A request's key, and which slice it belongs to.  No I/O."""
+
 from __future__ import annotations
 
 from urllib.parse import unquote_to_bytes
--- a/indigohitch/sidecar/passing.py
+++ b/indigohitch/sidecar/passing.py
@@ -1,11 +1,12 @@
 """Both streams of one RPC, moved in pieces between its client's connection and its server's."""
+
 from __future__ import annotations
 
 from .. import request
 from .framing import LAST_CHUNK, Body, Malformed, chunk
 from .heads import AnswerHead, Refused
 
-PIECE = 32 << 10                # of a body, moved at once: half a ring
+PIECE = 32 << 10  # of a body, moved at once: half a ring
 
 
 def request_on(rpc, out: bytes = b"") -> None:
@@ -95,7 +96,7 @@
         return
     out = (chunk(data) + LAST_CHUNK) if rpc.chunks else data
     if out and not to.outgoing.push(out):
-        to.outgoing.allow(to.outgoing.most + len(out))      # at most a ring more, and only now
+        to.outgoing.allow(to.outgoing.most + len(out))  # at most a ring more, and only now
         to.outgoing.push(out)
     to.flush_soon()
     rpc.complete()
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -1,5 +1,6 @@
 """A pool of servers under a coordinator of its own: what truly passed becomes the module's events, its orders
 change the tables in this process.  It decides nothing."""
+
 from __future__ import annotations
 
 import random
@@ -14,17 +15,17 @@
 from ..request import Table
 from .servers import Server
 
-PROXY = 0                       # the sidecar itself, the one proxy that is joined
+PROXY = 0  # the sidecar itself, the one proxy that is joined
 
 
 class Pool:
-    ANEW = 5000                 # until a new module is told all: what broke the last may still be there
-    PROBE = 6000                # a server that runs answers in a tenth of that
+    ANEW = 5000  # until a new module is told all: what broke the last may still be there
+    PROBE = 6000  # a server that runs answers in a tenth of that
 
     def __init__(self, host, text: PoolText, seed: int) -> None:
         self.host, self.text, self.boot, self.slices = host, text, text.boot, text.slices
         self.name, self.load_header = text.name, text.load_header.lower().encode()
-        self.uniform = random.Random(seed).random       # for the draw by weight; the module has its own
+        self.uniform = random.Random(seed).random  # for the draw by weight; the module has its own
         self.coordinator = Coordinator(seed, self.boot)
         self.gathering = Gathering(host.loop, 0, self.handle)
         self.tables = [Table() for _ in range(self.slices)]
@@ -33,7 +34,7 @@
         self.version, self._turn, self.reported = 1, 0, host.loop.clock.now()
         self.probes: set[Caller] = set()
         self.report_due = None
-        self.deciding = False                   # the module is at work, in the worker
+        self.deciding = False  # the module is at work, in the worker
         for server in text.servers.values():
             self.add(server)
 
@@ -50,7 +51,7 @@
     def replace(self, was: Server, server: Server) -> None:
         """The same name at another address: its lines go there.  To the module they stand as before, so no
         order of its would ever take them from the old address."""
-        server.withdrawn, was.listed = was.withdrawn, False     # what is out at the old one is not kept
+        server.withdrawn, was.listed = was.withdrawn, False  # what is out at the old one is not kept
         was.drop_idle()
         for table in self.tables:
             table.servers = [server if s is was else s for s in table.servers]
@@ -64,9 +65,11 @@
 
     def as_joined(self) -> list[face.Event]:
         entries = tuple(self.entry(s, "ready") for s in self.text.servers.values())
-        return [face.BackendList("full", self.version, entries),
-                face.ProxyJoined(PROXY, self.host.text.single["zone"], 0.0, True),
-                *(face.Charge(number, True) for number in range(self.slices))]
+        return [
+            face.BackendList("full", self.version, entries),
+            face.ProxyJoined(PROXY, self.host.text.single["zone"], 0.0, True),
+            *(face.Charge(number, True) for number in range(self.slices)),
+        ]
 
     @staticmethod
     def entry(told, state: str, started: int = 0) -> face.Listed:
@@ -88,8 +91,14 @@
     def done(self, rpc, status: int) -> None:
         if rpc.deadline is not None:
             rpc.deadline.cancel()
-        self.host.note(rpc.client, rpc.head, rpc.due - rpc.route.rpc.deadline, rpc.route.rpc.name, status,
-                       rpc.answer.body.total if rpc.answer is not None else 0)
+        self.host.note(
+            rpc.client,
+            rpc.head,
+            rpc.due - rpc.route.rpc.deadline,
+            rpc.route.rpc.name,
+            status,
+            rpc.answer.body.total if rpc.answer is not None else 0,
+        )
         if status:
             now = self.host.loop.clock.now()
             self.host.felt(now, rpc.route.rpc.name, now - rpc.due + rpc.route.rpc.deadline)
@@ -114,12 +123,22 @@
         events: list[face.Event] = []
         for server in self.servers.values():
             if server.tries:
-                events.append(face.Traffic(
-                    self.host.text.single["zone"], server.name, server.tries, server.failures,
-                    server.time // server.oks if server.oks else 0, elapsed, server.load))
+                events.append(
+                    face.Traffic(
+                        self.host.text.single["zone"],
+                        server.name,
+                        server.tries,
+                        server.failures,
+                        server.time // server.oks if server.oks else 0,
+                        elapsed,
+                        server.load,
+                    )
+                )
                 server.forget_sums()
-        events += [face.SliceDemand(number, method, total, unanswered, elapsed)
-                   for (number, method), (total, unanswered) in self.demand.items()]
+        events += [
+            face.SliceDemand(number, method, total, unanswered, elapsed)
+            for (number, method), (total, unanswered) in self.demand.items()
+        ]
         self.demand = {}
         return events
 
@@ -168,8 +187,11 @@
         self.host.loop.failed(broken)
         self.host.log.count("module_begun_anew")
         self.coordinator = Coordinator(self.host.text.single["seed"], self.boot)
-        lines = [face.StoredLine(number, server.name, weight) for number, table in enumerate(self.tables)
-                 for server, weight in zip(table.servers, table.weights)]
+        lines = [
+            face.StoredLine(number, server.name, weight)
+            for number, table in enumerate(self.tables)
+            for server, weight in zip(table.servers, table.weights)
+        ]
         self.host.loop.after(self.ANEW, lambda: self.gathering.add(*self.as_joined(), *lines))
 
     def carry_out(self, order: face.Order) -> None:
@@ -209,13 +231,17 @@
             return
         caller = Caller(self.host.loop, server.address, self.PROBE)
         self.probes.add(caller)
-        caller.request("GET", self.text.probe, self.PROBE,
-                       lambda answer: self.probed(backend, caller, answer))
+        caller.request(
+            "GET", self.text.probe, self.PROBE, lambda answer: self.probed(backend, caller, answer)
+        )
 
     def probed(self, backend: str, caller: Caller, answer: Answer) -> None:
         self.probes.discard(caller)
-        outcome = ("ok" if answer.status == 200 else "error") if answer.outcome == "answered" else {
-            "unreadable": "error", "unreached": "timeout"}.get(answer.outcome, answer.outcome)
+        outcome = (
+            ("ok" if answer.status == 200 else "error")
+            if answer.outcome == "answered"
+            else {"unreadable": "error", "unreached": "timeout"}.get(answer.outcome, answer.outcome)
+        )
         self.gathering.add(face.Probed(backend, outcome, answer.duration))
 
     def sweep(self, now: int) -> None:
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -1,5 +1,6 @@
 """One RPC from its head to the end of its answer: its tries and its end; passing.py moves both streams.  What
 is decided on it (the line, in or pushed back, another try, the final answer) is decided in request.py."""
+
 from __future__ import annotations
 
 import enum
@@ -16,17 +17,36 @@
 
 class Phase(enum.Enum):
     CONNECTING = "connecting"
-    SENT = "sent"               # its head is out, the answer's has not come
+    SENT = "sent"  # its head is out, the answer's has not come
     ANSWERING = "answering"
     OVER = "over"
 
 
 class Rpc:
     UNRUN = ("no_line", "pushed_back", "no_seat")
-    CROSSED = SECOND // 20      # a close that crosses what we wrote is here by then
+    CROSSED = SECOND // 20  # a close that crosses what we wrote is here by then
 
-    __slots__ = ("client", "head", "route", "pool", "slice", "table", "phase", "tried", "upstream", "server",
-                 "began", "deadline", "due", "body", "last_chunk", "answer", "chunks", "connect_by", "seat")
+    __slots__ = (
+        "client",
+        "head",
+        "route",
+        "pool",
+        "slice",
+        "table",
+        "phase",
+        "tried",
+        "upstream",
+        "server",
+        "began",
+        "deadline",
+        "due",
+        "body",
+        "last_chunk",
+        "answer",
+        "chunks",
+        "connect_by",
+        "seat",
+    )
 
     def __init__(self, client, head: RequestHead, route, pool, slice: int) -> None:
         self.client, self.head, self.route, self.pool, self.slice = client, head, route, pool, slice
@@ -40,7 +60,7 @@
         self.due = self.began + route.rpc.deadline
         self.deadline: Deadline | None = None
         self.connect_by: Deadline | None = None
-        self.seat = None                        # of this try, where it needs one
+        self.seat = None  # of this try, where it needs one
 
     # ---- tries -------------------------------------------------------------------------------------
 
@@ -79,16 +99,22 @@
             host.log.trouble("dial_failed", why=failed.strerror)
             host.loop.after(0, lambda: self.try_failed(request.UNSENT, upstream))
             return
-        self.connect_by = host.loop.after(host.text.waits["connect"],
-                                          lambda: self.try_failed(request.UNSENT, upstream))
+        self.connect_by = host.loop.after(
+            host.text.waits["connect"], lambda: self.try_failed(request.UNSENT, upstream)
+        )
 
     def connected(self) -> None:
         if self.connect_by is not None:
             self.connect_by.cancel()
             self.connect_by = None
         self.phase, seating, self.last_chunk = Phase.SENT, self.pool.host.seating, False
-        head = self.head.onward() if seating is None else self.head.onward(
-            seating.shown(self.seat, self.server) if self.seat is not None else b"", seating.OWN)
+        head = (
+            self.head.onward()
+            if seating is None
+            else self.head.onward(
+                seating.shown(self.seat, self.server) if self.seat is not None else b"", seating.OWN
+            )
+        )
         passing.request_on(self, head)
 
     def try_failed(self, outcome: str, of: Upstream | None = None, blamed: bool = True) -> None:
@@ -113,7 +139,7 @@
             self.connect_by = None
         if self.phase is Phase.CONNECTING:
             self.seat_over()
-        self.seat = None                        # what may run keeps it until its end
+        self.seat = None  # what may run keeps it until its end
         if server is None:
             return
         server.held -= 1
@@ -165,7 +191,7 @@
                 self.try_failed(outcome, blamed=False)
                 return
         if self.deadline is not None:
-            self.deadline.cancel()              # of the answer's end nobody has said when; silence ends it
+            self.deadline.cancel()  # of the answer's end nobody has said when; silence ends it
         self.phase = Phase.ANSWERING
         if self.pool.load_header and (report := head.value(self.pool.load_header)):
             self.pool.load_came(self.server, report)
@@ -178,8 +204,13 @@
     def complete(self) -> None:
         head, stream = self.answer, self.upstream.stream
         self.phase = Phase.OVER
-        keep = (head.keep and self.body.done and stream.open and not len(stream.incoming)
-                and not len(stream.outgoing))
+        keep = (
+            head.keep
+            and self.body.done
+            and stream.open
+            and not len(stream.incoming)
+            and not len(stream.outgoing)
+        )
         self.seat_over()
         self.leave(failed=head.status >= 500, keep=keep)
         self.pool.done(self, head.status)
@@ -211,8 +242,11 @@
         host = self.pool.host
         status, back = request.given_up(outcome, self.due - host.loop.clock.now(), self.pool.boot)
         host.log.count(f"rpc_{outcome}" if outcome in self.UNRUN else "rpc_aborted")
-        self.end_with(status, {503: "no server now", 502: "no answer from the server",
-                               504: "the deadline has passed"}[status], back)
+        self.end_with(
+            status,
+            {503: "no server now", 502: "no answer from the server", 504: "the deadline has passed"}[status],
+            back,
+        )
 
     def refuse(self, status: int, why: str) -> None:
         self.leave(failed=None)
@@ -225,7 +259,7 @@
             self.deadline.cancel()
         self.pool.done(self, status)
         if self.answer is not None:
-            client.stream.close()               # half an answer is out: only a close can tell
+            client.stream.close()  # half an answer is out: only a close can tell
             client.gone()
             return
         client.close_after |= not self.body.done or not self.head.keep
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -3,6 +3,7 @@
 Towards a server: `X-Seat` holds the pass (fleet/seats/nodeclock.header).  From it: `X-Node: BOOT CLOCK`, its
 boot id and its monotonic clock in tenths of a ms, with any answer; `X-Seat-Refused: unread|late|old|twice`
 where it took the RPC for one without a valid seat, and has begun nothing."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 
 
 class Seating:
-    OWN = frozenset((SEAT,))    # a client has none to show
+    OWN = frozenset((SEAT,))  # a client has none to show
 
     def __init__(self, text: Text, log: Log, clock, desk: Callable[[], Desk | None]) -> None:
         """`desk()`: of the member in this process, None while it takes no part."""
@@ -36,8 +37,14 @@
             return None
         row = self.rows[feature]
         tenant, user = (self.named(rpc, name) for name in (row.tenant_header, row.user_header))
-        found = desk.ask(now, feature, tenant, self.node(server) if desk.kind(feature) == "node" else user,
-                         rpc.due - now, rpc.pool.boot.get("come_back", 0))
+        found = desk.ask(
+            now,
+            feature,
+            tenant,
+            self.node(server) if desk.kind(feature) == "node" else user,
+            rpc.due - now,
+            rpc.pool.boot.get("come_back", 0),
+        )
         return found if isinstance(found, Ticket) else None
 
     @staticmethod
--- a/indigohitch/sidecar/servers.py
+++ b/indigohitch/sidecar/servers.py
@@ -1,4 +1,5 @@
 """A server as the sidecar meets it: what is out at it, its kept connections, and what was met there."""
+
 from __future__ import annotations
 
 from ..net.http import stands
@@ -6,15 +7,27 @@
 
 
 class Server:
-    __slots__ = ("name", "address", "withdrawn", "held", "idle", "most_idle", "tries", "failures", "oks",
-                 "time", "load", "listed")
+    __slots__ = (
+        "name",
+        "address",
+        "withdrawn",
+        "held",
+        "idle",
+        "most_idle",
+        "tries",
+        "failures",
+        "oks",
+        "time",
+        "load",
+        "listed",
+    )
 
     def __init__(self, name: str, address: tuple[str, int], most_idle: int) -> None:
         self.name, self.address, self.most_idle = name, address, most_idle
         self.withdrawn, self.listed = False, True
-        self.held = 0                           # own RPCs out
-        self.idle: list[Upstream] = []          # the last used last
-        self.load: dict[str, float] = {}        # its newest load report
+        self.held = 0  # own RPCs out
+        self.idle: list[Upstream] = []  # the last used last
+        self.load: dict[str, float] = {}  # its newest load report
         self.forget_sums()
 
     def forget_sums(self) -> None:
@@ -47,6 +60,7 @@
 
 class Upstream:
     """One connection to a server, and the RPC that has it."""
+
     __slots__ = ("server", "stream", "rpc", "since", "used")
 
     def __init__(self, server: Server, rpc) -> None:
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -1,4 +1,5 @@
 """The sidecar as a process."""
+
 from __future__ import annotations
 
 import os
@@ -25,10 +26,12 @@
         if self.text.fleet is None:
             return side
         from ..fleet.node.inside import beside
+
         side = beside(self, side, self.text.fleet, False, self.follows)
         self.host.felt = self.beside.felt
         if self.text.seats:
             from .seating import Seating
+
             self.host.seating = Seating(self.text, self.log, self.loop.clock, self.desk)
         return side
 
@@ -90,10 +93,11 @@
     """Raises Mistakes, OSError."""
     channel = launch.inherited()
     text = sidecar_file.load(source)
-    os.set_blocking(1, False)           # a log that nobody reads must not hold up the service
+    os.set_blocking(1, False)  # a log that nobody reads must not hold up the service
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = 2 * text.limits["clients"] + 256       # each client may have a server's connection
+    wanted = 2 * text.limits["clients"] + 256  # each client may have a server's connection
     if soft != resource.RLIM_INFINITY and soft < wanted:
-        resource.setrlimit(resource.RLIMIT_NOFILE,
-                           (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard))
+        resource.setrlimit(
+            resource.RLIMIT_NOFILE, (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard)
+        )
     return Sidecar(source, text, channel is not None).run(channel)
--- a/indigohitch/standins/breaker.py
+++ b/indigohitch/standins/breaker.py
@@ -11,6 +11,7 @@
 A fault stands on a lane, that is on all bytes from one member to the other, whichever of them dialled
 (lanes.py).  A cut is silent: nobody is reset, what was sent waits and comes late when it is healed.  The same
 calls with the same seed spoil and delay the same pieces, as far as the same pieces come."""
+
 from __future__ import annotations
 
 import random
@@ -28,16 +29,16 @@
 
 
 class Breaker:
-    WAIT = 10.0                 # s until a call that the thread does not answer is a defect of ours
+    WAIT = 10.0  # s until a call that the thread does not answer is a defect of ours
 
     def __init__(self, seed: int = 1) -> None:
         self.uniform = random.Random(seed).random
         self.broken: list[BaseException] = []
         self.loop = Loop(Clock(), self.broken.append)
-        self.loop.pool.left = 1 << 30           # a stand-in's memory is nobody's concern
+        self.loop.pool.left = 1 << 30  # a stand-in's memory is nobody's concern
         self.gates: dict[tuple[str, str], Gate] = {}
         self.lanes: dict[tuple[str, str], Lane] = {}
-        self.told: list[tuple[float, str]] = []         # when (time.monotonic), what was done
+        self.told: list[tuple[float, str]] = []  # when (time.monotonic), what was done
         self._calls: deque[Callable[[], None]] = deque()
         self._woken, self._wake = socket.socketpair()
         self._woken.setblocking(False)
@@ -70,6 +71,7 @@
             except Exception as bad:
                 found.append((None, bad))
             done.set()
+
         self._calls.append(call)
         self._wake.send(b"x")
         if not done.wait(self.WAIT):
@@ -85,12 +87,15 @@
 
     def gate(self, sender: str, receiver: str, to: tuple[str, int]) -> tuple[str, int]:
         """The address at which `sender` reaches `receiver`, which listens at `to` (now or later)."""
+
         def make() -> tuple[str, int]:
             known = self.gates.get((sender, receiver))
             if known is None:
-                known = self.gates[sender, receiver] = Gate(self.loop, self._lane(sender, receiver),
-                                                            self._lane(receiver, sender), to)
+                known = self.gates[sender, receiver] = Gate(
+                    self.loop, self._lane(sender, receiver), self._lane(receiver, sender), to
+                )
             return known.at
+
         return self._do(make)
 
     def _lane(self, sender: str, receiver: str) -> Lane:
@@ -109,6 +114,7 @@
 
     def stand(self, wanted: Mapping[tuple[str, str], Fault], said: str = "") -> None:
         """These faults stand on lanes (sender, receiver), and no others."""
+
         def change() -> None:
             differ = [lane for pair, lane in self.lanes.items() if lane.fault != wanted.get(pair, NONE)]
             for lane in differ:
@@ -117,6 +123,7 @@
                 gate.changed()
             for lane in differ:
                 lane.changed()
+
         self._do(change, said)
 
     def _set(self, pairs: Iterable[tuple[str, str]], said: str, **words) -> None:
@@ -132,8 +139,11 @@
         """Silence both ways between `some` and `others` (all the rest)."""
         some = set(some)
         others = self.names() - some if others is None else set(others)
-        self._set(self._between(some, others) + self._between(others, some),
-                  f"part {','.join(sorted(some))}", cut=True)
+        self._set(
+            self._between(some, others) + self._between(others, some),
+            f"part {','.join(sorted(some))}",
+            cut=True,
+        )
 
     def cut_off(self, name: str, hears: bool = False, heard: bool = False) -> None:
         """`name` from all others; `hears`: but what they say reaches it; `heard`: but they hear it."""
@@ -143,13 +153,18 @@
         said = f"cut_off {name}{' hears' if hears else ''}{' heard' if heard else ''}"
         self._set(pairs, said, cut=True)
 
-    def slow(self, sender: str, receiver: str, delay_ms: float = 0, spread_ms: float = 0, trickle: int = 0
-             ) -> None:
+    def slow(
+        self, sender: str, receiver: str, delay_ms: float = 0, spread_ms: float = 0, trickle: int = 0
+    ) -> None:
         """Delay each piece by `delay_ms` to `delay_ms + spread_ms`, in order; at most `trickle` bytes a
         second."""
-        self._set([(sender, receiver)], f"slow {sender} {receiver} {delay_ms} {spread_ms} {trickle}",
-                  delay=int(delay_ms * SECOND // 1000), spread=int(spread_ms * SECOND // 1000),
-                  trickle=trickle)
+        self._set(
+            [(sender, receiver)],
+            f"slow {sender} {receiver} {delay_ms} {spread_ms} {trickle}",
+            delay=int(delay_ms * SECOND // 1000),
+            spread=int(spread_ms * SECOND // 1000),
+            trickle=trickle,
+        )
 
     def spoil(self, sender: str, receiver: str, share: float) -> None:
         """Change one byte in that share of the pieces."""
@@ -161,28 +176,36 @@
 
     def refuse(self, sender: str, receiver: str, on: bool = True) -> None:
         """New connections of `sender` to `receiver` are refused; those that stand, stand."""
-        self._do(lambda: self.gates[sender, receiver].refuse(on),
-                 f"refuse {sender} {receiver} {'on' if on else 'off'}")
+        self._do(
+            lambda: self.gates[sender, receiver].refuse(on),
+            f"refuse {sender} {receiver} {'on' if on else 'off'}",
+        )
 
     def heal(self, lose: bool = False) -> None:
         """No fault stands any more; `lose`: what waits is lost with its connections, else it comes late."""
+
         def let() -> None:
             for gate in self.gates.values():
                 if lose and (gate.forth.fault.cut or gate.back.fault.cut):
                     gate.reset()
                 gate.refuse(False)
+
         self._do(let)
         self.stand({}, "heal lose" if lose else "heal")
 
     def figures(self) -> dict[str, int]:
         """Bytes that passed and pieces spoilt, of all lanes."""
-        return {"bytes": sum(lane.bytes for lane in self.lanes.values()),
-                "spoilt": sum(lane.spoilt for lane in self.lanes.values())}
+        return {
+            "bytes": sum(lane.bytes for lane in self.lanes.values()),
+            "spoilt": sum(lane.spoilt for lane in self.lanes.values()),
+        }
 
     def close(self) -> None:
         """Raises what broke in the thread, if anything did."""
+
         def end() -> None:
             self._ending = True
+
         if not self._ending:
             self._do(end)
             self._thread.join(self.WAIT)
--- a/indigohitch/standins/lanes.py
+++ b/indigohitch/standins/lanes.py
@@ -3,6 +3,7 @@
 
 A lane that is cut holds what it has and what comes, as a network does whose packets are lost: nobody hears of
 it, and once it is healed all comes late, in order, unless the connections were reset before."""
+
 from __future__ import annotations
 
 import socket
@@ -26,6 +27,7 @@
 class Fault:
     """What stands on a lane.  `delay`, up to `spread` more: tenths of a ms, in order; `trickle`: bytes a
     second, 0 for no bound; `spoil`: the share of pieces in which one byte is changed."""
+
     cut: bool = False
     delay: int = 0
     spread: int = 0
@@ -53,7 +55,7 @@
             return data
         self.spoilt += 1
         at = int(self.uniform() * len(data))
-        return data[:at] + bytes([data[at] ^ (1 + int(self.uniform() * 255))]) + data[at + 1:]
+        return data[:at] + bytes([data[at] ^ (1 + int(self.uniform() * 255))]) + data[at + 1 :]
 
 
 class Half:
@@ -63,11 +65,11 @@
         self.loop, self.lane = loop, lane
         self.source: Stream | None = None
         self.sink: Stream | None = None
-        self.queue: deque[tuple[int, bytes]] = deque()      # due, piece
-        self.held = 0                           # bytes in `queue`
-        self.last = 0                           # due time of the last piece: pieces never overtake
-        self.next = 0                           # a trickling lane lets nothing through before
-        self.ended = ""                         # why the source ended: told to the sink after what it sent
+        self.queue: deque[tuple[int, bytes]] = deque()  # due, piece
+        self.held = 0  # bytes in `queue`
+        self.last = 0  # due time of the last piece: pieces never overtake
+        self.next = 0  # a trickling lane lets nothing through before
+        self.ended = ""  # why the source ended: told to the sink after what it sent
         self.timer: Deadline | None = None
         lane.halves.add(self)
 
@@ -98,7 +100,7 @@
         while self.queue and self.queue[0][0] <= now and allowed > 0:
             room = min(sink.room(), allowed)
             if room <= 0:
-                return                          # `drained` pumps again
+                return  # `drained` pumps again
             due, data = self.queue.popleft()
             if len(data) > room:
                 self.queue.appendleft((due, data[room:]))
@@ -110,7 +112,7 @@
             earliest = self.next if lane.fault.trickle else now
             self.timer = self.loop.at(max(earliest, self.queue[0][0]), self.pump)
         elif source is not None and source.open and len(source.incoming):
-            self.timer = self.loop.at(now, self.pump)       # left while the queue was full
+            self.timer = self.loop.at(now, self.pump)  # left while the queue was full
         elif self.ended and not len(sink.outgoing):
             hang_up(sink, self.ended)
 
