--- a/indigohitch/standins/load.py
+++ b/indigohitch/standins/load.py
@@ -2,6 +2,7 @@
 
 Latency counts from the time at which a request was due, so that a stall shows in all that waited for it.
 A request is lost if no whole answer came for it, or one with a status of 500 and more."""
+
 from __future__ import annotations
 
 import random
@@ -17,19 +18,28 @@
 
 
 class Load:
-    def __init__(self, to: tuple[str, int], seed: int = 1, kept: int = 50, fresh: float = 0.2,
-                 reserve: float = 0.24, keys: int = 5000, prefix: str = "r") -> None:
+    def __init__(
+        self,
+        to: tuple[str, int],
+        seed: int = 1,
+        kept: int = 50,
+        fresh: float = 0.2,
+        reserve: float = 0.24,
+        keys: int = 5000,
+        prefix: str = "r",
+    ) -> None:
         def failed(broken: BaseException) -> None:
             raise broken
+
         self.loop = Loop(Clock(), failed)
         self.loop.pool.left = 1 << 30
         self.to, self.kept, self.fresh, self.reserve, self.keys = to, kept, fresh, reserve, keys
         rng = random.Random(seed)
         self.uniform, self.randrange, self.prefix = rng.random, rng.randrange, prefix
         self.spare: dict[Wire, None] = {}
-        self.once: set[Wire] = set()            # wires for one request
+        self.once: set[Wire] = set()  # wires for one request
         self.kept_open = self.out = self.number = 0
-        self.results: list[tuple[int, int, int, str, str]] = []     # due, took, status, id, why
+        self.results: list[tuple[int, int, int, str, str]] = []  # due, took, status, id, why
         self.reserves: set[str] = set()
         self.stopped = False
         self.then = None
@@ -41,8 +51,10 @@
         if self.uniform() < self.reserve:
             self.reserves.add(id)
             body = b'{"place":%d}' % key
-            return id, (f"POST /places/{key}/reserve HTTP/1.1\r\nHost: t\r\nX-Id: {id}\r\n{extra}"
-                        f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+            return id, (
+                f"POST /places/{key}/reserve HTTP/1.1\r\nHost: t\r\nX-Id: {id}\r\n{extra}"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            ).encode() + body
         return id, f"GET /vacancies/{key} HTTP/1.1\r\nHost: t\r\nX-Id: {id}\r\n{extra}\r\n".encode()
 
     def begin(self, due: int, act: str = "") -> None:
@@ -52,7 +64,7 @@
             wire = Wire(self)
             self.once.add(wire)
         elif self.spare and self.kept_open >= self.kept:
-            wire = next(iter(self.spare))       # the one that rested longest: all stay in use
+            wire = next(iter(self.spare))  # the one that rested longest: all stay in use
             del self.spare[wire]
         else:
             wire = Wire(self)
@@ -97,6 +109,7 @@
                 sent += 1
             if sent < total:
                 self.loop.at(begin + int(sent * SECOND / rate), tick)
+
         tick()
         self.turn_until(lambda: sent >= total and not self.out, seconds + 10)
 
@@ -109,6 +122,7 @@
         def then() -> None:
             if now() < end:
                 self.begin(now())
+
         self.then = then
         for _ in range(connections):
             self.begin(now())
@@ -126,9 +140,14 @@
         whys: dict[str, int] = {}
         for r in lost:
             whys[r[4] or str(r[2])] = whys.get(r[4] or str(r[2]), 0) + 1
-        return {"requests": len(self.results) + self.out, "lost": len(lost) + self.out,
-                "unanswered": self.out, "why": whys, "p50_ms": took[len(took) // 2] / 10 if took else None,
-                "p99_ms": took[len(took) * 99 // 100] / 10 if took else None}
+        return {
+            "requests": len(self.results) + self.out,
+            "lost": len(lost) + self.out,
+            "unanswered": self.out,
+            "why": whys,
+            "p50_ms": took[len(took) // 2] / 10 if took else None,
+            "p99_ms": took[len(took) * 99 // 100] / 10 if took else None,
+        }
 
 
 def main(words: list[str]) -> None:
@@ -137,7 +156,7 @@
     to = address(target)
     if not to[0].startswith("127."):
         raise SystemExit("a stand-in sends to loopback only")
-    kept, fresh, reserve, seed = [*map(float, rest), *(50, 0.2, 0.24, 1)[len(rest):]]
+    kept, fresh, reserve, seed = [*map(float, rest), *(50, 0.2, 0.24, 1)[len(rest) :]]
     load = Load(to, int(seed), int(kept), fresh if how == "open" else 0.0, reserve if how == "open" else 0.0)
     signal.signal(signal.SIGTERM, lambda *_: setattr(load, "stopped", True))
     if how == "open":
--- a/indigohitch/standins/seated.py
+++ b/indigohitch/standins/seated.py
@@ -6,6 +6,7 @@
     - NS JOB UNTIL                                      it was ended here, as its seat was its until UNTIL
 
 A server that got no processor writes the last one late: no job of it ran meanwhile, and UNTIL counts."""
+
 from __future__ import annotations
 
 import os
@@ -23,7 +24,7 @@
         self.loop, self.paths = loop, tuple(path.encode() for path in paths)
         self.meter = Meter(f"{os.getpid():x}-{secrets.token_hex(4)}")
         self.out = os.open(log, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
-        self.cuts: dict[int, tuple[Callable[[], None], int]] = {}     # and until when, ns
+        self.cuts: dict[int, tuple[Callable[[], None], int]] = {}  # and until when, ns
 
     @staticmethod
     def clock() -> int:
@@ -44,8 +45,10 @@
         if verdict is not Verdict.TAKEN:
             return 0, b"X-Seat-Refused: %b\r\n" % verdict.value.encode()
         g = shown.given
-        self.note(f"+ {time.monotonic_ns()} {job} {g.feature} {g.number} {g.counter} {g.use} {g.shared:d} "
-                  f"{shown.stamp.member}")
+        self.note(
+            f"+ {time.monotonic_ns()} {job} {g.feature} {g.number} {g.counter} {g.use} {g.shared:d} "
+            f"{shown.stamp.member}"
+        )
         self.cuts[job] = cut, shown.until * 100_000
         self.loop.after(shown.until - now, self.sweep)
         return job, b""
@@ -69,5 +72,7 @@
         os.write(self.out, f"{line}\n".encode())
 
     def figures(self) -> dict:
-        return {"refused": {verdict.value: count for verdict, count in self.meter.refused.items() if count},
-                "running": len(self.meter.jobs)}
+        return {
+            "refused": {verdict.value: count for verdict, count in self.meter.refused.items() if count},
+            "running": len(self.meter.jobs),
+        }
--- a/indigohitch/standins/server.py
+++ b/indigohitch/standins/server.py
@@ -11,6 +11,7 @@
 `X-Id` names an act: how often each was acted on is kept.  GET /stats tells the counts, GET /health/live
 answers 200.  With licensed paths it takes these by their seats alone (seated.py); an RPC by an older stamp
 than has come is refused (stamped.py)."""
+
 from __future__ import annotations
 
 import signal
@@ -39,7 +40,7 @@
     def __init__(self, server: Server, sock: socket.socket) -> None:
         self.server = server
         self.stream = Stream.accepted(server.loop, sock, self, Stream.BOUND, server.memory)
-        self.queue: list[tuple] = []            # requests whose bodies have come, in order
+        self.queue: list[tuple] = []  # requests whose bodies have come, in order
         self.busy = False
         self.writing = self.more = b""
         self.begin()
@@ -58,8 +59,9 @@
 
     def on_headers_complete(self) -> None:
         self.method = self.parser.get_method()
-        self.act = dict((pair.partition("=")[::2]) for pair in
-                        self.heads.get(b"x-act", b"").decode().split(",") if pair)
+        self.act = dict(
+            (pair.partition("=")[::2]) for pair in self.heads.get(b"x-act", b"").decode().split(",") if pair
+        )
         if self.heads.get(b"expect"):
             self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if "early" in self.act:
@@ -94,8 +96,10 @@
             self.answer(200, proof(target.partition(b"nonce=")[2].decode("latin-1")).encode(), {})
             return
         if target in (b"/stats", b"/health/live"):
-            stats = orjson.dumps({"counts": server.counts, "acts": server.acts}
-                                 | ({"seats": server.seated.figures()} if server.seated else {}))
+            stats = orjson.dumps(
+                {"counts": server.counts, "acts": server.acts}
+                | ({"seats": server.seated.figures()} if server.seated else {})
+            )
             self.answer(200, stats if target == b"/stats" else b"", {})
             return
         if server.stamped.told(target):
@@ -143,8 +147,10 @@
             return
         chunks = "chunks" in act
         head = b"HTTP/1.1 %d Fine\r\nContent-Type: text/plain\r\nX-Server: %s\r\n%b" % (
-            status, self.server.name, b"Transfer-Encoding: chunked\r\n" if chunks
-            else b"Content-Length: %d\r\n" % len(body))
+            status,
+            self.server.name,
+            b"Transfer-Encoding: chunked\r\n" if chunks else b"Content-Length: %d\r\n" % len(body),
+        )
         if self.server.seated is not None:
             head += self.server.seated.told() + self.more
         if "doubled" in act:
@@ -152,8 +158,13 @@
         if method == b"HEAD":
             body = b""
         elif chunks:
-            body = b"".join(b"%x\r\n%b\r\n" % (len(body[i:i + 1000]), body[i:i + 1000])
-                            for i in range(0, len(body), 1000)) + b"0\r\n\r\n"
+            body = (
+                b"".join(
+                    b"%x\r\n%b\r\n" % (len(body[i : i + 1000]), body[i : i + 1000])
+                    for i in range(0, len(body), 1000)
+                )
+                + b"0\r\n\r\n"
+            )
         if "reset_head" in act:
             self.stream.write(head + b"\r\n" + body[:1])
             self.server.loop.after(50, self.reset)
@@ -163,7 +174,7 @@
             self.writing = body
             self.drip(int(act["drip"]) * SECOND // 1000)
             return
-        self.writing = memoryview(head + b"\r\n" + body)        # cut without copying the rest
+        self.writing = memoryview(head + b"\r\n" + body)  # cut without copying the rest
         self.drained(self.stream)
 
     def drip(self, gap: int) -> None:
@@ -195,8 +206,15 @@
 
 
 class Server:
-    def __init__(self, loop: Loop, name: str, at: tuple[str, int], service: float = 0.0,
-                 lose: int = 0, seated: Seated | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        at: tuple[str, int],
+        service: float = 0.0,
+        lose: int = 0,
+        seated: Seated | None = None,
+    ) -> None:
         """`service`: ms that every answer takes; `lose`: every so many RPCs one is acted on, and reset."""
         self.seated, self.stamped = seated, Stamped()
         self.loop, self.name, self.service, self.lose = loop, name.encode(), service, lose
@@ -217,13 +235,21 @@
         return True
 
 
-def main(at: tuple[str, int], name: str, service: float, also: int = 0, lose: int = 0,
-         licensed: tuple[str, ...] = (), meter: str = "") -> None:
+def main(
+    at: tuple[str, int],
+    name: str,
+    service: float,
+    also: int = 0,
+    lose: int = 0,
+    licensed: tuple[str, ...] = (),
+    meter: str = "",
+) -> None:
     if not at[0].startswith("127."):
         raise SystemExit("a stand-in listens on loopback only")
 
     def failed(broken: BaseException) -> None:
         print(f"stand-in: {type(broken).__name__}: {broken}", file=sys.stderr, flush=True)
+
     loop = Loop(Clock(), failed)
     seated = Seated(loop, licensed, meter) if licensed else None
     Server(loop, name, at, service, lose, seated).also(also, at[1])
--- a/indigohitch/standins/stamped.py
+++ b/indigohitch/standins/stamped.py
@@ -5,6 +5,7 @@
     /fleet/in-force/VERSION             nor do those by what was before
 
 An older one gets 409, and nothing is acted on."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -18,7 +19,7 @@
         self.gate = Gate()
 
     def why_not(self, heads: Mapping[bytes, bytes]) -> str:
-        """"" for an RPC without a stamp, or with one that counts."""
+        """ "" for an RPC without a stamp, or with one that counts."""
         if (shown := heads.get(b"x-stamp")) is None:
             return ""
         try:
--- a/indigohitch/standins/tabled.py
+++ b/indigohitch/standins/tabled.py
@@ -1,4 +1,5 @@
 """A stand-in relay that holds tables: what it takes and what it answers, without a wire."""
+
 from __future__ import annotations
 
 from ..versions.tables import Root
@@ -6,14 +7,14 @@
 
 
 class Tabled:
-    MOST = 1000                 # lines remembered since the last whole version
+    MOST = 1000  # lines remembered since the last whole version
 
     def __init__(self, root: Root | None = None) -> None:
         self.root = root or Root()
         self.connection = self.taken = 0
         self.base, self.since = b"", ()
         self.refuses = False
-        self.lies = 0               # answers still to be given with a digest that is not true
+        self.lies = 0  # answers still to be given with a digest that is not true
 
     def joins(self, connection: int) -> Claim:
         self.connection, self.taken = connection, 0
@@ -26,7 +27,7 @@
         if message.connection != self.connection:
             return None
         if message.sequence <= self.taken:
-            return self.ack(message)            # said twice
+            return self.ack(message)  # said twice
         if message.after != self.taken:
             return Nack(self.connection, message.sequence, self.taken, True, self.claim(), "gap")
         if self.refuses and message.lines():
--- a/indigohitch/statefile.py
+++ b/indigohitch/statefile.py
@@ -1,4 +1,5 @@
 """The state of a program in the file that its operator named: read at a start, written at the end."""
+
 from __future__ import annotations
 
 import os
--- a/indigohitch/upgrade/channel.py
+++ b/indigohitch/upgrade/channel.py
@@ -1,4 +1,5 @@
 """The channel between the two processes: a Unix socket that carries words and descriptors, in the loop."""
+
 from __future__ import annotations
 
 import array
@@ -15,16 +16,21 @@
 
 
 class Channel:
-    MOST_DESCRIPTORS = 64       # a frame: the kernel takes 253
-    AGAIN = SECOND // 200       # when too many descriptors are on their way: the reader takes them in a turn
+    MOST_DESCRIPTORS = 64  # a frame: the kernel takes 253
+    AGAIN = SECOND // 200  # when too many descriptors are on their way: the reader takes them in a turn
 
-    def __init__(self, loop: Loop, sock: socket.socket, heard: Callable[[Word, list[int]], None],
-                 ended: Callable[[str, bool], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        heard: Callable[[Word, list[int]], None],
+        ended: Callable[[str, bool], None],
+    ) -> None:
         """`ended(why, broken)` once: at the end of the channel, or as soon as what comes can't be read."""
         self.loop, self.sock, self.heard, self.ended = loop, sock, heard, ended
         sock.setblocking(False)
         self.frames = Frames(WORDS)
-        self.arrived: deque[int] = deque()              # descriptors not given to a word yet
+        self.arrived: deque[int] = deque()  # descriptors not given to a word yet
         self.out: deque[tuple[memoryview, list[int]]] = deque()
         self.open, self._mask, self._waiting = True, READ, False
         self.ending = False
@@ -49,7 +55,7 @@
                 if sent == len(data):
                     self.out.popleft()
                 else:
-                    self.out[0] = data[sent:], []       # they went with the first byte
+                    self.out[0] = data[sent:], []  # they went with the first byte
         except BlockingIOError:
             pass
         except OSError as failed:
@@ -69,7 +75,7 @@
             self._flush()
 
     def _lost(self, why: str) -> None:
-        self.read()                             # who refuses says why, and ends while we still write
+        self.read()  # who refuses says why, and ends while we still write
         self.end(why, False)
 
     def _watch(self, mask: int) -> None:
@@ -97,7 +103,7 @@
             for level, kind, packed in ancillary:
                 if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
                     found = array.array("i")
-                    found.frombytes(packed[:len(packed) - len(packed) % found.itemsize])
+                    found.frombytes(packed[: len(packed) - len(packed) % found.itemsize])
                     self.arrived.extend(found)
             if flags & socket.MSG_CTRUNC:
                 # No room for a descriptor in this process: the kernel has closed it.
--- a/indigohitch/upgrade/events.py
+++ b/indigohitch/upgrade/events.py
@@ -1,4 +1,5 @@
 """Events and orders of the module as plain data and back.  No I/O."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -9,11 +10,35 @@
 
 from .. import interface as face
 
-_TYPES = {kind.__name__: kind for kind in (
-    face.BackendList, face.Probed, face.SliceDemand, face.ProxyDemand, face.Traffic, face.ProxyJoined,
-    face.ProxyLeft, face.Acked, face.Charge, face.StoredLine, face.PeerNote, face.TimerDue,
-    face.SetLine, face.ClearTable, face.SetLevel, face.Withdraw, face.Bind, face.Mark, face.Probe,
-    face.TellPeer, face.Subscribe, face.FetchList, face.SetTimer, face.LogLine)}
+_TYPES = {
+    kind.__name__: kind
+    for kind in (
+        face.BackendList,
+        face.Probed,
+        face.SliceDemand,
+        face.ProxyDemand,
+        face.Traffic,
+        face.ProxyJoined,
+        face.ProxyLeft,
+        face.Acked,
+        face.Charge,
+        face.StoredLine,
+        face.PeerNote,
+        face.TimerDue,
+        face.SetLine,
+        face.ClearTable,
+        face.SetLevel,
+        face.Withdraw,
+        face.Bind,
+        face.Mark,
+        face.Probe,
+        face.TellPeer,
+        face.Subscribe,
+        face.FetchList,
+        face.SetTimer,
+        face.LogLine,
+    )
+}
 _FIELDS = {name: [f.name for f in dataclasses.fields(kind)] for name, kind in _TYPES.items()}
 LISTED = [f.name for f in dataclasses.fields(face.Listed)]
 
--- a/indigohitch/upgrade/giver.py
+++ b/indigohitch/upgrade/giver.py
@@ -1,21 +1,29 @@
 """The old process' machine: whether it accepts, and what it does next.  No I/O; the rules: phases.py."""
+
 from __future__ import annotations
 
 from .phases import Act, Phase
 
 
 class Giver:
-    WAITS = {Phase.OFFERED: "start", Phase.SETTLING: "settle", Phase.GIVING: "give", Phase.RESTORED: "prove",
-             Phase.COMMITTED: "commit", Phase.DRAINING: "drain", Phase.RECLAIMING: "reclaim"}
+    WAITS = {
+        Phase.OFFERED: "start",
+        Phase.SETTLING: "settle",
+        Phase.GIVING: "give",
+        Phase.RESTORED: "prove",
+        Phase.COMMITTED: "commit",
+        Phase.DRAINING: "drain",
+        Phase.RECLAIMING: "reclaim",
+    }
     BEFORE_COMMIT = (Phase.OFFERED, Phase.SETTLING, Phase.GIVING, Phase.RESTORED)
 
     def __init__(self) -> None:
         self.phase = Phase.SERVING
-        self.result = ""            # of the last upgrade: "upgraded", or why not
+        self.result = ""  # of the last upgrade: "upgraded", or why not
         self.frozen = self.ending = False
         # Of the draining: stood by long enough; nothing left in hand; the new one was told to end.
         self.watched = self.drained = self.left = False
-        self.late = False           # while it is reclaimed, the new one says that it accepts
+        self.late = False  # while it is reclaimed, the new one says that it accepts
 
     @property
     def wait(self) -> str | None:
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -1,4 +1,5 @@
 """The old process' side of an upgrade: drives a `Giver` with what happens, and does what it says."""
+
 from __future__ import annotations
 
 import signal
@@ -19,12 +20,20 @@
 
 class Giving:
     POLL = SECOND // 200
-    ENDING = SECOND // 5                # from the end of its channel to the death of a process that ends
-    PIECE = 1 << 16                     # of the state: a frame that a socket's buffer takes in one go
-    REHEARSE = 2 * SECOND               # ahead: four beats, so that the module has something to order
-
-    def __init__(self, loop: Loop, log: Log, side: Side, program: Sequence[str], waits: dict[str, int],
-                 ended: Callable[[], None], reported: Callable[[dict], None]) -> None:
+    ENDING = SECOND // 5  # from the end of its channel to the death of a process that ends
+    PIECE = 1 << 16  # of the state: a frame that a socket's buffer takes in one go
+    REHEARSE = 2 * SECOND  # ahead: four beats, so that the module has something to order
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        side: Side,
+        program: Sequence[str],
+        waits: dict[str, int],
+        ended: Callable[[], None],
+        reported: Callable[[dict], None],
+    ) -> None:
         """`ended`: this process has nothing more to do.  `reported`: what the upgrade came to."""
         self.loop, self.log, self.side, self.program = loop, log, side, program
         self.waits = waits_told(waits)
@@ -34,8 +43,8 @@
         self.channel: Channel | None = None
         self.deadline: Deadline | None = None
         self.passing = Passing(self.say)
-        self.reload = False                     # SIGHUP came meanwhile
-        self.taken_back: Callable[[], None] = lambda: None      # this process is the service again
+        self.reload = False  # SIGHUP came meanwhile
+        self.taken_back: Callable[[], None] = lambda: None  # this process is the service again
         self.state, self.theirs = b"", b""
         self.figures: dict = {}
 
@@ -47,8 +56,9 @@
         machine, was = self.machine, self.machine.phase
         acts = machine.step(event, why)
         if machine.phase is not was:
-            self.log.event("upgrade", was=was.value, now=machine.phase.value, on=event,
-                           **({"why": why} if why else {}))
+            self.log.event(
+                "upgrade", was=was.value, now=machine.phase.value, on=event, **({"why": why} if why else {})
+            )
             if self.deadline is not None:
                 self.deadline.cancel()
             self.arm()
@@ -97,9 +107,9 @@
 
     def died(self, started: Started, why: str) -> None:
         if started is not self.started:
-            return                              # of an earlier upgrade, which was killed late
+            return  # of an earlier upgrade, which was killed late
         if self.channel is not None:
-            self.channel.read()                 # its last words came first
+            self.channel.read()  # its last words came first
         # A service that ended in order was told to, whether or not its word for that came through.
         ended = self.machine.phase is Phase.DRAINING and started.process.returncode == 0
         self.step("refused" if ended else "died", why)
@@ -140,21 +150,24 @@
 
         def taken(state: bytes | None, broken: BaseException | None) -> None:
             if started is not self.started or self.machine.phase is not Phase.GIVING:
-                return                          # called off meanwhile
+                return  # called off meanwhile
             if broken is not None:
                 self.step("refused", f"the state can't be taken: {type(broken).__name__}: {broken}")
             else:
                 self.give(state, began)
+
         self.side.freeze(taken)
 
     def give(self, state: bytes, began: int) -> None:
         self.state = state
         sockets = self.side.listeners()
         self.rehearse_at = self.loop.clock.now() + self.REHEARSE
-        self.say(words.Listeners(list(sockets), self.loop.clock.now(), len(self.state), self.rehearse_at),
-                 [sock.fileno() for sock in sockets.values()])
+        self.say(
+            words.Listeners(list(sockets), self.loop.clock.now(), len(self.state), self.rehearse_at),
+            [sock.fileno() for sock in sockets.values()],
+        )
         for at in range(0, len(self.state), self.PIECE):
-            self.say(words.Piece(self.state[at:at + self.PIECE]))
+            self.say(words.Piece(self.state[at : at + self.PIECE]))
         self.figures |= {"state_bytes": len(self.state), "freeze_ms": (self.loop.clock.now() - began) / 10}
 
     def do_commit(self) -> None:
@@ -165,7 +178,7 @@
             self.figures["passed"] = len(self.passing.out)
             self.passing.all()
             self.say(words.Commit(self.side.rest(), self.reload))
-        except OSError as bad:                  # whatever this process lacks now, it can take back
+        except OSError as bad:  # whatever this process lacks now, it can take back
             self.step("refused", f"nothing could be passed: {bad}")
 
     def do_release(self) -> None:
@@ -179,8 +192,11 @@
         started = self.started
         self.loop.after(self.waits["watch"], lambda: started is self.started and self.step("watched"))
         # What was passed to a new one that was told to end has nobody any more.
-        self.poll(Phase.DRAINING, lambda: self.side.drained() and (self.machine.left or not self.passing.out),
-                  "drained")
+        self.poll(
+            Phase.DRAINING,
+            lambda: self.side.drained() and (self.machine.left or not self.passing.out),
+            "drained",
+        )
 
     def pass_on(self, connection: Connection) -> bool:
         """One that came free while we drain; False: the new process can't be reached."""
@@ -223,7 +239,8 @@
     def told(self) -> dict:
         now = self.loop.clock.now()
         return {"result": self.machine.result, "took_ms": (now - self.figures.get("asked", now)) / 10} | {
-            name: value for name, value in self.figures.items() if name not in ("asked", "stopped")}
+            name: value for name, value in self.figures.items() if name not in ("asked", "stopped")
+        }
 
     def do_report(self) -> None:
         self.log.count("upgrades" if self.machine.result == "upgraded" else "upgrades_failed")
--- a/indigohitch/upgrade/hearing.py
+++ b/indigohitch/upgrade/hearing.py
@@ -1,4 +1,5 @@
 """What a word of the new process is to the old one's machine.  No I/O."""
+
 from __future__ import annotations
 
 from . import snapshot as shots
--- a/indigohitch/upgrade/launch.py
+++ b/indigohitch/upgrade/launch.py
@@ -1,4 +1,5 @@
 """The new program as a process: started from the file on disk as it is now, watched through its pidfd."""
+
 from __future__ import annotations
 
 import os
@@ -11,7 +12,7 @@
 from ..net.connection import READ
 from ..net.loop import Loop
 
-VARIABLE = "INDIGOHITCH_CHANNEL"        # tells the new process its end of the channel and our pid
+VARIABLE = "INDIGOHITCH_CHANNEL"  # tells the new process its end of the channel and our pid
 
 
 def command(program: Sequence[str]) -> list[str]:
@@ -50,15 +51,15 @@
 class Started:
     """A new program, with the other end of its channel."""
 
-    def __init__(self, loop: Loop, program: Sequence[str],
-                 died: Callable[[Started, str], None]) -> None:
+    def __init__(self, loop: Loop, program: Sequence[str], died: Callable[[Started, str], None]) -> None:
         """Raises OSError where it can't be started."""
         ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
         told = {VARIABLE: f"{theirs.fileno()}:{os.getpid()}"}
         try:
             # Its log goes where ours goes.
-            self.process = subprocess.Popen(command(program), stdin=subprocess.DEVNULL, env=os.environ | told,
-                                            pass_fds=[theirs.fileno()])
+            self.process = subprocess.Popen(
+                command(program), stdin=subprocess.DEVNULL, env=os.environ | told, pass_fds=[theirs.fileno()]
+            )
             self.pid, self._died = self.process.pid, died
             self.watch = Watch(loop, self.pid, self._ended)
         except BaseException:
@@ -70,7 +71,7 @@
 
     def _ended(self) -> None:
         code = self.process.poll()
-        if code is None:                        # the pidfd is readable before the child can be waited for
+        if code is None:  # the pidfd is readable before the child can be waited for
             code = self.process.wait()
         self._died(self, f"the new process ended with {code}")
 
@@ -81,7 +82,7 @@
         """It lives on without us, or is dead."""
         self.watch.close()
         self.process.poll()
-        self.process.returncode = self.process.returncode or 0      # no word of a child that still runs
+        self.process.returncode = self.process.returncode or 0  # no word of a child that still runs
 
 
 def inherited() -> tuple[socket.socket, int] | None:
--- a/indigohitch/upgrade/module_state.py
+++ b/indigohitch/upgrade/module_state.py
@@ -3,6 +3,7 @@
 The orders of dicts, lists of parts and draws of chance are part of the state: the module that is built from
 it must order what the old one would have, to the letter.  A field that the module gets needs a place here;
 tests/test_upgrade_state.py compares the two over random days and fails where one is missing."""
+
 from __future__ import annotations
 
 import random
@@ -47,15 +48,15 @@
     warmth: float
     capacity: float
     load: float
-    parts: list[tuple[int, int]]        # slice, place among its parts
+    parts: list[tuple[int, int]]  # slice, place among its parts
     share: float = 1.0
 
 
 class SliceRow(Row):
     number: int
     since: int
-    parts: list[tuple[int, int]]        # owner (place in the backends, -1: none), rests until
-    stored: list[tuple[int, float]]     # backend, weight
+    parts: list[tuple[int, int]]  # owner (place in the backends, -1: none), rests until
+    stored: list[tuple[int, float]]  # backend, weight
     level: float
     demand: SumsRow
     usual: SumsRow
@@ -99,20 +100,61 @@
     joined: int = 0
 
 
-PLAIN = ("now", "beats", "plan_from", "yield_", "failing", "assessed", "turn", "strained", "balancing",
-         "held", "list_fresh", "next_beat", "timer", "calls_failed", "joined")
+PLAIN = (
+    "now",
+    "beats",
+    "plan_from",
+    "yield_",
+    "failing",
+    "assessed",
+    "turn",
+    "strained",
+    "balancing",
+    "held",
+    "list_fresh",
+    "next_beat",
+    "timer",
+    "calls_failed",
+    "joined",
+)
 OF_CHANNEL = ("mark", "backlog", "backlog_at")
-OF_BACKEND = ("kind", "zone", "weight", "started", "state", "dropped", "told", "slowness", "excess",
-              "probe_out", "misses", "miss_since", "ok_heard", "unanswered", "health", "admit", "judged",
-              "wait", "doubtful", "lost", "intake", "warmth", "capacity", "load", "share")
+OF_BACKEND = (
+    "kind",
+    "zone",
+    "weight",
+    "started",
+    "state",
+    "dropped",
+    "told",
+    "slowness",
+    "excess",
+    "probe_out",
+    "misses",
+    "miss_since",
+    "ok_heard",
+    "unanswered",
+    "health",
+    "admit",
+    "judged",
+    "wait",
+    "doubtful",
+    "lost",
+    "intake",
+    "warmth",
+    "capacity",
+    "load",
+    "share",
+)
 OF_SLICE = ("since", "level", "load", "cost", "mark", "closed_at", "quiet")
 
 
 def _named(thing, names: tuple[str, ...], row: type[Row]) -> dict:
     """Its fields; where a float is due an int is made one, so that reading back changes nothing."""
     kinds = row.__annotations__
-    return {name: float(getattr(thing, name)) if kinds[name] == "float" else getattr(thing, name)
-            for name in names}
+    return {
+        name: float(getattr(thing, name)) if kinds[name] == "float" else getattr(thing, name)
+        for name in names
+    }
 
 
 def _sums(sums: Sums) -> SumsRow:
@@ -137,21 +179,41 @@
     version, internal, gauss = c.uniform.__self__.getstate()
     return ModuleRow(
         chance=(version, list(internal), gauss),
-        backends=[BackendRow(id=b.id, pace=_sums(b.pace), tries=_sums(b.tries),
-                             parts=[where[p] for p in b.parts if p in where],
-                             **_named(b, OF_BACKEND, BackendRow)) for b in place],
-        slices=[SliceRow(number=s.number, parts=[(place[p.owner] if p.owner else -1, p.rests_until)
-                                                 for p in s.parts],
-                         stored=[(place[b], float(weight)) for b, weight in s.stored.items()],
-                         demand=_sums(s.demand), usual=_sums(s.usual),
-                         closed=None if s.closed is None else list(s.closed),
-                         **_named(s, OF_SLICE, SliceRow)) for s in c.slices.values()],
-        proxies=list(c.proxies.items()), left=list(c.left.items()), due=list(c.due),
+        backends=[
+            BackendRow(
+                id=b.id,
+                pace=_sums(b.pace),
+                tries=_sums(b.tries),
+                parts=[where[p] for p in b.parts if p in where],
+                **_named(b, OF_BACKEND, BackendRow),
+            )
+            for b in place
+        ],
+        slices=[
+            SliceRow(
+                number=s.number,
+                parts=[(place[p.owner] if p.owner else -1, p.rests_until) for p in s.parts],
+                stored=[(place[b], float(weight)) for b, weight in s.stored.items()],
+                demand=_sums(s.demand),
+                usual=_sums(s.usual),
+                closed=None if s.closed is None else list(s.closed),
+                **_named(s, OF_SLICE, SliceRow),
+            )
+            for s in c.slices.values()
+        ],
+        proxies=list(c.proxies.items()),
+        left=list(c.left.items()),
+        due=list(c.due),
         levels_sent=sorted(c.levels_sent),
-        withdrawn=sorted(place[b] for b in c.withdrawn), returned=sorted(place[b] for b in c.returned),
-        sent=list(c.channel.sent), unacked=[(mark, float(lines), sorted(proxies))
-                                            for mark, (lines, proxies) in c.channel.unacked.items()],
-        **_named(c, PLAIN, ModuleRow), **_named(c.channel, OF_CHANNEL, ModuleRow))
+        withdrawn=sorted(place[b] for b in c.withdrawn),
+        returned=sorted(place[b] for b in c.returned),
+        sent=list(c.channel.sent),
+        unacked=[
+            (mark, float(lines), sorted(proxies)) for mark, (lines, proxies) in c.channel.unacked.items()
+        ],
+        **_named(c, PLAIN, ModuleRow),
+        **_named(c.channel, OF_CHANNEL, ModuleRow),
+    )
 
 
 def thaw(row: ModuleRow, boot: dict) -> Coordinator:
--- a/indigohitch/upgrade/passing.py
+++ b/indigohitch/upgrade/passing.py
@@ -1,4 +1,5 @@
 """What the old process has passed: each connection is ours until the new one has said that it has it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
@@ -9,11 +10,11 @@
 
 
 class Passing:
-    MOST_RESTS = 1 << 20        # unread bytes of connections in one frame: an eighth of its bound
+    MOST_RESTS = 1 << 20  # unread bytes of connections in one frame: an eighth of its bound
 
     def __init__(self, say: Callable[[words.Word, Sequence[int]], None]) -> None:
         self.say = say
-        self.out: dict[int, Connection] = {}            # not known to have their owner
+        self.out: dict[int, Connection] = {}  # not known to have their owner
         self.number = 0
 
     def own(self, connections: Iterable[Connection]) -> None:
@@ -47,8 +48,10 @@
     def _send(self, numbers: list[int]) -> None:
         if numbers:
             batch = [self.out[number] for number in numbers]
-            self.say(words.Passed(numbers, [rest for _, _, rest in batch], [kind for kind, _, _ in batch]),
-                     [sock.fileno() for _, sock, _ in batch])
+            self.say(
+                words.Passed(numbers, [rest for _, _, rest in batch], [kind for kind, _, _ in batch]),
+                [sock.fileno() for _, sock, _ in batch],
+            )
 
     def adopted(self, numbers: Iterable[int]) -> None:
         """They have their owner: our side of them is closed."""
--- a/indigohitch/upgrade/snapshot.py
+++ b/indigohitch/upgrade/snapshot.py
@@ -3,6 +3,7 @@
 Form: magic, schema version, length, digest, msgpack.  A reader takes versions from its own less one to its
 own plus one: fields of array-like rows are only added, at the end and with defaults, so that the older lacks
 some and the newer brings some that are passed over."""
+
 from __future__ import annotations
 
 import os
@@ -18,13 +19,14 @@
 __all__ = ["Snapshot", "Unusable", "decode", "digest", "encode", "read", "write"]
 
 SCHEMA = 1
-MAGIC = b"IHSNAP\r\n"           # as in PNG: a transfer that changes line ends shows itself
+MAGIC = b"IHSNAP\r\n"  # as in PNG: a transfer that changes line ends shows itself
 _HEAD = struct.Struct("!8sHQ16s")
 MOST = 1 << 30
 
 
 class Unusable(Unreadable):
     """A snapshot that is refused whole."""
+
     remedy = "the program begins without it; remove the file if it is of no use"
 
 
@@ -38,7 +40,7 @@
 
 
 class TableRow(Row):
-    lines: list[tuple[int, float]]      # place in the servers, weight
+    lines: list[tuple[int, float]]  # place in the servers, weight
     level: float
     levels: dict[str, float]
     tries: int
@@ -54,8 +56,8 @@
     version: int
     turn: int
     reported: int
-    listed: list[tuple]                 # name, host, port, weight, zone, kind: the list as last told
-    probing: list[str]                  # probes that are out: to be sent again
+    listed: list[tuple]  # name, host, port, weight, zone, kind: the list as last told
+    probing: list[str]  # probes that are out: to be sent again
 
 
 class SidecarState(Row):
@@ -65,30 +67,31 @@
 class StoodRow(Row):
     number: int
     lines: list[tuple[str, float]]
-    level: list | None                  # the order that set it
+    level: list | None  # the order that set it
 
 
 class CoordinatorState(Row):
     """Of the platform's front."""
+
     module: ModuleRow
     listed: list[list]
     addresses: dict[str, str]
     heard_of: list[str]
     version: int
     watching: bool
-    waiting: list[list[list]]           # the relay's calls that do not stand yet, each of orders
-    written: list[int]                  # when calls went out that count as messages to the proxies
+    waiting: list[list[list]]  # the relay's calls that do not stand yet, each of orders
+    written: list[int]  # when calls went out that count as messages to the proxies
     failures: int
-    proxies: list[list]                 # as they joined
+    proxies: list[list]  # as they joined
     stood: list[StoodRow]
     begun: bool
-    lost: list[int]                     # tables to be told anew
+    lost: list[int]  # tables to be told anew
     probing: list[str]
 
 
 class Snapshot(Row):
-    kind: str                           # "sidecar" or "coordinator"
-    taken: int                          # Unix time, tenths of a ms
+    kind: str  # "sidecar" or "coordinator"
+    taken: int  # Unix time, tenths of a ms
     sidecar: SidecarState | None = None
     coordinator: CoordinatorState | None = None
 
@@ -107,7 +110,7 @@
         raise Unusable("no snapshot")
     if not own - 1 <= version <= own + 1:
         raise Unusable(f"of version {version}; this program reads {max(1, own - 1)} to {own + 1}")
-    body = data[_HEAD.size:]
+    body = data[_HEAD.size :]
     if len(body) != length:
         raise Unusable(f"truncated or added to: {len(body)} bytes of {length}")
     if digest(body, version) != found:
--- a/indigohitch/upgrade/taker.py
+++ b/indigohitch/upgrade/taker.py
@@ -1,4 +1,5 @@
 """The new process' machine: whether it accepts, and what it does next.  No I/O; the rules: phases.py."""
+
 from __future__ import annotations
 
 from .phases import Act, Phase
@@ -9,7 +10,7 @@
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
-        self.listeners = self.state = False     # in hand
+        self.listeners = self.state = False  # in hand
 
     @property
     def wait(self) -> str | None:
@@ -70,7 +71,7 @@
     def on_told_to_end(self, why: str) -> list[Act]:
         if self.phase in (Phase.SERVING, Phase.ENDED):
             return []
-        if self.phase is Phase.FOLLOWING:       # the service; as such it ends by other means
+        if self.phase is Phase.FOLLOWING:  # the service; as such it ends by other means
             self.phase = Phase.SERVING
             return [Act.LEAVE]
         self.phase = Phase.ENDED
@@ -78,7 +79,7 @@
 
     def on_eof(self, why: str) -> list[Act]:
         if self.phase is Phase.FOLLOWING:
-            self.phase = Phase.SERVING          # the old one is dead, or deaf: it will not accept
+            self.phase = Phase.SERVING  # the old one is dead, or deaf: it will not accept
         elif not self.accepting and self.phase is not Phase.ENDED:
             self.phase = Phase.ORPHAN
         return []
--- a/indigohitch/upgrade/taking.py
+++ b/indigohitch/upgrade/taking.py
@@ -1,4 +1,5 @@
 """The new process' side of an upgrade: drives a `Taker` with what happens, and does what it says."""
+
 from __future__ import annotations
 
 import os
@@ -19,10 +20,18 @@
 
 
 class Taking:
-    ORPHAN = 2 * SECOND         # a process that ends closes its channel first; it is dead within a moment
-
-    def __init__(self, loop: Loop, log: Log, side: Side, channel: socket.socket, old: int,
-                 began: Callable[[], None], ended: Callable[[int], None]) -> None:
+    ORPHAN = 2 * SECOND  # a process that ends closes its channel first; it is dead within a moment
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        side: Side,
+        channel: socket.socket,
+        old: int,
+        began: Callable[[], None],
+        ended: Callable[[int], None],
+    ) -> None:
         """`began`: this process is the service.  `ended(code)`: it is not to be."""
         self.loop, self.log, self.side = loop, log, side
         self.began, self.ended = began, ended
@@ -53,8 +62,9 @@
         self.why = why or self.why
         acts = machine.step(event, why)
         if machine.phase is not was:
-            self.log.event("takeover", was=was.value, now=machine.phase.value, on=event,
-                           **({"why": why} if why else {}))
+            self.log.event(
+                "takeover", was=was.value, now=machine.phase.value, on=event, **({"why": why} if why else {})
+            )
             if self.deadline is not None:
                 self.deadline.cancel()
                 self.deadline = None
@@ -85,10 +95,12 @@
                 if not len(numbers) == len(rests) == len(kinds) == len(descriptors):
                     self.step("failed", "connections without descriptors")
                     return
-                found = [(number, (kind, socket.socket(fileno=fd), rest))
-                         for number, kind, fd, rest in zip(numbers, kinds, descriptors, rests)]
+                found = [
+                    (number, (kind, socket.socket(fileno=fd), rest))
+                    for number, kind, fd, rest in zip(numbers, kinds, descriptors, rests)
+                ]
                 if self.machine.accepting:
-                    self.say(words.Adopted(numbers))    # before a byte is read of them
+                    self.say(words.Adopted(numbers))  # before a byte is read of them
                     self.adopt(found)
                 else:
                     self.passed += found
@@ -113,7 +125,7 @@
     def died(self) -> None:
         self.watch = None
         if self.channel is not None:
-            self.channel.read()                 # what it said before counts: connections may be among it
+            self.channel.read()  # what it said before counts: connections may be among it
         self.step("died", "the old process is dead")
 
     def say(self, word: words.Word) -> None:
@@ -135,7 +147,7 @@
             self.shot = shots.decode(data)
             self.side.restore(self.shot, self.listeners)
             built = shots.encode(self.side.again())
-        except Exception as bad:                # whatever is wrong with it: the old one carries on
+        except Exception as bad:  # whatever is wrong with it: the old one carries on
             self.step("failed", f"restore: {type(bad).__name__}: {bad}")
             return
         self.say(words.Restored(shots.digest(built)))
@@ -158,11 +170,11 @@
         try:
             self.side.take_rest(self.rest)
             self.side.begin(True)
-        except Exception as bad:                # dead it makes room for the old one, which has everything yet
+        except Exception as bad:  # dead it makes room for the old one, which has everything yet
             self.log.event("cannot_start", **told(bad))
             self.do_end()
             return
-        self.say(words.Adopted([number for number, _ in passed]))       # before a byte is read of them
+        self.say(words.Adopted([number for number, _ in passed]))  # before a byte is read of them
         self.say(words.Accepting())
         self.adopt(passed)
         self.began()
@@ -171,8 +183,12 @@
         """The old one is dead: with the state if it is whole, else as at any start; with its listeners if
         they came, else at the address, which is free now."""
         passed, self.passed = self.passed, []
-        self.log.trouble("begun_as_orphan", restored=self.machine.state, listeners=len(self.listeners),
-                         connections=len(passed))
+        self.log.trouble(
+            "begun_as_orphan",
+            restored=self.machine.state,
+            listeners=len(self.listeners),
+            connections=len(passed),
+        )
         try:
             if not self.machine.state:
                 self.side.fresh(self.listeners)
--- a/indigohitch/upgrade/words.py
+++ b/indigohitch/upgrade/words.py
@@ -1,5 +1,6 @@
 """What the two processes say to each other, in the frames of `packed`; descriptors ride on a frame's first
 byte.  No I/O."""
+
 from __future__ import annotations
 
 from ..packed.frames import MOST, Broken, Frames, Kinds
@@ -12,6 +13,7 @@
 
 class Hello(Word):
     """New to old: I am here, and this is what I read."""
+
     protocol: int
     schema: int
     pid: int
@@ -20,28 +22,32 @@
 
 class Listeners(Word):
     """Old to new, with their descriptors: listening sockets by name, in order."""
+
     names: list[str]
-    now: int                    # of the old one's clock, which the new one takes over
+    now: int  # of the old one's clock, which the new one takes over
     state_bytes: int
-    rehearse_at: int            # at this time the new one is to say what its module would order
+    rehearse_at: int  # at this time the new one is to say what its module would order
 
 
 class Piece(Word):
     """A part of the state."""
+
     data: bytes
 
 
 class Restored(Word):
     """The state, read and written again, has this digest."""
+
     digest: bytes
 
 
 class Proven(Word):
-    orders: bytes               # digest of what its module would order at `rehearse_at`
+    orders: bytes  # digest of what its module would order at `rehearse_at`
 
 
 class Passed(Word):
     """With their descriptors: connections, by number, what each brought that nobody read, and what it is."""
+
     numbers: list[int]
     rests: list[bytes]
     kinds: list[str]
@@ -49,6 +55,7 @@
 
 class Commit(Word):
     """You accept from here on.  `rest`: what came since the state was taken; `reload`: SIGHUP came."""
+
     rest: bytes
     reload: bool = False
 
@@ -59,11 +66,13 @@
 
 class Adopted(Word):
     """These have their owner now."""
+
     numbers: list[int]
 
 
 class Rest(Word):
     """What the old one still met while it drained."""
+
     rest: bytes
 
 
@@ -79,6 +88,23 @@
     why: str
 
 
-WORDS = Kinds(b"IHup", PROTOCOL, [Hello, Listeners, Piece, Restored, Proven, Passed, Commit, Accepting,
-                                    Adopted, Rest, Done, CallOff, Refuse])
+WORDS = Kinds(
+    b"IHup",
+    PROTOCOL,
+    [
+        Hello,
+        Listeners,
+        Piece,
+        Restored,
+        Proven,
+        Passed,
+        Commit,
+        Accepting,
+        Adopted,
+        Rest,
+        Done,
+        CallOff,
+        Refuse,
+    ],
+)
 frame = WORDS.frame
--- a/indigohitch/versions/amends.py
+++ b/indigohitch/versions/amends.py
@@ -1,4 +1,5 @@
 """A way back: an old version made fit for now, and the words that say how it was amended.  No I/O."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 class Amended:
     root: Root
     said: list[str] = field(default_factory=list)
-    faults: list[Fault] = field(default_factory=list)   # what no amendment could cure: it must not leave
+    faults: list[Fault] = field(default_factory=list)  # what no amendment could cure: it must not leave
 
 
 def amended(old: Version, current: Root, facts: Facts, but: frozenset[str] = frozenset()) -> Amended:
@@ -33,8 +34,11 @@
 def in_place(slice: int, current: Root, facts: Facts, warm: bool = False) -> dict[str, float]:
     """What it has now, as far as that is fit."""
     now = current.lines_of(slice)
-    fit = {name: weight for name, weight in now.items() if ready(facts, name)
-           and not (warm and name in facts.cold)}
+    fit = {
+        name: weight
+        for name, weight in now.items()
+        if ready(facts, name) and not (warm and name in facts.cold)
+    }
     if fit:
         return fit
     spare = sorted(name for name in facts.states if ready(facts, name) and name not in facts.cold)
@@ -62,8 +66,12 @@
     if not facts.cold:
         return root
     room = dict(facts.cold)
-    wanted = [(current.lines_of(slice).get(name, 0) != weight, slice, name, weight)
-              for slice, table in root.items() for name, weight in table.lines.items() if name in room]
+    wanted = [
+        (current.lines_of(slice).get(name, 0) != weight, slice, name, weight)
+        for slice, table in root.items()
+        for name, weight in table.lines.items()
+        if name in room
+    ]
     changes: dict[int, dict[str, float]] = {}
     for _, slice, name, weight in sorted(wanted):
         if weight <= room[name] + 1e-9:
--- a/indigohitch/versions/checks.py
+++ b/indigohitch/versions/checks.py
@@ -2,6 +2,7 @@
 
 Each looks only at the slices that the version changes against the last good one: what news of backends made
 of unchanged lines is the module's to order, and amends.py's on a way back."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
@@ -13,13 +14,14 @@
 # Of all slices, the most that one version may change.  A backend that dies on its own takes a few hundredths
 # of the slices with it; a table that is bad changes nearly all.
 BLAST = 0.3
-FEW = 20                        # changes so few are never a blast, whatever share of a small fleet they are
+FEW = 20  # changes so few are never a blast, whatever share of a small fleet they are
 
 
 @dataclass(slots=True, frozen=True)
 class Facts:
     """What the program knows beside the tables.  `states`: of listed backends, "ready", "draining" or "gone";
     `slices`: those that must have an owner; `repeats`: tries allowed, by method, and `idempotent` ones."""
+
     states: Mapping[str, str]
     slices: frozenset[int] = frozenset()
     cold: Mapping[str, float] = field(default_factory=dict)
@@ -31,14 +33,17 @@
     def guard(self) -> Guard:
         """Stand-ins on the way: three are enough, and few to look at."""
         ready = (name for name, state in self.states.items() if state == "ready" and name not in self.cold)
-        return Guard(frozenset(n for n, state in self.states.items() if state == "draining"), dict(self.cold),
-                     tuple(name for name, _ in zip(ready, range(3), strict=False)))
+        return Guard(
+            frozenset(n for n, state in self.states.items() if state == "draining"),
+            dict(self.cold),
+            tuple(name for name, _ in zip(ready, range(3), strict=False)),
+        )
 
 
 @dataclass(slots=True, frozen=True)
 class Fault:
     rule: str
-    where: str                  # the line
+    where: str  # the line
     why: str
 
     def text(self) -> str:
@@ -86,8 +91,11 @@
     gains: dict[str, float] = {}
     for _, before, after in difference(was, now) if facts.cold else ():
         for name in facts.cold:
-            gains[name] = gains.get(name, 0) + (after.lines.get(name, 0) if after else 0) \
+            gains[name] = (
+                gains.get(name, 0)
+                + (after.lines.get(name, 0) if after else 0)
                 - (before.lines.get(name, 0) if before else 0)
+            )
     gaining = {name: 0.0 for name, gain in gains.items() if gain > 0}
     for _, table in now.items() if gaining else ():
         for name in gaining:
@@ -128,8 +136,11 @@
     found = []
     for slice, some in lines.items():
         for name, weight in some.items():
-            if not isinstance(weight, int | float) or isinstance(weight, bool) \
-                    or not 0 <= weight < float("inf"):
+            if (
+                not isinstance(weight, int | float)
+                or isinstance(weight, bool)
+                or not 0 <= weight < float("inf")
+            ):
                 found.append(Fault("weights", f"slice {slice} {name}", f"{weight!r} is no weight"))
         if some and all(weight == 0 for weight in some.values()):
             found.append(Fault("weights", f"slice {slice}", "all weights are 0"))
--- a/indigohitch/versions/commands.py
+++ b/indigohitch/versions/commands.py
@@ -1,6 +1,7 @@
 """What an operator asks of the versions, and the lines that answer (USAGE).
 
 Decides and words only; the control socket that would carry it is not here."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
@@ -13,9 +14,11 @@
 from .tables import difference
 from .terms import Version
 
-MOST = 200                      # lines of an answer; the rest is counted
-USAGE = "list | show VERSION [SLICE] | diff VERSION VERSION | name NAME VERSION | pin | unpin [--anyway] | " \
-        "rollback VERSION [--dry-run] [--anyway]"
+MOST = 200  # lines of an answer; the rest is counted
+USAGE = (
+    "list | show VERSION [SLICE] | diff VERSION VERSION | name NAME VERSION | pin | unpin [--anyway] | "
+    "rollback VERSION [--dry-run] [--anyway]"
+)
 
 
 def answer(desk: Desk, now: int, words: Sequence[str], by: str) -> list[str]:
@@ -36,8 +39,9 @@
     names = [name for name, number in desk.keeping.names.items() if number == version.number]
     holding = sum(version.root.digest in held for held in desk.counted.values())
     marks = (["stands"] if version is desk.current else []) + names
-    return f"{version.mark.text()}  {version.root.lines} lines  relays {holding}  {version.cause}" \
-        + (f"  [{', '.join(marks)}]" if marks else "")
+    return f"{version.mark.text()}  {version.root.lines} lines  relays {holding}  {version.cause}" + (
+        f"  [{', '.join(marks)}]" if marks else ""
+    )
 
 
 def listed(desk: Desk, now: int, rest: list[str], by: str, flags: set[str]) -> list[str]:
@@ -52,8 +56,7 @@
     if len(rest) == 2 and not rest[1].isdigit():
         raise Unfit(f"slice {rest[1]}", "", USAGE)
     some = [(int(rest[1]), version.root.get(int(rest[1])))] if len(rest) == 2 else version.root.items()
-    return [entry(desk, version)] + [f"slice {slice}: {lines(table)}" for slice, table in
-                                     islice(some, MOST)]
+    return [entry(desk, version)] + [f"slice {slice}: {lines(table)}" for slice, table in islice(some, MOST)]
 
 
 def lines(table) -> str:
@@ -62,8 +65,9 @@
 
 def diff(desk: Desk, now: int, rest: list[str], by: str, flags: set[str]) -> list[str]:
     a, b = (desk.keeping.get(which).root for which in rest)
-    return [f"slice {slice}: {lines(was)} -> {lines(then)}" for slice, was, then in difference(a, b)] \
-        or ["the same lines"]
+    return [f"slice {slice}: {lines(was)} -> {lines(then)}" for slice, was, then in difference(a, b)] or [
+        "the same lines"
+    ]
 
 
 def name(desk: Desk, now: int, rest: list[str], by: str, flags: set[str]) -> list[str]:
@@ -82,8 +86,9 @@
         raise Unfit("nothing is pinned", "", "`list` says what stands")
     aside = frozenset({"blast", "halted"} if "--anyway" in flags else {"blast"})
     made = desk.unpinned(now, by, aside)
-    return [fault.text() for fault in desk.faults] or \
-        [f"unpinned, {made.mark.text()} goes out" if made is not None else "unpinned, nothing to send"]
+    return [fault.text() for fault in desk.faults] or [
+        f"unpinned, {made.mark.text()} goes out" if made is not None else "unpinned, nothing to send"
+    ]
 
 
 def rollback(desk: Desk, now: int, rest: list[str], by: str, flags: set[str]) -> list[str]:
@@ -95,8 +100,11 @@
         found, made = desk.rollback(now, rest[0], by, aside)
         said = [f"{made.mark.text()} goes out, pinned" if made is not None else "pinned, nothing to send"]
         said = ["nothing was changed"] if found.faults else said
-    return said + [f"stopped by {fault.text()}" for fault in found.faults] \
+    return (
+        said
+        + [f"stopped by {fault.text()}" for fault in found.faults]
         + [f"amended: {how}" for how in found.said]
+    )
 
 
 def price(one: Price) -> str:
@@ -105,5 +113,11 @@
 
 Command = Callable[[Desk, int, list[str], str, set[str]], list[str]]
 COMMANDS: dict[str, tuple[Command, tuple[int, ...]]] = {
-    "list": (listed, (0,)), "show": (show, (1, 2)), "diff": (diff, (2,)), "name": (name, (2,)),
-    "pin": (pin, (0,)), "unpin": (unpin, (0,)), "rollback": (rollback, (1,))}
+    "list": (listed, (0,)),
+    "show": (show, (1, 2)),
+    "diff": (diff, (2,)),
+    "name": (name, (2,)),
+    "pin": (pin, (0,)),
+    "unpin": (unpin, (0,)),
+    "rollback": (rollback, (1,)),
+}
--- a/indigohitch/versions/cost.py
+++ b/indigohitch/versions/cost.py
@@ -1,4 +1,5 @@
 """What a way to the wanted table costs: straight, by a chain of deltas made already, or all anew.  No I/O."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -15,23 +16,24 @@
 # Units are lines sent.  A message costs its head and an answer: about that of twenty lines, in bytes; a line
 # that has to be worked out first costs a tenth of one that is sent (benchmarks/versions.py).
 MESSAGE, WORK = 20.0, 0.1
-KEPT = 256                      # deltas; 5,000 relays are at a handful of versions, a storm at some dozens
+KEPT = 256  # deltas; 5,000 relays are at a handful of versions, a storm at some dozens
 
 
 @dataclass(slots=True, frozen=True)
 class Price:
-    way: str                    # "delta", "chain" or "full"
+    way: str  # "delta", "chain" or "full"
     lines: int
     messages: int
-    time: int                   # until the last message is answered for, by the window and the stalls
+    time: int  # until the last message is answered for, by the window and the stalls
     cost: float
 
 
 def price(way: str, lines: int, channel: Channel, work: float = 0.0, messages: int | None = None) -> Price:
     messages = ceil(lines / channel.lines) if messages is None else messages
     stalls, windows = lines * channel.stall, max(0, ceil(messages / channel.messages) - 1)
-    return Price(way, lines, messages, max(stalls, windows * Channel.WINDOW),
-                 lines + MESSAGE * messages + WORK * work)
+    return Price(
+        way, lines, messages, max(stalls, windows * Channel.WINDOW), lines + MESSAGE * messages + WORK * work
+    )
 
 
 def full(start: Root | None, to: Root, guard: Guard, channel: Channel) -> Price:
--- a/indigohitch/versions/delta.py
+++ b/indigohitch/versions/delta.py
@@ -3,6 +3,7 @@
 A slice's new lines go before its old ones are removed; slices that a draining backend leaves go first; a cold
 backend's weight over all slices never passes the greater of what it has and what it is to have.  Where a
 relay may hold one of several contents, a step has to be safe for each of them."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -19,8 +20,11 @@
     for slice in slices:
         wanted, held = to.lines_of(slice), [root.lines_of(slice) for root in froms]
         names = sorted(set(wanted).union(*held))
-        found[slice] = [Put(slice, name, wanted.get(name, 0)) for name in names
-                        if any(lines.get(name, 0) != wanted.get(name, 0) for lines in held)]
+        found[slice] = [
+            Put(slice, name, wanted.get(name, 0))
+            for name in names
+            if any(lines.get(name, 0) != wanted.get(name, 0) for lines in held)
+        ]
     return found
 
 
@@ -29,8 +33,11 @@
     todo = changes(froms, to)
     for puts in todo.values():
         puts.sort(key=lambda put: (put.weight == 0, put.backend in guard.cold))
-    first = {slice for slice, puts in todo.items()
-             if any(put.backend in guard.draining and not put.weight for put in puts)}
+    first = {
+        slice
+        for slice, puts in todo.items()
+        if any(put.backend in guard.draining and not put.weight for put in puts)
+    }
     slices = sorted(todo, key=lambda slice: slice not in first)
     if not any(put.backend in guard.cold for puts in todo.values() for put in puts):
         return [put for slice in slices for put in todo[slice]]
@@ -45,8 +52,15 @@
         self.held = [{slice: dict(root.lines_of(slice)) for slice in todo} for root in froms]
         self.gained = [dict.fromkeys(guard.cold, 0.0) for _ in froms]
         # A cold backend ends this much above where it began; it may not be higher on the way, nor above 0.
-        self.most = [{name: max(0.0, sum(to.lines_of(slice).get(name, 0) - held[slice].get(name, 0)
-                                         for slice in todo)) for name in guard.cold} for held in self.held]
+        self.most = [
+            {
+                name: max(
+                    0.0, sum(to.lines_of(slice).get(name, 0) - held[slice].get(name, 0) for slice in todo)
+                )
+                for name in guard.cold
+            }
+            for held in self.held
+        ]
         self.steps: list[Put] = []
 
     def walk(self, slices: list[int]) -> list[Put]:
@@ -84,16 +98,23 @@
         """Cold backends wait for each other's place: a warm one stands in for a moment."""
         for slice in slices:
             if not any(put.backend in self.guard.cold and not put.weight for put in self.todo[slice]):
-                continue                        # only a removal makes room
+                continue  # only a removal makes room
             wanted = self.to.lines_of(slice)
             for name in self.guard.warm:
-                if name not in wanted and not any(name in held[slice] for held in self.held) \
-                        and name not in self.guard.cold and name not in self.guard.draining:
+                if (
+                    name not in wanted
+                    and not any(name in held[slice] for held in self.held)
+                    and name not in self.guard.cold
+                    and name not in self.guard.draining
+                ):
                     self.took(Put(slice, name, 1.0))
                     self.todo[slice].append(Put(slice, name, 0))
                     return
-        raise Unfit("cold backends wait for each other's place, and no warm one can stand in",
-                    f"slice {slices[0]}", "wait until one of them is warm")
+        raise Unfit(
+            "cold backends wait for each other's place, and no warm one can stand in",
+            f"slice {slices[0]}",
+            "wait until one of them is warm",
+        )
 
 
 def stripped(to: Root, guard: Guard) -> Root:
--- a/indigohitch/versions/desk.py
+++ b/indigohitch/versions/desk.py
@@ -2,6 +2,7 @@
 
 Decides; the one thing that it does to the outside is that `keep` (Store.add) writes a version down before any
 relay is told to come to it.  Messages are the caller's to send (Session.due)."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -24,20 +25,25 @@
     """`store`: a Store, or Memory where nothing is to outlive the process; it may raise OSError: then nothing
     is sent, and what stood stands.  `tell(event, **fields)` logs."""
 
-    def __init__(self, store: Store | Memory, facts: Facts, channel: Channel,
-                 tell: Callable[..., None] = lambda event, **fields: None) -> None:
+    def __init__(
+        self,
+        store: Store | Memory,
+        facts: Facts,
+        channel: Channel,
+        tell: Callable[..., None] = lambda event, **fields: None,
+    ) -> None:
         self.store, self.keeping, self.facts = store, store.keeping, facts
         self.channel, self.tell = channel, tell
         self.planner = Planner(channel)
-        self.current = self.keeping.newest      # the last good one
+        self.current = self.keeping.newest  # the last good one
         self.asked = self.root
         self.pin: Pin | None = None
         self.pushing = Pushing(self)
         if (pinned := store.pinned) is not None and pinned.by == STAGE:
-            self.current = self.keeping.get(pinned.number)      # the push was not through
+            self.current = self.keeping.get(pinned.number)  # the push was not through
         elif pinned is not None:
             self.pin = Pin(self.keeping.get(pinned.number), pinned.by, pinned.at)
-        self.faults: list[Fault] = []           # of what was asked last; empty: it went out, or is held
+        self.faults: list[Fault] = []  # of what was asked last; empty: it went out, or is held
         self.sessions: dict[str, Session] = {}
         self.counted: dict[str, frozenset[bytes]] = {}
 
@@ -86,8 +92,13 @@
             self.stopped(found, cause)
             return None
         newest = self.keeping.newest
-        version = Version(newest.number + 1 if newest is not None else 1, root,
-                          self.current.mark if self.current is not None else None, cause, now)
+        version = Version(
+            newest.number + 1 if newest is not None else 1,
+            root,
+            self.current.mark if self.current is not None else None,
+            cause,
+            now,
+        )
         self.store.add(version)
         self.current = version
         self.tell("version", number=version.number, digest=version.root.digest.hex(), cause=cause)
@@ -97,8 +108,9 @@
 
     def stopped(self, found: list[Fault], cause: str) -> None:
         self.faults = found
-        self.tell("version_stopped", cause=cause, faults=[fault.text() for fault in found[:20]],
-                  all=len(found))
+        self.tell(
+            "version_stopped", cause=cause, faults=[fault.text() for fault in found[:20]], all=len(found)
+        )
 
     # ---- ways back ---------------------------------------------------------------------------------
 
@@ -108,8 +120,9 @@
         found = amended(self.keeping.get(which), self.root, self.facts, but)
         return found, self.planner.prices(self.root, found.root)
 
-    def rollback(self, now: int, which: str | int, by: str, but: frozenset[str] = frozenset()
-                 ) -> tuple[Amended, Version | None]:
+    def rollback(
+        self, now: int, which: str | int, by: str, but: frozenset[str] = frozenset()
+    ) -> tuple[Amended, Version | None]:
         """To that version as amended, and pinned there: else the module's next orders would undo it.  With
         faults nothing changes.  Raises Unfit; OSError: then it may be pinned at what stands."""
         old = self.keeping.get(which)
@@ -130,8 +143,11 @@
 
     def held(self, pin: Pin | None) -> None:
         """Raises OSError; then it is as it was."""
-        self.store.pin(pin.to.number if pin is not None else 0, pin.by if pin is not None else "",
-                       pin.at if pin is not None else 0)
+        self.store.pin(
+            pin.to.number if pin is not None else 0,
+            pin.by if pin is not None else "",
+            pin.at if pin is not None else 0,
+        )
         self.pin = pin
 
     def unpinned(self, now: int, by: str, but: frozenset[str] = frozenset({"blast"})) -> Version | None:
--- a/indigohitch/versions/holding.py
+++ b/indigohitch/versions/holding.py
@@ -1,4 +1,5 @@
 """What may be held after messages of which it is not known whether they were taken.  No I/O."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -42,9 +43,9 @@
 
     def __init__(self) -> None:
         self.wanted: Version | None = None
-        self.known: Root | None = None          # acknowledged
-        self.flight: deque[Message] = deque()   # sent since, unanswered
-        self.possible: list[Root] = []          # where it is not known which: one of these
+        self.known: Root | None = None  # acknowledged
+        self.flight: deque[Message] = deque()  # sent since, unanswered
+        self.possible: list[Root] = []  # where it is not known which: one of these
 
     def may_hold(self) -> list[Root]:
         """All that it may hold now; empty: anything."""
--- a/indigohitch/versions/keeping.py
+++ b/indigohitch/versions/keeping.py
@@ -2,6 +2,7 @@
 
 Memory is bounded by what is said of it: `last` versions, `NAMED` names, and one version for each content that
 a relay holds (they share what they have in common; relays that hold the same count once)."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -11,19 +12,19 @@
 from .tables import Root
 from .terms import Mark, Version
 
-LAST = 64                       # about an hour of a busy module; a version of one line takes some kB
-NAMED = 32                      # an operator's; each may hold a whole table alive
+LAST = 64  # about an hour of a busy module; a version of one line takes some kB
+NAMED = 32  # an operator's; each may hold a whole table alive
 
 
 class Keeping:
     def __init__(self, last: int = LAST) -> None:
         self.last = last
-        self.order: dict[int, Version] = {}     # by number, oldest first
+        self.order: dict[int, Version] = {}  # by number, oldest first
         self.names: dict[str, int] = {}
-        self.held: Counter[bytes] = Counter()   # digests, by how many relays hold or may hold it
+        self.held: Counter[bytes] = Counter()  # digests, by how many relays hold or may hold it
         self.digests: dict[bytes, Version] = {}
-        self.standing: set[int] = set()         # pinned, or pushed in stages: kept without a name
-        self.patient = False                    # after a start, until relays have had time to come back
+        self.standing: set[int] = set()  # pinned, or pushed in stages: kept without a name
+        self.patient = False  # after a start, until relays have had time to come back
 
     @property
     def newest(self) -> Version | None:
@@ -83,9 +84,12 @@
         if self.patient or len(self.order) <= self.last:
             return []
         named = self.standing.union(self.names.values())
-        gone = [version for version in list(self.order.values())[:-self.last]
-                if version.number not in named
-                and not (self.held[version.root.digest] and self.digests[version.root.digest] is version)]
+        gone = [
+            version
+            for version in list(self.order.values())[: -self.last]
+            if version.number not in named
+            and not (self.held[version.root.digest] and self.digests[version.root.digest] is version)
+        ]
         for version in gone:
             del self.order[version.number]
         # A content may stand in an older version too, kept by its name: it is found there from now on.
--- a/indigohitch/versions/orders.py
+++ b/indigohitch/versions/orders.py
@@ -1,4 +1,5 @@
 """The module's orders as changes to a root.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/indigohitch/versions/pin.py
+++ b/indigohitch/versions/pin.py
@@ -1,4 +1,5 @@
 """A pin: relays stay at one version, and the module's orders are held as a wanted one.  No I/O."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -12,7 +13,7 @@
 @dataclass(slots=True)
 class Pin:
     to: Version
-    by: str                     # which operator, or which halt
+    by: str  # which operator, or which halt
     at: int
 
     def goes(self, current: Root, asked: Root, facts: Facts) -> tuple[Root, list[str]]:
--- a/indigohitch/versions/pushing.py
+++ b/indigohitch/versions/pushing.py
@@ -1,4 +1,5 @@
 """A version goes to some relays first, and back from them where it harms.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -13,7 +14,7 @@
 if TYPE_CHECKING:
     from .desk import Desk
 
-STAGE, HALT = "stage", "halt"   # who pinned it
+STAGE, HALT = "stage", "halt"  # who pinned it
 # After a halt, the next version goes out after that long at first; an operator is awake in the longest.
 WAIT, MOST_WAIT = 60 * SECOND, 3600 * SECOND
 
@@ -22,7 +23,7 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.staged: Staged | None = None
-        self.before: Version | None = None      # what the others stay at
+        self.before: Version | None = None  # what the others stay at
         self.got: frozenset[str] = frozenset()
         self.flapping = Flapping(WAIT, MOST_WAIT)
 
@@ -53,8 +54,13 @@
         desk = self.desk
         found = amended(self.before, self.before.root, desk.facts)
         if found.root != self.before.root and not found.faults:
-            version = Version(desk.keeping.newest.number + 1, found.root, self.before.mark,
-                              "amended while a push is staged", now)
+            version = Version(
+                desk.keeping.newest.number + 1,
+                found.root,
+                self.before.mark,
+                "amended while a push is staged",
+                now,
+            )
             desk.store.add(version)
             self.before = version
             desk.store.pin(version.number, STAGE, now)
--- a/indigohitch/versions/ranges.py
+++ b/indigohitch/versions/ranges.py
@@ -1,4 +1,5 @@
 """Setting a relay whole: ranges of slices, each in one step, so that none is bare in between.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -4,6 +4,7 @@
 break what may be held is the last acknowledged content followed by some number of the messages sent since: a
 set, of which the relay's digest picks one.  A relay whose digest is none of these, and of no version kept,
 holds something unknown: it is set whole, in ranges, but only where its parts' digests differ."""
+
 from __future__ import annotations
 
 import enum
@@ -28,25 +29,26 @@
 
 
 class Phase(enum.Enum):
-    AWAY = "away"               # no connection
-    MOVING = "moving"           # what it holds is known, or one of a few
-    MENDING = "mending"         # what it holds is unknown; it is set whole
-    ASIDE = "aside"             # it refused, or its digests are not true: until `aside_until`
+    AWAY = "away"  # no connection
+    MOVING = "moving"  # what it holds is known, or one of a few
+    MENDING = "mending"  # what it holds is unknown; it is set whole
+    ASIDE = "aside"  # it refused, or its digests are not true: until `aside_until`
 
 
 class Session(Holding):
     """`find`: the content of a kept version by digest; `plan`: delta.ordered, or one that remembers."""
 
-    def __init__(self, relay: str, channel: Channel, find: Callable[[bytes], Root | None],
-                 plan: Plan = delta.ordered) -> None:
+    def __init__(
+        self, relay: str, channel: Channel, find: Callable[[bytes], Root | None], plan: Plan = delta.ordered
+    ) -> None:
         self.relay, self.channel, self.find, self.plan = relay, channel, find, plan
         super().__init__()
         self.phase = Phase.AWAY
         self.connection = 0
-        self.guard = Guard()                    # may be newer than `wanted`
-        self.parts: tuple[bytes, ...] = ()      # of an unknown content
-        self.goal: Root | None = None           # what setting whole leads to
-        self.puts: deque[Put] = deque()         # the way to `planned`
+        self.guard = Guard()  # may be newer than `wanted`
+        self.parts: tuple[bytes, ...] = ()  # of an unknown content
+        self.goal: Root | None = None  # what setting whole leads to
+        self.puts: deque[Put] = deque()  # the way to `planned`
         self.wholes: deque[Whole] = deque()
         self.planned: Root | None = None
         self.sequence = self.after = 0
@@ -61,7 +63,7 @@
         self.wanted, self.guard = version, guard
         self.plan_anew()
         if self.phase is Phase.ASIDE and not self.lies:
-            self.phase = self.going()           # it refused another version
+            self.phase = self.going()  # it refused another version
 
     def guarded(self, guard: Guard) -> None:
         """News of backends: what is not sent yet is looked at anew."""
@@ -78,7 +80,7 @@
     def joined(self, now: int, connection: int, claim: Claim | None) -> None:
         """`claim` None: this relay tells no digest."""
         if connection <= self.connection:
-            return                              # late news of one that was replaced
+            return  # late news of one that was replaced
         may = self.may_hold()
         self.connection, self.heard_at = connection, now
         self.sequence = self.after = 0
@@ -94,9 +96,13 @@
             self.forget_plan()
 
     def acked(self, now: int, ack: Ack) -> None:
-        if ack.connection != self.connection or self.phase is Phase.AWAY or not self.flight \
-                or not self.flight[0].sequence <= ack.sequence <= self.flight[-1].sequence:
-            return                              # late, or said twice
+        if (
+            ack.connection != self.connection
+            or self.phase is Phase.AWAY
+            or not self.flight
+            or not self.flight[0].sequence <= ack.sequence <= self.flight[-1].sequence
+        ):
+            return  # late, or said twice
         self.heard_at = now
         while self.flight and self.flight[0].sequence <= ack.sequence:
             message = self.flight.popleft()
@@ -115,16 +121,19 @@
             self.known, self.goal, self.phase = self.goal, None, Phase.MOVING
             self.planned = None
         if self.known is not None and self.wanted is not None and self.known == self.wanted.root:
-            self.known = self.wanted.root       # one for all relays
+            self.known = self.wanted.root  # one for all relays
         if self.known is not None and ack.digest and ack.digest != self.known.digest:
             self.lied(now)
         elif self.known is not None and self.settled:
             self.lies = 0
 
     def nacked(self, now: int, nack: Nack) -> None:
-        if nack.connection != self.connection or self.phase is Phase.AWAY \
-                or all(message.sequence != nack.refused for message in self.flight):
-            return                              # said of a message that was given up already
+        if (
+            nack.connection != self.connection
+            or self.phase is Phase.AWAY
+            or all(message.sequence != nack.refused for message in self.flight)
+        ):
+            return  # said of a message that was given up already
         self.heard_at = now
         may = self.may_hold()
         self.flight.clear()
@@ -140,8 +149,12 @@
 
     @property
     def settled(self) -> bool:
-        return self.wanted is not None and self.phase is not Phase.AWAY and not self.flight \
+        return (
+            self.wanted is not None
+            and self.phase is not Phase.AWAY
+            and not self.flight
             and self.known == self.wanted.root
+        )
 
     def settle(self, now: int, may: list[Root], claim: Claim | None) -> None:
         self.known, self.possible, self.goal = None, [], None
@@ -186,7 +199,7 @@
         out: list[Message] = []
         if self.flight and now - self.heard_at >= SILENCE and self.window.free(now, self.flight, True):
             self.heard_at = now
-            out.append(self.message(now))       # it answers for all before, or with a gap
+            out.append(self.message(now))  # it answers for all before, or with a gap
         while self.window.free(now, self.flight, bool(self.guard.draining)):
             self.plan_on()
             if not self.urgent and not self.window.free(now, self.flight):
@@ -211,8 +224,9 @@
     @property
     def urgent(self) -> bool:
         """A draining backend's lines wait to go, or may: the window's reserve is for these."""
-        return bool(self.guard.draining and self.wholes) \
-            or any(put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines))
+        return bool(self.guard.draining and self.wholes) or any(
+            put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines)
+        )
 
     def plan_on(self) -> None:
         if self.phase is Phase.MENDING:
@@ -240,8 +254,9 @@
 
     def message(self, now: int, puts: Sequence[Put] = (), wholes: Sequence[Whole] = ()) -> Message:
         self.sequence += 1
-        message = Message(self.connection, self.sequence, self.after, self.wanted.mark, tuple(puts),
-                          tuple(wholes))
+        message = Message(
+            self.connection, self.sequence, self.after, self.wanted.mark, tuple(puts), tuple(wholes)
+        )
         self.after = self.sequence
         if not self.flight:
             self.heard_at = now
--- a/indigohitch/versions/store.py
+++ b/indigohitch/versions/store.py
@@ -2,6 +2,7 @@
 
 A record is on the disk before its version is sent to anyone.  So a crash can leave only the last record
 unfinished; it is cut away, and no relay has heard of it.  Anything else that can't be read is harm."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -15,11 +16,12 @@
 from .terms import Mark, Version
 
 MAGIC, NAME, PART = b"IHvt", "versions-", ".part"
-SIZE = 16 << 20                 # then it is begun anew: some ten thousand small versions
+SIZE = 16 << 20  # then it is begun anew: some ten thousand small versions
 
 
 class Made(Row, frozen=True):
     """A version, as slices that differ from those of the version before it (in a file's first: from none)."""
+
     number: int
     parent: Mark | None
     cause: str
@@ -30,17 +32,20 @@
 
 class More(Row, frozen=True):
     """Changes that come before those of the next Made: no record is larger than a frame takes."""
+
     changes: tuple[tuple[int, dict[str, float]], ...]
 
 
 class Named(Row, frozen=True):
     """Number 0 takes the name away."""
+
     name: str
     number: int
 
 
 class Pinned(Row, frozen=True):
     """Number 0: unpinned."""
+
     number: int
     by: str
     at: int
@@ -48,11 +53,12 @@
 
 class Begun(Row, frozen=True):
     """First in a file; `records`: of the snapshot that follows, which was written with it."""
+
     records: int
 
 
 RECORDS = Kinds(MAGIC, 1, [Begun, Made, More, Named, Pinned])
-BATCH = 20_000                  # slices in a record
+BATCH = 20_000  # slices in a record
 
 
 class Harmed(Unreadable):
@@ -64,14 +70,18 @@
 
 
 def made(version: Version, before: Root) -> list[Row]:
-    changes = [(slice, table.lines if table is not None else {})
-               for slice, _, table in difference(before, version.root)]
+    changes = [
+        (slice, table.lines if table is not None else {})
+        for slice, _, table in difference(before, version.root)
+    ]
     rows: list[Row] = []
     while len(changes) > BATCH:
         rows.append(More(tuple(changes[:BATCH])))
         changes = changes[BATCH:]
-    return [*rows, Made(version.number, version.parent, version.cause, version.at, version.root.digest,
-                        tuple(changes))]
+    return [
+        *rows,
+        Made(version.number, version.parent, version.cause, version.at, version.root.digest, tuple(changes)),
+    ]
 
 
 def read(data: bytes, where: str) -> tuple[list[Row], int]:
@@ -97,7 +107,7 @@
     end = at + HEAD + length
     if end > len(data) or descriptors:
         raise Broken("it ends early, or its head was changed")
-    return RECORDS.body(data[at + HEAD:end], protocol, kind, checksum), end
+    return RECORDS.body(data[at + HEAD : end], protocol, kind, checksum), end
 
 
 def follows(data: bytes, at: int) -> bool:
@@ -129,7 +139,7 @@
         self.files.folder(self.folder)
         names = [name for name in self.files.names(self.folder) if name.startswith(NAME)]
         for name in [name for name in names if name.endswith(PART)]:
-            self.files.remove(f"{self.folder}/{name}")      # a crash came before it was whole
+            self.files.remove(f"{self.folder}/{name}")  # a crash came before it was whole
         names = [name for name in names if not name.endswith(PART)]
         if not names:
             self.begin()
@@ -142,7 +152,7 @@
         self.replay(rows[1:])
         if self.good < len(data):
             self.files.cut(self.path, self.good)
-        self.number = int(names[-1][len(NAME):])
+        self.number = int(names[-1][len(NAME) :])
         self.fd = self.files.append_to(self.path)
         for name in names[:-1]:
             self.files.remove(f"{self.folder}/{name}")
@@ -202,10 +212,10 @@
         try:
             view = memoryview(data)
             while view:
-                view = view[self.files.write(self.fd, view):]
+                view = view[self.files.write(self.fd, view) :]
             self.files.fsync(self.fd)
         except OSError:
-            self.close()                        # what of it reached the disk is not known: a new file tells
+            self.close()  # what of it reached the disk is not known: a new file tells
             raise
         self.good += len(data)
 
@@ -230,7 +240,7 @@
             try:
                 self.files.remove(old)
             except OSError:
-                pass                            # the next start takes it away
+                pass  # the next start takes it away
 
     def close(self) -> None:
         if self.fd >= 0:
--- a/indigohitch/versions/tables.py
+++ b/indigohitch/versions/tables.py
@@ -2,6 +2,7 @@
 
 Four levels of 16 places each; a node is never without content, so the same lines are always the same trie
 and the same digest, whatever way led there (a Merkle tree over the numbers of the slices)."""
+
 from __future__ import annotations
 
 import math
@@ -11,9 +12,9 @@
 from ..errors import Unfit
 from ..packed.rows import digest
 
-SLICES = 1 << 16                # numbers of tables in the module's orders
+SLICES = 1 << 16  # numbers of tables in the module's orders
 FAN, LEVELS = 16, 4
-PARTS, PART = 256, 256          # of the second level: what a relay may tell the digests of; slices in each
+PARTS, PART = 256, 256  # of the second level: what a relay may tell the digests of; slices in each
 NOTHING = bytes(16)
 
 Lines = Mapping[str, float]
@@ -21,6 +22,7 @@
 
 class Table:
     """The lines of one slice, ordered by backend; never empty."""
+
     __slots__ = ("lines", "digest")
 
     def __init__(self, lines: Lines) -> None:
@@ -57,6 +59,7 @@
 
 class Root:
     """Content of all slices."""
+
     __slots__ = ("node",)
 
     def __init__(self, node: Node | None = None) -> None:
@@ -116,12 +119,16 @@
     def parts(self) -> tuple[bytes, ...]:
         """Digests of its 256 parts, each of 256 slices."""
         top = self.node.below if self.node is not None else (None,) * FAN
-        return tuple(NOTHING if below is None else below.digest for node in top
-                     for below in (node.below if node is not None else (None,) * FAN))
+        return tuple(
+            NOTHING if below is None else below.digest
+            for node in top
+            for below in (node.below if node is not None else (None,) * FAN)
+        )
 
 
-def differing(a, b, level: int, base: int, first: int = 0, last: int = SLICES - 1
-              ) -> Iterator[tuple[int, Table | None, Table | None]]:
+def differing(
+    a, b, level: int, base: int, first: int = 0, last: int = SLICES - 1
+) -> Iterator[tuple[int, Table | None, Table | None]]:
     """Slices whose lines differ, with both tables, by number; subtrees of one digest are not entered."""
     span = 1 << 4 * (LEVELS - level)
     if a is b or base + span <= first or base > last:
@@ -133,9 +140,14 @@
         return
     span //= FAN
     for place in range(FAN):
-        yield from differing(a.below[place] if a is not None else None,
-                             b.below[place] if b is not None else None, level + 1, base + place * span,
-                             first, last)
+        yield from differing(
+            a.below[place] if a is not None else None,
+            b.below[place] if b is not None else None,
+            level + 1,
+            base + place * span,
+            first,
+            last,
+        )
 
 
 def difference(a: Root, b: Root) -> Iterator[tuple[int, Table | None, Table | None]]:
--- a/indigohitch/versions/terms.py
+++ b/indigohitch/versions/terms.py
@@ -2,6 +2,7 @@
 
 Times are whole tenths of a ms.  A `Mark` is a version and its acknowledgement in one: it goes out with the
 messages and comes back in the answers."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 
 class Mark(Row, frozen=True):
     """Numbers alone say nothing: two programs may both have made a version 7."""
+
     number: int
     digest: bytes
 
@@ -25,7 +27,7 @@
     number: int
     root: Root
     parent: Mark | None
-    cause: str                  # which decision, or which operator
+    cause: str  # which decision, or which operator
     at: int
 
     @property
@@ -35,6 +37,7 @@
 
 class Put(Row, frozen=True):
     """One line; weight 0 removes it."""
+
     slice: int
     backend: str
     weight: float
@@ -42,6 +45,7 @@
 
 class Whole(Row, frozen=True):
     """All lines of the slices from `first` to `last`, in one step: what is not listed goes."""
+
     first: int
     last: int
     tables: tuple[tuple[int, dict[str, float]], ...]
@@ -53,6 +57,7 @@
 class Message(Row, frozen=True):
     """`sequence` only grows on a connection, from 1; `after`: of the message that it must follow, so that a
     relay that missed one takes none after it.  Without steps it only asks."""
+
     connection: int
     sequence: int
     after: int
@@ -69,6 +74,7 @@
     the last 10 s, so that a program that was restarted does not fill the window twice.  `base`: digest of the
     last version that it held whole, and `since` the lines set after that, if they are few: by these a program
     that was killed within a delta knows what its relays hold."""
+
     digest: bytes
     parts: tuple[bytes, ...] = ()
     heard: int = 0
@@ -80,12 +86,13 @@
     connection: int
     sequence: int
     mark: Mark
-    digest: bytes               # of all that it holds now; empty: this relay tells none
+    digest: bytes  # of all that it holds now; empty: this relay tells none
 
 
 class Nack(Row, frozen=True):
     """`refused`: sequence of the message; `sequence`: the last one taken.  `gap`: one between is missing;
     else the relay won't take what it was sent."""
+
     connection: int
     refused: int
     sequence: int
@@ -98,6 +105,7 @@
 class Guard:
     """What is forbidden on the way.  `cold`: the most weight, over all slices, that a cold backend may have;
     `warm`: backends that may stand in for a moment."""
+
     draining: frozenset[str] = frozenset()
     cold: dict[str, float] = field(default_factory=dict)
     warm: tuple[str, ...] = ()
@@ -106,10 +114,11 @@
 @dataclass(slots=True, frozen=True)
 class Channel:
     """To one relay.  The window is the platform's: so many messages in 10 s."""
+
     messages: int = 40
-    lines: int = 200            # most in one message
-    queue: int = 1000           # most lines that wait unanswered
-    stall: int = 1              # for each line, the relay answers nothing else that long
+    lines: int = 200  # most in one message
+    queue: int = 1000  # most lines that wait unanswered
+    stall: int = 1  # for each line, the relay answers nothing else that long
     WINDOW = 10 * SECOND
 
 
--- a/indigohitch/versions/window.py
+++ b/indigohitch/versions/window.py
@@ -1,4 +1,5 @@
 """What a channel takes: messages in 10 s, lines unanswered, the stall for each line.  No I/O."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -20,8 +21,8 @@
 
     def __init__(self, channel: Channel) -> None:
         self.channel = channel
-        self.sent: deque[int] = deque()         # times, within the window
-        self.free_at = 0                        # the stall of the last message is over
+        self.sent: deque[int] = deque()  # times, within the window
+        self.free_at = 0  # the stall of the last message is over
 
     def free(self, now: int, waiting: Iterable[Message], urgent: bool = False) -> bool:
         """Whether it takes one more message of the largest size."""
--- a/indigohitch/versions/words.py
+++ b/indigohitch/versions/words.py
@@ -1,4 +1,5 @@
 """Words between a program and its relays, as frames.  No I/O."""
+
 from __future__ import annotations
 
 from ..packed.frames import Kinds
@@ -8,16 +9,19 @@
 
 class Hello(Row, frozen=True):
     """A relay's first word."""
+
     relay: str
 
 
 class Welcome(Row, frozen=True):
     """The number of this connection: it only grows, for a relay and a run of the program."""
+
     connection: int
 
 
 class Joined(Row, frozen=True):
     """What it holds; nothing but a Welcome goes to it before."""
+
     connection: int
     claim: Claim
 
--- a/proofs/audit.py
+++ b/proofs/audit.py
@@ -5,6 +5,7 @@
 
 The last line is one JSON object; the exit code is 1 where a promise is broken.  QUICK=1: 50 s at most.
 BROKEN=1 lets members act without a lease, and the proof has to fail."""
+
 from __future__ import annotations
 
 import json
@@ -34,8 +35,13 @@
 class Proof:
     def __init__(self) -> None:
         self.path, self.begun = Path(tempfile.mkdtemp(prefix="proof-audit-")), time.monotonic()
-        self.fleet = Fleet(self.path, voters=5, clocks=True, patch=Path(__file__).parent / "audit_guard.py",
-                           environment={"AUDIT_BROKEN": "1"} if BROKEN else {})
+        self.fleet = Fleet(
+            self.path,
+            voters=5,
+            clocks=True,
+            patch=Path(__file__).parent / "audit_guard.py",
+            environment={"AUDIT_BROKEN": "1"} if BROKEN else {},
+        )
         self.platforms = Platforms(self.fleet)
         self.late = Stragglers(self.fleet, self.platforms, QUICK, self.say)
         self.chance, self.busy = random.Random(8), True
@@ -51,18 +57,28 @@
             fleet.start()
             until(lambda: all(self.late.valid(name) for name in fleet.voters), 20, "all to be valid")
             self.platforms.start()
-            threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.3),
-                             daemon=True).start()
+            threading.Thread(
+                target=self.platforms.in_turn, args=(lambda: self.busy, 0.3), daemon=True
+            ).start()
             self.say("five coordinators, all valid")
             late = self.late
             late.change(False)
-            steps = [lambda: late.stopped(late.follower()), lambda: late.stopped(late.follower(), False),
-                     lambda: late.cut(late.leader()), late.behind, late.jumped]
+            steps = [
+                lambda: late.stopped(late.follower()),
+                lambda: late.stopped(late.follower(), False),
+                lambda: late.cut(late.leader()),
+                late.behind,
+                late.jumped,
+            ]
             if not QUICK:
-                steps += [lambda: late.stopped(late.leader()), lambda: late.cut(late.follower()),
-                          lambda: late.cut(late.follower(), hears=False),
-                          lambda: late.cut(late.follower(), heard=False),
-                          lambda: late.stopped(late.leader(), False), lambda: late.stopped(late.follower())]
+                steps += [
+                    lambda: late.stopped(late.leader()),
+                    lambda: late.cut(late.follower()),
+                    lambda: late.cut(late.follower(), hears=False),
+                    lambda: late.cut(late.follower(), heard=False),
+                    lambda: late.stopped(late.leader(), False),
+                    lambda: late.stopped(late.follower()),
+                ]
             for step in steps:
                 step()
             settled(fleet)
@@ -81,10 +97,12 @@
 
     def judged(self) -> dict:
         fleet, platforms = self.fleet, self.platforms
-        quiet = {name: (self.fleet.of_fleet(name) or {}).get("works", {}).get("audit", {}).get("chain")
-                 for name in fleet.voters}
-        time.sleep(1.5)                         # orders have come to rest, and the last heads are told
-        self.say(f"chains {({name: one and one['number'] for name, one in quiet.items()})}")
+        quiet = {
+            name: (self.fleet.of_fleet(name) or {}).get("works", {}).get("audit", {}).get("chain")
+            for name in fleet.voters
+        }
+        time.sleep(1.5)  # orders have come to rest, and the last heads are told
+        self.say(f"chains { ({name: one and one['number'] for name, one in quiet.items()}) }")
         digests = {name: fleet.ask(name, "read", 5.0) for name in fleet.voters if name != self.late.odd}
         facts = self.facts()
         for name in list(platforms.gone):
@@ -101,17 +119,27 @@
         for told in filter(None, digests.values()):
             same.setdefault(told.get("index"), set()).add(told.get("digest"))
         return {
-            "acts": sum(whole.acts.values()), "versions": self.late.versions, "stragglers": self.late.count,
-            "brought_up": self.late.brought_up, "shut_out": self.late.shut_out,
+            "acts": sum(whole.acts.values()),
+            "versions": self.late.versions,
+            "stragglers": self.late.count,
+            "brought_up": self.late.brought_up,
+            "shut_out": self.late.shut_out,
             "acts_on_old_version": whole.count("old_version"),
             "acts_after_shut_out": whole.count("after_gone", "no_lease") + len(platforms.late),
-            "gaps": whole.count("missing", "doubled", "order", "unknown", "changed") + len(whole.unread)
+            "gaps": whole.count("missing", "doubled", "order", "unknown", "changed")
+            + len(whole.unread)
             + self.unrecorded(folders),
             "disagreements": whole.count("contradiction") + sum(len(one) > 1 for one in same.values()),
-            "tampered": spoilt, "tampered_found": found, "drains_over": len(platforms.over),
-            "stamps_shown": late, "stamps_judged_right": late_right,
-            "drains": platforms.drains, "takeovers": platforms.takeovers, "wrong": self.late.wrong,
-            "seconds": round(time.monotonic() - self.begun, 1)}
+            "tampered": spoilt,
+            "tampered_found": found,
+            "drains_over": len(platforms.over),
+            "stamps_shown": late,
+            "stamps_judged_right": late_right,
+            "drains": platforms.drains,
+            "takeovers": platforms.takeovers,
+            "wrong": self.late.wrong,
+            "seconds": round(time.monotonic() - self.begun, 1),
+        }
 
     def late_stamps(self, folders: dict[str, Path], facts: Facts) -> tuple[int, int]:
         """To a receiver that knows who is gone: the last stamp of each incarnation that is; and how many of
@@ -156,8 +184,18 @@
 
 def main() -> int:
     result = Proof().run()
-    bad = [key for key in ("acts_on_old_version", "acts_after_shut_out", "gaps", "disagreements",
-                           "drains_over", "wrong") if result[key]]
+    bad = [
+        key
+        for key in (
+            "acts_on_old_version",
+            "acts_after_shut_out",
+            "gaps",
+            "disagreements",
+            "drains_over",
+            "wrong",
+        )
+        if result[key]
+    ]
     if result["tampered"] != result["tampered_found"] or not result["tampered"]:
         bad.append("tampered_found")
     if result["stamps_shown"] != result["stamps_judged_right"]:
--- a/proofs/audit_asked.py
+++ b/proofs/audit_asked.py
@@ -1,4 +1,5 @@
 """Entries proposed over a member's control socket; RPCs with a stamp to a stand-in server."""
+
 from __future__ import annotations
 
 import http.client
@@ -46,16 +47,25 @@
     def __init__(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
-        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", "stand-in",
-                                         f"127.0.0.1:{self.port}"], cwd=Path(__file__).parent.parent,
-                                        stdout=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "indigohitch", "stand-in", f"127.0.0.1:{self.port}"],
+            cwd=Path(__file__).parent.parent,
+            stdout=subprocess.PIPE,
+        )
         self.process.stdout.readline()
 
     def ask(self, target: str, stamp=None) -> int:
         """The status of the answer; `stamp`: a fleet.terms.Stamp that the RPC bears."""
         link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=10)
-        heads = {} if stamp is None else {"X-Stamp": ".".join(map(str, (
-            stamp.member, stamp.incarnation, stamp.term, stamp.version, stamp.number)))}
+        heads = (
+            {}
+            if stamp is None
+            else {
+                "X-Stamp": ".".join(
+                    map(str, (stamp.member, stamp.incarnation, stamp.term, stamp.version, stamp.number))
+                )
+            }
+        )
         try:
             link.request("POST", target, b"", heads)
             return link.getresponse().status
--- a/proofs/audit_guard.py
+++ b/proofs/audit_guard.py
@@ -1,5 +1,6 @@
 """Run first by a member of proofs/audit.py (Fleet(patch=...)): its state differs from when a file `differ`
 stands in its folder.  AUDIT_BROKEN=1 takes the guard away that lets it act under a valid lease only."""
+
 import os
 from pathlib import Path
 
--- a/proofs/audit_platform.py
+++ b/proofs/audit_platform.py
@@ -1,5 +1,6 @@
 """What coordinators of a fleet order to, as a stand-in: a relay for each, with slices in its charge.  Slices
 of one that the ledger says is gone go to the others, and back once it is valid again."""
+
 from __future__ import annotations
 
 import json
@@ -18,7 +19,7 @@
 from stage import SETTINGS, Platform  # noqa: E402
 from waiting import free_address  # noqa: E402
 
-GRACE = 5.0                     # s; a lease of two, an election, and time to drain what was taken over
+GRACE = 5.0  # s; a lease of two, an election, and time to drain what was taken over
 SLICES, BACKENDS = 6, 4
 BOOT = SETTINGS | {"rules": SETTINGS["rules"] | {"drain-grace": 1000 * GRACE}}
 
@@ -27,7 +28,7 @@
     def __init__(self, path: Path, first: int) -> None:
         super().__init__(path, BACKENDS, 0, 2)
         self.tables = {first + n: {f"b{n % BACKENDS}": 1.0} for n in range(SLICES)}
-        self.heard: list[tuple[float, bytes]] = []      # when, and the digest of a call's orders
+        self.heard: list[tuple[float, bytes]] = []  # when, and the digest of a call's orders
 
     def _carry_out(self, orders: list[str]) -> int:
         with self.lock:
@@ -37,25 +38,38 @@
     def environment(self) -> dict[str, str]:
         """For a coordinator before this relay."""
         listen = free_address()
-        (self.path / "balancer.json").write_text(json.dumps({
-            "name": self.path.name, "listen": listen, "discovery": self.discovery.address,
-            "seed": "8c1f30d2", "known": self.known, "settings": BOOT, "limits": self.limits,
-            "store": {"address": self.relay.address}}))
-        return {"BALANCER_CONFIG": str(self.path / "balancer.json"), "BALANCER_NAME": self.path.name,
-                "BALANCER_LISTEN": listen, "BALANCER_DISCOVERY": self.discovery.address}
+        (self.path / "balancer.json").write_text(
+            json.dumps(
+                {
+                    "name": self.path.name,
+                    "listen": listen,
+                    "discovery": self.discovery.address,
+                    "seed": "8c1f30d2",
+                    "known": self.known,
+                    "settings": BOOT,
+                    "limits": self.limits,
+                    "store": {"address": self.relay.address},
+                }
+            )
+        )
+        return {
+            "BALANCER_CONFIG": str(self.path / "balancer.json"),
+            "BALANCER_NAME": self.path.name,
+            "BALANCER_LISTEN": listen,
+            "BALANCER_DISCOVERY": self.discovery.address,
+        }
 
 
 class Platforms:
     def __init__(self, fleet: Fleet) -> None:
         self.fleet, self.stopping = fleet, False
-        self.relays = {name: Relay(fleet.places[name].folder, 100 * n)
-                       for n, name in enumerate(fleet.voters)}
+        self.relays = {name: Relay(fleet.places[name].folder, 100 * n) for n, name in enumerate(fleet.voters)}
         self.homes = {s: name for name, relay in self.relays.items() for s in relay.tables}
-        self.given = dict.fromkeys(self.homes, 0.0)     # when a slice came into its present charge
-        self.draining: dict[str, float] = {}            # backend -> since when
+        self.given = dict.fromkeys(self.homes, 0.0)  # when a slice came into its present charge
+        self.draining: dict[str, float] = {}  # backend -> since when
         self.over: set[tuple] = set()
-        self.gone: dict[str, float] = {}                # member -> since when its slices are with others
-        self.late: list[tuple[str, float]] = []         # calls of one whose slices are with others
+        self.gone: dict[str, float] = {}  # member -> since when its slices are with others
+        self.late: list[tuple[str, float]] = []  # calls of one whose slices are with others
         # Since when nothing has been done to a member: a drain's grace begins anew after a fault.
         self.undisturbed: Callable[[str], float] = lambda name: 0.0
         self.takeovers = 0
@@ -88,8 +102,9 @@
             relay.change(backend)
 
     def drained(self, backend: str) -> bool:
-        return not any(backend in table for relay in self.relays.values()
-                       for table in list(relay.tables.values()))
+        return not any(
+            backend in table for relay in self.relays.values() for table in list(relay.tables.values())
+        )
 
     def in_turn(self, busy: Callable[[], bool], rest: float) -> None:
         """One backend after the other drains and serves again: orders from every coordinator."""
@@ -155,7 +170,10 @@
             for name, relay in self.relays.items():
                 calm = self.undisturbed(name)
                 with relay.lock:
-                    self.over |= {(backend, slice, since) for backend, since in list(self.draining.items())
-                                  for slice, table in relay.tables.items()
-                                  if backend in table and now > max(since, self.given[slice], calm) + GRACE}
+                    self.over |= {
+                        (backend, slice, since)
+                        for backend, since in list(self.draining.items())
+                        for slice, table in relay.tables.items()
+                        if backend in table and now > max(since, self.given[slice], calm) + GRACE
+                    }
             time.sleep(0.01)
--- a/proofs/audit_stragglers.py
+++ b/proofs/audit_stragglers.py
@@ -1,4 +1,5 @@
 """Members of a fleet made late on purpose, each followed until it is brought up or shut out."""
+
 from __future__ import annotations
 
 import random
@@ -24,12 +25,14 @@
 
     def propose(self, kind: str, body: list) -> int:
         """Its entry, through any member that answers."""
+
         def entry() -> int | None:
             for name in self.fleet.voters:
                 found = put(self.fleet.places[name].control, kind, body) if name not in self.held() else None
                 if found and found.get("index"):
                     return found["index"]
             return None
+
         return until(entry, 15, f"an entry {kind}")
 
     def change(self, hard: bool) -> int:
@@ -74,8 +77,14 @@
     def stopped(self, name: str, out: bool = True) -> None:
         fleet = self.fleet
         hold = self.enforced if out else (lambda version: time.sleep(0.7))
-        self.straggler("stopped" if out else "stopped for a moment", name, lambda: fleet.stop(name),
-                       lambda: fleet.go_on(name), hold, out)
+        self.straggler(
+            "stopped" if out else "stopped for a moment",
+            name,
+            lambda: fleet.stop(name),
+            lambda: fleet.go_on(name),
+            hold,
+            out,
+        )
 
     def enforced(self, version: int) -> None:
         """Until the change is in force without the straggler, and its slices are with others."""
@@ -85,8 +94,14 @@
 
     def cut(self, name: str, **how: bool) -> None:
         breaker = self.fleet.breaker
-        self.straggler(f"cut off {how or ''}", name, lambda: breaker.cut_off(name, **how), breaker.heal,
-                       self.enforced, True)
+        self.straggler(
+            f"cut off {how or ''}",
+            name,
+            lambda: breaker.cut_off(name, **how),
+            breaker.heal,
+            self.enforced,
+            True,
+        )
 
     def behind(self) -> None:
         """Two thousand entries are missed within a stop shorter than a lease, on a fleet that goes on."""
@@ -97,15 +112,19 @@
             others = [n for n in fleet.voters if n != name]
             lead = self.leader()
             index = fleet.of_fleet(lead)["applied"]
-            threads = [threading.Thread(target=burst, args=(fleet.places[other].control, entries // 4, other))
-                       for other in others]
+            threads = [
+                threading.Thread(target=burst, args=(fleet.places[other].control, entries // 4, other))
+                for other in others
+            ]
             for thread in threads:
                 thread.start()
             for thread in threads:
                 thread.join()
             self.say(f"{name} lacks {fleet.of_fleet(lead)['applied'] - index} entries")
-        self.straggler("many entries behind", name, lambda: fleet.stop(name),
-                       lambda: fleet.go_on(name), hold, False)
+
+        self.straggler(
+            "many entries behind", name, lambda: fleet.stop(name), lambda: fleet.go_on(name), hold, False
+        )
 
     def jumped(self) -> None:
         """Killed, and back on a machine whose wall clock is an hour ahead: acts are told by fleet time."""
--- a/proofs/audit_tamper.py
+++ b/proofs/audit_tamper.py
@@ -1,4 +1,5 @@
 """Records of a member changed, taken out, doubled, swapped or harmed afterwards, in a copy of its folder."""
+
 from __future__ import annotations
 
 import random
@@ -20,7 +21,7 @@
     shutil.rmtree(copy, ignore_errors=True)
     shutil.copytree(folder, copy)
     found, _ = read(copy)
-    fit = [incarnation for incarnation, records in found.items() if len(records[:most(incarnation)]) >= 3]
+    fit = [incarnation for incarnation, records in found.items() if len(records[: most(incarnation)]) >= 3]
     if not fit:
         return ""
     incarnation = chance.choice(fit)
@@ -53,7 +54,7 @@
             records[n], records[m] = records[m], records[n]
         case "cut":
             del records[n:]
-        case "forged":                          # and the whole chain after it made anew, as it should be
+        case "forged":  # and the whole chain after it made anew, as it should be
             records[n] = msgspec.structs.replace(records[n], at=records[n].at + 1)
             for i in range(n + 1, len(records)):
                 records[i] = msgspec.structs.replace(records[i], before=records[i - 1].digest())
--- a/proofs/batches.py
+++ b/proofs/batches.py
@@ -7,6 +7,7 @@
 Time is scaled down: a slot is a second where it would be a quarter of an hour.  QUICK=1: under 50 s.
 BROKEN=1 takes away the guard that holds a lost piece as unclear, and the proof has to fail.  The last line is
 one JSON object; the exit code is 1 where a promise is broken."""
+
 import json
 import math
 import os
@@ -25,11 +26,11 @@
 from fleetkit import Player, drawn, until  # noqa: E402
 
 QUICK, BROKEN = (os.environ.get(name) == "1" for name in ("QUICK", "BROKEN"))
-SECONDS = 12 if QUICK else 40           # of the small case
-LOADED = 12 if QUICK else 48            # of the interactive RPCs
+SECONDS = 12 if QUICK else 40  # of the small case
+LOADED = 12 if QUICK else 48  # of the interactive RPCs
 CHAOS = 7 if QUICK else 60
-RATE, BURST = 30, 50                    # a second, at each sidecar
-TRIES = 3                               # of the interactive RPCs: five slow ones make a tail, by any cause
+RATE, BURST = 30, 50  # a second, at each sidecar
+TRIES = 3  # of the interactive RPCs: five slow ones make a tail, by any cause
 KINDS = {"kill": 2, "stop": 2, "cut": 3, "deaf": 1, "mute": 1, "slow": 1}
 
 
@@ -41,10 +42,23 @@
         for place, name in enumerate(field.cars):
             bursts = [(BURST, wait, 1) for wait in range(1, seconds, 2)]
             for rate, wait, span in ((RATE, 0, seconds), *bursts):
-                program = (f"import sys, time; time.sleep({wait}); "
-                           "from indigohitch.standins.load import main; main(sys.argv[1:])")
-                words = [sys.executable, "-c", program, field.fleet.listen[name], "open", str(rate),
-                         str(span), "20", "0.1", "0.2", str(seed + place)]
+                program = (
+                    f"import sys, time; time.sleep({wait}); "
+                    "from indigohitch.standins.load import main; main(sys.argv[1:])"
+                )
+                words = [
+                    sys.executable,
+                    "-c",
+                    program,
+                    field.fleet.listen[name],
+                    "open",
+                    str(rate),
+                    str(span),
+                    "20",
+                    "0.1",
+                    "0.2",
+                    str(seed + place),
+                ]
                 self.processes.append(subprocess.Popen(words, cwd=HERE.parent, stdout=subprocess.PIPE))
 
     def answered(self):
@@ -52,8 +66,9 @@
         found = []
         for process in self.processes:
             told = json.loads(process.communicate()[0])
-            found += [(due / 10_000, took / 10) for due, took, status, *_ in told["results"]
-                      if 0 < status < 500]
+            found += [
+                (due / 10_000, took / 10) for due, took, status, *_ in told["results"] if 0 < status < 500
+            ]
             self.lost += told["lost"]
         return found
 
@@ -89,7 +104,7 @@
     def small(self):
         begin = math.ceil(time.time()) + 1
         end = begin + SECONDS
-        self.fleet.jump("v1", 3600)             # a wall clock an hour forward, later back: nothing moves
+        self.fleet.jump("v1", 3600)  # a wall clock an hour forward, later back: nothing moves
         wide = [(begin + self.rng.randrange(3), end - self.rng.randrange(4), 1.4, 14) for _ in range(6)]
         self.field.submit("sr", "report", wide)
         self.field.submit("sd", "dunning", [(begin, end, 1.4, 14) for _ in range(3)])
@@ -105,8 +120,11 @@
 
     def refused(self):
         """The spoilt list was, and the last good one stands."""
-        until(lambda: any(self.fleet.said(name, "prices_refused") for name in self.fleet.voters), 12,
-              "a refusal")
+        until(
+            lambda: any(self.fleet.said(name, "prices_refused") for name in self.fleet.voters),
+            12,
+            "a refusal",
+        )
         self.must(self.field.part().prices.edition == 1, "a spoilt list of prices stands")
 
     def interactive(self):
@@ -114,16 +132,24 @@
         seconds, for some two: what else is on this machine meets both alike."""
         begin, batch = math.ceil(time.time()) + 1, f"ir{self.tries}"
         self.tries += 1
-        self.field.submit(batch, "report", [
-            (begin + at, begin + at + 3 * LOADED, 1.4, 14)
-            for at in range(0, LOADED - 2, 4) for _ in range(3)])
+        self.field.submit(
+            batch,
+            "report",
+            [
+                (begin + at, begin + at + 3 * LOADED, 1.4, 14)
+                for at in range(0, LOADED - 2, 4)
+                for _ in range(3)
+            ],
+        )
         load = Interactive(self.field, LOADED, 1)
         answered = load.answered()
         steps = [at for at, id in self.field.ran() if id.startswith(batch)]
         beside = [took for due, took in answered if any(-0.3 < at - due < 0.1 for at in steps)]
         without = [took for due, took in answered if not any(-0.5 < at - due < 0.5 for at in steps)]
-        self.say(f"interactive p99: {p99(without)} ms of {len(without)} without batches, {p99(beside)} ms of "
-                 f"{len(beside)} beside {len(steps)} steps; {load.lost} lost")
+        self.say(
+            f"interactive p99: {p99(without)} ms of {len(without)} without batches, {p99(beside)} ms of "
+            f"{len(beside)} beside {len(steps)} steps; {load.lost} lost"
+        )
         return p99(without), p99(beside), load.lost
 
     # ---- trouble -------------------------------------------------------------------------------------
@@ -131,19 +157,25 @@
     def batches_in_trouble(self):
         now = math.ceil(time.time())
         last = now + CHAOS + 16
-        self.field.submit("tr", "report", [(now, last - self.rng.randrange(5), 1.4, 14)
-                                           for _ in range(CHAOS)])
+        self.field.submit(
+            "tr", "report", [(now, last - self.rng.randrange(5), 1.4, 14) for _ in range(CHAOS)]
+        )
         self.field.submit("td", "dunning", [(now, last - 5, 1.4, 14) for _ in range(CHAOS // 2)])
 
     def kill_one_that_runs(self):
         """A sidecar that runs a piece of what is not idempotent, at a step after the first."""
+
         def runs():
             part = self.field.part()
             for id, piece in part.pieces.all.items() if part else ():
-                if piece.state.value == "running" and not piece.idempotent and any(
-                        ran[1].startswith(f"{id}.") for ran in self.field.ran()):
+                if (
+                    piece.state.value == "running"
+                    and not piece.idempotent
+                    and any(ran[1].startswith(f"{id}.") for ran in self.field.ran())
+                ):
                     return piece.member, id
             return None
+
         name, id = until(runs, 20, "a running piece of dunning")
         self.fleet.kill(name)
         self.kills += 1
@@ -168,8 +200,9 @@
         """What is unclear goes on after the last step that a server acted on."""
         acts, steps = self.field.servers.acts(), piece.cut.steps
         ran = sum(f"{id}.{step}" in acts for step in range(steps))
-        told = self.field.tell(self.fleet.voters[0], {
-            "ask": f"piece {id} from {ran}" if ran < steps else f"piece {id} done"})
+        told = self.field.tell(
+            self.fleet.voters[0], {"ask": f"piece {id} from {ran}" if ran < steps else f"piece {id} done"}
+        )
         if "told" in told:
             self.unclear[id] = piece.why
             self.say(f"{id}: {piece.why}; an operator said: it ran to step {ran}")
@@ -183,8 +216,11 @@
         return part is not None and not part.pieces.open
 
     def twice(self):
-        return {id: count for id, count in self.field.servers.acts().items()
-                if count > 1 and id.split(".")[0] in ("sd", "td")}
+        return {
+            id: count
+            for id, count in self.field.servers.acts().items()
+            if count > 1 and id.split(".")[0] in ("sd", "td")
+        }
 
     def run(self):
         self.prices()
@@ -209,8 +245,12 @@
         missed = [id for id, piece in part.pieces.all.items() if piece.state.value == "missed"]
         planned = [id for id in missed if part.pieces.all[id].version]
         acts = self.field.servers.acts()
-        gaps = [id for id, piece in part.pieces.all.items() if piece.state.value == "done"
-                and any(f"{id}.{step}" not in acts for step in range(piece.cut.steps))]
+        gaps = [
+            id
+            for id, piece in part.pieces.all.items()
+            if piece.state.value == "done"
+            and any(f"{id}.{step}" not in acts for step in range(piece.cut.steps))
+        ]
         self.must(not twice, f"ran twice: {twice}")
         self.must(not planned, f"missed though planned: {planned}")
         self.must(not lost, f"{lost} interactive RPCs lost beside batches")
@@ -220,14 +260,29 @@
         self.must(beside <= 1.25 * without, f"interactive p99 {beside} over 1.25 of {without} ms")
         self.must(peak_over == 0, f"{peak_over} W over the peak")
         self.must(held in self.unclear or BROKEN, f"{held} was not held as unclear")
-        print(json.dumps({
-            "pieces": len(part.pieces.all), "done": counts["done"], "twice": len(twice),
-            "unclear": len(self.unclear), "deadlines_missed": len(missed), "cost": cost,
-            "cost_at_once": self.at_once, "cost_optimum": self.best, "peak_over": peak_over,
-            "interactive_p99_ms": beside,
-            "interactive_p99_without_ms": without, "kills": self.kills, "cuts": self.cuts,
-            "tries": self.tries, "slot_s": 1, "wrong": self.wrong,
-            "seconds": round(time.monotonic() - self.begun, 1)}))
+        print(
+            json.dumps(
+                {
+                    "pieces": len(part.pieces.all),
+                    "done": counts["done"],
+                    "twice": len(twice),
+                    "unclear": len(self.unclear),
+                    "deadlines_missed": len(missed),
+                    "cost": cost,
+                    "cost_at_once": self.at_once,
+                    "cost_optimum": self.best,
+                    "peak_over": peak_over,
+                    "interactive_p99_ms": beside,
+                    "interactive_p99_without_ms": without,
+                    "kills": self.kills,
+                    "cuts": self.cuts,
+                    "tries": self.tries,
+                    "slot_s": 1,
+                    "wrong": self.wrong,
+                    "seconds": round(time.monotonic() - self.begun, 1),
+                }
+            )
+        )
         return not self.wrong
 
 
--- a/proofs/batchkit/costs.py
+++ b/proofs/batchkit/costs.py
@@ -1,4 +1,5 @@
 """What a plan costs, what at once would have, what the best would; and what was truly run."""
+
 from __future__ import annotations
 
 import sys
@@ -13,7 +14,7 @@
 from indigohitch.fleet.batches.rounds import Round  # noqa: E402
 from optimum import optimum  # noqa: E402
 
-CENTS = 1000 * 1000             # of thousandths of a cent times watts
+CENTS = 1000 * 1000  # of thousandths of a cent times watts
 
 
 class Case:
@@ -24,7 +25,7 @@
         self.slot = self.round.slot
         ids = [id for id in part.pieces.open if id.startswith(only)]
         self.tasks: list[Task] = [self.round.task(id, part.pieces.all[id], None) for id in ids]
-        for task in self.tasks:                 # all of its time: a plan's own spare slot is no law
+        for task in self.tasks:  # all of its time: a plan's own spare slot is no law
             task.last = part.pieces.all[task.id].cut.latest // self.slot - self.round.now
         self.count = max(task.last for task in self.tasks)
         cuts = {id: part.pieces.all[id].cut for id in ids}
--- a/proofs/batchkit/crowded.py
+++ b/proofs/batchkit/crowded.py
@@ -1,6 +1,7 @@
 """A stand-in server with so many cores: an RPC takes longer once more are under way.  For proofs of strain.
 
-    python crowded.py HOST:PORT NAME MS CORES"""
+python crowded.py HOST:PORT NAME MS CORES"""
+
 import signal
 import sys
 from pathlib import Path
@@ -29,6 +30,7 @@
 def main(at: str, name: str, ms: str, cores: str) -> None:
     def failed(broken: BaseException) -> None:
         print(f"stand-in: {type(broken).__name__}: {broken}", file=sys.stderr, flush=True)
+
     loop = Loop(Clock(), failed)
     Crowded(loop, name, address(at), float(ms)).cores = int(cores)
     print(f"{name} on {at}", flush=True)
--- a/proofs/batchkit/field.py
+++ b/proofs/batchkit/field.py
@@ -2,6 +2,7 @@
 
 Time is scaled: a slot of a second stands for a quarter of an hour, bands and dated prices hold for seconds.
 All else (leases, elections, beats) is as it would be."""
+
 from __future__ import annotations
 
 import json
@@ -20,14 +21,21 @@
 
 HERE = Path(__file__).parent
 SECOND = 10_000
-POWER = {"report": 200, "dunning": 300}         # watts
+POWER = {"report": 200, "dunning": 300}  # watts
 LINES = [
-    "edition 1", "batch-slot 1s", "site eros zone Europe/Berlin holidays DE-BE", "lanes eros std 18",
-    "band eros any 00:00-24:00 30", "peak eros 700W surcharge 90",
+    "edition 1",
+    "batch-slot 1s",
+    "site eros zone Europe/Berlin holidays DE-BE",
+    "lanes eros std 18",
+    "band eros any 00:00-24:00 30",
+    "peak eros 700W surcharge 90",
     "batch-class report idempotent path /report/{piece}/{step} power std=200W pause 0.001",
-    "batch-class dunning non-idempotent path /dunning/{piece}/{step} power std=300W"]
-BATCH_RPCS = ["rpc report idempotent soft 2s deadline 4s criticality 0.1",
-              "rpc dunning non-idempotent soft 2s deadline 4s criticality 0.1"]
+    "batch-class dunning non-idempotent path /dunning/{piece}/{step} power std=300W",
+]
+BATCH_RPCS = [
+    "rpc report idempotent soft 2s deadline 4s criticality 0.1",
+    "rpc dunning non-idempotent soft 2s deadline 4s criticality 0.1",
+]
 BATCH_ROUTES = [f"route POST /{name}/{{piece}}/{{step}} rpc {name} pool nodes key path 1" for name in POWER]
 
 
@@ -42,8 +50,12 @@
         self.held = [held_port() for _ in range(count)]
         self.at = {f"n{n + 1}": f"127.0.0.1:{sock.getsockname()[1]}" for n, sock in enumerate(self.held)}
         self.processes = [
-            subprocess.Popen([sys.executable, str(HERE / "crowded.py"), at, name, str(ms), str(cores)],
-                             stdout=open(path / f"{name}.log", "ab")) for name, at in self.at.items()]
+            subprocess.Popen(
+                [sys.executable, str(HERE / "crowded.py"), at, name, str(ms), str(cores)],
+                stdout=open(path / f"{name}.log", "ab"),
+            )
+            for name, at in self.at.items()
+        ]
 
     def acts(self) -> dict[str, int]:
         """How often each step was acted on, over all servers."""
@@ -79,14 +91,26 @@
         pool = Pool("nodes", self.servers.at, rpcs=[*RPCS, *BATCH_RPCS], routes=[*ROUTES, *BATCH_ROUTES])
         cars = [f"s{n + 1}" for n in range(sidecars)]
         each = {name: [f"access-log {path / name / 'access.jsonl'}", "runs eros std 2"] for name in cars}
-        self.fleet = Fleet(path, voters=3, sidecars=sidecars, seed=seed, pools=[pool], patch=patch, each=each,
-                           clocks=True, more=[*LINES, f"prices {self.prices}"])
+        self.fleet = Fleet(
+            path,
+            voters=3,
+            sidecars=sidecars,
+            seed=seed,
+            pools=[pool],
+            patch=patch,
+            each=each,
+            clocks=True,
+            more=[*LINES, f"prices {self.prices}"],
+        )
         self.cars = cars
 
     def list(self, edition: int, begin: float, prices: list[float]) -> None:
         """Dated prices from `begin` on, a second each."""
-        text = [f"edition {edition}", "each 1s",
-                *(f"eros {unix(int(begin) + n)} {price:.3f}" for n, price in enumerate(prices))]
+        text = [
+            f"edition {edition}",
+            "each 1s",
+            *(f"eros {unix(int(begin) + n)} {price:.3f}" for n, price in enumerate(prices)),
+        ]
         part = self.prices.with_suffix(".part")
         part.write_text("\n".join(text) + "\n")
         part.rename(self.prices)
@@ -104,9 +128,15 @@
 
     def submit(self, id: str, rpc: str, pieces: list[tuple[float, float, float, int]]) -> None:
         """Pieces: earliest and latest (Unix time), seconds of work, steps.  Asked until it is known."""
-        batch = {"id": id, "tenant": "whk", "class": rpc, "pieces": [
-            {"earliest": unix(a), "latest": unix(b), "work": f"{work}s", "steps": steps}
-            for a, b, work, steps in pieces]}
+        batch = {
+            "id": id,
+            "tenant": "whk",
+            "class": rpc,
+            "pieces": [
+                {"earliest": unix(a), "latest": unix(b), "work": f"{work}s", "steps": steps}
+                for a, b, work, steps in pieces
+            ],
+        }
 
         def once() -> bool:
             for name in self.fleet.voters:
@@ -116,6 +146,7 @@
                 if "told" in told:
                     return True
             return False
+
         until(once, 15, f"batch {id} to be taken")
 
     def part(self) -> Batches | None:
--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -7,6 +7,7 @@
 (batches, reservations), the chained records (audit), the relays (takeover, drains).  QUICK=1: under 50 s.
 BROKEN=1 lets members act without a lease, and the proof has to fail.  SEED=N: another plan of faults.  The
 last line is one JSON object; the exit code is 1 where a promise is broken."""
+
 from __future__ import annotations
 
 import json
@@ -28,13 +29,29 @@
 
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
 SEED = int(os.environ.get("SEED", "1"))
-SECONDS = 8 if QUICK else 40            # of the plan of faults
+SECONDS = 8 if QUICK else 40  # of the plan of faults
 # Of the members' clocks: two differ by no more than the files' `drift`.
 DRIFTS = {"v1": 0.0005, "v2": -0.0005, "v4": 0.0005, "s1": -0.0005, "s2": 0.0005}
 KINDS = {"kill": 3, "stop": 2, "cut": 3, "deaf": 1, "mute": 1, "slow": 1, "reset": 1, "end": 1}
-ZEROS = ("lost_commits", "doubled_commits", "stale_reads", "books_differ", "over_contract", "over_cut",
-         "seats_doubled", "seats_leaked", "pieces_twice", "reserves_twice", "acts_on_old_version",
-         "acts_after_shut_out", "gaps", "contradictions", "drains_over", "tracebacks", "wrong")
+ZEROS = (
+    "lost_commits",
+    "doubled_commits",
+    "stale_reads",
+    "books_differ",
+    "over_contract",
+    "over_cut",
+    "seats_doubled",
+    "seats_leaked",
+    "pieces_twice",
+    "reserves_twice",
+    "acts_on_old_version",
+    "acts_after_shut_out",
+    "gaps",
+    "contradictions",
+    "drains_over",
+    "tracebacks",
+    "wrong",
+)
 
 
 class Proof:
@@ -43,17 +60,26 @@
         self.servers = Servers(self.path, 4, 5.0)
         cars = ("s1", "s2", "s3")
         each = {name: [f"access-log {self.path / name / 'access.jsonl'}", "runs eros std 2"] for name in cars}
-        self.fleet = Fleet(self.path, voters=5, sidecars=3, seed=SEED, more=contract(1, CONTRACT), each=each,
-                           pools=[pool(self.servers)], clocks=True, drifts=DRIFTS,
-                           patch=Path(__file__).parent / "audit_guard.py",
-                           environment={"AUDIT_BROKEN": "1"} if BROKEN else {})
+        self.fleet = Fleet(
+            self.path,
+            voters=5,
+            sidecars=3,
+            seed=SEED,
+            more=contract(1, CONTRACT),
+            each=each,
+            pools=[pool(self.servers)],
+            clocks=True,
+            drifts=DRIFTS,
+            patch=Path(__file__).parent / "audit_guard.py",
+            environment={"AUDIT_BROKEN": "1"} if BROKEN else {},
+        )
         self.platforms = Platforms(self.fleet)
         self.running = Running(self.path, self.fleet, self.servers, self.platforms)
         self.wrong: list[str] = []
-        self.pieces: dict[str, int] = {}        # of batches, by state
+        self.pieces: dict[str, int] = {}  # of batches, by state
         self.upgrades: list[dict] = []
-        self.in_force = 1 << 61                 # ns, once the cut contract is
-        self.leaked = CONTRACT                  # until it is known
+        self.in_force = 1 << 61  # ns, once the cut contract is
+        self.leaked = CONTRACT  # until it is known
 
     def say(self, text: str) -> None:
         print(f"{time.monotonic() - self.begun:6.1f} s  {text}", flush=True)
@@ -85,7 +111,7 @@
         player = Player(self.fleet, drawn(SEED, self.fleet, SECONDS, KINDS, gap=1.2))
         self.platforms.undisturbed = player.undisturbed
         player.start()
-        self.fleet.jump("v3", 3600)             # of its wall clock: fleet time goes on as before
+        self.fleet.jump("v3", 3600)  # of its wall clock: fleet time goes on as before
         time.sleep(SECONDS / 2)
         self.fleet.jump("v3", -3600)
         player.join()
@@ -133,19 +159,21 @@
         self.say(f"settled at {found}")
         running.quiet()
         self.leaked = running.seats.leaked()
-        time.sleep(1.5)                         # orders have come to rest, and the last heads are told
+        time.sleep(1.5)  # orders have come to rest, and the last heads are told
         return found
 
     def run(self) -> dict:
         found, acted, facts = {}, {}, None
         try:
             found = self.play()
-        except AssertionError as vain:          # what ran until then is judged all the same
+        except AssertionError as vain:  # what ran until then is judged all the same
             self.wrong.append(str(vain))
             self.fleet.show()
         try:
-            self.texts = {name: (self.fleet.ask(name, "book notes", 10.0) or {}).get("texts")
-                          for name in self.fleet.members}
+            self.texts = {
+                name: (self.fleet.ask(name, "book notes", 10.0) or {}).get("texts")
+                for name in self.fleet.members
+            }
             acted, part = acts(self.servers), self.running.batches.part()
             self.pieces = part.pieces.counts() if part else {}
             told = self.fleet.ask(self.fleet.leader(), "book audit", 5.0) if self.fleet.leader() else None
@@ -181,29 +209,44 @@
         rpcs, answered = running.answered()
         count = whole.count if whole else (lambda *kinds: 1)
         return {
-            "commits": len(running.notes.acknowledged), "reads": running.reads.done, "rpcs": rpcs,
-            "answered": answered, "seats_given": truth.given, "contract": CONTRACT,
-            "peak_in_use": truth.peak(), "pieces": sum(self.pieces.values()),
-            "pieces_done": self.pieces.get("done", 0), "kills": did.count("kill"), "stops": did.count("stop"),
+            "commits": len(running.notes.acknowledged),
+            "reads": running.reads.done,
+            "rpcs": rpcs,
+            "answered": answered,
+            "seats_given": truth.given,
+            "contract": CONTRACT,
+            "peak_in_use": truth.peak(),
+            "pieces": sum(self.pieces.values()),
+            "pieces_done": self.pieces.get("done", 0),
+            "kills": did.count("kill"),
+            "stops": did.count("stop"),
             "cuts": sum(self.player.counts.get(kind, 0) for kind in ("cut", "deaf", "mute")) + 2
-            if hasattr(self, "player") else 0,
+            if hasattr(self, "player")
+            else 0,
             "upgrades": sum(told.get("result") == "upgraded" for told in self.upgrades),
-            "acts": sum(whole.acts.values()) if whole else 0, "drains": platforms.drains,
+            "acts": sum(whole.acts.values()) if whole else 0,
+            "drains": platforms.drains,
             "takeovers": platforms.takeovers,
-            "lost_commits": len(lost), "doubled_commits": len(doubled),
+            "lost_commits": len(lost),
+            "doubled_commits": len(doubled),
             "stale_reads": len(running.reads.stale),
             "books_differ": max(0, len({digest for _, digest in found.values()}) - 1),
             "over_contract": max(0, truth.peak() - CONTRACT),
-            "over_cut": max(0, truth.peak(self.in_force + 1000) - CUT), "seats_doubled": truth.doubled,
+            "over_cut": max(0, truth.peak(self.in_force + 1000) - CUT),
+            "seats_doubled": truth.doubled,
             "seats_leaked": self.leaked,
-            "pieces_twice": len(running.batches.twice(acted)), "reserves_twice": len(running.doubled(acted)),
+            "pieces_twice": len(running.batches.twice(acted)),
+            "reserves_twice": len(running.doubled(acted)),
             "acts_on_old_version": count("old_version"),
             "acts_after_shut_out": count("after_gone", "no_lease") + len(platforms.late),
-            "gaps": count("missing", "doubled", "order", "unknown", "changed") + (
-                len(whole.unread) if whole else 1),
-            "contradictions": count("contradiction"), "drains_over": len(platforms.over),
-            "tracebacks": len(noise), "wrong": self.wrong,
-            "seconds": round(time.monotonic() - self.begun, 1)}
+            "gaps": count("missing", "doubled", "order", "unknown", "changed")
+            + (len(whole.unread) if whole else 1),
+            "contradictions": count("contradiction"),
+            "drains_over": len(platforms.over),
+            "tracebacks": len(noise),
+            "wrong": self.wrong,
+            "seconds": round(time.monotonic() - self.begun, 1),
+        }
 
 
 def main() -> int:
--- a/proofs/fleet_load.py
+++ b/proofs/fleet_load.py
@@ -1,5 +1,6 @@
 """What runs all the time on the fleet of proofs/fleet.py: RPCs through its sidecars, seats wanted, batches,
 notes and reads, drains at the coordinators' relays; and what is asked of each at the end."""
+
 from __future__ import annotations
 
 import http.client
@@ -19,18 +20,25 @@
 from indigohitch.standins.load import Load
 
 FEATURE, CONTRACT, CUT = "geocoder", 30, 10
-RATE = 15                       # RPCs a second at each sidecar: eight cores carry all the processes
+RATE = 15  # RPCs a second at each sidecar: eight cores carry all the processes
 
 
 def contract(edition: int, seats: int) -> list[str]:
-    return [f"edition {edition}", *LINES[1:], f"seats {FEATURE} {seats} kind job drain 2s",
-            "seat-tenant X-Tenant"]
+    return [
+        f"edition {edition}",
+        *LINES[1:],
+        f"seats {FEATURE} {seats} kind job drain 2s",
+        "seat-tenant X-Tenant",
+    ]
 
 
 def pool(servers: Servers) -> Pool:
-    return Pool("nodes", servers.at, rpcs=[*RPCS, *BATCH_RPCS,
-                                           f"rpc geocode idempotent soft 1s deadline 3s seat {FEATURE}"],
-                routes=[*ROUTES, *BATCH_ROUTES, "route GET /geocode/{id} rpc geocode pool nodes"])
+    return Pool(
+        "nodes",
+        servers.at,
+        rpcs=[*RPCS, *BATCH_RPCS, f"rpc geocode idempotent soft 1s deadline 3s seat {FEATURE}"],
+        routes=[*ROUTES, *BATCH_ROUTES, "route GET /geocode/{id} rpc geocode pool nodes"],
+    )
 
 
 def acts(servers: Servers) -> dict[str, int]:
@@ -51,7 +59,7 @@
 
     def __init__(self, path: Path, fleet: Fleet, servers: Servers) -> None:
         self.path, self.fleet, self.servers, self.cars = path, fleet, servers, list(fleet.listen)
-        self.runs: set[str] = set()             # of batches whose pieces must never run twice
+        self.runs: set[str] = set()  # of batches whose pieces must never run twice
 
     def begin(self, count: int, seconds: float, round: int) -> None:
         now = time.time()
@@ -76,8 +84,10 @@
 class Seats:
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.clients = [Clients(fleet.listen[name], tenant, count, wait=200) for name, tenant, count in (
-            ("s1", "many", 16), ("s2", "all", 10), ("s3", "some", 6))]
+        self.clients = [
+            Clients(fleet.listen[name], tenant, count, wait=200)
+            for name, tenant, count in (("s1", "many", 16), ("s2", "all", 10), ("s3", "some", 6))
+        ]
 
     def told(self, name: str = "") -> dict:
         name = name or self.fleet.leader()
@@ -95,8 +105,11 @@
         found = [self.told(name) for name in self.fleet.listen]
         if not all(found):
             return CONTRACT
-        return (sum(one["in_use"] for one in found) + found[0]["over"]
-                + abs(CUT - found[0]["held"] - found[0]["free"]))
+        return (
+            sum(one["in_use"] for one in found)
+            + found[0]["over"]
+            + abs(CUT - found[0]["held"] - found[0]["free"])
+        )
 
 
 class Running:
@@ -119,8 +132,9 @@
             load = Load((host, int(port)), seed=n, kept=10, prefix=f"c{n}-")
             self.loads.append(load)
             self.threads.append(threading.Thread(target=load.run_open, args=(RATE, seconds), daemon=True))
-        self.threads.append(threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.5),
-                                             daemon=True))
+        self.threads.append(
+            threading.Thread(target=self.platforms.in_turn, args=(lambda: self.busy, 0.5), daemon=True)
+        )
         for thread in self.threads:
             thread.start()
 
--- a/proofs/fleetkit/__init__.py
+++ b/proofs/fleetkit/__init__.py
@@ -23,6 +23,7 @@
 Files: `files` (what operators write), `processes` (one member's process), `fleet` (all of them), `faults`
 (seeded plans and who plays them), `checks` (what must hold at the end), `altered` (the program
 with wrong clocks, or with a guard taken away: `Fleet(patch=FILE)` runs FILE in each member first)."""
+
 import sys
 from pathlib import Path
 
--- a/proofs/fleetkit/checks.py
+++ b/proofs/fleetkit/checks.py
@@ -1,4 +1,5 @@
 """What must hold at the end: all members' books equal, and each acknowledged note there once."""
+
 from __future__ import annotations
 
 import threading
@@ -33,19 +34,21 @@
         found = books(fleet)
         same = len({index for index, _ in found.values()}) == 1
         return found if same and len(found) == len(fleet.members) else None
+
     return until(level, most, "books at one entry")
 
 
 class Notes:
     """Clients that propose notes through members in turn, each once, and remember what they were told."""
 
-    def __init__(self, fleet: Fleet, clients: int = 3, prefix: str = "n", wait: float = 1.0,
-                 gap: float = 0.03) -> None:
+    def __init__(
+        self, fleet: Fleet, clients: int = 3, prefix: str = "n", wait: float = 1.0, gap: float = 0.03
+    ) -> None:
         """`gap`: seconds that a client rests after each answer; the book keeps 4096 notes."""
         self.fleet, self.prefix, self.wait, self.gap = fleet, prefix, wait, gap
-        self.acknowledged: dict[str, float] = {}        # text: when (time.monotonic)
-        self.sent: dict[str, float] = {}                # text: when it went out
-        self.highest = 0                                # entry of any acknowledged so far
+        self.acknowledged: dict[str, float] = {}  # text: when (time.monotonic)
+        self.sent: dict[str, float] = {}  # text: when it went out
+        self.highest = 0  # entry of any acknowledged so far
         self.pushed_back = self.unknown = 0
         self.stopping = False
         self._threads = [threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(clients)]
@@ -80,11 +83,14 @@
 
     def first_after(self, since: float) -> float | None:
         """When the first note that was sent after `since` was acknowledged."""
-        return min((at for text, at in list(self.acknowledged.items()) if self.sent[text] > since),
-                   default=None)
+        return min(
+            (at for text, at in list(self.acknowledged.items()) if self.sent[text] > since), default=None
+        )
 
     def judged(self, texts: list[str]) -> tuple[list[str], list[str]]:
         """Of the notes that a book holds: those acknowledged that it lacks, those it has more than once."""
         counts = Counter(texts)
-        return ([text for text in self.acknowledged if not counts[text]],
-                [text for text in self.sent if counts[text] > 1])
+        return (
+            [text for text in self.acknowledged if not counts[text]],
+            [text for text in self.sent if counts[text] > 1],
+        )
--- a/proofs/fleetkit/disks.py
+++ b/proofs/fleetkit/disks.py
@@ -1,6 +1,7 @@
 """Run first by a member (Fleet(patch=...)): its disk is full while a file `full` stands in its folder, and
 FLEET_DISK=lying makes it say that all is on the disk, and write nothing; FLEET_DISK=unsynced leaves out the
 fsync, for benchmarks."""
+
 import errno
 import os
 from pathlib import Path
--- a/proofs/fleetkit/faults.py
+++ b/proofs/fleetkit/faults.py
@@ -1,5 +1,6 @@
 """Seeded plans of faults, and who plays them.  A plan names whom it meets by seat ("leader", "voter 2",
 "sidecar 1"): the same seed gives the same plan; who leads when it comes true is the fleet's doing."""
+
 from __future__ import annotations
 
 import random
@@ -13,23 +14,45 @@
 
 from .fleet import Fleet
 
-KINDS = {"kill": 3, "stop": 2, "cut": 3, "deaf": 1, "mute": 1, "slow": 1, "trickle": 1, "spoil": 1,
-         "reset": 1, "end": 1}
-LANES = {"cut": Fault(cut=True), "deaf": Fault(cut=True), "mute": Fault(cut=True),
-         "slow": Fault(delay=SECOND // 50, spread=SECOND // 25), "trickle": Fault(trickle=3000),
-         "spoil": Fault(spoil=0.2)}
+KINDS = {
+    "kill": 3,
+    "stop": 2,
+    "cut": 3,
+    "deaf": 1,
+    "mute": 1,
+    "slow": 1,
+    "trickle": 1,
+    "spoil": 1,
+    "reset": 1,
+    "end": 1,
+}
+LANES = {
+    "cut": Fault(cut=True),
+    "deaf": Fault(cut=True),
+    "mute": Fault(cut=True),
+    "slow": Fault(delay=SECOND // 50, spread=SECOND // 25),
+    "trickle": Fault(trickle=3000),
+    "spoil": Fault(spoil=0.2),
+}
 
 
 @dataclass(frozen=True)
 class Event:
-    at: float                   # s from the beginning
-    span: float                 # s that it lasts
+    at: float  # s from the beginning
+    span: float  # s that it lasts
     kind: str
-    whom: str                   # "leader", "voter N", "sidecar N"
-
-
-def drawn(seed: int, fleet: Fleet, seconds: float, kinds: dict[str, int] | None = None, gap: float = 1.5,
-          span: tuple[float, float] = (0.5, 2.5), sidecars: bool = True) -> list[Event]:
+    whom: str  # "leader", "voter N", "sidecar N"
+
+
+def drawn(
+    seed: int,
+    fleet: Fleet,
+    seconds: float,
+    kinds: dict[str, int] | None = None,
+    gap: float = 1.5,
+    span: tuple[float, float] = (0.5, 2.5),
+    sidecars: bool = True,
+) -> list[Event]:
     """A plan whose faults overlap, but never take a majority of voters away together: of n voters at most
     (n - 1) / 2 are met at one time.  Faults of links count whole, as they may part any pair."""
     chance = random.Random(f"plan {seed}")
@@ -39,11 +62,15 @@
     while (at := at + chance.uniform(0.3, 1.0) * gap) < seconds:
         kind = chance.choices(list(kinds), list(kinds.values()))[0]
         length = chance.uniform(*span)
-        whom = chance.choice(["leader", *(f"voter {n + 1}" for n in range(voters)),
-                              *(f"sidecar {n + 1}" for n in range(cars))])
+        whom = chance.choice(
+            ["leader", *(f"voter {n + 1}" for n in range(voters)), *(f"sidecar {n + 1}" for n in range(cars))]
+        )
         busy = {e.whom for e in found if e.at + e.span + 0.7 > at}
-        if whom in busy or not whom.startswith("sidecar") and (
-                sum(not w.startswith("sidecar") for w in busy) >= most):
+        if (
+            whom in busy
+            or not whom.startswith("sidecar")
+            and (sum(not w.startswith("sidecar") for w in busy) >= most)
+        ):
             continue
         found.append(Event(round(at, 3), round(length, 3), kind, whom))
     return found
@@ -56,10 +83,10 @@
     def __init__(self, fleet: Fleet, plan: Iterable[Event], also: dict[str, Callable] | None = None) -> None:
         """`also`: further kinds, `begin(fleet, name)`."""
         self.fleet, self.plan, self.also = fleet, sorted(plan, key=lambda e: e.at), also or {}
-        self.held: dict[str, Event] = {}                # by member
+        self.held: dict[str, Event] = {}  # by member
         self.counts: dict[str, int] = {}
-        self.freed: dict[str, float] = {}               # by member: when (time.monotonic) its last one ended
-        self.leaders: list[float] = []                  # when (time.monotonic) a leader was taken away
+        self.freed: dict[str, float] = {}  # by member: when (time.monotonic) its last one ended
+        self.leaders: list[float] = []  # when (time.monotonic) a leader was taken away
         self.bad: BaseException | None = None
         self.stopping = False
         self._thread = threading.Thread(target=self._guarded, daemon=True)
--- a/proofs/fleetkit/fleet.py
+++ b/proofs/fleetkit/fleet.py
@@ -1,4 +1,5 @@
 """All members of a fleet, the relay between them, and what a proof does to them."""
+
 from __future__ import annotations
 
 import os
@@ -20,12 +21,23 @@
 
 
 class Fleet:
-    def __init__(self, path: Path | str, voters: int = 5, sidecars: int = 0, seed: int = 1,
-                 more: list[str] | None = None, pools: list[Pool] | None = None,
-                 waits: list[str] | None = None, each: dict[str, list[str]] | None = None,
-                 name: str = "proof", clocks: bool = False, drifts: dict[str, float] | None = None,
-                 environment: dict[str, str] | None = None, patch: Path | str = "",
-                 relay: bool = True) -> None:
+    def __init__(
+        self,
+        path: Path | str,
+        voters: int = 5,
+        sidecars: int = 0,
+        seed: int = 1,
+        more: list[str] | None = None,
+        pools: list[Pool] | None = None,
+        waits: list[str] | None = None,
+        each: dict[str, list[str]] | None = None,
+        name: str = "proof",
+        clocks: bool = False,
+        drifts: dict[str, float] | None = None,
+        environment: dict[str, str] | None = None,
+        patch: Path | str = "",
+        relay: bool = True,
+    ) -> None:
         """`more`: lines of each file; `each`: further ones by member; `drifts`: by member, with `clocks`;
         `patch`: a file of Python that each member runs first (altered.py); without `relay` the members
         reach each other directly."""
@@ -37,8 +49,8 @@
         self.breaker, self.relay = Breaker(seed), relay
         self.places: dict[str, Place] = {}
         self.members: dict[str, Member] = {}
-        self.listed: dict[str, list[str]] = {}          # by member: whom its file lists, if not all
-        self.told: list[tuple[float, str]] = []         # when (time.monotonic), what was done
+        self.listed: dict[str, list[str]] = {}  # by member: whom its file lists, if not all
+        self.told: list[tuple[float, str]] = []  # when (time.monotonic), what was done
         for n in range(voters):
             self.place(f"v{n + 1}", True)
         for n in range(sidecars):
@@ -52,9 +64,15 @@
         folder = self.path / name
         folder.mkdir(parents=True, exist_ok=True)
         place = self.places[name] = Place(name, votes, folder, sidecar)
-        environment = self.environment | ({
-            "FLEET_FOLDER": str(folder), "FLEET_CLOCK": str(folder / "clock"),
-            "FLEET_DRIFT": str(self.drifts.get(name, 0))} if self.altered else {})
+        environment = self.environment | (
+            {
+                "FLEET_FOLDER": str(folder),
+                "FLEET_CLOCK": str(folder / "clock"),
+                "FLEET_DRIFT": str(self.drifts.get(name, 0)),
+            }
+            if self.altered
+            else {}
+        )
         words = program("sidecar" if sidecar else "run", self.altered)
         self.members[name] = Member(folder, words, place.file, place.control, environment)
 
@@ -66,13 +84,21 @@
             place = self.places[name]
             lines = [*self.waits, *self.more, *self.each.get(name, [])]
             if self.altered:
-                lines.append("program " + " ".join([*program("sidecar" if place.listen else "run", True),
-                                                    str(place.file)]))
+                lines.append(
+                    "program "
+                    + " ".join([*program("sidecar" if place.listen else "run", True), str(place.file)])
+                )
             if place.listen:
                 lines += [line for pool in self.pools for line in pool.lines()]
-            place.write(self.name, [(other.name, self.address(place, other), other.votes)
-                                    for other in self.places.values()
-                                    if other.name in self.listed.get(name, self.places)], lines)
+            place.write(
+                self.name,
+                [
+                    (other.name, self.address(place, other), other.votes)
+                    for other in self.places.values()
+                    if other.name in self.listed.get(name, self.places)
+                ],
+                lines,
+            )
 
     def address(self, place: Place, other: Place) -> str:
         at = other.at
@@ -124,7 +150,7 @@
     # ---- asked ---------------------------------------------------------------------------------------
 
     def ask(self, name: str, what: str, wait: float = 1.0) -> dict | None:
-        return self.members[name].ask(what, wait) if name else None     # no leader: no answer
+        return self.members[name].ask(what, wait) if name else None  # no leader: no answer
 
     def status(self, name: str) -> dict | None:
         return self.ask(name, "status")
@@ -134,8 +160,11 @@
 
     def leader(self, but: str = "") -> str:
         """Who leads in the highest term, by those that answer; "" if nobody does."""
-        found = [(told["term"], name) for name in self.voters
-                 if name != but and (told := self.of_fleet(name)) and told["role"] == "leader"]
+        found = [
+            (told["term"], name)
+            for name in self.voters
+            if name != but and (told := self.of_fleet(name)) and told["role"] == "leader"
+        ]
         return max(found)[1] if found else ""
 
     def note(self, name: str, text: str, wait: float = 5.0) -> dict | None:
--- a/proofs/fleetkit/processes.py
+++ b/proofs/fleetkit/processes.py
@@ -1,4 +1,5 @@
 """One member's process: started, asked, stopped, killed; ends only what it started."""
+
 from __future__ import annotations
 
 import json
@@ -27,12 +28,19 @@
 
 
 class Member:
-    def __init__(self, folder: Path, words: list[str], file: Path, socket: str,
-                 environment: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        words: list[str],
+        file: Path,
+        socket: str,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         """`words`: the program and what comes before FILE."""
         self.folder, self.words, self.file, self.socket = folder, words, file, socket
-        self.environment = {key: value for key, value in os.environ.items()
-                            if not key.startswith("BALANCER_")} | (environment or {})
+        self.environment = {
+            key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")
+        } | (environment or {})
         self.process: subprocess.Popen | None = None
         self.stopped = False
         self.starts = 0
@@ -43,8 +51,9 @@
     def start(self) -> None:
         self.starts += 1
         with open(self.folder / "log", "ab") as out:
-            self.process = subprocess.Popen([*self.words, str(self.file)], cwd=ROOT, stdout=out, stderr=out,
-                                            env=self.environment)
+            self.process = subprocess.Popen(
+                [*self.words, str(self.file)], cwd=ROOT, stdout=out, stderr=out, env=self.environment
+            )
 
     def pids(self) -> list[int]:
         """Of this member that run: the one started, and those that followed it in an upgrade."""
@@ -56,8 +65,10 @@
     def mine(self, pid: int) -> bool:
         """It names this member's file, and has not ended."""
         try:
-            return (str(self.file).encode() in Path(f"/proc/{pid}/cmdline").read_bytes()
-                    and b") Z " not in Path(f"/proc/{pid}/stat").read_bytes())
+            return (
+                str(self.file).encode() in Path(f"/proc/{pid}/cmdline").read_bytes()
+                and b") Z " not in Path(f"/proc/{pid}/stat").read_bytes()
+            )
         except OSError:
             return False
 
@@ -121,6 +132,9 @@
 
 def program(kind: str, altered: bool) -> list[str]:
     """The words before FILE; `kind`: "run" (a member without a front) or "sidecar"."""
-    first = ([sys.executable, str(Path(__file__).parent / "altered.py")] if altered
-             else [sys.executable, "-m", "indigohitch"])
+    first = (
+        [sys.executable, str(Path(__file__).parent / "altered.py")]
+        if altered
+        else [sys.executable, "-m", "indigohitch"]
+    )
     return [*first, *(["run", "--operator"] if kind == "run" else ["sidecar"])]
--- a/proofs/ledger.py
+++ b/proofs/ledger.py
@@ -4,6 +4,7 @@
 QUICK=1: under 50 s.  BROKEN=1 takes guards away (what is asked of the disk counts as written), and the proof
 has to fail.  SEED=N: other schedules and another plan of faults.  The last line is one JSON object; the exit
 code is 1 where a promise is broken."""
+
 from __future__ import annotations
 
 import json
@@ -37,8 +38,11 @@
     except AssertionError as vain:
         processes = {"stuck": str(vain)}
         broken.append("stuck")
-    result = {"schedules": schedules["schedules"], "states": model["states"],
-              "violations": schedules["violations"] + model["violations"]} | processes
+    result = {
+        "schedules": schedules["schedules"],
+        "states": model["states"],
+        "violations": schedules["violations"] + model["violations"],
+    } | processes
     if result["violations"]:
         broken.append("violations")
     print(json.dumps(result | {"seconds": round(time.monotonic() - begun), "broken": broken}))
--- a/proofs/ledger_checks.py
+++ b/proofs/ledger_checks.py
@@ -1,5 +1,6 @@
 """What must hold after every step of every schedule of the ledger's members (Ongaro and Ousterhout 2014,
 figure 3, and docs/ledger.md).  A breach raises `Breach`."""
+
 from __future__ import annotations
 
 from indigohitch.fleet.ledger.words import Append, Ask, Piece, Vote
@@ -12,15 +13,15 @@
 class Checks:
     def __init__(self, world) -> None:
         self.world = world
-        self.leaders = {}           # term -> who
-        self.votes = {}             # (who, term) -> candidate
-        self.seen = {}              # (index, term) -> (entry, term of the one before)
-        self.committed = []         # entries from 1 on, as the first that committed them had them
-        self.committed_in = []      # in which term that was
-        self.digests = {}           # index -> digest of the book there
-        self.effects = {}           # proposal -> index
-        self.acked = 0              # the highest index that any client was told of
-        self.reads = {}             # number -> `acked` as it began
+        self.leaders = {}  # term -> who
+        self.votes = {}  # (who, term) -> candidate
+        self.seen = {}  # (index, term) -> (entry, term of the one before)
+        self.committed = []  # entries from 1 on, as the first that committed them had them
+        self.committed_in = []  # in which term that was
+        self.digests = {}  # index -> digest of the book there
+        self.effects = {}  # proposal -> index
+        self.acked = 0  # the highest index that any client was told of
+        self.reads = {}  # number -> `acked` as it began
 
     # ---- the log -----------------------------------------------------------------------------------
 
@@ -30,7 +31,7 @@
         for entry in write.entries:
             now = (entry, log.term(entry.index - 1))
             if now[1] is None:
-                continue                        # it was put into a snapshot since
+                continue  # it was put into a snapshot since
             before = self.seen.setdefault((entry.index, entry.term), now)
             if before != now:
                 raise Breach(f"logs differ at {entry.index} of term {entry.term}")
@@ -40,16 +41,20 @@
         steps, machine = station.machine.state.belonging.steps, station.machine
         if machine.leading is not None and write.entries and steps[-1][0] == write.entries[-1].index:
             if len(steps) > 1 and steps[-2][0] > machine.commit:
-                raise Breach(f"{station.me.name} changes members at {steps[-1][0]}, that of {steps[-2][0]} "
-                             "isn't committed")
+                raise Breach(
+                    f"{station.me.name} changes members at {steps[-1][0]}, that of {steps[-2][0]} "
+                    "isn't committed"
+                )
 
     def commits(self, station, entries) -> None:
         """The same everywhere, in order, and on the disks of a majority the first time it is told.  A leader
         commits older entries only along with one of its own term (figure 8)."""
         machine = station.machine
         if machine.leading is not None and entries[-1].term != machine.term:
-            raise Breach(f"{station.me.name} commits {entries[-1].index} of term {entries[-1].term} alone, "
-                         f"leading in {machine.term}")
+            raise Breach(
+                f"{station.me.name} commits {entries[-1].index} of term {entries[-1].term} alone, "
+                f"leading in {machine.term}"
+            )
         for entry in entries:
             if entry.index <= len(self.committed):
                 if self.committed[entry.index - 1] != entry:
@@ -65,8 +70,9 @@
         belonging = station.machine.state.belonging
         have = sum(self.world.disk_term(who, entry.index) in (entry.term, -1) for who in belonging.voters)
         if have < belonging.majority:
-            raise Breach(f"entry {entry.index} told as committed with {have} disks of "
-                         f"{len(belonging.voters)}")
+            raise Breach(
+                f"entry {entry.index} told as committed with {have} disks of {len(belonging.voters)}"
+            )
 
     def applied(self, station, entry, outcome) -> None:
         """Each proposal takes effect once, and the book is the same at the same entry."""
@@ -91,7 +97,7 @@
         if self.leaders.setdefault(became.term, station.me) != station.me:
             raise Breach(f"two leaders in term {became.term}")
         log = station.machine.state.log
-        for entry in self.committed[log.base:]:
+        for entry in self.committed[log.base :]:
             # One that was stopped may come to lead an old term, while a later one has gone on.
             if self.committed_in[entry.index - 1] < became.term and log.term(entry.index) != entry.term:
                 raise Breach(f"{station.me.name} leads term {became.term} without entry {entry.index}")
--- a/proofs/ledger_clients.py
+++ b/proofs/ledger_clients.py
@@ -1,4 +1,5 @@
 """Who uses a simulated ledger: proposals that are made until they are in, reads, wishes for its members."""
+
 from __future__ import annotations
 
 import msgspec
@@ -11,7 +12,7 @@
 class Clients:
     def __init__(self, world) -> None:
         self.world = world
-        self.open = {}                          # proposal's number -> proposal, not known to be committed
+        self.open = {}  # proposal's number -> proposal, not known to be committed
         self.numbers = 0
 
     def told(self, entry: Entry) -> None:
@@ -34,8 +35,9 @@
         self.offer(station, self.open[number])
 
     def offer(self, station: Station, proposal: Proposal) -> None:
-        if station.machine is not None and not self.world.held_up(station, station.epoch, self.offer, station,
-                                                                  proposal):
+        if station.machine is not None and not self.world.held_up(
+            station, station.epoch, self.offer, station, proposal
+        ):
             self.world.step(station, Propose(proposal))
 
     def turned(self, station: Station, output: Turned) -> None:
@@ -49,13 +51,15 @@
         self.ask(station, station.epoch, self.numbers)
 
     def ask(self, station: Station, epoch: int, number: int) -> None:
-        if station.machine is not None and not self.world.held_up(station, epoch, self.ask, station, epoch,
-                                                                  number):
+        if station.machine is not None and not self.world.held_up(
+            station, epoch, self.ask, station, epoch, number
+        ):
             self.world.step(station, Read(number))
 
     def ask_change(self, station: Station, change: Change) -> None:
-        if station.machine is not None and not self.world.held_up(station, station.epoch, self.ask_change,
-                                                                  station, change):
+        if station.machine is not None and not self.world.held_up(
+            station, station.epoch, self.ask_change, station, change
+        ):
             self.world.step(station, change)
 
     def readable(self, station: Station, output: Readable) -> None:
--- a/proofs/ledger_disk.py
+++ b/proofs/ledger_disk.py
@@ -1,4 +1,5 @@
 """A disk that keeps what it said it kept, and at a crash sometimes more, in order; for simulated members."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -9,7 +10,7 @@
 class Disk:
     def __init__(self, snap: Snap) -> None:
         self.ballot, self.snap, self.entries = Ballot(0), snap, []
-        self.queue = deque()                    # asked for, not yet confirmed: Write, Install or Snap
+        self.queue = deque()  # asked for, not yet confirmed: Write, Install or Snap
         self.failed = False
 
     def carry_out(self) -> Written | Snapped:
@@ -19,7 +20,7 @@
             if op.ballot is not None:
                 self.ballot = op.ballot
             if op.cut:
-                del self.entries[max(0, op.cut - self.snap.index - 1):]
+                del self.entries[max(0, op.cut - self.snap.index - 1) :]
             fresh = [entry for entry in op.entries if entry.index > self.snap.index]
             if fresh and fresh[0].index != self.last + 1:
                 raise ValueError(f"a gap on the disk: {fresh[0].index} after {self.last}")
@@ -27,7 +28,7 @@
             return Written(op.number)
         snap = op.snap if isinstance(op, Install) else op
         if snap.index > self.snap.index:
-            keep = [] if isinstance(op, Install) else self.entries[snap.index - self.snap.index:]
+            keep = [] if isinstance(op, Install) else self.entries[snap.index - self.snap.index :]
             self.snap, self.entries = snap, keep
         return Snapped(snap)
 
--- a/proofs/ledger_faults.py
+++ b/proofs/ledger_faults.py
@@ -1,4 +1,5 @@
 """One schedule: what goes wrong when, by its seed; then quiet, after which all must be well again."""
+
 from __future__ import annotations
 
 from indigohitch.fleet.ledger.ports import Change, DiskBack, DiskFailed, HandOver, Members
@@ -7,10 +8,22 @@
 from proofs.ledger_station import Station
 from proofs.ledger_world import World
 
-STORM = 24_000                  # ten shortest elections' times
-LATEST = 120_000                # by then all must be well: with slow links votes are split again and again
-FAULTS = ("cut_one_way", "cut_off", "split", "heal", "kill", "kill_all", "stop", "slow_disk",
-          "disk_fails", "hand_over", "change", "calm")
+STORM = 24_000  # ten shortest elections' times
+LATEST = 120_000  # by then all must be well: with slow links votes are split again and again
+FAULTS = (
+    "cut_one_way",
+    "cut_off",
+    "split",
+    "heal",
+    "kill",
+    "kill_all",
+    "stop",
+    "slow_disk",
+    "disk_fails",
+    "hand_over",
+    "change",
+    "calm",
+)
 
 
 class Schedule:
--- a/proofs/ledger_guards.py
+++ b/proofs/ledger_guards.py
@@ -1,6 +1,7 @@
 """Guards of the ledger's machine that can be taken away, to show that the schedules find what each is for.
 
 The machine has no switch for it: its methods are replaced here for as long as a schedule runs."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -24,6 +25,7 @@
         if not self.failed:
             self.done, self.stable = self.number, last
         return out
+
     return Durable, "write", early
 
 
@@ -35,6 +37,7 @@
         if not word.pre and word.term == self.state.term:
             self.state.ballot = Ballot(word.term, None)
         heard(self, sender, word)
+
     return Votes, "heard_ask", twice
 
 
@@ -63,9 +66,15 @@
     return Leases, "over_at", lambda self, station, name: station.given.get(name, 0)
 
 
-GUARDS = {"written": promised_early, "vote_once": voted_twice, "own_term": any_term,
-          "read_quorum": read_alone, "prevote_sticky": not_sticky, "one_change": changes_at_once,
-          "leases_assumed": nobody_before}
+GUARDS = {
+    "written": promised_early,
+    "vote_once": voted_twice,
+    "own_term": any_term,
+    "read_quorum": read_alone,
+    "prevote_sticky": not_sticky,
+    "one_change": changes_at_once,
+    "leases_assumed": nobody_before,
+}
 
 
 @contextmanager
@@ -76,7 +85,7 @@
     where, method, instead = GUARDS[name]()
     before = where.__dict__[method]
     if not isinstance(instead, property):
-        instead.__name__ = method               # so that what refers to it can be pickled
+        instead.__name__ = method  # so that what refers to it can be pickled
     setattr(where, method, instead)
     try:
         yield
--- a/proofs/ledger_leases.py
+++ b/proofs/ledger_leases.py
@@ -2,6 +2,7 @@
 
 The holder counts its lease from before it asked, shorter by the drift of its clock; the giver from after it
 answered, longer by it; and a new leader takes every member to hold one as it is elected."""
+
 from __future__ import annotations
 
 import msgspec
@@ -12,13 +13,13 @@
 from proofs.ledger_checks import Breach
 from proofs.ledger_station import DRIFT, Name
 
-SPAN = 8000                     # of a lease: longer than an election takes, so that one outlives its leader
+SPAN = 8000  # of a lease: longer than an election takes, so that one outlives its leader
 
 
 class Leases:
     def __init__(self, world) -> None:
         self.world = world
-        self.renewals = {}                      # number of a read -> (leader, its epoch, member, asked at)
+        self.renewals = {}  # number of a read -> (leader, its epoch, member, asked at)
         self.moves = 0
 
     # ---- who acts ----------------------------------------------------------------------------------
@@ -26,8 +27,14 @@
     def acting(self) -> list:
         """A process that is stopped counts too: it may be between its look at the clock and its act."""
         now = self.world.now
-        return [s for s in self.world.stations.values() if s.machine is not None and s.lease is not None
-                and s.book.parts["toy"].holder == s.me.name and s.lease > s.local(now)]
+        return [
+            s
+            for s in self.world.stations.values()
+            if s.machine is not None
+            and s.lease is not None
+            and s.book.parts["toy"].holder == s.me.name
+            and s.lease > s.local(now)
+        ]
 
     def check(self) -> None:
         acting = self.acting()
@@ -44,8 +51,9 @@
                 continue
             leader = station.machine.leader
             if leader is not None:
-                world.post(station.me, leader, self.asked, station.me, station.local(world.now),
-                           station.epoch)
+                world.post(
+                    station.me, leader, self.asked, station.me, station.local(world.now), station.epoch
+                )
             if station.machine.settled and moving:
                 self.lead(station)
 
@@ -100,5 +108,7 @@
         self.moves += 1
         self.world.tally["leases"] += word == "hold"
         body = msgspec.msgpack.encode(Name(name))
-        self.world.step(station, Propose(Proposal(f"leases {station.me.name}", station.epoch, self.moves,
-                                                  f"toy.{word}", body)))
+        self.world.step(
+            station,
+            Propose(Proposal(f"leases {station.me.name}", station.epoch, self.moves, f"toy.{word}", body)),
+        )
--- a/proofs/ledger_members.py
+++ b/proofs/ledger_members.py
@@ -1,4 +1,5 @@
 """Members of a small ledger by number: each place that one can be in, and each move from it, once."""
+
 from __future__ import annotations
 
 import pickle
@@ -22,8 +23,15 @@
 from indigohitch.fleet.ledger.words import Appended, Ask, Vote
 from indigohitch.fleet.terms import Entry
 
-BOOTSTRAP = {"election": 1000, "beat": 500, "log_most": 1 << 30, "append_most": 100, "piece": 100,
-             "inflight": 2, "proposals_most": 8}
+BOOTSTRAP = {
+    "election": 1000,
+    "beat": 500,
+    "log_most": 1 << 30,
+    "append_most": 100,
+    "piece": 100,
+    "inflight": 2,
+    "proposals_most": 8,
+}
 
 
 class Found(Exception):
@@ -42,32 +50,63 @@
     led = None
     if leading is not None:
         reads = leading.reads
-        led = (reads.first, reads.round, tuple(sorted(reads.echoed.items())), tuple(reads.waiting),
-               leading.beat_due - now,
-               tuple((who, peer.match, peer.next, peer.way, peer.probed, tuple(peer.out),
-                      min(now - peer.heard, BOOTSTRAP["election"])) for who, peer in leading.peers.items()))
-    return (state.me, state.role, state.ballot, state.leader, state.commit,
-            tuple((entry.term, entry.kind, entry.number) for entry in state.log.entries),
-            durable.stable, durable.number - durable.done, durable.ballot_at > durable.done,
-            tuple((number - durable.done, last) for number, last in durable.pending),
-            tuple((number - durable.done, send) for number, send in durable.promises),
-            min(now - state.heard, BOOTSTRAP["election"]), state.election_due - now,
-            frozenset(machine.votes.given), machine.votes.handed,
-            following.agreed, following.agreed_in, following.round, following.owed, following.told,
-            following.echoed, led)
+        led = (
+            reads.first,
+            reads.round,
+            tuple(sorted(reads.echoed.items())),
+            tuple(reads.waiting),
+            leading.beat_due - now,
+            tuple(
+                (
+                    who,
+                    peer.match,
+                    peer.next,
+                    peer.way,
+                    peer.probed,
+                    tuple(peer.out),
+                    min(now - peer.heard, BOOTSTRAP["election"]),
+                )
+                for who, peer in leading.peers.items()
+            ),
+        )
+    return (
+        state.me,
+        state.role,
+        state.ballot,
+        state.leader,
+        state.commit,
+        tuple((entry.term, entry.kind, entry.number) for entry in state.log.entries),
+        durable.stable,
+        durable.number - durable.done,
+        durable.ballot_at > durable.done,
+        tuple((number - durable.done, last) for number, last in durable.pending),
+        tuple((number - durable.done, send) for number, send in durable.promises),
+        min(now - state.heard, BOOTSTRAP["election"]),
+        state.election_due - now,
+        frozenset(machine.votes.given),
+        machine.votes.handed,
+        following.agreed,
+        following.agreed_in,
+        following.round,
+        following.owed,
+        following.told,
+        following.echoed,
+        led,
+    )
 
 
 class Done(NamedTuple):
     """What a move of one member came to."""
+
     place: int
-    words: tuple[int, ...]          # that it sent
+    words: tuple[int, ...]  # that it sent
     commits: tuple[Entry, ...]
     read: Readable | None
 
 
 def written(disk: tuple, write: Write) -> tuple:
     ballot, held = disk
-    return write.ballot or ballot, (held[:write.cut - 1] if write.cut else held) + write.entries
+    return write.ballot or ballot, (held[: write.cut - 1] if write.cut else held) + write.entries
 
 
 class Places:
@@ -77,11 +116,11 @@
     def __init__(self, voters: tuple) -> None:
         self.voters = voters
         self.numbers: dict[tuple, int] = {}
-        self.places: list[tuple] = []           # pickled machine or None, disk, queue
-        self.leads: list[int | None] = []       # the term that it leads
-        self.logs: list[tuple[int, ...]] = []   # terms of its log
+        self.places: list[tuple] = []  # pickled machine or None, disk, queue
+        self.leads: list[int | None] = []  # the term that it leads
+        self.logs: list[tuple[int, ...]] = []  # terms of its log
         self.word_numbers: dict[tuple, int] = {}
-        self.words: list[tuple] = []            # from, to, word
+        self.words: list[tuple] = []  # from, to, word
         self.moves: dict[tuple, Done] = {}
         self.vain: dict[tuple, bool] = {}
 
--- a/proofs/ledger_model.py
+++ b/proofs/ledger_model.py
@@ -8,6 +8,7 @@
 
 `explore(scene)` -> states and steps counted, the breach found or "".  Scenes are independent: `run` takes a
 process for each."""
+
 from __future__ import annotations
 
 import multiprocessing
@@ -31,6 +32,7 @@
 class Bounds(NamedTuple):
     """What may still come: whose timers end (a letter for each time), and how often the others.  A cut loses
     what is under way on one link.  `prompt`: once no crash may come any more, disks write at once."""
+
     timeouts: str
     crashes: int
     cuts: int
@@ -41,19 +43,20 @@
 
 class Scene(NamedTuple):
     name: str
-    disks: tuple                # from which the three start
-    first: tuple[int, ...]      # whose timers end first, before anything is explored; then all is delivered
+    disks: tuple  # from which the three start
+    first: tuple[int, ...]  # whose timers end first, before anything is explored; then all is delivered
     bounds: Bounds
     quick: Bounds
 
 
 class Whole(NamedTuple):
     """A state of the whole, in numbers."""
+
     places: tuple[int, int, int]
     links: tuple[tuple[int, ...], ...]  # words under way from a to a, a to b, .. c to c, in order
-    leaders: tuple                      # (term, who), sorted
-    committed: tuple                    # (term of the entry, in which term it was committed) from 1 on
-    reading: int                        # the least index that the read that is out may answer; -1: none is
+    leaders: tuple  # (term, who), sorted
+    committed: tuple  # (term of the entry, in which term it was committed) from 1 on
+    reading: int  # the least index that the read that is out may answer; -1: none is
     bounds: Bounds
 
 
@@ -67,10 +70,20 @@
     Scene("two stand at once", (FRESH,) * 3, (), Bounds("ab", 1, 0), Bounds("ab", 0, 0, prompt=True)),
     Scene("one stands, some crash", (FRESH,) * 3, (), Bounds("a", 2, 1, 1), Bounds("a", 1, 0)),
     Scene("another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 1, 1), Bounds("bc", 0, 0, prompt=True)),
-    Scene("a read while another takes over", (FRESH,) * 3, (0,), Bounds("bc", 0, 1, 0, 1),
-          Bounds("bc", 0, 0, 0, 1, prompt=True)),
-    Scene("an entry of an old term (figure 8)", (disk(3, 1, 2), disk(3, 1), disk(3, 1, 3)), (),
-          Bounds("abc", 0, 0, prompt=True), Bounds("ac", 0, 0, prompt=True)),
+    Scene(
+        "a read while another takes over",
+        (FRESH,) * 3,
+        (0,),
+        Bounds("bc", 0, 1, 0, 1),
+        Bounds("bc", 0, 0, 0, 1, prompt=True),
+    ),
+    Scene(
+        "an entry of an old term (figure 8)",
+        (disk(3, 1, 2), disk(3, 1), disk(3, 1, 3)),
+        (),
+        Bounds("abc", 0, 0, prompt=True),
+        Bounds("ac", 0, 0, prompt=True),
+    ),
 )
 
 
@@ -91,7 +104,7 @@
         return whole._replace(bounds=self.scene.quick if self.quick else self.scene.bounds)
 
     def explore(self) -> tuple[int, int, str]:
-        seen: set[int] = set()                  # 64 bits: that two of some millions share one is unlikely
+        seen: set[int] = set()  # 64 bits: that two of some millions share one is unlikely
         try:
             todo = [self.start()]
             while todo:
@@ -109,11 +122,13 @@
         bounds, places, links = whole.bounds, self.places, whole.links
         for link, words in enumerate(links):
             if words:
-                rest = links[:link] + (words[1:],) + links[link + 1:]
+                rest = links[:link] + (words[1:],) + links[link + 1 :]
                 yield self.moved(whole._replace(links=rest), link % 3, words[0])
                 if bounds.cuts:
-                    yield whole._replace(links=links[:link] + ((),) + links[link + 1:],
-                                         bounds=bounds._replace(cuts=bounds.cuts - 1))
+                    yield whole._replace(
+                        links=links[:link] + ((),) + links[link + 1 :],
+                        bounds=bounds._replace(cuts=bounds.cuts - 1),
+                    )
         for at, place in enumerate(whole.places):
             pickled, _, queue = places.places[place]
             if pickled is None:
@@ -129,16 +144,21 @@
                 yield self.moved(whole, at, "crash", bounds._replace(crashes=bounds.crashes - 1))
             if bounds.proposals and leads:
                 proposal = Proposal("p", 1, bounds.proposals, "toy.add", b"")
-                yield self.moved(whole, at, Propose(proposal),
-                                 bounds._replace(proposals=bounds.proposals - 1))
+                yield self.moved(
+                    whole, at, Propose(proposal), bounds._replace(proposals=bounds.proposals - 1)
+                )
             if bounds.reads and leads:
-                yield self.moved(whole._replace(reading=len(whole.committed)), at, Read(1),
-                                 bounds._replace(reads=bounds.reads - 1))
+                yield self.moved(
+                    whole._replace(reading=len(whole.committed)),
+                    at,
+                    Read(1),
+                    bounds._replace(reads=bounds.reads - 1),
+                )
 
     def moved(self, whole: Whole, at: int, what, bounds: Bounds | None = None) -> Whole:
         before = whole.places
         done = self.places.move(at, before[at], what, whole.bounds.prompt and not whole.bounds.crashes)
-        places = before[:at] + (done.place,) + before[at + 1:]
+        places = before[:at] + (done.place,) + before[at + 1 :]
         links, vain = list(whole.links), self.places.in_vain
         for word in done.words:
             sender, to, _ = self.places.words[word]
@@ -166,8 +186,10 @@
             if entry.index > len(committed):
                 committed += ((entry.term, term or told[-1].term),)
             elif committed[entry.index - 1][0] != entry.term:
-                raise Found(f"entry {entry.index} of term {entry.term} is committed, before it was one of "
-                            f"{committed[entry.index - 1][0]}")
+                raise Found(
+                    f"entry {entry.index} of term {entry.term} is committed, before it was one of "
+                    f"{committed[entry.index - 1][0]}"
+                )
         return committed
 
     def leads(self, leaders: tuple, committed: tuple, place: int, at: int, term: int) -> tuple:
@@ -175,7 +197,7 @@
             raise Found(f"two leaders in term {term}")
         log = self.places.logs[place]
         before = tuple(one for one, committed_in in committed if committed_in < term)
-        if log[:len(before)] != before:
+        if log[: len(before)] != before:
             raise Found(f"{NAMES[at]} leads term {term} with {log}, committed is {committed}")
         return tuple(sorted((*leaders, (term, at))))
 
@@ -192,5 +214,9 @@
     with multiprocessing.get_context("fork").Pool(processes or len(SCENES)) as pool:
         results = pool.starmap(explore, [(scene.name, quick, broken) for scene in SCENES], chunksize=1)
     breaches = [breach for _, _, breach in results if breach]
-    return {"states": sum(states for states, _, _ in results), "steps": sum(steps for _, steps, _ in results),
-            "violations": len(breaches), "breaches": breaches}
+    return {
+        "states": sum(states for states, _, _ in results),
+        "steps": sum(steps for _, steps, _ in results),
+        "violations": len(breaches),
+        "breaches": breaches,
+    }
--- a/proofs/ledger_processes.py
+++ b/proofs/ledger_processes.py
@@ -4,6 +4,7 @@
 Each acknowledged note is at the end in each member's book, once; books are equal; a read that began after an
 acknowledgement is never answered by an older book; after each loss of a leader a note is acknowledged again
 within two seconds."""
+
 from __future__ import annotations
 
 import random
@@ -15,8 +16,8 @@
 
 from fleetkit import DISKS, Fleet, Notes, Player, drawn, settled, until
 
-LEASE = 2.0                     # s, as the kit's files have it
-FAILOVER = 2.0                  # s, at most
+LEASE = 2.0  # s, as the kit's files have it
+FAILOVER = 2.0  # s, at most
 
 
 class Reads:
@@ -47,8 +48,13 @@
 class Proof:
     def __init__(self, seed: int, quick: bool, broken: bool) -> None:
         self.quick, self.seed = quick, seed
-        self.fleet = Fleet(Path(tempfile.mkdtemp(prefix="proof-ledger-")), voters=5, seed=seed, patch=DISKS,
-                           environment={"FLEET_DISK": "lying"} if broken else {})
+        self.fleet = Fleet(
+            Path(tempfile.mkdtemp(prefix="proof-ledger-")),
+            voters=5,
+            seed=seed,
+            patch=DISKS,
+            environment={"FLEET_DISK": "lying"} if broken else {},
+        )
         self.failovers: list[float] = []
         self.wrong: list[str] = []
 
@@ -165,6 +171,7 @@
         def votes() -> bool:
             led = self.fleet.of_fleet(self.fleet.leader()) if self.fleet.leader() else None
             return bool(led) and any(v["name"] == name and v["number"] > before for v in led["voters"])
+
         until(votes, 20, f"{name} to vote under another number")
         self.say(f"disk of {name} lost: it votes again under another number")
 
@@ -191,11 +198,24 @@
     def run(self) -> dict:
         self.begun = time.monotonic()
         fleet = self.fleet
-        steps = [self.killed, self.stopped, lambda: self.parted("both"), self.memory_lost, self.disk_lost,
-                 self.two_leaders, self.trickling]
+        steps = [
+            self.killed,
+            self.stopped,
+            lambda: self.parted("both"),
+            self.memory_lost,
+            self.disk_lost,
+            self.two_leaders,
+            self.trickling,
+        ]
         if not self.quick:
-            steps += [lambda: self.parted("hears"), lambda: self.parted("heard"), self.majority_lost,
-                      self.disk_full, self.one_by_one, self.killed]
+            steps += [
+                lambda: self.parted("hears"),
+                lambda: self.parted("heard"),
+                self.majority_lost,
+                self.disk_full,
+                self.one_by_one,
+                self.killed,
+            ]
         try:
             fleet.start()
             self.say("five members, one leads")
@@ -221,27 +241,37 @@
             lost |= set(missing)
             doubled |= set(twice)
         acts = [what.split()[0] for _, what in [*fleet.told, *fleet.breaker.told]]
-        return {"commits": len(self.notes.acknowledged), "kills": acts.count("kill"),
-                "stops": acts.count("stop"), "cuts": sum(acts.count(w) for w in ("cut", "cut_off", "part")),
-                "lost_commits": len(lost), "doubled_commits": len(doubled),
-                "books_differ": len({digest for _, digest in found.values()}) - 1,
-                "reads": reads.done, "stale_reads": len(reads.stale),
-                "failovers": len(self.failovers), "tracebacks": len(fleet.noise()), "wrong": self.wrong,
-                "failover_ms_p50": round(1000 * sorted(self.failovers)[len(self.failovers) // 2]),
-                "failover_ms_max": round(1000 * max(self.failovers))}
+        return {
+            "commits": len(self.notes.acknowledged),
+            "kills": acts.count("kill"),
+            "stops": acts.count("stop"),
+            "cuts": sum(acts.count(w) for w in ("cut", "cut_off", "part")),
+            "lost_commits": len(lost),
+            "doubled_commits": len(doubled),
+            "books_differ": len({digest for _, digest in found.values()}) - 1,
+            "reads": reads.done,
+            "stale_reads": len(reads.stale),
+            "failovers": len(self.failovers),
+            "tracebacks": len(fleet.noise()),
+            "wrong": self.wrong,
+            "failover_ms_p50": round(1000 * sorted(self.failovers)[len(self.failovers) // 2]),
+            "failover_ms_max": round(1000 * max(self.failovers)),
+        }
 
 
 def run(seed: int = 1, quick: bool = False, broken: bool = False) -> dict:
     """Raises AssertionError where the fleet does not come to what it should."""
     proof = Proof(seed, quick, broken)
     found = proof.run()
-    shutil.rmtree(proof.fleet.path, ignore_errors=True)     # of one that got stuck it stays to be looked at
+    shutil.rmtree(proof.fleet.path, ignore_errors=True)  # of one that got stuck it stays to be looked at
     return found
 
 
 def bad(found: dict) -> list[str]:
     """Promises that the figures break."""
     zeros = ("lost_commits", "doubled_commits", "books_differ", "stale_reads", "wrong", "tracebacks")
-    return [*(name for name in zeros if found[name]),
-            *(["failover_ms_max"] if found["failover_ms_max"] > 1000 * FAILOVER else []),
-            *(["commits"] if found["commits"] < 100 else [])]
+    return [
+        *(name for name in zeros if found[name]),
+        *(["failover_ms_max"] if found["failover_ms_max"] > 1000 * FAILOVER else []),
+        *(["commits"] if found["commits"] < 100 else []),
+    ]
--- a/proofs/ledger_schedules.py
+++ b/proofs/ledger_schedules.py
@@ -2,6 +2,7 @@
 
 `run(count, seed, broken)` is for tests and for the proof; `python proofs/ledger_schedules.py SEED` plays one
 schedule and shows what breaks."""
+
 from __future__ import annotations
 
 import multiprocessing
@@ -16,7 +17,7 @@
 from proofs.ledger_faults import Schedule  # noqa: E402
 from proofs.ledger_guards import taken_away  # noqa: E402
 
-BATCH = 25                      # schedules that a process takes at a time
+BATCH = 25  # schedules that a process takes at a time
 
 
 def play(seed: int) -> tuple[dict, str]:
@@ -41,8 +42,9 @@
 def run(count: int, seed: int = 1, broken: str | None = None, processes: int | None = None) -> dict:
     """`schedules` played, `violations` among them and the first ten in `breaches`, and what happened in all.
     `broken`: a guard of the machine that is taken away (`ledger_guards.GUARDS`)."""
-    batches = [(range(first, min(first + BATCH, seed + count)), broken)
-               for first in range(seed, seed + count, BATCH)]
+    batches = [
+        (range(first, min(first + BATCH, seed + count)), broken) for first in range(seed, seed + count, BATCH)
+    ]
     processes = min(processes or os.cpu_count() or 1, len(batches))
     if processes == 1:
         results = [batch(*one) for one in batches]
--- a/proofs/ledger_station.py
+++ b/proofs/ledger_station.py
@@ -1,4 +1,5 @@
 """A simulated member of the ledger: machine, book, disk and clock of one process."""
+
 from __future__ import annotations
 
 import zlib
@@ -12,9 +13,16 @@
 from indigohitch.packed.rows import Row
 from proofs.ledger_disk import Disk
 
-BOOTSTRAP = {"election": 2400, "beat": 600, "log_most": 2500, "append_most": 300, "piece": 400,
-             "inflight": 3, "proposals_most": 24}
-DRIFT = 0.02                    # of a member's clock, at most; more than real, so that it matters
+BOOTSTRAP = {
+    "election": 2400,
+    "beat": 600,
+    "log_most": 2500,
+    "append_most": 300,
+    "piece": 400,
+    "inflight": 3,
+    "proposals_most": 24,
+}
+DRIFT = 0.02  # of a member's clock, at most; more than real, so that it matters
 
 
 class Add(Row):
@@ -35,6 +43,7 @@
 class Toy:
     """A part of the book: a chain over all that was added, and where; and one thing that a member holds,
     which goes to another only after it was shut."""
+
     name, kinds = "toy", {"add": Add, "shut": Name, "hold": Name}
 
     def __init__(self) -> None:
@@ -66,12 +75,12 @@
         self.rate = 1 + DRIFT * (2 * chance() - 1)
         self.offset = int(chance() * 1e6)
         self.disk = Disk(Snap(0, 0, members, b""))
-        self.machine = self.book = None         # None while it doesn't run
-        self.epoch = 0                          # counts its starts: what was under way before is void
+        self.machine = self.book = None  # None while it doesn't run
+        self.epoch = 0  # counts its starts: what was under way before is void
         self.stopped_until = 0
-        self.slow = 1                           # times as long for the disk
-        self.due_at = 0                         # the `Due` that is in the queue
-        self.heard = None                       # local time at which a leader was heard
+        self.slow = 1  # times as long for the disk
+        self.due_at = 0  # the `Due` that is in the queue
+        self.heard = None  # local time at which a leader was heard
 
     def local(self, now: int) -> int:
         return self.offset + int(now * self.rate)
@@ -91,8 +100,8 @@
         self.machine = Machine(self.me, held, self.bootstrap, self.chance, self.local(now))
         self.epoch += 1
         self.heard, self.due_at, self.stopped_until = None, 0, 0
-        self.lease = None                       # until when, by its own clock, it may act
-        self.given = {}                         # as leader: until when each member may, by this clock
+        self.lease = None  # until when, by its own clock, it may act
+        self.given = {}  # as leader: until when each member may, by this clock
 
     def crash(self) -> None:
         """Memory is lost, and of what was asked of the disk what it hadn't confirmed, or some of it."""
--- a/proofs/ledger_world.py
+++ b/proofs/ledger_world.py
@@ -1,5 +1,6 @@
 """Members of a ledger in simulated time: links that lose, double, reorder and are cut, disks that lose what
 wasn't synced, clocks that drift, processes that stop.  All by one seed."""
+
 from __future__ import annotations
 
 import heapq
@@ -26,8 +27,21 @@
 from proofs.ledger_leases import Leases
 from proofs.ledger_station import BOOTSTRAP, Station
 
-TALLY = ("steps", "commits", "kills", "cuts", "reads", "snapshots", "elections", "disk_failures", "changes",
-         "hand_overs", "stops", "voided", "leases")
+TALLY = (
+    "steps",
+    "commits",
+    "kills",
+    "cuts",
+    "reads",
+    "snapshots",
+    "elections",
+    "disk_failures",
+    "changes",
+    "hand_overs",
+    "stops",
+    "voided",
+    "leases",
+)
 
 
 class World:
@@ -36,17 +50,23 @@
         self.now, self.order, self.events = 0, 0, []
         self.checks, self.leases = Checks(self), Leases(self)
         self.cuts, self.loss, self.doubling, self.delay, self.in_order = set(), 0.0, 0.0, 20, False
-        self.arrivals = {}                      # link -> the last arrival, where order is kept
+        self.arrivals = {}  # link -> the last arrival, where order is kept
         founders = Members(tuple(Who(name, 1) for name in "abcdefg"[:size]))
         self.bootstrap = {**BOOTSTRAP, "append_most": self.random.choice((100, 300, 1000))}
         self.stations, self.disks = {}, {}
         self.tally = dict.fromkeys(TALLY, 0)
-        self.hunter = None                      # told of each new leader, a little later
+        self.hunter = None  # told of each new leader, a little later
         self.clients = Clients(self)
-        self.carry = {Send: self.send, Write: self.to_disk, Install: self.install, Commit: self.commit,
-                      TakeSnapshot: self.snapshot, Turned: self.clients.turned,
-                      Readable: self.clients.readable,
-                      Became: self.became}
+        self.carry = {
+            Send: self.send,
+            Write: self.to_disk,
+            Install: self.install,
+            Commit: self.commit,
+            TakeSnapshot: self.snapshot,
+            Turned: self.clients.turned,
+            Readable: self.clients.readable,
+            Became: self.became,
+        }
         for who in founders.voters:
             self.begin(who, founders)
 
@@ -142,7 +162,7 @@
         leads = type(word) in (Append, Piece) and word.term >= station.machine.term
         self.step(station, Heard(sender, word))
         if leads and station.machine is not None and station.machine.state.heard == local:
-            station.heard = local               # one that came too late tells of no leader
+            station.heard = local  # one that came too late tells of no leader
         if type(word) is Ask and heard:
             self.checks.asked(station, ballot, sender, word)
 
