--- a/proofs/load.py
+++ b/proofs/load.py
@@ -6,6 +6,7 @@
 the rate, without the kill; it takes two.
 
 The last line is one JSON object; the exit code is 1 where a promise is broken."""
+
 import json
 import math
 import os
@@ -26,7 +27,7 @@
 
 QUICK, BROKEN, HOUR = (os.environ.get(name) == "1" for name in ("QUICK", "BROKEN", "HOUR"))
 SECONDS = 3600 if HOUR else 9 if QUICK else 60
-RATE = 30 if HOUR else 300      # a second, at the mean
+RATE = 30 if HOUR else 300  # a second, at the mean
 SECOND = 10_000
 PROGRAM = [sys.executable, "-m", "indigohitch", "load"]
 
@@ -66,21 +67,41 @@
             load.begin(due.pop())
         if due:
             load.loop.at(due[-1], tick)
+
     load.loop.at(begin, tick)
     load.turn_until(lambda: not due and not load.out, SECONDS + 10)
-    f.process.terminate()       # its log is written to the end
+    f.process.terminate()  # its log is written to the end
     f.process.wait()
     return f, len(load.reserves)
 
 
 def compiled(path, name, routes):
-    return said([*PROGRAM, "compile", str(path / name / "access.jsonl"), "-o", str(path / f"{name}.trace"),
-                 "--routes", str(routes), "--strict"])
+    return said(
+        [
+            *PROGRAM,
+            "compile",
+            str(path / name / "access.jsonl"),
+            "-o",
+            str(path / f"{name}.trace"),
+            "--routes",
+            str(routes),
+            "--strict",
+        ]
+    )
 
 
 def command(path, f, journal):
-    return [*PROGRAM, "replay", str(path / "recorded.trace"), f.listen, "--through", str(f.file), "--json",
-            "--journal", str(path / journal)]
+    return [
+        *PROGRAM,
+        "replay",
+        str(path / "recorded.trace"),
+        f.listen,
+        "--through",
+        str(f.file),
+        "--json",
+        "--journal",
+        str(path / journal),
+    ]
 
 
 def replayed(path, f, journal, *more):
@@ -95,6 +116,7 @@
     """Of a round trip: are methods and paths the same; how many swapped places on a connection; by how much a
     request moved in time at the 99th percentile, in ms; and the KS distance of the times between requests."""
     from scipy.stats import ks_2samp
+
     same = Counter((r.method, r.target) for r in one) == Counter((r.method, r.target) for r in two)
     places = {}
     for r in two:
@@ -129,23 +151,39 @@
 
     recorded = sum(r.unsafe for r in requests(path, "recorded"))
     found = {
-        "factor": 3600 / SECONDS, "requests": told["requests"], "rate_error_max": whole["rate_error_max"],
-        "reserves_recorded": recorded, "reserves_sent_by_clients": reserves,
-        "reserves_seen": len(seen), "reserves_seen_without_kill": len(acts),
+        "factor": 3600 / SECONDS,
+        "requests": told["requests"],
+        "rate_error_max": whole["rate_error_max"],
+        "reserves_recorded": recorded,
+        "reserves_sent_by_clients": reserves,
+        "reserves_seen": len(seen),
+        "reserves_seen_without_kill": len(acts),
         "reserves_twice": sum(n > 1 for n in seen.values()) + sum(n > 1 for n in acts.values()),
         "sent_again_after_kill": sent.get("reserves_sent_again", 0),
-        "lateness_p99_ms": whole["lateness"]["p99_ms"], "unread_lines": told["unread"],
-        "repairs": sum(told["repairs"].values()), "round_trip_same": same, "round_trip_swapped": swapped,
-        "round_trip_moved_p99_ms": moved, "round_trip_gaps_ks": round(ks, 4)}
-    found["kept"] = bool(found["rate_error_max"] <= 0.05 and recorded == reserves == len(seen) == len(acts)
-                         and not found["reserves_twice"] and not told["unread"] and same and moved < 50
-                         and ks < 0.05 and swapped <= len(requests(path, "recorded")) // 200)
+        "lateness_p99_ms": whole["lateness"]["p99_ms"],
+        "unread_lines": told["unread"],
+        "repairs": sum(told["repairs"].values()),
+        "round_trip_same": same,
+        "round_trip_swapped": swapped,
+        "round_trip_moved_p99_ms": moved,
+        "round_trip_gaps_ks": round(ks, 4),
+    }
+    found["kept"] = bool(
+        found["rate_error_max"] <= 0.05
+        and recorded == reserves == len(seen) == len(acts)
+        and not found["reserves_twice"]
+        and not told["unread"]
+        and same
+        and moved < 50
+        and ks < 0.05
+        and swapped <= len(requests(path, "recorded")) // 200
+    )
     print(json.dumps(found))
     return 0 if found["kept"] else 1
 
 
 def kill_and_resume(path):
-    third = field(path, "killed", service=80.0)             # so that some are on their way at any time
+    third = field(path, "killed", service=80.0)  # so that some are on their way at any time
     replay = subprocess.Popen(command(path, third, "journal-2"), cwd=ROOT, stdout=subprocess.DEVNULL)
     time.sleep(1.0 + SECONDS * 0.45)
     replay.kill()
--- a/proofs/seats.py
+++ b/proofs/seats.py
@@ -9,6 +9,7 @@
 
 QUICK=1: three voters, each fault once.  BROKEN=1 takes a guard away (seats_unheard.py) and has to fail.  The
 last line is one JSON object; the exit code is 1 where a promise is broken."""
+
 from __future__ import annotations
 
 import json
@@ -44,11 +45,16 @@
         host, port = self.servers.at["n4"].split(":")
         slow = "{}:{}".format(*self.way.gate("sidecars", "n4", (host, int(port))))
         pool = Pool(servers=self.servers.at | {"n4": slow}, rpcs=RPCS, routes=ROUTES)
-        self.fleet = Fleet(self.path, voters=3 if QUICK else 5, sidecars=3, more=contract(1, CONTRACT),
-                           pools=[pool],
-                           patch=Path(__file__).parent / "seats_unheard.py" if BROKEN else "")
+        self.fleet = Fleet(
+            self.path,
+            voters=3 if QUICK else 5,
+            sidecars=3,
+            more=contract(1, CONTRACT),
+            pools=[pool],
+            patch=Path(__file__).parent / "seats_unheard.py" if BROKEN else "",
+        )
         self.clients: list[Clients] = []
-        self.window, self.in_force = (0, 1), 1 << 61    # ns, once they are known
+        self.window, self.in_force = (0, 1), 1 << 61  # ns, once they are known
         self.waits: list[float] = []
         self.cut_took = 0.0
         self.counts = {"kills": 0, "cuts": 0, "refused_late": 0}
@@ -70,8 +76,11 @@
 
     def skewed(self) -> None:
         """A third for each would be a static split; the first sidecar's clients want all."""
-        busy = [self.add("s1", "many", 54, wait=400), self.add("s2", "few", 2, wait=400),
-                self.add("s3", "few", 2, wait=400)]
+        busy = [
+            self.add("s1", "many", 54, wait=400),
+            self.add("s2", "few", 2, wait=400),
+            self.add("s3", "few", 2, wait=400),
+        ]
         until(lambda: self.seats().get("members", {}).get("s1", 0) >= CONTRACT - 7, 12, "seats at s1")
         time.sleep(1.5)
         since = time.monotonic_ns()
@@ -121,7 +130,7 @@
         """RPCs to one server wait on their way until their seats are given to others: it must begin none."""
         before = self.servers.stats("n4")["refused"].get("late", 0)
         self.way.cut("sidecars", "n4")
-        time.sleep(3.5)                         # over the deadline and the lease
+        time.sleep(3.5)  # over the deadline and the lease
         self.way.heal()
         until(lambda: self.servers.stats("n4")["refused"].get("late", 0) > before, 5, "RPCs that come late")
         self.say(f"delayed: {self.servers.stats('n4')['refused']['late'] - before} came too late")
@@ -176,9 +185,13 @@
             found = [self.seats(name) for name in names]
             if not all(found):
                 return CONTRACT
-            return (sum(f["in_use"] for f in found) + found[0]["over"]
-                    + abs(CUT - found[0]["held"] - found[0]["free"])
-                    + sum(n for who, n in found[0]["members"].items() if who not in self.fleet.members))
+            return (
+                sum(f["in_use"] for f in found)
+                + found[0]["over"]
+                + abs(CUT - found[0]["held"] - found[0]["free"])
+                + sum(n for who, n in found[0]["members"].items() if who not in self.fleet.members)
+            )
+
         try:
             until(lambda: not leaked(), 10)
         except AssertionError:
@@ -210,7 +223,7 @@
         with self.fleet as fleet:
             try:
                 leaked = self.play()
-            except AssertionError as bad:       # what ran until then is judged all the same
+            except AssertionError as bad:  # what ran until then is judged all the same
                 wrong.append(str(bad))
             noise = fleet.noise()
         for clients in self.clients:
@@ -224,20 +237,41 @@
         since, before = self.window
         use = truth.mean(since, before) / CONTRACT
         # A static split would have given the first its third, always in use, and the others as they were.
-        static = (CONTRACT / 3 + sum(min(CONTRACT / 3, truth.mean(since, before, name))
-                                     for name in ("s2", "s3"))) / CONTRACT
+        static = (
+            CONTRACT / 3 + sum(min(CONTRACT / 3, truth.mean(since, before, name)) for name in ("s2", "s3"))
+        ) / CONTRACT
         result = {
-            "contract": CONTRACT, "peak_in_use": truth.peak(), "contract_cut": CUT,
-            "peak_after_cut": truth.peak(self.in_force + NS // 1000), "doubled": truth.doubled,
-            "given": truth.given, "refused": sum(c.refused for c in self.clients), **self.counts,
-            "leaked": leaked, "use_share": round(use, 3), "static_use_share": round(static, 3),
-            "wait_ms_p99": p99(self.waits), "cut_in_force_s": round(self.cut_took, 2),
-            "without_return": sum(c.without_return for c in self.clients), "noise": len(noise)}
-        broken = [name for name, bad in {
-            "peak_in_use": result["peak_in_use"] > CONTRACT, "peak_after_cut": result["peak_after_cut"] > CUT,
-            "doubled": result["doubled"], "leaked": leaked, "use_share": use < 0.9 or use <= static,
-            "wait_ms_p99": result["wait_ms_p99"] > 1000 * LEASE, "without_return": result["without_return"],
-            "given": result["given"] < 200, "noise": result["noise"]}.items() if bad] + wrong
+            "contract": CONTRACT,
+            "peak_in_use": truth.peak(),
+            "contract_cut": CUT,
+            "peak_after_cut": truth.peak(self.in_force + NS // 1000),
+            "doubled": truth.doubled,
+            "given": truth.given,
+            "refused": sum(c.refused for c in self.clients),
+            **self.counts,
+            "leaked": leaked,
+            "use_share": round(use, 3),
+            "static_use_share": round(static, 3),
+            "wait_ms_p99": p99(self.waits),
+            "cut_in_force_s": round(self.cut_took, 2),
+            "without_return": sum(c.without_return for c in self.clients),
+            "noise": len(noise),
+        }
+        broken = [
+            name
+            for name, bad in {
+                "peak_in_use": result["peak_in_use"] > CONTRACT,
+                "peak_after_cut": result["peak_after_cut"] > CUT,
+                "doubled": result["doubled"],
+                "leaked": leaked,
+                "use_share": use < 0.9 or use <= static,
+                "wait_ms_p99": result["wait_ms_p99"] > 1000 * LEASE,
+                "without_return": result["without_return"],
+                "given": result["given"] < 200,
+                "noise": result["noise"],
+            }.items()
+            if bad
+        ] + wrong
         for line in noise[:20]:
             print(line)
         print(json.dumps(result | {"broken": broken}))
--- a/proofs/seats_clients.py
+++ b/proofs/seats_clients.py
@@ -1,4 +1,5 @@
 """Clients of sidecars that need seats, in closed loops; what they were told, and how long they waited."""
+
 from __future__ import annotations
 
 import http.client
@@ -9,15 +10,23 @@
 class Clients:
     """`count` clients of one tenant at one sidecar.  One that is refused comes again after `gap` seconds."""
 
-    def __init__(self, listen: str, tenant: str, count: int, wait: int = 150, gap: float = 0.1,
-                 act: str = "", rest: float = 0.0) -> None:
+    def __init__(
+        self,
+        listen: str,
+        tenant: str,
+        count: int,
+        wait: int = 150,
+        gap: float = 0.1,
+        act: str = "",
+        rest: float = 0.0,
+    ) -> None:
         """`wait`: ms that a job takes; `act`: further orders to the stand-in; `rest`: s between jobs."""
         self.listen, self.tenant, self.gap, self.rest = listen, tenant, gap, rest
         self.act = ",".join(filter(None, (f"wait={wait}", act)))
         self.given = self.refused = self.failed = 0
-        self.late = 0                           # 409: a server's refusal that reached a client
-        self.without_return = 0                 # refused and not told when to come again
-        self.waits: list[float] = []            # s from wanting a seat to having its answer, less the job
+        self.late = 0  # 409: a server's refusal that reached a client
+        self.without_return = 0  # refused and not told when to come again
+        self.waits: list[float] = []  # s from wanting a seat to having its answer, less the job
         self.took = wait / 1000
         self.stopping = False
         self.threads = [threading.Thread(target=self.run, args=(n,), daemon=True) for n in range(count)]
@@ -32,8 +41,9 @@
             since = time.monotonic() if since is None else since
             try:
                 connection = connection or http.client.HTTPConnection(host, int(port), timeout=6)
-                connection.request("GET", f"/geocode/{number}-{n}",
-                                   headers={"X-Tenant": self.tenant, "X-Act": self.act})
+                connection.request(
+                    "GET", f"/geocode/{number}-{n}", headers={"X-Tenant": self.tenant, "X-Act": self.act}
+                )
                 answer = connection.getresponse()
                 answer.read()
             except (OSError, http.client.HTTPException):
--- a/proofs/seats_truth.py
+++ b/proofs/seats_truth.py
@@ -1,4 +1,5 @@
 """What truly ran: stand-in servers with licensed software, and their own records of it merged."""
+
 from __future__ import annotations
 
 import http.client
@@ -22,7 +23,7 @@
         self.holders = {f"n{n + 1}": held_port() for n in range(count)}
         self.at = {name: "{}:{}".format(*sock.getsockname()) for name, sock in self.holders.items()}
         self.processes: dict[str, subprocess.Popen] = {}
-        self.records: list[list] = []           # path, when its process was known to be dead (ns), or None
+        self.records: list[list] = []  # path, when its process was known to be dead (ns), or None
         self.current: dict[str, list] = {}
         for name in self.at:
             self.start(name)
@@ -32,9 +33,24 @@
         self.records.append(record)
         self.current[name] = record
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "indigohitch", "stand-in", self.at[name], "--name", name, "--service",
-             str(self.service), "--licensed", "/geocode", "--meter", str(record[0])],
-            cwd=ROOT, stdout=subprocess.PIPE)
+            [
+                sys.executable,
+                "-m",
+                "indigohitch",
+                "stand-in",
+                self.at[name],
+                "--name",
+                name,
+                "--service",
+                str(self.service),
+                "--licensed",
+                "/geocode",
+                "--meter",
+                str(record[0]),
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+        )
         self.processes[name].stdout.readline()
 
     def kill(self, name: str) -> None:
@@ -74,7 +90,7 @@
     """All servers' records as one: how many seats of `feature` were in use from when to when."""
 
     def __init__(self, servers: Servers, feature: str) -> None:
-        events = []                             # when, -1 an end before +1 a beginning, job, seat, member
+        events = []  # when, -1 an end before +1 a beginning, job, seat, member
         for place, (path, dead) in enumerate(servers.records):
             open_jobs = {}
             for line in path.read_text().splitlines():
@@ -86,12 +102,13 @@
                     key, member = open_jobs.pop(job)
                     when = min(int(when), int(seat[0])) if seat else int(when)
                     events.append((when, -1, tuple(map(str, key)), "", member))
-            events += [(dead or 1 << 62, -1, tuple(map(str, key)), "", member)
-                       for key, member in open_jobs.values()]
+            events += [
+                (dead or 1 << 62, -1, tuple(map(str, key)), "", member) for key, member in open_jobs.values()
+            ]
         self.given = sum(sign > 0 for _, sign, *_ in events)
-        self.steps: list[tuple[int, int, dict[str, int]]] = []      # from when: in use, by member
-        self.doubled = 0                        # a number in use twice at once
-        users: dict[tuple, list] = {}           # by seat in use: jobs, number, member
+        self.steps: list[tuple[int, int, dict[str, int]]] = []  # from when: in use, by member
+        self.doubled = 0  # a number in use twice at once
+        users: dict[tuple, list] = {}  # by seat in use: jobs, number, member
         for when, sign, key, number, member in sorted(events):
             if sign > 0:
                 known = users.setdefault(key, [0, number, member])
--- a/proofs/upgrade.py
+++ b/proofs/upgrade.py
@@ -6,6 +6,7 @@
 else ten and three.  BROKEN=1 lets the new program die after it accepted, and the proof has to fail.
 
 The last line is one JSON object; the exit code is 1 where a promise is broken."""
+
 import json
 import os
 import subprocess
@@ -23,27 +24,32 @@
 from waiting import eventually  # noqa: E402
 
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
-RATE, GAP = 500, 3.2                            # requests a second; seconds from one upgrade to the next
-MOST, WINDOW = 5, 10.0                          # messages that a proxy may get, and in what time
+RATE, GAP = 500, 3.2  # requests a second; seconds from one upgrade to the next
+MOST, WINDOW = 5, 10.0  # messages that a proxy may get, and in what time
 FAULTS = [("half", "crash")] if QUICK else [("half", "crash"), ("commit", "crash"), ("restored", "hang")]
 COUNT = 4 if QUICK else 10
-WORSE = 5                                       # times p99 without an upgrade, at most
+WORSE = 5  # times p99 without an upgrade, at most
 
 
 def coordinator(path):
     platform = Platform(path, backends=8, slices=24, proxies=6)
     operator = path / "operator.conf"
     operator.write_text(f"control {path / 'control'}\nwait watch 300ms\n")
-    settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {
-        "messages-most": MOST, "counted-over": WINDOW * 1000}}
+    settings = SETTINGS | {
+        "family-info": SETTINGS["family-info"] | {"messages-most": MOST, "counted-over": WINDOW * 1000}
+    }
     platform.start(["run", "--operator", str(operator)], settings=settings)
     eventually(lambda: platform.program.said("phase", now="serving") and platform.agrees())
     return platform, operator
 
 
 def ask(operator):
-    found = subprocess.run([sys.executable, "-m", "indigohitch", "upgrade", str(operator)], cwd=ROOT,
-                           capture_output=True, check=False)
+    found = subprocess.run(
+        [sys.executable, "-m", "indigohitch", "upgrade", str(operator)],
+        cwd=ROOT,
+        capture_output=True,
+        check=False,
+    )
     return json.loads(found.stdout)
 
 
@@ -63,8 +69,22 @@
     field = Field(path, service=5.0, slices=600, more=("wait takeover 1s", "wait watch 400ms")).start()
     platform, operator = coordinator(path / "platform")
     seconds = 2 + COUNT * GAP
-    load = subprocess.Popen([sys.executable, "-m", "indigohitch.standins.load", field.listen, "open",
-                             str(RATE), str(seconds), "60", "0.2", "0.24"], cwd=ROOT, stdout=subprocess.PIPE)
+    load = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "indigohitch.standins.load",
+            field.listen,
+            "open",
+            str(RATE),
+            str(seconds),
+            "60",
+            "0.2",
+            "0.24",
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+    )
     faults = {1 + 3 * n: fault for n, fault in enumerate(FAULTS)} if not BROKEN else {1: ("accept", "crash")}
     asked, told, theirs = [], [], []
     begun = time.time()
@@ -73,7 +93,7 @@
         for n in range(COUNT):
             time.sleep(max(0.0, begun + 1.5 + n * GAP - time.time()))
             field.fault(*faults.get(n, ("", "")))
-            platform.change(f"b{n % 8}", "DRAINING")        # its message waits as the upgrade lands
+            platform.change(f"b{n % 8}", "DRAINING")  # its message waits as the upgrade lands
             if n:
                 platform.change(f"b{(n - 1) % 8}", "SERVING")
             asked.append(time.time())
@@ -93,16 +113,24 @@
         equal = [e["equal"] for e in field.said("state_compared") + platform.program.said("state_compared")]
         good = [t for t in told if t["result"] == "upgraded"]
         result = {
-            "requests": found["requests"], "lost": found["lost"], "why": found["why"],
+            "requests": found["requests"],
+            "lost": found["lost"],
+            "why": found["why"],
             "duplicated_reserves": sum(acts.get(id, 0) > 1 for id in found["reserves"]),
             "reserves_without_act": sum(id in answered and not acts.get(id) for id in found["reserves"]),
-            "upgrades": COUNT, "failed_upgrades": COUNT - len(good), "failed_wanted": len(faults),
+            "upgrades": COUNT,
+            "failed_upgrades": COUNT - len(good),
+            "failed_wanted": len(faults),
             "coordinator_upgrades": sum(t["result"] == "upgraded" for t in theirs),
-            "relay_messages": len(platform.times), "relay_messages_over": max(0, over(platform.times)),
-            "p99_ms": p99(during), "p99_ms_without_upgrade": p99(without),
+            "relay_messages": len(platform.times),
+            "relay_messages_over": max(0, over(platform.times)),
+            "p99_ms": p99(during),
+            "p99_ms_without_upgrade": p99(without),
             "gap_ms_most": max((t["gap_ms"] for t in good), default=None),
             "connections_passed": sum(t.get("passed", 0) for t in good),
-            "state_equal": bool(equal) and all(equal), "states_compared": len(equal)}
+            "state_equal": bool(equal) and all(equal),
+            "states_compared": len(equal),
+        }
     finally:
         load.kill()
         for e in platform.program.said("starts"):
@@ -112,18 +140,26 @@
                 pass
         platform.close()
         field.close()
-    broken = [name for name, bad in {
-        "lost": result["lost"], "duplicated_reserves": result["duplicated_reserves"],
-        "reserves_without_act": result["reserves_without_act"],
-        "relay_messages_over": result["relay_messages_over"],
-        "failed_upgrades": result["failed_upgrades"] != len(faults),
-        "coordinator_upgrades": result["coordinator_upgrades"] != COUNT,
-        "requests": result["requests"] < 0.99 * RATE * seconds,
-        "p99_ms": result["p99_ms"] > WORSE * result["p99_ms_without_upgrade"],
-        "state_equal": not result["state_equal"]}.items() if bad]
+    broken = [
+        name
+        for name, bad in {
+            "lost": result["lost"],
+            "duplicated_reserves": result["duplicated_reserves"],
+            "reserves_without_act": result["reserves_without_act"],
+            "relay_messages_over": result["relay_messages_over"],
+            "failed_upgrades": result["failed_upgrades"] != len(faults),
+            "coordinator_upgrades": result["coordinator_upgrades"] != COUNT,
+            "requests": result["requests"] < 0.99 * RATE * seconds,
+            "p99_ms": result["p99_ms"] > WORSE * result["p99_ms_without_upgrade"],
+            "state_equal": not result["state_equal"],
+        }.items()
+        if bad
+    ]
     for n, (one, other) in enumerate(zip(told, theirs), 1):
-        print(f"upgrade {n}: sidecar {one['result']}, gap {one.get('gap_ms')} ms, "
-              f"passed {one.get('passed')}; coordinator {other['result']}")
+        print(
+            f"upgrade {n}: sidecar {one['result']}, gap {one.get('gap_ms')} ms, "
+            f"passed {one.get('passed')}; coordinator {other['result']}"
+        )
     print(json.dumps(result | {"broken": broken}))
     return 1 if broken else 0
 
--- a/proofs/versions.py
+++ b/proofs/versions.py
@@ -5,6 +5,7 @@
     BROKEN=1 ...                        old lines are removed before new ones are there: must fail
 
 The last line is JSON.  Exit code 1 on a breach."""
+
 from __future__ import annotations
 
 import asyncio
@@ -29,9 +30,9 @@
 
 QUICK = os.environ.get("QUICK") == "1"
 STEPS, RELAYS, SLICES, BACKENDS = (200 if QUICK else 1000), 10, 400, 24
-PACE = 0.12                     # s between steps: some 80 in a window of 40 messages
-GRACE = 6.0                     # s, of a drain
-COLD_CAP, COLD_FOR = 26.0, 6.0       # a move brings at most 24
+PACE = 0.12  # s between steps: some 80 in a window of 40 messages
+GRACE = 6.0  # s, of a drain
+COLD_CAP, COLD_FOR = 26.0, 6.0  # a move brings at most 24
 CHANNEL = Channel(messages=40, lines=60, queue=240, stall=5)
 
 
@@ -41,7 +42,7 @@
         self.facts = Facts({f"n{n}": "ready" for n in range(BACKENDS)}, frozenset(range(SLICES)), blast=0.9)
         self.breaker = Breaker(seed)
         self.relays: list[Relay] = []
-        self.drains: dict[str, float] = {}              # backend: since when
+        self.drains: dict[str, float] = {}  # backend: since when
         self.cold_until: dict[str, float] = {}
         self.counts = dict.fromkeys(("versions", "rollbacks", "restarts", "refused", "drains", "cold"), 0)
         self.drain_over = self.naive = self.recovered = self.lost_versions = self.lines = 0
@@ -52,12 +53,14 @@
     async def begin(self) -> None:
         self.program = Program(self.folder, self.facts, CHANNEL)
         self.port = await self.program.listen(0)
-        self.made(self.program.desk.ordered(0, [face.SetLine(slice, f"n{slice % BACKENDS}", 1.0)
-                                                for slice in range(SLICES)], "first"))
+        self.made(
+            self.program.desk.ordered(
+                0, [face.SetLine(slice, f"n{slice % BACKENDS}", 1.0) for slice in range(SLICES)], "first"
+            )
+        )
         for number in range(RELAYS):
             at = self.breaker.gate(f"r{number}", "program", ("127.0.0.1", self.port))
-            self.relays.append(Relay(f"r{number}", at, self.truth, number,
-                                     CHANNEL.messages))
+            self.relays.append(Relay(f"r{number}", at, self.truth, number, CHANNEL.messages))
         self.tasks = [asyncio.create_task(relay.live()) for relay in self.relays]
         await self.quiet(20)
 
@@ -70,8 +73,11 @@
             self.counts["refused"] += bool(self.program.desk.faults)
 
     def ready(self) -> list[str]:
-        return [name for name, state in self.facts.states.items() if state == "ready"
-                and name not in self.facts.cold]
+        return [
+            name
+            for name, state in self.facts.states.items()
+            if state == "ready" and name not in self.facts.cold
+        ]
 
     def at(self) -> int:
         return int(time.monotonic() * 10_000)
@@ -83,8 +89,9 @@
 
     def move(self) -> None:
         orders, desk = [], self.program.desk
-        spare = self.ready() + [name for name, cap in self.facts.cold.items()
-                                if self.weight(desk.asked, name) + 24 <= cap]
+        spare = self.ready() + [
+            name for name, cap in self.facts.cold.items() if self.weight(desk.asked, name) + 24 <= cap
+        ]
         for slice in self.chance.sample(range(SLICES), self.chance.choice((1, 1, 2, 5, 12))):
             target = self.chance.choice(spare)
             orders += [face.SetLine(slice, target, self.chance.choice((1.0, 1.0, 2.0)))]
@@ -116,8 +123,7 @@
             if at - since >= GRACE:
                 for relay in self.relays:
                     if at - self.program.joined_at.get(relay.name, at) >= GRACE / 2:
-                        self.drain_over += sum(name in table.lines
-                                               for _, table in relay.tabled.root.items())
+                        self.drain_over += sum(name in table.lines for _, table in relay.tabled.root.items())
                 del self.drains[name]
                 self.news("it is back", states={**self.facts.states, name: "ready"})
                 desk = self.program.desk
@@ -147,7 +153,7 @@
 
     def unpin(self) -> None:
         if (desk := self.program.desk).pin is not None:
-            for name, state in self.facts.states.items():       # the module goes on ordering meanwhile
+            for name, state in self.facts.states.items():  # the module goes on ordering meanwhile
                 if state != "ready" or self.weight(desk.asked, name) > self.facts.cold.get(name, 1e9):
                     desk.ordered(self.at(), self.away(name), "away")
             self.made(self.program.desk.unpinned(self.at(), "proof"))
@@ -177,20 +183,22 @@
         self.lines += self.program.lines
         await self.program.kill()
         self.program = Program(self.folder, self.facts, CHANNEL)
-        held = [(version.number, version.root.digest)
-                for version in self.program.desk.keeping.order.values()][-20:]
+        held = [
+            (version.number, version.root.digest) for version in self.program.desk.keeping.order.values()
+        ][-20:]
         same = held == was and (self.program.desk.pin is not None) == pinned
         self.recovered += same
         self.lost_versions += not same
-        self.program.desk.asked = asked                 # the module of a program that restarts asks anew
+        self.program.desk.asked = asked  # the module of a program that restarts asks anew
         await self.program.listen(self.port)
 
     async def step(self, number: int) -> None:
         self.drained()
         if number % 50 == 49:
             await self.killed()
-        kind = self.chance.choices((self.move, self.drain, self.back, self.unpin, self.trouble),
-                                   (70, 6, 4, 12, 10))[0]
+        kind = self.chance.choices(
+            (self.move, self.drain, self.back, self.unpin, self.trouble), (70, 6, 4, 12, 10)
+        )[0]
         kind()
         await asyncio.sleep(PACE)
 
@@ -220,11 +228,20 @@
         await self.program.kill()
         await asyncio.gather(*self.tasks)
         self.breaker.close()
-        return {"steps": STEPS, "relays": RELAYS, "mismatched": mismatched,
-                "messages_over": self.truth.over, "bare_ms_max": self.truth.bare_ms,
-                "drain_over": self.drain_over, "cold_over": self.truth.cold_over,
-                "lines_sent": self.lines + self.program.lines, "lines_naive": self.naive,
-                "recovered": self.recovered, "lost_versions": self.lost_versions, **self.counts}
+        return {
+            "steps": STEPS,
+            "relays": RELAYS,
+            "mismatched": mismatched,
+            "messages_over": self.truth.over,
+            "bare_ms_max": self.truth.bare_ms,
+            "drain_over": self.drain_over,
+            "cold_over": self.truth.cold_over,
+            "lines_sent": self.lines + self.program.lines,
+            "lines_naive": self.naive,
+            "recovered": self.recovered,
+            "lost_versions": self.lost_versions,
+            **self.counts,
+        }
 
 
 def removals_first(froms, to, guard):
@@ -236,8 +253,11 @@
         cost.delta.ordered = removals_first
     with tempfile.TemporaryDirectory() as folder:
         found = asyncio.run(World(folder, int(os.environ.get("SEED", "1"))).run())
-    bad = [name for name in ("mismatched", "messages_over", "bare_ms_max", "drain_over", "cold_over",
-                             "lost_versions") if found[name]]
+    bad = [
+        name
+        for name in ("mismatched", "messages_over", "bare_ms_max", "drain_over", "cold_over", "lost_versions")
+        if found[name]
+    ]
     bad += ["lines_sent"] if found["lines_sent"] * 5 >= found["lines_naive"] else []
     print(json.dumps(found | {"breaches": bad}))
     return 1 if bad else 0
--- a/proofs/versions_program.py
+++ b/proofs/versions_program.py
@@ -1,4 +1,5 @@
 """The program's side for proofs/versions.py: a desk with its store on a disk, and its relays' connections."""
+
 from __future__ import annotations
 
 import asyncio
@@ -12,7 +13,7 @@
 from indigohitch.versions.terms import Ack, Channel, Nack
 from indigohitch.versions.words import WORDS, Hello, Joined, Welcome
 
-TURN = 0.01                     # s
+TURN = 0.01  # s
 
 
 def now() -> int:
@@ -27,7 +28,7 @@
         self.store.open()
         self.desk = Desk(self.store, facts, channel)
         self.writers: dict[str, asyncio.StreamWriter] = {}
-        self.connection = self.lines = 0                # lines: sent, whatever became of them
+        self.connection = self.lines = 0  # lines: sent, whatever became of them
         self.joined_at: dict[str, float] = {}
         self.server: asyncio.Server | None = None
         self.turning: asyncio.Task | None = None
--- a/proofs/versions_relays.py
+++ b/proofs/versions_relays.py
@@ -1,5 +1,6 @@
 """Stand-in relays for proofs/versions.py: they dial in, lose what comes, restart, and look at their own table
 after every single line, as proxies would."""
+
 from __future__ import annotations
 
 import asyncio
@@ -21,21 +22,21 @@
 
     def __init__(self) -> None:
         self.bare_ms = self.cold_over = self.over = 0
-        self.cold: dict[str, float] = {}                # caps
+        self.cold: dict[str, float] = {}  # caps
 
 
 class Relay:
-    LOSS = 0.02                 # of messages and of answers
+    LOSS = 0.02  # of messages and of answers
 
     def __init__(self, name: str, at: tuple[str, int], truth: Truth, seed: int, messages: int) -> None:
         self.name, self.at, self.truth, self.messages = name, at, truth, messages
-        self.came: deque[float] = deque()               # messages, of the last 10 s
+        self.came: deque[float] = deque()  # messages, of the last 10 s
         self.chance = random.Random(seed)
         self.tabled = Tabled()
         self.lossy = True
         self.served: set[int] = set()
-        self.bare: dict[int, float] = {}                # slice: since when
-        self.most: dict[str, float] = {}                # of a cold backend: cap, or what it had before
+        self.bare: dict[int, float] = {}  # slice: since when
+        self.most: dict[str, float] = {}  # of a cold backend: cap, or what it had before
         self.writer: asyncio.StreamWriter | None = None
         self.ending = False
 
--- a/tests/acting.py
+++ b/tests/acting.py
@@ -1,6 +1,5 @@
 """Acts of one incarnation over a real folder, for the tests of the audit."""
 
-
 from indigohitch.fleet.audit.acts import ChainedActs
 from indigohitch.fleet.audit.check import check
 from indigohitch.fleet.audit.files import Store, read
@@ -19,9 +18,10 @@
     def __init__(self, folder, member="m", incarnation=1, **store):
         self.book, self.troubles = Book([Roster(), Heads()]), []
         self.store, self.member = Store(folder, **store), member
-        self.lease = Lease(incarnation, 10 ** 9)
-        self.acts = ChainedActs(member, lambda now: self.lease, self.book, self.store, self.troubles.append,
-                                frozenset({"firm"}))
+        self.lease = Lease(incarnation, 10**9)
+        self.acts = ChainedActs(
+            member, lambda now: self.lease, self.book, self.store, self.troubles.append, frozenset({"firm"})
+        )
         self.heads = self.book.parts["audit"]
         self.heads.member_joined(None, member, incarnation)
         self.now = 0
@@ -37,8 +37,9 @@
         assert self.acts.sync()
         chain, (first, oldest) = self.acts.chain, self.store.wanted()
         at = At(1, 1, 0, self.member, chain.incarnation)
-        told = self.heads.apply(at, "head", Head(self.member, chain.incarnation, chain.number, chain.head,
-                                                 first, oldest))
+        told = self.heads.apply(
+            at, "head", Head(self.member, chain.incarnation, chain.number, chain.head, first, oldest)
+        )
         self.store.give_up(first, oldest)
         return told
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """What many files of tests share."""
+
 import pytest
 
 import known_red
--- a/tests/deskroom.py
+++ b/tests/deskroom.py
@@ -1,4 +1,5 @@
 """A desk and relays for tests, and files in memory."""
+
 import errno
 
 from indigohitch import interface as face
@@ -75,7 +76,7 @@
         pass
 
     def names(self, folder):
-        return sorted(path[len(folder) + 1:] for path in self.held)
+        return sorted(path[len(folder) + 1 :] for path in self.held)
 
     def read(self, path):
         return bytes(self.held[path])
@@ -91,9 +92,9 @@
         return fd
 
     def write(self, fd, data):
-        part = bytes(data[:max(1, len(data) // 2)])
+        part = bytes(data[: max(1, len(data) // 2)])
         if len(part) > self.room:
-            self.held[self.open[fd]] += part[:self.room]        # a torn record
+            self.held[self.open[fd]] += part[: self.room]  # a torn record
             self.room = 0
             raise OSError(errno.ENOSPC, "full")
         self.room -= len(part)
--- a/tests/disks.py
+++ b/tests/disks.py
@@ -1,4 +1,5 @@
 """A disk in a loop of its own, and faults at its calls to the operating system."""
+
 import os
 import time
 
@@ -23,7 +24,7 @@
     def write(self, fd, data):
         if self.room <= 0:
             raise OSError(28, "No space left on device")
-        count = super().write(fd, data[:self.room])
+        count = super().write(fd, data[: self.room])
         self.room -= count
         return count
 
@@ -44,8 +45,7 @@
         clock = Clock()
         self.loop = Loop(clock, self.failed.append)
         self.told = []
-        self.disk = Disk(self.loop, Log(clock, out=NOWHERE), str(folder), "whk", "a",
-                         self.told.append, files)
+        self.disk = Disk(self.loop, Log(clock, out=NOWHERE), str(folder), "whk", "a", self.told.append, files)
 
     def founded(self):
         assert self.disk.open() is None
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -1,5 +1,6 @@
 """The program with a fault at one point of taking over: `faulty.py POINT HOW WORDS...`, HOW being crash,
 hang, wait or exit.  Run as the operator's `program`: the old process starts it as it would a new version."""
+
 import os
 import signal
 import sys
@@ -15,7 +16,7 @@
 
 
 def struck(how):
-    os.write(1, b'{"event":"fault","point":"%b"}\n' % sys.argv[1].encode())      # it came to that
+    os.write(1, b'{"event":"fault","point":"%b"}\n' % sys.argv[1].encode())  # it came to that
     if how == "hang":
         while True:
             time.sleep(60)
@@ -54,6 +55,7 @@
             struck("none")
         if point == "descriptors" and type(word) is words.Hello:
             import resource
+
             say(self, word)
             struck("none")
             spare = os.dup(1)
@@ -61,20 +63,26 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (spare, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
             return
         say(self, word)
-        if (point, type(word)) in (("restored", words.Restored), ("proven", words.Proven),
-                                   ("hello", words.Hello), ("acked", words.Accepting)):
+        if (point, type(word)) in (
+            ("restored", words.Restored),
+            ("proven", words.Proven),
+            ("hello", words.Hello),
+            ("acked", words.Accepting),
+        ):
             struck(how)
 
     def on_accept(self):
         begin(self)
         if point == "drain":
             self.loop.after(1500, lambda: struck(how))
+
     Taking.heard, Taking.say, Taking.do_accept = on_heard, on_say, on_accept
     if point == "start":
         struck(how)
     if point == "accept":
         Host.greet = lambda self, sock: struck(how)
     from indigohitch.cli import main as command_line
+
     command_line(sys.argv[3:], prog_name="indigohitch")
 
 
--- a/tests/field.py
+++ b/tests/field.py
@@ -1,4 +1,5 @@
 """A sidecar as a program between stand-in servers and stand-in clients, on loopback."""
+
 import http.client
 import json
 import os
@@ -28,8 +29,18 @@
 
 
 class Field:
-    def __init__(self, path, servers=2, service=2.0, slices=32, more=(), also=0, probe=False,
-                 report="200ms", deadlines=("4s", "3s")):
+    def __init__(
+        self,
+        path,
+        servers=2,
+        service=2.0,
+        slices=32,
+        more=(),
+        also=0,
+        probe=False,
+        report="200ms",
+        deadlines=("4s", "3s"),
+    ):
         """`deadlines`: of RPCs to search and to reserve; `also`: so many further servers, all names for
         further addresses of each stand-in's process."""
         self.path, self.listen = path, free_address()
@@ -37,10 +48,14 @@
         self.log_file, self.pids = open(path / "log", "wb"), set()
         self.servers = [free_address() for _ in range(servers)]
         words = [sys.executable, "-m", "indigohitch", "stand-in", "--service", str(service)]
-        self.standins = [subprocess.Popen([*words, at, "--name", f"s{n}", "--also", str(0 if n else also)],
-                                          stdout=subprocess.PIPE) for n, at in enumerate(self.servers)]
+        self.standins = [
+            subprocess.Popen(
+                [*words, at, "--name", f"s{n}", "--also", str(0 if n else also)], stdout=subprocess.PIPE
+            )
+            for n, at in enumerate(self.servers)
+        ]
         for process in self.standins:
-            process.stdout.readline()           # it listens
+            process.stdout.readline()  # it listens
         port = int(self.servers[0].split(":")[1])
         self.more, self.slices = list(more), slices
         self.report, self.deadlines = report, dict(zip(("search", "reserve"), deadlines))
@@ -51,10 +66,18 @@
     def write(self, *lines, servers=None):
         """The operator's file."""
         some = self.servers if servers is None else servers
-        self.file.write_text("\n".join([
-            f"name field\nlisten {self.listen}\ncontrol {self.socket}\npidfile {self.path / 'pid'}",
-            RPCS.format(slices=self.slices, probe=self.probe, report=self.report, **self.deadlines),
-            *(f"server s{self.servers.index(at)} {at} pool nodes" for at in some), *self.more, *lines, ""]))
+        self.file.write_text(
+            "\n".join(
+                [
+                    f"name field\nlisten {self.listen}\ncontrol {self.socket}\npidfile {self.path / 'pid'}",
+                    RPCS.format(slices=self.slices, probe=self.probe, report=self.report, **self.deadlines),
+                    *(f"server s{self.servers.index(at)} {at} pool nodes" for at in some),
+                    *self.more,
+                    *lines,
+                    "",
+                ]
+            )
+        )
 
     def fault(self, point, how):
         """The next program has a fault; `\"\"`: none."""
@@ -62,10 +85,14 @@
 
     def start(self, seconds=30.0):
         before = len(self.said("phase", now="serving"))
-        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", "sidecar", str(self.file)],
-                                        stdout=self.log_file, stderr=self.log_file)
-        eventually(lambda: self.said("phase", now="serving")[before:]
-                   or self.process.poll() is not None, seconds)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "indigohitch", "sidecar", str(self.file)],
+            stdout=self.log_file,
+            stderr=self.log_file,
+        )
+        eventually(
+            lambda: self.said("phase", now="serving")[before:] or self.process.poll() is not None, seconds
+        )
         assert self.process.poll() is None, self.log
         return self
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,23 +1,25 @@
 """Several coordinators' modules over one set of backends: each has its part of the slices and hears its own
 late sums, as `world.World` checks the rules of each; what all of them do to a backend is seen here."""
+
 import random
 
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
 from world import World, entry
 
-BASE = 2500                     # service time of an RPC at a warm backend, tenths of a ms
+BASE = 2500  # service time of an RPC at a warm backend, tenths of a ms
 
 
 class Node:
     """A backend as a fluid: it does `weight` x its warmth of core seconds a second, two seconds wait."""
+
     WAITS = 2.0
 
     def __init__(self, id, weight, started, zone):
         self.id, self.weight, self.started, self.zone = id, weight, started, zone
         self.state, self.slow, self.silent = "ready", 1.0, False
-        self.queue = self.over = 0.0            # core seconds that wait; seconds over the felling multiple
-        self.met = {}                           # when each slice last came
+        self.queue = self.over = 0.0  # core seconds that wait; seconds over the felling multiple
+        self.met = {}  # when each slice last came
 
 
 class Fleet:
@@ -28,21 +30,23 @@
         self.now = 1000 * SECOND
         zones = ("east", "west", "north")
         self.nodes = {f"b{n}": Node(f"b{n}", 6.0, 0, zones[n % 3]) for n in range(backends)}
-        self.shown = {}                         # what discovery has shown
-        self.worlds = [World(seed + n, self.now, coordinators=coordinators, own_number=n, **boot)
-                       for n in range(coordinators)]
+        self.shown = {}  # what discovery has shown
+        self.worlds = [
+            World(seed + n, self.now, coordinators=coordinators, own_number=n, **boot)
+            for n in range(coordinators)
+        ]
         weigh = [self.random.lognormvariate(0, 0.6) for _ in range(slices)]
         total = load * 6.0 * backends / (BASE / SECOND) / sum(weigh)
-        self.rates = {s: w * total for s, w in enumerate(weigh)}        # RPCs a second
+        self.rates = {s: w * total for s, w in enumerate(weigh)}  # RPCs a second
         ids = list(self.nodes)
         where = {s: ids[s % backends] for s in self.rates}
         for s, b in where.items():
             self.nodes[b].met[s] = self.now
-        self.late = []                          # (when, coordinator, events)
-        self.tries, self.came = {}, {}          # since the last report, by coordinator
+        self.late = []  # (when, coordinator, events)
+        self.tries, self.came = {}, {}  # since the last report, by coordinator
         self.served = self.asked = 0.0
         self.fell, self.uses = [], []
-        self.down = set()                       # coordinators that are lost
+        self.down = set()  # coordinators that are lost
         for n, w in enumerate(self.worlds):
             events = [self.listing("full")]
             for s in self.held(n):
@@ -53,9 +57,14 @@
         return [s for s in self.rates if s % len(self.worlds) == n]
 
     def listing(self, scope, nodes=None):
-        return face.BackendList(scope, 1, tuple(
-            entry(b.id, b.state, b.started, b.weight, zone=b.zone)
-            for b in (self.nodes.values() if nodes is None else nodes)))
+        return face.BackendList(
+            scope,
+            1,
+            tuple(
+                entry(b.id, b.state, b.started, b.weight, zone=b.zone)
+                for b in (self.nodes.values() if nodes is None else nodes)
+            ),
+        )
 
     def tell(self, *nodes, after=0):
         for n in range(len(self.worlds)):
@@ -85,7 +94,7 @@
         for n, w in enumerate(self.worlds):
             for s, table in w.tables.items():
                 rate = self.rates[s] * dt
-                many = max(0.0, self.random.gauss(rate, rate ** 0.5))
+                many = max(0.0, self.random.gauss(rate, rate**0.5))
                 self.asked += many
                 seen = self.came.setdefault(n, {})
                 seen[s] = seen.get(s, 0.0) + many
@@ -122,8 +131,17 @@
             if round(tries):
                 answered = round(tries) > round(failed)
                 load = {"service_time": round(BASE * node.slow), "queued": node.queue / (BASE / SECOND)}
-                events.append(face.Traffic("east", b, round(tries), min(round(failed), round(tries)),
-                                           BASE if answered else 0, every, load if answered else {}))
+                events.append(
+                    face.Traffic(
+                        "east",
+                        b,
+                        round(tries),
+                        min(round(failed), round(tries)),
+                        BASE if answered else 0,
+                        every,
+                        load if answered else {},
+                    )
+                )
         self.late.append((self.now + SECOND, n, events))
 
     def run(self, span):
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -1,6 +1,7 @@
 """Members of a fleet without processes: real books, leases, judges and chains of acts over a ledger that is
 one list.  True time passes in steps; each member's clock drifts; links are cut one way, members stop and
 restart, and all of it comes from one seed.  Rules are checked after every act."""
+
 import random
 from itertools import count
 
@@ -19,7 +20,7 @@
 from indigohitch.packed.rows import Row
 
 STEP, SPAN, DRIFT = SECOND // 20, 2 * SECOND, 0.02
-PATIENCE = SECOND // 2                          # without a leader, or for an outcome
+PATIENCE = SECOND // 2  # without a leader, or for an outcome
 
 
 class Take(Row):
@@ -32,6 +33,7 @@
 
 class Things:
     """What one member at a time may act on, until it is gone; and changes."""
+
     name, kinds = "things", {"take": Take, "alter": Alter}
 
     def __init__(self):
@@ -57,6 +59,7 @@
 
 class Kept:
     """A disk: records by incarnation."""
+
     folder, cut = "memory", 0
 
     def __init__(self):
@@ -84,22 +87,23 @@
 class Simulated:
     def __init__(self, name, chance):
         self.name, self.chance = name, chance
-        self.rate, self.offset = 1 + DRIFT * chance.uniform(-1, 1), chance.randint(0, 10 ** 6)
+        self.rate, self.offset = 1 + DRIFT * chance.uniform(-1, 1), chance.randint(0, 10**6)
         self.store, self.slow, self.troubles = Kept(), 200, []
-        self.stopped = 0                # until when
+        self.stopped = 0  # until when
         self.book = Book([Roster(), Heads(), Things()])
         self.start()
 
     def start(self):
         """A process over what its disk holds."""
         parts = self.book.parts
-        self.membership = Membership(self.name, True, parts["members"], SPAN, DRIFT,
-                                     lambda: self.chance.getrandbits(62))
+        self.membership = Membership(
+            self.name, True, parts["members"], SPAN, DRIFT, lambda: self.chance.getrandbits(62)
+        )
         self.acts = ChainedActs(self.name, self.membership.lease, self.book, self.store, self.troubles.append)
         self.auditing = Auditing(self.acts, parts["audit"], self.membership, self.troubles.append)
-        self.auditing.scrub.step = lambda now: []       # there are no files
+        self.auditing.scrub.step = lambda now: []  # there are no files
         self.out, self.numbers, self.wants = {}, count(1), []
-        self.leads = 0                  # the term in which it believes that it leads
+        self.leads = 0  # the term in which it believes that it leads
 
     def now(self, time):
         return self.offset + int(self.rate * time)
@@ -111,8 +115,8 @@
         self.time, self.term, self.log, self.words, self.cuts = 0, 0, [], [], set()
         self.members = {f"m{n}": Simulated(f"m{n}", self.chance) for n in range(size)}
         self.leader, self.lost = None, 0
-        self.last = {}                  # thing -> who acted on it last
-        self.floor = 0                  # the last change in force at any member
+        self.last = {}  # thing -> who acted on it last
+        self.floor = 0  # the last change in force at any member
         self.acted, self.standings = 0, set()
 
     def hears(self, to, sender):
@@ -123,7 +127,8 @@
 
     def leading(self, one):
         return one.stopped <= self.time and 2 * sum(self.both(one, m) for m in self.members.values()) > len(
-            self.members)
+            self.members
+        )
 
     # ---- one step ----------------------------------------------------------------------------------
 
@@ -161,7 +166,7 @@
             member.leads = 0
             member.membership.became(member.now(self.time), "follower", self.term)
         room = len(self.log) if member is self.leader else member.book.index + member.slow
-        for entry in self.log[member.book.index:room]:
+        for entry in self.log[member.book.index : room]:
             outcome = member.book.apply(entry)
             self.floor = max(self.floor, member.book.parts["members"].in_force)
             now = member.now(self.time)
@@ -197,10 +202,17 @@
         number = next(member.numbers)
         member.out[proposer, incarnation, number] = kind.partition(".")[0], tag, self.time
         if self.leader is not None and self.both(member, self.leader) and self.leading(self.leader):
-            entry = Entry(len(self.log) + 1, self.term, kind, msgspec.msgpack.encode(body), proposer,
-                          incarnation, number)
+            entry = Entry(
+                len(self.log) + 1,
+                self.term,
+                kind,
+                msgspec.msgpack.encode(body),
+                proposer,
+                incarnation,
+                number,
+            )
             self.log += [entry] * self.chance.choice((1, 1, 1, 0))
-            if self.chance.random() < 0.1:      # sent twice
+            if self.chance.random() < 0.1:  # sent twice
                 self.log.append(msgspec.structs.replace(entry, index=len(self.log) + 1))
 
     def send(self, sender, to, word):
@@ -222,8 +234,10 @@
         if free and own.lease(now) and self.chance.random() < 0.2:
             self.propose(member, "things.take", Take(self.chance.choice(free)))
         for what, by in things.items():
-            if by == (member.name, own.incarnation) and (
-                    stamp := member.acts.stamp(now, "things.done", what.encode())) is not None:
+            if (
+                by == (member.name, own.incarnation)
+                and (stamp := member.acts.stamp(now, "things.done", what.encode())) is not None
+            ):
                 self.acted += 1
                 assert stamp.version >= self.floor, "acts by what a change in force has ended"
                 last = self.last.setdefault(what, [])
@@ -237,4 +251,3 @@
 
     def records(self):
         return {name: member.store.chains for name, member in self.members.items()}
-
--- a/tests/hours.py
+++ b/tests/hours.py
@@ -3,6 +3,7 @@
 
 class Hours:
     """A loop's clock and deadlines without a loop."""
+
     def __init__(self):
         self.clock, self.time, self.due = self, 1000, []
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,6 +4,7 @@
 
 They are run, and must fail: one that passes fails the run, until it leaves the list.  Whether a listed test
 exists is decided by collecting its id by itself, so also in a run of other files.  No list, no change."""
+
 from __future__ import annotations
 
 import os
@@ -34,12 +35,17 @@
 
 def missing(tests, root) -> list[str]:
     """Those that pytest doesn't know by this very id."""
+
     def exists(test):
-        told = subprocess.run([sys.executable, "-m", "pytest", "--collect-only", "-q", "-o", "addopts=",
-                               test],
-                              cwd=root, env=os.environ | {"PYTEST_ADDOPTS": ""}, capture_output=True,
-                              text=True)
+        told = subprocess.run(
+            [sys.executable, "-m", "pytest", "--collect-only", "-q", "-o", "addopts=", test],
+            cwd=root,
+            env=os.environ | {"PYTEST_ADDOPTS": ""},
+            capture_output=True,
+            text=True,
+        )
         return test in told.stdout.splitlines()
+
     return [test for test in tests if not exists(test)]
 
 
@@ -55,8 +61,10 @@
 
     def pytest_terminal_summary(self, terminalreporter) -> None:
         told = terminalreporter.stats
-        stats = {outcome: {getattr(report, "nodeid", "") for report in told.get(outcome, ())}
-                 for outcome in ("xfailed", "failed", "error", "skipped")}
+        stats = {
+            outcome: {getattr(report, "nodeid", "") for report in told.get(outcome, ())}
+            for outcome in ("xfailed", "failed", "error", "skipped")
+        }
         terminalreporter.section("known red")
         for test, line in self.lines.items():
             outcomes = [outcome for outcome, tests in stats.items() if test in tests]
--- a/tests/ledger_group.py
+++ b/tests/ledger_group.py
@@ -1,4 +1,5 @@
 """Machines of a ledger side by side, with words and disks in hand, for plain cases."""
+
 from collections import deque
 
 from indigohitch.fleet.ledger.machine import Machine
@@ -21,8 +22,15 @@
 from indigohitch.fleet.ledger.words import Vote
 from indigohitch.fleet.terms import Entry, Proposal, Who
 
-BOOTSTRAP = {"election": 3000, "beat": 500, "log_most": 1 << 20, "append_most": 1000, "piece": 100,
-             "inflight": 3, "proposals_most": 16}
+BOOTSTRAP = {
+    "election": 3000,
+    "beat": 500,
+    "log_most": 1 << 20,
+    "append_most": 1000,
+    "piece": 100,
+    "inflight": 3,
+    "proposals_most": 16,
+}
 A, B, C, D = (Who(name, 1) for name in "abcd")
 
 
--- a/tests/listroom.py
+++ b/tests/listroom.py
@@ -1,5 +1,6 @@
 """Discovery's client in process: the real loop and sockets, turn by turn, its other side in the same thread,
 which answers when told, and a clock that is put forward by hand."""
+
 import json
 import os
 import socket
@@ -14,6 +15,7 @@
 
 class Hands:
     """A clock that goes only as it is put forward."""
+
     time = 1_700_000_000 * SECOND
 
     def now(self):
@@ -21,8 +23,16 @@
 
 
 def entry(id, state="SERVING", started=0):
-    return {"instanceId": id, "hostPort": "127.0.0.1:1", "zone": "east", "machineType": "std", "cell": 0,
-            "lifecycle": state, "weight": 6.0, "startedAtMs": started}
+    return {
+        "instanceId": id,
+        "hostPort": "127.0.0.1:1",
+        "zone": "east",
+        "machineType": "std",
+        "cell": 0,
+        "lifecycle": state,
+        "weight": 6.0,
+        "startedAtMs": started,
+    }
 
 
 def listed(generation, *entries, full=False):
@@ -113,7 +123,7 @@
 
     def turns(self, count=5):
         for _ in range(count):
-            end = self.loop.after(5, lambda: None)      # a turn ends though nothing comes
+            end = self.loop.after(5, lambda: None)  # a turn ends though nothing comes
             self.loop.turn()
             end.cancel()
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,4 +1,5 @@
 """Several nodes in one loop over real sockets and folders, for tests of links and nodes."""
+
 import os
 import random
 import time
@@ -42,7 +43,7 @@
         end = time.monotonic() + seconds
         while not (found := holds()):
             assert time.monotonic() < end, "it did not come"
-            self.loop.after(50, lambda: None)       # a turn at least each 5 ms
+            self.loop.after(50, lambda: None)  # a turn at least each 5 ms
             self.loop.turn()
         return found
 
@@ -60,17 +61,31 @@
         names = [f"v{n + 1}" for n in range(voters)] + [f"s{n + 1}" for n in range(followers)]
         self.members = {name: MemberText(name, free(), name[0] == "v", 1) for name in names}
         self.nodes, self.ended = {}, []
-        self.files = {}                             # by name, for faults
+        self.files = {}  # by name, for faults
 
     def text(self, name):
-        return FleetText("whk", name, dict(self.members), str(self.path / name),
-                         {"lease": 8000, "election": 2000, "beat": 400}, 0.001, 0, self.limit)
+        return FleetText(
+            "whk",
+            name,
+            dict(self.members),
+            str(self.path / name),
+            {"lease": 8000, "election": 2000, "beat": 400},
+            0.001,
+            0,
+            self.limit,
+        )
 
     def start(self, *names):
         for name in names or self.members:
             self.seed += 1
-            node = self.nodes[name] = Node(self.loop, Kept(self.clock, name), self.text(name),
-                                           random.Random(self.seed), self.ended.append, self.files.get(name))
+            node = self.nodes[name] = Node(
+                self.loop,
+                Kept(self.clock, name),
+                self.text(name),
+                random.Random(self.seed),
+                self.ended.append,
+                self.files.get(name),
+            )
             node.open()
         return self
 
@@ -81,20 +96,25 @@
         node.close()
 
     def leader(self, but=""):
-        found = [(node.driver.machine.term, name) for name, node in self.nodes.items()
-                 if node.driver.leads and name != but]
+        found = [
+            (node.driver.machine.term, name)
+            for name, node in self.nodes.items()
+            if node.driver.leads and name != but
+        ]
         return max(found)[1] if found else ""
 
     def valid(self, *names):
         """Each holds a lease."""
+
         def all_valid():
             return all(self.nodes[n].lease(self.clock.now()) for n in names or self.nodes)
+
         self.until(all_valid)
 
     def put(self, name, text, seconds=30):
         """A note through that member, and what it came to."""
         told = []
-        body = b"\x91" + bytes([0xd9, len(text)]) + text.encode()
+        body = b"\x91" + bytes([0xD9, len(text)]) + text.encode()
         self.nodes[name].traffic.propose("notes.add", body, told.append)
         self.until(lambda: told, seconds)
         return told[0]
--- a/tests/optimum.py
+++ b/tests/optimum.py
@@ -1,4 +1,5 @@
 """The true optimum of a small plan, by scipy's milp: for tests, proofs and benchmarks."""
+
 import numpy as np
 from scipy.optimize import Bounds, LinearConstraint, milp
 from scipy.sparse import coo_array
@@ -17,6 +18,7 @@
         rows.append(terms)
         low.append(least)
         high.append(most)
+
     lanes, drawn, seats, constant, whole = {}, {}, {}, 0, []
     for task in tasks:
         picks = []
@@ -55,6 +57,11 @@
     integral, most = np.zeros(len(cost)), np.full(len(cost), np.inf)
     integral[whole], most[whole] = 1, 1
     scale = max(1.0, max(abs(c) for c in cost))
-    got = milp(np.array(cost) / scale, constraints=LinearConstraint(matrix, low, high), integrality=integral,
-               bounds=Bounds(0, most), options={"time_limit": seconds, "mip_rel_gap": 1e-4})
+    got = milp(
+        np.array(cost) / scale,
+        constraints=LinearConstraint(matrix, low, high),
+        integrality=integral,
+        bounds=Bounds(0, most),
+        options={"time_limit": seconds, "mip_rel_gap": 1e-4},
+    )
     return None if got.x is None or got.status else round(got.fun * scale) + constant
--- a/tests/orders.py
+++ b/tests/orders.py
@@ -1,4 +1,5 @@
 """Words that tests of the decision module share."""
+
 from indigohitch import interface as face
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,4 +1,5 @@
 """Stand-ins on loopback that answer, and fail, as told."""
+
 import socket
 import struct
 import threading
@@ -34,7 +35,7 @@
             with sock.makefile("rb") as lines:
                 while start := lines.readline():
                     size = 0
-                    while (line := lines.readline().strip()):
+                    while line := lines.readline().strip():
                         name, _, value = line.partition(b":")
                         size = int(value) if name.lower() == b"content-length" else size
                     method, target, _ = start.decode().split()
--- a/tests/program.py
+++ b/tests/program.py
@@ -1,4 +1,5 @@
 """The program itself, started by what the platform hands over, and its log."""
+
 import json
 import os
 import signal
@@ -14,9 +15,13 @@
         self.file = path / "config.json"
         self.file.write_text(config)
         environ = os.environ | {"BALANCER_NAME": "n0", "BALANCER_CONFIG": str(self.file)} | variables
-        self.process = subprocess.Popen([sys.executable, "-m", "indigohitch", *words], env=environ,
-                                        stdout=subprocess.PIPE, stderr=subprocess.PIPE)
-        self.log, self.bound = [], 30_000 if words else 600     # ms
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "indigohitch", *words],
+            env=environ,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        self.log, self.bound = [], 30_000 if words else 600  # ms
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
 
@@ -45,6 +50,7 @@
 
 class stopped:
     """Nothing of the program runs meanwhile; what happens within it meets at one turn."""
+
     def __init__(self, program, *signals):
         self.process, self.signals = program.process, signals
 
@@ -54,6 +60,7 @@
         def stands():
             with open(f"/proc/{self.process.pid}/stat") as file:
                 return file.read().rpartition(")")[2].split()[0] == "T"
+
         eventually(stands)
 
     def __exit__(self, *_):
--- a/tests/recorded.py
+++ b/tests/recorded.py
@@ -1,4 +1,5 @@
 """Requests and traces made by hand, and the command that reads them."""
+
 import sys
 from pathlib import Path
 
--- a/tests/seam.py
+++ b/tests/seam.py
@@ -1,5 +1,6 @@
 """Loops turned by hand between peers whose bytes the test writes: a client of net/http.py; a sidecar's
 host."""
+
 import os
 import select
 import socket
@@ -27,6 +28,7 @@
 
 class Shifted(Clock):
     """A clock that the test puts forward."""
+
     by = 0
 
     def now(self):
@@ -55,7 +57,7 @@
         for _ in range(2000):
             if until():
                 return
-            self.loop.after(10, lambda: None)       # a turn never waits for long
+            self.loop.after(10, lambda: None)  # a turn never waits for long
             self.loop.turn()
         raise AssertionError("never came true")
 
@@ -106,7 +108,7 @@
         self.socks = []
 
     def turn(self):
-        self.loop.after(10, lambda: None)           # never waits for long
+        self.loop.after(10, lambda: None)  # never waits for long
         self.loop.turn()
         self.host.turn()
 
--- a/tests/seatdays.py
+++ b/tests/seatdays.py
@@ -1,4 +1,5 @@
 """Seeded schedules over a `seatworld.World`: clients, harm of all kinds, then quiet."""
+
 import msgspec
 
 from seatworld import EPOCH, SECOND, SPAN, World
@@ -31,9 +32,16 @@
             rng.choice(world.servers).restart()
         elif kind < 0.9:
             until = rng.choice((0, 0, EPOCH + world.t + rng.randint(0, 8 * SPAN)))
-            world.change(*(msgspec.structs.replace(t, seats=max(1, t.seats * rng.randint(1, 5) // 3),
-                                                   keep=(), until=until) for t in terms))
+            world.change(
+                *(
+                    msgspec.structs.replace(
+                        t, seats=max(1, t.seats * rng.randint(1, 5) // 3), keep=(), until=until
+                    )
+                    for t in terms
+                )
+            )
         world.after(int(rng.expovariate(1 / (2 * SECOND))), harm)
+
     for n in range(members):
         ask(n)
     world.after(SPAN, harm)
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -3,6 +3,7 @@
 True time is what nobody in it can read.  Clocks drift by up to DRIFT; words, RPCs and answers come late,
 twice or not at all; members are stopped, cut, killed and begun anew, servers restarted, the contract
 changed.  The world's own meter counts the jobs that truly run."""
+
 import msgspec
 
 from indigohitch.fleet.book import Book
@@ -15,8 +16,8 @@
 from indigohitch.packed.rows import Row
 
 SECOND = 10_000
-SPAN, DRIFT = 2 * SECOND, 0.05          # far more than any quartz: what leans on it shows soon
-EPOCH = 10 ** 9                         # fleet time as it all begins
+SPAN, DRIFT = 2 * SECOND, 0.05  # far more than any quartz: what leans on it shows soon
+EPOCH = 10**9  # fleet time as it all begins
 BOOT = {"drift": 2 * DRIFT, "hold": SECOND, "come_back": 2000}
 
 
@@ -27,6 +28,7 @@
 
 class Members:
     """Stands for the part `members`: only what the seats hear of it."""
+
     name, kinds = "members", {"gone": Gone}
 
     def apply(self, at, word, body):
@@ -56,7 +58,7 @@
 
     def restart(self):
         self.boots += 1
-        self.base = self.world.rng.randrange(SECOND * 100)      # a boot's clock begins anew
+        self.base = self.world.rng.randrange(SECOND * 100)  # a boot's clock begins anew
         self.meter, self.running = Meter(f"{self.name}.{self.boots}"), {}
 
     def take(self, shown, lasts, answer):
@@ -66,7 +68,7 @@
         verdict, job = meter.takes(self.clock(world.t), shown)
         if verdict is not Verdict.TAKEN:
             world.counts[verdict.value] += 1
-            if verdict.unrun:                   # else a copy of it may run
+            if verdict.unrun:  # else a copy of it may run
                 answer((meter.boot, self.clock(world.t)))
             return
         self.running[job] = shown.given
@@ -76,6 +78,7 @@
             if self.meter is meter and meter.ended(job):
                 del self.running[job]
                 answer((meter.boot, self.clock(world.t)))
+
         world.after(lasts, over)
         world.after(int((shown.until - self.clock(world.t)) / self.rate) + 1, lambda: self.sweep(meter))
 
@@ -94,11 +97,12 @@
         self.until = self.at = self.number = self.acts = 0
         self.out, self.book = {}, Book([Seats(), Members()])
         self.nodes = Nodes(BOOT)
-        self.work = SeatsWork(name, self.book.parts["seats"], self, self.fleet, lambda: world.contract,
-                              name != "m0", BOOT)
+        self.work = SeatsWork(
+            name, self.book.parts["seats"], self, self.fleet, lambda: world.contract, name != "m0", BOOT
+        )
 
     def fleet(self, now):
-        return self.book.parts["seats"].edition and EPOCH + self.world.t        # here without error
+        return self.book.parts["seats"].edition and EPOCH + self.world.t  # here without error
 
     def stamp(self, now, kind, about):
         if now >= self.until or self.shut:
@@ -131,10 +135,11 @@
         for one in wanted:
             self.number += 1
             self.out[self.number] = one.tag
-            entry = Entry(0, 1, one.kind, msgspec.msgpack.encode(one.body), self.name, self.incarnation,
-                          self.number)
+            entry = Entry(
+                0, 1, one.kind, msgspec.msgpack.encode(one.body), self.name, self.incarnation, self.number
+            )
             self.world.send(self, entry)
-            if self.world.rng.random() < 0.05:      # given up here, though it may still come to something
+            if self.world.rng.random() < 0.05:  # given up here, though it may still come to something
                 self.world.after(self.world.delay(), lambda number=self.number: self.unknown(number))
 
     def unknown(self, number):
@@ -148,8 +153,10 @@
             entry = world.log[self.at]
             self.at += 1
             outcome, now = self.book.apply(entry), self.clock(world.t)
-            if entry.kind == "members.gone" and msgspec.msgpack.decode(entry.body) == [self.name,
-                                                                                       self.incarnation]:
+            if entry.kind == "members.gone" and msgspec.msgpack.decode(entry.body) == [
+                self.name,
+                self.incarnation,
+            ]:
                 self.shut, self.alive = True, False
                 world.after(world.delay(), lambda: world.start(self.name))
                 return
@@ -179,8 +186,10 @@
                 if self.acting:
                     self.nodes.heard(server.name, *reading, self.clock(world.t))
                     self.work.desk.ended(self.clock(world.t), found)
+
             if world.rng.random() < 0.9:
                 world.after(world.delay(), back)
+
         lasts = int(world.rng.expovariate(3 / SECOND))
-        for _ in range(2 if world.rng.random() < 0.05 else 1):      # some come twice
+        for _ in range(2 if world.rng.random() < 0.05 else 1):  # some come twice
             world.after(world.delay(), lambda: server.take(shown, lasts, answered))
--- a/tests/seatworld.py
+++ b/tests/seatworld.py
@@ -1,4 +1,5 @@
 """The fleet around the members of tests/seatmembers.py: a sound log, a giver of leases, the true meter."""
+
 from heapq import heappop, heappush
 
 import msgspec
@@ -13,14 +14,15 @@
 class World:
     def __init__(self, rng, names, terms, servers=4):
         self.rng, self.t, self.heap, self.order = rng, 0, [], 0
-        self.counts = dict.fromkeys(("asked", "given", "unread", "late", "old", "twice", "ended_at_end",
-                                     "peak"), 0)
+        self.counts = dict.fromkeys(
+            ("asked", "given", "unread", "late", "old", "twice", "ended_at_end", "peak"), 0
+        )
         self.features, self.log, self.began = [t.feature for t in terms], [], {}
-        self.true = Book([Seats(), Members()])      # what is committed, at once
-        self.giver, self.reports = {}, {}           # by member: incarnation, true time; last report
+        self.true = Book([Seats(), Members()])  # what is committed, at once
+        self.giver, self.reports = {}, {}  # by member: incarnation, true time; last report
         self.contract = Contract(1, tuple(terms))
         self.servers = [Server(self, f"s{n}") for n in range(servers)]
-        self.quiet, self.members, self.told = False, {}, 0     # told: of the last contract
+        self.quiet, self.members, self.told = False, {}, 0  # told: of the last contract
         for name in names:
             self.start(name)
         self.after(SPAN, self.lead)
@@ -52,9 +54,10 @@
     def send(self, member, entry):
         def come():
             if member.cut and not self.rng.random() < 0.1:
-                self.after(SECOND, come)            # until it is known: the node sends it again
+                self.after(SECOND, come)  # until it is known: the node sends it again
             else:
                 self.append(entry)
+
         self.after(self.delay(), come)
 
     def append(self, entry):
@@ -69,16 +72,28 @@
     def lead(self):
         heard = [m for m in self.members.values() if m.acting and not m.cut]
         if heard:
-            reports = {name: raw for (name, inc), raw in self.reports.items()
-                       if self.giver.get((name, inc), 0) > self.t}
+            reports = {
+                name: raw
+                for (name, inc), raw in self.reports.items()
+                if self.giver.get((name, inc), 0) > self.t
+            }
             lead = self.rng.choice(heard[:2])
             lead.propose(lead.work.lead(lead.clock(self.t), reports))
         for (name, incarnation), until in list(self.giver.items()):
             if until <= self.t:
                 del self.giver[name, incarnation]
                 self.reports.pop((name, incarnation), None)
-                self.append(Entry(0, 1, "members.gone", msgspec.msgpack.encode(Gone(name, incarnation)),
-                                  "ledger", 1, len(self.log) + 1))
+                self.append(
+                    Entry(
+                        0,
+                        1,
+                        "members.gone",
+                        msgspec.msgpack.encode(Gone(name, incarnation)),
+                        "ledger",
+                        1,
+                        len(self.log) + 1,
+                    )
+                )
         self.after(SECOND // 10, self.lead)
 
     def change(self, *terms):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,5 +1,6 @@
 """The platform as a coordinator meets it on sockets: relay, discovery and backends as stand-ins, and the
 program itself."""
+
 import json
 import signal
 import socket
@@ -12,15 +13,31 @@
 from waiting import eventually, free_address
 
 SETTINGS = {
-    "balancers": 1, "discovery": "ask", "period": 4.0,
-    "classes": [{"name": "search", "aim": 2000.0, "deadline": 6000.0, "importance": 2.0,
-                 "repeat": "read_like", "surprise": 1},
-                {"name": "reserve", "aim": 1200.0, "deadline": 3000.0, "importance": 2.0,
-                 "repeat": "non_idempotent"}],
+    "balancers": 1,
+    "discovery": "ask",
+    "period": 4.0,
+    "classes": [
+        {
+            "name": "search",
+            "aim": 2000.0,
+            "deadline": 6000.0,
+            "importance": 2.0,
+            "repeat": "read_like",
+            "surprise": 1,
+        },
+        {"name": "reserve", "aim": 1200.0, "deadline": 3000.0, "importance": 2.0, "repeat": "non_idempotent"},
+    ],
     "rules": {"warm-within": 15000.0, "cold-from": 0.2, "drain-grace": 3000.0, "unheard-of": 3},
-    "family-info": {"admission": "share", "egress-per-s": 10000.0, "queue-cap": 15000.0, "envelope": 8.0,
-                    "report-every": 100.0},
-    "bounds": {"may-probe": True}, "report": {"columns": ["pending", "new_one", "svc_ms"]}}
+    "family-info": {
+        "admission": "share",
+        "egress-per-s": 10000.0,
+        "queue-cap": 15000.0,
+        "envelope": 8.0,
+        "report-every": 100.0,
+    },
+    "bounds": {"may-probe": True},
+    "report": {"columns": ["pending", "new_one", "svc_ms"]},
+}
 
 
 class Platform:
@@ -32,15 +49,15 @@
         self.lock = threading.RLock()
         self.relay, self.discovery = Peer(self._relay), Peer(self._discovery)
         self.relay_faults, self.news_faults, self.discovery_faults = [], [], []
-        self.behaviour, self.probed = {}, []    # of backends; who was probed, in order
+        self.behaviour, self.probed = {}, []  # of backends; who was probed, in order
         self.backends, self.listed, self.version, self.changes = {}, {}, 1, []
         for n in range(backends):
             self.add(f"b{n}")
         self.proxies = set(range(proxies))
         self.tables = {s: {f"b{s % backends}": 1.0} for s in range(slices)}
         self.out, self.refused, self.calls, self.marks, self.news = set(), set(), [], [], []
-        self.times = []                         # of the calls carried out
-        self.marks_told = True                  # proxies answer marks
+        self.times = []  # of the calls carried out
+        self.marks_told = True  # proxies answer marks
         self.known = self.whole()
 
     # ---- backends and discovery
@@ -53,9 +70,16 @@
     def change(self, id, state="SERVING", address=None, started=0):
         with self.lock:
             self.version += 1
-            entry = {"instanceId": id, "hostPort": address or self.listed[id]["hostPort"], "zone": "east",
-                     "machineType": "std", "cell": 0, "lifecycle": state, "weight": 6.0,
-                     "startedAtMs": started}
+            entry = {
+                "instanceId": id,
+                "hostPort": address or self.listed[id]["hostPort"],
+                "zone": "east",
+                "machineType": "std",
+                "cell": 0,
+                "lifecycle": state,
+                "weight": 6.0,
+                "startedAtMs": started,
+            }
             self.changes.append((self.version, entry))
             self.listed[id] = entry
             if state == "DELETED":
@@ -100,13 +124,16 @@
             return http(sock, f"<Response><Error><Code>{how}</Code></Error></Response>", "400 Bad Request")
         how, _, done = how.partition(" ")
         if how in ("answer", "close") or done:
-            if given_up(sock):                  # a busy machine came to it too late: nothing is begun
+            if given_up(sock):  # a busy machine came to it too late: nothing is begun
                 raise OSError
             taken = self._carry_out(orders)
         if how not in ("answer", "close"):
             return fail(sock, how)
-        http(sock, f'<?xml version="1.0"?>\n<Response><results><item><ok_count>{taken}</ok_count></item>'
-                   '</results></Response>')
+        http(
+            sock,
+            f'<?xml version="1.0"?>\n<Response><results><item><ok_count>{taken}</ok_count></item>'
+            "</results></Response>",
+        )
         if how == "close":
             sock.shutdown(socket.SHUT_RDWR)
 
@@ -143,11 +170,13 @@
                 queue.append(f"event: attach\ndata: id={proxy}&site=east&rps=5.0&new=1\n\n")
             for number, table in self.tables.items():
                 queue.append(f"event: owner\ndata: range={number}&flag=1\n\n")
-                queue += [f"event: entry\ndata: range={number}&target={b}&rps={w}\n\n"
-                          for b, w in table.items()]
+                queue += [
+                    f"event: entry\ndata: range={number}&target={b}&rps={w}\n\n" for b, w in table.items()
+                ]
             self.news.append(queue)
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                     b"Transfer-Encoding: chunked\r\n\r\n")
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
         alive = time.monotonic() + 0.1
         while True:
             if self.news_faults:
@@ -160,7 +189,7 @@
                 told, queue[:] = "".join(queue), []
             if time.monotonic() > alive:
                 told, alive = told + ":\n\n", time.monotonic() + 0.2
-            for piece in (told[:len(told) // 2], told[len(told) // 2:]):    # in pieces, cut anywhere
+            for piece in (told[: len(told) // 2], told[len(told) // 2 :]):  # in pieces, cut anywhere
                 if piece:
                     sock.sendall(f"{len(piece):x}\r\n{piece}\r\n".encode())
             time.sleep(0.005)
@@ -175,11 +204,23 @@
 
     def start(self, words=(), **more):
         self.listen = free_address()
-        self.found = {"name": "n0", "listen": self.listen, "discovery": self.discovery.address,
-                      "seed": "8c1f30d2", "known": self.known, "settings": SETTINGS,
-                      "limits": self.limits, "store": {"address": self.relay.address}} | more
-        self.program = Program(self.path, json.dumps(self.found), words, BALANCER_LISTEN=self.found["listen"],
-                               BALANCER_DISCOVERY=self.found["discovery"])
+        self.found = {
+            "name": "n0",
+            "listen": self.listen,
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d2",
+            "known": self.known,
+            "settings": SETTINGS,
+            "limits": self.limits,
+            "store": {"address": self.relay.address},
+        } | more
+        self.program = Program(
+            self.path,
+            json.dumps(self.found),
+            words,
+            BALANCER_LISTEN=self.found["listen"],
+            BALANCER_DISCOVERY=self.found["discovery"],
+        )
         return self.program
 
     def reload(self, **more):
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -1,4 +1,5 @@
 """The sidecar's access log, and read back."""
+
 import json
 import os
 import signal
@@ -24,13 +25,14 @@
         gate.wait()
         if full[0]:
             raise OSError(28, "No space left on device")
-        return os.write(file, data[:5000])              # never all at once
+        return os.write(file, data[:5000])  # never all at once
+
     log = AccessLog(str(tmp_path / "a"), "json", lambda: dropped.append(1), write)
     began = time.monotonic()
     for n in range(QUEUE + 5000):
         log.add(n, n + 1, "c", "GET", "/x", "r", 200, 1, "")
     assert time.monotonic() - began < 1.0
-    assert 4000 < len(dropped) <= 5000                  # of those in hand some are out of the queue
+    assert 4000 < len(dropped) <= 5000  # of those in hand some are out of the queue
     gate.set()
     eventually(lambda: not log.queue)
     log.close()
@@ -44,8 +46,10 @@
 
 
 def test_the_file_names_the_access_log():
-    lines = "listen 127.0.0.1:80\nrpc a idempotent\npool p\nserver s 127.0.0.1:81 pool p\n" \
-            "route GET /x rpc a pool p\n"
+    lines = (
+        "listen 127.0.0.1:80\nrpc a idempotent\npool p\nserver s 127.0.0.1:81 pool p\n"
+        "route GET /x rpc a pool p\n"
+    )
     assert read(lines + "access-log /x/y").single["access-log"] == "/x/y"
     with pytest.raises(Mistakes, match=":6: .*json or combined"):
         read(lines + "access-log-form xml")
@@ -61,7 +65,7 @@
             assert field.get(f"/vacancies/{n}?q=%22x").status == 200
         assert field.get("/places/7/reserve", "POST", b"{}", id="r1").status == 200
         assert field.get("/nowhere").status == 404
-        os.rename(log, tmp_path / "moved")              # rotated under load
+        os.rename(log, tmp_path / "moved")  # rotated under load
         field.process.send_signal(signal.SIGHUP)
         eventually(log.exists)
         field.get("/vacancies/9")
@@ -69,9 +73,25 @@
         field.process.terminate()
         field.process.wait()
         field.close()
-    out = subprocess.run([*LOAD, "compile", str(tmp_path / "moved"), str(log), "-o", str(tmp_path / "t"),
-                          "--format", form, "--routes", str(field.file), "--strict"], capture_output=True,
-                         text=True, cwd=ROOT, check=True)
+    out = subprocess.run(
+        [
+            *LOAD,
+            "compile",
+            str(tmp_path / "moved"),
+            str(log),
+            "-o",
+            str(tmp_path / "t"),
+            "--format",
+            form,
+            "--routes",
+            str(field.file),
+            "--strict",
+        ],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=True,
+    )
     assert json.loads(out.stdout)["requests"] == 8
     found = [r for _, r in trace.Trace(str(tmp_path / "t")).requests()]
     assert [r.target for r in found if r.status == 404] == ["/nowhere"]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -1,4 +1,5 @@
 """Chains of acts: what lies in a folder, held against the heads that the ledger knows."""
+
 import random
 
 import msgspec
@@ -19,7 +20,6 @@
     return begun(tmp_path / "audit")
 
 
-
 def test_a_chain_is_read_as_it_was_written(acting):
     assert not found(acting)
     told = acted({"m": read(acting.store.folder)[0]})
@@ -47,7 +47,7 @@
             chain[n], chain[m] = chain[m], chain[n]
         case "cut":
             del chain[n:]
-    if chance.random() < 0.5:                   # whoever did it knows how chains are made
+    if chance.random() < 0.5:  # whoever did it knows how chains are made
         for i in range(1, len(chain)):
             chain[i] = msgspec.structs.replace(chain[i], before=chain[i - 1].digest())
     assert found(acting, {1: chain}), how
@@ -84,7 +84,7 @@
 def test_without_a_lease_nothing_is_stamped(acting):
     acting.lease = None
     assert acting.do(2) is None and acting.acts.counts["refused"] == 2
-    acting.lease = Lease(2, 10 ** 9)
+    acting.lease = Lease(2, 10**9)
     assert acting.do(1) == Stamp("m", 2, 0, 43, 1), "a chain of its own for each incarnation"
 
 
--- a/tests/test_audit_files.py
+++ b/tests/test_audit_files.py
@@ -1,4 +1,5 @@
 """The files of a chain: torn, harmed, full, given up, waited for."""
+
 import errno
 import os
 
@@ -14,7 +15,6 @@
     return begun(tmp_path / "audit")
 
 
-
 def test_a_torn_tail_is_cut_and_a_harmed_middle_told(acting):
     path = chains(acting.store.folder)[0][1]
     acting.do(1)
@@ -29,7 +29,7 @@
     path.write_bytes(data)
     assert read(acting.store.folder)[1]
     data[len(data) // 2] ^= 1
-    for at in range(60, 200):                   # whichever byte of a frame
+    for at in range(60, 200):  # whichever byte of a frame
         data[at] ^= 0x20
         path.write_bytes(data)
         assert read(acting.store.folder)[1], at
@@ -86,22 +86,24 @@
         if full:
             raise OSError(errno.ENOSPC, "no room")
         return real(fd, *data)
+
     monkeypatch.setattr(os, failing, fails)
     one.do(5, kind)
     full = True
     refused = one.do(1, kind) is None
     assert refused == (failing == "write" or kind == "firm") and (not refused or one.troubles[0].remedy)
-    assert one.acts.sync() is refused           # what could be appended is not on the disk yet
+    assert one.acts.sync() is refused  # what could be appended is not on the disk yet
     full = False
     stamp = one.do(5, kind)
     assert stamp.number == (10 if refused else 11) and one.tell() == ""
     assert not found(one) and [r.stamp.number for r in read(one.store.folder)[0][1]] == list(
-        range(1, stamp.number + 1))
+        range(1, stamp.number + 1)
+    )
 
 
 @pytest.mark.parametrize("fails", [False, True])
 def test_the_disk_is_waited_for_beside_the_acts(tmp_path, fails, monkeypatch):
-    class Thread:                               # net.worker.Worker, by hand
+    class Thread:  # net.worker.Worker, by hand
         def do(self, call, done):
             self.call, self.done = call, done
 
@@ -112,12 +114,13 @@
                 self.done(None, bad)
             else:
                 self.done(None, None)
+
     thread = Thread()
     one = Acting(tmp_path / "audit", begun=lambda: thread)
     one.do(5)
     one.acts.sync_soon()
     one.do(3)
-    one.acts.sync_soon()                        # one at a time
+    one.acts.sync_soon()  # one at a time
     assert one.acts.safe is None
     with monkeypatch.context() as patch:
         if fails:
--- a/tests/test_audit_gate.py
+++ b/tests/test_audit_gate.py
@@ -1,4 +1,5 @@
 """Receivers that can check a stamp refuse an older one."""
+
 from indigohitch import interface as face
 from indigohitch.fleet.audit.gate import Gate
 from indigohitch.fleet.terms import Stamp
@@ -35,8 +36,17 @@
 def test_orders_that_may_not_go_are_void_and_told():
     """What was decided while this coordinator might act doesn't go later (platformlink/relay)."""
     clock = Clock()
-    relay = Relay(Loop(clock, print), Log(clock, out=-1), ("127.0.0.1", 1), ["search"], 0, 0,
-                  Backlog(0, 0), lambda: 0, 0)
+    relay = Relay(
+        Loop(clock, print),
+        Log(clock, out=-1),
+        ("127.0.0.1", 1),
+        ["search"],
+        0,
+        0,
+        Backlog(0, 0),
+        lambda: 0,
+        0,
+    )
     went, void, may = [], [], False
     relay.client.request = lambda *words: went.append(words[4])
     relay.dropped = void.extend
--- a/tests/test_batches_fleet.py
+++ b/tests/test_batches_fleet.py
@@ -1,4 +1,5 @@
 """Batches in a simulated fleet: started once, none missed, unclear held, under kills, cuts, delays, drift."""
+
 import random
 
 import pytest
@@ -22,11 +23,15 @@
 from orderedlog import SECOND, World
 from test_batches_pieces import test_only_its_holder_speaks_of_a_piece as only_its_holder_speaks
 
-TRUE = 10 ** 13
+TRUE = 10**13
 SLOT = 5 * SECOND
 SITE = Site("eros", "UTC", "", {"std": 6}, (Band((), 0, 24 * 3600 * SECOND, 20_000),))
-CONTRACT = Contract(1, SLOT, (SITE,), (BatchClass("dunning", False, "/", {"std": 300}),
-                                       BatchClass("report", True, "/", {"std": 200})))
+CONTRACT = Contract(
+    1,
+    SLOT,
+    (SITE,),
+    (BatchClass("dunning", False, "/", {"std": 300}), BatchClass("report", True, "/", {"std": 200})),
+)
 
 
 class Chain:
@@ -58,8 +63,17 @@
                 outcome = world.rng.choices(("ok", "not run", "unknown", "lost"), (90, 5, 2, 3))[0]
                 if outcome in ("ok", "unknown") or outcome == "lost" and world.rng.random() < 0.5:
                     servers.ran[piece, step] = servers.ran.get((piece, step), 0) + 1
-                servers.way.append((world.t + world.rng.randint(100, 4000), member, piece, step, stamp,
-                                    "unknown" if outcome == "lost" else outcome))
+                servers.way.append(
+                    (
+                        world.t + world.rng.randint(100, 4000),
+                        member,
+                        piece,
+                        step,
+                        stamp,
+                        "unknown" if outcome == "lost" else outcome,
+                    )
+                )
+
         return Port()
 
     def turn(self):
@@ -73,9 +87,19 @@
 def build(seed, names=("a", "b", "c", "d", "e")):
     def works(member):
         clock = HoursWork(member.book.parts["hours"], member.name, member.wall, lambda: set(names))
-        return [clock, BatchesWork(member.book.parts["batches"], member.name, Chain(member),
-                                   world.servers.port(member), clock.time, {"eros": {"std": 2}},
-                                   lambda: CONTRACT)]
+        return [
+            clock,
+            BatchesWork(
+                member.book.parts["batches"],
+                member.name,
+                Chain(member),
+                world.servers.port(member),
+                clock.time,
+                {"eros": {"std": 2}},
+                lambda: CONTRACT,
+            ),
+        ]
+
     world = World.__new__(World)
     world.servers = Servers(world)
     world.__init__(random.Random(seed), names, lambda: [Hours(), Batches()], works)
@@ -84,8 +108,15 @@
 
 def submit(world, batch, rpc, pieces, work=8 * SECOND, steps=16, wide=120):
     now = TRUE + world.t
-    cuts = tuple(Cut(now + world.rng.randrange(20) * SECOND, now + (wide + world.rng.randrange(60)) * SECOND,
-                     work, steps) for _ in range(pieces))
+    cuts = tuple(
+        Cut(
+            now + world.rng.randrange(20) * SECOND,
+            now + (wide + world.rng.randrange(60)) * SECOND,
+            work,
+            steps,
+        )
+        for _ in range(pieces)
+    )
     member = world.leader()
     member.ask(member.works[1], [Wanted("batches.submit", Batch(batch, "whk", rpc, cuts))])
 
@@ -103,7 +134,7 @@
                 if piece.attempt:
                     first = self.starts.setdefault((id, piece.attempt), piece.stamp)
                     assert piece.stamp == first, "two stamps for one start"
-        new, self.sent = world.servers.sent[self.sent:], len(world.servers.sent)
+        new, self.sent = world.servers.sent[self.sent :], len(world.servers.sent)
         for t, id, step, stamp in new:
             assert t < world.ended.get((stamp.member, stamp.incarnation), t + 1), "left after it was given up"
             assert stamp in [known for (piece, _), known in self.starts.items() if piece == id], "not started"
@@ -140,7 +171,7 @@
         world.servers.turn()
         rules.check()
         if step == steps - 400:
-            trouble(world, step + 100, down)            # all come back
+            trouble(world, step + 100, down)  # all come back
     return world
 
 
@@ -167,8 +198,13 @@
 
 GUARDS = {
     "own": (Pieces, "own", staticmethod(lambda at, id, piece: None)),
-    "gone": (Pieces, "gone", lambda self, at, *who: [
-        self.free(id, self.all[id], State.WAITING, at) for id in sorted(self.held.get(who, ()))]),
+    "gone": (
+        Pieces,
+        "gone",
+        lambda self, at, *who: [
+            self.free(id, self.all[id], State.WAITING, at) for id in sorted(self.held.get(who, ()))
+        ],
+    ),
 }
 
 
@@ -178,14 +214,20 @@
         monkeypatch.setattr(*GUARDS[guard])
     elif guard == "unknown":
         outcome = running.Runner.outcome
-        monkeypatch.setattr(running.Runner, "outcome", lambda self, now, id, step, stamp, what: outcome(
-            self, now, id, step, stamp, "not run" if what == "unknown" else what))
+        monkeypatch.setattr(
+            running.Runner,
+            "outcome",
+            lambda self, now, id, step, stamp, what: outcome(
+                self, now, id, step, stamp, "not run" if what == "unknown" else what
+            ),
+        )
     else:
         turn, leases = running.Runner.turn, {}
 
         def unleased(self, now, time, lease, *rest):
             leases[self] = lease or leases.get(self)
             return turn(self, now, time, leases[self] and Lease(leases[self].incarnation, 1 << 60), *rest)
+
         monkeypatch.setattr(running.Runner, "turn", unleased)
     with pytest.raises((AssertionError, pytest.fail.Exception)):
         only_its_holder_speaks()
--- a/tests/test_batches_parts.py
+++ b/tests/test_batches_parts.py
@@ -1,4 +1,5 @@
 """Batches' directives, what people ask, how steps go out, strain, and the list of prices on a disk."""
+
 import pytest
 
 from indigohitch.directives import operator_file, sidecar_file
@@ -36,20 +37,34 @@
     site, (rpc,) = got.sites[0], got.classes
     assert (got.slot, site.lanes, site.peak, site.surcharge) == (9_000_000, {"std": 8}, 40_000, 12_000)
     assert [(b.days, b.begin, b.end, b.price) for b in site.bands] == [
-        (("workday", "saturday"), 216_000_000, 792_000_000, 24_500), ((), 0, 864_000_000, -1250)]
+        (("workday", "saturday"), 216_000_000, 792_000_000, 24_500),
+        ((), 0, 864_000_000, -1250),
+    ]
     assert (rpc.idempotent, rpc.power, rpc.pause, rpc.seats) == (False, {"std": 1500}, 400, {"geo": 1})
     assert text.runs[0].to == ("127.0.0.1", 8080) and text.prices == "/tmp/prices.txt"
 
 
-@pytest.mark.parametrize("change, line, why", [
-    (("edition 3\n", "\n"), 7, "edition"), (("15m", "7m"), 6, "divides the hour"), (("15m", "1h"), 6, ""),
-    (("zone Europe/Berlin ", ""), 7, "zone"), (("DE-BE", "Berlin"), 7, "country"),
-    (("lanes eros std 8\n", "\n"), 7, "lanes"), (("eros workday", "mars workday"), 9, "no site mars"),
-    (("06:00-22:00", "22:00-06:00"), 9, "two lines"), (("06:00", "06:10"), 9, "slot"),
-    (("24.5", "cheap"), 9, "price"), (("surcharge 12", "surcharge 0"), 11, "surcharge"),
-    (("std=1.5kW", "std=much"), 12, "power"), (("std=1.5kW", "old=1.5kW"), 12, "nodes of its kinds"),
-    (("sites eros", "sites mars"), 12, "no site mars"), (("runs eros std", "runs eros old"), 14, "no lanes"),
-    ((" to 127.0.0.1:8080", ""), 14, "no sidecar")])
+@pytest.mark.parametrize(
+    "change, line, why",
+    [
+        (("edition 3\n", "\n"), 7, "edition"),
+        (("15m", "7m"), 6, "divides the hour"),
+        (("15m", "1h"), 6, ""),
+        (("zone Europe/Berlin ", ""), 7, "zone"),
+        (("DE-BE", "Berlin"), 7, "country"),
+        (("lanes eros std 8\n", "\n"), 7, "lanes"),
+        (("eros workday", "mars workday"), 9, "no site mars"),
+        (("06:00-22:00", "22:00-06:00"), 9, "two lines"),
+        (("06:00", "06:10"), 9, "slot"),
+        (("24.5", "cheap"), 9, "price"),
+        (("surcharge 12", "surcharge 0"), 11, "surcharge"),
+        (("std=1.5kW", "std=much"), 12, "power"),
+        (("std=1.5kW", "old=1.5kW"), 12, "nodes of its kinds"),
+        (("sites eros", "sites mars"), 12, "no site mars"),
+        (("runs eros std", "runs eros old"), 14, "no lanes"),
+        ((" to 127.0.0.1:8080", ""), 14, "no sidecar"),
+    ],
+)
 def test_each_mistake_has_its_line(change, line, why):
     if not why:
         assert operator_file.read(FILE.replace(*change)).fleet.parts["batches"][0].slot == 36_000_000
@@ -75,17 +90,29 @@
     assert text.fleet.parts["batches"][0].runs[0].to == ("127.0.0.1", 8080)
 
 
-PIECE = {"earliest": "2026-12-02T18:00+01:00", "latest": "2026-12-03T06:00+01:00", "work": "40m",
-         "steps": 200}
+PIECE = {
+    "earliest": "2026-12-02T18:00+01:00",
+    "latest": "2026-12-03T06:00+01:00",
+    "work": "40m",
+    "steps": 200,
+}
 BATCH = {"id": "b", "tenant": "t", "class": "c", "pieces": [PIECE]}
 
 
 def test_a_batch_as_people_say_it():
     (cut,) = batch_of(BATCH).cuts
     assert (cut.latest - cut.earliest, cut.work, cut.steps) == (12 * 36_000_000, 24_000_000, 200)
-    for spoilt in (None, [], BATCH | {"id": ""}, BATCH | {"pieces": "all"}, BATCH | {"pieces": [{}]}, *(
+    for spoilt in (
+        None,
+        [],
+        BATCH | {"id": ""},
+        BATCH | {"pieces": "all"},
+        BATCH | {"pieces": [{}]},
+        *(
             BATCH | {"pieces": [PIECE | wrong]}
-            for wrong in ({"steps": "many"}, {"work": "40"}, {"latest": "2026-12-03T06:00"}))):
+            for wrong in ({"steps": "many"}, {"work": "40"}, {"latest": "2026-12-03T06:00"})
+        ),
+    ):
         with pytest.raises(Unfit) as told:
             batch_of(spoilt)
         assert "dunning-7" in told.value.remedy
@@ -95,11 +122,21 @@
             word_of(spoilt)
 
 
-@pytest.mark.parametrize("answer, word", [
-    (Answer("answered", 200), "ok"), (Answer("connect_failed"), "not run"), (Answer("unreached"), "not run"),
-    (Answer("timeout"), "unknown"), (Answer("reset"), "unknown"), (Answer("answered", 502), "unknown"),
-    (Answer("answered", 503, b"no server now\n"), "not run"), (Answer("answered", 503, b"eh"), "unknown"),
-    (Answer("answered", 404), "refused"), (Answer("answered", 429), "not run")])
+@pytest.mark.parametrize(
+    "answer, word",
+    [
+        (Answer("answered", 200), "ok"),
+        (Answer("connect_failed"), "not run"),
+        (Answer("unreached"), "not run"),
+        (Answer("timeout"), "unknown"),
+        (Answer("reset"), "unknown"),
+        (Answer("answered", 502), "unknown"),
+        (Answer("answered", 503, b"no server now\n"), "not run"),
+        (Answer("answered", 503, b"eh"), "unknown"),
+        (Answer("answered", 404), "refused"),
+        (Answer("answered", 429), "not run"),
+    ],
+)
 def test_only_what_surely_never_ran_counts_as_that(answer, word):
     assert outcome(answer)[0] == word
 
@@ -114,14 +151,14 @@
 
 def test_strain_pauses_soon_and_is_over_soon_and_noise_is_none():
     strain = Strain()
-    now = felt(strain, 0, [400, 410, 420, 405, 430, 400, 410, 420, 405, 430, 410, 900] * 20)    # one is slow
+    now = felt(strain, 0, [400, 410, 420, 405, 430, 400, 410, 420, 405, 430, 410, 900] * 20)  # one is slow
     assert not strain.strained and strain.pauses == 0
     now = felt(strain, now, [700] * 6)
     assert strain.strained
     now = felt(strain, now, [410] * 40)
     assert not strain.strained
     now = felt(strain, now, [700] * 8)
-    assert strain.strained and not strain.turn(now + 20_000)            # nobody is there any more
+    assert strain.strained and not strain.turn(now + 20_000)  # nobody is there any more
 
 
 def test_batches_can_t_raise_what_counts_as_calm():
--- a/tests/test_batches_pieces.py
+++ b/tests/test_batches_pieces.py
@@ -1,4 +1,5 @@
 """What becomes of a piece in the book: whose word counts, who is lost, what an operator says."""
+
 import msgspec
 import pytest
 
@@ -22,9 +23,13 @@
 from indigohitch.fleet.terms import Stamp
 
 SECOND = 10_000
-TRUE = 10 ** 13
-CONTRACT = Contract(1, 5 * SECOND, (Site("eros", "UTC", "", {"std": 6}, ()),), (
-    BatchClass("dunning", False, "/", {"std": 300}), BatchClass("report", True, "/", {"std": 200})))
+TRUE = 10**13
+CONTRACT = Contract(
+    1,
+    5 * SECOND,
+    (Site("eros", "UTC", "", {"std": 6}, ()),),
+    (BatchClass("dunning", False, "/", {"std": 300}), BatchClass("report", True, "/", {"std": 200})),
+)
 
 
 def book_with(idempotent=False, steps=4):
@@ -47,7 +52,7 @@
         with pytest.raises(Unfit):
             part.apply(At(6, 1, TRUE, *who), "step", Step("x.0", 1, 4, "done"))
     part.apply(At(6, 1, TRUE, "m", 5), "step", Step("x.0", 1, 2, "rests"))
-    with pytest.raises(Unfit):          # a start that came late, of a piece that was given back
+    with pytest.raises(Unfit):  # a start that came late, of a piece that was given back
         part.apply(At(7, 1, TRUE, "m", 5), "start", Start("x.0", 2, Stamp("m", 5, 1, 3, 2)))
 
 
@@ -67,14 +72,21 @@
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
     assert piece.state is State.UNCLEAR and "lost" in piece.why
     with pytest.raises(Unfit):
-        part.apply(At(7, 1, TRUE, "m", 5), "step", Step("x.0", 1, 4, "done"))       # of one that was given up
+        part.apply(At(7, 1, TRUE, "m", 5), "step", Step("x.0", 1, 4, "done"))  # of one that was given up
     with pytest.raises(Unfit):
         part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "n", 6))
 
 
-@pytest.mark.parametrize("word, step, state", [
-    ("from", 3, State.WAITING), ("done", 0, State.DONE), ("drop", 0, State.DROPPED), ("from", 1, None),
-    ("eh", 0, None)])
+@pytest.mark.parametrize(
+    "word, step, state",
+    [
+        ("from", 3, State.WAITING),
+        ("done", 0, State.DONE),
+        ("drop", 0, State.DROPPED),
+        ("from", 1, None),
+        ("eh", 0, None),
+    ],
+)
 def test_an_operator_s_word_frees_what_is_unclear(word, step, state):
     part, piece = book_with()
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
@@ -94,9 +106,18 @@
     assert other.row() == part.row() and other.pieces.held == part.pieces.held
 
 
-@pytest.mark.parametrize("runs, kind, base", [
-    (((-1, 20),), "std", 0), (((0, 101),), "std", 0), (((0, 20), (10, 30)), "std", 0),
-    (((20, 10),), "std", 0), ((), "std", 0), (((0, 20),), "old", 0), (((0, 20),), "std", 7)])
+@pytest.mark.parametrize(
+    "runs, kind, base",
+    [
+        (((-1, 20),), "std", 0),
+        (((0, 101),), "std", 0),
+        (((0, 20), (10, 30)), "std", 0),
+        (((20, 10),), "std", 0),
+        ((), "std", 0),
+        (((0, 20),), "old", 0),
+        (((0, 20),), "std", 7),
+    ],
+)
 def test_a_plan_past_the_times_or_on_another_one_is_not_taken(runs, kind, base):
     part = Batches()
     part.apply(At(1, 1, 10, "a", 1), "contract", CONTRACT)
--- a/tests/test_batches_plan.py
+++ b/tests/test_batches_plan.py
@@ -1,4 +1,5 @@
 """The plan: within lanes, seats, peak and times; cheaper than at once; near the optimum; steady."""
+
 import random
 
 import pytest
@@ -14,18 +15,34 @@
 
 def case(rng, pieces, slots=24, lanes=(2, 4)):
     """A field's values, and tasks."""
-    prices = {place: [rng.choice((90, 150, 240, 320)) * 100 + rng.randint(-900, 900) for _ in range(slots)]
-              for place in PLACES}
+    prices = {
+        place: [rng.choice((90, 150, 240, 320)) * 100 + rng.randint(-900, 900) for _ in range(slots)]
+        for place in PLACES
+    }
     prices[PLACES[0]] = prices[PLACES[1]]
-    values = (slots, prices, {place: [rng.randint(*lanes)] * slots for place in PLACES},
-              {"eros": (rng.choice((900, 1200)), 60_000)}, {"geo": rng.randint(1, 3)})
+    values = (
+        slots,
+        prices,
+        {place: [rng.randint(*lanes)] * slots for place in PLACES},
+        {"eros": (rng.choice((900, 1200)), 60_000)},
+        {"geo": rng.randint(1, 3)},
+    )
     tasks = []
     for number in range(pieces):
         first, need, watts = rng.randrange(slots * 2 // 3), rng.randint(1, 4), rng.choice((100, 200, 300))
         last = min(slots, first + need + rng.randint(1, 14))
         power = {p: watts * (3 if p[1] == "old" else 2) // 2 for p in rng.sample(PLACES, rng.randint(1, 3))}
-        tasks.append(Task(f"p{number:03}", first, last, min(need, last - first), power,
-                          rng.choice((0, 0, 600_000, 6_000_000)), {"geo": 1} if rng.random() < 0.3 else {}))
+        tasks.append(
+            Task(
+                f"p{number:03}",
+                first,
+                last,
+                min(need, last - first),
+                power,
+                rng.choice((0, 0, 600_000, 6_000_000)),
+                {"geo": 1} if rng.random() < 0.3 else {},
+            )
+        )
     return values, tasks
 
 
@@ -63,7 +80,7 @@
     again = Plan(Field(*values))
     again.at_once(list(reversed(tasks)))
     again.settle()
-    assert again.spots == plan.spots            # whatever the order in which they came
+    assert again.spots == plan.spots  # whatever the order in which they came
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -120,9 +137,10 @@
 
 def test_a_small_correction_of_prices_leaves_the_plan():
     def small(series):
-        return [price + 150 * (-1) ** at for at, price in enumerate(series)]     # 0.15 cents up and down
-    assert sum(moved(seed, small) for seed in range(10)) <= 2                   # of 250 pieces
-    assert sum(moved(seed, small, dead=0) for seed in range(10)) > 8            # the guard taken away
+        return [price + 150 * (-1) ** at for at, price in enumerate(series)]  # 0.15 cents up and down
+
+    assert sum(moved(seed, small) for seed in range(10)) <= 2  # of 250 pieces
+    assert sum(moved(seed, small, dead=0) for seed in range(10)) > 8  # the guard taken away
     assert all(moved(seed, lambda series: series[::-1]) > 5 for seed in range(10))
 
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,4 +1,5 @@
 """The relay of faults: each fault does what it says, to the lane it is told of, and to no other."""
+
 import random
 import socket
 import threading
@@ -98,7 +99,7 @@
     breaker.cut("a", "b", both=True)
     sock.sendall(b"two")
     assert silent(sock) and bytes(b.heard) == b"one"
-    fresh = dial(breaker, "a", "b")             # the kernel takes it; nothing comes of it
+    fresh = dial(breaker, "a", "b")  # the kernel takes it; nothing comes of it
     fresh.sendall(b"new")
     assert silent(fresh)
     breaker.heal()
@@ -123,7 +124,7 @@
     for sock in (there, back):
         sock.sendall(b"x")
         assert taken(sock, 1) == b"x"
-    breaker.cut("b", "a")                       # a is heard, and hears nothing
+    breaker.cut("b", "a")  # a is heard, and hears nothing
     there.sendall(b"heard")
     said(lambda: bytes(b.heard) == b"xheard")
     assert silent(there)
@@ -170,7 +171,7 @@
     breaker.refuse("a", "b")
     with pytest.raises(ConnectionRefusedError):
         dial(breaker, "a", "b")
-    sock.sendall(b"y")                          # what stands, stands
+    sock.sendall(b"y")  # what stands, stands
     assert taken(sock, 1) == b"y"
     breaker.reset("a", "b")
     with pytest.raises(ConnectionResetError):
@@ -195,7 +196,7 @@
     breaker.slow("a", "b", trickle=2000)
     begun = time.monotonic()
     sock.sendall(b"x" * 1000)
-    for _ in range(20):                         # pieces that come often are not let through oftener
+    for _ in range(20):  # pieces that come often are not let through oftener
         sock.sendall(b"y")
     assert taken(sock, 1020) == b"x" * 1000 + b"y" * 20
     assert time.monotonic() - begun >= 0.4
@@ -211,12 +212,13 @@
         sock = dial(breaker, "a", "b")
         breaker.spoil("a", "b", 0.3)
         for n in range(60):
-            sock.sendall(b"%08d" % n)           # each answered before the next: pieces are the same
+            sock.sendall(b"%08d" % n)  # each answered before the next: pieces are the same
             taken(sock, 8)
         sock.close()
         b.listening.close()
         breaker.close()
         return bytes(b.heard), breaker.figures()
+
     heard, figures = run(5)
     clean = b"".join(b"%08d" % n for n in range(60))
     assert 5 <= figures["spoilt"] <= 35
@@ -236,7 +238,11 @@
     breaker.heal()
     breaker.part("ab")
     assert {p for p, lane in breaker.lanes.items() if lane.fault.cut} == {
-        ("a", "c"), ("b", "c"), ("c", "a"), ("c", "b")}
+        ("a", "c"),
+        ("b", "c"),
+        ("c", "a"),
+        ("c", "b"),
+    }
     assert [what for _, what in breaker.told] == ["cut_off a hears", "heal", "part a,b"]
     breaker.close()
     for echo in echoes.values():
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,4 +1,5 @@
 """What the command line says when something is wrong: what, where, and what to do."""
+
 import errno
 import json
 import os
@@ -16,8 +17,10 @@
 COMMON = b'10.0.0.1 - - [10/Oct/2025:13:55:36 +0000] "GET /a/%d HTTP/1.1" 200 23\n'
 COMBINED = COMMON[:-1] + b' "-" "curl"\n'
 JSON = b'{"ms":176010453%d000.0,"method":"GET","target":"/a"}\n'
-HAR = (b'{"log": {"entries": [{"startedDateTime": "2025-10-10T13:55:36Z", "time": 1, "request": '
-       b'{"method": "GET", "url": "http://x/a"}, "response": {}}]}}')
+HAR = (
+    b'{"log": {"entries": [{"startedDateTime": "2025-10-10T13:55:36Z", "time": 1, "request": '
+    b'{"method": "GET", "url": "http://x/a"}, "response": {}}]}}'
+)
 
 
 def run(*words):
@@ -39,10 +42,16 @@
     assert told(KeyError("listen"), "mend it") == {"why": "KeyError: 'listen'", "remedy": "mend it"}
 
 
-@pytest.mark.parametrize("name, data, form", [
-    ("a.log", lines(COMMON), "common"), ("a.log", lines(COMBINED), "combined"),
-    ("a.log", lines(JSON), "json"),
-    ("a.log", HAR, "har"), ("a", b"garbage\n" + lines(COMMON), "common")])
+@pytest.mark.parametrize(
+    "name, data, form",
+    [
+        ("a.log", lines(COMMON), "common"),
+        ("a.log", lines(COMBINED), "combined"),
+        ("a.log", lines(JSON), "json"),
+        ("a.log", HAR, "har"),
+        ("a", b"garbage\n" + lines(COMMON), "common"),
+    ],
+)
 def test_a_log_is_read_as_its_first_lines_are_and_that_is_said(tmp_path, name, data, form):
     source = tmp_path / name
     source.write_bytes(data)
@@ -64,18 +73,22 @@
     assert not (tmp_path / "t").exists()
 
 
-@pytest.mark.parametrize("words, what, remedy", [
-    ("load show FILE", "FILE: no trace", "compile it anew"),
-    ("load page FILE -o OUT", "FILE: no figures of a replay", "--save"),
-    ("load compile FILE -o OUT --format %a", "names no request", "a LogFormat"),
-    ("load compile FILE -o OUT --format %{", "can't be read", "a LogFormat"),
-    ("load scale TRACE --times 0 -o OUT", "0.0 times the rate", "above 0"),
-    ("load replay TRACE 10.0.0.1:8", "10.0.0.1: the target is not on loopback", "--allow-target"),
-    ("load replay TRACE 127.0.0.1:1 --speed 0", "a speed of 0.0", "above 0"),
-    ("check FILE", "FILE:1: unknown word 'nothing'", "docs/sidecar.md"),
-    ("check NONE", "NONE: No such file", "name what is there"),
-    ("status PLAIN", "PLAIN: no line `control`", "add `control"),
-    ("status CONTROL", "SOCKET: no answer", "start the program of CONTROL")])
+@pytest.mark.parametrize(
+    "words, what, remedy",
+    [
+        ("load show FILE", "FILE: no trace", "compile it anew"),
+        ("load page FILE -o OUT", "FILE: no figures of a replay", "--save"),
+        ("load compile FILE -o OUT --format %a", "names no request", "a LogFormat"),
+        ("load compile FILE -o OUT --format %{", "can't be read", "a LogFormat"),
+        ("load scale TRACE --times 0 -o OUT", "0.0 times the rate", "above 0"),
+        ("load replay TRACE 10.0.0.1:8", "10.0.0.1: the target is not on loopback", "--allow-target"),
+        ("load replay TRACE 127.0.0.1:1 --speed 0", "a speed of 0.0", "above 0"),
+        ("check FILE", "FILE:1: unknown word 'nothing'", "docs/sidecar.md"),
+        ("check NONE", "NONE: No such file", "name what is there"),
+        ("status PLAIN", "PLAIN: no line `control`", "add `control"),
+        ("status CONTROL", "SOCKET: no answer", "start the program of CONTROL"),
+    ],
+)
 def test_every_refusal_names_the_place_and_the_remedy(tmp_path, words, what, remedy):
     (tmp_path / "file").write_bytes(b"nothing\n")
     (tmp_path / "plain").write_bytes(b"state /x\n")
@@ -83,16 +96,22 @@
     (tmp_path / "log").write_bytes(lines(COMMON))
     assert run("load", "compile", tmp_path / "log", "-o", tmp_path / "trace")[0] == 0
     for name in ("file", "out", "trace", "none", "plain", "control", "socket"):
-        words, what, remedy = (text.replace(name.upper(), str(tmp_path / name))
-                               for text in (words, what, remedy))
+        words, what, remedy = (
+            text.replace(name.upper(), str(tmp_path / name)) for text in (words, what, remedy)
+        )
     code, out, err = run(*words.split())
     first, *rest = err.splitlines()
     assert code == 1 and not out and what in err and remedy in rest[-1]
 
 
 def first_line(*words, **environ):
-    out = subprocess.run([sys.executable, "-m", "indigohitch", *map(str, words)], capture_output=True,
-                         text=True, timeout=20, env=os.environ | environ)
+    out = subprocess.run(
+        [sys.executable, "-m", "indigohitch", *map(str, words)],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        env=os.environ | environ,
+    )
     said = [json.loads(line) for line in out.stdout.splitlines()]
     assert out.returncode == 1
     return next(line for line in said if line["event"] == "cannot_start")
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -1,4 +1,5 @@
 """A call to the relay whose outcome is unclear, and the channel in which it may lie already."""
+
 import pytest
 
 from indigohitch.net.clock import SECOND
@@ -59,11 +60,11 @@
     backlog = Backlog(cap=1000, pace=500)
     backlog.sent(0, 700)
     assert backlog.fits_at(0, 300) == 0
-    assert backlog.fits_at(0, 700) == 8001              # 400 too many, at 500 a second
+    assert backlog.fits_at(0, 700) == 8001  # 400 too many, at 500 a second
     assert backlog.fits_at(SECOND // 2, 700) == 8001
     backlog.sent(8001, 700)
     assert backlog.fits_at(8001, 700) > 8001 + SECOND
     backlog.taken_back(700)
     assert backlog.fits_at(8001, 700) == 8001
-    assert backlog.fits_at(8001, 5000) == 8001 + 6000   # more than the cap alone: once nothing waits
-    assert Backlog(cap=0, pace=0).fits_at(5, 10 ** 9) == 5
+    assert backlog.fits_at(8001, 5000) == 8001 + 6000  # more than the cap alone: once nothing waits
+    assert Backlog(cap=0, pace=0).fits_at(5, 10**9) == 5
--- a/tests/test_crossing_deadlines.py
+++ b/tests/test_crossing_deadlines.py
@@ -1,4 +1,5 @@
 """An answer or a connect of our own client that meets its deadline, on one loop turned by hand."""
+
 import fcntl
 import socket
 import sys
@@ -47,7 +48,7 @@
     wire.loop.clock.by += 20 * SECOND
     assert wire.answered(1).outcome == "timeout" and len(wire.answers) == 1
     with pytest.raises(OSError):
-        while True:                                 # reset: nobody reads there any more
+        while True:  # reset: nobody reads there any more
             peer.sendall(OK % (5, b"other"))
     wire.ask()
     wire.accepted().sendall(OK % (1, b"2"))
@@ -62,7 +63,7 @@
     peer.sendall(b"HTTP/1.1 200 OK\r\n")
     wire.loop.clock.by += SECOND
     for _ in range(200):
-        while not wire.answers and held(connection.sock) < 100_000:     # more than a turn reads
+        while not wire.answers and held(connection.sock) < 100_000:  # more than a turn reads
             peer.sendall(b"X-More: %b\r\n" % (b"x" * 30_000))
         wire.loop.clock.by += SECOND // 100
         if not wire.answers:
@@ -72,6 +73,6 @@
 
 def test_a_connect_that_is_through_in_the_turn_of_its_deadline_counts(wire):
     wire.ask()
-    wire.loop.clock.by += SECOND                    # the span for it is over, and it has come up
+    wire.loop.clock.by += SECOND  # the span for it is over, and it has come up
     wire.accepted().sendall(OK % (1, b"1"))
     assert wire.answered(1).outcome == "answered" and len(wire.peers) == 1
--- a/tests/test_crossing_floods.py
+++ b/tests/test_crossing_floods.py
@@ -1,4 +1,5 @@
 """Strangers and floods against the loop: what one turn may cost, and what all others get meanwhile."""
+
 import errno
 import os
 import socket
@@ -23,6 +24,7 @@
 
 class Ticking(Clock):
     """Each look at it takes a while."""
+
     tick = 0
 
     def now(self):
@@ -32,6 +34,7 @@
 
 class Exhausted:
     """A listening socket for which there is no descriptor left, a few times."""
+
     def __init__(self, sock, times):
         self.sock, self.left = sock, times
 
@@ -50,15 +53,21 @@
 
 class Hall:
     """The real loop and what accepts callers, driven turn by turn."""
+
     def __init__(self, callers=512):
         self.out = os.open(os.devnull, os.O_WRONLY)
         self.clock = Ticking()
         self.defects, self.heard, self.callers = [], [], []
         self.log = Log(self.clock, "n0", self.out)
         self.loop = Loop(self.clock, self.defects.append)
-        self.hub = Collectors(self.loop, self.log, self.heard.append, ("127.0.0.1", 0),
-                              Limits(callers, 8, 1 << 24, 1 << 20),
-                              Known(frozenset({"east", "west"}), frozenset({"search"}), 99, {"b1"}))
+        self.hub = Collectors(
+            self.loop,
+            self.log,
+            self.heard.append,
+            ("127.0.0.1", 0),
+            Limits(callers, 8, 1 << 24, 1 << 20),
+            Known(frozenset({"east", "west"}), frozenset({"search"}), 99, {"b1"}),
+        )
 
     def call(self, said=b"", buffer=0):
         sock = socket.socket()
@@ -111,7 +120,7 @@
     for turn in range(1, 9):
         assert hall.turn()["heartbeats_answered"] <= CROWD * READ and len(writes) <= turn * CROWD
         if turn == 4:
-            assert len(set(writes)) == count    # each had its turn before any had a second one
+            assert len(set(writes)) == count  # each had its turn before any had a second one
     assert hall.log.counts["heartbeats_answered"] == 8 * CROWD * READ
 
 
@@ -129,10 +138,10 @@
     collector.send(sent)
     due = []
     hall.loop.after(0, lambda: due.append(True))
-    hall.turn()                                 # in one turn: half of a period's sums would look like a jump
+    hall.turn()  # in one turn: half of a period's sums would look like a jump
     assert len(hall.heard) == sent.count(b"\n") and due
     hall.call(b"telemetry site=west\r\n" + REPORT)
-    late = [hall.turn() for _ in range(3)]      # accepted, and read as soon as it has its turn
+    late = [hall.turn() for _ in range(3)]  # accepted, and read as soon as it has its turn
     assert sum(turn["collector"] for turn in late) == 1
 
 
@@ -159,7 +168,7 @@
     sock.send(HB * MANY)
     for _ in range(4):
         assert 0 < hall.turn()["heartbeats_answered"] <= 4096 // len(HB)
-    assert hall.hub.members                     # what it asked for in one read, it is owed
+    assert hall.hub.members  # what it asked for in one read, it is owed
 
 
 def test_connects_by_the_hundred_cost_a_turn_no_more_than_a_burst():
@@ -197,7 +206,7 @@
     hall.accepted(4 * CROWD)
     for sock in hall.callers:
         sock.send(HB * MANY)
-    hall.clock.tick = 1_000_000                 # a millisecond; the end takes 50 at most
+    hall.clock.tick = 1_000_000  # a millisecond; the end takes 50 at most
     hall.hub.close()
     assert 0 < hall.log.counts["heartbeats_answered"] <= 50 * READ
     assert not any(c.open for c in [*hall.hub.strangers, *hall.hub.members])
@@ -210,7 +219,7 @@
     while not hall.log.counts["accept_failed"]:
         hall.loop.turn()
     if ends:
-        hall.hub.close()                        # in the pause
+        hall.hub.close()  # in the pause
     while not hall.heard and not ends:
         hall.loop.turn()
     assert hall.log.counts["accept_failed"] == hall.log.counts["accepted"] == len(hall.heard) == 1
--- a/tests/test_crossing_handovers.py
+++ b/tests/test_crossing_handovers.py
@@ -1,4 +1,5 @@
 """Slices taken and given, and news that begin anew, each across a call to the relay that is out."""
+
 import itertools
 
 import pytest
@@ -11,7 +12,7 @@
 from test_holdings import Told
 
 SLICE = 5
-OURS = [face.SetLine(SLICE, "b1", 1.0), face.SetLine(SLICE, "b0", 0.0)]         # a move from b0 to b1
+OURS = [face.SetLine(SLICE, "b1", 1.0), face.SetLine(SLICE, "b0", 0.0)]  # a move from b0 to b1
 NAMED = [face.Charge(SLICE, True), face.StoredLine(SLICE, "b0", 1.0)]
 
 
@@ -21,9 +22,14 @@
     def __init__(self):
         self.store, self.held, self.calls, self.carried = {"b0": 1.0}, True, [], 0
         self.told, self.hours = Told(), Hours()
-        self.hours.after = lambda span, action: Deadline(0, action)     # settled by hand
-        self.holdings = Holdings(self.hours, self.told, self.told.hear,
-                                 lambda: [o for call in self.calls for o in call], self.calls.append)
+        self.hours.after = lambda span, action: Deadline(0, action)  # settled by hand
+        self.holdings = Holdings(
+            self.hours,
+            self.told,
+            self.told.hear,
+            lambda: [o for call in self.calls for o in call],
+            self.calls.append,
+        )
         self.holdings.news_asked()
         self.holdings.news_opening()
         self.hear(*NAMED)
@@ -57,8 +63,11 @@
         """Taken, or given with these lines; the news of it."""
         self.held = held
         self.store = self.store if lines is None else dict(lines)
-        return [face.Charge(SLICE, False)] if not held else [
-            face.Charge(SLICE, True), *(face.StoredLine(SLICE, b, w) for b, w in self.store.items())]
+        return (
+            [face.Charge(SLICE, False)]
+            if not held
+            else [face.Charge(SLICE, True), *(face.StoredLine(SLICE, b, w) for b, w in self.store.items())]
+        )
 
     def end(self):
         self.holdings._settle()
@@ -69,10 +78,12 @@
         return self.told.tables.get(SLICE), self.store if self.held else None
 
 
-CHANGES = {"taken and given": [(False, None), (True, None)],
-           "taken, changed by another, given": [(False, None), (True, {"b2": 1.0, "b3": 1.0})],
-           "given twice": [(True, None), (True, {"b0": 1.0})],
-           "taken, given, taken": [(False, None), (True, None), (False, None)]}
+CHANGES = {
+    "taken and given": [(False, None), (True, None)],
+    "taken, changed by another, given": [(False, None), (True, {"b2": 1.0, "b3": 1.0})],
+    "given twice": [(True, None), (True, {"b0": 1.0})],
+    "taken, given, taken": [(False, None), (True, None), (False, None)],
+}
 
 
 @pytest.mark.parametrize("name", CHANGES)
@@ -80,15 +91,16 @@
     """The call is carried out before, between or after the changes; its answer is heard anywhere among the
     news, and these come in one piece, or cut anywhere with a pause in which what came is settled."""
     changes, met = CHANGES[name], 0
-    for carried, at, pause, first in itertools.product(range(len(changes) + 1), range(7), range(7),
-                                                       ("answer", "settle")):
+    for carried, at, pause, first in itertools.product(
+        range(len(changes) + 1), range(7), range(7), ("answer", "settle")
+    ):
         relay, told = Relay(), []
         relay.order(*OURS)
         for n, change in enumerate([*changes, None]):
             if n == carried:
                 relay.carry_out()
                 if at < len(told):
-                    break                       # it can't be answered before
+                    break  # it can't be answered before
             told += relay.change(*change) if change else []
         else:
             for n in range(len(told) + 1):
@@ -98,7 +110,7 @@
                     relay.answer()
                 if n == pause and first == "answer":
                     relay.holdings._settle()
-                relay.hear(*told[n:n + 1])
+                relay.hear(*told[n : n + 1])
             believed, stands = relay.end()
             assert believed == stands, (carried, at, pause, first)
             met += 1
@@ -128,7 +140,7 @@
     relay.answer() if answered == "alive" else None
     believed, stands = relay.end()
     assert believed == stands == {"b1": 1.0}
-    assert relay.told.charges == 1              # the module heard nothing that it knew
+    assert relay.told.charges == 1  # the module heard nothing that it knew
 
 
 def test_an_answer_between_a_line_that_came_late_and_its_telling():
@@ -148,7 +160,7 @@
     relay = Relay()
     relay.holdings.news_asked()
     relay.holdings.news_opening()
-    relay.hear(NAMED[0])                        # ... and its line is cut off
+    relay.hear(NAMED[0])  # ... and its line is cut off
     if end == "lost":
         relay.holdings.news_lost()
     relay.holdings.news_asked()
@@ -189,7 +201,7 @@
     relay.holdings.dropped([face.SetLine(SLICE, "b3", 1.0), face.SetLine(8, "b3", 1.0)])
     relay.hear(*relay.change(False))
     relay.hear(*relay.change(True, {"b2": 1.0}))
-    relay.holdings._tell_lost()                 # between the giving and the telling of it
+    relay.holdings._tell_lost()  # between the giving and the telling of it
     believed, stands = relay.end()
     assert believed == stands == {"b2": 1.0} and set(relay.told.tables) == {SLICE}
     relay.holdings.dropped([face.SetLine(SLICE, "b3", 1.0)])
@@ -198,8 +210,6 @@
     assert relay.told.tables == {}
 
 
-
-
 @pytest.mark.parametrize("answered", ["before the giving", "before it is told", "after"])
 def test_a_level_that_was_out_when_the_slice_was_given_is_taken_back(answered):
     relay = Relay()
@@ -222,8 +232,9 @@
     copy = tables.copy
     monkeypatch.setattr(tables, "copy", lambda all: copied.append(all) or copy(all))
     relay = Relay()
-    relay.hear(*(event for n in range(10, 1010)
-                 for event in (face.Charge(n, True), face.StoredLine(n, "b0", 1.0))))
+    relay.hear(
+        *(event for n in range(10, 1010) for event in (face.Charge(n, True), face.StoredLine(n, "b0", 1.0)))
+    )
     relay.holdings._settle()
     given = len(copied)
     relay.hear(*(face.Charge(n, False) for n in range(10, 1010)))
--- a/tests/test_crossing_idle.py
+++ b/tests/test_crossing_idle.py
@@ -1,5 +1,6 @@
 """A kept connection on which two things meet: the next request, its end, bytes that nobody asked for.  One
 loop in this process, turned by hand, against a peer whose every byte is written here."""
+
 import select
 import socket
 
@@ -32,7 +33,7 @@
     else:
         peer.shutdown(socket.SHUT_WR)
     wire.come()
-    wire.ask(method, b"x" if method == "POST" else b"")     # before the turn that would have shown it
+    wire.ask(method, b"x" if method == "POST" else b"")  # before the turn that would have shown it
     other = wire.accepted()
     other.sendall(OK % (1, b"2"))
     assert wire.answered(2).outcome == "answered" and wire.answers[1].body == b"2"
@@ -125,11 +126,15 @@
     assert wire.answered(1).outcome == "reset"
 
 
-@pytest.mark.parametrize("answer, keeps", [
-    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1", False),
-    (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\n1", False),
-    (b"HTTP/1.1 204 No Content\r\n\r\n", True),
-    (b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", True)])
+@pytest.mark.parametrize(
+    "answer, keeps",
+    [
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1", False),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\n1", False),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", True),
+        (b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", True),
+    ],
+)
 def test_only_a_connection_that_may_go_on_rests(wire, answer, keeps):
     wire.ask("GET", b"")
     wire.accepted().sendall(answer)
@@ -142,7 +147,7 @@
     close = wire.client._deadline
     assert close.action is not None
     wire.ask()
-    assert close.action is None                     # what is due in this turn closes nothing any more
+    assert close.action is None  # what is due in this turn closes nothing any more
     wire.heard(peer).sendall(OK % (1, b"2"))
     assert wire.answered(2).body == b"2"
     wire.client._deadline.action()
--- a/tests/test_crossing_lists.py
+++ b/tests/test_crossing_lists.py
@@ -1,4 +1,5 @@
 """Discovery's answers that cross: two calls out together, answered in either order, and older lists."""
+
 import pytest
 
 from indigohitch.net.clock import SECOND
@@ -35,7 +36,7 @@
     whole = room.registry.call()
     room.hears(lambda: whole.full(45, entry("b0"), DRAINS))
     watch.changes(43, SERVES)
-    after = room.registry.call()                # nothing has to be asked for: the watch goes on
+    after = room.registry.call()  # nothing has to be asked for: the watch goes on
     assert "from=45" in after.target and "hold_ms=3000" in after.target
     assert room.state["b1"] == "draining" and room.said("discovery_older")[0]["verdict"] == "crossed"
 
@@ -44,7 +45,7 @@
     watch = room.begin(41, entry("b0"), SERVES)
     room.discovery.fetch()
     whole = room.registry.call()
-    whole.full(44, entry("b0"), DRAINS)         # both are there before the loop turns again
+    whole.full(44, entry("b0"), DRAINS)  # both are there before the loop turns again
     watch.changes(43, SERVES)
     assert "from=44" in room.registry.call().target
     assert room.state == {"b0": "ready", "b1": "draining"}
@@ -69,7 +70,7 @@
     room.forward(SECOND)
     room.hears(lambda: room.registry.call().full(45, entry("b0"), DRAINS))
     assert room.discovery.version == 45 and room.state["b1"] == "draining"
-    room.forward(3 * SECOND)                    # the doubt is over: the next older one begins another
+    room.forward(3 * SECOND)  # the doubt is over: the next older one begins another
     room.registry.call().full(41, entry("b0"), SERVES)
     assert room.registry.call().target == room.discovery.PATH and room.state["b1"] == "draining"
 
@@ -81,7 +82,7 @@
     room.answered(3)
     room.forward(SECOND)
     call = room.registry.call()
-    if failing:                                 # the call that was to settle it: the module asks anew
+    if failing:  # the call that was to settle it: the module asks anew
         assert room.hears(call.fail).scope == "failed"
         room.discovery.subscribe(True)
         call = room.registry.call()
@@ -118,7 +119,7 @@
     second = room.registry.call()
     if failing:
         assert room.hears(second.fail).scope == "failed"
-        room.forward(SECOND)                    # the module's wait
+        room.forward(SECOND)  # the module's wait
         room.discovery.subscribe(True)
     else:
         second.full(5, entry("b0"), SERVES)
--- a/tests/test_crossing_lists_judge.py
+++ b/tests/test_crossing_lists_judge.py
@@ -1,5 +1,6 @@
 """The judge of discovery's answers alone, on seeded days: calls that are handled and answered in any order, a
 discovery that begins anew, copies that lag.  What is held is always one list that discovery had."""
+
 import random
 
 import pytest
@@ -16,7 +17,7 @@
 
     def __init__(self, seed):
         self.rng, self.now = random.Random(seed), 0
-        self.lists = {41: {f"b{n}": 0 for n in range(6)}}      # of each backend: when it changed last
+        self.lists = {41: {f"b{n}": 0 for n in range(6)}}  # of each backend: when it changed last
         self.generation, self.lag = 41, 0
         self.judge, self.held, self.of = Generations(41), dict(self.lists[41]), self.lists
         self.asked, self.answered, self.believed = [], [], 0
--- a/tests/test_crossing_lists_moves.py
+++ b/tests/test_crossing_lists_moves.py
@@ -1,4 +1,5 @@
 """Discovery moved to another address while its watch at the old one is out."""
+
 import pytest
 
 from indigohitch.net.clock import SECOND
@@ -24,10 +25,10 @@
         call.answer(body)
         room.until(lambda n=said: len(room.said("discovery_not_there_yet")) == n)
         assert not watch.given_up
-        assert call.target == room.discovery.PATH           # where none is held from there, changes won't do
+        assert call.target == room.discovery.PATH  # where none is held from there, changes won't do
         room.forward(SECOND)
     room.hears(lambda: watch.changes(42, DRAINS))
-    watch = room.registry.call()                # it goes on, as nothing else tells
+    watch = room.registry.call()  # it goes on, as nothing else tells
     assert "from=42" in watch.target and "hold_ms=3000" in watch.target
     assert not any(news.scope == "failed" for news in room.told)
     room.hears(lambda: new.call().full(42, entry("b0"), DRAINS))
@@ -46,9 +47,9 @@
     new.call().fail()
     room.until(lambda: room.discovery.again)
     watch.reset()
-    call = new.call()                           # no time has passed
+    call = new.call()  # no time has passed
     assert room.said("discovery_left_ended")[0]["why"] == "reset"
-    assert room.hears(call.fail).scope == "failed"          # nobody tells now: the module hears of it
+    assert room.hears(call.fail).scope == "failed"  # nobody tells now: the module hears of it
     room.discovery.subscribe(True)
     assert room.hears(lambda: new.call().full(42, SERVES)).version == 42
 
@@ -61,7 +62,7 @@
         new.call().fail()
         room.until(lambda: room.discovery.again)
         waits.append(room.discovery.again.when - room.clock.now())
-        room.forward(waits[-1])                 # in all less than the old watch may take
+        room.forward(waits[-1])  # in all less than the old watch may take
     for wait, tenths in zip(waits, (1, 2, 4, 8, 10, 10), strict=True):
         assert wait == tenths * SECOND // 10
     assert not watch.given_up
@@ -106,9 +107,9 @@
     call = new.call()
     answers = [lambda: watch.changes(42, DRAINS), lambda: call.full(41, entry("b0"), SERVES)]
     for answer in answers if first == "old" else reversed(answers):
-        answer()                                # both are there before the loop turns again
+        answer()  # both are there before the loop turns again
     call = new.call()
-    if call.target == room.discovery.PATH:      # the list crossed the change: asked for again
+    if call.target == room.discovery.PATH:  # the list crossed the change: asked for again
         assert room.state["b1"] == "draining" and room.discovery.left
         call.full(42, entry("b0"), DRAINS)
     else:
@@ -125,7 +126,7 @@
     new.call().full(3, entry("b0"), SERVES)
     new.call().full(3, entry("b0"), SERVES)
     room.hears(lambda: watch.changes(42, DRAINS))
-    for generation in (43, 44):                 # the next ones are sent, and answered, after the doubt began
+    for generation in (43, 44):  # the next ones are sent, and answered, after the doubt began
         watch = room.registry.call()
         room.hears(lambda w=watch, n=generation: w.changes(n, DRAINS))
     watch = room.registry.call()
@@ -138,11 +139,11 @@
 
 def test_moved_while_discovery_fails_the_new_address_is_asked_at_once(room):
     watch = room.begin()
-    assert room.hears(watch.fail).scope == "failed"         # the module would ask anew in its time
+    assert room.hears(watch.fail).scope == "failed"  # the module would ask anew in its time
     room.discovery.move(room.others[0].to)
     room.hears(lambda: room.others[0].call().full(42, DRAINS))
     assert "from=42" in room.others[0].call().target
-    room.discovery.subscribe(True)              # its time has come: one watch is enough
+    room.discovery.subscribe(True)  # its time has come: one watch is enough
     assert room.others[0].quiet()
 
 
--- a/tests/test_crossing_lists_program.py
+++ b/tests/test_crossing_lists_program.py
@@ -1,4 +1,5 @@
 """The program, and lists that are older than what it holds or meet an upgrade."""
+
 import json
 import os
 
@@ -24,12 +25,17 @@
             return answer(sock, method, target, body)
         left.pop()
         http(sock, json.dumps(older))
+
     platform.discovery.answer = stale
-    drain(platform, "b2")                       # ends the watch; the next two calls get the older list
+    drain(platform, "b2")  # ends the watch; the next two calls get the older list
     eventually(lambda: len(program.said("discovery_older", verdict="doubted")) == 2)
-    drain(platform, "b3")                       # asked for within a second, though nobody watched
-    assert not [o for call in platform.calls[calls:] for o in call if o.startswith("put") and ",b1," in o
-                and not o.endswith((",0", ",0.0"))]
+    drain(platform, "b3")  # asked for within a second, though nobody watched
+    assert not [
+        o
+        for call in platform.calls[calls:]
+        for o in call
+        if o.startswith("put") and ",b1," in o and not o.endswith((",0", ",0.0"))
+    ]
     assert not program.said("discovery_began_anew") and not program.said("discovery_failed")
 
 
@@ -38,7 +44,7 @@
     drain(platform, "b1")
     with platform.lock:
         platform.version, platform.changes = 1, []
-    platform.change("b5", "DRAINING")           # its version is below the one asked from: the watch waits on
+    platform.change("b5", "DRAINING")  # its version is below the one asked from: the watch waits on
     platform.add("b6")
     eventually(lambda: program.said("discovery_began_anew"))
     drain(platform, "b2")
@@ -52,10 +58,20 @@
     log = Log(loop.clock, "n0", os.memfd_create("log"))
 
     def made(listening=None):
-        return Front(loop, log, {
-            "name": "n0", "listen": free_address(), "discovery": platform.discovery.address, "seed": "8c1f",
-            "known": platform.known, "settings": SETTINGS, "limits": platform.limits,
-            "store": {"address": platform.relay.address}})
+        return Front(
+            loop,
+            log,
+            {
+                "name": "n0",
+                "listen": free_address(),
+                "discovery": platform.discovery.address,
+                "seed": "8c1f",
+                "known": platform.known,
+                "settings": SETTINGS,
+                "limits": platform.limits,
+                "store": {"address": platform.relay.address},
+            },
+        )
 
     def until(holds, *fronts):
         end = loop.clock.now() + 20 * SECOND
@@ -65,19 +81,22 @@
             loop.turn()
             for front in fronts:
                 front.gathering.turn()
+
     front = made()
     until(lambda: front.coordinator.list_fresh, front)
     platform.change("b1", "DRAINING")
-    until(lambda: front.discovery.version == platform.version)      # the module is not asked meanwhile
+    until(lambda: front.discovery.version == platform.version)  # the module is not asked meanwhile
     old, states = Handover(front, made, lambda: None, None, None), []
     old.freeze(lambda state, broken: states.append(state))
-    assert front.coordinator.backends["b1"].state == "draining"     # it hears what waits, at the latest now
+    assert front.coordinator.backends["b1"].state == "draining"  # it hears what waits, at the latest now
     new = Handover(None, made, lambda: None, None, None)
     new.restore(shots.decode(states[0]), {})
     new.take_rest(old.rest())
     new.begin(True)
-    until(lambda: new.front.discovery.watch and new.front.coordinator.backends["b1"].state == "draining",
-          new.front)
+    until(
+        lambda: new.front.discovery.watch and new.front.coordinator.backends["b1"].state == "draining",
+        new.front,
+    )
     for each in (front, new.front):
         each.close()
     loop.close()
--- a/tests/test_crossing_lists_silence.py
+++ b/tests/test_crossing_lists_silence.py
@@ -1,4 +1,5 @@
 """Discovery that falls silent, answers by halves, too slowly or too late, on connections that end."""
+
 import socket
 
 import pytest
@@ -9,7 +10,7 @@
 from world import World
 
 DRAINS = entry("b1", "DRAINING")
-TOLD = 5 * SECOND               # after a watch was sent, its wait of 3 s and 2 s, what it had to tell counts
+TOLD = 5 * SECOND  # after a watch was sent, its wait of 3 s and 2 s, what it had to tell counts
 
 
 @pytest.fixture
@@ -30,7 +31,7 @@
 
 def test_a_silent_watch_is_given_up_before_what_it_had_to_tell_counts(room):
     watch = room.begin()
-    room.forward(TOLD - SECOND)                 # it may still come from a queue of calls
+    room.forward(TOLD - SECOND)  # it may still come from a queue of calls
     assert not watch.given_up
     room.hears(lambda: room.forward(SECOND // 2))
     room.until(lambda: watch.given_up)
@@ -49,7 +50,7 @@
 def test_an_answer_that_is_there_when_its_time_ends_counts(room):
     watch = room.begin()
     watch.changes(42, DRAINS)
-    room.clock.time += TOLD                     # as after a stall: the answer and the deadline in one turn
+    room.clock.time += TOLD  # as after a stall: the answer and the deadline in one turn
     room.until(lambda: len(room.told) == 2)
     assert room.told[-1].scope == "changes" and not room.said("discovery_failed")
 
@@ -59,7 +60,7 @@
     body = listed(42, DRAINS)
     watch.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
     for n in range(4):
-        watch.write(body[n:n + 1])
+        watch.write(body[n : n + 1])
         room.forward(SECOND)
     room.hears(lambda: room.forward(SECOND))
     assert room.told[-1].scope == "failed" and room.said("discovery_failed")[0]["why"] == "timeout"
@@ -76,7 +77,7 @@
     try:
         watch.full(99, entry("b9"))
     except OSError:
-        pass                                    # reset: it can't even be written
+        pass  # reset: it can't even be written
     room.hears(lambda: call.changes(42, DRAINS))
     assert room.discovery.version == 42 and "b9" not in room.state
 
@@ -85,20 +86,24 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
-@pytest.mark.parametrize("said,why", [
-    (HEAD + b"Content-Length: 60\r\n\r\n" + HALF, "unexpected end"),     # whole in length, half a list
-    (HEAD + b"Content-Length: 400\r\n\r\n" + HALF, "reset"),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n3c\r\n" + HALF + b"\r\n", "reset"),
-    (HEAD + b"\r\n" + HALF, "unexpected end"),
-    (HEAD + b"\r\n", "input"),
-    (HEAD + b"Content-Le", "reset")])
+@pytest.mark.parametrize(
+    "said,why",
+    [
+        (HEAD + b"Content-Length: 60\r\n\r\n" + HALF, "unexpected end"),  # whole in length, half a list
+        (HEAD + b"Content-Length: 400\r\n\r\n" + HALF, "reset"),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n3c\r\n" + HALF + b"\r\n", "reset"),
+        (HEAD + b"\r\n" + HALF, "unexpected end"),
+        (HEAD + b"\r\n", "input"),
+        (HEAD + b"Content-Le", "reset"),
+    ],
+)
 @pytest.mark.parametrize("abrupt", [False, True])
 def test_half_an_answer_tells_nothing_and_says_why(room, said, why, abrupt):
     watch = room.begin()
     before = room.state
     watch.write(said)
     if abrupt:
-        room.forward(SECOND // 10)              # later than a close that crosses the call
+        room.forward(SECOND // 10)  # later than a close that crosses the call
         watch.reset()
     else:
         watch.sock.shutdown(socket.SHUT_WR)
@@ -120,7 +125,7 @@
 def test_an_answer_and_the_close_behind_it_leave_no_gap_in_the_watch(room):
     watch = room.begin()
     watch.changes(42, DRAINS)
-    watch.sock.shutdown(socket.SHUT_WR)         # the next call goes out on it and comes again on another
+    watch.sock.shutdown(socket.SHUT_WR)  # the next call goes out on it and comes again on another
     call = room.registry.call()
     while call.sock is watch.sock:
         call = room.registry.call()
@@ -129,9 +134,9 @@
 
 def test_a_call_that_meets_the_close_for_idleness_goes_again(room):
     watch = room.begin()
-    room.hears(watch.fail)                      # its connection rests
+    room.hears(watch.fail)  # its connection rests
     watch.sock.shutdown(socket.SHUT_WR)
-    room.discovery.subscribe(True)              # before the loop has seen the close
+    room.discovery.subscribe(True)  # before the loop has seen the close
     call = room.registry.call()
     while call.sock is watch.sock:
         call = room.registry.call()
@@ -142,7 +147,7 @@
 def test_an_answer_that_nobody_asked_for_is_no_answer_to_the_next_call(room):
     watch = room.begin()
     room.hears(watch.fail)
-    watch.full(99, entry("b9"))                 # on the connection that rests
+    watch.full(99, entry("b9"))  # on the connection that rests
     room.until(lambda: watch.given_up)
     room.discovery.subscribe(True)
     call = room.registry.call()
--- a/tests/test_crossing_news.py
+++ b/tests/test_crossing_news.py
@@ -1,5 +1,6 @@
 """Two streams of news at once: the one that tells and the one asked for, in every order in which they bring,
 break and end.  Both are real sockets; whose turn it is, is told here."""
+
 import socket
 
 import pytest
@@ -42,8 +43,9 @@
         """The next stream; its request has come."""
         stage.turn_until(lambda: stage.news.coming is not None)
         stream, _ = self.sock.accept()
-        stage.turn_until(lambda: stage.news.coming.connection is not None
-                         and not stage.news.coming.connection.connecting)
+        stage.turn_until(
+            lambda: stage.news.coming.connection is not None and not stage.news.coming.connection.connecting
+        )
         stream.settimeout(10)
         assert stream.recv(4096).startswith(b"GET /stream ")
         stream.sendall(HEAD)
@@ -114,14 +116,21 @@
 
 START = attach(1) + attach(17) + owner(5, 1) + entry(5, "b0") + owner(88, 1) + entry(88, "b1")
 # What changes, as the old one tells it: before or after the new one took its view.
-CHANGED = (event("done", id=1, seq=4, ms=9.0) + event("detach", id=17) + owner(88, 0) + attach(3)
-           + owner(9, 1) + entry(9, "b2"))
+CHANGED = (
+    event("done", id=1, seq=4, ms=9.0)
+    + event("detach", id=17)
+    + owner(88, 0)
+    + attach(3)
+    + owner(9, 1)
+    + entry(9, "b2")
+)
 AFTER = attach(1) + attach(3) + owner(5, 1) + entry(5, "b0") + owner(9, 1) + entry(9, "b2")
 
 
 @pytest.mark.parametrize("view", ["before", "after"])
-@pytest.mark.parametrize("how", ["told", "untold", "unread", "unread and ended", "unread and reset",
-                                 "unreadable"])
+@pytest.mark.parametrize(
+    "how", ["told", "untold", "unread", "unread and ended", "unread and reset", "unreadable"]
+)
 def test_the_last_words_of_the_one_and_the_view_of_the_other(stage, view, how):
     """Whatever of the change the old one still brought: what the new one tells is what stands."""
     old, new = stage.two(START)
@@ -138,7 +147,7 @@
     elif how == "unreadable":
         say(old, b"event: attach\ndata: \xff\n\n")
     if view == "before":
-        say(new, START, CHANGED, ":\n")         # it began before the change, and tells that too
+        say(new, START, CHANGED, ":\n")  # it began before the change, and tells that too
     else:
         say(new, AFTER, ":\n")
     stage.turn_until(lambda: asked.connection.connecting is False)
@@ -148,9 +157,10 @@
     stage.turn_until(lambda: not stage.holdings.fresh)
     assert stage.told.tables == {5: {"b0": 1.0}, 9: {"b2": 1.0}} and stage.told.proxies == {1, 3}
     if view == "after" and how not in ("untold", "unread and reset"):
-        assert stage.marks == [4]               # no view tells of marks
+        assert stage.marks == [4]  # no view tells of marks
     assert [what for what, _ in stage.lost if what == "news_lost"] == (
-        ["news_lost"] if how in ("unread and ended", "unread and reset", "unreadable") else [])
+        ["news_lost"] if how in ("unread and ended", "unread and reset", "unreadable") else []
+    )
 
 
 @pytest.mark.parametrize("first", ["old", "new"])
--- a/tests/test_crossing_proxies.py
+++ b/tests/test_crossing_proxies.py
@@ -1,4 +1,5 @@
 """Proxies that leave and join across a call that is out: what the module takes them for having heard."""
+
 import pytest
 
 from indigohitch import interface as face
@@ -37,10 +38,10 @@
     """It may have lost the message that was out; what it answers from here on counts."""
     waiting = [proxies for _, proxies in world.c.channel.unacked.values()]
     assert all(2 in proxies for proxies in waiting)
-    world.marks.clear()                         # nobody answers
+    world.marks.clear()  # nobody answers
     world.step(0, face.ProxyLeft(2), JOINED)
     assert not any(2 in proxies for proxies in waiting)
-    world.step(0, face.Acked(2, world.c.channel.mark, 0))       # a late one, of before
+    world.step(0, face.Acked(2, world.c.channel.mark, 0))  # a late one, of before
     assert all(0 in proxies for proxies in waiting)
 
 
--- a/tests/test_crossing_readiness.py
+++ b/tests/test_crossing_readiness.py
@@ -1,5 +1,6 @@
 """The start against all that can cross it: peers that are away or withhold, signals, callers who wait
 already, the process before this one."""
+
 import json
 import os
 import signal
@@ -21,22 +22,31 @@
 def written(platform):
     """The configuration, for a program that is started in a way of its own."""
     platform.listen = free_address()
-    platform.found = {"name": "n0", "listen": platform.listen, "discovery": platform.discovery.address,
-                      "seed": "8c1f30d2", "known": platform.known, "settings": SETTINGS,
-                      "limits": platform.limits, "store": {"address": platform.relay.address}}
+    platform.found = {
+        "name": "n0",
+        "listen": platform.listen,
+        "discovery": platform.discovery.address,
+        "seed": "8c1f30d2",
+        "known": platform.known,
+        "settings": SETTINGS,
+        "limits": platform.limits,
+        "store": {"address": platform.relay.address},
+    }
     file = platform.path / "config.json"
     file.write_text(json.dumps(platform.found))
     return file
 
 
-@pytest.mark.parametrize("store,discovery", [*((k, k) for k in KINDS), *((k, None) for k in KINDS),
-                                             *((None, k) for k in KINDS)])
+@pytest.mark.parametrize(
+    "store,discovery", [*((k, k) for k in KINDS), *((k, None) for k in KINDS), *((None, k) for k in KINDS)]
+)
 def test_ready_whatever_relay_and_discovery_withhold(platform, store, discovery):
     """And once they are there, at the addresses of a new configuration, it serves."""
     stand_ins = [how() for how in (store, discovery) if how]
     relay = stand_ins[0].address if store else platform.relay.address
-    program = platform.start(store={"address": relay},
-                             discovery=stand_ins[-1].address if discovery else platform.discovery.address)
+    program = platform.start(
+        store={"address": relay}, discovery=stand_ins[-1].address if discovery else platform.discovery.address
+    )
     eventually(lambda: program.said("phase", now="listening"))
     assert heartbeat(platform)
     if store:
@@ -148,8 +158,9 @@
 import orjson
 """)
     os.mkfifo(platform.path / "go_on")
-    platform.program = program = Program(platform.path, written(platform).read_text(),
-                                         PYTHONPATH=str(platform.path))
+    platform.program = program = Program(
+        platform.path, written(platform).read_text(), PYTHONPATH=str(platform.path)
+    )
     eventually((platform.path / "importing").exists)
     program.process.send_signal(number)
     eventually(lambda: writer(platform.path / "go_on") or program.process.poll() is not None)
@@ -183,7 +194,7 @@
         program = platform.start(listen=f"127.0.0.1:{taken.getsockname()[1]}", **away)
         eventually(lambda: program.said("address_held"))
         platform.reload(store={"address": platform.relay.address}, discovery=platform.discovery.address)
-        program.process.send_signal(signal.SIGUSR1)     # heard after the other: its line shows that both were
+        program.process.send_signal(signal.SIGUSR1)  # heard after the other: its line shows that both were
         eventually(lambda: program.said("counters"))
     eventually(lambda: program.said("phase", now="serving"))
     drain(platform, "b1")
--- a/tests/test_crossing_relay.py
+++ b/tests/test_crossing_relay.py
@@ -1,4 +1,5 @@
 """Calls to the relay that cross each other, a bound, a move or a ban: the client below answers when told."""
+
 import os
 from urllib.parse import parse_qs
 
@@ -38,8 +39,9 @@
         self.clock = Shifted()
         self.loop = Loop(self.clock, self.fail)
         self.log = Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY))
-        self.relay = calls.Relay(self.loop, self.log, ("127.0.0.1", 1), ["search"], most, over,
-                                 Backlog(0, 0), lambda: 0, 0)
+        self.relay = calls.Relay(
+            self.loop, self.log, ("127.0.0.1", 1), ["search"], most, over, Backlog(0, 0), lambda: 0, 0
+        )
         self.stand, self.void = [], []
         self.relay.stands, self.relay.dropped = self.stand.extend, self.void.extend
 
@@ -55,8 +57,11 @@
         return self.relay.client.asked[-1]
 
     def answer(self, outcome="answered", taken=1, code=""):
-        body = (f"<R><Error><Code>{code}</Code></Error></R>" if code else
-                f"<R><results><item><ok_count>{taken}</ok_count></item></results></R>")
+        body = (
+            f"<R><Error><Code>{code}</Code></Error></R>"
+            if code
+            else f"<R><results><item><ok_count>{taken}</ok_count></item></results></R>"
+        )
         self.out()[1](Answer(outcome, 400 if code else 200, body.encode()))
 
     def go(self, span=0):
@@ -70,23 +75,33 @@
     return Room(monkeypatch)
 
 
-@pytest.mark.parametrize("outcome, code, counted", [
-    ("connect_failed", "", 0), ("unreached", "", 0), ("answered", "Throttling", 0),
-    ("answered", "ValidationError", 0), ("reset", "", 1), ("timeout", "", 1), ("unreadable", "", 1),
-    ("answered", "Other", 1), ("answered", "", 1)])
+@pytest.mark.parametrize(
+    "outcome, code, counted",
+    [
+        ("connect_failed", "", 0),
+        ("unreached", "", 0),
+        ("answered", "Throttling", 0),
+        ("answered", "ValidationError", 0),
+        ("reset", "", 1),
+        ("timeout", "", 1),
+        ("unreadable", "", 1),
+        ("answered", "Other", 1),
+        ("answered", "", 1),
+    ],
+)
 def test_what_may_have_gone_out_counts_as_a_message(monkeypatch, outcome, code, counted):
     room = Room(monkeypatch, most=9, over=SECOND)
     room.order(1)
     room.answer("reset")
     room.go(10)
     before = list(room.relay.written)
-    assert len(before) == 2                         # the call, and itself again
+    assert len(before) == 2  # the call, and itself again
     room.answer(outcome, code=code)
-    assert list(room.relay.written)[:1 + counted] == before[:1 + counted]
+    assert list(room.relay.written)[: 1 + counted] == before[: 1 + counted]
     if code not in ("Throttling", "Other") and outcome != "reset":
         return
     room.go(SECOND // 2)
-    assert len(room.relay.written) == 2 + counted   # and once more
+    assert len(room.relay.written) == 2 + counted  # and once more
 
 
 def test_repeats_never_exceed_the_bound(monkeypatch):
@@ -148,7 +163,7 @@
     room.answer("timeout")
     room.go(10)
     room.order(2)
-    assert not room.relay.out                       # nothing begins, and nothing is lost
+    assert not room.relay.out  # nothing begins, and nothing is lost
     room.relay.hold(False)
     assert room.out()[0] == "put,1,b1,1.0"
     room.answer()
@@ -184,13 +199,25 @@
 
 def test_what_stands_is_read_again_after_a_call_in_doubt_was_dropped(platform):
     """Carried out without an answer, and then no call may go: no other stream would tell of its line."""
+
     def fail(broken):
         raise broken
+
     loop = Loop(Shifted(), fail)
     log = Log(loop.clock, "t", os.open(os.devnull, os.O_WRONLY))
-    front = Front(loop, log, {
-        "listen": free_address(), "discovery": platform.discovery.address, "seed": "1", "settings": SETTINGS,
-        "known": platform.known, "limits": platform.limits, "store": {"address": platform.relay.address}})
+    front = Front(
+        loop,
+        log,
+        {
+            "listen": free_address(),
+            "discovery": platform.discovery.address,
+            "seed": "1",
+            "settings": SETTINGS,
+            "known": platform.known,
+            "limits": platform.limits,
+            "store": {"address": platform.relay.address},
+        },
+    )
 
     def until(holds):
         for _ in range(20_000):
@@ -200,6 +227,7 @@
             loop.turn()
             front.gathering.turn()
         raise AssertionError("never came true")
+
     front.start()
     until(lambda: front.holdings.begun and front.relay.idle and platform.agrees())
     platform.relay_faults.append("silent done")
--- a/tests/test_crossing_reload.py
+++ b/tests/test_crossing_reload.py
@@ -1,4 +1,5 @@
 """A reload that meets another reload, the end, an upgrade; and what of a file has to wait for a restart."""
+
 import json
 import os
 import signal
@@ -19,6 +20,7 @@
 
 class Stopped:
     """The program stands still: what is sent meanwhile meets in its next turn."""
+
     def __init__(self, program):
         self.process = program.process
 
@@ -56,9 +58,11 @@
     program.reader.join(5)
     told = [e["event"] if e["event"] != "phase" else e["now"] for e in program.log]
     # What the addresses say at which nobody listens may come between.
-    assert [word for word in told[told.index("reloaded"):]
-            if not word.startswith(("discovery_", "news_", "relay_"))
-            ] == ["reloaded", "ending", "ended", "counters"]
+    assert [
+        word
+        for word in told[told.index("reloaded") :]
+        if not word.startswith(("discovery_", "news_", "relay_"))
+    ] == ["reloaded", "ending", "ended", "counters"]
 
 
 def test_a_signal_that_fails_does_not_take_the_others_of_its_turn_along():
@@ -95,8 +99,9 @@
         for peer in left:
             peer.close()
         drain(platform, "b1")
-        asked = subprocess.run([sys.executable, "-m", "indigohitch", "upgrade", str(operator)],
-                               capture_output=True, check=True)
+        asked = subprocess.run(
+            [sys.executable, "-m", "indigohitch", "upgrade", str(operator)], capture_output=True, check=True
+        )
         assert json.loads(asked.stdout)["result"] == "upgraded"
         eventually(lambda: program.said("phase", now="ended"))
         drain(platform, "b2")
@@ -112,18 +117,29 @@
 
 # ---- what takes a restart --------------------------------------------------------------------------
 
-OTHERS = SETTINGS | {"period": 400.0, "balancers": 3, "slot-no": 2, "classes": SETTINGS["classes"][:1],
-                     "family-info": SETTINGS["family-info"] | {"report-every": 900.0, "messages-most": 1,
-                                                               "counted-over": 99000.0, "key-ranges": 3}}
+OTHERS = SETTINGS | {
+    "period": 400.0,
+    "balancers": 3,
+    "slot-no": 2,
+    "classes": SETTINGS["classes"][:1],
+    "family-info": SETTINGS["family-info"]
+    | {"report-every": 900.0, "messages-most": 1, "counted-over": 99000.0, "key-ranges": 3},
+}
 
 
 @pytest.fixture
 def front():
     loop = Loop(Clock(), lambda broken: pytest.fail(repr(broken)))
-    found = {"name": "n0", "listen": free_address(), "discovery": free_address(), "seed": "8c1f30d2",
-             "known": {"generation": 4, "reset": True, "instances": []}, "settings": SETTINGS,
-             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-             "store": {"address": free_address()}}
+    found = {
+        "name": "n0",
+        "listen": free_address(),
+        "discovery": free_address(),
+        "seed": "8c1f30d2",
+        "known": {"generation": 4, "reset": True, "instances": []},
+        "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "store": {"address": free_address()},
+    }
     front = Front(loop, Log(loop.clock, "t", os.open(os.devnull, os.O_WRONLY)), found)
     yield front
     front.close()
@@ -132,29 +148,67 @@
 def standing(front):
     """All that was dealt out of settings and limits, where it is held."""
     relay, hub, known = front.relay, front.collectors, front.known
-    return [id(part) for part in (front.boot, front.coordinator, front.coordinator.boot, front.loop.pool,
-                                  hub.pool, known, front.found)], repr(
-        (front.boot, front.seed, front.listed, front.addresses, front.gathering.gap, front.probes.most,
-         front.probes.path, relay.methods, relay.most, relay.over, hub.most, known, front.loop.pool.left,
-         hub.pool.left))
+    return [
+        id(part)
+        for part in (
+            front.boot,
+            front.coordinator,
+            front.coordinator.boot,
+            front.loop.pool,
+            hub.pool,
+            known,
+            front.found,
+        )
+    ], repr(
+        (
+            front.boot,
+            front.seed,
+            front.listed,
+            front.addresses,
+            front.gathering.gap,
+            front.probes.most,
+            front.probes.path,
+            relay.methods,
+            relay.most,
+            relay.over,
+            hub.most,
+            known,
+            front.loop.pool.left,
+            hub.pool.left,
+        )
+    )
 
 
 def test_nothing_of_other_settings_or_limits_comes_in(front):
     before, found, told = standing(front), front.found, []
     front.log.event = lambda event, **words: told.append((event, words))
-    changed = found | {"settings": OTHERS, "limits": {"cores": 2.0, "memory_mb": 32, "sockets": 64},
-                       "known": {"generation": 9, "reset": True, "instances": []}, "name": "n1", "seed": "1"}
+    changed = found | {
+        "settings": OTHERS,
+        "limits": {"cores": 2.0, "memory_mb": 32, "sockets": 64},
+        "known": {"generation": 9, "reset": True, "instances": []},
+        "name": "n1",
+        "seed": "1",
+    }
     changed |= {"discovery": free_address(), "store": {"address": free_address()}}
-    left = ["limits", "name", "settings.balancers", "settings.classes", "settings.family-info",
-            "settings.period", "settings.slot-no"]
-    for moved in (True, False):                 # the same again: it still takes a restart, nothing moves
+    left = [
+        "limits",
+        "name",
+        "settings.balancers",
+        "settings.classes",
+        "settings.family-info",
+        "settings.period",
+        "settings.slot-no",
+    ]
+    for moved in (True, False):  # the same again: it still takes a restart, nothing moves
         front.reload(changed)
         assert told[-1] == ("reloaded", {"moved": moved, "needs_restart": left})
         assert standing(front) == before
     front.reload(found | {"settings": OTHERS | {"period": SETTINGS["period"]}})
-    assert told[-1] == ("reloaded", {"moved": True, "needs_restart": [n for n in left if n not in
-                                                                      ("limits", "name", "settings.period")]})
-    front.reload(found)                         # back to what is in force: nothing waits any more
+    assert told[-1] == (
+        "reloaded",
+        {"moved": True, "needs_restart": [n for n in left if n not in ("limits", "name", "settings.period")]},
+    )
+    front.reload(found)  # back to what is in force: nothing waits any more
     assert told[-1] == ("reloaded", {"moved": False}) and standing(front) == before
     assert front.discovery.client.to == address(found["discovery"])
     assert front.relay.client.to == front.news.client.to == address(found["store"]["address"])
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -1,4 +1,5 @@
 """An RPC on which two things meet: its answer, its deadline, the end of its connection, another's bytes."""
+
 import socket
 from dataclasses import replace
 
@@ -29,14 +30,14 @@
 def test_a_reservation_goes_out_once_whatever_its_connection_does(seam, kept, how):
     """And the client hears in the turn that shows it."""
     sock, client, server = seam.kept() if kept else (*seam.client(), None)
-    seam.pool.tables[0].tries = 3                   # whatever the orders say
+    seam.pool.tables[0].tries = 3  # whatever the orders say
     sock.sendall(RESERVE)
     server, _ = seam.asked(server)
     at = client.rpc.upstream.stream.sock
     ends(server, how)
     come(at)
     seam.turn()
-    seam.turn()                                     # after a part: the end is read in the next
+    seam.turn()  # after a part: the end is read in the next
     assert readable(sock) and sock.recv(4096).startswith(b"HTTP/1.1 502 ")
     assert not readable(seam.server) and not seam.idle
 
@@ -73,7 +74,7 @@
 def test_a_reservation_never_takes_a_connection_that_shows_its_end(seam):
     sock, client, server = seam.kept()
     sock.sendall(RESERVE)
-    come(client.stream.sock)                        # made ready first: it is met first
+    come(client.stream.sock)  # made ready first: it is met first
     server.close()
     come(seam.idle[0].stream.sock)
     other, request = seam.asked()
@@ -87,7 +88,7 @@
     sock, _ = seam.client(READ + READ)
     server, _ = seam.asked()
     first = OK.replace(b"%d", b"%04d") % (4096 - 41, b"x" * (4096 - 41))
-    assert len(first) == 4096                       # as much as is read at once
+    assert len(first) == 4096  # as much as is read at once
     server.sendall(first + OK % (5, b"other"))
     other, _ = seam.asked()
     other.sendall(OK % (1, b"2"))
@@ -138,10 +139,11 @@
             except BlockingIOError:
                 pass
             return len(stream.outgoing)
+
         seam.until(stuck)
     else:
         sock.send(b"x" * piece)
-        come(client.stream.sock)                    # met first, and then the server's
+        come(client.stream.sock)  # met first, and then the server's
         seam.turn()
         sock.send(b"x" * piece)
         come(client.stream.sock)
@@ -203,7 +205,7 @@
     seam.turn()
     found = seam.pool.servers["n1"]
     old, seam.server = seam.server, socket.create_server(("127.0.0.1", 0))
-    server = seam.socks[-1]                         # of the kept connection
+    server = seam.socks[-1]  # of the kept connection
     found.withdrawn = withdrawn
     seam.pool.relist({"n1": replace(seam.pool.text.servers["n1"], address=seam.server.getsockname())})
     seam.asked(server)
--- a/tests/test_crossing_settings.py
+++ b/tests/test_crossing_settings.py
@@ -1,5 +1,6 @@
 """Instances with settings far apart in one process: each acts as it does alone, to the byte, however they
 come one between the other; and nothing at module or class level keeps what came with any of them."""
+
 import copy
 import os
 import random
@@ -104,29 +105,47 @@
         again = thaw(freeze(one), boots[boots.index(one.boot)])
         one.__dict__.update(again.__dict__)
         return made
-    assert interleaved(who, days, shuffled(random.Random(seed), *map(len, days)), hand=hand) \
-        == [alone(place, days[place]) for place in who]
+
+    assert interleaved(who, days, shuffled(random.Random(seed), *map(len, days)), hand=hand) == [
+        alone(place, days[place]) for place in who
+    ]
 
 
 # ---- what stays in the process ---------------------------------------------------------------------
 
+
 def test_what_is_handed_in_stays_as_it_was(days):
     boots = [bootstrap(settings) for settings in ALL]
     given = copy.deepcopy((ALL, boots, days))
-    interleaved((0, 1, 2), days, shuffled(random.Random(1), *map(len, days)),
-                make=lambda place: Coordinator(7, boots[place][0]))
+    interleaved(
+        (0, 1, 2),
+        days,
+        shuffled(random.Random(1), *map(len, days)),
+        make=lambda place: Coordinator(7, boots[place][0]),
+    )
     assert (ALL, boots, days) == given
 
 
 # ---- two of the platform's fronts ------------------------------------------------------------------
 
+
 def front(place, loop):
     """Its relay's calls and what it asks of others are kept as words; nothing goes out."""
     limits = {"cores": 1.0, "memory_mb": 64 << place, "sockets": 512 << place}
-    made = Front(loop, Log(loop.clock, f"n{place}", os.open(os.devnull, os.O_WRONLY)), {
-        "name": f"n{place}", "listen": free_address(), "discovery": free_address(), "seed": f"{7 + place:x}",
-        "known": {"generation": 1, "reset": True, "instances": []}, "settings": ALL[place],
-        "limits": limits, "store": {"address": free_address()}})
+    made = Front(
+        loop,
+        Log(loop.clock, f"n{place}", os.open(os.devnull, os.O_WRONLY)),
+        {
+            "name": f"n{place}",
+            "listen": free_address(),
+            "discovery": free_address(),
+            "seed": f"{7 + place:x}",
+            "known": {"generation": 1, "reset": True, "instances": []},
+            "settings": ALL[place],
+            "limits": limits,
+            "store": {"address": free_address()},
+        },
+    )
     made.out = []
     made.relay.order = lambda orders: made.out.extend(encode(order, made.relay.methods) for order in orders)
     made.probes.send = lambda backend, at: made.out.append(f"probe {backend} {made.probes.path}")
@@ -137,8 +156,15 @@
 def heard(front, now, events):
     front.out = []
     front.handle(now, events)
-    return (tuple(front.out), front.log.counts["handled"], front.gathering.gap, front.relay.most,
-            front.relay.over, sorted(front.known.methods), sorted(front.known.zones))
+    return (
+        tuple(front.out),
+        front.log.counts["handled"],
+        front.gathering.gap,
+        front.relay.most,
+        front.relay.over,
+        sorted(front.known.methods),
+        sorted(front.known.zones),
+    )
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -148,6 +174,7 @@
     def make(place):
         made.append(front(place, loop))
         return made[-1]
+
     wanted = [interleaved((place,), days, [0] * len(days[place]), make, heard)[0] for place in range(3)]
     assert all(len({words for words, *_ in orders}) > 5 for orders in wanted)
     split = shuffled(random.Random(seed), *map(len, days))
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -1,4 +1,5 @@
 """SIGTERM in every phase, and in one turn of the loop with everything else that may come."""
+
 import fcntl
 import json
 import os
@@ -75,6 +76,7 @@
 
 class Gated(Platform):
     """A relay that does nothing until it may; a discovery whose answers are counted."""
+
     def __init__(self, path):
         self.gate, self.told = threading.Event(), 0
         self.gate.set()
@@ -109,7 +111,7 @@
     operator = gated.path / "operator.conf"
     operator.write_text(lines or "")
     program = gated.serving(["run", "--operator", str(operator)] if lines else ())
-    drain(gated, "b0")                          # it has a module that knows its slices, and watches
+    drain(gated, "b0")  # it has a module that knows its slices, and watches
     with stopped(program, signal.SIGTERM):
         gated.change("b1", "DRAINING")
         eventually(lambda: gated.told == gated.version)
@@ -134,11 +136,15 @@
     found = json.dumps(platform.found)
     fifo = platform.path / "fifo"
     os.mkfifo(fifo)
-    program = platform.program = Program(platform.path, found, BALANCER_CONFIG=str(fifo),
-                                         BALANCER_LISTEN=platform.listen,
-                                         BALANCER_DISCOVERY=platform.discovery.address)
-    with open(fifo, "w") as config:             # opens once the program does
-        (platform.path / "config.json").rename(fifo)            # for SIGHUP, if it is heard first
+    program = platform.program = Program(
+        platform.path,
+        found,
+        BALANCER_CONFIG=str(fifo),
+        BALANCER_LISTEN=platform.listen,
+        BALANCER_DISCOVERY=platform.discovery.address,
+    )
+    with open(fifo, "w") as config:  # opens once the program does
+        (platform.path / "config.json").rename(fifo)  # for SIGHUP, if it is heard first
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
             program.process.send_signal(number)
         config.write(found)
@@ -160,6 +166,7 @@
         before = waits()
         program.process.send_signal(signal.SIGUSR1)
         return heartbeat(platform) and before == waits() > 2000
+
     try:
         eventually(full)
         program.process.send_signal(signal.SIGTERM)
@@ -188,6 +195,7 @@
 
         def signalled(self, number):
             self.heard.append(number)
+
     process = Hearing(Phase.STARTING, "n0")
     process._woken_by.send(bytes([signal.SIGTERM, signal.SIGHUP, signal.SIGTERM]))
     process.loop.turn()
--- a/tests/test_crossing_upgrades.py
+++ b/tests/test_crossing_upgrades.py
@@ -1,4 +1,5 @@
 """Upgrades that meet news, signals, deadlines and each other's ends."""
+
 import contextlib
 import json
 
@@ -25,21 +26,43 @@
         self.log = Log(self.clock, "n0")
         self.defects = []
         self.loop = Loop(self.clock, self.defects.append)
-        entries = [{"instanceId": f"b{n}", "hostPort": free_address(), "zone": "east", "machineType": "std",
-                    "cell": 0, "lifecycle": "SERVING", "weight": 6.0, "startedAtMs": 0} for n in range(4)]
-        self.found = {"name": "n0", "listen": free_address(), "discovery": free_address(),
-                      "seed": "8c1f30d2", "settings": SETTINGS, "store": {"address": free_address()},
-                      "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-                      "known": {"generation": 1, "reset": True, "instances": entries}}
+        entries = [
+            {
+                "instanceId": f"b{n}",
+                "hostPort": free_address(),
+                "zone": "east",
+                "machineType": "std",
+                "cell": 0,
+                "lifecycle": "SERVING",
+                "weight": 6.0,
+                "startedAtMs": 0,
+            }
+            for n in range(4)
+        ]
+        self.found = {
+            "name": "n0",
+            "listen": free_address(),
+            "discovery": free_address(),
+            "seed": "8c1f30d2",
+            "settings": SETTINGS,
+            "store": {"address": free_address()},
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": {"generation": 1, "reset": True, "instances": entries},
+        }
         self.old, self.new = self.side(), self.side()
         self.old.fresh({})
         self.front = self.old.front
-        self.front.relay.hold(True)             # nothing here answers
+        self.front.relay.hold(True)  # nothing here answers
         self.front.holdings.news_asked()
         self.front.holdings.news_opening()
-        self.news(face.ProxyJoined(1, "east", 5.0, True), face.ProxyJoined(2, "east", 5.0, True),
-                  face.Charge(3, True), face.StoredLine(3, "b0", 1.0),
-                  face.Charge(4, True), face.StoredLine(4, "b1", 1.0))
+        self.news(
+            face.ProxyJoined(1, "east", 5.0, True),
+            face.ProxyJoined(2, "east", 5.0, True),
+            face.Charge(3, True),
+            face.StoredLine(3, "b0", 1.0),
+            face.Charge(4, True),
+            face.StoredLine(4, "b1", 1.0),
+        )
         self.front.holdings.news_alive()
         self.handed()
 
@@ -103,10 +126,11 @@
 def test_a_module_begun_anew_is_told_what_stands_whoever_goes_on(bench, broken, monkeypatch):
     def breaks(now, events):
         raise ZeroDivisionError
+
     bench.front.coordinator.handle = breaks
     bench.news(face.ProxyJoined(3, "east", 5.0, True))
     if broken == "before":
-        bench.handed()                          # a new module, which hears of little before it is told all
+        bench.handed()  # a new module, which hears of little before it is told all
         bench.news(face.ProxyJoined(3, "east", 5.0, True))
         bench.handed()
     elif broken == "at every turn":
--- a/tests/test_crossing_wire.py
+++ b/tests/test_crossing_wire.py
@@ -1,5 +1,6 @@
 """Several instances on one wire, with settings far apart: the lines of each are those that it writes alone,
 however their batches and messages come one between the other."""
+
 import hashlib
 import random
 import subprocess
@@ -16,8 +17,9 @@
 from indigohitch.benchlink.host import Host
 from indigohitch.bootstrap import _LOAD
 
-STATE, SCOPE, OUTCOME = ({ours: wire for wire, ours in table.items()}
-                         for table in (codec._STATE, codec._SCOPE, codec._OUTCOME))
+STATE, SCOPE, OUTCOME = (
+    {ours: wire for wire, ours in table.items()} for table in (codec._STATE, codec._SCOPE, codec._OUTCOME)
+)
 
 
 @pytest.fixture
@@ -36,8 +38,10 @@
 def row(place, load):
     """A load report as this instance's columns have it."""
     values = [load.get(_LOAD.get(column)) for column in ALL[place]["report"]["columns"]]
-    return [value / 10 if value is not None and _LOAD.get(column) == "service_time" else value
-            for column, value in zip(ALL[place]["report"]["columns"], values)]
+    return [
+        value / 10 if value is not None and _LOAD.get(column) == "service_time" else value
+        for column, value in zip(ALL[place]["report"]["columns"], values)
+    ]
 
 
 def words(place, event):
@@ -46,21 +50,50 @@
         case face.BackendList("failed"):
             return [{"type": "Endpoints", "kind": "refused"}]
         case face.BackendList(scope, version, entries):
-            members = [{"backend": e.backend, "condition": STATE[e.state], "share": e.weight,
-                        "campus": e.zone, "block": e.cell, "model": e.kind, "launched": e.started / 10}
-                       for e in entries]
-            return [{"type": "List", "buffer": 0, "members": members},
-                    {"type": "Endpoints", "kind": SCOPE[scope], "number": version, "buffer": 0}]
+            members = [
+                {
+                    "backend": e.backend,
+                    "condition": STATE[e.state],
+                    "share": e.weight,
+                    "campus": e.zone,
+                    "block": e.cell,
+                    "model": e.kind,
+                    "launched": e.started / 10,
+                }
+                for e in entries
+            ]
+            return [
+                {"type": "List", "buffer": 0, "members": members},
+                {"type": "Endpoints", "kind": SCOPE[scope], "number": version, "buffer": 0},
+            ]
         case face.Probed(backend, outcome, duration, load):
-            said = {"type": "ProbeResult", "backend": backend, "state-code": OUTCOME[outcome],
-                    "duration": duration / 10, "health-info": row(place, load)}
+            said = {
+                "type": "ProbeResult",
+                "backend": backend,
+                "state-code": OUTCOME[outcome],
+                "duration": duration / 10,
+                "health-info": row(place, load),
+            }
         case face.SliceDemand(number, method, total, errors, elapsed):
-            said = {"type": "Heat", "table": number, "tier-class": method, "total": total, "errors": errors,
-                    "elapsed": elapsed / 10}
+            said = {
+                "type": "Heat",
+                "table": number,
+                "tier-class": method,
+                "total": total,
+                "errors": errors,
+                "elapsed": elapsed / 10,
+            }
         case face.Traffic(zone, backend, tries, failures, duration, elapsed, load):
-            said = {"type": "TrafficReport", "backend": backend, "campus": zone, "total": tries,
-                    "errors": failures, "duration": duration / 10, "elapsed": elapsed / 10,
-                    "health-info": row(place, load)}
+            said = {
+                "type": "TrafficReport",
+                "backend": backend,
+                "campus": zone,
+                "total": tries,
+                "errors": failures,
+                "duration": duration / 10,
+                "elapsed": elapsed / 10,
+                "health-info": row(place, load),
+            }
         case face.ProxyJoined(proxy, zone, rate, fresh):
             said = {"type": "Connected", "edge": proxy, "campus": zone, "share": rate, "active": fresh}
         case face.ProxyLeft(proxy):
@@ -80,10 +113,16 @@
     """(now, messages), the first of which configures; what comes together stays together."""
     number = place if number is None else number
     born = [{"type": "Configure", "rng-seed": 7 + place, "params": ALL[place]}]
-    told = [[*([born] if not n else []), *(words(place, e) for e in events)]
-            for n, (_, events) in enumerate(day)]
-    lines = [[[codec.decode(msgspec.json.encode(said | {"coordinator": number})) for said in together]
-              for together in batch] for batch in told]
+    told = [
+        [*([born] if not n else []), *(words(place, e) for e in events)] for n, (_, events) in enumerate(day)
+    ]
+    lines = [
+        [
+            [codec.decode(msgspec.json.encode(said | {"coordinator": number})) for said in together]
+            for together in batch
+        ]
+        for batch in told
+    ]
     return [(now, batch) for (now, _), batch in zip(day, lines)]
 
 
@@ -93,6 +132,7 @@
 
 class Watched(Host):
     """Keeps what each instance heard too: a load report read by another's columns may change no order."""
+
     def __init__(self):
         super().__init__()
         self.heard = {}
@@ -153,8 +193,10 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_messages_of_three_in_each_batch(days, seed):
     """All three in one batch, message between message, each list under the same number."""
-    days = [batches(place, [(now, events) for (now, _), (_, events) in zip(days[0], day)])
-            for place, day in enumerate(days)]
+    days = [
+        batches(place, [(now, events) for (now, _), (_, events) in zip(days[0], day)])
+        for place, day in enumerate(days)
+    ]
     count = min(map(len, days))
     wanted = [alone(day[:count], place) for place, day in enumerate(days)]
     host, rng, out = Watched(), random.Random(seed), [[] for _ in days]
@@ -198,9 +240,16 @@
 
 def test_each_as_in_a_process_of_its_own(days):
     """What the first one leaves in the process would be in all that is tried here, also of one alone."""
+
     def own(place):
-        return subprocess.run([sys.executable, "-c", OWN_PROCESS.format(place)], capture_output=True,
-                              check=True, text=True, cwd=Path(__file__).parents[1]).stdout.split()
+        return subprocess.run(
+            [sys.executable, "-c", OWN_PROCESS.format(place)],
+            capture_output=True,
+            check=True,
+            text=True,
+            cwd=Path(__file__).parents[1],
+        ).stdout.split()
+
     wanted = [own(place) for place in range(3)]
     split = shuffled(random.Random(9), *map(len, days))
     ones, at, ordered = [apart.instance(place) for place in range(3)], [0] * 3, [b""] * 3
@@ -208,5 +257,7 @@
         ordered[place] += apart.letters(ones[place].handle(*days[place][at[place]]))
         at[place] += 1
     lines = interleaved(Watched(), [batches(place, day) for place, day in enumerate(days)], split)
-    assert wanted == [[hashlib.blake2b(one).hexdigest(), hashlib.blake2b(repr(other).encode()).hexdigest()]
-                      for one, other in zip(ordered, lines)]
+    assert wanted == [
+        [hashlib.blake2b(one).hexdigest(), hashlib.blake2b(repr(other).encode()).hexdigest()]
+        for one, other in zip(ordered, lines)
+    ]
--- a/tests/test_directives.py
+++ b/tests/test_directives.py
@@ -1,4 +1,5 @@
 """A sidecar's file: every mistake with its line."""
+
 import pytest
 
 from indigohitch.directives.lines import Mistakes
@@ -18,28 +19,42 @@
     assert text.rpcs["search"].deadline == 20_000 and text.pools["nodes"].boot["report_every"] == 10_000
 
 
-@pytest.mark.parametrize("line, why", [
-    ("wiat drain 2s", "unknown word 'wiat'"), ("wait drian 2s", "no such wait: drian"),
-    ("wait drain 10", "has no unit"), ("wait drain 10 s", "takes one value, 2"),
-    ("wait drain 10kg", "is wanted"),
-    ("limit memory 10", "has no unit"), ("listen 127.0.0.1:3", "stands already in line 1"),
-    ("rpc search idempotent", "stands already in line 2"), ("rpc x maybe", "idempotent or non-idempotent"),
-    ("rpc x idempotent soft 3s deadline 2s", "over its deadline"), ("rpc x idempotent soft", "has no value"),
-    ("rpc x idempotent soft 1s soft 2s", "soft stands twice"), ("pool nodes", "stands already in line 3"),
-    ("pool more", "pool more has no server"),
-    ("server n1 127.0.0.1:9 pool nodes", "stands already in line 4"),
-    ("server n2 127.0.0.1:2 pool nodes", "server n1 in line 4"),
-    ("server n2 nowhere pool nodes", "host:port"),
-    ("server n2 127.0.0.1:9 pool other", "no pool other"), ("server n2 127.0.0.1:9", "no pool is named"),
-    ("server n2 127.0.0.1:9 pool nodes weight 0", "not above 0"),
-    ("route GET /a/{x} rpc search pool nodes", "the same route stands in line 5"),
-    ("route GET a rpc search pool nodes", "begins with /"),
-    ("route GET /b rpc serach pool nodes", "no rpc serach"), ("name 'a", "can't be read"),
-    ("route GTE /b rpc search pool nodes", "unknown HTTP method"), ("name a b", "takes one value"),
-    ("route GET /b{x} rpc search pool nodes", "neither a name"), ("limit clients 0", "whole number above 0"),
-    ("route GET /**/b rpc search pool nodes", "only at the end"),
-    ("route GET /b rpc search pool nodes key path 4", "no such segment"),
-    ("route GET /b rpc search pool nodes key cookie c", "is wanted")])
+@pytest.mark.parametrize(
+    "line, why",
+    [
+        ("wiat drain 2s", "unknown word 'wiat'"),
+        ("wait drian 2s", "no such wait: drian"),
+        ("wait drain 10", "has no unit"),
+        ("wait drain 10 s", "takes one value, 2"),
+        ("wait drain 10kg", "is wanted"),
+        ("limit memory 10", "has no unit"),
+        ("listen 127.0.0.1:3", "stands already in line 1"),
+        ("rpc search idempotent", "stands already in line 2"),
+        ("rpc x maybe", "idempotent or non-idempotent"),
+        ("rpc x idempotent soft 3s deadline 2s", "over its deadline"),
+        ("rpc x idempotent soft", "has no value"),
+        ("rpc x idempotent soft 1s soft 2s", "soft stands twice"),
+        ("pool nodes", "stands already in line 3"),
+        ("pool more", "pool more has no server"),
+        ("server n1 127.0.0.1:9 pool nodes", "stands already in line 4"),
+        ("server n2 127.0.0.1:2 pool nodes", "server n1 in line 4"),
+        ("server n2 nowhere pool nodes", "host:port"),
+        ("server n2 127.0.0.1:9 pool other", "no pool other"),
+        ("server n2 127.0.0.1:9", "no pool is named"),
+        ("server n2 127.0.0.1:9 pool nodes weight 0", "not above 0"),
+        ("route GET /a/{x} rpc search pool nodes", "the same route stands in line 5"),
+        ("route GET a rpc search pool nodes", "begins with /"),
+        ("route GET /b rpc serach pool nodes", "no rpc serach"),
+        ("name 'a", "can't be read"),
+        ("route GTE /b rpc search pool nodes", "unknown HTTP method"),
+        ("name a b", "takes one value"),
+        ("route GET /b{x} rpc search pool nodes", "neither a name"),
+        ("limit clients 0", "whole number above 0"),
+        ("route GET /**/b rpc search pool nodes", "only at the end"),
+        ("route GET /b rpc search pool nodes key path 4", "no such segment"),
+        ("route GET /b rpc search pool nodes key cookie c", "is wanted"),
+    ],
+)
 def test_every_mistake_is_told_with_its_line(line, why):
     with pytest.raises(Mistakes) as found:
         read(TEXT + "\n" + line + "\n", "f.conf")
@@ -53,13 +68,22 @@
     assert [at for at, _ in found.value.found] == [1, 2, 3]
 
 
-@pytest.mark.parametrize("line, whys", [
-    ("server n2 127.0.0.1:9 pool q weight 0", ["no pool q", "weight: 0 is not above 0"]),
-    ("server n2 nowhere pool q zone _", ["no pool q", "not host:port: 'nowhere'", "zone: '_' is no name"]),
-    ("route GTE /b rpc serach pool q key cookie c",
-     ["is wanted", "no pool q", "no rpc serach", "HTTP method"]),
-    ("rpc x maybe soft 1 deadline 2s", ["idempotent or non-idempotent", "has no unit"]),
-    ("pool more slices 0 cold-from 2", ["cold-from is a share", "whole number", "no server"])])
+@pytest.mark.parametrize(
+    "line, whys",
+    [
+        ("server n2 127.0.0.1:9 pool q weight 0", ["no pool q", "weight: 0 is not above 0"]),
+        (
+            "server n2 nowhere pool q zone _",
+            ["no pool q", "not host:port: 'nowhere'", "zone: '_' is no name"],
+        ),
+        (
+            "route GTE /b rpc serach pool q key cookie c",
+            ["is wanted", "no pool q", "no rpc serach", "HTTP method"],
+        ),
+        ("rpc x maybe soft 1 deadline 2s", ["idempotent or non-idempotent", "has no unit"]),
+        ("pool more slices 0 cold-from 2", ["cold-from is a share", "whole number", "no server"]),
+    ],
+)
 def test_one_line_tells_all_its_mistakes(line, whys):
     with pytest.raises(Mistakes) as found:
         read(TEXT + "\n" + line + "\n")
--- a/tests/test_directives_any.py
+++ b/tests/test_directives_any.py
@@ -1,4 +1,5 @@
 """Any text at all: it is read, or each mistake in it has a line of the file; nothing else comes out."""
+
 import shlex
 
 import pytest
@@ -10,13 +11,38 @@
 from test_directives import TEXT
 from test_directives_fleet import FLEET
 
-HEADS = sorted({*sidecar_file.SINGLE, "rpc", "pool", "server", "route", "wait", "limit", "fleet", "member",
-                "ledger", "drift", "edition", "site", "band", "batch-class", "seats"})
-words = st.one_of(st.sampled_from(shlex.split(TEXT + FLEET, comments=True)), st.sampled_from(HEADS),
-                  st.sampled_from(["1s", "64KB", "0", "3", "0.5", "x=1", "soft", "weight", "key", "seat"]),
-                  st.text(max_size=6))
-lines = st.one_of(st.builds(lambda head, rest: " ".join([head, *rest]), st.sampled_from(HEADS),
-                            st.lists(words, max_size=7)), st.sampled_from((TEXT + FLEET).splitlines()))
+HEADS = sorted(
+    {
+        *sidecar_file.SINGLE,
+        "rpc",
+        "pool",
+        "server",
+        "route",
+        "wait",
+        "limit",
+        "fleet",
+        "member",
+        "ledger",
+        "drift",
+        "edition",
+        "site",
+        "band",
+        "batch-class",
+        "seats",
+    }
+)
+words = st.one_of(
+    st.sampled_from(shlex.split(TEXT + FLEET, comments=True)),
+    st.sampled_from(HEADS),
+    st.sampled_from(["1s", "64KB", "0", "3", "0.5", "x=1", "soft", "weight", "key", "seat"]),
+    st.text(max_size=6),
+)
+lines = st.one_of(
+    st.builds(
+        lambda head, rest: " ".join([head, *rest]), st.sampled_from(HEADS), st.lists(words, max_size=7)
+    ),
+    st.sampled_from((TEXT + FLEET).splitlines()),
+)
 texts = st.lists(lines, max_size=14).map("\n".join)
 
 
--- a/tests/test_directives_batches.py
+++ b/tests/test_directives_batches.py
@@ -1,4 +1,5 @@
 """The directives of batches: each mistake with its line, and what only zones and calendars can tell."""
+
 import pytest
 from click.testing import CliRunner
 
@@ -11,14 +12,24 @@
 CLASS = "batch-class d idempotent path /d/{piece}/{step} power std=300W"
 
 
-@pytest.mark.parametrize("line, why", [
-    ("batch-slot 0s\nband eros any 06:00-22:00 9", "divides the hour"),
-    ("batch-slot 1.5s", "of whole seconds"), ("\nband eros any 06:07-22:00 9", "begin and end with a slot"),
-    ("band eros any 22:00-06:00 9", "a night takes two lines"), ("band ers any 06:00-22:00 9", "no site ers"),
-    (CLASS.replace("piece", "pice"), "are filled in"), (CLASS.replace("/d", "d"), "does not begin with /"),
-    (CLASS + " seats geocoder=1", "no line `seats geocoder`"), (CLASS + " sites ers", "no site ers"),
-    (CLASS.replace("std=", ""), "NAME=VALUE"), (CLASS.replace("std", "big"), "no site has nodes"),
-    ("peak eros 40 surcharge 3", "is no power"), ("runs eros std 4", "`to HOST:PORT` is wanted")])
+@pytest.mark.parametrize(
+    "line, why",
+    [
+        ("batch-slot 0s\nband eros any 06:00-22:00 9", "divides the hour"),
+        ("batch-slot 1.5s", "of whole seconds"),
+        ("\nband eros any 06:07-22:00 9", "begin and end with a slot"),
+        ("band eros any 22:00-06:00 9", "a night takes two lines"),
+        ("band ers any 06:00-22:00 9", "no site ers"),
+        (CLASS.replace("piece", "pice"), "are filled in"),
+        (CLASS.replace("/d", "d"), "does not begin with /"),
+        (CLASS + " seats geocoder=1", "no line `seats geocoder`"),
+        (CLASS + " sites ers", "no site ers"),
+        (CLASS.replace("std=", ""), "NAME=VALUE"),
+        (CLASS.replace("std", "big"), "no site has nodes"),
+        ("peak eros 40 surcharge 3", "is no power"),
+        ("runs eros std 4", "`to HOST:PORT` is wanted"),
+    ],
+)
 def test_every_mistake_of_batches_is_told_once_with_its_line(line, why):
     with pytest.raises(Mistakes) as found:
         operator_file.read(FLEET + SITE + line + "\n", "f")
@@ -30,8 +41,10 @@
     assert operator_file.read(FLEET + SITE + CLASS + " seats geocoder=1\nseats geocoder 4\n").fleet
 
 
-@pytest.mark.parametrize("wrong, why", [("Europe/Berln", "no time zone 'Europe/Berln'"),
-                                        ("DE-XX", "no holidays are known for 'DE-XX'")])
+@pytest.mark.parametrize(
+    "wrong, why",
+    [("Europe/Berln", "no time zone 'Europe/Berln'"), ("DE-XX", "no holidays are known for 'DE-XX'")],
+)
 def test_check_tells_a_zone_or_country_that_nobody_knows(tmp_path, wrong, why):
     file = tmp_path / "f"
     file.write_text(FLEET + SITE)
