--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Tasks of the project; `make` alone builds.
 PY = .venv/bin/python
 
-.PHONY: build test lint run bench clean
+.PHONY: build test lint format run bench clean
 
 build: .venv
 
@@ -15,6 +15,10 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+format: build
+	.venv/bin/ruff format .
 
 run: build            # with BALANCER_CONFIG and its like set, see README.md
 	$(PY) -m indigohitch
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,4 +1,5 @@
 """The sidecar as a program between clients and servers that misbehave, over sockets."""
+
 import os
 import re
 import signal
@@ -13,8 +14,9 @@
 
 @pytest.fixture
 def field(tmp_path):
-    found = Field(tmp_path, more=["limit body 200MB", "wait head 700ms", "wait stream 1500ms",
-                                  "wait idle 2s"]).start()
+    found = Field(
+        tmp_path, more=["limit body 200MB", "wait head 700ms", "wait stream 1500ms", "wait idle 2s"]
+    ).start()
     yield found
     found.close()
 
@@ -62,13 +64,24 @@
         assert len({field.get(f"/vacancies/{key}").headers["X-Server"] for _ in range(4)}) == 1
 
 
-@pytest.mark.parametrize("head, status", [
-    (b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400),
-    (b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n"
-     b"Transfer-Encoding: chunked\r\n\r\n", 400),
-    (b"GET /vacancies/1 HTTP/1.1\r\nHost: t\r\nX: " + b"x" * 70000 + b"\r\n\r\n", 431),
-    (b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\nContent-Length: 999999999999\r\n\r\n", 413),
-    (b"GET /" + b"v" * 9000 + b" HTTP/1.1\r\nHost: t\r\n\r\n", 414)])
+@pytest.mark.parametrize(
+    "head, status",
+    [
+        (
+            b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\n"
+            b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            400,
+        ),
+        (
+            b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (b"GET /vacancies/1 HTTP/1.1\r\nHost: t\r\nX: " + b"x" * 70000 + b"\r\n\r\n", 431),
+        (b"POST /places/1/reserve HTTP/1.1\r\nHost: t\r\nContent-Length: 999999999999\r\n\r\n", 413),
+        (b"GET /" + b"v" * 9000 + b" HTTP/1.1\r\nHost: t\r\n\r\n", 414),
+    ],
+)
 def test_what_is_refused_ends_the_connection(field, head, status):
     sock = field.raw(head)
     assert answers(sock, 2)[0][0] == status
@@ -94,15 +107,17 @@
 
 
 def test_clients_that_are_too_slow_are_ended(field):
-    drip, stuck = field.raw(b"GET /vac"), field.raw(b"POST /vacancies/1 HTTP/1.1\r\nHost: t\r\n"
-                                                    b"Content-Length: 10\r\n\r\nabc")
+    drip, stuck = (
+        field.raw(b"GET /vac"),
+        field.raw(b"POST /vacancies/1 HTTP/1.1\r\nHost: t\r\nContent-Length: 10\r\n\r\nabc"),
+    )
     ends = {}
     began = time.monotonic()
     for sock in (drip, stuck):
         sock.settimeout(0.1)
     while len(ends) < 2 and time.monotonic() - began < 8:
         try:
-            drip.sendall(b"x")                  # one byte now and then is not enough
+            drip.sendall(b"x")  # one byte now and then is not enough
         except OSError:
             pass
         for sock in (drip, stuck):
@@ -131,8 +146,10 @@
 
 
 def test_an_early_answer_reaches_a_client_that_still_sends(field):
-    sock = field.raw(b"POST /vacancies/1 HTTP/1.1\r\nHost: t\r\nX-Act: early,status=403\r\n"
-                     b"Content-Length: 40000000\r\n\r\n")
+    sock = field.raw(
+        b"POST /vacancies/1 HTTP/1.1\r\nHost: t\r\nX-Act: early,status=403\r\n"
+        b"Content-Length: 40000000\r\n\r\n"
+    )
     try:
         for _ in range(40):
             sock.sendall(b"x" * 100_000)
