Scoped distribution: messages, ports and signatures of the machines

This names the rows on the wire, the inputs and outputs of the two machines and their guarantees, so that the driver can be written beside the decisions.

--- /dev/null
+++ b/indigohitch/fleet/distribution/limits.py
@@ -0,0 +1,41 @@
+"""What bounds a distributor and its subscribers.  Times are tenths of a millisecond."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...net.clock import SECOND
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Of one distributor.  `resume` and `guard_versions` are never taken out but by the proof, which has to
+    fail then."""
+
+    subscribers: int = 2_200  # 6,500 fit into three of six
+    services: int = 512  # of one scope
+    update_bytes: int = 1 << 20  # of one update
+    whole_bytes: int = 4 << 20  # of updates with whole services that are out unacknowledged, of all
+    pace: int = SECOND // 2  # between two updates to one subscriber: changes between them become one update
+    sends: int = 64  # updates in one step, so that a burst leaves the loop to others
+    acknowledge: int = 5 * SECOND  # an update that is not answered by then ends the connection
+    lease: int = 10 * SECOND  # how long content counts as current without being confirmed
+    drift: float = 0.01  # clocks differ by at most this part
+    remembered: int = 600 * SECOND  # how long a lost subscriber is reported as unreachable
+    again: int = 2 * SECOND  # when a refused subscriber may return
+    resume: bool = True
+    guard_versions: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class SubscriberLimits:
+    """Of one subscriber.  `lease` and `drift` as at the distributors."""
+
+    lease: int = 10 * SECOND
+    drift: float = 0.01
+    first_delay: int = SECOND // 2  # a lost connection: the next is dialled within this, at random
+    backoff: int = SECOND // 2  # after a failure, doubled with each in a row
+    most_backoff: int = 10 * SECOND
+    answer: int = 5 * SECOND  # a distributor that hasn't answered a subscription by then is left
+    home: int = 60 * SECOND  # away from the first choice: between one and two of this until it is tried again
+    guard_versions: bool = True
--- /dev/null
+++ b/indigohitch/fleet/distribution/ports.py
@@ -0,0 +1,171 @@
+"""What goes into the distributor's and the subscriber's machines and what comes out.  Shapes only; no I/O.
+
+Both are `step(now, input) -> list[output]`, outputs in order, and `due`, the time at which `Due` is to be put
+in at the latest (None: not until something else happens)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ...packed.rows import Row
+from .terms import DistributorName, ServiceName, SubscriberName, Version
+
+# ---- into both -------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    pass
+
+
+# ---- into a distributor ----------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Joined:
+    """A subscriber has greeted.  `connection` is unique in this process and only grows."""
+
+    connection: int
+    subscriber: SubscriberName
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A message of a subscriber: Subscribe, Acknowledge, Reject, Renew."""
+
+    connection: int
+    message: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    connection: int
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """The catalogue has applied an entry that changed these services."""
+
+    services: tuple[ServiceName, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Replaced:
+    """The catalogue was set to a snapshot, or read from the disk."""
+
+
+@dataclass(slots=True, frozen=True)
+class Level:
+    """All that was committed at `asked` (own clock, before the confirmed read went out) is applied here."""
+
+    asked: int
+
+
+@dataclass(slots=True, frozen=True)
+class HeardReport:
+    """Of another distributor."""
+
+    report: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Closing:
+    """This distributor is about to end: subscribers are sent elsewhere."""
+
+
+DistributorInput = Joined | Heard | Left | Changed | Replaced | Level | HeardReport | Closing | Due
+
+# ---- into a subscriber -----------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Connected:
+    """The distributor that was dialled has welcomed the subscriber."""
+
+    distributor: DistributorName
+
+
+@dataclass(slots=True, frozen=True)
+class Lost:
+    """The dialled distributor did not answer, or its connection has ended."""
+
+    distributor: DistributorName
+    why: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """A message of the distributor: Update, Current, Refused."""
+
+    distributor: DistributorName
+    message: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Rescope:
+    """The services that the subscriber reaches from now on."""
+
+    services: frozenset[ServiceName]
+
+
+SubscriberInput = Connected | Lost | Told | Rescope | Due
+
+# ---- out -------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Of a distributor: to that connection."""
+
+    connection: int
+    message: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Close:
+    """Of a distributor: once what was sent is out."""
+
+    connection: int
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class Dial:
+    """Of a subscriber; answered by `Connected` or `Lost`."""
+
+    distributor: DistributorName
+
+
+@dataclass(slots=True, frozen=True)
+class HangUp:
+    """Of a subscriber: close the connection, no `Lost` follows."""
+
+    distributor: DistributorName
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """Of a subscriber: to the distributor it is connected with."""
+
+    message: Row
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """Of a subscriber: the content is at `version` now; `services` have changed, were added or left."""
+
+    version: Version
+    services: tuple[ServiceName, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """For the log: a JSON line."""
+
+    event: str
+    fields: dict = field(default_factory=dict)
+
+
+DistributorOutput = Send | Close | Note
+SubscriberOutput = Dial | HangUp | Say | Applied | Note
