Scoped distribution: catalogue, distributor, subscriber and what is in force

A distributor holds services with the version each resource was last changed at (part `distribution` of the replicated state), sends a subscriber what differs since its version and digests, one update at a time, paced, large ones under a bound; a subscriber takes updates whole or not at all, guards versions, spreads by rendezvous hashing and keeps a lease that goes back to when its distributor was level with the ledger. `leases.Holder.heard` takes the age of what an answer goes by.

--- a/indigohitch/fleet/distribution/catalogue.py
+++ b/indigohitch/fleet/distribution/catalogue.py
@@ -1,15 +1,119 @@
 """What a distributor holds: services with their resources, the version each was last changed at, and what was
-removed.  Deterministic, no I/O."""
+removed.  Deterministic, no I/O.
+
+Removed keys are remembered up to a bound; who holds a version from before what is remembered gets the service
+whole.  What goes out is encoded once and shared by all subscribers until the service changes again."""
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Mapping
+from itertools import takewhile
+
+import msgspec
+
+from ...packed.rows import Row
+from .content import ServiceContent
+from .messages import ServiceChange
+from .terms import NO_VERSION, Resource, ServiceName, Version
+
+MOST_REMOVED = 64  # keys remembered for each service beyond as many as it has
+MOST_EMPTY = 4_096  # services without resources that are remembered
+MOST_HISTORY = (
+    4_096  # recent versions: some hours of an ordinary day, six seconds of ten times the worst burst
+)
+
+
+class ServiceRow(Row):
+    """One service in a snapshot; resources and removed keys in the order of their last change."""
+
+    service: ServiceName
+    resources: list[tuple[str, bytes, Version]]
+    removed: list[tuple[str, Version]]
+    floor: Version
+
+
+class CatalogueRow(Row):
+    version: Version = NO_VERSION
+    floor: Version = NO_VERSION
+    services: list[ServiceRow] = []
+
+
+class Service:
+    """`changed` and `removed`: versions by key, the last change last.  `floor`: of the newest removed key
+    that is not remembered."""
+
+    __slots__ = ("content", "changed", "removed", "floor", "version", "encoded")
+
+    def __init__(self, service: ServiceName, floor: Version) -> None:
+        self.content = ServiceContent(service)
+        self.changed: dict[str, Version] = {}
+        self.removed: dict[str, Version] = {}
+        self.floor = floor
+        self.version = NO_VERSION
+        self.encoded: dict[tuple[int, int], msgspec.Raw] = {}
+
+    def apply(self, version: Version, resources: Iterable[Resource], keys: Iterable[str]) -> bool:
+        """False: nothing is another than it was."""
+        bodies = self.content.bodies
+        changed = [each for each in resources if bodies.get(each.key) != each.body]
+        removed = [key for key in dict.fromkeys(keys) if key in bodies]
+        if not changed and not removed:
+            return False
+        for key in removed:
+            del self.changed[key]
+            self.removed[key] = version
+        for resource in changed:
+            self.removed.pop(resource.key, None)
+            self.changed.pop(resource.key, None)
+            self.changed[resource.key] = version
+        self.content = self.content.with_changes(changed, removed)
+        self.version = version
+        self.encoded.clear()
+        self.forget()
+        return True
+
+    def forget(self) -> None:
+        while len(self.removed) > MOST_REMOVED + len(self.changed):
+            oldest = next(iter(self.removed))
+            self.floor = max(self.floor, self.removed.pop(oldest))
 
-from .terms import Resource, ServiceName, Version
+    def since(self, version: Version) -> tuple[list[str], list[str]]:
+        """Keys changed and keys removed after it."""
+        return newer(self.changed, version), newer(self.removed, version)
+
+    def change(self, since: Version | None) -> msgspec.Raw:
+        """From what was held at that version, or whole where it is None, forgotten, or whole is less."""
+        bodies = self.content.bodies
+        whole = since is None or since < self.floor or since == NO_VERSION
+        changed, removed = ([], []) if whole else self.since(since)
+        whole = whole or len(changed) + len(removed) > len(bodies)
+        known = (-1, -1) if whole else (len(changed), len(removed))
+        if known not in self.encoded:
+            keys = sorted(bodies) if whole else changed
+            row = ServiceChange(
+                self.content.service,
+                whole,
+                tuple(Resource(key, bodies[key]) for key in keys),
+                () if whole else tuple(removed),
+                self.content.digest,
+            )
+            self.encoded[known] = msgspec.Raw(msgspec.msgpack.encode(row))
+        return self.encoded[known]
+
+
+def newer(versions: Mapping[str, Version], than: Version) -> list[str]:
+    """Keys of later changes; `versions` is in the order of change."""
+    return [key for key, _ in takewhile(lambda item: item[1] > than, reversed(versions.items()))]
 
 
 class Catalogue:
-    version: Version  # of the last entry that changed anything
+    def __init__(self) -> None:
+        self.version = NO_VERSION  # of the last entry that changed anything
+        self.floor = NO_VERSION  # what became of services that are not known is forgotten up to here
+        self.services: dict[ServiceName, Service] = {}
+        self.empty: dict[ServiceName, None] = {}  # in the order in which they became so
+        self.history: list[Version] = []  # recent versions, ascending; not part of the replicated state
 
     def apply(
         self,
@@ -18,10 +122,94 @@
         removed: Mapping[ServiceName, Iterable[str]],
     ) -> tuple[ServiceName, ...]:
         """Returns the services whose content is another now."""
-        raise NotImplementedError
+        names = list(dict.fromkeys([*changed, *removed]))
+        touched = [
+            name for name in names if self.touch(name, version, changed.get(name, ()), removed.get(name, ()))
+        ]
+        if touched:
+            self.version = version
+            self.history.append(version)
+            if len(self.history) > 2 * MOST_HISTORY:
+                del self.history[:MOST_HISTORY]
+        return tuple(touched)
+
+    def touch(
+        self, name: ServiceName, version: Version, resources: Iterable[Resource], keys: Iterable[str]
+    ) -> bool:
+        service = self.services.get(name)
+        if service is None:
+            service = Service(name, self.floor)
+        if not service.apply(version, resources, keys):
+            return False
+        self.services[name] = service
+        self.empty.pop(name, None)
+        if not service.content.bodies:
+            self.empty[name] = None
+            self.forget()
+        return True
+
+    def forget(self) -> None:
+        while len(self.empty) > MOST_EMPTY:
+            oldest = next(iter(self.empty))
+            del self.empty[oldest]
+            self.floor = max(self.floor, self.services.pop(oldest).version)
+
+    # ---- what subscriptions ask --------------------------------------------------------------------
+
+    def content(self, name: ServiceName) -> ServiceContent:
+        service = self.services.get(name)
+        return service.content if service is not None else ServiceContent(name)
+
+    def resources(self, name: ServiceName) -> Mapping[str, bytes]:
+        return self.content(name).bodies
+
+    def digest(self, name: ServiceName) -> bytes:
+        return self.content(name).digest
+
+    def changed_at(self, name: ServiceName) -> Version:
+        """The last change of the service; of one that is not known, the last that it may have had."""
+        service = self.services.get(name)
+        return service.version if service is not None else self.floor
+
+    def change(self, name: ServiceName, since: Version | None) -> msgspec.Raw:
+        """The msgpack of a `ServiceChange`; `since` None: whole."""
+        service = self.services.get(name)
+        return (service if service is not None else Service(name, self.floor)).change(since)
+
+    def before(self, version: Version) -> Version | None:
+        """The last version before that one; None: it is not remembered."""
+        place = bisect_left(self.history, version)
+        return self.history[place - 1] if place else None
+
+    def after(self, version: Version) -> Version:
+        """The first remembered version after that one, or the least that there could be."""
+        place = bisect_right(self.history, version)
+        if place < len(self.history):
+            return self.history[place]
+        return Version(version.term, version.index + 1)
+
+    # ---- as a whole --------------------------------------------------------------------------------
 
-    def resources(self, service: ServiceName) -> Mapping[str, bytes]:
-        raise NotImplementedError
+    def row(self) -> CatalogueRow:
+        services = [
+            ServiceRow(
+                name,
+                [(key, service.content.bodies[key], at) for key, at in service.changed.items()],
+                list(service.removed.items()),
+                service.floor,
+            )
+            for name, service in sorted(self.services.items(), key=lambda item: (item[1].version, item[0]))
+        ]
+        return CatalogueRow(self.version, self.floor, services)
 
-    def digest(self, service: ServiceName) -> bytes:
-        raise NotImplementedError
+    def restore(self, row: CatalogueRow) -> None:
+        self.version, self.floor = row.version, row.floor
+        self.services, self.empty, self.history = {}, {}, [row.version]
+        for each in row.services:
+            service = self.services[each.service] = Service(each.service, each.floor)
+            service.content = ServiceContent(each.service, {key: body for key, body, _ in each.resources})
+            service.changed = {key: at for key, _, at in each.resources}
+            service.removed = dict(each.removed)
+            service.version = max([*service.changed.values(), *service.removed.values()])
+            if not service.changed:
+                self.empty[each.service] = None
--- /dev/null
+++ b/indigohitch/fleet/distribution/content.py
@@ -0,0 +1,49 @@
+"""Content of a service and of a scope, with digests.  Immutable, no I/O.
+
+A digest goes over services by name, and in each over resources by key: two levels of a Merkle tree.  Services
+are small (17 resources on average), so a change makes the digest of its service anew and no more."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+
+from ...packed.rows import digest
+from .terms import Resource, ServiceName
+
+SERVICE_SALT, SCOPE_SALT = 3, 4
+
+
+class ServiceContent:
+    """Resources of one service: bodies by key.  Without resources it is the same as a service that is not
+    known."""
+
+    __slots__ = ("service", "bodies", "_digest")
+
+    def __init__(self, service: ServiceName, bodies: Mapping[str, bytes] | None = None) -> None:
+        self.service = service
+        self.bodies: Mapping[str, bytes] = bodies if bodies is not None else {}
+        self._digest = b""
+
+    @property
+    def digest(self) -> bytes:
+        """Made when it is first asked for: a burst of changes costs one."""
+        if not self._digest:
+            said = msgspec.msgpack.encode([self.service, sorted(self.bodies.items())])
+            self._digest = digest(said, SERVICE_SALT)
+        return self._digest
+
+    def with_changes(self, changed: Iterable[Resource], removed: Iterable[str]) -> ServiceContent:
+        bodies = dict(self.bodies)
+        for key in removed:
+            bodies.pop(key, None)
+        for resource in changed:
+            bodies[resource.key] = resource.body
+        return ServiceContent(self.service, bodies)
+
+
+def scope_digest(contents: Collection[ServiceContent]) -> bytes:
+    """Of services in any order; each service's digest goes over its name too."""
+    ordered = sorted(contents, key=lambda content: content.service)
+    return digest(b"".join(content.digest for content in ordered), SCOPE_SALT)
--- a/indigohitch/fleet/distribution/distributor.py
+++ b/indigohitch/fleet/distribution/distributor.py
@@ -2,38 +2,153 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+from ...net.clock import SECOND
 from .catalogue import Catalogue
-from .in_force import InForce
+from .in_force import FleetTally, InForce, Tally
 from .limits import Limits
-from .messages import Report
-from .ports import DistributorInput, DistributorOutput
+from .messages import RefusalReason, Report
+from .ports import (
+    Changed,
+    Closing,
+    DistributorInput,
+    DistributorOutput,
+    Due,
+    Heard,
+    HeardReport,
+    Joined,
+    Left,
+    Level,
+    Note,
+    Replaced,
+)
+from .serving import Serving
+from .subscription import Missing
 from .terms import DistributorName
 
+SWEEP = SECOND // 2  # updates without an answer and claims in doubt are looked at so often
+
 
 class Distributor:
     """`catalogue`: of the replicated part in this process; the driver tells by `Changed` and `Replaced` what
-    became of it, and by `Level` each time that a confirmed read shows it to be level with the ledger."""
+    became of it, and by `Level` each time that a confirmed read shows it to be level with the ledger.
+    `others`: distributors whose reports are expected."""
 
-    def __init__(self, name: DistributorName, catalogue: Catalogue, limits: Limits, now: int) -> None:
-        raise NotImplementedError
+    def __init__(
+        self,
+        name: DistributorName,
+        catalogue: Catalogue,
+        limits: Limits,
+        now: int,
+        others: Collection[DistributorName] = (),
+    ) -> None:
+        self.name, self.catalogue, self.limits = name, catalogue, limits
+        self.tally = Tally(name, limits)
+        self.fleet = FleetTally(name, others, limits)
+        self.serving = Serving(catalogue, limits, self.tally, now)
+        self.announced = catalogue.version  # the subscriptions were told of all changes up to it
+        self.sweep_at = now + SWEEP
+        self.steps = {
+            Joined: self.joined,
+            Heard: self.heard,
+            Left: self.left,
+            Changed: self.changed,
+            Replaced: self.replaced,
+            Level: self.level_reached,
+            HeardReport: self.heard_report,
+            Closing: self.close_all,
+            Due: self.sweep,
+        }
+
+    # ---- from outside ------------------------------------------------------------------------------
 
     def step(self, now: int, input: DistributorInput) -> list[DistributorOutput]:
         """What to do, in order."""
-        raise NotImplementedError
+        self.serving.now = now
+        self.steps[type(input)](input)
+        return self.serving.take()
 
     @property
-    def due(self) -> int | None:
+    def due(self) -> int:
         """When `Due` is to come at the latest."""
-        raise NotImplementedError
+        next_update = self.serving.admission.due(self.serving.now)
+        return self.sweep_at if next_update is None else min(self.sweep_at, next_update)
 
     def report(self, now: int) -> Report:
         """For the other distributors, once a second or so."""
-        raise NotImplementedError
+        level, served = self.serving.level, self.serving.subscribers.served()
+        ledger_age = now - level if level else None
+        return self.tally.report(now, self.announced, self.catalogue, served, ledger_age)
 
     def in_force(self, now: int) -> InForce:
         """Fleet-wide, from the own subscribers and the reports heard."""
-        raise NotImplementedError
+        return self.fleet.in_force(now, self.report(now))
 
     def figures(self, now: int) -> dict:
         """For `status`, as plain JSON."""
-        raise NotImplementedError
+        report, admission = self.report(now), self.serving.admission
+        return {
+            "version": self.catalogue.version.text(),
+            "ledger_age": report.ledger_age,
+            "subscribers": report.subscribers,
+            "in_force": report.in_force.text(),
+            "in_force_age": report.in_force_age,
+            "behind": report.behind_count,
+            "lost": len(self.tally.departed),
+            "large_bytes": admission.large_bytes,
+            "large_waiting": len(admission.large),
+        }
+
+    # ---- inputs ------------------------------------------------------------------------------------
+
+    def joined(self, input: Joined) -> None:
+        self.serving.subscribers.join(input.connection, input.subscriber)
+
+    def heard(self, input: Heard) -> None:
+        self.serving.heard(input)
+
+    def left(self, input: Left) -> None:
+        self.serving.forget(input.connection)
+
+    def close_all(self, input: Closing) -> None:
+        self.serving.closing = True
+        for connection in list(self.serving.subscribers.names):
+            self.serving.refuse(connection, RefusalReason.CLOSING, "this distributor is about to end")
+
+    def changed(self, input: Changed) -> None:
+        missing = self.announce()
+        subscribers = self.serving.subscribers
+        for service in input.services:
+            for connection in subscribers.by_service.get(service, ()):
+                subscribers.subscriptions[connection].changed(service, missing)
+                self.serving.admission.want(connection)
+
+    def replaced(self, input: Replaced) -> None:
+        missing = self.announce()
+        for connection, subscription in self.serving.subscribers.subscriptions.items():
+            subscription.catalogue_replaced(missing)
+            self.serving.admission.want(connection)
+
+    def announce(self) -> Missing:
+        """The oldest change since the last that the subscriptions were told of."""
+        oldest = self.catalogue.after(self.announced)
+        self.announced = self.catalogue.version
+        return Missing(oldest, self.serving.now, self.serving.level)
+
+    def level_reached(self, input: Level) -> None:
+        if not self.serving.level:
+            fields = {"version": self.catalogue.version.text()}
+            self.serving.out.append(Note("distributor_level", fields))
+        self.serving.level_reached(input.asked)
+
+    def heard_report(self, input: HeardReport) -> None:
+        self.fleet.heard(self.serving.now, input.report)
+        self.tally.seen_elsewhere(input.report)
+
+    def sweep(self, input: Due) -> None:
+        now = self.serving.now
+        if now >= self.sweep_at:
+            self.sweep_at = now + SWEEP
+            self.serving.sweep()
+            self.tally.sweep(now)
--- a/indigohitch/fleet/distribution/in_force.py
+++ b/indigohitch/fleet/distribution/in_force.py
@@ -1,10 +1,28 @@
-"""Which version is in force: acknowledged versions added up, per distributor and for all.  No I/O."""
+"""Which version is in force: acknowledged versions added up, per distributor and for all.  No I/O.
+
+A subscriber that is connected and holds a version counts with the oldest change that it lacks.  One that
+holds nothing yet acts on nothing: it is named among those behind, and doesn't hold the version back.  One
+whose connection is lost is counted apart; how long it may still count as current is bounded by its lease."""
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from ...net.clock import SECOND
 from ...packed.rows import Row
-from .messages import Behind, Unreachable
-from .terms import DistributorName, Version
+from ..members.leases import given
+from .catalogue import Catalogue
+from .limits import Limits
+from .messages import Behind, Report, Unreachable
+from .subscription import Subscription
+from .terms import DistributorName, SubscriberName, Version
+
+NAMED = 16  # of those behind and of those lost, in a report
+SILENT = 5 * SECOND  # a distributor whose last report is older counts as unreachable, with all of its own
+MARK = 4  # bytes of a subscriber's mark: among 6,500 two are alike once in two hundred fleets
 
 
 class InForce(Row, frozen=True):
@@ -23,3 +41,170 @@
     unreachable: tuple[Unreachable, ...]
     acting: int
     silent: tuple[DistributorName, ...]
+
+
+def mark(name: SubscriberName) -> bytes:
+    return xxhash.xxh32_digest(name.encode())
+
+
+def marks(names: Iterable[SubscriberName]) -> bytes:
+    return b"".join(mark(name) for name in names)
+
+
+def split(marks: bytes) -> set[bytes]:
+    return {marks[at : at + MARK] for at in range(0, len(marks), MARK)}
+
+
+@dataclass(slots=True, frozen=True)
+class Departed:
+    acknowledged: Version
+    acting_until: int
+    forget_at: int
+
+
+class Tally:
+    """Of one distributor."""
+
+    def __init__(self, name: DistributorName, limits: Limits) -> None:
+        self.name, self.limits = name, limits
+        self.departed: dict[SubscriberName, Departed] = {}
+        self.number = 0
+
+    def arrives(self, name: SubscriberName) -> None:
+        self.departed.pop(name, None)
+
+    def departs(self, now: int, subscription: Subscription) -> None:
+        self.departed[subscription.subscriber] = Departed(
+            subscription.acknowledged, subscription.acting_until, now + self.limits.remembered
+        )
+
+    def seen_elsewhere(self, report: Report) -> None:
+        """Those lost here that are connected there."""
+        if self.departed and report.connected:
+            there = split(report.connected)
+            self.departed = {name: one for name, one in self.departed.items() if mark(name) not in there}
+
+    def sweep(self, now: int) -> None:
+        for name in [name for name, one in self.departed.items() if now >= one.forget_at]:
+            del self.departed[name]
+
+    def report(
+        self,
+        now: int,
+        version: Version,
+        catalogue: Catalogue,
+        subscriptions: Collection[Subscription],
+        ledger_age: int | None,
+    ) -> Report:
+        """`version`: the last whose changes the subscriptions were told of."""
+        lacking = sorted(
+            (each for each in subscriptions if each.missing is not None),
+            key=lambda each: each.missing.version,
+        )
+        joining = [each for each in subscriptions if each.missing is None and not each.confirmed]
+        behind = tuple(behind_row(now, each, version) for each in (lacking + joining)[:NAMED])
+        lost = tuple(
+            Unreachable(name, one.acknowledged, max(0, one.acting_until - now))
+            for name, one in sorted(self.departed.items(), key=lambda item: -item[1].acting_until)[:NAMED]
+        )
+        self.number += 1
+        return Report(
+            self.name,
+            self.number,
+            version,
+            in_force_here(version, catalogue, lacking),
+            max((now - each.missing.since for each in lacking), default=0),
+            ledger_age,
+            len(subscriptions),
+            len(lacking) + len(joining),
+            behind,
+            lost,
+            marks(each.subscriber for each in subscriptions),
+            marks(self.departed),
+        )
+
+
+def behind_row(now: int, subscription: Subscription, version: Version) -> Behind:
+    missing = subscription.missing
+    return Behind(
+        subscription.subscriber,
+        subscription.acknowledged,
+        missing.version if missing is not None else version,
+        now - missing.since if missing is not None else 0,
+    )
+
+
+def in_force_here(version: Version, catalogue: Catalogue, lacking: list[Subscription]) -> Version:
+    """The last version before the oldest change that one of them lacks."""
+    if not lacking:
+        return version
+    before = catalogue.before(lacking[0].missing.version)
+    return before if before is not None else min(each.acknowledged for each in lacking)
+
+
+class FleetTally:
+    """Of all distributors, at one of them."""
+
+    def __init__(self, name: DistributorName, others: Collection[DistributorName], limits: Limits) -> None:
+        self.name, self.limits = name, limits
+        self.others = frozenset(others) - {name}
+        self.reports: dict[DistributorName, tuple[Report, int]] = {}  # with when it came
+
+    def heard(self, now: int, report: Report) -> None:
+        known = self.reports.get(report.distributor)
+        fresh = known is None or report.number > known[0].number or now - known[1] > SILENT
+        if report.distributor != self.name and fresh:
+            self.reports[report.distributor] = report, now
+
+    def in_force(self, now: int, own: Report) -> InForce:
+        """`own`: of this distributor, made now."""
+        heard = {name: one for name, one in self.reports.items() if now - one[1] <= SILENT}
+        reports = [(own, 0), *((report, now - at) for report, at in heard.values())]
+        silent = (self.others | self.reports.keys()) - heard.keys()
+        newest = max(report.version for report, _ in reports)
+        serving = [(report, age) for report, age in reports if report.subscribers]
+        connected = set().union(*(split(report.connected) for report, _ in reports))
+        lost = set().union(*(split(report.lost) for report, _ in reports))
+        lost |= set().union(
+            *(split(self.reports[name][0].connected) for name in silent & self.reports.keys())
+        )
+        named = tuple(one for report, age in reports for one in still_lost(report, age, connected))
+        lost -= connected
+        return InForce(
+            min((report.in_force for report, _ in serving), default=newest),
+            newest,
+            max((missing_age(report, age, newest) for report, age in serving), default=0),
+            sum(report.subscribers for report, _ in reports),
+            sum(report.behind_count for report, _ in reports),
+            tuple(sorted((one for report, _ in reports for one in report.behind), key=oldest))[:NAMED],
+            len(lost),
+            named[:NAMED],
+            self.acting(named, len(lost)),
+            tuple(sorted(silent)),
+        )
+
+    def acting(self, named: Collection[Unreachable], lost: int) -> int:
+        """Of those that are not named it is known only that they hold no more than a whole lease."""
+        if lost > len(named):
+            return given(self.limits.lease, self.limits.drift)
+        return max((one.acting for one in named), default=0)
+
+
+def still_lost(report: Report, age: int, connected: set[bytes]) -> list[Unreachable]:
+    return [
+        Unreachable(one.subscriber, one.acknowledged, max(0, one.acting - age))
+        for one in report.unreachable
+        if mark(one.subscriber) not in connected
+    ]
+
+
+def missing_age(report: Report, age: int, newest: Version) -> int:
+    """How old the oldest change is that is not in force there; a distributor that lacks a version itself
+    knows no more than when it was level."""
+    lags = report.version < newest
+    ledger_age = report.ledger_age or 0
+    return max(report.in_force_age + age if report.in_force_age else 0, ledger_age + age if lags else 0)
+
+
+def oldest(behind: Behind) -> tuple[Version, SubscriberName]:
+    return behind.missing, behind.subscriber
--- a/indigohitch/fleet/distribution/limits.py
+++ b/indigohitch/fleet/distribution/limits.py
@@ -15,7 +15,8 @@
     subscribers: int = 2_200  # 6,500 fit into three of six
     services: int = 512  # of one scope
     update_bytes: int = 1 << 20  # of one update
-    whole_bytes: int = 4 << 20  # of updates with whole services that are out unacknowledged, of all
+    small_bytes: int = 4 << 10  # an update up to this is sent at once, a larger one when there is room
+    large_bytes: int = 4 << 20  # of all updates larger than that which are out unacknowledged
     pace: int = SECOND // 2  # between two updates to one subscriber: changes between them become one update
     sends: int = 64  # updates in one step, so that a burst leaves the loop to others
     acknowledge: int = 5 * SECOND  # an update that is not answered by then ends the connection
@@ -23,6 +24,7 @@
     drift: float = 0.01  # clocks differ by at most this part
     remembered: int = 600 * SECOND  # how long a lost subscriber is reported as unreachable
     again: int = 2 * SECOND  # when a refused subscriber may return
+    rejections: int = 3  # updates in a row that one subscriber may reject
     resume: bool = True
     guard_versions: bool = True
 
--- a/indigohitch/fleet/distribution/messages.py
+++ b/indigohitch/fleet/distribution/messages.py
@@ -97,11 +97,12 @@
 
 class Current(Row, frozen=True):
     """Answers `Renew`: what the subscriber has acknowledged contained all that was committed up to `age`
-    (tenths of a ms) before this was sent.  `version`: of the distributor's catalogue."""
+    (tenths of a ms) before this was sent; None: nothing can be said.  `version`: of the distributor's
+    catalogue."""
 
     number: int
     version: Version
-    age: int
+    age: int | None
 
 
 class RefusalReason(enum.IntEnum):
@@ -147,20 +148,22 @@
     """The acknowledged versions of one distributor, added up; sent to the others once a period.
 
     `in_force`: each connected subscriber has all changes of its scope up to it.  `behind` and `unreachable`
-    name the first few; the counts are of all.  `taken_over`: named unreachable by others, connected here."""
+    name the first few; the counts are of all.  `connected` and `lost`: all subscribers that are connected
+    here, or were and are remembered, 4 bytes each (`in_force.marks`): one that is lost here may be connected
+    elsewhere."""
 
     distributor: DistributorName
     number: int
     version: Version
     in_force: Version
     in_force_age: int  # since the oldest change that is not in force was applied; 0: all are
-    ledger_age: int  # since this distributor was surely level with the ledger
+    ledger_age: int | None  # since this distributor was surely level with the ledger; None: never
     subscribers: int
     behind_count: int = 0
     behind: tuple[Behind, ...] = ()
-    unreachable_count: int = 0
     unreachable: tuple[Unreachable, ...] = ()
-    taken_over: tuple[SubscriberName, ...] = ()
+    connected: bytes = b""
+    lost: bytes = b""
 
 
 WORDS = (Subscribe, Acknowledge, Reject, Renew, Update, Current, Refused, Report)
--- a/indigohitch/fleet/distribution/part.py
+++ b/indigohitch/fleet/distribution/part.py
@@ -3,8 +3,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+import msgspec
+
+from ...errors import Unfit, Unreadable
 from ...packed.rows import Row
-from .terms import Resource, ServiceName
+from ..book import Book
+from ..ports import At
+from .catalogue import Catalogue, CatalogueRow
+from .terms import Resource, ServiceName, Version
+
+LONGEST_NAME = 255
+LONGEST_BODY = 4_096
+MOST_SERVICE_BYTES = 256 << 10  # a quarter of what one update may have
 
 
 class ServiceResources(Row, frozen=True):
@@ -33,3 +45,66 @@
     """`distribution.replace`: these services hold what is given and nothing else; without any they go."""
 
     services: tuple[ServiceResources, ...]
+
+
+class Distribution:
+    """BookPart.  Each entry returns the names of the services that it changed."""
+
+    name = "distribution"
+    kinds = {"set": Set, "remove": Remove, "replace": Replace}
+    book: Book
+
+    def __init__(self) -> None:
+        self.catalogue = Catalogue()
+
+    def apply(self, at: At, word: str, body: Set | Remove | Replace) -> tuple[ServiceName, ...]:
+        version = Version(at.term, at.index)
+        if len({each.service for each in body.services}) < len(body.services):
+            raise Unfit("a service is named twice", remedy="name all of its resources in one place")
+        if isinstance(body, Remove):
+            return self.catalogue.apply(version, {}, {each.service: each.keys for each in body.services})
+        self.check(body.services, keeps=isinstance(body, Set))
+        changed = {each.service: each.resources for each in body.services}
+        removed = {}
+        if isinstance(body, Replace):
+            removed = {name: self.absent(name, resources) for name, resources in changed.items()}
+        return self.catalogue.apply(version, changed, removed)
+
+    def absent(self, service: ServiceName, resources: Iterable[Resource]) -> list[str]:
+        """Keys that stand and are not among these."""
+        given = {resource.key for resource in resources}
+        return [key for key in self.catalogue.resources(service) if key not in given]
+
+    def check(self, services: Iterable[ServiceResources], keeps: bool) -> None:
+        """Raises Unfit.  `keeps`: what stands stays beside what is given."""
+        for each in services:
+            stands = dict(self.catalogue.resources(each.service)) if keeps else {}
+            for resource in each.resources:
+                check_resource(each.service, resource)
+                stands[resource.key] = resource.body
+            size = sum(len(key) + len(body) for key, body in stands.items())
+            if size > MOST_SERVICE_BYTES:
+                raise Unfit(
+                    f"{size} bytes of resources",
+                    each.service,
+                    f"split the service; one takes {MOST_SERVICE_BYTES} bytes",
+                )
+
+    def row(self) -> CatalogueRow:
+        return self.catalogue.row()
+
+    def restore(self, row: bytes) -> None:
+        try:
+            found = msgspec.msgpack.decode(row, type=CatalogueRow)
+        except msgspec.MsgspecError as bad:
+            raise Unreadable(f"not the services of a book: {bad}") from None
+        self.catalogue.restore(found)
+
+
+def check_resource(service: ServiceName, resource: Resource) -> None:
+    """Raises Unfit."""
+    for name in (service, resource.key):
+        if not 0 < len(name) <= LONGEST_NAME:
+            raise Unfit(f"a name of {len(name)} characters", service, f"1 to {LONGEST_NAME}")
+    if len(resource.body) > LONGEST_BODY:
+        raise Unfit(f"{len(resource.body)} bytes of {resource.key}", service, f"{LONGEST_BODY} at most")
--- /dev/null
+++ b/indigohitch/fleet/distribution/patience.py
@@ -0,0 +1,47 @@
+"""How long a subscriber stays with a distributor that is silent, stale or not its first choice.  No I/O."""
+
+from __future__ import annotations
+
+import random
+
+from .limits import SubscriberLimits
+
+NEVER = 1 << 62
+MOST_DOUBLINGS = 4
+
+
+class Patience:
+    def __init__(self, limits: SubscriberLimits, chance: random.Random) -> None:
+        self.limits, self.chance = limits, chance
+        self.silent_at = self.stale_at = self.home_at = NEVER
+        self.stale_times = self.home_times = 0  # left for that reason in a row
+
+    @property
+    def due(self) -> int:
+        return min(self.silent_at, self.stale_at, self.home_at)
+
+    def heard(self, now: int) -> None:
+        self.silent_at = now + self.limits.answer
+
+    def connected(self, now: int, first_choice: bool) -> None:
+        self.heard(now)
+        self.await_current(now)
+        if first_choice:
+            self.home_at, self.home_times = NEVER, 0
+        else:
+            span = self.limits.home << min(self.home_times, MOST_DOUBLINGS)
+            self.home_at = now + span + self.chance.randrange(span + 1)
+
+    def await_current(self, now: int) -> None:
+        """It has a lease, doubled each time that all were left in vain, to bring the content up to date."""
+        self.stale_at = now + (self.limits.lease << min(self.stale_times, MOST_DOUBLINGS))
+
+    def current(self, now: int) -> None:
+        self.stale_times = 0
+        self.await_current(now)
+
+    def left_stale(self) -> None:
+        self.stale_times += 1
+
+    def left_for_home(self) -> None:
+        self.home_times += 1
--- /dev/null
+++ b/indigohitch/fleet/distribution/serving.py
@@ -0,0 +1,205 @@
+"""What a distributor answers to its subscribers, and what it sends them.  No I/O."""
+
+from __future__ import annotations
+
+from ...errors import Trouble
+from ..members.leases import given
+from .admission import Admission
+from .catalogue import Catalogue
+from .errors import ScopeTooLarge
+from .in_force import Tally
+from .limits import Limits
+from .messages import (
+    Acknowledge,
+    Current,
+    RefusalReason,
+    Refused,
+    Reject,
+    RejectReason,
+    Renew,
+    Subscribe,
+)
+from .ports import Close, DistributorOutput, Heard, Note, Send
+from .subscribers import Claim, Subscribers
+from .subscription import Subscription, encoded_size
+from .terms import NO_VERSION, Version
+
+
+class Serving:
+    def __init__(self, catalogue: Catalogue, limits: Limits, tally: Tally, now: int) -> None:
+        self.catalogue, self.limits, self.tally = catalogue, limits, tally
+        self.subscribers = Subscribers()
+        self.admission = Admission(limits)
+        self.level = 0  # when the distributor was last surely level with the ledger; 0: not since it started
+        self.closing = False
+        self.now = now
+        self.out: list[DistributorOutput] = []
+        self.words = {
+            Subscribe: self.subscribe,
+            Acknowledge: self.acknowledge,
+            Reject: self.reject,
+            Renew: self.renew,
+        }
+
+    def take(self) -> list[DistributorOutput]:
+        """What is to be done after all that waits and may go has gone."""
+        self.admission.turn(self.now, self.serve)
+        out, self.out = self.out, []
+        return out
+
+    def forget(self, connection: int) -> None:
+        self.admission.left(connection)
+        subscription = self.subscribers.leave(connection)
+        if subscription is not None and subscription.request:
+            self.tally.departs(self.now, subscription)
+
+    def close(self, connection: int, why: str) -> None:
+        if connection in self.subscribers.names:
+            self.forget(connection)
+            self.out.append(Close(connection, why))
+
+    def refuse(self, connection: int, reason: RefusalReason, why: str, again: int = 0) -> None:
+        word = Refused(reason, self.catalogue.version, again or self.limits.again, why)
+        self.out.append(Send(connection, word))
+        self.close(connection, why)
+
+    # ---- what subscribers say ----------------------------------------------------------------------
+
+    def heard(self, input: Heard) -> None:
+        if input.connection not in self.subscribers.names:
+            return  # closed here meanwhile
+        handle = self.words.get(type(input.message))
+        if handle is None:
+            self.close(input.connection, f"a subscriber doesn't say {type(input.message).__name__}")
+            return
+        try:
+            handle(input.connection, input.message)
+        except ScopeTooLarge as too_large:
+            self.refuse(input.connection, RefusalReason.SCOPE, str(too_large))
+        except Trouble as trouble:
+            self.out.append(Note("subscriber_closed", trouble.fields()))
+            self.close(input.connection, str(trouble))
+
+    def subscribe(self, connection: int, claim: Subscribe) -> None:
+        if connection in self.subscribers.subscriptions:
+            self.subscribers.subscriptions[connection].subscribe(self.now, claim, self.level)
+            self.subscribers.index(connection)
+            self.admission.want(connection)
+        elif self.closing:
+            self.refuse(connection, RefusalReason.CLOSING, "this distributor is about to end")
+        elif not self.level:
+            self.refuse(connection, RefusalReason.STARTING, "not level with the ledger yet")
+        elif self.subscribers.count >= self.limits.subscribers:
+            self.refuse(connection, RefusalReason.FULL, f"serves {self.limits.subscribers} subscribers")
+        elif self.limits.guard_versions and claim.held > self.catalogue.version:
+            self.subscribers.doubt(connection, Claim(claim, self.now))
+        else:
+            self.accept(connection, claim)
+
+    def accept(self, connection: int, claim: Subscribe, void: Version = NO_VERSION) -> None:
+        name = self.subscribers.names[connection]
+        subscription = Subscription(connection, name, self.catalogue, self.limits)
+        subscription.subscribe(self.now, claim, self.level)
+        if void != NO_VERSION:
+            subscription.forget_claim(void)
+            self.out.append(Note("version_void", {"subscriber": name, "version": void.text()}))
+        earlier = self.subscribers.connection_of(name)
+        if earlier is not None:
+            self.close(earlier, "the subscriber has connected anew")
+        self.subscribers.serve(connection, subscription)
+        self.tally.arrives(name)
+        self.admission.want(connection)
+
+    def acknowledge(self, connection: int, word: Acknowledge) -> None:
+        subscription = self.subscribers.subscriptions.get(connection)
+        if subscription is not None and subscription.acknowledge(self.now, word) is not None:
+            self.update_answered(connection)
+
+    def reject(self, connection: int, word: Reject) -> None:
+        subscription = self.subscribers.subscriptions.get(connection)
+        if subscription is None:
+            return
+        self.out.append(
+            Note(
+                "update_rejected",
+                {"subscriber": subscription.subscriber, "reason": word.reason.name, "why": word.why},
+            )
+        )
+        older = word.reason is RejectReason.OLDER or word.held > self.catalogue.version
+        if older and self.limits.guard_versions:
+            self.refuse(connection, RefusalReason.BEHIND, f"the subscriber holds {word.held.text()}")
+        elif subscription.reject(self.now, word) is not None:
+            self.update_answered(connection)
+
+    def update_answered(self, connection: int) -> None:
+        """A scope that came while the update was out begins now."""
+        self.admission.answered(connection)
+        self.subscribers.index(connection)
+        if self.subscribers.subscriptions[connection].waiting:
+            self.admission.want(connection)
+
+    def renew(self, connection: int, word: Renew) -> None:
+        subscription = self.subscribers.subscriptions.get(connection)
+        age = self.age(subscription) if subscription is not None else None
+        if age is not None:
+            until = self.now - age + given(self.limits.lease, self.limits.drift)
+            subscription.acting_until = max(subscription.acting_until, until)
+        self.out.append(Send(connection, Current(word.number, self.catalogue.version, age)))
+
+    def age(self, subscription: Subscription) -> int | None:
+        """All that was committed so long ago is in what the subscriber has acknowledged."""
+        missing = subscription.missing
+        level = self.level if missing is None else missing.level
+        return self.now - level if subscription.confirmed and level else None
+
+    # ---- what goes out -----------------------------------------------------------------------------
+
+    def serve(self, connection: int) -> bool:
+        """Sends what that subscriber lacks, if it may go now."""
+        subscription = self.subscribers.subscriptions.get(connection)
+        if subscription is None or not subscription.waiting:
+            self.admission.large.pop(connection, None)
+            return False
+        if self.now < subscription.not_before:
+            self.admission.pace(connection, subscription.not_before)
+            return False
+        try:
+            update = subscription.compose()
+        except ScopeTooLarge as too_large:
+            self.refuse(connection, RefusalReason.SCOPE, str(too_large))
+            return False
+        if not self.admission.fits(connection, encoded_size(update.changes)):
+            return False
+        subscription.sent(self.now, update)
+        self.admission.sent(connection, subscription.flight.size)
+        self.out.append(Send(connection, update))
+        return True
+
+    # ---- once in a while ---------------------------------------------------------------------------
+
+    def level_reached(self, asked: int) -> None:
+        """All that was committed at `asked` is in the catalogue: claims in doubt can be judged."""
+        self.level = max(self.level, asked)
+        for connection, claim in list(self.subscribers.claims.items()):
+            if claim.word.held <= self.catalogue.version:
+                self.subscribers.doubted(connection)
+                self.accept_claim(connection, claim.word)
+            elif asked >= claim.since:
+                # Had it ever been committed, it would stand here by now.
+                self.subscribers.doubted(connection)
+                self.accept_claim(connection, claim.word, claim.word.held)
+
+    def accept_claim(self, connection: int, word: Subscribe, void: Version = NO_VERSION) -> None:
+        try:
+            self.accept(connection, word, void)
+        except ScopeTooLarge as too_large:
+            self.refuse(connection, RefusalReason.SCOPE, str(too_large))
+
+    def sweep(self) -> None:
+        """Ends with those that don't answer, and sends away those whose claim could not be judged."""
+        for connection in self.subscribers.unanswered(self.now - self.limits.acknowledge):
+            name = self.subscribers.names[connection]
+            self.out.append(Note("subscriber_silent", {"subscriber": name}))
+            self.close(connection, "an update was not answered in time")
+        for connection in self.subscribers.doubts_before(self.now - self.limits.again):
+            self.refuse(connection, RefusalReason.BEHIND, "the subscriber holds a newer version")
--- a/indigohitch/fleet/distribution/subscriber.py
+++ b/indigohitch/fleet/distribution/subscriber.py
@@ -5,16 +5,43 @@
 import random
 from collections.abc import Collection, Mapping
 
+from ...errors import Unreadable
+from ..members.leases import Holder
+from ..members.words import Renewed
+from .connecting import Connecting, Phase
+from .errors import DigestMismatch, NoDistributor, OlderVersion, UnknownBase
+from .holding import REASONS, HeldScope
 from .limits import SubscriberLimits
-from .ports import SubscriberInput, SubscriberOutput
+from .messages import (
+    Acknowledge,
+    Current,
+    Refused,
+    Reject,
+    RejectReason,
+    Renew,
+    Subscribe,
+    Update,
+)
+from .ports import (
+    Applied,
+    Connected,
+    Due,
+    Lost,
+    Note,
+    Rescope,
+    Say,
+    SubscriberInput,
+    SubscriberOutput,
+    Told,
+)
 from .terms import DistributorName, ServiceName, SubscriberName, Version
 
+INCARNATION = 1  # of the lease: numbers of its renewals grow over all connections
+
 
 class Subscriber:
     """`distributors`: by name the weight of each (1.0, or its part of what an ordinary one takes)."""
 
-    version: Version  # that it holds; NO_VERSION before the first update
-
     def __init__(
         self,
         name: SubscriberName,
@@ -24,34 +51,197 @@
         chance: random.Random,
         now: int,
     ) -> None:
-        raise NotImplementedError
+        self.name, self.limits = name, limits
+        self.held = HeldScope(limits.guard_versions)
+        self.wanted = frozenset(services)
+        self.asked: frozenset[ServiceName] = frozenset()  # the scope of the last Subscribe
+        self.request = 0
+        self.open_request = False  # the last Subscribe is not answered yet
+        self.connecting = Connecting(name, distributors, limits, chance, now)
+        self.holder = Holder(limits.lease, limits.drift)
+        self.holder.begin(INCARNATION)
+        self.renewed_here = False  # the lease was renewed over this connection
+        self.alone = False  # no distributor answers; logged once
+        self.now, self.out = now, []
+        self.steps = {
+            Connected: self.connected,
+            Lost: self.lost,
+            Told: self.told,
+            Rescope: self.rescope,
+            Due: self.timed,
+        }
+        self.words = {Update: self.update, Current: self.current, Refused: self.refused}
+
+    # ---- from outside ------------------------------------------------------------------------------
 
     def step(self, now: int, input: SubscriberInput) -> list[SubscriberOutput]:
         """What to do, in order."""
-        raise NotImplementedError
+        self.now, self.out = now, []
+        self.steps[type(input)](input)
+        out, self.out = self.out, []
+        return out
 
     @property
     def due(self) -> int:
         """When `Due` is to come at the latest."""
-        raise NotImplementedError
+        connecting = self.connecting
+        return min(connecting.due, self.holder.due) if connecting.is_connected else connecting.due
 
-    def resources(self, service: ServiceName) -> Mapping[str, bytes]:
-        """Bodies by key, as held; empty for a service that is not held."""
-        raise NotImplementedError
+    @property
+    def version(self) -> Version:
+        """That it holds; NO_VERSION before the first update."""
+        return self.held.version
 
     @property
     def digest(self) -> bytes:
         """Of the whole scope, as held."""
-        raise NotImplementedError
+        return self.held.digest
+
+    def resources(self, service: ServiceName) -> Mapping[str, bytes]:
+        """Bodies by key, as held; empty for a service that is not held."""
+        content = self.held.services.get(service)
+        return content.bodies if content is not None else {}
 
     def acting_until(self, now: int) -> int:
         """The content counts as current before this (own clock); it stands after that, but is stale."""
-        raise NotImplementedError
+        return self.holder.until
 
     def age(self, now: int) -> int | None:
         """The content has all that was committed so long ago; None: never confirmed."""
-        raise NotImplementedError
+        return now - (self.holder.until - self.holder.length) if self.holder.until else None
 
     def figures(self, now: int) -> dict:
         """For `status`, as plain JSON."""
-        raise NotImplementedError
+        return {
+            "phase": self.connecting.phase.value,
+            "distributor": self.connecting.distributor,
+            "version": self.version.text(),
+            "age": self.age(now),
+            "current": now < self.acting_until(now),
+            "services": len(self.held.services),
+            "resources": sum(len(content.bodies) for content in self.held.services.values()),
+        }
+
+    # ---- the connection ----------------------------------------------------------------------------
+
+    def timed(self, input: Due) -> None:
+        if self.connecting.phase is Phase.WAITING:
+            if self.now >= self.connecting.dial_at:
+                self.dial()
+            return
+        left = self.connecting.leave_impatiently(self.now, self.holder.until)
+        if left is not None:
+            self.out.append(left)
+        elif self.connecting.is_connected:
+            self.renew()
+
+    def dial(self) -> None:
+        dial = self.connecting.dial(self.now)
+        if dial is not None:
+            self.out.append(dial)
+        elif not self.alone and self.connecting.choice.none_answers():
+            self.alone = True
+            trouble = NoDistributor("no distributor answers", self.name)
+            fields = {"version": self.version.text(), "age": self.age(self.now)}
+            self.out.append(Note("no_distributor", trouble.fields() | fields))
+
+    def connected(self, input: Connected) -> None:
+        if self.connecting.connected(self.now, input.distributor):
+            self.renewed_here = False
+            self.subscribe()
+            self.renew_at_once()
+
+    def lost(self, input: Lost) -> None:
+        self.connecting.lost(self.now, input.distributor)
+
+    def leave(self, why: str, failed: bool = False, again: int = 0) -> None:
+        """`again`: not there before so long."""
+        self.out.append(self.connecting.leave(self.now, why, failed, again))
+
+    # ---- the subscription --------------------------------------------------------------------------
+
+    def rescope(self, input: Rescope) -> None:
+        """What is held stays until the first update for the new scope."""
+        self.wanted = input.services
+        if self.connecting.phase is Phase.SERVED:
+            self.subscribe_anew()
+
+    def subscribe(self) -> None:
+        self.request += 1
+        self.asked, self.open_request = self.wanted, True
+        claim = self.held.claim(self.asked)
+        self.out.append(Say(Subscribe(self.request, self.version, claim)))
+
+    def subscribe_anew(self) -> None:
+        """One subscription is out at a time."""
+        if not self.open_request and self.wanted != self.asked:
+            self.subscribe()
+
+    def told(self, input: Told) -> None:
+        connecting = self.connecting
+        if not connecting.is_connected or input.distributor != connecting.distributor:
+            return  # of a connection that is over
+        connecting.patience.heard(self.now)
+        handle = self.words.get(type(input.message))
+        if handle is None:
+            self.leave(f"a distributor doesn't say {type(input.message).__name__}", failed=True)
+        else:
+            handle(input.message)
+
+    def update(self, update: Update) -> None:
+        answers = update.request == self.request and self.open_request
+        scope = self.asked if answers else frozenset(self.held.services)
+        added = scope - self.held.services.keys()
+        back = update.version < self.version
+        try:
+            changed = self.held.apply(update, scope)
+        except (OlderVersion, UnknownBase, DigestMismatch, Unreadable) as refused:
+            self.reject(update, refused)
+            return
+        if back or (added and not self.renewed_here):
+            self.holder.drop()  # what it was given for is not what is held now
+        self.out.append(Say(Acknowledge(update.number, update.version, update.digest)))
+        self.out.append(Applied(update.version, changed))
+        if answers:
+            self.answered()
+
+    def answered(self) -> None:
+        self.open_request, self.alone = False, False
+        if self.connecting.phase is Phase.SUBSCRIBING:
+            self.connecting.served()
+        self.renew_at_once()
+        self.subscribe_anew()
+
+    def reject(
+        self, update: Update, refused: OlderVersion | UnknownBase | DigestMismatch | Unreadable
+    ) -> None:
+        reason = REASONS[type(refused)]
+        self.out.append(Say(Reject(update.number, reason, self.version, refused.what)))
+        fields = {"distributor": self.connecting.distributor, "reason": reason.name}
+        self.out.append(Note("update_rejected", refused.fields() | fields))
+        if reason is RejectReason.OLDER:
+            self.leave("it tells an older version", again=self.limits.backoff)
+
+    def refused(self, word: Refused) -> None:
+        fields = {"distributor": self.connecting.distributor, "reason": word.reason.name, "why": word.why}
+        self.out.append(Note("subscription_refused", fields))
+        self.leave(word.why, again=max(word.again, 1))
+
+    # ---- the lease ---------------------------------------------------------------------------------
+
+    def renew_at_once(self) -> None:
+        self.holder.due = self.now
+        self.renew()
+
+    def renew(self) -> None:
+        number = self.holder.ask(self.now)
+        if number is not None:
+            self.out.append(Say(Renew(number)))
+
+    def current(self, word: Current) -> None:
+        if word.age is None:
+            return
+        self.renewed_here = True
+        self.holder.heard(Renewed(word.number, INCARNATION), word.age)
+        if self.now < self.holder.until:
+            self.connecting.patience.current(self.now)
--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -68,11 +68,12 @@
         self.due = now + self.span // ASKINGS
         return self.number
 
-    def heard(self, word: Renewed) -> None:
-        """Counted from before the asking that it answers; one that comes twice or late gives nothing more."""
+    def heard(self, word: Renewed, age: int = 0) -> None:
+        """Counted from before the asking that it answers; one that comes twice or late gives nothing more.
+        `age`: what the answer goes by was true so long before it was sent."""
         sent = self.sent.get(word.number)
         if word.incarnation == self.incarnation and sent is not None:
-            self.until = max(self.until, sent + self.length)
+            self.until = max(self.until, sent - age + self.length)
 
     def lease(self, now: int) -> Lease | None:
         return Lease(self.incarnation, self.until) if now < self.until else None
