Every call to the relay waits until it fits into the channel

At fault: Relay._call asked Backlog.fits_at only for a call that goes again (`self.failures`). The repeat goes as soon as both copies just fit; a later call, which the module ordered on top of one copy (up to 0.8 of the cap), went at once behind it. Once the first copy's marks are answered the module counts none at all and orders a full call. And what waits for a relay that takes no call is counted out by the module from when it ordered it, an eighth of the pace, and then goes in a burst.

Change: every call waits until it fits by what went (`sent`, from when it went). In the ordinary course none waits: the module fills 0.8 of the cap and counts lines out at an eighth of the pace or by marks, this count at the pace itself.

--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -105,8 +105,9 @@
             self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
         size = (len(self.waiting[0]) + self.head) * self.proxies()
-        if self.failures and (when := self.backlog.fits_at(now, size)) > now:
-            # Carried out the first time it lies in the channel still: the same again would be too much there.
+        if (when := self.backlog.fits_at(now, size)) > now:
+            # The module counts a call once, from when it ordered it: what went may lie in the channel twice,
+            # and what had to wait for the relay has not begun to leave.
             self.log.trouble("call_waits_for_the_channel", lines=size, for_ms=(when - now) / 10)
             self.due = self.loop.at(when, self._call)
             return
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from indigohitch import interface as face
 from indigohitch.net.clock import SECOND
 from indigohitch.platformlink.backlog import Backlog
+from relay_room import Channel, Room
 from stage import SETTINGS, drain, none_lost
 from waiting import eventually
 
@@ -68,3 +70,56 @@
     assert backlog.fits_at(8001, 700) == 8001
     assert backlog.fits_at(8001, 5000) == 8001 + 6000  # more than the cap alone: once nothing waits
     assert Backlog(cap=0, pace=0).fits_at(5, 10**9) == 5
+
+
+def lines(count, mark):
+    """A call of so many orders, its mark among them."""
+    return [face.SetLine(number, "b1", 1.0) for number in range(count - 1)] + [face.Mark(mark, False)]
+
+
+def play(room, channel, until_idle_for=60 * SECOND):
+    """Answer each call as carried out, until none waits."""
+    end = room.clock.now() + until_idle_for
+    while not room.relay.idle:
+        assert room.clock.now() < end, "calls wait for ever"
+        if room.relay.out:
+            channel.carried_out()
+            room.answer(taken=len(room.relay.waiting[0]))
+        else:
+            room.go(SECOND // 100)
+
+
+def bounded(monkeypatch):
+    """A relay to ten proxies, and its channel of 1,000 lines at 500 a second."""
+    room = Room(monkeypatch, backlog=Backlog(cap=1000, pace=500), proxies=10)
+    return room, Channel(room, pace=500)
+
+
+@pytest.mark.parametrize("ordered", ["while the first waits", "once it stands"])
+def test_a_later_call_waits_for_one_that_lies_in_the_channel_twice(monkeypatch, ordered):
+    """The module counted the call once, and once its first copy is answered by marks not at all."""
+    room, channel = bounded(monkeypatch)
+    room.relay.order(lines(60, 1))
+    channel.carried_out()
+    room.answer("reset")
+    if ordered == "while the first waits":
+        room.relay.order(lines(15, 2))
+    play(room, channel)
+    if ordered == "once it stands":
+        room.relay.order(lines(80, 2))
+        play(room, channel)
+    assert channel.most <= 1000
+    assert room.stand == lines(60, 1) + lines(80 if ordered == "once it stands" else 15, 2)
+
+
+def test_what_had_to_wait_for_the_relay_does_not_go_in_a_burst(monkeypatch):
+    """The module counts lines out from when it ordered them, also while no call is taken."""
+    room, channel = bounded(monkeypatch)
+    for mark in range(1, 6):
+        room.relay.order(lines(40, mark))
+        for _ in range(20):
+            if room.relay.out:
+                room.answer(code="Throttling")
+            room.go(SECOND // 20)
+    play(room, channel)
+    assert channel.most <= 1000 and len(room.stand) == 5 * 40
--- a/tests/test_crossing_relay.py
+++ b/tests/test_crossing_relay.py
@@ -1,7 +1,6 @@
-"""Calls to the relay that cross each other, a bound, a move or a ban: the client below answers when told."""
+"""Calls to the relay that cross each other, a bound, a move or a ban, with relay_room.py's client."""
 
 import os
-from urllib.parse import parse_qs
 
 import pytest
 
@@ -11,8 +10,8 @@
 from indigohitch.net.http import Answer
 from indigohitch.net.loop import Loop
 from indigohitch.platformlink import relay as calls
-from indigohitch.platformlink.backlog import Backlog
 from indigohitch.platformlink.front import Front
+from relay_room import Room
 from seam import Shifted
 from stage import SETTINGS
 from waiting import free_address
@@ -20,56 +19,6 @@
 MARGIN = calls.Relay.MARGIN
 
 
-class Told:
-    """In the place of net.http.Client."""
-
-    def __init__(self, loop, to, *spans):
-        self.to, self.asked, self.retired = to, [], False
-
-    def request(self, method, target, span, done, body, kind):
-        self.asked.append((parse_qs(body.decode())["orders"][0], done))
-
-    def retire(self):
-        self.retired = True
-
-
-class Room:
-    def __init__(self, monkeypatch, most=0, over=0):
-        monkeypatch.setattr(calls, "Client", Told)
-        self.clock = Shifted()
-        self.loop = Loop(self.clock, self.fail)
-        self.log = Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY))
-        self.relay = calls.Relay(
-            self.loop, self.log, ("127.0.0.1", 1), ["search"], most, over, Backlog(0, 0), lambda: 0, 0
-        )
-        self.stand, self.void = [], []
-        self.relay.stands, self.relay.dropped = self.stand.extend, self.void.extend
-
-    def fail(self, broken):
-        raise broken
-
-    def order(self, *weights, table=1):
-        self.relay.order([face.SetLine(table, "b1", float(w)) for w in weights])
-
-    def out(self):
-        """The call that is out, and who hears of it."""
-        assert self.relay.out
-        return self.relay.client.asked[-1]
-
-    def answer(self, outcome="answered", taken=1, code=""):
-        body = (
-            f"<R><Error><Code>{code}</Code></Error></R>"
-            if code
-            else f"<R><results><item><ok_count>{taken}</ok_count></item></results></R>"
-        )
-        self.out()[1](Answer(outcome, 400 if code else 200, body.encode()))
-
-    def go(self, span=0):
-        self.clock.by += span
-        self.loop.after(0, lambda: None)
-        self.loop.turn()
-
-
 @pytest.fixture
 def room(monkeypatch):
     return Room(monkeypatch)
