A call that is too much for the channel alone goes in parts

Cause: more than nine calls that wait are merged into one (split past 60,000 bytes of orders only, some 2,400 orders), the front's own orders (levels reset, orders repeated for a slice given anew) are not counted by the module, and a call that waited may go to more proxies than it was ordered for.

Change: Relay cuts the next call to what may wait at once; each part waits until it fits. In merge the lines of a table come together at the place of the last, and a cut leaves them in one part, so that no table loses its old line a part earlier than it gets the new one. A call in doubt is cut the same way: every order sets a value, so its parts in turn come to the same.

--- a/indigohitch/platformlink/backlog.py
+++ b/indigohitch/platformlink/backlog.py
@@ -31,6 +31,10 @@
         """What went out last was surely not carried out."""
         self.lines = max(0.0, self.lines - lines)
 
+    def most_orders(self, proxies: int, head: int) -> int | None:
+        """Of a call with `head` more lines to each of so many; None: any number."""
+        return int(self.most / proxies) - head if self.most and proxies else None
+
     def fits_at(self, now: int, lines: int) -> int:
         """From when on so many lines more may wait; what is too many alone, once none does."""
         self._drain(now)
--- a/indigohitch/platformlink/calls.py
+++ b/indigohitch/platformlink/calls.py
@@ -43,12 +43,21 @@
 
 
 def merge(orders: Sequence[face.Order]) -> list[face.Order]:
-    """The same end with no order that a later one makes void."""
+    """The same end with no order that a later one makes void.  Lines of a table stand together, at the place
+    of the last: where they go in several calls, no table is without a line in between."""
     last: dict[tuple, face.Order] = {}
+    lines: dict[int, dict[tuple, None]] = {}  # keys of each table's lines
     for order in orders:
         if isinstance(order, face.ClearTable):
             for old in [k for k in last if k[0] in ("line", "level") and k[1] == order.table]:
                 del last[old]
+            lines.pop(order.table, None)
+        if isinstance(order, face.SetLine):
+            before = lines.setdefault(order.table, {})
+            before.pop(key(order), None)
+            for old in before:
+                last[old] = last.pop(old)
+            before[key(order)] = None
         last.pop(key(order), None)
         last[key(order)] = order
     return list(last.values())
@@ -67,6 +76,22 @@
     yield call
 
 
+def cut(orders: Sequence[face.Order], most: int) -> int:
+    """How many of the orders make a call of at most `most`, one at least; lines of a table stay together."""
+    at = most = max(1, most)
+    if most >= len(orders):
+        return len(orders)
+    while at and _same_table(orders[at - 1], orders[at]):
+        at -= 1
+    return at or most
+
+
+def _same_table(first: face.Order, second: face.Order) -> bool:
+    return (
+        isinstance(first, face.SetLine) and isinstance(second, face.SetLine) and first.table == second.table
+    )
+
+
 def read_answer(answer: Answer) -> int | str:
     """How many orders were taken, or the name of the error; ValueError: nothing that can be read."""
     if answer.outcome != "answered":
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -12,7 +12,7 @@
 from ..net.http import Answer, Client
 from ..net.loop import Deadline, Loop
 from .backlog import Backlog
-from .calls import encode, merge, pieces, read_answer
+from .calls import cut, encode, merge, pieces, read_answer
 
 
 class Relay:
@@ -104,6 +104,7 @@
             self.log.trouble("call_held_back", calls=len(self.waiting))
             self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
+        self._cut_to_the_channel()
         size = (len(self.waiting[0]) + self.head) * self.proxies()
         if (when := self.backlog.fits_at(now, size)) > now:
             # The module counts a call once, from when it ordered it: what went may lie in the channel twice,
@@ -133,6 +134,14 @@
             "POST", "/", self.SPAN, self._answered, body.encode("ascii"), "application/x-www-form-urlencoded"
         )
 
+    def _cut_to_the_channel(self) -> None:
+        """One with more lines than may wait, as by merging or by proxies that joined, goes in parts."""
+        orders, most = self.waiting[0], self.backlog.most_orders(self.proxies(), self.head)
+        if most is not None and (at := cut(orders, most)) < len(orders):
+            self.log.count("calls_cut_to_the_channel")
+            self.waiting.popleft()
+            self.waiting.extendleft([orders[at:], orders[:at]])
+
     def _answered(self, answer: Answer) -> None:
         orders, self.out = self.waiting[0], False
         try:
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -5,6 +5,7 @@
 from indigohitch import interface as face
 from indigohitch.net.clock import SECOND
 from indigohitch.platformlink.backlog import Backlog
+from indigohitch.platformlink.calls import cut, merge
 from relay_room import Channel, Room
 from stage import SETTINGS, drain, none_lost
 from waiting import eventually
@@ -137,3 +138,35 @@
     room.proxies = 11  # by the relay, when it takes the call
     play(room, channel)
     assert channel.most <= 1000
+
+
+def moved(number, mark):
+    """Of a table: the new line, the old one's removal, and a mark."""
+    return [face.SetLine(number, "new", 1.0), face.SetLine(number, "old", 0.0), face.Mark(mark, False)]
+
+
+@pytest.mark.parametrize("outcome", ["Throttling", "reset"])
+def test_more_than_may_wait_goes_in_parts_with_the_lines_of_a_table_together(monkeypatch, outcome):
+    """Merged while the relay was out of reach, and to more proxies than there were."""
+    room, channel = bounded(monkeypatch)
+    for number in range(200):
+        room.relay.order(moved(number, number))
+    assert room.relay.log.counts["calls_merged"]
+    room.proxies = 30
+    room.answer(*((outcome,) if outcome == "reset" else ("answered", 0, outcome)))
+    play(room, channel, 600 * SECOND)
+    assert channel.most <= 1000 and room.relay.log.counts["calls_cut_to_the_channel"]
+    for orders, _ in room.relay.client.asked:
+        assert len({o for o in orders.split(";") if "new" in o}) == len(
+            {o for o in orders.split(";") if "old" in o}
+        )
+    assert {order.table for order in room.stand if isinstance(order, face.SetLine)} == set(range(200))
+
+
+def test_merged_lines_of_a_table_stand_together_where_the_last_one_did():
+    early, late = face.SetLine(1, "old", 0.0), face.SetLine(1, "new", 1.0)
+    other, level = face.SetLine(2, "b1", 1.0), face.SetLevel(1, (), 1.0, 1)
+    assert merge([early, other, late, level]) == [other, early, late, level]
+    assert merge([early, other, face.ClearTable(1), late]) == [other, face.ClearTable(1), late]
+    assert [cut([other, early, late, level], most) for most in (-3, 1, 2, 3, 4)] == [1, 1, 1, 3, 4]
+    assert cut([early, late], 1) == 1
