--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+from indigohitch import interface as face
 from indigohitch.net.clock import SECOND
 from indigohitch.platformlink.backlog import Backlog
+from indigohitch.platformlink.calls import cut, merge
+from relay_room import Channel, Room
 from stage import SETTINGS, drain, none_lost
 from waiting import eventually
 
@@ -59,12 +62,111 @@
 def test_what_may_wait_in_the_channel_at_any_moment():
     backlog = Backlog(cap=1000, pace=500)
     backlog.sent(0, 700)
-    assert backlog.fits_at(0, 300) == 0
-    assert backlog.fits_at(0, 700) == 8001  # 400 too many, at 500 a second
-    assert backlog.fits_at(SECOND // 2, 700) == 8001
-    backlog.sent(8001, 700)
-    assert backlog.fits_at(8001, 700) > 8001 + SECOND
+    assert backlog.fits_at(0, 200) == 0
+    assert backlog.fits_at(0, 700) == 10001  # 500 more than nine tenths, at 500 a second
+    assert backlog.fits_at(SECOND // 2, 700) == 10001
+    backlog.sent(10001, 700)
+    assert backlog.fits_at(10001, 700) > 10001 + SECOND
     backlog.taken_back(700)
-    assert backlog.fits_at(8001, 700) == 8001
-    assert backlog.fits_at(8001, 5000) == 8001 + 6000  # more than the cap alone: once nothing waits
+    assert backlog.fits_at(10001, 700) == 10001
+    assert backlog.fits_at(10001, 5000) == 10001 + 4000  # more than the cap alone: once nothing waits
     assert Backlog(cap=0, pace=0).fits_at(5, 10**9) == 5
+
+
+def lines(count, mark):
+    """A call of so many orders, its mark among them."""
+    return [face.SetLine(number, "b1", 1.0) for number in range(count - 1)] + [face.Mark(mark, False)]
+
+
+def play(room, channel, until_idle_for=60 * SECOND):
+    """Answer each call as carried out, until none waits."""
+    end = room.clock.now() + until_idle_for
+    while not room.relay.idle:
+        assert room.clock.now() < end, "calls wait for ever"
+        if room.relay.out:
+            channel.carried_out()
+            room.answer(taken=len(room.relay.waiting[0]))
+        else:
+            room.go(SECOND // 100)
+
+
+def bounded(monkeypatch):
+    """A relay to ten proxies, and its channel of 1,000 lines at 500 a second."""
+    room = Room(monkeypatch, backlog=Backlog(cap=1000, pace=500), proxies=10)
+    return room, Channel(room, pace=500)
+
+
+@pytest.mark.parametrize("ordered", ["while the first waits", "once it stands"])
+def test_a_later_call_waits_for_one_that_lies_in_the_channel_twice(monkeypatch, ordered):
+    """The module counted the call once, and once its first copy is answered by marks not at all."""
+    room, channel = bounded(monkeypatch)
+    room.relay.order(lines(60, 1))
+    channel.carried_out()
+    room.answer("reset")
+    if ordered == "while the first waits":
+        room.relay.order(lines(15, 2))
+    play(room, channel)
+    if ordered == "once it stands":
+        room.relay.order(lines(80, 2))
+        play(room, channel)
+    assert channel.most <= 1000
+    assert room.stand == lines(60, 1) + lines(80 if ordered == "once it stands" else 15, 2)
+
+
+def test_what_had_to_wait_for_the_relay_does_not_go_in_a_burst(monkeypatch):
+    """The module counts lines out from when it ordered them, also while no call is taken."""
+    room, channel = bounded(monkeypatch)
+    for mark in range(1, 6):
+        room.relay.order(lines(40, mark))
+        for _ in range(20):
+            if room.relay.out:
+                room.answer(code="Throttling")
+            room.go(SECOND // 20)
+    play(room, channel)
+    assert channel.most <= 1000 and len(room.stand) == 5 * 40
+
+
+def test_a_repeat_leaves_room_for_a_proxy_that_joins_and_for_the_way(monkeypatch):
+    """The relay carries a call out up to 50 ms after it was sent, to all who have joined by then."""
+    room, channel = bounded(monkeypatch)
+    room.relay.order(lines(60, 1))
+    room.go(SECOND // 20)
+    channel.carried_out()
+    room.answer("reset")
+    while not room.relay.out:
+        room.go(SECOND // 100)
+    room.proxies = 11  # by the relay, when it takes the call
+    play(room, channel)
+    assert channel.most <= 1000
+
+
+def moved(number, mark):
+    """Of a table: the new line, the old one's removal, and a mark."""
+    return [face.SetLine(number, "new", 1.0), face.SetLine(number, "old", 0.0), face.Mark(mark, False)]
+
+
+@pytest.mark.parametrize("outcome", ["Throttling", "reset"])
+def test_more_than_may_wait_goes_in_parts_with_the_lines_of_a_table_together(monkeypatch, outcome):
+    """Merged while the relay was out of reach, and to more proxies than there were."""
+    room, channel = bounded(monkeypatch)
+    for number in range(200):
+        room.relay.order(moved(number, number))
+    assert room.relay.log.counts["calls_merged"]
+    room.proxies = 30
+    room.answer(*((outcome,) if outcome == "reset" else ("answered", 0, outcome)))
+    play(room, channel, 600 * SECOND)
+    assert channel.most <= 1000 and room.relay.log.counts["calls_cut_to_the_channel"]
+    for orders, _ in room.relay.client.asked:
+        assert len({o for o in orders.split(";") if "new" in o}) == len(
+            {o for o in orders.split(";") if "old" in o}
+        )
+    assert {order.table for order in room.stand if isinstance(order, face.SetLine)} == set(range(200))
+
+
+def test_merged_lines_of_a_table_stand_together_where_the_last_one_did():
+    early, late = face.SetLine(1, "old", 0.0), face.SetLine(1, "new", 1.0)
+    other, level = face.SetLine(2, "b1", 1.0), face.SetLevel(1, (), 1.0, 1)
+    assert merge([early, other, late, level]) == [other, early, late, level]
+    assert merge([early, other, face.ClearTable(1), late]) == [other, face.ClearTable(1), late]
+    assert [cut([other, early, late, level], most) for most in (-3, 1, 2, 3, 4)] == [1, 1, 1, 3, 4]
+    assert cut([early, late], 1) == 1
