--- a/indigohitch/fleet/distribution/connecting.py
+++ b/indigohitch/fleet/distribution/connecting.py
@@ -82,7 +82,7 @@
             return None
         if now >= max(patience.stale_at, lease_until):
             patience.left_stale()
-            return self.leave(now, "lags behind the ledger", again=self.limits.most_backoff)
+            return self.leave(now, "lags behind the ledger", again=self.limits.lease)
         if now >= patience.home_at:
             patience.left_for_home()
             return self.leave(now, "the first choice is tried again")
--- a/indigohitch/fleet/distribution/limits.py
+++ b/indigohitch/fleet/distribution/limits.py
@@ -37,7 +37,7 @@
     drift: float = 0.01
     first_delay: int = SECOND // 2  # a lost connection: the next is dialled within this, at random
     backoff: int = SECOND // 2  # after a failure, doubled with each in a row
-    most_backoff: int = 10 * SECOND
+    most_backoff: int = 2 * SECOND  # what is reachable again is in force within 6 s
     answer: int = 5 * SECOND  # a distributor that hasn't answered a subscription by then is left
     home: int = 60 * SECOND  # away from the first choice: between one and two of this until it is tried again
     guard_versions: bool = True
