A lease counts for an added service only as far as its own distributor vouches

Cause: any answer over the new connection kept the old lease whole. Now what has been added counts until what this connection alone has granted.

--- a/indigohitch/fleet/distribution/subscriber.py
+++ b/indigohitch/fleet/distribution/subscriber.py
@@ -60,7 +60,7 @@
         self.connecting = Connecting(name, distributors, limits, chance, now)
         self.holder = Holder(limits.lease, limits.drift)
         self.holder.begin(INCARNATION)
-        self.renewed_here = False  # the lease was renewed over this connection
+        self.lease_here = 0  # until when answers over this connection alone let the content count as current
         self.alone = False  # no distributor answers; logged once
         self.now, self.out = now, []
         self.steps = {
@@ -147,7 +147,7 @@
 
     def connected(self, input: Connected) -> None:
         if self.connecting.connected(self.now, input.distributor):
-            self.renewed_here = False
+            self.lease_here = 0
             self.subscribe()
             self.renew_at_once()
 
@@ -198,8 +198,11 @@
         except (OlderVersion, UnknownBase, DigestMismatch, Unreadable) as refused:
             self.reject(update, refused)
             return
-        if back or (added and not self.renewed_here):
-            self.holder.drop()  # what it was given for is not what is held now
+        if back:
+            self.holder.drop()  # it was given for what never was
+        elif added:
+            # Another distributor that was ahead of this one knew nothing of what has been added.
+            self.holder.until = min(self.holder.until, self.lease_here)
         self.out.append(Say(Acknowledge(update.number, update.version, update.digest)))
         self.out.append(Applied(update.version, changed))
         if answers:
@@ -241,7 +244,7 @@
     def current(self, word: Current) -> None:
         if word.age is None:
             return
-        self.renewed_here = True
-        self.holder.heard(Renewed(word.number, INCARNATION), word.age)
+        until = self.holder.heard(Renewed(word.number, INCARNATION), word.age)
+        self.lease_here = max(self.lease_here, until)
         if self.now < self.holder.until:
             self.connecting.patience.current(self.now)
--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -68,12 +68,16 @@
         self.due = now + self.span // ASKINGS
         return self.number
 
-    def heard(self, word: Renewed, age: int = 0) -> None:
+    def heard(self, word: Renewed, age: int = 0) -> int:
         """Counted from before the asking that it answers; one that comes twice or late gives nothing more.
-        `age`: what the answer goes by was true so long before it was sent."""
+        `age`: what the answer goes by was true so long before it was sent.  Returns until when this answer
+        alone lets the holder act; 0: not at all."""
         sent = self.sent.get(word.number)
-        if word.incarnation == self.incarnation and sent is not None:
-            self.until = max(self.until, sent - age + self.length)
+        if word.incarnation != self.incarnation or sent is None:
+            return 0
+        until = sent - age + self.length
+        self.until = max(self.until, until)
+        return until
 
     def lease(self, now: int) -> Lease | None:
         return Lease(self.incarnation, self.until) if now < self.until else None
--- a/tests/test_distribution_subscribers.py
+++ b/tests/test_distribution_subscribers.py
@@ -128,3 +128,23 @@
     settled(world, 15)
     world.run(5)
     assert all(world.now < each.acting_until(world.now) for each in world.subscribers.values())
+
+
+def test_a_lagging_distributor_adds_a_service_that_counts_as_no_newer_than_itself():
+    """Found by the random faults: the lease of one that was ahead was taken for the added service too."""
+    world = settled(World(15, servers=2, subscribers=1, reach=2))
+    subscriber, added = world.subscribers["s0000"], world.services[-1]
+    ahead, behind = subscriber.connecting.choice.order
+    world.scopes["s0000"] -= {added}
+    world.rescope("s0000", world.scopes["s0000"])
+    world.run(1)
+    world.servers[behind].held_up = True
+    world.set(added, {"new": b"up"})
+    world.run(9)
+    world.kill(ahead)
+    world.run(0.7)
+    assert world.now < subscriber.acting_until(world.now)
+    world.rescope("s0000", world.scopes["s0000"] | {added})
+    world.run(1)
+    assert added in subscriber.held.services
+    world.run(9)  # the world's check of leases fails here without the mend
