The replicated state and the ports of its parts import each other no more

Cause: fleet/ports named the class in fleet/book for the type of one attribute, and fleet/book the ports. Change: ports states as a protocol what a part sees of the state machine that it belongs to.

--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -4,14 +4,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from ..packed.rows import Row
 from .terms import Entry, Lease, Outcome, Stamp
 
-if TYPE_CHECKING:
-    from .book import Book
-
 
 class At(Row, frozen=True):
     """Where in the ledger an entry stands, for who applies it."""
@@ -23,12 +20,27 @@
     incarnation: int
 
 
+class StateMachine(Protocol):
+    """What a part sees of the state machine that it belongs to."""
+
+    parts: Mapping[str, BookPart]  # by name
+    index: int  # of the last entry applied
+    term: int
+
+    @property
+    def time(self) -> int:
+        """Fleet time at the last entry; 0 before any was agreed on."""
+
+    def digest(self) -> bytes:
+        """16 bytes; equal at members that stand at the same entry."""
+
+
 class BookPart(Protocol):
     """A part of the replicated state.  It must come to the same from the same entries at every member: no
     clock, no chance, no order of a set.  Other parts are at hand by name in `book.parts`."""
 
     name: str  # its kinds are `name.word`
-    book: Book  # set by the book: `self.book.parts["members"]` is another part
+    book: StateMachine  # set by the book: `self.book.parts["members"]` is another part
     kinds: Mapping[str, type[Row]]  # by word: the row that an entry's body holds
 
     def apply(self, at: At, word: str, body: Row) -> object:
