--- a/benchmarks/batches_model.py
+++ b/benchmarks/batches_model.py
@@ -1,4 +1,4 @@
-"""A model of 50 members and 2,000 nodes over two days, for benchmarks/batches.py: the book's real part and
+"""A model of 50 members and 2,000 nodes over two days, for benchmarks/batches.py: the state's real part and
 the real rounds of planning; time goes in slots of a quarter of an hour.
 
 Ten sites in two time zones, each with its own load of interactive RPCs by the hour (what they leave are
--- a/benchmarks/seats.py
+++ b/benchmarks/seats.py
@@ -20,12 +20,12 @@
 
 from indigohitch.fleet.audit.acts import ChainedActs  # noqa: E402
 from indigohitch.fleet.audit.files import Store  # noqa: E402
-from indigohitch.fleet.book import Book  # noqa: E402
 from indigohitch.fleet.members.roster import Roster  # noqa: E402
 from indigohitch.fleet.ports import At  # noqa: E402
 from indigohitch.fleet.seats.contract import Contract, Grant, Terms  # noqa: E402
 from indigohitch.fleet.seats.desk import Desk  # noqa: E402
 from indigohitch.fleet.seats.part import Seats  # noqa: E402
+from indigohitch.fleet.state_machine import ReplicatedStateMachine  # noqa: E402
 from indigohitch.fleet.terms import Lease, Stamp  # noqa: E402
 
 TIMES, SPAN = 5, 0.4  # runs of each cell; seconds of each
@@ -44,8 +44,8 @@
 def desk(acts=None, folder="") -> Desk:
     """With 64 seats, of which half are out."""
     part = Seats()
-    book = Book([Roster(), part])
-    acts = acts or ChainedActs("a", lambda now: Lease(1, FAR), book, Store(folder), print)
+    state_machine = ReplicatedStateMachine([Roster(), part])
+    acts = acts or ChainedActs("a", lambda now: Lease(1, FAR), state_machine, Store(folder), print)
     part.apply(At(1, 1, 0, "a", 1), "contract", Contract(1, (Terms("geo", 64),)))
     part.apply(At(2, 1, 0, "a", 1), "grant", Grant("geo", "", "a", 1, 64))
     found = Desk("a", part, acts, lambda now: 0, BOOT)
--- a/benchmarks/seats_model.py
+++ b/benchmarks/seats_model.py
@@ -1,4 +1,4 @@
-"""A model of seats at scale: 50 members with the real desks, the real book and the real moves, 2,000 nodes
+"""A model of seats at scale: 50 members with the real desks, the real state and the real moves, 2,000 nodes
 with the real meters, in simulated time.  The log is a delay here, and all leases hold."""
 
 import random
@@ -10,12 +10,12 @@
 
 import msgspec  # noqa: E402
 
-from indigohitch.fleet.book import Book  # noqa: E402
 from indigohitch.fleet.seats.contract import Contract, Grant, Pass, Terms  # noqa: E402
 from indigohitch.fleet.seats.desk import Ticket  # noqa: E402
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict  # noqa: E402
 from indigohitch.fleet.seats.part import Seats  # noqa: E402
 from indigohitch.fleet.seats.work import SeatsWork  # noqa: E402
+from indigohitch.fleet.state_machine import ReplicatedStateMachine  # noqa: E402
 from indigohitch.fleet.terms import Entry, Lease, Stamp  # noqa: E402
 
 SECOND = 10_000
@@ -31,9 +31,9 @@
         self.rng, self.t, self.heap, self.order, self.moves = random.Random(seed), 0, [], 0, moves
         self.log = 0
         terms = (Terms("geo", SEATS),)
-        # One book stands for all of them: every member hears an entry at the same time here.
+        # One state machine stands for all of them: every member hears an entry at the same time here.
         self.part = Seats()
-        self.book = Book([self.part])
+        self.state_machine = ReplicatedStateMachine([self.part])
         self.works = [
             SeatsWork(f"m{n}", self.part, self, lambda now: 0, lambda: Contract(1, terms), True, BOOT)
             for n in range(members)
@@ -63,7 +63,7 @@
         self.log += 1
         self.entries += 1
         entry = Entry(self.log, 1, one.kind, msgspec.msgpack.encode(one.body), f"m{member}", 1, self.log)
-        outcome = self.book.apply(entry)
+        outcome = self.state_machine.apply(entry)
         self.works[member].answered(self.t, one.tag, outcome)
         about = one.body.member if hasattr(one.body, "member") else f"m{member}"
         for n in range(len(self.works)) if one.kind == "seats.contract" else [int(about[1:])]:
--- a/indigohitch/fleet/audit/acts.py
+++ b/indigohitch/fleet/audit/acts.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ...errors import NotNow
-from ..book import Book
+from ..state_machine import ReplicatedStateMachine
 from ..terms import Lease, Stamp
 from .chain import Chain
 from .files import Store
@@ -23,7 +23,7 @@
         self,
         me: str,
         lease: Callable[[int], Lease | None],
-        book: Book,
+        state_machine: ReplicatedStateMachine,
         store: Store,
         trouble: Callable[[NotNow], None],
         firm: frozenset[str] = FIRM,
@@ -31,7 +31,7 @@
     ) -> None:
         """`lease(now)`: work.Membership.lease; `when(now)`: fleet time as this member reckons it; `trouble`
         is told what an operator should know."""
-        self.me, self.lease, self.book, self.store = me, lease, book, store
+        self.me, self.lease, self.state_machine, self.store = me, lease, state_machine, store
         self.trouble, self.firm, self.when = trouble, firm, when
         self.chain: Chain | None = None
         self.safe: tuple[int, int, bytes] | None = None  # the head of what is on the disk
@@ -56,7 +56,7 @@
         if self.chain is None or self.chain.incarnation != lease.incarnation:
             self.chain = Chain(self.me, lease.incarnation)
         record = self.chain.next(
-            self.book.term, self.book.index, kind, about, self.when(now), lease.left(now)
+            self.state_machine.term, self.state_machine.index, kind, about, self.when(now), lease.left(now)
         )
         try:
             self.store.append(record, kind in self.firm)
@@ -72,7 +72,7 @@
             return None
         self.chain.take(record)
         self.counts[kind] += 1
-        span = self.spans.setdefault(self.book.parts["members"].version, [0, record.at, 0])
+        span = self.spans.setdefault(self.state_machine.parts["members"].version, [0, record.at, 0])
         span[0], span[2] = span[0] + 1, record.at
         if len(self.spans) > SPANS:
             del self.spans[min(self.spans)]
--- a/indigohitch/fleet/audit/folders.py
+++ b/indigohitch/fleet/audit/folders.py
@@ -41,7 +41,7 @@
 
 
 def audited(folders: Mapping[str, str | os.PathLike], facts: Facts) -> Audited:
-    """`facts`: of the ledger (the part `audit` of any member's book), taken before this is called: what is
+    """`facts`: of the ledger (the part `audit` of any member's state), taken before this is called: what is
     done meanwhile is not held against anyone.  Raises OSError."""
     records, unread = gathered(folders)
     return Audited(
--- a/indigohitch/fleet/audit/heads.py
+++ b/indigohitch/fleet/audit/heads.py
@@ -1,5 +1,5 @@
 """The heads of all chains in the ledger, and what the check of the records needs of the roster's history.  A
-part of the book: what lies in a member's folder can't be written anew unseen."""
+part of the state machine: what lies in a member's folder can't be written anew unseen."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 from ...errors import Unfit, Unreadable
 from ...packed.rows import Row
-from ..book import Book
 from ..ports import At
+from ..state_machine import ReplicatedStateMachine
 
 # Incarnations of a name whose last head is kept, and changes in force: those whose records can still lie in a
 # folder with few acts in each.  What is older is not judged any more.
@@ -64,7 +64,7 @@
 class Heads:
     name = "audit"
     kinds: Mapping[str, type[Row]] = {"head": Head}
-    book: Book
+    state_machine: ReplicatedStateMachine
 
     def __init__(self) -> None:
         self.facts = Facts({}, [], [])
--- a/indigohitch/fleet/audit/work.py
+++ b/indigohitch/fleet/audit/work.py
@@ -128,9 +128,9 @@
 
     def differs(self, point: int, own: bytes, others: bytes) -> None:
         """This member's state is another than the others' (members.Phase.DIFFERS): the evidence is kept."""
-        book = self.acts.book
+        state_machine = self.acts.state_machine
         try:
-            self.acts.store.keep(f"{point}-{book.index}.book", book.snapshot())
+            self.acts.store.keep(f"{point}-{state_machine.index}.book", state_machine.snapshot())
         except OSError as bad:
             self.trouble(
                 Trouble(f"the evidence can't be written: {bad.strerror}", str(self.acts.store.folder))
--- a/indigohitch/fleet/batches/asking.py
+++ b/indigohitch/fleet/batches/asking.py
@@ -1,4 +1,4 @@
-"""What people say of batches, in the book's terms: the contract of a file, a batch over the control socket.
+"""What people say of batches, in the state's terms: the contract of a file, a batch over the control socket.
 No I/O."""
 
 from __future__ import annotations
--- a/indigohitch/fleet/batches/inside.py
+++ b/indigohitch/fleet/batches/inside.py
@@ -68,7 +68,7 @@
     loop: Loop, log: Log, text: FleetText, part: Batches, acts: Acts, fleet_time: Callable[[int], int]
 ) -> BatchesWork:
     """Of this member.  A file without a word on batches makes a member that runs none, and leads by what the
-    book has."""
+    state machine has."""
 
     def written() -> BatchesText:
         """As the file has it now: a SIGHUP reads it anew."""
@@ -99,7 +99,7 @@
 
     def seats() -> dict[str, int]:
         """Those that nobody has kept: a sidecar asks for one for each step (docs/seats.md)."""
-        known = part.book.parts.get("seats")
+        known = part.state_machine.parts.get("seats")
         time = fleet_time(loop.clock.now())
         return (
             {
--- a/indigohitch/fleet/batches/part.py
+++ b/indigohitch/fleet/batches/part.py
@@ -1,4 +1,4 @@
-"""The part `batches` of the book: contract, prices, batches, the plan, who holds which piece.  Deterministic.
+"""The part `batches`: contract, prices, batches, the plan, who holds which piece.  Deterministic.
 
 `pieces` has what becomes of each piece; here stands what all of them go by."""
 
@@ -73,7 +73,7 @@
     }
 
     def __init__(self) -> None:
-        self.book = None
+        self.state_machine = None
         self.set(BatchesRow(None, None, b"", {}, {}, {}, 0))
 
     def set(self, row: BatchesRow) -> None:
@@ -134,14 +134,14 @@
                 remedy="a changed contract has a higher edition",
             )
         self.contract = body
-        changed(self.book, at, "electricity")
+        changed(self.state_machine, at, "electricity")
         return body.edition
 
     def on_prices(self, at: At, body: Prices) -> int:
         prices.check(body, self.prices, self.list_digest, at.time)
         self.prices = prices.merged(body, self.prices, at.time - KEPT)
         self.list_digest = prices.fingerprint(body)
-        changed(self.book, at, "prices")
+        changed(self.state_machine, at, "prices")
         return body.edition
 
     def on_load(self, at: At, body: Load) -> int:
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -1,4 +1,4 @@
-"""The plan in rounds: the book's pieces, planned anew in small steps, and the changes that come of it.
+"""The plan in rounds: the state's pieces, planned anew in small steps, and the changes that come of it.
 
 A round is a generator, so that the leader's process does little of it a beat.  No I/O."""
 
@@ -205,7 +205,7 @@
         for id, before in self.before.items():
             spot, piece = plan.spots.get(id), self.part.pieces.all.get(id)
             if spot is not None and spot == self.spots[id] or piece is None or piece.placing is not before:
-                continue  # as it was, or the book has gone on meanwhile
+                continue  # as it was, or the state machine has gone on meanwhile
             if spot is None:
                 if before is not None and piece.state is State.WAITING and before.runs[-1][1] <= self.time:
                     changes[id] = None
--- a/indigohitch/fleet/batches/rows.py
+++ b/indigohitch/fleet/batches/rows.py
@@ -1,4 +1,4 @@
-"""What the book holds of batches, and the bodies of their entries.  Shapes only.
+"""What the state machine holds of batches, and the bodies of their entries.  Shapes only.
 
 Times are fleet time, Unix time in tenths of a ms; spans in tenths of a ms.  Prices are whole thousandths of a
 cent for a kWh, power is in watts.  A piece's id is its batch's and its place in it: `dunning-7.12`."""
@@ -109,7 +109,7 @@
 
 
 class Piece(Row):
-    """In the book.  `step`: as many of its steps are surely done; `attempt`: how often it was started."""
+    """In the state.  `step`: as many of its steps are surely done; `attempt`: how often it was started."""
 
     batch: str
     rpc: str
--- a/indigohitch/fleet/batches/runner.py
+++ b/indigohitch/fleet/batches/runner.py
@@ -1,7 +1,8 @@
 """One member's own part: the pieces that it holds, their RPCs at their pace, pauses, checkpoints.  No I/O.
 
-What it holds stands in the book; nothing leaves before the book has the start under this member's stamp.  It
-asks nobody before it pauses, and stops by itself without a lease, at the end of a run, at a latest time."""
+What it holds stands in the state; nothing leaves before the state machine has the start under this member's
+stamp. It asks nobody before it pauses, and stops by itself without a lease, at the end of a run, at a latest
+time."""
 
 from __future__ import annotations
 
--- a/indigohitch/fleet/batches/work.py
+++ b/indigohitch/fleet/batches/work.py
@@ -70,7 +70,7 @@
     # ---- told by the process -----------------------------------------------------------------------
 
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
-        return []  # what is wanted stands in the book: `turn` looks there
+        return []  # what is wanted stands in the state machine: `turn` looks there
 
     def restored(self, now: int) -> list[Wanted]:
         self._round = None
@@ -133,7 +133,7 @@
     # ---- at the leader -----------------------------------------------------------------------------
 
     def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
-        time = self.part.book.time and self.fleet_time(now)
+        time = self.part.state_machine.time and self.fleet_time(now)
         if not time:
             return []
         heard = {}
--- a/indigohitch/fleet/disk/folder.py
+++ b/indigohitch/fleet/disk/folder.py
@@ -55,7 +55,7 @@
         if not self.identity.number:
             self.clear(found)
             return None
-        if not found.segments or not found.books:
+        if not found.segments or not found.snapshots:
             raise Harmed("an identity, and not all that belongs to it", self.path)
         return found
 
@@ -63,7 +63,7 @@
         """After a founding that a crash cut short: nothing was promised yet."""
         if found.held.snap.index or found.held.entries or found.held.ballot.term:
             raise Harmed("a log and no identity beside it", self.path)
-        for path in [segment.path for segment in found.segments] + found.books:
+        for path in [segment.path for segment in found.segments] + found.snapshots:
             self.files.remove(path)
 
     def keep(self, **changes) -> None:
--- a/indigohitch/fleet/disk/recovery.py
+++ b/indigohitch/fleet/disk/recovery.py
@@ -6,19 +6,19 @@
 
 from ..ledger.ports import Ballot, Held, Members, Snap
 from ..terms import Entry
-from . import books
+from . import snapshots
 from .files import Files
 from .records import Begin, Group, Harmed, One, scan
 
-SEGMENT, BOOK, PART = "log-", "book-", ".part"
+SEGMENT, SNAPSHOT, PART = "log-", "book-", ".part"
 
 
 def segment_name(number: int) -> str:
     return f"{SEGMENT}{number:012}"
 
 
-def book_name(index: int) -> str:
-    return f"{BOOK}{index:012}"
+def snapshot_name(index: int) -> str:
+    return f"{SNAPSHOT}{index:012}"
 
 
 @dataclass(slots=True)
@@ -33,7 +33,7 @@
 class Found:
     held: Held
     segments: list[Segment] = field(default_factory=list)
-    books: list[str] = field(default_factory=list)  # paths; the last one is in force
+    snapshots: list[str] = field(default_factory=list)  # paths; the last one is in force
     cut: tuple[str, int] | None = None  # a torn tail: file, and how much of it was good
     void: list[str] = field(default_factory=list)  # segments that a later one has replaced
     follows: bool = True  # the log agrees with the snapshot, and goes on there
@@ -76,9 +76,11 @@
     """Reads only.  Raises OSError, Harmed."""
     names = files.names(folder)
     found = Found(Held(Ballot(0), Snap(0, 0, Members(()), b"")))
-    found.books = [f"{folder}/{name}" for name in names if name.startswith(BOOK) and not name.endswith(PART)]
-    if found.books:
-        found.held.snap = books.decode(files.read(found.books[-1]), found.books[-1])
+    found.snapshots = [
+        f"{folder}/{name}" for name in names if name.startswith(SNAPSHOT) and not name.endswith(PART)
+    ]
+    if found.snapshots:
+        found.held.snap = snapshots.decode(files.read(found.snapshots[-1]), found.snapshots[-1])
     paths = [
         (int(name[len(SEGMENT) :]), f"{folder}/{name}")
         for name in names
@@ -108,7 +110,7 @@
     """Segments that follow one another.  Raises Harmed where they do not go back to the snapshot."""
     snap, log = found.held.snap, None
     if not read and snap.index:
-        raise Harmed("the log is missing beside its snapshot", found.books[-1])
+        raise Harmed("the log is missing beside its snapshot", found.snapshots[-1])
     for number, path, rows, good in read:
         begin = rows[0][1]
         if log is None:
--- a/indigohitch/fleet/disk/segments.py
+++ b/indigohitch/fleet/disk/segments.py
@@ -11,10 +11,10 @@
 
 from ..ledger.ports import Ballot, Snap
 from ..terms import Entry, Who
-from . import books
+from . import snapshots
 from .files import Files
 from .records import RECORDS, Begin, Group, One
-from .recovery import Segment, book_name, segment_name
+from .recovery import Segment, segment_name, snapshot_name
 
 # Of a segment: large enough that making one (two fsyncs more) is rare, small enough that little lies beside a
 # snapshot that covers it.
@@ -61,7 +61,7 @@
     ) -> None:
         """`stood`: segments found at the start, in order; `read`: paths of snapshots found."""
         self.files, self.folder, self.fleet, self.who, self.size = files, folder, fleet, who, size
-        self.stood, self.books = stood, read
+        self.stood, self.snapshots = stood, read
         self.fd = -1
         self.ballot, self.last = Ballot(0), 0  # as the records so far tell them
 
@@ -116,15 +116,15 @@
         self.put(snap)
         if self.stood[-1].size > self.size // 4:
             self.begin(b"")  # so that the next snapshot covers what stands now
-        self.drop_books(snap)
+        self.drop_snapshots(snap)
         while len(self.stood) > 1 and self.stood[0].highest <= snap.index:
             self.drop(self.stood.pop(0))
 
     def put(self, snap: Snap) -> None:
-        path = f"{self.folder}/{book_name(snap.index)}"
-        self.files.whole(path, books.encode(snap))
-        if path not in self.books:
-            self.books.append(path)
+        path = f"{self.folder}/{snapshot_name(snap.index)}"
+        self.files.whole(path, snapshots.encode(snap))
+        if path not in self.snapshots:
+            self.snapshots.append(path)
 
     def anew(self, snap: Snap, ballot: Ballot, entries: tuple[Entry, ...]) -> None:
         """All of it into files of their own, trusting none that stands; then those go.  Raises OSError."""
@@ -136,7 +136,7 @@
         self.stood = self.stood[-1:]
         for segment in old:
             self.drop(segment)
-        self.drop_books(snap)
+        self.drop_snapshots(snap)
 
     def drop(self, segment: Segment) -> None:
         """One that stays, because it can't be removed, is passed over at the next start."""
@@ -145,11 +145,11 @@
         except OSError:
             pass
 
-    def drop_books(self, kept: Snap) -> None:
-        for path in [path for path in self.books if path != f"{self.folder}/{book_name(kept.index)}"]:
+    def drop_snapshots(self, kept: Snap) -> None:
+        for path in [path for path in self.snapshots if path != f"{self.folder}/{snapshot_name(kept.index)}"]:
             try:
                 self.files.remove(path)
-                self.books.remove(path)
+                self.snapshots.remove(path)
             except OSError:
                 pass
 
--- a/indigohitch/fleet/disk/books.py
+++ b/indigohitch/fleet/disk/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots of the book as bytes.  Form: magic, form, length, digest, msgpack of `ports.Snap`.  No I/O."""
+"""Snapshots of the state as bytes.  Form: magic, form, length, digest, msgpack of `ports.Snap`.  No I/O."""
 
 from __future__ import annotations
 
--- a/indigohitch/fleet/disk/store.py
+++ b/indigohitch/fleet/disk/store.py
@@ -93,7 +93,7 @@
         self.begin(found, self.identity.number)
 
     def found(self, number: int, founders: tuple[str, ...], members: Members) -> Held:
-        """The disk is this member's from here on, with an empty book.  Raises OSError."""
+        """The disk is this member's from here on, with an empty state machine.  Raises OSError."""
         held = Held(Ballot(0), Snap(0, 0, members, b""))
         self.begin(Found(held), number)
         self.segments.put(held.snap)
@@ -111,7 +111,7 @@
             identity.fleet,
             Who(identity.name, number),
             found.segments,
-            found.books,
+            found.snapshots,
         )
         if found.follows:
             self.segments.open(held.ballot, self.kept.last)
--- a/indigohitch/fleet/hours.py
+++ b/indigohitch/fleet/hours.py
@@ -36,14 +36,14 @@
 
 
 class Hours:
-    """The part `hours` of the book."""
+    """The part `hours` of the state machine."""
 
     name = "hours"
     kinds = {"tick": Tick}
 
     def __init__(self) -> None:
         self.time = 0
-        self.book = None
+        self.state_machine = None
 
     def apply(self, at: At, word: str, body: Tick) -> int:
         """Raises Unfit for a tick that is not later than the last."""
--- a/indigohitch/fleet/ledger/following.py
+++ b/indigohitch/fleet/ledger/following.py
@@ -156,10 +156,10 @@
         if word.offset == len(self.pieces):
             self.pieces += word.data
         if len(self.pieces) >= word.total:
-            book = bytes(self.pieces)
+            state_bytes = bytes(self.pieces)
             self.drop()
-            if digest(book) == word.digest:
-                state.install(Snap(word.index, word.snap_term, word.members, book))
+            if digest(state_bytes) == word.digest:
+                state.install(Snap(word.index, word.snap_term, word.members, state_bytes))
                 self.agreed = max(self.agreed, word.index)
                 return  # answered once it is written
             state.note("snapshot_spoilt", index=word.index, sender=sender.name)
--- a/indigohitch/fleet/ledger/log.py
+++ b/indigohitch/fleet/ledger/log.py
@@ -1,6 +1,6 @@
 """The log as a member holds it in memory: entries from a snapshot on, and a stretch before it.  No I/O.
 
-What stays before the snapshot saves a member that lags a little from being sent the whole book."""
+What stays before the snapshot saves a member that lags a little from being sent the whole state machine."""
 
 from __future__ import annotations
 
--- a/indigohitch/fleet/ledger/machine.py
+++ b/indigohitch/fleet/ledger/machine.py
@@ -95,7 +95,7 @@
 
     @property
     def settled(self) -> bool:
-        """Leads, and an entry of its own is committed and put out: its book holds all that was committed
+        """Leads, and an entry of its own is committed and put out: its state holds all that was committed
         before its election.  Until then it may stand far back (all have just started), and nothing is to be
         decided by it."""
         return self.leading is not None and self.state.commit >= self.leading.reads.first
--- a/indigohitch/fleet/ledger/peers.py
+++ b/indigohitch/fleet/ledger/peers.py
@@ -152,12 +152,12 @@
         self.next = self.match + 1
         if self.snap is not self.state.log.snap:
             self.snap = self.state.log.snap
-            self.digest = digest(self.snap.book)
+            self.digest = digest(self.snap.state)
         self.piece()
 
     def piece(self) -> None:
         state, snap = self.state, self.snap
-        data = snap.book[self.offset : self.offset + (0 if self.silent else state.bootstrap["piece"])]
+        data = snap.state[self.offset : self.offset + (0 if self.silent else state.bootstrap["piece"])]
         self.piece_at = state.now
         state.send(
             self.who,
@@ -166,7 +166,7 @@
                 snap.index,
                 snap.term,
                 snap.members,
-                len(snap.book),
+                len(snap.state),
                 self.digest,
                 self.offset,
                 data,
@@ -180,5 +180,5 @@
             return
         if word.offset > self.offset or self.again:
             self.offset, self.again = word.offset, False
-            if self.offset < len(self.snap.book):
+            if self.offset < len(self.snap.state):
                 self.piece()
--- a/indigohitch/fleet/ledger/ports.py
+++ b/indigohitch/fleet/ledger/ports.py
@@ -31,12 +31,12 @@
 
 
 class Snap(Row, frozen=True):
-    """The book as it stood after entry `index`; the log before may be forgotten."""
+    """The state machine as it stood after entry `index`; the log before may be forgotten."""
 
     index: int
     term: int
     members: Members
-    book: bytes
+    state: bytes
 
 
 @dataclass(slots=True)
@@ -144,21 +144,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Commit:
-    """Apply these to the book, in order."""
+    """Apply these to the state machine, in order."""
 
     entries: tuple[Entry, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class Install:
-    """Set the book to this, write it to the disk in place of the log, then `Snapped`."""
+    """Set the state machine to this, write it to the disk in place of the log, then `Snapped`."""
 
     snap: Snap
 
 
 @dataclass(slots=True, frozen=True)
 class TakeSnapshot:
-    """The log has grown: encode the book as it stands (at `index`), write it, then `Snapped`.  `term` and
+    """The log has grown: encode the state as it stands (at `index`), write it, then `Snapped`.  `term` and
     `members` as they are to stand in it."""
 
     index: int
@@ -178,7 +178,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Readable:
-    """That read is confirmed: the book at `index` or later answers it.  `ok` False: not here, ask
+    """That read is confirmed: the state machine at `index` or later answers it.  `ok` False: not here, ask
     `leader`."""
 
     number: int
--- a/indigohitch/fleet/ledger/state.py
+++ b/indigohitch/fleet/ledger/state.py
@@ -111,7 +111,7 @@
     # ---- snapshots ---------------------------------------------------------------------------------
 
     def compact(self) -> None:
-        """Memory and disk are bounded: the book takes the place of a log that has grown."""
+        """Memory and disk are bounded: the state machine takes the place of a log that has grown."""
         if (
             self.log.grown > self.bootstrap["log_most"]
             and self.commit > self.log.snap.index
--- a/indigohitch/fleet/members/entries.py
+++ b/indigohitch/fleet/members/entries.py
@@ -1,4 +1,4 @@
-"""The entries of the part `members`, and what the book keeps of a member and a change.  Shapes only."""
+"""The entries of the part `members`, and what the state keeps of a member and a change.  Shapes only."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Compare(Row):
-    """A point at which every member takes the digest of its book."""
+    """A point at which every member takes the digest of its state machine."""
 
 
 class Agreed(Row):
@@ -57,7 +57,7 @@
 
 
 class Announce(Row):
-    """Something that members go by has changed, and no part of the book holds it (their files' classes and
+    """Something that members go by has changed, and no part of the state holds it (their files' classes and
     servers): this entry is its version.  `hard` and `allowed` as in `Change`."""
 
     what: str
--- a/indigohitch/fleet/members/judge.py
+++ b/indigohitch/fleet/members/judge.py
@@ -24,7 +24,7 @@
 BRINGING = 5
 # Leases for which a member that asks may take nothing while there are entries: it hears none.
 DEAF = 2
-# Leases from one point of comparing to the next, while entries come: a digest of a large book takes some ms.
+# Leases from one point of comparing to the next, while entries come: a digest of a large state takes some ms.
 COMPARING = 5
 
 
@@ -102,7 +102,7 @@
             if not self.took(member, seen, change.index):
                 since = self.known_since.setdefault(change.index, now)
                 yield since + (self.span // 2 if change.hard else change.allowed)
-        if self.roster.book.index - max(seen.applied, member.since) > LAG:
+        if self.roster.state_machine.index - max(seen.applied, member.since) > LAG:
             seen.lags = seen.lags or now
             yield seen.lags + self.span // 2
         else:
@@ -111,7 +111,7 @@
     def deaf(self, now: int, member: Member) -> bool:
         """It asks and hears nothing: it has no lease, and would keep for good what it holds."""
         seen = self.of(now, member.name, member.incarnation)
-        if self.roster.book.index <= max(seen.applied, member.since):
+        if self.roster.state_machine.index <= max(seen.applied, member.since):
             seen.lacks = 0
             return False
         seen.lacks = seen.lacks or now
@@ -219,7 +219,7 @@
             and (member.joined > roster.compared or (missed and one.digest_at < roster.compared))
             for member, one in zip(members, told)
         )
-        busy = roster.book.index > agreed.index + 2 and now >= self.pointed + COMPARING * self.span
+        busy = roster.state_machine.index > agreed.index + 2 and now >= self.pointed + COMPARING * self.span
         return wanted + [Compare()] if new or busy else wanted
 
     @staticmethod
--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -79,8 +79,8 @@
 
 
 class ReadFirst(Row, frozen=True):
-    """Put `Read(number)` into the ledger's machine, and call `confirmed` once it is answered and the book has
-    been applied up to the index that the answer names."""
+    """Put `Read(number)` into the ledger's machine, and call `confirmed` once it is answered and the state
+    machine has been applied up to the index that the answer names."""
 
     number: int
 
@@ -100,8 +100,8 @@
 
 
 class Giver:
-    """The leader's side.  `fit(name, incarnation)` says why that one gets none, "" where it does: by the book
-    (roster.Roster.unfit), and nobody whose shutting out this leader has proposed."""
+    """The leader's side.  `fit(name, incarnation)` says why that one gets none, "" where it does: by the
+    state (roster.Roster.unfit), and nobody whose shutting out this leader has proposed."""
 
     def __init__(self, span: int, drift: float, fit: Callable[[str, int], str]) -> None:
         self.span, self.length, self.fit = span, given(span, drift), fit
--- a/indigohitch/fleet/members/roster.py
+++ b/indigohitch/fleet/members/roster.py
@@ -1,5 +1,5 @@
 """The roster: who is a member under which incarnation, who may act, which changes are in force.  A part of
-the book: the same at every member after the same entry.
+the state machine: the same at every member after the same entry.
 
 An incarnation goes one way: being compared, valid, shut out, gone.  It is given by `join` and never again;
 one that joins later shuts out those before it.  `gone` is proposed by the leader once that lease has surely
@@ -14,8 +14,8 @@
 from ...errors import Unfit, Unreadable
 from ...net.clock import SECOND
 from ...packed.rows import Row
-from ..book import Book
 from ..ports import At
+from ..state_machine import ReplicatedStateMachine
 from .entries import (
     Agreed,
     Announce,
@@ -63,7 +63,7 @@
         "in_force": InForce,
         "change": Announce,
     }
-    book: Book
+    state_machine: ReplicatedStateMachine
 
     def __init__(self) -> None:
         self.members: dict[tuple[str, int], Member] = {}  # not gone, and the last one of each name
@@ -122,8 +122,10 @@
         self.highest[join.name] = incarnation = self.highest.get(join.name, 0) + 1
         tokens.append((join.token, incarnation))
         del tokens[:-TOKENS]
-        for old in [p for p in self.book.proposers if p.startswith(f"{join.name}?") and p != at.proposer]:
-            del self.book.proposers[old]  # starts that are over would pile up
+        for old in [
+            p for p in self.state_machine.proposers if p.startswith(f"{join.name}?") and p != at.proposer
+        ]:
+            del self.state_machine.proposers[old]  # starts that are over would pile up
         for member in [member for member in self.members.values() if member.name == join.name]:
             self.shut(at, member, LATER)
             if member.life is Life.GONE:
@@ -135,8 +137,8 @@
         return incarnation
 
     def tell(self, what: str, *about: object) -> None:
-        """To each part of the book that has a method of that name."""
-        for part in self.book.parts.values():
+        """To each part of the state machine that has a method of that name."""
+        for part in self.state_machine.parts.values():
             if (hear := getattr(part, what, None)) is not None:
                 hear(*about)
 
@@ -176,9 +178,9 @@
         self.end(at, self.known(gone.name, gone.incarnation, Life.SHUT_OUT), gone.when)
 
     def on_compare(self, at: At, body: Compare) -> int:
-        """The digest as the book stands within this entry; each member's is its own, and not told here."""
+        """The digest as the state stands within this entry; each member's is its own, and not told here."""
         self.compared = at.index
-        self.digests[at.index] = self.book.digest()
+        self.digests[at.index] = self.state_machine.digest()
         for old in sorted(self.digests)[:-TOKENS]:
             del self.digests[old]
         return at.index
@@ -229,8 +231,10 @@
         self.digests.clear()
 
 
-def changed(book: Book | None, at: At, what: str, hard: bool = False, allowed: int = SECOND) -> None:
-    """For other parts of the book: `Roster.changed`, where the book has a roster."""
-    roster = book.parts.get("members") if book is not None else None
+def changed(
+    state_machine: ReplicatedStateMachine | None, at: At, what: str, hard: bool = False, allowed: int = SECOND
+) -> None:
+    """For other parts of the state machine: `Roster.changed`, where the state machine has a roster."""
+    roster = state_machine.parts.get("members") if state_machine is not None else None
     if isinstance(roster, Roster):
         roster.changed(at, what, hard, allowed)
--- a/indigohitch/fleet/members/words.py
+++ b/indigohitch/fleet/members/words.py
@@ -14,7 +14,7 @@
     incarnation: int
     applied: int  # the last entry that it goes by
     digest_at: int = 0  # the last point of comparing (`members.compare`) that it passed; 0: none
-    digest: bytes = b""  # of its book there
+    digest: bytes = b""  # of its state machine there
     wall: int = 0  # its wall clock, Unix time in tenths of a ms: hours/ takes the median
     acts: int = 0  # how many acts it has stamped so far: the next goes by `applied` or later
     reports: Mapping[str, bytes] = {}  # of its works, by name
--- a/indigohitch/fleet/members/work.py
+++ b/indigohitch/fleet/members/work.py
@@ -78,7 +78,14 @@
         point = self.roster.compared
         own = self.roster.digests.get(point, b"")
         return Renew(
-            number, self.incarnation, self.roster.book.index, point if own else 0, own, wall, acts, reports
+            number,
+            self.incarnation,
+            self.roster.state_machine.index,
+            point if own else 0,
+            own,
+            wall,
+            acts,
+            reports,
         )
 
     def heard(self, now: int, sender: str, word: Row) -> list[ReadFirst | Answer]:
@@ -106,7 +113,7 @@
             self.judge.begin(now)
 
     def readable(self, now: int, number: int, ok: bool) -> list[ReadFirst | Answer]:
-        """The read that `ReadFirst` asked for; the book has been applied up to its index."""
+        """The read that `ReadFirst` asked for; the state machine has been applied up to its index."""
         return self.giver.confirmed(now, number, ok)
 
     def told(self, now: int, work: str) -> dict[str, bytes]:
@@ -129,7 +136,7 @@
         return self.look(now)
 
     def look(self, now: int) -> list[Wanted]:
-        """What the book says of this incarnation, against what this process takes itself for."""
+        """What the state machine says of this incarnation, against what this process takes itself for."""
         roster, agreed = self.roster, self.roster.agreed
         own = roster.digests.get(agreed.index)
         if own is not None and own != agreed.digest and self.phase not in (Phase.DIFFERS, Phase.LEFT):
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -1,10 +1,10 @@
 """What people and proofs ask a node over the control socket, beside `status`:
 
-{"ask": "note TEXT"}                    written down in the book for all to see
+{"ask": "note TEXT"}                    written down in the state machine for all to see
 {"ask": "notes"}                        those kept
 {"ask": "propose", "kind": "notes.add", "body": ["text"]}   any entry
-{"ask": "read"}                         an index confirmed by a majority, and the book's digest there
-{"ask": "book"}                         where the book stands, and its digest; `book NAME`: one part's row
+{"ask": "read"}                         an index confirmed by a majority, and the state machine's digest there
+{"ask": "book"}                         where the state stands, and its digest; `book NAME`: one part's row
 {"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
 {"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
 {"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
@@ -41,7 +41,7 @@
             "notes": self.notes,
             "propose": self.propose,
             "read": self.read,
-            "book": self.book,
+            "book": self.replicated_state,
             "ledger": self.ledger,
             "out": self.out,
             "batch": self.batch,
@@ -104,30 +104,34 @@
             if index is None:
                 self.answer({"error": "no majority confirmed it", "again_ms": 100})
             else:
-                self.answer({"index": index, "digest": self.node.book.digest().hex()})
+                self.answer({"index": index, "digest": self.node.state_machine.digest().hex()})
 
         self.node.traffic.read(done)
 
     def notes(self, rest: str, line: dict) -> None:
-        self.book("notes", line)
-
-    def book(self, rest: str, line: dict) -> None:
-        book = self.node.book
-        told: dict = {"index": book.index, "term": book.term, "digest": book.digest().hex()}
+        self.replicated_state("notes", line)
+
+    def replicated_state(self, rest: str, line: dict) -> None:
+        state_machine = self.node.state_machine
+        told: dict = {
+            "index": state_machine.index,
+            "term": state_machine.term,
+            "digest": state_machine.digest().hex(),
+        }
         if rest == "notes":
-            told["texts"] = [text for _, text in book.parts["notes"].texts]
-        elif rest in book.parts:
-            told["part"] = msgspec.to_builtins(book.parts[rest].row(), str_keys=True)
+            told["texts"] = [text for _, text in state_machine.parts["notes"].texts]
+        elif rest in state_machine.parts:
+            told["part"] = msgspec.to_builtins(state_machine.parts[rest].row(), str_keys=True)
         elif rest:
-            told = {"error": f"no part {rest[:40]}; there are {', '.join(book.parts)}"}
+            told = {"error": f"no part {rest[:40]}; there are {', '.join(state_machine.parts)}"}
         self.answer(told)
 
     def ledger(self, rest: str, line: dict) -> None:
         recent = list(self.node.driver.recent)[-SHOWN:]
         self.answer(
             {
-                "index": self.node.book.index,
-                "digest": self.node.book.digest().hex(),
+                "index": self.node.state_machine.index,
+                "digest": self.node.state_machine.digest().hex(),
                 "entries": [
                     {
                         "index": entry.index,
--- a/indigohitch/fleet/node/belonging.py
+++ b/indigohitch/fleet/node/belonging.py
@@ -49,7 +49,7 @@
 
     @property
     def leaves(self) -> bool:
-        """It has said that it leaves, and the book does not say so yet."""
+        """It has said that it leaves, and the state machine does not say so yet."""
         membership = self.membership
         return membership.phase is Phase.LEFT and not membership.roster.unfit(
             membership.me, membership.incarnation
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -1,4 +1,4 @@
-"""Carries out what the ledger's machine says: to the disk, over the links, into the book.
+"""Carries out what the ledger's machine says: to the disk, over the links, into the state machine.
 
 Inputs are taken one after the other, also those that come while one is being carried out."""
 
@@ -12,7 +12,6 @@
 from ...log import Log
 from ...net.loop import Deadline, Loop
 from ...packed.rows import digest
-from ..book import Book
 from ..disk.store import Disk
 from ..ledger.machine import Machine
 from ..ledger.ports import (
@@ -33,13 +32,14 @@
     Write,
 )
 from ..links.links import Links
+from ..state_machine import ReplicatedStateMachine
 from ..terms import Entry, Outcome, Proposal, Who
 
 RECENT = 512  # entries whose digests people can ask for
 
 
 class Driver:
-    """`broken(why)`: the machine or the book met what must never be; this member has to end."""
+    """`broken(why)`: the machine or the state machine met what must never be; this member has to end."""
 
     def __init__(
         self,
@@ -47,12 +47,12 @@
         log: Log,
         disk: Disk,
         links: Links,
-        book: Book,
+        state_machine: ReplicatedStateMachine,
         bootstrap: Mapping,
         chance: Callable[[], float],
         broken: Callable[[BaseException], None],
     ) -> None:
-        self.loop, self.log, self.disk, self.links, self.book = loop, log, disk, links, book
+        self.loop, self.log, self.disk, self.links, self.state_machine = loop, log, disk, links, state_machine
         self.bootstrap, self.chance, self.broken = bootstrap, chance, broken
         self.machine: Machine | None = None
         self.waiting: deque[Input] = deque()
@@ -66,9 +66,9 @@
         self.on_became: Callable[[Became], None] = lambda became: None
 
     def begin(self, me: Who, held: Held) -> None:
-        """Raises Unreadable for a book that can't be read."""
-        if held.snap.book:
-            self.book.restore(held.snap.book)
+        """Raises Unreadable for a state machine that can't be read."""
+        if held.snap.state:
+            self.state_machine.restore(held.snap.state)
         self.machine = Machine(me, held, self.bootstrap, self.chance, self.loop.clock.now())
         self.on_restored()
         self.arm()
@@ -115,13 +115,13 @@
                 for entry in entries:
                     self.apply(entry)
             case Install(snap):
-                if snap.index > self.book.index:  # else it comes again, after a disk that failed
-                    self.book.restore(snap.book)
-                    self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.book))
+                if snap.index > self.state_machine.index:  # else it comes again, after a disk that failed
+                    self.state_machine.restore(snap.state)
+                    self.log.event("snapshot_taken_over", index=snap.index, bytes=len(snap.state))
                     self.on_restored()
                 self.disk.snapshot(snap, False)
             case TakeSnapshot(index, term, members):
-                self.disk.snapshot(Snap(index, term, members, self.book.snapshot()), True)
+                self.disk.snapshot(Snap(index, term, members, self.state_machine.snapshot()), True)
             case Turned(proposal, again):
                 self.on_turned(proposal, again)
             case Readable(number, index, ok):
@@ -138,7 +138,7 @@
                 self.log.event(event, **fields)
 
     def apply(self, entry: Entry) -> None:
-        outcome = self.book.apply(entry)
+        outcome = self.state_machine.apply(entry)
         check = digest(msgspec.msgpack.encode(entry))
         self.recent.append(
             (msgspec.structs.replace(entry, body=b""), check, msgspec.structs.replace(outcome, told=b""))
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -53,11 +53,12 @@
         self.assembly = assembled(
             Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
         )
-        self.book = self.assembly.book
+        self.state_machine = self.assembly.state_machine
+        self.book = self.state_machine  # until distribution has joined
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
         self.driver = Driver(
-            loop, log, self.disk, self.links, self.book, bootstrap, chance.random, self.broken
+            loop, log, self.disk, self.links, self.state_machine, bootstrap, chance.random, self.broken
         )
         self.traffic = Traffic(self)
         membership, proposals = self.assembly.membership, self.traffic.proposals
@@ -194,7 +195,7 @@
         if self.works:
             self.belonging.renew(now, self.leader_name, self.working.reports)
             self.working.turn(now, self.lease(now))
-        # One elected right after a start decides nothing until its book holds what was committed before.
+        # One elected right after a start decides nothing until its state holds what was committed before.
         if self.phase is Phase.TAKING_PART and self.driver.machine.settled:
             self.lead(now)
         self.belonging.look()
@@ -222,7 +223,7 @@
 
     def applied(self, entry: Entry, outcome: Outcome) -> None:
         self.traffic.proposals.applied(entry, outcome)
-        self.traffic.reads.applied(self.book.index)
+        self.traffic.reads.applied(self.state_machine.index)
         self.belonging.look()
         self.working.applied(entry, outcome)
         self.belonging.look()
--- a/indigohitch/fleet/node/notes.py
+++ b/indigohitch/fleet/node/notes.py
@@ -1,4 +1,4 @@
-"""The part `notes` of the book: what operators write down for all members to see.  No I/O."""
+"""The part `notes` of the state machine: what operators write down for all members to see.  No I/O."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 
 from ...errors import Unfit, Unreadable
 from ...packed.rows import Row
-from ..book import Book
 from ..ports import At
+from ..state_machine import ReplicatedStateMachine
 
 KEPT = 4096  # some months of an operator's; what is older goes
 LONGEST = 1024
@@ -27,7 +27,7 @@
 class Notes:
     name = "notes"
     kinds = {"add": Add}
-    book: Book
+    state_machine: ReplicatedStateMachine
 
     def __init__(self) -> None:
         self.texts: deque[tuple[int, str]] = deque(maxlen=KEPT)  # entry, text
--- a/indigohitch/fleet/node/proposals.py
+++ b/indigohitch/fleet/node/proposals.py
@@ -1,6 +1,6 @@
 """This process' own proposals, each under one number until it is known what it came to.  No I/O.
 
-They are sent again and again: the leader may be gone, the word lost, the entry taken back.  The book lets
+They are sent again and again: the leader may be gone, the word lost, the entry taken back.  The state lets
 each take effect once, as long as its number is within the window; so none leaves it before it is known."""
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ...errors import NotNow
-from ..book import WINDOW
+from ..state_machine import WINDOW
 from ..terms import Entry, Outcome, Proposal
 
 MOST = WINDOW // 2  # out at a time; the rest of the window is for those that come again late
--- a/indigohitch/fleet/node/reads.py
+++ b/indigohitch/fleet/node/reads.py
@@ -10,7 +10,7 @@
 WAIT = 2 * SECOND  # longer than an election: who asked asks again
 MOST = 1024
 
-Done = Callable[[int | None], None]  # the index that the book has reached; None: not confirmed
+Done = Callable[[int | None], None]  # the index that the state machine has reached; None: not confirmed
 
 
 class Reads:
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         self.number = 0
         self.open: dict[int, tuple[int, Done]] = {}  # number -> when it is given up, its owner
-        self.behind: list[tuple[int, int, Done]] = []  # confirmed; the book is not there yet
+        self.behind: list[tuple[int, int, Done]] = []  # confirmed; the state machine is not there yet
 
     def begin(self, now: int, done: Done) -> int:
         """Raises NotNow."""
@@ -30,7 +30,7 @@
         return self.number
 
     def answered(self, number: int, index: int, ok: bool, stands: int) -> None:
-        """`stands`: where the book stands here."""
+        """`stands`: where the state machine stands here."""
         until, done = self.open.pop(number, (0, None))
         if done is None:
             return
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -1,4 +1,4 @@
-"""What every member of a fleet has: the parts of the book, and its works."""
+"""What every member of a fleet has: the parts of the state machine, and its works."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 from ..audit.work import Auditing
 from ..batches.inside import work_of as batches_work
 from ..batches.part import Batches
-from ..book import Book
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
-from ..ports import BookPart, Work
+from ..ports import StateMachinePart, Work
 from ..seats.part import Seats
 from ..seats.told import work as seats_work
+from ..state_machine import ReplicatedStateMachine
 from ..terms import Lease
 from .belonging import wall
 from .notes import Notes
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True)
 class Assembly:
-    book: Book
+    state_machine: ReplicatedStateMachine
     membership: Membership
     acts: ChainedActs
     auditing: Auditing
@@ -50,22 +50,22 @@
     felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None  # an RPC was answered here
 
 
-def parts() -> list[BookPart]:
+def parts() -> list[StateMachinePart]:
     """In a fixed order; each only knows those before it."""
     return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
 
 
 def assembled(place: Place) -> Assembly:
-    book, text = Book(parts()), place.text
+    state_machine, text = ReplicatedStateMachine(parts()), place.text
     membership = Membership(
         text.me,
         text.members[text.me].votes,
-        book.parts["members"],
+        state_machine.parts["members"],
         text.waits["lease"],
         text.drift,
         place.token,
     )
-    hours = HoursWork(book.parts["hours"], text.me, wall, place.voters)
+    hours = HoursWork(state_machine.parts["hours"], text.me, wall, place.voters)
     membership.judge.when = hours.time
 
     def trouble(bad: Trouble) -> None:
@@ -74,14 +74,14 @@
     acts = ChainedActs(
         text.me,
         place.lease,
-        book,
+        state_machine,
         Store(f"{text.folder}/audit", begun=lambda: Worker(place.loop)),
         trouble,
         when=hours.time,
     )
-    auditing = Auditing(acts, book.parts["audit"], membership, trouble)
-    seats = seats_work(text, book.parts["seats"], acts, hours.time)
-    batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
+    auditing = Auditing(acts, state_machine.parts["audit"], membership, trouble)
+    seats = seats_work(text, state_machine.parts["seats"], acts, hours.time)
+    batches = batches_work(place.loop, place.log, text, state_machine.parts["batches"], acts, hours.time)
     return Assembly(
-        book, membership, acts, auditing, [membership, hours, auditing, seats, batches], batches.felt
+        state_machine, membership, acts, auditing, [membership, hours, auditing, seats, batches], batches.felt
     )
--- a/indigohitch/fleet/node/traffic.py
+++ b/indigohitch/fleet/node/traffic.py
@@ -84,7 +84,7 @@
     # ---- reads -------------------------------------------------------------------------------------
 
     def read(self, done: Callable[[int | None], None]) -> None:
-        """`done(index)`: the book here stands there or later, and all that was committed before this call is
+        """`done(index)`: the state here stands there or later, and all that was committed before this call is
         in it; None: not confirmed.  Raises NotNow."""
         number, leader = self.reads.begin(self.clock.now(), done), self.driver.leader
         if self.driver.leads:
@@ -105,7 +105,7 @@
             done(None)
 
     def on_read_at(self, who: Who, word: ReadAt) -> None:
-        self.reads.answered(word.number, word.index, word.ok, self.node.book.index)
+        self.reads.answered(word.number, word.index, word.ok, self.node.state_machine.index)
 
     def readable(self, number: int, index: int, ok: bool) -> None:
-        self.reads.answered(number, index, ok, self.node.book.index)
+        self.reads.answered(number, index, ok, self.node.state_machine.index)
--- a/indigohitch/fleet/node/words.py
+++ b/indigohitch/fleet/node/words.py
@@ -27,7 +27,7 @@
 
 
 class ReadAsk(Row, frozen=True):
-    """To the leader: how far must a book be that answers now?"""
+    """To the leader: how far must a state machine be that answers now?"""
 
     number: int
 
--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -1,4 +1,4 @@
-"""How the parts of the fleet meet: what the replicated book wants of a part of it, and what a member's
+"""How the parts of the fleet meet: what the replicated state wants of a part of it, and what a member's
 process wants of a part's work.  Shapes only."""
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 class StateMachine(Protocol):
     """What a part sees of the state machine that it belongs to."""
 
-    parts: Mapping[str, BookPart]  # by name
+    parts: Mapping[str, StateMachinePart]  # by name
     index: int  # of the last entry applied
     term: int
 
@@ -35,12 +35,12 @@
         """16 bytes; equal at members that stand at the same entry."""
 
 
-class BookPart(Protocol):
+class StateMachinePart(Protocol):
     """A part of the replicated state.  It must come to the same from the same entries at every member: no
-    clock, no chance, no order of a set.  Other parts are at hand by name in `book.parts`."""
+    clock, no chance, no order of a set.  Other parts are at hand by name in `state_machine.parts`."""
 
     name: str  # its kinds are `name.word`
-    book: StateMachine  # set by the book: `self.book.parts["members"]` is another part
+    state_machine: StateMachine  # set by it; `self.state_machine.parts["members"]` is another part
     kinds: Mapping[str, type[Row]]  # by word: the row that an entry's body holds
 
     def apply(self, at: At, word: str, body: Row) -> object:
@@ -49,7 +49,7 @@
 
     def member_gone(self, at: At, name: str, incarnation: int) -> None:
         """That incarnation holds nothing any more: its lease has surely run out, or it left by itself.
-        Called by the part `members`, within the entry that says so, for each part of the book that has
+        Called by the part `members`, within the entry that says so, for each part of the state that has
         this."""
 
     def row(self) -> Row: ...
@@ -58,6 +58,9 @@
         """From the msgpack of what `row` returned, this version's or one older or newer by one."""
 
 
+BookPart = StateMachinePart  # until distribution has joined
+
+
 class Acts(Protocol):
     """Every act that leaves a process (an order to the relay, a seat given or taken back, a piece of a batch
     released) is stamped and kept here (fleet/audit)."""
@@ -82,11 +85,11 @@
     name: str
 
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
-        """An entry has been applied to the book here (entries from before a snapshot are not told:
+        """An entry has been applied to the state machine here (entries from before a snapshot are not told:
         `restored`)."""
 
     def restored(self, now: int) -> list[Wanted]:
-        """The book was set to a snapshot, or read from the disk: look at it anew."""
+        """The state machine was set to a snapshot, or read from the disk: look at it anew."""
 
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
         """Each beat (100 ms) and after what changed; `lease`: this member's, None while it has none."""
--- a/indigohitch/fleet/seats/contract.py
+++ b/indigohitch/fleet/seats/contract.py
@@ -71,7 +71,7 @@
     seats: tuple[tuple[int, int], ...]
 
 
-# ---- what the book holds ----------------------------------------------------------------------------
+# ---- what the state holds ----------------------------------------------------------------------------
 
 
 class Share(Row):
@@ -105,7 +105,7 @@
 
 
 class Given(Row, frozen=True):
-    """One giving of a seat.  (`counter`, `use`) only grows for a number: `counter` by the book, `use` by the
+    """One giving of a seat.  (`counter`, `use`) only grows for a number: `counter` by the state, `use` by the
     holder.  `shared`: further jobs of the same node or user may come under it."""
 
     feature: str
--- a/indigohitch/fleet/seats/desk.py
+++ b/indigohitch/fleet/seats/desk.py
@@ -60,7 +60,7 @@
     # ---- what changes ------------------------------------------------------------------------------
 
     def follow(self) -> None:
-        """The book's shares as they are now."""
+        """The state machine's shares as they are now."""
         if self.lease is None:
             return
         for feature, found in self.part.features.items():
@@ -178,7 +178,7 @@
             bound.hold.unbind(now, bound)
 
     def returns(self) -> list[Return]:
-        """What is owed and idle, and what was to be returned and is not yet seen so in the book."""
+        """What is owed and idle, and what was to be returned and is not yet seen so in the state machine."""
         out = []
         for (feature, pool), hold in self.holds.items():
             hold.owe()
--- a/indigohitch/fleet/seats/hold.py
+++ b/indigohitch/fleet/seats/hold.py
@@ -55,7 +55,7 @@
         return max(0, len(self.seats) + len(self.returning) - self.debt)
 
     def follow(self, share: Share | None, counters: list[int]) -> None:
-        """As the book has it now."""
+        """As the state machine has it now."""
         held = {n: counters[n] for n in share.seats} if share is not None else {}
         self.debt, self.due = (share.debt, share.due) if share is not None else (0, 0)
         for group in (self.seats, self.returning):
--- a/indigohitch/fleet/seats/part.py
+++ b/indigohitch/fleet/seats/part.py
@@ -1,4 +1,4 @@
-"""The book's part `seats`: contracts, and who holds which seats.  Deterministic, no I/O.
+"""The state machine's part `seats`: contracts, and who holds which seats.  Deterministic, no I/O.
 
 What holds after every entry (tests/test_seats_part.py):
 - a seat has at most one holder, and its counter grows with every change of holder;
@@ -79,13 +79,13 @@
 
 
 class Seats:
-    """BookPart."""
+    """StateMachinePart."""
 
     name = "seats"
     kinds = {"contract": Contract, "grant": Grant, "recall": Recall, "return": Return}
 
     def __init__(self) -> None:
-        self.book = None
+        self.state_machine = None
         self.edition = 0
         self.features: dict[str, Feature] = {}
         self.gone: dict[str, int] = {}  # by member: the last incarnation that surely holds nothing
@@ -119,7 +119,7 @@
         cut = any(
             f.terms.seats > (named[name].seats if name in named else 0) for name, f in self.features.items()
         )
-        changed(self.book, at, "seats", hard=cut)
+        changed(self.state_machine, at, "seats", hard=cut)
         for feature in sorted(named.keys() | self.features.keys()):
             found = self.features.get(feature)
             if found is None:
--- a/indigohitch/fleet/terms.py
+++ b/indigohitch/fleet/terms.py
@@ -43,8 +43,8 @@
 
 
 class Proposal(Row, frozen=True):
-    """What a member wants in the ledger.  Numbers of one incarnation only grow; up to `book.WINDOW` may be
-    out."""
+    """What a member wants in the ledger.  Numbers of one incarnation only grow; up to
+    `state_machine.WINDOW` may be out."""
 
     proposer: str
     incarnation: int
--- a/proofs/batchkit/costs.py
+++ b/proofs/batchkit/costs.py
@@ -18,7 +18,7 @@
 
 
 class Case:
-    """The batches of a book as they were before any was planned."""
+    """The batches of a state machine as they were before any was planned."""
 
     def __init__(self, part: Batches, time: int, only: str) -> None:
         self.round = Round(part, time, offered={("eros", "std"): 4})
--- a/proofs/batchkit/field.py
+++ b/proofs/batchkit/field.py
@@ -150,7 +150,7 @@
         until(once, 15, f"batch {id} to be taken")
 
     def part(self) -> Batches | None:
-        """The book's part, as the first member that answers has it."""
+        """The state machine's part, as the first member that answers has it."""
         for name in self.fleet.voters:
             told = self.tell(name, {"ask": "book batches"})
             if "part" in told:
--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -143,7 +143,7 @@
         return told.get("lease_ms", 0) > 0 and phase == "valid"
 
     def play(self) -> dict:
-        """By member that answers: where its book stands at the end, and its digest."""
+        """By member that answers: where its state machine stands at the end, and its digest."""
         fleet, running = self.fleet, self.running
         fleet.start()
         until(lambda: all(self.valid(name) for name in fleet.members), 25, "all to be valid")
--- a/proofs/fleetkit/__init__.py
+++ b/proofs/fleetkit/__init__.py
@@ -18,7 +18,7 @@
         fleet.said("v1", "phase", now="serving")    # lines of its log
         fleet.listen["s1"]                  # where a sidecar takes RPCs
         player = Player(fleet, drawn(seed, fleet, seconds=20)).start(); ...; player.join()
-        settled(fleet)                      # heal all, restart all, wait until their books are equal
+        settled(fleet)                      # heal all, restart all, wait until their state machines are equal
 
 Files: `files` (what operators write), `processes` (one member's process), `fleet` (all of them), `faults`
 (seeded plans and who plays them), `checks` (what must hold at the end), `altered` (the program
@@ -30,10 +30,21 @@
 if str(Path(__file__).parent.parent.parent) not in sys.path:
     sys.path.insert(0, str(Path(__file__).parent.parent.parent))
 
-from .checks import Notes, books, settled  # noqa: E402
+from .checks import Notes, settled, state_machines  # noqa: E402
 from .faults import Event, Player, drawn  # noqa: E402
 from .files import Pool  # noqa: E402
 from .fleet import DISKS, Fleet  # noqa: E402
 from .processes import until  # noqa: E402
 
-__all__ = ["DISKS", "Event", "Fleet", "Notes", "Player", "Pool", "books", "drawn", "settled", "until"]
+__all__ = [
+    "DISKS",
+    "Event",
+    "Fleet",
+    "Notes",
+    "Player",
+    "Pool",
+    "state_machines",
+    "drawn",
+    "settled",
+    "until",
+]
--- a/proofs/fleetkit/checks.py
+++ b/proofs/fleetkit/checks.py
@@ -1,4 +1,4 @@
-"""What must hold at the end: all members' books equal, and each acknowledged note there once."""
+"""What must hold at the end: all members' state machines equal, and each acknowledged note there once."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from .processes import until
 
 
-def books(fleet: Fleet) -> dict[str, tuple[int, str]]:
-    """By member that answers: the index it stands at, and its book's digest."""
+def state_machines(fleet: Fleet) -> dict[str, tuple[int, str]]:
+    """By member that answers: the index it stands at, and its state machine's digest."""
     found = {}
     for name in fleet.members:
         if (told := fleet.ask(name, "book", 3.0)) and "digest" in told:
@@ -20,7 +20,7 @@
 
 
 def settled(fleet: Fleet, most: float = 30.0) -> dict[str, tuple[int, str]]:
-    """All healed and running; waits until all books stand at one entry, and returns them.  Digests may still
+    """All healed and running; waits until all states stand at one entry, and returns them.  Digests may still
     differ: that is for the proof to judge.  An entry a beat may come meanwhile: those that stand at the same
     one are compared, and `most` seconds are given for all to be seen at one."""
     fleet.breaker.heal()
@@ -31,7 +31,7 @@
     fleet.ready(most)
 
     def level() -> dict | None:
-        found = books(fleet)
+        found = state_machines(fleet)
         same = len({index for index, _ in found.values()}) == 1
         return found if same and len(found) == len(fleet.members) else None
 
@@ -44,7 +44,7 @@
     def __init__(
         self, fleet: Fleet, clients: int = 3, prefix: str = "n", wait: float = 1.0, gap: float = 0.03
     ) -> None:
-        """`gap`: seconds that a client rests after each answer; the book keeps 4096 notes."""
+        """`gap`: seconds that a client rests after each answer; the state machine keeps 4096 notes."""
         self.fleet, self.prefix, self.wait, self.gap = fleet, prefix, wait, gap
         self.acknowledged: dict[str, float] = {}  # text: when (time.monotonic)
         self.sent: dict[str, float] = {}  # text: when it went out
@@ -88,7 +88,7 @@
         )
 
     def judged(self, texts: list[str]) -> tuple[list[str], list[str]]:
-        """Of the notes that a book holds: those acknowledged that it lacks, those it has more than once."""
+        """Of the notes that a state holds: those acknowledged that it lacks, those it has more than once."""
         counts = Counter(texts)
         return (
             [text for text in self.acknowledged if not counts[text]],
--- a/proofs/ledger_checks.py
+++ b/proofs/ledger_checks.py
@@ -18,7 +18,7 @@
         self.seen = {}  # (index, term) -> (entry, term of the one before)
         self.committed = []  # entries from 1 on, as the first that committed them had them
         self.committed_in = []  # in which term that was
-        self.digests = {}  # index -> digest of the book there
+        self.digests = {}  # index -> digest of the state machine there
         self.effects = {}  # proposal -> index
         self.acked = 0  # the highest index that any client was told of
         self.reads = {}  # number -> `acked` as it began
@@ -75,19 +75,19 @@
             )
 
     def applied(self, station, entry, outcome) -> None:
-        """Each proposal takes effect once, and the book is the same at the same entry."""
-        book = station.book
+        """Each proposal takes effect once, and the state machine is the same at the same entry."""
+        state_machine = station.state_machine
         if entry.proposer and not outcome.doubled and not outcome.refused:
             key = (entry.proposer, entry.incarnation, entry.number)
             if self.effects.setdefault(key, entry.index) != entry.index:
                 raise Breach(f"proposal {key} took effect at {self.effects[key]} and {entry.index}")
-        now = book.digest() if entry.index % 8 == 0 else book.parts["toy"].chain
+        now = state_machine.digest() if entry.index % 8 == 0 else state_machine.parts["toy"].chain
         if self.digests.setdefault(entry.index, now) != now:
             raise Breach(f"books differ at {entry.index}")
 
-    def snapshot(self, book, take) -> None:
-        if (book.index, book.term) != (take.index, take.term):
-            raise Breach(f"a snapshot is asked for at {take.index}, the book stands at {book.index}")
+    def snapshot(self, state_machine, take) -> None:
+        if (state_machine.index, state_machine.term) != (take.index, take.term):
+            raise Breach(f"a snapshot is asked for at {take.index}, the book stands at {state_machine.index}")
 
     # ---- votes and leaders -------------------------------------------------------------------------
 
--- a/proofs/ledger_leases.py
+++ b/proofs/ledger_leases.py
@@ -32,7 +32,7 @@
             for s in self.world.stations.values()
             if s.machine is not None
             and s.lease is not None
-            and s.book.parts["toy"].holder == s.me.name
+            and s.state_machine.parts["toy"].holder == s.me.name
             and s.lease > s.local(now)
         ]
 
@@ -69,17 +69,17 @@
 
     def confirmed(self, leader, readable) -> None:
         of_epoch, who, asked_at, epoch = self.renewals.pop(readable.number)
-        toy = leader.book.parts["toy"]
+        toy = leader.state_machine.parts["toy"]
         shut = who.name == toy.holder and (toy.shut or who.name in leader.shutting)
-        if not readable.ok or of_epoch != leader.epoch or shut or leader.book.index < readable.index:
+        if not readable.ok or of_epoch != leader.epoch or shut or leader.state_machine.index < readable.index:
             return
         world = self.world
         leader.given[who.name] = leader.local(world.now) + given(SPAN, DRIFT)
-        world.post(leader.me, who, self.renewed, asked_at, epoch, leader.book.index)
+        world.post(leader.me, who, self.renewed, asked_at, epoch, leader.state_machine.index)
 
     def renewed(self, station, asked_at, epoch, index) -> None:
-        """Of use once the book here is as new as that which the leader looked at."""
-        if station.epoch == epoch and station.book.index >= index:
+        """Of use once the state machine here is as new as that which the leader looked at."""
+        if station.epoch == epoch and station.state_machine.index >= index:
             station.lease = max(asked_at + held(SPAN, DRIFT), station.lease or 0)
             self.check()
 
@@ -90,7 +90,7 @@
         station.elected_at = station.local(self.world.now)
 
     def lead(self, station) -> None:
-        toy, now = station.book.parts["toy"], station.local(self.world.now)
+        toy, now = station.state_machine.parts["toy"], station.local(self.world.now)
         if not toy.shut:
             if self.world.random.random() < 0.5:
                 station.shutting.add(toy.holder)
--- a/proofs/ledger_processes.py
+++ b/proofs/ledger_processes.py
@@ -1,9 +1,9 @@
 """Five members as processes, with kills, stops and cuts through the relay of faults, under notes proposed all
 the time through their control sockets.
 
-Each acknowledged note is at the end in each member's book, once; books are equal; a read that began after an
-acknowledgement is never answered by an older book; after each loss of a leader a note is acknowledged again
-within two seconds."""
+Each acknowledged note is at the end in each member's state, once; states are equal; a read that began after
+an acknowledgement is never answered by an older state; after each loss of a leader a note is acknowledged
+again within two seconds."""
 
 from __future__ import annotations
 
--- a/proofs/ledger_station.py
+++ b/proofs/ledger_station.py
@@ -1,4 +1,4 @@
-"""A simulated member of the ledger: machine, book, disk and clock of one process."""
+"""A simulated member of the ledger: machine, state machine, disk and clock of one process."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import msgspec
 
 from indigohitch.errors import Unfit
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.ledger.machine import Machine
 from indigohitch.fleet.ledger.ports import Snap
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.packed.rows import Row
 from proofs.ledger_disk import Disk
 
@@ -41,7 +41,7 @@
 
 
 class Toy:
-    """A part of the book: a chain over all that was added, and where; and one thing that a member holds,
+    """A part of the state: a chain over all that was added, and where; and one thing that a member holds,
     which goes to another only after it was shut."""
 
     name, kinds = "toy", {"add": Add, "shut": Name, "hold": Name}
@@ -75,7 +75,7 @@
         self.rate = 1 + DRIFT * (2 * chance() - 1)
         self.offset = int(chance() * 1e6)
         self.disk = Disk(Snap(0, 0, members, b""))
-        self.machine = self.book = None  # None while it doesn't run
+        self.machine = self.state_machine = None  # None while it doesn't run
         self.epoch = 0  # counts its starts: what was under way before is void
         self.stopped_until = 0
         self.slow = 1  # times as long for the disk
@@ -94,9 +94,9 @@
 
     def start(self, now: int) -> None:
         held = self.disk.held()
-        self.book = Book([Toy()])
-        if held.snap.book:
-            self.book.restore(held.snap.book)
+        self.state_machine = ReplicatedStateMachine([Toy()])
+        if held.snap.state:
+            self.state_machine.restore(held.snap.state)
         self.machine = Machine(self.me, held, self.bootstrap, self.chance, self.local(now))
         self.epoch += 1
         self.heard, self.due_at, self.stopped_until = None, 0, 0
@@ -105,7 +105,7 @@
 
     def crash(self) -> None:
         """Memory is lost, and of what was asked of the disk what it hadn't confirmed, or some of it."""
-        self.machine = self.book = None
+        self.machine = self.state_machine = None
         self.epoch += 1
         self.disk.lose(self.chance)
         self.disk.failed = False
--- a/proofs/ledger_world.py
+++ b/proofs/ledger_world.py
@@ -193,14 +193,14 @@
             self.step(station, told)
 
     def install(self, station: Station, output: Install) -> None:
-        station.book.restore(output.snap.book)
+        station.state_machine.restore(output.snap.state)
         self.tally["snapshots"] += 1
         self.to_disk(station, output)
 
     def snapshot(self, station: Station, output: TakeSnapshot) -> None:
-        book = station.book
-        self.checks.snapshot(book, output)
-        self.to_disk(station, Snap(output.index, output.term, output.members, book.snapshot()))
+        state_machine = station.state_machine
+        self.checks.snapshot(state_machine, output)
+        self.to_disk(station, Snap(output.index, output.term, output.members, state_machine.snapshot()))
 
     def disk_term(self, who: Who, index: int) -> int | None:
         """On the disk of that member, or as it was when it got lost."""
@@ -211,7 +211,7 @@
     def commit(self, station: Station, output: Commit) -> None:
         self.checks.commits(station, output.entries)
         for entry in output.entries:
-            self.checks.applied(station, entry, station.book.apply(entry))
+            self.checks.applied(station, entry, station.state_machine.apply(entry))
             self.clients.told(entry)
         self.leases.check()
 
--- a/proofs/seats.py
+++ b/proofs/seats.py
@@ -67,7 +67,7 @@
         return self.clients[-1]
 
     def seats(self, name: str = "") -> dict:
-        """The book's view at a member, the leader if none is named; {} while that can't be had."""
+        """The state machine's view at a member, the leader if none is named; {} while that can't be had."""
         name = name or self.fleet.leader()
         found = (self.fleet.of_fleet(name) or {}) if name else {}
         return found.get("works", {}).get("seats", {}).get("features", {}).get(FEATURE, {})
--- a/tests/acting.py
+++ b/tests/acting.py
@@ -5,9 +5,9 @@
 from indigohitch.fleet.audit.files import Store, read
 from indigohitch.fleet.audit.heads import Head, Heads
 from indigohitch.fleet.audit.scrub import Scrub
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.members.roster import Roster
 from indigohitch.fleet.ports import At
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Lease
 from indigohitch.net.clock import SECOND
 
@@ -16,20 +16,25 @@
     """Acts of one incarnation over a real folder; the heads of its chain are taken."""
 
     def __init__(self, folder, member="m", incarnation=1, **store):
-        self.book, self.troubles = Book([Roster(), Heads()]), []
+        self.state_machine, self.troubles = ReplicatedStateMachine([Roster(), Heads()]), []
         self.store, self.member = Store(folder, **store), member
         self.lease = Lease(incarnation, 10**9)
         self.acts = ChainedActs(
-            member, lambda now: self.lease, self.book, self.store, self.troubles.append, frozenset({"firm"})
+            member,
+            lambda now: self.lease,
+            self.state_machine,
+            self.store,
+            self.troubles.append,
+            frozenset({"firm"}),
         )
-        self.heads = self.book.parts["audit"]
+        self.heads = self.state_machine.parts["audit"]
         self.heads.member_joined(None, member, incarnation)
         self.now = 0
 
     def do(self, count, kind="done"):
         for _ in range(count):
             self.now += 10
-            self.book.index += 1
+            self.state_machine.index += 1
             stamp = self.acts.stamp(self.now, kind, b"it")
         return stamp
 
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -1,4 +1,4 @@
-"""Members of a fleet without processes: real books, leases, judges and chains of acts over a ledger that is
+"""Members of a fleet without processes: real states, leases, judges and chains of acts over a ledger that is
 one list.  True time passes in steps; each member's clock drifts; links are cut one way, members stop and
 restart, and all of it comes from one seed.  Rules are checked after every act."""
 
@@ -11,10 +11,10 @@
 from indigohitch.fleet.audit.acts import ChainedActs
 from indigohitch.fleet.audit.heads import Heads
 from indigohitch.fleet.audit.work import Auditing
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.members.leases import Answer, ReadFirst
 from indigohitch.fleet.members.roster import Roster
 from indigohitch.fleet.members.work import Membership
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry
 from indigohitch.net.clock import SECOND
 from indigohitch.packed.rows import Row
@@ -41,8 +41,8 @@
 
     def apply(self, at, word, body):
         if word == "alter":
-            self.book.parts["members"].changed(at, "contract", body.hard, SECOND)
-        elif body.what in self.held or self.book.parts["members"].unfit(at.proposer, at.incarnation):
+            self.state_machine.parts["members"].changed(at, "contract", body.hard, SECOND)
+        elif body.what in self.held or self.state_machine.parts["members"].unfit(at.proposer, at.incarnation):
             raise Unfit("held")
         else:
             self.held[body.what] = (at.proposer, at.incarnation)
@@ -90,16 +90,18 @@
         self.rate, self.offset = 1 + DRIFT * chance.uniform(-1, 1), chance.randint(0, 10**6)
         self.store, self.slow, self.troubles = Kept(), 200, []
         self.stopped = 0  # until when
-        self.book = Book([Roster(), Heads(), Things()])
+        self.state_machine = ReplicatedStateMachine([Roster(), Heads(), Things()])
         self.start()
 
     def start(self):
         """A process over what its disk holds."""
-        parts = self.book.parts
+        parts = self.state_machine.parts
         self.membership = Membership(
             self.name, True, parts["members"], SPAN, DRIFT, lambda: self.chance.getrandbits(62)
         )
-        self.acts = ChainedActs(self.name, self.membership.lease, self.book, self.store, self.troubles.append)
+        self.acts = ChainedActs(
+            self.name, self.membership.lease, self.state_machine, self.store, self.troubles.append
+        )
         self.auditing = Auditing(self.acts, parts["audit"], self.membership, self.troubles.append)
         self.auditing.scrub.step = lambda now: []  # there are no files
         self.out, self.numbers, self.wants = {}, count(1), []
@@ -152,7 +154,7 @@
         fit = [m for m in self.members.values() if self.leading(m)]
         if self.time < self.lost + PATIENCE or not fit:
             return
-        self.leader = max(fit, key=lambda m: m.book.index)
+        self.leader = max(fit, key=lambda m: m.state_machine.index)
         self.term += 1
         self.log.append(Entry(len(self.log) + 1, self.term, "", b""))
         self.leader.leads, self.lost = self.term, self.time
@@ -165,10 +167,10 @@
         if member.leads and member is not self.leader:
             member.leads = 0
             member.membership.became(member.now(self.time), "follower", self.term)
-        room = len(self.log) if member is self.leader else member.book.index + member.slow
-        for entry in self.log[member.book.index : room]:
-            outcome = member.book.apply(entry)
-            self.floor = max(self.floor, member.book.parts["members"].in_force)
+        room = len(self.log) if member is self.leader else member.state_machine.index + member.slow
+        for entry in self.log[member.state_machine.index : room]:
+            outcome = member.state_machine.apply(entry)
+            self.floor = max(self.floor, member.state_machine.parts["members"].in_force)
             now = member.now(self.time)
             member.wants += member.membership.applied(now, entry, outcome)
             if (asked := member.out.pop((entry.proposer, entry.incarnation, entry.number), None)) is not None:
@@ -224,11 +226,11 @@
                 case Answer(to, word):
                     self.send(member, self.members[to], word)
                 case ReadFirst(number) if member is self.leader and self.leading(member):
-                    if member.book.index == len(self.log):
+                    if member.state_machine.index == len(self.log):
                         self.carry(member, member.membership.readable(member.now(self.time), number, True))
 
     def act(self, member, now):
-        things = member.book.parts["things"].held
+        things = member.state_machine.parts["things"].held
         own = member.membership
         free = [w for w in ("a", "b", "c") if w not in things]
         if free and own.lease(now) and self.chance.random() < 0.2:
--- a/tests/ledger_group.py
+++ b/tests/ledger_group.py
@@ -107,8 +107,8 @@
         elif kind is Commit:
             self.applied[me] += output.entries
         elif kind is TakeSnapshot:
-            book = b"%d" % output.index * 100
-            self.queue.append((me, Snapped(Snap(output.index, output.term, output.members, book))))
+            state = b"%d" % output.index * 100
+            self.queue.append((me, Snapped(Snap(output.index, output.term, output.members, state))))
         elif kind is Install:
             self.applied[me].append(output)
             self.queue.append((me, Snapped(output.snap)))
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -120,12 +120,12 @@
         return told[0]
 
     def texts(self, name):
-        return [text for _, text in self.nodes[name].book.parts["notes"].texts]
+        return [text for _, text in self.nodes[name].state_machine.parts["notes"].texts]
 
     def level(self):
-        """Until all books stand at one entry; they are equal."""
-        self.until(lambda: len({node.book.index for node in self.nodes.values()}) == 1)
-        assert len({node.book.digest() for node in self.nodes.values()}) == 1
+        """Until all state machines stand at one entry; they are equal."""
+        self.until(lambda: len({node.state_machine.index for node in self.nodes.values()}) == 1)
+        assert len({node.state_machine.digest() for node in self.nodes.values()}) == 1
 
     def figures(self, name):
         return figures(self.nodes[name])
--- a/tests/orderedlog.py
+++ b/tests/orderedlog.py
@@ -1,10 +1,10 @@
-"""A simulated ordered log for tests of works: members with books, clocks that drift, delays, cuts, kills.
+"""A simulated ordered log for tests of works: members with states, clocks that drift, delays, cuts, kills.
 
 The log itself is sound here (tests/test_ledger_* are about it); what members do with it is what is tried."""
 
 import msgspec
 
-from indigohitch.fleet.book import Book
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry, Lease
 from indigohitch.packed.rows import Row
 
@@ -23,7 +23,7 @@
     name, kinds = "members", {"gone": Gone}
 
     def apply(self, at, word, body):
-        for part in self.book.parts.values():
+        for part in self.state_machine.parts.values():
             if hasattr(part, "member_gone"):
                 part.member_gone(at, body.member, body.incarnation)
 
@@ -46,7 +46,7 @@
         self.until, self.giver = 0, world.t + SPAN  # of its lease: by its own clock, by the true
         self.numbers, self.waiting, self.gone = 0, {}, False
         self.reported = {}
-        self.book = Book(world.parts())
+        self.state_machine = ReplicatedStateMachine(world.parts())
         self.works = world.works(self)
 
     def now(self):
@@ -66,7 +66,7 @@
         while self.at < len(log) and log[self.at][0] + self.delay <= self.world.t:
             entry = log[self.at][1]
             self.at += 1
-            outcome = self.book.apply(entry)
+            outcome = self.state_machine.apply(entry)
             for work in self.works:
                 self.ask(work, work.applied(self.now(), entry, outcome))
             if (entry.proposer, entry.incarnation) == (self.name, self.incarnation):
--- a/tests/seatdays.py
+++ b/tests/seatdays.py
@@ -65,4 +65,4 @@
     for member in world.members.values():
         holds = member.work.desk.holds.values()
         assert not any(hold.bound or hold.returning for hold in holds), "given for good"
-        assert member.book.digest() == world.true.digest()
+        assert member.state_machine.digest() == world.true.digest()
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.seats.contract import Pass
 from indigohitch.fleet.seats.desk import Ticket
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict
 from indigohitch.fleet.seats.part import Seats
 from indigohitch.fleet.seats.work import SeatsWork
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry, Lease, Stamp
 from indigohitch.packed.rows import Row
 
@@ -32,7 +32,7 @@
     name, kinds = "members", {"gone": Gone}
 
     def apply(self, at, word, body):
-        self.book.parts["seats"].member_gone(at, body.name, body.incarnation)
+        self.state_machine.parts["seats"].member_gone(at, body.name, body.incarnation)
 
     def row(self):
         return 0
@@ -95,20 +95,26 @@
         self.world, self.name, self.incarnation = world, name, incarnation
         self.alive, self.stopped, self.cut, self.shut = True, False, False, False
         self.until = self.at = self.number = self.acts = 0
-        self.out, self.book = {}, Book([Seats(), Members()])
+        self.out, self.state_machine = {}, ReplicatedStateMachine([Seats(), Members()])
         self.nodes = Nodes(BOOT)
         self.work = SeatsWork(
-            name, self.book.parts["seats"], self, self.fleet, lambda: world.contract, name != "m0", BOOT
+            name,
+            self.state_machine.parts["seats"],
+            self,
+            self.fleet,
+            lambda: world.contract,
+            name != "m0",
+            BOOT,
         )
 
     def fleet(self, now):
-        return self.book.parts["seats"].edition and EPOCH + self.world.t  # here without error
+        return self.state_machine.parts["seats"].edition and EPOCH + self.world.t  # here without error
 
     def stamp(self, now, kind, about):
         if now >= self.until or self.shut:
             return None
         self.acts += 1
-        return Stamp(self.name, self.incarnation, 1, self.book.index, self.acts)
+        return Stamp(self.name, self.incarnation, 1, self.state_machine.index, self.acts)
 
     @property
     def acting(self):
@@ -152,7 +158,7 @@
         while self.acting and not self.cut and self.at < len(world.log):
             entry = world.log[self.at]
             self.at += 1
-            outcome, now = self.book.apply(entry), self.clock(world.t)
+            outcome, now = self.state_machine.apply(entry), self.clock(world.t)
             if entry.kind == "members.gone" and msgspec.msgpack.decode(entry.body) == [
                 self.name,
                 self.incarnation,
--- a/tests/seatworld.py
+++ b/tests/seatworld.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.seats.contract import Contract
 from indigohitch.fleet.seats.part import Seats
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry
 from seatmembers import DRIFT, EPOCH, SECOND, SPAN, Gone, Member, Members, Server
 
@@ -18,7 +18,7 @@
             ("asked", "given", "unread", "late", "old", "twice", "ended_at_end", "peak"), 0
         )
         self.features, self.log, self.began = [t.feature for t in terms], [], {}
-        self.true = Book([Seats(), Members()])  # what is committed, at once
+        self.true = ReplicatedStateMachine([Seats(), Members()])  # what is committed, at once
         self.giver, self.reports = {}, {}  # by member: incarnation, true time; last report
         self.contract = Contract(1, tuple(terms))
         self.servers = [Server(self, f"s{n}") for n in range(servers)]
--- a/tests/test_batches_fleet.py
+++ b/tests/test_batches_fleet.py
@@ -44,7 +44,9 @@
         if self.member.until <= now:
             return None
         self.number += 1
-        return Stamp(self.member.name, self.member.incarnation, 1, self.member.book.index, self.number)
+        return Stamp(
+            self.member.name, self.member.incarnation, 1, self.member.state_machine.index, self.number
+        )
 
 
 class Servers:
@@ -86,11 +88,11 @@
 
 def build(seed, names=("a", "b", "c", "d", "e")):
     def works(member):
-        clock = HoursWork(member.book.parts["hours"], member.name, member.wall, lambda: set(names))
+        clock = HoursWork(member.state_machine.parts["hours"], member.name, member.wall, lambda: set(names))
         return [
             clock,
             BatchesWork(
-                member.book.parts["batches"],
+                member.state_machine.parts["batches"],
                 member.name,
                 Chain(member),
                 world.servers.port(member),
@@ -130,7 +132,7 @@
     def check(self):
         world = self.world
         for member in world.members.values():
-            for id, piece in member.book.parts["batches"].pieces.all.items():
+            for id, piece in member.state_machine.parts["batches"].pieces.all.items():
                 if piece.attempt:
                     first = self.starts.setdefault((id, piece.attempt), piece.stamp)
                     assert piece.stamp == first, "two stamps for one start"
@@ -178,9 +180,9 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_started_once_none_missed_unclear_held(seed):
     world = played(seed)
-    books = [m.book for m in world.members.values() if m.at == len(world.log)]
-    assert len({book.digest() for book in books}) == 1
-    part = books[0].parts["batches"]
+    state_machines = [m.state_machine for m in world.members.values() if m.at == len(world.log)]
+    assert len({state_machine.digest() for state_machine in state_machines}) == 1
+    part = state_machines[0].parts["batches"]
     assert len(part.pieces.all) == 24
     for id, piece in part.pieces.all.items():
         done = sum((id, step) in world.servers.ran for step in range(piece.cut.steps))
@@ -192,7 +194,7 @@
 
 def test_without_trouble_all_are_done_where_no_answer_is_lost():
     world = played(99, steps=900, hurt=False)
-    states = world.members["a"].book.parts["batches"].pieces.counts()
+    states = world.members["a"].state_machine.parts["batches"].pieces.counts()
     assert states["missed"] == 0 and states["done"] + states["unclear"] == 24 and states["done"] >= 12
 
 
--- a/tests/test_batches_pieces.py
+++ b/tests/test_batches_pieces.py
@@ -1,4 +1,4 @@
-"""What becomes of a piece in the book: whose word counts, who is lost, what an operator says."""
+"""What becomes of a piece in the state machine: whose word counts, who is lost, what an operator says."""
 
 import msgspec
 import pytest
@@ -32,7 +32,7 @@
 )
 
 
-def book_with(idempotent=False, steps=4):
+def state_machine_with(idempotent=False, steps=4):
     part = Batches()
     part.apply(At(1, 1, 10, "a", 1), "contract", CONTRACT)
     cut = Cut(TRUE, TRUE + 100 * SECOND, 8 * SECOND, steps)
@@ -47,7 +47,7 @@
 
 
 def test_only_its_holder_speaks_of_a_piece():
-    part, piece = book_with()
+    part, piece = state_machine_with()
     for who in (("m", 4), ("m", 6), ("n", 5)):
         with pytest.raises(Unfit):
             part.apply(At(6, 1, TRUE, *who), "step", Step("x.0", 1, 4, "done"))
@@ -57,7 +57,7 @@
 
 
 def test_nothing_is_given_to_who_is_gone():
-    part, piece = book_with(idempotent=True)
+    part, piece = state_machine_with(idempotent=True)
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
     with pytest.raises(Unfit, match="gone"):
         part.apply(At(7, 1, TRUE, "a", 1), "give", Give("x.0", "m", 5))
@@ -65,10 +65,10 @@
 
 
 def test_a_lost_member_s_piece_goes_on_from_its_checkpoint_or_is_held():
-    part, piece = book_with(idempotent=True)
+    part, piece = state_machine_with(idempotent=True)
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
     assert piece.state is State.WAITING and piece.step == 2 and not part.pieces.held
-    part, piece = book_with()
+    part, piece = state_machine_with()
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
     assert piece.state is State.UNCLEAR and "lost" in piece.why
     with pytest.raises(Unfit):
@@ -88,7 +88,7 @@
     ],
 )
 def test_an_operator_s_word_frees_what_is_unclear(word, step, state):
-    part, piece = book_with()
+    part, piece = state_machine_with()
     part.member_gone(At(6, 1, TRUE, "", 0), "m", 5)
     if state is None:
         with pytest.raises(Unfit) as told:
@@ -99,8 +99,8 @@
     assert piece.state is state and (piece.step == 3) == (word == "from")
 
 
-def test_a_snapshot_gives_the_same_book():
-    part, _ = book_with()
+def test_a_snapshot_gives_the_same_state_machine():
+    part, _ = state_machine_with()
     other = Batches()
     other.restore(msgspec.msgpack.encode(part.row()))
     assert other.row() == part.row() and other.pieces.held == part.pieces.held
--- a/tests/test_fleet_hours.py
+++ b/tests/test_fleet_hours.py
@@ -6,8 +6,8 @@
 
 from indigohitch.errors import Unfit
 from indigohitch.fleet import hours
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.hours import Hours, HoursWork, Running, Tick, proposed
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from orderedlog import SECOND, World
 
 HOUR = 3600 * SECOND
@@ -16,7 +16,7 @@
 
 def world(seed, names):
     def works(member):
-        return [HoursWork(member.book.parts["hours"], member.name, member.wall, lambda: set(names))]
+        return [HoursWork(member.state_machine.parts["hours"], member.name, member.wall, lambda: set(names))]
 
     return World(random.Random(seed), names, lambda: [Hours()], works)
 
@@ -53,7 +53,9 @@
             w.members[rng.choice(names[1:])].cut = True  # two of three are left, one of them may be wrong
 
     watched(w, 900, each)
-    assert len({m.book.digest() for m in w.members.values() if not m.cut and m.at == len(w.log)}) == 1
+    assert (
+        len({m.state_machine.digest() for m in w.members.values() if not m.cut and m.at == len(w.log)}) == 1
+    )
 
 
 @pytest.mark.parametrize("jump", [-HOUR, HOUR])
@@ -67,18 +69,18 @@
     watched(w, 600, each)
 
 
-def test_without_a_majority_it_stands_in_the_book_and_goes_on_in_each_member():
+def test_without_a_majority_it_stands_in_the_state_machine_and_goes_on_in_each_member():
     w = world(1, ["a", "b", "c"])
     watched(w, 200)
     w.members["a"].cut = w.members["b"].cut = True
-    before = w.members["c"].book.time
+    before = w.members["c"].state_machine.time
     for _ in range(200):
         w.step()
-    assert w.members["c"].book.time <= before + 2 * SECOND
+    assert w.members["c"].state_machine.time <= before + 2 * SECOND
     assert abs(off(w, w.members["c"])) < SECOND
     w.members["a"].cut = False
     watched(w, 300)
-    assert abs(w.members["a"].book.time - TRUE - w.t) < 3 * SECOND
+    assert abs(w.members["a"].state_machine.time - TRUE - w.t) < 3 * SECOND
 
 
 def test_after_the_whole_fleet_was_away_the_clocks_say():
@@ -113,13 +115,13 @@
     assert proposed(now + 11 * SECOND, running, {"a": (TRUE, now), "b": (TRUE, now)}, ["a", "b", "c"]) is None
 
 
-def test_the_book_refuses_a_tick_that_goes_back():
+def test_the_state_machine_refuses_a_tick_that_goes_back():
     part = Hours()
-    book = Book([part])
+    state_machine = ReplicatedStateMachine([part])
     part.apply(None, "tick", Tick(10))
     with pytest.raises(Unfit):
         part.apply(None, "tick", Tick(10))
-    assert book.time == 10
+    assert state_machine.time == 10
 
 
 @pytest.mark.parametrize(
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def fleet(shared):
-    """Whole before and after, and its books equal."""
+    """Whole before and after, and its state machines equal."""
     yield shared
     found = settled(shared)
     assert len({digest for _, digest in found.values()}) == 1
--- a/tests/test_fleet_book.py
+++ b/tests/test_fleet_state_machine.py
@@ -1,4 +1,4 @@
-"""The replicated book: once, in order, the same at each member, through snapshots."""
+"""The replicated state machine: once, in order, the same at each member, through snapshots."""
 
 import random
 
@@ -6,7 +6,7 @@
 import pytest
 
 from indigohitch.errors import Unfit, Unreadable
-from indigohitch.fleet.book import WINDOW, Book
+from indigohitch.fleet.state_machine import WINDOW, ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry
 from indigohitch.packed.rows import Row
 
@@ -40,33 +40,33 @@
 
 
 def test_a_proposal_takes_effect_once():
-    book = Book([Sums()])
-    first = book.apply(entry(1, 1))
-    again = book.apply(entry(2, 1))
+    state_machine = ReplicatedStateMachine([Sums()])
+    first = state_machine.apply(entry(1, 1))
+    again = state_machine.apply(entry(2, 1))
     assert (again.doubled, again.index, again.told) == (True, 1, first.told) and not first.doubled
-    assert book.parts["sums"].sums == {"a": 1}
-    assert book.apply(entry(3, 7 + WINDOW)).refused == ""
-    assert "too old" in book.apply(entry(4, 2)).refused
-    assert book.apply(entry(5, 1, incarnation=2)).refused == ""
-    assert "over" in book.apply(entry(6, 9 + WINDOW)).refused
+    assert state_machine.parts["sums"].sums == {"a": 1}
+    assert state_machine.apply(entry(3, 7 + WINDOW)).refused == ""
+    assert "too old" in state_machine.apply(entry(4, 2)).refused
+    assert state_machine.apply(entry(5, 1, incarnation=2)).refused == ""
+    assert "over" in state_machine.apply(entry(6, 9 + WINDOW)).refused
 
 
 def test_what_can_not_be_changes_nothing():
-    book = Book([Sums()])
+    state_machine = ReplicatedStateMachine([Sums()])
     for index, (kind, much) in enumerate([("sums.add", -1), ("sums.no", 1), ("no.add", 1)], 1):
-        assert book.apply(entry(index, index, much=much, kind=kind)).refused
-    assert book.apply(Entry(4, 1, "sums.add", b"\xc1", "n1", 1, 4)).refused
-    assert book.parts["sums"].sums == {} and book.apply(Entry(5, 2, "", b"")).refused == ""
+        assert state_machine.apply(entry(index, index, much=much, kind=kind)).refused
+    assert state_machine.apply(Entry(4, 1, "sums.add", b"\xc1", "n1", 1, 4)).refused
+    assert state_machine.parts["sums"].sums == {} and state_machine.apply(Entry(5, 2, "", b"")).refused == ""
     with pytest.raises(ValueError):
-        book.apply(entry(5, 5))
+        state_machine.apply(entry(5, 5))
     with pytest.raises(Unreadable):
-        Book([Sums()]).restore(b"\x93")
+        ReplicatedStateMachine([Sums()]).restore(b"\x93")
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_a_snapshot_anywhere_comes_to_the_same(seed):
     chance = random.Random(seed)
-    one, other = Book([Sums()]), Book([Sums()])
+    one, other = ReplicatedStateMachine([Sums()]), ReplicatedStateMachine([Sums()])
     for index in range(1, 200):
         given = entry(
             index,
@@ -77,6 +77,6 @@
         )
         assert one.apply(given) == other.apply(given)
         if chance.random() < 0.1:
-            data, other = other.snapshot(), Book([Sums()])
+            data, other = other.snapshot(), ReplicatedStateMachine([Sums()])
             other.restore(data)
         assert one.digest() == other.digest()
--- a/tests/test_ledger_members.py
+++ b/tests/test_ledger_members.py
@@ -143,17 +143,19 @@
     group.cut.clear()
     group.pass_time(2 * BOOTSTRAP["election"])
     installed = [one for one in group.applied[C] if type(one) is Install]
-    assert len(installed) == 1 and installed[0].snap.book == b"%d" % installed[0].snap.index * 100
+    assert len(installed) == 1 and installed[0].snap.state == b"%d" % installed[0].snap.index * 100
     assert group.numbers(C)[-1] == 200 and group.machines[C].commit == group.machines[A].commit
-    assert len([1 for _, to, word in group.sent if type(word) is Piece]) >= len(installed[0].snap.book) // 100
+    assert (
+        len([1 for _, to, word in group.sent if type(word) is Piece]) >= len(installed[0].snap.state) // 100
+    )
 
 
 SNAP = Snap(7, 2, Members((A, B, C)), bytes(range(250)))
 
 
 def piece(offset, size=100, term=3, data=None, of=SNAP):
-    data = of.book[offset : offset + size] if data is None else data
-    return Heard(A, Piece(term, of.index, of.term, of.members, len(of.book), digest(of.book), offset, data))
+    data = of.state[offset : offset + size] if data is None else data
+    return Heard(A, Piece(term, of.index, of.term, of.members, len(of.state), digest(of.state), offset, data))
 
 
 def told(outputs):
--- a/tests/test_ledger_reads.py
+++ b/tests/test_ledger_reads.py
@@ -1,4 +1,4 @@
-"""Reads of the ledger, confirmed by a majority, and from when on a leader's book may be gone by."""
+"""Reads of the ledger, confirmed by a majority, and from when on a leader's state machine may be gone by."""
 
 from indigohitch.fleet.ledger.ports import Heard, Read, Readable, Written
 from indigohitch.fleet.ledger.words import Appended
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -66,11 +66,15 @@
         if not leased(world):
             world.step()
     assert leased(world)
-    books = {m.book.digest() for m in world.members.values() if m.book.index == world.leader.book.index}
-    assert len(books) == 1 and world.acted > 500
+    state_machines = {
+        m.state_machine.digest()
+        for m in world.members.values()
+        if m.state_machine.index == world.leader.state_machine.index
+    }
+    assert len(state_machines) == 1 and world.acted > 500
     for member in world.members.values():
         assert member.membership.phase is Phase.VALID and not member.troubles
-    assert not check(world.records(), world.leader.book.parts["audit"].facts, 10**9)
+    assert not check(world.records(), world.leader.state_machine.parts["audit"].facts, 10**9)
 
 
 @pytest.mark.parametrize("guard", ["over", "lease", "in_force"])
@@ -90,7 +94,7 @@
     """Who holds something hears no entries more, and a hard change comes."""
     world = settled()
     world.run(4)
-    held = world.leader.book.parts["things"].held
+    held = world.leader.state_machine.parts["things"].held
     one = next(m for m in world.members.values() if m is not world.leader and (m.name, 1) in held.values())
     one.slow = 0
     if cut:
@@ -103,7 +107,7 @@
 @pytest.mark.parametrize("cut", [False, True])
 def test_a_holder_that_hears_nothing_is_shut_out(cut):
     world, one = stalled(cut)
-    roster = world.leader.book.parts["members"]
+    roster = world.leader.state_machine.parts["members"]
     assert one.membership.lease(one.now(world.time)) is None and roster.unfit(one.name, 1) == "gone"
     assert roster.in_force and not roster.changes
 
@@ -129,7 +133,7 @@
     one.slow = 60
     world.standings.clear()
     world.run(4)
-    assert one.book.index == world.leader.book.index and one.membership.incarnation == 1
+    assert one.state_machine.index == world.leader.state_machine.index and one.membership.incarnation == 1
     assert Standing.BROUGHT_UP in world.standings
 
 
@@ -140,7 +144,7 @@
     world.propose(world.leader, "things.alter", Alter(True))
     world.run(8)
     assert one.membership.lease(one.now(world.time)) is None
-    roster = world.leader.book.parts["members"]
+    roster = world.leader.state_machine.parts["members"]
     assert not roster.changes and roster.in_force and roster.unfit(one.name, 1)
     assert {Standing.BEHIND, Standing.STRAGGLER, Standing.SHUT_OUT} <= world.standings
     one.slow = 200
@@ -151,13 +155,13 @@
 def test_a_state_that_differs_shuts_its_member_out_and_keeps_the_evidence():
     world = settled()
     one = follower(world)
-    one.book.parts["things"].held["forged"] = (one.name, 1)
+    one.state_machine.parts["things"].held["forged"] = (one.name, 1)
     world.propose(world.leader, "members.compare", Alter(True))  # any body: a point of comparing has none
     world.run(4)
     assert one.membership.phase is Phase.DIFFERS and one.store.evidence
     assert one.membership.lease(one.now(world.time)) is None
     assert "acts no more" in str(one.troubles[0]) and one.troubles[0].remedy
-    assert world.leader.book.parts["members"].unfit(one.name, 1)
+    assert world.leader.state_machine.parts["members"].unfit(one.name, 1)
     assert sum(m.membership.phase is Phase.VALID for m in world.members.values()) == 4
 
 
@@ -176,19 +180,19 @@
 def test_a_member_that_leaves_frees_at_once():
     world = settled()
     world.run(4)
-    things = world.leader.book.parts["things"].held
+    things = world.leader.state_machine.parts["things"].held
     one = next(m for m in world.members.values() if any(by[0] == m.name for by in things.values()))
     for wanted in one.membership.leave():
         world.propose(one, wanted.kind, wanted.body, wanted.tag)
     for _ in range(4 * SECOND // (4 * STEP)):
         world.step()
-    held = world.leader.book.parts["things"].held
+    held = world.leader.state_machine.parts["things"].held
     assert not any(by == (one.name, 1) for by in held.values())
-    assert world.leader.book.parts["members"].unfit(one.name, 1) == "gone"
+    assert world.leader.state_machine.parts["members"].unfit(one.name, 1) == "gone"
 
 
 def test_a_roster_restored_is_the_same():
-    roster = faulty(3).leader.book.parts["members"]
+    roster = faulty(3).leader.state_machine.parts["members"]
     other = Roster()
     other.restore(msgspec.msgpack.encode(roster.row()))
     assert other.row() == roster.row() and len(other.members) >= 5
@@ -202,5 +206,5 @@
     for _ in range(10):
         world.propose(world.leader, "things.take", Take("x"))
         world.run(1)
-    roster = world.leader.book.parts["members"]
+    roster = world.leader.state_machine.parts["members"]
     assert roster.unfit(one.name, 1) == "gone" and "takes no entry" in roster.members[one.name, 1].why
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -141,7 +141,7 @@
     world.until(lambda: node.leaving.left)
     assert world.until(lambda: world.leader(but=leader)) in others
     assert not node.lease(world.clock.now())
-    assert node.book.parts["members"].unfit(leader, incarnation)
+    assert node.state_machine.parts["members"].unfit(leader, incarnation)
     node.leaving.stay()  # the upgrade was called off
     world.valid()
     assert node.assembly.membership.incarnation > incarnation
@@ -189,7 +189,7 @@
     def breaks(entry):
         raise RuntimeError("a defect of a part")
 
-    node.book.apply = breaks
+    node.state_machine.apply = breaks
     world.put("v2", "x")
     world.until(lambda: node.phase is Phase.BROKEN)
     assert world.ended and node.log.said("member_stops")[0]["remedy"]
@@ -202,23 +202,23 @@
     """It keeps the evidence, and holds no lease."""
     world.start().valid()
     node: Node = world.nodes[next(n for n in world.nodes if n != world.leader())]
-    node.book.parts["notes"].count += 1  # memory gone wrong
+    node.state_machine.parts["notes"].count += 1  # memory gone wrong
     world.until(lambda: node.assembly.membership.phase is Member.DIFFERS)
     assert not node.lease(world.clock.now())
     assert node.log.said("state_differs")[0]["own"] != node.log.said("state_differs")[0]["agreed"]
 
 
-def test_a_leader_elected_after_a_start_decides_by_no_old_book(world):
+def test_a_leader_elected_after_a_start_decides_by_no_old_state_machine(world):
     world.start().valid()
     for n in range(20):
         world.put("v1", f"note {n}")
     world.level()
-    stood, led = world.nodes["v1"].book.index, []
+    stood, led = world.nodes["v1"].state_machine.index, []
     for name in list(world.nodes):
         world.kill(name)
     world.start()
     for node in world.nodes.values():
-        node.lead = lambda now, node=node: led.append(node.book.index)
+        node.lead = lambda now, node=node: led.append(node.state_machine.index)
 
     def beaten():
         """Each looks in every turn what there is to lead: no beat misses the moment by luck."""
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -7,7 +7,6 @@
 import pytest
 
 from indigohitch.errors import NotNow
-from indigohitch.fleet.book import WINDOW, Book
 from indigohitch.fleet.ledger.ports import Members
 from indigohitch.fleet.links.words import Welcome
 from indigohitch.fleet.node.founding import Admission, Way, way
@@ -15,6 +14,7 @@
 from indigohitch.fleet.node.proposals import MOST, Proposals
 from indigohitch.fleet.node.reads import WAIT, Reads
 from indigohitch.fleet.node.words import WORDS, Admit
+from indigohitch.fleet.state_machine import WINDOW, ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry, Who
 
 VOTERS = ("a", "b", "c")
@@ -22,9 +22,9 @@
 
 @pytest.mark.parametrize("seed", range(40))
 def test_each_proposal_takes_effect_once_and_is_answered_once(seed):
-    """Words lost, doubled, late and turned away: each is in the book once, and its owner hears once."""
+    """Words lost, doubled, late and turned away: each is in the state once, and its owner hears once."""
     chance = random.Random(seed)
-    proposals, book = Proposals("a", 1, 100), Book([Notes()])
+    proposals, state_machine = Proposals("a", 1, 100), ReplicatedStateMachine([Notes()])
     answers, sent, put, now, index = {}, [], 0, 0, 0
     while put < 300 or proposals.open:
         now += chance.randint(0, 60)
@@ -50,13 +50,13 @@
                 continue
             index += 1
             entry = Entry(index, 1, taken.kind, taken.body, "a", 1, taken.number)
-            proposals.applied(entry, book.apply(entry))
+            proposals.applied(entry, state_machine.apply(entry))
         if chance.random() < 0.02:
             proposals.hurry(now)
         assert len(proposals.open) <= MOST
         numbers = list(proposals.open)
         assert not numbers or numbers[-1] - numbers[0] < WINDOW
-    texts = [text for _, text in book.parts["notes"].texts]
+    texts = [text for _, text in state_machine.parts["notes"].texts]
     assert sorted(texts) == [f"{n:04}" for n in range(300)]
     assert all(len(found) == 1 and not found[0].refused for found in answers.values()) and len(answers) == 300
 
@@ -72,7 +72,7 @@
     assert proposals.due(0)
 
 
-def test_reads_wait_for_the_book_and_end_in_time():
+def test_reads_wait_for_the_state_machine_and_end_in_time():
     reads, told = Reads(), []
     number = reads.begin(0, told.append)
     reads.answered(number, 7, True, 5)
@@ -142,10 +142,10 @@
 
 
 def test_a_note_too_long_changes_nothing():
-    book = Book([Notes()])
+    state_machine = ReplicatedStateMachine([Notes()])
     text = b"\x91\xda" + (LONGEST + 1).to_bytes(2, "big") + b"x" * (LONGEST + 1)
-    assert "characters" in book.apply(Entry(1, 1, "notes.add", text, "a", 1, 1)).refused
-    assert not book.parts["notes"].texts
+    assert "characters" in state_machine.apply(Entry(1, 1, "notes.add", text, "a", 1, 1)).refused
+    assert not state_machine.parts["notes"].texts
 
 
 def test_words_keep_their_numbers_on_the_wire():
--- a/tests/test_seats_part.py
+++ b/tests/test_seats_part.py
@@ -1,17 +1,17 @@
-"""The book's part `seats` and the desk, in plain cases; moves of shares, drawn."""
+"""The state machine's part `seats` and the desk, in plain cases; moves of shares, drawn."""
 
 import random
 
 import pytest
 
 from indigohitch.errors import Unfit
-from indigohitch.fleet.book import Book
 from indigohitch.fleet.ports import At
 from indigohitch.fleet.seats.contract import Contract, Grant, Recall, Return, Terms
 from indigohitch.fleet.seats.desk import Desk, Ticket
 from indigohitch.fleet.seats.moving import Wish, parts, spread
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict, header, read
 from indigohitch.fleet.seats.part import Seats
+from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Lease, Stamp
 
 SECOND = 10_000
@@ -31,7 +31,7 @@
 
     def __init__(self, *terms):
         self.part, self.time, self.index, self.edition = Seats(), 10**9, 0, 0
-        Book([self.part])
+        ReplicatedStateMachine([self.part])
         self.acts = Acts()
         self.desk = Desk("a", self.part, self.acts, lambda now: self.time + now, BOOT)
         self.desk.turn(0, Lease(1, 10 * SECOND))
@@ -230,13 +230,13 @@
     assert min(had) >= 10 and sum(net) <= 2
 
 
-def test_the_book_goes_through_a_snapshot():
+def test_the_state_machine_goes_through_a_snapshot():
     one = One(Terms("geo", 5, keep=(("ta", 2),)))
     one.grant(2)
     one.grant(1, "b", "ta")
     one.does("recall", Recall("geo", "", "a", 1, 1))
     one.part.member_gone(At(9, 1, 0, "lead", 1), "c", 4)
-    book, other = one.part.book, Book([Seats()])
-    other.restore(book.snapshot())
-    assert other.digest() == book.digest()
+    state_machine, other = one.part.state_machine, ReplicatedStateMachine([Seats()])
+    other.restore(state_machine.snapshot())
+    assert other.digest() == state_machine.digest()
     assert other.parts["seats"].features["geo"].free == one.part.features["geo"].free
