Links accept through Arrivals, and greet with a role

Cause: a distributor listens for subscribers, which are many and no members; the listener, its bound on strangers and the dialled end knew members only. Change: Arrivals holds the listener and who has not greeted yet; Dialled and Accepted name what they want of their owner as protocols (the import circle of ends and links is gone); Greeting has a role, and a member's port refuses a subscriber's with a remedy.

--- a/indigohitch/fleet/links/ends.py
+++ b/indigohitch/fleet/links/ends.py
@@ -4,18 +4,19 @@
 
 import enum
 import socket
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
+from ...log import Log
 from ...net.clock import SECOND
 from ...net.connection import Connection
-from ...packed.frames import Broken, Frames
+from ...net.loop import Loop
+from ...net.ring import Pool
+from ...packed.frames import Broken, Frames, Kinds
 from ...packed.rows import Row
 from ..terms import Who
 from .words import Greeting, Pulse, Pulsed, Refused, Welcome
 
-if TYPE_CHECKING:
-    from .links import Links
-
 # A connect or a greeting that takes longer than this on one site's net comes to nothing.
 GREET = SECOND
 PULSE = SECOND // 2
@@ -37,12 +38,38 @@
     CLOSED = "closed"
 
 
+class Dialler(Protocol):
+    """Who owns dialled connections.  `chance`: of a seeded generator, for the spread of diallings."""
+
+    loop: Loop
+    log: Log
+    kinds: Kinds
+    chance: Callable[[], float]
+
+    def greeting(self) -> Greeting: ...
+
+    def welcomed(self, link: Dialled, welcome: Welcome) -> bool:
+        """Whether who answers is who was dialled."""
+
+    def up(self, link: Dialled) -> None: ...
+
+    def down(self, link: Dialled, why: str) -> None: ...
+
+    def replied(self, link: Dialled, word: Row) -> None:
+        """A word that is not about the link itself came back over it."""
+
+    def spoilt(self, name: str, broken: Broken) -> None: ...
+
+
 class Dialled:
     """Our words to one member.  What it can't take is dropped, never kept waiting: the ledger says again what
     matters."""
 
-    def __init__(self, links: Links, name: str, to: tuple[str, int]) -> None:
+    def __init__(
+        self, links: Dialler, name: str, to: tuple[str, int], pulse: int = PULSE, silent: int = SILENT
+    ) -> None:
         self.links, self.name, self.to = links, name, to
+        self.pulse, self.silent = pulse, silent
         self.phase, self.since = Phase.RESTING, 0
         self.due, self.rest = 0, REST  # of the next dialling
         self.connection: Connection | None = None
@@ -63,7 +90,7 @@
         elif self.phase in (Phase.DIALLING, Phase.GREETING):
             if now - self.since > GREET:
                 self.connection.close("no answer")
-        elif now - self.alive > SILENT:
+        elif now - self.alive > self.silent:
             self.links.log.trouble(
                 "member_silent",
                 member=self.name,
@@ -73,7 +100,7 @@
             self.connection.close("silent")
         elif now >= self.pulse_due:
             self.pulses += 1
-            self.pulse_due = now + PULSE
+            self.pulse_due = now + self.pulse
             self.write(Pulse(self.pulses))
 
     def dial(self) -> None:
@@ -88,9 +115,8 @@
         self.be(Phase.DIALLING)
 
     def opened(self, connection: Connection) -> None:
-        links = self.links
         self.be(Phase.GREETING)
-        self.write(Greeting(links.fleet, links.me, links.token))
+        self.write(self.links.greeting())
 
     def heard(self, connection: Connection) -> None:
         try:
@@ -109,7 +135,8 @@
                 if not self.links.welcomed(self, word):
                     self.connection.close("not who was called")
                     return
-                self.welcome, self.alive, self.pulse_due, self.rest = word, now, now + PULSE, REST
+                self.welcome, self.alive, self.rest = word, now, REST
+                self.pulse_due = now + self.pulse
                 self.be(Phase.OPEN)
                 self.links.up(self)
             case Refused(why):
@@ -118,6 +145,9 @@
                 self.connection.close("refused")
             case Pulsed():
                 self.alive = now
+            case _ if self.phase is Phase.OPEN:
+                self.alive = now
+                self.links.replied(self, word)
 
     def say(self, word: Row) -> bool:
         """False where it was dropped."""
@@ -163,15 +193,34 @@
             self.connection.close()
 
 
+class Host(Protocol):
+    """Who accepts connections."""
+
+    loop: Loop
+    kinds: Kinds
+
+    def greeted(self, one: Accepted, greeting: Greeting) -> None: ...
+
+    def heard(self, one: Accepted, word: Row) -> None: ...
+
+    def gone(self, one: Accepted) -> None: ...
+
+    def stranger(self, why: str) -> None:
+        """Someone who has not greeted is sent away."""
+
+    def spoilt(self, name: str, broken: Broken) -> None: ...
+
+
 class Accepted:
     """Another one's words to us; a stranger until it has greeted."""
 
-    def __init__(self, links: Links, sock: socket.socket) -> None:
+    def __init__(self, links: Host, sock: socket.socket, pool: Pool | None = None) -> None:
+        """`pool`: of its buffers, the loop's own where none is named."""
         self.links, self.who, self.token = links, None, 0
         self.since = self.heard_at = links.loop.clock.now()
         self.frames = Frames(links.kinds)
         self.connection = Connection.accepted(
-            links.loop, sock, self, links.kinds.most + (64 << 10), links.loop.pool
+            links.loop, sock, self, links.kinds.most + (64 << 10), pool or links.loop.pool
         )
 
     def heard(self, connection: Connection) -> None:
@@ -192,21 +241,20 @@
             if isinstance(word, Greeting):
                 self.links.greeted(self, word)
             else:
-                self.links.log.trouble(
-                    "stranger",
-                    why=f"{type(word).__name__} before a greeting",
-                    remedy="keep others off the members' port",
-                )
+                self.links.stranger(f"{type(word).__name__} before a greeting")
                 self.close()
         elif isinstance(word, Pulse):
             self.answer(Pulsed(word.number))
         else:
-            self.links.heard(self.who, word)
+            self.links.heard(self, word)
 
-    def answer(self, word: Row) -> None:
+    def answer(self, word: Row) -> bool:
+        """False where it was dropped."""
         data = self.links.kinds.frame(word)
-        if self.connection.open and self.connection.outgoing.room() >= len(data):
-            self.connection.write(data)
+        if not self.connection.open or self.connection.outgoing.room() < len(data):
+            return False
+        self.connection.write(data)
+        return True
 
     def closed(self, connection: Connection, why: str) -> None:
         self.links.gone(self)
--- a/indigohitch/fleet/links/greeting.py
+++ b/indigohitch/fleet/links/greeting.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Container
 
-from .words import HIGHEST, LOWEST, Greeting, Welcome
+from .words import HIGHEST, LOWEST, MEMBER, SUBSCRIBER, Greeting, Welcome
 
 REMEDIES = {
     "another fleet": "its file names another fleet, or an address of ours",
     "no member": "name it in the files of all members, and let them read these again (SIGHUP)",
     "ourselves": "two files bear the same name, or a member's address is its own",
+    "role": "its file names a member's port as a distributor's, or the other way round",
     "protocol": "bring the older program up by one version at a time",
     "an old disk": "its disk was replaced since: take its folder away and start it without",
 }
@@ -21,6 +22,8 @@
     who = greeting.who
     if greeting.fleet != fleet:
         return f"of fleet {greeting.fleet[:64]}, this is {fleet}", "another fleet"
+    if greeting.role != MEMBER:
+        return f"{who.name[:64]} comes as {greeting.role[:64]}, this port is the members'", "role"
     if who.name == me:
         return f"{me} is this member", "ourselves"
     if who.name not in names:
@@ -32,6 +35,17 @@
     return "", ""
 
 
+def refused_subscriber(greeting: Greeting, fleet: str) -> tuple[str, str]:
+    """Why it may not subscribe, and its kind in REMEDIES; two empty texts where it may."""
+    if greeting.fleet != fleet:
+        return f"of fleet {greeting.fleet[:64]}, this is {fleet}", "another fleet"
+    if greeting.role != SUBSCRIBER:
+        return f"{greeting.who.name[:64]} comes as {greeting.role[:64]}, this port is for subscribers", "role"
+    if why := unspoken(greeting):
+        return why, "protocol"
+    return "", ""
+
+
 def unspoken(word: Greeting | Welcome) -> str:
     """Why there is no protocol that both understand."""
     if word.lowest > HIGHEST or word.highest < LOWEST:
--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable, Mapping
 
 from ...log import Log
-from ...net.connection import Listener
 from ...net.loop import Loop
 from ...packed.frames import Broken, Kinds
 from ...packed.rows import Row
 from ..terms import Who
-from .ends import GREET, Accepted, Dialled, Phase
+from .arrivals import Arrivals, spoilt
+from .ends import Accepted, Dialled, Phase
 from .greeting import REMEDIES, refused, unspoken
 from .words import Greeting, Refused, Welcome
 
@@ -30,9 +29,8 @@
         self.loop, self.log, self.kinds, self.fleet, self.token = loop, log, kinds, fleet, token
         self.me, self.chance = me, chance
         self.peers: dict[str, Dialled] = {}
-        self.strangers: set[Accepted] = set()
         self.came: dict[str, Accepted] = {}
-        self.listener: Listener | None = None
+        self.arrivals = Arrivals(loop, log, kinds, self, "members", STRANGERS)
         self.on_heard: Callable[[Who, Row], None] = lambda who, word: None
         self.on_met: Callable[[Who], str] = lambda who: ""
         self.on_up: Callable[[str], None] = lambda name: None
@@ -42,9 +40,7 @@
 
     def start(self, at: tuple[str, int]) -> None:
         """Raises OSError where the address can't be had."""
-        self.listener = Listener(
-            self.loop, at, self.knock, lambda why: self.log.trouble("accept_failed", why=why)
-        )
+        self.arrivals.start(at)
 
     def relist(self, peers: Mapping[str, tuple[str, int]]) -> None:
         """The others, by name, with the addresses at which this one reaches them."""
@@ -72,9 +68,7 @@
         now = self.loop.clock.now()
         for link in list(self.peers.values()):
             link.beat(now)
-        for stranger in [s for s in self.strangers if now - s.since > GREET]:
-            self.log.trouble("stranger", why="no greeting", remedy="keep others off the members' port")
-            stranger.close()
+        self.arrivals.beat(now)
 
     # ---- our words ---------------------------------------------------------------------------------
 
@@ -88,6 +82,9 @@
         link = self.peers.get(name)
         return link is not None and link.say(word)
 
+    def greeting(self) -> Greeting:
+        return Greeting(self.fleet, self.me, self.token)
+
     def welcomed(self, link: Dialled, welcome: Welcome) -> bool:
         """Whether who answers is who was dialled."""
         why = f"{welcome.who.name} answers" if welcome.who.name != link.name else unspoken(welcome)
@@ -109,15 +106,13 @@
         self.log.trouble("member_lost", member=link.name, why=why)
         self.on_down(link.name)
 
-    # ---- others' -----------------------------------------------------------------------------------
+    def replied(self, link: Dialled, word: Row) -> None:
+        """Members say nothing over a connection that the other one dialled."""
 
-    def knock(self, sock: socket.socket) -> bool:
-        if len(self.strangers) >= STRANGERS:
-            self.log.trouble("strangers_too_many", remedy="keep others off the members' port")
-            return False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.strangers.add(Accepted(self, sock))
-        return True
+    def spoilt(self, name: str, broken: Broken) -> None:
+        spoilt(self.log, name, broken, "members")
+
+    # ---- others' -----------------------------------------------------------------------------------
 
     def greeted(self, one: Accepted, greeting: Greeting) -> None:
         name = greeting.who.name
@@ -129,7 +124,6 @@
             one.answer(Refused(why))
             one.close()
             return
-        self.strangers.discard(one)
         if (before := self.came.get(name)) is not None:
             before.close()  # it has dialled anew: the old one is dead, or will be
         one.who, one.token = greeting.who, greeting.token
@@ -137,31 +131,20 @@
         one.answer(self.facts(greeting.who))
         self.peers[name].come(greeting.who, greeting.token)
 
-    def heard(self, who: Who, word: Row) -> None:
-        self.on_heard(who, word)
-
-    def spoilt(self, name: str, broken: Broken) -> None:
-        self.log.trouble(
-            "frame_spoilt",
-            member=name or "unknown",
-            why=broken.what,
-            remedy="keep others off the members' port; if it is a member, see the network",
-        )
+    def heard(self, one: Accepted, word: Row) -> None:
+        self.on_heard(one.who, word)
 
     def gone(self, one: Accepted) -> None:
-        self.strangers.discard(one)
-        if one.who is not None and self.came.get(one.who.name) is one:
+        if self.came.get(one.who.name) is one:
             del self.came[one.who.name]
 
     # ---- the end -----------------------------------------------------------------------------------
 
     def close(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        self.arrivals.close()
         for link in self.peers.values():
             link.close()
-        for one in [*self.strangers, *self.came.values()]:
+        for one in list(self.came.values()):
             one.close()
 
     def figures(self) -> dict:
--- a/indigohitch/fleet/links/words.py
+++ b/indigohitch/fleet/links/words.py
@@ -1,7 +1,8 @@
 """What the two ends of a link say about the link itself.  Rows only; fields are only ever added at the end.
 
-A dials B, and what A has to say to B goes over that connection; what B says to A goes over the one that B
-dials.  Back over a dialled connection come only answers to these words."""
+Member A dials B, and what A has to say to B goes over that connection; what B says to A goes over the one
+that B dials.  Back over a member's dialled connection come only answers to these words.  A subscriber is
+dialled by nobody: both directions go over the one connection that it dials (fleet/distribution)."""
 
 from __future__ import annotations
 
@@ -10,6 +11,7 @@
 
 PROTOCOL = 1  # of this program's words; it understands one less and one more
 LOWEST, HIGHEST = max(1, PROTOCOL - 1), PROTOCOL
+MEMBER, SUBSCRIBER = "member", "subscriber"  # roles of who greets
 
 
 class Greeting(Row, frozen=True):
@@ -20,6 +22,7 @@
     token: int
     lowest: int = LOWEST
     highest: int = HIGHEST
+    role: str = MEMBER
 
 
 class Welcome(Row, frozen=True):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -167,7 +167,7 @@
     a = pair.start("a")
     socks = [socket.create_connection(pair.at["a"], 5) for _ in range(STRANGERS + 20)]
     pair.until(lambda: a.log.counts["strangers_too_many"])
-    assert len(a.strangers) <= STRANGERS
+    assert len(a.arrivals.strangers) <= STRANGERS
     pair.start("b")
     pair.up("b", "a")  # once those have said nothing for a second
     for sock in socks:
