--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -9,8 +9,9 @@
 from ...packed.frames import Broken, Kinds
 from ...packed.rows import Row
 from ..terms import Who
+from .accepted import Accepted
 from .arrivals import Arrivals, spoilt
-from .ends import Accepted, Dialled, Phase
+from .ends import Dialled, Phase
 from .greeting import REMEDIES, refused, unspoken
 from .words import Greeting, Refused, Welcome
 
