--- a/indigohitch/fleet/node/admitting.py
+++ b/indigohitch/fleet/node/admitting.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ...net.clock import SECOND
 from ..ledger.ports import Change, Members
 from ..terms import Who
 from . import founding
 from .phases import Phase
+from .ports import NodeContext
 from .words import Admit, Admitted
 
-if TYPE_CHECKING:
-    from .node import Node
-
 ASK = SECOND // 2  # some beats: a change of members takes two commits
 SAY = 10 * SECOND  # between two log lines on the same waiting
 
 
 class Admitting:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: NodeContext) -> None:
         self.node = node
         self.admission = founding.Admission()
         self.ask_due = self.say_due = 0
--- a/indigohitch/fleet/node/belonging.py
+++ b/indigohitch/fleet/node/belonging.py
@@ -12,7 +12,7 @@
 from ..ledger.ports import Became
 from ..members.leases import Answer, ReadFirst
 from ..members.work import Membership, Phase
-from ..terms import Lease
+from ..terms import Lease, Who
 from .proposals import Proposals
 
 
@@ -89,8 +89,8 @@
             if word is not None:
                 self.tell(leader, word)
 
-    def heard(self, sender: str, word: Row) -> None:
-        self.carry(self.membership.heard(self.clock.now(), sender, word))
+    def heard(self, sender: Who, word: Row) -> None:
+        self.carry(self.membership.heard(self.clock.now(), sender.name, word))
 
     def became(self, became: Became) -> None:
         self.membership.became(self.clock.now(), became.role, became.term)
--- a/indigohitch/fleet/node/leaving.py
+++ b/indigohitch/fleet/node/leaving.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ..ledger.ports import HandOver
 from ..members.work import Phase as Member
 from .phases import Phase
-
-if TYPE_CHECKING:
-    from .node import Node
+from .ports import NodeContext
 
 
 class Leaving:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: NodeContext) -> None:
         self.node = node
 
     def leave(self, give_up: bool) -> None:
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -13,17 +13,18 @@
 from ..disk.store import Disk
 from ..ledger.ports import Became, HandOver, Held
 from ..links.links import Links
-from ..links.words import Welcome
+from ..members.words import NotRenewed, Renew, Renewed
 from ..members.work import Phase as Member
 from ..terms import Entry, Lease, Outcome, Who
 from .admitting import Admitting
 from .belonging import Belonging
 from .driver import Driver
+from .introductions import Introductions
 from .leaving import Leaving
 from .phases import Phase
 from .standard import Place, assembled
 from .traffic import Traffic
-from .words import KINDS
+from .words import KINDS, Admit, Admitted
 from .working import Working
 
 BEAT = SECOND // 10
@@ -60,7 +61,9 @@
         self.driver = Driver(
             loop, log, self.disk, self.links, self.state_machine, bootstrap, chance.random, self.broken
         )
-        self.traffic = Traffic(self)
+        self.traffic = Traffic(
+            loop.clock, self.links, self.driver, text.me, self.token, 2 * waits["election"]
+        )
         membership, proposals = self.assembly.membership, self.traffic.proposals
         self.belonging = Belonging(
             log,
@@ -80,6 +83,7 @@
             self.traffic.send,
         )
         self.admitting, self.leaving = Admitting(self), Leaving(self)
+        self.introductions = Introductions(self.disk, self.links, self.listed)
         self.wire()
 
     def wire(self) -> None:
@@ -88,8 +92,13 @@
         driver.on_applied, driver.on_restored = self.applied, self.working.restored
         driver.on_turned, driver.on_readable = self.traffic.turned, self.traffic.readable
         driver.on_became = self.became
-        links.on_heard, links.on_met, links.facts = self.traffic.heard, self.met, self.facts
-        links.known = lambda name: self.disk.identity.met.get(name, 0)
+        self.traffic.handlers |= {
+            Admit: self.admitting.asked,
+            Admitted: self.admitting.admitted,
+            **dict.fromkeys((Renew, Renewed, NotRenewed), self.belonging.heard),
+        }
+        links.on_heard, links.on_met = self.traffic.heard, self.introductions.met
+        links.facts, links.known = self.introductions.welcome, self.introductions.highest
 
     def disk_told(self, told) -> None:
         self.driver.step(told)
@@ -233,23 +242,3 @@
         if became.leader is not None:
             self.traffic.proposals.hurry(self.loop.clock.now())
             self.loop.after(0, self.traffic.send)
-
-    def facts(self, who: Who) -> Welcome:
-        """For one who greets."""
-        identity = self.disk.identity
-        return Welcome(
-            self.links.me,
-            self.token,
-            identity.met.get(who.name, 0),
-            identity.founders if identity.number else self.listed(),
-        )
-
-    def met(self, who: Who) -> str:
-        """Why it may not speak; its number is kept."""
-        if 0 < who.number < self.disk.identity.met.get(who.name, 0):
-            return f"{who.name} comes with an old disk, number {who.number}"
-        try:
-            self.disk.folder.met(who)
-        except OSError as bad:
-            return f"its number can't be kept: {bad}"
-        return ""
--- a/indigohitch/fleet/node/traffic.py
+++ b/indigohitch/fleet/node/traffic.py
@@ -3,49 +3,49 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ...errors import NotNow
+from ...net.clock import Clock
 from ...packed.rows import Row
 from ..ledger.ports import Heard, Propose
 from ..ledger.ports import Read as Ask
-from ..members.words import NotRenewed, Renew, Renewed
+from ..links.links import Links
 from ..terms import Outcome, Proposal, Who
+from .driver import Driver
 from .proposals import Proposals
 from .reads import Reads
-from .words import MACHINE, Admit, Admitted, Forward, ReadAsk, ReadAt, TurnedAway
+from .words import MACHINE, Forward, ReadAsk, ReadAt, TurnedAway
 
-if TYPE_CHECKING:
-    from .node import Node
+Handler = Callable[[Who, Row], None]
 
 
 class Traffic:
-    def __init__(self, node: Node) -> None:
-        self.node, self.clock, self.links, self.driver = node, node.loop.clock, node.links, node.driver
-        self.proposals = Proposals(node.text.me, node.token, 2 * node.text.waits["election"])
+    """`handlers`: of the words that others than this take, by their type; filled by the node."""
+
+    def __init__(
+        self, clock: Clock, links: Links, driver: Driver, name: str, token: int, resend_after: int
+    ) -> None:
+        self.clock, self.links, self.driver, self.name = clock, links, driver, name
+        self.state_machine = driver.state_machine
+        self.proposals = Proposals(name, token, resend_after)
         self.reads = Reads()
-        self.by_word: dict[type[Row], Callable] = {
+        self.handlers: dict[type[Row], Handler] = {
             Forward: self.on_forward,
             TurnedAway: self.on_turned_away,
             ReadAsk: self.on_read_ask,
             ReadAt: self.on_read_at,
-            Admit: lambda who, word: node.admitting.asked(who, word),
-            Admitted: lambda who, word: node.admitting.admitted(who, word),
-            **dict.fromkeys(
-                (Renew, Renewed, NotRenewed), lambda who, word: node.belonging.heard(who.name, word)
-            ),
         }
 
     def heard(self, who: Who, word: Row) -> None:
         if type(word) in MACHINE:
             self.driver.step(Heard(who, word))
-        elif (heard := self.by_word.get(type(word))) is not None:
+        elif (heard := self.handlers.get(type(word))) is not None:
             heard(who, word)
 
     def tell(self, name: str, word: Row) -> None:
         """A member, or this one itself."""
-        if name == self.node.text.me:
-            self.by_word[type(word)](self.links.me, word)
+        if name == self.name:
+            self.handlers[type(word)](self.links.me, word)
         else:
             self.links.say_to(name, word)
 
@@ -105,7 +105,7 @@
             done(None)
 
     def on_read_at(self, who: Who, word: ReadAt) -> None:
-        self.reads.answered(word.number, word.index, word.ok, self.node.state_machine.index)
+        self.reads.answered(word.number, word.index, word.ok, self.state_machine.index)
 
     def readable(self, number: int, index: int, ok: bool) -> None:
-        self.reads.answered(number, index, ok, self.node.state_machine.index)
+        self.reads.answered(number, index, ok, self.state_machine.index)
