--- a/indigohitch/fleet/book.py
+++ b/indigohitch/fleet/state_machine.py
@@ -1,6 +1,6 @@
 """The replicated state: parts by name, entries applied in order, each proposal once.  No I/O.
 
-Deterministic: the same entries give the same digest at every member (tests/test_fleet_book.py)."""
+Deterministic: the same entries give the same digest at every member (tests/test_fleet_state_machine.py)."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 from ..errors import Unfit, Unreadable
 from ..packed.rows import Row, digest
-from .ports import At, BookPart
+from .ports import At, StateMachinePart
 from .terms import Entry, Outcome
 
 # Proposals of one incarnation that may be out at a time, and outcomes kept to answer one that comes twice.  A
 # member's works make a few a second, and a proposal is given up after some elections' time.
 WINDOW = 256
-FORM = 1  # of the book's snapshot
+FORM = 1  # of the state machine's snapshot
 
 
 class Proposed(Row):
@@ -27,7 +27,7 @@
     outcomes: dict[int, Outcome]
 
 
-class BookRow(Row):
+class StateMachineRow(Row):
     index: int
     term: int
     proposers: dict[str, Proposed]
@@ -35,11 +35,12 @@
     form: int = FORM
 
 
-class Book:
-    def __init__(self, parts: Iterable[BookPart]) -> None:
+class ReplicatedStateMachine:
+    def __init__(self, parts: Iterable[StateMachinePart]) -> None:
         self.parts = {part.name: part for part in parts}
         for part in self.parts.values():
-            part.book = self
+            part.state_machine = self
+            part.book = self  # until distribution has joined
         self.index, self.term = 0, 0  # of the last entry applied
         self.proposers: dict[str, Proposed] = {}
 
@@ -94,12 +95,12 @@
 
     def snapshot(self) -> bytes:
         parts = {name: msgspec.msgpack.encode(part.row()) for name, part in sorted(self.parts.items())}
-        return msgspec.msgpack.encode(BookRow(self.index, self.term, self.proposers, parts))
+        return msgspec.msgpack.encode(StateMachineRow(self.index, self.term, self.proposers, parts))
 
     def restore(self, data: bytes) -> None:
-        """Raises Unreadable; then this book is of no more use."""
+        """Raises Unreadable; then this state machine is of no more use."""
         try:
-            row = msgspec.msgpack.decode(data, type=BookRow)
+            row = msgspec.msgpack.decode(data, type=StateMachineRow)
         except msgspec.MsgspecError as bad:
             raise Unreadable(f"not a book: {bad}") from None
         if not FORM - 1 <= row.form <= FORM + 1:
