Scoped distribution: a refusal is a typed error; the pace is kept in order of time

Why a subscription isn't served was a text at each place; now each is an error with its remedy, sent with the refusal. Updates that wait for their pace lay in the order in which they were wanted, so that one could wait up to a pace longer behind another: they are a heap now. A large update that waits is made anew only when there is room for it. Who claims a version that never was lacks all until it is served.

--- a/Makefile
+++ b/Makefile
@@ -85,11 +85,14 @@
 proof-fleet: build    # all at once
 	$(PY) proofs/fleet.py
 
-.PHONY: bench-ledger bench-seats bench-batches
+.PHONY: bench-ledger bench-seats bench-batches bench-distribution
 
 bench-ledger: build   # commits a second and latency at 3, 5, 7 members, catching up
 	$(PY) benchmarks/ledger.py
 
+bench-distribution: build   # QUICK=1: small.  Decisions of a distributor and of its subscribers, without sockets
+	$(PY) benchmarks/distribution_cost.py
+
 bench-seats: build    # local giving against a round trip each; 50 members and 2,000 nodes
 	$(PY) benchmarks/seats.py
 
--- a/benchmarks/distribution_cost.py
+++ b/benchmarks/distribution_cost.py
@@ -158,7 +158,8 @@
     before = memory_mb()
     found = {"subscribers": subscribers, "catalogue_mb": round(room.catalogue_mb, 1)}
     found["all_join"] = room.measure(room.connect_all)
-    found["with_subscribers_mb"] = round(memory_mb() - before, 1)
+    # Of both sides: most of it is what the subscribers hold.
+    found["subscribers_mb"] = round(memory_mb() - before, 1)
     room.now += 3 * SECOND
     found["renewal"] = room.measure(room.renew_all)
     found["ordinary"] = room.measure(lambda: room.changes(CHANGES, CHANGES * 3 * SECOND))
@@ -181,6 +182,8 @@
         )
         cells.append(json.loads(run.stdout))
         print(json.dumps(cells[-1]), flush=True)
+    if not os.environ.get("QUICK"):
+        (ROOT / "benchmarks/results/distribution_cost.json").write_text(json.dumps(cells, indent=1) + "\n")
     print(json.dumps({"cells": cells}))
 
 
--- a/indigohitch/fleet/distribution/admission.py
+++ b/indigohitch/fleet/distribution/admission.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
 from collections.abc import Callable
 
 from .limits import Limits
@@ -13,8 +13,8 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.ready: dict[int, None] = {}  # connections in turn
-        self.large: dict[int, None] = {}  # connections whose update waits for room, in turn
-        self.paced: deque[tuple[int, int]] = deque()  # when, connection; the pace is one for all
+        self.large: dict[int, int] = {}  # connections whose update waits for room, in turn; its bytes
+        self.paced: list[tuple[int, int]] = []  # a heap: when, connection
         self.waits: set[int] = set()  # connections in `paced`
         self.out: dict[int, int] = {}  # bytes of large updates that are out, by connection
         self.large_bytes = 0
@@ -27,7 +27,7 @@
     def pace(self, connection: int, until: int) -> None:
         self.ready.pop(connection, None)
         self.waits.add(connection)
-        self.paced.append((until, connection))
+        heapq.heappush(self.paced, (until, connection))
 
     def fits(self, connection: int, size: int) -> bool:
         """False: it waits for room, behind those that waited before it.  One that is larger than all room
@@ -35,11 +35,14 @@
         if size <= self.limits.small_bytes:
             return True
         turn = not self.large or next(iter(self.large)) == connection
-        if turn and (not self.large_bytes or self.large_bytes + size <= self.limits.large_bytes):
+        if turn and self.has_room(size):
             return True
-        self.large.setdefault(connection)
+        self.large[connection] = size
         return False
 
+    def has_room(self, size: int) -> bool:
+        return not self.large_bytes or self.large_bytes + size <= self.limits.large_bytes
+
     def sent(self, connection: int, size: int) -> None:
         self.large.pop(connection, None)
         if size > self.limits.small_bytes:
@@ -58,11 +61,14 @@
     def turn(self, now: int, serve: Callable[[int], bool]) -> None:
         """Serves up to so many; `serve` tells whether it sent anything."""
         while self.paced and self.paced[0][0] <= now:
-            _, connection = self.paced.popleft()
+            _, connection = heapq.heappop(self.paced)
             self.waits.discard(connection)
             self.ready[connection] = None
         left = self.limits.sends
-        while left and self.large and serve(next(iter(self.large))):
+        while left and self.large:
+            connection, size = next(iter(self.large.items()))
+            if not self.has_room(size) or not serve(connection):
+                break
             left -= 1
         while left and self.ready:
             connection = next(iter(self.ready))
--- a/indigohitch/fleet/distribution/distributor.py
+++ b/indigohitch/fleet/distribution/distributor.py
@@ -6,9 +6,10 @@
 
 from ...net.clock import SECOND
 from .catalogue import Catalogue
+from .errors import DistributorClosing
 from .in_force import FleetTally, InForce, Tally
 from .limits import Limits
-from .messages import RefusalReason, Report
+from .messages import Report
 from .ports import (
     Changed,
     Closing,
@@ -114,7 +115,7 @@
     def close_all(self, input: Closing) -> None:
         self.serving.closing = True
         for connection in list(self.serving.subscribers.names):
-            self.serving.refuse(connection, RefusalReason.CLOSING, "this distributor is about to end")
+            self.serving.refuse(connection, DistributorClosing("this distributor is about to end"))
 
     def changed(self, input: Changed) -> None:
         missing = self.announce()
--- a/indigohitch/fleet/distribution/errors.py
+++ b/indigohitch/fleet/distribution/errors.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from ...errors import NotNow, Trouble, Unfit, Unreadable
+from .messages import RefusalReason
+
+# ---- an update that a subscriber can't take --------------------------------------------------------
 
 
 class OlderVersion(Unfit):
@@ -23,20 +26,49 @@
     remedy = "nothing, once: the whole scope is sent; if it comes again, report versions of both programs"
 
 
+# ---- a subscription that a distributor doesn't serve -----------------------------------------------
+
+
 class ScopeTooLarge(Unfit):
+    """More services, or more bytes of them, than one update takes."""
+
+    reason = RefusalReason.SCOPE
     remedy = "let the coordinator reach fewer services, or raise the distributors' limit"
 
 
-class NotLevel(NotNow):
-    """A distributor that has not caught up with the ledger is no authority yet."""
+class NotServedNow(NotNow):
+    """By this distributor; another one may."""
+
+    reason: RefusalReason
+
+
+class NotLevel(NotServedNow):
+    """It has not caught up with the ledger since it started, so it is no authority."""
 
+    reason = RefusalReason.STARTING
     remedy = "wait; if it lasts, see whether the ledger has a majority"
 
 
-class DistributorFull(NotNow):
+class DistributorBehind(NotServedNow):
+    """It lags behind what the subscriber holds."""
+
+    reason = RefusalReason.BEHIND
+    remedy = "nothing, if it stays rare; else see that distributor's `ledger_age` in its `status`"
+
+
+class DistributorFull(NotServedNow):
+    reason = RefusalReason.FULL
     remedy = "add a distributor, or raise the limit on subscribers"
 
 
+class DistributorClosing(NotServedNow):
+    reason = RefusalReason.CLOSING
+    remedy = "nothing: subscribers go to the others"
+
+
+# ---- no distributor at all -------------------------------------------------------------------------
+
+
 class NoDistributor(Trouble):
     """No distributor can be reached: the last version stands, and ages."""
 
--- a/indigohitch/fleet/distribution/in_force.py
+++ b/indigohitch/fleet/distribution/in_force.py
@@ -6,11 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
-import xxhash
-
 from ...net.clock import SECOND
 from ...packed.rows import Row
 from ..members.leases import given
@@ -18,11 +16,10 @@
 from .limits import Limits
 from .messages import Behind, Report, Unreachable
 from .subscription import Subscription
-from .terms import DistributorName, SubscriberName, Version
+from .terms import MARK, DistributorName, SubscriberName, Version, mark
 
 NAMED = 16  # of those behind and of those lost, in a report
 SILENT = 5 * SECOND  # a distributor whose last report is older counts as unreachable, with all of its own
-MARK = 4  # bytes of a subscriber's mark: among 6,500 two are alike once in two hundred fleets
 
 
 class InForce(Row, frozen=True):
@@ -43,14 +40,6 @@
     silent: tuple[DistributorName, ...]
 
 
-def mark(name: SubscriberName) -> bytes:
-    return xxhash.xxh32_digest(name.encode())
-
-
-def marks(names: Iterable[SubscriberName]) -> bytes:
-    return b"".join(mark(name) for name in names)
-
-
 def split(marks: bytes) -> set[bytes]:
     return {marks[at : at + MARK] for at in range(0, len(marks), MARK)}
 
@@ -119,8 +108,8 @@
             len(lacking) + len(joining),
             behind,
             lost,
-            marks(each.subscriber for each in subscriptions),
-            marks(self.departed),
+            b"".join(each.mark for each in subscriptions),
+            b"".join(mark(name) for name in self.departed),
         )
 
 
--- a/indigohitch/fleet/distribution/messages.py
+++ b/indigohitch/fleet/distribution/messages.py
@@ -149,7 +149,7 @@
 
     `in_force`: each connected subscriber has all changes of its scope up to it.  `behind` and `unreachable`
     name the first few; the counts are of all.  `connected` and `lost`: all subscribers that are connected
-    here, or were and are remembered, 4 bytes each (`in_force.marks`): one that is lost here may be connected
+    here, or were and are remembered, 4 bytes each (`terms.mark`): one that is lost here may be connected
     elsewhere."""
 
     distributor: DistributorName
--- a/indigohitch/fleet/distribution/serving.py
+++ b/indigohitch/fleet/distribution/serving.py
@@ -6,13 +6,19 @@
 from ..members.leases import given
 from .admission import Admission
 from .catalogue import Catalogue
-from .errors import ScopeTooLarge
+from .errors import (
+    DistributorBehind,
+    DistributorClosing,
+    DistributorFull,
+    NotLevel,
+    NotServedNow,
+    ScopeTooLarge,
+)
 from .in_force import Tally
 from .limits import Limits
 from .messages import (
     Acknowledge,
     Current,
-    RefusalReason,
     Refused,
     Reject,
     RejectReason,
@@ -58,10 +64,10 @@
             self.forget(connection)
             self.out.append(Close(connection, why))
 
-    def refuse(self, connection: int, reason: RefusalReason, why: str, again: int = 0) -> None:
-        word = Refused(reason, self.catalogue.version, again or self.limits.again, why)
+    def refuse(self, connection: int, cause: NotServedNow | ScopeTooLarge) -> None:
+        word = Refused(cause.reason, self.catalogue.version, self.limits.again, str(cause))
         self.out.append(Send(connection, word))
-        self.close(connection, why)
+        self.close(connection, cause.what)
 
     # ---- what subscribers say ----------------------------------------------------------------------
 
@@ -74,8 +80,8 @@
             return
         try:
             handle(input.connection, input.message)
-        except ScopeTooLarge as too_large:
-            self.refuse(input.connection, RefusalReason.SCOPE, str(too_large))
+        except (NotServedNow, ScopeTooLarge) as cause:
+            self.refuse(input.connection, cause)
         except Trouble as trouble:
             self.out.append(Note("subscriber_closed", trouble.fields()))
             self.close(input.connection, str(trouble))
@@ -86,11 +92,11 @@
             self.subscribers.index(connection)
             self.admission.want(connection)
         elif self.closing:
-            self.refuse(connection, RefusalReason.CLOSING, "this distributor is about to end")
+            raise DistributorClosing("this distributor is about to end")
         elif not self.level:
-            self.refuse(connection, RefusalReason.STARTING, "not level with the ledger yet")
+            raise NotLevel("not level with the ledger since it started")
         elif self.subscribers.count >= self.limits.subscribers:
-            self.refuse(connection, RefusalReason.FULL, f"serves {self.limits.subscribers} subscribers")
+            raise DistributorFull(f"serves {self.limits.subscribers} subscribers")
         elif self.limits.guard_versions and claim.held > self.catalogue.version:
             self.subscribers.doubt(connection, Claim(claim, self.now))
         else:
@@ -101,7 +107,7 @@
         subscription = Subscription(connection, name, self.catalogue, self.limits)
         subscription.subscribe(self.now, claim, self.level)
         if void != NO_VERSION:
-            subscription.forget_claim(void)
+            subscription.forget_claim(self.now, void)
             self.out.append(Note("version_void", {"subscriber": name, "version": void.text()}))
         earlier = self.subscribers.connection_of(name)
         if earlier is not None:
@@ -127,7 +133,7 @@
         )
         older = word.reason is RejectReason.OLDER or word.held > self.catalogue.version
         if older and self.limits.guard_versions:
-            self.refuse(connection, RefusalReason.BEHIND, f"the subscriber holds {word.held.text()}")
+            raise DistributorBehind(f"the subscriber holds {word.held.text()}")
         elif subscription.reject(self.now, word) is not None:
             self.update_answered(connection)
 
@@ -166,7 +172,7 @@
         try:
             update = subscription.compose()
         except ScopeTooLarge as too_large:
-            self.refuse(connection, RefusalReason.SCOPE, str(too_large))
+            self.refuse(connection, too_large)
             return False
         if not self.admission.fits(connection, encoded_size(update.changes)):
             return False
@@ -193,7 +199,7 @@
         try:
             self.accept(connection, word, void)
         except ScopeTooLarge as too_large:
-            self.refuse(connection, RefusalReason.SCOPE, str(too_large))
+            self.refuse(connection, too_large)
 
     def sweep(self) -> None:
         """Ends with those that don't answer, and sends away those whose claim could not be judged."""
@@ -202,4 +208,4 @@
             self.out.append(Note("subscriber_silent", {"subscriber": name}))
             self.close(connection, "an update was not answered in time")
         for connection in self.subscribers.doubts_before(self.now - self.limits.again):
-            self.refuse(connection, RefusalReason.BEHIND, "the subscriber holds a newer version")
+            self.refuse(connection, DistributorBehind("the subscriber holds a newer version"))
--- a/indigohitch/fleet/distribution/subscription.py
+++ b/indigohitch/fleet/distribution/subscription.py
@@ -16,7 +16,7 @@
 from .errors import DigestMismatch, ScopeTooLarge
 from .limits import Limits
 from .messages import Acknowledge, Reject, RejectReason, Subscribe, Update
-from .terms import NO_VERSION, ServiceName, SubscriberName, Version
+from .terms import NO_VERSION, ServiceName, SubscriberName, Version, mark
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,6 +48,7 @@
         self, connection: int, subscriber: SubscriberName, catalogue: Catalogue, limits: Limits
     ) -> None:
         self.connection, self.subscriber = connection, subscriber
+        self.mark = mark(subscriber)
         self.catalogue, self.limits = catalogue, limits
         self.request = 0  # 0: it has not subscribed yet
         self.scope: tuple[ServiceName, ...] = ()
@@ -105,10 +106,11 @@
         self.request, self.answered = claim.request, False
         self.scope = tuple(sorted({held.service for held in claim.services}))
 
-    def forget_claim(self, void: Version) -> None:
-        """The version that the subscriber holds never was: all is sent whole."""
+    def forget_claim(self, now: int, void: Version) -> None:
+        """The version that the subscriber holds never was: all is sent whole, and until then it lacks all."""
         self.void, self.acknowledged = void, NO_VERSION
-        self.send_whole()
+        self.dirty.clear()
+        self.unknown = dict.fromkeys(self.scope, Missing(Version(0, 1), now, 0))
 
     def send_whole(self, missing: Missing | None = None) -> None:
         """`missing`: the oldest change that was in an update which came to nothing."""
--- a/indigohitch/fleet/distribution/terms.py
+++ b/indigohitch/fleet/distribution/terms.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from ...packed.rows import Row
 
 ServiceName = str
@@ -23,6 +25,14 @@
 NO_VERSION = Version(0, 0)  # of who holds nothing
 
 
+MARK = 4  # bytes of a subscriber's mark: among 6,500 two are alike once in two hundred fleets
+
+
+def mark(subscriber: SubscriberName) -> bytes:
+    """A short name for reports that list all subscribers."""
+    return xxhash.xxh32_digest(subscriber.encode())
+
+
 class Resource(Row, frozen=True):
     """One entry of a service, as a backend with its state; `body` is opaque to the distribution."""
 
--- a/tests/test_distribution_in_force.py
+++ b/tests/test_distribution_in_force.py
@@ -4,14 +4,18 @@
 
 from distribution_world import World, settled
 from indigohitch.fleet.distribution.choice import rendezvous
-from indigohitch.fleet.distribution.in_force import FleetTally, marks
+from indigohitch.fleet.distribution.in_force import FleetTally
 from indigohitch.fleet.distribution.limits import Limits
 from indigohitch.fleet.distribution.messages import Report
-from indigohitch.fleet.distribution.terms import Version
+from indigohitch.fleet.distribution.terms import Version, mark
 from indigohitch.fleet.members.leases import given
 from indigohitch.net.clock import SECOND
 
 
+def marks(names):
+    return b"".join(mark(name) for name in names)
+
+
 def report(name, version, in_force, connected=(), lost=(), age=0):
     return Report(
         name,
