--- a/indigohitch/fleet/distribution/in_force.py
+++ b/indigohitch/fleet/distribution/in_force.py
@@ -144,6 +144,8 @@
         fresh = known is None or report.number > known[0].number or now - known[1] > SILENT
         if report.distributor != self.name and fresh:
             self.reports[report.distributor] = report, now
+        for name in [name for name, one in self.reports.items() if now - one[1] > self.limits.remembered]:
+            del self.reports[name]
 
     def in_force(self, now: int, own: Report) -> InForce:
         """`own`: of this distributor, made now."""
--- a/indigohitch/fleet/distribution/serving.py
+++ b/indigohitch/fleet/distribution/serving.py
@@ -56,7 +56,7 @@
     def forget(self, connection: int) -> None:
         self.admission.left(connection)
         subscription = self.subscribers.leave(connection)
-        if subscription is not None and subscription.request:
+        if subscription is not None:
             self.tally.departs(self.now, subscription)
 
     def close(self, connection: int, why: str) -> None:
@@ -88,7 +88,7 @@
 
     def subscribe(self, connection: int, claim: Subscribe) -> None:
         if connection in self.subscribers.subscriptions:
-            self.subscribers.subscriptions[connection].subscribe(self.now, claim, self.level)
+            self.subscribers.subscriptions[connection].subscribe_anew(claim)
             self.subscribers.index(connection)
             self.admission.want(connection)
         elif self.closing:
@@ -105,7 +105,8 @@
     def accept(self, connection: int, claim: Subscribe, void: Version = NO_VERSION) -> None:
         name = self.subscribers.names[connection]
         subscription = Subscription(connection, name, self.catalogue, self.limits)
-        subscription.subscribe(self.now, claim, self.level)
+        subscription.resume(self.now, claim)
+        self.subscribers.decided(connection)
         if void != NO_VERSION:
             subscription.forget_claim(self.now, void)
             self.out.append(Note("version_void", {"subscriber": name, "version": void.text()}))
@@ -118,7 +119,7 @@
 
     def acknowledge(self, connection: int, word: Acknowledge) -> None:
         subscription = self.subscribers.subscriptions.get(connection)
-        if subscription is not None and subscription.acknowledge(self.now, word) is not None:
+        if subscription is not None and subscription.acknowledge(word) is not None:
             self.update_answered(connection)
 
     def reject(self, connection: int, word: Reject) -> None:
@@ -134,7 +135,7 @@
         older = word.reason is RejectReason.OLDER or word.held > self.catalogue.version
         if older and self.limits.guard_versions:
             raise DistributorBehind(f"the subscriber holds {word.held.text()}")
-        elif subscription.reject(self.now, word) is not None:
+        elif subscription.reject(word) is not None:
             self.update_answered(connection)
 
     def update_answered(self, connection: int) -> None:
@@ -188,11 +189,9 @@
         self.level = max(self.level, asked)
         for connection, claim in list(self.subscribers.claims.items()):
             if claim.word.held <= self.catalogue.version:
-                self.subscribers.doubted(connection)
                 self.accept_claim(connection, claim.word)
             elif asked >= claim.since:
                 # Had it ever been committed, it would stand here by now.
-                self.subscribers.doubted(connection)
                 self.accept_claim(connection, claim.word, claim.word.held)
 
     def accept_claim(self, connection: int, word: Subscribe, void: Version = NO_VERSION) -> None:
--- a/indigohitch/fleet/distribution/subscribers.py
+++ b/indigohitch/fleet/distribution/subscribers.py
@@ -53,9 +53,9 @@
     def doubt(self, connection: int, claim: Claim) -> None:
         self.claims[connection] = claim
 
-    def doubted(self, connection: int) -> None:
-        """It is decided."""
-        del self.claims[connection]
+    def decided(self, connection: int) -> None:
+        """Its claim, if there was one, is in doubt no more."""
+        self.claims.pop(connection, None)
 
     def doubts_before(self, time: int) -> list[int]:
         return [connection for connection, claim in self.claims.items() if claim.since <= time]
--- a/indigohitch/fleet/distribution/subscription.py
+++ b/indigohitch/fleet/distribution/subscription.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..members.leases import given
 from .catalogue import Catalogue
 from .content import scope_digest
 from .errors import DigestMismatch, ScopeTooLarge
@@ -50,7 +51,7 @@
         self.connection, self.subscriber = connection, subscriber
         self.mark = mark(subscriber)
         self.catalogue, self.limits = catalogue, limits
-        self.request = 0  # 0: it has not subscribed yet
+        self.request = 0
         self.scope: tuple[ServiceName, ...] = ()
         self.acknowledged = NO_VERSION
         self.void = NO_VERSION  # claimed, and never was
@@ -67,22 +68,13 @@
 
     # ---- what it holds -----------------------------------------------------------------------------
 
-    def subscribe(self, now: int, claim: Subscribe, level: int) -> None:
-        """Raises ScopeTooLarge.  While an update is out, what the subscriber says that it holds is doubtful:
-        the new scope begins with the answer to that update."""
-        if len(claim.services) > self.limits.services:
-            raise ScopeTooLarge(f"{len(claim.services)} services", self.subscriber)
-        if self.flight is not None:
-            self.rescope = claim
-        elif self.request:
-            self.change_scope(now, claim)
-        else:
-            self.resume(now, claim, level)
-
-    def resume(self, now: int, claim: Subscribe, level: int) -> None:
-        """Begins from what the subscriber holds: by digest what is the same, by version what differs."""
+    def resume(self, now: int, claim: Subscribe) -> None:
+        """Begins from what the subscriber holds: by digest what is the same, by version what differs.  Raises
+        ScopeTooLarge."""
         self.begin(claim)
         self.acknowledged = claim.held
+        if claim.held != NO_VERSION:  # another distributor may have renewed its lease a moment ago
+            self.acting_until = now + given(self.limits.lease, self.limits.drift)
         lacking = Missing(Version(claim.held.term, claim.held.index + 1), now, 0)
         for held in claim.services:
             known = bool(held.digest) and self.limits.resume
@@ -93,7 +85,15 @@
             else:
                 self.unknown[held.service] = lacking if held.digest else None
 
-    def change_scope(self, now: int, claim: Subscribe) -> None:
+    def subscribe_anew(self, claim: Subscribe) -> None:
+        """While an update is out, the new scope begins with the answer to it.  Raises ScopeTooLarge."""
+        self.check_scope(claim)
+        if self.flight is not None:
+            self.rescope = claim
+        else:
+            self.change_scope(claim)
+
+    def change_scope(self, claim: Subscribe) -> None:
         """What was in the scope before goes on; the rest is sent whole."""
         before, unknown, dirty = set(self.scope), self.unknown, self.dirty
         self.begin(claim)
@@ -102,7 +102,12 @@
         self.unknown.update(dict.fromkeys(added))
         self.dirty = {name: dirty[name] for name in self.scope if name in dirty}
 
+    def check_scope(self, claim: Subscribe) -> None:
+        if len(claim.services) > self.limits.services:
+            raise ScopeTooLarge(f"{len(claim.services)} services", self.subscriber)
+
     def begin(self, claim: Subscribe) -> None:
+        self.check_scope(claim)
         self.request, self.answered = claim.request, False
         self.scope = tuple(sorted({held.service for held in claim.services}))
 
@@ -131,7 +136,7 @@
         for service in self.scope:
             self.changed(service, missing)
 
-    def acknowledge(self, now: int, word: Acknowledge) -> Flight | None:
+    def acknowledge(self, word: Acknowledge) -> Flight | None:
         """The update that it answers; None for one that is not out.  Raises DigestMismatch for a subscriber
         that claims to hold something else than it was sent."""
         flight = self.flight
@@ -142,10 +147,10 @@
         self.flight, self.rejections, self.void = None, 0, NO_VERSION
         self.acknowledged = flight.version
         self.answered = self.answered or flight.request == self.request
-        self.start_rescope(now)
+        self.start_rescope()
         return flight
 
-    def reject(self, now: int, word: Reject) -> Flight | None:
+    def reject(self, word: Reject) -> Flight | None:
         """The update that it answers changed nothing; what it held stands.  Raises DigestMismatch where it
         takes nothing that it is sent."""
         flight = self.flight
@@ -162,24 +167,20 @@
             self.catalogue_replaced(missing)
         else:
             self.send_whole(flight.missing)
-        self.start_rescope(now)
+        self.start_rescope()
         return flight
 
-    def start_rescope(self, now: int) -> None:
+    def start_rescope(self) -> None:
         if self.rescope is not None:
             claim, self.rescope = self.rescope, None
-            self.change_scope(now, claim)
+            self.change_scope(claim)
 
     # ---- what goes out -----------------------------------------------------------------------------
 
     @property
     def waiting(self) -> bool:
         """An update is to go once it may."""
-        return (
-            self.flight is None
-            and self.request > 0
-            and (not self.answered or bool(self.dirty) or bool(self.unknown))
-        )
+        return self.flight is None and (not self.answered or bool(self.dirty) or bool(self.unknown))
 
     def compose(self) -> Update:
         """All that it lacks, as one update.  Raises ScopeTooLarge."""
--- /dev/null
+++ b/tests/test_distribution_found.py
@@ -0,0 +1,53 @@
+"""Faults that random inputs found in the decisions of a distributor, each forced."""
+
+from indigohitch.fleet.distribution import ports
+from indigohitch.fleet.distribution.distributor import Distributor
+from indigohitch.fleet.distribution.limits import Limits
+from indigohitch.fleet.distribution.messages import HeldService, Subscribe, Update
+from indigohitch.fleet.distribution.part import Distribution, ServiceResources, Set
+from indigohitch.fleet.distribution.terms import NO_VERSION, Resource, Version
+from indigohitch.fleet.members.leases import given
+from indigohitch.fleet.ports import At
+from indigohitch.net.clock import SECOND
+
+NOW = 100 * SECOND
+LIMITS = Limits()
+
+
+def distributor():
+    part = Distribution()
+    part.apply(At(1, 1, 0, "", 0), "set", Set((ServiceResources("s", (Resource("a", b""),)),)))
+    machine = Distributor("d", part.catalogue, LIMITS, NOW)
+    machine.step(NOW, ports.Level(NOW))
+    machine.step(NOW, ports.Joined(1, "one"))
+    return machine
+
+
+def updates(outputs):
+    return [output.message for output in outputs if isinstance(getattr(output, "message", None), Update)]
+
+
+def test_who_subscribes_again_while_its_claim_is_in_doubt_is_served_once():
+    machine = distributor()
+    machine.step(NOW, ports.Heard(1, Subscribe(1, Version(1, 9), (HeldService("s", b"x"),))))
+    assert updates(machine.step(NOW, ports.Heard(1, Subscribe(2, NO_VERSION, (HeldService("s"),)))))
+    assert machine.step(NOW + 1, ports.Level(NOW + 1)) == []
+    subscribers = machine.serving.subscribers
+    assert list(subscribers.subscriptions) == list(subscribers.names) == [1] and not subscribers.claims
+
+
+def test_requests_that_do_not_grow_leave_nothing_of_an_older_scope():
+    machine = distributor()
+    machine.step(NOW, ports.Heard(1, Subscribe(0, NO_VERSION, (HeldService("s"), HeldService("t")))))
+    machine.step(NOW, ports.Heard(1, Subscribe(0, NO_VERSION, (HeldService("u"),))))
+    subscription = machine.serving.subscribers.subscriptions[1]
+    assert subscription.flight is not None and subscription.scope == ("s", "t")
+    assert subscription.rescope is not None and not subscription.unknown
+
+
+def test_who_is_lost_at_once_may_act_under_the_lease_of_the_distributor_before():
+    machine = distributor()
+    machine.step(NOW, ports.Heard(1, Subscribe(1, Version(1, 1), (HeldService("s", b"x"),))))
+    machine.step(NOW, ports.Left(1))
+    lost = machine.report(NOW + SECOND).unreachable
+    assert [one.acting for one in lost] == [given(LIMITS.lease, LIMITS.drift) - SECOND]
