The store tells whether a large call in doubt goes again

Cause: a call in doubt that is too much twice went again once the first would have left at the pace that the settings state.

Change: the relay is the store, and a news stream starts with what stands. platformlink/doubt.py: Evidence (no I/O) finds the lines that a table has only before or only after the call; Inquiry reads them from a stream of its own, 50 ms after the call went (the protocol's bound for an answer), again after 0.1 s where that breaks off. The call stands: the orders behind the last line shown go again (its mark, in the main). It was not carried out: its lines and messages are taken back, and it goes at once. Neither shows, as where another order was refused or no line changes: as before. MarkProof moves there from relay.py.

test_the_same_again_waits_until_it_fits_into_the_channel keeps its assertions; its stand-in now also leaves the streams that begin then without a byte, or the store would tell.

--- /dev/null
+++ b/indigohitch/platformlink/doubt.py
@@ -0,0 +1,167 @@
+"""Whether a call to the relay whose outcome is unclear was carried out: the store's tables tell.
+
+The relay is the store as well, and a news stream starts with what stands.  A line that was there only before
+the call, or is there only after it, shows what became of the orders up to it: the relay takes them in turn.
+So does a mark that a proxy answers, once one does."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from .. import interface as face
+from ..net.clock import SECOND
+from ..net.http import Answer, Client, Exchange
+from ..net.loop import Deadline, Loop
+from . import tables
+from .news import EventStream, event_of
+
+
+class MarkProof:
+    """Whether a mark that a proxy has answered shows that a call was carried out, to its end.
+
+    A mark that an earlier call had, as after a module that began anew, shows nothing."""
+
+    def __init__(self) -> None:
+        self.used: deque[int] = deque(maxlen=256)
+        self.mark, self.shown = -1, False
+
+    def begin(self, orders: Sequence[face.Order]) -> None:
+        """These are in question from here on."""
+        self.mark, self.shown = -1, False
+        last = orders[-1]
+        if isinstance(last, face.Mark) and last.mark not in self.used:
+            self.mark = last.mark
+            self.used.append(last.mark)
+
+    def answered(self, mark: int) -> bool:
+        """Whether this mark shows it."""
+        self.shown |= mark == self.mark
+        return mark == self.mark
+
+
+class Effect(Enum):
+    """What became of a call."""
+
+    NONE = auto()  # it was not carried out
+    STANDS = auto()  # up to the last order that shows
+    UNKNOWN = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class _Sign:
+    """A table that shows whether the orders up to the place `end` were carried out."""
+
+    table: int
+    before: frozenset[tuple[str, float]]  # lines that it has only before
+    after: frozenset[tuple[str, float]]  # and only after
+    end: int
+
+
+class Evidence:
+    """What the tables `stood` before say of the `orders` of a call.  No I/O."""
+
+    def __init__(self, stood: tables.Tables, orders: Sequence[face.Order]) -> None:
+        changed = {n: tables.Table(dict(stood[n].lines)) for n in tables.touched(orders) if n in stood}
+        tables.carry_out(changed, orders)
+        ends = {order.table: at for at, order in enumerate(orders, 1) if isinstance(order, face.SetLine)}
+        signs = []
+        for number, end in ends.items():
+            before = frozenset(stood[number].lines.items() if number in stood else ())
+            after = frozenset(changed[number].lines.items() if number in stood else ())
+            if before - after and after - before:
+                signs.append(_Sign(number, before - after, after - before, end))
+        signs.sort(key=lambda sign: sign.end)
+        # The relay takes orders in turn and stops at one that it can't use: these two tell of all between.
+        self._first, self._last = (signs[0], signs[-1]) if signs else (None, None)
+        self._found: dict[int, bool] = {}  # by table: whether it is as after
+
+    @property
+    def any(self) -> bool:
+        """Whether the tables can tell."""
+        return self._first is not None
+
+    @property
+    def proved(self) -> int:
+        """How many orders stand where the effect is `STANDS`."""
+        return self._last.end
+
+    def line(self, table: int, backend: str, weight: float) -> None:
+        """A line that stands."""
+        for sign in (self._first, self._last):
+            if table == sign.table and (backend, weight) in sign.before | sign.after:
+                self._found[table] = (backend, weight) in sign.after
+
+    @property
+    def effect(self) -> Effect:
+        first, last = self._found.get(self._first.table), self._found.get(self._last.table)
+        if first and last:
+            return Effect.STANDS
+        return Effect.NONE if first is False and last is False else Effect.UNKNOWN
+
+
+class Inquiry:
+    """Reads from a stream of its own what stands, again and again until that tells or it is dropped."""
+
+    WITHIN = SECOND // 20  # a call is carried out by then, counted from when it went, or never
+    CONNECT = SECOND // 4
+    SPAN = SECOND // 4  # for a whole start of the news, which takes a few ms
+    AGAIN = SECOND // 10
+
+    def __init__(self, loop: Loop, told: Callable[[Effect, int], None]) -> None:
+        """`told` hears the effect, and how many orders are proved to stand by it."""
+        self.loop, self.told = loop, told
+        self.to: tuple[str, int] | None = None
+        self.evidence: Evidence | None = None  # while one is open
+        self.due: Deadline | None = None
+        self.exchange: Exchange | None = None
+
+    def open(self, to: tuple[str, int], went: int, evidence: Evidence) -> None:
+        """Into a call that went at `went`; one that is open goes on."""
+        if self.evidence is None and evidence.any:
+            self.to, self.evidence = to, evidence
+            self.due = self.loop.at(max(self.loop.clock.now(), went + self.WITHIN), self._ask)
+
+    def _ask(self) -> None:
+        stream = EventStream(self._said, lambda: None)
+        self.due = self.loop.after(self.SPAN, self._again)
+        self.exchange = Client(self.loop, self.to, self.CONNECT).request(
+            "GET", "/stream", self.SPAN, self._ended, stream=lambda part: self._part(stream, part)
+        )
+
+    def _part(self, stream: EventStream, part: bytes) -> None:
+        try:
+            stream.feed(part)
+        except ValueError:  # what can't be read tells nothing; the next one may
+            self._again()
+            return
+        effect, proved = self.evidence.effect, self.evidence.proved
+        if effect is not Effect.UNKNOWN:
+            self.drop()
+            self.told(effect, proved)
+
+    def _said(self, kind: str, data: str) -> None:
+        match event_of(kind, data):
+            case face.StoredLine(table, backend, weight):
+                self.evidence.line(table, backend, weight)
+
+    def _ended(self, answer: Answer) -> None:
+        self._again()
+
+    def _again(self) -> None:
+        self._close()
+        self.due = self.loop.after(self.AGAIN, self._ask)
+
+    def _close(self) -> None:
+        self.due.cancel()
+        if self.exchange is not None:
+            self.exchange.drop()
+            self.exchange = None
+
+    def drop(self) -> None:
+        """End it without a word."""
+        if self.evidence is not None:
+            self._close()
+            self.evidence = None
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -58,6 +58,7 @@
         self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
+        self.relay.stood = lambda: self.holdings.stood
         self.relay.doubted = self.news.anew
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
         self.known = Known(
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -57,6 +57,12 @@
                     raise ValueError(f"no field of an event stream: {name[:40]!r}")
 
 
+def event_of(kind: str, data: str) -> face.Event | None:
+    """What an event of the stream says; None: of a kind that is not known.  Raises ValueError."""
+    read = NEWS.get(kind)
+    return read(dict(parse_qsl(data, keep_blank_values=True))) if read is not None else None
+
+
 class News:
     SILENCE = 2 * SECOND  # a sign of life comes every second: one missed, and the next has not come
     CONNECT = SECOND // 4  # on one network a connect takes a few ms
@@ -114,11 +120,10 @@
             exchange.end("unreadable")
 
     def _said(self, kind: str, data: str) -> None:
-        read = NEWS.get(kind)
-        if read is None:  # of a later version, perhaps: no reason to break off
+        event = event_of(kind, data)
+        if event is None:  # of a later version, perhaps: no reason to break off
             self.log.trouble("news_of_unknown_kind", kind=kind[:40])
             return
-        event = read(dict(parse_qsl(data, keep_blank_values=True)))
         self.log.count(f"news_{kind}")
         self.hearer.news(event)
 
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -11,8 +11,10 @@
 from ..net.clock import SECOND
 from ..net.http import Answer, Client
 from ..net.loop import Deadline, Loop
+from . import tables
 from .backlog import Backlog
 from .calls import cut, encode, merge, pieces, read_answer
+from .doubt import Effect, Evidence, Inquiry, MarkProof
 
 
 class Relay:
@@ -42,12 +44,12 @@
         """A proxy may get `most` messages (0: any number) within `over`; each has `head` lines of its own."""
         self.loop, self.log, self.methods, self.most, self.over = loop, log, methods, most, over
         self.backlog, self.proxies, self.head = backlog, proxies, head
-        self.size = 0  # lines in the channel of the call that went last
-        # A mark that a proxy answers shows that the call it ends was carried out.  One that an earlier call
-        # had, as after a module that began anew, shows nothing: hence the marks of the last calls.
-        self.marks: deque[int] = deque(maxlen=256)
-        self.shown_by, self.shown = -1, False  # the mark that would show it of the first call; it has
-        self.first: list[face.Order] | None = None  # the call that these are about
+        self.copies: list[int] = []  # lines in the channel of the first call, each time that it went
+        self.stood: Callable[[], tables.Tables] = dict  # what stands in the store, but for calls in doubt
+        self.went = 0  # when a call did last
+        self.inquiry = Inquiry(loop, self._found)  # into whether the first call was carried out
+        self.proof = MarkProof()
+        self.first: list[face.Order] | None = None  # the call that proof and copies are about
         self.written: deque[int] = deque()  # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None  # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
@@ -111,7 +113,10 @@
             # and what had to wait for the relay has not begun to leave.
             self.log.trouble("call_waits_for_the_channel", lines=size, for_ms=(when - now) / 10)
             self.due = self.loop.at(when, self._call)
+            if self.failures:  # what stands in the store tells sooner whether it goes again at all
+                self.inquiry.open(self.client.to, self.went, Evidence(self.stood(), self.waiting[0]))
             return
+        self.inquiry.drop()
         orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
         if self.allowed is not None and not self.allowed(orders):
             # What was decided before is void by the time that it may: the module is told what stands then.
@@ -124,9 +129,10 @@
                 self.doubted()
             return
         self._to_be_shown()
+        self.went = now
         self.written.append(now)
         self.backlog.sent(now, size)
-        self.size = size
+        self.copies.append(size)
         body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
@@ -177,7 +183,7 @@
                 tries=self.failures + 1,
                 after_ms=answer.duration / 10,
             )
-            if self.shown:
+            if self.proof.shown:
                 self._stands_as_shown()
                 return
             step = self.AGAIN[min(self.failures, len(self.AGAIN) - 1)]
@@ -186,43 +192,53 @@
 
     def _not_carried_out(self) -> None:
         self.written.pop()
-        self.backlog.taken_back(self.size)
+        self.backlog.taken_back(self.copies.pop())
+
+    def _found(self, effect: Effect, proved: int) -> None:
+        """What stands in the store tells what became of the first call."""
+        self.log.event("call_in_doubt_looked_up", effect=effect.name.lower(), orders=proved)
+        if self.due is not None:
+            self.due.cancel()
+        self.failures = 0
+        if effect is Effect.STANDS:
+            self._taken(proved, refused=False)
+        else:
+            while self.copies and self.written:
+                self._not_carried_out()
+        self._call()
 
     def _to_be_shown(self) -> None:
-        if self.first is self.waiting[0]:
-            return
-        self.first, self.shown_by, self.shown = self.waiting[0], -1, False
-        last = self.first[-1]
-        if isinstance(last, face.Mark) and last.mark not in self.marks:
-            self.shown_by = last.mark
-            self.marks.append(last.mark)
+        if self.first is not self.waiting[0]:
+            self.first, self.copies = self.waiting[0], []
+            self.proof.begin(self.first)
 
     def answered_mark(self, mark: int) -> None:
         """A proxy has applied all up to this mark: the call that ends with it was carried out, to its end."""
-        if mark != self.shown_by or not self.waiting or self.first is not self.waiting[0]:
-            return
-        self.shown = True
-        if self.failures and not self.out:
+        shown = self.waiting and self.first is self.waiting[0] and self.proof.answered(mark)
+        if shown and self.failures and not self.out:
             if self.due is not None:
                 self.due.cancel()
             self._stands_as_shown()
 
     def _stands_as_shown(self) -> None:
         self.log.count("calls_shown_by_marks")
+        self.inquiry.drop()
         self.failures = 0
         self._taken(len(self.waiting[0]))
         self._call()
 
-    def _taken(self, count: int) -> None:
+    def _taken(self, count: int, refused: bool = True) -> None:
+        """So many orders stand, and the next one is refused or, with the rest, still to go."""
         orders = self.waiting.popleft()
         self.log.count("orders_stand", count)
         self.stands(orders[:count])
-        if count < len(orders):
-            refused = orders[count]
-            self.log.trouble("order_refused", order=encode(refused, self.methods))
-            if orders[count + 1 :]:
-                self.waiting.appendleft(orders[count + 1 :])
-            self.dropped([refused])
+        rest = orders[count:]
+        if rest and refused:
+            self.log.trouble("order_refused", order=encode(rest[0], self.methods))
+            self.dropped([rest.pop(0)])
+        if rest:
+            self.waiting.appendleft(rest)
 
     def close(self) -> None:
+        self.inquiry.drop()
         self.client.close()
--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -1,6 +1,7 @@
 """A Relay between a client that answers when told and a channel that counts what was carried out."""
 
 import os
+from types import SimpleNamespace
 from urllib.parse import parse_qs
 
 from indigohitch import interface as face
@@ -8,6 +9,7 @@
 from indigohitch.net.clock import SECOND
 from indigohitch.net.http import Answer
 from indigohitch.net.loop import Loop
+from indigohitch.platformlink import doubt, tables
 from indigohitch.platformlink import relay as calls
 from indigohitch.platformlink.backlog import Backlog
 from seam import Shifted
@@ -26,9 +28,25 @@
         self.retired = True
 
 
+class Store:
+    """In the place of the client that asks for news: tells what stands, all of it at once."""
+
+    def __init__(self, room):
+        self.room = room
+
+    def request(self, method, target, span, done, stream):
+        entry = "event: entry\ndata: range={}&target={}&rps={}\n\n"
+        stands = [entry.format(n, b, w) for n, t in self.room.store.items() for b, w in t.lines.items()]
+        if not self.room.mute:
+            self.room.loop.after(0, lambda: stream("".join(stands).encode()))
+        return SimpleNamespace(drop=lambda: None)
+
+
 class Room:
     def __init__(self, monkeypatch, most=0, over=0, backlog=None, proxies=0, head=0):
         monkeypatch.setattr(calls, "Client", Told)
+        monkeypatch.setattr(doubt, "Client", lambda *words: Store(self))
+        self.store, self.stood, self.mute = {}, {}, False
         self.clock = Shifted()
         self.loop = Loop(self.clock, self.fail)
         self.log = Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY))
@@ -45,7 +63,12 @@
             head,
         )
         self.stand, self.void = [], []
-        self.relay.stands, self.relay.dropped = self.stand.extend, self.void.extend
+        self.relay.stands, self.relay.dropped = self.stands, self.void.extend
+        self.relay.stood = lambda: self.stood
+
+    def stands(self, orders):
+        self.stand += orders
+        tables.carry_out(self.stood, orders)
 
     def fail(self, broken):
         raise broken
@@ -81,6 +104,7 @@
 
     def carried_out(self):
         """The call that is out is; returns how many lines wait now."""
+        tables.carry_out(self.room.store, self.room.relay.waiting[0])
         now, lines = self.room.clock.now(), self.room.out()[0].count(";") + 1
         self.lines = max(0.0, self.lines - (now - self.at) * self.pace / SECOND)
         self.lines += (lines + self.room.relay.head) * self.room.proxies
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -58,6 +58,7 @@
         self.out, self.refused, self.calls, self.marks, self.news = set(), set(), [], [], []
         self.times = []  # of the calls carried out
         self.marks_told = True  # proxies answer marks
+        self.streams_mute = False  # news streams that begin now stay without a byte
         self.known = self.whole()
 
     # ---- backends and discovery
@@ -164,6 +165,8 @@
                 queue.append(f"event: {kind}\ndata: {urlencode(words)}\n\n")
 
     def _stream(self, sock):
+        if self.streams_mute:
+            return "hang"
         queue = []
         with self.lock:
             for proxy in sorted(self.proxies):
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -41,7 +41,7 @@
 def test_the_same_again_waits_until_it_fits_into_the_channel(platform, fault):
     """Found on a day of six in ten replaced: 109,816 lines waited where 86,000 may."""
     program = serving(platform, 30.0)
-    platform.marks_told = False
+    platform.marks_told, platform.streams_mute = False, True  # nothing tells that it was carried out
     platform.relay_faults.append(fault)
     drain(platform, "b1")
     said = eventually(lambda: program.said("call_waits_for_the_channel"))
--- /dev/null
+++ b/tests/test_crossing_doubt.py
@@ -0,0 +1,103 @@
+"""A large call to the relay in doubt: the store tells whether it goes again."""
+
+import pytest
+
+from indigohitch import interface as face
+from indigohitch.net.clock import SECOND
+from indigohitch.platformlink.doubt import Effect, Evidence, MarkProof
+from indigohitch.platformlink.tables import Table
+from stage import drain, none_lost
+from test_crossing_backlog import UNCLEAR, bounded, moved, play, rounds, serving
+from waiting import eventually
+
+
+@pytest.mark.parametrize("fault", UNCLEAR)
+def test_a_call_that_stands_by_the_store_does_not_go_again(platform, fault):
+    """No proxy has answered its mark yet: a channel was seen at 22% of its pace."""
+    program = serving(platform, 30.0)
+    platform.marks_told = False
+    platform.relay_faults.append(fault)
+    drain(platform, "b1")
+    assert eventually(lambda: program.said("call_in_doubt_looked_up"))[0]["effect"] == "stands"
+    drain(platform, "b2")
+    put = [order for call in platform.calls for order in call if order.startswith("put,")]
+    assert len(put) == len(set(put)) and none_lost(platform)
+
+
+@pytest.mark.parametrize("fault", ["reset", "garbage", "503"])
+def test_a_call_that_was_not_carried_out_goes_again_at_once(platform, fault):
+    """Its lines don't wait in the channel: a drain does not wait for them."""
+    program = serving(platform, 30.0)
+    platform.relay_faults.append(fault)
+    drain(platform, "b1")
+    unclear = program.said("relay_call_unclear")[0]["ms"]
+    waits = next(w for w in program.said("call_waits_for_the_channel") if w["ms"] >= unclear)
+    found = program.said("call_in_doubt_looked_up")[0]
+    assert found["effect"] == "none" and found["ms"] - waits["ms"] < waits["for_ms"] / 2
+    assert len(rounds(platform, platform.marks[-1])) == 1 and none_lost(platform)
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+def test_a_channel_at_a_fifth_of_its_pace_is_not_filled_twice(monkeypatch, carried_out):
+    """Seen on a recorded day: what the settings say of the pace tells nothing of when lines have left."""
+    room, channel = bounded(monkeypatch)
+    channel.pace /= 5
+    for tables in (room.store, room.stood):
+        tables.update({number: Table({"old": 1.0}) for number in range(30)})
+    orders = [order for number in range(30) for order in moved(number, 1)[:2]] + [face.Mark(1, False)]
+    room.relay.order(orders)
+    began = room.clock.now()
+    if carried_out:
+        channel.carried_out()
+    room.answer("reset")
+    play(room, channel)
+    assert channel.most <= 1000 and room.stand == orders and room.store == room.stood
+    assert room.clock.now() - began < SECOND // 2  # a drain's lines have two seconds
+
+
+def test_a_store_that_breaks_off_is_asked_again(platform):
+    program = serving(platform, 30.0)
+    platform.marks_told = False
+    platform.relay_faults.append("reset done")
+    platform.news_faults += ["unreadable", "reset"]
+    drain(platform, "b1")
+    assert eventually(lambda: program.said("call_in_doubt_looked_up"))[0]["effect"] == "stands"
+    assert none_lost(platform)
+
+
+def test_what_the_tables_tell_of_a_call():
+    stood = {1: Table({"a": 1.0}), 2: Table({"a": 1.0, "b": 1.0}), 3: Table({})}
+
+    def move(table, old, new):
+        return [face.SetLine(table, new, 1.0), face.SetLine(table, old, 0.0)]
+
+    orders = [*move(1, "a", "c"), face.SetLine(3, "c", 1.0), *move(2, "a", "c"), face.Mark(7, False)]
+
+    def told(*lines, of=orders):
+        evidence = Evidence(stood, of)
+        for line in lines:
+            evidence.line(*line)
+        return evidence.effect
+
+    assert Evidence(stood, orders).proved == 5  # the mark is not shown
+    assert told() is told((1, "c", 1.0)) is told((3, "c", 1.0), (2, "b", 1.0)) is Effect.UNKNOWN
+    assert told((1, "c", 1.0), (2, "b", 1.0), (2, "c", 1.0)) is Effect.STANDS
+    assert told((1, "a", 1.0), (2, "a", 1.0), (2, "b", 1.0)) is Effect.NONE
+    assert told((1, "c", 1.0), (2, "a", 1.0)) is Effect.UNKNOWN  # in part: an order between was refused
+    assert told((1, "a", 2.0), (2, "c", 2.0)) is Effect.UNKNOWN  # written by another
+    assert told((1, "c", 1.0), of=move(1, "a", "c")) is Effect.STANDS
+    for silent in (
+        [face.Mark(7, False)],
+        [face.SetLine(3, "c", 1.0)],
+        [face.SetLine(1, "a", 1.0)],
+        move(9, "a", "b"),
+    ):
+        assert not Evidence(stood, silent).any
+
+
+def test_a_mark_that_an_earlier_call_had_proves_nothing():
+    proof = MarkProof()
+    proof.begin([face.Mark(7, False)])
+    assert not proof.answered(6) and not proof.shown and proof.answered(7) and proof.shown
+    proof.begin([face.Mark(7, False)])
+    assert not proof.answered(7) and not proof.shown
