The channel's backlog goes by marks, and by an eighth of the pace without

Cause: platformlink/backlog.py let lines leave at the pace that the settings state.

Change: Backlog keeps the calls that went with the proxies that have not taken each. A mark that a proxy answers clears what went to it up to the first copy with that mark; a second copy takes a second answer, a later mark or time. Who leaves has nothing that waits. A mark or a leave that makes room lets the waiting call go. Backlog has `head` and the proxies now, Relay no longer; Relay._call cancels its own deadline.

Figures of test_what_may_wait_in_the_channel_at_any_moment stay, for eight times the stated pace. The bounds of the other tests stay at 1,000, on channels at the stated pace, a fifth and an eighth of it.

--- a/indigohitch/platformlink/backlog.py
+++ b/indigohitch/platformlink/backlog.py
@@ -5,40 +5,94 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
+
+from .. import interface as face
 from ..net.clock import SECOND
+from .calls import cut
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """A call that may lie in the channel."""
+
+    each: int  # lines to each proxy
+    mark: int | None
+    waiting: set[int]  # proxies that have not taken it
+
+    @property
+    def lines(self) -> int:
+        return self.each * len(self.waiting)
 
 
 class Backlog:
-    """At most `cap` lines (0: any number) may wait; they leave at `pace` lines a second."""
+    """At most `cap` lines (0: any number) may wait.
+
+    What proxies have answered by marks has left.  Of the rest an eighth of the `pace` of the settings leaves
+    in a second, as the module counts: a channel was seen at 22%."""
 
     # The rest of the cap is for what is not known here: proxies that join while a call is on its way, and a
     # call carried out later than it was sent.  The module fills 0.8 of the cap.
     SHARE = 0.9
+    UNANSWERED = 1 / 8
 
-    def __init__(self, cap: float, pace: float) -> None:
-        self.most, self.pace = cap * self.SHARE, pace
+    def __init__(
+        self, cap: float, pace: float, head: int = 0, proxies: Callable[[], Collection[int]] = tuple
+    ) -> None:
+        """Each call goes to all `proxies`, with `head` lines of its own."""
+        self.most, self.pace = cap * self.SHARE, pace * self.UNANSWERED
+        self.head, self.proxies = head, proxies
+        self.calls: list[Sent] = []  # in the order in which they went
         self.lines, self.at = 0.0, 0  # that may wait, and when
 
-    def _drain(self, now: int) -> None:
-        self.lines = max(0.0, self.lines - (now - self.at) * self.pace / SECOND)
-        self.at = now
+    def size(self, orders: Sequence[face.Order]) -> int:
+        """Lines of a call to all proxies."""
+        return (len(orders) + self.head) * len(self.proxies())
+
+    def cut(self, orders: Sequence[face.Order]) -> int:
+        """How many of the orders may go in one call."""
+        many = len(self.proxies())
+        return cut(orders, int(self.most / many) - self.head) if self.most and many else len(orders)
 
-    def sent(self, now: int, lines: int) -> None:
+    def sent(self, now: int, orders: Sequence[face.Order]) -> Sent:
         self._drain(now)
-        self.lines += lines
+        last = orders[-1]
+        mark = last.mark if isinstance(last, face.Mark) else None
+        call = Sent(len(orders) + self.head, mark, set(self.proxies()))
+        self.calls.append(call)
+        self.lines += call.lines
+        return call
+
+    def taken_back(self, call: Sent) -> None:
+        """It was surely not carried out."""
+        if call in self.calls:
+            self.calls.remove(call)
+            self.lines = max(0.0, self.lines - call.lines)
 
-    def taken_back(self, lines: int) -> None:
-        """What went out last was surely not carried out."""
-        self.lines = max(0.0, self.lines - lines)
+    def answered(self, proxy: int, mark: int) -> None:
+        """Messages arrive in order: what went to that proxy up to this mark has left.  A call that went twice
+        may be answered twice, and the second copy waits still at the first answer."""
+        ends = [at for at, call in enumerate(self.calls, 1) if call.mark == mark and proxy in call.waiting]
+        for call in self.calls[: ends[0]] if ends else ():
+            call.waiting.discard(proxy)
 
-    def most_orders(self, proxies: int, head: int) -> int | None:
-        """Of a call with `head` more lines to each of so many; None: any number."""
-        return int(self.most / proxies) - head if self.most and proxies else None
+    def left(self, proxy: int) -> None:
+        """Nothing waits for it now."""
+        for call in self.calls:
+            call.waiting.discard(proxy)
 
     def fits_at(self, now: int, lines: int) -> int:
-        """From when on so many lines more may wait; what is too many alone, once none does."""
+        """From when on so many lines more may wait, where no mark makes room sooner; what is too many alone,
+        once none does."""
         self._drain(now)
         over = self.lines - max(0.0, self.most - lines)
         if not self.most or not self.pace or over <= 0:
             return now
         return now + int(over * SECOND / self.pace) + 1
+
+    def _drain(self, now: int) -> None:
+        self.calls = [call for call in self.calls if call.waiting]
+        left = self.lines - (now - self.at) * self.pace / SECOND
+        self.lines = max(0.0, min(left, sum(call.lines for call in self.calls)))
+        self.at = now
--- a/indigohitch/platformlink/doubt.py
+++ b/indigohitch/platformlink/doubt.py
@@ -26,15 +26,20 @@
 
     def __init__(self) -> None:
         self.used: deque[int] = deque(maxlen=256)
+        self.orders: Sequence[face.Order] | None = None  # of the call in question
         self.mark, self.shown = -1, False
 
-    def begin(self, orders: Sequence[face.Order]) -> None:
-        """These are in question from here on."""
+    def begin(self, orders: Sequence[face.Order]) -> bool:
+        """These are in question from here on; whether they were not before."""
+        if orders is self.orders:
+            return False
+        self.orders = orders
         self.mark, self.shown = -1, False
         last = orders[-1]
         if isinstance(last, face.Mark) and last.mark not in self.used:
             self.mark = last.mark
             self.used.append(last.mark)
+        return True
 
     def answered(self, mark: int) -> bool:
         """Whether this mark shows it."""
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -51,9 +51,12 @@
             [method.name for method in self.boot["methods"]],
             self.boot.get("messages_most", 0),
             self.boot.get("counted_over", 0),
-            Backlog(self.boot.get("queue_cap", 0), self.boot.get("lines_per_s", 0)),
-            lambda: len(self.holdings.proxies),
-            self.boot.get("envelope", 0),
+            Backlog(
+                self.boot.get("queue_cap", 0),
+                self.boot.get("lines_per_s", 0),
+                self.boot.get("envelope", 0),
+                lambda: self.holdings.proxies,
+            ),
         )
         self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
@@ -166,8 +169,11 @@
 
     def hear_news(self, *events: face.Event) -> None:
         for event in events:
-            if isinstance(event, face.Acked):
-                self.relay.answered_mark(event.mark)
+            match event:
+                case face.Acked(proxy, mark):
+                    self.relay.answered_mark(proxy, mark)
+                case face.ProxyLeft(proxy):
+                    self.relay.proxy_left(proxy)
         self.hear(*events)
 
     # ---- discovery ---------------------------------------------------------------------------------
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -12,8 +12,8 @@
 from ..net.http import Answer, Client
 from ..net.loop import Deadline, Loop
 from . import tables
-from .backlog import Backlog
-from .calls import cut, encode, merge, pieces, read_answer
+from .backlog import Backlog, Sent
+from .calls import encode, merge, pieces, read_answer
 from .doubt import Effect, Evidence, Inquiry, MarkProof
 
 
@@ -38,18 +38,16 @@
         most: int,
         over: int,
         backlog: Backlog,
-        proxies: Callable[[], int],
-        head: int,
     ) -> None:
-        """A proxy may get `most` messages (0: any number) within `over`; each has `head` lines of its own."""
+        """A proxy may get `most` messages (0: any number) within `over`; `backlog` bounds their lines."""
         self.loop, self.log, self.methods, self.most, self.over = loop, log, methods, most, over
-        self.backlog, self.proxies, self.head = backlog, proxies, head
-        self.copies: list[int] = []  # lines in the channel of the first call, each time that it went
+        self.backlog = backlog
+        self.copies: list[Sent] = []  # the first call, each time that it went
+        self.wanting = 0  # lines of a call that waits for room in the channel
         self.stood: Callable[[], tables.Tables] = dict  # what stands in the store, but for calls in doubt
         self.went = 0  # when a call did last
         self.inquiry = Inquiry(loop, self._found)  # into whether the first call was carried out
-        self.proof = MarkProof()
-        self.first: list[face.Order] | None = None  # the call that proof and copies are about
+        self.proof = MarkProof()  # of the first call
         self.written: deque[int] = deque()  # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None  # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
@@ -93,7 +91,9 @@
             self._call()
 
     def _call(self) -> None:
-        self.due = None
+        if self.due is not None:
+            self.due.cancel()
+        self.due, self.wanting = None, 0
         self.idle = not self.waiting
         if self.idle or self.held:
             return
@@ -107,7 +107,7 @@
             self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
             return
         self._cut_to_the_channel()
-        size = (len(self.waiting[0]) + self.head) * self.proxies()
+        size = self.wanting = self.backlog.size(self.waiting[0])
         if (when := self.backlog.fits_at(now, size)) > now:
             # The module counts a call once, from when it ordered it: what went may lie in the channel twice,
             # and what had to wait for the relay has not begun to leave.
@@ -116,6 +116,7 @@
             if self.failures:  # what stands in the store tells sooner whether it goes again at all
                 self.inquiry.open(self.client.to, self.went, Evidence(self.stood(), self.waiting[0]))
             return
+        self.wanting = 0
         self.inquiry.drop()
         orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
         if self.allowed is not None and not self.allowed(orders):
@@ -128,11 +129,11 @@
             if doubt:
                 self.doubted()
             return
-        self._to_be_shown()
+        if self.proof.begin(self.waiting[0]):
+            self.copies = []
         self.went = now
         self.written.append(now)
-        self.backlog.sent(now, size)
-        self.copies.append(size)
+        self.copies.append(self.backlog.sent(now, self.waiting[0]))
         body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
@@ -142,8 +143,8 @@
 
     def _cut_to_the_channel(self) -> None:
         """One with more lines than may wait, as by merging or by proxies that joined, goes in parts."""
-        orders, most = self.waiting[0], self.backlog.most_orders(self.proxies(), self.head)
-        if most is not None and (at := cut(orders, most)) < len(orders):
+        orders = self.waiting[0]
+        if (at := self.backlog.cut(orders)) < len(orders):
             self.log.count("calls_cut_to_the_channel")
             self.waiting.popleft()
             self.waiting.extendleft([orders[at:], orders[:at]])
@@ -197,8 +198,6 @@
     def _found(self, effect: Effect, proved: int) -> None:
         """What stands in the store tells what became of the first call."""
         self.log.event("call_in_doubt_looked_up", effect=effect.name.lower(), orders=proved)
-        if self.due is not None:
-            self.due.cancel()
         self.failures = 0
         if effect is Effect.STANDS:
             self._taken(proved, refused=False)
@@ -207,18 +206,24 @@
                 self._not_carried_out()
         self._call()
 
-    def _to_be_shown(self) -> None:
-        if self.first is not self.waiting[0]:
-            self.first, self.copies = self.waiting[0], []
-            self.proof.begin(self.first)
+    def proxy_left(self, proxy: int) -> None:
+        self.backlog.left(proxy)
+        self._room_made()
 
-    def answered_mark(self, mark: int) -> None:
+    def _room_made(self) -> None:
+        """A call that waits for the channel may go sooner than was thought."""
+        now = self.loop.clock.now()
+        if self.wanting and self.due is not None and self.backlog.fits_at(now, self.wanting) <= now:
+            self._call()
+
+    def answered_mark(self, proxy: int, mark: int) -> None:
         """A proxy has applied all up to this mark: the call that ends with it was carried out, to its end."""
-        shown = self.waiting and self.first is self.waiting[0] and self.proof.answered(mark)
+        self.backlog.answered(proxy, mark)
+        shown = self.waiting and self.proof.orders is self.waiting[0] and self.proof.answered(mark)
         if shown and self.failures and not self.out:
-            if self.due is not None:
-                self.due.cancel()
             self._stands_as_shown()
+        else:
+            self._room_made()
 
     def _stands_as_shown(self) -> None:
         self.log.count("calls_shown_by_marks")
--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -43,7 +43,7 @@
 
 
 class Room:
-    def __init__(self, monkeypatch, most=0, over=0, backlog=None, proxies=0, head=0):
+    def __init__(self, monkeypatch, most=0, over=0, cap=0, pace=0, proxies=0, head=0):
         monkeypatch.setattr(calls, "Client", Told)
         monkeypatch.setattr(doubt, "Client", lambda *words: Store(self))
         self.store, self.stood, self.mute = {}, {}, False
@@ -58,9 +58,7 @@
             ["search"],
             most,
             over,
-            backlog or Backlog(0, 0),
-            lambda: self.proxies,
-            head,
+            Backlog(cap, pace, head, lambda: range(self.proxies)),
         )
         self.stand, self.void = [], []
         self.relay.stands, self.relay.dropped = self.stands, self.void.extend
@@ -96,17 +94,30 @@
 
 
 class Channel:
-    """What waits in the channel to the proxies: all that was carried out, less what left at its pace."""
+    """What waits in the channel to the proxies: all that was carried out, less what left at its pace, a call
+    after the other.  Marks are answered once all of a call has left."""
 
-    def __init__(self, room, pace):
-        self.room, self.pace = room, pace
-        self.lines, self.most, self.at = 0.0, 0.0, room.clock.now()
+    def __init__(self, room, pace, marks_told=True):
+        self.room, self.pace, self.marks_told = room, pace, marks_told
+        self.calls, self.most, self.at = [], 0.0, room.clock.now()  # calls: lines that wait, the mark
 
     def carried_out(self):
-        """The call that is out is; returns how many lines wait now."""
-        tables.carry_out(self.room.store, self.room.relay.waiting[0])
-        now, lines = self.room.clock.now(), self.room.out()[0].count(";") + 1
-        self.lines = max(0.0, self.lines - (now - self.at) * self.pace / SECOND)
-        self.lines += (lines + self.room.relay.head) * self.room.proxies
-        self.at, self.most = now, max(self.most, self.lines)
-        return self.lines
+        """The call that is out is."""
+        self.drain()
+        orders = self.room.relay.waiting[0]
+        tables.carry_out(self.room.store, orders)
+        lines = (len(orders) + self.room.relay.backlog.head) * self.room.proxies
+        self.calls.append([lines, orders[-1].mark if isinstance(orders[-1], face.Mark) else None])
+        self.most = max(self.most, sum(lines for lines, _ in self.calls))
+
+    def drain(self):
+        now = self.room.clock.now()
+        leaves, self.at = (now - self.at) * self.pace / SECOND, now
+        while self.calls and leaves > 0:
+            gone = min(leaves, self.calls[0][0])
+            self.calls[0][0] -= gone
+            leaves -= gone
+            if not self.calls[0][0]:
+                _, mark = self.calls.pop(0)
+                for proxy in range(self.room.proxies if self.marks_told and mark is not None else 0):
+                    self.room.relay.answered_mark(proxy, mark)
--- a/tests/test_audit_gate.py
+++ b/tests/test_audit_gate.py
@@ -44,8 +44,6 @@
         0,
         0,
         Backlog(0, 0),
-        lambda: 0,
-        0,
     )
     went, void, may = [], [], False
     relay.client.request = lambda *words: went.append(words[4])
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -13,8 +13,8 @@
 UNCLEAR = ["reset done", "silent done", "garbage done", "rubbish done"]
 
 
-def serving(platform, cap):
-    family = SETTINGS["family-info"] | {"queue-cap": cap, "egress-per-s": 40.0, "envelope": 2.0}
+def serving(platform, cap, pace=40.0):
+    family = SETTINGS["family-info"] | {"queue-cap": cap, "egress-per-s": pace, "envelope": 2.0}
     program = platform.start(settings=SETTINGS | {"family-info": family})
     eventually(lambda: program.said("phase", now="serving"))
     eventually(lambda: platform.calls and not program.counters().get("calls_waiting"))
@@ -59,23 +59,40 @@
     assert not platform.relay_faults and none_lost(platform)
 
 
+def lines(count, mark):
+    """A call of so many orders, its mark among them."""
+    return [face.SetLine(number, "b1", 1.0) for number in range(count - 1)] + [face.Mark(mark, False)]
+
+
 def test_what_may_wait_in_the_channel_at_any_moment():
-    backlog = Backlog(cap=1000, pace=500)
-    backlog.sent(0, 700)
+    backlog = Backlog(cap=1000, pace=4000, head=9, proxies=lambda: range(10))
+    call = lines(61, 1)
+    assert backlog.size(call) == 700
+    backlog.sent(0, call)
     assert backlog.fits_at(0, 200) == 0
-    assert backlog.fits_at(0, 700) == 10001  # 500 more than nine tenths, at 500 a second
+    assert backlog.fits_at(0, 700) == 10001  # 500 more than nine tenths, at an eighth of 4,000 a second
     assert backlog.fits_at(SECOND // 2, 700) == 10001
-    backlog.sent(10001, 700)
+    again = backlog.sent(10001, call)
     assert backlog.fits_at(10001, 700) > 10001 + SECOND
-    backlog.taken_back(700)
+    backlog.taken_back(again)
     assert backlog.fits_at(10001, 700) == 10001
     assert backlog.fits_at(10001, 5000) == 10001 + 4000  # more than the cap alone: once nothing waits
+    assert backlog.cut(lines(100, 2)) == 81
     assert Backlog(cap=0, pace=0).fits_at(5, 10**9) == 5
 
 
-def lines(count, mark):
-    """A call of so many orders, its mark among them."""
-    return [face.SetLine(number, "b1", 1.0) for number in range(count - 1)] + [face.Mark(mark, False)]
+def test_marks_make_room_for_each_copy_once():
+    proxies = set(range(10))
+    backlog = Backlog(cap=1000, pace=0.008, proxies=lambda: proxies)  # by itself hardly a line leaves
+    for orders in (lines(20, 1), lines(30, 1), lines(10, 2)):
+        backlog.sent(0, orders)
+    marks = [(3, 1, 580), (3, 7, 580), (4, 2, 520), (3, 1, 490), (3, 1, 490), (3, 2, 480)]
+    for proxy, mark, left in marks:
+        backlog.answered(proxy, mark)
+        assert backlog.fits_at(0, 900 - left) == 0 < backlog.fits_at(0, 901 - left)
+    proxies.discard(5)
+    backlog.left(5)
+    assert backlog.fits_at(0, 900 - 420) == 0 < backlog.fits_at(0, 901 - 420)
 
 
 def play(room, channel, until_idle_for=60 * SECOND):
@@ -83,6 +100,7 @@
     end = room.clock.now() + until_idle_for
     while not room.relay.idle:
         assert room.clock.now() < end, "calls wait for ever"
+        channel.drain()
         if room.relay.out:
             channel.carried_out()
             room.answer(taken=len(room.relay.waiting[0]))
@@ -90,16 +108,17 @@
             room.go(SECOND // 100)
 
 
-def bounded(monkeypatch):
-    """A relay to ten proxies, and its channel of 1,000 lines at 500 a second."""
-    room = Room(monkeypatch, backlog=Backlog(cap=1000, pace=500), proxies=10)
-    return room, Channel(room, pace=500)
+def bounded(monkeypatch, share=1 / 8, marks_told=False):
+    """A relay to ten proxies, and its channel of 1,000 lines, at that share of 500 a second."""
+    room = Room(monkeypatch, cap=1000, pace=500, proxies=10)
+    return room, Channel(room, 500 * share, marks_told)
 
 
+@pytest.mark.parametrize("share, marks_told", [(1, True), (1 / 5, True), (1 / 8, False)])
 @pytest.mark.parametrize("ordered", ["while the first waits", "once it stands"])
-def test_a_later_call_waits_for_one_that_lies_in_the_channel_twice(monkeypatch, ordered):
+def test_a_later_call_waits_for_one_that_lies_in_the_channel_twice(monkeypatch, ordered, share, marks_told):
     """The module counted the call once, and once its first copy is answered by marks not at all."""
-    room, channel = bounded(monkeypatch)
+    room, channel = bounded(monkeypatch, share, marks_told)
     room.relay.order(lines(60, 1))
     channel.carried_out()
     room.answer("reset")
@@ -113,17 +132,21 @@
     assert room.stand == lines(60, 1) + lines(80 if ordered == "once it stands" else 15, 2)
 
 
-def test_what_had_to_wait_for_the_relay_does_not_go_in_a_burst(monkeypatch):
-    """The module counts lines out from when it ordered them, also while no call is taken."""
-    room, channel = bounded(monkeypatch)
+@pytest.mark.parametrize("share, marks_told", [(1, True), (1 / 5, True), (1 / 8, False)])
+def test_what_had_to_wait_for_the_relay_does_not_go_in_a_burst(monkeypatch, share, marks_told):
+    """The module counts lines out from when it ordered them, also while no call is taken.  Nor does it
+    wait longer than the channel needs, where marks are answered."""
+    room, channel = bounded(monkeypatch, share, marks_told)
     for mark in range(1, 6):
         room.relay.order(lines(40, mark))
         for _ in range(20):
             if room.relay.out:
                 room.answer(code="Throttling")
             room.go(SECOND // 20)
+    began = room.clock.now()
     play(room, channel)
     assert channel.most <= 1000 and len(room.stand) == 5 * 40
+    assert room.clock.now() - began <= (2000 / channel.pace + 0.5) * SECOND
 
 
 def test_a_repeat_leaves_room_for_a_proxy_that_joins_and_for_the_way(monkeypatch):
--- a/tests/test_crossing_doubt.py
+++ b/tests/test_crossing_doubt.py
@@ -14,7 +14,7 @@
 @pytest.mark.parametrize("fault", UNCLEAR)
 def test_a_call_that_stands_by_the_store_does_not_go_again(platform, fault):
     """No proxy has answered its mark yet: a channel was seen at 22% of its pace."""
-    program = serving(platform, 30.0)
+    program = serving(platform, 30.0, 320.0)
     platform.marks_told = False
     platform.relay_faults.append(fault)
     drain(platform, "b1")
