What lies in the channel counts in the process that takes over

Cause: after an upgrade, or a start from the state file, the relay's count of the channel began at none, while the module's own went over: a call in doubt went again at once, on top of itself.

Change: handover._restore_backlog fills it from the marks that the module's channel has unanswered, but for calls that have yet to go; a call in doubt keeps its copy and its mark, so that the store or a proxy can tell what became of it. The form of the state is as before.

--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -21,6 +21,7 @@
 from ..upgrade.module_state import freeze, thaw
 from ..upgrade.side import Connection
 from . import tables
+from .backlog import Sent
 from .front import Front
 
 # What the old one hears after its state was taken and the new one would not: it asks for the rest itself, and
@@ -67,6 +68,7 @@
     relay.held = True
     relay.waiting = deque([events.unpack(order) for order in call] for call in state.waiting)
     relay.written, relay.failures, relay.idle = deque(state.written), state.failures, not state.waiting
+    _restore_backlog(front)
     holdings.proxies = {joined.proxy: joined for joined in map(events.unpack, state.proxies)}
     holdings.stood = {
         row.number: tables.Table(dict(row.lines), row.level and events.unpack(row.level))
@@ -75,6 +77,24 @@
     holdings.begun, holdings.lost = state.begun, set(state.lost)
 
 
+def _restore_backlog(front: Front) -> None:
+    """What the module has ordered and proxies have not answered lies in the channel, but for calls that have
+    yet to go.  One in doubt may."""
+    relay, channel = front.relay, front.coordinator.channel
+    to_go = list(relay.waiting)[1 if relay.failures else 0 :]
+    unsent = {order.mark for call in to_go for order in call if isinstance(order, face.Mark)}
+    calls = [
+        Sent(each, mark, set(proxies))
+        for mark, (each, proxies) in channel.unacked.items()
+        if mark not in unsent
+    ]
+    relay.backlog.calls, relay.backlog.at = calls, channel.backlog_at
+    relay.backlog.lines = min(channel.backlog, sum(call.lines for call in calls))
+    if relay.failures and relay.waiting:
+        relay.proof.begin(relay.waiting[0])
+        relay.copies = [call for call in calls if call.mark == relay.proof.mark]
+
+
 class Handover:
     """Of a front; see upgrade.side.Side.  In the new process `make(listening)` makes the front."""
 
--- a/tests/test_crossing_upgrades.py
+++ b/tests/test_crossing_upgrades.py
@@ -18,6 +18,11 @@
 from waiting import free_address
 
 
+def taken(count):
+    """The relay's answer."""
+    return Answer("answered", 200, b"<R><results><item><ok_count>%d</ok_count></item></results></R>" % count)
+
+
 class Bench:
     """Fronts of two processes in this one, on one loop that is turned by hand."""
 
@@ -122,6 +127,33 @@
     assert set(module.slices) == set(front.holdings.stood) == {4, 9}
 
 
+@pytest.mark.parametrize("went", ["answered", "reset", "not yet"])
+def test_what_lies_in_the_channel_is_in_the_state(bench, went):
+    """Else the new process fills the channel anew, and sends a call in doubt again on top of itself."""
+    relay = bench.front.relay
+    relay.client.request = lambda *words: asked.append(words[3])
+    asked = []
+    entry = bench.found["known"]["instances"][1] | {"lifecycle": "DRAINING"}
+    body = json.dumps({"generation": 2, "reset": False, "instances": [entry]}).encode()
+    bench.front.discovery._judged(
+        bench.front.discovery.generations.ask(0, False), Answer("answered", 200, body)
+    )
+    bench.handed()
+    if went != "not yet":
+        relay.hold(False)
+        for orders in list(relay.waiting)[:-1] if went == "reset" else list(relay.waiting):
+            asked.pop()(taken(len(orders)))
+        relay.hold(True)
+        if went == "reset":
+            asked.pop()(Answer("reset"))
+    lines, now = relay.backlog.lines, bench.clock.now()
+    relay = bench.over().relay
+    assert bool(relay.waiting) == (went != "answered")
+    assert abs(relay.backlog.lines - lines) < 1 and relay.backlog.fits_at(now, 0) == now
+    assert (sum(call.lines for call in relay.backlog.calls) > 0) == (went != "not yet")
+    assert [call.mark for call in relay.copies] == ([relay.waiting[0][-1].mark] if went == "reset" else [])
+
+
 @pytest.mark.parametrize("broken", ["before", "as the state is taken", "at every turn"])
 def test_a_module_begun_anew_is_told_what_stands_whoever_goes_on(bench, broken, monkeypatch):
     def breaks(now, events):
