--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -52,9 +52,7 @@
             self.boot.get("messages_most", 0),
             self.boot.get("counted_over", 0),
             Backlog(
-                self.boot.get("queue_cap", 0),
-                self.boot.get("lines_per_s", 0),
-                self.boot.get("envelope", 0),
+                *(self._figure(name) for name in ("queue_cap", "lines_per_s", "envelope")),
                 lambda: self.holdings.proxies,
             ),
         )
@@ -91,6 +89,11 @@
             address(found["discovery"]),
         )
 
+    def _figure(self, name: str) -> float:
+        """Of the settings; what is no number bounds nothing here, and breaks the module's turns."""
+        value = self.boot.get(name, 0)
+        return value if isinstance(value, (int, float)) else 0
+
     def start(self) -> None:
         self.news.open()
 
