--- a/indigohitch/fleet/node/belonging.py
+++ b/indigohitch/fleet/node/belonging.py
@@ -12,7 +12,7 @@
 from ..ledger.ports import Became
 from ..members.leases import Answer, ReadFirst
 from ..members.work import Membership, Phase
-from ..terms import Lease
+from ..terms import Lease, Who
 from .proposals import Proposals
 
 
@@ -49,7 +49,7 @@
 
     @property
     def leaves(self) -> bool:
-        """It has said that it leaves, and the book does not say so yet."""
+        """It has said that it leaves, and the state machine does not say so yet."""
         membership = self.membership
         return membership.phase is Phase.LEFT and not membership.roster.unfit(
             membership.me, membership.incarnation
@@ -89,8 +89,8 @@
             if word is not None:
                 self.tell(leader, word)
 
-    def heard(self, sender: str, word: Row) -> None:
-        self.carry(self.membership.heard(self.clock.now(), sender, word))
+    def heard(self, sender: Who, word: Row) -> None:
+        self.carry(self.membership.heard(self.clock.now(), sender.name, word))
 
     def became(self, became: Became) -> None:
         self.membership.became(self.clock.now(), became.role, became.term)
