--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -51,13 +51,15 @@
             [method.name for method in self.boot["methods"]],
             self.boot.get("messages_most", 0),
             self.boot.get("counted_over", 0),
-            Backlog(self.boot.get("queue_cap", 0), self.boot.get("lines_per_s", 0)),
-            lambda: len(self.holdings.proxies),
-            self.boot.get("envelope", 0),
+            Backlog(
+                *(self._figure(name) for name in ("queue_cap", "lines_per_s", "envelope")),
+                lambda: self.holdings.proxies,
+            ),
         )
         self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
         self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
         self.news = News(loop, log, store, self.holdings)
+        self.relay.stood = lambda: self.holdings.stood
         self.relay.doubted = self.news.anew
         zones, slices = self.boot.get("zones"), self.boot.get("slices")
         self.known = Known(
@@ -87,6 +89,11 @@
             address(found["discovery"]),
         )
 
+    def _figure(self, name: str) -> float:
+        """Of the settings; what is no number bounds nothing here, and breaks the module's turns."""
+        value = self.boot.get(name, 0)
+        return value if isinstance(value, (int, float)) else 0
+
     def start(self) -> None:
         self.news.open()
 
@@ -165,8 +172,11 @@
 
     def hear_news(self, *events: face.Event) -> None:
         for event in events:
-            if isinstance(event, face.Acked):
-                self.relay.answered_mark(event.mark)
+            match event:
+                case face.Acked(proxy, mark):
+                    self.relay.answered_mark(proxy, mark)
+                case face.ProxyLeft(proxy):
+                    self.relay.proxy_left(proxy)
         self.hear(*events)
 
     # ---- discovery ---------------------------------------------------------------------------------
