Scoped distribution: what a distributor logs of its subscribers has remedies

Logged events of silent, replaced and voided subscribers named no remedy: they are typed errors now. A full distributor refused a subscriber whose earlier connection it still held; that one is counted once.

--- a/indigohitch/fleet/distribution/errors.py
+++ b/indigohitch/fleet/distribution/errors.py
@@ -66,6 +66,27 @@
     remedy = "nothing: subscribers go to the others"
 
 
+# ---- subscribers that a distributor logs -----------------------------------------------------------
+
+
+class SubscriberSilent(Trouble):
+    """It has not answered an update in time; its connection is closed."""
+
+    remedy = "see whether that process hangs or its host is overloaded; it resumes by itself"
+
+
+class SubscriberReplaced(Trouble):
+    """It has connected again while it was still served over an earlier connection."""
+
+    remedy = "nothing, if it stays rare; else two processes bear that name"
+
+
+class VersionNeverWas(Trouble):
+    """It claims a version that the ledger has surely never had; it gets its whole scope."""
+
+    remedy = "find out whether the ledger's disks were replaced, or that process belongs to another fleet"
+
+
 # ---- no distributor at all -------------------------------------------------------------------------
 
 
--- a/indigohitch/fleet/distribution/serving.py
+++ b/indigohitch/fleet/distribution/serving.py
@@ -13,6 +13,9 @@
     NotLevel,
     NotServedNow,
     ScopeTooLarge,
+    SubscriberReplaced,
+    SubscriberSilent,
+    VersionNeverWas,
 )
 from .in_force import Tally
 from .limits import Limits
@@ -69,6 +72,9 @@
         self.out.append(Send(connection, word))
         self.close(connection, cause.what)
 
+    def note(self, event: str, trouble: Trouble) -> None:
+        self.out.append(Note(event, trouble.fields()))
+
     # ---- what subscribers say ----------------------------------------------------------------------
 
     def heard(self, input: Heard) -> None:
@@ -83,7 +89,7 @@
         except (NotServedNow, ScopeTooLarge) as cause:
             self.refuse(input.connection, cause)
         except Trouble as trouble:
-            self.out.append(Note("subscriber_closed", trouble.fields()))
+            self.note("subscriber_closed", trouble)
             self.close(input.connection, str(trouble))
 
     def subscribe(self, connection: int, claim: Subscribe) -> None:
@@ -95,7 +101,7 @@
             raise DistributorClosing("this distributor is about to end")
         elif not self.level:
             raise NotLevel("not level with the ledger since it started")
-        elif self.subscribers.count >= self.limits.subscribers:
+        elif self.subscribers.count_besides(connection) >= self.limits.subscribers:
             raise DistributorFull(f"serves {self.limits.subscribers} subscribers")
         elif self.limits.guard_versions and claim.held > self.catalogue.version:
             self.subscribers.doubt(connection, Claim(claim, self.now))
@@ -109,10 +115,12 @@
         self.subscribers.decided(connection)
         if void != NO_VERSION:
             subscription.forget_claim(self.now, void)
-            self.out.append(Note("version_void", {"subscriber": name, "version": void.text()}))
+            self.note("version_void", VersionNeverWas(f"version {void.text()} is claimed", name))
         earlier = self.subscribers.connection_of(name)
         if earlier is not None:
-            self.close(earlier, "the subscriber has connected anew")
+            replaced = SubscriberReplaced("connected again", name)
+            self.note("subscriber_replaced", replaced)
+            self.close(earlier, replaced.text())
         self.subscribers.serve(connection, subscription)
         self.tally.arrives(name)
         self.admission.want(connection)
@@ -204,7 +212,8 @@
         """Ends with those that don't answer, and sends away those whose claim could not be judged."""
         for connection in self.subscribers.unanswered(self.now - self.limits.acknowledge):
             name = self.subscribers.names[connection]
-            self.out.append(Note("subscriber_silent", {"subscriber": name}))
-            self.close(connection, "an update was not answered in time")
+            silent = SubscriberSilent("an update was not answered in time", name)
+            self.note("subscriber_silent", silent)
+            self.close(connection, silent.text())
         for connection in self.subscribers.doubts_before(self.now - self.limits.again):
             self.refuse(connection, DistributorBehind("the subscriber holds a newer version"))
--- a/indigohitch/fleet/distribution/subscribers.py
+++ b/indigohitch/fleet/distribution/subscribers.py
@@ -27,9 +27,10 @@
         self.by_service: dict[ServiceName, dict[int, None]] = {}
         self.indexed: dict[int, tuple[ServiceName, ...]] = {}
 
-    @property
-    def count(self) -> int:
-        return len(self.subscriptions) + len(self.claims)
+    def count_besides(self, connection: int) -> int:
+        """Connections that are served or in doubt, but for this one and the one that it replaces."""
+        replaced = self.names[connection] in self.by_name
+        return len(self.subscriptions) + len(self.claims) - replaced - (connection in self.claims)
 
     def served(self) -> Collection[Subscription]:
         return self.subscriptions.values()
--- a/tests/test_distribution_found.py
+++ b/tests/test_distribution_found.py
@@ -3,7 +3,7 @@
 from indigohitch.fleet.distribution import ports
 from indigohitch.fleet.distribution.distributor import Distributor
 from indigohitch.fleet.distribution.limits import Limits
-from indigohitch.fleet.distribution.messages import HeldService, Subscribe, Update
+from indigohitch.fleet.distribution.messages import HeldService, RefusalReason, Subscribe, Update
 from indigohitch.fleet.distribution.part import Distribution, ServiceResources, Set
 from indigohitch.fleet.distribution.terms import NO_VERSION, Resource, Version
 from indigohitch.fleet.members.leases import given
@@ -14,10 +14,10 @@
 LIMITS = Limits()
 
 
-def distributor():
+def distributor(limits=LIMITS):
     part = Distribution()
     part.apply(At(1, 1, 0, "", 0), "set", Set((ServiceResources("s", (Resource("a", b""),)),)))
-    machine = Distributor("d", part.catalogue, LIMITS, NOW)
+    machine = Distributor("d", part.catalogue, limits, NOW)
     machine.step(NOW, ports.Level(NOW))
     machine.step(NOW, ports.Joined(1, "one"))
     return machine
@@ -51,3 +51,15 @@
     machine.step(NOW, ports.Left(1))
     lost = machine.report(NOW + SECOND).unreachable
     assert [one.acting for one in lost] == [given(LIMITS.lease, LIMITS.drift) - SECOND]
+
+
+def test_a_full_distributor_takes_back_who_is_served_there_over_another_connection():
+    machine = distributor(Limits(subscribers=1))
+    claim = Subscribe(1, NO_VERSION, (HeldService("s"),))
+    machine.step(NOW, ports.Heard(1, claim))
+    machine.step(NOW, ports.Joined(2, "two"))
+    refused = machine.step(NOW, ports.Heard(2, claim))
+    assert refused[0].message.reason is RefusalReason.FULL
+    machine.step(NOW, ports.Joined(3, "one"))
+    outputs = machine.step(NOW, ports.Heard(3, claim))
+    assert updates(outputs) and [each.connection for each in outputs if isinstance(each, ports.Close)] == [1]
