Scoped distribution: driving files, operator's lines, a subscriber's process (work under way)

Cause: the decisions need a loop, frames and a process round them. Change: following, connections, role, process, asking; directives distributor and subscribe; DueTimer folds the ledger driver's deadline; proofs/scalekit begun.

--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -89,7 +89,12 @@
         )
     else:
         said = "a coordinator's"
-    if text.fleet is not None:
+    if text.fleet is not None and text.fleet.services:
+        said = (
+            f"{text.fleet.me} subscribes to {len(text.fleet.services)} services of fleet {text.fleet.name} "
+            f"at {len(text.fleet.distributors)} distributors"
+        )
+    elif text.fleet is not None:
         said += f"; {text.fleet.me} of fleet {text.fleet.name}, {len(text.fleet.members)} members"
     click.echo(f"{file}: {said}")
 
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -94,6 +94,10 @@
 def main(file: str) -> int:
     """Raises Mistakes, OSError."""
     text = operator_file.load(file)
+    if text.fleet is not None and text.fleet.services:
+        from .fleet.distribution import process
+
+        return process.main(text)
     if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
         from .fleet.node import alone
 
--- a/indigohitch/directives/fleet.py
+++ b/indigohitch/directives/fleet.py
@@ -64,12 +64,21 @@
     line: int
 
 
+@dataclass(slots=True)
+class DistributorText:
+    """A member at which others subscribe (directives/distribution.py)."""
+
+    name: str
+    address: tuple[str, int]
+    line: int
+
+
 @dataclass(slots=True)
 class FleetText:
     """What a file says of the fleet.  `me`: this member's name; `folder`: of the record on disk; `waits`
     (lease, election, beat) in tenths of a ms; `limit` in bytes: the log that is kept before a
     snapshot; `edition` 0: the file contracts nothing; `parts`: what each further part has read, with its
-    lines."""
+    lines; `services`: what a subscriber reaches, empty in a member's file."""
 
     name: str = ""
     me: str = ""
@@ -81,6 +90,8 @@
     limit: int = 16 << 20
     parts: dict[str, list] = field(default_factory=dict)
     line: int = 0
+    distributors: dict[str, DistributorText] = field(default_factory=dict)
+    services: list[str] = field(default_factory=list)
 
 
 def on_member(at: int, rest: list[str], reader: Reader) -> None:
@@ -112,6 +123,8 @@
         for line, what in stray(reader, fleet):
             reader.wrong(line, f"{what} without a line `fleet`")
         return
+    if fleet.services:
+        return  # a subscriber's file (directives/distribution.py)
     check_members(reader, fleet)
     check_waits(reader, fleet)
     if ("directive", "ledger") not in reader.lines:
--- a/indigohitch/directives/further.py
+++ b/indigohitch/directives/further.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from . import batches, fleet, seats
+from . import batches, distribution, fleet, seats
 
-VOCABULARIES = (fleet.VOCABULARY, seats.VOCABULARY, batches.VOCABULARY)
+VOCABULARIES = (fleet.VOCABULARY, seats.VOCABULARY, batches.VOCABULARY, distribution.VOCABULARY)
--- /dev/null
+++ b/indigohitch/fleet/distribution/asking.py
@@ -0,0 +1,42 @@
+"""What people and discovery say over the control socket, as entries of the ledger.  No I/O.
+
+{"ask": "distribute set", "services": {"maps": {"m1": "10.0.0.1:80 serving"}}}   these stand, others stay
+{"ask": "distribute replace", "services": {"maps": {...}}}                       these and no others
+{"ask": "distribute remove", "services": {"maps": ["m1"]}}                       these go"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ...errors import Unfit
+from ...packed.rows import Row
+from .part import Remove, Replace, ServiceKeys, ServiceResources, Set
+from .terms import Resource
+
+FORM = '{"ask": "distribute set", "services": {"maps": {"m1": "10.0.0.1:80 serving"}}}'
+WORDS = {"set": Set, "replace": Replace, "remove": Remove}
+
+
+def entry_of(word: str, services: object) -> Row:
+    """Raises Unfit."""
+    kind = WORDS.get(word)
+    if kind is None:
+        raise Unfit(f"no such word: distribute {word[:40]}", "", f"one of {', '.join(WORDS)}, as {FORM}")
+    if not isinstance(services, Mapping) or not services:
+        raise Unfit("no services are named", "", f"as {FORM}")
+    if kind is Remove:
+        return Remove(tuple(ServiceKeys(name, keys_of(name, keys)) for name, keys in services.items()))
+    found = (ServiceResources(name, resources_of(name, given)) for name, given in services.items())
+    return kind(tuple(found))
+
+
+def keys_of(service: str, keys: object) -> tuple[str, ...]:
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise Unfit("a list of keys is wanted", service, f"as {FORM}")
+    return tuple(keys)
+
+
+def resources_of(service: str, given: object) -> tuple[Resource, ...]:
+    if not isinstance(given, Mapping) or not all(isinstance(body, str) for body in given.values()):
+        raise Unfit("a text for each key is wanted", service, f"as {FORM}")
+    return tuple(Resource(key, body.encode()) for key, body in given.items())
--- /dev/null
+++ b/indigohitch/fleet/distribution/connections.py
@@ -0,0 +1,132 @@
+"""A distributor's process side: its listener, the connections of its subscribers, and its machine."""
+
+from __future__ import annotations
+
+import socket
+
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Loop
+from ...net.ring import Pool
+from ...packed.rows import Row
+from ..links import words as links
+from ..links.accepted import Accepted
+from ..links.arrivals import Arrivals
+from ..links.ends import KERNEL
+from ..links.greeting import REMEDIES, refused_subscriber
+from ..terms import Who
+from .distributor import Distributor
+from .limits import Limits
+from .messages import KINDS
+from .ports import Close, Closing, DistributorOutput, Heard, Joined, Left, Note, Send
+from .stepping import Stepping
+
+STRANGERS = 512  # all that another distributor served may come within a second
+# Of the buffers of all connections: what can't be had closes the connection that wanted it.
+BUFFERS = 64 << 20
+HEAD = 1 << 10  # room beside one update: welcomes and answers to pulses
+# A subscriber asks each second: one that is silent for so long is stopped or cut off.
+SILENT = 6 * SECOND
+
+
+class Connections:
+    def __init__(
+        self, loop: Loop, log: Log, fleet: str, me: Who, token: int, machine: Distributor, limits: Limits
+    ) -> None:
+        self.loop, self.log, self.fleet, self.me, self.token = loop, log, fleet, me, token
+        self.limits = limits
+        self.arrivals = Arrivals(loop, log, KINDS, self, "subscribers", STRANGERS, Pool(BUFFERS))
+        self.connections: dict[int, Accepted] = {}
+        self.numbers: dict[Accepted, int] = {}
+        self.last = self.sent = 0  # number of the last connection; bytes
+        self.stepping = Stepping(loop, machine, self.carry)
+
+    def start(self, at: tuple[str, int]) -> None:
+        """Raises OSError where the address can't be had."""
+        self.arrivals.start(at)
+        self.log.event("distributes", address=f"{at[0]}:{at[1]}")
+
+    @property
+    def open(self) -> bool:
+        return self.arrivals.listener is not None
+
+    def beat(self, now: int) -> None:
+        self.arrivals.beat(now)
+        for number, one in list(self.connections.items()):
+            if now - one.heard_at > SILENT:
+                self.drop(number, "silent", "see whether it runs; it comes back by itself")
+            else:
+                one.connection.outgoing.trim()
+
+    def drop(self, number: int, why: str, remedy: str) -> None:
+        one = self.connections[number]
+        self.log.trouble("subscriber_dropped", subscriber=one.who.name, why=why, remedy=remedy)
+        one.close()
+
+    # ---- who comes ---------------------------------------------------------------------------------
+
+    def greeted(self, one: Accepted, greeting: links.Greeting) -> None:
+        why, kind = refused_subscriber(greeting, self.fleet)
+        if why:
+            self.log.trouble("subscriber_refused", why=why, remedy=REMEDIES[kind])
+            one.answer(links.Refused(why))
+            one.close()
+            return
+        self.last += 1
+        one.who, one.token = greeting.who, greeting.token
+        self.connections[self.last], self.numbers[one] = one, self.last
+        one.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL)
+        one.connection.outgoing.allow(self.limits.update_bytes + HEAD)
+        one.answer(links.Welcome(self.me, self.token))
+        self.stepping.step(Joined(self.last, greeting.who.name))
+
+    def heard(self, one: Accepted, word: Row) -> None:
+        if one in self.numbers:
+            self.stepping.step(Heard(self.numbers[one], word))
+
+    def gone(self, one: Accepted) -> None:
+        number = self.numbers.pop(one, None)
+        if number is not None:
+            del self.connections[number]
+            self.stepping.step(Left(number))
+
+    # ---- what the machine wants --------------------------------------------------------------------
+
+    def carry(self, output: DistributorOutput) -> None:
+        match output:
+            case Send(number, message):
+                self.send(number, message)
+            case Close(number, _):
+                self.close_one(number)
+            case Note(event, fields):
+                self.log.event(event, **fields)
+
+    def send(self, number: int, message: Row) -> None:
+        one = self.connections.get(number)
+        if one is None:
+            return
+        data = KINDS.frame(message)
+        if not one.put(data):
+            self.drop(number, "it does not read", "see whether it runs; it comes back by itself")
+            return
+        self.sent += len(data)
+        one.connection.outgoing.trim()
+
+    def close_one(self, number: int) -> None:
+        """The machine knows."""
+        one = self.connections.pop(number, None)
+        if one is not None:
+            del self.numbers[one]
+            one.close()
+
+    # ---- the end -----------------------------------------------------------------------------------
+
+    def close(self) -> None:
+        self.arrivals.close()
+        self.stepping.step(Closing())
+        self.stepping.end()
+        for number in list(self.connections):
+            self.close_one(number)
+
+    def figures(self) -> dict:
+        return {"listens": self.open, "connections": len(self.connections), "bytes_sent": self.sent}
--- /dev/null
+++ b/indigohitch/fleet/distribution/following.py
@@ -0,0 +1,164 @@
+"""A subscriber's process side: its machine, and the connection to the one distributor that it asks."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Mapping
+
+from ...errors import told
+from ...log import Log
+from ...net.loop import Loop
+from ...packed.frames import Broken
+from ...packed.rows import Row
+from ..links.arrivals import spoilt
+from ..links.ends import GREET, Dialled
+from ..links.greeting import unspoken
+from ..links.words import SUBSCRIBER, Greeting, Welcome
+from ..terms import Who
+from .errors import NoDistributor
+from .limits import SubscriberLimits
+from .messages import KINDS
+from .ports import Applied, Connected, Dial, HangUp, Lost, Note, Rescope, Say, SubscriberOutput, Told
+from .stepping import Stepping
+from .subscriber import Subscriber
+from .terms import DistributorName, ServiceName, SubscriberName
+
+# The lease is asked for several times a second of silence: no pulses are needed beside it.
+NEVER = 1 << 62
+
+
+class Following:
+    """`applied(output)`: the content held is another."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        fleet: str,
+        name: SubscriberName,
+        services: Collection[ServiceName],
+        distributors: Mapping[DistributorName, tuple[str, int]],
+        chance: random.Random,
+        limits: SubscriberLimits | None = None,
+        applied: Callable[[Applied], None] = lambda output: None,
+    ) -> None:
+        self.loop, self.log, self.fleet, self.name = loop, log, fleet, name
+        self.kinds, self.chance, self.applied = KINDS, chance.random, applied
+        self.distributors = dict(distributors)
+        self.token = chance.getrandbits(62)
+        self.link: Dialled | None = None
+        self._received = self._sent = 0  # bytes over connections that are closed
+        weights = dict.fromkeys(distributors, 1.0)
+        limits = limits or SubscriberLimits()
+        self.machine = Subscriber(name, services, weights, limits, chance, loop.clock.now())
+        self.stepping = Stepping(loop, self.machine, self.carry)
+
+    def start(self) -> None:
+        self.stepping.timer.arm()
+
+    def rescope(self, services: Collection[ServiceName]) -> None:
+        self.stepping.step(Rescope(frozenset(services)))
+
+    # ---- what the machine wants --------------------------------------------------------------------
+
+    def carry(self, output: SubscriberOutput) -> None:
+        match output:
+            case Say(message):
+                if self.link is not None and not self.link.say(message):
+                    self.link.connection.close("no room")
+            case Applied():
+                self.applied(output)
+            case Dial(distributor):
+                self.dial(distributor)
+            case HangUp(_, why):
+                self.hang_up(why)
+            case Note(event, fields):
+                self.log.event(event, **fields)
+
+    def dial(self, distributor: DistributorName) -> None:
+        link = self.link = Dialled(self, distributor, self.distributors[distributor], NEVER, NEVER)
+        link.dial()
+        for greetings in (1, 2):  # connected, and welcomed
+            self.loop.after(greetings * (GREET + 1), lambda: self.look(link))
+
+    def look(self, link: Dialled) -> None:
+        """At a dialling that may have come to nothing."""
+        if link is self.link:
+            link.beat(self.loop.clock.now())
+
+    def hang_up(self, why: str) -> None:
+        if self.link is not None:
+            self.log.event("distributor_left", distributor=self.link.name, why=why)
+            link = self.dropped()
+            link.close()
+
+    def dropped(self) -> Dialled:
+        link, self.link = self.link, None
+        self._received += link.received
+        self._sent += link.sent
+        return link
+
+    # ---- what the connection tells -----------------------------------------------------------------
+
+    def greeting(self) -> Greeting:
+        return Greeting(self.fleet, Who(self.name, 0), self.token, role=SUBSCRIBER)
+
+    def welcomed(self, link: Dialled, welcome: Welcome) -> bool:
+        why = f"{welcome.who.name} answers" if welcome.who.name != link.name else unspoken(welcome)
+        if why:
+            remedy = "see the address of that distributor in this file"
+            self.log.trouble("not_who_was_dialled", distributor=link.name, why=why, remedy=remedy)
+        return not why
+
+    def up(self, link: Dialled) -> None:
+        self.log.event("distributor_reached", distributor=link.name)
+        self.stepping.step(Connected(link.name))
+
+    def down(self, link: Dialled, why: str) -> None:
+        self.lost(link, why)
+
+    def unreached(self, link: Dialled, why: str) -> None:
+        self.lost(link, why)
+
+    def lost(self, link: Dialled, why: str) -> None:
+        if link is self.link:
+            self.dropped()
+            self.log.trouble("distributor_lost", distributor=link.name, **told(NoDistributor(why)))
+            self.stepping.step(Lost(link.name, why))
+
+    def replied(self, link: Dialled, word: Row) -> None:
+        if link is self.link:
+            self.stepping.step(Told(link.name, word))
+
+    def spoilt(self, name: str, broken: Broken) -> None:
+        spoilt(self.log, name, broken, "distributors")
+
+    # ---- told to people ----------------------------------------------------------------------------
+
+    @property
+    def received(self) -> int:
+        return self._received + (self.link.received if self.link is not None else 0)
+
+    @property
+    def sent(self) -> int:
+        return self._sent + (self.link.sent if self.link is not None else 0)
+
+    def figures(self) -> dict:
+        now = self.loop.clock.now()
+        age = self.machine.age(now)
+        return {
+            "distribution": self.machine.figures(now)
+            | {
+                "version": self.machine.version.text(),
+                "age_ms": None if age is None else age / 10,
+                "current": self.machine.acting_until(now) > now,
+                "distributor": self.link.name if self.link is not None else "",
+                "bytes_received": self.received,
+                "bytes_sent": self.sent,
+            }
+        }
+
+    def close(self) -> None:
+        self.stepping.end()
+        if self.link is not None:
+            self.dropped().close()
--- /dev/null
+++ b/indigohitch/fleet/distribution/process.py
@@ -0,0 +1,152 @@
+"""A subscriber as a process: it holds the content of its scope, and says in the log and in `status` which
+version that is and how old."""
+
+from __future__ import annotations
+
+import os
+import random
+import secrets
+from collections.abc import Callable
+
+from ...directives import operator_file
+from ...directives.fleet import FleetText
+from ...directives.texts import Text
+from ...errors import Unfit
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Deadline, Loop
+from ...replaceable import Replaceable
+from ...upgrade import launch
+from ...upgrade.side import Side
+from ..node.bare import Bare
+from .following import Following
+from .ports import Applied
+
+TOLD = 60 * SECOND  # how often the log has the version and its age, beside each change
+
+
+class Subscription:
+    """What lives in the process beside its (empty) front: replaceable.Beside."""
+
+    left = True
+
+    def __init__(self, loop: Loop, log: Log, text: FleetText) -> None:
+        self.loop, self.log, self.text = loop, log, text
+        self.following: Following | None = None
+        self.telling: Deadline | None = None
+
+    def open(self) -> None:
+        if self.following is not None:
+            return
+        text, seed = self.text, random.Random(secrets.randbits(64))
+        addresses = {one.name: one.address for one in text.distributors.values()}
+        self.following = Following(
+            self.loop, self.log, text.name, text.me, text.services, addresses, seed, applied=self.applied
+        )
+        self.following.start()
+        self.tell()
+
+    def tell(self) -> None:
+        self.telling = self.loop.after(TOLD, self.tell)
+        self.log.event("content", **self.following.figures()["distribution"])
+
+    def applied(self, output: Applied) -> None:
+        age = self.following.machine.age(self.loop.clock.now())
+        self.log.event(
+            "version_applied",
+            version=output.version.text(),
+            services=len(output.services),
+            age_ms=None if age is None else age / 10,
+        )
+
+    def reread(self, text: FleetText) -> None:
+        """Raises Unfit."""
+        addresses = {name: one.address for name, one in text.distributors.items()}
+        if addresses != {name: one.address for name, one in self.text.distributors.items()}:
+            raise Unfit("other distributors than at the start", "", "start the subscriber anew for these")
+        self.text = text
+        if self.following is not None:
+            self.following.rescope(text.services)
+
+    def figures(self) -> dict:
+        return self.following.figures() if self.following is not None else {}
+
+    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool:
+        """`resources SERVICE`: what is held of it."""
+        word, _, service = what.partition(" ")
+        if word != "resources" or self.following is None:
+            return False
+        held = self.following.machine.resources(service)
+        answer({"resources": {key: body.decode(errors="replace") for key, body in sorted(held.items())}})
+        return True
+
+    def leave(self, give_up: bool) -> None: ...
+
+    def close(self) -> None:
+        if self.following is not None:
+            self.following.close()
+            self.following = None
+            self.telling.cancel()
+
+
+class SubscriberSide(Bare):
+    """An upgrade: the new process subscribes once the old one has let go, and resumes from nothing."""
+
+    def __init__(self, subscription: Subscription, *rest) -> None:
+        super().__init__(*rest)
+        self.subscription = subscription
+
+    def accept(self, on: bool) -> None:
+        super().accept(on)
+        if on:
+            self.subscription.open()
+        else:
+            self.subscription.close()
+
+    def begin(self, restored: bool) -> None:
+        super().begin(restored)
+        self.subscription.open()
+
+
+class SubscriberProcess(Replaceable):
+    def __init__(self, text: Text) -> None:
+        self.text = text
+        super().__init__(text.single["name"], text.single, text.waits)
+
+    def make_side(self) -> Side:
+        if self.beside is None:
+            self.beside = Subscription(self.loop, self.log, self.text.fleet)
+        return SubscriberSide(self.beside, self.clock, self.controls, self.control_taken, self.reload)
+
+    def program_now(self) -> list[str]:
+        try:
+            return operator_file.load(self.text.source).single["program"]
+        except (OSError, ValueError):
+            return self.lines["program"]
+
+    def reload(self) -> None:
+        """The scope as the file has it now; a file with a mistake changes nothing."""
+        try:
+            text = operator_file.load(self.text.source).fleet
+            if text is None or not text.services:
+                raise Unfit(
+                    "it has no `subscribe` lines any more", self.text.source, "start the program anew for it"
+                )
+            self.beside.reread(text)
+        except (OSError, ValueError) as bad:
+            self.log.trouble("reload_failed", why=str(bad))
+            return
+        self.log.count("reloads")
+
+
+def main(text: Text) -> int:
+    """Raises OSError, Unfit."""
+    if "BALANCER_CONFIG" in os.environ:
+        raise Unfit(
+            "a subscriber beside the platform's front is not there yet",
+            text.source,
+            "unset BALANCER_CONFIG, or take the lines `subscribe` out",
+        )
+    channel = launch.inherited()
+    os.set_blocking(1, False)
+    return SubscriberProcess(text).run(channel)
--- /dev/null
+++ b/indigohitch/fleet/distribution/role.py
@@ -0,0 +1,137 @@
+"""A member's part as a distributor: it tells its machine what the ledger applied, keeps it level with the
+ledger, and exchanges reports with the other distributors."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+import msgspec
+
+from ...errors import NotNow, told
+from ...log import Log
+from ...net.clock import SECOND
+from ...net.loop import Loop
+from ...packed.rows import Row
+from ..ports import Wanted
+from ..terms import Entry, Lease, Outcome, Who
+from .connections import Connections
+from .distributor import Distributor
+from .limits import Limits
+from .messages import Report
+from .part import Distribution
+from .ports import Changed, HeardReport, Level, Replaced
+
+PERIOD = SECOND  # of confirmed reads and of reports
+LISTEN_AGAIN = SECOND
+LIMITS = Limits()
+
+Read = Callable[[Callable[[int | None], None]], None]
+
+
+class Distributing:
+    """A `Work` (fleet/ports.py).  `read(done)`: a read confirmed by a majority; `say(name, word)`: to another
+    member."""
+
+    name = "distribution"
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        fleet: str,
+        me: str,
+        token: int,
+        addresses: dict[str, tuple[str, int]],
+        part: Distribution,
+        read: Read,
+        say: Callable[[str, Row], bool],
+    ) -> None:
+        self.loop, self.log, self.me, self.addresses = loop, log, me, addresses
+        self.part, self.read, self.say = part, read, say
+        self.machine = Distributor(me, part.catalogue, LIMITS, loop.clock.now(), self.others)
+        self.connections = Connections(loop, log, fleet, Who(me, 0), token, self.machine, LIMITS)
+        self.listen_due = self.period_due = 0
+        self.reading = False
+        self.closed = False
+
+    @property
+    def others(self) -> Collection[str]:
+        return [name for name in self.addresses if name != self.me]
+
+    # ---- from the ledger ---------------------------------------------------------------------------
+
+    def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
+        if entry.kind.startswith("distribution.") and not outcome.refused and not outcome.doubled:
+            services = msgspec.msgpack.decode(outcome.told, type=tuple[str, ...])
+            if services:
+                self.connections.stepping.step(Changed(services))
+        return []
+
+    def restored(self, now: int) -> list[Wanted]:
+        self.connections.stepping.step(Replaced())
+        return []
+
+    def answered(self, now: int, tag: str, outcome: Outcome | None) -> list[Wanted]:
+        return []
+
+    def report(self, now: int) -> bytes:
+        return b""
+
+    def lead(self, now: int, reports) -> list[Wanted]:
+        return []
+
+    # ---- the beat ----------------------------------------------------------------------------------
+
+    def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
+        if self.closed:
+            return []
+        if not self.connections.open and now >= self.listen_due:
+            self.listen(now)
+        if now >= self.period_due:
+            self.period_due = now + PERIOD
+            self.connections.beat(now)
+            self.confirm(now)
+            self.tell(now)
+        return []
+
+    def listen(self, now: int) -> None:
+        try:
+            self.connections.start(self.addresses[self.me])
+        except OSError as bad:
+            self.listen_due = now + LISTEN_AGAIN
+            self.log.trouble("distributor_cannot_listen", **told(bad, "free the address"))
+
+    def confirm(self, now: int) -> None:
+        def done(index: int | None) -> None:
+            self.reading = False
+            if index is not None and not self.closed:
+                self.connections.stepping.step(Level(now))
+
+        if self.reading:
+            return
+        self.reading = True
+        try:
+            self.read(done)
+        except NotNow:
+            self.reading = False
+
+    def tell(self, now: int) -> None:
+        report = self.machine.report(now)
+        for name in self.others:
+            self.say(name, report)
+
+    def heard_report(self, who: Who, word: Report) -> None:
+        if not self.closed and who.name == word.distributor:
+            self.connections.stepping.step(HeardReport(word))
+
+    # ---- the end, and people -----------------------------------------------------------------------
+
+    def close(self) -> None:
+        """Its port may be another process' from here on."""
+        self.closed = True
+        self.connections.close()
+
+    def figures(self) -> dict:
+        now = self.loop.clock.now()
+        in_force = msgspec.to_builtins(self.machine.in_force(now))
+        return self.connections.figures() | self.machine.figures(now) | {"in_force": in_force}
--- /dev/null
+++ b/indigohitch/fleet/distribution/stepping.py
@@ -0,0 +1,46 @@
+"""Steps one state machine on the loop: inputs one after the other, also those that come while the outputs of
+one are being carried out, and `Due` when the machine wants it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from ...net.due import DueTimer
+from ...net.loop import Loop
+from .ports import Due
+
+
+class Machine(Protocol):
+    due: int | None
+
+    def step(self, now: int, input) -> list: ...
+
+
+class Stepping:
+    def __init__(self, loop: Loop, machine: Machine, carry: Callable[[object], None]) -> None:
+        self.loop, self.machine, self.carry = loop, machine, carry
+        self.waiting: deque = deque()
+        self.busy = self.ended = False
+        self.timer = DueTimer(loop, lambda: self.machine.due, lambda: self.step(Due()))
+
+    def step(self, input) -> None:
+        if self.ended:
+            return
+        self.waiting.append(input)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.waiting:
+                for output in self.machine.step(self.loop.clock.now(), self.waiting.popleft()):
+                    self.carry(output)
+        finally:
+            self.busy = False
+        self.timer.arm()
+
+    def end(self) -> None:
+        self.ended = True
+        self.waiting.clear()
+        self.timer.cancel()
--- a/indigohitch/fleet/links/arrivals.py
+++ b/indigohitch/fleet/links/arrivals.py
@@ -11,7 +11,8 @@
 from ...net.ring import Pool
 from ...packed.frames import Broken, Kinds
 from ...packed.rows import Row
-from .ends import GREET, Accepted
+from .accepted import Accepted
+from .ends import GREET
 from .words import Greeting
 
 
--- a/indigohitch/fleet/links/ends.py
+++ b/indigohitch/fleet/links/ends.py
@@ -1,4 +1,4 @@
-"""The two ends of a link: the connection that is dialled, and the one that is accepted."""
+"""The end of a link that dials; accepted.py has the other one."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
 from ...net.clock import SECOND
 from ...net.connection import Connection
 from ...net.loop import Loop
-from ...net.ring import Pool
 from ...packed.frames import Broken, Frames, Kinds
 from ...packed.rows import Row
 from ..terms import Who
@@ -55,6 +54,9 @@
 
     def down(self, link: Dialled, why: str) -> None: ...
 
+    def unreached(self, link: Dialled, why: str) -> None:
+        """It could not be dialled, or did not welcome us."""
+
     def replied(self, link: Dialled, word: Row) -> None:
         """A word that is not about the link itself came back over it."""
 
@@ -75,6 +77,7 @@
         self.connection: Connection | None = None
         self.welcome: Welcome | None = None  # the last one: facts in it stay true
         self.alive = self.pulses = self.pulse_due = self.dropped = 0
+        self.received = self.sent = 0  # bytes
 
     @property
     def who(self) -> Who | None:
@@ -119,8 +122,10 @@
         self.write(self.links.greeting())
 
     def heard(self, connection: Connection) -> None:
+        data = connection.incoming.take()
+        self.received += len(data)
         try:
-            for word, _ in self.frames.feed(connection.incoming.take()):
+            for word, _ in self.frames.feed(data):
                 self.take(word)
                 if not connection.open:
                     return
@@ -163,6 +168,7 @@
             self.links.log.count("words_dropped")
             return False
         self.connection.write(data)
+        self.sent += len(data)
         return True
 
     def closed(self, connection: Connection, why: str) -> None:
@@ -177,6 +183,8 @@
         self.rest = min(2 * self.rest, LONGEST_REST)
         if was is Phase.OPEN:
             self.links.down(self, why)
+        else:
+            self.links.unreached(self, why)
 
     def come(self, who: Who, token: int) -> None:
         """The other end has shown itself: it is worth dialling at once; anew where it is not the one that
@@ -191,75 +199,3 @@
         self.be(Phase.CLOSED)
         if self.connection is not None:
             self.connection.close()
-
-
-class Host(Protocol):
-    """Who accepts connections."""
-
-    loop: Loop
-    kinds: Kinds
-
-    def greeted(self, one: Accepted, greeting: Greeting) -> None: ...
-
-    def heard(self, one: Accepted, word: Row) -> None: ...
-
-    def gone(self, one: Accepted) -> None: ...
-
-    def stranger(self, why: str) -> None:
-        """Someone who has not greeted is sent away."""
-
-    def spoilt(self, name: str, broken: Broken) -> None: ...
-
-
-class Accepted:
-    """Another one's words to us; a stranger until it has greeted."""
-
-    def __init__(self, links: Host, sock: socket.socket, pool: Pool | None = None) -> None:
-        """`pool`: of its buffers, the loop's own where none is named."""
-        self.links, self.who, self.token = links, None, 0
-        self.since = self.heard_at = links.loop.clock.now()
-        self.frames = Frames(links.kinds)
-        self.connection = Connection.accepted(
-            links.loop, sock, self, links.kinds.most + (64 << 10), pool or links.loop.pool
-        )
-
-    def heard(self, connection: Connection) -> None:
-        self.heard_at = self.links.loop.clock.now()
-        try:
-            for word, _ in self.frames.feed(connection.incoming.take()):
-                self.take(word)
-                if not connection.open:
-                    return
-            if not self.links.kinds.magic.startswith(self.frames.rest[:4]):
-                raise Broken("another protocol")  # less than a head: nobody need wait for the rest
-        except Broken as broken:
-            self.links.spoilt(self.who.name if self.who else "", broken)
-            self.close()
-
-    def take(self, word: Row) -> None:
-        if self.who is None:
-            if isinstance(word, Greeting):
-                self.links.greeted(self, word)
-            else:
-                self.links.stranger(f"{type(word).__name__} before a greeting")
-                self.close()
-        elif isinstance(word, Pulse):
-            self.answer(Pulsed(word.number))
-        else:
-            self.links.heard(self, word)
-
-    def answer(self, word: Row) -> bool:
-        """False where it was dropped."""
-        data = self.links.kinds.frame(word)
-        if not self.connection.open or self.connection.outgoing.room() < len(data):
-            return False
-        self.connection.write(data)
-        return True
-
-    def closed(self, connection: Connection, why: str) -> None:
-        self.links.gone(self)
-
-    def close(self) -> None:
-        if self.connection.open:
-            self.connection.close()
-        self.links.gone(self)
--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -9,8 +9,9 @@
 from ...packed.frames import Broken, Kinds
 from ...packed.rows import Row
 from ..terms import Who
+from .accepted import Accepted
 from .arrivals import Arrivals, spoilt
-from .ends import Accepted, Dialled, Phase
+from .ends import Dialled, Phase
 from .greeting import REMEDIES, refused, unspoken
 from .words import Greeting, Refused, Welcome
 
@@ -106,6 +107,9 @@
         self.log.trouble("member_lost", member=link.name, why=why)
         self.on_down(link.name)
 
+    def unreached(self, link: Dialled, why: str) -> None:
+        """It is dialled again, and said only once it was reached."""
+
     def replied(self, link: Dialled, word: Row) -> None:
         """Members say nothing over a connection that the other one dialled."""
 
--- a/indigohitch/fleet/node/asked.py
+++ b/indigohitch/fleet/node/asked.py
@@ -8,6 +8,7 @@
 {"ask": "out NAME"}                     a member that no file lists any more goes out; asked at the leader
 {"ask": "batch", "batch": {...}}        submits one (batches/asking.py shows its shape)
 {"ask": "piece ID from STEP"}           an operator's word on a piece: or `done`, or `drop`
+{"ask": "distribute set", "services": {...}}   or `remove`, `replace` (distribution/asking.py)
 {"ask": "ledger"}                       the last entries, each with a digest
 """
 
@@ -20,6 +21,7 @@
 
 from ...errors import NotNow, Unfit
 from ..batches.asking import batch_of, word_of
+from ..distribution.asking import entry_of
 from ..terms import Outcome
 from .words import BODY
 
@@ -46,6 +48,7 @@
             "out": self.out,
             "batch": self.batch,
             "piece": self.piece,
+            "distribute": self.distribute,
         }.get(first)
         if action is None:
             return False
@@ -80,6 +83,10 @@
     def piece(self, rest: str, line: dict) -> None:
         self.put("batches.word", msgspec.msgpack.encode(word_of(rest)))
 
+    def distribute(self, rest: str, line: dict) -> None:
+        entry = entry_of(rest, line.get("services"))
+        self.put(f"distribution.{rest}", msgspec.msgpack.encode(entry))
+
     def put(self, kind: str, body: bytes) -> None:
         if len(body) > BODY or not kind or kind.startswith("ledger."):
             self.answer({"error": f"no entry of this kind or size: {kind[:40]}, {len(body)} bytes"})
--- a/indigohitch/fleet/node/driver.py
+++ b/indigohitch/fleet/node/driver.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from ...log import Log
-from ...net.loop import Deadline, Loop
+from ...net.due import DueTimer
+from ...net.loop import Loop
 from ...packed.rows import digest
 from ..book import Book
 from ..disk.store import Disk
@@ -57,7 +58,7 @@
         self.machine: Machine | None = None
         self.waiting: deque[Input] = deque()
         self.stepping = False
-        self.timer: Deadline | None = None
+        self.timer = DueTimer(loop, self.next_due, lambda: self.step(Due()))
         self.recent: deque[tuple[Entry, bytes, Outcome]] = deque(maxlen=RECENT)  # without bodies; digests
         self.on_applied: Callable[[Entry, Outcome], None] = lambda entry, outcome: None
         self.on_restored: Callable[[], None] = lambda: None
@@ -71,7 +72,7 @@
             self.book.restore(held.snap.book)
         self.machine = Machine(me, held, self.bootstrap, self.chance, self.loop.clock.now())
         self.on_restored()
-        self.arm()
+        self.timer.arm()
 
     @property
     def members(self) -> Members:
@@ -103,7 +104,7 @@
             self.broken(broken)
         finally:
             self.stepping = False
-        self.arm()
+        self.timer.arm()
 
     def carry(self, output: Output) -> None:
         match output:
@@ -147,23 +148,10 @@
 
     # ---- time --------------------------------------------------------------------------------------
 
-    def arm(self) -> None:
-        """One deadline; where the machine's has moved later, the one that stands looks again."""
-        if self.machine is None or self.timer is not None and self.timer.when <= self.machine.due:
-            return
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = self.loop.at(self.machine.due, self.due)
-
-    def due(self) -> None:
-        self.timer = None
-        if self.machine is not None and self.loop.clock.now() >= self.machine.due:
-            self.step(Due())
-        self.arm()
+    def next_due(self) -> int | None:
+        return self.machine.due if self.machine is not None else None
 
     def end(self) -> None:
         self.machine = None
         self.waiting.clear()
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self.timer.cancel()
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -50,9 +50,9 @@
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
-        self.assembly = assembled(
-            Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
-        )
+        place = Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
+        place.read, place.say = lambda done: self.traffic.read(done), self.links.say_to
+        self.assembly = assembled(place)
         self.book = self.assembly.book
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
@@ -175,7 +175,7 @@
         if self.beating is not None:
             self.beating.cancel()
             self.beating = None
-        self.assembly.acts.close()
+        self.assembly.close()
         self.disk.close()  # first: what it still tells may be said
         self.driver.end()
         self.links.close()
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -10,6 +10,7 @@
 from ...log import Log
 from ...net.loop import Loop
 from ...net.worker import Worker
+from ...packed.rows import Row
 from ..audit.acts import ChainedActs
 from ..audit.files import Store
 from ..audit.heads import Heads
@@ -17,13 +18,16 @@
 from ..batches.inside import work_of as batches_work
 from ..batches.part import Batches
 from ..book import Book
+from ..distribution.messages import Report
+from ..distribution.part import Distribution
+from ..distribution.role import Distributing, Read
 from ..hours import Hours, HoursWork
 from ..members.roster import Roster
 from ..members.work import Membership
 from ..ports import BookPart, Work
 from ..seats.part import Seats
 from ..seats.told import work as seats_work
-from ..terms import Lease
+from ..terms import Lease, Who
 from .belonging import wall
 from .notes import Notes
 
@@ -38,6 +42,8 @@
     voters: Callable[[], Collection[str]]
     lease: Callable[[int], Lease | None]
     token: Callable[[], int]  # 62 bits of chance
+    read: Read | None = None  # confirmed by a majority
+    say: Callable[[str, Row], bool] | None = None  # to another member
 
 
 @dataclass(slots=True)
@@ -48,11 +54,21 @@
     auditing: Auditing
     works: list[Work] = field(default_factory=list)  # the membership first
     felt: Callable[[int, str, int], None] = lambda now, rpc, latency: None  # an RPC was answered here
+    distributing: Distributing | None = None
+
+    def heard_report(self, who: Who, report: Report) -> None:
+        if self.distributing is not None:
+            self.distributing.heard_report(who, report)
+
+    def close(self) -> None:
+        self.acts.close()
+        if self.distributing is not None:
+            self.distributing.close()
 
 
 def parts() -> list[BookPart]:
     """In a fixed order; each only knows those before it."""
-    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches()]
+    return [Notes(), Roster(), Hours(), Heads(), Seats(), Batches(), Distribution()]
 
 
 def assembled(place: Place) -> Assembly:
@@ -82,6 +98,19 @@
     auditing = Auditing(acts, book.parts["audit"], membership, trouble)
     seats = seats_work(text, book.parts["seats"], acts, hours.time)
     batches = batches_work(place.loop, place.log, text, book.parts["batches"], acts, hours.time)
-    return Assembly(
-        book, membership, acts, auditing, [membership, hours, auditing, seats, batches], batches.felt
+    works = [membership, hours, auditing, seats, batches]
+    distributing = distributing_of(place, book.parts["distribution"])
+    if distributing is not None:
+        works.append(distributing)
+    return Assembly(book, membership, acts, auditing, works, batches.felt, distributing)
+
+
+def distributing_of(place: Place, part: Distribution) -> Distributing | None:
+    """None where the file names another member, or none, as a distributor."""
+    text = place.text
+    if text.me not in text.distributors:
+        return None
+    addresses = {one.name: one.address for one in text.distributors.values()}
+    return Distributing(
+        place.loop, place.log, text.name, text.me, place.token(), addresses, part, place.read, place.say
     )
--- a/indigohitch/fleet/node/traffic.py
+++ b/indigohitch/fleet/node/traffic.py
@@ -7,6 +7,7 @@
 
 from ...errors import NotNow
 from ...packed.rows import Row
+from ..distribution.messages import Report
 from ..ledger.ports import Heard, Propose
 from ..ledger.ports import Read as Ask
 from ..members.words import NotRenewed, Renew, Renewed
@@ -31,6 +32,7 @@
             ReadAt: self.on_read_at,
             Admit: lambda who, word: node.admitting.asked(who, word),
             Admitted: lambda who, word: node.admitting.admitted(who, word),
+            Report: lambda who, word: node.assembly.heard_report(who, word),
             **dict.fromkeys(
                 (Renew, Renewed, NotRenewed), lambda who, word: node.belonging.heard(who.name, word)
             ),
--- a/indigohitch/fleet/node/words.py
+++ b/indigohitch/fleet/node/words.py
@@ -5,6 +5,7 @@
 
 from ...packed.frames import Kinds
 from ...packed.rows import Row
+from ..distribution import messages as distribution
 from ..ledger import words as ledger
 from ..links import words as links
 from ..members import words as members
@@ -81,6 +82,7 @@
     ReadAt,
     Admit,
     Admitted,
+    distribution.Report,
 )
 MACHINE = frozenset(ledger.WORDS)
 # Of one frame: four messages of entries; a proposal's body is a tenth of it at most.
--- a/indigohitch/net/ring.py
+++ b/indigohitch/net/ring.py
@@ -58,6 +58,11 @@
         self._pool.give(self._counted())
         self._block, self._head, self._size, self._scanned = bytearray(), 0, 0, 0
 
+    def trim(self) -> None:
+        """An empty one gives back what it has beyond its first block."""
+        if not self._size and len(self._block) > self.FIRST:
+            self.close()
+
     def fill(self, sock: socket.socket, most: int = 1 << 20) -> int:
         """Read once from the socket, `most` bytes: bytes read, 0 at its end, -1 if there is no room."""
         if self._size == len(self._block) and not self._grow(1):
--- /dev/null
+++ b/proofs/scalekit/faults.py
@@ -0,0 +1,179 @@
+"""The faults, one after the other, each with what becomes of its subscribers.  Whom they meet is seeded."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from fleetkit import Fleet, until
+
+from .changes import Changes
+from .records import clock
+from .sizes import Size
+from .workers import Worker, Workers
+
+REGION = "region"  # whose subscribers reach the distributors through the relay of faults
+
+
+class Faults:
+    def __init__(
+        self,
+        size: Size,
+        seed: int,
+        fleet: Fleet,
+        workers: Workers,
+        changes: Changes,
+        distributors: list[str],
+        say: Callable[[str], None],
+    ) -> None:
+        self.size, self.fleet, self.workers, self.changes = size, fleet, workers, changes
+        self.distributors, self.say = distributors, say
+        self.chance = random.Random(f"faults {seed}")
+        self.away: dict[str, list[tuple[int, int]]] = {}
+        self.done: list[str] = []
+
+    def play(self) -> None:
+        for fault in (
+            self.draining_burst,
+            self.tampered_content,
+            self.claimed_version,
+            self.killed_distributor,
+            self.subscribers_stopped,
+            self.two_killed,
+            self.region_cut,
+            self.distributor_stopped,
+            self.lagging_distributor,
+            self.majority_lost,
+            self.empty_distributor,
+        ):
+            begun = time.monotonic()
+            self.done.append(fault.__name__)
+            fault()
+            self.say(f"{fault.__name__}: {time.monotonic() - begun:.1f} s")
+
+    # ---- helpers ---------------------------------------------------------------------------------------
+
+    def rest(self, share: float = 1.0) -> None:
+        time.sleep(self.size.span * share)
+
+    def one(self, but: tuple[str, ...] = ()) -> str:
+        return self.chance.choice([name for name in self.distributors if name not in but])
+
+    def subscriber(self) -> tuple[Worker, int]:
+        worker = self.chance.choice(self.workers.all[1:])
+        return worker, self.chance.randrange(len(worker.names))
+
+    def were_away(self, names: list[str], begin: int, end: int) -> None:
+        for name in names:
+            self.away.setdefault(name, []).append((begin, end))
+
+    def back(self, *names: str) -> None:
+        """Started again, and waited for."""
+        for name in names:
+            self.fleet.restart(name)
+        self.fleet.ready(30, list(names))
+
+    # ---- the content -----------------------------------------------------------------------------------
+
+    def draining_burst(self) -> None:
+        """A row of racks goes, beside a subscriber that never reads."""
+        worker, number = self.subscriber()
+        begun = clock()
+        worker.ask("mute", number=number)
+        took = self.changes.burst(self.size.burst, "draining")
+        self.say(f"{self.size.burst} backends drain within {took:.2f} s")
+        self.done.append("subscriber_never_reads")
+        self.rest(3.0)
+        worker.ask("unmute", number=number)
+        self.were_away([worker.names[number]], begun, clock())
+
+    def tampered_content(self) -> None:
+        """Two hold something else than they were told: one comes anew, one hears of the next change."""
+        for reconnects in (True, False):
+            worker, number = self.subscriber()
+            worker.ask("tamper", number=number, reconnects=reconnects)
+            name = worker.names[number]
+            key = min(self.changes.intended.services[self.workers.scopes[name][0]])
+            self.changes.make({self.workers.scopes[name][0]: {key: f"touched {clock()}"}})
+
+    def claimed_version(self) -> None:
+        worker, number = self.subscriber()
+        worker.ask("claim", number=number)
+
+    # ---- distributors ----------------------------------------------------------------------------------
+
+    def killed_distributor(self) -> None:
+        name = self.one()
+        self.say(f"{name} is killed with {self.workers.at(name)} hollow subscribers")
+        self.fleet.kill(name)
+        self.rest()
+        self.back(name)
+
+    def two_killed(self) -> None:
+        first = self.one()
+        second = self.one((first,))
+        self.fleet.kill(first)
+        time.sleep(self.chance.uniform(0.1, 0.9))
+        self.fleet.kill(second)
+        self.rest()
+        self.back(first, second)
+
+    def distributor_stopped(self) -> None:
+        """Past the members' lease and past that of its subscribers."""
+        name = self.one()
+        self.fleet.stop(name)
+        self.rest(1.5)
+        self.fleet.go_on(name)
+        self.rest(0.5)
+
+    def lagging_distributor(self) -> None:
+        """One is cut off from the ledger and still reached; another's subscribers come to it."""
+        lagging = self.one()
+        killed = self.one((lagging,))
+        members = [name for name in self.fleet.members if name != lagging]
+        self.fleet.breaker.part([lagging], members)
+        self.rest(0.3)
+        self.changes.burst(self.size.burst, "serving")
+        self.fleet.kill(killed)
+        self.rest()
+        self.fleet.breaker.heal()
+        self.back(killed)
+
+    def empty_distributor(self) -> None:
+        name = self.one()
+        self.fleet.wipe(name)
+        self.rest(0.5)
+        self.back(name)
+
+    # ---- subscribers -----------------------------------------------------------------------------------
+
+    def subscribers_stopped(self) -> None:
+        worker = self.chance.choice(self.workers.all[1:])
+        worker.stop()
+        self.rest()
+        self.were_away(worker.names, *worker.go_on())
+
+    def region_cut(self) -> None:
+        """Cut off before a burst of drains, back after it."""
+        worker, begun = self.workers.all[0], clock()
+        self.fleet.breaker.part([REGION], self.distributors)
+        drains = threading.Thread(target=self.changes.burst, args=(self.size.burst, "draining"))
+        drains.start()
+        self.rest(1.5)
+        drains.join()
+        self.fleet.breaker.heal()
+        self.were_away(worker.names, begun, clock())
+
+    # ---- the ledger ------------------------------------------------------------------------------------
+
+    def majority_lost(self) -> None:
+        """What is asked for meanwhile is asked again until it is in the ledger."""
+        voters = self.fleet.voters
+        lost = self.chance.sample(voters, len(voters) // 2 + 1)
+        for name in lost:
+            self.fleet.kill(name)
+        self.rest()
+        self.back(*lost)
+        until(self.fleet.leader, 15, "a leader")
