proofs/scale.py runs end to end at a tiny size; limits that fit 6 s

Cause: the distribution had to be shown with real members, distributors and faults between them. Change: hollow and real subscribers, changes, faults, judgement; a lease of 4 s and leaving as soon as it runs out, as a lagging distributor was left after 6 s; hearing nothing for 2.5 s leaves a distributor.

--- a/indigohitch/fleet/distribution/limits.py
+++ b/indigohitch/fleet/distribution/limits.py
@@ -20,7 +20,8 @@
     pace: int = SECOND // 2  # between two updates to one subscriber: changes between them become one update
     sends: int = 64  # updates in one step, so that a burst leaves the loop to others
     acknowledge: int = 5 * SECOND  # an update that is not answered by then ends the connection
-    lease: int = 10 * SECOND  # how long content counts as current without being confirmed
+    # How long content counts as current without being confirmed: who lags is left in time for 6 s.
+    lease: int = 4 * SECOND
     drift: float = 0.01  # clocks differ by at most this part
     remembered: int = 600 * SECOND  # how long a lost subscriber is reported as unreachable
     again: int = 2 * SECOND  # when a refused subscriber may return
@@ -33,11 +34,11 @@
 class SubscriberLimits:
     """Of one subscriber.  `lease` and `drift` as at the distributors."""
 
-    lease: int = 10 * SECOND
+    lease: int = 4 * SECOND
     drift: float = 0.01
     first_delay: int = SECOND // 2  # a lost connection: the next is dialled within this, at random
     backoff: int = SECOND // 2  # after a failure, doubled with each in a row
     most_backoff: int = 2 * SECOND  # what is reachable again is in force within 6 s
-    answer: int = 5 * SECOND  # a distributor that hasn't answered a subscription by then is left
+    answer: int = 5 * SECOND // 2  # a distributor that is silent for so long is left: it is asked each second
     home: int = 60 * SECOND  # away from the first choice: between one and two of this until it is tried again
     guard_versions: bool = True
--- a/indigohitch/fleet/distribution/patience.py
+++ b/indigohitch/fleet/distribution/patience.py
@@ -36,9 +36,10 @@
         """It has a lease, doubled each time that all were left in vain, to bring the content up to date."""
         self.stale_at = now + (self.limits.lease << min(self.stale_times, MOST_DOUBLINGS))
 
-    def current(self, now: int) -> None:
+    def current(self, until: int) -> None:
+        """Once it was brought up to date, it is left as soon as the lease runs out."""
         self.stale_times = 0
-        self.await_current(now)
+        self.stale_at = until
 
     def left_stale(self) -> None:
         self.stale_times += 1
--- a/indigohitch/fleet/distribution/role.py
+++ b/indigohitch/fleet/distribution/role.py
@@ -21,7 +21,8 @@
 from .part import Distribution
 from .ports import Changed, HeardReport, Level, Replaced
 
-PERIOD = SECOND  # of confirmed reads and of reports
+CONFIRM = SECOND // 2  # between confirmed reads: what is told is older by that at most
+REPORT = SECOND
 LISTEN_AGAIN = SECOND
 LIMITS = Limits()
 
@@ -50,7 +51,7 @@
         self.part, self.read, self.say = part, read, say
         self.machine = Distributor(me, part.catalogue, LIMITS, loop.clock.now(), self.others)
         self.connections = Connections(loop, log, fleet, Who(me, 0), token, self.machine, LIMITS)
-        self.listen_due = self.period_due = 0
+        self.listen_due = self.confirm_due = self.report_due = 0
         self.reading = False
         self.closed = False
 
@@ -87,10 +88,12 @@
             return []
         if not self.connections.open and now >= self.listen_due:
             self.listen(now)
-        if now >= self.period_due:
-            self.period_due = now + PERIOD
-            self.connections.beat(now)
+        if now >= self.confirm_due:
+            self.confirm_due = now + CONFIRM
             self.confirm(now)
+        if now >= self.report_due:
+            self.report_due = now + REPORT
+            self.connections.beat(now)
             self.tell(now)
         return []
 
--- a/indigohitch/fleet/distribution/subscriber.py
+++ b/indigohitch/fleet/distribution/subscriber.py
@@ -244,4 +244,4 @@
         self.renewed_here = True
         self.holder.heard(Renewed(word.number, INCARNATION), word.age)
         if self.now < self.holder.until:
-            self.connecting.patience.current(self.now)
+            self.connecting.patience.current(self.holder.until)
--- a/proofs/scalekit/faults.py
+++ b/proofs/scalekit/faults.py
@@ -14,6 +14,8 @@
 from .sizes import Size
 from .workers import Worker, Workers
 
+STOPPED = 4.2  # s: past the members' lease and that of subscribers
+LAG = 6.5  # s: longer than a change may take
 REGION = "region"  # whose subscribers reach the distributors through the relay of faults
 
 
@@ -36,17 +38,18 @@
 
     def play(self) -> None:
         for fault in (
+            self.reads_no_more,
             self.draining_burst,
             self.tampered_content,
             self.claimed_version,
             self.killed_distributor,
-            self.subscribers_stopped,
             self.two_killed,
             self.region_cut,
             self.distributor_stopped,
             self.lagging_distributor,
             self.majority_lost,
             self.empty_distributor,
+            self.reads_again,
         ):
             begun = time.monotonic()
             self.done.append(fault.__name__)
@@ -78,16 +81,32 @@
     # ---- the content -----------------------------------------------------------------------------------
 
     def draining_burst(self) -> None:
-        """A row of racks goes, beside a subscriber that never reads."""
-        worker, number = self.subscriber()
-        begun = clock()
-        worker.ask("mute", number=number)
+        """A row of racks goes, while one subscriber never reads."""
         took = self.changes.burst(self.size.burst, "draining")
         self.say(f"{self.size.burst} backends drain within {took:.2f} s")
-        self.done.append("subscriber_never_reads")
-        self.rest(3.0)
+
+    def reads_no_more(self) -> None:
+        """Until the end: its distributor has to let it go."""
+        self.mute = self.subscriber()
+        worker, number = self.mute
+        self.mute_since = clock()
+        self.mute_at = worker.ask("mute", number=number)["distributor"]
+
+    def reads_again(self) -> None:
+        worker, number = self.mute
+        name = worker.names[number]
+        until(lambda: self.let_go(name), 12, f"{self.mute_at} to let {name} go")
         worker.ask("unmute", number=number)
-        self.were_away([worker.names[number]], begun, clock())
+        self.were_away([name], self.mute_since, clock())
+
+    def let_go(self, name: str) -> bool:
+        """The log says so, or the distributor was killed since."""
+        log = self.fleet.members[self.mute_at].log()
+        events = [each.get("event") for each in log if each.get("subscriber") == name]
+        return bool({"subscriber_dropped", "subscriber_silent"} & {*events}) or self.killed(self.mute_at)
+
+    def killed(self, name: str) -> bool:
+        return any(what == f"kill {name}" for _, what in self.fleet.told)
 
     def tampered_content(self) -> None:
         """Two hold something else than they were told: one comes anew, one hears of the next change."""
@@ -105,10 +124,13 @@
     # ---- distributors ----------------------------------------------------------------------------------
 
     def killed_distributor(self) -> None:
-        name = self.one()
+        """While one process of subscribers stands still."""
+        name, worker = self.one(), self.chance.choice(self.workers.all[1:])
         self.say(f"{name} is killed with {self.workers.at(name)} hollow subscribers")
+        worker.stop()
         self.fleet.kill(name)
         self.rest()
+        self.were_away(worker.names, *worker.go_on())
         self.back(name)
 
     def two_killed(self) -> None:
@@ -124,9 +146,8 @@
         """Past the members' lease and past that of its subscribers."""
         name = self.one()
         self.fleet.stop(name)
-        self.rest(1.5)
+        time.sleep(max(self.size.span, STOPPED))
         self.fleet.go_on(name)
-        self.rest(0.5)
 
     def lagging_distributor(self) -> None:
         """One is cut off from the ledger and still reached; another's subscribers come to it."""
@@ -134,10 +155,11 @@
         killed = self.one((lagging,))
         members = [name for name in self.fleet.members if name != lagging]
         self.fleet.breaker.part([lagging], members)
-        self.rest(0.3)
+        begun = time.monotonic()
+        self.rest(0.5)
         self.changes.burst(self.size.burst, "serving")
         self.fleet.kill(killed)
-        self.rest()
+        time.sleep(max(self.size.span, begun + LAG - time.monotonic()))
         self.fleet.breaker.heal()
         self.back(killed)
 
@@ -149,12 +171,6 @@
 
     # ---- subscribers -----------------------------------------------------------------------------------
 
-    def subscribers_stopped(self) -> None:
-        worker = self.chance.choice(self.workers.all[1:])
-        worker.stop()
-        self.rest()
-        self.were_away(worker.names, *worker.go_on())
-
     def region_cut(self) -> None:
         """Cut off before a burst of drains, back after it."""
         worker, begun = self.workers.all[0], clock()
--- a/proofs/scalekit/hollow.py
+++ b/proofs/scalekit/hollow.py
@@ -15,11 +15,12 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent))
 
+from indigohitch.fleet.distribution.connecting import Phase  # noqa: E402
 from indigohitch.fleet.distribution.following import Following  # noqa: E402
 from indigohitch.fleet.distribution.limits import SubscriberLimits  # noqa: E402
 from indigohitch.fleet.distribution.messages import Update  # noqa: E402
 from indigohitch.fleet.distribution.ports import Told  # noqa: E402
-from indigohitch.fleet.distribution.terms import NO_VERSION, Resource  # noqa: E402
+from indigohitch.fleet.distribution.terms import NO_VERSION, Resource, Version  # noqa: E402
 from indigohitch.log import Log  # noqa: E402
 from indigohitch.net.clock import Clock  # noqa: E402
 from indigohitch.net.connection import READ  # noqa: E402
@@ -36,12 +37,15 @@
         self.record = Record()
         self.applied = lambda output: self.record.applied(clock(), output.version.index)
         self.step, self.stepping.step = self.stepping.step, self.watched
+        self.muted = False
 
     @property
     def served(self) -> bool:
-        return self.machine.phase.value == "served"
+        return self.machine.connecting.phase is Phase.SERVED
 
     def watched(self, input) -> None:
+        if self.muted:
+            return
         held = self.machine.version
         match input:
             case Told(_, Update(whole=True, void=void)) if held != NO_VERSION and void == NO_VERSION:
@@ -57,7 +61,6 @@
         self.loop.pool.left = 1 << 30  # the proof's memory, not a subscriber's
         self.log = Log(self.loop.clock, "hollow", os.open(os.devnull, os.O_WRONLY))
         self.subscribers: list[Hollow] = []
-        self.paused: dict[int, object] = {}  # socket of one that does not read
         self.ended = False
         os.set_blocking(0, False)
         self.rest = b""
@@ -69,7 +72,10 @@
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             asked = json.loads(line)
-            told = getattr(self, asked.pop("do"))(**asked)
+            try:
+                told = getattr(self, asked.pop("do"))(**asked)
+            except Exception as bad:  # the proof is told, and judges it
+                told = {"error": repr(bad)}
             print(json.dumps(told), flush=True)
 
     def run(self) -> None:
@@ -94,7 +100,8 @@
         served = [one.served for one in self.subscribers]
         at: dict[str, int] = {}
         for one in self.subscribers:
-            at[one.machine.distributor] = at.get(one.machine.distributor, 0) + 1
+            distributor = one.machine.connecting.distributor
+            at[distributor] = at.get(distributor, 0) + 1
         received = sum(one.received + one.sent for one in self.subscribers)
         return {"served": sum(served), "least": min(held), "at": at, "bytes": received, "broken": self.broken}
 
@@ -113,10 +120,10 @@
     def claim(self, number: int) -> dict:
         """It claims a version that never was."""
         one = self.subscribers[number]
-        one.record.tampered = one.record.claims = True
-        held = one.machine.held
-        held.version = type(held.version)(held.version.term + 1_000, held.version.index + 1_000_000)
-        one.record.applied(clock(), held.version.index)
+        held, record = one.machine.held, one.record
+        held.version = Version(held.version.term + 1_000, held.version.index + 1_000_000)
+        record.tampered, record.claims = True, held.version.index
+        record.applied(clock(), held.version.index)
         self.reconnect(one)
         return {"version": held.version.text()}
 
@@ -126,16 +133,18 @@
             one.link.connection.close("closed by the proof")
 
     def mute(self, number: int) -> dict:
-        """It reads no more."""
-        connection = self.subscribers[number].link.connection
-        self.paused[number] = connection
-        self.loop.pause(connection.sock)
-        return {}
+        """It reads no more, and does nothing else either; its connection stays."""
+        one = self.subscribers[number]
+        one.muted = True
+        one.stepping.timer.cancel()
+        self.loop.pause(one.link.connection.sock)
+        return {"distributor": one.link.name}
 
     def unmute(self, number: int) -> dict:
-        connection = self.paused.pop(number)
-        if connection.open:
-            self.loop.resume(connection.sock, connection._number, READ)
+        one = self.subscribers[number]
+        one.muted = False
+        self.loop.resume(one.link.connection.sock, one.link.connection._number, READ)
+        one.stepping.timer.arm()
         return {}
 
     def judge(self, facts: str, out: str) -> dict:
--- a/proofs/scalekit/workers.py
+++ b/proofs/scalekit/workers.py
@@ -34,10 +34,12 @@
         self.stopped_at = 0
 
     def ask(self, do: str, **words) -> dict:
-        """Raises OSError, ValueError where the process has ended."""
+        """Raises OSError, ValueError where the process has ended, AssertionError where it failed."""
         self.process.stdin.write(json.dumps({"do": do} | words).encode() + b"\n")
         self.process.stdin.flush()
-        return json.loads(self.process.stdout.readline())
+        told = json.loads(self.process.stdout.readline())
+        assert "error" not in told, f"{do} at worker {self.number}: {told['error']}"
+        return told
 
     def stop(self) -> None:
         self.stopped_at = clock()
