--- a/proofs/scalekit/judging.py
+++ b/proofs/scalekit/judging.py
@@ -29,6 +29,7 @@
     older: int = 0
     wholes: int = 0
     recovered: int = 0  # the longest, tenths of a millisecond
+    longest: str = ""  # whose that was
     resumed: int = 0  # outages that ended
     excused: int = 0  # changes that came while the subscriber could not be reached
 
@@ -69,13 +70,21 @@
     asked for until then."""
     for lost, again in one.record.outages:
         if not any(again > begin and lost < end for begin, end in away):
-            found.recovered = max(found.recovered, again - lost)
+            recovered(found, one, lost, again)
             found.resumed += 1
     for _, end in away:
+        if any(begin < end < other for begin, other in away):
+            continue  # another fault holds it still
         missed = [index for index, asked in mine if asked < end]
         at = one.record.in_force(missed[-1]) if missed else None
         if at is not None:
-            found.recovered = max(found.recovered, at - end)
+            recovered(found, one, end, at)
+
+
+def recovered(found: Judged, one, since: int, at: int) -> None:
+    if at - since > found.recovered:
+        found.recovered = at - since
+        found.longest = f"{one.name} from {since / 10_000:.1f} to {at / 10_000:.1f} s"
 
 
 def differs(one, intended: Services) -> str:
