--- a/indigohitch/fleet/distribution/part.py
+++ b/indigohitch/fleet/distribution/part.py
@@ -1,5 +1,5 @@
-"""The part `distribution` of the book: services and their resources, as operators and discovery set them.
-Deterministic, no I/O."""
+"""The part `distribution` of the state machine: services and their resources, as operators and discovery set
+them.  Deterministic, no I/O."""
 
 from __future__ import annotations
 
@@ -9,8 +9,7 @@
 
 from ...errors import Unfit, Unreadable
 from ...packed.rows import Row
-from ..book import Book
-from ..ports import At
+from ..ports import At, StateMachine
 from .catalogue import Catalogue, CatalogueRow
 from .terms import Resource, ServiceName, Version
 
@@ -48,11 +47,11 @@
 
 
 class Distribution:
-    """BookPart.  Each entry returns the names of the services that it changed."""
+    """StateMachinePart.  Each entry returns the names of the services that it changed."""
 
     name = "distribution"
     kinds = {"set": Set, "remove": Remove, "replace": Replace}
-    book: Book
+    state_machine: StateMachine
 
     def __init__(self) -> None:
         self.catalogue = Catalogue()
@@ -97,7 +96,7 @@
         try:
             found = msgspec.msgpack.decode(row, type=CatalogueRow)
         except msgspec.MsgspecError as bad:
-            raise Unreadable(f"not the services of a book: {bad}") from None
+            raise Unreadable(f"not the services of a state machine: {bad}") from None
         self.catalogue.restore(found)
 
 
