Tests of subscribers and distributors as processes; in_force by name in status

Cause: the driving files had no tests of their own; status gave in_force as a bare list. Change: content, status, a killed distributor, another scope by SIGHUP, an upgrade, a mixed up port; each mistake of the new lines; the platform's program imports none of it.

--- a/indigohitch/fleet/distribution/role.py
+++ b/indigohitch/fleet/distribution/role.py
@@ -20,6 +20,7 @@
 from .messages import Report
 from .part import Distribution
 from .ports import Changed, HeardReport, Level, Replaced
+from .terms import Version
 
 CONFIRM = SECOND // 2  # between confirmed reads: what is told is older by that at most
 REPORT = SECOND
@@ -136,5 +137,16 @@
 
     def figures(self) -> dict:
         now = self.loop.clock.now()
-        in_force = msgspec.to_builtins(self.machine.in_force(now))
+        in_force = plain(self.machine.in_force(now))
         return self.connections.figures() | self.machine.figures(now) | {"in_force": in_force}
+
+
+def plain(row: Row) -> dict:
+    """Named fields, as people read them; times in tenths of a millisecond."""
+    found = msgspec.structs.asdict(row)
+    for name, value in found.items():
+        if isinstance(value, Version):
+            found[name] = value.text()
+        elif isinstance(value, tuple):
+            found[name] = [plain(each) if isinstance(each, Row) else each for each in value]
+    return found
--- /dev/null
+++ b/tests/test_directives_distribution.py
@@ -0,0 +1,71 @@
+"""The directives of scoped distribution: a member's `distributor` lines, a subscriber's file."""
+
+import pytest
+
+from indigohitch.directives import operator_file, sidecar_file
+from indigohitch.directives.lines import Mistakes
+from test_directives import TEXT
+from test_directives_fleet import FLEET
+
+SUBSCRIBER = """name c17
+fleet whk
+distributor d1 127.0.0.1:7501
+distributor d2 127.0.0.1:7502
+subscribe vacancies maps
+subscribe search
+"""
+
+
+def mistakes(text, read=operator_file.read):
+    with pytest.raises(Mistakes) as found:
+        read(text)
+    return found.value.found
+
+
+def test_a_subscriber_is_told_its_services_and_distributors():
+    fleet = operator_file.read(SUBSCRIBER).fleet
+    assert (fleet.me, fleet.name, fleet.services) == ("c17", "whk", ["vacancies", "maps", "search"])
+    assert {one.name: one.address[1] for one in fleet.distributors.values()} == {"d1": 7501, "d2": 7502}
+
+
+def test_members_are_told_who_distributes():
+    fleet = operator_file.read(FLEET + "distributor n1 127.0.0.1:7501\n").fleet
+    assert list(fleet.distributors) == ["n1"] and not fleet.services
+
+
+@pytest.mark.parametrize(
+    "line, why",
+    [
+        ("distributor d1 127.0.0.1:7503", "distributor d1 stands already in line 3"),
+        ("distributor d3 127.0.0.1:7501", "distributor d1 in line 3 has the same address"),
+        ("distributor d3", "distributor NAME HOST:PORT"),
+        ("distributor d3 10.0.0:1", "distributor: 10.0.0 is no address: one such as 10.0.0.1 is wanted"),
+        ("subscribe", "subscribe SERVICE ..."),
+        ("subscribe maps", "service maps stands already in line 5"),
+        ("member n1 127.0.0.1:7401 votes", "a subscriber is no member"),
+        ("ledger /var/lib/n1", "a subscriber keeps no ledger"),
+        (f"subscribe {' '.join(f's{n}' for n in range(512))}", "a distributor takes 512 at most"),
+    ],
+)
+def test_each_mistake_of_a_subscribers_file_is_told(line, why):
+    assert any(why in said for _, said in mistakes(SUBSCRIBER + line + "\n"))
+
+
+@pytest.mark.parametrize(
+    "text, why",
+    [
+        (FLEET + "distributor d9 127.0.0.1:7501\n", "distributor d9 is no member of fleet whk"),
+        (FLEET + "distributor n1 127.0.0.1:7402\n", "member n2 listens for members at this address"),
+        ("distributor n1 127.0.0.1:7501\n", "distributor without a line `fleet`"),
+        ("subscribe maps\n", "subscribe without a line `fleet`"),
+        ("fleet whk\nname c1\nsubscribe maps\n", "no line `distributor` says at whom to subscribe"),
+        (SUBSCRIBER.replace("name c17", ""), "no line `name` says which subscriber this is"),
+    ],
+)
+def test_what_does_not_fit_together_is_told(text, why):
+    assert any(why in said for _, said in mistakes(text))
+
+
+def test_a_sidecar_does_not_subscribe():
+    found = mistakes(TEXT + SUBSCRIBER, sidecar_file.read)
+    assert any("a sidecar can't subscribe yet" in said for _, said in found)
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,147 @@
+"""Subscribers as processes at distributors as processes: content, status, a distributor killed, another
+scope, an upgrade."""
+
+import signal
+import sys
+
+import pytest
+
+from proofs.fleetkit import Fleet, until
+from proofs.fleetkit.files import held_port
+from proofs.fleetkit.processes import Member
+from proofs.scalekit.changes import asked
+
+NAMES = ["d1", "d2"]
+
+
+class Installation:
+    """One voter, two distributors, and subscribers."""
+
+    def __init__(self, path):
+        self.path, self.ports = path, {name: held_port() for name in NAMES}
+        self.at = {name: "{}:{}".format(*port.getsockname()) for name, port in self.ports.items()}
+        self.lines = [f"distributor {name} {at}" for name, at in self.at.items()]
+        self.fleet = Fleet(path, voters=1, more=self.lines, relay=False)
+        for name in NAMES:
+            self.fleet.place(name, False)
+        self.fleet.write()
+        self.subscribers = {}
+
+    def distribute(self, word, services):
+        line = {"ask": f"distribute {word}", "services": services}
+        told = until(lambda: (told := self.try_to(line)) and told.get("index") and told, 10, "an entry")
+        return told["index"]
+
+    def try_to(self, line):
+        try:
+            return asked(self.fleet.places["v1"].control, line)
+        except (OSError, ValueError):
+            return None
+
+    def subscribe(self, name, *services):
+        folder = self.path / name
+        folder.mkdir()
+        self.write(name, *services)
+        words = [sys.executable, "-m", "indigohitch", "run", "--operator"]
+        one = self.subscribers[name] = Member(folder, words, folder / "conf", str(folder / "control"))
+        one.start()
+        return one
+
+    def write(self, name, *services):
+        file = self.path / name / "conf"
+        lines = [f"name {name}", "fleet proof", f"control {self.path / name / 'control'}", *self.lines]
+        file.write_text("\n".join([*lines, f"subscribe {' '.join(services)}", ""]))
+
+    def held(self, name, service):
+        return (self.subscribers[name].ask(f"resources {service}") or {}).get("resources")
+
+    def status(self, name):
+        return (self.subscribers[name].ask("status") or {}).get("distribution", {})
+
+    def at_distributor(self, name):
+        return ((self.fleet.of_fleet(name) or {}).get("works") or {}).get("distribution") or {}
+
+    def close(self):
+        for one in self.subscribers.values():
+            one.signal(signal.SIGKILL)
+            one.ended()
+        self.fleet.close()
+        for port in self.ports.values():
+            port.close()
+
+
+@pytest.fixture(scope="module")
+def installation(tmp_path_factory):
+    made = Installation(tmp_path_factory.mktemp("distribution"))
+    try:
+        made.fleet.start()
+        made.distribute("set", {"maps": {"m1": "serving"}, "search": {"s1": "serving"}, "far": {"f": "x"}})
+        yield made
+    finally:
+        made.close()
+
+
+def test_a_subscriber_holds_its_scope_and_says_so(installation):
+    installation.subscribe("c1", "maps", "search")
+    until(lambda: installation.held("c1", "search") == {"s1": "serving"}, 15, "the first content")
+    index = installation.distribute("set", {"maps": {"m2": "draining"}})
+    until(lambda: installation.held("c1", "maps") == {"m1": "serving", "m2": "draining"}, 6, "the change")
+    assert installation.held("c1", "far") == {}
+    told = until(lambda: (told := installation.status("c1")).get("current") and told, 6, "a lease")
+    assert told["version"].endswith(f".{index}") and told["age_ms"] < 6_000
+    assert told["distributor"] in NAMES and told["services"] == 2 and told["bytes_received"] > 0
+    served = until(
+        lambda: installation.at_distributor(told["distributor"]).get("subscribers"), 6, "its count"
+    )
+    assert served == 1
+    in_force = until(lambda: whole(installation, told["distributor"], index), 10, "it to be in force")
+    assert in_force["unreachable_count"] == 0 and in_force["age"] == 0
+
+
+def whole(installation, name, index):
+    """What is in force by all distributors' reports, once that is all up to the entry."""
+    found = installation.at_distributor(name).get("in_force")
+    return found and not found["silent"] and int(found["version"].partition(".")[2]) >= index and found
+
+
+def test_the_subscribers_of_a_killed_distributor_go_on_at_the_other(installation):
+    installation.subscribe("c2", "maps")
+    first = until(lambda: installation.status("c2").get("distributor"), 15, "a distributor")
+    until(lambda: installation.held("c2", "maps"), 15, "the first content")
+    installation.fleet.kill(first)
+    installation.distribute("set", {"maps": {"m3": "serving"}})
+    until(lambda: "m3" in (installation.held("c2", "maps") or {}), 6, "the change, from the other")
+    assert installation.status("c2")["distributor"] not in ("", first)
+    installation.fleet.restart(first)
+    until(lambda: installation.at_distributor(first).get("ledger_age") is not None, 15, "it to be level")
+
+
+def test_another_scope_is_read_at_sighup_without_a_gap(installation):
+    one = installation.subscribe("c3", "maps")
+    until(lambda: installation.held("c3", "maps"), 15, "the first content")
+    installation.write("c3", "maps", "far")
+    one.signal(signal.SIGHUP)
+    until(lambda: installation.held("c3", "far") == {"f": "x"}, 6, "the new service")
+    assert installation.held("c3", "maps")
+    assert not one.said("distributor_lost") and len(one.said("distributor_reached")) == 1
+
+
+def test_an_upgraded_subscriber_subscribes_again(installation):
+    one = installation.subscribe("c4", "search")
+    until(lambda: installation.held("c4", "search"), 15, "the first content")
+    assert one.ask("upgrade", 20)["result"] == "upgraded"
+    until(lambda: len(one.pids()) == 1, 15, "the end of the one before")
+    until(lambda: installation.held("c4", "search") == {"s1": "serving"}, 15, "its content again")
+    assert one.noise() == []
+
+
+def test_a_member_tells_of_a_subscriber_at_its_port(installation):
+    """Two addresses mixed up."""
+    at = installation.fleet.places["d1"].at
+    lines, installation.lines = installation.lines, [f"distributor d1 {at[0]}:{at[1]}"]
+    try:
+        one = installation.subscribe("c5", "maps")
+    finally:
+        installation.lines = lines
+    said = until(lambda: installation.fleet.said("d1", "frame_spoilt"), 15, "a refusal")
+    assert said[0]["remedy"] and one.runs
