--- a/indigohitch/fleet/links/accepted.py
+++ b/indigohitch/fleet/links/accepted.py
@@ -70,7 +70,10 @@
 
     def answer(self, word: Row) -> bool:
         """False where it was dropped."""
-        data = self.links.kinds.frame(word)
+        return self.put(self.links.kinds.frame(word))
+
+    def put(self, data: bytes) -> bool:
+        """A frame; False where it was dropped."""
         if not self.connection.open or self.connection.outgoing.room() < len(data):
             return False
         self.connection.write(data)
