--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -88,8 +88,9 @@
         for mark, (each, proxies) in channel.unacked.items()
         if mark not in unsent
     ]
-    relay.backlog.calls, relay.backlog.at = calls, channel.backlog_at
-    relay.backlog.lines = min(channel.backlog, sum(call.lines for call in calls))
+    # All of it: the module counts lines out from when it ordered them, and a call may have gone much later.
+    relay.backlog.calls, relay.backlog.at = calls, front.loop.clock.now()
+    relay.backlog.lines = sum(call.lines for call in calls)
     if relay.failures and relay.waiting:
         relay.proof.begin(relay.waiting[0])
         relay.copies = [call for call in calls if call.mark == relay.proof.mark]
