--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -22,8 +22,8 @@
 from indigohitch.versions import delta  # noqa: E402
 from indigohitch.versions.amends import amended  # noqa: E402
 from indigohitch.versions.checks import Facts, faults  # noqa: E402
-from indigohitch.versions.desk import Desk  # noqa: E402
-from indigohitch.versions.keeping import Memory  # noqa: E402
+from indigohitch.versions.history import MemoryStore  # noqa: E402
+from indigohitch.versions.publisher import VersionPublisher  # noqa: E402
 from indigohitch.versions.tables import Root, root_of  # noqa: E402
 from indigohitch.versions.terms import Channel, Guard, Version  # noqa: E402
 
@@ -93,9 +93,11 @@
 
 def crowd(relays: int, slices: int = 10_000) -> dict:
     """A version to all relays: planned, sent, taken and acknowledged, each relay applying what comes."""
-    desk = Desk(Memory(), Facts(dict.fromkeys(NAMES, "ready"), frozenset(range(slices))), Channel())
+    publisher = VersionPublisher(
+        MemoryStore(), Facts(dict.fromkeys(NAMES, "ready"), frozenset(range(slices))), Channel()
+    )
     plain = tables(slices)
-    desk.ordered(
+    publisher.apply_orders(
         0,
         [
             face.SetLine(slice, name, weight)
@@ -104,10 +106,10 @@
         ],
         "first",
     )
-    stand = {f"r{number}": Tabled(desk.root) for number in range(relays)}
+    stand = {f"r{number}": Tabled(publisher.root) for number in range(relays)}
     tracemalloc.start()
     for name, relay in stand.items():
-        desk.relay(name).joined(0, 1, relay.joins(1))
+        publisher.session(name).on_connect(0, 1, relay.joins(1))
     kb = tracemalloc.get_traced_memory()[0] / 1000 / relays
     tracemalloc.stop()
     found, lines, clock = [], 0, 0
@@ -115,24 +117,24 @@
         clock += 100_000
         slice = 17 * number
         began = time.perf_counter()
-        desk.ordered(clock, [face.SetLine(slice, NAMES[number], 3.0)], "one line")
+        publisher.apply_orders(clock, [face.SetLine(slice, NAMES[number], 3.0)], "one line")
         messages = [
-            (name, message) for name, session in desk.sessions.items() for message in session.due(clock)
+            (name, message) for name, session in publisher.sessions.items() for message in session.due(clock)
         ]
         sent = time.perf_counter()
         for name, message in messages:
             lines += message.lines()
             answer = stand[name].takes(message)
-            desk.sessions[name].acked(clock, answer)
-            desk.count(desk.sessions[name])
+            publisher.sessions[name].on_ack(clock, answer)
+            publisher.count_holder(publisher.sessions[name])
         found.append((1e6 * (sent - began) / relays, 1e6 * (time.perf_counter() - sent) / relays))
-    assert all(session.settled for session in desk.sessions.values())
+    assert all(session.in_sync for session in publisher.sessions.values())
     return {
         "send_us_per_relay": round(min(one for one, _ in found), 2),
         "answer_us_per_relay": round(min(one for _, one in found), 2),
         "session_kb": round(kb, 2),
         "lines_sent": lines,
-        "lines_full": 3 * relays * desk.root.lines,
+        "lines_full": 3 * relays * publisher.root.lines,
     }
 
 
--- /dev/null
+++ b/indigohitch/versions/client_state.py
@@ -0,0 +1,80 @@
+"""What a client holds, and what it may hold while messages to it are unanswered.  No I/O."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+
+from .tables import Root
+from .terms import Claim, Mark, Message, Version, applied
+
+
+def distinct(roots: Iterable[Root]) -> list[Root]:
+    return list(dict.fromkeys(roots))
+
+
+def after_each(roots: Sequence[Root], in_flight: Sequence[Message]) -> list[Root]:
+    """Each of `roots` after the first 0, 1, ... messages in flight: taken in order, or not at all."""
+    found = []
+    for root in roots:
+        found.append(root)
+        for message in in_flight:
+            root = applied(root, message)
+            found.append(root)
+    return distinct(found)
+
+
+def after_all(roots: Sequence[Root], in_flight: Sequence[Message]) -> list[Root]:
+    for message in in_flight:
+        roots = [applied(root, message) for root in roots]
+    return distinct(roots)
+
+
+def claimed_content(claim: Claim, find: Callable[[bytes], Root | None]) -> Root | None:
+    """A kept version, or one with the lines set since; believed only if the digest is that of the claim."""
+    root = find(claim.digest)
+    if root is None and claim.base and (base := find(claim.base)) is not None:
+        root = applied(base, Message(0, 0, 0, Mark(0, claim.digest), claim.since))
+    return root if root is not None and root.digest == claim.digest else None
+
+
+class ClientState:
+    """What one client holds, may hold, and must come to."""
+
+    def __init__(self) -> None:
+        self.target: Version | None = None
+        self.confirmed: Root | None = None  # acknowledged
+        self.in_flight: deque[Message] = deque()  # sent since, unanswered
+        self.candidates: list[Root] = []  # where it is not known which: it holds one of these
+
+    def answered_contents(self) -> list[Root]:
+        """What it held at its last answer: one content, or one of several."""
+        return [self.confirmed] if self.confirmed is not None else list(self.candidates)
+
+    def possible_contents(self) -> list[Root]:
+        """All that it may hold now; empty: anything."""
+        return after_each(self.answered_contents(), self.in_flight)
+
+    def expected_contents(self) -> list[Root]:
+        """What it holds once all that is in flight has been taken."""
+        return after_all(self.answered_contents(), self.in_flight)
+
+    def digests(self) -> set[bytes]:
+        """Of versions that it holds, may hold or must come to."""
+        held = {root.digest for root in (self.confirmed, *self.candidates) if root is not None}
+        held.update(message.mark.digest for message in self.in_flight)
+        return held | ({self.target.root.digest} if self.target is not None else set())
+
+    def take_from_flight(self, sequence: int) -> None:
+        """All messages up to that one have been taken."""
+        while self.in_flight and self.in_flight[0].sequence <= sequence:
+            message = self.in_flight.popleft()
+            if self.confirmed is not None:
+                self.confirmed = applied(self.confirmed, message)
+            elif self.candidates:
+                self.candidates = distinct(applied(root, message) for root in self.candidates)
+
+    def confirm_if_single(self) -> None:
+        """One candidate is no candidate any more."""
+        if len(self.candidates) == 1:
+            self.confirmed, self.candidates = self.candidates[0], []
--- a/indigohitch/versions/cost.py
+++ b/indigohitch/versions/cost.py
@@ -9,7 +9,7 @@
 
 from . import delta
 from .delta import stripped
-from .ranges import size, whole
+from .ranges import whole
 from .tables import Root
 from .terms import Channel, Guard, Put
 
@@ -39,7 +39,7 @@
 def full(start: Root | None, to: Root, guard: Guard, channel: Channel) -> Price:
     """All anew, in ranges: where the content is known, only of the parts that differ."""
     ranges = whole(stripped(to, guard), start.parts() if start is not None else (), channel.lines)
-    lines = sum(size(one) for one in ranges)
+    lines = sum(one.lines() for one in ranges)
     return price("full", lines, channel, 0, ceil(lines / channel.lines) + 1)
 
 
--- a/indigohitch/versions/pin.py
+++ b/indigohitch/versions/pin.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from .amends import unfit_out
+from .amends import Amended, unfit_out
 from .checks import Facts
 from .tables import Root
 from .terms import Version
@@ -16,8 +16,9 @@
     by: str  # which operator, or which halt
     at: int
 
-    def goes(self, current: Root, asked: Root, facts: Facts) -> tuple[Root, list[str]]:
+    def allowed(self, current: Root, wanted: Root, facts: Facts) -> Amended:
         """What goes out while pinned: only slices with a draining or gone backend change, to the lines that
-        the module has asked for (`asked`, the sum of its orders), or to a ready backend."""
-        said: list[str] = []
-        return unfit_out(current, asked, facts, said), said
+        the module has asked for (`wanted`, the sum of its orders), or to a ready backend."""
+        found = Amended(current)
+        found.root = unfit_out(current, wanted, facts, found.said)
+        return found
--- a/indigohitch/versions/ranges.py
+++ b/indigohitch/versions/ranges.py
@@ -6,7 +6,7 @@
 
 from .delta import stripped
 from .tables import PART, PARTS, Root
-from .terms import Channel, Guard, Put, Whole
+from .terms import Channel, Guard, Put, SliceLines, Whole
 
 # Lines below which ranges are not looked at: digests of all parts and a message more are worth about as much.
 MANY = 100
@@ -23,7 +23,7 @@
             if tables and size + len(table.lines) > most:
                 found.append(Whole(first, slice - 1, tuple(tables)))
                 first, tables, size = slice, [], 0
-            tables.append((slice, table.lines))
+            tables.append(SliceLines(slice, table.lines))
             size += len(table.lines)
         found.append(Whole(first, number * PART + PART - 1, tuple(tables)))
     return merged(found, most) if not parts else found
@@ -34,21 +34,17 @@
     found: list[Whole] = []
     for one in ranges:
         last = found[-1] if found else None
-        if last is not None and last.last + 1 == one.first and size(last) + size(one) <= most:
+        if last is not None and last.last + 1 == one.first and last.lines() + one.lines() <= most:
             found[-1] = Whole(last.first, one.last, last.tables + one.tables)
         else:
             found.append(one)
     return found
 
 
-def size(one: Whole) -> int:
-    return sum(len(lines) for _, lines in one.tables)
-
-
 def shorter(puts: Sequence[Put], held: Root, to: Root, guard: Guard, channel: Channel) -> list[Whole]:
     """Ranges that take fewer lines than these puts: where most lines of a part change, each costs its old one
     too.  Empty: the puts are less."""
     if len(puts) < MANY:
         return []
     ranges = whole(stripped(to, guard), held.parts(), channel.lines)
-    return ranges if sum(size(one) for one in ranges) < len(puts) else []
+    return ranges if sum(one.lines() for one in ranges) < len(puts) else []
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -1,4 +1,4 @@
-"""One relay: what it holds, what it may hold, and what goes to it next.  No I/O.
+"""One relay's session: what it holds, what it may hold, and what goes to it next.  No I/O.
 
 On one connection messages are applied in order or not at all (a relay answers a gap with a NACK), so after a
 break what may be held is the last acknowledged content followed by some number of the messages sent since: a
@@ -8,258 +8,228 @@
 from __future__ import annotations
 
 import enum
-from collections import deque
-from collections.abc import Callable, Sequence
-from itertools import islice
+from collections.abc import Callable
 
 from ..net.clock import SECOND
 from . import delta
-from .holding import Holding, claimed, unlike
-from .ranges import shorter, size, whole
+from .client_state import ClientState, claimed_content
+from .send_queue import Chunk, Plan, SendQueue
 from .tables import PARTS, Root
-from .terms import Ack, Channel, Claim, Guard, Message, Nack, Put, Version, Whole, applied
+from .terms import Ack, Channel, Claim, Guard, Message, Nack, Version
 from .window import Window
 
 # An answer is a round trip and a stall away; some five times what a relay on another continent takes.
-SILENCE = SECOND
-# What a relay refused, or lied about, is not tried again at once: the window would be spent on it.
-PAUSE = 10 * SECOND
-
-Plan = Callable[[Sequence[Root], Root, Guard], list[Put]]
+ACK_TIMEOUT = SECOND
+# What a relay refused, or answered with a wrong digest, is not tried again at once: the window would be spent
+# on it.
+BACKOFF = 10 * SECOND
 
 
 class Phase(enum.Enum):
-    AWAY = "away"  # no connection
-    MOVING = "moving"  # what it holds is known, or one of a few
-    MENDING = "mending"  # what it holds is unknown; it is set whole
-    ASIDE = "aside"  # it refused, or its digests are not true: until `aside_until`
+    DISCONNECTED = "disconnected"
+    UPDATING = "updating"  # what it holds is known, or one of a few
+    REPLACING = "replacing"  # what it holds is unknown; it is set whole
+    BACKING_OFF = "backing off"  # it refused, or its digests are not true: until `retry_at`
 
 
-class Session(Holding):
+class Session(ClientState):
     """`find`: the content of a kept version by digest; `plan`: delta.ordered, or one that remembers."""
 
     def __init__(
         self, relay: str, channel: Channel, find: Callable[[bytes], Root | None], plan: Plan = delta.ordered
     ) -> None:
-        self.relay, self.channel, self.find, self.plan = relay, channel, find, plan
         super().__init__()
-        self.phase = Phase.AWAY
+        self.relay, self.channel, self.find = relay, channel, find
+        self.phase = Phase.DISCONNECTED
         self.connection = 0
-        self.guard = Guard()  # may be newer than `wanted`
+        self.guard = Guard()  # may be newer than `target`
         self.parts: tuple[bytes, ...] = ()  # of an unknown content
         self.goal: Root | None = None  # what setting whole leads to
-        self.puts: deque[Put] = deque()  # the way to `planned`
-        self.wholes: deque[Whole] = deque()
-        self.planned: Root | None = None
+        self.queue = SendQueue(channel, plan)
         self.sequence = self.after = 0
         self.window = Window(channel)
-        self.heard_at = self.aside_until = 0
-        self.lies = 0
+        self.last_answer_at = self.retry_at = 0
+        self.mismatches = 0  # digests in a row that were not those of what it had taken
 
-    # ---- what happens ------------------------------------------------------------------------------
+    # ---- events ------------------------------------------------------------------------------------
 
-    def want(self, version: Version, guard: Guard) -> None:
+    def set_target(self, version: Version, guard: Guard) -> None:
         """What it must come to; what is under way is not waited for, but counted in."""
-        self.wanted, self.guard = version, guard
-        self.plan_anew()
-        if self.phase is Phase.ASIDE and not self.lies:
-            self.phase = self.going()  # it refused another version
-
-    def guarded(self, guard: Guard) -> None:
-        """News of backends: what is not sent yet is looked at anew."""
+        self.target = version
+        self.set_guard(guard)
+        if self.phase is Phase.BACKING_OFF and not self.mismatches:
+            self.phase = self.active_phase()  # it refused another version
+
+    def set_guard(self, guard: Guard) -> None:
+        """News of backends: what is not sent yet is planned anew, but a relay that is set whole comes first
+        to what was begun."""
         self.guard = guard
-        self.plan_anew()
-
-    def plan_anew(self) -> None:
-        """A relay that is set whole comes first to what was begun."""
-        self.planned = None
-        self.puts.clear()
-        if self.phase is not Phase.MENDING:
-            self.wholes.clear()
+        if self.phase is Phase.REPLACING:
+            self.queue.clear_puts()
+        else:
+            self.queue.clear()
 
-    def joined(self, now: int, connection: int, claim: Claim | None) -> None:
+    def on_connect(self, now: int, connection: int, claim: Claim | None) -> None:
         """`claim` None: this relay tells no digest."""
         if connection <= self.connection:
             return  # late news of one that was replaced
-        may = self.may_hold()
-        self.connection, self.heard_at = connection, now
+        contents = self.possible_contents()
+        self.connection, self.last_answer_at = connection, now
         self.sequence = self.after = 0
-        self.window.told(now, claim.heard if claim is not None else 0)
-        self.flight.clear()
-        self.settle(now, may, claim)
+        self.window.count_received(now, claim.heard if claim is not None else 0)
+        self.in_flight.clear()
+        self.reconcile(now, contents, claim)
 
-    def lost(self, connection: int) -> None:
-        if connection == self.connection:
-            self.phase, self.possible = Phase.AWAY, self.may_hold()
-            self.known = self.possible[0] if len(self.possible) == 1 else None
-            self.flight.clear()
-            self.forget_plan()
+    def on_disconnect(self, connection: int) -> None:
+        if connection != self.connection:
+            return
+        self.phase, self.candidates = Phase.DISCONNECTED, self.possible_contents()
+        self.confirmed = self.candidates[0] if len(self.candidates) == 1 else None
+        self.in_flight.clear()
+        self.queue.clear()
 
-    def acked(self, now: int, ack: Ack) -> None:
-        if (
-            ack.connection != self.connection
-            or self.phase is Phase.AWAY
-            or not self.flight
-            or not self.flight[0].sequence <= ack.sequence <= self.flight[-1].sequence
-        ):
+    def on_ack(self, now: int, ack: Ack) -> None:
+        if not self.answers_flight(ack):
             return  # late, or said twice
-        self.heard_at = now
-        while self.flight and self.flight[0].sequence <= ack.sequence:
-            message = self.flight.popleft()
-            if self.known is not None:
-                self.known = applied(self.known, message)
-            elif self.possible:
-                self.possible = unlike(applied(root, message) for root in self.possible)
-        if self.possible and ack.digest:
-            self.possible = [root for root in self.possible if root.digest == ack.digest]
-            if not self.possible:
-                self.lied(now)
+        self.last_answer_at = now
+        self.take_from_flight(ack.sequence)
+        if self.candidates and ack.digest:
+            self.candidates = [root for root in self.candidates if root.digest == ack.digest]
+            if not self.candidates:
+                self.on_mismatch(now)
                 return
-        if len(self.possible) == 1:
-            self.known, self.possible = self.possible[0], []
-        if self.phase is Phase.MENDING and self.goal is not None and not self.wholes and not self.flight:
-            self.known, self.goal, self.phase = self.goal, None, Phase.MOVING
-            self.planned = None
-        if self.known is not None and self.wanted is not None and self.known == self.wanted.root:
-            self.known = self.wanted.root  # one for all relays
-        if self.known is not None and ack.digest and ack.digest != self.known.digest:
-            self.lied(now)
-        elif self.known is not None and self.settled:
-            self.lies = 0
-
-    def nacked(self, now: int, nack: Nack) -> None:
+        self.confirm_if_single()
+        self.end_replacing()
+        if self.confirmed is not None and self.target is not None and self.confirmed == self.target.root:
+            self.confirmed = self.target.root  # one for all relays
+        if self.confirmed is not None and ack.digest and ack.digest != self.confirmed.digest:
+            self.on_mismatch(now)
+        elif self.in_sync:
+            self.mismatches = 0
+
+    def on_nack(self, now: int, nack: Nack) -> None:
         if (
             nack.connection != self.connection
-            or self.phase is Phase.AWAY
-            or all(message.sequence != nack.refused for message in self.flight)
+            or self.phase is Phase.DISCONNECTED
+            or all(message.sequence != nack.refused for message in self.in_flight)
         ):
             return  # said of a message that was given up already
-        self.heard_at = now
-        may = self.may_hold()
-        self.flight.clear()
+        self.last_answer_at = now
+        contents = self.possible_contents()
+        self.in_flight.clear()
         self.after = nack.sequence
-        self.settle(now, may, nack.claim)
+        self.reconcile(now, contents, nack.claim)
         if not nack.gap:
-            self.phase, self.aside_until = Phase.ASIDE, now + PAUSE
+            self.phase, self.retry_at = Phase.BACKING_OFF, now + BACKOFF
 
-    def going(self) -> Phase:
-        return Phase.MOVING if self.known is not None or self.possible else Phase.MENDING
+    def on_mismatch(self, now: int) -> None:
+        """Its digest is not that of what it took.  The second time it waits before it is set whole again."""
+        self.mismatches += 1
+        self.confirmed, self.candidates, self.goal, self.parts = None, [], None, ()
+        self.in_flight.clear()
+        self.queue.clear()
+        self.phase = Phase.REPLACING
+        if self.mismatches > 1:
+            self.phase, self.retry_at = Phase.BACKING_OFF, now + BACKOFF
 
     # ---- what it holds -----------------------------------------------------------------------------
 
     @property
-    def settled(self) -> bool:
+    def in_sync(self) -> bool:
         return (
-            self.wanted is not None
-            and self.phase is not Phase.AWAY
-            and not self.flight
-            and self.known == self.wanted.root
+            self.target is not None
+            and self.phase is not Phase.DISCONNECTED
+            and not self.in_flight
+            and self.confirmed == self.target.root
         )
 
-    def settle(self, now: int, may: list[Root], claim: Claim | None) -> None:
-        self.known, self.possible, self.goal = None, [], None
-        self.forget_plan()
-        if claim is None:
-            self.possible = may
-        else:
-            same = [root for root in may if root.digest == claim.digest]
-            self.known = same[0] if same else claimed(claim, self.find)
-        told = claim is not None and len(claim.parts) == PARTS and self.known is None
-        self.parts = claim.parts if told else ()
-        if len(self.possible) == 1:
-            self.known, self.possible = self.possible[0], []
-        if self.lies and now < self.aside_until:
-            self.phase = Phase.ASIDE
-        else:
-            self.phase = self.going()
+    def answers_flight(self, ack: Ack) -> bool:
+        return (
+            ack.connection == self.connection
+            and self.phase is not Phase.DISCONNECTED
+            and bool(self.in_flight)
+            and self.in_flight[0].sequence <= ack.sequence <= self.in_flight[-1].sequence
+        )
 
-    def lied(self, now: int) -> None:
-        """Its digest is not that of what it took.  The second time it waits before it is set whole again."""
-        self.lies += 1
-        self.known, self.possible, self.goal, self.parts = None, [], None, ()
-        self.flight.clear()
-        self.forget_plan()
-        self.phase = Phase.MENDING
-        if self.lies > 1:
-            self.phase, self.aside_until = Phase.ASIDE, now + PAUSE
+    def active_phase(self) -> Phase:
+        return Phase.UPDATING if self.confirmed is not None or self.candidates else Phase.REPLACING
 
-    def forget_plan(self) -> None:
-        self.puts.clear()
-        self.wholes.clear()
-        self.planned = None
+    def reconcile(self, now: int, contents: list[Root], claim: Claim | None) -> None:
+        """What it holds, of `contents` that it may hold and by what it claims."""
+        self.confirmed, self.candidates, self.goal = None, [], None
+        self.queue.clear()
+        if claim is None:
+            self.candidates = contents
+        else:
+            same = [root for root in contents if root.digest == claim.digest]
+            self.confirmed = same[0] if same else claimed_content(claim, self.find)
+        unknown = claim is not None and len(claim.parts) == PARTS and self.confirmed is None
+        self.parts = claim.parts if unknown else ()
+        self.confirm_if_single()
+        backs_off = self.mismatches and now < self.retry_at
+        self.phase = Phase.BACKING_OFF if backs_off else self.active_phase()
+
+    def end_replacing(self) -> None:
+        """Once all ranges have been taken, it holds the goal."""
+        if self.phase is not Phase.REPLACING or self.goal is None or self.queue.wholes or self.in_flight:
+            return
+        self.confirmed, self.goal, self.phase = self.goal, None, Phase.UPDATING
+        self.queue.planned = None
 
     # ---- what goes out -----------------------------------------------------------------------------
 
     def due(self, now: int) -> list[Message]:
         """Messages that may go now, in order; the caller sends them, or says that the connection is lost."""
-        if self.phase is Phase.ASIDE and now >= self.aside_until:
-            self.phase = self.going()
-        if self.wanted is None or self.phase in (Phase.AWAY, Phase.ASIDE):
+        if self.phase is Phase.BACKING_OFF and now >= self.retry_at:
+            self.phase = self.active_phase()
+        if self.target is None or self.phase in (Phase.DISCONNECTED, Phase.BACKING_OFF):
             return []
         out: list[Message] = []
-        if self.flight and now - self.heard_at >= SILENCE and self.window.free(now, self.flight, True):
-            self.heard_at = now
-            out.append(self.message(now))  # it answers for all before, or with a gap
-        while self.window.free(now, self.flight, bool(self.guard.draining)):
-            self.plan_on()
-            if not self.urgent and not self.window.free(now, self.flight):
+        silent = self.in_flight and now - self.last_answer_at >= ACK_TIMEOUT
+        if silent and self.window.free(now, self.in_flight, True):
+            self.last_answer_at = now
+            out.append(self.message(now, Chunk()))  # it answers for all before, or with a gap
+        while self.window.free(now, self.in_flight, bool(self.guard.draining)):
+            self.plan()
+            if not self.urgent and not self.window.free(now, self.in_flight):
                 break
-            puts, wholes = self.chunk()
-            if not puts and not wholes:
+            chunk = self.queue.next_chunk()
+            if not chunk:
                 break
-            out.append(self.message(now, puts, wholes))
+            out.append(self.message(now, chunk))
         return out
 
     def next_due(self, now: int) -> int | None:
         """When `due` may have something again that it has not now, if nothing is heard; None: never."""
-        if self.phase is Phase.ASIDE:
-            return self.aside_until
-        if self.phase is Phase.AWAY or self.wanted is None or self.settled:
+        if self.phase is Phase.BACKING_OFF:
+            return self.retry_at
+        if self.phase is Phase.DISCONNECTED or self.target is None or self.in_sync:
             return None
-        times = [self.heard_at + SILENCE] if self.flight else []
+        times = [self.last_answer_at + ACK_TIMEOUT] if self.in_flight else []
         if (opens := self.window.opens(now, self.urgent)) is not None:
             times.append(opens)
         return min(times) if times else now
 
     @property
     def urgent(self) -> bool:
-        """A draining backend's lines wait to go, or may: the window's reserve is for these."""
-        return bool(self.guard.draining and self.wholes) or any(
-            put.backend in self.guard.draining for put in islice(self.puts, self.channel.lines)
-        )
+        return self.queue.urgent(self.guard.draining)
 
-    def plan_on(self) -> None:
-        if self.phase is Phase.MENDING:
+    def plan(self) -> None:
+        if self.phase is Phase.REPLACING:
             if self.goal is None:
-                self.goal = delta.stripped(self.wanted.root, self.guard)
-                self.wholes.extend(whole(self.goal, self.parts, self.channel.lines))
-            return
-        if self.planned != self.wanted.root or self.planned is None:
-            roots, to = self.ahead(), self.wanted.root
-            puts, self.planned = self.plan(roots, to, self.guard), to
-            if len(roots) == 1 and (ranges := shorter(puts, roots[0], to, self.guard, self.channel)):
-                self.wholes.extend(ranges)
-                puts = self.plan([delta.stripped(to, self.guard)], to, self.guard)
-            self.puts = deque(puts)
-
-    def chunk(self) -> tuple[list[Put], list[Whole]]:
-        """As many steps as one message takes; a range set whole goes alone if it is larger."""
-        puts, wholes, room = [], [], self.channel.lines
-        while self.wholes and (size(self.wholes[0]) <= room or not wholes):
-            room -= max(size(self.wholes[0]), 1)
-            wholes.append(self.wholes.popleft())
-        while self.puts and not wholes and len(puts) < room:
-            puts.append(self.puts.popleft())
-        return puts, wholes
+                self.goal = delta.stripped(self.target.root, self.guard)
+                self.queue.plan_whole(self.goal, self.parts)
+        elif self.queue.planned is None or self.queue.planned != self.target.root:
+            self.queue.plan_delta(self.expected_contents(), self.target.root, self.guard)
 
-    def message(self, now: int, puts: Sequence[Put] = (), wholes: Sequence[Whole] = ()) -> Message:
+    def message(self, now: int, chunk: Chunk) -> Message:
         self.sequence += 1
         message = Message(
-            self.connection, self.sequence, self.after, self.wanted.mark, tuple(puts), tuple(wholes)
+            self.connection, self.sequence, self.after, self.target.mark, chunk.puts, chunk.wholes
         )
         self.after = self.sequence
-        if not self.flight:
-            self.heard_at = now
-        self.flight.append(message)
-        self.window.takes(now, message)
+        if not self.in_flight:
+            self.last_answer_at = now
+        self.in_flight.append(message)
+        self.window.take(now, message)
         return message
--- a/indigohitch/versions/store.py
+++ b/indigohitch/versions/store.py
@@ -7,135 +7,30 @@
 
 from collections.abc import Iterable
 
-from ..errors import Unreadable
 from ..fleet.disk.files import Files
-from ..packed.frames import HEAD, Broken, Kinds
 from ..packed.rows import Row
-from .keeping import Keeping
-from .tables import Root, difference
-from .terms import Mark, Version
+from .history import VersionHistory
+from .store_records import Begun, Harmed, Made, More, Named, Pinned, frames, read, version_rows
+from .tables import Root
+from .terms import SliceLines, Version
 
-MAGIC, NAME, PART = b"IHvt", "versions-", ".part"
+NAME, PART = "versions-", ".part"
 SIZE = 16 << 20  # then it is begun anew: some ten thousand small versions
 
 
-class Made(Row, frozen=True):
-    """A version, as slices that differ from those of the version before it (in a file's first: from none)."""
-
-    number: int
-    parent: Mark | None
-    cause: str
-    at: int
-    digest: bytes
-    changes: tuple[tuple[int, dict[str, float]], ...]
-
-
-class More(Row, frozen=True):
-    """Changes that come before those of the next Made: no record is larger than a frame takes."""
-
-    changes: tuple[tuple[int, dict[str, float]], ...]
-
-
-class Named(Row, frozen=True):
-    """Number 0 takes the name away."""
-
-    name: str
-    number: int
-
-
-class Pinned(Row, frozen=True):
-    """Number 0: unpinned."""
-
-    number: int
-    by: str
-    at: int
-
-
-class Begun(Row, frozen=True):
-    """First in a file; `records`: of the snapshot that follows, which was written with it."""
-
-    records: int
-
-
-RECORDS = Kinds(MAGIC, 1, [Begun, Made, More, Named, Pinned])
-BATCH = 20_000  # slices in a record
-
-
-class Harmed(Unreadable):
-    remedy = "take the file away: relays are then set whole once, and the named versions are lost"
-
-
-def frames(rows: Iterable[Row]) -> bytes:
-    return b"".join(RECORDS.frame(row) for row in rows)
-
-
-def made(version: Version, before: Root) -> list[Row]:
-    changes = [
-        (slice, table.lines if table is not None else {})
-        for slice, _, table in difference(before, version.root)
-    ]
-    rows: list[Row] = []
-    while len(changes) > BATCH:
-        rows.append(More(tuple(changes[:BATCH])))
-        changes = changes[BATCH:]
-    return [
-        *rows,
-        Made(version.number, version.parent, version.cause, version.at, version.root.digest, tuple(changes)),
-    ]
-
-
-def read(data: bytes, where: str) -> tuple[list[Row], int]:
-    """Rows, and how much of the file is good.  Raises Harmed."""
-    rows, at = [], 0
-    while at < len(data):
-        try:
-            row, end = record(data, at)
-            rows.append(row)
-        except Broken as broken:
-            if follows(data, at):
-                raise Harmed(broken.what, f"{where}, byte {at}") from None
-            break
-        at = end
-    return rows, at
-
-
-def record(data: bytes, at: int) -> tuple[Row, int]:
-    """The one that begins there, and where it ends; raises Broken."""
-    if len(data) - at < HEAD:
-        raise Broken("it ends within its head")
-    protocol, kind, descriptors, length, checksum = RECORDS.head(data, at)
-    end = at + HEAD + length
-    if end > len(data) or descriptors:
-        raise Broken("it ends early, or its head was changed")
-    return RECORDS.body(data[at + HEAD : end], protocol, kind, checksum), end
-
-
-def follows(data: bytes, at: int) -> bool:
-    """Whether a record that can be read begins after the bad one: then it was no crash."""
-    while (at := data.find(MAGIC, at + 1)) >= 0:
-        try:
-            if len(data) - at < HEAD:
-                return False
-            record(data, at)
-            return True
-        except Broken:
-            pass
-    return False
-
-
 class Store:
     """Raises OSError besides what is said; then nothing of that call is kept, and the next one begins a new
     file."""
 
     def __init__(self, files: Files, folder: str, size: int = SIZE) -> None:
         self.files, self.folder, self.size = files, folder, size
-        self.keeping, self.pinned = Keeping(), None
+        self.history, self.pinned = VersionHistory(), None
         self.root, self.fd, self.path, self.good, self.number = Root(), -1, "", 0, 0
 
     def open(self, last: int | None = None) -> None:
         """Reads what is there, cuts a torn tail.  Raises Harmed."""
-        self.keeping = Keeping(last) if last is not None else Keeping()
-        self.keeping.patient = True
+        self.history = VersionHistory(last) if last is not None else VersionHistory()
+        self.history.retains_all = True
         self.files.folder(self.folder)
         names = [name for name in self.files.names(self.folder) if name.startswith(NAME)]
         for name in [name for name in names if name.endswith(PART)]:
@@ -146,7 +41,8 @@
             return
         self.path = f"{self.folder}/{names[-1]}"
         data = self.files.read(self.path)
-        rows, self.good = read(data, self.path)
+        contents = read(data, self.path)
+        rows, self.good = contents.rows, contents.good
         if not rows or not isinstance(rows[0], Begun) or len(rows) <= rows[0].records:
             raise Harmed("its snapshot is not whole", self.path)
         self.replay(rows[1:])
@@ -161,49 +57,49 @@
         changes: dict[int, dict[str, float]] = {}
         for row in rows:
             if isinstance(row, More):
-                changes |= dict(row.changes)
+                changes |= lines_by_slice(row.changes)
             elif isinstance(row, Made):
-                self.root = self.root.changed(changes | dict(row.changes))
+                self.root = self.root.changed(changes | lines_by_slice(row.changes))
                 changes = {}
                 if self.root.digest != row.digest:
                     raise Harmed(f"version {row.number} has another digest than its lines", self.path)
-                self.keeping.add(Version(row.number, self.root, row.parent, row.cause, row.at))
+                self.history.add(Version(row.number, self.root, row.parent, row.cause, row.at))
             elif isinstance(row, Named):
-                self.keeping.names.pop(row.name, None)
-                if row.number in self.keeping.order:
-                    self.keeping.names[row.name] = row.number
+                self.history.names.pop(row.name, None)
+                if row.number in self.history.by_number:
+                    self.history.names[row.name] = row.number
             elif isinstance(row, Pinned):
                 self.pinned = row if row.number else None
-                self.keeping.standing = {row.number} if row.number else set()
+                self.history.pinned = {row.number} if row.number else set()
 
     # ---- writing -----------------------------------------------------------------------------------
 
     def add(self, version: Version) -> None:
         """On the disk when it returns; only then may it be sent."""
-        self.append(made(version, self.root))
+        self.append(version_rows(version, self.root))
         self.root = version.root
-        self.keeping.add(version)
+        self.history.add(version)
 
     def name(self, name: str, number: int) -> None:
         """0 takes it away.  Raises Unfit."""
         if number:
-            was = self.keeping.names.get(name)
-            self.keeping.name(name, number)
+            was = self.history.names.get(name)
+            self.history.name(name, number)
             try:
                 self.append([Named(name, number)])
             except OSError:
-                self.keeping.names.pop(name)
-                self.keeping.names |= {name: was} if was else {}
+                self.history.names.pop(name)
+                self.history.names |= {name: was} if was else {}
                 raise
             return
         self.append([Named(name, 0)])
-        self.keeping.unname(name)
+        self.history.unname(name)
 
     def pin(self, number: int, by: str, at: int) -> None:
         row = Pinned(number, by, at)
         self.append([row])
         self.pinned = row if number else None
-        self.keeping.standing = {number} if number else set()
+        self.history.pinned = {number} if number else set()
 
     def append(self, rows: list[Row]) -> None:
         if self.fd < 0 or self.good > self.size:
@@ -223,10 +119,10 @@
         """All that is kept into a file of its own, whole or not at all; then the old one goes."""
         rows: list[Row] = []
         before = Root()
-        for version in self.keeping.order.values():
-            rows += made(version, before)
+        for version in self.history.by_number.values():
+            rows += version_rows(version, before)
             before = version.root
-        rows += [Named(name, number) for name, number in self.keeping.names.items()]
+        rows += [Named(name, number) for name, number in self.history.names.items()]
         rows += [self.pinned] if self.pinned is not None else []
         data = frames([Begun(len(rows)), *rows])
         path = f"{self.folder}/{NAME}{self.number + 1:09}"
@@ -249,3 +145,7 @@
                 self.files.close(fd)
             except OSError:
                 pass
+
+
+def lines_by_slice(changes: Iterable[SliceLines]) -> dict[int, dict[str, float]]:
+    return {one.slice: one.lines for one in changes}
--- a/indigohitch/versions/terms.py
+++ b/indigohitch/versions/terms.py
@@ -43,12 +43,22 @@
     weight: float
 
 
+class SliceLines(Row, frozen=True):
+    """All lines of one slice: weights by backend."""
+
+    slice: int
+    lines: dict[str, float]
+
+
 class Whole(Row, frozen=True):
     """All lines of the slices from `first` to `last`, in one step: what is not listed goes."""
 
     first: int
     last: int
-    tables: tuple[tuple[int, dict[str, float]], ...]
+    tables: tuple[SliceLines, ...]
+
+    def lines(self) -> int:
+        return sum(len(table.lines) for table in self.tables)
 
 
 Step = Put | Whole
@@ -66,7 +76,7 @@
     wholes: tuple[Whole, ...] = ()
 
     def lines(self) -> int:
-        return len(self.puts) + sum(len(lines) for one in self.wholes for _, lines in one.tables)
+        return len(self.puts) + sum(one.lines() for one in self.wholes)
 
 
 class Claim(Row, frozen=True):
@@ -126,7 +136,7 @@
     """What a relay holds after it; raises Unfit."""
     for one in message.wholes:
         changes: dict[int, dict] = {slice: {} for slice, _ in root.items(one.first, one.last)}
-        root = root.changed(changes | dict(one.tables))
+        root = root.changed(changes | {table.slice: table.lines for table in one.tables})
     changes = {}
     for put in message.puts:
         if put.slice not in changes:
--- a/indigohitch/versions/window.py
+++ b/indigohitch/versions/window.py
@@ -43,10 +43,10 @@
             return max(self.free_at, self.sent[len(self.sent) - room] + Channel.WINDOW + SPREAD)
         return self.free_at if self.free_at > now else None
 
-    def takes(self, now: int, message: Message) -> None:
+    def take(self, now: int, message: Message) -> None:
         self.sent.append(now)
         self.free_at = max(now, self.free_at) + self.channel.stall * message.lines()
 
-    def told(self, now: int, heard: int) -> None:
+    def count_received(self, now: int, heard: int) -> None:
         """The relay heard more than this process has sent: another one did, before it."""
         self.sent.extend([now] * (heard - len(self.sent)))
--- a/proofs/versions.py
+++ b/proofs/versions.py
@@ -54,7 +54,7 @@
         self.program = Program(self.folder, self.facts, CHANNEL)
         self.port = await self.program.listen(0)
         self.made(
-            self.program.desk.ordered(
+            self.program.publisher.apply_orders(
                 0, [face.SetLine(slice, f"n{slice % BACKENDS}", 1.0) for slice in range(SLICES)], "first"
             )
         )
@@ -70,7 +70,7 @@
             self.counts["versions"] += 1
             self.naive += version.root.lines * RELAYS
         else:
-            self.counts["refused"] += bool(self.program.desk.faults)
+            self.counts["refused"] += bool(self.program.publisher.faults)
 
     def ready(self) -> list[str]:
         return [
@@ -85,25 +85,27 @@
     def news(self, cause: str, **words) -> None:
         self.facts = replace(self.facts, **words)
         self.truth.cold = dict(self.facts.cold)
-        self.made(self.program.desk.heard(self.at(), self.facts, cause))
+        self.made(self.program.publisher.update_facts(self.at(), self.facts, cause))
 
     def move(self) -> None:
-        orders, desk = [], self.program.desk
+        orders, publisher = [], self.program.publisher
         spare = self.ready() + [
-            name for name, cap in self.facts.cold.items() if self.weight(desk.asked, name) + 24 <= cap
+            name for name, cap in self.facts.cold.items() if self.weight(publisher.wanted, name) + 24 <= cap
         ]
         for slice in self.chance.sample(range(SLICES), self.chance.choice((1, 1, 2, 5, 12))):
             target = self.chance.choice(spare)
             orders += [face.SetLine(slice, target, self.chance.choice((1.0, 1.0, 2.0)))]
-            orders += [face.SetLine(slice, name, 0) for name in desk.asked.lines_of(slice) if name != target]
-        self.made(desk.ordered(self.at(), orders, "move"))
+            orders += [
+                face.SetLine(slice, name, 0) for name in publisher.wanted.lines_of(slice) if name != target
+            ]
+        self.made(publisher.apply_orders(self.at(), orders, "move"))
 
     def weight(self, root: Root, name: str) -> float:
         return sum(table.lines.get(name, 0) for _, table in root.items())
 
     def away(self, name: str) -> list[face.Order]:
         ready, found = self.ready(), []
-        for slice, table in self.program.desk.asked.items():
+        for slice, table in self.program.publisher.wanted.items():
             if name in table.lines:
                 found += [face.SetLine(slice, self.chance.choice(ready), 1.0), face.SetLine(slice, name, 0)]
         return found
@@ -114,7 +116,7 @@
             self.drains[name] = time.monotonic()
             self.counts["drains"] += 1
             self.news("drain", states={**self.facts.states, name: "draining"})
-            self.made(self.program.desk.ordered(self.at(), self.away(name), "drain"))
+            self.made(self.program.publisher.apply_orders(self.at(), self.away(name), "drain"))
 
     def drained(self) -> None:
         """After the grace, no relay that could be reached in it has a line there."""
@@ -126,8 +128,8 @@
                         self.drain_over += sum(name in table.lines for _, table in relay.tabled.root.items())
                 del self.drains[name]
                 self.news("it is back", states={**self.facts.states, name: "ready"})
-                desk = self.program.desk
-                if self.weight(desk.root, name) + self.weight(desk.asked, name) == 0:
+                publisher = self.program.publisher
+                if self.weight(publisher.root, name) + self.weight(publisher.wanted, name) == 0:
                     self.cold(name)
         for name, until in list(self.cold_until.items()):
             if at >= until:
@@ -145,18 +147,18 @@
             relay.turned_cold(name)
 
     def back(self) -> None:
-        desk = self.program.desk
-        version = self.chance.choice(list(desk.keeping.order.values())[-30:])
-        _, made = desk.rollback(self.at(), version.number, "proof", frozenset({"blast"}))
+        publisher = self.program.publisher
+        version = self.chance.choice(list(publisher.history.by_number.values())[-30:])
+        made = publisher.rollback(self.at(), version.number, "proof", frozenset({"blast"})).version
         self.counts["rollbacks"] += 1
         self.made(made)
 
     def unpin(self) -> None:
-        if (desk := self.program.desk).pin is not None:
+        if (publisher := self.program.publisher).pin is not None:
             for name, state in self.facts.states.items():  # the module goes on ordering meanwhile
-                if state != "ready" or self.weight(desk.asked, name) > self.facts.cold.get(name, 1e9):
-                    desk.ordered(self.at(), self.away(name), "away")
-            self.made(self.program.desk.unpinned(self.at(), "proof"))
+                if state != "ready" or self.weight(publisher.wanted, name) > self.facts.cold.get(name, 1e9):
+                    publisher.apply_orders(self.at(), self.away(name), "away")
+            self.made(self.program.publisher.unpin(self.at(), "proof"))
 
     def trouble(self) -> None:
         relay = self.chance.choice(self.relays)
@@ -172,24 +174,27 @@
         elif kind == "heal":
             self.breaker.heal()
         else:
-            old = self.chance.choice(list(self.program.desk.keeping.order.values())).root
+            old = self.chance.choice(list(self.program.publisher.history.by_number.values())).root
             relay.restart(self.chance.choice((Root(), old, old, root_of({3: {"n1": 4.0}}))))
             self.counts["restarts"] += 1
 
     async def killed(self) -> None:
-        desk = self.program.desk
-        was = [(version.number, version.root.digest) for version in desk.keeping.order.values()][-20:]
-        asked, pinned = desk.asked, desk.pin is not None
+        publisher = self.program.publisher
+        was = [(version.number, version.root.digest) for version in publisher.history.by_number.values()][
+            -20:
+        ]
+        asked, pinned = publisher.wanted, publisher.pin is not None
         self.lines += self.program.lines
         await self.program.kill()
         self.program = Program(self.folder, self.facts, CHANNEL)
         held = [
-            (version.number, version.root.digest) for version in self.program.desk.keeping.order.values()
+            (version.number, version.root.digest)
+            for version in self.program.publisher.history.by_number.values()
         ][-20:]
-        same = held == was and (self.program.desk.pin is not None) == pinned
+        same = held == was and (self.program.publisher.pin is not None) == pinned
         self.recovered += same
         self.lost_versions += not same
-        self.program.desk.asked = asked  # the module of a program that restarts asks anew
+        self.program.publisher.wanted = asked  # the module of a program that restarts asks anew
         await self.program.listen(self.port)
 
     async def step(self, number: int) -> None:
@@ -208,8 +213,8 @@
             await asyncio.sleep(0.05)
 
     def right(self, relay: Relay) -> bool:
-        session = self.program.desk.sessions.get(relay.name)
-        return relay.tabled.root == self.program.desk.root and session is not None and session.settled
+        session = self.program.publisher.sessions.get(relay.name)
+        return relay.tabled.root == self.program.publisher.root and session is not None and session.in_sync
 
     async def run(self) -> dict:
         await self.begin()
--- a/proofs/versions_program.py
+++ b/proofs/versions_program.py
@@ -1,4 +1,4 @@
-"""The program's side for proofs/versions.py: a desk with its store on a disk, and its relays' connections."""
+"""The program's side for proofs/versions.py: a publisher with its store on a disk, and the connections."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from indigohitch.fleet.disk.files import Files
 from indigohitch.packed.frames import Broken, Frames
 from indigohitch.versions.checks import Facts
-from indigohitch.versions.desk import Desk
+from indigohitch.versions.publisher import VersionPublisher
 from indigohitch.versions.store import Store
 from indigohitch.versions.terms import Ack, Channel, Nack
 from indigohitch.versions.words import WORDS, Hello, Joined, Welcome
@@ -26,7 +26,7 @@
     def __init__(self, folder: str, facts: Facts, channel: Channel) -> None:
         self.store = Store(Files(), folder, 1 << 20)
         self.store.open()
-        self.desk = Desk(self.store, facts, channel)
+        self.publisher = VersionPublisher(self.store, facts, channel)
         self.writers: dict[str, asyncio.StreamWriter] = {}
         self.connection = self.lines = 0  # lines: sent, whatever became of them
         self.joined_at: dict[str, float] = {}
@@ -67,23 +67,23 @@
             writer.transport.abort()
             if self.writers.get(name) is writer:
                 del self.writers[name]
-                self.desk.relay(name).lost(connection)
+                self.publisher.session(name).on_disconnect(connection)
                 self.joined_at.pop(name, None)
 
     def heard(self, name: str, connection: int, word) -> None:
-        session = self.desk.relay(name)
+        session = self.publisher.session(name)
         if isinstance(word, Joined):
             self.joined_at[name] = time.monotonic()
-            session.joined(now(), connection, word.claim)
+            session.on_connect(now(), connection, word.claim)
         elif isinstance(word, Ack):
-            session.acked(now(), word)
+            session.on_ack(now(), word)
         elif isinstance(word, Nack):
-            session.nacked(now(), word)
-        self.desk.count(session)
+            session.on_nack(now(), word)
+        self.publisher.count_holder(session)
 
     async def turns(self) -> None:
         while True:
-            for name, session in list(self.desk.sessions.items()):
+            for name, session in list(self.publisher.sessions.items()):
                 for message in session.due(now()):
                     self.lines += message.lines()
                     if (writer := self.writers.get(name)) is not None:
--- a/proofs/versions_relays.py
+++ b/proofs/versions_relays.py
@@ -109,7 +109,7 @@
         steps += [Message(0, 0, 0, message.mark, (one,)) for one in message.puts]
         for step in steps:
             root = applied(root, step)
-            touched = {put.slice for put in step.puts} | {s for one in step.wholes for s, _ in one.tables}
+            touched = {put.slice for put in step.puts} | {t.slice for one in step.wholes for t in one.tables}
             for one in step.wholes:
                 touched |= {slice for slice in self.served if one.first <= slice <= one.last}
             for slice in touched:
--- a/tests/deskroom.py
+++ b/tests/publishing.py
@@ -1,4 +1,4 @@
-"""A desk and relays for tests, and files in memory."""
+"""A publisher and relays for tests, and files in memory."""
 
 import errno
 
@@ -6,8 +6,8 @@
 from indigohitch.fleet.disk.files import Files
 from indigohitch.standins.tabled import Tabled
 from indigohitch.versions.checks import Facts
-from indigohitch.versions.desk import Desk
-from indigohitch.versions.keeping import Memory
+from indigohitch.versions.history import MemoryStore
+from indigohitch.versions.publisher import VersionPublisher
 from indigohitch.versions.session import Session
 from indigohitch.versions.tables import root_of
 from indigohitch.versions.terms import Channel, Guard, Version
@@ -26,15 +26,15 @@
 
 
 class Room:
-    """A desk and its relays, with nothing lost between them."""
+    """A publisher and its relays, with nothing lost between them."""
 
     def __init__(self, relays=3, store=None, facts=FACTS):
         self.said, self.now = [], 0
-        self.store = store or Memory()
-        self.desk = Desk(self.store, facts, Channel(), self.hear)
+        self.store = store or MemoryStore()
+        self.publisher = VersionPublisher(self.store, facts, Channel(), self.hear)
         self.relays = {}
-        if self.desk.current is None:
-            self.desk.ordered(0, [line(slice, "ab"[slice % 2]) for slice in range(SLICES)], "first")
+        if self.publisher.current is None:
+            self.publisher.apply_orders(0, [line(slice, "ab"[slice % 2]) for slice in range(SLICES)], "first")
         for number in range(relays):
             self.join(f"r{number}", Tabled())
         self.go()
@@ -44,26 +44,26 @@
 
     def join(self, name, relay):
         self.relays[name] = relay
-        session = self.desk.relay(name)
+        session = self.publisher.session(name)
         connection = session.connection + 1
-        session.joined(self.now, connection, relay.joins(connection))
+        session.on_connect(self.now, connection, relay.joins(connection))
 
     def go(self, most=300):
         lines = 0
         for _ in range(most):
             self.now += 100
             for name, relay in self.relays.items():
-                session = self.desk.sessions[name]
+                session = self.publisher.sessions[name]
                 for message in session.due(self.now):
                     lines += message.lines()
                     said = relay.takes(message)
                     if said is not None:
-                        (session.nacked if hasattr(said, "gap") else session.acked)(self.now, said)
-                self.desk.count(session)
+                        (session.on_nack if hasattr(said, "gap") else session.on_ack)(self.now, said)
+                self.publisher.count_holder(session)
         return lines
 
     def same(self):
-        assert all(relay.root == self.desk.root for relay in self.relays.values())
+        assert all(relay.root == self.publisher.root for relay in self.relays.values())
 
 
 class Plain(Files):
@@ -124,19 +124,19 @@
         for message in session.due(now):
             said = relay.takes(message)
             if said is not None:
-                (session.nacked if hasattr(said, "gap") else session.acked)(now, said)
-        if session.settled:
+                (session.on_nack if hasattr(said, "gap") else session.on_ack)(now, said)
+        if session.in_sync:
             return now
         due = session.next_due(now)
         now = max(now + 1, due if due is not None else now)
-    raise AssertionError(f"not settled: {session.phase} {session.flight}")
+    raise AssertionError(f"not settled: {session.phase} {session.in_flight}")
 
 
 def settled(tables):
     root = root_of(tables)
     roots = {root.digest: root}
     relay, session = Tabled(root), Session("r", Channel(), roots.get)
-    session.joined(0, 1, relay.joins(1))
-    session.want(version(1, root), Guard())
-    assert session.settled and not session.due(0)
+    session.on_connect(0, 1, relay.joins(1))
+    session.set_target(version(1, root), Guard())
+    assert session.in_sync and not session.due(0)
     return relay, session, roots
--- a/tests/test_versions_cases.py
+++ b/tests/test_versions_cases.py
@@ -2,35 +2,35 @@
 
 from indigohitch.net.clock import SECOND
 from indigohitch.standins.tabled import Tabled
-from indigohitch.versions.session import PAUSE, Phase, Session
+from indigohitch.versions.session import BACKOFF, Phase, Session
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Ack, Channel, Claim, Guard, Nack, applied
 from indigohitch.versions.window import SPREAD
-from tests.deskroom import quiet, settled, version
+from tests.publishing import quiet, settled, version
 
 
 def test_a_missed_version_is_answered_with_a_gap_and_costs_only_its_lines():
     relay, session, _ = settled({1: {"a": 1.0}, 2: {"a": 1.0}})
-    session.want(version(2, session.known.with_line(1, "b", 1.0)), Guard())
+    session.set_target(version(2, session.confirmed.with_line(1, "b", 1.0)), Guard())
     session.due(0)  # lost
-    session.want(version(3, session.wanted.root.with_line(2, "c", 1.0)), Guard())
+    session.set_target(version(3, session.target.root.with_line(2, "c", 1.0)), Guard())
     (second,) = session.due(10)
     nack = relay.takes(second)
     assert nack.gap
-    session.nacked(20, nack)
+    session.on_nack(20, nack)
     (again,) = session.due(30)
     assert again.lines() == 2
-    session.acked(40, relay.takes(again))
-    assert session.settled and relay.root == session.wanted.root
+    session.on_ack(40, relay.takes(again))
+    assert session.in_sync and relay.root == session.target.root
 
 
 def test_an_answer_for_what_was_superseded_moves_what_is_known_not_what_is_wanted():
     relay, session, _ = settled({1: {"a": 1.0}})
-    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (first,) = session.due(0)
-    session.want(version(3, root_of({1: {"c": 1.0}})), Guard())
-    session.acked(10, relay.takes(first))
-    assert session.known == root_of({1: {"b": 1.0}}) and not session.settled
+    session.set_target(version(3, root_of({1: {"c": 1.0}})), Guard())
+    session.on_ack(10, relay.takes(first))
+    assert session.confirmed == root_of({1: {"b": 1.0}}) and not session.in_sync
     quiet(session, relay, 20)
     assert relay.root == root_of({1: {"c": 1.0}})
 
@@ -39,41 +39,41 @@
     tables = {slice: {"a": 1.0} for slice in range(0, 2560, 16)}
     _, session, _ = settled(tables)
     relay = Tabled(root_of(tables | {16: {"strange": 1.0}}))
-    session.lost(1)
-    session.joined(5, 2, relay.joins(2))
-    assert session.phase is Phase.MENDING
+    session.on_disconnect(1)
+    session.on_connect(5, 2, relay.joins(2))
+    assert session.phase is Phase.REPLACING
     (message,) = session.due(10)
     assert message.lines() == 16  # one part of 256 slices
-    session.acked(20, relay.takes(message))
-    assert session.settled and relay.root == session.wanted.root
+    session.on_ack(20, relay.takes(message))
+    assert session.in_sync and relay.root == session.target.root
 
 
 def test_a_relay_that_lies_is_set_whole_once_and_then_left_for_a_while():
     relay, session, _ = settled({1: {"a": 1.0}})
-    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     relay.lies = 2
     sent, now = 0, 0
-    while session.phase is not Phase.ASIDE and now < 1000:
+    while session.phase is not Phase.BACKING_OFF and now < 1000:
         for message in session.due(now):
             sent += 1
-            session.acked(now, relay.takes(message))
+            session.on_ack(now, relay.takes(message))
         now += 1
-    assert sent == 2 and not session.due(now) and session.next_due(now) > now + PAUSE - 10
+    assert sent == 2 and not session.due(now) and session.next_due(now) > now + BACKOFF - 10
     quiet(session, relay, now)
-    assert relay.root == session.wanted.root
+    assert relay.root == session.target.root
 
 
 def test_a_refusal_is_not_repeated_until_another_version_is_wanted():
     relay, session, _ = settled({1: {"a": 1.0}})
     relay.refuses = True
-    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (message,) = session.due(0)
-    session.nacked(5, relay.takes(message))
-    assert session.phase is Phase.ASIDE and not session.due(6)
+    session.on_nack(5, relay.takes(message))
+    assert session.phase is Phase.BACKING_OFF and not session.due(6)
     relay.refuses = False
-    session.want(version(3, root_of({1: {"c": 1.0}})), Guard())
+    session.set_target(version(3, root_of({1: {"c": 1.0}})), Guard())
     quiet(session, relay, 7)
-    assert relay.root == session.wanted.root
+    assert relay.root == session.target.root
 
 
 def test_a_relay_without_digests_is_brought_there_from_all_that_it_may_hold():
@@ -81,8 +81,8 @@
     start = root_of({1: {"a": 1.0}, 2: {"a": 1.0}})
     for taken in range(4):
         session = Session("r", Channel(lines=1), {start.digest: start}.get)
-        session.joined(0, 1, Tabled(start).joins(1))
-        session.want(version(1, root_of({1: {"b": 1.0}, 2: {"a": 1.0, "c": 2.0}})), Guard())
+        session.on_connect(0, 1, Tabled(start).joins(1))
+        session.set_target(version(1, root_of({1: {"b": 1.0}, 2: {"a": 1.0, "c": 2.0}})), Guard())
         held, now = start, 0
         sent = []
         while len(sent) < 3:
@@ -90,45 +90,45 @@
             now += 1
         for message in sent[:taken]:
             held = applied(held, message)
-        session.lost(1)
-        session.joined(now, 2, None)
-        assert held in session.possible
-        session.want(version(2, root_of({1: {"d": 1.0}, 2: {"a": 1.0}})), Guard())
+        session.on_disconnect(1)
+        session.on_connect(now, 2, None)
+        assert held in session.candidates
+        session.set_target(version(2, root_of({1: {"d": 1.0}, 2: {"a": 1.0}})), Guard())
         for step in range(50):
             for message in session.due(now + step * 10):
                 held = applied(held, message)
                 assert held.lines_of(1) and held.lines_of(2)
-        assert held == session.wanted.root
+        assert held == session.target.root
 
 
 def test_answers_of_an_earlier_connection_say_nothing_of_this_one():
     """Sequences begin anew, so a late answer may name one that is in flight here."""
     relay, session, roots = settled({1: {"a": 1.0}})
-    old_ack = Ack(1, 1, session.wanted.mark, root_of({1: {"b": 1.0}}).digest)
+    old_ack = Ack(1, 1, session.target.mark, root_of({1: {"b": 1.0}}).digest)
     old_nack = Nack(1, 1, 0, True, Claim(Root().digest))
-    session.joined(5, 2, relay.joins(2))
-    session.want(version(2, root_of({1: {"b": 1.0}})), Guard())
+    session.on_connect(5, 2, relay.joins(2))
+    session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (message,) = session.due(10)
-    for late, tell in ((old_ack, session.acked), (old_nack, session.nacked)):
+    for late, tell in ((old_ack, session.on_ack), (old_nack, session.on_nack)):
         tell(20, late)
-        assert list(session.flight) == [message] and session.known == root_of({1: {"a": 1.0}})
-    session.joined(30, 1, Claim(Root().digest))
-    assert session.connection == 2 and session.known == root_of({1: {"a": 1.0}})
-    session.acked(40, relay.takes(message))
-    assert session.settled
+        assert list(session.in_flight) == [message] and session.confirmed == root_of({1: {"a": 1.0}})
+    session.on_connect(30, 1, Claim(Root().digest))
+    assert session.connection == 2 and session.confirmed == root_of({1: {"a": 1.0}})
+    session.on_ack(40, relay.takes(message))
+    assert session.in_sync
 
 
 def sent_until_shut(session, relay, now):
     """One line a version, until the window takes no more; returns messages."""
     count = 0
     while count < 100:
-        session.want(version(count + 2, session.known.with_line(1, "a", count + 2.0)), Guard())
+        session.set_target(version(count + 2, session.confirmed.with_line(1, "a", count + 2.0)), Guard())
         messages = session.due(now)
         if not messages:
             break
         count += len(messages)
         for message in messages:
-            session.acked(now, relay.takes(message))
+            session.on_ack(now, relay.takes(message))
         now += 10
     return count
 
@@ -136,19 +136,19 @@
 def test_a_drain_goes_out_though_the_window_is_shut_for_all_else():
     relay, session, _ = settled({1: {"a": 1.0}, 2: {"d": 1.0}})
     assert sent_until_shut(session, relay, 100) == 30
-    session.want(version(99, session.known.changed({2: {"a": 1.0}})), Guard(frozenset({"d"})))
+    session.set_target(version(99, session.confirmed.changed({2: {"a": 1.0}})), Guard(frozenset({"d"})))
     (message,) = session.due(5000)
-    session.acked(5001, relay.takes(message))
-    assert session.settled and "d" not in relay.root.lines_of(2)
+    session.on_ack(5001, relay.takes(message))
+    assert session.in_sync and "d" not in relay.root.lines_of(2)
 
 
 def test_a_program_that_was_restarted_does_not_fill_the_window_twice():
     relay, session, roots = settled({1: {"a": 1.0}})
     again = Session("r", Channel(), roots.get)
     claim = relay.joins(2)
-    again.joined(50, 2, Claim(claim.digest, claim.parts, 25))
-    again.want(session.wanted, Guard())
-    assert again.settled and sent_until_shut(again, relay, 100) == 5
+    again.on_connect(50, 2, Claim(claim.digest, claim.parts, 25))
+    again.set_target(session.target, Guard())
+    assert again.in_sync and sent_until_shut(again, relay, 100) == 5
     assert again.next_due(1000) == 50 + Channel.WINDOW + SPREAD
 
 
@@ -156,21 +156,21 @@
     relay, session, _ = settled({1: {"a": 1.0}})
     for number, backend in enumerate("bcd", 2):
         relay.lies = 1
-        session.want(version(number, root_of({1: {backend: 1.0}})), Guard())
+        session.set_target(version(number, root_of({1: {backend: 1.0}})), Guard())
         quiet(session, relay, number * SECOND)
-        assert session.lies == 0
+        assert session.mismatches == 0
 
 
 def test_a_program_killed_within_a_delta_knows_what_its_relay_holds():
     relay, session, roots = settled({slice: {"a": 1.0} for slice in range(300)})
-    relay.base = session.known.digest
-    session.want(version(2, root_of({slice: {"a": 1.0, "b": 1.0} for slice in range(300)})), Guard())
+    relay.base = session.confirmed.digest
+    session.set_target(version(2, root_of({slice: {"a": 1.0, "b": 1.0} for slice in range(300)})), Guard())
     relay.takes(session.due(0)[0])  # 200 lines, the first of two messages
     again = Session("r", Channel(), roots.get)
-    again.joined(50, 2, relay.joins(2))
-    again.want(session.wanted, Guard())
-    assert again.known == relay.root and sum(message.lines() for message in again.due(60)) == 100
+    again.on_connect(50, 2, relay.joins(2))
+    again.set_target(session.target, Guard())
+    assert again.confirmed == relay.root and sum(message.lines() for message in again.due(60)) == 100
     told = relay.joins(3)
     fresh = Session("r", Channel(), roots.get)
-    fresh.joined(70, 3, Claim(told.digest, told.parts, 0, told.base, told.since[1:]))
-    assert fresh.phase is Phase.MENDING  # lines that do not give the digest are not believed
+    fresh.on_connect(70, 3, Claim(told.digest, told.parts, 0, told.base, told.since[1:]))
+    assert fresh.phase is Phase.REPLACING  # lines that do not give the digest are not believed
--- a/tests/test_versions_commands.py
+++ b/tests/test_versions_commands.py
@@ -5,25 +5,25 @@
 from indigohitch.errors import Unfit
 from indigohitch.versions.checks import Facts
 from indigohitch.versions.commands import answer
-from tests.deskroom import FACTS, READY, Room, moved
+from tests.publishing import FACTS, READY, Room, moved
 
 
 def test_a_rollback_is_tried_dry_then_done_and_unpinned():
     room = Room()
-    desk = room.desk
-    room.desk.ordered(1, moved(0, "a", "c") + moved(1, "b", "d"), "module moves")
+    publisher = room.publisher
+    room.publisher.apply_orders(1, moved(0, "a", "c") + moved(1, "b", "d"), "module moves")
     room.go()
-    assert answer(desk, 2, ["diff", "1", "2"], "op") == ["slice 0: a=1 -> c=1", "slice 1: b=1 -> d=1"]
-    dry = answer(desk, 2, ["rollback", "1", "--dry-run"], "op")
+    assert answer(publisher, 2, ["diff", "1", "2"], "op") == ["slice 0: a=1 -> c=1", "slice 1: b=1 -> d=1"]
+    dry = answer(publisher, 2, ["rollback", "1", "--dry-run"], "op")
     assert dry[:2] == ["dry run, nothing is sent", "delta: 4 lines, 1 messages and 0.0 s a relay"]
-    assert room.go() == 0 and desk.pin is None
-    assert answer(desk, 3, ["rollback", "1"], "op")[0].endswith("goes out, pinned")
+    assert room.go() == 0 and publisher.pin is None
+    assert answer(publisher, 3, ["rollback", "1"], "op")[0].endswith("goes out, pinned")
     assert room.go() == 3 * 4
-    assert answer(desk, 4, ["list"], "op")[:2] == [
-        f"pinned at {desk.keeping.get(1).mark.text()} by op",
+    assert answer(publisher, 4, ["list"], "op")[:2] == [
+        f"pinned at {publisher.history.get(1).mark.text()} by op",
         "3 relays, 0 on the way",
     ]
-    assert "goes out" in answer(desk, 5, ["unpin"], "op")[0]
+    assert "goes out" in answer(publisher, 5, ["unpin"], "op")[0]
     assert room.go() == 3 * 4
     room.same()
 
@@ -31,19 +31,19 @@
 def test_what_a_rule_stops_changes_nothing_and_is_told():
     room = Room()
     for slice in range(0, 100, 2):
-        room.desk.ordered(1, moved(slice, "a", "c"), "away")
+        room.publisher.apply_orders(1, moved(slice, "a", "c"), "away")
     room.go()
-    said = answer(room.desk, 2, ["rollback", "1"], "op")
+    said = answer(room.publisher, 2, ["rollback", "1"], "op")
     assert said[0] == "nothing was changed" and said[1].startswith("stopped by blast")
-    assert room.desk.pin is None
-    assert answer(room.desk, 2, ["rollback", "1", "--anyway"], "op")[0].endswith("pinned")
+    assert room.publisher.pin is None
+    assert answer(room.publisher, 2, ["rollback", "1", "--anyway"], "op")[0].endswith("pinned")
 
 
 def test_an_amendment_is_told_line_by_line():
     room = Room()
-    room.desk.ordered(1, moved(0, "a", "c"), "away")
-    room.desk.heard(2, Facts(READY | {"a": "draining"}, FACTS.slices, blast=1.0), "drain")
-    said = answer(room.desk, 3, ["rollback", "1", "--dry-run"], "op")
+    room.publisher.apply_orders(1, moved(0, "a", "c"), "away")
+    room.publisher.update_facts(2, Facts(READY | {"a": "draining"}, FACTS.slices, blast=1.0), "drain")
+    said = answer(room.publisher, 3, ["rollback", "1", "--dry-run"], "op")
     assert "amended: slice 0: a is draining, in its place c" in said
 
 
@@ -62,5 +62,5 @@
 )
 def test_what_can_not_be_is_refused_with_a_remedy(words):
     with pytest.raises(Unfit) as bad:
-        answer(Room().desk, 1, words, "op")
+        answer(Room().publisher, 1, words, "op")
     assert bad.value.remedy
--- a/tests/test_versions_model.py
+++ b/tests/test_versions_model.py
@@ -6,7 +6,7 @@
 
 from indigohitch.standins.tabled import Tabled
 from indigohitch.versions import delta
-from indigohitch.versions.session import PAUSE, Session
+from indigohitch.versions.session import BACKOFF, Session
 from indigohitch.versions.tables import root_of
 from indigohitch.versions.terms import Channel, Guard, Version
 from indigohitch.versions.window import Window
@@ -28,7 +28,7 @@
         self.relay, self.session = Tabled(ROOTS[0]), Session("r", NO_WINDOW, BY_DIGEST.get, plan)
         self.down, self.up = [], []  # messages, answers
         self.breaks, self.losses = BREAKS, LOSSES
-        self.session.joined(0, 1, self.relay.joins(1))
+        self.session.on_connect(0, 1, self.relay.joins(1))
 
     def key(self):
         s, r = self.session, self.relay
@@ -43,12 +43,12 @@
                 self.up,
                 s.phase,
                 s.connection,
-                s.known and s.known.digest,
-                [p.digest for p in s.possible],
-                s.flight,
-                s.puts,
-                s.wholes,
-                s.wanted and s.wanted.number,
+                s.confirmed and s.confirmed.digest,
+                [p.digest for p in s.candidates],
+                s.in_flight,
+                s.queue.puts,
+                s.queue.wholes,
+                s.target and s.target.number,
                 s.sequence,
                 s.after,
                 self.breaks,
@@ -60,7 +60,7 @@
 def moves(side):
     """Each a function that changes the side; time stands still, so silence is a move of its own."""
     found = []
-    if side.session.wanted is not None and (out := probe(side)):
+    if side.session.target is not None and (out := probe(side)):
         found.append(lambda s: s.down.extend(s.session.due(0)))
         del out
     if side.down:
@@ -73,7 +73,7 @@
             found.append(lose_up)
     if side.breaks:
         found += [reconnect, restart_with_old, restart_with_strange]
-    if side.session.flight and not side.down and not side.up:
+    if side.session.in_flight and not side.down and not side.up:
         found.append(silence)
     return found
 
@@ -99,7 +99,7 @@
 
 def answer(side):
     said = side.up.pop(0)
-    (side.session.nacked if hasattr(said, "gap") else side.session.acked)(0, said)
+    (side.session.on_nack if hasattr(said, "gap") else side.session.on_ack)(0, said)
 
 
 def reconnect(side):
@@ -108,8 +108,8 @@
     side.down.clear()
     side.up.clear()
     connection = side.session.connection + 1
-    side.session.lost(side.session.connection)
-    side.session.joined(0, connection, side.relay.joins(connection))
+    side.session.on_disconnect(side.session.connection)
+    side.session.on_connect(0, connection, side.relay.joins(connection))
 
 
 def restart_with_old(side):
@@ -123,7 +123,7 @@
 
 
 def silence(side):
-    side.session.heard_at = -PAUSE
+    side.session.last_answer_at = -BACKOFF
     side.down.extend(side.session.due(0))
 
 
@@ -131,8 +131,11 @@
     twin = copy.copy(side)
     twin.relay, twin.session = copy.copy(side.relay), copy.copy(side.session)
     twin.down, twin.up = list(side.down), list(side.up)
-    for name in ("flight", "puts", "wholes", "possible"):
+    twin.session.queue = copy.copy(side.session.queue)
+    for name in ("in_flight", "candidates"):
         setattr(twin.session, name, copy.copy(getattr(side.session, name)))
+    for name in ("puts", "wholes"):
+        setattr(twin.session.queue, name, copy.copy(getattr(side.session.queue, name)))
     twin.session.window = Window(NO_WINDOW)
     return twin
 
@@ -167,10 +170,10 @@
             todo.append((twin, version))
         if version < len(VERSIONS):
             twin = copy_of(side)
-            twin.session.want(VERSIONS[version], GUARD)
+            twin.session.set_target(VERSIONS[version], GUARD)
             todo.append((twin, version + 1))
         elif len(options) == 3 * bool(side.breaks):  # nothing left but to break it
-            assert side.relay.root == VERSIONS[-1].root and side.session.settled, "not brought to it"
+            assert side.relay.root == VERSIONS[-1].root and side.session.in_sync, "not brought to it"
     return len(seen), sum(count * count for count in at)
 
 
@@ -190,9 +193,9 @@
 
 def takes_last_for_known(session):
     """A guess instead of a set: what was sent last is what it holds."""
-    session.may_hold = lambda: session.ahead()
+    session.possible_contents = lambda: session.expected_contents()
     find = session.find
-    session.find = lambda digest: find(digest) or (session.ahead() or [ROOTS[0]])[-1]
+    session.find = lambda digest: find(digest) or (session.expected_contents() or [ROOTS[0]])[-1]
 
 
 @pytest.mark.parametrize("plan", [removals_first, as_if_none_was_cold])
--- a/tests/test_versions_desk.py
+++ b/tests/test_versions_publisher.py
@@ -7,12 +7,12 @@
 from indigohitch.errors import Unfit
 from indigohitch.versions import checks
 from indigohitch.versions.checks import Facts
-from indigohitch.versions.desk import Desk
-from indigohitch.versions.keeping import Keeping
+from indigohitch.versions.history import VersionHistory
+from indigohitch.versions.publisher import VersionPublisher
 from indigohitch.versions.store import Store
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Channel, Version
-from tests.deskroom import FACTS, READY, SLICES, Plain, Room, line, moved
+from tests.publishing import FACTS, READY, SLICES, Plain, Room, line, moved
 
 
 @pytest.mark.parametrize(
@@ -40,7 +40,7 @@
 @pytest.mark.parametrize("weight", [float("nan"), float("inf"), -1.0, "2", None])
 def test_a_weight_that_is_none_is_stopped_with_its_line(weight):
     room = Room()
-    assert room.desk.ordered(1, [line(5, "c", weight)], "bad") is None
+    assert room.publisher.apply_orders(1, [line(5, "c", weight)], "bad") is None
     assert room.said[-1][1]["faults"][0].startswith("weights: slice 5 c")
     room.go()
     room.same()
@@ -48,103 +48,113 @@
 
 def test_what_was_stopped_never_leaves_and_goes_once_it_is_cured():
     room = Room()
-    before = room.desk.root
-    assert room.desk.ordered(1, [line(4, "x"), line(4, "a", 0)], "names one not listed") is None
+    before = room.publisher.root
+    assert room.publisher.apply_orders(1, [line(4, "x"), line(4, "a", 0)], "names one not listed") is None
     assert room.said[-1][0] == "version_stopped" and "slice 4 x" in room.said[-1][1]["faults"][0]
-    assert room.go() == 0 and room.desk.root == before
-    assert room.desk.ordered(2, [line(4, "c"), line(4, "x", 0)], "cured").root.lines_of(4) == {"c": 1.0}
+    assert room.go() == 0 and room.publisher.root == before
+    assert room.publisher.apply_orders(2, [line(4, "c"), line(4, "x", 0)], "cured").root.lines_of(4) == {
+        "c": 1.0
+    }
     assert room.go() == 3 * 2
     room.same()
 
 
 def test_a_rollback_sends_one_delta_and_pins_and_unpinning_sends_the_sum():
     room = Room()
-    first = room.desk.current
+    first = room.publisher.current
     for slice in range(10):
-        room.desk.ordered(1, moved(slice, "ab"[slice % 2], "c"), f"order {slice}")
+        room.publisher.apply_orders(1, moved(slice, "ab"[slice % 2], "c"), f"order {slice}")
     room.go()
-    found, prices = room.desk.way_back(first.number)
-    assert not found.said and prices[0].lines == 20 and prices[0].way == "delta" and room.go() == 0
-    room.desk.rollback(2, first.number, "op")
-    assert room.go() == 3 * 20 and room.desk.root == first.root
+    plan = room.publisher.plan_rollback(first.number)
+    assert (
+        not plan.amended.said
+        and plan.prices[0].lines == 20
+        and plan.prices[0].way == "delta"
+        and room.go() == 0
+    )
+    room.publisher.rollback(2, first.number, "op")
+    assert room.go() == 3 * 20 and room.publisher.root == first.root
     for back in (moved(0, "c", "a"), moved(0, "a", "d"), moved(0, "d", "c")):  # held, there and back
-        assert room.desk.ordered(3, back, "module") is None
+        assert room.publisher.apply_orders(3, back, "module") is None
     assert room.go() == 0
-    assert room.desk.unpinned(4, "op").root.lines_of(0) == {"c": 1.0}
+    assert room.publisher.unpin(4, "op").root.lines_of(0) == {"c": 1.0}
     assert room.go() == 3 * 20
     room.same()
 
 
 def test_a_rollback_during_a_drain_is_amended_and_says_how():
     room = Room()
-    first = room.desk.current
+    first = room.publisher.current
     for slice in range(0, 20, 2):
-        room.desk.ordered(1, moved(slice, "a", "c"), "away from a")
+        room.publisher.apply_orders(1, moved(slice, "a", "c"), "away from a")
     room.go()
-    room.desk.heard(2, Facts(READY | {"a": "draining"}, FACTS.slices, cold={"b": 50.0}), "drain")
-    found, made = room.desk.rollback(3, first.number, "op")
-    assert made is not None and any("a is draining" in said for said in found.said)
+    room.publisher.update_facts(2, Facts(READY | {"a": "draining"}, FACTS.slices, cold={"b": 50.0}), "drain")
+    back = room.publisher.rollback(3, first.number, "op")
+    assert back.version is not None and any("a is draining" in said for said in back.amended.said)
     room.go()
     room.same()
-    assert all("a" not in table.lines for _, table in room.desk.root.items())
-    assert not checks.owner(Root(), room.desk.root, room.desk.facts) or room.desk.root.slices == SLICES
+    assert all("a" not in table.lines for _, table in room.publisher.root.items())
+    assert (
+        not checks.owner(Root(), room.publisher.root, room.publisher.facts)
+        or room.publisher.root.slices == SLICES
+    )
 
 
 def test_a_rollback_to_a_version_with_a_cold_backend_stays_within_its_cap():
     room = Room()
     for slice in range(10):
-        room.desk.ordered(1, moved(slice, "ab"[slice % 2], "c"), "to c")
-    with_c = room.desk.current
+        room.publisher.apply_orders(1, moved(slice, "ab"[slice % 2], "c"), "to c")
+    with_c = room.publisher.current
     for slice in range(10):
-        room.desk.ordered(2, moved(slice, "c", "d"), "to d")
-    room.desk.heard(3, Facts(READY, FACTS.slices, cold={"c": 3.0}), "c was restarted")
-    found, made = room.desk.rollback(4, with_c.number, "op")
-    assert sum(table.lines.get("c", 0) for _, table in made.root.items()) == 3.0
-    assert sum("c is cold" in said for said in found.said) == 7 and made.root.slices == SLICES
+        room.publisher.apply_orders(2, moved(slice, "c", "d"), "to d")
+    room.publisher.update_facts(3, Facts(READY, FACTS.slices, cold={"c": 3.0}), "c was restarted")
+    back = room.publisher.rollback(4, with_c.number, "op")
+    assert sum(table.lines.get("c", 0) for _, table in back.version.root.items()) == 3.0
+    assert sum("c is cold" in said for said in back.amended.said) == 7 and back.version.root.slices == SLICES
 
 
 def test_two_rollbacks_overlap_and_the_last_one_stands():
     room = Room()
-    first = room.desk.current
-    second = room.desk.ordered(1, moved(0, "a", "c"), "2")
-    room.desk.ordered(1, moved(1, "b", "d"), "3")
+    first = room.publisher.current
+    second = room.publisher.apply_orders(1, moved(0, "a", "c"), "2")
+    room.publisher.apply_orders(1, moved(1, "b", "d"), "3")
     room.go()
-    room.desk.rollback(2, first.number, "one")
-    for name, session in room.desk.sessions.items():
+    room.publisher.rollback(2, first.number, "one")
+    for name, session in room.publisher.sessions.items():
         for message in session.due(room.now + 5):
             room.relays[name].takes(message)  # the answers are lost
-    room.desk.rollback(3, second.number, "other")
+    room.publisher.rollback(3, second.number, "other")
     for name, relay in room.relays.items():
         room.join(name, relay)
     room.go()
     room.same()
-    assert room.desk.root == second.root and room.desk.pin.by == "other"
+    assert room.publisher.root == second.root and room.publisher.pin.by == "other"
 
 
 def test_a_rollback_while_most_streams_are_broken_reaches_all():
     room, chance = Room(relays=20), random.Random(1)
-    first = room.desk.current
-    room.desk.ordered(1, moved(0, "a", "c"), "2")
+    first = room.publisher.current
+    room.publisher.apply_orders(1, moved(0, "a", "c"), "2")
     for number in chance.sample(range(20), 16):
-        session = room.desk.sessions[f"r{number}"]
+        session = room.publisher.sessions[f"r{number}"]
         session.due(room.now + 1)
-        session.lost(session.connection)
-    room.desk.rollback(2, first.number, "op")
+        session.on_disconnect(session.connection)
+    room.publisher.rollback(2, first.number, "op")
     room.go()
     assert sum(relay.root == first.root for relay in room.relays.values()) == 20  # 16 never got version 2
-    assert sum(session.settled for session in room.desk.sessions.values()) == 4
+    assert sum(session.in_sync for session in room.publisher.sessions.values()) == 4
     for name, relay in room.relays.items():
         room.join(name, relay)
     assert room.go() == 0
-    assert all(session.settled for session in room.desk.sessions.values())
+    assert all(session.in_sync for session in room.publisher.sessions.values())
 
 
 def test_a_pin_stands_through_an_owners_death():
     room = Room()
-    room.desk.pinned(1, "op")
-    assert room.desk.ordered(2, moved(0, "a", "c") + moved(2, "a", "d"), "held") is None
-    made = room.desk.heard(3, Facts(READY | {"a": "gone"}, FACTS.slices), "a died")
-    assert made is not None and room.desk.pin is not None
+    room.publisher.pin_current(1, "op")
+    assert room.publisher.apply_orders(2, moved(0, "a", "c") + moved(2, "a", "d"), "held") is None
+    made = room.publisher.update_facts(3, Facts(READY | {"a": "gone"}, FACTS.slices), "a died")
+    assert made is not None and room.publisher.pin is not None
     assert all("a" not in table.lines for _, table in made.root.items()) and made.root.slices == SLICES
     assert made.root.lines_of(0) == {"c": 1.0}  # the module's line for it comes before a spare one
     assert made.root.lines_of(1) == {"b": 1.0}  # and nothing else moved
@@ -159,16 +169,16 @@
     store = Store(files, "f")
     store.open()
     room = Room(store=store)
-    room.desk.ordered(1, moved(0, "a", "c"), "written")
+    room.publisher.apply_orders(1, moved(0, "a", "c"), "written")
     if sent:
-        for name, session in room.desk.sessions.items():
+        for name, session in room.publisher.sessions.items():
             for message in session.due(room.now + 1):
                 room.relays[name].takes(message)
     files.open.clear()
     again = Store(files, "f")
     again.open()
     after = Room(relays=0, store=again)
-    assert after.desk.current.number == 2
+    assert after.publisher.current.number == 2
     for name, relay in room.relays.items():
         after.join(name, relay)
     assert after.go() == (0 if sent else 3 * 2)
@@ -182,40 +192,40 @@
     room = Room(store=store)
     files.room = 10
     with pytest.raises(OSError):
-        room.desk.ordered(1, moved(0, "a", "c"), "no room")
+        room.publisher.apply_orders(1, moved(0, "a", "c"), "no room")
     assert room.go() == 0
     files.room = 1 << 30
-    made = room.desk.ordered(2, moved(2, "a", "c"), "room")
+    made = room.publisher.apply_orders(2, moved(2, "a", "c"), "room")
     assert made.number == 2 and made.root.lines_of(0) == {"c": 1.0}  # what was asked for goes with it
-    room.desk.rollback(3, 1, "op")
+    room.publisher.rollback(3, 1, "op")
     again = Store(files, "f")
     again.open()
-    desk = Desk(again, FACTS, Channel())
-    assert desk.pin.by == "op" and desk.root == room.desk.root
+    publisher = VersionPublisher(again, FACTS, Channel())
+    assert publisher.pin.by == "op" and publisher.root == room.publisher.root
 
 
 def test_keeping_forgets_the_old_ones_but_not_what_a_relay_holds():
-    keeping = Keeping(last=3)
+    history = VersionHistory(last=3)
     roots = [root_of({1: {f"n{number}": 1.0}}) for number in range(20)]
-    keeping.holds((), [roots[2].digest])
+    history.count_holder((), [roots[2].digest])
     for number, root in enumerate(roots, 1):
-        keeping.add(Version(number, root, None, "x", 0))
+        history.add(Version(number, root, None, "x", 0))
         if number == 5:
-            keeping.name("good", 5)
-    assert list(keeping.order) == [3, 5, 18, 19, 20] and keeping.find(roots[2].digest) == roots[2]
-    keeping.holds([roots[2].digest], [])
-    keeping.unname("good")
-    assert list(keeping.order) == [18, 19, 20]
+            history.name("good", 5)
+    assert list(history.by_number) == [3, 5, 18, 19, 20] and history.find(roots[2].digest) == roots[2]
+    history.count_holder([roots[2].digest], [])
+    history.unname("good")
+    assert list(history.by_number) == [18, 19, 20]
     with pytest.raises(Unfit):
-        keeping.get(5)
-    assert keeping.get(keeping.get(19).mark.text()).number == 19
+        history.get(5)
+    assert history.get(history.get(19).mark.text()).number == 19
 
 
 def test_a_content_that_stands_twice_is_found_in_the_version_that_is_kept():
-    keeping, root, other = Keeping(last=1), root_of({1: {"a": 1.0}}), root_of({1: {"b": 1.0}})
-    keeping.add(Version(1, root, None, "x", 0))
-    keeping.name("good", 1)
-    keeping.add(Version(2, root, None, "x", 0))
-    keeping.add(Version(3, other, None, "x", 0))  # the second goes, the first has a name
-    assert list(keeping.order) == [1, 3] and keeping.find(root.digest) is root
-    assert keeping.unname("good")[0].number == 1 and keeping.find(root.digest) is None
+    history, root, other = VersionHistory(last=1), root_of({1: {"a": 1.0}}), root_of({1: {"b": 1.0}})
+    history.add(Version(1, root, None, "x", 0))
+    history.name("good", 1)
+    history.add(Version(2, root, None, "x", 0))
+    history.add(Version(3, other, None, "x", 0))  # the second goes, the first has a name
+    assert list(history.by_number) == [1, 3] and history.find(root.digest) is root
+    assert history.unname("good")[0].number == 1 and history.find(root.digest) is None
--- a/tests/test_versions_sessions.py
+++ b/tests/test_versions_sessions.py
@@ -6,10 +6,10 @@
 
 from indigohitch.net.clock import SECOND
 from indigohitch.standins.tabled import Tabled
-from indigohitch.versions.session import PAUSE, Phase, Session
+from indigohitch.versions.session import BACKOFF, Phase, Session
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Channel, Guard
-from tests.deskroom import quiet, version
+from tests.publishing import quiet, version
 
 NAMES = ("a", "b", "c", "w")
 LINES = st.dictionaries(st.sampled_from(NAMES), st.sampled_from((1.0, 2.0)), min_size=1)
@@ -31,14 +31,14 @@
 
     def join(self):
         self.connection += 1
-        self.session.joined(self.now, self.connection, self.relay.joins(self.connection))
+        self.session.on_connect(self.now, self.connection, self.relay.joins(self.connection))
 
     @rule(tables=TABLES)
     def want(self, tables):
         self.numbers += 1
         root = root_of(tables)
         self.roots[root.digest] = root
-        self.session.want(version(self.numbers, root), Guard())
+        self.session.set_target(version(self.numbers, root), Guard())
 
     @rule(wait=st.sampled_from((0, 300, SECOND, 3 * SECOND)))
     def send(self, wait):
@@ -59,7 +59,7 @@
         if self.up:
             said = self.up.pop(0)
             if not lost:
-                (self.session.nacked if hasattr(said, "gap") else self.session.acked)(self.now, said)
+                (self.session.on_nack if hasattr(said, "gap") else self.session.on_ack)(self.now, said)
 
     @rule(again=st.integers(0, 3))
     def said_twice(self, again):
@@ -73,10 +73,10 @@
         self.down.clear()
         late, self.up = self.up, []
         if heard:
-            self.session.lost(self.connection)
+            self.session.on_disconnect(self.connection)
         self.join()
         for said in late:  # of the connection before: they must say nothing
-            (self.session.nacked if hasattr(said, "gap") else self.session.acked)(self.now, said)
+            (self.session.on_nack if hasattr(said, "gap") else self.session.on_ack)(self.now, said)
 
     @rule(tables=TABLES, empty=st.booleans())
     def restarted(self, tables, empty):
@@ -93,11 +93,11 @@
     def truth(self):
         session, held = self.session, self.relay.root
         if (
-            session.phase is Phase.MOVING
+            session.phase is Phase.UPDATING
             and session.connection == self.relay.connection
             and not self.relay.lies
         ):
-            assert held in session.may_hold()  # in a set, and the true one is in it
+            assert held in session.possible_contents()  # in a set, and the true one is in it
         bare = {slice for slice in self.served if not held.lines_of(slice)}
         assert not bare, f"bare: {bare}"
         self.served |= {slice for slice, _ in held.items()}
@@ -105,11 +105,11 @@
             assert sum(at <= other < at + Channel.WINDOW for other in self.times) <= CHANNEL.messages
 
     def teardown(self):
-        if self.session.wanted is not None:
+        if self.session.target is not None:
             self.relay.lies = 0
             self.broken(True)
-            quiet(self.session, self.relay, self.now + PAUSE)
-            assert self.relay.root == self.session.wanted.root
+            quiet(self.session, self.relay, self.now + BACKOFF)
+            assert self.relay.root == self.session.target.root
 
 
 TestSessions = Sessions.TestCase
--- a/tests/test_versions_store.py
+++ b/tests/test_versions_store.py
@@ -10,10 +10,11 @@
 
 from indigohitch.errors import Unfit
 from indigohitch.fleet.disk.files import Files
-from indigohitch.versions.store import Harmed, Store, read
+from indigohitch.versions.store import Store
+from indigohitch.versions.store_records import Harmed, read
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Version
-from tests.deskroom import Plain
+from tests.publishing import Plain
 
 
 def opened(files, last=8, size=1 << 20):
@@ -38,17 +39,17 @@
     files.held[path] = files.held[path][:at]
     store = opened(files, last=100)
     whole = [root for end, root in ends if end <= at]
-    assert [version.root for version in store.keeping.order.values()] == whole  # all, and no other
+    assert [version.root for version in store.history.by_number.values()] == whole  # all, and no other
     assert len(files.held[store.path]) <= at
     store.add(Version(1000, Root().with_line(7, "x", 1.0), None, "after", 0))  # it goes on
     again = opened(files, last=100)
-    assert [v.root for v in again.keeping.order.values()] == [*whole, Root().with_line(7, "x", 1.0)]
+    assert [v.root for v in again.history.by_number.values()] == [*whole, Root().with_line(7, "x", 1.0)]
 
 
 def test_killed_at_every_boundary_and_at_200_offsets():
     files, path, ends = written(20)
     data, chance = bytes(files.held[path]), random.Random(5)
-    assert len(read(data, path)[0]) == 21
+    assert len(read(data, path).rows) == 21
     start = data.find(b"IHvt", 1)  # after the first record, which is written whole
     for at in [start, *(end for end, _ in ends), *(chance.randrange(start, len(data)) for _ in range(200))]:
         files.held = {path: bytearray(data)}
@@ -67,7 +68,7 @@
         except Harmed:
             harmed += 1
             continue
-        roots = [version.root for version in store.keeping.order.values()]
+        roots = [version.root for version in store.history.by_number.values()]
         assert roots == [root for _, root in ends][: len(roots)] and at >= ends[-2][0]
     assert harmed > 100
 
@@ -78,13 +79,13 @@
     files.room = 20
     with pytest.raises(OSError):
         store.add(Version(4, root_of({1: {"z": 1.0}}), None, "x", 0))
-    assert store.keeping.newest.number == 3
+    assert store.history.newest.number == 3
     with pytest.raises(OSError):
         store.add(Version(4, root_of({1: {"z": 1.0}}), None, "x", 0))
     files.room = 1 << 30
     store.add(Version(4, root_of({1: {"y": 1.0}}), None, "x", 0))
-    assert opened(files).keeping.newest.root == root_of({1: {"y": 1.0}})
-    assert opened(files).keeping.get(3).root == ends[2][1]
+    assert opened(files).history.newest.root == root_of({1: {"y": 1.0}})
+    assert opened(files).history.get(3).root == ends[2][1]
 
 
 def test_on_a_real_disk(tmp_path):
@@ -97,7 +98,7 @@
         file.write(b"IHvt torn")
     again = Store(Files(), str(tmp_path))
     again.open()
-    assert again.keeping.get("good").root == root_of({1: {"a": 1.0}})
+    assert again.history.get("good").root == root_of({1: {"a": 1.0}})
     assert os.path.getsize(again.path) == again.good
     again.close()
 
@@ -109,7 +110,7 @@
         super().__init__()
         self.files = Plain()
         self.store = opened(self.files, last=4, size=600)
-        self.store.keeping.patient = False
+        self.store.history.retains_all = False
         self.made, self.names, self.pin = {}, {}, None
 
     @rule(slice=st.integers(0, 600), backend=st.sampled_from("abc"), weight=st.sampled_from((0, 1.0, 2.0)))
@@ -125,7 +126,7 @@
         try:
             self.store.name(name, max(0, number))
         except Unfit:
-            assert number not in self.store.keeping.order
+            assert number not in self.store.history.by_number
             return
         self.names.pop(name, None)
         if number > 0:
@@ -146,7 +147,7 @@
             self.store.add(Version(number, root, None, "x", 0))
             self.made[number] = root
         except OSError:
-            assert number not in self.store.keeping.order
+            assert number not in self.store.history.by_number
         self.files.room = 1 << 40
 
     @rule(torn=st.binary(max_size=30))
@@ -155,14 +156,14 @@
             self.files.held[self.store.path] += torn
         self.files.open.clear()
         self.store = opened(self.files, last=4, size=600)
-        self.store.keeping.patient = False
+        self.store.history.retains_all = False
 
     @invariant()
     def same(self):
-        kept, store = self.store.keeping, self.store
-        assert all(version.root == self.made[number] for number, version in kept.order.items())
+        kept, store = self.store.history, self.store
+        assert all(version.root == self.made[number] for number, version in kept.by_number.items())
         must = set(sorted(self.made)[-4:]) | set(self.names.values()) | ({self.pin} if self.pin else set())
-        assert must <= set(kept.order)
+        assert must <= set(kept.by_number)
         assert kept.names == self.names
         assert (store.pinned.number if store.pinned else None) == self.pin
 
