Seats in the field's terms: allocator, pool, assignment; typed settings and reports

Cause: desk, hold, told, Bound and Ticket needed explaining; settings were a map, a report's rows and counts bare tuples and maps. Change: desk -> allocator.SeatAllocator (allocate, release, expire), hold -> pool.SeatPool with Assignment, Waiting and Demand, told -> configured.contract_of/work_of, Ticket -> Allocation; SeatSettings, Counts, Expiry, Wanting are types. Entries, the stamp's kind seats.given, headers and status keys stay; Wanting is an array on the wire as before.

--- a/benchmarks/seats.py
+++ b/benchmarks/seats.py
@@ -16,14 +16,14 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "proofs"), str(ROOT / "benchmarks")]
 
-from seats_model import BOOT, SEATS, Model  # noqa: E402
+from seats_model import SEATS, SETTINGS, Model  # noqa: E402
 
 from indigohitch.fleet.audit.acts import ChainedActs  # noqa: E402
 from indigohitch.fleet.audit.files import Store  # noqa: E402
 from indigohitch.fleet.members.roster import Roster  # noqa: E402
 from indigohitch.fleet.ports import At  # noqa: E402
+from indigohitch.fleet.seats.allocator import SeatAllocator  # noqa: E402
 from indigohitch.fleet.seats.contract import Contract, Grant, Terms  # noqa: E402
-from indigohitch.fleet.seats.desk import Desk  # noqa: E402
 from indigohitch.fleet.seats.part import Seats  # noqa: E402
 from indigohitch.fleet.state_machine import ReplicatedStateMachine  # noqa: E402
 from indigohitch.fleet.terms import Lease, Stamp  # noqa: E402
@@ -41,43 +41,43 @@
         return Stamp("a", 1, 1, 1, self.number)
 
 
-def desk(acts=None, folder="") -> Desk:
+def allocator(acts=None, folder="") -> SeatAllocator:
     """With 64 seats, of which half are out."""
     part = Seats()
     state_machine = ReplicatedStateMachine([Roster(), part])
     acts = acts or ChainedActs("a", lambda now: Lease(1, FAR), state_machine, Store(folder), print)
     part.apply(At(1, 1, 0, "a", 1), "contract", Contract(1, (Terms("geo", 64),)))
     part.apply(At(2, 1, 0, "a", 1), "grant", Grant("geo", "", "a", 1, 64))
-    found = Desk("a", part, acts, lambda now: 0, BOOT)
+    found = SeatAllocator("a", part, acts, lambda now: 0, SETTINGS)
     found.turn(0, Lease(1, FAR))
     for _ in range(32):
-        found.ask(0, "geo", "t", "", 10**9)
+        found.allocate(0, "geo", "t", "", 10**9)
     return found
 
 
-def locally(found: Desk) -> float:
+def locally(found: SeatAllocator) -> float:
     """Givings, with their giving back, a second."""
     count, began = 0, time.perf_counter()
     while (now := time.perf_counter() - began) < SPAN:
         at = int(now * 10_000)
-        found.ended(at, found.ask(at, "geo", "t", "", 20_000))
+        found.release(at, found.allocate(at, "geo", "t", "", 20_000))
         count += 1
     return count / now
 
 
 def serve() -> None:
-    """A desk behind a socket: one word asks, the next gives back."""
+    """An allocator behind a socket: one word asks, the next gives back."""
     listener = socket.create_server(("127.0.0.1", 0))
     print(listener.getsockname()[1], flush=True)
     peer, _ = listener.accept()
     peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    found, out = desk(Unrecorded()), []
+    found, out = allocator(Unrecorded()), []
     while word := peer.recv(1):
         if word == b"a":
-            out.append(found.ask(0, "geo", "t", "", 20_000))
+            out.append(found.allocate(0, "geo", "t", "", 20_000))
             peer.sendall(b"%08d" % out[-1].given.number)
         else:
-            found.ended(0, out.pop())
+            found.release(0, out.pop())
 
 
 def a_round_trip_each() -> float:
@@ -156,8 +156,8 @@
     rates = {"locally": [], "locally_recorded": [], "round_trip_each": []}
     with tempfile.TemporaryDirectory() as folder:
         for n in range(TIMES):  # in turn: the machine's speed drifts
-            rates["locally"].append(locally(desk(Unrecorded())))
-            rates["locally_recorded"].append(locally(desk(folder=os.path.join(folder, str(n)))))
+            rates["locally"].append(locally(allocator(Unrecorded())))
+            rates["locally_recorded"].append(locally(allocator(folder=os.path.join(folder, str(n)))))
             rates["round_trip_each"].append(a_round_trip_each())
     result = {
         "command": "make bench-seats",
--- a/benchmarks/seats_model.py
+++ b/benchmarks/seats_model.py
@@ -1,4 +1,4 @@
-"""A model of seats at scale: 50 members with the real desks, the real state and the real moves, 2,000 nodes
+"""A model of seats at scale: 50 members with the real allocators, state and moves, 2,000 nodes
 with the real meters, in simulated time.  The log is a delay here, and all leases hold."""
 
 import random
@@ -10,8 +10,8 @@
 
 import msgspec  # noqa: E402
 
+from indigohitch.fleet.seats.allocator import Allocation, SeatSettings  # noqa: E402
 from indigohitch.fleet.seats.contract import Contract, Grant, Pass, Terms  # noqa: E402
-from indigohitch.fleet.seats.desk import Ticket  # noqa: E402
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict  # noqa: E402
 from indigohitch.fleet.seats.part import Seats  # noqa: E402
 from indigohitch.fleet.seats.work import SeatsWork  # noqa: E402
@@ -19,7 +19,7 @@
 from indigohitch.fleet.terms import Entry, Lease, Stamp  # noqa: E402
 
 SECOND = 10_000
-BOOT = {"hold": 5 * SECOND // 2, "come_back": SECOND, "drift": 0.001}
+SETTINGS = SeatSettings(place_kept=5 * SECOND // 2, come_back=SECOND, drift=0.001)
 COMMIT, REPORT, BEAT, LEASE = 200, SECOND // 2, SECOND // 10, 2 * SECOND  # 20 ms to commit and hear
 SEATS, TERM, JOB, GAP = 1000, 20 * SECOND, SECOND // 2, SECOND // 4
 LOAD = 1.3  # of all wanting, against the seats: more is wanted than there is
@@ -35,10 +35,10 @@
         self.part = Seats()
         self.state_machine = ReplicatedStateMachine([self.part])
         self.works = [
-            SeatsWork(f"m{n}", self.part, self, lambda now: 0, lambda: Contract(1, terms), True, BOOT)
+            SeatsWork(f"m{n}", self.part, self, lambda now: 0, lambda: Contract(1, terms), True, SETTINGS)
             for n in range(members)
         ]
-        self.known = [Nodes(BOOT) for _ in range(members)]
+        self.known = [Nodes(SETTINGS.drift) for _ in range(members)]
         self.meters = [Meter(f"b{n}") for n in range(nodes)]
         self.reports: dict[str, bytes] = {}
         self.weights, self.number, self.term = [1.0] * members, 0, 0
@@ -104,7 +104,7 @@
         return True
 
     def report(self) -> None:
-        self.reports = {work.desk.name: work.report(self.t) for work in self.works}
+        self.reports = {work.allocator.name: work.report(self.t) for work in self.works}
         self.after(REPORT, self.report)
 
     def shift(self) -> None:
@@ -120,9 +120,9 @@
         """One that wants a job at its member; after a shift of wanting, and now and then, it is another's."""
         term, work, node = self.term, self.works[member], self.rng.randrange(len(self.meters))
         self.asked += 1
-        found = work.desk.ask(self.t, "geo", f"t{member % 7}", "", LEASE)
+        found = work.allocator.allocate(self.t, "geo", f"t{member % 7}", "", LEASE)
         meter = self.meters[node]
-        if not isinstance(found, Ticket):
+        if not isinstance(found, Allocation):
             self.refused += 1
             self.after(self.rng.randint(1, 2 * GAP), lambda: self.client(member))
             return
@@ -136,7 +136,7 @@
         def over() -> None:
             meter.ended(job)
             self.running -= 1
-            work.desk.ended(self.t, found)
+            work.allocator.release(self.t, found)
             moves = term != self.term or self.rng.random() < WANDERS
             self.client(self.drawn() if moves else member)
 
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -20,8 +20,8 @@
 from ..members.roster import Roster
 from ..members.work import Membership
 from ..ports import StateMachinePart, Work
+from ..seats.configured import work_of as seats_work
 from ..seats.part import Seats
-from ..seats.told import work as seats_work
 from ..state_machine import ReplicatedStateMachine
 from ..terms import Lease
 from .belonging import wall
--- a/indigohitch/fleet/seats/told.py
+++ b/indigohitch/fleet/seats/configured.py
@@ -1,4 +1,4 @@
-"""What the operator's file contracts, and this member's work on it."""
+"""What the operator's file contracts, and the work on seats of the member that reads it."""
 
 from __future__ import annotations
 
@@ -7,16 +7,17 @@
 from ...directives.fleet import FleetText
 from ...net.clock import SECOND
 from ..ports import Acts
+from .allocator import SeatSettings
 from .contract import Contract, Terms
 from .part import Seats
 from .work import SeatsWork
 
 # A refused tenant's place is kept so long, and two and a half times as long as it is told to stay away.
 COME_BACK = SECOND
-HOLD = 5 * SECOND // 2
+PLACE_KEPT = 5 * SECOND // 2
 
 
-def contract(text: FleetText) -> Contract | None:
+def contract_of(text: FleetText) -> Contract | None:
     """None where the file has no line `seats`: then it says nothing of them."""
     rows = text.parts.get("seats", [])
     if not text.edition or not rows:
@@ -39,9 +40,9 @@
     )
 
 
-def work(text: FleetText, part: Seats, acts: Acts, fleet_time: Callable[[int], int]) -> SeatsWork:
+def work_of(text: FleetText, part: Seats, acts: Acts, fleet_time: Callable[[int], int]) -> SeatsWork:
     """`text` is read anew where its edition has changed: a reload may change it in place."""
-    bootstrap = {"come_back": COME_BACK, "hold": HOLD, "drift": text.drift}
+    settings = SeatSettings(PLACE_KEPT, COME_BACK, text.drift)
     return SeatsWork(
-        text.me, part, acts, fleet_time, lambda: contract(text), not text.members[text.me].votes, bootstrap
+        text.me, part, acts, fleet_time, lambda: contract_of(text), not text.members[text.me].votes, settings
     )
--- a/indigohitch/fleet/seats/contract.py
+++ b/indigohitch/fleet/seats/contract.py
@@ -115,11 +115,20 @@
     shared: bool
 
 
+class Wanting(Row, frozen=True):
+    """What a member would use of one pool."""
+
+    feature: str
+    pool: str
+    used: int  # seats in use on average lately
+    missed: int  # asks refused lately for want of a seat
+
+
 class Report(Row, frozen=True):
-    """What a member tells the leader with each renewal: by feature and pool the seats that it would use."""
+    """What a member tells the leader with each renewal: by feature and pool what it would use."""
 
     incarnation: int
-    wanting: tuple[tuple[str, str, int, int], ...]  # feature, pool, in use on average, refused lately
+    wanting: tuple[Wanting, ...]
     stocks: bool = True  # it takes a part of what nobody wants, so as to give at once
 
 
--- a/indigohitch/fleet/seats/nodeclock.py
+++ b/indigohitch/fleet/seats/nodeclock.py
@@ -20,11 +20,11 @@
 
 
 class Nodes:
-    """The last reading of each server, at one holder.  `bootstrap["drift"]`: how far two clocks run apart at
+    """The last reading of each server, at one holder.  `drift`: how far two clocks run apart at
     most, as a share."""
 
-    def __init__(self, bootstrap: dict) -> None:
-        self.drift = bootstrap["drift"]
+    def __init__(self, drift: float) -> None:
+        self.drift = drift
         self.readings: dict[str, Reading] = {}
 
     def heard(self, server: str, boot: str, clock: int, now: int) -> None:
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,15 +1,16 @@
-"""The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
+"""Seats in one member's process: its allocator, what it returns, and what it proposes as leader."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import asdict
 
 import msgspec
 
 from ..ports import Acts, Wanted
 from ..terms import Entry, Lease, Outcome
-from .contract import Contract, Grant, Recall, Report
-from .desk import Desk
+from .allocator import SeatAllocator, SeatSettings
+from .contract import Contract, Grant, Recall, Report, Wanting
 from .moving import TURN, Wish, spread
 from .part import Feature, Seats
 
@@ -30,11 +31,11 @@
         fleet_time: Callable[[int], int],
         contract: Callable[[], Contract | None],
         stocks: bool,
-        bootstrap: dict,
+        settings: SeatSettings,
     ) -> None:
         """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
         self.part, self.contract, self.stocks = part, contract, stocks
-        self.desk = Desk(name, part, acts, fleet_time, bootstrap)
+        self.allocator = SeatAllocator(name, part, acts, fleet_time, settings)
         self.out: set[str] = set()  # tags of proposals that are not answered
         self.next_round = 0
         self.fed: dict[tuple[str, str, str], int] = {}  # feature, pool, member: new to it until
@@ -45,15 +46,15 @@
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
         if not entry.kind.startswith(("seats.", "members.")):
             return []
-        self.desk.follow()
+        self.allocator.sync()
         return self.returns()
 
     def restored(self, now: int) -> list[Wanted]:
-        self.desk.follow()
+        self.allocator.sync()
         return self.returns()
 
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
-        self.desk.turn(now, lease)
+        self.allocator.turn(now, lease)
         wanted = self.returns()
         own = self.contract()
         if lease is not None and own is not None and own.edition > self.part.edition:
@@ -62,7 +63,7 @@
 
     def returns(self) -> list[Wanted]:
         wanted = []
-        for row in self.desk.returns():
+        for row in self.allocator.returns():
             wanted += self.want(f"return {row.feature} {row.pool}", "seats.return", row)
         return wanted
 
@@ -80,29 +81,35 @@
         return []
 
     def report(self, now: int) -> bytes:
-        lease = self.desk.lease
-        rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
+        lease = self.allocator.lease
+        wanting = []
+        for (feature, name), pool in self.allocator.pools.items():
+            demand = pool.demand()
+            wanting.append(Wanting(feature, name, demand.used, demand.missed))
         return msgspec.msgpack.encode(
-            Report(lease.incarnation if lease is not None else 0, rows, self.stocks)
+            Report(lease.incarnation if lease is not None else 0, tuple(wanting), self.stocks)
         )
 
     def holds(self, now: int) -> bool:
         """Jobs with seats are out: what this member holds is not free before their end."""
-        self.desk.passed(now)
-        return any(hold.bound for hold in self.desk.holds.values())
+        self.allocator.expire(now)
+        return any(pool.assignments for pool in self.allocator.pools.values())
+
+    def in_use(self, feature: str) -> int:
+        return sum(len(pool.assignments) for (of, _), pool in self.allocator.pools.items() if of == feature)
 
     def figures(self) -> dict:
         return {
             "edition": self.part.edition,
             "refused_contract": self.refused,
-            "counts": self.desk.counts,
+            "counts": asdict(self.allocator.counts),
             "features": {
                 name: {
                     "seats": f.terms.seats,
                     "held": f.held(),
                     "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(),
-                    "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items() if of == name),
+                    "in_use": self.in_use(name),
                     "members": f.by_member(),
                 }
                 for name, f in self.part.features.items()
@@ -122,9 +129,9 @@
         if moves:
             self.next_round = now + ROUND
         lately = {
-            (name, feature, pool): (used, missed)
+            (name, wanting.feature, wanting.pool): wanting
             for name, report in told.items()
-            for feature, pool, used, missed in report.wanting
+            for wanting in report.wanting
         }
         for feature, found in self.part.features.items():
             for pool, size in found.pools.items():
@@ -153,7 +160,8 @@
         feature = found.terms.feature
         share = found.shares.get((pool, name, report.incarnation))
         net = share.net if share is not None else 0
-        used, missed = lately.get((name, feature, pool), (0, 0))
+        wanting = lately.get((name, feature, pool))
+        used, missed = (wanting.used, wanting.missed) if wanting is not None else (0, 0)
         if now < self.fed.get((feature, pool, name), 0):
             used = max(used, net)
         return Wish(name, report.incarnation, net, used, missed, report.stocks)
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -10,8 +10,8 @@
 
 from .. import request
 from ..directives.texts import Text
+from ..fleet.seats.allocator import Allocation, SeatAllocator
 from ..fleet.seats.contract import Pass
-from ..fleet.seats.desk import Desk, Ticket
 from ..fleet.seats.nodeclock import Nodes, Verdict, header
 from ..log import Log
 from ..packed.rows import digest
@@ -23,29 +23,30 @@
 class Seating:
     OWN = frozenset((SEAT,))  # a client has none to show
 
-    def __init__(self, text: Text, log: Log, clock, desk: Callable[[], Desk | None]) -> None:
-        """`desk()`: of the member in this process, None while it takes no part."""
-        self.needed, self.log, self.clock, self.desk = text.seats, log, clock, desk
+    def __init__(self, text: Text, log: Log, clock, allocator: Callable[[], SeatAllocator | None]) -> None:
+        """`allocator()`: of the member in this process, None while it takes no part."""
+        self.needed, self.log, self.clock, self.allocator = text.seats, log, clock, allocator
         self.rows = {row.feature: row for row in text.fleet.parts.get("seats", [])} if text.fleet else {}
-        self.nodes = Nodes({"drift": text.fleet.drift if text.fleet else 0.0})
+        self.nodes = Nodes(text.fleet.drift if text.fleet else 0.0)
 
-    def take(self, rpc, server) -> Ticket | None:
+    def take(self, rpc, server) -> Allocation | None:
         """A seat for a try of this RPC at that server, until its deadline at most; None: there is none."""
-        feature, desk, now = self.needed[rpc.route.rpc.name], self.desk(), self.clock.now()
-        if desk is None:
+        feature, allocator = self.needed[rpc.route.rpc.name], self.allocator()
+        now = self.clock.now()
+        if allocator is None:
             self.log.count("seats_without_fleet")
             return None
         row = self.rows[feature]
         tenant, user = (self.named(rpc, name) for name in (row.tenant_header, row.user_header))
-        found = desk.ask(
+        found = allocator.allocate(
             now,
             feature,
             tenant,
-            self.node(server) if desk.kind(feature) == "node" else user,
+            self.node(server) if allocator.kind(feature) == "node" else user,
             rpc.due - now,
             rpc.pool.boot.get("come_back", 0),
         )
-        return found if isinstance(found, Ticket) else None
+        return found if isinstance(found, Allocation) else None
 
     @staticmethod
     def node(server) -> str:
@@ -59,10 +60,12 @@
         value = values[0] if values else b""
         return value.decode("latin-1") if len(value) <= 64 else digest(value).hex()
 
-    def shown(self, ticket: Ticket, server) -> bytes:
+    def shown(self, allocation: Allocation, server) -> bytes:
         """The header's line."""
-        boot, until = self.nodes.end(self.node(server), ticket.until)
-        return b"X-Seat: %b\r\n" % header(Pass(ticket.given, boot, until, ticket.stamp)).encode("latin-1")
+        boot, until = self.nodes.end(self.node(server), allocation.until)
+        return b"X-Seat: %b\r\n" % header(Pass(allocation.given, boot, until, allocation.stamp)).encode(
+            "latin-1"
+        )
 
     def heard(self, server, head) -> None:
         """The clock that an answer's head tells."""
@@ -73,7 +76,7 @@
             except ValueError:
                 self.log.trouble("node_clock_unreadable", server=server.name, told=told[:80])
 
-    def refused(self, ticket: Ticket, head) -> str:
+    def refused(self, allocation: Allocation, head) -> str:
         """What became of a try that the server took for one without a seat; "" where it did not.  Of one
         refused as old or doubled a copy may run."""
         told = head.value(REFUSED)
@@ -82,10 +85,10 @@
         self.log.count("seats_refused_at_server")
         if told not in UNRUN:
             return request.SENT
-        self.over(ticket)
+        self.over(allocation)
         return request.UNSENT
 
-    def over(self, ticket: Ticket) -> None:
+    def over(self, allocation: Allocation) -> None:
         """Its job is over, or nothing of it ran, for certain.  Else nothing is told: it ends by itself."""
-        if (desk := self.desk()) is not None:
-            desk.ended(self.clock.now(), ticket)
+        if (allocator := self.allocator()) is not None:
+            allocator.release(self.clock.now(), allocation)
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -32,13 +32,13 @@
         if self.text.seats:
             from .seating import Seating
 
-            self.host.seating = Seating(self.text, self.log, self.loop.clock, self.desk)
+            self.host.seating = Seating(self.text, self.log, self.loop.clock, self.seat_allocator)
         return side
 
-    def desk(self):
-        """That seats are asked for at; None while this member takes no part."""
+    def seat_allocator(self):
+        """That seats are asked of; None while this member takes no part."""
         work = self.beside.work("seats")
-        return work.desk if work is not None else None
+        return work.allocator if work is not None else None
 
     def turn(self) -> None:
         self.host.turn()
--- a/tests/seatdays.py
+++ b/tests/seatdays.py
@@ -63,6 +63,6 @@
         assert not found.over() and not any(s.debt for s in found.shares.values()), "never returned"
         assert found.terms.seats - found.held() == sum(found.room(p) for p in found.terms.pools())
     for member in world.members.values():
-        holds = member.work.desk.holds.values()
-        assert not any(hold.bound or hold.returning for hold in holds), "given for good"
+        pools = member.work.allocator.pools.values()
+        assert not any(pool.assignments or pool.returning for pool in pools), "given for good"
         assert member.state_machine.digest() == world.true.digest()
--- a/tests/seatmembers.py
+++ b/tests/seatmembers.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from indigohitch.fleet.seats.allocator import Allocation, SeatSettings
 from indigohitch.fleet.seats.contract import Pass
-from indigohitch.fleet.seats.desk import Ticket
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict
 from indigohitch.fleet.seats.part import Seats
 from indigohitch.fleet.seats.work import SeatsWork
@@ -18,7 +18,7 @@
 SECOND = 10_000
 SPAN, DRIFT = 2 * SECOND, 0.05  # far more than any quartz: what leans on it shows soon
 EPOCH = 10**9  # fleet time as it all begins
-BOOT = {"drift": 2 * DRIFT, "hold": SECOND, "come_back": 2000}
+SETTINGS = SeatSettings(place_kept=SECOND, come_back=2000, drift=2 * DRIFT)
 
 
 class Gone(Row):
@@ -96,7 +96,7 @@
         self.alive, self.stopped, self.cut, self.shut = True, False, False, False
         self.until = self.at = self.number = self.acts = 0
         self.out, self.state_machine = {}, ReplicatedStateMachine([Seats(), Members()])
-        self.nodes = Nodes(BOOT)
+        self.nodes = Nodes(SETTINGS.drift)
         self.work = SeatsWork(
             name,
             self.state_machine.parts["seats"],
@@ -104,7 +104,7 @@
             self.fleet,
             lambda: world.contract,
             name != "m0",
-            BOOT,
+            SETTINGS,
         )
 
     def fleet(self, now):
@@ -179,9 +179,11 @@
         now, feature = self.clock(world.t), world.rng.choice(world.features)
         server = world.rng.choice(world.servers)
         kind = next((t.kind for t in world.contract.terms if t.feature == feature), "job")
-        found = self.work.desk.ask(now, feature, tenant, {"node": server.name}.get(kind, user), 3 * SECOND)
+        found = self.work.allocator.allocate(
+            now, feature, tenant, {"node": server.name}.get(kind, user), 3 * SECOND
+        )
         world.counts["asked"] += 1
-        if not isinstance(found, Ticket):
+        if not isinstance(found, Allocation):
             return
         boot, end = self.nodes.end(server.name, found.until)
         shown = Pass(found.given, boot, end, found.stamp)
@@ -191,7 +193,7 @@
             def back():
                 if self.acting:
                     self.nodes.heard(server.name, *reading, self.clock(world.t))
-                    self.work.desk.ended(self.clock(world.t), found)
+                    self.work.allocator.release(self.clock(world.t), found)
 
             if world.rng.random() < 0.9:
                 world.after(world.delay(), back)
--- a/tests/test_directives_seats.py
+++ b/tests/test_directives_seats.py
@@ -4,8 +4,8 @@
 
 from indigohitch.directives import operator_file, sidecar_file
 from indigohitch.directives.lines import Mistakes
+from indigohitch.fleet.seats.configured import contract_of
 from indigohitch.fleet.seats.contract import Contract, Terms
-from indigohitch.fleet.seats.told import contract
 from test_directives import TEXT
 from test_directives_fleet import FLEET
 
@@ -23,7 +23,7 @@
         "b=2,a=4\nseats reader 6 kind node linger 2s to 2026-12-31T18:00\n"
     )
     assert text.seats == {"search": "geocoder"}
-    assert contract(text.fleet) == Contract(
+    assert contract_of(text.fleet) == Contract(
         3,
         (
             Terms("geocoder", 40, "job", 20454 * DAY, 20819 * DAY, 0, 10 * SECOND, (("a", 4), ("b", 2))),
@@ -31,7 +31,7 @@
         ),
     )
     assert text.fleet.parts["seats"][0].tenant_header == "X-Tenant"
-    assert contract(operator_file.read(FLEET).fleet) is None
+    assert contract_of(operator_file.read(FLEET).fleet) is None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_seats_part.py
+++ b/tests/test_seats_part.py
@@ -1,4 +1,4 @@
-"""The state machine's part `seats` and the desk, in plain cases; moves of shares, drawn."""
+"""The state machine's part `seats` and the allocator, in plain cases; moves of shares, drawn."""
 
 import random
 
@@ -6,8 +6,8 @@
 
 from indigohitch.errors import Unfit
 from indigohitch.fleet.ports import At
+from indigohitch.fleet.seats.allocator import Allocation, SeatAllocator, SeatSettings
 from indigohitch.fleet.seats.contract import Contract, Grant, Recall, Return, Terms
-from indigohitch.fleet.seats.desk import Desk, Ticket
 from indigohitch.fleet.seats.moving import Wish, parts, spread
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict, header, read
 from indigohitch.fleet.seats.part import Seats
@@ -15,7 +15,7 @@
 from indigohitch.fleet.terms import Lease, Stamp
 
 SECOND = 10_000
-BOOT = {"hold": 2 * SECOND, "come_back": SECOND, "drift": 0.01}
+SETTINGS = SeatSettings(place_kept=2 * SECOND, come_back=SECOND, drift=0.01)
 
 
 class Acts:
@@ -27,20 +27,20 @@
 
 
 class One:
-    """A part, and a desk of member `a` over it."""
+    """A part, and an allocator of member `a` over it."""
 
     def __init__(self, *terms):
         self.part, self.time, self.index, self.edition = Seats(), 10**9, 0, 0
         ReplicatedStateMachine([self.part])
         self.acts = Acts()
-        self.desk = Desk("a", self.part, self.acts, lambda now: self.time + now, BOOT)
-        self.desk.turn(0, Lease(1, 10 * SECOND))
+        self.allocator = SeatAllocator("a", self.part, self.acts, lambda now: self.time + now, SETTINGS)
+        self.allocator.turn(0, Lease(1, 10 * SECOND))
         self.contract(*terms)
 
     def does(self, word, row, who="a", incarnation=1):
         self.index += 1
         told = self.part.apply(At(self.index, 1, self.time, who, incarnation), word, row)
-        self.desk.follow()
+        self.allocator.sync()
         return told
 
     def contract(self, *terms):
@@ -51,8 +51,8 @@
         return self.does("grant", Grant("geo", pool, who, incarnation, count), "lead")
 
     def ask(self, now=0, tenant="", key="", longest=SECOND):
-        found = self.desk.ask(now, "geo", tenant, key, longest)
-        return found if isinstance(found, Ticket) else None
+        found = self.allocator.allocate(now, "geo", tenant, key, longest)
+        return found if isinstance(found, Allocation) else None
 
 
 def test_nothing_is_granted_beyond_the_contract_or_to_one_that_is_gone():
@@ -88,10 +88,10 @@
         one.grant(1, "c")
     out = [one.ask() for _ in range(2)]  # a keeps one: the other six are owed
     assert out[0] and not out[1]
-    (row,) = one.desk.returns()
+    (row,) = one.allocator.returns()
     assert len(row.seats) == 6 and one.does("return", row) == 6
     one.does("return", Return("geo", "", tuple(held["b"][:2])), "b")
-    assert not found.over() and not one.desk.returns() and one.desk.holds["geo", ""].debt == 0
+    assert not found.over() and not one.allocator.returns() and one.allocator.pools["geo", ""].debt == 0
 
 
 def test_of_an_edition_there_is_one_and_none_goes_back():
@@ -113,7 +113,7 @@
     one.contract(Terms("geo", 4))
     assert one.ask(now=8 * SECOND, longest=100 * SECOND).until == 10 * SECOND
     one.acts.may = False
-    assert not one.ask(now=9 * SECOND) and len(one.desk.holds["geo", ""].bound) == 1
+    assert not one.ask(now=9 * SECOND) and len(one.allocator.pools["geo", ""].assignments) == 1
     one.acts.may = True
     assert not one.ask(now=10 * SECOND)
 
@@ -125,8 +125,8 @@
     first, second = one.ask(key="n1"), one.ask(key="n1")
     assert first.given == second.given and one.ask(key="n2") and not one.ask(key="n3")
     assert one.ask(tenant="ta", key="n3")
-    one.desk.ended(0, first)
-    one.desk.ended(10, second)
+    one.allocator.release(0, first)
+    one.allocator.release(10, second)
     assert not one.ask(now=SECOND, key="n4"), "it lingers"
     assert one.ask(now=SECOND + 10, key="n4").given.number == first.given.number
 
@@ -136,12 +136,12 @@
     one.grant(4)
     greedy = [one.ask(tenant="all") for _ in range(4)]
     assert all(greedy) and not one.ask(tenant="tb")
-    one.desk.ended(10, greedy[0])
+    one.allocator.release(10, greedy[0])
     assert not one.ask(now=20, tenant="all") and one.ask(now=20, tenant="tb")
-    one.desk.ended(30, greedy[1])
+    one.allocator.release(30, greedy[1])
     assert one.ask(now=40, tenant="all"), "nobody waits any more"
     assert not one.ask(now=50, tenant="tc")
-    one.desk.ended(60, greedy[2])
+    one.allocator.release(60, greedy[2])
     assert one.ask(now=70 + 2 * SECOND, tenant="all"), "it did not come back"
 
 
@@ -150,12 +150,12 @@
     """Ten greedy clients of one tenant against one that wants a single seat: it waits for one job at most."""
     rng, one = random.Random(seed), One(Terms("geo", 4))
     one.grant(4)
-    one.desk.lease = Lease(1, 10**9)
+    one.allocator.lease = Lease(1, 10**9)
     out, since, longest = [], 0, 0
     for now in range(0, 60 * SECOND, 50):
         for ticket in [t for t in out if t[0] <= now]:
             out.remove(ticket)
-            one.desk.ended(now, ticket[1])
+            one.allocator.release(now, ticket[1])
         for tenant in ["all"] * 10 + ["tb"]:
             if tenant == "tb" and any(t[2] == "tb" for t in out):
                 since = now
@@ -167,7 +167,7 @@
 
 
 def test_a_server_refuses_what_is_late_old_twice_or_of_another_boot():
-    nodes, meter, stamps = Nodes(BOOT), Meter("b1"), iter(range(1, 99))
+    nodes, meter, stamps = Nodes(SETTINGS.drift), Meter("b1"), iter(range(1, 99))
     one = One(Terms("geo", 1))
     one.grant(1)
     assert nodes.end("s", 5000) == ("", 0)
@@ -176,7 +176,7 @@
 
     def shown(uses, boot="b1", until=5000):
         given = one.ask().given
-        one.desk.holds["geo", ""].unbind(0, next(iter(one.desk.holds["geo", ""].bound)))
+        one.allocator.pools["geo", ""].unassign(0, next(iter(one.allocator.pools["geo", ""].assignments)))
         text = f"geo {given.number} {given.counter} {uses} 0 {boot} {until} a 1 1 1 {next(stamps)}"
         assert header(read(text)) == text
         return read(text)
--- a/tests/test_seats_schedules.py
+++ b/tests/test_seats_schedules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from indigohitch.fleet.seats import desk, hold, nodeclock, part
+from indigohitch.fleet.seats import allocator, nodeclock, part, pool
 from indigohitch.fleet.seats.contract import Terms
 from indigohitch.fleet.terms import Lease
 from seatdays import schedule
@@ -34,24 +34,24 @@
 
 def frees_what_is_unheard(monkeypatch):
     """As if a deadline that has passed told that the job is over."""
-    was = desk.Desk.ask
+    was = allocator.SeatAllocator.allocate
 
     def ask(self, now, feature, tenant, key, longest):
         found = was(self, now, feature, tenant, key, longest)
-        if isinstance(found, desk.Ticket):
-            self.later(now + SECOND // 5, found)
+        if isinstance(found, allocator.Allocation):
+            self.expire_at(now + SECOND // 5, found)
         return found
 
-    monkeypatch.setattr(desk.Desk, "ask", ask)
+    monkeypatch.setattr(allocator.SeatAllocator, "allocate", ask)
 
 
 def lease_taken_as_longer(monkeypatch):
-    was = desk.Desk.turn
+    was = allocator.SeatAllocator.turn
 
     def turn(self, now, lease):
         was(self, now, lease and Lease(lease.incarnation, lease.until + SECOND))
 
-    monkeypatch.setattr(desk.Desk, "turn", turn)
+    monkeypatch.setattr(allocator.SeatAllocator, "turn", turn)
 
 
 def server_ends_nothing(monkeypatch):
@@ -75,23 +75,23 @@
 def drift_not_counted(monkeypatch):
     was = nodeclock.Nodes.__init__
 
-    def without(self, bootstrap):
-        was(self, bootstrap)
+    def without(self, drift):
+        was(self, drift)
         self.drift = 0.0
 
     monkeypatch.setattr(nodeclock.Nodes, "__init__", without)
 
 
 def given_while_returning(monkeypatch):
-    was = hold.Hold.owe
+    was = pool.SeatPool.set_aside_owed
 
     def owe(self):
         idle = list(self.idle)
         was(self)
         self.idle, self.seats = idle, {**self.seats, **self.returning}
 
-    monkeypatch.setattr(hold.Hold, "owe", owe)
-    monkeypatch.setattr(hold.Hold, "usable", property(lambda self: len(self.seats)))
+    monkeypatch.setattr(pool.SeatPool, "set_aside_owed", owe)
+    monkeypatch.setattr(pool.SeatPool, "usable", property(lambda self: len(self.seats)))
 
 
 def granted_over_the_contract(monkeypatch):
