--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -1,6 +1,7 @@
 """A Relay between a client that answers when told and a channel that counts what was carried out."""
 
 import os
+from types import SimpleNamespace
 from urllib.parse import parse_qs
 
 from indigohitch import interface as face
@@ -8,6 +9,7 @@
 from indigohitch.net.clock import SECOND
 from indigohitch.net.http import Answer
 from indigohitch.net.loop import Loop
+from indigohitch.platformlink import doubt, tables
 from indigohitch.platformlink import relay as calls
 from indigohitch.platformlink.backlog import Backlog
 from seam import Shifted
@@ -26,9 +28,25 @@
         self.retired = True
 
 
+class Store:
+    """In the place of the client that asks for news: tells what stands, all of it at once."""
+
+    def __init__(self, room):
+        self.room = room
+
+    def request(self, method, target, span, done, stream):
+        entry = "event: entry\ndata: range={}&target={}&rps={}\n\n"
+        stands = [entry.format(n, b, w) for n, t in self.room.store.items() for b, w in t.lines.items()]
+        if not self.room.mute:
+            self.room.loop.after(0, lambda: stream("".join(stands).encode()))
+        return SimpleNamespace(drop=lambda: None)
+
+
 class Room:
-    def __init__(self, monkeypatch, most=0, over=0, backlog=None, proxies=0, head=0):
+    def __init__(self, monkeypatch, most=0, over=0, cap=0, pace=0, proxies=0, head=0):
         monkeypatch.setattr(calls, "Client", Told)
+        monkeypatch.setattr(doubt, "Client", lambda *words: Store(self))
+        self.store, self.stood, self.mute = {}, {}, False
         self.clock = Shifted()
         self.loop = Loop(self.clock, self.fail)
         self.log = Log(self.clock, "t", os.open(os.devnull, os.O_WRONLY))
@@ -40,12 +58,15 @@
             ["search"],
             most,
             over,
-            backlog or Backlog(0, 0),
-            lambda: self.proxies,
-            head,
+            Backlog(cap, pace, head, lambda: range(self.proxies)),
         )
         self.stand, self.void = [], []
-        self.relay.stands, self.relay.dropped = self.stand.extend, self.void.extend
+        self.relay.stands, self.relay.dropped = self.stands, self.void.extend
+        self.relay.stood = lambda: self.stood
+
+    def stands(self, orders):
+        self.stand += orders
+        tables.carry_out(self.stood, orders)
 
     def fail(self, broken):
         raise broken
@@ -73,16 +94,30 @@
 
 
 class Channel:
-    """What waits in the channel to the proxies: all that was carried out, less what left at its pace."""
+    """What waits in the channel to the proxies: all that was carried out, less what left at its pace, a call
+    after the other.  Marks are answered once all of a call has left."""
 
-    def __init__(self, room, pace):
-        self.room, self.pace = room, pace
-        self.lines, self.most, self.at = 0.0, 0.0, room.clock.now()
+    def __init__(self, room, pace, marks_told=True):
+        self.room, self.pace, self.marks_told = room, pace, marks_told
+        self.calls, self.most, self.at = [], 0.0, room.clock.now()  # calls: lines that wait, the mark
 
     def carried_out(self):
-        """The call that is out is; returns how many lines wait now."""
-        now, lines = self.room.clock.now(), self.room.out()[0].count(";") + 1
-        self.lines = max(0.0, self.lines - (now - self.at) * self.pace / SECOND)
-        self.lines += (lines + self.room.relay.head) * self.room.proxies
-        self.at, self.most = now, max(self.most, self.lines)
-        return self.lines
+        """The call that is out is."""
+        self.drain()
+        orders = self.room.relay.waiting[0]
+        tables.carry_out(self.room.store, orders)
+        lines = (len(orders) + self.room.relay.backlog.head) * self.room.proxies
+        self.calls.append([lines, orders[-1].mark if isinstance(orders[-1], face.Mark) else None])
+        self.most = max(self.most, sum(lines for lines, _ in self.calls))
+
+    def drain(self):
+        now = self.room.clock.now()
+        leaves, self.at = (now - self.at) * self.pace / SECOND, now
+        while self.calls and leaves > 0:
+            gone = min(leaves, self.calls[0][0])
+            self.calls[0][0] -= gone
+            leaves -= gone
+            if not self.calls[0][0]:
+                _, mark = self.calls.pop(0)
+                for proxy in range(self.room.proxies if self.marks_told and mark is not None else 0):
+                    self.room.relay.answered_mark(proxy, mark)
