--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 from indigohitch import interface as face  # noqa: E402
-from indigohitch.standins.tabled import Tabled  # noqa: E402
+from indigohitch.standins.table_relay import TableRelay  # noqa: E402
 from indigohitch.versions import delta  # noqa: E402
 from indigohitch.versions.amends import amended  # noqa: E402
 from indigohitch.versions.checks import Facts, faults  # noqa: E402
@@ -106,7 +106,7 @@
         ],
         "first",
     )
-    stand = {f"r{number}": Tabled(publisher.root) for number in range(relays)}
+    stand = {f"r{number}": TableRelay(publisher.root) for number in range(relays)}
     tracemalloc.start()
     for name, relay in stand.items():
         publisher.session(name).on_connect(0, 1, relay.joins(1))
--- a/indigohitch/standins/tabled.py
+++ b/indigohitch/standins/table_relay.py
@@ -6,7 +6,7 @@
 from ..versions.terms import Ack, Claim, Message, Nack, applied
 
 
-class Tabled:
+class TableRelay:
     MOST = 1000  # lines remembered since the last whole version
 
     def __init__(self, root: Root | None = None) -> None:
@@ -33,15 +33,15 @@
         if self.refuses and message.lines():
             return Nack(self.connection, message.sequence, self.taken, False, self.claim(), "refused")
         self.root, self.taken = applied(self.root, message), message.sequence
-        self.since += message.puts
-        if self.root.digest == message.mark.digest:
-            self.base, self.since = message.mark.digest, ()
-        elif message.wholes or len(self.since) > self.MOST:
+        self.since += message.updates
+        if self.root.digest == message.version_id.digest:
+            self.base, self.since = message.version_id.digest, ()
+        elif message.replacements or len(self.since) > self.MOST:
             self.base, self.since = b"", ()
         return self.ack(message)
 
     def ack(self, message: Message) -> Ack:
         if self.lies:
             self.lies -= 1
-            return Ack(self.connection, self.taken, message.mark, b"\1" * 16)
-        return Ack(self.connection, self.taken, message.mark, self.root.digest)
+            return Ack(self.connection, self.taken, message.version_id, b"\1" * 16)
+        return Ack(self.connection, self.taken, message.version_id, self.root.digest)
--- a/indigohitch/versions/client_state.py
+++ b/indigohitch/versions/client_state.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from .tables import Root
-from .terms import Claim, Mark, Message, Version, applied
+from .terms import Claim, Message, Version, VersionId, applied
 
 
 def distinct(roots: Iterable[Root]) -> list[Root]:
@@ -34,7 +34,7 @@
     """A kept version, or one with the lines set since; believed only if the digest is that of the claim."""
     root = find(claim.digest)
     if root is None and claim.base and (base := find(claim.base)) is not None:
-        root = applied(base, Message(0, 0, 0, Mark(0, claim.digest), claim.since))
+        root = applied(base, Message(0, 0, 0, VersionId(0, claim.digest), claim.since))
     return root if root is not None and root.digest == claim.digest else None
 
 
@@ -62,7 +62,7 @@
     def digests(self) -> set[bytes]:
         """Of versions that it holds, may hold or must come to."""
         held = {root.digest for root in (self.confirmed, *self.candidates) if root is not None}
-        held.update(message.mark.digest for message in self.in_flight)
+        held.update(message.version_id.digest for message in self.in_flight)
         return held | ({self.target.root.digest} if self.target is not None else set())
 
     def take_from_flight(self, sequence: int) -> None:
--- a/indigohitch/versions/cost.py
+++ b/indigohitch/versions/cost.py
@@ -9,9 +9,9 @@
 
 from . import delta
 from .delta import stripped
-from .ranges import whole
+from .ranges import replacements_for
 from .tables import Root
-from .terms import Channel, Guard, Put
+from .terms import Channel, Guard, LineUpdate
 
 # Units are lines sent.  A message costs its head and an answer: about that of twenty lines, in bytes; a line
 # that has to be worked out first costs a tenth of one that is sent (benchmarks/versions.py).
@@ -38,7 +38,7 @@
 
 def full(start: Root | None, to: Root, guard: Guard, channel: Channel) -> Price:
     """All anew, in ranges: where the content is known, only of the parts that differ."""
-    ranges = whole(stripped(to, guard), start.parts() if start is not None else (), channel.lines)
+    ranges = replacements_for(stripped(to, guard), start.parts() if start is not None else (), channel.lines)
     lines = sum(one.lines() for one in ranges)
     return price("full", lines, channel, 0, ceil(lines / channel.lines) + 1)
 
@@ -50,11 +50,11 @@
 
     def __init__(self, channel: Channel, kept: int = KEPT) -> None:
         self.channel, self.kept = channel, kept
-        self.made: OrderedDict[tuple, list[Put]] = OrderedDict()
+        self.made: OrderedDict[tuple, list[LineUpdate]] = OrderedDict()
         self.guard = Guard()
         self.hits = 0
 
-    def plan(self, froms: Sequence[Root], to: Root, guard: Guard) -> list[Put]:
+    def plan(self, froms: Sequence[Root], to: Root, guard: Guard) -> list[LineUpdate]:
         """Raises Unfit."""
         if guard != self.guard:
             self.made.clear()
@@ -69,14 +69,14 @@
             self.made.popitem(last=False)
         return self.made[key]
 
-    def chain(self, start: Root, to: Root, most: int = 4) -> list[list[Put]] | None:
+    def chain(self, start: Root, to: Root, most: int = 4) -> list[list[LineUpdate]] | None:
         """The shortest chain of deltas made already that leads there; None: there is none of `most` links."""
-        ways: dict[bytes, list[list[Put]]] = {start.digest: []}
+        ways: dict[bytes, list[list[LineUpdate]]] = {start.digest: []}
         for _ in range(most):
-            fresh: dict[bytes, list[list[Put]]] = {}
-            for (froms, end), puts in self.made.items():
+            fresh: dict[bytes, list[list[LineUpdate]]] = {}
+            for (froms, end), updates in self.made.items():
                 if len(froms) == 1 and froms[0] in ways and end not in ways:
-                    way = [*ways[froms[0]], puts]
+                    way = [*ways[froms[0]], updates]
                     if end not in fresh or sum(map(len, way)) < sum(map(len, fresh[end])):
                         fresh[end] = way
             ways |= fresh
@@ -88,7 +88,7 @@
         """The cheapest first; of a relay whose content is not known there is only the full one."""
         found = [full(start, to, self.guard, self.channel)]
         if start is not None:
-            lines = sum(len(puts) for puts in delta.changes([start], to).values())
+            lines = sum(len(updates) for updates in delta.changes([start], to).values())
             found.append(price("delta", lines, self.channel, lines))
             if (way := self.chain(start, to)) is not None:
                 found.append(price("chain", sum(map(len, way)), self.channel))
--- a/indigohitch/versions/delta.py
+++ b/indigohitch/versions/delta.py
@@ -10,10 +10,10 @@
 
 from ..errors import Unfit
 from .tables import Root, difference
-from .terms import Guard, Put
+from .terms import Guard, LineUpdate
 
 
-def changes(froms: Sequence[Root], to: Root) -> dict[int, list[Put]]:
+def changes(froms: Sequence[Root], to: Root) -> dict[int, list[LineUpdate]]:
     """Lines to be set, by slice: those that differ from any of `froms`."""
     slices = sorted({slice for root in froms for slice, _, _ in difference(root, to)})
     found = {}
@@ -21,33 +21,35 @@
         wanted, held = to.lines_of(slice), [root.lines_of(slice) for root in froms]
         names = sorted(set(wanted).union(*held))
         found[slice] = [
-            Put(slice, name, wanted.get(name, 0))
+            LineUpdate(slice, name, wanted.get(name, 0))
             for name in names
             if any(lines.get(name, 0) != wanted.get(name, 0) for lines in held)
         ]
     return found
 
 
-def ordered(froms: Sequence[Root], to: Root, guard: Guard) -> list[Put]:
+def ordered(froms: Sequence[Root], to: Root, guard: Guard) -> list[LineUpdate]:
     """Raises Unfit where no order is safe."""
     todo = changes(froms, to)
-    for puts in todo.values():
-        puts.sort(key=lambda put: (put.weight == 0, put.backend in guard.cold))
+    for updates in todo.values():
+        updates.sort(key=lambda update: (update.weight == 0, update.backend in guard.cold))
     first = {
         slice
-        for slice, puts in todo.items()
-        if any(put.backend in guard.draining and not put.weight for put in puts)
+        for slice, updates in todo.items()
+        if any(update.backend in guard.draining and not update.weight for update in updates)
     }
     slices = sorted(todo, key=lambda slice: slice not in first)
-    if not any(put.backend in guard.cold for puts in todo.values() for put in puts):
-        return [put for slice in slices for put in todo[slice]]
-    return Way(froms, to, guard, todo).walk(slices)
+    if not any(update.backend in guard.cold for updates in todo.values() for update in updates):
+        return [update for slice in slices for update in todo[slice]]
+    return ColdSafeOrder(froms, to, guard, todo).walk(slices)
 
 
-class Way:
+class ColdSafeOrder:
     """With cold backends in it: step by step, each held against every content that the relay may hold."""
 
-    def __init__(self, froms: Sequence[Root], to: Root, guard: Guard, todo: dict[int, list[Put]]) -> None:
+    def __init__(
+        self, froms: Sequence[Root], to: Root, guard: Guard, todo: dict[int, list[LineUpdate]]
+    ) -> None:
         self.to, self.guard, self.todo = to, guard, todo
         self.held = [{slice: dict(root.lines_of(slice)) for slice in todo} for root in froms]
         self.gained = [dict.fromkeys(guard.cold, 0.0) for _ in froms]
@@ -61,43 +63,45 @@
             }
             for held in self.held
         ]
-        self.steps: list[Put] = []
+        self.steps: list[LineUpdate] = []
 
-    def walk(self, slices: list[int]) -> list[Put]:
+    def walk(self, slices: list[int]) -> list[LineUpdate]:
         while slices:
             before = len(self.steps)
             for slice in slices:
-                self.todo[slice] = [put for put in self.todo[slice] if not self.took(put)]
+                self.todo[slice] = [update for update in self.todo[slice] if not self.took(update)]
             slices = [slice for slice in slices if self.todo[slice]]
             if slices and len(self.steps) == before:
                 self.detour(slices)
         return self.steps
 
-    def took(self, put: Put) -> bool:
-        if not all(self.safe(number, put) for number in range(len(self.held))):
+    def took(self, update: LineUpdate) -> bool:
+        if not all(self.safe(number, update) for number in range(len(self.held))):
             return False
         for held, gained in zip(self.held, self.gained, strict=True):
-            lines = held[put.slice]
-            if put.backend in gained:
-                gained[put.backend] += put.weight - lines.get(put.backend, 0)
-            lines.pop(put.backend, None)
-            if put.weight:
-                lines[put.backend] = put.weight
-        self.steps.append(put)
+            lines = held[update.slice]
+            if update.backend in gained:
+                gained[update.backend] += update.weight - lines.get(update.backend, 0)
+            lines.pop(update.backend, None)
+            if update.weight:
+                lines[update.backend] = update.weight
+        self.steps.append(update)
         return True
 
-    def safe(self, number: int, put: Put) -> bool:
-        lines = self.held[number][put.slice]
-        if not put.weight:
-            return not lines.get(put.backend) or len(lines) > 1 or not self.to.lines_of(put.slice)
-        more = put.weight - lines.get(put.backend, 0)
-        gained = self.gained[number].get(put.backend)
-        return gained is None or more <= 0 or gained + more <= self.most[number][put.backend] + 1e-9
+    def safe(self, number: int, update: LineUpdate) -> bool:
+        lines = self.held[number][update.slice]
+        if not update.weight:
+            return not lines.get(update.backend) or len(lines) > 1 or not self.to.lines_of(update.slice)
+        more = update.weight - lines.get(update.backend, 0)
+        gained = self.gained[number].get(update.backend)
+        return gained is None or more <= 0 or gained + more <= self.most[number][update.backend] + 1e-9
 
     def detour(self, slices: list[int]) -> None:
         """Cold backends wait for each other's place: a warm one stands in for a moment."""
         for slice in slices:
-            if not any(put.backend in self.guard.cold and not put.weight for put in self.todo[slice]):
+            if not any(
+                update.backend in self.guard.cold and not update.weight for update in self.todo[slice]
+            ):
                 continue  # only a removal makes room
             wanted = self.to.lines_of(slice)
             for name in self.guard.warm:
@@ -107,8 +111,8 @@
                     and name not in self.guard.cold
                     and name not in self.guard.draining
                 ):
-                    self.took(Put(slice, name, 1.0))
-                    self.todo[slice].append(Put(slice, name, 0))
+                    self.took(LineUpdate(slice, name, 1.0))
+                    self.todo[slice].append(LineUpdate(slice, name, 0))
                     return
         raise Unfit(
             "cold backends wait for each other's place, and no warm one can stand in",
--- a/indigohitch/versions/history.py
+++ b/indigohitch/versions/history.py
@@ -52,13 +52,13 @@
         return self.forget()
 
     def get(self, which: str | int) -> Version:
-        """By name, number or Mark.text().  Raises Unfit."""
+        """By name, number or VersionId.text().  Raises Unfit."""
         text = str(which)
         number = self.names.get(text)
         if number is None and (head := text.partition("-")[0]).isdigit():
             number = int(head)
         found = self.by_number.get(number) if number is not None else None
-        if found is None or "-" in text and text not in self.names and found.mark.text() != text:
+        if found is None or "-" in text and text not in self.names and found.version_id.text() != text:
             raise Unfit(f"no version {text}", "", "list those that are kept")
         return found
 
--- a/indigohitch/versions/publisher.py
+++ b/indigohitch/versions/publisher.py
@@ -119,7 +119,7 @@
             return None
         newest = self.history.newest
         number = newest.number + 1 if newest is not None else 1
-        parent = self.current.mark if self.current is not None else None
+        parent = self.current.version_id if self.current is not None else None
         version = Version(number, root, parent, cause, now)
         self.store.add(version)
         self.current = version
--- a/indigohitch/versions/rollout.py
+++ b/indigohitch/versions/rollout.py
@@ -80,7 +80,7 @@
         version = Version(
             publisher.history.newest.number + 1,
             found.root,
-            self.baseline.mark,
+            self.baseline.version_id,
             "amended while a push is staged",
             now,
         )
--- a/indigohitch/versions/send_queue.py
+++ b/indigohitch/versions/send_queue.py
@@ -8,22 +8,22 @@
 from itertools import islice
 
 from . import delta
-from .ranges import shorter, whole
+from .ranges import replacements_for, shorter
 from .tables import Root
-from .terms import Channel, Guard, Put, Whole
+from .terms import Channel, Guard, LineUpdate, RangeReplacement
 
-Plan = Callable[[Sequence[Root], Root, Guard], list[Put]]
+Plan = Callable[[Sequence[Root], Root, Guard], list[LineUpdate]]
 
 
 @dataclass(slots=True, frozen=True)
 class Chunk:
     """The steps of one message."""
 
-    puts: tuple[Put, ...] = ()
-    wholes: tuple[Whole, ...] = ()
+    updates: tuple[LineUpdate, ...] = ()
+    replacements: tuple[RangeReplacement, ...] = ()
 
     def __bool__(self) -> bool:
-        return bool(self.puts or self.wholes)
+        return bool(self.updates or self.replacements)
 
 
 class SendQueue:
@@ -31,42 +31,42 @@
 
     def __init__(self, channel: Channel, plan: Plan) -> None:
         self.channel, self.plan = channel, plan
-        self.puts: deque[Put] = deque()  # the way to `planned`
-        self.wholes: deque[Whole] = deque()  # ranges of slices; these go first
+        self.updates: deque[LineUpdate] = deque()  # the way to `planned`
+        self.replacements: deque[RangeReplacement] = deque()  # ranges of slices; these go first
         self.planned: Root | None = None
 
     def clear(self) -> None:
-        self.clear_puts()
-        self.wholes.clear()
+        self.clear_updates()
+        self.replacements.clear()
 
-    def clear_puts(self) -> None:
-        self.puts.clear()
+    def clear_updates(self) -> None:
+        self.updates.clear()
         self.planned = None
 
-    def plan_whole(self, goal: Root, parts: Sequence[bytes]) -> None:
+    def plan_replacement(self, goal: Root, parts: Sequence[bytes]) -> None:
         """All of `goal`, but for parts that the client says it has."""
-        self.wholes.extend(whole(goal, parts, self.channel.lines))
+        self.replacements.extend(replacements_for(goal, parts, self.channel.lines))
 
     def plan_delta(self, roots: Sequence[Root], to: Root, guard: Guard) -> None:
         """From whichever of `roots` the client holds.  Raises Unfit where no order of steps is safe."""
-        puts, self.planned = self.plan(roots, to, guard), to
-        if len(roots) == 1 and (ranges := shorter(puts, roots[0], to, guard, self.channel)):
-            self.wholes.extend(ranges)
-            puts = self.plan([delta.stripped(to, guard)], to, guard)
-        self.puts = deque(puts)
+        updates, self.planned = self.plan(roots, to, guard), to
+        if len(roots) == 1 and (ranges := shorter(updates, roots[0], to, guard, self.channel)):
+            self.replacements.extend(ranges)
+            updates = self.plan([delta.stripped(to, guard)], to, guard)
+        self.updates = deque(updates)
 
     def urgent(self, draining: frozenset[str]) -> bool:
         """A draining backend's lines wait to go, or may: the window's reserve is for these."""
-        return bool(draining and self.wholes) or any(
-            put.backend in draining for put in islice(self.puts, self.channel.lines)
+        return bool(draining and self.replacements) or any(
+            update.backend in draining for update in islice(self.updates, self.channel.lines)
         )
 
     def next_chunk(self) -> Chunk:
         """As many steps as one message takes; a range set whole goes alone if it is larger."""
-        puts, wholes, room = [], [], self.channel.lines
-        while self.wholes and (self.wholes[0].lines() <= room or not wholes):
-            room -= max(self.wholes[0].lines(), 1)
-            wholes.append(self.wholes.popleft())
-        while self.puts and not wholes and len(puts) < room:
-            puts.append(self.puts.popleft())
-        return Chunk(tuple(puts), tuple(wholes))
+        updates, replacements, room = [], [], self.channel.lines
+        while self.replacements and (self.replacements[0].lines() <= room or not replacements):
+            room -= max(self.replacements[0].lines(), 1)
+            replacements.append(self.replacements.popleft())
+        while self.updates and not replacements and len(updates) < room:
+            updates.append(self.updates.popleft())
+        return Chunk(tuple(updates), tuple(replacements))
--- a/indigohitch/versions/session.py
+++ b/indigohitch/versions/session.py
@@ -65,7 +65,7 @@
         to what was begun."""
         self.guard = guard
         if self.phase is Phase.REPLACING:
-            self.queue.clear_puts()
+            self.queue.clear_updates()
         else:
             self.queue.clear()
 
@@ -171,7 +171,12 @@
 
     def end_replacing(self) -> None:
         """Once all ranges have been taken, it holds the goal."""
-        if self.phase is not Phase.REPLACING or self.goal is None or self.queue.wholes or self.in_flight:
+        if (
+            self.phase is not Phase.REPLACING
+            or self.goal is None
+            or self.queue.replacements
+            or self.in_flight
+        ):
             return
         self.confirmed, self.goal, self.phase = self.goal, None, Phase.UPDATING
         self.queue.planned = None
@@ -218,14 +223,19 @@
         if self.phase is Phase.REPLACING:
             if self.goal is None:
                 self.goal = delta.stripped(self.target.root, self.guard)
-                self.queue.plan_whole(self.goal, self.parts)
+                self.queue.plan_replacement(self.goal, self.parts)
         elif self.queue.planned is None or self.queue.planned != self.target.root:
             self.queue.plan_delta(self.expected_contents(), self.target.root, self.guard)
 
     def message(self, now: int, chunk: Chunk) -> Message:
         self.sequence += 1
         message = Message(
-            self.connection, self.sequence, self.after, self.target.mark, chunk.puts, chunk.wholes
+            self.connection,
+            self.sequence,
+            self.after,
+            self.target.version_id,
+            chunk.updates,
+            chunk.replacements,
         )
         self.after = self.sequence
         if not self.in_flight:
--- a/indigohitch/versions/store_records.py
+++ b/indigohitch/versions/store_records.py
@@ -11,7 +11,7 @@
 from ..packed.frames import HEAD, Broken, Kinds
 from ..packed.rows import Row
 from .tables import Root, difference
-from .terms import Mark, SliceLines, Version
+from .terms import SliceLines, Version, VersionId
 
 MAGIC = b"IHvt"
 SLICES_IN_RECORD = 20_000
@@ -21,7 +21,7 @@
     """A version, as slices that differ from those of the version before it (in a file's first: from none)."""
 
     number: int
-    parent: Mark | None
+    parent: VersionId | None
     cause: str
     at: int
     digest: bytes
--- a/indigohitch/versions/terms.py
+++ b/indigohitch/versions/terms.py
@@ -1,6 +1,6 @@
 """The words between the parts: versions, messages to a relay and its answers.  No I/O.
 
-Times are whole tenths of a ms.  A `Mark` is a version and its acknowledgement in one: it goes out with the
+Times are whole tenths of a ms.  A `VersionId` names a version and acknowledges it: it goes out with the
 messages and comes back in the answers."""
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from .tables import Root
 
 
-class Mark(Row, frozen=True):
+class VersionId(Row, frozen=True):
     """Numbers alone say nothing: two programs may both have made a version 7."""
 
     number: int
@@ -26,16 +26,16 @@
 class Version:
     number: int
     root: Root
-    parent: Mark | None
+    parent: VersionId | None
     cause: str  # which decision, or which operator
     at: int
 
     @property
-    def mark(self) -> Mark:
-        return Mark(self.number, self.root.digest)
+    def version_id(self) -> VersionId:
+        return VersionId(self.number, self.root.digest)
 
 
-class Put(Row, frozen=True):
+class LineUpdate(Row, frozen=True):
     """One line; weight 0 removes it."""
 
     slice: int
@@ -50,7 +50,7 @@
     lines: dict[str, float]
 
 
-class Whole(Row, frozen=True):
+class RangeReplacement(Row, frozen=True):
     """All lines of the slices from `first` to `last`, in one step: what is not listed goes."""
 
     first: int
@@ -61,7 +61,7 @@
         return sum(len(table.lines) for table in self.tables)
 
 
-Step = Put | Whole
+Step = LineUpdate | RangeReplacement
 
 
 class Message(Row, frozen=True):
@@ -71,12 +71,12 @@
     connection: int
     sequence: int
     after: int
-    mark: Mark
-    puts: tuple[Put, ...] = ()
-    wholes: tuple[Whole, ...] = ()
+    version_id: VersionId
+    updates: tuple[LineUpdate, ...] = ()
+    replacements: tuple[RangeReplacement, ...] = ()
 
     def lines(self) -> int:
-        return len(self.puts) + sum(one.lines() for one in self.wholes)
+        return len(self.updates) + sum(one.lines() for one in self.replacements)
 
 
 class Claim(Row, frozen=True):
@@ -89,13 +89,13 @@
     parts: tuple[bytes, ...] = ()
     heard: int = 0
     base: bytes = b""
-    since: tuple[Put, ...] = ()
+    since: tuple[LineUpdate, ...] = ()
 
 
 class Ack(Row, frozen=True):
     connection: int
     sequence: int
-    mark: Mark
+    version_id: VersionId
     digest: bytes  # of all that it holds now; empty: this relay tells none
 
 
@@ -134,14 +134,14 @@
 
 def applied(root: Root, message: Message) -> Root:
     """What a relay holds after it; raises Unfit."""
-    for one in message.wholes:
+    for one in message.replacements:
         changes: dict[int, dict] = {slice: {} for slice, _ in root.items(one.first, one.last)}
         root = root.changed(changes | {table.slice: table.lines for table in one.tables})
     changes = {}
-    for put in message.puts:
-        if put.slice not in changes:
-            changes[put.slice] = dict(root.lines_of(put.slice))
-        changes[put.slice].pop(put.backend, None)
-        if put.weight:
-            changes[put.slice][put.backend] = put.weight
+    for update in message.updates:
+        if update.slice not in changes:
+            changes[update.slice] = dict(root.lines_of(update.slice))
+        changes[update.slice].pop(update.backend, None)
+        if update.weight:
+            changes[update.slice][update.backend] = update.weight
     return root.changed(changes)
--- a/proofs/versions.py
+++ b/proofs/versions.py
@@ -125,7 +125,7 @@
             if at - since >= GRACE:
                 for relay in self.relays:
                     if at - self.program.joined_at.get(relay.name, at) >= GRACE / 2:
-                        self.drain_over += sum(name in table.lines for _, table in relay.tabled.root.items())
+                        self.drain_over += sum(name in table.lines for _, table in relay.table.root.items())
                 del self.drains[name]
                 self.news("it is back", states={**self.facts.states, name: "ready"})
                 publisher = self.program.publisher
@@ -214,7 +214,7 @@
 
     def right(self, relay: Relay) -> bool:
         session = self.program.publisher.sessions.get(relay.name)
-        return relay.tabled.root == self.program.publisher.root and session is not None and session.in_sync
+        return relay.table.root == self.program.publisher.root and session is not None and session.in_sync
 
     async def run(self) -> dict:
         await self.begin()
@@ -250,7 +250,11 @@
 
 
 def removals_first(froms, to, guard):
-    return [put for puts in delta.changes(froms, to).values() for put in sorted(puts, key=lambda p: p.weight)]
+    return [
+        update
+        for updates in delta.changes(froms, to).values()
+        for update in sorted(updates, key=lambda p: p.weight)
+    ]
 
 
 def main() -> int:
--- a/proofs/versions_relays.py
+++ b/proofs/versions_relays.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from indigohitch.packed.frames import Broken, Frames
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions.tables import Root
 from indigohitch.versions.terms import Message, applied
 from indigohitch.versions.words import WORDS, Hello, Joined, Welcome
@@ -32,7 +32,7 @@
         self.name, self.at, self.truth, self.messages = name, at, truth, messages
         self.came: deque[float] = deque()  # messages, of the last 10 s
         self.chance = random.Random(seed)
-        self.tabled = Tabled()
+        self.table = TableRelay()
         self.lossy = True
         self.served: set[int] = set()
         self.bare: dict[int, float] = {}  # slice: since when
@@ -59,15 +59,15 @@
         while data := await reader.read(1 << 16):
             for word, _ in frames.feed(data):
                 if isinstance(word, Welcome):
-                    claim = self.tabled.joins(word.connection)
+                    claim = self.table.joins(word.connection)
                     self.say(Joined(word.connection, msgspec.structs.replace(claim, heard=self.heard())))
                     continue
                 self.came.append(time.monotonic())
                 self.truth.over += self.heard() > self.messages
                 if isinstance(word, Message) and not (self.lossy and self.chance.random() < self.LOSS):
-                    before = self.tabled.root
-                    said = self.tabled.takes(word)
-                    if self.tabled.root is not before:
+                    before = self.table.root
+                    said = self.table.takes(word)
+                    if self.table.root is not before:
                         self.watch(before, word)
                     if said is not None and not (self.lossy and self.chance.random() < self.LOSS):
                         self.say(said)
@@ -83,7 +83,7 @@
 
     def restart(self, root: Root) -> None:
         """Its slices are served anew from what it begins with."""
-        self.tabled = Tabled(root)
+        self.table = TableRelay(root)
         self.served = {slice for slice, _ in root.items()}
         self.bare.clear()
         for name in self.most:
@@ -98,19 +98,21 @@
         self.most[name] = max(self.truth.cold[name], self.weight(name))
 
     def weight(self, name: str) -> float:
-        return sum(table.lines.get(name, 0) for _, table in self.tabled.root.items())
+        return sum(table.lines.get(name, 0) for _, table in self.table.root.items())
 
     # ---- the truth -------------------------------------------------------------------------------------
 
     def watch(self, root: Root, message: Message) -> None:
         """Line by line: a slice that was served and has no line is bare from then until it has one."""
         now = time.monotonic()
-        steps = [Message(0, 0, 0, message.mark, (), (one,)) for one in message.wholes]
-        steps += [Message(0, 0, 0, message.mark, (one,)) for one in message.puts]
+        steps = [Message(0, 0, 0, message.version_id, (), (one,)) for one in message.replacements]
+        steps += [Message(0, 0, 0, message.version_id, (one,)) for one in message.updates]
         for step in steps:
             root = applied(root, step)
-            touched = {put.slice for put in step.puts} | {t.slice for one in step.wholes for t in one.tables}
-            for one in step.wholes:
+            touched = {update.slice for update in step.updates} | {
+                t.slice for one in step.replacements for t in one.tables
+            }
+            for one in step.replacements:
                 touched |= {slice for slice in self.served if one.first <= slice <= one.last}
             for slice in touched:
                 if root.get(slice) is not None:
--- a/tests/publishing.py
+++ b/tests/publishing.py
@@ -4,7 +4,7 @@
 
 from indigohitch import interface as face
 from indigohitch.fleet.disk.files import Files
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions.checks import Facts
 from indigohitch.versions.history import MemoryStore
 from indigohitch.versions.publisher import VersionPublisher
@@ -36,7 +36,7 @@
         if self.publisher.current is None:
             self.publisher.apply_orders(0, [line(slice, "ab"[slice % 2]) for slice in range(SLICES)], "first")
         for number in range(relays):
-            self.join(f"r{number}", Tabled())
+            self.join(f"r{number}", TableRelay())
         self.go()
 
     def hear(self, event, **fields):
@@ -135,7 +135,7 @@
 def settled(tables):
     root = root_of(tables)
     roots = {root.digest: root}
-    relay, session = Tabled(root), Session("r", Channel(), roots.get)
+    relay, session = TableRelay(root), Session("r", Channel(), roots.get)
     session.on_connect(0, 1, relay.joins(1))
     session.set_target(version(1, root), Guard())
     assert session.in_sync and not session.due(0)
--- a/tests/test_versions_cases.py
+++ b/tests/test_versions_cases.py
@@ -1,7 +1,7 @@
 """Sessions, case by case: what a relay missed, claims, refuses, says late or not truly."""
 
 from indigohitch.net.clock import SECOND
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions.session import BACKOFF, Phase, Session
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Ack, Channel, Claim, Guard, Nack, applied
@@ -38,7 +38,7 @@
 def test_a_claim_of_a_version_that_never_was_sets_only_the_parts_that_differ():
     tables = {slice: {"a": 1.0} for slice in range(0, 2560, 16)}
     _, session, _ = settled(tables)
-    relay = Tabled(root_of(tables | {16: {"strange": 1.0}}))
+    relay = TableRelay(root_of(tables | {16: {"strange": 1.0}}))
     session.on_disconnect(1)
     session.on_connect(5, 2, relay.joins(2))
     assert session.phase is Phase.REPLACING
@@ -81,7 +81,7 @@
     start = root_of({1: {"a": 1.0}, 2: {"a": 1.0}})
     for taken in range(4):
         session = Session("r", Channel(lines=1), {start.digest: start}.get)
-        session.on_connect(0, 1, Tabled(start).joins(1))
+        session.on_connect(0, 1, TableRelay(start).joins(1))
         session.set_target(version(1, root_of({1: {"b": 1.0}, 2: {"a": 1.0, "c": 2.0}})), Guard())
         held, now = start, 0
         sent = []
@@ -104,7 +104,7 @@
 def test_answers_of_an_earlier_connection_say_nothing_of_this_one():
     """Sequences begin anew, so a late answer may name one that is in flight here."""
     relay, session, roots = settled({1: {"a": 1.0}})
-    old_ack = Ack(1, 1, session.target.mark, root_of({1: {"b": 1.0}}).digest)
+    old_ack = Ack(1, 1, session.target.version_id, root_of({1: {"b": 1.0}}).digest)
     old_nack = Nack(1, 1, 0, True, Claim(Root().digest))
     session.on_connect(5, 2, relay.joins(2))
     session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
--- a/tests/test_versions_commands.py
+++ b/tests/test_versions_commands.py
@@ -20,7 +20,7 @@
     assert answer(publisher, 3, ["rollback", "1"], "op")[0].endswith("goes out, pinned")
     assert room.go() == 3 * 4
     assert answer(publisher, 4, ["list"], "op")[:2] == [
-        f"pinned at {publisher.history.get(1).mark.text()} by op",
+        f"pinned at {publisher.history.get(1).version_id.text()} by op",
         "3 relays, 0 on the way",
     ]
     assert "goes out" in answer(publisher, 5, ["unpin"], "op")[0]
--- a/tests/test_versions_delta.py
+++ b/tests/test_versions_delta.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions import delta
 from indigohitch.versions.session import Session
 from indigohitch.versions.tables import difference, root_of
-from indigohitch.versions.terms import Channel, Guard, Mark, Message, Put, Version, applied
+from indigohitch.versions.terms import Channel, Guard, LineUpdate, Message, Version, VersionId, applied
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -24,33 +24,38 @@
     start, to = root_of(tables()), root_of(tables())
     weight = [sum(table.lines.get("n0", 0) for _, table in root.items()) for root in (start, to)]
     guard = Guard(frozenset({"n7"}), {"n0": max(weight)}, ("w",))
-    puts = delta.ordered([start], to, guard)
+    updates = delta.ordered([start], to, guard)
     differs = sum(
         len(set((a.lines if a else {}).items()) ^ set((b.lines if b else {}).items()))
         for _, a, b in difference(start, to)
     )
-    assert len(puts) == differs + 2 * sum(put.backend == "w" and put.weight > 0 for put in puts)
+    assert len(updates) == differs + 2 * sum(
+        update.backend == "w" and update.weight > 0 for update in updates
+    )
     held = start
-    for put in puts:
-        held = applied(held, Message(1, 1, 0, Mark(1, to.digest), (put,)))
+    for update in updates:
+        held = applied(held, Message(1, 1, 0, VersionId(1, to.digest), (update,)))
         assert held.slices == 30, "bare"
         assert sum(table.lines.get("n0", 0) for _, table in held.items()) <= max(weight), "cold"
     assert held == to
-    leave = [number for number, put in enumerate(puts) if put.backend == "n7" and not put.weight]
+    leave = [number for number, update in enumerate(updates) if update.backend == "n7" and not update.weight]
     other = [
         number
-        for number, put in enumerate(puts)
-        if put.backend != "n7"
-        and not put.weight
-        and all(one.backend != "n7" or one.slice != put.slice for one in puts)
+        for number, update in enumerate(updates)
+        if update.backend != "n7"
+        and not update.weight
+        and all(one.backend != "n7" or one.slice != update.slice for one in updates)
     ]
     assert not leave or not other or sum(leave) / len(leave) < sum(other) / len(other)
 
 
 def test_cold_backends_that_wait_for_each_other_pass_by_way_of_a_warm_one():
     start, to = root_of({1: {"a": 1.0}, 2: {"b": 1.0}}), root_of({1: {"b": 1.0}, 2: {"a": 1.0}})
-    puts = delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}, warm=("w",)))
-    assert [put for put in puts if put.backend == "w"] == [Put(1, "w", 1.0), Put(1, "w", 0)]
+    updates = delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}, warm=("w",)))
+    assert [update for update in updates if update.backend == "w"] == [
+        LineUpdate(1, "w", 1.0),
+        LineUpdate(1, "w", 0),
+    ]
     with pytest.raises(Exception, match="cold backends wait"):
         delta.ordered([start], to, Guard(cold={"a": 1.0, "b": 1.0}))
 
@@ -58,7 +63,7 @@
 def test_where_nearly_all_changes_ranges_are_sent_and_no_slice_goes_bare():
     start = root_of({slice: {"a": 1.0} for slice in range(1000)})
     to = root_of({slice: {"b": 1.0} for slice in range(1000)} | {7: {"b": 1.0, "c": 1.0}})
-    relay, session = Tabled(start), Session("r", Channel(), {start.digest: start}.get)
+    relay, session = TableRelay(start), Session("r", Channel(), {start.digest: start}.get)
     session.on_connect(0, 1, relay.joins(1))
     session.set_target(Version(1, to, None, "x", 0), Guard(cold={"c": 1.0}))
     lines = now = 0
--- a/tests/test_versions_model.py
+++ b/tests/test_versions_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions import delta
 from indigohitch.versions.session import BACKOFF, Session
 from indigohitch.versions.tables import root_of
@@ -25,7 +25,7 @@
     """A relay, its session, and what is on the wire between them."""
 
     def __init__(self, plan):
-        self.relay, self.session = Tabled(ROOTS[0]), Session("r", NO_WINDOW, BY_DIGEST.get, plan)
+        self.relay, self.session = TableRelay(ROOTS[0]), Session("r", NO_WINDOW, BY_DIGEST.get, plan)
         self.down, self.up = [], []  # messages, answers
         self.breaks, self.losses = BREAKS, LOSSES
         self.session.on_connect(0, 1, self.relay.joins(1))
@@ -46,8 +46,8 @@
                 s.confirmed and s.confirmed.digest,
                 [p.digest for p in s.candidates],
                 s.in_flight,
-                s.queue.puts,
-                s.queue.wholes,
+                s.queue.updates,
+                s.queue.replacements,
                 s.target and s.target.number,
                 s.sequence,
                 s.after,
@@ -134,7 +134,7 @@
     twin.session.queue = copy.copy(side.session.queue)
     for name in ("in_flight", "candidates"):
         setattr(twin.session, name, copy.copy(getattr(side.session, name)))
-    for name in ("puts", "wholes"):
+    for name in ("updates", "replacements"):
         setattr(twin.session.queue, name, copy.copy(getattr(side.session.queue, name)))
     twin.session.window = Window(NO_WINDOW)
     return twin
@@ -184,7 +184,7 @@
 
 
 def removals_first(froms, to, guard):
-    return sorted(delta.ordered(froms, to, guard), key=lambda put: put.weight != 0)
+    return sorted(delta.ordered(froms, to, guard), key=lambda update: update.weight != 0)
 
 
 def as_if_none_was_cold(froms, to, guard):
--- a/tests/test_versions_publisher.py
+++ b/tests/test_versions_publisher.py
@@ -218,7 +218,7 @@
     assert list(history.by_number) == [18, 19, 20]
     with pytest.raises(Unfit):
         history.get(5)
-    assert history.get(history.get(19).mark.text()).number == 19
+    assert history.get(history.get(19).version_id.text()).number == 19
 
 
 def test_a_content_that_stands_twice_is_found_in_the_version_that_is_kept():
--- a/tests/test_versions_sessions.py
+++ b/tests/test_versions_sessions.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from indigohitch.net.clock import SECOND
-from indigohitch.standins.tabled import Tabled
+from indigohitch.standins.table_relay import TableRelay
 from indigohitch.versions.session import BACKOFF, Phase, Session
 from indigohitch.versions.tables import Root, root_of
 from indigohitch.versions.terms import Channel, Guard
@@ -22,7 +22,7 @@
         super().__init__()
         self.now, self.numbers = 0, 0
         self.roots = {Root().digest: Root()}
-        self.relay = Tabled()
+        self.relay = TableRelay()
         self.session = Session("r", CHANNEL, self.roots.get)
         self.down, self.up, self.times = [], [], []
         self.connection = 0
