--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -55,7 +55,6 @@
             Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
         )
         self.state_machine = self.assembly.state_machine
-        self.book = self.state_machine  # until distribution has joined
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
         self.driver = Driver(
--- a/indigohitch/fleet/ports.py
+++ b/indigohitch/fleet/ports.py
@@ -58,9 +58,6 @@
         """From the msgpack of what `row` returned, this version's or one older or newer by one."""
 
 
-BookPart = StateMachinePart  # until distribution has joined
-
-
 class Acts(Protocol):
     """Every act that leaves a process (an order to the relay, a seat given or taken back, a piece of a batch
     released) is stamped and kept here (fleet/audit)."""
--- a/indigohitch/fleet/state_machine.py
+++ b/indigohitch/fleet/state_machine.py
@@ -40,7 +40,6 @@
         self.parts = {part.name: part for part in parts}
         for part in self.parts.values():
             part.state_machine = self
-            part.book = self  # until distribution has joined
         self.index, self.term = 0, 0  # of the last entry applied
         self.proposers: dict[str, Proposed] = {}
 
