--- a/indigohitch/fleet/distribution/subscriber.py
+++ b/indigohitch/fleet/distribution/subscriber.py
@@ -247,4 +247,4 @@
         until = self.holder.heard(Renewed(word.number, INCARNATION), word.age)
         self.lease_here = max(self.lease_here, until)
         if self.now < self.holder.until:
-            self.connecting.patience.current(self.now)
+            self.connecting.patience.current(self.holder.until)
--- a/indigohitch/fleet/links/ends.py
+++ b/indigohitch/fleet/links/ends.py
@@ -54,6 +54,9 @@
 
     def down(self, link: Dialled, why: str) -> None: ...
 
+    def unreached(self, link: Dialled, why: str) -> None:
+        """It could not be dialled, or did not welcome us."""
+
     def replied(self, link: Dialled, word: Row) -> None:
         """A word that is not about the link itself came back over it."""
 
@@ -74,6 +77,7 @@
         self.connection: Connection | None = None
         self.welcome: Welcome | None = None  # the last one: facts in it stay true
         self.alive = self.pulses = self.pulse_due = self.dropped = 0
+        self.received = self.sent = 0  # bytes
 
     @property
     def who(self) -> Who | None:
@@ -118,8 +122,10 @@
         self.write(self.links.greeting())
 
     def heard(self, connection: Connection) -> None:
+        data = connection.incoming.take()
+        self.received += len(data)
         try:
-            for word, _ in self.frames.feed(connection.incoming.take()):
+            for word, _ in self.frames.feed(data):
                 self.take(word)
                 if not connection.open:
                     return
@@ -162,6 +168,7 @@
             self.links.log.count("words_dropped")
             return False
         self.connection.write(data)
+        self.sent += len(data)
         return True
 
     def closed(self, connection: Connection, why: str) -> None:
@@ -176,6 +183,8 @@
         self.rest = min(2 * self.rest, LONGEST_REST)
         if was is Phase.OPEN:
             self.links.down(self, why)
+        else:
+            self.links.unreached(self, why)
 
     def come(self, who: Who, token: int) -> None:
         """The other end has shown itself: it is worth dialling at once; anew where it is not the one that
--- a/indigohitch/fleet/links/links.py
+++ b/indigohitch/fleet/links/links.py
@@ -107,6 +107,9 @@
         self.log.trouble("member_lost", member=link.name, why=why)
         self.on_down(link.name)
 
+    def unreached(self, link: Dialled, why: str) -> None:
+        """It is dialled again, and said only once it was reached."""
+
     def replied(self, link: Dialled, word: Row) -> None:
         """Members say nothing over a connection that the other one dialled."""
 
