--- a/proofs/seats.py
+++ b/proofs/seats.py
@@ -21,7 +21,8 @@
 
 from fleetkit import Fleet, Pool, until
 from seats_clients import Clients, p99
-from seats_truth import NS, Servers, Truth
+from seats_truth import Servers, Truth
+from seats_verdict import Observed, Promise, broken, result
 
 from indigohitch.standins.breaker import Breaker
 
@@ -179,10 +180,9 @@
             clients.join()
         self.servers.quiet(10)
         self.fleet.ready(20)
-        names = list(self.fleet.listen)
 
         def leaked() -> int:
-            found = [self.seats(name) for name in names]
+            found = [self.seats(name) for name in self.fleet.listen]
             if not all(found):
                 return CONTRACT
             return (
@@ -233,49 +233,17 @@
         return self.told(leaked, noise, wrong)
 
     def told(self, leaked: int, noise: list[str], wrong: list[str]) -> int:
+        promise = Promise(CONTRACT, CUT, 1000 * LEASE)
+        seen = Observed(
+            self.window, self.in_force, self.cut_took, self.waits, self.counts, leaked, len(noise)
+        )
         truth = Truth(self.servers, FEATURE)
-        since, before = self.window
-        use = truth.mean(since, before) / CONTRACT
-        # A static split would have given the first its third, always in use, and the others as they were.
-        static = (
-            CONTRACT / 3 + sum(min(CONTRACT / 3, truth.mean(since, before, name)) for name in ("s2", "s3"))
-        ) / CONTRACT
-        result = {
-            "contract": CONTRACT,
-            "peak_in_use": truth.peak(),
-            "contract_cut": CUT,
-            "peak_after_cut": truth.peak(self.in_force + NS // 1000),
-            "doubled": truth.doubled,
-            "given": truth.given,
-            "refused": sum(c.refused for c in self.clients),
-            **self.counts,
-            "leaked": leaked,
-            "use_share": round(use, 3),
-            "static_use_share": round(static, 3),
-            "wait_ms_p99": p99(self.waits),
-            "cut_in_force_s": round(self.cut_took, 2),
-            "without_return": sum(c.without_return for c in self.clients),
-            "noise": len(noise),
-        }
-        broken = [
-            name
-            for name, bad in {
-                "peak_in_use": result["peak_in_use"] > CONTRACT,
-                "peak_after_cut": result["peak_after_cut"] > CUT,
-                "doubled": result["doubled"],
-                "leaked": leaked,
-                "use_share": use < 0.9 or use <= static,
-                "wait_ms_p99": result["wait_ms_p99"] > 1000 * LEASE,
-                "without_return": result["without_return"],
-                "given": result["given"] < 200,
-                "noise": result["noise"],
-            }.items()
-            if bad
-        ] + wrong
+        found = result(promise, seen, truth, self.clients)
+        bad = broken(promise, seen, truth, found) + wrong
         for line in noise[:20]:
             print(line)
-        print(json.dumps(result | {"broken": broken}))
-        return 1 if broken else 0
+        print(json.dumps(found | {"broken": bad}))
+        return 1 if bad else 0
 
 
 if __name__ == "__main__":
