Seats are rebalanced by typed moves; the leader's round is short functions

Cause: moving, Wish, spread and bare pairs needed explaining, and one function of 40 lines led. Change: moving -> rebalancing (MemberDemand, FairParts, Move, Moves, rebalance); SeatsWork.lead in parts, a member's report as Heard. Entries and tags stay.

--- /dev/null
+++ b/indigohitch/fleet/seats/rebalancing.py
@@ -0,0 +1,118 @@
+"""How the leader rebalances the seats of one pool over the members.  Pure.
+
+The design's own mechanism: whole seats, from the member with most idle to the one with most wanting, only for
+a positive gain, beyond a dead band, with a budget a round.  What a member should have is its part under
+max-min fairness: who wants less than an equal part gets what it wants, the others share the rest."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+# A member keeps one seat more than it wants, lest one seat goes to and fro with each job; not where another
+# one that wants some has none at all.
+BAND = 1
+# Of a pool in a round (half a second): a pool is spread anew in about two seconds, and a burst at one member
+# moves a quarter of it at the most before the others' reports are in.
+BUDGET = 4
+# Where there are fewer seats than members that want some, those go round by so many tenths of a ms.
+TURN = 50_000
+
+
+@dataclass(slots=True, frozen=True)
+class MemberDemand:
+    """`net`: seats held and not owed; `used`: in use on average lately; `missed`: asks that found none."""
+
+    name: str
+    incarnation: int
+    net: int
+    used: int
+    missed: int
+    stocks: bool = True  # takes a part of what nobody wants
+
+    @property
+    def wanted(self) -> int:
+        """Who comes again and again is counted each time: it is taken to want half as much again at most, and
+        shows in the next round whether it used that."""
+        return self.used + min(self.missed, 2 + self.used // 2)
+
+
+@dataclass(slots=True, frozen=True)
+class FairParts:
+    parts: list[int]  # in the order of what was wanted
+    unwanted: int
+
+
+@dataclass(slots=True, frozen=True)
+class Move:
+    member: MemberDemand
+    count: int
+
+
+@dataclass(slots=True, frozen=True)
+class Moves:
+    """Of one round."""
+
+    grants: list[Move]
+    recalls: list[Move]
+
+
+def fair_parts(size: int, wanted: Sequence[int], turn: int = 0) -> FairParts:
+    """Whole seats of `size`, max-min fair.  What can't be shared evenly goes to others with each turn."""
+    left, level = size, 0
+    rest = sorted(wanted)
+    for place, count in enumerate(rest):  # who wants less than an equal part gets what it wants
+        level = left // (len(rest) - place)
+        if count > level:
+            break
+        left, level = left - count, count
+    found = [min(count, level) for count in wanted]
+    left = size - sum(found)
+    order = sorted(range(len(wanted)), key=lambda i: (i + turn) % len(wanted))
+    for i in [i for i in order if wanted[i] > level][:left]:
+        found[i] += 1
+    return FairParts(found, size - sum(found))
+
+
+def rebalance(size: int, free: int, coming: int, members: Sequence[MemberDemand], turn: int = 0) -> Moves:
+    """What to grant now and what to recall in this round, of a pool of `size` with so many free seats and
+    so many that are owed and on their way back."""
+    if not members:
+        return Moves([], [])
+    members = sorted(members, key=lambda member: member.name)
+    fair = fair_parts(size, [member.wanted for member in members], turn)
+    stock = fair.unwanted // max(1, sum(member.stocks for member in members))
+    have = [member.net for member in members]
+    granted = [0] * len(members)
+    for extra in (0, stock):  # first what is wanted, then an equal part of what is not
+        for i in sorted(range(len(members)), key=lambda i: have[i] - fair.parts[i]):
+            count = min(free, max(0, fair.parts[i] + extra * members[i].stocks - have[i]))
+            granted[i] += count
+            have[i] += count
+            free -= count
+    return Moves(moves(members, granted), recalls(size, coming, members, fair.parts, have))
+
+
+def moves(members: Sequence[MemberDemand], counts: Sequence[int]) -> list[Move]:
+    return [Move(member, count) for member, count in zip(members, counts, strict=True) if count]
+
+
+def recalls(
+    size: int, coming: int, members: Sequence[MemberDemand], due: list[int], have: list[int]
+) -> list[Move]:
+    lacking = [d - h for d, h in zip(due, have, strict=True) if d > h]
+    most = min(sum(lacking) - coming, max(1, size // BUDGET))
+    starved = any(h == 0 < d for d, h in zip(due, have, strict=True))
+    taken, rest = [0] * len(members), list(have)
+
+    def idle(i: int) -> int:
+        """Beyond the band."""
+        return rest[i] - due[i] - (BAND if members[i].stocks and not starved else 0)
+
+    for _ in range(max(0, most)):
+        i = max(range(len(members)), key=idle)
+        if idle(i) <= 0:
+            break
+        rest[i] -= 1
+        taken[i] += 1
+    return moves(members, taken)
--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 import msgspec
 
@@ -11,13 +11,21 @@
 from ..terms import Entry, Lease, Outcome
 from .allocator import SeatAllocator, SeatSettings
 from .contract import Contract, Grant, Recall, Report, Wanting
-from .moving import TURN, Wish, spread
 from .part import Feature, Seats
+from .rebalancing import TURN, MemberDemand, Move, rebalance
 
 ROUND = 5_000  # of moves: as often as members report with a lease of 2 s
 FED = 15_000  # after a grant, until a report shows what of it is used
 
 
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A member's last report, and what it wants by feature and pool."""
+
+    report: Report
+    wanting: dict[tuple[str, str], Wanting]
+
+
 class SeatsWork:
     """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
 
@@ -119,49 +127,63 @@
     # ---- of the leader -----------------------------------------------------------------------------
 
     def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
-        told: dict[str, Report] = {}
-        for name, raw in sorted(reports.items()):
-            try:
-                told[name] = msgspec.msgpack.decode(raw, type=Report)
-            except msgspec.MsgspecError:
-                continue  # of a version that tells it otherwise: no grants to it
-        moves, wanted = now >= self.next_round, []
-        if moves:
+        heard = decoded(reports)
+        recalls, wanted = now >= self.next_round, []
+        if recalls:
             self.next_round = now + ROUND
-        lately = {
-            (name, wanting.feature, wanting.pool): wanting
-            for name, report in told.items()
-            for wanting in report.wanting
-        }
         for feature, found in self.part.features.items():
             for pool, size in found.pools.items():
-                if any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out):
-                    continue  # what is under way would be counted twice
-                wishes = [
-                    self.wish(now, found, pool, name, report, lately)
-                    for name, report in told.items()
-                    if report.incarnation > self.part.gone.get(name, 0)
-                ]
-                coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
-                grants, back = spread(size, found.room(pool), coming, wishes, now // TURN)
-                for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
-                    word = kind.__name__.lower()
-                    for wish, count in rows:
-                        if kind is Grant:
-                            self.fed[feature, pool, wish.name] = now + FED
-                        wanted += self.want(
-                            f"lead {feature} {pool} {word} {wish.name}",
-                            f"seats.{word}",
-                            kind(feature, pool, wish.name, wish.incarnation, count),
-                        )
+                if not self.waits(feature, pool):
+                    wanted += self.rebalance(now, found, pool, size, heard, recalls)
         return wanted
 
-    def wish(self, now: int, found: Feature, pool: str, name: str, report: Report, lately: Mapping) -> Wish:
-        feature = found.terms.feature
+    def waits(self, feature: str, pool: str) -> bool:
+        """Moves of that pool are not answered yet: what is under way would be counted twice."""
+        return any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out)
+
+    def rebalance(
+        self, now: int, found: Feature, pool: str, size: int, heard: Mapping[str, Heard], recalls: bool
+    ) -> list[Wanted]:
+        members = [
+            self.demand(now, found, pool, name, one)
+            for name, one in heard.items()
+            if one.report.incarnation > self.part.gone.get(name, 0)
+        ]
+        coming = sum(share.debt for share in found.shares.values() if share.pool == pool)
+        moves = rebalance(size, found.room(pool), coming, members, now // TURN)
+        wanted, feature = [], found.terms.feature
+        for move in moves.grants:
+            self.fed[feature, pool, move.member.name] = now + FED
+            wanted += self.want_move(Grant, "grant", feature, pool, move)
+        for move in moves.recalls if recalls else ():
+            wanted += self.want_move(Recall, "recall", feature, pool, move)
+        return wanted
+
+    def want_move(
+        self, kind: type[Grant] | type[Recall], word: str, feature: str, pool: str, move: Move
+    ) -> list[Wanted]:
+        member = move.member
+        row = kind(feature, pool, member.name, member.incarnation, move.count)
+        return self.want(f"lead {feature} {pool} {word} {member.name}", f"seats.{word}", row)
+
+    def demand(self, now: int, found: Feature, pool: str, name: str, heard: Heard) -> MemberDemand:
+        feature, report = found.terms.feature, heard.report
         share = found.shares.get((pool, name, report.incarnation))
         net = share.net if share is not None else 0
-        wanting = lately.get((name, feature, pool))
+        wanting = heard.wanting.get((feature, pool))
         used, missed = (wanting.used, wanting.missed) if wanting is not None else (0, 0)
         if now < self.fed.get((feature, pool, name), 0):
             used = max(used, net)
-        return Wish(name, report.incarnation, net, used, missed, report.stocks)
+        return MemberDemand(name, report.incarnation, net, used, missed, report.stocks)
+
+
+def decoded(reports: Mapping[str, bytes]) -> dict[str, Heard]:
+    heard: dict[str, Heard] = {}
+    for name, raw in sorted(reports.items()):
+        try:
+            report = msgspec.msgpack.decode(raw, type=Report)
+        except msgspec.MsgspecError:
+            continue  # of a version that tells it otherwise: no grants to it
+        wanting = {(one.feature, one.pool): one for one in report.wanting}
+        heard[name] = Heard(report, wanting)
+    return heard
--- a/tests/test_seats_part.py
+++ b/tests/test_seats_part.py
@@ -8,9 +8,9 @@
 from indigohitch.fleet.ports import At
 from indigohitch.fleet.seats.allocator import Allocation, SeatAllocator, SeatSettings
 from indigohitch.fleet.seats.contract import Contract, Grant, Recall, Return, Terms
-from indigohitch.fleet.seats.moving import Wish, parts, spread
 from indigohitch.fleet.seats.nodeclock import Meter, Nodes, Verdict, header, read
 from indigohitch.fleet.seats.part import Seats
+from indigohitch.fleet.seats.rebalancing import MemberDemand, fair_parts, rebalance
 from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Lease, Stamp
 
@@ -200,20 +200,23 @@
     size, demands = rng.randint(1, 40), [rng.choice((0, 1, 3, 30)) for _ in range(rng.randint(1, 9))]
     net, rounds = [0] * len(demands), 0
     while True:
-        wishes = [Wish(f"m{i}", 1, n, min(n, d), max(0, d - n)) for i, (n, d) in enumerate(zip(net, demands))]
-        grants, back = spread(size, size - sum(net), 0, wishes)
-        if not grants and not back:
+        members = [
+            MemberDemand(f"m{i}", 1, n, min(n, d), max(0, d - n))
+            for i, (n, d) in enumerate(zip(net, demands))
+        ]
+        moves = rebalance(size, size - sum(net), 0, members)
+        if not moves.grants and not moves.recalls:
             break
-        for wish, count in grants:
-            net[int(wish.name[1:])] += count
-        for wish, count in back:
-            net[int(wish.name[1:])] -= count
+        for move in moves.grants:
+            net[int(move.member.name[1:])] += move.count
+        for move in moves.recalls:
+            net[int(move.member.name[1:])] -= move.count
         assert min(net) >= 0 and sum(net) <= size
         if rounds == 0:  # the wanting turns round once
             demands.reverse()
         rounds += 1
         assert rounds < 80, "they go to and fro"
-    due, _ = parts(size, demands)
+    due = fair_parts(size, demands).parts
     assert sum(max(0, d - n) for d, n in zip(due, net)) <= len(net), (demands, net)
     assert all(n for n, d in zip(net, due) if d) or size < len(demands)
 
@@ -221,11 +224,11 @@
 def test_fewer_seats_than_members_that_want_some_go_round():
     net, had = [0] * 5, [0] * 5
     for step in range(60):
-        wishes = [Wish(f"m{i}", 1, n, n, 1) for i, n in enumerate(net)]
-        grants, back = spread(2, 2 - sum(net), 0, wishes, step // 6)
-        for sign, rows in ((1, grants), (-1, back)):
-            for wish, count in rows:
-                net[int(wish.name[1:])] += sign * count
+        members = [MemberDemand(f"m{i}", 1, n, n, 1) for i, n in enumerate(net)]
+        moves = rebalance(2, 2 - sum(net), 0, members, step // 6)
+        for sign, rows in ((1, moves.grants), (-1, moves.recalls)):
+            for move in rows:
+                net[int(move.member.name[1:])] += sign * move.count
         had = [h + bool(n) for h, n in zip(had, net)]
     assert min(had) >= 10 and sum(net) <= 2
 
