make bench-capacity: cost of one process against each count alone

Cause: nothing said how a process' cost grows with the size of the fleet, beside a first look by hand. Change: cells for the module, the ledger's leader and voter, leases, seats' planner, audit, links, discovery and collectors, each in a process of its own; exponents by least squares on logarithms through four sizes, their 95 % interval, and a larger size held back that checks each fit.

--- a/Makefile
+++ b/Makefile
@@ -121,3 +121,8 @@
 
 bench-readiness: build      # from the start of the process to the first hb_ok; QUICK=1: under 20 s
 	$(PY) benchmarks/readiness.py
+
+.PHONY: bench-capacity
+
+bench-capacity: build       # cost of one process against each count alone, and how it grows; QUICK=1: under 50 s
+	$(PY) benchmarks/capacity.py
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,94 @@
+"""What one process costs against each count alone, and how that grows:  make bench-capacity
+
+    QUICK=1         a fourth of each size, once: under 50 s, and nothing is kept
+    GROUPS=a,b      only these groups of the catalogue; the results of the others stay as they are
+
+Each cell runs in a process of its own, two at a time, three times in turn; medians.  Processor time is that
+of the process, memory the growth of its peak.  What is made up is seeded.  An exponent is a least-squares
+fit on logarithms through four sizes, and is checked by a fifth, larger one, that it was not made from.
+Results go to benchmarks/results/capacity.json, the picture to docs/capacity.svg; the tables of
+docs/CAPACITY.md are made from them (`capacitykit/page.py`).  The last line of output is JSON."""
+
+import json
+import os
+import platform
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = ROOT / "benchmarks" / "results" / "capacity.json"
+PICTURE = ROOT / "docs" / "capacity.svg"
+sys.path[:0] = [str(ROOT), str(ROOT / "tests"), str(ROOT / "benchmarks")]
+
+from capacitykit import catalogue, runner  # noqa: E402
+
+QUICK = os.environ.get("QUICK") == "1"
+TIMES = 1 if QUICK else 3
+
+
+def chosen_groups() -> tuple[str, ...]:
+    named = tuple(filter(None, os.environ.get("GROUPS", "").split(",")))
+    if unknown := set(named) - set(catalogue.GROUPS):
+        raise SystemExit(f"GROUPS: no such group: {', '.join(sorted(unknown))}")
+    return named or catalogue.GROUPS
+
+
+def measured(groups: tuple[str, ...]) -> list[dict]:
+    """Rows of the series of these groups, each group timed."""
+    rows = []
+    for group in groups:
+        series = [one.quick() if QUICK else one for one in catalogue.SERIES if one.group == group]
+        began, load = time.monotonic(), os.getloadavg()[0]
+        for one, by_size in runner.runs(series, TIMES).items():
+            row = {"name": one.name, "group": group, "load": round(load, 1)} | runner.row(one, by_size)
+            rows.append(row)
+            show(row)
+        print(f"{group}: {time.monotonic() - began:.0f} s", flush=True)
+    return rows
+
+
+def show(row: dict) -> None:
+    for figure, found in row["figures"].items():
+        name = runner.key(row["name"], figure, row["grows"])
+        if found["exponent"] is None:
+            print(f"{name}: {found['why']}")
+        else:
+            print(
+                f"{name}: exponent {found['exponent']} +- {found['spread']} (last {found['last']}); "
+                f"at {row['held_back']} predicted {found['predicted']}, measured {found['measured']}"
+            )
+
+
+def keep(rows: list[dict], groups: tuple[str, ...]) -> list[dict]:
+    """Into the results beside the groups that were not measured; all rows."""
+    before = json.loads(RESULTS.read_text())["series"] if RESULTS.exists() else []
+    by_group = {group: [row for row in before if row["group"] == group] for group in catalogue.GROUPS}
+    by_group |= {group: [row for row in rows if row["group"] == group] for group in groups}
+    every = [row for group in catalogue.GROUPS for row in by_group[group]]
+    result = {
+        "command": "make bench-capacity",
+        "cores": os.cpu_count(),
+        "python": platform.python_version(),
+        "bases": runner.bases(),
+        "series": every,
+    }
+    RESULTS.write_text(json.dumps(result, indent=1) + "\n")
+    return every
+
+
+def main() -> None:
+    groups = chosen_groups()
+    rows = measured(groups)
+    if not QUICK:
+        from capacitykit.plot import draw
+
+        draw(keep(rows, groups), PICTURE)
+    print(json.dumps(runner.last_line(rows)))
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["cell"]:
+        print(json.dumps(runner.cell(sys.argv[2], json.loads(sys.argv[3]))))
+    else:
+        main()
--- /dev/null
+++ b/benchmarks/capacitykit/__init__.py
@@ -0,0 +1,2 @@
+"""The parts of `make bench-capacity`: cells, their runner, fits, the plot, and the tables of
+docs/CAPACITY.md."""
--- /dev/null
+++ b/benchmarks/capacitykit/entries_cell.py
@@ -0,0 +1,98 @@
+"""The ledger against entries: processor time and memory of a leader and of a voter for so many, and the
+replicated state after them.  Records are encoded as for the disk; writing and fsync are left to `make
+bench-ledger`."""
+
+from __future__ import annotations
+
+import msgspec
+
+from indigohitch.fleet.book import Book
+from indigohitch.fleet.disk.records import RECORDS, Group, One
+from indigohitch.fleet.ledger.ports import Commit, Heard, Propose, Write
+from indigohitch.fleet.ledger.words import Append, Appended
+from indigohitch.fleet.node.node import BOUNDS
+from indigohitch.fleet.node.notes import Add, Notes
+from indigohitch.fleet.node.words import KINDS
+from indigohitch.fleet.terms import Entry, Proposal
+from indigohitch.packed.frames import Frames
+
+from .ledger_cell import VOTERS, Leader, Member, frames_of, group
+from .measuring import Memory, processor_ms
+
+TOGETHER = 32  # entries proposed one after the other before they are answered
+BODY = msgspec.msgpack.encode(Add("x" * 100))
+
+
+class Applied:
+    """A member's book, and what its outputs cost: records for the disk, entries applied, frames for
+    others."""
+
+    def __init__(self) -> None:
+        self.book = Book([Notes()])
+
+    def carry_out(self, outputs: list) -> list[bytes]:
+        for output in outputs:
+            if isinstance(output, Write):
+                RECORDS.frame(Group((One(output.ballot, output.cut, output.entries),)))
+            elif isinstance(output, Commit):
+                for entry in output.entries:
+                    self.book.apply(entry)
+        return frames_of(outputs)
+
+
+def measure(entries: int) -> dict[str, float]:
+    leader_ms, leader_mb = led(entries)
+    voter_ms, voter_mb = followed(entries)
+    return {
+        "leader_ms": leader_ms,
+        "leader_memory_mb": leader_mb,
+        "voter_ms": voter_ms,
+        "voter_memory_mb": voter_mb,
+    }
+
+
+def led(entries: int) -> tuple[float, float]:
+    """By a leader with four other voters and no followers."""
+    memory, leader, applied = Memory(), Leader(group(0)), Applied()
+    applied.book.index = leader.machine.commit  # its first entry holds nothing
+
+    def some(first: int) -> None:
+        for number in range(first, min(first + TOGETHER, entries + 1)):
+            proposal = Proposal("proposer", 1, number, "notes.add", BODY)
+            applied.carry_out(leader.step(Propose(proposal)))
+        answer = KINDS.frame(Appended(leader.machine.term, True, leader.machine.state.log.last))
+        applied.carry_out(leader.hear([answer] * (VOTERS - 1)))
+
+    def all_of_them() -> None:
+        for first in range(1, entries + 1, TOGETHER):
+            some(first)
+
+    spent, _ = processor_ms(all_of_them)
+    if applied.book.index != entries + 1:
+        raise RuntimeError(f"{applied.book.index} of {entries + 1} entries were applied")
+    return spent, memory.grown_mb()
+
+
+def followed(entries: int) -> tuple[float, float]:
+    """By a voter that hears them in messages of `append_most` bytes or less."""
+    members = group(0)
+    memory, voter, applied = Memory(), Member(members.voters[1], members), Applied()
+    each = BOUNDS["append_most"] // (len(BODY) + 60)
+    frames = []
+    for first in range(1, entries + 1, each):
+        some = tuple(
+            Entry(number, 1, "notes.add", BODY, "proposer", 1, number)
+            for number in range(first, min(first + each, entries + 1))
+        )
+        frames.append(KINDS.frame(Append(1, first - 1, 1 if first > 1 else 0, first - 1, some, 0, first)))
+    frames.append(KINDS.frame(Append(1, entries, 1, entries, (), 0, entries)))
+
+    def hear() -> None:
+        for frame in frames:
+            for word, _ in Frames(KINDS).feed(frame):
+                applied.carry_out(voter.step(Heard(members.voters[0], word)))
+
+    spent, _ = processor_ms(hear)
+    if applied.book.index != entries:
+        raise RuntimeError(f"{applied.book.index} of {entries} entries were applied")
+    return spent, memory.grown_mb()
--- /dev/null
+++ b/benchmarks/capacitykit/leases_cell.py
@@ -0,0 +1,93 @@
+"""Leases and the roster at the leader: so many members that renew four times a lease, the judge's look at
+each beat, and the digest of the book that all members take at points of comparing."""
+
+from __future__ import annotations
+
+import statistics
+
+from indigohitch.fleet.audit.heads import Heads
+from indigohitch.fleet.book import Book
+from indigohitch.fleet.hours import Hours
+from indigohitch.fleet.members.entries import Join, Life
+from indigohitch.fleet.members.leases import Answer, ReadFirst
+from indigohitch.fleet.members.roster import Roster
+from indigohitch.fleet.members.words import Renew
+from indigohitch.fleet.members.work import Membership
+from indigohitch.fleet.node.words import KINDS
+from indigohitch.fleet.ports import At
+from indigohitch.packed.frames import Frames
+
+from .measuring import Memory, processor_ms
+
+SECOND = 10_000
+SPAN = 2 * SECOND  # of a lease
+DRIFT = 0.001
+ROUNDS = 5
+REPORT = {"seats": b"x" * 60}  # what a member reports with each renewal
+
+
+def roster_of(members: int) -> Book:
+    """A book with so many valid members."""
+    roster = Roster()
+    book = Book([roster, Hours(), Heads()])
+    for number in range(members):
+        name = f"coordinator{number}"
+        roster.apply(At(number + 1, 1, 0, name, 1), "join", Join(name, number))
+    for member in roster.members.values():
+        member.life = Life.VALID
+    book.index = members
+    return book
+
+
+class Leader:
+    """A membership that leads, with all members' renewals coming in."""
+
+    def __init__(self, members: int) -> None:
+        self.book, self.now, self.number = roster_of(members), 100 * SECOND, 0
+        self.names = [f"coordinator{number}" for number in range(members)]
+        self.membership = Membership("leader", True, self.book.parts["members"], SPAN, DRIFT, lambda: 1)
+        self.membership.became(self.now, "leader", 1)
+
+    def askings(self) -> list[bytes]:
+        self.number += 1
+        return [
+            KINDS.frame(Renew(self.number, 1, self.book.index, 0, b"", self.now, 0, REPORT))
+            for _ in self.names
+        ]
+
+    def round(self, frames: list[bytes]) -> list[bytes]:
+        """All of them heard, one confirmed read for as many as wait, and the answers encoded."""
+        out = []
+        for name, frame in zip(self.names, frames):
+            for word, _ in Frames(KINDS).feed(frame):
+                out += self.membership.heard(self.now, name, word)
+        answers = []
+        while out:
+            reads = [one.number for one in out if isinstance(one, ReadFirst)]
+            answers += [KINDS.frame(one.word) for one in out if isinstance(one, Answer)]
+            out = [more for number in reads for more in self.membership.readable(self.now, number, True)]
+        if len(answers) != len(self.names):
+            raise RuntimeError(f"{len(answers)} of {len(self.names)} renewals were answered")
+        return answers
+
+
+def measure(members: int) -> dict[str, float]:
+    memory = Memory()
+    leader = Leader(members)
+    rounds, looks = [], []
+    for _ in range(ROUNDS):
+        leader.now += SPAN // 4
+        askings = leader.askings()
+        spent, answers = processor_ms(lambda askings=askings: leader.round(askings))
+        rounds.append(spent)
+        looks.append(processor_ms(lambda: leader.membership.lead(leader.now, {}))[0])
+    digest_ms, _ = processor_ms(leader.book.digest)
+    return {
+        "round_ms": statistics.median(rounds),
+        "look_ms": statistics.median(looks),
+        "round_in_kb": sum(map(len, askings)) / 1024,
+        "round_out_kb": sum(map(len, answers)) / 1024,
+        "digest_ms": digest_ms,
+        "book_kb": len(leader.book.snapshot()) / 1024,
+        "memory_mb": memory.grown_mb(),
+    }
