bench-capacity: more runs of short cells, a reference loop, ONLY= for some groups

Cause: beside other work the same cell differed by up to 2 between runs; GROUPS is a name of bash's own and was lost on its way to the program. Change: seven runs of short cells, three of long ones; each series keeps what a fixed loop took while it ran; ONLY=a,b.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,12 +1,12 @@
 """What one process costs against each count alone, and how that grows:  make bench-capacity
 
     QUICK=1         a fourth of each size, once: under 50 s, and nothing is kept
-    GROUPS=a,b      only these groups of the catalogue; the results of the others stay as they are
+    ONLY=a,b        only these groups of the catalogue; the results of the others stay as they are
 
-Each cell runs in a process of its own, two at a time, three times in turn; medians.  Processor time is that
-of the process, memory the growth of its peak.  What is made up is seeded.  An exponent is a least-squares
-fit on logarithms through four sizes, and is checked by a fifth, larger one, that it was not made from.
-Results go to benchmarks/results/capacity.json, the picture to docs/capacity.svg; the tables of
+Each cell runs in a process of its own, two at a time, three or seven times in turn; medians.  Processor time
+is that of the process, memory the growth of its peak.  What is made up is seeded.  An exponent is a
+least-squares fit on logarithms through four sizes, and is checked by a fifth, larger one, that it was not
+made from.  Results go to benchmarks/results/capacity.json, the picture to docs/capacity.svg; the tables of
 docs/CAPACITY.md are made from them (`capacitykit/page.py`).  The last line of output is JSON."""
 
 import json
@@ -24,13 +24,12 @@
 from capacitykit import catalogue, runner  # noqa: E402
 
 QUICK = os.environ.get("QUICK") == "1"
-TIMES = 1 if QUICK else 3
 
 
 def chosen_groups() -> tuple[str, ...]:
-    named = tuple(filter(None, os.environ.get("GROUPS", "").split(",")))
+    named = tuple(filter(None, os.environ.get("ONLY", "").split(",")))
     if unknown := set(named) - set(catalogue.GROUPS):
-        raise SystemExit(f"GROUPS: no such group: {', '.join(sorted(unknown))}")
+        raise SystemExit(f"ONLY: no such group: {', '.join(sorted(unknown))}")
     return named or catalogue.GROUPS
 
 
@@ -40,8 +39,10 @@
     for group in groups:
         series = [one.quick() if QUICK else one for one in catalogue.SERIES if one.group == group]
         began, load = time.monotonic(), os.getloadavg()[0]
-        for one, by_size in runner.runs(series, TIMES).items():
-            row = {"name": one.name, "group": group, "load": round(load, 1)} | runner.row(one, by_size)
+        found, loop_ms = runner.runs(series)
+        for one, by_size in found.items():
+            conditions = {"load": round(load, 1), "reference_loop_ms": round(loop_ms, 1)}
+            row = {"name": one.name, "group": group} | conditions | runner.row(one, by_size)
             rows.append(row)
             show(row)
         print(f"{group}: {time.monotonic() - began:.0f} s", flush=True)
--- a/benchmarks/capacitykit/catalogue.py
+++ b/benchmarks/capacitykit/catalogue.py
@@ -20,7 +20,7 @@
     held_back: int
     fixed: Mapping[str, int] = field(default_factory=dict)
     quick_divisor: int = 4
-    figures: tuple[str, ...] = ()  # none: all that the cell returns
+    times: int = 7  # runs of each cell; three where they are long
 
     def quick(self) -> Series:
         by = self.quick_divisor
@@ -33,7 +33,7 @@
             self.held_back // by,
             self.fixed,
             1,
-            self.figures,
+            1,
         )
 
     def counts(self, size: int) -> dict[str, int]:
@@ -51,6 +51,7 @@
         5000,
         {"slices": 232, "proxies": 4, "coordinators": 5},
         10,
+        3,
     ),
     Series(
         "module, 5 slices",
@@ -61,6 +62,7 @@
         28000,
         {"slices": 5, "proxies": 4, "coordinators": 6500},
         8,
+        3,
     ),
     Series(
         "module, 350 backends",
@@ -89,9 +91,19 @@
         1400,
         {"slices": 5, "proxies": 4, "coordinators": 81},
     ),
-    Series("ledger", "ledger", "ledger_cell:measure", "followers", (400, 800, 1600, 3200), 6500, {}, 8),
-    Series("ledger entries", "ledger", "entries_cell:measure", "entries", (2000, 4000, 8000, 16000), 32000),
-    Series("leases", "ledger", "leases_cell:measure", "members", (400, 800, 1600, 3200), 6500),
+    Series("ledger", "ledger", "ledger_cell:measure", "followers", (400, 800, 1600, 3200), 6500, {}, 8, 3),
+    Series(
+        "ledger entries",
+        "ledger",
+        "entries_cell:measure",
+        "entries",
+        (2000, 4000, 8000, 16000),
+        32000,
+        {},
+        4,
+        3,
+    ),
+    Series("leases", "ledger", "leases_cell:measure", "members", (400, 800, 1600, 3200), 6500, {}, 4, 3),
     Series(
         "seats",
         "seats",
@@ -100,6 +112,8 @@
         (400, 800, 1600, 3200),
         6500,
         {"tenants": 8},
+        4,
+        3,
     ),
     Series(
         "seats, 50 members",
@@ -112,7 +126,7 @@
     ),
     Series("audit", "audit", "audit_cell:records", "records", (4000, 8000, 16000, 32000), 64000),
     Series("audit heads", "audit", "audit_cell:heads", "members", (400, 800, 1600, 3200), 6500),
-    Series("links", "links", "links_cell:measure", "connections", (100, 200, 400, 800), 1600, {}, 8),
+    Series("links", "links", "links_cell:measure", "connections", (100, 200, 400, 800), 1600, {}, 8, 3),
     Series("discovery", "platform", "platform_cell:discovery", "backends", (1750, 3500, 7000, 14000), 28000),
     Series("collectors", "platform", "platform_cell:collectors", "lines", (250, 500, 1000, 2000), 4000),
 )
--- a/benchmarks/capacitykit/runner.py
+++ b/benchmarks/capacitykit/runner.py
@@ -16,6 +16,8 @@
 
 AT_ONCE = 2  # cells: more would measure each other's caches
 LIMIT_SECONDS = 120.0  # of one cell
+REFERENCE = Series("reference", "", "reference_cell:measure", "turn", (), 0)
+REFERENCES = 12  # runs of it among the cells of a group
 PROGRAM = Path(__file__).resolve().parent.parent / "capacity.py"
 BASE = Path(__file__).with_name("base_cell.py")
 
@@ -51,20 +53,35 @@
     return found
 
 
-def runs(chosen: Sequence[Series], times: int) -> dict[Series, dict[int, list[dict[str, float]]]]:
-    """All sizes of each series so many times, in turn, as the machine's speed drifts; the longest first."""
+def runs(chosen: Sequence[Series]) -> tuple[dict[Series, dict[int, list[dict[str, float]]]], float]:
+    """All sizes of each series, as often as it says, in turn, as the machine's speed drifts; and the median
+    of the reference loop, run now and then among them."""
     wanted = [
         (series, size)
-        for _ in range(times)
+        for turn in range(max(series.times for series in chosen))
         for series in chosen
+        if turn < series.times
         for size in sorted((*series.sizes, series.held_back), reverse=True)
     ]
+    mixed = with_references(wanted)
     with ThreadPoolExecutor(AT_ONCE) as pool:
-        found = list(pool.map(lambda one: started(*one), wanted))
+        found = list(pool.map(lambda one: started(*one), mixed))
     results: dict[Series, dict[int, list[dict[str, float]]]] = {}
-    for (series, size), result in zip(wanted, found):
+    for (series, size), result in zip(mixed, found):
         results.setdefault(series, {}).setdefault(size, []).append(result)
-    return results
+    loops = [result["loop_ms"] for some in results.pop(REFERENCE).values() for result in some]
+    return results, statistics.median(loops)
+
+
+def with_references(wanted: list[tuple[Series, int]]) -> list[tuple[Series, int]]:
+    """The reference loop among the cells, `REFERENCES` times or so."""
+    every = max(1, len(wanted) // REFERENCES)
+    mixed = []
+    for number, one in enumerate(wanted):
+        if number % every == 0:
+            mixed.append((REFERENCE, number))
+        mixed.append(one)
+    return mixed
 
 
 def row(series: Series, by_size: dict[int, list[dict[str, float]]]) -> dict:
