--- a/indigohitch/logic/state.py
+++ b/indigohitch/logic/state.py
@@ -73,7 +73,7 @@
         self.stored: dict[Backend, float] = {}  # the lines as the store holds them
         self.level = 1.0                        # share that is let in, as the store holds it
         self.closed: tuple[int, ...] | None = None      # to which methods, while it goes to another owner
-        self.mark = self.closed_at = self.quiet = 0     # of the closing; since when all have answered it
+        self.mark, self.closed_at, self.quiet = 0, now, 0   # of the closing; since when all have answered
         self.demand = Sums(self.DEMAND_SPAN)    # cost, RPCs
         self.usual = Sums(self.USUAL_SPAN)      # the same over longer
         self.load, self.cost = 1.0, 1.0         # cost a second; mean cost of an RPC
@@ -117,7 +117,7 @@
         self.proxies: dict[int, str] = {}
         self.left: dict[int, int] = {}          # until when a proxy may write by an old table
         self.channel = Channel(bootstrap)
-        self.due: list[tuple[int, str]] = []    # due time, what to do then
+        self.due = [(0, "subscribe")]           # due time, what to do then
         self.yield_, self.failing = 0.0, 0.0    # answered cost a second and unit of weight; share of failures
         self.assessed, self.turn, self.plan_from = 0, 0, 0      # last judged, planned; no planning before
         self.balancing = self.strained = self.held = False      # in the band; too much for all; lines wait
