bench-capacity in full: results and picture; links by the port they are given

Cause: the results of make bench-capacity were missing; the links' cell read a listener that Links has no more; an error in a late group lost the groups before it. Result: benchmarks/results/capacity.json.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -33,19 +33,17 @@
     return named or catalogue.GROUPS
 
 
-def measured(groups: tuple[str, ...]) -> list[dict]:
-    """Rows of the series of these groups, each group timed."""
+def measured(group: str) -> list[dict]:
+    """Rows of the series of a group."""
+    series = [one.quick() if QUICK else one for one in catalogue.SERIES if one.group == group]
+    began, load = time.monotonic(), os.getloadavg()[0]
+    found, loop_ms = runner.runs(series)
     rows = []
-    for group in groups:
-        series = [one.quick() if QUICK else one for one in catalogue.SERIES if one.group == group]
-        began, load = time.monotonic(), os.getloadavg()[0]
-        found, loop_ms = runner.runs(series)
-        for one, by_size in found.items():
-            conditions = {"load": round(load, 1), "reference_loop_ms": round(loop_ms, 1)}
-            row = {"name": one.name, "group": group} | conditions | runner.row(one, by_size)
-            rows.append(row)
-            show(row)
-        print(f"{group}: {time.monotonic() - began:.0f} s", flush=True)
+    for one, by_size in found.items():
+        conditions = {"load": round(load, 1), "reference_loop_ms": round(loop_ms, 1)}
+        rows.append({"name": one.name, "group": group} | conditions | runner.row(one, by_size))
+        show(rows[-1])
+    print(f"{group}: {time.monotonic() - began:.0f} s, reference loop {loop_ms:.0f} ms", flush=True)
     return rows
 
 
@@ -61,12 +59,12 @@
             )
 
 
-def keep(rows: list[dict], groups: tuple[str, ...]) -> list[dict]:
-    """Into the results beside the groups that were not measured; all rows."""
+def keep(rows: list[dict], group: str) -> list[dict]:
+    """Into the results beside the other groups; all rows."""
     before = json.loads(RESULTS.read_text())["series"] if RESULTS.exists() else []
-    by_group = {group: [row for row in before if row["group"] == group] for group in catalogue.GROUPS}
-    by_group |= {group: [row for row in rows if row["group"] == group] for group in groups}
-    every = [row for group in catalogue.GROUPS for row in by_group[group]]
+    by_group = {other: [row for row in before if row["group"] == other] for other in catalogue.GROUPS}
+    by_group[group] = rows
+    every = [row for some in by_group.values() for row in some]
     result = {
         "command": "make bench-capacity",
         "cores": os.cpu_count(),
@@ -79,12 +77,16 @@
 
 
 def main() -> None:
-    groups = chosen_groups()
-    rows = measured(groups)
-    if not QUICK:
+    rows, kept = [], []
+    for group in chosen_groups():
+        found = measured(group)
+        rows += found
+        if not QUICK:
+            kept = keep(found, group)
+    if kept:
         from capacitykit.plot import draw
 
-        draw(keep(rows, groups), PICTURE)
+        draw(kept, PICTURE)
     print(json.dumps(runner.last_line(rows)))
 
 
--- a/benchmarks/capacitykit/links_cell.py
+++ b/benchmarks/capacitykit/links_cell.py
@@ -21,6 +21,7 @@
 from indigohitch.log import Log
 from indigohitch.net.clock import Clock
 from indigohitch.net.loop import Loop
+from waiting import free_address
 
 from .measuring import Memory
 
@@ -55,10 +56,10 @@
 
     def begin(self) -> subprocess.Popen:
         """Listens, and starts the far ends, which say where they listen."""
-        self.links.start(("127.0.0.1", 0))
-        port = self.links.listener.sock.getsockname()[1]
+        host, port = free_address().split(":")
+        self.links.start((host, int(port)))
         far = subprocess.Popen(
-            [sys.executable, str(Path(__file__).with_name("links_far.py")), str(port), str(len(self.names))],
+            [sys.executable, str(Path(__file__).with_name("links_far.py")), port, str(len(self.names))],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
--- a/benchmarks/capacitykit/links_far.py
+++ b/benchmarks/capacitykit/links_far.py
@@ -8,7 +8,8 @@
 import sys
 from pathlib import Path
 
-sys.path[:0] = [str(Path(__file__).resolve().parents[n]) for n in (2, 1)]
+ROOT = Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks"), str(ROOT / "tests")]
 
 from capacitykit.links_cell import FLEET, KINDS, listeners, said_frame  # noqa: E402
 from indigohitch.fleet.links.words import Greeting, Pulse, Pulsed, Welcome  # noqa: E402
