--- a/indigohitch/fleet/seats/work.py
+++ b/indigohitch/fleet/seats/work.py
@@ -1,22 +1,31 @@
-"""The work on seats in one member's process: its desk, what it returns, and what it proposes as leader."""
+"""Seats in one member's process: its allocator, what it returns, and what it proposes as leader."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
 
 import msgspec
 
 from ..ports import Acts, Wanted
 from ..terms import Entry, Lease, Outcome
-from .contract import Contract, Grant, Recall, Report
-from .desk import Desk
-from .moving import TURN, Wish, spread
+from .allocator import SeatAllocator, SeatSettings
+from .contract import Contract, Grant, Recall, Report, Wanting
 from .part import Feature, Seats
+from .rebalancing import TURN, MemberDemand, Move, rebalance
 
 ROUND = 5_000  # of moves: as often as members report with a lease of 2 s
 FED = 15_000  # after a grant, until a report shows what of it is used
 
 
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A member's last report, and what it wants by feature and pool."""
+
+    report: Report
+    wanting: dict[tuple[str, str], Wanting]
+
+
 class SeatsWork:
     """ports.Work.  `contract()`: what this member's file contracts, None where it says nothing of seats."""
 
@@ -30,11 +39,11 @@
         fleet_time: Callable[[int], int],
         contract: Callable[[], Contract | None],
         stocks: bool,
-        bootstrap: dict,
+        settings: SeatSettings,
     ) -> None:
         """`stocks`: it has a front that needs seats, and holds some before they are wanted."""
         self.part, self.contract, self.stocks = part, contract, stocks
-        self.desk = Desk(name, part, acts, fleet_time, bootstrap)
+        self.allocator = SeatAllocator(name, part, acts, fleet_time, settings)
         self.out: set[str] = set()  # tags of proposals that are not answered
         self.next_round = 0
         self.fed: dict[tuple[str, str, str], int] = {}  # feature, pool, member: new to it until
@@ -45,15 +54,15 @@
     def applied(self, now: int, entry: Entry, outcome: Outcome) -> list[Wanted]:
         if not entry.kind.startswith(("seats.", "members.")):
             return []
-        self.desk.follow()
+        self.allocator.sync()
         return self.returns()
 
     def restored(self, now: int) -> list[Wanted]:
-        self.desk.follow()
+        self.allocator.sync()
         return self.returns()
 
     def turn(self, now: int, lease: Lease | None) -> list[Wanted]:
-        self.desk.turn(now, lease)
+        self.allocator.turn(now, lease)
         wanted = self.returns()
         own = self.contract()
         if lease is not None and own is not None and own.edition > self.part.edition:
@@ -62,7 +71,7 @@
 
     def returns(self) -> list[Wanted]:
         wanted = []
-        for row in self.desk.returns():
+        for row in self.allocator.returns():
             wanted += self.want(f"return {row.feature} {row.pool}", "seats.return", row)
         return wanted
 
@@ -80,29 +89,35 @@
         return []
 
     def report(self, now: int) -> bytes:
-        lease = self.desk.lease
-        rows = tuple((feature, pool, *hold.wanting()) for (feature, pool), hold in self.desk.holds.items())
+        lease = self.allocator.lease
+        wanting = []
+        for (feature, name), pool in self.allocator.pools.items():
+            demand = pool.demand()
+            wanting.append(Wanting(feature, name, demand.used, demand.missed))
         return msgspec.msgpack.encode(
-            Report(lease.incarnation if lease is not None else 0, rows, self.stocks)
+            Report(lease.incarnation if lease is not None else 0, tuple(wanting), self.stocks)
         )
 
     def holds(self, now: int) -> bool:
         """Jobs with seats are out: what this member holds is not free before their end."""
-        self.desk.passed(now)
-        return any(hold.bound for hold in self.desk.holds.values())
+        self.allocator.expire(now)
+        return any(pool.assignments for pool in self.allocator.pools.values())
+
+    def in_use(self, feature: str) -> int:
+        return sum(len(pool.assignments) for (of, _), pool in self.allocator.pools.items() if of == feature)
 
     def figures(self) -> dict:
         return {
             "edition": self.part.edition,
             "refused_contract": self.refused,
-            "counts": self.desk.counts,
+            "counts": asdict(self.allocator.counts),
             "features": {
                 name: {
                     "seats": f.terms.seats,
                     "held": f.held(),
                     "free": max(0, f.terms.seats - f.held()),
                     "over": f.over(),
-                    "in_use": sum(len(h.bound) for (of, _), h in self.desk.holds.items() if of == name),
+                    "in_use": self.in_use(name),
                     "members": f.by_member(),
                 }
                 for name, f in self.part.features.items()
@@ -112,48 +127,63 @@
     # ---- of the leader -----------------------------------------------------------------------------
 
     def lead(self, now: int, reports: Mapping[str, bytes]) -> list[Wanted]:
-        told: dict[str, Report] = {}
-        for name, raw in sorted(reports.items()):
-            try:
-                told[name] = msgspec.msgpack.decode(raw, type=Report)
-            except msgspec.MsgspecError:
-                continue  # of a version that tells it otherwise: no grants to it
-        moves, wanted = now >= self.next_round, []
-        if moves:
+        heard = decoded(reports)
+        recalls, wanted = now >= self.next_round, []
+        if recalls:
             self.next_round = now + ROUND
-        lately = {
-            (name, feature, pool): (used, missed)
-            for name, report in told.items()
-            for feature, pool, used, missed in report.wanting
-        }
         for feature, found in self.part.features.items():
             for pool, size in found.pools.items():
-                if any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out):
-                    continue  # what is under way would be counted twice
-                wishes = [
-                    self.wish(now, found, pool, name, report, lately)
-                    for name, report in told.items()
-                    if report.incarnation > self.part.gone.get(name, 0)
-                ]
-                coming = sum(s.debt for s in found.shares.values() if s.pool == pool)
-                grants, back = spread(size, found.room(pool), coming, wishes, now // TURN)
-                for kind, rows in ((Grant, grants), (Recall, back if moves else [])):
-                    word = kind.__name__.lower()
-                    for wish, count in rows:
-                        if kind is Grant:
-                            self.fed[feature, pool, wish.name] = now + FED
-                        wanted += self.want(
-                            f"lead {feature} {pool} {word} {wish.name}",
-                            f"seats.{word}",
-                            kind(feature, pool, wish.name, wish.incarnation, count),
-                        )
+                if not self.waits(feature, pool):
+                    wanted += self.rebalance(now, found, pool, size, heard, recalls)
+        return wanted
+
+    def waits(self, feature: str, pool: str) -> bool:
+        """Moves of that pool are not answered yet: what is under way would be counted twice."""
+        return any(tag.startswith(f"lead {feature} {pool} ") for tag in self.out)
+
+    def rebalance(
+        self, now: int, found: Feature, pool: str, size: int, heard: Mapping[str, Heard], recalls: bool
+    ) -> list[Wanted]:
+        members = [
+            self.demand(now, found, pool, name, one)
+            for name, one in heard.items()
+            if one.report.incarnation > self.part.gone.get(name, 0)
+        ]
+        coming = sum(share.debt for share in found.shares.values() if share.pool == pool)
+        moves = rebalance(size, found.room(pool), coming, members, now // TURN)
+        wanted, feature = [], found.terms.feature
+        for move in moves.grants:
+            self.fed[feature, pool, move.member.name] = now + FED
+            wanted += self.want_move(Grant, "grant", feature, pool, move)
+        for move in moves.recalls if recalls else ():
+            wanted += self.want_move(Recall, "recall", feature, pool, move)
         return wanted
 
-    def wish(self, now: int, found: Feature, pool: str, name: str, report: Report, lately: Mapping) -> Wish:
-        feature = found.terms.feature
+    def want_move(
+        self, kind: type[Grant] | type[Recall], word: str, feature: str, pool: str, move: Move
+    ) -> list[Wanted]:
+        member = move.member
+        row = kind(feature, pool, member.name, member.incarnation, move.count)
+        return self.want(f"lead {feature} {pool} {word} {member.name}", f"seats.{word}", row)
+
+    def demand(self, now: int, found: Feature, pool: str, name: str, heard: Heard) -> MemberDemand:
+        feature, report = found.terms.feature, heard.report
         share = found.shares.get((pool, name, report.incarnation))
         net = share.net if share is not None else 0
-        used, missed = lately.get((name, feature, pool), (0, 0))
+        wanting = heard.wanting.get((feature, pool))
+        used, missed = (wanting.used, wanting.missed) if wanting is not None else (0, 0)
         if now < self.fed.get((feature, pool, name), 0):
             used = max(used, net)
-        return Wish(name, report.incarnation, net, used, missed, report.stocks)
+        return MemberDemand(name, report.incarnation, net, used, missed, report.stocks)
+
+
+def decoded(reports: Mapping[str, bytes]) -> dict[str, Heard]:
+    heard: dict[str, Heard] = {}
+    for name, raw in sorted(reports.items()):
+        try:
+            report = msgspec.msgpack.decode(raw, type=Report)
+        except msgspec.MsgspecError:
+            continue  # of a version that tells it otherwise: no grants to it
+        wanting = {(one.feature, one.pool): one for one in report.wanting}
+        heard[name] = Heard(report, wanting)
+    return heard
