proofs/scale.py waits until each surely has the last change, and counts its own processes

Cause: a subscriber that had stood still counted as served before it had come anew: one trial of SIZE=tiny ended with a late and a wrong one that were the proof's own. Change: quiet is over once each has a lease that covers the last change; processes and memory of the whole proof.

--- a/proofs/scale.py
+++ b/proofs/scale.py
@@ -112,6 +112,11 @@
     def play(self) -> None:
         self.costs.watch("real", lambda: [one.member.process.pid for one in self.real])
         self.costs.watch("distributor", lambda: [self.fleet.members[name].process.pid for name in self.names])
+        self.costs.watch(
+            "voter", lambda: [self.fleet.members[name].process.pid for name in self.fleet.voters]
+        )
+        self.costs.watch("hollow", lambda: [worker.process.pid for worker in self.workers.all])
+        self.costs.watch("proof", lambda: [os.getpid()])
         self.costs.start()
         self.changes.start()
         self.faults = Faults(SIZE, SEED, self.fleet, self.workers, self.changes, self.names, self.say)
@@ -122,8 +127,10 @@
         self.quiet()
 
     def quiet(self) -> None:
-        """No more changes: all are served again, and hold the last one or need not."""
-        until(lambda: self.workers.served() == SIZE.hollow, 30, "all to be served again")
+        """No more changes: each has a distributor's word that nothing committed until now is missing."""
+        since = clock()
+        until(lambda: self.workers.confirmed(since) == SIZE.hollow, 30, "all to be up to date again")
+        until(lambda: all(one.confirmed(since) for one in self.real), 30, "the real ones to be up to date")
         until(self.all_in_force, 30, "the last version to be in force")
         self.costs.close()
 
--- a/proofs/scalekit/hollow.py
+++ b/proofs/scalekit/hollow.py
@@ -107,6 +107,11 @@
         received = sum(one.received + one.sent for one in self.subscribers)
         return {"served": sum(served), "least": min(held), "at": at, "bytes": received, "broken": self.broken}
 
+    def confirmed(self, since: int) -> dict:
+        now = self.loop.clock.now()
+        ages = [one.machine.age(now) for one in self.subscribers]
+        return {"confirmed": sum(age is not None and clock() - age >= since for age in ages)}
+
     def tamper(self, number: int, reconnects: bool) -> dict:
         """One resource that it holds is another than it was told: its next digest differs."""
         one = self.subscribers[number]
--- a/proofs/scalekit/real.py
+++ b/proofs/scalekit/real.py
@@ -43,6 +43,11 @@
         told = self.status()
         self.begun, self.bytes = clock(), told["bytes_received"] + told["bytes_sent"]
 
+    def confirmed(self, since: int) -> bool:
+        """It surely holds all that was committed until then."""
+        age = self.status().get("age_ms")
+        return age is not None and clock() - age * 10 >= since
+
     def rate(self) -> float:
         """Bytes a second, both ways, since it was served first."""
         told = self.status()
@@ -67,7 +72,8 @@
         self.groups: dict[str, callable] = {}
         self.first: dict[tuple[str, int], tuple[int, int]] = {}
         self.last: dict[tuple[str, int], tuple[int, int]] = {}
-        self.memory: dict[str, int] = {}
+        self.memory: dict[str, int] = {}  # the largest of a group, KB
+        self.peaks: dict[int, int] = {}  # of each process
         self.stopping = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -96,6 +102,7 @@
         if "VmHWM:" in status:
             peak = int(status.split("VmHWM:")[1].split()[0])
             self.memory[group] = max(self.memory.get(group, 0), peak)
+            self.peaks[pid] = peak
 
     def core(self, group: str) -> float:
         """The largest share of a core, in percent, of the processes that lived for some seconds."""
@@ -109,6 +116,10 @@
     def memory_mb(self, group: str) -> float:
         return round(self.memory.get(group, 0) / 1024, 1)
 
+    def all_memory_mb(self) -> float:
+        """The most that each process ever had, added up, also of those that were killed."""
+        return round(sum(self.peaks.values()) / 1024, 1)
+
     def close(self) -> None:
         self.stopping.set()
         self.thread.join()
--- a/proofs/scalekit/result.py
+++ b/proofs/scalekit/result.py
@@ -9,6 +9,7 @@
 from .sizes import Size
 
 CORE_PCT, MEMORY_MB, BYTES_S = 4.0, 32.0, 2_048.0  # of a real subscriber, as the operators allow
+PROCESSES, MEMORY_MB_ALL = 99, 12 << 10  # of the proof itself
 ZEROS = ("late", "wrong", "older_applied", "whole_resumes")
 
 
@@ -39,6 +40,8 @@
         "bytes_s_real_max": round(max(one.rate() for one in proof.real), 1),
         "core_pct_distributor_max": proof.costs.core("distributor"),
         "memory_mb_distributor_max": proof.costs.memory_mb("distributor"),
+        "processes": 1 + size.workers + size.real + size.distributors + size.voters,
+        "memory_mb_all": proof.costs.all_memory_mb(),
         "bytes_flat": flat(proof) * (size.hollow + size.real),
         "bytes_scoped": scoped(proof),
         "measured": "all but bytes_flat",
@@ -55,6 +58,8 @@
         "memory_mb_real_max": MEMORY_MB,
         "bytes_s_real_max": BYTES_S,
         "bytes_scoped": result["bytes_flat"],
+        "processes": PROCESSES,
+        "memory_mb_all": MEMORY_MB_ALL,
     }
     found += [name for name, most in bounds.items() if result[name] > most]
     found += [name for name in ("changes", "judged", "resumed") if not result[name]]
--- a/proofs/scalekit/workers.py
+++ b/proofs/scalekit/workers.py
@@ -93,6 +93,10 @@
     def served(self) -> int:
         return sum(state.get("served", 0) for state in self.states())
 
+    def confirmed(self, since: int) -> int:
+        """How many surely hold all that was committed until then (records.clock)."""
+        return sum(self.each(lambda worker: worker.ask("confirmed", since=since)["confirmed"]))
+
     def at(self, distributor: str) -> int:
         """How many are subscribed there."""
         return sum(state.get("at", {}).get(distributor, 0) for state in self.states())
