--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -109,7 +109,7 @@
     stand = {f"r{number}": TableRelay(publisher.root) for number in range(relays)}
     tracemalloc.start()
     for name, relay in stand.items():
-        publisher.session(name).on_connect(0, 1, relay.joins(1))
+        publisher.session(name).on_connect(0, 1, relay.connect(1))
     kb = tracemalloc.get_traced_memory()[0] / 1000 / relays
     tracemalloc.stop()
     found, lines, clock = [], 0, 0
@@ -124,7 +124,7 @@
         sent = time.perf_counter()
         for name, message in messages:
             lines += message.lines()
-            answer = stand[name].takes(message)
+            answer = stand[name].receive(message)
             publisher.sessions[name].on_ack(clock, answer)
             publisher.count_holder(publisher.sessions[name])
         found.append((1e6 * (sent - began) / relays, 1e6 * (time.perf_counter() - sent) / relays))
--- a/indigohitch/standins/table_relay.py
+++ b/indigohitch/standins/table_relay.py
@@ -7,6 +7,8 @@
 
 
 class TableRelay:
+    """Applies messages in order, and answers as a relay does."""
+
     MOST = 1000  # lines remembered since the last whole version
 
     def __init__(self, root: Root | None = None) -> None:
@@ -14,16 +16,16 @@
         self.connection = self.taken = 0
         self.base, self.since = b"", ()
         self.refuses = False
-        self.lies = 0  # answers still to be given with a digest that is not true
+        self.false_digests = 0  # answers still to be given with a digest that is not true
 
-    def joins(self, connection: int) -> Claim:
+    def connect(self, connection: int) -> Claim:
         self.connection, self.taken = connection, 0
         return self.claim()
 
     def claim(self) -> Claim:
         return Claim(self.root.digest, self.root.parts(), 0, self.base, self.since)
 
-    def takes(self, message: Message) -> Ack | Nack | None:
+    def receive(self, message: Message) -> Ack | Nack | None:
         if message.connection != self.connection:
             return None
         if message.sequence <= self.taken:
@@ -41,7 +43,7 @@
         return self.ack(message)
 
     def ack(self, message: Message) -> Ack:
-        if self.lies:
-            self.lies -= 1
+        if self.false_digests:
+            self.false_digests -= 1
             return Ack(self.connection, self.taken, message.version_id, b"\1" * 16)
         return Ack(self.connection, self.taken, message.version_id, self.root.digest)
--- a/proofs/versions_relays.py
+++ b/proofs/versions_relays.py
@@ -59,14 +59,14 @@
         while data := await reader.read(1 << 16):
             for word, _ in frames.feed(data):
                 if isinstance(word, Welcome):
-                    claim = self.table.joins(word.connection)
+                    claim = self.table.connect(word.connection)
                     self.say(Joined(word.connection, msgspec.structs.replace(claim, heard=self.heard())))
                     continue
                 self.came.append(time.monotonic())
                 self.truth.over += self.heard() > self.messages
                 if isinstance(word, Message) and not (self.lossy and self.chance.random() < self.LOSS):
                     before = self.table.root
-                    said = self.table.takes(word)
+                    said = self.table.receive(word)
                     if self.table.root is not before:
                         self.watch(before, word)
                     if said is not None and not (self.lossy and self.chance.random() < self.LOSS):
--- a/tests/publishing.py
+++ b/tests/publishing.py
@@ -46,7 +46,7 @@
         self.relays[name] = relay
         session = self.publisher.session(name)
         connection = session.connection + 1
-        session.on_connect(self.now, connection, relay.joins(connection))
+        session.on_connect(self.now, connection, relay.connect(connection))
 
     def go(self, most=300):
         lines = 0
@@ -56,7 +56,7 @@
                 session = self.publisher.sessions[name]
                 for message in session.due(self.now):
                     lines += message.lines()
-                    said = relay.takes(message)
+                    said = relay.receive(message)
                     if said is not None:
                         (session.on_nack if hasattr(said, "gap") else session.on_ack)(self.now, said)
                 self.publisher.count_holder(session)
@@ -122,7 +122,7 @@
     """No more trouble: time goes on until it is settled; returns the time."""
     for _ in range(most):
         for message in session.due(now):
-            said = relay.takes(message)
+            said = relay.receive(message)
             if said is not None:
                 (session.on_nack if hasattr(said, "gap") else session.on_ack)(now, said)
         if session.in_sync:
@@ -136,7 +136,7 @@
     root = root_of(tables)
     roots = {root.digest: root}
     relay, session = TableRelay(root), Session("r", Channel(), roots.get)
-    session.on_connect(0, 1, relay.joins(1))
+    session.on_connect(0, 1, relay.connect(1))
     session.set_target(version(1, root), Guard())
     assert session.in_sync and not session.due(0)
     return relay, session, roots
--- a/tests/test_versions_cases.py
+++ b/tests/test_versions_cases.py
@@ -15,12 +15,12 @@
     session.due(0)  # lost
     session.set_target(version(3, session.target.root.with_line(2, "c", 1.0)), Guard())
     (second,) = session.due(10)
-    nack = relay.takes(second)
+    nack = relay.receive(second)
     assert nack.gap
     session.on_nack(20, nack)
     (again,) = session.due(30)
     assert again.lines() == 2
-    session.on_ack(40, relay.takes(again))
+    session.on_ack(40, relay.receive(again))
     assert session.in_sync and relay.root == session.target.root
 
 
@@ -29,7 +29,7 @@
     session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (first,) = session.due(0)
     session.set_target(version(3, root_of({1: {"c": 1.0}})), Guard())
-    session.on_ack(10, relay.takes(first))
+    session.on_ack(10, relay.receive(first))
     assert session.confirmed == root_of({1: {"b": 1.0}}) and not session.in_sync
     quiet(session, relay, 20)
     assert relay.root == root_of({1: {"c": 1.0}})
@@ -40,23 +40,23 @@
     _, session, _ = settled(tables)
     relay = TableRelay(root_of(tables | {16: {"strange": 1.0}}))
     session.on_disconnect(1)
-    session.on_connect(5, 2, relay.joins(2))
+    session.on_connect(5, 2, relay.connect(2))
     assert session.phase is Phase.REPLACING
     (message,) = session.due(10)
     assert message.lines() == 16  # one part of 256 slices
-    session.on_ack(20, relay.takes(message))
+    session.on_ack(20, relay.receive(message))
     assert session.in_sync and relay.root == session.target.root
 
 
 def test_a_relay_that_lies_is_set_whole_once_and_then_left_for_a_while():
     relay, session, _ = settled({1: {"a": 1.0}})
     session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
-    relay.lies = 2
+    relay.false_digests = 2
     sent, now = 0, 0
     while session.phase is not Phase.BACKING_OFF and now < 1000:
         for message in session.due(now):
             sent += 1
-            session.on_ack(now, relay.takes(message))
+            session.on_ack(now, relay.receive(message))
         now += 1
     assert sent == 2 and not session.due(now) and session.next_due(now) > now + BACKOFF - 10
     quiet(session, relay, now)
@@ -68,7 +68,7 @@
     relay.refuses = True
     session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (message,) = session.due(0)
-    session.on_nack(5, relay.takes(message))
+    session.on_nack(5, relay.receive(message))
     assert session.phase is Phase.BACKING_OFF and not session.due(6)
     relay.refuses = False
     session.set_target(version(3, root_of({1: {"c": 1.0}})), Guard())
@@ -81,7 +81,7 @@
     start = root_of({1: {"a": 1.0}, 2: {"a": 1.0}})
     for taken in range(4):
         session = Session("r", Channel(lines=1), {start.digest: start}.get)
-        session.on_connect(0, 1, TableRelay(start).joins(1))
+        session.on_connect(0, 1, TableRelay(start).connect(1))
         session.set_target(version(1, root_of({1: {"b": 1.0}, 2: {"a": 1.0, "c": 2.0}})), Guard())
         held, now = start, 0
         sent = []
@@ -106,7 +106,7 @@
     relay, session, roots = settled({1: {"a": 1.0}})
     old_ack = Ack(1, 1, session.target.version_id, root_of({1: {"b": 1.0}}).digest)
     old_nack = Nack(1, 1, 0, True, Claim(Root().digest))
-    session.on_connect(5, 2, relay.joins(2))
+    session.on_connect(5, 2, relay.connect(2))
     session.set_target(version(2, root_of({1: {"b": 1.0}})), Guard())
     (message,) = session.due(10)
     for late, tell in ((old_ack, session.on_ack), (old_nack, session.on_nack)):
@@ -114,7 +114,7 @@
         assert list(session.in_flight) == [message] and session.confirmed == root_of({1: {"a": 1.0}})
     session.on_connect(30, 1, Claim(Root().digest))
     assert session.connection == 2 and session.confirmed == root_of({1: {"a": 1.0}})
-    session.on_ack(40, relay.takes(message))
+    session.on_ack(40, relay.receive(message))
     assert session.in_sync
 
 
@@ -128,7 +128,7 @@
             break
         count += len(messages)
         for message in messages:
-            session.on_ack(now, relay.takes(message))
+            session.on_ack(now, relay.receive(message))
         now += 10
     return count
 
@@ -138,14 +138,14 @@
     assert sent_until_shut(session, relay, 100) == 30
     session.set_target(version(99, session.confirmed.changed({2: {"a": 1.0}})), Guard(frozenset({"d"})))
     (message,) = session.due(5000)
-    session.on_ack(5001, relay.takes(message))
+    session.on_ack(5001, relay.receive(message))
     assert session.in_sync and "d" not in relay.root.lines_of(2)
 
 
 def test_a_program_that_was_restarted_does_not_fill_the_window_twice():
     relay, session, roots = settled({1: {"a": 1.0}})
     again = Session("r", Channel(), roots.get)
-    claim = relay.joins(2)
+    claim = relay.connect(2)
     again.on_connect(50, 2, Claim(claim.digest, claim.parts, 25))
     again.set_target(session.target, Guard())
     assert again.in_sync and sent_until_shut(again, relay, 100) == 5
@@ -155,7 +155,7 @@
 def test_a_lie_that_was_made_good_is_forgotten():
     relay, session, _ = settled({1: {"a": 1.0}})
     for number, backend in enumerate("bcd", 2):
-        relay.lies = 1
+        relay.false_digests = 1
         session.set_target(version(number, root_of({1: {backend: 1.0}})), Guard())
         quiet(session, relay, number * SECOND)
         assert session.mismatches == 0
@@ -165,12 +165,12 @@
     relay, session, roots = settled({slice: {"a": 1.0} for slice in range(300)})
     relay.base = session.confirmed.digest
     session.set_target(version(2, root_of({slice: {"a": 1.0, "b": 1.0} for slice in range(300)})), Guard())
-    relay.takes(session.due(0)[0])  # 200 lines, the first of two messages
+    relay.receive(session.due(0)[0])  # 200 lines, the first of two messages
     again = Session("r", Channel(), roots.get)
-    again.on_connect(50, 2, relay.joins(2))
+    again.on_connect(50, 2, relay.connect(2))
     again.set_target(session.target, Guard())
     assert again.confirmed == relay.root and sum(message.lines() for message in again.due(60)) == 100
-    told = relay.joins(3)
+    told = relay.connect(3)
     fresh = Session("r", Channel(), roots.get)
     fresh.on_connect(70, 3, Claim(told.digest, told.parts, 0, told.base, told.since[1:]))
     assert fresh.phase is Phase.REPLACING  # lines that do not give the digest are not believed
--- a/tests/test_versions_delta.py
+++ b/tests/test_versions_delta.py
@@ -64,13 +64,13 @@
     start = root_of({slice: {"a": 1.0} for slice in range(1000)})
     to = root_of({slice: {"b": 1.0} for slice in range(1000)} | {7: {"b": 1.0, "c": 1.0}})
     relay, session = TableRelay(start), Session("r", Channel(), {start.digest: start}.get)
-    session.on_connect(0, 1, relay.joins(1))
+    session.on_connect(0, 1, relay.connect(1))
     session.set_target(Version(1, to, None, "x", 0), Guard(cold={"c": 1.0}))
     lines = now = 0
     while not session.in_sync:
         now += 500
         for message in session.due(now):
             lines += message.lines()
-            session.on_ack(now, relay.takes(message))
+            session.on_ack(now, relay.receive(message))
             assert relay.root.slices == 1000
     assert relay.root == to and lines == 1001  # the delta has 2,001
--- a/tests/test_versions_model.py
+++ b/tests/test_versions_model.py
@@ -28,7 +28,7 @@
         self.relay, self.session = TableRelay(ROOTS[0]), Session("r", NO_WINDOW, BY_DIGEST.get, plan)
         self.down, self.up = [], []  # messages, answers
         self.breaks, self.losses = BREAKS, LOSSES
-        self.session.on_connect(0, 1, self.relay.joins(1))
+        self.session.on_connect(0, 1, self.relay.connect(1))
 
     def key(self):
         s, r = self.session, self.relay
@@ -83,7 +83,7 @@
 
 
 def deliver(side):
-    if (said := side.relay.takes(side.down.pop(0))) is not None:
+    if (said := side.relay.receive(side.down.pop(0))) is not None:
         side.up.append(said)
 
 
@@ -109,7 +109,7 @@
     side.up.clear()
     connection = side.session.connection + 1
     side.session.on_disconnect(side.session.connection)
-    side.session.on_connect(0, connection, side.relay.joins(connection))
+    side.session.on_connect(0, connection, side.relay.connect(connection))
 
 
 def restart_with_old(side):
--- a/tests/test_versions_publisher.py
+++ b/tests/test_versions_publisher.py
@@ -122,7 +122,7 @@
     room.publisher.rollback(2, first.number, "one")
     for name, session in room.publisher.sessions.items():
         for message in session.due(room.now + 5):
-            room.relays[name].takes(message)  # the answers are lost
+            room.relays[name].receive(message)  # the answers are lost
     room.publisher.rollback(3, second.number, "other")
     for name, relay in room.relays.items():
         room.join(name, relay)
@@ -173,7 +173,7 @@
     if sent:
         for name, session in room.publisher.sessions.items():
             for message in session.due(room.now + 1):
-                room.relays[name].takes(message)
+                room.relays[name].receive(message)
     files.open.clear()
     again = Store(files, "f")
     again.open()
--- a/tests/test_versions_sessions.py
+++ b/tests/test_versions_sessions.py
@@ -31,7 +31,7 @@
 
     def join(self):
         self.connection += 1
-        self.session.on_connect(self.now, self.connection, self.relay.joins(self.connection))
+        self.session.on_connect(self.now, self.connection, self.relay.connect(self.connection))
 
     @rule(tables=TABLES)
     def want(self, tables):
@@ -51,7 +51,7 @@
     def arrive(self, lost):
         if self.down:
             message = self.down.pop(0)
-            if not lost and (said := self.relay.takes(message)) is not None:
+            if not lost and (said := self.relay.receive(message)) is not None:
                 self.up.append(said)
 
     @rule(lost=st.booleans())
@@ -65,7 +65,7 @@
     def said_twice(self, again):
         """The same message comes to the relay once more, and the same answer to the session."""
         if self.down and self.down[0].sequence == self.relay.taken + 1:
-            said = [self.relay.takes(self.down[0]) for _ in range(again)]
+            said = [self.relay.receive(self.down[0]) for _ in range(again)]
             self.up += [one for one in said if one is not None]
 
     @rule(heard=st.booleans())
@@ -87,7 +87,7 @@
 
     @rule()
     def lies(self):
-        self.relay.lies = 1
+        self.relay.false_digests = 1
 
     @invariant()
     def truth(self):
@@ -95,7 +95,7 @@
         if (
             session.phase is Phase.UPDATING
             and session.connection == self.relay.connection
-            and not self.relay.lies
+            and not self.relay.false_digests
         ):
             assert held in session.possible_contents()  # in a set, and the true one is in it
         bare = {slice for slice in self.served if not held.lines_of(slice)}
@@ -106,7 +106,7 @@
 
     def teardown(self):
         if self.session.target is not None:
-            self.relay.lies = 0
+            self.relay.false_digests = 0
             self.broken(True)
             quiet(self.session, self.relay, self.now + BACKOFF)
             assert self.relay.root == self.session.target.root
