The picture of slopes says the round that was measured

Cause: its title gave seats a round of 0.1 s; the cell measures rounds in which seats move, one each 0.5 s.

--- a/benchmarks/capacitykit/plot.py
+++ b/benchmarks/capacitykit/plot.py
@@ -10,7 +10,7 @@
     ("turn_ms_longest", "module: longest turn, ms"),
     ("plan_ms", "module: planning, ms a round"),
     ("leader_beat_ms", "ledger leader: ms a beat of 50 ms"),
-    ("round_ms", "leases (0.5 s) and seats (0.1 s): ms a round"),
+    ("round_ms", "leases and seats: ms a round of 0.5 s"),
     ("say_ms", "links: ms to say one word to all"),
 )
 
