--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -1,6 +1,7 @@
 """docs/CAPACITY.md: its tables are those of the committed results, and every formula can be followed."""
 
 import json
+import re
 
 import pytest
 
@@ -37,6 +38,13 @@
                 assert values.value(figure.formula, condition) >= 0, (role.name, figure.what)
 
 
+def test_the_modules_that_roles_name_exist():
+    program = PAGE.parent.parent / "indigohitch"
+    for role in roles.read().roles:
+        for named in re.findall(r"`([a-z_/]+(?:\.py|/))", role.modules):
+            assert list(program.rglob(named.rstrip("/"))), (role.name, named)
+
+
 def test_what_is_not_measured_is_said_so_and_has_no_figure():
     page, text = roles.read(), PAGE.read_text()
     unmeasured = [figure for role in page.roles for figure in role.figures if not figure.formula]
