--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,11 @@
 proof-fleet: build    # all at once
 	$(PY) proofs/fleet.py
 
+.PHONY: proof-scale
+
+proof-scale: build    # QUICK=1: under 50 s, 1,300 hollow subscribers; in full 6,500; BROKEN=guard, BROKEN=resume
+	$(PY) proofs/scale.py
+
 .PHONY: bench-ledger bench-seats bench-batches bench-distribution
 
 bench-ledger: build   # commits a second and latency at 3, 5, 7 members, catching up
@@ -124,3 +129,8 @@
 
 bench-readiness: build      # from the start of the process to the first hb_ok; QUICK=1: under 20 s
 	$(PY) benchmarks/readiness.py
+
+.PHONY: bench-capacity
+
+bench-capacity: build       # cost of one process against each count alone, and how it grows; QUICK=1: under 50 s
+	$(PY) benchmarks/capacity.py
--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -11,6 +11,7 @@
 from ...net.loop import Deadline, Loop
 from ..disk.files import Files
 from ..disk.store import Disk
+from ..distribution.messages import Report
 from ..ledger.ports import Became, HandOver, Held
 from ..links.links import Links
 from ..members.words import NotRenewed, Renew, Renewed
@@ -51,9 +52,9 @@
         self.token = chance.getrandbits(62)
         self.disk = Disk(loop, log, text.folder, text.name, text.me, self.disk_told, files)
         self.links = Links(loop, log, KINDS, text.name, Who(text.me, 0), self.token, chance.random)
-        self.assembly = assembled(
-            Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
-        )
+        place = Place(loop, log, text, self.voters, self.lease, lambda: chance.getrandbits(62))
+        place.read, place.say = lambda done: self.traffic.read(done), self.links.say_to
+        self.assembly = assembled(place)
         self.state_machine = self.assembly.state_machine
         waits: dict[str, int] = text.waits
         bootstrap = BOUNDS | {"election": waits["election"], "beat": waits["beat"], "log_most": text.limit}
@@ -94,6 +95,7 @@
         self.traffic.handlers |= {
             Admit: self.admitting.asked,
             Admitted: self.admitting.admitted,
+            Report: self.assembly.heard_report,
             **dict.fromkeys((Renew, Renewed, NotRenewed), self.belonging.heard),
         }
         links.on_heard, links.on_met = self.traffic.heard, self.introductions.met
@@ -184,7 +186,7 @@
         if self.beating is not None:
             self.beating.cancel()
             self.beating = None
-        self.assembly.acts.close()
+        self.assembly.close()
         self.disk.close()  # first: what it still tells may be said
         self.driver.end()
         self.links.close()
