CAPACITY has what scoped distribution costs, out of its own benchmark

Cause: the page's cells on the subscription said "not measured yet"; make bench-distribution has been run since. Change: capacitykit/subscriptions.py takes the cost of an update, a renewal and a subscriber that comes back from the committed results; roles.toml has the formulas, the tables are made anew. A distributor's memory has no slope and says so.

--- a/benchmarks/capacitykit/costs.py
+++ b/benchmarks/capacitykit/costs.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 
 from . import fits
+from .subscriptions import SubscriptionCosts
 
 
 class NotMeasured(KeyError):
@@ -15,9 +16,15 @@
 class Costs:
     """`rows`: the series of benchmarks/results/capacity.json; `bases`: memory of a process without state."""
 
-    def __init__(self, rows: Sequence[Mapping], bases: Mapping[str, float]) -> None:
+    def __init__(
+        self,
+        rows: Sequence[Mapping],
+        bases: Mapping[str, float],
+        subscriptions: SubscriptionCosts | None = None,
+    ) -> None:
         self.rows = {row["name"]: row for row in rows}
         self.bases = bases
+        self.subscriptions = subscriptions
 
     def figure(self, series: str, name: str) -> Mapping:
         try:
@@ -49,3 +56,9 @@
         if program not in self.bases:
             raise NotMeasured(program)
         return self.bases[program]
+
+    def subscription(self, event: str, figure: str) -> float:
+        """Of scoped distribution, for one subscriber (`subscriptions.py`)."""
+        if self.subscriptions is None:
+            raise NotMeasured(f"subscriptions: {event}, {figure}")
+        return self.subscriptions.of(event, figure)
--- a/benchmarks/capacitykit/givens.py
+++ b/benchmarks/capacitykit/givens.py
@@ -54,6 +54,7 @@
     Given("news", 10, "turns a second for news at most: what comes within 100 ms is one"),
     Given("calls", 1.2, "calls to the relay a second at most: 12 in 10 s, as the bench's settings have it"),
     Given("beats", 20, "beats of the ledger a second, one each 50 ms"),
+    Given("renewals", 1, "renewals of a subscriber's lease a second: four in a lease of 4 s"),
     Given("pulse_bytes", 24, "bytes of a pulse of a link, two a second each way, each answered"),
 )
 BUDGETS = {
--- a/benchmarks/capacitykit/page.py
+++ b/benchmarks/capacitykit/page.py
@@ -14,15 +14,26 @@
 
 from capacitykit import findings, givens, roles, tables  # noqa: E402
 from capacitykit.costs import Costs  # noqa: E402
+from capacitykit.subscriptions import SubscriptionCosts  # noqa: E402
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 RESULTS = ROOT / "benchmarks" / "results" / "capacity.json"
+SUBSCRIPTIONS = ROOT / "benchmarks" / "results" / "distribution_cost.json"
 BEGIN, END = "<!-- tables: begin -->", "<!-- tables: end -->"
 
 
+def read_results() -> dict:
+    """Those of `make bench-capacity`, and of `make bench-distribution` under "subscriptions"."""
+    return json.loads(RESULTS.read_text()) | {"subscriptions": json.loads(SUBSCRIPTIONS.read_text())}
+
+
+def costs_of(results: dict) -> Costs:
+    return Costs(results["series"], results["bases"], SubscriptionCosts(results["subscriptions"]))
+
+
 def made(results: dict) -> str:
     """All tables."""
-    costs, page = Costs(results["series"], results["bases"]), roles.read()
+    costs, page = costs_of(results), roles.read()
     values = roles.Values(costs, page)
     lines = ["## Over the budget, the furthest first", "", *findings.over_table(values)]
     lines += ["## What one process takes", "", *findings.bound_table(values)]
@@ -47,4 +58,4 @@
 
 
 if __name__ == "__main__":
-    PAGE.write_text(with_tables(PAGE.read_text(), json.loads(RESULTS.read_text())))
+    PAGE.write_text(with_tables(PAGE.read_text(), read_results()))
--- a/benchmarks/capacitykit/roles.py
+++ b/benchmarks/capacitykit/roles.py
@@ -68,7 +68,13 @@
         """`changed`: other values of some givens, to see how an answer moves."""
         self.page = page
         self.names = givens.names() | dict(changed or {})
-        self.functions = {"cost": costs.of, "base": costs.base, "min": min, "max": max}
+        self.functions = {
+            "cost": costs.of,
+            "base": costs.base,
+            "subscription": costs.subscription,
+            "min": min,
+            "max": max,
+        }
 
     def value(self, formula: str, condition: givens.Condition) -> float:
         names = dict(self.names)
--- a/benchmarks/capacitykit/tables.py
+++ b/benchmarks/capacitykit/tables.py
@@ -4,7 +4,7 @@
 
 from . import givens, roles
 
-NOT_YET = "not measured yet (`make proof-scale`)"
+NOT_YET = "no slope measured"
 SAME = "same"  # in every condition
 
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -1,6 +1,5 @@
 """docs/CAPACITY.md: its tables are those of the committed results, and every formula can be followed."""
 
-import json
 import re
 
 import pytest
@@ -8,7 +7,8 @@
 from benchmarks.capacitykit import givens, roles
 from benchmarks.capacitykit.costs import Costs, NotMeasured
 from benchmarks.capacitykit.findings import largest
-from benchmarks.capacitykit.page import PAGE, RESULTS, with_tables
+from benchmarks.capacitykit.page import PAGE, costs_of, read_results, with_tables
+from benchmarks.capacitykit.subscriptions import SubscriptionCosts
 from benchmarks.capacitykit.tables import NOT_YET, number, shown
 
 ROW = {
@@ -20,7 +20,7 @@
 
 @pytest.fixture(scope="module")
 def results():
-    return json.loads(RESULTS.read_text())
+    return read_results()
 
 
 def test_the_committed_tables_are_those_of_the_committed_results(results):
@@ -30,7 +30,7 @@
 
 def test_every_formula_has_a_value_in_every_condition(results):
     page = roles.read()
-    values = roles.Values(Costs(results["series"], results["bases"]), page)
+    values = roles.Values(costs_of(results), page)
     for role in page.roles:
         for figure in role.figures:
             assert not figure.budget or figure.budget in givens.BUDGETS
@@ -90,3 +90,21 @@
 
 def test_the_largest_count_within_a_budget():
     assert largest(lambda count: count**2, 100.0) == pytest.approx(10.0)
+
+
+def test_a_subscription_costs_what_one_event_of_the_largest_size_took():
+    small = {"subscribers": 10}
+    large = {
+        "subscribers": 20,
+        "catalogue_mb": 7.0,
+        "all_join": {"distributor_ms": 40.0, "subscriber_ms": 0.5, "updates": 20, "bytes_each": 3000},
+        "renewal": {"distributor_ms": 4.0, "subscriber_ms": 0.1, "updates": 0, "bytes_each": 52},
+        "ordinary": {"distributor_ms": 80.0, "subscriber_ms": 1.0, "updates": 40, "bytes_each": 300},
+    }
+    costs = Costs([ROW], {}, SubscriptionCosts([small, large]))
+    assert costs.subscription("update", "distributor_ms") == 2.0  # 40 updates went to 20 subscribers
+    assert costs.subscription("update", "bytes") == 150.0
+    assert costs.subscription("renewal", "distributor_ms") == 0.2
+    assert costs.subscription("join", "bytes") == 3000.0
+    with pytest.raises(NotMeasured):
+        Costs([ROW], {}).subscription("join", "bytes")
