--- a/proofs/scalekit/faults.py
+++ b/proofs/scalekit/faults.py
@@ -104,7 +104,7 @@
     def let_go(self, name: str) -> bool:
         """The log says so, or the distributor was killed since."""
         log = self.fleet.members[self.mute_at].log()
-        events = [each.get("event") for each in log if each.get("subscriber") == name]
+        events = [each.get("event") for each in log if name in (each.get("subscriber"), each.get("where"))]
         return bool({"subscriber_dropped", "subscriber_silent"} & {*events}) or self.killed(self.mute_at)
 
     def killed(self, name: str) -> bool:
