--- a/indigohitch/fleet/distribution/role.py
+++ b/indigohitch/fleet/distribution/role.py
@@ -10,11 +10,12 @@
 from ...errors import NotNow, told
 from ...log import Log
 from ...net.clock import SECOND
+from ...net.descriptors import allow
 from ...net.loop import Loop
 from ...packed.rows import Row
 from ..ports import Wanted
 from ..terms import Entry, Lease, Outcome, Who
-from .connections import Connections
+from .connections import STRANGERS, Connections
 from .distributor import Distributor
 from .limits import Limits
 from .messages import Report
@@ -25,6 +26,7 @@
 CONFIRM = SECOND // 2  # between confirmed reads: what is told is older by that at most
 REPORT = SECOND
 LISTEN_AGAIN = SECOND
+OTHER_DESCRIPTORS = STRANGERS + 256  # those who have not greeted; members' links, files, the control socket
 LIMITS = Limits()
 
 Read = Callable[[Callable[[int | None], None]], None]
@@ -99,6 +101,10 @@
         return []
 
     def listen(self, now: int) -> None:
+        wanted = LIMITS.subscribers + OTHER_DESCRIPTORS
+        if (allowed := allow(wanted)) < wanted:
+            remedy = f"raise the limit on descriptors to {wanted}"
+            self.log.trouble("descriptors_few", allowed=allowed, wanted=wanted, remedy=remedy)
         try:
             self.connections.start(self.addresses[self.me])
         except OSError as bad:
--- a/indigohitch/load/replay/running.py
+++ b/indigohitch/load/replay/running.py
@@ -3,12 +3,12 @@
 
 from __future__ import annotations
 
-import resource
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from ...net.clock import SECOND
+from ...net.descriptors import allow
 from ..trace import Trace
 from . import standins
 from .drive import Driver, Job
@@ -82,18 +82,10 @@
     return acts
 
 
-def allow(descriptors: int) -> None:
-    """As many as the system lets us have; with fewer, requests wait as at the ceiling."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft != resource.RLIM_INFINITY and soft < descriptors:
-        most = descriptors if hard == resource.RLIM_INFINITY else min(descriptors, hard)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
-
-
 def run(trace: Trace, wanted: Wanted) -> tuple[Figures, dict]:
     """Raises Refused, Unusable, OSError, Damaged.  Returns the figures, and what else is to be said."""
     plan, name = wanted.plan, trace.identity[:12]
-    allow(wanted.connections + 64)
+    allow(wanted.connections + 64)  # with fewer, requests wait as at the ceiling
     unsafe = next((request for _, _, request in selected(trace, plan) if request.unsafe), None)
     proven = standins.proven(wanted.servers)
     may_begin(wanted.to[0], proven, wanted.allowed, bool(wanted.journal), unsafe, trace.head.sources)
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import os
-import resource
 
 from ..directives import sidecar_file
 from ..directives.texts import Text
 from ..errors import Unfit, told
+from ..net.descriptors import allow
 from ..replaceable import Replaceable
 from ..upgrade import launch
 from ..upgrade.side import Side
@@ -94,10 +94,5 @@
     channel = launch.inherited()
     text = sidecar_file.load(source)
     os.set_blocking(1, False)  # a log that nobody reads must not hold up the service
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = 2 * text.limits["clients"] + 256  # each client may have a server's connection
-    if soft != resource.RLIM_INFINITY and soft < wanted:
-        resource.setrlimit(
-            resource.RLIMIT_NOFILE, (wanted if hard == resource.RLIM_INFINITY else min(wanted, hard), hard)
-        )
+    allow(2 * text.limits["clients"] + 256)  # each client may have a server's connection
     return Sidecar(source, text, channel is not None).run(channel)
--- a/tests/test_distribution_role.py
+++ b/tests/test_distribution_role.py
@@ -9,6 +9,7 @@
 from indigohitch.fleet.distribution.terms import Resource
 from indigohitch.fleet.state_machine import ReplicatedStateMachine
 from indigohitch.fleet.terms import Entry
+from indigohitch.net import descriptors
 from nodes import Kept, Looped, free
 
 
@@ -39,3 +40,11 @@
     looped.until(lambda: Level in heard)
     role.close()
     assert heard[:2] == [Changed, Level]
+
+
+def test_the_soft_limit_on_descriptors_is_raised_as_far_as_it_goes(monkeypatch):
+    limits, given = (256, 1_024), []
+    monkeypatch.setattr(descriptors.resource, "getrlimit", lambda what: limits)
+    monkeypatch.setattr(descriptors.resource, "setrlimit", lambda what, told: given.append(told))
+    assert [descriptors.allow(wanted) for wanted in (100, 512, 4_096)] == [256, 512, 1_024]
+    assert given == [(512, 1_024), (1_024, 1_024)]
