--- a/proofs/scale.py
+++ b/proofs/scale.py
@@ -55,9 +55,18 @@
 
     def made_fleet(self) -> Fleet:
         lines = [f"distributor {name} {host}:{port}" for name, (host, port) in self.at.items()]
+        waits = ["wait lease 4s", "wait election 800ms", "wait beat 100ms", "drift 0.001"]
         patch, environment = (GUARDS, {"SCALE_BROKEN": BROKEN}) if BROKEN else ("", None)
         fleet = Fleet(
-            self.path, SIZE.voters, 0, SEED, more=lines, patch=patch, environment=environment, name="scale"
+            self.path,
+            SIZE.voters,
+            0,
+            SEED,
+            more=lines,
+            waits=waits,
+            patch=patch,
+            environment=environment,
+            name="scale",
         )
         for name in self.names:
             fleet.place(name, False)
@@ -103,6 +112,11 @@
     def play(self) -> None:
         self.costs.watch("real", lambda: [one.member.process.pid for one in self.real])
         self.costs.watch("distributor", lambda: [self.fleet.members[name].process.pid for name in self.names])
+        self.costs.watch(
+            "voter", lambda: [self.fleet.members[name].process.pid for name in self.fleet.voters]
+        )
+        self.costs.watch("hollow", lambda: [worker.process.pid for worker in self.workers.all])
+        self.costs.watch("proof", lambda: [os.getpid()])
         self.costs.start()
         self.changes.start()
         self.faults = Faults(SIZE, SEED, self.fleet, self.workers, self.changes, self.names, self.say)
@@ -113,8 +127,10 @@
         self.quiet()
 
     def quiet(self) -> None:
-        """No more changes: all are served again, and hold the last one or need not."""
-        until(lambda: self.workers.served() == SIZE.hollow, 30, "all to be served again")
+        """No more changes: each has a distributor's word that nothing committed until now is missing."""
+        since = clock()
+        until(lambda: self.workers.confirmed(since) == SIZE.hollow, 30, "all to be up to date again")
+        until(lambda: all(one.confirmed(since) for one in self.real), 30, "the real ones to be up to date")
         until(self.all_in_force, 30, "the last version to be in force")
         self.costs.close()
 
