A member that stops for a defect lets its subscribers go

Cause: Node.stop closed the members' links and left the distributor's port open: subscribers stayed until their lease was over. Change: the assembly stops distributing there too; a test that it is closed for good.

--- a/indigohitch/fleet/node/node.py
+++ b/indigohitch/fleet/node/node.py
@@ -176,6 +176,7 @@
         if self.beating is not None:
             self.beating.cancel()
         self.driver.end()
+        self.assembly.stop_distributing()
         self.links.close()
         self.ended(why)
 
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -60,11 +60,15 @@
         if self.distributing is not None:
             self.distributing.heard_report(who, report)
 
-    def close(self) -> None:
-        self.acts.close()
+    def stop_distributing(self) -> None:
+        """Subscribers go elsewhere; this member may go on with the rest, or end."""
         if self.distributing is not None:
             self.distributing.close()
 
+    def close(self) -> None:
+        self.acts.close()
+        self.stop_distributing()
+
 
 def parts() -> list[StateMachinePart]:
     """In a fixed order; each only knows those before it."""
--- a/tests/test_distribution_role.py
+++ b/tests/test_distribution_role.py
@@ -1,5 +1,7 @@
 """The order in which a distributor's machine hears of what the ledger did."""
 
+import socket
+
 import msgspec
 import pytest
 
@@ -48,3 +50,26 @@
     monkeypatch.setattr(descriptors.resource, "setrlimit", lambda what, told: given.append(told))
     assert [descriptors.allow(wanted) for wanted in (100, 512, 4_096)] == [256, 512, 1_024]
     assert given == [(512, 1_024), (1_024, 1_024)]
+
+
+def test_a_member_that_stops_serves_no_subscriber_and_its_port_is_free(looped):
+    address = free()
+    role = Distributing(
+        looped.loop,
+        Kept(looped.clock, "d1"),
+        "whk",
+        "d1",
+        1,
+        {"d1": address},
+        Distribution(),
+        lambda done: None,
+        lambda name, word: True,
+    )
+    role.turn(looped.clock.now(), None)
+    assert role.connections.open
+    for _ in range(2):  # the member stops, and the process closes it later
+        role.close()
+        role.turn(looped.clock.now() + 100_000, None)
+        assert not role.connections.open
+    with socket.create_server(address):
+        pass
