A property of the subscription costs that nothing uses goes

Cause: SubscriptionCosts.catalogue_mb was written for a row of CAPACITY that was not made. Change: taken out.

--- a/benchmarks/capacitykit/subscriptions.py
+++ b/benchmarks/capacitykit/subscriptions.py
@@ -22,8 +22,3 @@
             return measured["distributor_ms"] / times
         total = measured[{"bytes": "bytes_each", "subscriber_ms": "subscriber_ms"}[figure]] * subscribers
         return total / times
-
-    @property
-    def catalogue_mb(self) -> float:
-        """Memory of all resources at one distributor."""
-        return self.row["catalogue_mb"]
