The module holds the channel's two tuned shares; its turn of orders is one push

Cause: SHARE 0.9 and UNANSWERED 1/8 stood in platformlink/backlog.py, the second of them again in logic/channel.py. Tuned values belong to the decision module.

Change: both are named in logic/channel.py; the front gives the backlog its bound and pace.

--- a/indigohitch/logic/__init__.py
+++ b/indigohitch/logic/__init__.py
@@ -18,9 +18,7 @@
 
     def handle(self, now: int, events: list[Event]) -> list[Order]:
         self.now, self.orders = now, []
-        if not self.next_beat:
-            self.next_beat = now + self.BEAT
-            self.hold_plans()
+        self.next_beat = self.next_beat or now + self.BEAT
         for event in events:
             if type(event) in HEAR:             # others tell nothing that is used here
                 HEAR[type(event)](self, event)
--- a/indigohitch/logic/channel.py
+++ b/indigohitch/logic/channel.py
@@ -3,6 +3,9 @@
 
 from ..interface import SECOND
 
+# Of the settings' bound, what may wait with all calls sent again; of their pace, what leaves unmarked.
+WAITING_MOST, UNMARKED_PACE = 0.9, 1 / 8
+
 
 class Channel:
     def __init__(self, boot: dict) -> None:
@@ -17,7 +20,7 @@
         """How many lines a message to all may hold now; pieces take half of an empty channel at least."""
         self.unacked = {mark: sent for mark, sent in self.unacked.items() if sent[1]}
         # A channel may run at a fifth of its pace: what counts is answered marks, else an eighth of it.
-        left = self.backlog - (now - self.backlog_at) * self.pace() / 4
+        left = self.backlog - (now - self.backlog_at) * self.pace() * 2 * UNMARKED_PACE
         self.backlog = max(0.0, min(left, sum(n * len(waiting) for n, waiting in self.unacked.values())))
         self.backlog_at = now
         most, over = self.boot.get("messages_most", 0), self.boot.get("counted_over", 10 * SECOND)
--- a/indigohitch/logic/judging.py
+++ b/indigohitch/logic/judging.py
@@ -82,7 +82,6 @@
         b.health = min(target, b.health + (now - c.assessed) / (30 * SECOND))
         age = (now - b.started) / c.boot["warm_within"] if b.started else 1.0
         b.warmth = 1.0 if age >= 1 else 0.7 * (1 - (1 - c.boot["cold_from"]) * (1 - age))   # caches empty
-        # Of several coordinators one, by its id, fills a cold backend for all.
         b.share = 1.0 if age >= 1 else c.many if int.from_bytes(b.key, "big") % c.many == c.own else 0.01
         b.capacity = b.weight * b.health * b.warmth * b.share / b.slowness
         b.doubtful = b.lost or not c.strained and (
--- a/indigohitch/logic/planning.py
+++ b/indigohitch/logic/planning.py
@@ -93,6 +93,7 @@
         parts = len(s.parts)
         if s.load > 0.8 * target * parts and parts < min(4, len(opened)):
             s.parts.append(Part(s, None))
+            place(c, s.parts[-1])
         elif parts > 1 and s.load < 0.48 * target * (parts - 1):
             last = max(s.parts, key=lambda p: p.owner.use() if p.owner else float("inf"))
             last.go_to(None)
@@ -100,9 +101,6 @@
         else:
             continue
         c.log(f"slice {s.number} in {len(s.parts)} parts: asks for {s.load / target:.1f} backends")
-        for part in s.parts:
-            if part.owner is None:
-                place(c, part)
     for b in opened:
         b.load = sum(p.load for p in b.parts)
 
--- a/indigohitch/logic/sending.py
+++ b/indigohitch/logic/sending.py
@@ -43,13 +43,12 @@
     # A third of the ordinary changes each second beat, six at least, those at the busiest first.
     ordinary.sort(key=lambda s: -max(b.use() for b in s.stored))
     many = len(ordinary) if c.troubled() else max(6, len(ordinary) // 3)
-    turn, trim = ((ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level])
-                  if c.beats % 2 == 0 or ailing else ([], []))
     back = [b for b in c.backends.values() if b in c.withdrawn and b.state == "ready"]
-    if must or back:
-        push(c, must + ailing, [], fresh, True, back)
-    elif ailing or turn or fresh or trim:
-        push(c, ailing + turn, trim, fresh, False, [])
+    urgent = bool(must or back)
+    turn, trim = ((ordinary[:many], [s for s in c.slices.values() if wanted_level(s) != s.level])
+                  if not urgent and (c.beats % 2 == 0 or ailing) else ([], []))
+    if urgent or ailing or turn or fresh or trim:
+        push(c, must + ailing + turn, trim, fresh, urgent, back)
 
 
 def delta(c: State, s: Slice) -> list[face.Order]:
--- a/indigohitch/logic/state.py
+++ b/indigohitch/logic/state.py
@@ -41,9 +41,8 @@
         self.probe_out = 0                      # when the probe now out was sent, 0: none
         self.miss_since, self.ok_heard = 0, 0   # first probe missed in a row; sums last told of an answer
         self.admit, self.judged, self.wait = 1.0, 0, 0.0    # share to let in; when judged, its queue then
-        self.doubtful = False                   # gets no part and nothing new
-        self.intake = 0                         # slices taken this round
-        self.warmth, self.share = 1.0, 1.0      # share: how much of its cold room is ours to fill
+        self.doubtful, self.intake = False, 0   # gets no part and nothing new; slices taken this round
+        self.warmth, self.share = 1.0, 1.0      # share: of its cold room, filled by one of all
         self.capacity = 1.0                     # weight x health x warmth x share / slowness, set by `assess`
         self.load = 0.0                         # demand of what is wanted here
 
--- a/indigohitch/platformlink/backlog.py
+++ b/indigohitch/platformlink/backlog.py
@@ -27,21 +27,16 @@
 
 
 class Backlog:
-    """At most `cap` lines (0: any number) may wait.
+    """At most `most` lines (0: any number) may wait.
 
-    What proxies have answered by marks has left.  Of the rest an eighth of the `pace` of the settings leaves
-    in a second, as the module counts: a channel was seen at 22%."""
-
-    # The rest of the cap is for what is not known here: proxies that join while a call is on its way, and a
-    # call carried out later than it was sent.  The module fills 0.8 of the cap.
-    SHARE = 0.9
-    UNANSWERED = 1 / 8
+    What proxies have answered by marks has left.  Of the rest `pace` lines leave in a second.  Both come from
+    the decision module, as shares of the settings' (logic/channel.py)."""
 
     def __init__(
-        self, cap: float, pace: float, head: int = 0, proxies: Callable[[], Collection[int]] = tuple
+        self, most: float, pace: float, head: int = 0, proxies: Callable[[], Collection[int]] = tuple
     ) -> None:
         """Each call goes to all `proxies`, with `head` lines of its own."""
-        self.most, self.pace = cap * self.SHARE, pace * self.UNANSWERED
+        self.most, self.pace = most, pace
         self.head, self.proxies = head, proxies
         self.calls: list[Sent] = []  # in the order in which they went
         self.lines, self.at = 0.0, 0  # that may wait, and when
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -10,6 +10,7 @@
 from ..gather import Gathering
 from ..log import Log
 from ..logic import Coordinator
+from ..logic.channel import UNMARKED_PACE, WAITING_MOST
 from ..net.clock import SECOND
 from ..net.connection import address
 from ..net.loop import Loop
@@ -52,7 +53,9 @@
             self.boot.get("messages_most", 0),
             self.boot.get("counted_over", 0),
             Backlog(
-                *(self._figure(name) for name in ("queue_cap", "lines_per_s", "envelope")),
+                self._figure("queue_cap") * WAITING_MOST,
+                self._figure("lines_per_s") * UNMARKED_PACE,
+                self._figure("envelope"),
                 lambda: self.holdings.proxies,
             ),
         )
--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -6,6 +6,7 @@
 
 from indigohitch import interface as face
 from indigohitch.log import Log
+from indigohitch.logic.channel import UNMARKED_PACE, WAITING_MOST
 from indigohitch.net.clock import SECOND
 from indigohitch.net.http import Answer
 from indigohitch.net.loop import Loop
@@ -58,7 +59,7 @@
             ["search"],
             most,
             over,
-            Backlog(cap, pace, head, lambda: range(self.proxies)),
+            Backlog(cap * WAITING_MOST, pace * UNMARKED_PACE, head, lambda: range(self.proxies)),
         )
         self.stand, self.void = [], []
         self.relay.stands, self.relay.dropped = self.stands, self.void.extend
--- a/tests/test_crossing_backlog.py
+++ b/tests/test_crossing_backlog.py
@@ -65,12 +65,12 @@
 
 
 def test_what_may_wait_in_the_channel_at_any_moment():
-    backlog = Backlog(cap=1000, pace=4000, head=9, proxies=lambda: range(10))
+    backlog = Backlog(most=900, pace=500, head=9, proxies=lambda: range(10))
     call = lines(61, 1)
     assert backlog.size(call) == 700
     backlog.sent(0, call)
     assert backlog.fits_at(0, 200) == 0
-    assert backlog.fits_at(0, 700) == 10001  # 500 more than nine tenths, at an eighth of 4,000 a second
+    assert backlog.fits_at(0, 700) == 10001  # 500 more than may wait, at 500 a second
     assert backlog.fits_at(SECOND // 2, 700) == 10001
     again = backlog.sent(10001, call)
     assert backlog.fits_at(10001, 700) > 10001 + SECOND
@@ -78,12 +78,12 @@
     assert backlog.fits_at(10001, 700) == 10001
     assert backlog.fits_at(10001, 5000) == 10001 + 4000  # more than the cap alone: once nothing waits
     assert backlog.cut(lines(100, 2)) == 81
-    assert Backlog(cap=0, pace=0).fits_at(5, 10**9) == 5
+    assert Backlog(most=0, pace=0).fits_at(5, 10**9) == 5
 
 
 def test_marks_make_room_for_each_copy_once():
     proxies = set(range(10))
-    backlog = Backlog(cap=1000, pace=0.008, proxies=lambda: proxies)  # by itself hardly a line leaves
+    backlog = Backlog(most=900, pace=0.001, proxies=lambda: proxies)  # by itself hardly a line leaves
     for orders in (lines(20, 1), lines(30, 1), lines(10, 2)):
         backlog.sent(0, orders)
     marks = [(3, 1, 580), (3, 7, 580), (4, 2, 520), (3, 1, 490), (3, 1, 490), (3, 2, 480)]
