A coordinator takes its backends from its subscription in the place of discovery

Need: scoped distribution told each coordinator its part, and no front used it: a file with `subscribe` lines was refused where BALANCER_CONFIG was set.

Change: the front takes any BackendSource (platformlink/sources.py); discovery is one, the subscription the other (indigohitch/subscribed/). instances.py, without I/O: resources `instance/ID` as entries of discovery's list, the difference to what was told, an address that moves, one backend in two services, a body that can't be read (what it said stands), a list without any backend (not told, so that a wrong name sends no slice away). Upgrades: the new process subscribes once the old one has let go and tells the whole list with its first content. Off in `run`.

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -12,6 +12,7 @@
 from .errors import told
 from .platformlink.front import Front
 from .platformlink.handover import Handover
+from .platformlink.sources import BackendSource, Tell
 from .replaceable import Phase, Replaceable
 from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
@@ -28,18 +29,36 @@
         side = Handover(None, self.make, self.controls, self.control_taken, self.reload)
         if self.fleet is None:
             return side
+        if self.fleet.services:
+            return self.subscriber_side(side)
         from .fleet.node.inside import beside
 
         return beside(self, side, self.fleet, False, self.follows)
 
+    def subscriber_side(self, side: Side) -> Side:
+        from .fleet.node.subscribing import SubscriberSide, Subscription
+
+        if self.beside is None:
+            self.beside = Subscription(self.loop, self.log, self.fleet)
+        return SubscriberSide(side, self.beside)
+
+    def subscribed_backends(self, tell: Tell) -> BackendSource:
+        from .subscribed.source import SubscribedBackends
+
+        source = SubscribedBackends(self.log, self.beside.resources, tell)
+        self.beside.heard = lambda output: source.applied(output.version.index, output.services)
+        return source
+
     def make(self, listening: socket.socket | None) -> Front:
+        subscribes = self.fleet is not None and self.fleet.services
         front = Front(
             self.loop,
             self.log,
             configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"),
             listening,
+            self.subscribed_backends if subscribes else None,
         )
-        if self.fleet is not None:
+        if self.fleet is not None and not subscribes:
             from .fleet.audit.orders import stamped
 
             front.relay.allowed = stamped(self.clock, lambda: self.beside.node)
@@ -94,14 +113,10 @@
 def main(file: str) -> int:
     """Raises Mistakes, OSError."""
     text = operator_file.load(file)
-    if text.fleet is not None and text.fleet.services:
-        from .fleet.node import subscribing
-
-        return subscribing.main(text)
     if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
-        from .fleet.node import alone
+        from .fleet.node import alone, subscribing
 
-        return alone.main(text)
+        return (subscribing if text.fleet.services else alone).main(text)
     channel = launch.inherited()
     os.set_blocking(1, False)
     return Coordinating(os.environ, text, channel is not None).run(channel)
--- a/indigohitch/fleet/node/subscribing.py
+++ b/indigohitch/fleet/node/subscribing.py
@@ -6,7 +6,7 @@
 import os
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ...directives import operator_file
 from ...directives.fleet import FleetText
@@ -32,6 +32,7 @@
 
     def __init__(self, loop: Loop, log: Log, text: FleetText) -> None:
         self.loop, self.log, self.text = loop, log, text
+        self.heard: Callable[[Applied], None] = lambda output: None  # of a front here, if there is one
         self.following: Following | None = None
         self.telling: Deadline | None = None
 
@@ -58,9 +59,15 @@
             services=len(output.services),
             age_ms=None if age is None else age / 10,
         )
+        self.heard(output)
 
-    def reread(self, text: FleetText) -> None:
+    def resources(self, service: str) -> Mapping[str, bytes]:
+        return self.following.machine.resources(service) if self.following is not None else {}
+
+    def reread(self, text: FleetText | None) -> None:
         """Raises Unfit."""
+        if text is None or not text.services:
+            raise Unfit("it has no `subscribe` lines any more", "", "start the program anew for it")
         addresses = {name: one.address for name, one in text.distributors.items()}
         if addresses != {name: one.address for name, one in self.text.distributors.items()}:
             raise Unfit("other distributors than at the start", "", "start the subscriber anew for these")
@@ -76,7 +83,7 @@
         word, _, service = what.partition(" ")
         if word != "resources" or self.following is None:
             return False
-        held = self.following.machine.resources(service)
+        held = self.resources(service)
         answer({"resources": {key: body.decode(errors="replace") for key, body in sorted(held.items())}})
         return True
 
@@ -89,22 +96,25 @@
             self.telling.cancel()
 
 
-class SubscriberSide(Bare):
-    """An upgrade: the new process subscribes once the old one has let go, and resumes from nothing."""
+class SubscriberSide:
+    """The side of an upgrade (upgrade.side.Side) of a process that subscribes: the new one subscribes once
+    the old one has let go, and resumes from nothing."""
+
+    def __init__(self, side: Side, subscription: Subscription) -> None:
+        self.side, self.subscription = side, subscription
 
-    def __init__(self, subscription: Subscription, *rest) -> None:
-        super().__init__(*rest)
-        self.subscription = subscription
+    def __getattr__(self, name: str):
+        return getattr(self.side, name)
 
     def accept(self, on: bool) -> None:
-        super().accept(on)
+        self.side.accept(on)
         if on:
             self.subscription.open()
         else:
             self.subscription.close()
 
     def begin(self, restored: bool) -> None:
-        super().begin(restored)
+        self.side.begin(restored)
         self.subscription.open()
 
 
@@ -116,7 +126,8 @@
     def make_side(self) -> Side:
         if self.beside is None:
             self.beside = Subscription(self.loop, self.log, self.text.fleet)
-        return SubscriberSide(self.beside, self.clock, self.controls, self.control_taken, self.reload)
+        bare = Bare(self.clock, self.controls, self.control_taken, self.reload)
+        return SubscriberSide(bare, self.beside)
 
     def program_now(self) -> list[str]:
         try:
@@ -127,12 +138,7 @@
     def reload(self) -> None:
         """The scope as the file has it now; a file with a mistake changes nothing."""
         try:
-            text = operator_file.load(self.text.source).fleet
-            if text is None or not text.services:
-                raise Unfit(
-                    "it has no `subscribe` lines any more", self.text.source, "start the program anew for it"
-                )
-            self.beside.reread(text)
+            self.beside.reread(operator_file.load(self.text.source).fleet)
         except (OSError, ValueError) as bad:
             self.log.trouble("reload_failed", why=str(bad))
             return
@@ -140,13 +146,7 @@
 
 
 def main(text: Text) -> int:
-    """Raises OSError, Unfit."""
-    if "BALANCER_CONFIG" in os.environ:
-        raise Unfit(
-            "a subscriber beside the platform's front is not there yet",
-            text.source,
-            "unset BALANCER_CONFIG, or take the lines `subscribe` out",
-        )
+    """Raises OSError."""
     channel = launch.inherited()
     os.set_blocking(1, False)
     return SubscriberProcess(text).run(channel)
--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -14,6 +14,7 @@
 from ..net.http import Answer, Client, Exchange
 from ..net.loop import Deadline, Loop
 from .generations import Ask, Generations, Verdict
+from .sources import Tell
 
 _STATE = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 
@@ -61,7 +62,7 @@
         log: Log,
         to: tuple[str, int],
         version: int,
-        tell: Callable[[face.BackendList, dict[str, str]], None],
+        tell: Tell,
     ) -> None:
         self.loop, self.log, self.tell = loop, log, tell
         self.generations = Generations(version)
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 from .. import interface as face
 from ..bootstrap import bootstrap
@@ -23,6 +24,7 @@
 from .news import News
 from .probes import Probes
 from .relay import Relay
+from .sources import BackendSource, Tell
 from .words import Known
 
 
@@ -30,9 +32,16 @@
     GONE = 256  # ids off the list that may still be named, as many as the module keeps
     ANEW = SECOND // 2  # until a new module is told all: what broke the last one may still be there
 
-    def __init__(self, loop: Loop, log: Log, found: dict, listening: socket.socket | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        found: dict,
+        listening: socket.socket | None = None,
+        source: Callable[[Tell], BackendSource] | None = None,
+    ) -> None:
         """Of the configuration `found`, ValueError and KeyError tell what can't be read; of the address
-        to listen on, OSError."""
+        to listen on, OSError.  `source`: of the backends, where that is not discovery."""
         self.loop, self.log = loop, log
         self.found = found
         self.seed, limits, self.boot, columns, known, self.addresses, store, discovery = self._read(found)
@@ -43,7 +52,11 @@
         self.hear = self.gathering.add
         self.hear(known)
         self.coordinator, self.anew = Coordinator(self.seed, self.boot), False
-        self.discovery = Discovery(loop, log, discovery, known.version, self.hear_list)
+        self.discovery: BackendSource = (
+            source(self.hear_list)
+            if source is not None
+            else Discovery(loop, log, discovery, known.version, self.hear_list)
+        )
         self.probes = Probes(loop, log, bool(columns), limits.probes, self.hear)
         self.relay = Relay(
             loop,
--- /dev/null
+++ b/indigohitch/subscribed/__init__.py
@@ -0,0 +1,1 @@
+"""A coordinator whose backends come from its subscription and not from discovery."""
--- /dev/null
+++ b/indigohitch/subscribed/instances.py
@@ -0,0 +1,118 @@
+"""Backends as the resources of services, and what the decision module is to be told of them.  No I/O.
+
+A resource `instance/ID` of a service is one backend: its body is an entry of discovery's list, as JSON.
+Other resources are not read.  A backend that two services name is told as the first of them has it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+import orjson
+
+from .. import interface as face
+from ..platformlink.discovery import read_list
+from .errors import UnreadableInstance
+
+PREFIX = "instance/"
+BackendId = str
+
+
+@dataclass(slots=True, frozen=True)
+class Instance:
+    """`address`: host:port, as discovery tells it."""
+
+    listed: face.Listed
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """For the module, with the addresses of all that are named in it."""
+
+    news: face.BackendList
+    addresses: dict[BackendId, str]
+
+
+def read_instance(service: str, backend: BackendId, body: bytes) -> Instance:
+    """Raises UnreadableInstance."""
+    where = f"service {service}, resource {PREFIX}{backend}"
+    try:
+        found = {"generation": 0, "reset": False, "instances": [orjson.loads(body)]}
+        news, addresses = read_list(found)
+    except ValueError as bad:
+        raise UnreadableInstance(str(bad), where) from None
+    (listed,) = news.entries
+    if listed.backend != backend:
+        raise UnreadableInstance(f"it names {listed.backend}", where)
+    return Instance(listed, addresses[listed.backend])
+
+
+class Instances:
+    """What the services hold, and what was told of it."""
+
+    def __init__(self) -> None:
+        self.services: dict[str, dict[BackendId, Instance]] = {}
+        self.bodies: dict[str, dict[BackendId, bytes]] = {}  # by service, as they were read last
+        self.told: dict[BackendId, Instance] = {}
+
+    def update(self, service: str, bodies: Mapping[str, bytes]) -> list[UnreadableInstance]:
+        """The service holds these resources now; without any it is no more in the scope."""
+        before, read = self.services.pop(service, {}), self.bodies.pop(service, {})
+        named = {key.removeprefix(PREFIX): body for key, body in bodies.items() if key.startswith(PREFIX)}
+        held: dict[BackendId, Instance] = {}
+        unreadable = []
+        for backend, body in named.items():
+            if backend in before:
+                held[backend] = before[backend]  # stands, where the body is the same or can't be read
+            if read.get(backend) == body:
+                continue
+            try:
+                held[backend] = read_instance(service, backend, body)
+            except UnreadableInstance as bad:
+                unreadable.append(bad)
+        if named:
+            self.services[service], self.bodies[service] = held, named
+        return unreadable
+
+    def wanted(self) -> dict[BackendId, Instance]:
+        """All backends named; those told as gone are not."""
+        found: dict[BackendId, Instance] = {}
+        for service in sorted(self.services):
+            for backend, instance in self.services[service].items():
+                found.setdefault(backend, instance)
+        return {id: instance for id, instance in found.items() if instance.listed.state != "gone"}
+
+    def whole(self, version: int) -> Told | None:
+        """As a list that is complete; None where it would be empty."""
+        self.told = wanted = self.wanted() or self.told
+        if not wanted:
+            return None
+        return Told(face.BackendList("full", version, listed(wanted)), addresses(wanted))
+
+    def changes(self, version: int) -> Told | None:
+        """Since what was told; None: nothing, or all are gone."""
+        wanted = self.wanted()
+        changed = {id: instance for id, instance in wanted.items() if self.told.get(id) != instance}
+        gone = {
+            id: replace(instance, listed=replace(instance.listed, state="gone"))
+            for id, instance in self.told.items()
+            if id not in wanted
+        }
+        if not wanted or not (changed or gone):
+            return None
+        self.told = wanted
+        differing = changed | gone
+        return Told(face.BackendList("changes", version, listed(differing)), addresses(differing))
+
+    @property
+    def empty(self) -> bool:
+        return not self.wanted()
+
+
+def listed(instances: Mapping[BackendId, Instance]) -> tuple[face.Listed, ...]:
+    return tuple(instance.listed for instance in instances.values())
+
+
+def addresses(instances: Mapping[BackendId, Instance]) -> dict[BackendId, str]:
+    return {id: instance.address for id, instance in instances.items()}
--- /dev/null
+++ b/indigohitch/subscribed/source.py
@@ -0,0 +1,74 @@
+"""The subscription as the front's source of backends, in the place of discovery (platformlink/sources.py)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from ..errors import Trouble
+from ..log import Log
+from ..platformlink.sources import Tell
+from .errors import NoInstances
+from .instances import Instances, Told
+
+Resources = Callable[[str], Mapping[str, bytes]]
+
+
+class SubscribedBackends:
+    """`resources(service)`: what the subscription holds of it."""
+
+    def __init__(self, log: Log, resources: Resources, tell: Tell) -> None:
+        self.log, self.resources, self.tell = log, resources, tell
+        self.instances = Instances()
+        self.version = 0  # the ledger's entry at which the content held stands
+        self.watching = False
+        self.held = False  # the first content has come: before that nothing is known
+        self.begun = False  # a complete list was told
+
+    # ---- from the subscription ---------------------------------------------------------------------
+
+    def applied(self, version: int, services: Iterable[str]) -> None:
+        """The content of these services is another; of one that left the scope nothing is held."""
+        self.version, self.held = version, True
+        for service in services:
+            for unreadable in self.instances.update(service, self.resources(service)):
+                self.trouble("backend_unreadable", unreadable)
+        if self.instances.empty:
+            self.trouble("no_backends", NoInstances("no service names a backend"))
+        if self.watching:
+            self.tell_news()
+
+    def tell_news(self) -> None:
+        news = self.instances.changes(self.version) if self.begun else self.instances.whole(self.version)
+        self.pass_on(news)
+
+    def pass_on(self, told: Told | None) -> None:
+        if told is not None:
+            self.begun = True
+            self.log.count("subscription_lists")
+            self.tell(told.news, told.addresses)
+
+    def trouble(self, event: str, trouble: Trouble) -> None:
+        self.log.trouble(event, **trouble.fields())
+
+    # ---- a BackendSource ---------------------------------------------------------------------------
+
+    def subscribe(self, on: bool) -> None:
+        """A module that asks has heard nothing yet, or nothing that it keeps."""
+        self.watching = on
+        if on:
+            self.fetch()
+
+    def fetch(self) -> None:
+        if self.held:
+            self.pass_on(self.instances.whole(self.version))
+
+    def move(self, to: tuple[str, int]) -> bool:
+        """Discovery's address means nothing here."""
+        return False
+
+    def restore(self, version: int) -> None:
+        """As another process held it: its module hears the whole list with the first content here."""
+        self.version, self.begun = version, False
+
+    def close(self) -> None:
+        self.watching = False
