proof-scale counts older versions at the real subscribers; a region is cut off for minutes

Need: older_applied counted hollow subscribers alone, and the region was cut off for 13.5 s where operators speak of minutes.

Each is imported alone again; a test reads the modules of such a process (fails on the text before: ledger modules are loaded).

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -110,13 +110,22 @@
             self.side.front.close()
 
 
+def without_front(text: Text) -> int:
+    """A subscriber or a member as a process of its own; a member's imports would cost a subscriber 3 MB."""
+    if text.fleet.services:
+        from .fleet.node import subscribing
+
+        return subscribing.main(text)
+    from .fleet.node import alone
+
+    return alone.main(text)
+
+
 def main(file: str) -> int:
     """Raises Mistakes, OSError."""
     text = operator_file.load(file)
     if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
-        from .fleet.node import alone, subscribing
-
-        return (subscribing if text.fleet.services else alone).main(text)
+        return without_front(text)
     channel = launch.inherited()
     os.set_blocking(1, False)
     return Coordinating(os.environ, text, channel is not None).run(channel)
--- a/proofs/scalekit/faults.py
+++ b/proofs/scalekit/faults.py
@@ -185,7 +185,7 @@
         self.fleet.breaker.part([REGION], self.distributors)
         drains = threading.Thread(target=self.changes.burst, args=(self.size.burst, "draining"))
         drains.start()
-        self.rest(1.5)
+        time.sleep(self.size.region_cut)
         drains.join()
         self.fleet.breaker.heal()
         self.were_away(worker.names, begun, clock())
--- a/proofs/scalekit/real.py
+++ b/proofs/scalekit/real.py
@@ -60,6 +60,12 @@
                 return f"{self.name}: {service} is another than intended"
         return ""
 
+    def older_applied(self) -> int:
+        """How often its log tells of a version older than the one before."""
+        told = [event["version"].split(".") for event in self.member.said("version_applied")]
+        versions = [(int(term), int(index)) for term, index in told]
+        return sum(later < earlier for earlier, later in zip(versions, versions[1:]))
+
     def close(self) -> None:
         self.member.signal(signal.SIGKILL)
         self.member.ended()
--- a/proofs/scalekit/result.py
+++ b/proofs/scalekit/result.py
@@ -28,7 +28,7 @@
         "in_force_ms_p99": quantile(ordered, 0.99),
         "in_force_ms_max": quantile(ordered, 1.0),
         "wrong": len(wrong),
-        "older_applied": sum(each.older for each in found),
+        "older_applied": sum(each.older for each in found) + sum(one.older_applied() for one in proof.real),
         "whole_resumes": sum(each.wholes for each in found),
         "faults": len(proof.faults.done),
         "resumed": sum(each.resumed for each in found),
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -1,13 +1,19 @@
 """Subscribers as processes at distributors as processes: content, status, a distributor killed, another
 scope, an upgrade."""
 
+import os
 import signal
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
 from installation import NAMES, Installation
 from proofs.fleetkit import until
 
+ROOT = Path(__file__).parent.parent
+
 
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory):
@@ -74,6 +80,23 @@
     assert one.noise() == []
 
 
+def test_a_subscriber_imports_nothing_that_a_member_alone_needs(tmp_path):
+    """Of its 32 MB a ledger would take three."""
+    file = tmp_path / "conf"
+    file.write_text("name c1\nfleet f\ndistributor d1 127.0.0.1:1\nsubscribe maps\n")
+    program = (
+        "import sys; from indigohitch import coordinator; from indigohitch.fleet.node import subscribing\n"
+        "subscribing.main = lambda text: 0\n"
+        f"assert coordinator.main({str(file)!r}) == 0\n"
+        "print([name for name in sys.modules if name.startswith('indigohitch.fleet.ledger.')])"
+    )
+    environment = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=True, cwd=ROOT, env=environment
+    )
+    assert found.stdout.decode().strip() == "[]"
+
+
 def test_a_member_tells_of_a_subscriber_at_its_port(installation):
     """Two addresses mixed up."""
     at = installation.fleet.places["d1"].at
