--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -13,7 +13,8 @@
 from .platformlink.front import Front
 from .platformlink.handover import Handover
 from .platformlink.sources import BackendSource, Tell
-from .replaceable import Phase, Replaceable
+from .replaceable import Replaceable
+from .replaceable_parts import Phase
 from .service import REMEDY, UNUSABLE, configuration
 from .upgrade import launch
 from .upgrade.side import Side
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -5,12 +5,10 @@
 
 from __future__ import annotations
 
-import enum
 import os
 import signal
 import socket
 from collections.abc import Callable
-from typing import Protocol
 
 from .control import Control
 from .errors import Trouble, told
@@ -18,6 +16,7 @@
 from .net.listener import Listener
 from .pidfile import PidFile
 from .process import Process
+from .replaceable_parts import Beside, Phase
 from .statefile import StateFile
 from .upgrade.giving import Giving
 from .upgrade.phases import Phase as Handing
@@ -25,25 +24,6 @@
 from .upgrade.taking import Taking
 
 
-class Beside(Protocol):
-    """What lives in the process beside its front: a member of the fleet (fleet/node/inside)."""
-
-    left: bool  # nothing is waited for any more
-
-    def figures(self) -> dict: ...
-    def asked(self, what: str, line: dict, answer: Callable[[dict], None]) -> bool: ...
-    def leave(self, give_up: bool) -> None: ...
-    def close(self) -> None: ...
-
-
-class Phase(enum.Enum):
-    STARTING = "starting"
-    TAKING_OVER = "taking over"
-    SERVING = "serving"
-    ENDING = "ending"  # accepts nobody; what is in hand is finished, for a while
-    ENDED = "ended"
-
-
 class Replaceable(Process):
     SIGNALS = (*Process.SIGNALS, signal.SIGUSR2)
     POLL = SECOND // 100  # while it ends: whether the last thing in hand is done
--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -20,11 +20,11 @@
 
 import msgspec
 from audit_platform import Platforms
-from fleet_load import CONTRACT, CUT, FEATURE, Running, acts, contract, pool
+from fleet_load import CONTRACT, CUT, Running, acts, contract, pool
+from fleet_verdict import broken, judged
 from fleetkit import Fleet, Player, drawn, settled, until
-from seats_truth import Servers, Truth
+from seats_truth import Servers
 
-from indigohitch.fleet.audit.folders import audited
 from indigohitch.fleet.audit.heads import Facts
 
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
@@ -33,25 +33,6 @@
 # Of the members' clocks: two differ by no more than the files' `drift`.
 DRIFTS = {"v1": 0.0005, "v2": -0.0005, "v4": 0.0005, "s1": -0.0005, "s2": 0.0005}
 KINDS = {"kill": 3, "stop": 2, "cut": 3, "deaf": 1, "mute": 1, "slow": 1, "reset": 1, "end": 1}
-ZEROS = (
-    "lost_commits",
-    "doubled_commits",
-    "stale_reads",
-    "books_differ",
-    "over_contract",
-    "over_cut",
-    "seats_doubled",
-    "seats_leaked",
-    "pieces_twice",
-    "reserves_twice",
-    "acts_on_old_version",
-    "acts_after_shut_out",
-    "gaps",
-    "contradictions",
-    "drains_over",
-    "tracebacks",
-    "wrong",
-)
 
 
 class Proof:
@@ -185,80 +166,17 @@
             self.fleet.close()
             self.platforms.close()
             self.servers.close()
-        return self.judged(found, acted, facts, noise)
-
-    # ---- judged --------------------------------------------------------------------------------------
-
-    def judged(self, found: dict, acted: dict[str, int], facts: Facts | None, noise: list[str]) -> dict:
-        running, fleet, platforms = self.running, self.fleet, self.platforms
-        lost, doubled = set(), set()
-        for texts in filter(None, self.texts.values()):
-            missing, twice = running.notes.judged(texts)
-            lost |= set(missing)
-            doubled |= set(twice)
-        truth = Truth(self.servers, FEATURE)
-        folders = {name: fleet.places[name].ledger / "audit" for name in fleet.members}
-        whole = audited(folders, facts) if facts else None
-        for line in noise[:20]:
-            self.say(line)
-        for finding in whole.findings[:20] if whole else ():
-            self.say(f"found: {finding}")
-        for name in list(platforms.gone):
-            platforms.note_late(name)
-        did = [what.split()[0] for _, what in fleet.told]
-        rpcs, answered = running.answered()
-        count = whole.count if whole else (lambda *kinds: 1)
-        return {
-            "commits": len(running.notes.acknowledged),
-            "reads": running.reads.done,
-            "rpcs": rpcs,
-            "answered": answered,
-            "seats_given": truth.given,
-            "contract": CONTRACT,
-            "peak_in_use": truth.peak(),
-            "pieces": sum(self.pieces.values()),
-            "pieces_done": self.pieces.get("done", 0),
-            "kills": did.count("kill"),
-            "stops": did.count("stop"),
-            "cuts": sum(self.player.counts.get(kind, 0) for kind in ("cut", "deaf", "mute")) + 2
-            if hasattr(self, "player")
-            else 0,
-            "upgrades": sum(told.get("result") == "upgraded" for told in self.upgrades),
-            "acts": sum(whole.acts.values()) if whole else 0,
-            "drains": platforms.drains,
-            "takeovers": platforms.takeovers,
-            "lost_commits": len(lost),
-            "doubled_commits": len(doubled),
-            "stale_reads": len(running.reads.stale),
-            "books_differ": max(0, len({digest for _, digest in found.values()}) - 1),
-            "over_contract": max(0, truth.peak() - CONTRACT),
-            "over_cut": max(0, truth.peak(self.in_force + 1000) - CUT),
-            "seats_doubled": truth.doubled,
-            "seats_leaked": self.leaked,
-            "pieces_twice": len(running.batches.twice(acted)),
-            "reserves_twice": len(running.doubled(acted)),
-            "acts_on_old_version": count("old_version"),
-            "acts_after_shut_out": count("after_gone", "no_lease") + len(platforms.late),
-            "gaps": count("missing", "doubled", "order", "unknown", "changed")
-            + (len(whole.unread) if whole else 1),
-            "contradictions": count("contradiction"),
-            "drains_over": len(platforms.over),
-            "tracebacks": len(noise),
-            "wrong": self.wrong,
-            "seconds": round(time.monotonic() - self.begun, 1),
-        }
+        return judged(self, found, acted, facts, noise)
 
 
 def main() -> int:
     proof = Proof()
     result = proof.run()
-    broken = [name for name in ZEROS if result[name]]
-    must = ("commits", "rpcs", "seats_given", "pieces_done", "acts", "upgrades")
-    broken += [name for name in must if not result[name]]
-    if not broken:
+    failed = broken(result)
+    if not failed:
         shutil.rmtree(proof.path, ignore_errors=True)
-    print(json.dumps(result | {"broken": broken}), flush=True)
-    return 1 if broken else 0
+    print(json.dumps(result | {"broken": failed}), flush=True)
+    return 1 if failed else 0
 
 
 if __name__ == "__main__":
--- a/proofs/fleet_load.py
+++ b/proofs/fleet_load.py
@@ -13,7 +13,7 @@
 from batchkit.field import BATCH_ROUTES, BATCH_RPCS, LINES, Field
 from fleetkit import Fleet, Notes, Pool, until
 from fleetkit.files import ROUTES, RPCS
-from ledger_processes import Reads
+from ledger_reads import Reads
 from seats_clients import Clients
 from seats_truth import Servers
 
--- a/proofs/ledger.py
+++ b/proofs/ledger.py
@@ -19,6 +19,7 @@
 import ledger_model  # noqa: E402
 import ledger_processes  # noqa: E402
 import ledger_schedules  # noqa: E402
+import ledger_verdict  # noqa: E402
 
 QUICK, BROKEN = os.environ.get("QUICK") == "1", os.environ.get("BROKEN") == "1"
 SEED = int(os.environ.get("SEED", "1"))
@@ -34,7 +35,7 @@
     print(f"{time.monotonic() - begun:6.1f} s  {model}", flush=True)
     try:
         processes = ledger_processes.run(SEED, QUICK or BROKEN, BROKEN)
-        broken += ledger_processes.bad(processes)
+        broken += ledger_verdict.bad(processes)
     except AssertionError as vain:
         processes = {"stuck": str(vain)}
         broken.append("stuck")
--- a/proofs/ledger_processes.py
+++ b/proofs/ledger_processes.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 import shutil
 import tempfile
 import threading
@@ -15,34 +14,10 @@
 from pathlib import Path
 
 from fleetkit import DISKS, Fleet, Notes, Player, drawn, settled, until
+from ledger_reads import Reads
+from ledger_verdict import judged
 
 LEASE = 2.0  # s, as the kit's files have it
-FAILOVER = 2.0  # s, at most
-
-
-class Reads:
-    """Reads through any member, each held against the notes that were acknowledged before it began."""
-
-    def __init__(self, fleet: Fleet, notes: Notes) -> None:
-        self.fleet, self.notes, self.done, self.stale = fleet, notes, 0, []
-        self.stopping = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
-
-    def _run(self) -> None:
-        choice = random.Random(5).choice
-        while not self.stopping:
-            least, name = self.notes.highest, choice(self.fleet.voters)
-            told = self.fleet.ask(name, "read", 3.0)
-            if told and "index" in told:
-                self.done += 1
-                if told["index"] < least:
-                    self.stale.append((name, told["index"], least))
-            time.sleep(0.02)
-
-    def stop(self) -> None:
-        self.stopping = True
-        self._thread.join(8)
 
 
 class Proof:
@@ -229,35 +204,10 @@
             reads.stop()
             found = settled(fleet)
             self.say(f"settled: {found}")
-            return self.judged(found, reads)
+            return judged(self, found, reads)
         finally:
             fleet.close()
 
-    def judged(self, found: dict, reads: Reads) -> dict:
-        fleet, lost, doubled = self.fleet, set(), set()
-        for name in fleet.voters:
-            texts = fleet.ask(name, "book notes", 10.0)["texts"]
-            missing, twice = self.notes.judged(texts)
-            lost |= set(missing)
-            doubled |= set(twice)
-        acts = [what.split()[0] for _, what in [*fleet.told, *fleet.breaker.told]]
-        return {
-            "commits": len(self.notes.acknowledged),
-            "kills": acts.count("kill"),
-            "stops": acts.count("stop"),
-            "cuts": sum(acts.count(w) for w in ("cut", "cut_off", "part")),
-            "lost_commits": len(lost),
-            "doubled_commits": len(doubled),
-            "books_differ": len({digest for _, digest in found.values()}) - 1,
-            "reads": reads.done,
-            "stale_reads": len(reads.stale),
-            "failovers": len(self.failovers),
-            "tracebacks": len(fleet.noise()),
-            "wrong": self.wrong,
-            "failover_ms_p50": round(1000 * sorted(self.failovers)[len(self.failovers) // 2]),
-            "failover_ms_max": round(1000 * max(self.failovers)),
-        }
-
 
 def run(seed: int = 1, quick: bool = False, broken: bool = False) -> dict:
     """Raises AssertionError where the fleet does not come to what it should."""
@@ -265,13 +215,3 @@
     found = proof.run()
     shutil.rmtree(proof.fleet.path, ignore_errors=True)  # of one that got stuck it stays to be looked at
     return found
-
-
-def bad(found: dict) -> list[str]:
-    """Promises that the figures break."""
-    zeros = ("lost_commits", "doubled_commits", "books_differ", "stale_reads", "wrong", "tracebacks")
-    return [
-        *(name for name in zeros if found[name]),
-        *(["failover_ms_max"] if found["failover_ms_max"] > 1000 * FAILOVER else []),
-        *(["commits"] if found["commits"] < 100 else []),
-    ]
