make bench-subscribed: a coordinator told its part against one told the whole fleet

Need: a measurement of the coordinator that takes its backends from a subscription, against a baseline in the same run.

--- a/Makefile
+++ b/Makefile
@@ -134,3 +134,8 @@
 
 bench-capacity: build       # cost of one process against each count alone, and how it grows; QUICK=1: under 50 s
 	$(PY) benchmarks/capacity.py
+
+.PHONY: bench-subscribed
+
+bench-subscribed: build     # a coordinator told its part against one told the whole fleet; QUICK=1: under 50 s
+	$(PY) benchmarks/subscribed_cost.py
