Processes without a front share their reading of the file; a close that may fail is one

Measured: 102 tests of disks, stores, members and subscribers passed; no behaviour is meant to differ.

--- a/indigohitch/fleet/disk/files.py
+++ b/indigohitch/fleet/disk/files.py
@@ -37,6 +37,13 @@
     def close(self, fd: int) -> None:
         os.close(fd)
 
+    def close_quietly(self, fd: int) -> None:
+        """Raises nothing: what was written there is synced or given up, nothing hangs on the close."""
+        try:
+            self.close(fd)
+        except OSError:
+            pass
+
     def cut(self, path: str, size: int) -> None:
         fd = os.open(path, os.O_WRONLY | os.O_CLOEXEC)
         try:
--- a/indigohitch/fleet/disk/segments.py
+++ b/indigohitch/fleet/disk/segments.py
@@ -156,7 +156,4 @@
     def close(self) -> None:
         if self.fd >= 0:
             fd, self.fd = self.fd, -1
-            try:
-                self.files.close(fd)
-            except OSError:
-                pass
+            self.files.close_quietly(fd)
--- a/indigohitch/fleet/node/subscribing.py
+++ b/indigohitch/fleet/node/subscribing.py
@@ -8,19 +8,18 @@
 import secrets
 from collections.abc import Callable, Mapping
 
-from ...directives import operator_file
 from ...directives.fleet import FleetText
 from ...directives.texts import Text
 from ...errors import Unfit
 from ...log import Log
 from ...net.clock import SECOND
 from ...net.loop import Deadline, Loop
-from ...replaceable import Replaceable
 from ...upgrade import launch
 from ...upgrade.side import Side
 from ..distribution.following import Following
 from ..distribution.ports import Applied
 from .bare import Bare
+from .without_front import WithoutFront
 
 TOLD = 60 * SECOND  # how often the log has the version and its age, beside each change
 
@@ -118,32 +117,13 @@
         self.subscription.open()
 
 
-class SubscriberProcess(Replaceable):
-    def __init__(self, text: Text) -> None:
-        self.text = text
-        super().__init__(text.single["name"], text.single, text.waits)
-
+class SubscriberProcess(WithoutFront):
     def make_side(self) -> Side:
         if self.beside is None:
             self.beside = Subscription(self.loop, self.log, self.text.fleet)
         bare = Bare(self.clock, self.controls, self.control_taken, self.reload)
         return SubscriberSide(bare, self.beside)
 
-    def program_now(self) -> list[str]:
-        try:
-            return operator_file.load(self.text.source).single["program"]
-        except (OSError, ValueError):
-            return self.lines["program"]
-
-    def reload(self) -> None:
-        """The scope as the file has it now; a file with a mistake changes nothing."""
-        try:
-            self.beside.reread(operator_file.load(self.text.source).fleet)
-        except (OSError, ValueError) as bad:
-            self.log.trouble("reload_failed", why=str(bad))
-            return
-        self.log.count("reloads")
-
 
 def main(text: Text) -> int:
     """Raises OSError."""
--- /dev/null
+++ b/indigohitch/fleet/node/without_front.py
@@ -0,0 +1,28 @@
+"""A process of the fleet without a front: its file is read again by what lives in it."""
+
+from __future__ import annotations
+
+from ...directives import operator_file
+from ...directives.texts import Text
+from ...replaceable import Replaceable
+
+
+class WithoutFront(Replaceable):
+    def __init__(self, text: Text) -> None:
+        self.text = text
+        super().__init__(text.single["name"], text.single, text.waits)
+
+    def program_now(self) -> list[str]:
+        try:
+            return operator_file.load(self.text.source).single["program"]
+        except (OSError, ValueError):
+            return self.lines["program"]
+
+    def reload(self) -> None:
+        """What of the file may change while it runs; a file with a mistake changes nothing."""
+        try:
+            self.beside.reread(operator_file.load(self.text.source).fleet)
+        except (OSError, ValueError) as bad:
+            self.log.trouble("reload_failed", why=str(bad))
+            return
+        self.log.count("reloads")
--- a/indigohitch/versions/store.py
+++ b/indigohitch/versions/store.py
@@ -141,10 +141,7 @@
     def close(self) -> None:
         if self.fd >= 0:
             fd, self.fd = self.fd, -1
-            try:
-                self.files.close(fd)
-            except OSError:
-                pass
+            self.files.close_quietly(fd)
 
 
 def lines_by_slice(changes: Iterable[SliceLines]) -> dict[int, dict[str, float]]:
