A network that was cut for long is tried again soon: patience with silence doubles no more

Excluded: backoff (six distributors, one is free each time).

Change: where no distributor has said a word for 15 s, the wait is 2.5 s again.

--- a/indigohitch/fleet/distribution/connecting.py
+++ b/indigohitch/fleet/distribution/connecting.py
@@ -31,7 +31,7 @@
     ) -> None:
         self.limits, self.chance = limits, chance
         self.choice = Choice(name, distributors, limits, chance)
-        self.patience = Patience(limits, chance)
+        self.patience = Patience(limits, chance, now)
         self.phase = Phase.WAITING
         self.distributor: DistributorName = ""
         self.dial_at = now
@@ -53,7 +53,7 @@
             self.dial_at = max(self.choice.next_at(), now + 1)
             return None
         self.phase, self.distributor = Phase.DIALLING, chosen
-        self.patience.heard(now)
+        self.patience.await_word(now)
         return Dial(chosen)
 
     def connected(self, now: int, distributor: DistributorName) -> bool:
--- a/indigohitch/fleet/distribution/patience.py
+++ b/indigohitch/fleet/distribution/patience.py
@@ -4,16 +4,21 @@
 
 import random
 
+from ...net.clock import SECOND
 from .limits import SubscriberLimits
 
 NEVER = 1 << 62
 MOST_DOUBLINGS = 4
 MOST_SILENT_DOUBLINGS = 2  # 10 s: distributors that are all late work off what was asked of them by then
+# Silence of all distributors for longer than that is a network that is cut, not load: patience doubles no
+# more, so that content is in force within 6 s once the network is back.
+CUT_OFF = 15 * SECOND
 
 
 class Patience:
-    def __init__(self, limits: SubscriberLimits, chance: random.Random) -> None:
+    def __init__(self, limits: SubscriberLimits, chance: random.Random, now: int) -> None:
         self.limits, self.chance = limits, chance
+        self.heard_at = now  # a word of any distributor; at first the start
         self.silent_at = self.stale_at = self.home_at = NEVER
         self.silent_times = self.stale_times = self.home_times = 0  # left for that reason in a row
 
@@ -21,10 +26,15 @@
     def due(self) -> int:
         return min(self.silent_at, self.stale_at, self.home_at)
 
+    def await_word(self, now: int) -> None:
+        """Twice the patience after each that was silent: whoever asks the next one too early only adds to the
+        load that made the first one late."""
+        doublings = 0 if now - self.heard_at > CUT_OFF else min(self.silent_times, MOST_SILENT_DOUBLINGS)
+        self.silent_at = now + (self.limits.answer << doublings)
+
     def heard(self, now: int) -> None:
-        """Also as one is dialled.  Twice the patience after each that was silent: whoever asks the next one
-        too early only adds to the load that made the first one late."""
-        self.silent_at = now + (self.limits.answer << min(self.silent_times, MOST_SILENT_DOUBLINGS))
+        self.heard_at = now
+        self.await_word(now)
 
     def connected(self, now: int, first_choice: bool) -> None:
         self.heard(now)
--- a/tests/test_distribution_patience.py
+++ b/tests/test_distribution_patience.py
@@ -2,14 +2,20 @@
 
 import random
 
+import pytest
+
+from indigohitch.fleet.distribution import ports
 from indigohitch.fleet.distribution.limits import SubscriberLimits
 from indigohitch.fleet.distribution.patience import Patience
+from indigohitch.fleet.distribution.subscriber import Subscriber
+from indigohitch.net.clock import SECOND
 
 LIMITS = SubscriberLimits()
+IN_FORCE = 6 * SECOND  # in which what is reachable again has what it missed
 
 
 def test_patience_with_silence_doubles_until_one_brings_the_content_up_to_date():
-    patience, spans = Patience(LIMITS, random.Random(1)), []
+    patience, spans = Patience(LIMITS, random.Random(1), 0), []
     for _ in range(5):
         patience.heard(1_000)
         spans.append((patience.silent_at - 1_000) // LIMITS.answer)
@@ -22,9 +28,31 @@
 
 def test_one_that_was_current_is_left_as_soon_as_its_lease_is_over():
     """Who is cut off from the ledger is left in time for the next one to tell a change within 6 s."""
-    patience = Patience(LIMITS, random.Random(1))
+    patience = Patience(LIMITS, random.Random(1), 0)
     patience.connected(0, True)
     assert patience.stale_at == LIMITS.lease
     patience.current(LIMITS.lease + 7)
     assert patience.stale_at == LIMITS.lease + 7
     assert LIMITS.lease + LIMITS.first_delay < 5 * 10_000
+
+
+def dials_after(cut, seed):
+    """How long after a network is back a subscriber dials anew, each dial before that being lost; `cut`: for
+    how long nothing was heard."""
+    distributors = {f"d{number}": 1.0 for number in range(6)}
+    now = 10 * SECOND
+    one = Subscriber("s1", ["maps"], distributors, LIMITS, random.Random(seed), now)
+    back = now + cut
+    while True:
+        now = max(now, one.due)
+        if any(isinstance(output, ports.Dial) for output in one.step(now, ports.Due())) and now >= back:
+            return now - back
+
+
+@pytest.mark.parametrize("cut", [12, 30, 120, 600])
+def test_after_a_cut_of_minutes_a_distributor_is_dialled_soon(cut):
+    """Seen in proof-scale: 9.2 s after a region was back, as patience had doubled to 10 s."""
+    waited = [dials_after(cut * SECOND + seed * SECOND // 7, seed) for seed in range(40)]
+    longest = LIMITS.answer << 2 if cut < 30 else LIMITS.answer
+    assert max(waited) <= longest + LIMITS.first_delay
+    assert cut < 30 or max(waited) + 2 * SECOND < IN_FORCE
