A subscribed coordinator forgets services that left the scope while its subscription was away

Cause, read from the code: an upgrade that fails closes the subscription and opens a new one with the scope of the file as it is then. The new one holds nothing, so it never tells of a service that left, and its backends stood for ever in subscribed/instances.py.

Measured: test_what_left_the_scope_while_the_subscription_was_away_goes; 33 tests of subscribers and subscribed coordinators passed.

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -47,7 +47,7 @@
         from .subscribed.source import SubscribedBackends
 
         source = SubscribedBackends(self.log, self.beside.resources, tell)
-        self.beside.heard = lambda output: source.applied(output.version.index, output.services)
+        self.beside.heard = source.applied
         return source
 
     def make(self, listening: socket.socket | None) -> Front:
--- a/indigohitch/fleet/node/subscribing.py
+++ b/indigohitch/fleet/node/subscribing.py
@@ -6,7 +6,7 @@
 import os
 import random
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from ...directives.fleet import FleetText
 from ...directives.texts import Text
@@ -31,7 +31,8 @@
 
     def __init__(self, loop: Loop, log: Log, text: FleetText) -> None:
         self.loop, self.log, self.text = loop, log, text
-        self.heard: Callable[[Applied], None] = lambda output: None  # of a front here, if there is one
+        # Of a front here, if there is one: the ledger's entry, and the services held.
+        self.heard: Callable[[int, Collection[str]], None] = lambda index, services: None
         self.following: Following | None = None
         self.telling: Deadline | None = None
 
@@ -58,7 +59,7 @@
             services=len(output.services),
             age_ms=None if age is None else age / 10,
         )
-        self.heard(output)
+        self.heard(output.version.index, self.following.machine.held.services.keys())
 
     def resources(self, service: str) -> Mapping[str, bytes]:
         return self.following.machine.resources(service) if self.following is not None else {}
--- a/indigohitch/subscribed/source.py
+++ b/indigohitch/subscribed/source.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from ..errors import Trouble
 from ..log import Log
@@ -26,11 +26,13 @@
 
     # ---- from the subscription ---------------------------------------------------------------------
 
-    def applied(self, version: int, services: Iterable[str]) -> None:
-        """The content of these services is another; of one that left the scope nothing is held."""
+    def applied(self, version: int, scope: Collection[str]) -> None:
+        """The content of the services in `scope` is another.  All of them are looked at: a subscription that
+        began anew, as after an upgrade that failed, does not tell what left while it was away."""
         self.version, self.held = version, True
-        for service in services:
-            for unreadable in self.instances.update(service, self.resources(service)):
+        for service in sorted({*scope, *self.instances.services}):
+            bodies = self.resources(service) if service in scope else {}
+            for unreadable in self.instances.update(service, bodies):
                 self.trouble("backend_unreadable", unreadable)
         if self.instances.empty:
             self.trouble("no_backends", NoInstances("no service names a backend"))
--- a/tests/test_subscribed_backends.py
+++ b/tests/test_subscribed_backends.py
@@ -1,6 +1,7 @@
 """Backends out of a subscription: what is told of them, and what is not."""
 
 import json
+import random
 
 import pytest
 
@@ -55,7 +56,7 @@
 
     def change(self, version, **services):
         self.services |= services
-        self.source.applied(version, services)
+        self.source.applied(version, self.services.keys())
         told, self.news = self.news, []
         return told
 
@@ -106,6 +107,14 @@
     assert told.change(2, maps={}) == [("changes", 2, {"a": "gone"})]
 
 
+def test_what_left_the_scope_while_the_subscription_was_away_goes():
+    """An upgrade that fails lets go of the subscription and takes it up again, with another scope."""
+    told = Told()
+    told.change(1, maps=held("a"), search=held("b"))
+    del told.services["search"]
+    assert told.change(2, maps=held("a")) == [("changes", 2, {"b": "gone"})]
+
+
 def test_a_list_without_any_backend_is_not_told():
     """A wrong name after `subscribe` must not send every slice away."""
     told = Told()
@@ -159,8 +168,6 @@
 
 
 def test_seeded_changes_add_up_to_the_whole():
-    import random
-
     chance, told = random.Random(7), Told()
     told.change(1, maps=held("a0"))
     stands = {"a0": "ready"}
