--- a/indigohitch/fleet/members/leases.py
+++ b/indigohitch/fleet/members/leases.py
@@ -148,6 +148,7 @@
         if self.round is None or number != self.round.number or not self.term:
             return []
         askings, self.round = self.round.askings, None
+        self.until = {one: until for one, until in self.until.items() if now < until}
         out: list[ReadFirst | Answer] = [
             Answer(name, self.answer(now, name, word, ok)) for name, word in askings.items()
         ]
@@ -159,8 +160,6 @@
             return NotRenewed(word.number, word.incarnation, "no majority confirmed the leader")
         if why := self.fit(*one):
             return NotRenewed(word.number, word.incarnation, why, why in OVER)
-        for old in [old for old in self.until if now >= self.until[old]]:
-            del self.until[old]
         self.until[one] = max(self.until.get(one, 0), now + self.length)
         return Renewed(word.number, word.incarnation, self.term)
 
--- a/tests/test_members_leases.py
+++ b/tests/test_members_leases.py
@@ -163,3 +163,33 @@
         case "read":  # the leader answers without asking whether it still leads
             monkeypatch.setattr(Giver, "came", unread)
     assert any(walked(rates)[1] for rates in itertools.product(RATES, repeat=3))
+
+
+class Counting(dict):
+    """How often all of it is looked through."""
+
+    looks = 0
+
+    def __iter__(self):
+        self.looks += 1
+        return super().__iter__()
+
+    def items(self):
+        self.looks += 1
+        return super().items()
+
+
+def test_a_round_of_answers_looks_through_all_leases_once():
+    """Found by make bench-capacity: it was once for each answer, 3.9 s a round for 6,500 members."""
+    giver, members = Giver(SPAN, DRIFT, lambda *_: ""), [f"m{number}" for number in range(300)]
+    giver.elected(0, 1)
+    until = giver.until = Counting({(name, 1): 40 for name in members} | {("ended", 1): 30})
+    for name in members:
+        giver.came(30, name, Renew(1, 1, 0, 0, b"", 0, 0, {}))
+    answers = []
+    while giver.round is not None:
+        answers += [one for one in giver.confirmed(30, giver.reads) if isinstance(one, Answer)]
+    assert len(answers) == 300 and all(isinstance(one.word, Renewed) for one in answers)
+    assert until.looks == 1
+    assert giver.until == {(name, 1): 30 + giver.length for name in members}
+    assert giver.over(30, "ended", 1) and not giver.over(30, "m0", 1)
