--- a/indigohitch/fleet/seats/rebalancing.py
+++ b/indigohitch/fleet/seats/rebalancing.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from heapq import heapify, heappop, heapreplace
 
 # A member keeps one seat more than it wants, lest one seat goes to and fro with each job; not where another
 # one that wants some has none at all.
@@ -103,16 +104,18 @@
     lacking = [d - h for d, h in zip(due, have, strict=True) if d > h]
     most = min(sum(lacking) - coming, max(1, size // BUDGET))
     starved = any(h == 0 < d for d, h in zip(due, have, strict=True))
-    taken, rest = [0] * len(members), list(have)
-
-    def idle(i: int) -> int:
-        """Beyond the band."""
-        return rest[i] - due[i] - (BAND if members[i].stocks and not starved else 0)
-
+    taken = [0] * len(members)
+    bands = [BAND if member.stocks and not starved else 0 for member in members]
+    # Who has most beyond its band comes first, of equals the first by name.
+    idle = [(d - h + band, i) for i, (d, h, band) in enumerate(zip(due, have, bands)) if h - d > band]
+    heapify(idle)
     for _ in range(max(0, most)):
-        i = max(range(len(members)), key=idle)
-        if idle(i) <= 0:
+        if not idle:
             break
-        rest[i] -= 1
+        short, i = idle[0]
         taken[i] += 1
+        if short + 1 < 0:
+            heapreplace(idle, (short + 1, i))
+        else:
+            heappop(idle)
     return moves(members, taken)
