One HTTP exchange has a file of its own

Change: net/exchange.py has one request and its answer, net/http.py the client; code moved as it was, the exchange names what it needs of a client.

--- a/indigohitch/fleet/batches/sending.py
+++ b/indigohitch/fleet/batches/sending.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Mapping
 
 from ...net.clock import SECOND
-from ...net.http import Answer, Client, Exchange
+from ...net.exchange import Answer, Exchange
+from ...net.http import Client
 from ...net.loop import Loop
 from ..terms import Stamp
 from .part import Batches
--- a/indigohitch/platformlink/calls.py
+++ b/indigohitch/platformlink/calls.py
@@ -6,7 +6,7 @@
 from xml.etree import ElementTree
 
 from .. import interface as face
-from ..net.http import Answer
+from ..net.exchange import Answer
 
 BYTES = 60_000  # of orders that a call may carry, says the protocol
 
--- a/indigohitch/platformlink/discovery.py
+++ b/indigohitch/platformlink/discovery.py
@@ -11,7 +11,8 @@
 from ..bootstrap import tenths
 from ..log import Log
 from ..net.clock import SECOND
-from ..net.http import Answer, Client, Exchange
+from ..net.exchange import Answer, Exchange
+from ..net.http import Client
 from ..net.loop import Deadline, Loop
 from .generations import Ask, Generations, Verdict
 from .sources import Tell
--- a/indigohitch/platformlink/doubt.py
+++ b/indigohitch/platformlink/doubt.py
@@ -13,7 +13,8 @@
 
 from .. import interface as face
 from ..net.clock import SECOND
-from ..net.http import Answer, Client, Exchange
+from ..net.exchange import Answer, Exchange
+from ..net.http import Client
 from ..net.loop import Deadline, Loop
 from . import tables
 from .news import EventStream, event_of
--- a/indigohitch/platformlink/news.py
+++ b/indigohitch/platformlink/news.py
@@ -9,7 +9,8 @@
 from .. import interface as face
 from ..log import Log
 from ..net.clock import SECOND
-from ..net.http import Answer, Client, Exchange
+from ..net.exchange import Answer, Exchange
+from ..net.http import Client
 from ..net.loop import Deadline, Loop
 from .words import NEWS
 
--- a/indigohitch/platformlink/probes.py
+++ b/indigohitch/platformlink/probes.py
@@ -11,7 +11,8 @@
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.connection import address
-from ..net.http import Answer, Client
+from ..net.exchange import Answer
+from ..net.http import Client
 from ..net.loop import Loop
 from .words import load_values
 
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -9,7 +9,8 @@
 from .. import interface as face
 from ..log import Log
 from ..net.clock import SECOND
-from ..net.http import Answer, Client
+from ..net.exchange import Answer
+from ..net.http import Client
 from ..net.loop import Deadline, Loop
 from . import tables
 from .backlog import Backlog, Sent
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -10,7 +10,7 @@
 from ..directives.texts import PoolText
 from ..gather import Gathering
 from ..logic import Coordinator
-from ..net.http import Answer
+from ..net.exchange import Answer
 from ..net.http import Client as Caller
 from ..request import Table
 from .servers import Server
--- a/indigohitch/sidecar/servers.py
+++ b/indigohitch/sidecar/servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..net.http import stands
+from ..net.exchange import stands
 from ..net.stream import Stream
 
 
--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -8,7 +8,7 @@
 from indigohitch.log import Log
 from indigohitch.logic.channel import UNMARKED_PACE, WAITING_MOST
 from indigohitch.net.clock import SECOND
-from indigohitch.net.http import Answer
+from indigohitch.net.exchange import Answer
 from indigohitch.net.loop import Loop
 from indigohitch.platformlink import doubt, tables
 from indigohitch.platformlink import relay as calls
--- a/tests/test_batches_parts.py
+++ b/tests/test_batches_parts.py
@@ -11,7 +11,7 @@
 from indigohitch.fleet.batches.sending import outcome
 from indigohitch.fleet.batches.strain import Strain
 from indigohitch.log import Log
-from indigohitch.net.http import Answer
+from indigohitch.net.exchange import Answer
 
 FILE = """name n1
 fleet whk
--- a/tests/test_crossing_relay.py
+++ b/tests/test_crossing_relay.py
@@ -7,7 +7,7 @@
 from indigohitch import interface as face
 from indigohitch.log import Log
 from indigohitch.net.clock import SECOND
-from indigohitch.net.http import Answer
+from indigohitch.net.exchange import Answer
 from indigohitch.net.loop import Loop
 from indigohitch.platformlink import relay as calls
 from indigohitch.platformlink.front import Front
--- a/tests/test_crossing_upgrades.py
+++ b/tests/test_crossing_upgrades.py
@@ -9,7 +9,7 @@
 from indigohitch.log import Log
 from indigohitch.logic import Coordinator
 from indigohitch.net.clock import Clock
-from indigohitch.net.http import Answer
+from indigohitch.net.exchange import Answer
 from indigohitch.net.loop import Loop
 from indigohitch.platformlink.front import Front
 from indigohitch.platformlink.handover import Handover
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -5,7 +5,7 @@
 import pytest
 
 from indigohitch import interface as face
-from indigohitch.net.http import Answer
+from indigohitch.net.exchange import Answer
 from indigohitch.platformlink import tables
 from indigohitch.platformlink.calls import BYTES, encode, merge, pieces, read_answer
 from indigohitch.platformlink.discovery import read_list
