--- a/indigohitch/logic/hearing.py
+++ b/indigohitch/logic/hearing.py
@@ -59,7 +59,7 @@
         cost = sums.total * method.soft_deadline / face.SECOND      # told nowhere; the deadline grows with it
         for lately in (s.demand, s.usual):
             lately.add(c.now, cost, sums.total)
-        s.latest.add(c.now, *(n * c.boot["report_every"] / max(sums.elapsed, 1) for n in (cost, sums.total)))
+        s.latest.add(c.now, cost, sums.total, sums.total * sums.elapsed / face.SECOND)
 
 
 def on_traffic(c: State, met: face.Traffic) -> None:
--- a/indigohitch/logic/judging.py
+++ b/indigohitch/logic/judging.py
@@ -26,16 +26,16 @@
     (cost, rpcs), (usual, many) = s.demand.read(now), s.usual.read(now)
     over, over_usual = (d.span / SECOND * (1 - math.exp(min(s.since - now, -least) / d.span))
                         for d in (s.demand, s.usual))
-    s.cost = cost / rpcs if rpcs > 1 else s.cost
+    s.cost, rate = cost / rpcs if rpcs > 1 else s.cost, usual / over_usual
 
-    def rate(asked: float, came: float, over: float) -> float:
-        """Lately counts as far as it is more than chance against the usual (shrunk by the variance)."""
-        due = many * over / over_usual
-        sure = (came - due) ** 2 / ((came - due) ** 2 + 4 * due + 1)
-        return sure * asked / over + (1 - sure) * usual / over_usual
+    def beyond(asked: float, came: float, span: float) -> float:
+        """The usual, by as much as is more than chance (shrunk by the variance)."""
+        due = many * span / over_usual
+        return (asked - rate * span) * (came - due) ** 2 / ((came - due) ** 2 + 4 * due + 1)
 
-    s.load = rate(cost, rpcs, over) + 0.5 * s.cost / over       # half an RPC: no slice weighs nothing
-    s.burst = max(s.load, rate(*s.latest.read(now), least / SECOND)) / len(s.parts)
+    s.load = rate + beyond(cost, rpcs, over) / over + 0.5 * s.cost / over   # half an RPC: none weighs 0
+    asked, came, spans = s.latest.read(now)
+    s.burst = max(s.load, rate + beyond(asked, came, spans / (came or 1)) * SECOND / least) / len(s.parts)
 
 
 def assess(c: State) -> None:
@@ -46,10 +46,9 @@
     opened = c.opened()
     tries = sum(b.tries.read(now)[0] for b in opened)
     c.failing = sum(b.tries.values[1] for b in opened) / (tries or 1)
-    # Answered cost a second for a unit of listed weight, by the warm; it fades over a minute.
+    # Answered cost a second for a unit of listed weight, by the warm, of one's own part; fades over a minute.
     warm = [b for b in opened if b.warmth >= 1]
     answered = sum(b.tries.values[0] - b.tries.values[1] for b in warm) * SECOND / Backend.FAIL_SPAN
-    # Of one coordinator's part: who stands in for others hears of theirs for as long as reports are late.
     c.charge = max(len(c.slices), c.charge * math.exp((c.assessed - now) / (10 * SECOND)))
     answered *= min(1.0, (c.boot.get("slices") or math.inf) / c.many / max(c.charge, 1.0))
     c.yield_ = max(answered * mean_cost(c.slices.values()) / (sum(b.weight for b in warm) or 1.0),
--- a/indigohitch/logic/state.py
+++ b/indigohitch/logic/state.py
@@ -12,8 +12,8 @@
 class Sums:
     """Two sums that fade with a time constant: what was added lately counts most."""
 
-    def __init__(self, span: int) -> None:
-        self.span, self.at, self.values = span, 0, [0.0, 0.0]
+    def __init__(self, span: int, many: int = 2) -> None:
+        self.span, self.at, self.values = span, 0, [0.0] * many
 
     def read(self, now: int) -> list[float]:
         if now > self.at:
@@ -74,7 +74,7 @@
         self.mark, self.closed_at, self.quiet = 0, now, 0   # of the closing; since when all have answered
         self.demand = Sums(self.DEMAND_SPAN)    # cost, RPCs
         self.usual = Sums(self.USUAL_SPAN)      # the same over longer
-        self.latest = Sums(SECOND // 2)         # the same of the last report, as if of a whole period
+        self.latest = Sums(SECOND // 2, 3)      # the same of the last report; RPCs x its seconds
         self.load, self.cost, self.burst = 1.0, 1.0, 1.0    # cost a second; of an RPC; of late, a second
 
     def owners(self) -> list[Backend]:
--- a/tests/test_logic_planning.py
+++ b/tests/test_logic_planning.py
@@ -5,7 +5,8 @@
 
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
-from indigohitch.logic.planning import allowance
+from indigohitch.logic.planning import allowance, may_take
+from indigohitch.logic.state import Part
 from orders import changes, lines
 from world import World, entry
 
@@ -83,6 +84,26 @@
     assert all(w.c.slices[s].burst < 1.5 * w.c.slices[s].load for s in held)
 
 
+def test_a_burst_after_silence_counts_as_of_now():
+    """A slice that nobody asked for is told of together with what came before: all may have come just now."""
+    w, hot, held = filled()
+    s = w.c.slices[held[0]]
+    w.step(8 * SECOND, face.SliceDemand(s.number, "search", 200, 0, 8 * SECOND))
+    assert s.burst > 100 > 1.5 * s.load  # it costs 400; evenly over 8 s, 50 a second
+
+
+def test_no_part_of_a_split_slice_is_at_a_cold_backend():
+    """Where proxies compare, a fresh line has least in hand and draws all of a slice that is in a rush."""
+    w, hot, held = filled()
+    new, light = w.c.backends["new"], w.c.slices[held[0]]
+    new.intake = 0
+    assert may_take(w.c, new, light, 1e9)
+    light.parts.append(Part(light, None))
+    assert not may_take(w.c, new, light, 1e9)
+    w.step(2 * SECOND, face.SliceDemand(light.number, "search", 6, 0, 2 * SECOND))
+    assert len(w.tables[light.number]) > 0 and "new" not in w.tables[light.number]
+
+
 def test_hot_slice_is_not_given_to_a_cold_backend():
     """Found on a drawn day: under overload the part was measured by what capacity was left."""
     w = World()
