--- a/indigohitch/logic/planning.py
+++ b/indigohitch/logic/planning.py
@@ -11,8 +11,7 @@
 
 
 def may_take(c: State, b: Backend, s: Slice, mean: float) -> bool:
-    return b.warmth >= 1 or (len(s.parts) < 2 and b.intake < 2
-                             and b.load + s.burst <= min(mean * b.capacity, allowance(c, b)))
+    return b.warmth >= 1 or (b.intake < 2 and b.load + s.burst <= min(mean * b.capacity, allowance(c, b)))
 
 
 def mean_use(c: State, opened: list[Backend]) -> float:
@@ -58,7 +57,7 @@
                 if over or 0 < 1.5 * room < sum(p.slice.burst for p in b.parts):
                     place(c, part)
     for part in [part for s in c.slices.values() for part in s.parts]:
-        if part.owner is None or len(part.slice.parts) > 1 and (part.owner.doubtful or part.owner.warmth < 1):
+        if part.owner is None or len(part.slice.parts) > 1 and part.owner.doubtful:
             place(c, part)
 
 
