Where the line program is read again stands once, in the process that can be replaced

Change: Replaceable.program_now reads the file by `file_now`, which each kind of process says; their reloads use it too.

--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -85,11 +85,8 @@
             "news_begun": front.holdings.begun,
         }
 
-    def program_now(self) -> list[str]:
-        try:
-            return operator_file.load(self.source).single["program"]
-        except (OSError, ValueError):
-            return self.lines["program"]
+    def file_now(self) -> Text:
+        return operator_file.load(self.source)
 
     def reload(self) -> None:
         try:
@@ -99,7 +96,7 @@
             self.log.trouble("reload_failed", **told(bad, REMEDY))
         if self.beside is not None:
             try:
-                self.beside.reread(operator_file.load(self.source).fleet)
+                self.beside.reread(self.file_now().fleet)
             except (OSError, ValueError) as bad:
                 self.log.trouble("reload_failed", **told(bad))
 
--- a/indigohitch/fleet/node/without_front.py
+++ b/indigohitch/fleet/node/without_front.py
@@ -12,16 +12,13 @@
         self.text = text
         super().__init__(text.single["name"], text.single, text.waits)
 
-    def program_now(self) -> list[str]:
-        try:
-            return operator_file.load(self.text.source).single["program"]
-        except (OSError, ValueError):
-            return self.lines["program"]
+    def file_now(self) -> Text:
+        return operator_file.load(self.text.source)
 
     def reload(self) -> None:
         """What of the file may change while it runs; a file with a mistake changes nothing."""
         try:
-            self.beside.reread(operator_file.load(self.text.source).fleet)
+            self.beside.reread(self.file_now().fleet)
         except (OSError, ValueError) as bad:
             self.log.trouble("reload_failed", why=str(bad))
             return
--- a/indigohitch/replaceable.py
+++ b/indigohitch/replaceable.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from .control import Control
+from .directives.texts import Text
 from .errors import Trouble, told
 from .net.clock import SECOND
 from .net.listener import Listener
@@ -55,9 +56,14 @@
     def more_figures(self) -> dict:
         return {}
 
+    def file_now(self) -> Text: ...  # the operator's file, read again; raises Mistakes, OSError
+
     def program_now(self) -> list[str]:
         """The line `program` as it is now; of a file with mistakes, which the new one tells, as it was."""
-        return self.lines["program"]
+        try:
+            return self.file_now().single["program"]
+        except (OSError, ValueError):
+            return self.lines["program"]
 
     def reload(self) -> None: ...
 
--- a/indigohitch/sidecar/service.py
+++ b/indigohitch/sidecar/service.py
@@ -48,20 +48,17 @@
 
     def without_state(self) -> None:
         self.host.close()
-        self.text = sidecar_file.load(self.source)
+        self.text = self.file_now()
         self.side = self.giving.side = self.make_side()
 
-    def program_now(self) -> list[str]:
-        try:
-            return sidecar_file.load(self.source).single["program"]
-        except (OSError, ValueError):
-            return self.lines["program"]
+    def file_now(self) -> Text:
+        return sidecar_file.load(self.source)
 
     def reload(self) -> None:
         """Servers as the file names them now; all else in it waits for an upgrade.  A file with a mistake
         changes nothing."""
         try:
-            text = sidecar_file.load(self.source)
+            text = self.file_now()
             if text.pools.keys() != self.text.pools.keys():
                 raise Unfit("other pools", self.source, "`indigohitch upgrade` puts them in force")
         except (OSError, ValueError) as bad:
