--- a/benchmarks/variant.py
+++ b/benchmarks/variant.py
@@ -1,4 +1,5 @@
 """A module from another text beside the one of now: an earlier commit's, or one partly changed."""
+
 import importlib.util
 import sys
 
--- a/indigohitch/__main__.py
+++ b/indigohitch/__main__.py
@@ -1,5 +1,6 @@
 """python -m indigohitch: one real coordinator, told by BALANCER_CONFIG what it serves; with words, the
 command line."""
+
 import signal
 import sys
 
@@ -9,6 +10,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     from .service import main
+
     sys.exit(main())
 from .cli import main as command_line
 
--- a/indigohitch/benchlink/__main__.py
+++ b/indigohitch/benchlink/__main__.py
@@ -1,4 +1,5 @@
 """python -m indigohitch.benchlink: standard input and output are the wire's alone."""
+
 import sys
 
 from .codec import WireError
--- a/indigohitch/benchlink/host.py
+++ b/indigohitch/benchlink/host.py
@@ -1,5 +1,6 @@
 """Hosts the coordinators of one process: reads batches, hands each instance its own events, writes
 the orders.  Instances share nothing but the pipe."""
+
 from __future__ import annotations
 
 from typing import BinaryIO
@@ -13,7 +14,7 @@
     def __init__(self) -> None:
         self.instances: dict[int, Coordinator] = {}
         self.columns: dict[int, list[str]] = {}
-        self.lists: dict[int, tuple] = {}       # numbers are reused, so each is resolved as it comes
+        self.lists: dict[int, tuple] = {}  # numbers are reused, so each is resolved as it comes
         self.out: list[bytes] = []
 
     def _born(self, message: codec.Configure) -> None:
@@ -31,7 +32,7 @@
         try:
             for order in self.instances[number].handle(now, events):
                 self.out.append(codec.encode(number, order))
-        except Exception as broken:             # the wire's own way to say that the module failed
+        except Exception as broken:  # the wire's own way to say that the module failed
             self.out.append(codec.give_in(number, f"{type(broken).__name__}: {broken}"))
 
     def batch(self, now: int, messages) -> None:
--- a/indigohitch/bootstrap.py
+++ b/indigohitch/bootstrap.py
@@ -2,6 +2,7 @@
 
 The settings are the object that the bench sends first and that the platform's configuration holds; the
 names in it, their paths and which of them are times stand here, once."""
+
 from __future__ import annotations
 
 from . import interface as face
@@ -12,47 +13,89 @@
 _REPEAT = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
 
 # A load report's names: as the settings' columns have them, and as the proxies and backends say them.
-_LOAD = {"busy_reqs": "held", "inflight": "held", "pending": "queued", "queue": "queued",
-         "cpu_share": "busy", "util": "busy", "svc_ms": "service_time", "latency_ms": "service_time",
-         "served_ps": "ok_rate", "qps": "ok_rate", "failed_ps": "failure_rate", "eps": "failure_rate"}
+_LOAD = {
+    "busy_reqs": "held",
+    "inflight": "held",
+    "pending": "queued",
+    "queue": "queued",
+    "cpu_share": "busy",
+    "util": "busy",
+    "svc_ms": "service_time",
+    "latency_ms": "service_time",
+    "served_ps": "ok_rate",
+    "qps": "ok_rate",
+    "failed_ps": "failure_rate",
+    "eps": "failure_rate",
+}
 
 # Settings: path on the wire, name here, and whether the value is in milliseconds.
 _SETTINGS = [
-    ("balancers", "coordinators", False), ("slot-no", "own_number", False), ("zone", "zone", False),
-    ("failure-domains", "zones", False), ("kinds", "kinds", False), ("period", "batch_gap", True),
-    ("discovery", "discovery", False), ("weight-kind", "weight_kind", False),
-    ("value-by", "value_by", False), ("service-type", "service_kind", False),
-    ("bounds.connect-timeout", "connect_timeout", True), ("bounds.cpu-us-per-s", "cpu_us_per_s", False),
-    ("bounds.keepalive", "keepalive", True), ("bounds.max-streams", "max_streams", False),
-    ("bounds.may-probe", "may_probe", False), ("bounds.may-tell", "may_tell", False),
-    ("rules.cold-from", "cold_from", False), ("rules.warm-within", "warm_within", True),
-    ("rules.drain-grace", "drain_grace", True), ("rules.fall-multiple", "fall_multiple", False),
-    ("rules.overload-for", "overload_for", True), ("rules.must-ask-in", "must_ask_in", True),
+    ("balancers", "coordinators", False),
+    ("slot-no", "own_number", False),
+    ("zone", "zone", False),
+    ("failure-domains", "zones", False),
+    ("kinds", "kinds", False),
+    ("period", "batch_gap", True),
+    ("discovery", "discovery", False),
+    ("weight-kind", "weight_kind", False),
+    ("value-by", "value_by", False),
+    ("service-type", "service_kind", False),
+    ("bounds.connect-timeout", "connect_timeout", True),
+    ("bounds.cpu-us-per-s", "cpu_us_per_s", False),
+    ("bounds.keepalive", "keepalive", True),
+    ("bounds.max-streams", "max_streams", False),
+    ("bounds.may-probe", "may_probe", False),
+    ("bounds.may-tell", "may_tell", False),
+    ("rules.cold-from", "cold_from", False),
+    ("rules.warm-within", "warm_within", True),
+    ("rules.drain-grace", "drain_grace", True),
+    ("rules.fall-multiple", "fall_multiple", False),
+    ("rules.overload-for", "overload_for", True),
+    ("rules.must-ask-in", "must_ask_in", True),
     ("rules.full-may-have-run", "full_may_have_run", False),
-    ("rules.dropped-stay-open", "dropped_stay_open", False), ("report.how", "load_comes", False),
-    ("family-info.admission", "admission", False), ("family-info.queue-cap", "queue_cap", False),
-    ("family-info.empty-for", "bare_limit", True), ("family-info.homed-by-zone", "homed_by_zone", False),
+    ("rules.dropped-stay-open", "dropped_stay_open", False),
+    ("report.how", "load_comes", False),
+    ("family-info.admission", "admission", False),
+    ("family-info.queue-cap", "queue_cap", False),
+    ("family-info.empty-for", "bare_limit", True),
+    ("family-info.homed-by-zone", "homed_by_zone", False),
     ("family-info.class-own-zone", "method_own_zone", False),
     ("family-info.class-writes", "method_writes", False),
-    ("family-info.cost-per-line", "line_price", False), ("family-info.counted-over", "counted_over", True),
-    ("family-info.data-plane-size", "proxies", False), ("family-info.default-retry", "default_tries", False),
-    ("family-info.egress-per-s", "lines_per_s", False), ("family-info.envelope", "envelope", False),
-    ("family-info.exclusive", "exclusive", False), ("family-info.fails-to-eject", "fails_to_eject", False),
-    ("family-info.initial-set", "standing_set", False), ("family-info.keeps-writing", "keeps_writing", True),
-    ("family-info.key-ranges", "slices", False), ("family-info.lb-method", "pick", False),
+    ("family-info.cost-per-line", "line_price", False),
+    ("family-info.counted-over", "counted_over", True),
+    ("family-info.data-plane-size", "proxies", False),
+    ("family-info.default-retry", "default_tries", False),
+    ("family-info.egress-per-s", "lines_per_s", False),
+    ("family-info.envelope", "envelope", False),
+    ("family-info.exclusive", "exclusive", False),
+    ("family-info.fails-to-eject", "fails_to_eject", False),
+    ("family-info.initial-set", "standing_set", False),
+    ("family-info.keeps-writing", "keeps_writing", True),
+    ("family-info.key-ranges", "slices", False),
+    ("family-info.lb-method", "pick", False),
     ("family-info.messages-most", "messages_most", False),
-    ("family-info.push-delay-max", "transit_most", True), ("family-info.transit", "transit", True),
-    ("family-info.reassign-price", "move_price", False), ("family-info.report-every", "report_every", True),
-    ("family-info.reports-per-s", "reports_per_s", False), ("family-info.settle", "settle", True),
+    ("family-info.push-delay-max", "transit_most", True),
+    ("family-info.transit", "transit", True),
+    ("family-info.reassign-price", "move_price", False),
+    ("family-info.report-every", "report_every", True),
+    ("family-info.reports-per-s", "reports_per_s", False),
+    ("family-info.settle", "settle", True),
     ("family-info.sockets-min", "sockets_min", False),
     ("family-info.try-aims", "try_soft_deadlines", False),
-    ("family-info.waits-for-table", "waits_for_table", True), ("family-info.warm-keys", "warm_keys", False),
-    ("penalties.connection", "connection_price", False), ("penalties.cross-zone", "cross_zone_price", False),
-    ("penalties.discovery", "discovery_price", False), ("penalties.handshake", "handshake_price", False),
-    ("penalties.late-fail", "late_abort_price", False), ("penalties.peer", "peer_price", False),
-    ("penalties.probe", "probe_price", False), ("penalties.waste", "waste_price", False),
-    ("result-mix.tail", "tail_weight", False), ("result-mix.tail-miss", "tail_miss", False),
-    ("result-mix.whole", "whole_weight", False), ("result-mix.worst-class", "worst_method_weight", False),
+    ("family-info.waits-for-table", "waits_for_table", True),
+    ("family-info.warm-keys", "warm_keys", False),
+    ("penalties.connection", "connection_price", False),
+    ("penalties.cross-zone", "cross_zone_price", False),
+    ("penalties.discovery", "discovery_price", False),
+    ("penalties.handshake", "handshake_price", False),
+    ("penalties.late-fail", "late_abort_price", False),
+    ("penalties.peer", "peer_price", False),
+    ("penalties.probe", "probe_price", False),
+    ("penalties.waste", "waste_price", False),
+    ("result-mix.tail", "tail_weight", False),
+    ("result-mix.tail-miss", "tail_miss", False),
+    ("result-mix.whole", "whole_weight", False),
+    ("result-mix.worst-class", "worst_method_weight", False),
     ("result-mix.worst-window", "worst_window_weight", False),
 ]
 
@@ -63,9 +106,14 @@
 
 def _method(given: dict) -> face.Method:
     return face.Method(
-        given["name"], tenths(given["aim"]), tenths(given["deadline"]), given["importance"],
-        _REPEAT[given["repeat"]], given.get("dedup-scope", "all"),
-        tenths(given.get("memory-span", 0.0)))
+        given["name"],
+        tenths(given["aim"]),
+        tenths(given["deadline"]),
+        given["importance"],
+        _REPEAT[given["repeat"]],
+        given.get("dedup-scope", "all"),
+        tenths(given.get("memory-span", 0.0)),
+    )
 
 
 def _usable(found: dict) -> None:
@@ -102,5 +150,8 @@
 
 def load_report(pairs) -> dict[str, float]:
     """A load report from its (name, value) pairs; names unknown and values missing are left out."""
-    return {_LOAD[name]: tenths(value) if _LOAD[name] == "service_time" else value
-            for name, value in pairs if name in _LOAD and value is not None}
+    return {
+        _LOAD[name]: tenths(value) if _LOAD[name] == "service_time" else value
+        for name, value in pairs
+        if name in _LOAD and value is not None
+    }
--- a/indigohitch/cli.py
+++ b/indigohitch/cli.py
@@ -1,5 +1,6 @@
 """The command line.  Each command imports what it needs, no more: a coordinator on 32 MB starts through
 `python -m indigohitch` without this file."""
+
 from __future__ import annotations
 
 import sys
@@ -20,6 +21,7 @@
         if name != "load":
             return super().get_command(ctx, name)
         from .load.command import load
+
         return load
 
     def invoke(self, ctx):
@@ -51,8 +53,10 @@
     """One coordinator, told by BALANCER_CONFIG what it serves."""
     if operator is None:
         from .service import main as serve
+
         sys.exit(serve())
     from . import coordinator
+
     sys.exit(coordinator.main(operator))
 
 
@@ -61,6 +65,7 @@
 def sidecar(file: str) -> None:
     """A sidecar, as FILE says."""
     from .sidecar import service
+
     sys.exit(service.main(file))
 
 
@@ -69,15 +74,19 @@
 def check(file: str) -> None:
     """Read FILE, a sidecar's or a coordinator's, and tell all that is wrong with it, each with its line."""
     from .directives import either
+
     text = either.load(file)
     if text.fleet is not None and "batches" in text.fleet.parts:
         from .directives.lines import Mistakes
         from .fleet.batches.contract import mistakes
+
         if found := [one for part in text.fleet.parts["batches"] for one in mistakes(part)]:
             raise Mistakes(file, found)
     if text.pools:
-        said = (f"{len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
-                f"{sum(len(p.servers) for p in text.pools.values())} servers")
+        said = (
+            f"{len(text.routes.all)} routes, {len(text.rpcs)} RPCs, {len(text.pools)} pools, "
+            f"{sum(len(p.servers) for p in text.pools.values())} servers"
+        )
     else:
         said = "a coordinator's"
     if text.fleet is not None:
@@ -93,12 +102,14 @@
 @click.option("--lose", default=0, help="Every so many RPCs, act on one and reset instead of answering.")
 @click.option("--licensed", multiple=True, help="RPCs whose path begins so need a seat.")
 @click.option("--meter", default="/dev/null", help="Where beginnings and ends of their jobs are written.")
-def stand_in(address: str, name: str, service: float, also: int, lose: int, licensed: tuple[str, ...],
-             meter: str) -> None:
+def stand_in(
+    address: str, name: str, service: float, also: int, lose: int, licensed: tuple[str, ...], meter: str
+) -> None:
     """A stand-in server on ADDRESS (loopback only), for trials."""
     from .errors import Unfit
     from .net.connection import address as read
     from .standins.server import main as serve
+
     try:
         serve(read(address), name, service, also, lose, licensed, meter)
     except ValueError as bad:
@@ -131,6 +142,7 @@
     from .control import ask
     from .directives import either
     from .errors import NotNow, Unfit
+
     path = either.load(file).single["control"]
     if not path:
         raise Unfit("no line `control`", file, "add `control /run/...sock` and start the program anew")
@@ -142,5 +154,6 @@
 
 def tell(found: dict) -> None:
     import orjson
+
     click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS).decode())
     sys.exit(1 if "error" in found else 0)
--- a/indigohitch/control.py
+++ b/indigohitch/control.py
@@ -1,4 +1,5 @@
 """The control socket: one JSON line asks, one answers.  The command line speaks to a running program here."""
+
 from __future__ import annotations
 
 import os
@@ -13,7 +14,7 @@
 
 
 class Asker:
-    LINE = 64 << 10             # a proposal's body is the longest thing that is told
+    LINE = 64 << 10  # a proposal's body is the longest thing that is told
 
     def __init__(self, control: Control) -> None:
         self.control, self.connection = control, None
@@ -33,7 +34,7 @@
         except (ValueError, KeyError, TypeError):
             self.answer({"error": "one line of JSON with `ask` is wanted"})
             return
-        mark = {"mark": asked["mark"]} if "mark" in asked else {}       # for who asks several things at once
+        mark = {"mark": asked["mark"]} if "mark" in asked else {}  # for who asks several things at once
         self.control.asked(what, asked, lambda told: self.answer(told | mark))
 
     def answer(self, told: dict) -> None:
@@ -46,10 +47,15 @@
 
 
 class Control:
-    MOST = 16                   # askers at once: people, and scripts of theirs
-
-    def __init__(self, loop: Loop, path: str, asked: Callable[[str, dict, Callable[[dict], None]], None],
-                 listening: socket.socket | None = None) -> None:
+    MOST = 16  # askers at once: people, and scripts of theirs
+
+    def __init__(
+        self,
+        loop: Loop,
+        path: str,
+        asked: Callable[[str, dict, Callable[[dict], None]], None],
+        listening: socket.socket | None = None,
+    ) -> None:
         """`asked(what, line, answer)`.  Raises OSError.  A path that a dead program left behind is taken; one
         that answers is not."""
         self.loop, self.path, self.asked = loop, path, asked
@@ -69,7 +75,7 @@
                     except ConnectionRefusedError:
                         os.unlink(path)
             sock.bind(path)
-            os.chmod(path, 0o600)               # who may upgrade the program may run any program as it
+            os.chmod(path, 0o600)  # who may upgrade the program may run any program as it
             sock.listen(16)
         except OSError:
             sock.close()
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -1,5 +1,6 @@
 """A coordinator that can be upgraded: the platform's front with an operator's file beside the platform's
 configuration.  For installations that allow a control socket and a second process for a moment."""
+
 from __future__ import annotations
 
 import os
@@ -20,7 +21,7 @@
 class Coordinating(Replaceable):
     def __init__(self, environ: MutableMapping[str, str], text: Text, follows: bool) -> None:
         self.environ, self.source, self.fleet, self.follows = environ, text.source, text.fleet, follows
-        self.decided = False            # while it ends: on all that was told before
+        self.decided = False  # while it ends: on all that was told before
         super().__init__(environ.get("BALANCER_NAME", ""), text.single, text.waits)
 
     def make_side(self) -> Side:
@@ -28,13 +29,19 @@
         if self.fleet is None:
             return side
         from .fleet.node.inside import beside
+
         return beside(self, side, self.fleet, False, self.follows)
 
     def make(self, listening: socket.socket | None) -> Front:
-        front = Front(self.loop, self.log,
-                      configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"), listening)
+        front = Front(
+            self.loop,
+            self.log,
+            configuration(self.environ, "BALANCER_LISTEN", "BALANCER_DISCOVERY"),
+            listening,
+        )
         if self.fleet is not None:
             from .fleet.audit.orders import stamped
+
             front.relay.allowed = stamped(self.clock, lambda: self.beside.node)
         return front
 
@@ -51,8 +58,12 @@
 
     def more_figures(self) -> dict:
         front = self.side.front
-        return {"proxies": len(front.holdings.proxies), "slices": len(front.holdings.stood),
-                "calls_waiting": len(front.relay.waiting), "news_begun": front.holdings.begun}
+        return {
+            "proxies": len(front.holdings.proxies),
+            "slices": len(front.holdings.stood),
+            "calls_waiting": len(front.relay.waiting),
+            "news_begun": front.holdings.begun,
+        }
 
     def program_now(self) -> list[str]:
         try:
@@ -63,7 +74,7 @@
     def reload(self) -> None:
         try:
             self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
-            self.environ.pop("BALANCER_DISCOVERY", None)        # older than the file, also for who follows
+            self.environ.pop("BALANCER_DISCOVERY", None)  # older than the file, also for who follows
         except UNUSABLE as bad:
             self.log.trouble("reload_failed", **told(bad, REMEDY))
         if self.beside is not None:
@@ -85,6 +96,7 @@
     text = operator_file.load(file)
     if text.fleet is not None and "BALANCER_CONFIG" not in os.environ:
         from .fleet.node import alone
+
         return alone.main(text)
     channel = launch.inherited()
     os.set_blocking(1, False)
--- a/indigohitch/directives/batches.py
+++ b/indigohitch/directives/batches.py
@@ -14,6 +14,7 @@
 Prices are in cents for a kWh, local times those of the site's zone; the first band that fits counts.  `runs`
 tells how many pieces this member runs at a time on nodes of a kind, and to whom their RPCs go: without `to`
 to the sidecar in this process."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -28,10 +29,10 @@
 
 @dataclass(slots=True)
 class BandText:
-    days: tuple[str, ...]       # empty: any
-    begin: int                  # tenths of a ms on the day's clock
+    days: tuple[str, ...]  # empty: any
+    begin: int  # tenths of a ms on the day's clock
     end: int
-    price: int                  # thousandths of a cent
+    price: int  # thousandths of a cent
     line: int
 
 
@@ -41,9 +42,9 @@
     zone: str
     holidays: str
     line: int
-    lanes: dict[str, int] = field(default_factory=dict)         # by kind of node
+    lanes: dict[str, int] = field(default_factory=dict)  # by kind of node
     bands: list[BandText] = field(default_factory=list)
-    peak: int = 0               # watts
+    peak: int = 0  # watts
     surcharge: int = 0
 
 
@@ -71,6 +72,7 @@
 @dataclass(slots=True)
 class BatchesText:
     """What a file says of batches; `line`: where it first does."""
+
     sites: dict[str, SiteText] = field(default_factory=dict)
     classes: dict[str, ClassText] = field(default_factory=dict)
     runs: list[RunsText] = field(default_factory=list)
@@ -83,6 +85,8 @@
 
 
 SITE = {"zone": zone, "holidays": country}
+
+
 def filled(text: str) -> str:
     """A path whose `{piece}` and `{step}` are filled in for each RPC."""
     left = words.path(text).replace("{piece}", "").replace("{step}", "")
@@ -91,8 +95,7 @@
     return text
 
 
-CLASS = {"path": filled, "power": pairs(power), "pause": price, "seats": pairs(words.count),
-         "sites": names}
+CLASS = {"path": filled, "power": pairs(power), "pause": price, "seats": pairs(words.count), "sites": names}
 
 
 def text_of(reader: Reader, at: int) -> BatchesText:
@@ -150,13 +153,20 @@
     reader.once(at, "batch-class", name)
     told = reader.options(at, rest[2:], CLASS)
     for wanted in ("path", "power"):
-        if wanted not in told and wanted not in rest[2::2]:      # else what is wrong with it is told
+        if wanted not in told and wanted not in rest[2::2]:  # else what is wrong with it is told
             reader.wrong(at, f"batch-class {name}: no {wanted}")
     if told.get("pause", 0) < 0:
         reader.wrong(at, f"batch-class {name}: a pause that pays is none")
     text_of(reader, at).classes[name] = ClassText(
-        name, rest[1] == "idempotent", told.get("path", "/"), told.get("power", {}), told.get("pause", 0),
-        told.get("seats", {}), told.get("sites", ()), at)
+        name,
+        rest[1] == "idempotent",
+        told.get("path", "/"),
+        told.get("power", {}),
+        told.get("pause", 0),
+        told.get("seats", {}),
+        told.get("sites", ()),
+        at,
+    )
 
 
 def on_runs(at: int, rest: list[str], reader: Reader) -> None:
@@ -164,9 +174,15 @@
         raise ValueError("runs SITE KIND LANES [to HOST:PORT]")
     reader.once(at, "runs", f"{rest[0]} {rest[1]}")
     to = reader.told("runs", address, rest[4]) if len(rest) == 5 else None
-    text_of(reader, at).runs.append(RunsText(
-        reader.told("runs", words.name, rest[0]), reader.told("runs", words.name, rest[1]),
-        reader.told("runs", words.count, rest[2]), to, at))
+    text_of(reader, at).runs.append(
+        RunsText(
+            reader.told("runs", words.name, rest[0]),
+            reader.told("runs", words.name, rest[1]),
+            reader.told("runs", words.count, rest[2]),
+            to,
+            at,
+        )
+    )
 
 
 SINGLE = {"batch-slot": (words.span, 900 * SECOND), "prices": (words.path, "")}
@@ -183,12 +199,15 @@
         reader.wrong(text.line, "batches without a line `fleet`")
     contracted = [one.line for one in (*text.sites.values(), *text.classes.values())]
     if contracted and ("directive", "edition") not in reader.lines:
-        reader.wrong(min(contracted), "a contract without a line `edition`, which numbers what the file "
-                                      "contracts")
+        reader.wrong(
+            min(contracted), "a contract without a line `edition`, which numbers what the file contracts"
+        )
     even = text.slot >= SECOND and not text.slot % SECOND and not 3600 * SECOND % text.slot
     if not even:
-        reader.wrong(reader.lines["directive", "batch-slot"],
-                     "a slot of whole seconds that divides the hour is wanted, as 15m")
+        reader.wrong(
+            reader.lines["directive", "batch-slot"],
+            "a slot of whole seconds that divides the hour is wanted, as 15m",
+        )
     for site in text.sites.values():
         if not site.lanes:
             reader.wrong(site.line, f"site {site.name}: no line `lanes` says how many pieces run there")
@@ -210,10 +229,14 @@
         if run.to is None:
             reader.wrong(run.line, "no sidecar is in this process: `to HOST:PORT` is wanted")
         site = text.sites.get(run.site)
-        if text.sites and (site is None or run.kind not in site.lanes):     # else it stands elsewhere
+        if text.sites and (site is None or run.kind not in site.lanes):  # else it stands elsewhere
             reader.wrong(run.line, f"no lanes of {run.kind} at {run.site}")
     fleet.parts["batches"] = [text]
 
 
-VOCABULARY = Vocabulary({"site": on_site}, {"lanes": on_lanes, "band": on_band, "peak": on_peak,
-                                            "batch-class": on_class, "runs": on_runs}, (check,), SINGLE)
+VOCABULARY = Vocabulary(
+    {"site": on_site},
+    {"lanes": on_lanes, "band": on_band, "peak": on_peak, "batch-class": on_class, "runs": on_runs},
+    (check,),
+    SINGLE,
+)
--- a/indigohitch/directives/checks.py
+++ b/indigohitch/directives/checks.py
@@ -1,4 +1,5 @@
 """What must hold across the lines of a sidecar's file."""
+
 from __future__ import annotations
 
 from .fleet import FleetText
--- a/indigohitch/directives/either.py
+++ b/indigohitch/directives/either.py
@@ -1,11 +1,15 @@
 """A file that is a sidecar's or a coordinator's: by its words."""
+
 from __future__ import annotations
 
 from . import operator_file, sidecar_file
 from .texts import Text
 
-ONLY = ((set(sidecar_file.SINGLE) - set(operator_file.OPERATOR))
-        | set(sidecar_file.VOCABULARY.words) | set(sidecar_file.VOCABULARY.last))
+ONLY = (
+    (set(sidecar_file.SINGLE) - set(operator_file.OPERATOR))
+    | set(sidecar_file.VOCABULARY.words)
+    | set(sidecar_file.VOCABULARY.last)
+)
 
 
 def is_operators(text: str) -> bool:
--- a/indigohitch/directives/fleet.py
+++ b/indigohitch/directives/fleet.py
@@ -11,6 +11,7 @@
 
 All members stand in each file, this one too; `name` says which it is.  Addresses may differ from file to
 file: they are where this member reaches the others."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -20,10 +21,10 @@
 from . import words
 from .lines import Reader, Vocabulary
 
-DRIFT_MOST = 0.1                # clocks that differ by more than a tenth are broken, not adrift
-LEDGER_LEAST, LEDGER_MOST = 64 << 10, 1 << 30       # a few entries; what a small node's memory holds
-LEASE_ELECTIONS = 4             # a lease outlives a failed vote, the next one and the renewal after it
-ELECTION_BEATS = 2              # one beat that is lost calls no vote
+DRIFT_MOST = 0.1  # clocks that differ by more than a tenth are broken, not adrift
+LEDGER_LEAST, LEDGER_MOST = 64 << 10, 1 << 30  # a few entries; what a small node's memory holds
+LEASE_ELECTIONS = 4  # a lease outlives a failed vote, the next one and the renewal after it
+ELECTION_BEATS = 2  # one beat that is lost calls no vote
 
 
 def drift(text: str) -> float:
@@ -41,10 +42,17 @@
 
 # Loopback and one site: a beat is far above a round trip and an fsync; an election is noticed in 0.3 s, a
 # lease renewed each quarter survives a vote.  Quartz drifts by 1e-4 at most: 1e-3 leaves room.
-SINGLE = {"fleet": (words.name, ""), "ledger": (words.path, ""), "drift": (drift, 0.001),
-          "edition": (words.count, 0)}
-WAITS = {"lease": (words.span, 2 * SECOND), "election": (words.span, 3 * SECOND // 10),
-         "beat": (words.span, SECOND // 20)}
+SINGLE = {
+    "fleet": (words.name, ""),
+    "ledger": (words.path, ""),
+    "drift": (drift, 0.001),
+    "edition": (words.count, 0),
+}
+WAITS = {
+    "lease": (words.span, 2 * SECOND),
+    "election": (words.span, 3 * SECOND // 10),
+    "beat": (words.span, SECOND // 20),
+}
 LIMITS = {"ledger": (ledger_size, 16 << 20)}
 
 
@@ -62,6 +70,7 @@
     (lease, election, beat) in tenths of a ms; `limit` in bytes: the log that is kept before a
     snapshot; `edition` 0: the file contracts nothing; `parts`: what each further part has read, with its
     lines."""
+
     name: str = ""
     me: str = ""
     members: dict[str, MemberText] = field(default_factory=dict)
@@ -143,14 +152,19 @@
 
     def line(*keys: str) -> int:
         return next((reader.lines["wait", key] for key in keys if ("wait", key) in reader.lines), fleet.line)
+
     if not beat:
         reader.wrong(line("beat"), "a beat of 0 ms would never rest")
     if lease < LEASE_ELECTIONS * election:
-        reader.wrong(line("lease", "election"), f"a lease of {lease / 10:g} ms is under {LEASE_ELECTIONS} "
-                                                f"elections of {election / 10:g} ms")
+        reader.wrong(
+            line("lease", "election"),
+            f"a lease of {lease / 10:g} ms is under {LEASE_ELECTIONS} elections of {election / 10:g} ms",
+        )
     if election < ELECTION_BEATS * beat:
-        reader.wrong(line("election", "beat"), f"an election of {election / 10:g} ms is under "
-                                               f"{ELECTION_BEATS} beats of {beat / 10:g} ms")
+        reader.wrong(
+            line("election", "beat"),
+            f"an election of {election / 10:g} ms is under {ELECTION_BEATS} beats of {beat / 10:g} ms",
+        )
 
 
 def told(reader: Reader) -> FleetText | None:
--- a/indigohitch/directives/further.py
+++ b/indigohitch/directives/further.py
@@ -1,4 +1,5 @@
 """The vocabularies of the fleet's further parts: one entry each, read after the fleet's own."""
+
 from __future__ import annotations
 
 from . import batches, fleet, seats
--- a/indigohitch/directives/lines.py
+++ b/indigohitch/directives/lines.py
@@ -1,4 +1,5 @@
 """The reader: lines into directives, every mistake with its line.  No I/O."""
+
 from __future__ import annotations
 
 import difflib
@@ -11,11 +12,12 @@
 from .words import words
 
 T = TypeVar("T")
-Values = Mapping[str, tuple[Callable[[str], object], object]]       # by word: its reader and its default
+Values = Mapping[str, tuple[Callable[[str], object], object]]  # by word: its reader and its default
 
 
 class Mistakes(Unreadable):
     """All that is wrong with a file: (line, reason) each, in order."""
+
     remedy = "mend these lines; docs/sidecar.md lists the words, docs/fleet-operators.md those of a fleet"
 
     def __init__(self, source: str, found: list[tuple[int, str]]) -> None:
@@ -23,7 +25,7 @@
         super().__init__("\n".join(f"{source}:{line}: {why}" for line, why in self.found), source)
 
     def text(self) -> str:
-        return self.what                        # each line of it says where
+        return self.what  # each line of it says where
 
 
 class Follows(ValueError):
@@ -34,11 +36,12 @@
 class Vocabulary:
     """What one kind of file, or one part of the fleet, may say.  A directive's reader takes the line's
     number, the words after the first, and the Reader; it raises ValueError or tells `reader.wrong`."""
+
     words: Mapping[str, Callable[[int, list[str], Reader], None]] = field(default_factory=dict)
     last: Mapping[str, Callable[[int, list[str], Reader], None]] = field(default_factory=dict)
     checks: Sequence[Callable[[Reader], None]] = ()
-    single: Values = field(default_factory=dict)        # directives of one value
-    waits: Values = field(default_factory=dict)         # `wait WORD VALUE`
+    single: Values = field(default_factory=dict)  # directives of one value
+    waits: Values = field(default_factory=dict)  # `wait WORD VALUE`
     limits: Values = field(default_factory=dict)
 
 
@@ -46,8 +49,8 @@
     def __init__(self, source: str, vocabularies: Sequence[Vocabulary]) -> None:
         self.source = source
         self.mistakes: list[tuple[int, str]] = []
-        self.end = 1                                    # the file's last line: where what is missing is told
-        self.lines: dict[tuple[str, str], int] = {}     # where a name was given first
+        self.end = 1  # the file's last line: where what is missing is told
+        self.lines: dict[tuple[str, str], int] = {}  # where a name was given first
         self.given: dict[str, dict[str, object]] = {"directive": {}, "wait": {}, "limit": {}}
         self.known: dict[str, dict] = {"directive": {}, "wait": {}, "limit": {}}
         self.words, self.last, self.checks = {}, {}, []
@@ -119,8 +122,10 @@
             self.value(word, "directive", word, rest)
         elif word in ("wait", "limit") and self.known[word]:
             if not rest or rest[0] not in self.known[word]:
-                raise ValueError(f"no such {word}: {' '.join(rest[:1]) or 'nothing'}; there are "
-                                 f"{', '.join(sorted(self.known[word]))}")
+                raise ValueError(
+                    f"no such {word}: {' '.join(rest[:1]) or 'nothing'}; there are "
+                    f"{', '.join(sorted(self.known[word]))}"
+                )
             self.once(at, word, rest[0])
             self.value(f"{word} {rest[0]}", word, rest[0], rest[1:])
         elif word in self.words:
@@ -157,7 +162,7 @@
         for key, text in zip(rest[::2], [*rest[1::2], None]):
             if key not in known:
                 self.wrong(at, f"unknown word {key!r}; there are {', '.join(known)}")
-                break                           # what follows may be out of step
+                break  # what follows may be out of step
             if key in seen:
                 self.wrong(at, f"{key} stands twice")
             elif text is None:
--- a/indigohitch/directives/operator_file.py
+++ b/indigohitch/directives/operator_file.py
@@ -1,5 +1,6 @@
 """The operator's file of a coordinator: `control`, `state`, `pidfile`, `program`, `wait`, and the words of
 the fleet.  All else the platform tells it.  No I/O but `load`."""
+
 from __future__ import annotations
 
 from . import fleet
@@ -22,11 +23,11 @@
     """Raises Mistakes."""
     own = Vocabulary(single={key: SINGLE[key] for key in OPERATOR}, waits=WAITS)
     reader = OperatorReader(source, (*VOCABULARIES, own)).read(text)
-    return Text(source, reader.picked("directive", SINGLE), {}, reader.picked("wait", WAITS),
-                fleet=fleet.told(reader))
+    return Text(
+        source, reader.picked("directive", SINGLE), {}, reader.picked("wait", WAITS), fleet=fleet.told(reader)
+    )
 
 
 def load(source: str) -> Text:
     """Raises Mistakes, OSError."""
     return read(text_in(source), source)
-
--- a/indigohitch/directives/routes.py
+++ b/indigohitch/directives/routes.py
@@ -3,6 +3,7 @@
 A route is a method and a path pattern: literal segments, `{name}` for one segment, a last `**` for any rest.
 They stand in a trie of segments, so that a look-up costs the path's segments and not the routes.  The most
 literal route wins, segment by segment; the order of the file does not count."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -14,12 +15,12 @@
 
 @dataclass(slots=True, eq=False)
 class Route:
-    method: str                 # of HTTP; "*": any
+    method: str  # of HTTP; "*": any
     pattern: str
-    rpc: object                 # what it names, an interface.Method
+    rpc: object  # what it names, an interface.Method
     pool: object
-    key: tuple[str, str]        # ("path", segment's place), ("header", name), ("query", name), ("none", "")
-    line: int = 0               # of the file
+    key: tuple[str, str]  # ("path", segment's place), ("header", name), ("query", name), ("none", "")
+    line: int = 0  # of the file
     served: int = 0
 
 
@@ -27,7 +28,7 @@
 class _Node:
     literal: dict[str, _Node] = field(default_factory=dict)
     any: _Node | None = None
-    here: dict[str, Route] = field(default_factory=dict)        # by method
+    here: dict[str, Route] = field(default_factory=dict)  # by method
     rest: dict[str, Route] = field(default_factory=dict)
 
 
--- a/indigohitch/directives/seats.py
+++ b/indigohitch/directives/seats.py
@@ -9,6 +9,7 @@
 
 `kind`: one seat for each `job` (RPC), each `node` (server), or each `user` of a tenant.  Days are of UTC, the
 last one belongs to the contract; an instant is written as 2026-12-31T18:00."""
+
 from __future__ import annotations
 
 import re
@@ -29,6 +30,7 @@
 @dataclass(slots=True)
 class SeatsText:
     """`since`, `until`: Unix time in tenths of a ms, 0: open."""
+
     feature: str
     seats: int
     kind: str
@@ -71,14 +73,20 @@
     return found
 
 
-OPTIONS = {"kind": kind, "from": instant, "to": instant, "linger": words.span, "drain": words.span,
-           "keep": kept}
+OPTIONS = {
+    "kind": kind,
+    "from": instant,
+    "to": instant,
+    "linger": words.span,
+    "drain": words.span,
+    "keep": kept,
+}
 SINGLE = {"seat-tenant": (words.name, ""), "seat-user": (words.name, "")}
 
 
 def on_seats(at: int, rest: list[str], reader: Reader) -> None:
     if len(rest) < 2:
-        reader.lines.setdefault(("seats", "".join(rest)), at)   # who needs it is not told that it is missing
+        reader.lines.setdefault(("seats", "".join(rest)), at)  # who needs it is not told that it is missing
         raise ValueError("seats FEATURE NUMBER kind job|node|user ...")
     feature = reader.told("seats", words.name, rest[0])
     reader.once(at, "seats", feature)
@@ -90,13 +98,23 @@
         until += int(timedelta(days=1).total_seconds()) * SECOND if day else 0
         if until <= since:
             reader.wrong(at, f"seats {feature}: the contract ends before it begins")
-    found = SeatsText(feature, number, told.get("kind", "job"), since, until, told.get("linger", 0),
-                      told.get("drain", DRAIN), told.get("keep", {}), at)
+    found = SeatsText(
+        feature,
+        number,
+        told.get("kind", "job"),
+        since,
+        until,
+        told.get("linger", 0),
+        told.get("drain", DRAIN),
+        told.get("keep", {}),
+        at,
+    )
     if (own := sum(found.keep.values())) > number:
         reader.wrong(at, f"seats {feature}: {own} are kept for tenants, {number} are there")
     if found.linger and found.kind == "job":
-        reader.wrong(at, f"seats {feature}: a job's seat is free once the job is over; linger is for "
-                         "node and user")
+        reader.wrong(
+            at, f"seats {feature}: a job's seat is free once the job is over; linger is for node and user"
+        )
     reader.found(FleetText).parts.setdefault("seats", []).append(found)
 
 
@@ -111,8 +129,10 @@
     for feature, found in seats.items():
         found.tenant_header, found.user_header = single["seat-tenant"], single["seat-user"]
         if found.keep and reader.found(Carried).seats and not single["seat-tenant"]:
-            reader.wrong(found.line, f"seats {feature}: some are kept for tenants, and no line `seat-tenant` "
-                                     "names their header")
+            reader.wrong(
+                found.line,
+                f"seats {feature}: some are kept for tenants, and no line `seat-tenant` names their header",
+            )
 
 
 VOCABULARY = Vocabulary({"seats": on_seats}, checks=(check,), single=SINGLE)
--- a/indigohitch/directives/sidecar_file.py
+++ b/indigohitch/directives/sidecar_file.py
@@ -9,6 +9,7 @@
     route POST /places/{id}/reserve rpc place-reserve pool nodes key path 1
 
 `read` tells every mistake in the file, each with its line.  docs/sidecar.md lists the words."""
+
 from __future__ import annotations
 
 from .. import interface as face
@@ -25,19 +26,48 @@
 # Directives of one value: its reader and its default.  The defaults are chosen for small installations: a
 # parent's phone sends heads of under 2 KB; 60 s is what clients keep idle; 10 s carries 16 KB at any speed.
 SINGLE = {
-    "name": (name, "sidecar"), "listen": (address, None), "control": (socket_path, ""), "state": (path, ""),
-    "pidfile": (path, ""), "seed": (count, 1), "zone": (name, "local"), "program": (words, []),
-    "access-log": (path, ""), "access-log-form": (form, "json"),
+    "name": (name, "sidecar"),
+    "listen": (address, None),
+    "control": (socket_path, ""),
+    "state": (path, ""),
+    "pidfile": (path, ""),
+    "seed": (count, 1),
+    "zone": (name, "local"),
+    "program": (words, []),
+    "access-log": (path, ""),
+    "access-log-form": (form, "json"),
+}
+LIMITS = {
+    "clients": (count, 2000),
+    "head": (size, 16 << 10),
+    "body": (size, 16 << 30),
+    "memory": (size, 64 << 20),
+    "idle-upstream": (count, 64),
+}
+WAITS = {
+    "idle": (span, 60 * SECOND),
+    "head": (span, 10 * SECOND),
+    "stream": (span, 60 * SECOND),
+    "upstream": (span, 4 * SECOND),
+    "connect": (span, SECOND // 4),
+    "drain": (span, 30 * SECOND),
+    "start": (span, 10 * SECOND),
+    "takeover": (span, 10 * SECOND),
+    "commit": (span, 2 * SECOND),
+    "watch": (span, SECOND),
 }
-LIMITS = {"clients": (count, 2000), "head": (size, 16 << 10), "body": (size, 16 << 30),
-          "memory": (size, 64 << 20), "idle-upstream": (count, 64)}
-WAITS = {"idle": (span, 60 * SECOND), "head": (span, 10 * SECOND), "stream": (span, 60 * SECOND),
-         "upstream": (span, 4 * SECOND), "connect": (span, SECOND // 4), "drain": (span, 30 * SECOND),
-         "start": (span, 10 * SECOND), "takeover": (span, 10 * SECOND), "commit": (span, 2 * SECOND),
-         "watch": (span, SECOND)}
 RPC = {"soft": span, "deadline": span, "criticality": positive, "seat": name}
-POOL = {"slices": count, "report": span, "probe": path, "load-header": name, "come-back": span,
-        "warm": span, "cold-from": positive, "grace": span, "fall": positive}
+POOL = {
+    "slices": count,
+    "report": span,
+    "probe": path,
+    "load-header": name,
+    "come-back": span,
+    "warm": span,
+    "cold-from": positive,
+    "grace": span,
+    "fall": positive,
+}
 SERVER = {"pool": name, "weight": positive, "zone": name, "kind": name}
 ROUTE = {"rpc": name, "pool": name}
 METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
@@ -56,8 +86,9 @@
     if repeat not in REPEATS:
         raise ValueError(f"{repeat!r}: idempotent or non-idempotent is wanted")
     carried = reader.found(Carried)
-    carried.rpcs[id] = face.Method(id, told["soft"], told["deadline"], told["criticality"],
-                                   REPEATS[repeat], "all", 0)
+    carried.rpcs[id] = face.Method(
+        id, told["soft"], told["deadline"], told["criticality"], REPEATS[repeat], "all", 0
+    )
     if "seat" in told:
         carried.seats[id] = (told["seat"], at)
 
@@ -69,16 +100,22 @@
     reader.once(at, "pool", id)
     told = reader.options(at, rest[1:], POOL)
     # A minute of warming up from a fifth, felled at four times that: as the users' servers are.
-    boot = {"report_every": told.get("report", SECOND), "may_probe": "probe" in told,
-            "warm_within": told.get("warm", 60 * SECOND), "cold_from": told.get("cold-from", 0.2),
-            "drain_grace": told.get("grace", SECOND), "fall_multiple": told.get("fall", 4.0),
-            "admission": "share"}
+    boot = {
+        "report_every": told.get("report", SECOND),
+        "may_probe": "probe" in told,
+        "warm_within": told.get("warm", 60 * SECOND),
+        "cold_from": told.get("cold-from", 0.2),
+        "drain_grace": told.get("grace", SECOND),
+        "fall_multiple": told.get("fall", 4.0),
+        "admission": "share",
+    }
     if boot["cold_from"] > 1:
         reader.wrong(at, "cold-from is a share, 1 at most")
     if "come-back" in told:
         boot["come_back"] = told["come-back"]
-    reader.found(Carried).pools[id] = PoolText(id, boot, told.get("slices", 64), told.get("probe", ""),
-                                               told.get("load-header", ""), at)
+    reader.found(Carried).pools[id] = PoolText(
+        id, boot, told.get("slices", 64), told.get("probe", ""), told.get("load-header", ""), at
+    )
 
 
 def on_server(at: int, rest: list[str], reader: Reader) -> None:
@@ -95,8 +132,9 @@
     same = next((s for s in pool.servers.values() if s.address == where), None)
     if same is not None:
         raise ValueError(f"server {same.name} in line {same.line} has the same address")
-    pool.servers[id] = Server(id, where, told.get("weight", 1.0), told.get("zone", "local"),
-                              told.get("kind", "std"), at)
+    pool.servers[id] = Server(
+        id, where, told.get("weight", 1.0), told.get("zone", "local"), told.get("kind", "std"), at
+    )
 
 
 def named(reader: Reader, kind: str, rest: list[str], told: dict, known: dict):
@@ -115,7 +153,7 @@
     key = ("none", "")
     if "key" in rest:
         place = rest.index("key")
-        words, rest = rest[place + 1:place + 3], rest[:place] + rest[place + 3:]
+        words, rest = rest[place + 1 : place + 3], rest[:place] + rest[place + 3 :]
         key = reader.guarded(at, key_place, words, pattern) or key
     if method != "*" and method not in METHODS:
         reader.wrong(at, f"unknown HTTP method {method!r}")
@@ -141,8 +179,9 @@
     return kind, where.lower() if kind == "header" else where
 
 
-VOCABULARY = Vocabulary({"rpc": on_rpc, "pool": on_pool}, {"server": on_server, "route": on_route},
-                        CHECKS, SINGLE, WAITS, LIMITS)
+VOCABULARY = Vocabulary(
+    {"rpc": on_rpc, "pool": on_pool}, {"server": on_server, "route": on_route}, CHECKS, SINGLE, WAITS, LIMITS
+)
 
 
 def read(text: str, source: str = "-") -> Text:
@@ -152,9 +191,17 @@
     methods = tuple(carried.rpcs.values())
     for pool in carried.pools.values():
         pool.boot["methods"] = methods
-    return Text(source, reader.picked("directive", SINGLE), reader.picked("limit", LIMITS),
-                reader.picked("wait", WAITS), carried.rpcs, carried.pools, carried.routes,
-                {rpc: feature for rpc, (feature, _) in carried.seats.items()}, fleet.told(reader))
+    return Text(
+        source,
+        reader.picked("directive", SINGLE),
+        reader.picked("limit", LIMITS),
+        reader.picked("wait", WAITS),
+        carried.rpcs,
+        carried.pools,
+        carried.routes,
+        {rpc: feature for rpc, (feature, _) in carried.seats.items()},
+        fleet.told(reader),
+    )
 
 
 def load(source: str) -> Text:
@@ -167,7 +214,7 @@
     with open(source, "rb") as file:
         raw = file.read()
     try:
-        return raw.decode("utf-8-sig")       # some editors put a mark before the text
+        return raw.decode("utf-8-sig")  # some editors put a mark before the text
     except UnicodeDecodeError as bad:
-        line = raw[:bad.start].count(b"\n") + 1
+        line = raw[: bad.start].count(b"\n") + 1
         raise Mistakes(source, [(line, "not UTF-8")]) from None
--- a/indigohitch/directives/tariffs.py
+++ b/indigohitch/directives/tariffs.py
@@ -1,4 +1,5 @@
 """Words of what electricity costs: prices, power, times of the day, zones, kinds of day."""
+
 from __future__ import annotations
 
 import re
@@ -9,8 +10,8 @@
 
 DAYS = ("workday", "saturday", "sunday", "holiday")
 DAY = 24 * 3600 * SECOND
-CENT = 1000                     # prices are kept in thousandths of it
-MOST = 4000 * CENT              # ten times the dearest hour on record: beyond it a digit is wrong
+CENT = 1000  # prices are kept in thousandths of it
+MOST = 4000 * CENT  # ten times the dearest hour on record: beyond it a digit is wrong
 _PRICE = re.compile(r"-?\d{1,7}(\.\d{1,3})?\Z")
 _ZONE = re.compile(r"[A-Za-z0-9_+-]+(/[A-Za-z0-9_+-]+){0,2}\Z")
 
@@ -79,4 +80,5 @@
                 raise ValueError(f"{pair!r}: NAME=VALUE is wanted, each once")
             found[words.name(name)] = read(value)
         return found
+
     return pairs
--- a/indigohitch/directives/texts.py
+++ b/indigohitch/directives/texts.py
@@ -1,4 +1,5 @@
 """What a file says, as its readers get it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 @dataclass(slots=True)
 class PoolText:
     """A pool as the file has it; `boot` is the module's plain map."""
+
     name: str
     boot: dict
     slices: int
@@ -33,10 +35,11 @@
 @dataclass(slots=True)
 class Carried:
     """What a sidecar carries, as its lines are read."""
+
     rpcs: dict[str, face.Method] = field(default_factory=dict)
-    seats: dict[str, tuple[str, int]] = field(default_factory=dict)     # by RPC: the feature it needs, line
+    seats: dict[str, tuple[str, int]] = field(default_factory=dict)  # by RPC: the feature it needs, line
     pools: dict[str, PoolText] = field(default_factory=dict)
-    wanted: set[str] = field(default_factory=set)       # pools that a server's line names, good or not
+    wanted: set[str] = field(default_factory=set)  # pools that a server's line names, good or not
     routes: Routes = field(default_factory=Routes)
 
 
@@ -44,6 +47,7 @@
 class Text:
     """What a file says.  `limits`: counts, and bytes; `waits`: tenths of a ms; `seats`: by RPC the feature of
     which it needs a seat; `fleet`: None where the file has no line `fleet`."""
+
     source: str
     single: dict
     limits: dict
--- a/indigohitch/directives/words.py
+++ b/indigohitch/directives/words.py
@@ -1,4 +1,5 @@
 """Words and units.  Each reads one word, and raises ValueError that says what is wanted."""
+
 from __future__ import annotations
 
 import re
@@ -14,8 +15,8 @@
 # No more digits than a float tells apart: a number beyond them is a slip, and could be taken for infinite.
 _NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 _MEASURE = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,15})?)([A-Za-z]*)")
-SOCKET_MOST = 107               # bytes of a Unix socket's path, by the kernel
-FORMS = ("json", "combined")    # of an access log
+SOCKET_MOST = 107  # bytes of a Unix socket's path, by the kernel
+FORMS = ("json", "combined")  # of an access log
 
 
 def span(text: str) -> int:
--- a/indigohitch/errors.py
+++ b/indigohitch/errors.py
@@ -1,4 +1,5 @@
 """The one family of errors: each says what happened, where, and what an operator can do."""
+
 from __future__ import annotations
 
 import errno
@@ -7,7 +8,8 @@
 class Trouble(Exception):
     """`what` happened, `where` (file and line, peer, entry; may be empty), `remedy` (what an operator can do;
     empty only where nothing can be).  The log and the command line show all three."""
-    remedy = ""                 # of the kind; one instance may know better
+
+    remedy = ""  # of the kind; one instance may know better
 
     def __init__(self, what: str, where: str = "", remedy: str = "") -> None:
         self.what, self.where = what, where
@@ -23,8 +25,11 @@
 
     def fields(self) -> dict[str, str]:
         """For a log line."""
-        return {key: value for key, value in
-                (("why", self.what), ("where", self.where), ("remedy", self.remedy)) if value}
+        return {
+            key: value
+            for key, value in (("why", self.what), ("where", self.where), ("remedy", self.remedy))
+            if value
+        }
 
 
 class Unreadable(Trouble, ValueError):
@@ -44,13 +49,17 @@
 
 
 # What an operator can do where the system refuses.
-REMEDIES = {errno.EADDRINUSE: "free the address, or name another one",
-            errno.EADDRNOTAVAIL: "name an address of this machine",
-            errno.ENOENT: "make it, or name what is there", errno.EACCES: "let this user have it",
-            errno.ENOSPC: "make room on the disk", errno.EDQUOT: "make room on the disk",
-            errno.EROFS: "name a folder that can be written to",
-            errno.EMFILE: "raise the limit on descriptors",
-            errno.ECONNREFUSED: "start the program that listens there"}
+REMEDIES = {
+    errno.EADDRINUSE: "free the address, or name another one",
+    errno.EADDRNOTAVAIL: "name an address of this machine",
+    errno.ENOENT: "make it, or name what is there",
+    errno.EACCES: "let this user have it",
+    errno.ENOSPC: "make room on the disk",
+    errno.EDQUOT: "make room on the disk",
+    errno.EROFS: "name a folder that can be written to",
+    errno.EMFILE: "raise the limit on descriptors",
+    errno.ECONNREFUSED: "start the program that listens there",
+}
 
 
 def told(bad: BaseException, remedy: str = "") -> dict[str, str]:
--- a/indigohitch/fleet/audit/chain.py
+++ b/indigohitch/fleet/audit/chain.py
@@ -1,5 +1,6 @@
 """A chain of records: each holds the digest of the one before, so that none is changed, taken out or put
 elsewhere without the next telling.  No I/O."""
+
 from __future__ import annotations
 
 import msgspec
@@ -7,14 +8,15 @@
 from ...packed.rows import Row, digest
 from ..terms import Stamp
 
-SALT = 0x4155                   # "AU": a record's digest is never taken for another thing's
+SALT = 0x4155  # "AU": a record's digest is never taken for another thing's
 
 
 class Record(Row, frozen=True):
     """One act.  `at`: when, by the actor's reckoning; `left`: of its lease then."""
-    before: bytes               # digest of the record before; of the first: `root`
+
+    before: bytes  # digest of the record before; of the first: `root`
     stamp: Stamp
-    kind: str                   # as `seats.given`
+    kind: str  # as `seats.given`
     about: bytes
     at: int
     left: int
@@ -37,8 +39,14 @@
 
     def next(self, term: int, version: int, kind: str, about: bytes, at: int, left: int) -> Record:
         """The record of an act to come; it belongs to the chain once it is written: `take`."""
-        return Record(self.head, Stamp(self.member, self.incarnation, term, version, self.number + 1), kind,
-                      about, at, left)
+        return Record(
+            self.head,
+            Stamp(self.member, self.incarnation, term, version, self.number + 1),
+            kind,
+            about,
+            at,
+            left,
+        )
 
     def take(self, record: Record) -> None:
         self.number, self.head = record.stamp.number, record.digest()
--- a/indigohitch/fleet/audit/gate.py
+++ b/indigohitch/fleet/audit/gate.py
@@ -1,5 +1,6 @@
 """At a receiver that can check stamps: one from before a shutting-out, or older than what has come, is
 refused.  No I/O."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -13,9 +14,9 @@
 
 class Gate:
     def __init__(self) -> None:
-        self.highest: dict[str, int] = {}       # incarnation seen, by member
-        self.ended: dict[str, int] = {}         # the last incarnation known to be shut out or gone
-        self.floor = 0                          # the last hard change in force
+        self.highest: dict[str, int] = {}  # incarnation seen, by member
+        self.ended: dict[str, int] = {}  # the last incarnation known to be shut out or gone
+        self.floor = 0  # the last hard change in force
         self.last: OrderedDict[tuple[str, str], tuple[int, int]] = OrderedDict()
         self.refused = 0
 
@@ -28,7 +29,7 @@
         self.floor = max(self.floor, version)
 
     def admits(self, stamp: Stamp, thing: str = "") -> str:
-        """"" if the act may take effect, else why not.  `thing`: what it acts on; of two acts of one member
+        """ "" if the act may take effect, else why not.  `thing`: what it acts on; of two acts of one member
         on it, the older one doesn't come after the newer."""
         why = self.why_not(stamp, thing)
         if why:
--- a/indigohitch/fleet/audit/orders.py
+++ b/indigohitch/fleet/audit/orders.py
@@ -1,6 +1,7 @@
 """Orders to the platform's relay as acts: each call is stamped, or it does not go.  The relay's protocol has
 no place for a stamp: the record here, by the digest of the call's orders, says who gave them
 (docs/audit.md)."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -22,7 +23,9 @@
 
 def stamped(clock: Clock, node: Callable[[], Node | None]) -> Callable[[str], bool]:
     """For Relay.allowed."""
+
     def allowed(orders: str) -> bool:
         one = node()
         return one is not None and one.assembly.acts.stamp(clock.now(), KIND, about(orders)) is not None
+
     return allowed
--- a/indigohitch/fleet/audit/scrub.py
+++ b/indigohitch/fleet/audit/scrub.py
@@ -1,5 +1,6 @@
 """Reads this member's own folder over and over, a piece with each beat: what was changed, taken out or harmed
 since it was written is told while the fleet runs."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -12,18 +13,18 @@
 
 # Bytes a beat: some 300 records, 2 ms.  All files of a folder take some minutes.
 PIECE = 64 << 10
-PAUSE = 10 * SECOND             # from one round to the next: a small folder isn't read with every beat
-FINDINGS = 16                   # kept; the first ones tell the most
+PAUSE = 10 * SECOND  # from one round to the next: a small folder isn't read with every beat
+FINDINGS = 16  # kept; the first ones tell the most
 
 
 class Scrub:
     def __init__(self, member: str, store: Store, facts: Callable[[], Facts]) -> None:
         self.member, self.store, self.facts = member, store, facts
-        self.rounds = self.records = 0          # whole rounds, and what the one under way has read
+        self.rounds = self.records = 0  # whole rounds, and what the one under way has read
         self.found: list[Finding] = []
-        self.files: list[tuple[tuple[int, int], Path]] = []     # still to be read in this round
+        self.files: list[tuple[tuple[int, int], Path]] = []  # still to be read in this round
         self.links: Links | None = None
-        self.at = self.due = 0                  # in the first of them; when the next round begins
+        self.at = self.due = 0  # in the first of them; when the next round begins
 
     def step(self, now: int) -> list[Finding]:
         """The next piece; what is new that is wrong.  Raises OSError."""
@@ -31,7 +32,7 @@
             return []
         self.due = now + PAUSE
         new = [one for one in self.piece() if one not in self.found]
-        self.found += new[:FINDINGS - len(self.found)]
+        self.found += new[: FINDINGS - len(self.found)]
         return new
 
     def piece(self) -> list[Finding]:
@@ -42,7 +43,7 @@
             with open(path, "rb") as file:
                 file.seek(self.at)
                 data = file.read(PIECE)
-        except FileNotFoundError:               # given up meanwhile, and the ledger knows from where on
+        except FileNotFoundError:  # given up meanwhile, and the ledger knows from where on
             self.files.pop(0)
             self.links, self.at = None, 0
             return []
@@ -53,14 +54,15 @@
             past = Kept(incarnation, first=first) if incarnation < min(kept, default=0) else None
             self.links = Links(self.member, incarnation, kept.get(incarnation, past))
         elif not self.at and self.links.last is not None and first <= self.links.last.stamp.number:
-            self.links = Links(self.member, incarnation, Kept(incarnation, first=first))    # files.Store.sync
+            self.links = Links(self.member, incarnation, Kept(incarnation, first=first))  # files.Store.sync
         records, end, spoilt = frames(data)
         for record in records:
             found += self.links.next(record)
         self.records, self.at = self.records + len(records), self.at + end
         if spoilt:
-            found.append(Finding("spoilt", self.member, incarnation, first,
-                                 f"{path.name}, byte {self.at}: {spoilt}"))
+            found.append(
+                Finding("spoilt", self.member, incarnation, first, f"{path.name}, byte {self.at}: {spoilt}")
+            )
         if spoilt or not records or len(data) < PIECE:
             self.files.pop(0)
             self.at = 0
--- a/indigohitch/fleet/batches/asking.py
+++ b/indigohitch/fleet/batches/asking.py
@@ -1,5 +1,6 @@
 """What people say of batches, in the book's terms: the contract of a file, a batch over the control socket.
 No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -10,20 +11,40 @@
 from .prices import moment
 from .rows import Band, Batch, BatchClass, Contract, Cut, Site, Word
 
-FORM = ('{"id": "dunning-7", "tenant": "whk", "class": "dunning", "pieces": [{"earliest": '
-        '"2026-12-02T18:00+01:00", "latest": "2026-12-03T06:00+01:00", "work": "40m", "steps": 200}]}')
+FORM = (
+    '{"id": "dunning-7", "tenant": "whk", "class": "dunning", "pieces": [{"earliest": '
+    '"2026-12-02T18:00+01:00", "latest": "2026-12-03T06:00+01:00", "work": "40m", "steps": 200}]}'
+)
 
 
 def contract_of(text: BatchesText, edition: int) -> Contract | None:
     """None where the file contracts nothing."""
     if not text.sites:
         return None
-    sites = tuple(Site(site.name, site.zone, site.holidays, dict(sorted(site.lanes.items())),
-                       tuple(Band(band.days, band.begin, band.end, band.price) for band in site.bands),
-                       site.peak, site.surcharge) for _, site in sorted(text.sites.items()))
-    classes = tuple(BatchClass(one.name, one.idempotent, one.path, dict(sorted(one.power.items())), one.pause,
-                               dict(sorted(one.seats.items())), one.sites)
-                    for _, one in sorted(text.classes.items()))
+    sites = tuple(
+        Site(
+            site.name,
+            site.zone,
+            site.holidays,
+            dict(sorted(site.lanes.items())),
+            tuple(Band(band.days, band.begin, band.end, band.price) for band in site.bands),
+            site.peak,
+            site.surcharge,
+        )
+        for _, site in sorted(text.sites.items())
+    )
+    classes = tuple(
+        BatchClass(
+            one.name,
+            one.idempotent,
+            one.path,
+            dict(sorted(one.power.items())),
+            one.pause,
+            dict(sorted(one.seats.items())),
+            one.sites,
+        )
+        for _, one in sorted(text.classes.items())
+    )
     return Contract(edition, text.slot, sites, classes)
 
 
@@ -33,8 +54,12 @@
         pieces = told["pieces"]
         if not isinstance(pieces, list):
             raise ValueError("pieces: a list is wanted")
-        return Batch(name(told["id"]), name(told["tenant"]), name(told["class"]),
-                     tuple(cut_of(number, piece) for number, piece in enumerate(pieces)))
+        return Batch(
+            name(told["id"]),
+            name(told["tenant"]),
+            name(told["class"]),
+            tuple(cut_of(number, piece) for number, piece in enumerate(pieces)),
+        )
     except Unfit:
         raise
     except (KeyError, TypeError, ValueError) as bad:
@@ -49,8 +74,11 @@
             raise ValueError("steps: a whole number is wanted")
         return Cut(moment(piece["earliest"]), moment(piece["latest"]), span(piece["work"]), steps)
     except (Unfit, KeyError, TypeError, ValueError) as bad:
-        what = f"{bad.args[0]} is missing" if isinstance(bad, KeyError) else (
-            bad.what if isinstance(bad, Unfit) else str(bad))
+        what = (
+            f"{bad.args[0]} is missing"
+            if isinstance(bad, KeyError)
+            else (bad.what if isinstance(bad, Unfit) else str(bad))
+        )
         raise Unfit(f"piece {number}: {what}", remedy=f"a batch looks like {FORM}") from None
 
 
--- a/indigohitch/fleet/batches/contract.py
+++ b/indigohitch/fleet/batches/contract.py
@@ -2,6 +2,7 @@
 
 All arithmetic goes from fleet time to the site's local clock, never back: a night on which clocks change has
 23 or 25 hours by itself, and the hour that comes twice costs what it costs twice."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -24,8 +25,11 @@
     try:
         return ZoneInfo(name)
     except (KeyError, ValueError, OSError):
-        raise Unfit(f"no time zone {name!r}", remedy="a name such as Europe/Berlin; without a system's list "
-                                                     "of zones the package tzdata is wanted") from None
+        raise Unfit(
+            f"no time zone {name!r}",
+            remedy="a name such as Europe/Berlin; without a system's list "
+            "of zones the package tzdata is wanted",
+        ) from None
 
 
 @lru_cache(64)
@@ -34,14 +38,18 @@
     try:
         import holidays  # only here, and only where a site names a country
     except ImportError:
-        raise Unfit(f"holidays of {place}: the library `holidays` is missing",
-                    remedy="install the extra `fleet`, or take `holidays` from the site's line") from None
+        raise Unfit(
+            f"holidays of {place}: the library `holidays` is missing",
+            remedy="install the extra `fleet`, or take `holidays` from the site's line",
+        ) from None
     country, _, part = place.partition("-")
     try:
         return frozenset(holidays.country_holidays(country, subdiv=part or None, years=year))
     except NotImplementedError:
-        raise Unfit(f"no holidays are known for {place!r}",
-                    remedy="a country such as DE, or with its part such as DE-BE") from None
+        raise Unfit(
+            f"no holidays are known for {place!r}",
+            remedy="a country such as DE, or with its part such as DE-BE",
+        ) from None
 
 
 def local(site: Site, time: int) -> datetime:
@@ -60,9 +68,11 @@
 
 def day_bounds(site: Site, day: date) -> tuple[int, int]:
     """Fleet times at which a local day begins and ends: 23, 24 or 25 hours apart."""
+
     def midnight(of: date) -> int:
         at = datetime(of.year, of.month, of.day, tzinfo=zone(site.zone))
         return (at.astimezone(UTC) - _EPOCH) // timedelta(microseconds=100)
+
     return midnight(day), midnight(day + timedelta(days=1))
 
 
@@ -70,8 +80,14 @@
     at = local(site, time)
     kind = kind_of_day(site, at.date())
     on_clock = ((at.hour * 60 + at.minute) * 60 + at.second) * SECOND + at.microsecond // 100
-    return next((band for band in site.bands
-                 if (not band.days or kind in band.days) and band.begin <= on_clock < band.end), None)
+    return next(
+        (
+            band
+            for band in site.bands
+            if (not band.days or kind in band.days) and band.begin <= on_clock < band.end
+        ),
+        None,
+    )
 
 
 def price_at(site: Site, time: int, dated: Mapping[int, int], each: int) -> int | None:
@@ -101,13 +117,17 @@
     for site in contract.sites:
         zone(site.zone)
         if site.holidays:
-            _holidays(site.holidays, 2026)      # any year: is the name known?
+            _holidays(site.holidays, 2026)  # any year: is the name known?
         for band in site.bands:
             if band.begin % contract.slot or band.end % contract.slot:
-                raise Unfit(f"site {site.name}: a band does not begin and end with a slot",
-                            remedy="a batch-slot that divides all bands, such as 15m")
+                raise Unfit(
+                    f"site {site.name}: a band does not begin and end with a slot",
+                    remedy="a batch-slot that divides all bands, such as 15m",
+                )
     kinds = {kind for site in contract.sites for kind in site.lanes}
     for one in contract.classes:
         if not kinds & set(one.power):
-            raise Unfit(f"batch-class {one.name}: no site has nodes of its kinds",
-                        remedy="`power` names kinds that stand in a `lanes`")
+            raise Unfit(
+                f"batch-class {one.name}: no site has nodes of its kinds",
+                remedy="`power` names kinds that stand in a `lanes`",
+            )
--- a/indigohitch/fleet/batches/inside.py
+++ b/indigohitch/fleet/batches/inside.py
@@ -1,4 +1,5 @@
 """Batches in a process: the work, the sending, and the list of prices on the disk."""
+
 from __future__ import annotations
 
 import os
@@ -19,8 +20,8 @@
 from .sending import Sending
 from .work import BatchesWork
 
-LOOK = 5 * SECOND               # how often the file of prices is looked at
-LARGEST = 1 << 20               # of it: its lines are bounded too
+LOOK = 5 * SECOND  # how often the file of prices is looked at
+LARGEST = 1 << 20  # of it: its lines are bounded too
 
 
 class PriceFile:
@@ -42,8 +43,12 @@
             except OSError as bad:
                 if self._seen != (bad.errno,):
                     self._seen = (bad.errno,)
-                    self.log.trouble("prices_missing", where=self.path, why=bad.strerror,
-                                     remedy="put the list there; the last good prices stand")
+                    self.log.trouble(
+                        "prices_missing",
+                        where=self.path,
+                        why=bad.strerror,
+                        remedy="put the list there; the last good prices stand",
+                    )
         return self.list
 
     def look(self) -> None:
@@ -59,13 +64,16 @@
         self.log.event("prices_read", edition=self.list.edition, sites=sorted(self.list.sites))
 
 
-def work_of(loop: Loop, log: Log, text: FleetText, part: Batches, acts: Acts,
-            fleet_time: Callable[[int], int]) -> BatchesWork:
+def work_of(
+    loop: Loop, log: Log, text: FleetText, part: Batches, acts: Acts, fleet_time: Callable[[int], int]
+) -> BatchesWork:
     """Of this member.  A file without a word on batches makes a member that runs none, and leads by what the
     book has."""
+
     def written() -> BatchesText:
         """As the file has it now: a SIGHUP reads it anew."""
         return next(iter(text.parts.get("batches", ())), BatchesText())
+
     found, kept = written(), (BatchesText(), 0, None)
 
     def contracted() -> Contract | None:
@@ -74,9 +82,10 @@
         if kept[0] is not now or kept[1] != text.edition:
             kept = now, text.edition, contract_of(now, text.edition)
         return kept[2]
+
     try:
         if (now := contracted()) is not None:
-            contract.check(now)         # at the start: the library of holidays takes 150 ms, once
+            contract.check(now)  # at the start: the library of holidays takes 150 ms, once
     except Unfit as bad:
         log.trouble("contract_refused", **told(bad))
     offers: dict[str, dict[str, int]] = {}
@@ -85,14 +94,31 @@
 
     def back(piece, step, stamp, outcome, why) -> None:
         work.runner.outcome(loop.clock.now(), piece, step, stamp, outcome, why)
+
     sending = Sending(loop, part, {(run.site, run.kind): run.to for run in found.runs}, back)
 
     def seats() -> dict[str, int]:
         """Those that nobody has kept: a sidecar asks for one for each step (docs/seats.md)."""
         known = part.book.parts.get("seats")
         time = fleet_time(loop.clock.now())
-        return {name: found.terms.pools()[COMMON] if found.terms.valid(time) else 0
-                for name, found in sorted(known.features.items())} if known is not None else {}
-    work = BatchesWork(part, text.me, acts, sending, fleet_time, offers, contracted,
-                       PriceFile(log, found.prices, found.sites, loop.clock), seats)
+        return (
+            {
+                name: found.terms.pools()[COMMON] if found.terms.valid(time) else 0
+                for name, found in sorted(known.features.items())
+            }
+            if known is not None
+            else {}
+        )
+
+    work = BatchesWork(
+        part,
+        text.me,
+        acts,
+        sending,
+        fleet_time,
+        offers,
+        contracted,
+        PriceFile(log, found.prices, found.sites, loop.clock),
+        seats,
+    )
     return work
--- a/indigohitch/fleet/batches/part.py
+++ b/indigohitch/fleet/batches/part.py
@@ -1,6 +1,7 @@
 """The part `batches` of the book: contract, prices, batches, the plan, who holds which piece.  Deterministic.
 
 `pieces` has what becomes of each piece; here stands what all of them go by."""
+
 from __future__ import annotations
 
 import msgspec
@@ -28,16 +29,17 @@
     Word,
 )
 
-MOST = 20_000                   # pieces not over: some MB of a snapshot
-KEPT = 24 * 3600 * SECOND       # what is over is told that long
-TENANT = 2                      # one tenant may hold one in so many of these places
-LIFE = ("give", "start", "step", "late", "word")        # entries of one piece, in pieces.py
+MOST = 20_000  # pieces not over: some MB of a snapshot
+KEPT = 24 * 3600 * SECOND  # what is over is told that long
+TENANT = 2  # one tenant may hold one in so many of these places
+LIFE = ("give", "start", "step", "late", "word")  # entries of one piece, in pieces.py
 REPLANNED = (State.WAITING, State.GIVEN, State.RUNNING)
 AGAIN = "return when pieces of yours are done"
 
 
 class Known(Row):
     """A batch: what it was, and how many of its pieces are not over."""
+
     tenant: str
     digest: bytes
     left: int
@@ -57,8 +59,18 @@
 
 class Batches:
     name = "batches"
-    kinds = {"contract": Contract, "prices": Prices, "load": Load, "submit": Batch, "plan": Plan,
-             "give": Give, "start": Start, "step": Step, "late": Late, "word": Word}
+    kinds = {
+        "contract": Contract,
+        "prices": Prices,
+        "load": Load,
+        "submit": Batch,
+        "plan": Plan,
+        "give": Give,
+        "start": Start,
+        "step": Step,
+        "late": Late,
+        "word": Word,
+    }
 
     def __init__(self) -> None:
         self.book = None
@@ -67,12 +79,20 @@
     def set(self, row: BatchesRow) -> None:
         self.contract, self.prices, self.list_digest = row.contract, row.prices, row.list_digest
         self.loads, self.batches = row.loads, row.batches
-        self.version = row.version              # entry of the plan that stands
+        self.version = row.version  # entry of the plan that stands
         self.pieces = Pieces(row.pieces, row.ended)
 
     def row(self) -> BatchesRow:
-        return BatchesRow(self.contract, self.prices, self.list_digest, self.loads, self.batches,
-                          dict(sorted(self.pieces.all.items())), self.version, self.pieces.ended)
+        return BatchesRow(
+            self.contract,
+            self.prices,
+            self.list_digest,
+            self.loads,
+            self.batches,
+            dict(sorted(self.pieces.all.items())),
+            self.version,
+            self.pieces.ended,
+        )
 
     def restore(self, row: bytes) -> None:
         self.set(msgspec.msgpack.decode(row, type=BatchesRow))
@@ -107,10 +127,12 @@
 
     def on_contract(self, at: At, body: Contract) -> int:
         if body == self.contract:
-            return body.edition                 # told by two leaders, one after the other
+            return body.edition  # told by two leaders, one after the other
         if self.contract is not None and body.edition <= self.contract.edition:
-            raise Unfit(f"edition {body.edition} of the contract; {self.contract.edition} stands",
-                        remedy="a changed contract has a higher edition")
+            raise Unfit(
+                f"edition {body.edition} of the contract; {self.contract.edition} stands",
+                remedy="a changed contract has a higher edition",
+            )
         self.contract = body
         changed(self.book, at, "electricity")
         return body.edition
@@ -133,7 +155,7 @@
         known, stamp = self.batches.get(body.id), digest(msgspec.msgpack.encode(body))
         if known is not None:
             if known.digest == stamp:
-                return known.left               # asked twice: once is enough
+                return known.left  # asked twice: once is enough
             raise Unfit(f"batch {body.id} is another one", remedy="give each batch an id of its own")
         rpc = self.rpc(body.rpc)
         if rpc is None:
@@ -141,12 +163,15 @@
         for number, cut in enumerate(body.cuts):
             wide = min(cut.latest - cut.earliest, cut.latest - at.time)
             if cut.work <= 0 or cut.steps <= 0 or wide < cut.work:
-                raise Unfit(f"piece {number} of {body.id} can't be done between its times",
-                            remedy="more time between earliest and latest, or less work a piece")
+                raise Unfit(
+                    f"piece {number} of {body.id} can't be done between its times",
+                    remedy="more time between earliest and latest, or less work a piece",
+                )
         mine = sum(batch.left for batch in self.batches.values() if batch.tenant == body.tenant)
         if not body.cuts or mine + len(body.cuts) > MOST // TENANT:
-            raise Unfit(f"{len(body.cuts)} pieces: {body.tenant} would hold over {MOST // TENANT}",
-                        remedy=AGAIN)
+            raise Unfit(
+                f"{len(body.cuts)} pieces: {body.tenant} would hold over {MOST // TENANT}", remedy=AGAIN
+            )
         if len(self.pieces.open) + len(body.cuts) > MOST:
             raise Unfit(f"{len(self.pieces.open)} pieces are held already", remedy=AGAIN)
         self.forget(at.time)
@@ -184,8 +209,10 @@
             return False
         if rpc is None or placing.kind not in rpc.power or rpc.sites and placing.site not in rpc.sites:
             return False
-        return piece.state is State.WAITING or (placing.site, placing.kind) == (piece.placing.site,
-                                                                              piece.placing.kind)
+        return piece.state is State.WAITING or (placing.site, placing.kind) == (
+            piece.placing.site,
+            piece.placing.kind,
+        )
 
     def forget(self, time: int) -> None:
         old = [id for id, batch in self.batches.items() if not batch.left and batch.over < time - KEPT]
--- a/indigohitch/fleet/batches/pieces.py
+++ b/indigohitch/fleet/batches/pieces.py
@@ -2,6 +2,7 @@
 
 A piece is free again only when its holder gave it back, or surely holds nothing any more.  What is not
 idempotent and may have run is held as unclear; only an operator's word frees it."""
+
 from __future__ import annotations
 
 from ...errors import Unfit
@@ -12,8 +13,8 @@
 class Pieces:
     def __init__(self, all: dict[str, Piece], ended: dict[str, int]) -> None:
         self.all = all
-        self.ended = ended                      # by member: its last incarnation that holds nothing any more
-        self.over: dict[str, None] = {}         # since who owns this looked last
+        self.ended = ended  # by member: its last incarnation that holds nothing any more
+        self.over: dict[str, None] = {}  # since who owns this looked last
         # For looking up; no part of the state.
         self.open: dict[str, None] = {}
         self.held: dict[tuple[str, int], dict[str, None]] = {}
@@ -46,7 +47,7 @@
             raise Unfit(f"{body.piece} is {piece.state.value}")
         if at.time >= piece.cut.latest:
             raise Unfit(f"{body.piece}: its latest time has come")
-        if body.incarnation <= self.ended.get(body.member, 0):      # nobody would ever free it again
+        if body.incarnation <= self.ended.get(body.member, 0):  # nobody would ever free it again
             raise Unfit(f"{body.member} {body.incarnation} is gone")
         piece.state = State.GIVEN
         self.hold(body.piece, piece, body.member, body.incarnation)
@@ -77,14 +78,24 @@
         if body.end == "rests":
             self.free(body.piece, piece, State.MISSED if at.time >= piece.cut.latest else State.WAITING, at)
         elif body.end:
-            self.free(body.piece, piece, State.DONE if body.end == "done" else State.UNCLEAR, at,
-                      "" if body.end == "done" else f"step {body.step}: {body.why}")
+            self.free(
+                body.piece,
+                piece,
+                State.DONE if body.end == "done" else State.UNCLEAR,
+                at,
+                "" if body.end == "done" else f"step {body.step}: {body.why}",
+            )
         return piece.step
 
     def late(self, at: At, body: Late) -> int:
         """What a member has started is not touched: it ends by itself, or with that member."""
-        late = [id for id in body.pieces if (piece := self.all.get(id)) is not None
-                and piece.state in (State.WAITING, State.GIVEN) and at.time >= piece.cut.latest]
+        late = [
+            id
+            for id in body.pieces
+            if (piece := self.all.get(id)) is not None
+            and piece.state in (State.WAITING, State.GIVEN)
+            and at.time >= piece.cut.latest
+        ]
         for id in late:
             self.free(id, self.all[id], State.MISSED, at)
         return len(late)
@@ -92,8 +103,9 @@
     def word(self, at: At, body: Word) -> str:
         piece = self.one(body.piece)
         if piece.state is not State.UNCLEAR and not (body.word == "drop" and piece.state is State.WAITING):
-            raise Unfit(f"{body.piece} is {piece.state.value}",
-                        remedy="a word is wanted of unclear pieces only")
+            raise Unfit(
+                f"{body.piece} is {piece.state.value}", remedy="a word is wanted of unclear pieces only"
+            )
         if body.word == "from" and piece.step <= body.step < piece.cut.steps:
             piece.step = body.step
             self.free(body.piece, piece, State.MISSED if at.time >= piece.cut.latest else State.WAITING, at)
@@ -101,8 +113,10 @@
             piece.step = piece.cut.steps if body.word == "done" else piece.step
             self.free(body.piece, piece, State.DONE if body.word == "done" else State.DROPPED, at)
         else:
-            raise Unfit(f"{body.word!r} {body.step}", remedy=f"from STEP ({piece.step} to "
-                                                             f"{piece.cut.steps - 1}), done or drop")
+            raise Unfit(
+                f"{body.word!r} {body.step}",
+                remedy=f"from STEP ({piece.step} to {piece.cut.steps - 1}), done or drop",
+            )
         return piece.state.value
 
     def gone(self, at: At, name: str, incarnation: int) -> None:
@@ -110,8 +124,13 @@
         for id in sorted(self.held.get((name, incarnation), ())):
             piece = self.all[id]
             unclear = piece.state is State.RUNNING and not piece.idempotent
-            self.free(id, piece, State.UNCLEAR if unclear else State.WAITING, at,
-                      f"{name} was lost at step {piece.step} or later" if unclear else "")
+            self.free(
+                id,
+                piece,
+                State.UNCLEAR if unclear else State.WAITING,
+                at,
+                f"{name} was lost at step {piece.step} or later" if unclear else "",
+            )
 
     # ---- one piece ---------------------------------------------------------------------------------
 
--- a/indigohitch/fleet/batches/placing.py
+++ b/indigohitch/fleet/batches/placing.py
@@ -1,6 +1,7 @@
 """Slots and what is left in them: where a piece fits, what that costs, where it fits best.  No I/O.
 
 Costs are whole numbers: thousandths of a cent for a kWh, times watts, times slots."""
+
 from __future__ import annotations
 
 import math
@@ -8,11 +9,12 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-Place = tuple[str, str]         # site, kind of node
+Place = tuple[str, str]  # site, kind of node
 
 
 class Spot(NamedTuple):
     """Where and in which slots a piece stands; slots are counted from the field's first."""
+
     place: Place
     slots: tuple[int, ...]
 
@@ -21,6 +23,7 @@
 class Task:
     """A piece as the plan sees it.  It needs `need` slots from `first` to before `last`; `power` names the
     places where it may run, with its watts there."""
+
     id: str
     first: int
     last: int
@@ -28,12 +31,13 @@
     power: dict[Place, int]
     pause: int = 0
     seats: dict[str, int] = field(default_factory=dict)
-    fresh: bool = True          # no plan has stood for it yet: nothing is turned over
-    fixed: bool = False         # it runs: it stays where it is
+    fresh: bool = True  # no plan has stood for it yet: nothing is turned over
+    fixed: bool = False  # it runs: it stays where it is
 
 
-def choose(costs: Sequence[int | None], need: int, pause: int,
-           most: float = math.inf) -> tuple[int, tuple[int, ...]] | None:
+def choose(
+    costs: Sequence[int | None], need: int, pause: int, most: float = math.inf
+) -> tuple[int, tuple[int, ...]] | None:
     """The cheapest `need` of these, None being of no use, where each gap costs `pause`; the earliest of
     equals.  None if there are too few, or all cost `most` and more.  Where the cheapest slots lie apart: a
     dynamic programme over (slot, chosen so far, is the last one in)."""
@@ -84,9 +88,14 @@
     """What each slot of each place has left.  `prices` and `lanes` by place, `peaks` by site (watts left for
     batches, surcharge), `seats` by feature: each a list by slot, or one value for all."""
 
-    def __init__(self, count: int, prices: dict[Place, list[int]], lanes: dict[Place, list[int]],
-                 peaks: dict[str, tuple[int, int]] | None = None,
-                 seats: dict[str, int] | None = None) -> None:
+    def __init__(
+        self,
+        count: int,
+        prices: dict[Place, list[int]],
+        lanes: dict[Place, list[int]],
+        peaks: dict[str, tuple[int, int]] | None = None,
+        seats: dict[str, int] | None = None,
+    ) -> None:
         self.count, self.prices = count, prices
         self.room = {place: list(lanes[place]) for place in sorted(lanes)}
         self.peaks = peaks or {}
@@ -123,7 +132,8 @@
 
     def fits(self, task: Task, place: Place, at: int) -> bool:
         return self.room[place][at] > 0 and all(
-            self.seats[feature][at] >= much for feature, much in task.seats.items() if feature in self.seats)
+            self.seats[feature][at] >= much for feature, much in task.seats.items() if feature in self.seats
+        )
 
     def holds(self, task: Task, spot: Spot) -> bool:
         """Is there room for all of it?"""
--- a/indigohitch/fleet/batches/plan.py
+++ b/indigohitch/fleet/batches/plan.py
@@ -2,6 +2,7 @@
 
 A move is made only for a gain above the dead band, one piece or one pair of pieces at a time; nothing is ever
 placed past its latest time.  What can't be placed at all stands in `unplanned`."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -15,15 +16,15 @@
 # Blockers tried for one piece, and how many pieces are placed anew together: 25 pieces end 1.064 of the best
 # (mean), with 3 and 2 it is 1.098, with 8 and 10 1.060 at half as much time again.
 PAIRS, GROUP = 8, 6
-WAY = 64                        # of many in the way the first ones: all in a small plan
-LITTLE = 0.002                  # of its cost, for a piece that no plan stands for yet
+WAY = 64  # of many in the way the first ones: all in a small plan
+LITTLE = 0.002  # of its cost, for a piece that no plan stands for yet
 # Rounds over all pieces: the first ones move each alone, which is ten times as fast and most of the gain;
 # then together with who is in the way, until nothing moves or the plan counts as settled.
 ALONE, PASSES = 2, 6
 # New ones that are placed both ways: small cases end at 1.02 instead of 1.07.  Only in a plan of so many at
 # most, as that is one step.
 ANEW, ALL = 64, 512
-RANKED = 128                    # ranked in a step: a ms
+RANKED = 128  # ranked in a step: a ms
 
 
 class Plan:
@@ -31,9 +32,9 @@
         self.field, self.dead = field, dead
         self.tasks: dict[str, Task] = {}
         self.spots: dict[str, Spot] = {}
-        self.there: dict[tuple, dict[str, None]] = {}   # by place and slot: who stands in it
+        self.there: dict[tuple, dict[str, None]] = {}  # by place and slot: who stands in it
         self.unplanned: dict[str, None] = {}
-        self.wishes: dict[str, tuple[int, Spot] | None] = {}    # where each would stand if it were alone
+        self.wishes: dict[str, tuple[int, Spot] | None] = {}  # where each would stand if it were alone
         self.tried: dict[tuple[str, ...], list[Spot]] = {}
         self.moves = 0
 
@@ -60,13 +61,22 @@
             task = self.tasks[id]
             total += sum(field.prices[spot.place][at] * task.power[spot.place] for at in spot.slots)
             total += task.pause * sum(b != a + 1 for a, b in zip(spot.slots, spot.slots[1:]))
-        return total + sum(surcharge * sum(max(0, watts - peak) for watts in field.drawn[site])
-                           for site, (peak, surcharge) in sorted(field.peaks.items()) if site in field.drawn)
+        return total + sum(
+            surcharge * sum(max(0, watts - peak) for watts in field.drawn[site])
+            for site, (peak, surcharge) in sorted(field.peaks.items())
+            if site in field.drawn
+        )
 
     def peak_over(self) -> int:
         """Watts over the contracted peak in the worst slot."""
-        return max((max(0, watts - peak) for site, (peak, _) in self.field.peaks.items()
-                    for watts in self.field.drawn.get(site, ())), default=0)
+        return max(
+            (
+                max(0, watts - peak)
+                for site, (peak, _) in self.field.peaks.items()
+                for watts in self.field.drawn.get(site, ())
+            ),
+            default=0,
+        )
 
     # ---- at once -----------------------------------------------------------------------------------
 
@@ -123,11 +133,13 @@
             wish = self.wishes[task.id] = self.field.best(task, alone=True)
         if wish is None or cost - wish[0] <= self.band([task], cost):
             return False
-        there = sorted(self.in_the_way(task, wish[1]), key=lambda id: (
-            self.tasks[id].power[self.spots[id].place], id))
+        there = sorted(
+            self.in_the_way(task, wish[1]), key=lambda id: (self.tasks[id].power[self.spots[id].place], id)
+        )
         others = [self.tasks[id] for id in there if not self.tasks[id].fixed]
         return any(self.regroup([task, other]) for other in others[:PAIRS]) or (
-            1 < len(others) and self.regroup([task, *reversed(others[:GROUP - 1])]))
+            1 < len(others) and self.regroup([task, *reversed(others[: GROUP - 1])])
+        )
 
     def seen(self, group: list[Task]) -> bool:
         """These were tried as they stand: what changed around them hardly makes a gain of it."""
@@ -183,7 +195,8 @@
         field, ((site, kind), slots) = self.field, self.spots[task.id]
         peak, surcharge = field.peaks.get(site, (0, 0))
         return task.power[site, kind] * max(
-            field.prices[site, kind][at] + (surcharge if field.drawn[site][at] > peak else 0) for at in slots)
+            field.prices[site, kind][at] + (surcharge if field.drawn[site][at] > peak else 0) for at in slots
+        )
 
     def looks(self) -> Iterator[bool]:
         """One look a step, until nothing moves any more: who drives this has the budget."""
--- a/indigohitch/fleet/batches/prices.py
+++ b/indigohitch/fleet/batches/prices.py
@@ -6,6 +6,7 @@
 
 A line tells a site, the start with its offset from UTC (local times alone would be doubled on one night and
 missing on another), and the price of a kWh in cents, which may be below 0."""
+
 from __future__ import annotations
 
 from collections.abc import Collection, Iterator
@@ -20,9 +21,16 @@
 from .rows import Prices
 
 HOUR = 3600 * SECOND
-LINES = 3000                    # a month of hours for four sites; a list is one entry, 48 KB at most
-EACH = {"1h": HOUR, "30m": HOUR // 2, "15m": HOUR // 4, "5m": HOUR // 12, "1m": HOUR // 60,
-        "10s": 10 * SECOND, "1s": SECOND}
+LINES = 3000  # a month of hours for four sites; a list is one entry, 48 KB at most
+EACH = {
+    "1h": HOUR,
+    "30m": HOUR // 2,
+    "15m": HOUR // 4,
+    "5m": HOUR // 12,
+    "1m": HOUR // 60,
+    "10s": 10 * SECOND,
+    "1s": SECOND,
+}
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -33,8 +41,10 @@
     except ValueError:
         raise Unfit(f"{text!r} is no time", remedy="a time such as 2026-12-02T14:00+01:00") from None
     if at.tzinfo is None:
-        raise Unfit(f"{text!r} does not say its offset from UTC",
-                    remedy="a time such as 2026-12-02T14:00+01:00, or with Z") from None
+        raise Unfit(
+            f"{text!r} does not say its offset from UTC",
+            remedy="a time such as 2026-12-02T14:00+01:00, or with Z",
+        ) from None
     return (at.astimezone(UTC) - _EPOCH) // timedelta(microseconds=100)
 
 
@@ -50,6 +60,7 @@
 
     def bad(at: int, what: str, remedy: str) -> Unreadable:
         return Unreadable(what, f"{source}:{at}", f"{remedy}; the last good prices stand")
+
     for at, words in _lines(text):
         if at > LINES:
             raise bad(at, f"more than {LINES} lines", "give fewer days at once")
@@ -74,8 +85,11 @@
         except Unfit as unfit:
             raise bad(at, unfit.what, unfit.remedy) from None
         if time % each:
-            raise bad(at, f"{start} is not on the hour" if each == HOUR else f"{start} is not on the grid",
-                      "starts lie `each` apart, counted from the full hour of UTC")
+            raise bad(
+                at,
+                f"{start} is not on the hour" if each == HOUR else f"{start} is not on the grid",
+                "starts lie `each` apart, counted from the full hour of UTC",
+            )
         if (first := lines.setdefault((site, time), at)) != at:
             raise bad(at, f"{site} {start} stands already in line {first}", "one price for each start")
         found.setdefault(site, {})[time] = cents
@@ -94,14 +108,19 @@
     """May it stand in place of `held`, which came with the list of digest `known`?  Raises Unfit: an older
     edition, another list under one number, or late: it ends before now."""
     if held is not None and new.edition < held.edition:
-        raise Unfit(f"edition {new.edition} is older than {held.edition}, which stands",
-                    remedy="a list that corrects others has a higher edition")
+        raise Unfit(
+            f"edition {new.edition} is older than {held.edition}, which stands",
+            remedy="a list that corrects others has a higher edition",
+        )
     if held is not None and new.edition == held.edition and fingerprint(new) != known:
-        raise Unfit(f"edition {new.edition} was another list before",
-                    remedy="a corrected list has a higher edition")
+        raise Unfit(
+            f"edition {new.edition} was another list before", remedy="a corrected list has a higher edition"
+        )
     if max(max(prices) for prices in new.sites.values()) + new.each <= now:
-        raise Unfit("the list is late: its last price is over",
-                    remedy="fetch the list of today; the last good prices stand")
+        raise Unfit(
+            "the list is late: its last price is over",
+            remedy="fetch the list of today; the last good prices stand",
+        )
 
 
 def fingerprint(new: Prices) -> bytes:
--- a/indigohitch/fleet/batches/rounds.py
+++ b/indigohitch/fleet/batches/rounds.py
@@ -1,6 +1,7 @@
 """The plan in rounds: the book's pieces, planned anew in small steps, and the changes that come of it.
 
 A round is a generator, so that the leader's process does little of it a beat.  No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
@@ -12,12 +13,12 @@
 from .plan import DEAD, Plan
 from .rows import Piece, Placing, Site, State
 
-PUTS, LOOKS = 128, (2, 32)      # a step: some ms of a leader's loop; the fewer pieces, the more looks
-MOVES = 256                     # changes in one entry: the budget of a round
-TIGHT = 128                     # pieces with least time to spare that are placed anew where one does not fit
-SLOTS = 4096                    # six weeks of quarters; what comes later is planned later
-BEGIN = 3 * SECOND // 10        # to be given, to start: three entries of the ledger
-SPARE = 20                      # one in so much more than the work: beats, checkpoints, tries again
+PUTS, LOOKS = 128, (2, 32)  # a step: some ms of a leader's loop; the fewer pieces, the more looks
+MOVES = 256  # changes in one entry: the budget of a round
+TIGHT = 128  # pieces with least time to spare that are placed anew where one does not fit
+SLOTS = 4096  # six weeks of quarters; what comes later is planned later
+BEGIN = 3 * SECOND // 10  # to be given, to start: three entries of the ledger
+SPARE = 20  # one in so much more than the work: beats, checkpoints, tries again
 HOUR = 3600 * SECOND
 
 
@@ -25,14 +26,20 @@
     """`time`: fleet time at its beginning; `seats`: by feature what batches may use at a time; `offered`: by
     place how many pieces the members there run at a time, where that is known."""
 
-    def __init__(self, part: Batches, time: int, seats: Mapping[str, int] | None = None,
-                 offered: Mapping[Place, int] | None = None, dead: float = DEAD) -> None:
+    def __init__(
+        self,
+        part: Batches,
+        time: int,
+        seats: Mapping[str, int] | None = None,
+        offered: Mapping[Place, int] | None = None,
+        dead: float = DEAD,
+    ) -> None:
         self.part, self.time, self.seats, self.dead = part, time, dict(seats or {}), dead
         self.offered = offered or {}
         self.slot = part.contract.slot
-        self.now = time // self.slot            # the slot that runs
+        self.now = time // self.slot  # the slot that runs
         self.before: dict[str, Placing | None] = {}
-        self.spots: dict[str, Spot | None] = {}         # as they were
+        self.spots: dict[str, Spot | None] = {}  # as they were
         self.plan: Plan | None = None
 
     # ---- the field ---------------------------------------------------------------------------------
@@ -88,16 +95,23 @@
         return Spot((placing.site, placing.kind), slots) if slots and time >= wanted else None
 
     def begun(self, piece: Piece) -> bool:
-        return piece.state is not State.WAITING or piece.placing is not None and any(
-            begin - SECOND <= self.time < end for begin, end in piece.placing.runs)
+        return (
+            piece.state is not State.WAITING
+            or piece.placing is not None
+            and any(begin - SECOND <= self.time < end for begin, end in piece.placing.runs)
+        )
 
     def task(self, id: str, piece: Piece, spot: Spot | None) -> Task | None:
         rpc = self.part.rpc(piece.rpc)
         if rpc is None:
             return None
-        power = {(site.name, kind): watts for site in self.part.contract.sites
-                 if not rpc.sites or site.name in rpc.sites
-                 for kind, watts in sorted(rpc.power.items()) if kind in site.lanes}
+        power = {
+            (site.name, kind): watts
+            for site in self.part.contract.sites
+            if not rpc.sites or site.name in rpc.sites
+            for kind, watts in sorted(rpc.power.items())
+            if kind in site.lanes
+        }
         # The slot that runs has gone in part: only who is in it already may go on in it.
         goes_on = piece.state is not State.WAITING
         first = max(-(-piece.cut.earliest // self.slot) - self.now, 0 if goes_on else 1)
@@ -111,10 +125,19 @@
             gone = self.time - self.now * self.slot if goes_on else 0
             need = -(-(self.left(piece) + gone) // self.slot)
             if last - first > need:
-                last -= 1                       # a slot to spare: strain may pause it
+                last -= 1  # a slot to spare: strain may pause it
         pause = rpc.pause * 1000 * HOUR // self.slot
-        return Task(id, first, last, need, power, pause, rpc.seats, spot is None,
-                    spot is not None and self.begun(piece) or goes_on)
+        return Task(
+            id,
+            first,
+            last,
+            need,
+            power,
+            pause,
+            rpc.seats,
+            spot is None,
+            spot is not None and self.begun(piece) or goes_on,
+        )
 
     # ---- the round ---------------------------------------------------------------------------------
 
@@ -182,14 +205,17 @@
         for id, before in self.before.items():
             spot, piece = plan.spots.get(id), self.part.pieces.all.get(id)
             if spot is not None and spot == self.spots[id] or piece is None or piece.placing is not before:
-                continue                        # as it was, or the book has gone on meanwhile
+                continue  # as it was, or the book has gone on meanwhile
             if spot is None:
                 if before is not None and piece.state is State.WAITING and before.runs[-1][1] <= self.time:
                     changes[id] = None
                 continue
             placing = Placing(*spot.place, self.runs(spot))
-            if before is None or (placing.site, placing.kind) != (before.site, before.kind) or (
-                    self.ahead(placing) != self.ahead(before)):
+            if (
+                before is None
+                or (placing.site, placing.kind) != (before.site, before.kind)
+                or (self.ahead(placing) != self.ahead(before))
+            ):
                 changes[id] = placing
         runs = {id: placing.runs if placing is not None else () for id, placing in changes.items()}
         soonest = sorted(changes, key=lambda id: (not runs[id], runs[id][:1], id))
--- a/indigohitch/fleet/batches/runner.py
+++ b/indigohitch/fleet/batches/runner.py
@@ -2,6 +2,7 @@
 
 What it holds stands in the book; nothing leaves before the book has the start under this member's stamp.  It
 asks nobody before it pauses, and stops by itself without a lease, at the end of a run, at a latest time."""
+
 from __future__ import annotations
 
 import enum
@@ -17,16 +18,16 @@
 # A checkpoint each sixteenth of the work, and not more often than this: a lost member costs a sixteenth, and
 # a member with eight pieces four entries a second at most.
 CHECK, PARTS = 2 * SECOND, 16
-BACK = SECOND // 4              # after a try that surely did not run; doubled each time up to
+BACK = SECOND // 4  # after a try that surely did not run; doubled each time up to
 BACK_MOST = 10 * SECOND
 
 
 class Phase(enum.Enum):
-    HELD = "held"               # nothing of it runs
-    STARTING = "starting"       # the start is on its way into the ledger
-    BETWEEN = "between"         # two steps
-    OUT = "out"                 # a step's RPC is out
-    ENDING = "ending"           # its end is on its way into the ledger
+    HELD = "held"  # nothing of it runs
+    STARTING = "starting"  # the start is on its way into the ledger
+    BETWEEN = "between"  # two steps
+    OUT = "out"  # a step's RPC is out
+    ENDING = "ending"  # its end is on its way into the ledger
 
 
 class Port(Protocol):
@@ -39,28 +40,29 @@
 @dataclass(slots=True)
 class Run:
     phase: Phase = Phase.HELD
-    attempt: int = 0            # that this process began; 0: none
-    step: int = 0               # surely done
-    due: int = 0                # when the next step may go, own monotonic clock
+    attempt: int = 0  # that this process began; 0: none
+    step: int = 0  # surely done
+    due: int = 0  # when the next step may go, own monotonic clock
     back: int = BACK
-    told_at: int = 0            # the last checkpoint
-    why: str = ""               # it can't go on: "unclear"
+    told_at: int = 0  # the last checkpoint
+    why: str = ""  # it can't go on: "unclear"
 
 
 class Runner:
     def __init__(self, part: Batches, acts: Acts, port: Port) -> None:
         self.part, self.acts, self.port = part, acts, port
         self.runs: dict[str, Run] = {}
-        self.steps = self.paused = 0            # sent; times that strain held a step back
-        self.lease: Lease | None = None         # as of the last turn, as is `strained`
+        self.steps = self.paused = 0  # sent; times that strain held a step back
+        self.lease: Lease | None = None  # as of the last turn, as is `strained`
         self.strained = False
 
-    def turn(self, now: int, time: int, lease: Lease | None, strained: bool, me: str,
-             lanes: int) -> list[Wanted]:
+    def turn(
+        self, now: int, time: int, lease: Lease | None, strained: bool, me: str, lanes: int
+    ) -> list[Wanted]:
         """`time`: fleet time; `lanes`: how many pieces this member runs at a time."""
         self.lease, self.strained = lease, strained
         if lease is None or lease.left(now) <= 0 or not time:
-            return []                           # what is out ends by itself; nothing else goes
+            return []  # what is out ends by itself; nothing else goes
         held = self.part.pieces.held.get((me, lease.incarnation), {})
         for id in [id for id in self.runs if id not in held]:
             del self.runs[id]
@@ -104,7 +106,7 @@
             return self.end(id, run, piece, "rests")
         self.go_on(now, id, run, piece)
         if now - run.told_at >= max(CHECK, piece.cut.work // PARTS):
-            run.told_at = now                   # also where nothing went on: the plan has to know
+            run.told_at = now  # also where nothing went on: the plan has to know
             return [Wanted("batches.step", Step(id, run.attempt, run.step), f"step {id}")]
         return []
 
@@ -133,16 +135,22 @@
     def end(self, id: str, run: Run, piece: Piece, how: str) -> list[Wanted]:
         run.phase = Phase.ENDING
         step = run.step if run.attempt == piece.attempt and run.attempt else piece.step
-        return [Wanted("batches.step", Step(id, piece.attempt, max(step, piece.step), how, run.why),
-                       f"end {id}")]
+        return [
+            Wanted("batches.step", Step(id, piece.attempt, max(step, piece.step), how, run.why), f"end {id}")
+        ]
 
     # ---- what comes back ---------------------------------------------------------------------------
 
     def outcome(self, now: int, id: str, step: int, stamp: Stamp, outcome: str, why: str = "") -> None:
         """Of a step's RPC.  What is not idempotent goes out again only if it surely did not run."""
         run, piece = self.runs.get(id), self.part.pieces.all.get(id)
-        if run is None or piece is None or run.phase is not Phase.OUT or run.step != step or (
-                piece.stamp != stamp):
+        if (
+            run is None
+            or piece is None
+            or run.phase is not Phase.OUT
+            or run.step != step
+            or (piece.stamp != stamp)
+        ):
             return
         run.phase = Phase.BETWEEN
         if outcome == "ok":
@@ -162,7 +170,7 @@
             return
         if refused is False:
             if word == "end":
-                del self.runs[id]               # it may be given to us anew
+                del self.runs[id]  # it may be given to us anew
             return
         if word == "start" and run.phase is Phase.STARTING:
             run.phase, run.attempt = Phase.HELD, run.attempt if refused is None else 0
--- a/indigohitch/fleet/batches/sending.py
+++ b/indigohitch/fleet/batches/sending.py
@@ -1,5 +1,6 @@
 """Steps of pieces as RPCs over HTTP: to the sidecar of this process, whose decision module chooses among the
 servers, or to the server that the operator's file names."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
@@ -37,8 +38,13 @@
 class Sending:
     """A `runner.Port`.  `to`: by site and kind of node; `back(piece, step, stamp, outcome, why)`."""
 
-    def __init__(self, loop: Loop, part: Batches, to: Mapping[tuple[str, str], tuple[str, int]],
-                 back: Callable[[str, int, Stamp, str, str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        part: Batches,
+        to: Mapping[tuple[str, str], tuple[str, int]],
+        back: Callable[[str, int, Stamp, str, str], None],
+    ) -> None:
         self.loop, self.part, self.back = loop, part, back
         # Each step on a connection of its own: one that had rested may close as the RPC goes out, and then
         # nobody knows whether it ran.
@@ -52,11 +58,14 @@
             self.loop.after(0, lambda: self.back(piece, step, stamp, "not run", "nobody to send it to"))
             return
         target = rpc.path.replace("{piece}", piece).replace("{step}", str(step))
-        data = (f"POST {target} HTTP/1.1\r\nHost: {client.host}\r\nX-Id: {piece}.{step}\r\n"
-                f"X-Stamp: {mark(stamp)}\r\nContent-Length: 0\r\n\r\n").encode()
+        data = (
+            f"POST {target} HTTP/1.1\r\nHost: {client.host}\r\nX-Id: {piece}.{step}\r\n"
+            f"X-Stamp: {mark(stamp)}\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
 
         def done(answer: Answer) -> None:
             self.back(piece, step, stamp, *outcome(answer))
+
         Exchange(client, data, max(LEAST, 2 * known.cut.work // known.cut.steps), done).start()
 
     def close(self) -> None:
--- a/indigohitch/fleet/batches/slack.py
+++ b/indigohitch/fleet/batches/slack.py
@@ -1,4 +1,5 @@
 """Slot by slot: who has least time to spare runs.  For plans in which one after the other does not fit."""
+
 from __future__ import annotations
 
 from heapq import heappop, heappush
@@ -21,7 +22,7 @@
         while ready and any(room[now] > 0 for room in field.room.values()):
             slack, _, id, task = heappop(ready)
             if slack < now:
-                continue                # can't be in time any more
+                continue  # can't be in time any more
             places = [at_place[id]] if id in at_place else task.power
             place = next((p for p in places if p in field.room and field.fits(task, p, now)), None)
             if place is None:
--- a/indigohitch/fleet/batches/strain.py
+++ b/indigohitch/fleet/batches/strain.py
@@ -2,19 +2,20 @@
 
 No one is asked: some slow RPCs, one soon after the other, pause the batches here at once.  A cumulative sum
 (Page 1954) tells them from the odd slow one: it grows with each RPC over the line, else it shrinks."""
+
 from __future__ import annotations
 
 from ...net.clock import SECOND
 
-FIRST = 32                      # RPCs from which the first calm level is taken
-OVER, GRAIN = 1.15, 10          # the line: so much above the calm level, and a ms against the clocks' noise
+FIRST = 32  # RPCs from which the first calm level is taken
+OVER, GRAIN = 1.15, 10  # the line: so much above the calm level, and a ms against the clocks' noise
 # In calm one in ten is over the level, fewer over the line: the sum falls by 0.2 an RPC, and six in a row or
 # half of twenty raise it to the mark.  Capped, so that it is gone after 36 good ones.
 GOOD, MARK, MOST = 1 / 3, 6.0, 12.0
-SILENT = SECOND                 # without interactive RPCs for so long nobody is there to be hurt
+SILENT = SECOND  # without interactive RPCs for so long nobody is there to be hurt
 # The level follows its tenth by 1 in so many of itself an RPC: a burst of seconds hardly moves it.
 SLOW = 512
-MEAN = 5 * SECOND               # what is told of the load is a mean over this
+MEAN = 5 * SECOND  # what is told of the load is a mean over this
 
 
 class Strain:
@@ -22,7 +23,7 @@
 
     def __init__(self) -> None:
         self.calm, self.sum = 0.0, 0.0
-        self.strained = self.busy = False       # busy: batches run here, what is felt may be their doing
+        self.strained = self.busy = False  # busy: batches run here, what is felt may be their doing
         self.pauses = 0
         self._first: list[int] = []
         self._felt = 0
@@ -43,7 +44,7 @@
             self.sum = max(0.0, self.sum - GOOD)
         if latency <= self.calm:
             self.calm -= self.calm / SLOW / 10
-        elif not self.busy:                     # or batches would raise it step by step
+        elif not self.busy:  # or batches would raise it step by step
             self.calm += self.calm / SLOW * 9 / 10
         self.judge()
 
