Calls to the relay are numbered in the log; a check while running that drains are kept

Change: platformlink/call_log.py (relay_call_sent, relay_call_stands, why a call is held and for how long), list_log.py (list_heard), drains.py (drain_done, drain_overdue, line_back_at_leaving, counter invariant_drain_overdue). The check pauses while the relay fails, as the protocol lets time limits do. Stand-in relay: a cut after which slices are given anew. Decisions are as before.

--- a/indigohitch/platformlink/calls.py
+++ b/indigohitch/platformlink/calls.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from urllib.parse import urlencode
 from xml.etree import ElementTree
 
 from .. import interface as face
 from ..net.exchange import Answer
 
 BYTES = 60_000  # of orders that a call may carry, says the protocol
+FORM = "application/x-www-form-urlencoded"
+
+
+def form(orders: str) -> bytes:
+    """A call's body; `orders` in the relay's words, in turn."""
+    return urlencode({"Action": "CommitChanges", "orders": orders}).encode("ascii")
 
 
 def encode(order: face.Order, methods: Sequence[str]) -> str:
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -19,8 +19,10 @@
 from .backlog import Backlog
 from .collectors import Collectors
 from .discovery import Discovery, read_list
+from .drains import DrainWatch
 from .holdings import Holdings
 from .limits import Limits
+from .list_log import log_list
 from .news import News
 from .probes import Probes
 from .relay import Relay
@@ -73,7 +75,17 @@
             ),
         )
         self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
-        self.relay.stands, self.relay.dropped = self.holdings.stands, self.holdings.dropped
+        self.relay.stands, self.relay.dropped = self._stand, self.holdings.dropped
+        self.drains = DrainWatch(
+            loop,
+            log,
+            self._figure("drain_grace"),
+            lambda: self.holdings.stood,
+            lambda: len(self.relay.waiting),
+            not self.boot.get("dropped_stay_open"),
+        )
+        self.holdings.given, self.holdings.broken_off = self.drains.slice_given, self.drains.news_lost
+        self.relay.failing = self.drains.relay_failed
         self.news = News(loop, log, store, self.holdings)
         self.relay.stood = lambda: self.holdings.stood
         self.relay.doubted = self.news.anew
@@ -184,6 +196,10 @@
             self.log.count("orders", len(call))
             self.relay.order(call)
 
+    def _stand(self, orders: list[face.Order]) -> None:
+        self.holdings.stands(orders)
+        self.drains.stands(orders)
+
     # ---- news --------------------------------------------------------------------------------------
 
     def hear_news(self, *events: face.Event) -> None:
@@ -198,6 +214,7 @@
     # ---- discovery ---------------------------------------------------------------------------------
 
     def hear_list(self, news: face.BackendList, addresses: dict[str, str]) -> None:
+        log_list(self.log, self.listed, news)
         if news.scope == "full":
             self.listed.clear()
             self.addresses = {}
@@ -210,6 +227,7 @@
                 del self.listed[entry.backend], self.addresses[entry.backend]
         for id in [id for id in self.heard_of if id not in self.listed][: -self.GONE]:
             del self.heard_of[id]
+        self.drains.listed(news)
         self.hear(news)
 
     def close(self) -> None:
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -47,6 +47,8 @@
         self.asked: list[face.Order] | None = None  # orders answered since the next stream was asked for
         self.begun = False  # the news have told once what stands
         self.lost: set[int] = set()  # tables whose orders were dropped: to be told anew
+        self.broken_off: Callable[[], None] = lambda: None  # the news broke
+        self.given: Callable[[int], None] = lambda number: None  # a slice came into charge
 
     # ---- news --------------------------------------------------------------------------------------
 
@@ -55,12 +57,13 @@
         self.asked = []
 
     def news_opening(self) -> None:
-        self.news_lost()
+        self._unsettled()
         self.opening, self.asked = Opening(self.asked or []), None
 
     def news_lost(self) -> None:
         """What the stream told last may be half a table: the next one tells it whole."""
         self._unsettled()
+        self.broken_off()
 
     def news(self, event: face.Event) -> None:
         match event:
@@ -76,6 +79,8 @@
                     self.hear(event)
             case face.Charge(number, True):
                 # Given anew a slice loses its level; named at the start of the news it may be the same still.
+                if number not in self.stood:
+                    self.given(number)
                 known = self.stood.get(number) if self.opening is not None else None
                 self.fresh[number] = tables.Table(level=known.level if known is not None else None)
                 if self.opening is None or number in self.opening.taken:
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from urllib.parse import urlencode
 
 from .. import interface as face
 from ..log import Log
@@ -14,7 +13,8 @@
 from ..net.loop import Deadline, Loop
 from . import tables
 from .backlog import Backlog, Sent
-from .calls import encode, merge, pieces, read_answer
+from .call_log import CallLog, Occupancy
+from .calls import FORM, encode, form, merge, pieces, read_answer
 from .doubt import Effect, Evidence, Inquiry, MarkProof
 
 
@@ -48,7 +48,8 @@
         self.stood: Callable[[], tables.Tables] = dict  # what stands in the store, but for calls in doubt
         self.went = 0  # when a call did last
         self.inquiry = Inquiry(loop, self._found)  # into whether the first call was carried out
-        self.proof = MarkProof()  # of the first call
+        self.proof, self.told = MarkProof(), CallLog(log)  # of the first call
+        self.failing: Callable[[str], None] = lambda outcome: None  # a call broke, and how
         self.written: deque[int] = deque()  # when calls went out that the proxies may have heard of
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None  # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
@@ -104,15 +105,16 @@
         while self.written and self.written[0] <= now - self.over - self.MARGIN:
             self.written.popleft()
         if self.most and len(self.written) >= self.most:
-            self.log.trouble("call_held_back", calls=len(self.waiting))
-            self.due = self.loop.at(self.written[0] + self.over + self.MARGIN, self._call)
+            free = self.written[0] + self.over + self.MARGIN
+            self.told.held("call_held_back", self._occupancy(), free - now)
+            self.due = self.loop.at(free, self._call)
             return
         self._cut_to_the_channel()
         size = self.wanting = self.backlog.size(self.waiting[0])
         if (when := self.backlog.fits_at(now, size)) > now:
             # The module counts a call once, from when it ordered it: what went may lie in the channel twice,
             # and what had to wait for the relay has not begun to leave.
-            self.log.trouble("call_waits_for_the_channel", lines=size, for_ms=(when - now) / 10)
+            self.told.held("call_waits_for_the_channel", self._occupancy(), when - now, lines=size)
             self.due = self.loop.at(when, self._call)
             if self.failures:  # what stands in the store tells sooner whether it goes again at all
                 self.inquiry.open(self.client.to, self.went, Evidence(self.stood(), self.waiting[0]))
@@ -132,15 +134,17 @@
             return
         if self.proof.begin(self.waiting[0]):
             self.copies = []
+            self.told.begin()
         self.went = now
         self.written.append(now)
+        self.told.sent(self.waiting[0], size, self._occupancy())
         self.copies.append(self.backlog.sent(now, self.waiting[0]))
-        body = urlencode({"Action": "CommitChanges", "orders": orders})
         self.log.count("relay_calls")
         self.out = True
-        self.client.request(
-            "POST", "/", self.SPAN, self._answered, body.encode("ascii"), "application/x-www-form-urlencoded"
-        )
+        self.client.request("POST", "/", self.SPAN, self._answered, form(orders), FORM)
+
+    def _occupancy(self) -> Occupancy:
+        return Occupancy(len(self.written), round(self.backlog.lines), len(self.waiting))
 
     def _cut_to_the_channel(self) -> None:
         """One with more lines than may wait, as by merging or by proxies that joined, goes in parts."""
@@ -162,7 +166,7 @@
             said = str(bad)
         if isinstance(said, int):
             self.failures = 0
-            self._taken(said)
+            self._taken(said, "answer")
             self._call()
         elif said == "ValidationError":
             # The same again would be turned away again: never in a loop.
@@ -178,13 +182,8 @@
             self.due = self.loop.after(self.THROTTLED, self._call)
         else:
             # Carried out or not at all: the same once more, before anything later.
-            self.log.trouble(
-                "relay_call_unclear",
-                why=said,
-                orders=len(orders),
-                tries=self.failures + 1,
-                after_ms=answer.duration / 10,
-            )
+            self.told.unclear(said, orders, answer)
+            self.failing(answer.outcome)
             if self.proof.shown:
                 self._stands_as_shown()
                 return
@@ -201,7 +200,7 @@
         self.log.event("call_in_doubt_looked_up", effect=effect.name.lower(), orders=proved)
         self.failures = 0
         if effect is Effect.STANDS:
-            self._taken(proved, refused=False)
+            self._taken(proved, "tables")
         else:
             while self.copies and self.written:
                 self._not_carried_out()
@@ -230,16 +229,17 @@
         self.log.count("calls_shown_by_marks")
         self.inquiry.drop()
         self.failures = 0
-        self._taken(len(self.waiting[0]))
+        self._taken(len(self.waiting[0]), "mark")
         self._call()
 
-    def _taken(self, count: int, refused: bool = True) -> None:
-        """So many orders stand, and the next one is refused or, with the rest, still to go."""
+    def _taken(self, count: int, by: str) -> None:
+        """So many orders stand; by the answer the next one is refused, else the rest is still to go."""
         orders = self.waiting.popleft()
         self.log.count("orders_stand", count)
+        self.told.stands(count, by)
         self.stands(orders[:count])
         rest = orders[count:]
-        if rest and refused:
+        if rest and by == "answer":
             self.log.trouble("order_refused", order=encode(rest[0], self.methods))
             self.dropped([rest.pop(0)])
         if rest:
--- a/tests/relay_standin.py
+++ b/tests/relay_standin.py
@@ -4,13 +4,28 @@
 import time
 from urllib.parse import parse_qs, urlencode
 
-from peers import fail, given_up, http
+from peers import fail, given_up, http, reset
 
 
 class RelayStandIn:
     """A part of stage.Platform, which has its tables, proxies, faults and lock.  Each fault is met once."""
 
+    cut_off = (
+        False  # nothing is carried out or told; what is open stays silent, and is reset at the end of it
+    )
+    GIVEN_LATE = 0.03  # s after a stream's first sign of life, where slices were taken away meanwhile
+    taken_away = False  # the slices go to another coordinator in a cut, and come back after it
+
+    def _silent(self, sock):
+        """Says nothing until the cut is over."""
+        while self.cut_off:
+            time.sleep(0.005)
+        reset(sock)
+        raise OSError
+
     def _relay(self, sock, method, target, body):
+        if self.cut_off:
+            return self._silent(sock)
         if method == "GET":
             return self._stream(sock)
         form = parse_qs(body)
@@ -63,21 +78,25 @@
     def _stream(self, sock):
         if self.streams_mute:
             return "hang"
-        queue = []
+        queue, late = [], time.monotonic() + 0.1 + self.GIVEN_LATE
         with self.lock:
             for proxy in sorted(self.proxies):
                 queue.append(f"event: attach\ndata: id={proxy}&site=east&rps=5.0&new=1\n\n")
-            for number, table in self.tables.items():
-                queue.append(f"event: owner\ndata: range={number}&flag=1\n\n")
-                queue += [
-                    f"event: entry\ndata: range={number}&target={b}&rps={w}\n\n" for b, w in table.items()
-                ]
+            if not self.taken_away:
+                queue += self._charges()
             self.news.append(queue)
         sock.sendall(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
         alive = time.monotonic() + 0.1
         while True:
+            if self.cut_off:
+                self.news.remove(queue)
+                self._silent(sock)
+            if self.taken_away and time.monotonic() > late:
+                with self.lock:
+                    queue += self._charges()
+                    self.taken_away = False
             if self.news_faults:
                 how = self.news_faults.pop(0)
                 self.news.remove(queue)
@@ -93,6 +112,14 @@
                     sock.sendall(f"{len(piece):x}\r\n{piece}\r\n".encode())
             time.sleep(0.005)
 
+    def _charges(self):
+        """All slices in charge, each with its lines."""
+        told = []
+        for number, table in self.tables.items():
+            told.append(f"event: owner\ndata: range={number}&flag=1\n\n")
+            told += [f"event: entry\ndata: range={number}&target={b}&rps={w}\n\n" for b, w in table.items()]
+        return told
+
     def agrees(self):
         """Every slice in charge has one line, at a backend that serves and is not shut out."""
         with self.lock:
