One guard for every call to the relay: invariants checked apart from what decides

Need: the broken rule is to be an invariant that is checked while the program runs, in one place.

Change: platformlink/guard.py. Each call passes it as it is sent or sent again: the limit on messages by a count of its own, one call at a time, no repeat before the try before it is settled, no table changed before the store has told what stands, room in the channel; no line is set at a backend whose grace is over (a call in doubt with one is gathered with what makes up for it). A violation is counted (invariant_...), told, and kept from going out. The end tells what was still to go.

--- a/indigohitch/platformlink/call_queue.py
+++ b/indigohitch/platformlink/call_queue.py
@@ -21,6 +21,7 @@
 from .channel_bounds import ChannelBounds
 from .doubt import Effect
 from .first_call import FirstCall
+from .guard import Attempt, Guard
 from .outbox import Outbox
 
 
@@ -46,6 +47,7 @@
         self.told = CallLog(log)
         self.bounds = ChannelBounds(self.outbox, MessagePace(most, over + self.MARGIN), backlog, self.told)
         self.first = FirstCall(loop, self._found)
+        self.guard = Guard(log, most, over, backlog)
         self.failing: Callable[[str], None] = lambda outcome: None  # a call broke, and how
         self.stands: Callable[[list[face.Order]], None] = lambda orders: None  # what becomes of orders
         self.dropped: Callable[[list[face.Order]], None] = lambda orders: None
@@ -96,8 +98,9 @@
             self._call()  # what is in doubt stays so, and is looked up there
         return True
 
-    def order(self, orders: list[face.Order]) -> None:
-        self.outbox.add(orders)
+    def order(self, orders: list[face.Order], joins: bool = False) -> None:
+        """`joins`: these are no reply of the module, and may go with others of their kind."""
+        self.outbox.add(orders, joins)
         if self.idle or self.bounded:  # merged or not: one reply may be more calls than may wait
             self._call()
 
@@ -124,9 +127,9 @@
             self.first.inquire(self.client.to, self.waiting[0])
             self._wait_until(self.first.repeat_at(in_reach=False), self._repeat)
             return
-        if self.bounds.pace.most and len(self.waiting) > 1:
+        if len(self.waiting) > 1 and (self.bounds.pace.most or self.guard.late_lines(self.waiting[0])):
             self._gather()
-        if self._must_wait():
+        if not self._without_late_lines() or self._must_wait():
             return
         orders = ";".join(encode(order, self.methods) for order in self.waiting[0])
         if self.allowed is None or self.allowed(orders):
@@ -134,6 +137,19 @@
         else:
             self._not_allowed()
 
+    def _without_late_lines(self) -> bool:
+        """Takes what would break the rule on drains out of a call that has not gone; whether any is left."""
+        late = [] if self.first.in_doubt else self.guard.late_lines(self.waiting[0])
+        if late:
+            self.guard.refused(late)
+            self.outbox.leave_out(late)
+            self.dropped(late)
+            if not self.waiting[0]:
+                self.waiting.popleft()
+                self._call()
+                return False
+        return True
+
     def _wait_until(self, when: int | None, then: Callable[[], None] | None = None) -> None:
         """The one due time; None: nothing is waited for."""
         if self.due is not None:
@@ -158,6 +174,13 @@
         return self.bounded
 
     def _send(self, orders: str) -> None:
+        now = self.loop.clock.now()
+        tried_at = self.first.went if self.first.in_doubt else None
+        lines = self.backlog.size(self.waiting[0])
+        if not self.guard.sending(now, Attempt(self.waiting[0], lines, tried_at, self.out)):
+            self._wait_until(now + self.guard.AGAIN)
+            return
+        self.guard.sent(now)
         if self.first.sending(self.waiting[0]):
             self.bounds.copies = []
             self.told.begin()
--- a/indigohitch/platformlink/channel_bounds.py
+++ b/indigohitch/platformlink/channel_bounds.py
@@ -58,10 +58,12 @@
         self.pace.taken_back()
         self.backlog.taken_back(self.copies.pop())
 
-    def none_carried_out(self) -> None:
-        """Nor did any of the same orders before."""
-        while self.copies and self.pace.sent:
+    def none_carried_out(self) -> int:
+        """Nor did any of the same orders before; how many times they had gone."""
+        many = min(len(self.copies), len(self.pace.sent))
+        for _ in range(many):
             self.last_not_carried_out()
+        return many
 
     def occupancy(self) -> Occupancy:
         return Occupancy(len(self.pace.sent), round(self.backlog.lines), len(self.outbox.calls))
--- a/indigohitch/platformlink/drains.py
+++ b/indigohitch/platformlink/drains.py
@@ -101,6 +101,13 @@
         elif known is not None:
             known.state = state
 
+    def grace_over(self, backend: str) -> bool:
+        """Whether no line may be set there any more."""
+        departure = self.leaving.get(backend)
+        if departure is None or not self.grace:
+            return False
+        return self.time.at(self.loop.clock.now()) > departure.told_paused + self.grace
+
     def slice_given(self, number: int) -> None:
         """It came into charge, with whatever lines another coordinator left in it."""
         self.given[number] = self.time.at(self.loop.clock.now())
--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -75,7 +75,7 @@
                 lambda: self.holdings.proxies,
             ),
         )
-        self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self.relay.order)
+        self.holdings = Holdings(loop, log, self.hear_news, self.relay.pending, self._order_more)
         self.relay.stands, self.relay.dropped = self._stand, self.holdings.dropped
         self.drains = DrainWatch(
             loop,
@@ -87,6 +87,8 @@
         )
         self.holdings.given, self.holdings.broken_off = self.drains.slice_given, self.drains.news_lost
         self.relay.failing = self.drains.relay_failed
+        self.relay.guard.begun = lambda: self.holdings.begun
+        self.relay.guard.too_late = self.drains.grace_over
         self.news = News(loop, log, store, self.holdings)
         self.relay.first.stood = lambda: self.holdings.stood
         self.relay.outbox.urgent = lambda orders: urgent_tables(self.coordinator, orders, self.holdings.stood)
@@ -200,6 +202,10 @@
         else:
             self.relay.reconsider()
 
+    def _order_more(self, orders: list[face.Order]) -> None:
+        """What makes an event true, a slice at a time: many slices are one call."""
+        self.relay.order(orders, joins=True)
+
     def _stand(self, orders: list[face.Order]) -> None:
         self.holdings.stands(orders)
         self.drains.stands(orders)
--- /dev/null
+++ b/indigohitch/platformlink/guard.py
@@ -0,0 +1,108 @@
+"""The invariants of calls to the relay, checked where each begins, goes again, ends or is given up.
+
+Every call passes here whatever decided on it, and the counts are kept apart from those that decide: a wrong
+decision or restored state shows as a violation, which is counted, told and, where it would break a rule, kept
+from happening."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from .. import interface as face
+from ..log import Log
+from ..net.clock import SECOND
+from .backlog import Backlog
+
+
+class Invariant(enum.Enum):
+    """What must hold of every call."""
+
+    MESSAGES = "message_limit"  # a proxy gets no more messages than it may within the window
+    LINES = "channel_full"  # no more lines wait in the channel than may
+    ONE_AT_A_TIME = "call_beside_another"  # a call begins while another is out
+    REPEAT = "repeat_too_soon"  # it goes again before the try before it can have been carried out or not
+    LEAVING = "line_at_leaving"  # a line is set at a backend whose grace is over
+    START = "call_before_start"  # a table is changed before the store has told what stands
+
+
+@dataclass(slots=True, frozen=True)
+class Attempt:
+    """A call that is about to go."""
+
+    orders: Sequence[face.Order]
+    lines: int  # to all proxies
+    tried_at: int | None  # when the same went last, None: it did not
+    out: bool  # another one is out
+
+
+class Guard:
+    TOLD = 20  # backends in one log line
+    AGAIN = SECOND // 4  # until a call that may not go is looked at again
+    SETTLED = SECOND // 20  # a call is carried out by then, counted from when it went, or never
+
+    def __init__(self, log: Log, most: int, over: int, backlog: Backlog) -> None:
+        """A proxy may get `most` messages (0: any number) within `over` tenths of a ms."""
+        self.log, self.most, self.over, self.backlog = log, most, over, backlog
+        self.went: deque[int] = deque()  # within the last `over`
+        self.begun: Callable[[], bool] = lambda: True  # the store has told what stands
+        self.too_late: Callable[[str], bool] = lambda backend: False  # its grace is over
+
+    def sending(self, now: int, attempt: Attempt) -> bool:
+        """Whether it may go; called right before it does, for the first time or again."""
+        while self.went and self.went[0] <= now - self.over:
+            self.went.popleft()
+        broken = [
+            invariant
+            for invariant, holds in (
+                (Invariant.MESSAGES, not self.most or len(self.went) < self.most),
+                (Invariant.ONE_AT_A_TIME, not attempt.out),
+                (Invariant.REPEAT, attempt.tried_at is None or now >= attempt.tried_at + self.SETTLED),
+                (Invariant.START, self.begun() or not self._changes_tables(attempt.orders)),
+            )
+            if not holds
+        ]
+        for invariant in broken:
+            self._violated(invariant, orders=len(attempt.orders), messages=len(self.went))
+        if self.backlog.most and self.backlog.lines > 0 and self._too_many(attempt.lines):
+            self._violated(Invariant.LINES, lines=attempt.lines, waiting=round(self.backlog.lines))
+        return not broken
+
+    def _too_many(self, lines: int) -> bool:
+        return self.backlog.lines + lines > self.backlog.most and lines <= self.backlog.most
+
+    @staticmethod
+    def _changes_tables(orders: Sequence[face.Order]) -> bool:
+        return any(isinstance(order, (face.SetLine, face.ClearTable)) for order in orders)
+
+    def sent(self, now: int) -> None:
+        self.went.append(now)
+
+    def not_carried_out(self) -> None:
+        """What went last surely came to nothing."""
+        if self.went:
+            self.went.pop()
+
+    def late_lines(self, orders: Sequence[face.Order]) -> list[face.Order]:
+        """The lines among these that would be set at a backend whose grace is over."""
+        return [
+            order
+            for order in orders
+            if isinstance(order, face.SetLine) and order.weight > 0 and self.too_late(order.backend)
+        ]
+
+    def refused(self, late: Sequence[face.Order]) -> None:
+        """These lines do not go, as they would break the rule on drains."""
+        self._violated(Invariant.LEAVING, backends=sorted({order.backend for order in late})[: self.TOLD])
+
+    def ending(self, urgent: int, waiting: int) -> None:
+        """The process ends with so many orders waiting, and so many of them with a time limit.  No rule is
+        broken by it, as proxies go elsewhere once it was told to end; whoever comes next has to know."""
+        if waiting:
+            self.log.event("ended_with_orders_waiting", urgent=urgent, orders=waiting)
+
+    def _violated(self, invariant: Invariant, **fields) -> None:
+        self.log.count(f"invariant_{invariant.value}")
+        self.log.trouble("invariant_broken", invariant=invariant.value, **fields)
--- a/indigohitch/platformlink/outbox.py
+++ b/indigohitch/platformlink/outbox.py
@@ -29,7 +29,10 @@
         """All that is ordered and not known to stand, in order."""
         return [order for call in self.calls for order in call]
 
-    def add(self, orders: Sequence[face.Order]) -> None:
+    def add(self, orders: Sequence[face.Order], joins: bool = False) -> None:
+        """`joins`: they may be a part of the last call that waits, where that is no reply of the module."""
+        if joins and len(self.calls) > 1 and not isinstance(self.calls[-1][-1], face.Mark):
+            orders = [*self.calls.pop(), *orders]
         self.calls += pieces(orders, self.methods)
         if len(self.calls) > 1 + self.WAITING:
             # The relay is out of reach: what waits is bounded by what there is to set, nothing is lost.
@@ -56,6 +59,11 @@
     def _urgent(self, call: Sequence[face.Order]) -> bool:
         return any(isinstance(order, face.Withdraw) for order in call) or bool(self.urgent(call))
 
+    def urgent_in(self, call: Sequence[face.Order]) -> int:
+        """How many of a call's orders lead."""
+        tables = self.urgent(call)
+        return sum(leads(order, tables) for order in call)
+
     def urgent_first(self) -> int:
         """How many orders lead the first call that are urgent, as they stand there."""
         call = self.calls[0]
@@ -74,6 +82,11 @@
         orders = self.calls.popleft()
         self.calls.extendleft([orders[at:], orders[:at]])
 
+    def leave_out(self, orders: Sequence[face.Order]) -> None:
+        """The first call goes without these."""
+        void = set(map(id, orders))
+        self.calls[0] = [order for order in self.calls[0] if id(order) not in void]
+
     def take(self, count: int, refused: bool) -> tuple[list[face.Order], list[face.Order]]:
         """So many orders of the first call stand, and the next one is `refused`, or goes again with the rest.
         Returns those that stand, and what was refused."""
--- a/indigohitch/platformlink/relay.py
+++ b/indigohitch/platformlink/relay.py
@@ -30,7 +30,7 @@
         elif said == "ValidationError":
             # The same again would be turned away again: never in a loop.
             self.log.trouble("relay_call_invalid", orders=len(orders), first=encode(orders[0], self.methods))
-            self.bounds.last_not_carried_out()
+            self._came_to_nothing()
             self._drop(self.waiting.popleft())
             self._call()
         elif said == "Throttling":
@@ -44,9 +44,14 @@
             else:
                 self._unclear()
 
+    def _came_to_nothing(self) -> None:
+        """What went last surely was not carried out."""
+        self.bounds.last_not_carried_out()
+        self.guard.not_carried_out()
+
     def _again_after(self, span: int) -> None:
         """This try came to nothing; what is known of earlier ones stays as it is."""
-        self.bounds.last_not_carried_out()
+        self._came_to_nothing()
         self.first.may_repeat = self.first.in_doubt
         self._wait_until(self.loop.clock.now() + span)
 
@@ -81,7 +86,8 @@
         if effect is Effect.STANDS:
             self._taken(proved, "tables")
         else:
-            self.bounds.none_carried_out()
+            for _ in range(self.bounds.none_carried_out()):
+                self.guard.not_carried_out()
             self.first.settled(more_to_come=True)
         self._call()
 
@@ -120,5 +126,7 @@
             self.dropped(refused)
 
     def close(self) -> None:
+        urgent = sum(self.outbox.urgent_in(call) for call in self.waiting)
+        self.guard.ending(urgent, len(self.pending()))
         self.first.inquiry.drop()
         self.client.close()
