--- a/indigohitch/logic/pacing.py
+++ b/indigohitch/logic/pacing.py
@@ -47,7 +47,8 @@
         """How many might have gone right after the last one went, and when that was."""
         tokens, at = float(self.burst), self.sent[0] if self.sent else 0
         for when in self.sent:
-            tokens = min(float(self.burst), tokens + (when - at) / self.regain) - 1.0
+            # Never below none: more may have gone by another process than would have by this pace.
+            tokens = max(0.0, min(float(self.burst), tokens + (when - at) / self.regain) - 1.0)
             at = when
         return tokens, at
 
