Starts of backends are carried over to our clock as they are heard of: a step moves none

Change: platformlink/starts.py. A start is placed by how long ago the wall has it as it is heard of first, and stays there; one that can't be (before the list before, by more than 10 s; in time to come; no later than the start before) counts as now. Where the wall does not step nothing differs. It goes along in an upgrade.

--- a/indigohitch/platformlink/front.py
+++ b/indigohitch/platformlink/front.py
@@ -28,6 +28,7 @@
 from .probes import Probes
 from .relay import Relay
 from .sources import BackendSource, Tell
+from .starts import Starts
 from .words import Known
 
 
@@ -49,6 +50,8 @@
         self.found = found
         self.seed, limits, self.boot, columns, known, self.addresses, store, discovery = self._read(found)
         loop.pool = Pool(limits.calls_pool)
+        self.starts = Starts()
+        known = self.starts.carried_over(known, loop.clock.now(), loop.clock.wall())
         self.listed = {entry.backend: entry for entry in known.entries}
         self.heard_of = dict.fromkeys(self.listed)  # oldest first: reports on those gone come late
         self.gathering = Gathering(loop, self.boot.get("batch_gap", 0), self.handle)
@@ -224,6 +227,7 @@
     # ---- discovery ---------------------------------------------------------------------------------
 
     def hear_list(self, news: face.BackendList, addresses: dict[str, str]) -> None:
+        news = self.starts.carried_over(news, self.loop.clock.now(), self.loop.clock.wall())
         log_list(self.log, self.listed, news)
         if news.scope == "full":
             self.listed.clear()
--- a/indigohitch/platformlink/handover.py
+++ b/indigohitch/platformlink/handover.py
@@ -22,6 +22,7 @@
 from . import tables
 from .backlog import Sent
 from .front import Front
+from .starts import Start
 
 # What the old one hears after its state was taken and the new one would not: it asks for the rest itself, and
 # sends probes that are out again.
@@ -53,6 +54,8 @@
         sorted(holdings.lost),
         [b.id for b in front.coordinator.backends.values() if b.probe_out],
         [list(events.pack(order)) for order in relay.first.maybe],
+        [(backend, start.told, start.at) for backend, start in front.starts.known.items()],
+        front.starts.heard,
     )
 
 
@@ -61,6 +64,8 @@
     front.gathering.take()  # the list of the configuration is older than the state
     front.listed = {entry.backend: entry for entry in (face.Listed(*row) for row in state.listed)}
     front.addresses = dict(state.addresses)
+    front.starts.known = {backend: Start(told, at) for backend, told, at in state.starts}
+    front.starts.heard = state.list_heard
     front.heard_of.clear()
     front.heard_of.update(dict.fromkeys(state.heard_of))  # the reader of lines holds the same dict
     front.discovery.restore(state.version)
--- /dev/null
+++ b/indigohitch/platformlink/starts.py
@@ -0,0 +1,62 @@
+"""When backends started, by this process's clock: the list tells it by the wall clock, which may step.
+
+Our clock reads the wall once and never steps (net/clock.py).  A start is carried over by how long ago the
+wall has it, as it is heard of first; the same start told again keeps its place.  Where the wall stepped
+between the start and its telling that can't be true: a backend that a list before did not have so can't have
+started long before that list, nor in time to come.  Then it counts as started now, which takes it for colder
+than it is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from .. import interface as face
+from ..net.clock import SECOND
+
+
+@dataclass(slots=True, frozen=True)
+class Start:
+    told: int  # by the wall clock
+    at: int  # by ours
+
+
+class Starts:
+    # A list may tell of a start so much later: discovery counts as having told after 6 s, a call may wait.
+    LATE = 10 * SECOND
+    KEPT = 256  # of backends that are gone, as many as the module keeps
+
+    def __init__(self) -> None:
+        self.known: dict[str, Start] = {}
+        self.heard = 0  # when a list of discovery's came last, 0: none has
+
+    def carried_over(self, news: face.BackendList, now: int, wall: int) -> face.BackendList:
+        """The same list with starts by our clock; `now` by it, `wall` by the wall's, as the list comes."""
+        if news.scope == "failed":
+            return news
+        entries = tuple(replace(entry, started=self._start(entry, now, wall)) for entry in news.entries)
+        if news.scope != "remembered":
+            self.heard = now
+        self._forget_some(news)
+        return replace(news, entries=entries)
+
+    def _start(self, entry: face.Listed, now: int, wall: int) -> int:
+        if not entry.started:
+            return 0  # long ago
+        known = self.known.pop(entry.backend, None)
+        if known is None or known.told != entry.started:
+            known = Start(entry.started, self._placed(entry.started, known, now, wall))
+        self.known[entry.backend] = known  # the last that was heard of
+        return known.at
+
+    def _placed(self, told: int, before: Start | None, now: int, wall: int) -> int:
+        at = now - (wall - told)
+        earliest = self.heard - self.LATE if self.heard else 0
+        if before is not None:
+            earliest = max(earliest, before.at + 1)
+        return at if earliest <= at <= now else now
+
+    def _forget_some(self, news: face.BackendList) -> None:
+        listed = {entry.backend for entry in news.entries if entry.state != "gone"}
+        gone = [backend for backend in self.known if backend not in listed] if news.scope == "full" else []
+        for backend in gone[: -self.KEPT]:
+            del self.known[backend]
--- a/indigohitch/upgrade/snapshot.py
+++ b/indigohitch/upgrade/snapshot.py
@@ -90,6 +90,8 @@
     maybe: list[
         list
     ] = []  # orders of earlier calls that nobody knows of; they go again with those in `waiting`
+    starts: list[tuple[str, int, int]] = []  # backends: their start by the wall clock, and by the process's
+    list_heard: int = 0  # when discovery's list came last
 
 
 class Snapshot(Row):
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -78,7 +78,7 @@
     found.loop.close()
 
 
-@pytest.mark.parametrize("step", [HOUR, -HOUR])
+@pytest.mark.parametrize("step", [HOUR, -HOUR, 5, -5, 0])
 def test_one_that_started_after_a_step_is_cold_and_warms_up_in_time(room, step):
     room.pass_time(60 * SECOND)
     room.step = step
