--- a/tests/test_drain_watch.py
+++ b/tests/test_drain_watch.py
@@ -122,6 +122,20 @@
     assert room.said("drain_overdue")
 
 
+def test_a_slice_that_is_given_and_not_settled_yet_keeps_its_time(room):
+    """Found by the soak: a look at the lines in between forgot when it was given."""
+    room.listed(b1="draining")
+    lines = room.stood.pop(1)
+    room.go(GRACE)
+    room.watch.slice_given(1)
+    room.go(SECOND // 2)
+    room.stood[1] = lines
+    room.go(GRACE - SECOND)
+    assert not room.said("drain_overdue")
+    room.go(2 * SECOND)
+    assert room.said("drain_overdue")
+
+
 def test_time_limits_wait_while_the_relay_fails(room):
     room.listed(b1="draining")
     room.watch.relay_failed("timeout")
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -137,3 +137,29 @@
     holdings.dropped([face.SetLine(4, "b2", 1.0)])
     holdings._tell_lost()  # told anew it comes without a level: that is made true
     assert told.charges == 2 and calls == [face.SetLevel(4, (), 1.0, 1)]
+
+
+def test_what_was_answered_and_is_not_in_the_news_goes_again():
+    """Found by the soak: the relay answered it while the slice was another's, and it changed nothing.  A line
+    was taken away later as one of two, and was the last."""
+    told, calls, hours = Told(), [], Hours()
+    hours.after = lambda span, action: Deadline(0, action)
+    holdings = Holdings(hours, told, told.hear, lambda: list(calls), calls.extend)
+
+    def begin(answered=()):
+        holdings.news_asked()
+        holdings.stands(list(answered))
+        holdings.news_opening()
+        for number in (4, 5):
+            for event in tables.given(number, tables.Table({"b1": 1.0})):
+                holdings.news(event)
+        holdings.news_alive()
+
+    begin()
+    moved = [face.SetLine(4, "b2", 1.0), face.SetLine(4, "b1", 0.0)]
+    same = [face.SetLine(5, "b1", 1.0)]
+    later = [face.SetLine(4, "b3", 1.0), face.SetLevel(4, (), 0.5, 1)]
+    calls += later
+    begin(moved + same)
+    assert calls == [*later, *moved, later[0]]  # and what came after it, in this order
+    assert told.tables == {4: {"b2": 1.0, "b3": 1.0}, 5: {"b1": 1.0}}
