What was answered and is not in the news goes again; the check of drains keeps a slice's time

Change: where the two differ the orders go again, and after them what waits for those slices, as one call. drains.py forgets when a slice was given only once that bears on nothing.

That of holdings now has its belief changed by its own orders, as the module's is.

--- a/indigohitch/platformlink/drains.py
+++ b/indigohitch/platformlink/drains.py
@@ -140,7 +140,8 @@
                     held.setdefault(backend, []).append(number)
         for backend, departure in list(self.leaving.items()):
             self._judge(backend, departure, held.get(backend, []), now)
-        self.given = {number: at for number, at in self.given.items() if number in self.stood()}
+        over = self.time.at(now) - self.grace - self.SLACK  # before that it bears on nothing
+        self.given = {number: at for number, at in self.given.items() if at > over}
         if self.leaving:
             self.checking = True
             self.loop.after(self.CHECK, self.check)
--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -138,16 +138,32 @@
         """The lines of the slices given have all come: tell the module, but not what it knows already."""
         before, (fresh, since) = self.ahead(), self._unsettled()
         self.stood |= fresh
-        # What was answered since the stream was asked for, or since the slice was given, may or may not be in
-        # what it tells.
-        tables.carry_out(fresh, since if self.opening is None else self.opening.answered)
-        if self.opening is not None:
+        if self.opening is None:
+            tables.carry_out(fresh, since)  # may or may not be in what the stream told
+        else:
+            self._make_true(fresh, self.opening.answered)
             self.opening.slices |= set(fresh)
         after = self.ahead()
         self._tell(
             [n for n in fresh if self.opening is None or n not in before or before[n].lines != after[n].lines]
         )
 
+    def _make_true(self, fresh: tables.Tables, answered: list[face.Order]) -> None:
+        """What was answered since the stream was asked for may or may not be in what it told.  Where it is
+        not, the slice may have been another's meanwhile, when orders are answered and change nothing: they go
+        again, and what waits for those slices after them."""
+        told = tables.copy(fresh)
+        tables.carry_out(fresh, answered)
+        differ = {number for number in fresh if fresh[number].lines != told[number].lines}
+        again = [
+            order
+            for order in [*answered, *self.pending()]
+            if getattr(order, "table", None) in differ and not isinstance(order, face.SetLevel)
+        ]
+        if again:
+            self.log.event("orders_repeated", slices=sorted(differ)[:20], orders=len(again))
+            self.order(again)
+
     def _forget(self, number: int) -> None:
         """What was answered for a slice that is taken away says nothing of it once it is given again."""
         lists = [self.since, self.asked, self.opening and self.opening.answered]
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -160,6 +160,8 @@
     same = [face.SetLine(5, "b1", 1.0)]
     later = [face.SetLine(4, "b3", 1.0), face.SetLevel(4, (), 0.5, 1)]
     calls += later
+    for order in [*moved, *same, later[0]]:
+        put(told.tables, order)  # as the module believes since it ordered them
     begin(moved + same)
     assert calls == [*later, *moved, later[0]]  # and what came after it, in this order
     assert told.tables == {4: {"b2": 1.0, "b3": 1.0}, 5: {"b1": 1.0}}
