--- a/tests/test_upgrade_coordinator.py
+++ b/tests/test_upgrade_coordinator.py
@@ -5,7 +5,9 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
+from pathlib import Path
 
 import pytest
 
@@ -129,3 +131,22 @@
     )
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
     assert found.stdout.strip() == b"[]"
+
+
+def test_a_drain_told_while_the_next_process_hangs_is_kept(platform):
+    """The upgrade would wait for it for longer than a drain may."""
+    faulty = f"{sys.executable} {Path(__file__).parent / 'faulty.py'} restored hang"
+    file = platform.path / "operator.conf"
+    file.write_text(f"{file.read_text()}program {faulty} run --operator {file}\n")
+    program = platform.serving(platform.words)
+    eventually(platform.agrees)
+    asking = threading.Thread(target=platform.ask, args=("upgrade",), daemon=True)
+    asking.start()
+    eventually(lambda: program.said("fault"))
+    began = time.monotonic()
+    drain(platform, "b1")
+    eventually(lambda: not any("b1" in table for table in platform.tables.values()))
+    assert time.monotonic() - began < 2.5  # of three seconds, and the way of a message
+    asking.join(30)
+    eventually(platform.agrees)
+    assert program.said("upgrade_called_off")
