--- a/indigohitch/fleet/node/bare.py
+++ b/indigohitch/fleet/node/bare.py
@@ -29,6 +29,9 @@
 
     def settle(self, on: bool) -> None: ...
 
+    def urgent_waits(self) -> bool:
+        return False
+
     def settled(self) -> bool:
         return True
 
--- /dev/null
+++ b/indigohitch/platformlink/front_state.py
@@ -0,0 +1,84 @@
+"""The platform's front as plain data and back, for an upgrade."""
+
+from __future__ import annotations
+
+from .. import interface as face
+from ..upgrade import events
+from ..upgrade import snapshot as shots
+from ..upgrade.module_state import freeze, thaw
+from . import tables
+from .backlog import Sent
+from .front import Front
+from .starts import Start
+
+
+def front_state(front: Front) -> shots.CoordinatorState:
+    relay, holdings = front.relay, front.holdings
+    return shots.CoordinatorState(
+        freeze(front.coordinator),
+        [list(events.listed(entry)) for entry in front.listed.values()],
+        front.addresses,
+        list(front.heard_of),
+        front.discovery.version,
+        front.discovery.watching,
+        [[list(events.pack(order)) for order in call] for call in relay.waiting],
+        list(relay.written),
+        relay.first.failures,
+        [list(events.pack(joined)) for joined in holdings.proxies.values()],
+        [
+            shots.StoodRow(
+                number,
+                [(b, float(w)) for b, w in table.lines.items()],
+                None if table.level is None else list(events.pack(table.level)),
+            )
+            for number, table in holdings.stood.items()
+        ],
+        holdings.begun,
+        sorted(holdings.lost),
+        [b.id for b in front.coordinator.backends.values() if b.probe_out],
+        [list(events.pack(order)) for order in relay.first.maybe],
+        [(backend, start.told, start.at) for backend, start in front.starts.known.items()],
+        front.starts.heard,
+    )
+
+
+def restore_front(front: Front, state: shots.CoordinatorState) -> None:
+    front.coordinator = thaw(state.module, front.boot)
+    front.gathering.take()  # the list of the configuration is older than the state
+    front.listed = {entry.backend: entry for entry in (face.Listed(*row) for row in state.listed)}
+    front.addresses = dict(state.addresses)
+    front.starts.known = {backend: Start(told, at) for backend, told, at in state.starts}
+    front.starts.heard = state.list_heard
+    front.heard_of.clear()
+    front.heard_of.update(dict.fromkeys(state.heard_of))  # the reader of lines holds the same dict
+    front.discovery.restore(state.version)
+    relay, holdings = front.relay, front.holdings
+    relay.held = True
+    waiting = [[events.unpack(order) for order in call] for call in state.waiting]
+    relay.restore(waiting, state.written, state.failures, [events.unpack(order) for order in state.maybe])
+    _restore_backlog(front)
+    holdings.proxies = {joined.proxy: joined for joined in map(events.unpack, state.proxies)}
+    holdings.stood = {
+        row.number: tables.Table(dict(row.lines), row.level and events.unpack(row.level))
+        for row in state.stood
+    }
+    holdings.begun, holdings.lost = state.begun, set(state.lost)
+
+
+def _restore_backlog(front: Front) -> None:
+    """What the module has ordered and proxies have not answered lies in the channel, but for calls that have
+    yet to go.  One in doubt may."""
+    relay, channel = front.relay, front.coordinator.channel
+    to_go = list(relay.waiting)[1 if relay.first.failures else 0 :]
+    unsent = {order.mark for call in to_go for order in call if isinstance(order, face.Mark)}
+    calls = [
+        Sent(each, mark, set(proxies))
+        for mark, (each, proxies) in channel.unacked.items()
+        if mark not in unsent
+    ]
+    # All of it: the module counts lines out from when it ordered them, and a call may have gone much later.
+    relay.backlog.calls, relay.backlog.at = calls, front.loop.clock.now()
+    relay.backlog.lines = sum(call.lines for call in calls)
+    if relay.first.failures and relay.waiting:
+        relay.first.proof.begin(relay.waiting[0])
+        relay.bounds.copies = [call for call in calls if call.mark == relay.first.proof.mark]
--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -104,6 +104,10 @@
         for pool in self.host.pools.values():
             pool.gathering.held = on
 
+    def urgent_waits(self) -> bool:
+        """Nothing: its requests go on, and its tables are its own."""
+        return False
+
     def settled(self) -> bool:
         return not any(pool.deciding for pool in self.host.pools.values())
 
--- a/indigohitch/upgrade/giving.py
+++ b/indigohitch/upgrade/giving.py
@@ -7,21 +7,24 @@
 
 from ..log import Log
 from ..net.clock import SECOND
-from ..net.loop import Deadline, Loop
+from ..net.loop import Loop
 from . import hearing, words
 from .channel import Channel
+from .figures import Figures
 from .giver import Giver
 from .launch import Started
 from .passing import Passing
-from .phases import Phase
+from .phase_deadline import PhaseDeadline
+from .phases import STANDING_STILL, Phase
+from .sending_state import send_state
 from .side import Connection, Side
+from .urgency import Urgency
 from .waits import waits as waits_told
 
 
 class Giving:
     POLL = SECOND // 200
     ENDING = SECOND // 5  # from the end of its channel to the death of a process that ends
-    PIECE = 1 << 16  # of the state: a frame that a socket's buffer takes in one go
     REHEARSE = 2 * SECOND  # ahead: four beats, so that the module has something to order
 
     def __init__(
@@ -37,16 +40,21 @@
         """`ended`: this process has nothing more to do.  `reported`: what the upgrade came to."""
         self.loop, self.log, self.side, self.program = loop, log, side, program
         self.waits = waits_told(waits)
+        self.deadline = PhaseDeadline(loop, self.waits, self.overdue)
         self.ended, self.reported = ended, reported
         self.machine = Giver()
+        self.urgency = Urgency(loop, self.urgent_waits, self.step)
         self.started: Started | None = None
         self.channel: Channel | None = None
-        self.deadline: Deadline | None = None
         self.passing = Passing(self.say)
         self.reload = False  # SIGHUP came meanwhile
         self.taken_back: Callable[[], None] = lambda: None  # this process is the service again
         self.state, self.theirs = b"", b""
-        self.figures: dict = {}
+        self.figures = Figures(loop.clock.now())
+
+    def urgent_waits(self) -> bool | None:
+        """Whether something with a time limit does, while this process stands still; None: it does not."""
+        return self.side.urgent_waits() if self.machine.phase in STANDING_STILL else None
 
     @property
     def under_way(self) -> bool:
@@ -59,9 +67,7 @@
             self.log.event(
                 "upgrade", was=was.value, now=machine.phase.value, on=event, **({"why": why} if why else {})
             )
-            if self.deadline is not None:
-                self.deadline.cancel()
-            self.arm()
+            self.deadline.arm(machine.wait)
         for act in acts:
             getattr(self, f"do_{act.value}")()
         if self.reload and machine.phase is Phase.SERVING:
@@ -75,14 +81,10 @@
         if self.machine.phase in (Phase.COMMITTED, Phase.DRAINING):
             self.started.watch.kill(signal.SIGHUP)
 
-    def arm(self) -> None:
-        name = self.machine.wait
-        self.deadline = self.loop.after(self.waits[name], self.overdue) if name else None
-
     def overdue(self) -> None:
         self.step("deadline")
         if self.machine.phase is Phase.RECLAIMING:
-            self.arm()
+            self.deadline.arm(self.machine.wait)
 
     # ---- what is heard -----------------------------------------------------------------------------
 
@@ -123,7 +125,7 @@
                 self.channel.flush_hard()
 
     def do_spawn(self) -> None:
-        self.figures = {"asked": self.loop.clock.now()}
+        self.figures = Figures(self.loop.clock.now())
         self.reload = False
         try:
             self.started = Started(self.loop, self.program, self.died)
@@ -136,6 +138,7 @@
     def do_settle(self) -> None:
         self.side.settle(True)
         self.poll(Phase.SETTLING, self.side.settled, "settled")
+        self.urgency.begin()
 
     def poll(self, phase: Phase, there: Callable[[], bool], event: str) -> None:
         """As long as the phase lasts: `event` once `there`."""
@@ -160,22 +163,16 @@
 
     def give(self, state: bytes, began: int) -> None:
         self.state = state
-        sockets = self.side.listeners()
         self.rehearse_at = self.loop.clock.now() + self.REHEARSE
-        self.say(
-            words.Listeners(list(sockets), self.loop.clock.now(), len(self.state), self.rehearse_at),
-            [sock.fileno() for sock in sockets.values()],
-        )
-        for at in range(0, len(self.state), self.PIECE):
-            self.say(words.Piece(self.state[at : at + self.PIECE]))
-        self.figures |= {"state_bytes": len(self.state), "freeze_ms": (self.loop.clock.now() - began) / 10}
+        send_state(self.say, self.side.listeners(), state, self.loop.clock.now(), self.rehearse_at)
+        self.figures.state_taken(len(state), began, self.loop.clock.now())
 
     def do_commit(self) -> None:
-        self.figures["stopped"] = self.loop.clock.now()
+        self.figures.stopped = self.loop.clock.now()
         self.side.accept(False)
         try:
             self.passing.own(self.side.idle())
-            self.figures["passed"] = len(self.passing.out)
+            self.figures.add(passed=len(self.passing.out))
             self.passing.all()
             self.say(words.Commit(self.side.rest(), self.reload))
         except OSError as bad:  # whatever this process lacks now, it can take back
@@ -184,11 +181,11 @@
     def do_release(self) -> None:
         """All that was passed before the word is the new one's; it said so before it said that it accepts."""
         self.passing.adopted(list(self.passing.out))
-        self.figures["gap_ms"] = (self.loop.clock.now() - self.figures["stopped"]) / 10
+        self.figures.accepting_again(self.loop.clock.now())
 
     def do_drain(self) -> None:
         self.side.drain(self.pass_on)
-        self.log.event("upgraded", **self.told())
+        self.log.event("upgraded", **self.figures.told(self.machine.result, self.loop.clock.now()))
         started = self.started
         self.loop.after(self.waits["watch"], lambda: started is self.started and self.step("watched"))
         # What was passed to a new one that was told to end has nobody any more.
@@ -236,15 +233,9 @@
             self.channel.close()
             self.channel = None
 
-    def told(self) -> dict:
-        now = self.loop.clock.now()
-        return {"result": self.machine.result, "took_ms": (now - self.figures.get("asked", now)) / 10} | {
-            name: value for name, value in self.figures.items() if name not in ("asked", "stopped")
-        }
-
     def do_report(self) -> None:
         self.log.count("upgrades" if self.machine.result == "upgraded" else "upgrades_failed")
-        self.reported(self.told())
+        self.reported(self.figures.told(self.machine.result, self.loop.clock.now()))
 
     def do_done(self) -> None:
         # Our module has retired: its next step shows whether the new one's is the same.
--- a/indigohitch/upgrade/phases.py
+++ b/indigohitch/upgrade/phases.py
@@ -37,6 +37,10 @@
     ORPHAN = "orphan"  # the channel ended without a word: is the old one dead?
 
 
+# Phases in which the old process begins nothing that the state can't hold.
+STANDING_STILL = (Phase.SETTLING, Phase.GIVING, Phase.RESTORED)
+
+
 class Act(enum.Enum):
     SPAWN = "spawn"  # start the new program
     SETTLE = "settle"  # begin nothing new that the state can't hold
--- /dev/null
+++ b/indigohitch/upgrade/sending_state.py
@@ -0,0 +1,24 @@
+"""The old process' state on its way to the new one."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Mapping
+
+from . import words
+
+PIECE = 1 << 16  # of the state: a frame that a socket's buffer takes in one go
+
+
+def send_state(
+    say: Callable[..., None],
+    listeners: Mapping[str, socket.socket],
+    state: bytes,
+    now: int,
+    rehearse_at: int,
+) -> None:
+    """The listeners by name, then the state in pieces; what modules order at `rehearse_at` is compared."""
+    descriptors = [sock.fileno() for sock in listeners.values()]
+    say(words.Listeners(list(listeners), now, len(state), rehearse_at), descriptors)
+    for at in range(0, len(state), PIECE):
+        say(words.Piece(state[at : at + PIECE]))
--- a/indigohitch/upgrade/side.py
+++ b/indigohitch/upgrade/side.py
@@ -18,6 +18,7 @@
     def listeners(self) -> dict[str, socket.socket]: ...
     def settle(self, on: bool) -> None: ...  # begin nothing that a state can't hold
     def settled(self) -> bool: ...
+    def urgent_waits(self) -> bool: ...  # something with a time limit waits while this process stands still
     def freeze(self, taken: Callable[[bytes | None, BaseException | None], None]) -> None:
         """The module stands still from here on; its state, or why there is none, at once or later."""
 
