--- a/indigohitch/net/listener.py
+++ b/indigohitch/net/listener.py
@@ -9,7 +9,7 @@
 from .closing import close_in_order
 from .connection import READ
 from .loop import Deadline, Loop
-from .transient import passes
+from .transient import made_in_time, passes
 
 
 class Listener:
@@ -17,6 +17,7 @@
 
     PAUSE = SECOND // 10  # after a failed accept: short for those who wait, long enough not to spin
     BURST = 64  # accepts a turn
+    PATIENCE = 1.0  # s, at the start of a process
     LAST = 2  # bursts before it closes: more than that in the queue come from a flood
 
     def __init__(
@@ -27,9 +28,10 @@
         trouble: Callable[[str], None],
         listening: socket.socket | None = None,
     ) -> None:
-        """`listening`: a socket that listens already, come from another process."""
+        """`listening`: a socket that listens already, come from another process.  Without it one is opened,
+        which may block for PATIENCE where no descriptor is left.  Raises OSError."""
         self.loop, self.greet, self.trouble = loop, greet, trouble
-        self.sock = listening or self.opened(at)
+        self.sock = listening or made_in_time(lambda: self.opened(at), patience=self.PATIENCE)
         self.sock.setblocking(False)
         self._number = loop.watch(self.sock, self, READ)
         self._paused: Deadline | None = None
--- a/indigohitch/platformlink/call_queue.py
+++ b/indigohitch/platformlink/call_queue.py
@@ -76,11 +76,11 @@
         waiting: Sequence[list[face.Order]],
         written: Sequence[int],
         failures: int,
-        maybe: list[face.Order],
+        maybe: Sequence[face.Order],
     ) -> None:
         """As another process held them."""
         self.outbox.calls, self.bounds.pace.sent = deque(waiting), deque(written)
-        self.first.failures, self.first.maybe = failures, maybe
+        self.first.failures, self.first.maybe = failures, dict.fromkeys(maybe)
         self.idle = not waiting
 
     def pending(self) -> list[face.Order]:
--- a/indigohitch/platformlink/doubt.py
+++ b/indigohitch/platformlink/doubt.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -70,18 +70,19 @@
     """What the tables `stood` before say of the `orders` of a call.  No I/O."""
 
     def __init__(
-        self, stood: tables.Tables, orders: Sequence[face.Order], maybe: Sequence[face.Order] = ()
+        self, stood: tables.Tables, orders: Sequence[face.Order], maybe: Iterable[face.Order] = ()
     ) -> None:
         """`maybe`: orders that went before, of which nobody knows; `orders` make up for them."""
-        known = {n: tables.Table(dict(stood[n].lines)) for n in tables.touched(orders) if n in stood}
-        changed = tables.copy(known)
-        tables.carry_out(changed, maybe)
-        earlier = {n: frozenset([*known[n].lines.items(), *changed[n].lines.items()]) for n in known}
+        changed = {n: tables.Table(dict(stood[n].lines)) for n in tables.touched(orders) if n in stood}
+        earlier = {n: set(table.lines.items()) for n, table in changed.items()}
+        for order in maybe:
+            if isinstance(order, face.SetLine) and order.weight and order.table in earlier:
+                earlier[order.table].add((order.backend, order.weight))
         tables.carry_out(changed, orders)
         ends = {order.table: at for at, order in enumerate(orders, 1) if isinstance(order, face.SetLine)}
         signs = []
         for number, end in ends.items():
-            before = earlier.get(number, frozenset())
+            before = frozenset(earlier.get(number, ()))
             after = frozenset(changed[number].lines.items() if number in changed else ())
             if before - after and after - before:
                 signs.append(_Sign(number, before - after, after - before, end))
--- a/indigohitch/platformlink/first_call.py
+++ b/indigohitch/platformlink/first_call.py
@@ -21,7 +21,8 @@
         self.went = self.went_before = 0  # when a call did last that may have been carried out; and before
         self.proof = MarkProof()
         self.inquiry = Inquiry(loop, found)
-        self.maybe: list[face.Order] = []  # of earlier calls that nobody knows of: they go again in this one
+        # Orders of earlier calls that nobody knows of, each once: what they set goes again in this one.
+        self.maybe: dict[face.Order, None] = {}
         self.stood: Callable[[], tables.Tables] = dict  # what stands in the store, but for calls in doubt
 
     @property
@@ -52,7 +53,7 @@
 
     def joined_by_later(self, orders: Sequence[face.Order]) -> None:
         """It goes again as a part of a call of more."""
-        self.maybe += orders
+        self.maybe |= dict.fromkeys(order for order in orders if not isinstance(order, face.Mark))
         self.failures, self.may_repeat = 0, False
 
     def settled(self, more_to_come: bool) -> None:
@@ -60,7 +61,7 @@
         self.inquiry.drop()
         self.failures, self.may_repeat = 0, False
         if not more_to_come:
-            self.maybe = []  # all of it went again in what stands now
+            self.maybe = {}  # all of it went again in what stands now
 
     def inquire(self, to: tuple[str, int], orders: Sequence[face.Order], until_known: bool = False) -> None:
         """What stands in the store may tell, and costs no message; a sign of life lets it go again."""
--- a/tests/test_relay_queue.py
+++ b/tests/test_relay_queue.py
@@ -157,3 +157,13 @@
     room.relay.order(move(2, 2))
     room.until_out()
     assert tables_of(room.out()[0])[:2] == [2, 2]
+
+
+def test_a_long_silence_holds_no_more_than_there_is_to_set(monkeypatch):
+    room = limited(monkeypatch)
+    room.mute = True
+    for turn in range(200):
+        room.relay.order([put(turn % 5, f"b{turn % 3}"), face.Mark(turn, False)])
+        room.until(lambda: room.relay.out, 20 * SECOND)
+        room.answer("timeout")
+    assert len(room.relay.first.maybe) <= 15 and len(room.relay.pending()) <= 17
--- a/tests/test_transient.py
+++ b/tests/test_transient.py
@@ -2,6 +2,7 @@
 
 import errno
 import signal
+import socket
 import subprocess
 import sys
 
@@ -9,6 +10,7 @@
 
 from indigohitch import service
 from indigohitch.net import connection, transient
+from indigohitch.net.listener import Listener
 from seam import Wire
 from stage import heartbeat
 
@@ -71,6 +73,14 @@
     )
 
 
+def test_a_listener_opens_though_no_descriptor_is_left_at_first(wire, monkeypatch):
+    """A sidecar's, and a member's."""
+    monkeypatch.setattr(socket, "socket", failing(socket.socket, errno.ENFILE, 3))
+    listener = Listener(wire.loop, ("127.0.0.1", 0), lambda sock: True, lambda why: None)
+    assert listener.sock.getsockname()[1]
+    listener.close()
+
+
 START = """import errno, socket, sys
 real, left = socket.socket, [6]
 class Short(real):
