A slice that another has written to counts as given anew for the check of drains

Change: holdings.py tells of slices whose lines at the start of the news are not as they were believed.

--- a/indigohitch/platformlink/holdings.py
+++ b/indigohitch/platformlink/holdings.py
@@ -144,9 +144,13 @@
             self._make_true(fresh, self.opening.answered)
             self.opening.slices |= set(fresh)
         after = self.ahead()
-        self._tell(
-            [n for n in fresh if self.opening is None or n not in before or before[n].lines != after[n].lines]
-        )
+        changed = [n for n in fresh if n not in before or before[n].lines != after[n].lines]
+        if self.opening is None:
+            self._tell(list(fresh))
+            return
+        for number in changed:
+            self.given(number)  # another has written there: it was in another's charge meanwhile
+        self._tell(changed)
 
     def _make_true(self, fresh: tables.Tables, answered: list[face.Order]) -> None:
         """What was answered since the stream was asked for may or may not be in what it told.  Where it is
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -165,3 +165,26 @@
     begin(moved + same)
     assert calls == [*later, *moved, later[0]]  # and what came after it, in this order
     assert told.tables == {4: {"b2": 1.0, "b3": 1.0}, 5: {"b1": 1.0}}
+
+
+def test_a_slice_that_another_has_written_to_counts_as_given_anew():
+    """Found by the soak: the check of drains took its line for one that had stood all the time."""
+    told, hours = Told(), Hours()
+    hours.after = lambda span, action: Deadline(0, action)
+    holdings = Holdings(hours, told, told.hear, list, lambda orders: None)
+    given = []
+    holdings.given = given.append
+
+    def begin(**lines):
+        given.clear()
+        holdings.news_asked()
+        holdings.news_opening()
+        for number, backend in enumerate(lines.values()):
+            for event in tables.given(number, tables.Table({backend: 1.0})):
+                holdings.news(event)
+        holdings.news_alive()
+
+    begin(first="b1", second="b2")
+    assert set(given) == {0, 1}
+    begin(first="b1", second="b3")
+    assert given == [1]
