--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -15,7 +15,7 @@
 from .platformlink.sources import BackendSource, Tell
 from .replaceable import Replaceable
 from .replaceable_parts import Phase
-from .service import REMEDY, UNUSABLE, configuration
+from .service import configuration, reload_front
 from .upgrade import launch
 from .upgrade.side import Side
 
@@ -89,17 +89,17 @@
         return operator_file.load(self.source)
 
     def reload(self) -> None:
-        try:
-            self.side.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
-            self.environ.pop("BALANCER_DISCOVERY", None)  # older than the file, also for who follows
-        except UNUSABLE as bad:
-            self.log.trouble("reload_failed", **told(bad, REMEDY))
+        reload_front(self, self.environ, lambda: self.side.front, self.file_is_newer)
         if self.beside is not None:
             try:
                 self.beside.reread(self.file_now().fleet)
             except (OSError, ValueError) as bad:
                 self.log.trouble("reload_failed", **told(bad))
 
+    def file_is_newer(self) -> None:
+        """Than what the variable said at the start, also for who follows."""
+        self.environ.pop("BALANCER_DISCOVERY", None)
+
     def all_done(self) -> bool:
         return self.decided and self.side.front.relay.idle
 
--- a/indigohitch/fleet/node/belonging.py
+++ b/indigohitch/fleet/node/belonging.py
@@ -3,11 +3,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from ...errors import NotNow
 from ...log import Log
+from ...net.clock import Clock
 from ...packed.rows import Row
 from ..ledger.ports import Became
 from ..members.leases import Answer, ReadFirst
@@ -16,11 +16,6 @@
 from .proposals import Proposals
 
 
-def wall() -> int:
-    """This machine's wall clock, tenths of a ms of Unix time."""
-    return time.time_ns() // 100_000
-
-
 class Belonging:
     """`read(done)`: one confirmed by a majority, `done(index or None)`; `tell(name, word)`: to a member, this
     one too; `acts()`: how many acts it has stamped."""
@@ -85,7 +80,7 @@
     def renew(self, now: int, leader: str, reports: Callable[[int], dict[str, bytes]]) -> None:
         """To the leader, if one is due."""
         if leader and now >= self.membership.holder.due:
-            word = self.membership.renew(now, wall(), self.acts(), reports(now))
+            word = self.membership.renew(now, Clock.wall(), self.acts(), reports(now))
             if word is not None:
                 self.tell(leader, word)
 
--- a/indigohitch/fleet/node/standard.py
+++ b/indigohitch/fleet/node/standard.py
@@ -8,6 +8,7 @@
 from ...directives.fleet import FleetText
 from ...errors import Trouble, told
 from ...log import Log
+from ...net.clock import Clock
 from ...net.loop import Loop
 from ...net.worker import Worker
 from ...packed.rows import Row
@@ -28,7 +29,6 @@
 from ..seats.part import Seats
 from ..state_machine import ReplicatedStateMachine
 from ..terms import Lease, Who
-from .belonging import wall
 from .notes import Notes
 
 
@@ -85,7 +85,7 @@
         text.drift,
         place.token,
     )
-    hours = HoursWork(state_machine.parts["hours"], text.me, wall, place.voters)
+    hours = HoursWork(state_machine.parts["hours"], text.me, Clock.wall, place.voters)
     membership.judge.when = hours.time
 
     def trouble(bad: Trouble) -> None:
--- a/indigohitch/net/exchange.py
+++ b/indigohitch/net/exchange.py
@@ -57,9 +57,7 @@
 
     CROSSED = SECOND // 20  # a close that crosses the request is here by then; later it is an answer
     UNREAD = SECOND // 4  # to read what a socket holds, some MB at 64 KiB a turn
-    DIAL_AGAIN = (
-        SECOND // 50
-    )  # no descriptor or port left, or no way there: it passes within the connect span
+    DIAL_AGAIN = SECOND // 50  # no descriptor, port or way there: it passes within the connect span
     BODY = 8 << 20  # a list of ten thousand backends is two; more is no answer of ours
 
     def __init__(
--- a/indigohitch/platformlink/call_log.py
+++ b/indigohitch/platformlink/call_log.py
@@ -25,7 +25,6 @@
     def __init__(self, log: Log) -> None:
         self.log = log
         self.number = self.tries = 0
-        self.held_for: tuple[int, str] | None = None  # the number and reason last told of a held call
 
     def begin(self) -> None:
         """The orders at the head of the queue are other ones than those last sent."""
@@ -35,7 +34,6 @@
     def sent(self, orders: Sequence[face.Order], lines: int, found: Occupancy) -> None:
         """A call goes out with so many lines to all proxies."""
         self.tries += 1
-        self.held_for = None
         self.log.event(
             "relay_call_sent",
             call=self.number,
--- a/indigohitch/service.py
+++ b/indigohitch/service.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import orjson
 
@@ -42,6 +42,35 @@
     return found
 
 
+ENDS = (Phase.ENDING, Phase.ENDED)
+RELOAD_PATIENCE, RELOAD_AGAIN = 4 * SECOND, SECOND // 50
+
+
+def reload_front(
+    process: Process,
+    environ: Mapping[str, str],
+    front: Callable[[], Front | None],
+    done: Callable[[], None] = lambda: None,
+    until: int = 0,
+) -> None:
+    """The file as it is now; one that can't be used changes nothing.  It is newer than the variable that told
+    of discovery at the start; the address to listen on can't change while callers hold it.  One that can't be
+    opened just now is tried again for RELOAD_PATIENCE, while there is a `front`; `done`: it was read."""
+    if (moved := front()) is None:
+        return
+    now = process.clock.now()
+    until = until or now + RELOAD_PATIENCE
+    try:
+        moved.reload(configuration(environ, "BALANCER_LISTEN"))
+    except UNUSABLE as bad:
+        if passes(bad) and now < until:
+            process.loop.after(RELOAD_AGAIN, lambda: reload_front(process, environ, front, done, until))
+        else:
+            process.log.trouble("reload_failed", **told(bad, REMEDY))
+    else:
+        done()
+
+
 class Service(Process):
     GRACE = SECOND // 4  # of the 0.7 s until SIGKILL
     # The process before this one holds the address until it has ended, 0.7 s and a SIGKILL after its SIGTERM.
@@ -54,18 +83,8 @@
         self.decided = False  # while it ends: on all that was told before
         self.file_is_newer = False
 
-    def reload(self, until: int = 0) -> None:
-        """The file as it is now; one that can't be used changes nothing.  It is newer than the variable
-        that told of discovery at the start; the address to listen on can't change while callers hold it.
-        One that can't be opened just now is tried again, until HELD is over."""
-        until = until or self.clock.now() + self.HELD
-        try:
-            self.front.reload(configuration(self.environ, "BALANCER_LISTEN"))
-        except UNUSABLE as bad:
-            if passes(bad) and self.clock.now() < until:
-                self.loop.after(self.AGAIN, lambda: self.reload(until))
-                return
-            self.log.trouble("reload_failed", **told(bad, REMEDY))
+    def reload(self) -> None:
+        reload_front(self, self.environ, lambda: None if self.phase in ENDS else self.front)
 
     def run(self) -> int:
         """Returns the exit code."""
--- a/indigohitch/upgrade/snapshot.py
+++ b/indigohitch/upgrade/snapshot.py
@@ -87,9 +87,7 @@
     begun: bool
     lost: list[int]  # tables to be told anew
     probing: list[str]
-    maybe: list[
-        list
-    ] = []  # orders of earlier calls that nobody knows of; they go again with those in `waiting`
+    maybe: list[list] = []  # orders of earlier calls that nobody knows of; they go again in `waiting`
     starts: list[tuple[str, int, int]] = []  # backends: their start by the wall clock, and by the process's
     list_heard: int = 0  # when discovery's list came last
 
--- a/proofs/soakkit/cell.py
+++ b/proofs/soakkit/cell.py
@@ -4,11 +4,11 @@
 
 import random
 import signal
-import socket
 from pathlib import Path
 
 from indigohitch.net.clock import SECOND
 from indigohitch.net.loop import Loop
+from proofs.fleetkit.files import held_port
 
 from . import settings
 from .collector import Collector
@@ -30,9 +30,7 @@
         self.backends = {f"s-{n:02}": self.nodes.address for n in range(settings.BACKENDS)}
         self.discovery = Discovery(loop, self.chance, self.truth, self.backends)
         self.relay = Relay(loop, self.chance, self.truth, list(self.backends))
-        self.held = socket.socket()  # the address stays the coordinator's own while it is down
-        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.held.bind(("127.0.0.1", 0))
+        self.held = held_port()  # the address stays the coordinator's own while it is down
         listen = "{}:{}".format(*self.held.getsockname())
         self.coordinator = Coordinator(loop, folder, listen, broken)
         self.coordinator.on_ready = self.ready
