The sidecar's rpc.py is split by job: attempt, request, answer

Change: attempt.py has one attempt at a server (connection, seat, result), request_forwarding.py and answer_forwarding.py move the bodies (passing.py is gone), request_reading.py reads a client's next head; rpc.py is left with the RPC's course.

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -11,8 +11,9 @@
 from ..net.http_exchange import is_connection_open
 from ..net.stream import Stream
 from .framing import Body
-from .heads import RefusedHeadError, RequestHead, plain_answer
+from .heads import plain_answer
 from .keys import key_of, slice_of
+from .request_reading import read_request_head
 from .rpc import Rpc
 
 
@@ -23,7 +24,6 @@
     """
 
     LINGER_TIME = 2 * SECOND  # lets the client read the end of its answer before a reset could discard it
-    MAX_TARGET_BYTES = 8192
     # Unsent bytes of earlier answers; the head of the next answer has to fit into the ring beside them.
     MAX_UNSENT_BYTES = Stream.MAX_BUFFERED // 2
 
@@ -67,7 +67,7 @@
             stream.incoming.take()
         elif self.rpc is not None:
             self.last_activity = self.host.now
-            self.rpc.on_client_data()
+            self.rpc.forward_request()
         else:
             if not self.bytes_at_last_sweep:
                 self.last_activity = self.host.now
@@ -84,31 +84,21 @@
         finally:
             self._is_processing = False
 
+    def may_begin_request(self) -> bool:
+        """Returns whether the next request may be read: there is one, and room for the head of its answer."""
+        return (
+            len(self.stream.incoming) > 0
+            and not self.host.is_holding_requests
+            and len(self.stream.outgoing) <= self.MAX_UNSENT_BYTES
+        )
+
     def _begin(self) -> bool:
         """Starts one RPC from the ring; returns whether the next request can be tried at once."""
-        ring, host = self.stream.incoming, self.host
-        if not len(ring) or host.is_holding_requests or len(self.stream.outgoing) > self.MAX_UNSENT_BYTES:
-            return False
-        end = ring.find_end(b"\r\n\r\n")
-        max_head_bytes = host.text.limits["head"]
-        if not end and len(ring) <= max_head_bytes and not ring.full:
-            while ring.peek(2) == b"\r\n":  # ignores blank lines before a request (RFC 9112, 2.2)
-                ring.skip(2)
-            return False
-        if not end or end > max_head_bytes:
-            self.refuse(431, "the head is too long")
-            return False
-        data = ring.take(end)
-        self.bytes_at_last_sweep = 0
-        self.stream.resume_reading()
-        try:
-            head = RequestHead(data.lstrip(b"\r\n"))
-        except RefusedHeadError as error:
-            host.log.count(f"rpc_refused_{error.status}")
-            self.refuse(error.status, str(error))
+        host = self.host
+        if not self.may_begin_request():
             return False
-        if len(head.target) > self.MAX_TARGET_BYTES:
-            self.refuse(414, "the target is too long")
+        head = read_request_head(self)
+        if head is None:
             return False
         target = head.target.decode("latin-1")
         path = target.partition("?")[0]
--- a/indigohitch/sidecar/framing.py
+++ b/indigohitch/sidecar/framing.py
@@ -112,3 +112,5 @@
 
 
 LAST_CHUNK = b"0\r\n\r\n"
+MAX_PIECE_BYTES = 32 << 10  # of a body, forwarded at once; half a ring
+CHUNK_OVERHEAD_BYTES = 32  # at least the framing of a piece and the last chunk
--- a/indigohitch/sidecar/pool.py
+++ b/indigohitch/sidecar/pool.py
@@ -103,7 +103,7 @@
             rpc.due_at - rpc.route.rpc.deadline,
             rpc.route.rpc.name,
             status,
-            rpc.answer.body.total if rpc.answer is not None else 0,
+            rpc.answer.head.body.total if rpc.answer is not None else 0,
         )
         if status:
             now = self.host.loop.clock.now()
--- a/indigohitch/sidecar/servers.py
+++ b/indigohitch/sidecar/servers.py
@@ -97,7 +97,7 @@
     def on_output_drained(self, stream: Stream) -> None:
         """Lets the RPC send more of its request."""
         if self.rpc is not None:
-            self.rpc.on_upstream_output_drained()
+            self.rpc.forward_request()
 
     def on_closed(self, stream: Stream, why: str) -> None:
         """Tells the RPC, or removes the connection from the idle ones."""
