Starting an RPC and looking at what is delivered leave sidecar/clients.py

Change: request_start.py has the way from a head to its RPC, delivery.py the kernel's count of unacknowledged bytes; the seat's refusal and the question whether a connection may be kept go to attempt.py. No behaviour is meant to change.

--- a/indigohitch/sidecar/attempt.py
+++ b/indigohitch/sidecar/attempt.py
@@ -8,6 +8,7 @@
 from ..net.clock import SECOND
 from ..net.loop import Deadline
 from ..net.stream import Stream
+from .heads import AnswerHead
 from .servers import Server, Upstream
 
 
@@ -89,6 +90,19 @@
         seat_header = seating.seat_header(self.seat, self.server) if self.seat is not None else b""
         return head.forwarded_head(seat_header, seating.SEAT_HEADERS)
 
+    def seat_refusal(self, head: AnswerHead) -> str:
+        """Returns the outcome if the server refused the seat of this attempt, else an empty string."""
+        seating = self.rpc.pool.host.seating
+        if seating is None:
+            return ""
+        seating.record_clock(self.server, head)
+        return seating.refusal_outcome(self.seat, head) if self.seat is not None else ""
+
+    def is_connection_reusable(self) -> bool:
+        """Returns whether the connection is open and nothing is left to be sent or read."""
+        stream = self.upstream.stream
+        return stream.open and not len(stream.incoming) and not len(stream.outgoing)
+
     def was_closed_in_transit(self) -> bool:
         """Returns whether the server closed a reused connection while the RPC was being sent."""
         elapsed = self.rpc.pool.host.loop.clock.now() - self.started_at
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket
-import sys
-import termios
 
 from ..net.clock import SECOND
 from ..net.http_exchange import is_connection_open
 from ..net.stream import Stream
-from .framing import Body
+from .delivery import unacknowledged_byte_count
 from .heads import plain_answer
-from .keys import key_of, slice_of
 from .request_reading import read_request_head
+from .request_start import start_request
 from .rpc import Rpc
 
 
@@ -41,7 +38,9 @@
     )
 
     def __init__(self, host) -> None:
-        self.host, self.rpc, self.last_activity = host, None, host.loop.clock.now()
+        self.host = host
+        self.rpc: Rpc | None = None
+        self.last_activity = host.loop.clock.now()
         self.stream: Stream | None = None
         self.close_after = self.lingering = self._is_processing = False
         self.bytes_at_last_sweep = 0  # unprocessed bytes in the ring
@@ -94,43 +93,19 @@
 
     def _begin(self) -> bool:
         """Starts one RPC from the ring; returns whether the next request can be tried at once."""
-        host = self.host
         if not self.may_begin_request():
             return False
         head = read_request_head(self)
-        if head is None:
-            return False
-        target = head.target.decode("latin-1")
-        path = target.partition("?")[0]
-        route = host.text.routes.find(head.method, path)
-        if isinstance(route, int):
-            host.log.count(f"rpc_refused_{route}")
-            host.log_access(self, head, host.now, "", route, 0)
-            self.close_after |= not head.body.done or not head.keep
-            self.stream.write(
-                plain_answer(route, "no such route", None, self.close_after, head.method == "HEAD")
-            )
-            self.on_answer_finished()
-            return True
-        if head.body.kind == Body.LENGTH and head.body.left > host.text.limits["body"]:
-            host.log.count("rpc_refused_413")
-            host.log_access(self, head, host.now, route.rpc.name, 413, 0)
-            self.refuse(413, "the body is too large")
-            return False
-        pool = host.pools[route.pool.name]
-        key = key_of(route, target, path, head.values)
-        # A request without a key may use any slice; round robin spreads these evenly.
-        number = pool.next_slice() if key is None else slice_of(key, pool.slices)
-        self.last_activity = host.now
-        self.rpc = rpc = Rpc(self, head, route, pool, number)
-        pool.count_request(number, route.rpc.name)
-        rpc.start()
-        return True
+        return head is not None and start_request(self, head)
 
     def refuse(self, status: int, why: str) -> None:
         """Answers with `status` and closes the connection after the answer."""
         self.close_after = True
-        self.stream.write(plain_answer(status, why, None, True))
+        self.send_answer(plain_answer(status, why, None, True))
+
+    def send_answer(self, answer: bytes) -> None:
+        """Sends an answer of the sidecar itself, and ends the current RPC."""
+        self.stream.write(answer)
         self.on_answer_finished()
 
     def on_answer_finished(self) -> None:
@@ -169,16 +144,12 @@
         """
         if not self.close_after and not is_connection_open(self.stream.sock):
             self.close_after = True  # the next turn reads the data; a complete request in it is the last one
-        elif self.close_after or len(self.stream.incoming) or self.unsent_byte_count():
+        elif self.close_after or len(self.stream.incoming) or unacknowledged_byte_count(self.stream):
             self.linger()
         else:
             self.stream.close()
             self.discard()
 
-    def unsent_byte_count(self) -> int:
-        """Returns the number of bytes in the kernel's send buffer that the client has not acknowledged."""
-        return int.from_bytes(fcntl.ioctl(self.stream.sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
     def on_output_drained(self, stream: Stream) -> None:
         """Continues the current RPC, or what waited for the output to be written."""
         self.last_activity = self.host.now
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -10,7 +10,7 @@
 from ..net.loop import Deadline
 from .answer_forwarding import Answer, read_answer_head
 from .attempt import Attempt, Phase
-from .heads import AnswerHead, RequestHead, plain_answer
+from .heads import RequestHead, plain_answer
 from .request_forwarding import forward_request_body
 from .servers import Upstream
 
@@ -137,7 +137,10 @@
             self.answer.forward()
             return
         head = read_answer_head(self)
-        if head is None or self.was_refused_by_seat(head):
+        if head is None:
+            return
+        if refusal := self.attempt.seat_refusal(head):
+            self.attempt_failed(refusal, counts_as_failure=False)
             return
         if self.deadline is not None:
             self.deadline.cancel()  # the end of the answer has no deadline; the stream timeout limits it
@@ -150,29 +153,11 @@
         self.answer = Answer(self, head)
         self.answer.begin()
 
-    def was_refused_by_seat(self, head: AnswerHead) -> bool:
-        """Fails the attempt if the server refused its seat; returns whether it did."""
-        seating = self.pool.host.seating
-        if seating is None:
-            return False
-        seating.record_clock(self.attempt.server, head)
-        seat = self.attempt.seat
-        outcome = seating.refusal_outcome(seat, head) if seat is not None else ""
-        if outcome:
-            self.attempt_failed(outcome, counts_as_failure=False)
-        return bool(outcome)
-
     def complete(self) -> None:
         """Ends the RPC after its whole answer was forwarded."""
-        head, stream = self.answer.head, self.upstream.stream
+        head = self.answer.head
         self.phase = Phase.OVER
-        keep = (
-            head.keep
-            and self.body.done
-            and stream.open
-            and not len(stream.incoming)
-            and not len(stream.outgoing)
-        )
+        keep = head.keep and self.body.done and self.attempt.is_connection_reusable()
         self.attempt.release_seat()
         self.end_attempt(failed=head.status >= 500, keep=keep)
         self.pool.finish_rpc(self, head.status)
@@ -221,10 +206,9 @@
             client.discard()
             return
         client.close_after |= not self.body.done or not self.head.keep
-        client.stream.write(
+        client.send_answer(
             plain_answer(status, why, retry_after, client.close_after, self.head.method == "HEAD")
         )
-        client.on_answer_finished()
 
     def abort_answer(self) -> None:
         """Closes the client's connection because the answer failed after its head was sent."""
