An answer that broke off ends in a reset where only its end would say that it is whole

Ways in: server killed, stopped, reset or malformed; wait stream; limit memory; the drain's end at SIGTERM and in an upgrade; death of the sidecar itself; a client that shuts down its sending side. Cause: the end of the connection is all that such a client is told, and every close of the sidecar's, and the kernel's at its death, is an orderly one. Change: from the answer's first byte any close is a reset (SO_LINGER, 0 s), until its last byte was given to the kernel; so whole is the one way out that has to be told. A request of HTTP/1.0 behind an answer that is not delivered yet waits, as a reset would discard that one. Two stand-ins use the same call; peer.py sent an orderly end before its reset. Without the wait the case of the earlier answer fails.

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -7,7 +7,7 @@
 import socket
 from typing import Protocol, Self
 
-from .graceful_close import close_in_order
+from .graceful_close import close_in_order, set_reset_on_close
 from .loop import EventLoop
 from .ring_buffer import BufferPool, RingBuffer
 
@@ -69,6 +69,7 @@
         self.outgoing = RingBuffer(self.MAX_BUFFERED, pool or loop.pool)
         self.connecting = False
         self.open = True
+        self.ends_with_reset = False
         self.received = 0  # bytes, in total
         self.reads_per_turn = self.MAX_READS_PER_TURN
         self.read_size = self.MAX_BUFFERED
@@ -127,7 +128,7 @@
             return
         self.open = False
         self.loop.forget(self.sock, self._number)
-        if why:  # it failed, or the peer closed it
+        if why or self.ends_with_reset:  # it failed, or the peer closed it
             self.sock.close()
         else:
             close_in_order(self.sock)
@@ -136,6 +137,11 @@
         self.incoming.close()
         self.outgoing.close()
 
+    def set_ends_with_reset(self, on: bool) -> None:
+        """Sets whether the connection ends with a reset, whoever ends it, also the death of this process."""
+        self.ends_with_reset = on
+        set_reset_on_close(self.sock, on)
+
     def detach(self) -> tuple[socket.socket, bytes]:
         """Removes the connection from the loop without closing it; returns the socket and unread data."""
         unread = self.incoming.peek()
--- a/indigohitch/net/graceful_close.py
+++ b/indigohitch/net/graceful_close.py
@@ -1,9 +1,10 @@
-"""An orderly close of a socket."""
+"""Closes of a socket: in order, or by a reset."""
 
 from __future__ import annotations
 
 import contextlib
 import socket
+import struct
 
 # Together these cover the unread input that the protocol allows a peer to cause.
 DISCARD_BUFFER = bytearray(16 << 10)
@@ -22,3 +23,11 @@
             if not sock.recv_into(DISCARD_BUFFER):
                 break
     sock.close()
+
+
+def set_reset_on_close(sock: socket.socket, on: bool) -> None:
+    """Sets whether a close of the socket resets the connection, also the close by the death of the process.
+
+    The reset discards what the peer's kernel has not acknowledged.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", on, 0))
--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -38,15 +38,23 @@
 class Answer:
     """The final answer of an RPC: its head, and its body on the way from the server to the client."""
 
-    __slots__ = ("rpc", "head", "in_chunks")
+    __slots__ = ("rpc", "head", "in_chunks", "ends_with_connection")
 
     def __init__(self, rpc, head: AnswerHead) -> None:
         self.rpc = rpc
         self.head = head
-        self.in_chunks = head.body.kind in (Body.CHUNKED, Body.TO_END) and rpc.head.version == "1.1"
+        has_no_length = head.body.kind in (Body.CHUNKED, Body.TO_END)
+        self.in_chunks = has_no_length and rpc.head.version == "1.1"
+        self.ends_with_connection = has_no_length and not self.in_chunks
 
     def begin(self) -> None:
-        """Forwards the head and the received part of the body."""
+        """Forwards the head and the received part of the body.
+
+        Where only the end of the connection ends the answer, an orderly end says that it is whole.  So from
+        the first byte until the last one is written (`Client.linger`), any end of the connection is a reset.
+        """
+        if self.ends_with_connection:
+            self.rpc.client.stream.set_ends_with_reset(True)
         self.forward(self.head.forwarded_head(self.in_chunks, self.rpc.client.close_after))
 
     def forward(self, out: bytes = b"") -> None:
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -6,6 +6,7 @@
 
 from ..net.clock import SECOND
 from ..net.http_exchange import is_connection_open
+from ..net.loop import Deadline
 from ..net.stream import Stream
 from .delivery import unacknowledged_byte_count
 from .heads import plain_answer
@@ -23,6 +24,7 @@
     LINGER_TIME = 2 * SECOND  # lets the client read the end of its answer before a reset could discard it
     # Unsent bytes of earlier answers; the head of the next answer has to fit into the ring beside them.
     MAX_UNSENT_BYTES = Stream.MAX_BUFFERED // 2
+    DELIVERY_CHECK_INTERVAL = SECOND // 100
 
     __slots__ = (
         "host",
@@ -35,6 +37,7 @@
         "number",
         "bytes_at_last_sweep",
         "serial",
+        "delivery_check",
     )
 
     def __init__(self, host) -> None:
@@ -45,6 +48,7 @@
         self.close_after = self.lingering = self._is_processing = False
         self.bytes_at_last_sweep = 0  # unprocessed bytes in the ring
         self.number = self.serial = -1
+        self.delivery_check: Deadline | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -98,6 +102,25 @@
         head = read_request_head(self)
         return head is not None and start_request(self, head)
 
+    def has_undelivered_output(self) -> bool:
+        """Returns whether the client has not acknowledged all of the earlier answers."""
+        return len(self.stream.outgoing) > 0 or unacknowledged_byte_count(self.stream) > 0
+
+    def check_delivery_later(self) -> None:
+        """Lets the next request wait until the client has received the earlier answers.
+
+        The answer to HTTP/1.0 may end in a reset, which would discard what is not delivered of them.
+        """
+        if self.delivery_check is None:
+            self.delivery_check = self.host.loop.call_after(
+                self.DELIVERY_CHECK_INTERVAL, self.on_delivery_check
+            )
+
+    def on_delivery_check(self) -> None:
+        """Tries the next request again."""
+        self.delivery_check = None
+        self.process_requests()
+
     def refuse(self, status: int, why: str) -> None:
         """Answers with `status` and closes the connection after the answer."""
         self.close_after = True
@@ -129,6 +152,8 @@
             return
         self.lingering, self.last_activity = True, self.host.now
         self.stream.incoming.take()
+        if self.stream.ends_with_reset:
+            self.stream.set_ends_with_reset(False)  # all of the answer was written
         try:
             self.stream.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/indigohitch/sidecar/request_reading.py
+++ b/indigohitch/sidecar/request_reading.py
@@ -19,7 +19,11 @@
     if not end or end > max_head_bytes:
         client.refuse(431, "the head is too long")
         return None
-    data = received.take(end)
+    data = received.peek(end)
+    if b" HTTP/1.0\r\n" in data and client.has_undelivered_output():
+        client.check_delivery_later()
+        return None
+    received.skip(end)
     client.bytes_at_last_sweep = 0
     client.stream.resume_reading()
     try:
--- a/indigohitch/standins/fault_links.py
+++ b/indigohitch/standins/fault_links.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -127,7 +126,7 @@
 def close_stream(stream: Stream, why: str) -> None:
     """Closes the stream; `why` "reset" makes the kernel send a TCP reset."""
     if why == "reset":
-        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        stream.set_ends_with_reset(True)
     stream.close("hung up")
 
 
--- a/indigohitch/standins/peer.py
+++ b/indigohitch/standins/peer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections import Counter
 from typing import Any, Protocol
 
@@ -160,7 +159,7 @@
         """Closes the connection with a TCP reset."""
         if not self.stream.open:
             return
-        self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.stream.set_ends_with_reset(True)
         self.stream.close()
 
     def answer(self, status: int, body: bytes, directives: dict, method: bytes = b"GET") -> None:
--- a/tests/seam.py
+++ b/tests/seam.py
@@ -114,6 +114,7 @@
         self.host.start(listening)
         self.host.start_sweeps()
         self.socks = []
+        self.has_ended = False
 
     def turn(self):
         self.loop.call_after(10, lambda: None)  # limits the wait of a turn
@@ -173,9 +174,15 @@
     def idle(self):
         return self.pool.servers["n1"].idle
 
+    def end(self):
+        """Ends the host as the process does at the end of its drain."""
+        self.has_ended = True
+        self.host.close()
+
     def close(self):
         assert not self.broken
-        self.host.close()
+        if not self.has_ended:
+            self.end()
         for sock in (self.server, *self.socks):
             sock.close()
         self.loop.close()
--- /dev/null
+++ b/tests/test_sidecar_whole_answers.py
@@ -0,0 +1,87 @@
+"""An answer that is whole reaches its client whole, whatever ends beside it."""
+
+import socket
+
+import pytest
+
+from received_answer import WHOLE, ReceivedAnswer, receive
+from seam import OK, RESERVE, Seam
+from test_sidecar_broken_answers import CHUNKS, LENGTH, REQUEST
+
+SIZE = 60_000  # bytes of a body; less than the ring of a server connection
+SMALL_BUFFER = 4096  # bytes of a socket buffer
+
+
+@pytest.fixture
+def seam():
+    seam = Seam()
+    yield seam
+    seam.close()
+
+
+def slow_client(seam, request):
+    """Returns a client that has not read anything, with small socket buffers."""
+    sock, client = seam.client(buffer=SMALL_BUFFER)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+    sock.sendall(request)
+    return sock, client
+
+
+def whole_answer(framing, size=SIZE):
+    """Returns an answer of a server; one that the end of the connection ends has no other framing."""
+    body = b"x" * size
+    if framing == LENGTH:
+        return OK % (size, body)
+    if framing == CHUNKS:
+        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+    return b"HTTP/1.1 200 OK\r\n\r\n" + body
+
+
+def send(seam, server, data):
+    """Sends all data as the sidecar reads it; returns once it was sent."""
+    server.setblocking(False)
+    while data:
+        try:
+            data = data[server.send(data) :]
+        except BlockingIOError:
+            seam.turn()
+
+
+def received(seam, sock, version):
+    """Returns what the client receives; over HTTP/1.1 up to the end of one answer: the connection is kept."""
+    if version == "1.0":
+        return receive(sock, lambda: seam.said(sock))
+    data = b""
+    while not (answer := ReceivedAnswer(data, False)).verdict == WHOLE:
+        part = seam.said(sock)
+        if not part:
+            return answer
+        data += part
+    return answer
+
+
+# ---- earlier answers on the same connection
+
+
+@pytest.mark.parametrize("second", [REQUEST.format("1.0").encode()])
+def test_an_answer_that_breaks_off_leaves_the_one_before_it_whole(seam, second):
+    """Guards against a reset that discards an earlier answer on its way when the next one breaks off."""
+    sock, client = slow_client(seam, RESERVE + second)
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(LENGTH, 30_000))  # fewer bytes than keep the next request waiting
+    seam.until(lambda: client.rpc is None or client.rpc.head.method == "GET")
+    data = b""
+    if client.rpc is None:  # the next request waits until the first answer was received
+        while len(data) < 30_000:
+            data += seam.said(sock)
+    server, _ = seam.asked(server)
+    server.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+    seam.until(lambda: client.rpc.answer is not None)
+    server.close()
+    seam.until(lambda: client.rpc is None)
+    rest = receive(sock, lambda: seam.said(sock))
+    data += rest.data
+    first_size = data.index(b"\r\n\r\n") + 4 + 30_000
+    first = ReceivedAnswer(data[:first_size], False)
+    assert first.verdict == WHOLE and first.body == b"x" * 30_000
+    assert ReceivedAnswer(data[first_size:], rest.was_reset).verdict != WHOLE
