What a server has left at its end reaches a slow client whole

What callers saw: a slow client lost the last bytes (up to 64 KB) of an answer that the sidecar had received whole, with memory used up or after a reset by the server; with a length or chunks the next answer stood in their place, and HTTP/1.0 took the part for the whole. Cause: at the server's end all that was received was judged and pushed at once, and a push that failed was passed over; a reset was not judged at all. Change: the answer takes the ring over and goes on at the client's pace; it is judged when nothing is left.

--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -11,7 +11,7 @@
 
 from .connection import READ, WRITE, Connection
 from .loop import EventLoop
-from .ring_buffer import BufferPool
+from .ring_buffer import BufferPool, RingBuffer
 
 
 class StreamReader(Protocol):
@@ -146,6 +146,12 @@
             if not self.open or received < self.incoming.FIRST_BLOCK:
                 return
 
+    def take_over_incoming(self) -> RingBuffer:
+        """Returns the ring with the unread data, which outlives the stream; the caller has to close it."""
+        ring = self.incoming
+        self.incoming = RingBuffer(0, self.loop.pool)
+        return ring
+
     def close(self, why: str = "") -> None:
         """Closes immediately; the reader is notified if there is a reason."""
         self._reregister()
--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -38,7 +38,7 @@
 class Answer:
     """The final answer of an RPC: its head, and its body on the way from the server to the client."""
 
-    __slots__ = ("rpc", "head", "in_chunks", "ends_with_connection")
+    __slots__ = ("rpc", "head", "in_chunks", "ends_with_connection", "received", "server_end")
 
     def __init__(self, rpc, head: AnswerHead) -> None:
         self.rpc = rpc
@@ -46,6 +46,8 @@
         has_no_length = head.body.kind in (Body.CHUNKED, Body.TO_END)
         self.in_chunks = has_no_length and rpc.head.version == "1.1"
         self.ends_with_connection = has_no_length and not self.in_chunks
+        self.received = rpc.upstream.stream.incoming
+        self.server_end = ""  # why the server's connection closed; empty while it is open
 
     def begin(self) -> None:
         """Forwards the head and the received part of the body.
@@ -62,53 +64,61 @@
 
         Completes the RPC at the end of the body.
         """
-        rpc, body = self.rpc, self.head.body
-        stream, client_stream = rpc.upstream.stream, rpc.client.stream
+        rpc = self.rpc
         rpc.client.last_activity = rpc.pool.host.now
         try:
-            while not body.done:
-                room = client_stream.free_capacity() - len(out) - CHUNK_OVERHEAD_BYTES
-                data = body.take(stream.incoming, min(MAX_PIECE_BYTES, room))
-                if not data and not body.done:
-                    break
-                out += chunk(data) if self.in_chunks else data
-                if len(out) >= MAX_PIECE_BYTES:
-                    client_stream.write(out)
-                    out = b""
+            is_all_forwarded = self._forward_received(out)
         except MalformedBodyError as error:
             log_refused_answer(rpc, error)
             rpc.abort_answer()
             return
+        if self.head.body.done:
+            rpc.complete()
+        elif not self.server_end:
+            rpc.upstream.stream.resume_reading()
+        elif is_all_forwarded:
+            self._end_at_close()
+
+    def _forward_received(self, out: bytes) -> bool:
+        """Forwards what the client has room for; returns whether nothing that was received is left.
+
+        Raises MalformedBodyError.
+        """
+        body, client_stream = self.head.body, self.rpc.client.stream
+        while not body.done:
+            room = client_stream.free_capacity() - len(out) - CHUNK_OVERHEAD_BYTES
+            if room <= 0 and not out:
+                return False  # the client has to read first
+            if room > 0:
+                data = body.take(self.received, min(MAX_PIECE_BYTES, room))
+                if not data:
+                    break
+                out += chunk(data) if self.in_chunks else data
+            if room <= 0 or len(out) >= MAX_PIECE_BYTES:
+                client_stream.write(out)  # may make room: the kernel may take all of it at once
+                out = b""
         if body.done and self.in_chunks:
             out += LAST_CHUNK
         if out:
             client_stream.write(out)
-        if body.done:
-            rpc.complete()
-        elif rpc.upstream is not None:
-            stream.resume_reading()
+        return True
 
     def on_server_closed(self, why: str) -> None:
-        """Completes or aborts the answer after the server's connection was closed.
-
-        All data left in the ring counts, even if it exceeds the size of the client's output ring.
-        """
-        rpc, body = self.rpc, self.head.body
-        if why != "ended":
-            rpc.abort_answer()
-            return
-        client_stream = rpc.client.stream
-        try:
-            data = body.take(rpc.upstream.stream.incoming, 1 << 30)
-        except MalformedBodyError:
-            data = b""
-        if not body.ended():
-            rpc.abort_answer()
+        """Forwards what was received, as the client reads it; then completes or aborts the answer."""
+        self.server_end = why
+        self.received = self.rpc.upstream.stream.take_over_incoming()
+        self.forward()
+
+    def _end_at_close(self) -> None:
+        """Completes the answer if the orderly end of the server's connection ends it, else aborts it."""
+        if self.server_end != "ended" or not self.head.body.ended():
+            self.rpc.abort_answer()
             return
-        out = (chunk(data) + LAST_CHUNK) if self.in_chunks else data
-        if out and not client_stream.outgoing.push(out):
-            # Grows by one ring at most, and only for the rest of this answer.
-            client_stream.outgoing.set_max_size(client_stream.outgoing.max_size + len(out))
-            client_stream.outgoing.push(out)
-        client_stream.flush_soon()
-        rpc.complete()
+        if self.in_chunks:
+            self.rpc.client.stream.write(LAST_CHUNK)
+        self.rpc.complete()
+
+    def close(self) -> None:
+        """Releases the data of a server that has closed its connection."""
+        if self.server_end:
+            self.received.close()
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -156,11 +156,10 @@
     def complete(self) -> None:
         """Ends the RPC after its whole answer was forwarded."""
         head = self.answer.head
-        self.phase = Phase.OVER
         keep = head.keep and self.body.done and self.attempt.is_connection_reusable()
         self.attempt.release_seat()
         self.end_attempt(failed=head.status >= 500, keep=keep)
-        self.pool.finish_rpc(self, head.status)
+        self.end(head.status)
         self.client.on_answer_finished()
 
     def upstream_closed(self, why: str) -> None:
@@ -199,8 +198,8 @@
 
     def finish_with(self, status: int, why: str, retry_after: int | None) -> None:
         """Sends an answer of the sidecar, or closes the client if part of an answer was already sent."""
-        client, self.phase = self.client, Phase.OVER
-        self.pool.finish_rpc(self, status)
+        client = self.client
+        self.end(status)
         if self.answer is not None:
             client.stream.close()  # part of an answer was sent: only a close can signal the failure
             client.discard()
@@ -220,6 +219,12 @@
         """Ends the RPC without an answer because the client has disconnected."""
         if self.phase is not Phase.OVER:
             self.end_attempt(failed=None)
-            self.phase = Phase.OVER
             self.pool.host.log.count("rpc_abandoned")
-            self.pool.finish_rpc(self, 0)
+            self.end(0)
+
+    def end(self, status: int) -> None:
+        """Marks the RPC as over and counts it; `status` is 0 if the client has disconnected."""
+        self.phase = Phase.OVER
+        if self.answer is not None:
+            self.answer.close()
+        self.pool.finish_rpc(self, status)
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from peers import reset
 from received_answer import WHOLE, ReceivedAnswer, receive
-from seam import OK, RESERVE, Seam
-from test_sidecar_broken_answers import CHUNKS, LENGTH, REQUEST
+from seam import OK, READ, RESERVE, Seam, readable
+from test_sidecar_broken_answers import CHUNKS, CONNECTION_END, LENGTH, REQUEST, VERSIONS
 
 SIZE = 60_000  # bytes of a body; less than the ring of a server connection
 SMALL_BUFFER = 4096  # bytes of a socket buffer
@@ -19,6 +20,11 @@
     seam.close()
 
 
+def use_up_memory(seam):
+    """Leaves no memory to the rings of clients beyond their first blocks, as many slow readers would."""
+    assert seam.host.memory.take(seam.host.memory.available)
+
+
 def slow_client(seam, request):
     """Returns a client that has not read anything, with small socket buffers."""
     sock, client = seam.client(buffer=SMALL_BUFFER)
@@ -60,12 +66,57 @@
     return answer
 
 
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION_END])
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("is_memory_used_up", [True, False])
+def test_a_whole_answer_of_a_server_that_has_closed_reaches_a_slow_client(
+    seam, version, framing, is_memory_used_up
+):
+    """Guards against losing the end of an answer for which the client's ring had no room at the close."""
+    if is_memory_used_up:
+        use_up_memory(seam)
+    sock, client = slow_client(seam, REQUEST.format(version).encode())
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(framing))
+    server.close()
+    upstream = client.rpc.upstream
+    seam.until(lambda: not upstream.stream.open)
+    answer = received(seam, sock, version)
+    assert answer.verdict == WHOLE and answer.body == b"x" * SIZE
+    assert seam.loop.pool.available == seam.host.text.limits["memory"]
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS])
+@pytest.mark.parametrize("version", VERSIONS)
+def test_a_whole_answer_of_a_server_that_has_reset_reaches_a_slow_client(seam, version, framing):
+    """Guards against breaking off an answer that was received whole before the reset."""
+    use_up_memory(seam)
+    sock, client = slow_client(seam, REQUEST.format(version).encode())
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(framing))
+    upstream = client.rpc.upstream
+    seam.until(lambda: len(upstream.stream.incoming) and not readable(upstream.stream.sock))
+    reset(server)
+    seam.until(lambda: not upstream.stream.open)
+    answer = received(seam, sock, version)
+    assert answer.verdict == WHOLE and answer.body == b"x" * SIZE
+
+
+def test_a_body_that_arrives_with_a_long_head_is_forwarded_although_memory_is_used_up(seam):
+    """Guards against an answer that stalls because its head leaves no room for the body."""
+    use_up_memory(seam)
+    sock, _ = seam.client(READ)
+    server, _ = seam.asked()
+    server.sendall((OK % (5, b"whole")).replace(b"OK\r\n", b"OK\r\nX-Long: " + b"y" * 4100 + b"\r\n"))
+    assert received(seam, sock, "1.1").body == b"whole"
+
+
 # ---- earlier answers on the same connection
 
 
 @pytest.mark.parametrize("second", [REQUEST.format("1.0").encode()])
 def test_an_answer_that_breaks_off_leaves_the_one_before_it_whole(seam, second):
-    """Guards against a reset that discards an earlier answer on its way when the next one breaks off."""
+    """Guards against dropping an earlier answer that is queued when the next one breaks off."""
     sock, client = slow_client(seam, RESERVE + second)
     server, _ = seam.asked()
     send(seam, server, whole_answer(LENGTH, 30_000))  # fewer bytes than keep the next request waiting
