An answer is read to its end after a write to its server has failed

What callers saw: an early answer larger than the ring broke off for a slow client, though the kernel had received all of it; and an answer without a length that a reset cut short was passed on as whole, if the sidecar met the reset while writing. Cause: Stream._on_write_failed read once and closed; and the kernel reports a reset once, to the write, so that the read after it looks like an orderly end. Change: the output is discarded, what the error told is kept (EPIPE: the peer had ended in order; ECONNRESET: it had not), and the rest is read as there is room.

--- a/indigohitch/net/connection.py
+++ b/indigohitch/net/connection.py
@@ -151,20 +151,20 @@
         self.outgoing.close()
         return self.sock, unread
 
-    def _write_out(self) -> str:
-        """Writes as much as the socket accepts; returns the reason to close the connection, or ""."""
+    def _write_out(self) -> OSError | None:
+        """Writes as much as the socket accepts; returns the error if the connection has failed."""
         try:
             while self.outgoing:
                 self.outgoing.send_to(self.sock)
         except BlockingIOError:
             pass
-        except OSError:
-            return "reset"
-        return ""
+        except OSError as error:
+            return error
+        return None
 
     def _flush(self) -> str:
-        if why := self._write_out():
-            return why
+        if self._write_out() is not None:
+            return "reset"
         if self._writing != bool(self.outgoing):
             self._writing = bool(self.outgoing)
             self.loop.change(self.sock, self._number, READ | WRITE if self._writing else READ)
--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import Protocol, Self
 
@@ -30,6 +31,15 @@
         """Called when the stream failed or the peer closed it."""
 
 
+def end_reason(error: OSError) -> str:
+    """Returns whether the peer ended its data in order before it reset the connection.
+
+    The kernel reports a reset as EPIPE after an orderly end, else as ECONNRESET, and only once: a read after
+    it returns the end of the data in either case.
+    """
+    return "ended" if error.errno == errno.EPIPE else "reset"
+
+
 class Stream(Connection):
     """Reads a socket only while its ring has free space."""
 
@@ -47,6 +57,8 @@
         self.reading_paused = False  # the socket is not read, as the ring is full
         self._mask = READ  # the events for which the selector watches the socket
         self._is_outbound = False
+        self.is_output_lost = False  # a write has failed; nothing is written after it
+        self._end_reason = ""  # why the connection ended, if a failed write told it
 
     @classmethod
     def dial(cls, loop: EventLoop, address: tuple[str, int], reader: StreamReader) -> Self:
@@ -74,15 +86,16 @@
 
     def write(self, data: bytes) -> None:
         """Writes what the socket accepts and queues the rest; a failure closes the stream in a later turn."""
-        if not self.open:
+        if not self.open or self.is_output_lost:
             return
         if not self.connecting and not len(self.outgoing):
             try:
                 sent = self.sock.send(data)
             except BlockingIOError:
                 sent = 0
-            except OSError:
-                self.loop.call_after(0, self._on_write_failed)
+            except OSError as error:
+                failed = error  # the name of an exception ends with its clause
+                self.loop.call_after(0, lambda: self._on_write_failed(failed))
                 return
             if sent == len(data):
                 return
@@ -104,21 +117,33 @@
             self.reading_paused = False
             self._watch()
 
-    def _on_write_failed(self) -> None:
+    def _on_write_failed(self, error: OSError) -> None:
         """Handles a failed write.
 
         A server that rejects a request may have responded before it reset the connection, so an outbound
-        stream is read once more.  An inbound one is not: no further request is to be started.
+        stream is read to its end, as its reader makes room.  An inbound one is not: no further request is to
+        be started.
         """
+        if self._is_outbound and self.open and error.errno in (errno.ECONNRESET, errno.EPIPE):
+            self._end_reason = end_reason(error)
+            self._discard_output()
+            return
         if self._is_outbound and self.open and not self.reading_paused:
             self._read()
         self.close("reset")
 
+    def _discard_output(self) -> None:
+        """Discards what is queued and all that will be written."""
+        self.is_output_lost = True
+        self.outgoing.close()
+        self._writing = False
+        self._watch()
+
     def _flush(self) -> str:
         had_output = bool(self.outgoing)
-        if why := self._write_out():
-            self._on_write_failed()
-            return why
+        if (error := self._write_out()) is not None:
+            self._on_write_failed(error)
+            return ""
         self._writing = bool(self.outgoing)
         self._watch()
         if had_output and not self._writing:
@@ -131,11 +156,11 @@
                 received = self.incoming.receive_from(self.sock)
             except BlockingIOError:
                 return
-            except OSError:
-                self.close("reset")
+            except OSError as error:
+                self.close(self._end_reason or end_reason(error))
                 return
             if received == 0:
-                self.close("ended")
+                self.close(self._end_reason or "ended")
                 return
             if received < 0:
                 self.reading_paused = True
--- a/indigohitch/sidecar/attempt.py
+++ b/indigohitch/sidecar/attempt.py
@@ -101,7 +101,12 @@
     def is_connection_reusable(self) -> bool:
         """Returns whether the connection is open and nothing is left to be sent or read."""
         stream = self.upstream.stream
-        return stream.open and not len(stream.incoming) and not len(stream.outgoing)
+        return (
+            stream.open
+            and not stream.is_output_lost
+            and not len(stream.incoming)
+            and not len(stream.outgoing)
+        )
 
     def was_closed_in_transit(self) -> bool:
         """Returns whether the server closed a reused connection while the RPC was being sent."""
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -104,7 +104,7 @@
 
     def has_undelivered_output(self) -> bool:
         """Returns whether the client has not acknowledged all of the earlier answers."""
-        return len(self.stream.outgoing) > 0 or unacknowledged_byte_count(self.stream) > 0
+        return len(self.stream.outgoing) > 0 or unacknowledged_byte_count(self.stream.sock) > 0
 
     def check_delivery_later(self) -> None:
         """Lets the next request wait until the client has received the earlier answers.
@@ -169,7 +169,7 @@
         """
         if not self.close_after and not is_connection_open(self.stream.sock):
             self.close_after = True  # the next turn reads the data; a complete request in it is the last one
-        elif self.close_after or len(self.stream.incoming) or unacknowledged_byte_count(self.stream):
+        elif self.close_after or len(self.stream.incoming) or unacknowledged_byte_count(self.stream.sock):
             self.linger()
         else:
             self.stream.close()
--- a/indigohitch/sidecar/delivery.py
+++ b/indigohitch/sidecar/delivery.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import fcntl
+import socket
 import sys
 import termios
 
-from ..net.stream import Stream
 
-
-def unacknowledged_byte_count(stream: Stream) -> int:
-    """Returns the number of bytes in the kernel's send buffer that the client has not acknowledged."""
-    return int.from_bytes(fcntl.ioctl(stream.sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+def unacknowledged_byte_count(sock: socket.socket) -> int:
+    """Returns the number of bytes in the kernel's send buffer that the peer has not acknowledged."""
+    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
