An answer that breaks off leaves the one before it on the connection whole

What callers saw: a client that pipelines and reads slowly lost the end of a whole answer as the next one broke off. Change: Client.break_off_answer lets what is queued go out, then ends the connection by a lingering close.

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -146,6 +146,22 @@
             elif len(self.stream.incoming):
                 self.process_requests()
 
+    def break_off_answer(self) -> None:
+        """Ends the connection so that the client can tell that its answer is incomplete.
+
+        Earlier answers that are still queued are delivered first.
+        """
+        if self.stream.ends_with_reset:
+            self.close_at_once()
+        else:
+            self.close_after = True
+            self.on_answer_finished()
+
+    def close_at_once(self) -> None:
+        """Closes the connection; what is queued is lost, and an RPC in flight is abandoned."""
+        self.stream.close()
+        self.discard()
+
     def linger(self) -> None:
         """Closes the sending side and discards received data for LINGER_TIME, then closes the connection."""
         if self.lingering or not self.stream.open:
@@ -172,8 +188,7 @@
         elif self.close_after or len(self.stream.incoming) or unacknowledged_byte_count(self.stream.sock):
             self.linger()
         else:
-            self.stream.close()
-            self.discard()
+            self.close_at_once()
 
     def on_output_drained(self, stream: Stream) -> None:
         """Continues the current RPC, or what waited for the output to be written."""
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -134,8 +134,7 @@
                 self.log.count(
                     "client_too_slow" if client.rpc or client.bytes_at_last_sweep else "client_idle_closed"
                 )
-                client.stream.close()
-                client.discard()
+                client.close_at_once()
         for pool in self.pools.values():
             pool.sweep(now)
         self._sweep = self.loop.call_after(self.SWEEP_INTERVAL, self.sweep)
@@ -206,8 +205,7 @@
             self._sweep.cancel()
         self.stop_listening()
         for client in list(self.clients):
-            client.stream.close()
-            client.discard()
+            client.close_at_once()
         for pool in self.pools.values():
             pool.close()
         self.worker.close()
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -201,8 +201,7 @@
         client = self.client
         self.end(status)
         if self.answer is not None:
-            client.stream.close()  # part of an answer was sent: only a close can signal the failure
-            client.discard()
+            client.break_off_answer()
             return
         client.close_after |= not self.body.done or not self.head.keep
         client.send_answer(
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -116,7 +116,7 @@
 # ---- earlier answers on the same connection
 
 
-@pytest.mark.parametrize("second", [REQUEST.format("1.0").encode()])
+@pytest.mark.parametrize("second", [READ, REQUEST.format("1.0").encode()])
 def test_an_answer_that_breaks_off_leaves_the_one_before_it_whole(seam, second):
     """Guards against dropping an earlier answer that is queued when the next one breaks off."""
     sock, client = slow_client(seam, RESERVE + second)
