A malformed answer of which nothing was sent is a failed attempt, not a close

What callers saw: a malformed chunk that came with its head closed the connection with no answer. Cause: the head, held back with the body behind it, was dropped; yet the answer counted as begun. Change: Answer.is_begun, set with the first write to the client; before it the attempt fails: another try where request.py allows it, within the deadline, which is cancelled only then; else 502.

--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -38,7 +38,7 @@
 class Answer:
     """The final answer of an RPC: its head, and its body on the way from the server to the client."""
 
-    __slots__ = ("rpc", "head", "in_chunks", "ends_with_connection", "received", "server_end")
+    __slots__ = ("rpc", "head", "in_chunks", "ends_with_connection", "received", "server_end", "is_begun")
 
     def __init__(self, rpc, head: AnswerHead) -> None:
         self.rpc = rpc
@@ -47,16 +47,11 @@
         self.in_chunks = has_no_length and rpc.head.version == "1.1"
         self.ends_with_connection = has_no_length and not self.in_chunks
         self.received = rpc.upstream.stream.incoming
+        self.is_begun = False  # whether the client was sent a part of it
         self.server_end = ""  # why the server's connection closed; empty while it is open
 
     def begin(self) -> None:
-        """Forwards the head and the received part of the body.
-
-        Where only the end of the connection ends the answer, an orderly end says that it is whole.  So from
-        the first byte until the last one is written (`Client.linger`), any end of the connection is a reset.
-        """
-        if self.ends_with_connection:
-            self.rpc.client.stream.set_ends_with_reset(True)
+        """Forwards the head and the received part of the body."""
         self.forward(self.head.forwarded_head(self.in_chunks, self.rpc.client.close_after))
 
     def forward(self, out: bytes = b"") -> None:
@@ -70,7 +65,7 @@
             is_all_forwarded = self._forward_received(out)
         except MalformedBodyError as error:
             log_refused_answer(rpc, error)
-            rpc.abort_answer()
+            rpc.reject_answer()
             return
         if self.head.body.done:
             rpc.complete()
@@ -95,14 +90,27 @@
                     break
                 out += chunk(data) if self.in_chunks else data
             if room <= 0 or len(out) >= MAX_PIECE_BYTES:
-                client_stream.write(out)  # may make room: the kernel may take all of it at once
+                self._write(out)  # may make room: the kernel may take all of it at once
                 out = b""
         if body.done and self.in_chunks:
             out += LAST_CHUNK
         if out:
-            client_stream.write(out)
+            self._write(out)
         return True
 
+    def _write(self, data: bytes) -> None:
+        """Writes to the client.
+
+        Where only the end of the connection ends the answer, an orderly end says that it is whole.  So from
+        the first byte until the last one is written (`Client.linger`), any end of the connection is a reset.
+        """
+        client_stream = self.rpc.client.stream
+        if not self.is_begun:
+            self.is_begun = True
+            if self.ends_with_connection:
+                client_stream.set_ends_with_reset(True)
+        client_stream.write(data)
+
     def on_server_closed(self, why: str) -> None:
         """Forwards what was received, as the client reads it; then completes or aborts the answer."""
         self.server_end = why
@@ -115,7 +123,7 @@
             self.rpc.abort_answer()
             return
         if self.in_chunks:
-            self.rpc.client.stream.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         self.rpc.complete()
 
     def close(self) -> None:
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -142,8 +142,6 @@
         if refusal := self.attempt.seat_refusal(head):
             self.attempt_failed(refusal, counts_as_failure=False)
             return
-        if self.deadline is not None:
-            self.deadline.cancel()  # the end of the answer has no deadline; the stream timeout limits it
         self.phase = Phase.ANSWERING
         if self.pool.load_header and (report := head.value(self.pool.load_header)):
             self.pool.on_load_report(self.attempt.server, report)
@@ -152,6 +150,8 @@
         self.client.close_after |= not self.body.done or not self.head.keep
         self.answer = Answer(self, head)
         self.answer.begin()
+        if self.phase is Phase.ANSWERING and self.deadline is not None:
+            self.deadline.cancel()  # the end of the answer has no deadline; the stream timeout limits it
 
     def complete(self) -> None:
         """Ends the RPC after its whole answer was forwarded."""
@@ -208,6 +208,14 @@
             plain_answer(status, why, retry_after, client.close_after, self.head.method == "HEAD")
         )
 
+    def reject_answer(self) -> None:
+        """Ends an answer that is malformed: the client can still get another if nothing of it was sent."""
+        if self.answer.is_begun:
+            self.abort_answer()
+        else:
+            self.answer = None
+            self.attempt_failed(request.SENT)
+
     def abort_answer(self) -> None:
         """Closes the client's connection because the answer failed after its head was sent."""
         self.end_attempt(failed=True)
--- a/tests/test_sidecar_broken_answers.py
+++ b/tests/test_sidecar_broken_answers.py
@@ -8,7 +8,7 @@
 from field import Field
 from peers import reset
 from received_answer import NO_ANSWER, WHOLE, receive
-from seam import Seam
+from seam import READ, RESERVE, Seam
 from waiting import eventually
 
 SECOND = 10_000  # ticks
@@ -151,3 +151,37 @@
     answer = receive(sock)
     assert first and answer.verdict != NO_ANSWER
     assert type(answer)(first + answer.data, answer.was_reset).verdict != WHOLE
+
+
+# ---- a request that was read gets a final answer as long as nothing of another was sent
+
+
+MALFORMED = SERVER_HEADS[CHUNKS] + b"no size\r\n"
+
+
+def request_with(request, version):
+    return request.replace(b"HTTP/1.1", b"HTTP/" + version.encode())
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+def test_a_malformed_body_that_comes_with_its_head_is_answered(seam, version):
+    """Guards against a close without a byte of an answer: the head was dropped with the body behind it."""
+    sock, client = seam.client(request_with(RESERVE, version))
+    server, _ = seam.asked()
+    server.sendall(MALFORMED)
+    seam.until(lambda: client.rpc is None)
+    if version == "1.1":
+        leave_in_half(sock)
+    answer = received(seam, sock)
+    assert answer.status == 502 and answer.verdict == WHOLE and not answer.was_reset
+
+
+def test_an_idempotent_rpc_is_tried_again_after_a_malformed_body_until_its_deadline(seam):
+    seam.pool.tables[0].retry_level = 3
+    sock, client = seam.client(READ)
+    for _ in range(2):
+        server, _ = seam.asked()
+        server.sendall(MALFORMED)
+    seam.asked()
+    seam.clock.by += 100_000  # beyond the deadline
+    assert seam.said(sock).startswith(b"HTTP/1.1 504 ")
