An RPC without an answer gets its final one at the end of the drain

What callers saw: as wait drain was over (SIGTERM, upgrade), an RPC in flight got the end of its connection and no answer. Cause: Host.close closed all clients alike. Change: Client.answer_and_close gives an unanswered RPC up first: 502 where it may have run, 503 where nothing was sent.

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -157,6 +157,13 @@
             self.close_after = True
             self.on_answer_finished()
 
+    def answer_and_close(self) -> None:
+        """Closes the connection because the process ends; an RPC without an answer gets its final one."""
+        self.close_after = True
+        if self.rpc is not None:
+            self.rpc.give_up_unanswered()
+        self.close_at_once()
+
     def close_at_once(self) -> None:
         """Closes the connection; what is queued is lost, and an RPC in flight is abandoned."""
         self.stream.close()
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -205,7 +205,7 @@
             self._sweep.cancel()
         self.stop_listening()
         for client in list(self.clients):
-            client.close_at_once()
+            client.answer_and_close()
         for pool in self.pools.values():
             pool.close()
         self.worker.close()
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -181,6 +181,13 @@
             self.end_attempt(failed=True)
             self.give_up(request.SENT)
 
+    def give_up_unanswered(self) -> None:
+        """Gives up because the process ends, unless the server's answer has begun."""
+        if self.answer is None:
+            outcome = request.UNSENT if self.phase is Phase.CONNECTING else request.SENT
+            self.end_attempt(failed=None)
+            self.give_up(outcome)
+
     def give_up(self, outcome: str) -> None:
         """Answers at once with the final status for the outcome of the last attempt."""
         host = self.pool.host
--- a/tests/test_sidecar_broken_answers.py
+++ b/tests/test_sidecar_broken_answers.py
@@ -185,3 +185,29 @@
     seam.asked()
     seam.clock.by += 100_000  # beyond the deadline
     assert seam.said(sock).startswith(b"HTTP/1.1 504 ")
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("behind", [b"", READ])
+def test_an_rpc_without_an_answer_gets_one_at_the_end_of_the_drain(seam, version, behind):
+    """Guards against a close without an answer as the process ends; the request behind it is not begun."""
+    sock, client = seam.client(request_with(RESERVE, version) + behind)
+    seam.asked()
+    seam.end()
+    answer = received(seam, sock)
+    assert answer.status == 502 and answer.verdict == WHOLE and not answer.was_reset
+
+
+def test_an_rpc_that_was_not_sent_is_told_so_at_the_end_of_the_drain(seam):
+    seam.server.listen(0)
+    fillers = [socket.socket() for _ in range(4)]  # fill the accept queue, so that a connect waits
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(seam.server.getsockname())
+    sock, client = seam.client(RESERVE)
+    seam.until(lambda: client.rpc is not None)
+    assert client.rpc.upstream.stream.connecting
+    seam.end()
+    assert received(seam, sock).status == 503
+    for filler in fillers:
+        filler.close()
