No answer is left out where the memory limit has no room for it

What callers saw: with limit memory used up, a client that pipelines was closed with whole answers queued and a request unanswered. Cause: a request began with up to 32 KB queued, as a head would fit beside; under the memory limit a ring has 4 KB. What did not fit was dropped, and later writes of that turn were still taken. Change: the next request begins when nothing is queued or 32 KB may be; heads and the sidecar's own answers are written beyond the limit, at most one a client; after a write that did not fit a stream writes nothing more. Evidence: test_an_answer_is_never_left_out_between_two_others failed before; after: 493 tests of the sidecar, the network code and the upgrade passed (70 s).

--- a/indigohitch/net/ring_buffer.py
+++ b/indigohitch/net/ring_buffer.py
@@ -21,6 +21,10 @@
         self.available -= size
         return True
 
+    def take_beyond_limit(self, size: int) -> None:
+        """Reserves bytes even if they are not available; then others get none until they are released."""
+        self.available -= size
+
     def give(self, size: int) -> None:
         """Releases reserved bytes."""
         self.available += size
@@ -42,14 +46,17 @@
     def __len__(self) -> int:
         return self._size
 
-    def _grow(self, need: int) -> bool:
+    def _grow(self, need: int, beyond_limits: bool = False) -> bool:
         """Grows the block for `need` more bytes; returns False if the bound or the pool does not allow it."""
         capacity = max(len(self._block), self.FIRST_BLOCK)
         while capacity < self._size + need:
             capacity *= 2
-        capacity = min(capacity, self.max_size)
-        if capacity < self._size + need or not self._pool.take(self._counted(capacity) - self._counted()):
-            return False
+        if beyond_limits:
+            self._pool.take_beyond_limit(self._counted(capacity) - self._counted())
+        else:
+            capacity = min(capacity, self.max_size)
+            if capacity < self._size + need or not self._pool.take(self._counted(capacity) - self._counted()):
+                return False
         block = bytearray(capacity)
         block[: self._size] = self.peek()
         self._block = block
@@ -96,11 +103,15 @@
         with memoryview(self._block) as view:
             self.skip(sock.send(view[self._head : min(self._head + self._size, len(self._block))]))
 
-    def push(self, data: bytes) -> bool:
-        """Appends all of `data`; returns False, and changes nothing, if it does not fit."""
+    def push(self, data: bytes, beyond_limits: bool = False) -> bool:
+        """Appends all of `data`; returns False, and changes nothing, if it does not fit.
+
+        `beyond_limits` makes it fit, beyond the bound and the pool: for data that can't wait and must not be
+        lost, and whose size and number have a limit of their own.
+        """
         if not data:
             return True
-        if self._size + len(data) > len(self._block) and not self._grow(len(data)):
+        if self._size + len(data) > len(self._block) and not self._grow(len(data), beyond_limits):
             return False
         tail = (self._head + self._size) % len(self._block)
         first = min(len(data), len(self._block) - tail)
--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -57,7 +57,7 @@
         self.reading_paused = False  # the socket is not read, as the ring is full
         self._mask = READ  # the events for which the selector watches the socket
         self._is_outbound = False
-        self.is_output_lost = False  # a write has failed; nothing is written after it
+        self.is_output_lost = False  # of a write that failed or did not fit; nothing is written after it
         self._end_reason = ""  # why the connection ended, if a failed write told it
 
     @classmethod
@@ -84,8 +84,11 @@
         """Returns how many bytes may be written now without exceeding the bound of the ring."""
         return self.outgoing.free_capacity()
 
-    def write(self, data: bytes) -> None:
-        """Writes what the socket accepts and queues the rest; a failure closes the stream in a later turn."""
+    def write(self, data: bytes, beyond_limits: bool = False) -> None:
+        """Writes what the socket accepts and queues the rest; a failure closes the stream in a later turn.
+
+        `beyond_limits` is that of `RingBuffer.push`.
+        """
         if not self.open or self.is_output_lost:
             return
         if not self.connecting and not len(self.outgoing):
@@ -100,7 +103,8 @@
             if sent == len(data):
                 return
             data = data[sent:]
-        if not self.outgoing.push(data):
+        if not self.outgoing.push(data, beyond_limits):
+            self.is_output_lost = True
             self.loop.call_after(0, lambda: self.close("flooded"))
         else:
             self.flush_soon()
--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -105,11 +105,11 @@
         the first byte until the last one is written (`Client.linger`), any end of the connection is a reset.
         """
         client_stream = self.rpc.client.stream
-        if not self.is_begun:
-            self.is_begun = True
-            if self.ends_with_connection:
-                client_stream.set_ends_with_reset(True)
-        client_stream.write(data)
+        has_head = not self.is_begun
+        self.is_begun = True
+        if has_head and self.ends_with_connection:
+            client_stream.set_ends_with_reset(True)
+        client_stream.write(data, beyond_limits=has_head)
 
     def on_server_closed(self, why: str) -> None:
         """Forwards what was received, as the client reads it; then completes or aborts the answer."""
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -22,8 +22,8 @@
     """
 
     LINGER_TIME = 2 * SECOND  # lets the client read the end of its answer before a reset could discard it
-    # Unsent bytes of earlier answers; the head of the next answer has to fit into the ring beside them.
-    MAX_UNSENT_BYTES = Stream.MAX_BUFFERED // 2
+    # Room beside the unsent bytes of earlier answers, for the head of the next one.
+    MIN_HEAD_ROOM_BYTES = Stream.MAX_BUFFERED // 2
     DELIVERY_CHECK_INTERVAL = SECOND // 100
 
     __slots__ = (
@@ -89,11 +89,9 @@
 
     def may_begin_request(self) -> bool:
         """Returns whether the next request may be read: there is one, and room for the head of its answer."""
-        return (
-            len(self.stream.incoming) > 0
-            and not self.host.is_holding_requests
-            and len(self.stream.outgoing) <= self.MAX_UNSENT_BYTES
-        )
+        if not len(self.stream.incoming) or self.host.is_holding_requests:
+            return False
+        return not len(self.stream.outgoing) or self.stream.free_capacity() >= self.MIN_HEAD_ROOM_BYTES
 
     def _begin(self) -> bool:
         """Starts one RPC from the ring; returns whether the next request can be tried at once."""
@@ -127,8 +125,8 @@
         self.send_answer(plain_answer(status, why, None, True))
 
     def send_answer(self, answer: bytes) -> None:
-        """Sends an answer of the sidecar itself, and ends the current RPC."""
-        self.stream.write(answer)
+        """Sends an answer of the sidecar itself, also beyond the memory limit, and ends the current RPC."""
+        self.stream.write(answer, beyond_limits=True)
         self.on_answer_finished()
 
     def on_answer_finished(self) -> None:
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -140,6 +140,24 @@
     assert ReceivedAnswer(data[first_size:], rest.was_reset).verdict != WHOLE
 
 
+def test_an_answer_is_never_left_out_between_two_others(seam):
+    """Guards against the next answer in the place of one that did not fit into the memory limit."""
+    use_up_memory(seam)
+    paths = [b"/nowhere/" + b"%d" % number for number in range(400)]
+    sock, client = slow_client(
+        seam, b"".join(b"GET " + path + b" HTTP/1.1\r\nHost: t\r\n\r\n" for path in paths) + READ
+    )
+    seam.until(lambda: len(client.stream.outgoing))
+    data = b""
+    while data.count(b"\r\n\r\nno such route\n") < len(paths):
+        data += seam.said(sock)
+    server, _ = seam.asked()
+    server.sendall((OK % (4, b"last")).replace(b"OK\r\n", b"OK\r\nX-Long: " + b"y" * 9000 + b"\r\n"))
+    while not data.endswith(b"\r\n\r\nlast"):
+        data += seam.said(sock)
+    assert data.count(b"HTTP/1.1 404 ") == len(paths) and data.count(b"HTTP/1.1 200 ") == 1
+
+
 # ---- early answers
 
 
