A lingering close lasts while its client goes on receiving the answer

What callers saw: a client that reads slowly and still sends met a reset 2 s after its whole answer had been given to the kernel. Cause: LINGER_TIME counted from the shutdown of the sending side. Change: what the client acknowledges counts as its progress, here and where a request of HTTP/1.0 waits for the delivery of an earlier answer; a client that receives nothing for 2 s is closed as before.

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -38,6 +38,7 @@
         "bytes_at_last_sweep",
         "serial",
         "delivery_check",
+        "undelivered_bytes",
     )
 
     def __init__(self, host) -> None:
@@ -49,6 +50,7 @@
         self.bytes_at_last_sweep = 0  # unprocessed bytes in the ring
         self.number = self.serial = -1
         self.delivery_check: Deadline | None = None
+        self.undelivered_bytes = 0  # in the kernel's send buffer, as last looked at
 
     @property
     def is_idle(self) -> bool:
@@ -117,8 +119,17 @@
     def on_delivery_check(self) -> None:
         """Tries the next request again."""
         self.delivery_check = None
+        if self.stream.open:
+            self.note_delivery()
         self.process_requests()
 
+    def note_delivery(self) -> None:
+        """Counts it as progress of the client that it has received more since the last look."""
+        undelivered = unacknowledged_byte_count(self.stream.sock)
+        if undelivered < self.undelivered_bytes:
+            self.last_activity = self.host.now
+        self.undelivered_bytes = undelivered
+
     def refuse(self, status: int, why: str) -> None:
         """Answers with `status` and closes the connection after the answer."""
         self.close_after = True
@@ -224,9 +235,10 @@
         An RPC that waits for its server is not counted: it has a deadline of its own.
         """
         waits = self.host.text.waits
-        quiet = now - self.last_activity
         if self.lingering:
-            return quiet > self.LINGER_TIME
+            self.note_delivery()
+            return now - self.last_activity > self.LINGER_TIME
+        quiet = now - self.last_activity
         if self.rpc is None:
             if len(self.stream.outgoing):
                 return quiet > waits["stream"]
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -214,3 +214,24 @@
     server.close()
     sock.settimeout(10)
     assert receive(sock, lambda: seam.said(sock)).body == b"whole"
+
+
+# ---- a lingering close
+
+
+def test_a_client_that_reads_on_keeps_the_end_of_its_answer_although_it_still_sends(seam):
+    """Guards against a reset within the end of an answer that takes longer than the linger time."""
+    sock, client = slow_client(seam, REQUEST.format("1.0").encode())
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+    server, _ = seam.asked()
+    server.sendall(whole_answer(LENGTH, 100_000))
+    seam.until(lambda: client.lingering)
+    data = b""
+    for _ in range(12):
+        data += sock.recv(4096)
+        seam.clock.by += seam.host.SWEEP_INTERVAL
+        seam.until(lambda: seam.clock.now() < seam.host._sweep.when)
+        sock.send(b"x")
+    while part := seam.said(sock):
+        data += part
+    assert ReceivedAnswer(data, False).body == b"x" * 100_000
