A connection that an upgrade can't pass on is closed in order behind its answer

What callers saw: as the old process of an upgrade closed a connection that nobody took, a half-sent next request made the kernel reset it, and the rest of a whole answer was discarded. Cause: SidecarHandover.drain closed the bare socket with input unread. Change: net/graceful_close.py, as for all other connections.

--- a/indigohitch/sidecar/handover.py
+++ b/indigohitch/sidecar/handover.py
@@ -10,6 +10,7 @@
 
 from .. import interface as face
 from ..config.texts import Server as ServerText
+from ..net.graceful_close import close_in_order
 from ..net.listener import Listener
 from ..upgrade import event_codec
 from ..upgrade import snapshot as shots
@@ -177,7 +178,7 @@
         def pass_client(client: Client) -> None:
             connection = self.detach_connection(client)
             if not pass_on(connection):
-                connection[1].close()  # no process can continue reading it; the client has to reconnect
+                close_in_order(connection[1])  # no process reads it on; the client has to reconnect
                 host.log.count("connections_not_passed")
 
         host.pass_on, host.is_passing_connections = pass_client, True
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -6,6 +6,7 @@
 
 from indigohitch.net.ring_buffer import RingBuffer
 from indigohitch.sidecar.delivery import unacknowledged_byte_count
+from indigohitch.sidecar.handover import SidecarHandover
 from peers import reset
 from received_answer import WHOLE, ReceivedAnswer, receive
 from seam import OK, READ, RESERVE, Seam, come, readable
@@ -235,3 +236,21 @@
     while part := seam.said(sock):
         data += part
     assert ReceivedAnswer(data, False).body == b"x" * 100_000
+
+
+# ---- an upgrade
+
+
+def test_a_connection_that_no_process_takes_over_is_closed_behind_its_whole_answer(seam):
+    """Guards against a reset, by unread input, of an answer on its way as an upgrade fails to pass it."""
+    sock, client = slow_client(seam, READ)
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(LENGTH, 100_000))
+    seam.until(lambda: client.is_idle)
+    sock.send(READ[:10])
+    come(client.stream.sock)  # unread
+    handover = SidecarHandover(seam.host, lambda: None, lambda listener: None, lambda: None)
+    handover.drain(lambda connection: False)
+    answer = receive(sock)
+    assert answer.verdict == WHOLE and answer.body == b"x" * 100_000 and not answer.was_reset
