Tests of early answers in a file of their own; one fixture for the sidecar in a loop

Change: test_sidecar_early_answers.py and the support module slow_clients.py; the fixture seam, which stood in five files, is in conftest.py. No assertion changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 import known_red
+from seam import Seam
 from stage import Platform
 
 
@@ -21,3 +22,10 @@
     found = Platform(tmp_path)
     yield found
     found.close()
+
+
+@pytest.fixture
+def seam():
+    found = Seam()
+    yield found
+    found.close()
--- a/tests/test_rpc_overlapping_failures.py
+++ b/tests/test_rpc_overlapping_failures.py
@@ -6,14 +6,7 @@
 import pytest
 
 from peers import reset
-from seam import OK, READ, RESERVE, Seam, come, readable
-
-
-@pytest.fixture
-def seam():
-    seam = Seam()
-    yield seam
-    seam.close()
+from seam import OK, READ, RESERVE, come, readable
 
 
 def end_connection(sock, how):
--- a/tests/test_sidecar_broken_answers.py
+++ b/tests/test_sidecar_broken_answers.py
@@ -8,11 +8,11 @@
 from field import Field
 from peers import reset
 from received_answer import NO_ANSWER, WHOLE, receive
-from seam import READ, RESERVE, Seam
+from seam import READ, RESERVE
+from slow_clients import CHUNKS, CONNECTION_END, LENGTH, REQUEST, VERSIONS
 from waiting import eventually
 
 SECOND = 10_000  # ticks
-LENGTH, CHUNKS, CONNECTION_END = "length", "chunks", "end of the connection"
 SERVER_HEADS = {
     LENGTH: b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n",
     CHUNKS: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -20,15 +20,6 @@
 }
 HALF = {LENGTH: b"x" * 10, CHUNKS: b"a\r\n" + b"x" * 10 + b"\r\n", CONNECTION_END: b"x" * 10}
 REST = {LENGTH: b"x" * 10, CHUNKS: b"a\r\n" + b"x" * 10 + b"\r\n0\r\n\r\n", CONNECTION_END: b"x" * 10}
-REQUEST = "GET /a/1 HTTP/{}\r\nHost: t\r\n\r\n"
-VERSIONS = ["1.0", "1.1"]
-
-
-@pytest.fixture
-def seam():
-    seam = Seam()
-    yield seam
-    seam.close()
 
 
 def begun(seam, version, framing):
--- a/tests/test_sidecar_shutdown.py
+++ b/tests/test_sidecar_shutdown.py
@@ -7,7 +7,7 @@
 import pytest
 
 from field import Field, answers
-from seam import OK, READ, Seam, come
+from seam import OK, READ, come
 from waiting import eventually
 
 SLOW = b"GET /vacancies/1 HTTP/1.1\r\nHost: x\r\nX-Act: wait=1500\r\n\r\n"
@@ -21,13 +21,6 @@
     field.close()
 
 
-@pytest.fixture
-def seam():
-    seam = Seam()
-    yield seam
-    seam.close()
-
-
 def is_closed(sock):
     """Returns whether the other side closed or reset the connection without sending data."""
     sock.settimeout(5)
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -4,69 +4,23 @@
 
 import pytest
 
-from indigohitch.net.ring_buffer import RingBuffer
-from indigohitch.sidecar.delivery import unacknowledged_byte_count
 from indigohitch.sidecar.handover import SidecarHandover
 from peers import reset
 from received_answer import WHOLE, ReceivedAnswer, receive
-from seam import OK, READ, RESERVE, Seam, come, readable
-from test_sidecar_broken_answers import CHUNKS, CONNECTION_END, LENGTH, REQUEST, VERSIONS
-
-SIZE = 60_000  # bytes of a body; less than the ring of a server connection
-SMALL_BUFFER = 4096  # bytes of a socket buffer
-
-
-@pytest.fixture
-def seam():
-    seam = Seam()
-    yield seam
-    seam.close()
-
-
-def use_up_memory(seam):
-    """Leaves no memory to the rings of clients beyond their first blocks, as many slow readers would."""
-    assert seam.host.memory.take(seam.host.memory.available)
-
-
-def slow_client(seam, request):
-    """Returns a client that has not read anything, with small socket buffers."""
-    sock, client = seam.client(buffer=SMALL_BUFFER)
-    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
-    sock.sendall(request)
-    return sock, client
-
-
-def whole_answer(framing, size=SIZE):
-    """Returns an answer of a server; one that the end of the connection ends has no other framing."""
-    body = b"x" * size
-    if framing == LENGTH:
-        return OK % (size, body)
-    if framing == CHUNKS:
-        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (size, body)
-    return b"HTTP/1.1 200 OK\r\n\r\n" + body
-
-
-def send(seam, server, data):
-    """Sends all data as the sidecar reads it; returns once it was sent."""
-    server.setblocking(False)
-    while data:
-        try:
-            data = data[server.send(data) :]
-        except BlockingIOError:
-            seam.turn()
-
-
-def received(seam, sock, version):
-    """Returns what the client receives; over HTTP/1.1 up to the end of one answer: the connection is kept."""
-    if version == "1.0":
-        return receive(sock, lambda: seam.said(sock))
-    data = b""
-    while not (answer := ReceivedAnswer(data, False)).verdict == WHOLE:
-        part = seam.said(sock)
-        if not part:
-            return answer
-        data += part
-    return answer
+from seam import OK, READ, RESERVE, come, readable
+from slow_clients import (
+    CHUNKS,
+    CONNECTION_END,
+    LENGTH,
+    REQUEST,
+    SIZE,
+    VERSIONS,
+    received,
+    send,
+    slow_client,
+    use_up_memory,
+    whole_answer,
+)
 
 
 @pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION_END])
@@ -159,64 +113,6 @@
     assert data.count(b"HTTP/1.1 404 ") == len(paths) and data.count(b"HTTP/1.1 200 ") == 1
 
 
-# ---- early answers
-
-
-def refuse_early(seam):
-    """Returns a slow client that still sends, its object, and its server, which reads nothing of the body."""
-    seam.server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
-    sock, client = slow_client(seam, RESERVE.replace(b"Length: 0", b"Length: 40000000"))
-    sock.setblocking(False)
-    server, _ = seam.asked()
-    stream = client.rpc.upstream.stream
-    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
-
-    def is_blocked():
-        try:
-            sock.send(b"x" * 100_000)
-        except BlockingIOError:
-            pass
-        return len(stream.outgoing)
-
-    seam.until(is_blocked)
-    return sock, client, server
-
-
-def test_an_early_answer_larger_than_the_ring_outlives_the_reset_after_it(seam):
-    """Guards against discarding what the kernel holds of an answer when a write to its server fails."""
-    use_up_memory(seam)  # the rings hold less of the answer than the kernel has received
-    sock, client, server = refuse_early(seam)
-    stream = client.rpc.upstream.stream
-    send(seam, server, whole_answer(LENGTH, 100_000))
-    seam.until(lambda: stream.reading_paused and not unacknowledged_byte_count(server))
-    server.close()  # with the body unread: a reset
-    sock.settimeout(10)
-    answer = received(seam, sock, "1.1")
-    assert not stream.open and answer.verdict == WHOLE and answer.body == b"x" * 100_000
-
-
-def test_an_answer_without_length_is_not_whole_if_a_reset_was_met_while_writing(seam):
-    """Guards against taking the end of the data after a failed write for the end of an answer."""
-    sock, client, server = refuse_early(seam)
-    head = b"HTTP/1.1 200 OK\r\n\r\n"
-    server.sendall(head + b"x" * (2 * RingBuffer.FIRST_BLOCK - len(head)))  # read in two full blocks
-    come(client.rpc.upstream.stream.sock)
-    server.close()  # with the body unread: a reset
-    sock.settimeout(10)
-    assert receive(sock, lambda: seam.said(sock)).verdict != WHOLE
-
-
-def test_an_answer_without_length_is_whole_if_the_server_ended_it_before_the_reset(seam):
-    """Guards against taking an orderly end for a reset because later data of the request was rejected."""
-    sock, client, server = refuse_early(seam)
-    server.sendall(b"HTTP/1.1 200 OK\r\n\r\nwhole")
-    server.shutdown(socket.SHUT_WR)
-    come(client.rpc.upstream.stream.sock)
-    server.close()
-    sock.settimeout(10)
-    assert receive(sock, lambda: seam.said(sock)).body == b"whole"
-
-
 # ---- a lingering close
 
 
