--- a/tests/seam.py
+++ b/tests/seam.py
@@ -128,6 +128,12 @@
             self.turn()
         raise AssertionError("never came true")
 
+    def pass_sweeps(self, count):
+        """Advances the clock sweep by sweep; in one long step it would be a stall of the sidecar itself."""
+        for _ in range(count):
+            self.clock.by += self.host.SWEEP_INTERVAL
+            self.until(lambda: self.clock.now() < self.host._sweep.when)
+
     def client(self, data=b"", buffer=0):
         """Connects and sends `data`; returns the client's socket and the host's client object."""
         sock = socket.socket()
--- a/tests/test_sidecar_broken_answers.py
+++ b/tests/test_sidecar_broken_answers.py
@@ -39,9 +39,7 @@
 
 def exceed_stream_wait(seam):
     seam.host.text.waits["stream"] = SECOND
-    for _ in range(4):  # in small steps: a longer one would be a stall of the sidecar itself
-        seam.clock.by += seam.host.SWEEP_INTERVAL
-        seam.until(lambda: seam.clock.now() < seam.host._sweep.when)
+    seam.pass_sweeps(4)
 
 
 def close_client_for_memory(client):
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from indigohitch.net.clock import SECOND
 from indigohitch.sidecar.handover import SidecarHandover
 from peers import reset
 from received_answer import WHOLE, ReceivedAnswer, receive
@@ -126,8 +127,7 @@
     data = b""
     for _ in range(12):
         data += sock.recv(4096)
-        seam.clock.by += seam.host.SWEEP_INTERVAL
-        seam.until(lambda: seam.clock.now() < seam.host._sweep.when)
+        seam.pass_sweeps(1)
         sock.send(b"x")
     while part := seam.said(sock):
         data += part
@@ -150,3 +150,21 @@
     handover.drain(lambda connection: False)
     answer = receive(sock)
     assert answer.verdict == WHOLE and answer.body == b"x" * 100_000 and not answer.was_reset
+
+
+# ---- a client that does not read
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION_END])
+@pytest.mark.parametrize("version", VERSIONS)
+def test_what_a_client_left_unread_for_too_long_is_not_taken_for_whole(seam, version, framing):
+    """Guards against an orderly end where the rest of an answer that was received whole is dropped."""
+    seam.host.text.waits["stream"] = SECOND
+    sock, client = slow_client(seam, REQUEST.format(version).encode())
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(framing))
+    server.close()
+    seam.until(lambda: client.rpc is None and len(client.stream.outgoing))
+    seam.pass_sweeps(4)
+    assert not client.stream.open
+    assert receive(sock).verdict != WHOLE
