--- a/tests/received_answer.py
+++ b/tests/received_answer.py
@@ -68,3 +68,33 @@
     except ConnectionResetError:
         return ReceivedAnswer(data, True)
     return ReceivedAnswer(data, False)
+
+
+def split_answers(data: bytes, was_reset: bool, count: int) -> list[ReceivedAnswer]:
+    """Splits what came on one connection into the answers to `count` requests; none follows a broken one."""
+    answers = []
+    for _ in range(count - 1):
+        size = size_of_whole_answer(data)
+        if size is None:
+            break
+        answers.append(ReceivedAnswer(data[:size], False))
+        data = data[size:]
+    return [*answers, ReceivedAnswer(data, was_reset)]
+
+
+def size_of_whole_answer(data: bytes) -> int | None:
+    """Returns the size of a whole answer at the beginning, None if there is none with a framing."""
+    head, separator, body = data.partition(b"\r\n\r\n")
+    fields = head.lower().split(b"\r\n")
+    lengths = [int(field.partition(b":")[2]) for field in fields if field.startswith(b"content-length:")]
+    if not separator or lengths and len(body) < lengths[0]:
+        return None
+    if lengths:
+        return len(data) - len(body) + lengths[0]
+    place = len(data) - len(body)
+    while (end := data.find(b"\r\n", place)) >= 0:
+        size = int(data[place:end], 16)
+        place = end + 2 + size + 2
+        if not size:
+            return place if place <= len(data) else None
+    return None
