--- a/indigohitch/net/stream.py
+++ b/indigohitch/net/stream.py
@@ -98,6 +98,7 @@
                 sent = 0
             except OSError as error:
                 failed = error  # the name of an exception ends with its clause
+                self.is_output_lost = True
                 self.loop.call_after(0, lambda: self._on_write_failed(failed))
                 return
             if sent == len(data):
--- a/tests/answer_plans.py
+++ b/tests/answer_plans.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from indigohitch.sidecar.delivery import unacknowledged_byte_count
-from peers import reset
+from peers import Peer, reset
 
 FRAMINGS = ("length", "chunks", "end of the connection")
 BREAKS = ("", "", "", "", "close", "reset", "malformed", "malformed at once", "reset behind it")
@@ -63,6 +63,18 @@
         return self.framing == "end of the connection" and self.break_by == "close"
 
 
+class PlanPeer(Peer):
+    """A server that answers as the target of each request plans, and closes what it no longer serves."""
+
+    def __init__(self) -> None:
+        super().__init__(serve)
+
+    def _serve(self, sock: socket.socket) -> None:
+        super()._serve(sock)
+        self.all.remove(sock)
+        sock.close()
+
+
 def serve(sock: socket.socket, method: str, target: str, body: str) -> str:
     """Sends the answer that the query of the target plans; for `peers.Peer`."""
     plan = AnswerPlan.parse(target)
--- a/tests/test_sidecar_answer_soak.py
+++ b/tests/test_sidecar_answer_soak.py
@@ -12,9 +12,8 @@
 
 import pytest
 
-from answer_plans import AnswerPlan, serve
+from answer_plans import AnswerPlan, PlanPeer
 from field import Field
-from peers import Peer
 from received_answer import BROKEN_OFF, NO_ANSWER, WHOLE, split_answers
 
 SECONDS = float(os.environ.get("SOAK_SECONDS", "20"))
@@ -28,7 +27,7 @@
 
 @pytest.fixture
 def field(tmp_path):
-    peers = [Peer(serve) for _ in range(SERVERS)]
+    peers = [PlanPeer() for _ in range(SERVERS)]
     more = [f"server p{n} {peer.address} pool nodes" for n, peer in enumerate(peers)]
     field = Field(tmp_path, servers=1, more=[*more, "limit memory 256KB", "wait drain 20s"])
     field.write(servers=[])
--- a/tests/test_sidecar_early_answers.py
+++ b/tests/test_sidecar_early_answers.py
@@ -4,8 +4,9 @@
 
 from indigohitch.net.ring_buffer import RingBuffer
 from indigohitch.sidecar.delivery import unacknowledged_byte_count
+from peers import reset
 from received_answer import WHOLE, receive
-from seam import RESERVE, come
+from seam import READ, RESERVE, come
 from slow_clients import (
     LENGTH,
     SMALL_BUFFER,
@@ -70,3 +71,16 @@
     server.close()
     sock.settimeout(10)
     assert receive(sock, lambda: seam.said(sock)).body == b"whole"
+
+
+def test_two_writes_that_fail_in_one_turn_leave_a_reset_a_reset(seam):
+    """Guards against the error of the second write, which says less, in the place of the reset."""
+    sock, client = seam.client(READ)
+    server, _ = seam.asked()
+    stream = client.rpc.upstream.stream
+    server.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    come(stream.sock)
+    reset(server)
+    stream.write(b"one")
+    stream.write(b"two")
+    assert receive(sock, lambda: seam.said(sock)).verdict != WHOLE
