The reset of an answer that broke off waits until what was sent of it has arrived

Cause: Client.break_off_answer reset the connection in the same turn. Change: what was written is delivered first, then comes the reset, after 2 s without progress at the latest; waiting for delivery stands in one class, sidecar/delivery.py, for this, the request of HTTP/1.0 and the lingering close. Evidence: the new case of tests/test_sidecar_whole_answers.py failed before (HTTP/1.0); after: 201 tests of the sidecar and its upgrades passed (49 s).

--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -6,9 +6,8 @@
 
 from ..net.clock import SECOND
 from ..net.http_exchange import is_connection_open
-from ..net.loop import Deadline
 from ..net.stream import Stream
-from .delivery import unacknowledged_byte_count
+from .delivery import Delivery, unacknowledged_byte_count
 from .heads import plain_answer
 from .request_reading import read_request_head
 from .request_start import start_request
@@ -24,7 +23,6 @@
     LINGER_TIME = 2 * SECOND  # lets the client read the end of its answer before a reset could discard it
     # Room beside the unsent bytes of earlier answers, for the head of the next one.
     MIN_HEAD_ROOM_BYTES = Stream.MAX_BUFFERED // 2
-    DELIVERY_CHECK_INTERVAL = SECOND // 100
 
     __slots__ = (
         "host",
@@ -37,8 +35,8 @@
         "number",
         "bytes_at_last_sweep",
         "serial",
-        "delivery_check",
-        "undelivered_bytes",
+        "delivery",
+        "is_broken_off",
     )
 
     def __init__(self, host) -> None:
@@ -47,10 +45,10 @@
         self.last_activity = host.loop.clock.now()
         self.stream: Stream | None = None
         self.close_after = self.lingering = self._is_processing = False
+        self.is_broken_off = False  # whether the last answer is incomplete
         self.bytes_at_last_sweep = 0  # unprocessed bytes in the ring
         self.number = self.serial = -1
-        self.delivery_check: Deadline | None = None
-        self.undelivered_bytes = 0  # in the kernel's send buffer, as last looked at
+        self.delivery = Delivery(self)
 
     @property
     def is_idle(self) -> bool:
@@ -102,34 +100,6 @@
         head = read_request_head(self)
         return head is not None and start_request(self, head)
 
-    def has_undelivered_output(self) -> bool:
-        """Returns whether the client has not acknowledged all of the earlier answers."""
-        return len(self.stream.outgoing) > 0 or unacknowledged_byte_count(self.stream.sock) > 0
-
-    def check_delivery_later(self) -> None:
-        """Lets the next request wait until the client has received the earlier answers.
-
-        The answer to HTTP/1.0 may end in a reset, which would discard what is not delivered of them.
-        """
-        if self.delivery_check is None:
-            self.delivery_check = self.host.loop.call_after(
-                self.DELIVERY_CHECK_INTERVAL, self.on_delivery_check
-            )
-
-    def on_delivery_check(self) -> None:
-        """Tries the next request again."""
-        self.delivery_check = None
-        if self.stream.open:
-            self.note_delivery()
-        self.process_requests()
-
-    def note_delivery(self) -> None:
-        """Counts it as progress of the client that it has received more since the last look."""
-        undelivered = unacknowledged_byte_count(self.stream.sock)
-        if undelivered < self.undelivered_bytes:
-            self.last_activity = self.host.now
-        self.undelivered_bytes = undelivered
-
     def refuse(self, status: int, why: str) -> None:
         """Answers with `status` and closes the connection after the answer."""
         self.close_after = True
@@ -158,13 +128,17 @@
     def break_off_answer(self) -> None:
         """Ends the connection so that the client can tell that its answer is incomplete.
 
-        Earlier answers that are still queued are delivered first.
+        What was written before is delivered first, of this answer and of earlier ones.
         """
-        if self.stream.ends_with_reset:
-            self.close_at_once()
+        self.close_after = self.is_broken_off = True
+        self.on_answer_finished()
+
+    def reset_when_delivered(self) -> None:
+        """Resets the connection once the client has received what was written."""
+        if self.stream.open and not self.delivery.is_complete():
+            self.delivery.call_later(self.reset_when_delivered)
         else:
-            self.close_after = True
-            self.on_answer_finished()
+            self.close_at_once()
 
     def answer_and_close(self) -> None:
         """Closes the connection because the process ends; an RPC without an answer gets its final one."""
@@ -184,6 +158,9 @@
             return
         self.lingering, self.last_activity = True, self.host.now
         self.stream.incoming.take()
+        if self.stream.ends_with_reset and self.is_broken_off:
+            self.reset_when_delivered()
+            return
         if self.stream.ends_with_reset:
             self.stream.set_ends_with_reset(False)  # all of the answer was written
         try:
@@ -236,7 +213,7 @@
         """
         waits = self.host.text.waits
         if self.lingering:
-            self.note_delivery()
+            self.delivery.note_progress()
             return now - self.last_activity > self.LINGER_TIME
         quiet = now - self.last_activity
         if self.rpc is None:
--- a/indigohitch/sidecar/request_reading.py
+++ b/indigohitch/sidecar/request_reading.py
@@ -20,8 +20,9 @@
         client.refuse(431, "the head is too long")
         return None
     data = received.peek(end)
-    if b" HTTP/1.0\r\n" in data and client.has_undelivered_output():
-        client.check_delivery_later()
+    if b" HTTP/1.0\r\n" in data and not client.delivery.is_complete():
+        # Its answer may end in a reset, which would discard what is not delivered of the earlier ones.
+        client.delivery.call_later(client.process_requests)
         return None
     received.skip(end)
     client.bytes_at_last_sweep = 0
--- a/tests/test_sidecar_whole_answers.py
+++ b/tests/test_sidecar_whole_answers.py
@@ -114,6 +114,21 @@
     assert data.count(b"HTTP/1.1 404 ") == len(paths) and data.count(b"HTTP/1.1 200 ") == 1
 
 
+@pytest.mark.parametrize("version", VERSIONS)
+def test_what_was_sent_of_an_answer_is_delivered_before_it_breaks_off(seam, version):
+    """Guards against a reset that discards the beginning, so that the client gets no answer at all."""
+    sock, client = slow_client(seam, REQUEST.format(version).encode())
+    client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+    server, _ = seam.asked()
+    send(seam, server, whole_answer(CHUNKS).removesuffix(b"0\r\n\r\n"))
+    seam.until(lambda: client.rpc.answer is not None and client.rpc.answer.head.body.total == SIZE)
+    server.close()
+    seam.until(lambda: client.rpc is None)
+    answer = receive(sock, lambda: seam.said(sock))
+    assert answer.status == 200 and answer.body == b"x" * SIZE and answer.verdict != WHOLE
+    assert answer.was_reset == (version == "1.0")
+
+
 # ---- a lingering close
 
 
