--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,91 @@
+"""A coordinator is cut off while it moves a slice, another one has the slice meanwhile, and it returns."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "second"))
+
+from runner import TROUBLE, free_port, main  # noqa: E402
+from settings import lower_mainland  # noqa: E402
+from traffic import Collector, Judge, Traffic  # noqa: E402
+
+CUT = 6.0  # s; the pages: 5 to 20 s
+TAKEOVER = 2.4  # s; the pages: 1 to 3 s after it was cut off
+WATCHED = 6.0  # s after the cut
+RATES = {0: 60.0, 1: 40.0, 2: 40.0, 3: 15.0, 4: 15.0, 5: 15.0, 6: 20.0, 7: 20.0, 8: 20.0, 9: 20.0}
+OWNERS = {0: "s0", 1: "s0", 2: "s0", 3: "s1", 4: "s2", 5: "s3", 6: "s0", 7: "s1", 8: "s2", 9: "s3"}
+
+
+def closed_everywhere(world, name):
+    """Returns a slice of this coordinator that all proxies have closed to writes, None if there is none."""
+    for number in world.offices[name].slices():
+        if all(proxy.levels.get((number, world.write_method), 1.0) == 0 for proxy in world.proxies):
+            return number
+    return None
+
+
+async def run(world):
+    """Plays the day."""
+    world.judge = Judge(world)
+    world.build(
+        [("s0", "surrey"), ("s1", "surrey"), ("s2", "richmond"), ("s3", "richmond")],
+        [(number, ("surrey", "richmond")[number % 2]) for number in range(8)],
+        ["n0", "n1"],
+    )
+    world.rates, world.store = dict(RATES), {number: {owner: 1.0} for number, owner in OWNERS.items()}
+    world.charge = {number: "n0" if number < 6 else "n1" for number in OWNERS}
+    for proxy in world.proxies:
+        for number in OWNERS:
+            proxy.read(number)
+    await world.start_coordinator("n0", 0, free_port(), "burnaby")
+    await world.start_coordinator("n1", 1, free_port(), "surrey")
+    world.has_begun = True
+    traffic = Traffic(world, 1.2)
+    traffic.start()
+    collectors = [
+        Collector(traffic, name, zone, zone == "surrey")
+        for name in ("n0", "n1")
+        for zone in ("surrey", "richmond")
+    ]
+    for collector in collectors:
+        world.spawn(collector.run())
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 45
+    number = None
+    while number is None and loop.time() < until:
+        await asyncio.sleep(0.02)
+        number = closed_everywhere(world, "n0")
+    if number is None:
+        return 0, "no slice was moved"
+    await asyncio.sleep(0.1)
+    world.note(f"slice {number} is closed to writes at all proxies, to be moved")
+    if TROUBLE:
+        await cut_off(world, collectors)
+    await asyncio.sleep(WATCHED + (0 if TROUBLE else CUT))
+    world.note(f"requests: {dict(traffic.outcomes)}")
+    return len(world.judge.broken), ""
+
+
+async def cut_off(world, collectors):
+    """Cuts the zone of n0 off; its slices are n1's until it is back."""
+    mine = world.offices["n0"].slices()
+    world.note("the zone of n0 is cut off")
+    for link in world.links("n0"):
+        link.cut()
+    for collector in collectors[:2]:
+        collector.is_cut = True
+    await asyncio.sleep(TAKEOVER)
+    world.hand_over(mine, "n1")
+    await asyncio.sleep(CUT - TAKEOVER)
+    world.note("the zone of n0 is back")
+    world.hand_over(mine, "n0")
+    for link in world.links("n0"):
+        link.restore()
+    for collector in collectors[:2]:
+        collector.is_cut = False
+
+
+if __name__ == "__main__":
+    main(HERE, lower_mainland(len(OWNERS), 8), run, "a slice's writes have one owner at a time")
