Review case 8: a coordinator of a fleet without a majority orders nothing, drains neither

Why: a fault against the rule on drains, which each coordinator has to keep without agreement among them. What: review/8; review/second gains the settings of two more deployments and coordinators that share a fleet.

--- a/review/second/settings.py
+++ b/review/second/settings.py
@@ -134,3 +134,76 @@
     settings["report"] = {"columns": [], "how": "none"}
     settings["rules"] |= {"drain-grace": 1500.0, "overload-for": 3000.0}
     return settings
+
+
+def whk_placements(slices, proxies, coordinators):
+    """Returns the settings of a small deployment like whk-placements: proxies that judge no backend."""
+    settings = windhoek_central(slices, proxies)
+    classes = [
+        ("vacancy-search", 2000.0, 6000.0, 2.0, "read_like"),
+        ("centre-info", 1200.0, 4000.0, 1.0, "read_like"),
+        ("place-reserve", 1200.0, 3000.0, 2.0, "non_idempotent"),
+    ]
+    settings["classes"] = [
+        {"name": name, "aim": aim, "deadline": deadline, "importance": worth, "repeat": repeat}
+        for name, aim, deadline, worth, repeat in classes
+    ]
+    settings["balancers"] = coordinators
+    settings["failure-domains"] = ["eros", "olympia", "prosperita", "klein-whk"]
+    settings["zone"] = "eros"
+    settings["kinds"] = ["std-6core"]
+    settings["weight-kind"] = "rough"
+    settings["family-info"] |= {
+        "admission": "share",
+        "default-retry": 0,
+        "egress-per-s": 12000.0,
+        "empty-for": 7700.0,
+        "fails-to-eject": 0,
+        "keeps-writing": 4000.0,
+        "lb-method": "two",
+        "messages-most": 12,
+        "push-delay-max": 765.0,
+        "queue-cap": 19700.0,
+        "report-every": 2000.0,
+        "settle": 3020.0,
+        "transit": 306.0,
+        "waits-for-table": 200.0,
+    }
+    settings["report"] = {"columns": ["pending", "svc_ms"], "how": "answers"}
+    settings["rules"] |= {"drain-grace": 3000.0, "fall-multiple": 4.0, "overload-for": 2000.0}
+    settings["rules"] |= {"warm-within": 15000.0, "full-may-have-run": True}
+    return settings
+
+
+def oshakati_north(slices, proxies, coordinators):
+    """Returns the settings of a small deployment like oshakati-north: forwarders let all in."""
+    settings = windhoek_central(slices, proxies)
+    classes = [
+        ("place-lookup", 1200.0, 4000.0, 3.0, "read_like"),
+        ("waitlist-join", 750.0, 2000.0, 9.0, "idempotency_key"),
+    ]
+    settings["classes"] = [
+        {"name": name, "aim": aim, "deadline": deadline, "importance": worth, "repeat": repeat}
+        | {"dedup-scope": "cell", "memory-span": 2000.0}
+        for name, aim, deadline, worth, repeat in classes
+    ]
+    settings["balancers"] = coordinators
+    settings["failure-domains"] = ["oshakati", "ongwediva", "ondangwa"]
+    settings["zone"] = "oshakati"
+    settings["kinds"] = ["std-5core"]
+    settings["family-info"] |= {
+        "class-own-zone": [False, False],
+        "class-writes": [False, True],
+        "default-retry": 0,
+        "egress-per-s": 6800.0,
+        "envelope": 8.0,
+        "fails-to-eject": 3,
+        "push-delay-max": 360.0,
+        "queue-cap": 10000.0,
+        "settle": 2020.0,
+        "waits-for-table": 300.0,
+    }
+    settings["report"] = {"columns": ["cpu_share", "served_ps"], "how": "answers"}
+    settings["rules"] |= {"cold-from": 0.2, "drain-grace": 3000.0, "overload-for": 1500.0}
+    settings["rules"] |= {"warm-within": 13000.0}
+    return settings
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -147,8 +147,11 @@
         probes = [backend.probe_listeners[name] for backend in self.backends.values()]
         return [self.offices[name].listener, self.discovery[name], *probes]
 
-    async def start_coordinator(self, name, number, port, zone):
-        """Starts a coordinator with the command of the deploy file and waits until it is ready."""
+    async def start_coordinator(self, name, number, port, zone, words=""):
+        """Starts a coordinator with the command of the deploy file and waits until it is ready.
+
+        `words` are added to the command.
+        """
         config = {
             "name": name,
             "listen": f"127.0.0.1:{port}",
@@ -170,7 +173,7 @@
             "BALANCER_DISCOVERY": config["discovery"],
         }
         process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=environ, stdout=log, stderr=log
+            "/bin/sh", "-c", f"{run} {words}", cwd=ROOT, env=environ, stdout=log, stderr=log
         )
         self.coordinators[name] = (process, port)
         await self._ready(port)
