--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 CUT = 6.0  # s; the pages: 5 to 20 s
 TAKEOVER = 2.4  # s; the pages: 1 to 3 s after it was cut off
 WATCHED = 6.0  # s after the cut
-RATES = {0: 60.0, 1: 40.0, 2: 40.0, 3: 15.0, 4: 15.0, 5: 15.0, 6: 20.0, 7: 20.0, 8: 20.0, 9: 20.0}
+RATES = {0: 80.0, 1: 60.0, 2: 60.0, 3: 12.0, 4: 12.0, 5: 12.0, 6: 15.0, 7: 15.0, 8: 15.0, 9: 15.0}
 OWNERS = {0: "s0", 1: "s0", 2: "s0", 3: "s1", 4: "s2", 5: "s3", 6: "s0", 7: "s1", 8: "s2", 9: "s3"}
 
 
