--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,77 +1,114 @@
-"""Two of three coordinators of a fleet are killed at once; the third has all slices when backends drain."""
+"""Backends are replaced while a coordinator is cut off, which returns with its old list."""
 
 import asyncio
-import signal
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "second"))
 
+from backend import Backend  # noqa: E402
 from drains import DrainJudge  # noqa: E402
-from runner import TROUBLE, main  # noqa: E402
-from settings import whk_placements  # noqa: E402
+from runner import TROUBLE, free_port, main  # noqa: E402
+from settings import windhoek_central  # noqa: E402
 from traffic import Collector, Traffic  # noqa: E402
 
-from fleet import Fleet, replace  # noqa: E402
-
-NAMES = ("n0", "n1", "n2")
-AWAY = 12.0  # s that the killed coordinators are away; the pages: 8 to 25 s
-TAKEOVER = 2.0  # s; the pages: 0.81 to 3.4 s after it died
-DRAIN = 5.0  # s from the listing as draining to the end of a backend; the pages: 5 to 6 s
+CUT = 9.0  # s, and up to 7 s more until a call is in hand; the pages: 5 to 20 s
+TAKEOVER = 2.0  # s; the pages: 1 to 3 s after it was cut off
+REPLACED = 6  # of ten backends
+WAVE = 7.0  # s; the pages: six in ten backends are replaced within 7 s
+DRAIN = 2.5  # s from its listing as draining to the end of a backend
+WATCHED = 9.0
 SLICES = 40
-ZONES = ("eros", "olympia", "prosperita")
+ZONES = ("katutura", "olympia")
+
+
+async def replace(world, number):
+    """Takes a backend out and puts a new one in its place: listed as draining, then dead."""
+    old = world.backends[f"s{number}"]
+    new = Backend(world, f"t{number}", old.zone)
+    new.started_at_ms = round(time.time() * 1000)
+    for name in world.offices:
+        new.probe_address(name)
+        if world.offices[name].listener.is_cut:
+            new.probe_listeners[name].cut()
+    world.backends[new.name] = new
+    old.state = "DRAINING"
+    world.judge.leaves(old.name)
+    world.generation += 1
+    await asyncio.sleep(DRAIN)
+    old.state = "DELETED"
+    world.generation += 1
+    old.die()
+    world.note(f"{old.name} has ended")
+
+
+async def wave(world):
+    """Replaces six in ten backends within 7 s."""
+    for number in range(REPLACED):
+        world.spawn(replace(world, number))
+        await asyncio.sleep((WAVE - DRAIN) / REPLACED)
+
+
+async def call_in_hand(link):
+    """Waits until a call of n0 to discovery is out: it is reset once the zone is back. At most 7 s."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 7
+    while loop.time() < until and not any(0.3 < loop.time() - since < 2 for since in link.silent_since):
+        await asyncio.sleep(0.01)
 
 
 async def run(world):
     """Plays the day."""
     judge = world.judge = DrainJudge(world)
     world.build(
-        [(f"s{number}", ZONES[number % 3]) for number in range(10)],
-        [(number, ZONES[number % 3]) for number in range(9)],
-        NAMES,
+        [(f"s{number}", ZONES[number % 2]) for number in range(10)],
+        [(number, ZONES[number % 2]) for number in range(10)],
+        ["n0", "n1"],
     )
     world.rates = {number: 3.0 + 0.4 * (number % 7) for number in range(SLICES)}
     world.store = {number: {f"s{number % 10}": 1.0} for number in range(SLICES)}
-    world.charge = {number: NAMES[number // 10 % 3] for number in range(SLICES)}
+    world.charge = {number: f"n{number // 10 % 2}" for number in range(SLICES)}
     for proxy in world.proxies:
         for number in range(SLICES):
             proxy.read(number)
-    fleet = Fleet(world, dict(zip(NAMES, ZONES)))
-    for name in NAMES:
-        await fleet.start(name)
-    if not await fleet.is_founded():
-        return 0, "the coordinators did not become members of their fleet"
+    await world.start_coordinator("n0", 0, free_port(), "klein-windhoek")
+    await world.start_coordinator("n1", 1, free_port(), "katutura")
     world.has_begun = True
-    traffic = Traffic(world, 6.0)
+    traffic = Traffic(world, 4.0)
     traffic.on_send = judge.send
     traffic.start()
-    for name in NAMES:
-        for zone in ZONES:
-            world.spawn(Collector(traffic, name, zone, zone == ZONES[0], 2.0).run())
-    await asyncio.sleep(6)
-    given = {name: world.offices[name].slices() for name in NAMES}
+    collectors = [Collector(traffic, name, zone, zone == ZONES[0]) for name in ("n0", "n1") for zone in ZONES]
+    for collector in collectors:
+        world.spawn(collector.run())
+    await asyncio.sleep(8)
+    mine = world.offices["n0"].slices()
     if TROUBLE:
-        world.note("n1 and n2 are killed")
-        for name in NAMES[1:]:
-            process = world.coordinators[name][0]
-            process.send_signal(signal.SIGKILL)
-            await process.wait()
+        world.note("the zone of n0 is cut off")
+        for link in world.links("n0"):
+            link.cut(come_up=link is world.discovery["n0"])
+        for collector in collectors[:2]:
+            collector.is_cut = True
+    world.spawn(wave(world))
     await asyncio.sleep(TAKEOVER)
     if TROUBLE:
-        world.hand_over(given["n1"] + given["n2"], "n0")
-    await asyncio.sleep(2)
-    for number in (0, 1):
-        world.spawn(replace(world, number, DRAIN))
-    await asyncio.sleep(AWAY - TAKEOVER - 2)
+        world.hand_over(mine, "n1")
+    await asyncio.sleep(CUT - TAKEOVER)
     if TROUBLE:
-        for name in NAMES[1:]:
-            await fleet.start(name)
-            world.hand_over(given[name], name)
-    await asyncio.sleep(6)
+        await call_in_hand(world.discovery["n0"])
+        world.note("the zone of n0 is back")
+        world.hand_over(mine, "n0")
+        for link in world.links("n0"):
+            link.restore()
+        for collector in collectors[:2]:
+            collector.is_cut = False
+    await asyncio.sleep(WATCHED)
     world.note(f"requests: {dict(traffic.outcomes)}")
     return len(judge.broken), ""
 
 
 if __name__ == "__main__":
-    main(HERE, whk_placements(SLICES, 9, 3), run, "drains are kept", sync=(0.17, 0.4), transit=(0.1, 0.38))
+    main(
+        HERE, windhoek_central(SLICES, 10), run, "drains are kept", transit=(0.085, 0.33), sync=(0.085, 0.34)
+    )
--- a/review/second/relay.py
+++ b/review/second/relay.py
@@ -74,7 +74,7 @@
         self.name = name
         self.streams = []
         self.calls = 0
-        self.is_closed = False  # "Before the run begins, calls are turned away"
+        self.news_delay = 0.0  # s until the news begin to come
         self.listener = Listener(self._serve)
 
     def slices(self):
@@ -122,6 +122,7 @@
             self.tell("entry", range=table, target=backend, rps=weight)
 
     async def _stream(self, writer):
+        await asyncio.sleep(self.news_delay)
         queue = []
         self.streams.append(queue)
         self.world.judge.joined(self.name)
--- a/review/second/runner.py
+++ b/review/second/runner.py
@@ -1,7 +1,9 @@
 """Runs a case: the exit code is 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
 
 import asyncio
+import contextlib
 import os
+import random
 import socket
 import sys
 import traceback
@@ -14,10 +16,11 @@
 
 
 def free_port():
-    """Returns a port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port of the loopback address that is free now, and that the kernel gives to no client."""
+    while True:
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", random.SystemRandom().randrange(10000, 30000)))
+            return sock.getsockname()[1]
 
 
 async def play(folder, settings, run, rule, **ways):
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -180,7 +180,7 @@
         self.note(f"coordinator {name} is ready")
 
     async def _ready(self, port):
-        for _ in range(600):
+        for _ in range(1500):
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", port)
                 writer.write(b"hb\r\n")
@@ -188,7 +188,7 @@
                 writer.close()
                 if line.startswith(b"hb_ok"):
                     return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.01)
         raise RuntimeError("a coordinator did not become ready")
 
     def log_of(self, name):
