Orders for a slice end with the ownership under which they were decided

Cause: nothing tied an order to the ownership under which it was decided. A slice that came back with its old lines counted as never away, orders of a slice that was taken away stayed queued and were resent at its return, and an unanswered POST lay in the kernel until the network was back.

Why it works: the module decides anew from the store's lines, so a slice is closed and settles again under the new ownership before any route of it changes.

--- a/indigohitch/fleet/batches/sending.py
+++ b/indigohitch/fleet/batches/sending.py
@@ -10,7 +10,8 @@
 
 from ...net.clock import SECOND
 from ...net.http_client import HttpClient
-from ...net.http_exchange import HttpExchange, HttpResponse
+from ...net.http_exchange import HttpExchange
+from ...net.http_response import HttpResponse
 from ...net.loop import EventLoop
 from ..types import Stamp
 from .part import Batches
--- a/indigohitch/logic/ownership_transfer.py
+++ b/indigohitch/logic/ownership_transfer.py
@@ -4,6 +4,15 @@
 from .state import DEPARTING_STATES, CoordinatorState, Slice
 
 
+def requires_continuous_ownership(settings: dict) -> bool:
+    """Returns whether an order is valid only if this coordinator has owned the slice since it was decided.
+
+    While an exclusive slice was owned by another coordinator, its writes may have been opened again and its
+    route changed, so a transfer has to begin anew.
+    """
+    return bool(settings.get("exclusive"))
+
+
 def orders_allowed_now(state: CoordinatorState, slice_: Slice, orders: list[Order]) -> list[Order]:
     """Returns those orders of a change of owner that may be sent now.
 
--- a/indigohitch/net/http_client.py
+++ b/indigohitch/net/http_client.py
@@ -6,7 +6,8 @@
 
 from .clock import SECOND, Ticks
 from .connection import Connection
-from .http_exchange import HttpExchange, HttpResponse, is_connection_open
+from .http_exchange import HttpExchange, is_connection_open
+from .http_response import HttpResponse
 from .loop import Deadline, EventLoop
 from .slot_table import SlotTable
 
--- a/indigohitch/net/http_exchange.py
+++ b/indigohitch/net/http_exchange.py
@@ -2,35 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
 
 from .clock import SECOND, Ticks
 from .connection import Connection
+from .http_response import HttpResponse
 from .loop import Deadline, EventLoop
 from .slot_table import SlotTable
 from .transient_errors import is_transient_connect_error
 
 
-@dataclass(slots=True, frozen=True)
-class HttpResponse:
-    """The result of an exchange.
-
-    `outcome` is "answered" or the reason for a missing response: "connect_failed", "unreached" (the connect
-    timed out), "timeout", "reset", "unreadable".  After the last three the server may have executed the
-    request.
-    """
-
-    outcome: str
-    status: int = 0
-    body: bytes = b""
-    duration: Ticks = 0
-
-
 class ExchangeOwner(Protocol):
     """Declares what an exchange uses of its client (`HttpClient`)."""
 
@@ -126,8 +112,20 @@
 
     def _send(self, connection: Connection) -> None:
         self._rearm()
+        self._set_ends_with_reset(connection, not self.request.startswith(b"GET "))
         connection.write(self.request)
 
+    @staticmethod
+    def _set_ends_with_reset(connection: Connection, on: bool) -> None:
+        """Sets whether the end of the connection discards a request that the peer's kernel does not have yet.
+
+        The kernel would deliver it after the exchange has ended, even minutes later, once a network partition
+        is over.
+        """
+        if connection.ends_with_reset != on:
+            with contextlib.suppress(OSError):  # the connection has failed already
+                connection.set_ends_with_reset(on)
+
     def _rearm(self) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
@@ -232,6 +230,8 @@
         if connection is not None:
             # A server that responds before it has the whole request may close the connection at any time.
             is_sent = not len(connection.outgoing)
+            if outcome == "answered" and is_sent:
+                self._set_ends_with_reset(connection, False)
             if outcome == "answered" and self.keep_alive and client.idle_span and is_sent:
                 client.keep_idle(connection)
             else:
--- a/indigohitch/platform_protocol/call_codec.py
+++ b/indigohitch/platform_protocol/call_codec.py
@@ -7,7 +7,7 @@
 from xml.etree import ElementTree
 
 from .. import interface as face
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 
 MAX_CALL_BYTES = 60_000  # protocol limit for the encoded orders of one call
 FORM_CONTENT_TYPE = "application/x-www-form-urlencoded"
--- a/indigohitch/platform_protocol/call_log.py
+++ b/indigohitch/platform_protocol/call_log.py
@@ -7,7 +7,7 @@
 
 from .. import interface as face
 from ..log import Log
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 
 
 @dataclass(slots=True, frozen=True)
--- a/indigohitch/platform_protocol/call_queue.py
+++ b/indigohitch/platform_protocol/call_queue.py
@@ -14,7 +14,7 @@
 from ..logic.rate_limit import MessageRateLimit
 from ..net.clock import SECOND
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 from ..net.loop import Deadline, EventLoop
 from .call_codec import FORM_CONTENT_TYPE, encode_form, encode_order
 from .call_log import CallLog
@@ -24,6 +24,8 @@
 from .in_flight_call import InFlightCall
 from .invariants import Attempt, InvariantChecker
 from .outbox import Outbox
+from .revoked_orders import RevokedOrders
+from .stored_tables import changed_tables
 
 
 class CallQueue:
@@ -32,6 +34,7 @@
     RESPONSE_TIMEOUT = SECOND // 5  # the relay responds within 50 ms or not at all
     CONNECT_TIMEOUT = SECOND // 4  # a connect within the network takes a few ms
     IDLE_TIMEOUT = SECOND  # the relay may close idle connections before its stated time
+    OWNERSHIP_CHECK_INTERVAL = SECOND // 100  # while it is unknown whether the slices are still owned
     TRANSIT_MARGIN = SECOND // 2  # how much longer a call may take to reach the relay than the next one
 
     def __init__(
@@ -55,10 +58,12 @@
             self.outbox, MessageRateLimit(max_messages, window + self.TRANSIT_MARGIN), backlog, self.call_log
         )
         self.in_flight_call = InFlightCall(loop, self._on_outcome)
+        self.revocations = RevokedOrders(self.outbox, self.in_flight_call)
         self.invariants = InvariantChecker(log, max_messages, window, backlog)
         self.on_call_failed: Callable[[str], None] = lambda outcome: None  # receives the outcome of the call
         self.on_applied: Callable[[list[face.Order]], None] = lambda orders: None
         self.on_dropped: Callable[[list[face.Order]], None] = lambda orders: None
+        self.is_ownership_current: Callable[[], bool] = lambda: True  # orders for slices may be sent now
         # Optional check of the encoded orders of each call right before it is sent; False blocks the call.
         self.is_allowed: Callable[[str], bool] | None = None
         self.on_unresolved_drop: Callable[[], None] = lambda: None  # a dropped call may have been applied
@@ -94,8 +99,13 @@
         self.idle = not calls
 
     def pending(self) -> list[face.Order]:
-        """Return all orders not known to be applied, in order."""
-        return self.outbox.pending()
+        """Return all valid orders not known to be applied, in order."""
+        return [order for call in self.valid_calls() for order in call]
+
+    def valid_calls(self) -> list[list[face.Order]]:
+        """Return the calls not known to be applied, without orders that were revoked."""
+        self.revocations.discard(self.awaiting_response)
+        return self.revocations.valid_calls()
 
     def move(self, address: tuple[str, int]) -> bool:
         """Send later calls to another address; a call in flight ends at the old one. False if unchanged."""
@@ -110,6 +120,7 @@
 
     def enqueue(self, orders: list[face.Order], joins: bool = False) -> None:
         """Queue orders; `joins`: they are not a module reply and may share a call with other such orders."""
+        self.revocations.discard(self.awaiting_response)
         self.outbox.add(orders, joins)
         # Also checked after a merge: a single module reply may be more calls than the queue holds.
         if self.idle or self.waits_for_capacity:
@@ -131,6 +142,7 @@
     def _start_next_call(self) -> None:
         self._wait_until(None)
         self.waits_for_capacity = False
+        self.revocations.discard(self.awaiting_response)
         self.idle = not self.pending_calls
         if self.idle or self.is_paused:
             return
@@ -145,6 +157,9 @@
             self._batch_calls()
         if not self._remove_late_routes() or self._must_wait():
             return
+        if changed_tables(self.pending_calls[0]) - {face.ALL_TABLES} and not self.is_ownership_current():
+            self._wait_until(self.loop.clock.now() + self.OWNERSHIP_CHECK_INTERVAL)
+            return
         encoded_orders = ";".join(encode_order(order, self.methods) for order in self.pending_calls[0])
         if self.is_allowed is None or self.is_allowed(encoded_orders):
             self._send(encoded_orders)
@@ -157,12 +172,11 @@
         if late:
             self.invariants.report_late_routes(late)
             self.outbox.remove_from_first_call(late)
-            self.on_dropped(late)
             if not self.pending_calls[0]:
                 self.pending_calls.popleft()
-                self._start_next_call()
-                return False
-        return True
+            self.on_dropped(late)
+            self._start_next_call()
+        return not late
 
     def _wait_until(self, when: int | None, action: Callable[[], None] | None = None) -> None:
         """Run `action`, by default the start of the next call, at `when` (ticks); None cancels it."""
@@ -216,14 +230,6 @@
             FORM_CONTENT_TYPE,
         )
 
-    def _drop_blocked_orders(self) -> None:
-        """Drop all orders, as they will be outdated once a call is allowed again."""
-        blocked = self.pending()
-        self.log.count("orders_blocked", len(blocked))
-        self.pending_calls.clear()
-        self.idle = True
-        self._drop_orders(blocked)
-
     # ---- implemented by Relay ------------------------------------------------------------------------
 
     def _on_response(self, response: HttpResponse) -> None:
@@ -235,5 +241,5 @@
     def _retry_unresolved(self) -> None:
         raise NotImplementedError
 
-    def _drop_orders(self, orders: list[face.Order]) -> None:
+    def _drop_blocked_orders(self) -> None:
         raise NotImplementedError
--- a/indigohitch/platform_protocol/call_resolution.py
+++ b/indigohitch/platform_protocol/call_resolution.py
@@ -15,7 +15,8 @@
 from .. import interface as face
 from ..net.clock import SECOND
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpExchange, HttpResponse
+from ..net.http_exchange import HttpExchange
+from ..net.http_response import HttpResponse
 from ..net.loop import Deadline, EventLoop
 from . import stored_tables
 from .relay_watch import EventStream, parse_relay_event
--- a/indigohitch/platform_protocol/discovery.py
+++ b/indigohitch/platform_protocol/discovery.py
@@ -12,7 +12,8 @@
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpExchange, HttpResponse
+from ..net.http_exchange import HttpExchange
+from ..net.http_response import HttpResponse
 from ..net.loop import Deadline, EventLoop
 from ..settings import ticks_from_ms
 from .backend_source import ListCallback
--- a/indigohitch/platform_protocol/front.py
+++ b/indigohitch/platform_protocol/front.py
@@ -11,7 +11,7 @@
 from ..log import Log
 from ..logic import Coordinator
 from ..logic.call_scheduling import urgent_tables
-from ..logic.update_channel import MAX_PENDING_SHARE, UNACKNOWLEDGED_DRAIN_SHARE
+from ..logic.ownership_transfer import requires_continuous_ownership
 from ..net.clock import SECOND
 from ..net.connection import parse_address
 from ..net.loop import EventLoop
@@ -19,14 +19,14 @@
 from .backend_list_log import log_list
 from .backend_source import BackendSource, ListCallback
 from .backend_start_times import BackendStartTimes
-from .channel_backlog import ChannelBacklog
 from .configuration_changes import changed_entry_names
 from .discovery import Discovery
 from .drain_monitor import DrainMonitor
-from .front_configuration import FrontConfiguration
+from .front_configuration import FrontConfiguration, configured_backlog, numeric_setting
 from .inbound_connections import InboundConnections
 from .messages import KnownNames
 from .order_execution import OrderExecutor
+from .ownership_guard import OwnershipGuard
 from .probes import HealthProbes
 from .relay import Relay
 from .relay_watch import RelayWatch
@@ -86,22 +86,20 @@
             [method.name for method in self.settings["methods"]],
             self.settings.get("messages_most", 0),
             self.settings.get("counted_over", 0),
-            ChannelBacklog(
-                self._numeric_setting("queue_cap") * MAX_PENDING_SHARE,
-                self._numeric_setting("lines_per_s") * UNACKNOWLEDGED_DRAIN_SHARE,
-                self._numeric_setting("envelope"),
-                lambda: self.store_mirror.proxies,
-            ),
+            configured_backlog(self.settings, lambda: self.store_mirror.proxies),
         )
+        self.ownership_guard = OwnershipGuard(loop, log, requires_continuous_ownership(self.settings))
         self.store_mirror = StoreMirror(
-            loop, log, self.on_relay_events, self.relay.pending, self._order_repairs
+            loop, log, self.on_relay_events, self.relay.pending, self._order_repairs, self.ownership_guard
         )
+        self.store_mirror.revoke_orders = self.relay.revocations.revoke
         self.relay.on_applied = self._on_orders_applied
         self.relay.on_dropped = self.store_mirror.on_dropped
+        self.relay.revocations.on_applied = self.store_mirror.on_revoked_applied
         self.drain_monitor = DrainMonitor(
             loop,
             log,
-            self._numeric_setting("drain_grace"),
+            numeric_setting(self.settings, "drain_grace"),
             lambda: self.store_mirror.tables,
             lambda: len(self.relay.pending_calls),
             not self.settings.get("dropped_stay_open"),
@@ -119,6 +117,9 @@
             self.coordinator, orders, self.store_mirror.tables
         )
         self.relay.on_unresolved_drop = self.relay_watch.restart
+        self.ownership_guard.request_snapshot = self.relay_watch.restart
+        if self.ownership_guard.requires_continuity:
+            self.relay.is_ownership_current = self.relay_watch.is_current
         self.order_executor = OrderExecutor(
             loop,
             log,
@@ -148,11 +149,6 @@
     def _address_of(self, backend: str) -> str | None:
         return self.addresses.get(backend)
 
-    def _numeric_setting(self, name: str) -> float:
-        """Return a setting, or 0, which means no limit, if it is not a number."""
-        value = self.settings.get(name, 0)
-        return value if isinstance(value, (int, float)) else 0
-
     def start(self) -> None:
         """Open the watch on the store."""
         self.relay_watch.open()
@@ -202,7 +198,7 @@
 
     def execute_orders(self, orders: list[face.Order]) -> None:
         """Execute the orders of one round."""
-        self.order_executor.execute(orders)
+        self.order_executor.execute(self.ownership_guard.withhold(orders))
 
     def _order_repairs(self, orders: list[face.Order]) -> None:
         """Queue repairs of the store, which arrive one slice at a time, as one call."""
--- a/indigohitch/platform_protocol/front_state.py
+++ b/indigohitch/platform_protocol/front_state.py
@@ -23,7 +23,7 @@
         list(front.known_backend_ids),
         front.discovery.version,
         front.discovery.watching,
-        [[list(event_codec.pack(order)) for order in call] for call in relay.pending_calls],
+        [[list(event_codec.pack(order)) for order in call] for call in relay.valid_calls()],
         list(relay.sent_at),
         relay.in_flight_call.failures,
         [list(event_codec.pack(joined)) for joined in store_mirror.proxies.values()],
--- a/indigohitch/platform_protocol/handover.py
+++ b/indigohitch/platform_protocol/handover.py
@@ -211,12 +211,26 @@
         self.front = self.create_front(listeners.get("callers"))
         self.front.inbound.listener.accept(False)
 
+    def _suspend_orders(self) -> None:
+        """Withhold orders that need news of the store first: the time since the state was taken is unknown.
+
+        A state without inherited listeners comes from a file, so it may be of any age.
+        """
+        store_mirror = self.front.store_mirror
+        is_from_file = not self.inherited_listeners
+        if is_from_file:
+            store_mirror.has_started = False
+        if is_from_file or store_mirror.guard.requires_continuity:
+            store_mirror.suspend_all()
+
     def start_serving(self, restored: bool) -> None:
         """Accept connections and continue the restored work, if `restored`."""
         front = self.front
         if "control" in self.inherited_listeners:
             self.take_over_control(self.inherited_listeners["control"])
         front.inbound.listener.accept(True)
+        if restored:
+            self._suspend_orders()
         front.start()
         if not restored:
             return
--- a/indigohitch/platform_protocol/in_flight_call.py
+++ b/indigohitch/platform_protocol/in_flight_call.py
@@ -26,6 +26,9 @@
         self.outcome_query = OutcomeQuery(loop, on_outcome)
         # Orders of earlier calls with unknown outcome, each once. This call sets the same values again.
         self.unresolved_orders: dict[face.Order, None] = {}
+        # Tables whose orders in this call are no longer valid: they count neither as pending nor as applied,
+        # and are not sent again.
+        self.revoked_tables: set[int] = set()
         # Returns the tables in the store without the effect of unresolved calls.
         self.read_stored_tables: Callable[[], stored_tables.StoredTables] = dict
 
@@ -47,6 +50,10 @@
         self.may_retry = False
         return self.marker_evidence.start(orders)
 
+    def is_valid(self, order: face.Order) -> bool:
+        """Return whether an order of this call is still valid."""
+        return getattr(order, "table", None) not in self.revoked_tables
+
     def record_unresolved(self) -> None:
         """Record that the last attempt was sent and its outcome is unknown."""
         self.failures += 1
@@ -62,6 +69,7 @@
         self.unresolved_orders |= dict.fromkeys(
             order for order in orders if not isinstance(order, face.UpdateMarker)
         )
+        self.outcome_query.drop()  # its outcome would be taken for that of the later call
         self.failures = 0
         self.may_retry = False
 
--- a/indigohitch/platform_protocol/outbox.py
+++ b/indigohitch/platform_protocol/outbox.py
@@ -12,6 +12,14 @@
 from .channel_backlog import ChannelBacklog
 
 
+def _without_tables(call: list[face.Order], tables: Collection[int]) -> list[face.Order]:
+    """Return the call without the orders for these tables; empty if only a marker would remain."""
+    remaining = [order for order in call if getattr(order, "table", None) not in tables]
+    if len(remaining) == len(call):
+        return call
+    return remaining if any(not isinstance(order, face.UpdateMarker) for order in remaining) else []
+
+
 class Outbox:
     """Holds the calls in sending order; the first one stays unchanged while in flight or unresolved."""
 
@@ -91,6 +99,20 @@
         removed_ids = set(map(id, orders))
         self.calls[0] = [order for order in self.calls[0] if id(order) not in removed_ids]
 
+    def discard_tables(self, tables: Collection[int], keep_first: bool) -> None:
+        """Remove the orders for these tables, and the calls of which only a marker remains.
+
+        `keep_first`: the first call stays unchanged.
+        """
+        first = [self.calls.popleft()] if keep_first and self.calls else []
+        remaining = (_without_tables(call, tables) for call in self.calls)
+        self.calls = deque([*first, *filter(None, remaining)])
+
+    def discard_from_first_call(self, tables: Collection[int]) -> None:
+        """Remove the orders for these tables from the first call, or the call if only a marker remains."""
+        if remaining := _without_tables(self.calls.popleft(), tables):
+            self.calls.appendleft(remaining)
+
     def take(self, count: int, next_is_rejected: bool) -> tuple[list[face.Order], list[face.Order]]:
         """Remove `count` applied orders from the first call; the rest stays queued.
 
--- a/indigohitch/platform_protocol/probes.py
+++ b/indigohitch/platform_protocol/probes.py
@@ -12,7 +12,7 @@
 from ..net.clock import SECOND
 from ..net.connection import parse_address
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 from ..net.loop import EventLoop
 from .messages import parse_load_values
 
--- a/indigohitch/platform_protocol/relay.py
+++ b/indigohitch/platform_protocol/relay.py
@@ -5,7 +5,7 @@
 from .. import interface as face
 from ..logic.call_scheduling import resend_delay
 from ..net.clock import SECOND
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 from .call_codec import encode_order, parse_response
 from .call_queue import CallQueue
 from .call_resolution import CallOutcome
@@ -19,6 +19,7 @@
     UNSENT_OUTCOMES = ("connect_failed", "unreached")
 
     def _on_response(self, response: HttpResponse) -> None:
+        self.revocations.mark(keep_first=True)
         orders = self.pending_calls[0]
         self.awaiting_response = False
         try:
@@ -39,7 +40,7 @@
                 "relay_call_invalid", orders=len(orders), first=encode_order(orders[0], self.methods)
             )
             self._revert_last_send()
-            self._drop_orders(self.pending_calls.popleft())
+            self._drop_orders([*filter(self.in_flight_call.is_valid, self.pending_calls.popleft())])
             self._start_next_call()
         elif result == "Throttling":
             self.log.count("relay_throttled")
@@ -66,11 +67,20 @@
     def _drop_orders(self, orders: list[face.Order]) -> None:
         """Drop these orders; if they may have been applied, the actual state is read again."""
         may_be_applied = self.in_flight_call.has_unresolved_orders
+        self.in_flight_call.revoked_tables = set()
         self.in_flight_call.settle(more_to_come=False)
         self.on_dropped(orders)
         if may_be_applied:
             self.on_unresolved_drop()
 
+    def _drop_blocked_orders(self) -> None:
+        """Drop all orders, as they will be outdated once a call is allowed again."""
+        blocked = self.pending()
+        self.log.count("orders_blocked", len(blocked))
+        self.pending_calls.clear()
+        self.idle = True
+        self._drop_orders(blocked)
+
     # ---- a call with unknown outcome -----------------------------------------------------------------
 
     def _handle_unresolved(self) -> None:
@@ -129,9 +139,20 @@
         """Remove `count` applied orders; with the source "answer" an order that follows them was rejected."""
         self.log.count("orders_applied", count)
         self.call_log.log_applied(count, source)
+        self.revocations.mark(keep_first=True)
+        call = self.in_flight_call
+        is_partly_applied = count + (source == "answer") < len(self.pending_calls[0])
         applied, rejected = self.outbox.take(count, source == "answer")
-        self.in_flight_call.settle(more_to_come=bool(self.pending_calls))
-        self.on_applied(applied)
+        valid = [order for order in applied if call.is_valid(order)]
+        revoked = [order for order in applied if not call.is_valid(order)]
+        if is_partly_applied:
+            self.outbox.discard_from_first_call(call.revoked_tables)
+        rejected = [order for order in rejected if call.is_valid(order)]
+        call.revoked_tables = set()
+        call.settle(more_to_come=bool(self.pending_calls))
+        self.on_applied(valid)
+        if revoked:
+            self.revocations.on_applied(revoked)
         if rejected:
             self.log.warning("order_rejected", order=encode_order(rejected[0], self.methods))
             self.on_dropped(rejected)
--- a/indigohitch/platform_protocol/relay_watch.py
+++ b/indigohitch/platform_protocol/relay_watch.py
@@ -10,7 +10,8 @@
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpExchange, HttpResponse
+from ..net.http_exchange import HttpExchange, is_connection_open
+from ..net.http_response import HttpResponse
 from ..net.loop import Deadline, EventLoop
 from .messages import RELAY_EVENT_PARSERS
 
@@ -85,6 +86,9 @@
 
     SILENCE_TIMEOUT = 2 * SECOND  # keepalives are sent every second, so two in a row are missing
     CONNECT_TIMEOUT = SECOND // 4  # a connect within the network takes a few ms
+    MAX_SILENCE = (
+        SECOND * 3 // 2
+    )  # of a stream whose events are complete: its keepalives are due every second
     RETRY_INTERVAL = SECOND // 10  # limits the rate of requests to an unreachable relay
 
     def __init__(
@@ -99,6 +103,16 @@
         self.current: HttpExchange | None = None  # the stream that events are read from
         self.pending: HttpExchange | None = None  # a requested stream without data yet
         self.retry_timer: Deadline | None = None
+        self.last_part_at = 0  # when the last part of the current stream arrived
+
+    def is_current(self) -> bool:
+        """Return whether the events read so far are complete: none is unread and the stream is not silent."""
+        connection = self.current.connection if self.current is not None else None
+        return (
+            connection is not None
+            and self.loop.clock.now() - self.last_part_at <= self.MAX_SILENCE
+            and is_connection_open(connection.sock)
+        )
 
     def open(self) -> None:
         """Request a new stream."""
@@ -136,11 +150,15 @@
                     # Data that the old stream has not read yet precedes the data of the new stream.
                     self.current.connection.ready(True, False)
                 if self.current is not None:
+                    is_complete = self.is_current()
                     self.current.drop()
+                    if not is_complete:
+                        self.listener.on_watch_lost()
             self.current = exchange
             self.pending = None
             self.stream = EventStream(self._on_event, self.listener.on_keepalive)
             self.listener.on_watch_opened()
+        self.last_part_at = self.loop.clock.now()
         try:
             self.stream.feed(part)
         except ValueError as error:  # includes UnicodeDecodeError and the errors of the event parsers
--- a/indigohitch/platform_protocol/store_mirror.py
+++ b/indigohitch/platform_protocol/store_mirror.py
@@ -5,14 +5,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from .. import interface as face
 from ..log import Log
 from ..net.clock import SECOND
 from ..net.loop import Deadline, EventLoop
 from . import stored_tables
+from .applied_orders import AppliedOrders
 from .initial_snapshot import InitialSnapshot
+from .ownership_guard import OwnershipGuard
 
 
 class StoreMirror:
@@ -31,8 +33,10 @@
         deliver: Callable[..., None],
         pending_orders: Callable[[], list[face.Order]],
         enqueue_orders: Callable[[list[face.Order]], None],
+        guard: OwnershipGuard | None = None,
     ) -> None:
         """Read unacknowledged orders from `pending_orders`; send orders to the relay by `enqueue_orders`."""
+        self.guard = guard or OwnershipGuard(loop, log, requires_continuity=False)
         self.loop = loop
         self.log = log
         self.deliver = deliver
@@ -41,31 +45,37 @@
         self.proxies: dict[int, face.ProxyJoined] = {}
         self.tables: stored_tables.StoredTables = {}  # the stored tables, by owned slice
         self.unsettled_tables: stored_tables.StoredTables = {}  # acquired or changed, not reported yet
-        self.applied_while_unsettled: list[face.Order] = []  # acknowledged while any table was unsettled
+        self.applied_orders = AppliedOrders()
         self.settle_timer: Deadline | None = None
         self.initial_snapshot: InitialSnapshot | None = None
-        # Orders acknowledged since the next stream was requested; None if no stream is requested.
-        self.applied_since_request: list[face.Order] | None = None
         self.has_started = False  # an initial snapshot is complete
         self.dropped_tables: set[int] = set()  # tables to report again, as their orders were dropped
         self.on_watch_broken: Callable[[], None] = lambda: None  # the stream broke
         self.on_slice_acquired: Callable[[int], None] = lambda number: None  # a slice was acquired
+        # Makes the pending orders for these slices invalid.
+        self.revoke_orders: Callable[[Collection[int]], None] = lambda numbers: None
 
     def on_watch_requested(self) -> None:
         """Handle the request for a new stream; an earlier stream may continue until it opens."""
-        self.applied_since_request = []
+        self.applied_orders.since_request = []
 
     def on_watch_opened(self) -> None:
         """Begin the initial snapshot of a new stream."""
         self._take_unsettled()
-        self.initial_snapshot = InitialSnapshot(self.applied_since_request or [])
-        self.applied_since_request = None
+        self.initial_snapshot = InitialSnapshot(self.applied_orders.take_since_request())
 
     def on_watch_lost(self) -> None:
         """Discard unsettled tables, which may be incomplete; the next stream sends them in full."""
         self._take_unsettled()
+        if self.guard.requires_continuity:
+            self.suspend_all()
         self.on_watch_broken()
 
+    def suspend_all(self) -> None:
+        """Withhold and revoke the orders for all slices until the next snapshot, as they may change hands."""
+        self.guard.suspend(self.tables, self.pending_orders())
+        self.revoke_orders(set(self.tables))
+
     def on_relay_event(self, event: face.Event) -> None:
         """Update the local copy and report the change, if any, to the module."""
         match event:
@@ -90,20 +100,19 @@
 
     def _add_slice(self, number: int) -> None:
         """Begin an empty table; its routes follow as separate events."""
-        # An acquired slice loses its admission level; one in an initial snapshot may have been owned before.
         if number not in self.tables:
             self.on_slice_acquired(number)
+        # An acquired slice loses its admission level; one in a snapshot may have been owned before.
         known = self.tables.get(number) if self.initial_snapshot is not None else None
-        self.unsettled_tables[number] = stored_tables.StoredTable(
-            level=known.level if known is not None else None
-        )
+        level = known.level if known is not None else None
+        self.unsettled_tables[number] = stored_tables.StoredTable(level=level)
         if self.initial_snapshot is None or number in self.initial_snapshot.revoked_slices:
-            self._resend_pending(number)
+            self._end_ownership(number)
         self._schedule_settle()
 
     def _remove_slice(self, number: int, event: face.SliceOwnership) -> None:
         self.unsettled_tables.pop(number, None)
-        self._forget_applied(number)
+        self._end_ownership(number)
         if self.initial_snapshot is not None:
             self.initial_snapshot.slices.discard(number)
             self.initial_snapshot.revoked_slices.add(number)
@@ -133,6 +142,7 @@
             self.deliver(face.ProxyLeft(proxy))
         for number in [number for number in self.tables if number not in snapshot.slices]:
             del self.tables[number]
+            self._end_ownership(number)
             self.deliver(face.SliceOwnership(number, False))
         self.log.event("relay_watch_started", proxies=len(self.proxies), slices=len(self.tables))
 
@@ -146,12 +156,9 @@
         """Remove and return the unreported tables and the orders acknowledged meanwhile."""
         if self.settle_timer is not None:
             self.settle_timer.cancel()
-            self.settle_timer = None
-        unsettled = self.unsettled_tables
-        applied = self.applied_while_unsettled
-        self.unsettled_tables = {}
-        self.applied_while_unsettled = []
-        return unsettled, applied
+        self.settle_timer = None
+        unsettled, self.unsettled_tables = self.unsettled_tables, {}
+        return unsettled, self.applied_orders.take_while_unsettled()
 
     def _settle(self) -> None:
         """Report the acquired slices, whose routes are complete, unless the module knows them already."""
@@ -164,10 +171,12 @@
             self._reconcile(unsettled, self.initial_snapshot.applied_orders)
             self.initial_snapshot.slices |= set(unsettled)
         after = self.projected_tables()
-        changed = [n for n in unsettled if n not in before or before[n].routes != after[n].routes]
         if self.initial_snapshot is None:
             self._report_slices(list(unsettled))
             return
+        reported = self.guard.on_confirmed(unsettled)
+        reported |= {n for n in unsettled if n not in before or before[n].routes != after[n].routes}
+        changed = [number for number in unsettled if number in reported]
         for number in changed:
             self.on_slice_acquired(number)  # another coordinator owned and changed it meanwhile
         self._report_slices(changed)
@@ -184,22 +193,11 @@
             self.log.event("orders_resent", slices=sorted(differing)[:20], orders=len(resent))
             self.enqueue_orders(resent)
 
-    def _forget_applied(self, number: int) -> None:
-        """Discard acknowledged orders for a revoked slice, as they do not apply once it is acquired again."""
-        lists = [
-            self.applied_while_unsettled,
-            self.applied_since_request,
-            self.initial_snapshot and self.initial_snapshot.applied_orders,
-        ]
-        for applied in filter(None, lists):
-            applied[:] = [order for order in applied if getattr(order, "table", None) != number]
-
-    def _resend_pending(self, number: int) -> None:
-        """Resend pending orders, which had no effect if they arrived before the slice was acquired."""
-        self._forget_applied(number)
-        if resent := stored_tables.orders_for_routes(self.pending_orders(), {number}):
-            self.log.event("orders_resent", slice=number, orders=len(resent))
-            self.enqueue_orders(resent)
+    def _end_ownership(self, number: int) -> None:
+        """Discard all orders decided so far for a slice; the next ownership begins with its routes."""
+        self.applied_orders.forget(number, self.initial_snapshot)
+        self.guard.forget(number)
+        self.revoke_orders((number,))
 
     def projected_tables(self) -> stored_tables.StoredTables:
         """Return the tables with all pending orders applied, which is the state that the module expects."""
@@ -210,18 +208,21 @@
     def apply(self, orders: list[face.Order]) -> None:
         """Apply acknowledged orders to the local copy."""
         stored_tables.apply_orders(self.tables, orders)
-        if self.unsettled_tables:
-            self.applied_while_unsettled += orders
-        if self.initial_snapshot is not None:
-            self.initial_snapshot.applied_orders += orders
-        if self.applied_since_request is not None:
-            self.applied_since_request += orders
+        self.applied_orders.record(orders, bool(self.unsettled_tables), self.initial_snapshot)
 
     def on_dropped(self, orders: list[face.Order]) -> None:
         """Schedule a report of the tables whose orders were dropped."""
         if not self.dropped_tables:
             self.schedule_dropped_report()
-        self.dropped_tables |= stored_tables.changed_tables(orders)
+        dropped = stored_tables.changed_tables(orders)
+        self.dropped_tables |= dropped
+        if self.guard.requires_continuity:  # later orders for them assume the dropped ones
+            self.guard.outdated |= dropped & self.tables.keys()
+            self.revoke_orders(dropped)
+
+    def on_revoked_applied(self, orders: list[face.Order]) -> None:
+        """Read the tables again that orders of an earlier ownership may have changed in the present one."""
+        self.guard.on_revoked_applied(orders, self.tables | self.unsettled_tables)
 
     def schedule_dropped_report(self) -> None:
         """Report the tables with dropped orders after `DROPPED_REPORT_DELAY`."""
@@ -230,7 +231,7 @@
     def _report_dropped(self) -> None:
         dropped = self.dropped_tables
         self.dropped_tables = set()
-        self._report_slices(sorted(dropped & set(self.tables)))
+        self._report_slices(sorted(dropped & self.tables.keys() - self.guard.unconfirmed))
         if face.ALL_TABLES in dropped:  # a joining proxy receives the level for all tables
             self.deliver(*self.proxies.values())
 
@@ -244,5 +245,6 @@
         projected = self.projected_tables()
         if resets := stored_tables.admission_resets(numbers, projected):
             self.enqueue_orders(resets)
+        self.guard.on_reported(numbers)
         for number in numbers:
             self.deliver(*stored_tables.ownership_events(number, projected[number]))
--- a/indigohitch/platform_protocol/stored_tables.py
+++ b/indigohitch/platform_protocol/stored_tables.py
@@ -50,6 +50,11 @@
     }
 
 
+def is_in_transfer(table: StoredTable) -> bool:
+    """Return whether the table is closed, by its admission level or without a route, to change its owner."""
+    return not table.routes or table.level is not None and table.level.admission_ratio == 0
+
+
 def orders_for_routes(orders: Iterable[face.Order], numbers: set[int]) -> list[face.Order]:
     """Return the orders for these slices without admission levels, which are reset separately."""
     return [
--- a/indigohitch/sidecar/server_probes.py
+++ b/indigohitch/sidecar/server_probes.py
@@ -8,7 +8,7 @@
 from ..config.texts import PoolText
 from ..event_batch import EventBatch
 from ..net.http_client import HttpClient
-from ..net.http_exchange import HttpResponse
+from ..net.http_response import HttpResponse
 from ..net.loop import EventLoop
 from .servers import Server
 
--- a/tests/golden_log.py
+++ b/tests/golden_log.py
@@ -10,7 +10,7 @@
 from golden_wire import order
 from indigohitch import interface as face
 from indigohitch.log import Log
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.platform_protocol import stored_tables
 from indigohitch.platform_protocol.backend_list_log import log_list
 from indigohitch.platform_protocol.call_log import CallLog, ChannelOccupancy
--- a/tests/golden_platform.py
+++ b/tests/golden_platform.py
@@ -12,7 +12,7 @@
 from indigohitch.log import Log
 from indigohitch.net.clock import SECOND
 from indigohitch.net.http_client import encode_request as http_form
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.net.loop import EventLoop
 from indigohitch.platform_protocol import call_queue, call_resolution, discovery, probes, relay_watch
 from indigohitch.platform_protocol.call_codec import (
--- a/tests/relay_room.py
+++ b/tests/relay_room.py
@@ -8,7 +8,7 @@
 from indigohitch.log import Log
 from indigohitch.logic.update_channel import MAX_PENDING_SHARE, UNACKNOWLEDGED_DRAIN_SHARE
 from indigohitch.net.clock import SECOND
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.net.loop import EventLoop
 from indigohitch.platform_protocol import call_queue, call_resolution, stored_tables
 from indigohitch.platform_protocol import relay as calls
--- a/tests/test_batches_input_and_overload.py
+++ b/tests/test_batches_input_and_overload.py
@@ -11,7 +11,7 @@
 from indigohitch.fleet.batches.sending import outcome
 from indigohitch.fleet.batches.setup import PriceFile
 from indigohitch.log import Log
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 
 FILE = """name n1
 fleet whk
--- a/tests/test_channel_backlog_days.py
+++ b/tests/test_channel_backlog_days.py
@@ -10,7 +10,7 @@
 from indigohitch import interface as face
 from indigohitch.log import Log
 from indigohitch.net.clock import SECOND
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.net.loop import EventLoop
 from indigohitch.platform_protocol import call_resolution, stored_tables
 from indigohitch.platform_protocol.front import Front
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from indigohitch import interface as face
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.platform_protocol import stored_tables
 from indigohitch.platform_protocol.call_codec import (
     MAX_CALL_BYTES,
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -54,6 +54,7 @@
         pass
 
     warning = event
+    count = event
 
     def deliver(self, *events):
         for e in events:
--- a/tests/test_store_mirror_handovers.py
+++ b/tests/test_store_mirror_handovers.py
@@ -4,84 +4,9 @@
 
 import pytest
 
-from hours import Hours
 from indigohitch import interface as face
-from indigohitch.net.loop import Deadline
 from indigohitch.platform_protocol import stored_tables
-from indigohitch.platform_protocol.store_mirror import StoreMirror
-from test_store_mirror import FakeModule
-
-SLICE = 5
-OUR_ORDERS = [face.SetRoute(SLICE, "b1", 1.0), face.SetRoute(SLICE, "b0", 0.0)]  # a move from b0 to b1
-OWNERSHIP_EVENTS = [face.SliceOwnership(SLICE, True), face.StoredRoute(SLICE, "b0", 1.0)]
-
-
-class FakeRelay:
-    """A store with one slice, the calls to it, and the store mirror and module of a coordinator."""
-
-    def __init__(self):
-        self.store, self.is_owned = {"b0": 1.0}, True
-        self.calls = []
-        self.applied_count = 0  # calls that are applied and not acknowledged
-        self.module, self.hours = FakeModule(), Hours()
-        self.hours.call_after = lambda span, action: Deadline(0, action)  # the tests settle by hand
-        self.store_mirror = StoreMirror(
-            self.hours,
-            self.module,
-            self.module.deliver,
-            lambda: [o for call in self.calls for o in call],
-            self.calls.append,
-        )
-        self.store_mirror.on_watch_requested()
-        self.store_mirror.on_watch_opened()
-        self.send(*OWNERSHIP_EVENTS)
-        self.store_mirror.on_keepalive()
-
-    def send(self, *events):
-        for event in events:
-            self.store_mirror.on_relay_event(event)
-
-    def enqueue(self, *orders):
-        """Queue a call of the module, which assumes its effect."""
-        self.calls.append(list(orders))
-        for order in orders:
-            self.module.tables[SLICE].pop(order.backend, None)
-            if order.weight:
-                self.module.tables[SLICE][order.backend] = order.weight
-
-    def apply_call(self):
-        for order in self.calls[self.applied_count] if self.is_owned else ():
-            if isinstance(order, face.SetRoute):
-                self.store.pop(order.backend, None)
-                if order.weight:
-                    self.store[order.backend] = order.weight
-        self.applied_count += 1
-
-    def acknowledge(self):
-        self.applied_count -= 1
-        self.store_mirror.apply(self.calls.pop(0))
-
-    def change_owner(self, is_owned, routes=None):
-        """Revoke the slice, or assign it with these routes; return the events that report this."""
-        self.is_owned = is_owned
-        self.store = self.store if routes is None else dict(routes)
-        return (
-            [face.SliceOwnership(SLICE, False)]
-            if not is_owned
-            else [
-                face.SliceOwnership(SLICE, True),
-                *(face.StoredRoute(SLICE, b, w) for b, w in self.store.items()),
-            ]
-        )
-
-    def complete_calls(self):
-        self.store_mirror._settle()
-        while self.calls:
-            if not self.applied_count:
-                self.apply_call()
-            self.acknowledge()
-        return self.module.tables.get(SLICE), self.store if self.is_owned else None
-
+from simulated_store import OUR_ORDERS, OWNERSHIP_EVENTS, SLICE, FakeRelay
 
 OWNERSHIP_CHANGES = {
     "revoked and assigned": [(False, None), (True, None)],
@@ -226,6 +151,9 @@
     relay.send(*relay.change_owner(True))
     relay.acknowledge() if acknowledged == "before its report" else None
     relay.store_mirror._settle()
+    if acknowledged == "after":
+        relay.acknowledge()
+        relay.rereads.pop()()
     levels = [o for call in relay.calls for o in call if isinstance(o, face.SetAdmission)][-1:]
     assert [o.admission_ratio for o in levels] == ([] if acknowledged == "before the assignment" else [1.0])
 
--- a/tests/test_upgrade_front_state.py
+++ b/tests/test_upgrade_front_state.py
@@ -9,7 +9,7 @@
 from indigohitch.log import Log
 from indigohitch.logic import Coordinator
 from indigohitch.net.clock import Clock
-from indigohitch.net.http_exchange import HttpResponse
+from indigohitch.net.http_response import HttpResponse
 from indigohitch.net.loop import EventLoop
 from indigohitch.platform_protocol.front import Front
 from indigohitch.platform_protocol.handover import CoordinatorHandover
