A list of backends of unknown age is no longer acted on as if it were current

Cause: "the list is current" was set by the first list and never taken back, so a backend that only the store names counted as gone and its slices were evacuated by that list; after failed calls discovery was asked again only when the backoff was over.

Change: logic/list_age.py: while calls for the list fail, absence from it says nothing, and while the store names backends that it lacks, slices go to backends that answered lately; discovery is asked again as soon as a stream of the store opens after one was lost. A list from a state file, and a subscription whose content nobody confirms, count as failed until there is a newer one.

Why it works: the store's lines are newer than the list, so they stand until a list can judge them.

--- a/indigohitch/backend_subscription/source.py
+++ b/indigohitch/backend_subscription/source.py
@@ -4,8 +4,11 @@
 
 from collections.abc import Callable, Collection, Mapping
 
+from .. import interface
 from ..errors import DirectorError
 from ..log import Log
+from ..net.clock import SECOND, Ticks
+from ..net.loop import Deadline, EventLoop
 from ..platform_protocol.backend_source import ListCallback
 from .errors import NoInstancesError
 from .instances import Instances, ListUpdate
@@ -16,9 +19,24 @@
 class SubscribedBackends:
     """Sends backend lists that are built from the resources of the subscribed services."""
 
-    def __init__(self, log: Log, resources: Resources, on_list: ListCallback) -> None:
-        """Create a source that reads services through `resources` and passes lists to `on_list`."""
+    CHECK_INTERVAL = SECOND  # between checks whether the content still counts as current
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        log: Log,
+        resources: Resources,
+        on_list: ListCallback,
+        confirmed_until: Callable[[], Ticks],
+    ) -> None:
+        """Create a source that reads services through `resources` and passes lists to `on_list`.
+
+        `confirmed_until` returns the time until which the content counts as current.
+        """
+        self.loop = loop
         self.log = log
+        self.confirmed_until = confirmed_until
+        self.check_timer: Deadline | None = None  # None: not watching, or the content is reported as expired
         self.resources = resources
         self.on_list = on_list
         self.instances = Instances()
@@ -45,6 +63,8 @@
             self.warning("no_backends", NoInstancesError("no subscribed service has a backend"))
         if self.watching:
             self.send_update()
+            if self.check_timer is None:
+                self._schedule_check()
 
     def send_update(self) -> None:
         """Send the changes, or the complete list if none was sent yet."""
@@ -71,14 +91,37 @@
     def subscribe(self, enabled: bool) -> None:
         """Start or stop sending lists; a start sends the complete list because the receiver has none."""
         self.watching = enabled
+        self._stop_checks()
         if enabled:
+            self._schedule_check()
             self.fetch()
 
     def fetch(self) -> None:
-        """Send the complete list if content was received."""
-        if self.has_content:
+        """Send the complete list if content was received that is still current."""
+        if self.has_content and self.is_current():
             self.send_list(self.instances.full_list(self.version))
 
+    def is_current(self) -> bool:
+        """Return whether a distributor has lately confirmed the content."""
+        return self.loop.clock.now() < self.confirmed_until()
+
+    def _schedule_check(self) -> None:
+        self.check_timer = self.loop.call_after(self.CHECK_INTERVAL, self._check)
+
+    def _stop_checks(self) -> None:
+        if self.check_timer is not None:
+            self.check_timer.cancel()
+            self.check_timer = None
+
+    def _check(self) -> None:
+        """Report a failure once the content is not current any more; the receiver then subscribes again."""
+        self.check_timer = None
+        if self.is_current():
+            self._schedule_check()
+            return
+        self.log.warning("subscription_not_current", version=self.version)
+        self.on_list(interface.BackendList("failed", self.version, ()), {})
+
     def move(self, address: tuple[str, int]) -> bool:
         """Return False, because a subscription has no discovery address to change."""
         return False
@@ -90,4 +133,4 @@
 
     def close(self) -> None:
         """Stop sending lists."""
-        self.watching = False
+        self.subscribe(False)
--- a/indigohitch/coordinator.py
+++ b/indigohitch/coordinator.py
@@ -58,7 +58,9 @@
         """Returns a source that lists the backends which the subscription reports."""
         from .backend_subscription.source import SubscribedBackends
 
-        source = SubscribedBackends(self.log, self.companion.resources, on_list)
+        source = SubscribedBackends(
+            self.loop, self.log, self.companion.resources, on_list, self.companion.confirmed_until
+        )
         self.companion.on_services_applied = source.on_update
         return source
 
--- a/indigohitch/fleet/node/subscriber_process.py
+++ b/indigohitch/fleet/node/subscriber_process.py
@@ -11,7 +11,7 @@
 from ...config.texts import Text
 from ...errors import InvalidRequestError
 from ...log import Log
-from ...net.clock import SECOND
+from ...net.clock import SECOND, Ticks
 from ...net.loop import Deadline, EventLoop
 from ...upgrade import process_launch
 from ...upgrade.handover_participant import HandoverParticipant
@@ -76,6 +76,10 @@
         """Returns the resources of a service by key; none while it is closed."""
         return self.connection.machine.resources(service) if self.connection is not None else {}
 
+    def confirmed_until(self) -> Ticks:
+        """Returns the time until which the content counts as current; 0 while it is closed."""
+        return self.connection.machine.lease.until if self.connection is not None else 0
+
     def reread(self, text: FleetText | None) -> None:
         """Applies the services of a reloaded file; raises InvalidRequestError if its distributors changed."""
         if text is None or not text.services:
--- a/indigohitch/logic/event_handlers.py
+++ b/indigohitch/logic/event_handlers.py
@@ -4,6 +4,7 @@
 
 from .. import interface
 from .health import update_admission_ratio
+from .list_age import is_absence_conclusive
 from .state import DEPARTING_STATES, Backend, CoordinatorState, DueAction, Slice, mean_cost
 
 
@@ -146,7 +147,7 @@
     if route.slice in state.slices and route.weight > 0:
         backend = state.backend(route.backend)
         state.slices[route.slice].stored_routes[backend] = route.weight
-        if backend.state == "unheard" and state.is_list_current:  # the current list lacks it
+        if backend.state == "unheard" and is_absence_conclusive(state):
             set_state(state, backend, "gone")
 
 
--- a/indigohitch/logic/planner.py
+++ b/indigohitch/logic/planner.py
@@ -1,6 +1,7 @@
 """Assigns slices to backends: the greedy planner of docs/design.md, and moves that are too urgent for it."""
 
 from ..interface import SECOND
+from .list_age import known_alive
 from .state import DEPARTING_STATES, Assignment, Backend, CoordinatorState, Slice
 
 
@@ -46,6 +47,7 @@
         for backend in candidates
         if not backend.is_suspect and may_accept(state, backend, slice_, mean)
     ]
+    eligible = known_alive(state, eligible) or eligible
     with_capacity = [
         (backend, free)
         for backend in eligible
@@ -131,11 +133,12 @@
     idle = sum(not backend.assignments and backend.warmup_fraction < 1 for backend in ready_backends)
     for _ in range(max(2, len(state.slices) // 30 + idle // state.coordinator_count)):
         by_use = sorted(ready_backends, key=Backend.utilization)
+        targets = known_alive(state, by_use)
         best = next(
             filter(
                 None,
                 (
-                    best_move(state, backend, by_use, mean)
+                    best_move(state, backend, targets, mean)
                     for backend in reversed(by_use)
                     if backend.utilization() > 1.10 * mean
                 ),
--- a/indigohitch/platform_protocol/front.py
+++ b/indigohitch/platform_protocol/front.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from .. import interface as face
@@ -11,6 +12,7 @@
 from ..log import Log
 from ..logic import Coordinator
 from ..logic.call_scheduling import urgent_tables
+from ..logic.list_age import should_ask_again_at_once
 from ..logic.ownership_transfer import requires_continuous_ownership
 from ..net.clock import SECOND
 from ..net.connection import parse_address
@@ -50,8 +52,7 @@
     ) -> None:
         """Create a front from its configuration; `source` replaces discovery as the source of backends.
 
-        Raises ValueError or KeyError if the configuration can't be parsed, and OSError if listening on the
-        address fails.
+        Raises ValueError or KeyError if the configuration can't be parsed, OSError if listening fails.
         """
         self.loop = loop
         self.log = log
@@ -90,7 +91,12 @@
         )
         self.ownership_guard = OwnershipGuard(loop, log, requires_continuous_ownership(self.settings))
         self.store_mirror = StoreMirror(
-            loop, log, self.on_relay_events, self.relay.pending, self._order_repairs, self.ownership_guard
+            loop,
+            log,
+            self.on_relay_events,
+            self.relay.pending,
+            partial(self.relay.enqueue, joins=True),  # repairs arrive one slice at a time
+            self.ownership_guard,
         )
         self.store_mirror.revoke_orders = self.relay.revocations.revoke
         self.relay.on_applied = self._on_orders_applied
@@ -116,6 +122,7 @@
         self.relay.outbox.urgent_tables = lambda orders: urgent_tables(
             self.coordinator, orders, self.store_mirror.tables
         )
+        self.relay_watch.on_reopened = self._on_store_in_reach
         self.relay.on_unresolved_drop = self.relay_watch.restart
         self.ownership_guard.request_snapshot = self.relay_watch.restart
         if self.ownership_guard.requires_continuity:
@@ -129,13 +136,7 @@
             self.relay,
             self._address_of,
         )
-        zones = self.settings.get("zones")
-        self.known_names = KnownNames(
-            frozenset(zones if zones is not None else (entry.zone for entry in known.entries)),
-            frozenset(method.name for method in self.settings["methods"]),
-            self.settings.get("slices") or face.ALL_TABLES,
-            self.known_backend_ids,
-        )
+        self.known_names = KnownNames.of(self.settings, known.entries, self.known_backend_ids)
         self.inbound = InboundConnections(
             loop,
             log,
@@ -200,9 +201,9 @@
         """Execute the orders of one round."""
         self.order_executor.execute(self.ownership_guard.withhold(orders))
 
-    def _order_repairs(self, orders: list[face.Order]) -> None:
-        """Queue repairs of the store, which arrive one slice at a time, as one call."""
-        self.relay.enqueue(orders, joins=True)
+    def _on_store_in_reach(self) -> None:
+        if should_ask_again_at_once(self.coordinator):
+            self.discovery.subscribe(True)
 
     def _on_orders_applied(self, orders: list[face.Order]) -> None:
         self.store_mirror.apply(orders)
@@ -216,6 +217,8 @@
                     self.relay.acknowledge_marker(proxy, marker)
                 case face.ProxyLeft(proxy):
                     self.relay.on_proxy_left(proxy)
+                case face.StoredRoute(_, backend):  # reports on it may arrive before a list that has it
+                    self.known_backend_ids.setdefault(backend)
         self.add_events(*events)
 
     def on_backend_list(self, received: face.BackendList, addresses: dict[str, str]) -> None:
--- a/indigohitch/platform_protocol/handover.py
+++ b/indigohitch/platform_protocol/handover.py
@@ -220,6 +220,8 @@
         is_from_file = not self.inherited_listeners
         if is_from_file:
             store_mirror.has_started = False
+            # The restored list of backends is as old as the file.
+            self.front.add_events(face.BackendList("failed", self.front.discovery.version, ()))
         if is_from_file or store_mirror.guard.requires_continuity:
             store_mirror.suspend_all()
 
--- a/indigohitch/platform_protocol/messages.py
+++ b/indigohitch/platform_protocol/messages.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from .. import errors
 from .. import interface as face
@@ -31,6 +32,19 @@
     slices: int  # number of slices
     backends: Container[str]
 
+    @classmethod
+    def of(
+        cls, settings: Mapping[str, Any], entries: Iterable[face.BackendEntry], backends: Container[str]
+    ) -> KnownNames:
+        """Return the names in the settings; without zones there, the zones of the backends of `entries`."""
+        zones = settings.get("zones")
+        return cls(
+            frozenset(zones if zones is not None else (entry.zone for entry in entries)),
+            frozenset(method.name for method in settings["methods"]),
+            settings.get("slices") or face.ALL_TABLES,
+            backends,
+        )
+
 
 MAX_VALUE = 10**9  # far above any count, share or time (in ms) that a report contains
 
--- a/indigohitch/platform_protocol/relay_watch.py
+++ b/indigohitch/platform_protocol/relay_watch.py
@@ -103,6 +103,7 @@
         self.current: HttpExchange | None = None  # the stream that events are read from
         self.pending: HttpExchange | None = None  # a requested stream without data yet
         self.retry_timer: Deadline | None = None
+        self.on_reopened: Callable[[], None] = lambda: None  # a stream opened after one was lost
         self.last_part_at = 0  # when the last part of the current stream arrived
 
     def is_current(self) -> bool:
@@ -149,13 +150,12 @@
                 if self.current.connection is not None:
                     # Data that the old stream has not read yet precedes the data of the new stream.
                     self.current.connection.ready(True, False)
-                if self.current is not None:
-                    is_complete = self.is_current()
-                    self.current.drop()
-                    if not is_complete:
-                        self.listener.on_watch_lost()
+                self._end_current()
+            is_reopened = self.current is None
             self.current = exchange
             self.pending = None
+            if is_reopened:
+                self.on_reopened()
             self.stream = EventStream(self._on_event, self.listener.on_keepalive)
             self.listener.on_watch_opened()
         self.last_part_at = self.loop.clock.now()
@@ -165,6 +165,16 @@
             self.log.warning("relay_event_invalid", why=str(error))
             exchange.end("unreadable")
 
+    def _end_current(self) -> None:
+        """Drop the current stream, as another one has opened; it is lost if it was not read to its end."""
+        if self.current is None:
+            return
+        is_complete = self.is_current()
+        self.current.drop()
+        if not is_complete:
+            self.current = None
+            self.listener.on_watch_lost()
+
     def _on_event(self, kind: str, data: str) -> None:
         event = parse_relay_event(kind, data)
         if event is None:  # a later version of the protocol may have more kinds, so the stream goes on
--- a/tests/test_logic_event_handlers.py
+++ b/tests/test_logic_event_handlers.py
@@ -7,6 +7,7 @@
 
 from indigohitch import interface as face
 from indigohitch.logic import SECOND
+from indigohitch.logic.list_age import should_ask_again_at_once
 from indigohitch.logic.state import Backend
 from orders import changes
 from world import World, entry
@@ -45,6 +46,62 @@
     assert world.owners()[9] in ("b0", "b1", "b2")
 
 
+def returned_after_failed_calls():
+    """A world whose list, with b0 to b2, is old: calls fail, and the store names a backend that it lacks."""
+    world = World()
+    world.start(3, 3)
+    world.step(5 * SECOND, face.BackendList("failed", 0, ()), face.SliceOwnership(1, False))
+    world.step(SECOND, face.SliceOwnership(1, True), face.StoredRoute(1, "newer", 1.0))
+    return world
+
+
+def test_a_stored_owner_is_kept_while_calls_for_the_list_fail():
+    """Guards against review/8: slices were moved from live backends to ones of an old list that had ended."""
+    world = returned_after_failed_calls()
+    assert world.owners()[1] == "newer"
+    world.step(SECOND, face.SliceOwnership(1, False))
+    world.step(SECOND, face.SliceOwnership(1, True), face.StoredRoute(1, "newer", 1.0))
+    assert world.owners()[1] == "newer"
+
+
+def test_a_stored_owner_that_the_next_list_lacks_is_replaced():
+    world = returned_after_failed_calls()
+    world.step(SECOND, changes())
+    assert world.owners()[1] in ("b0", "b1", "b2")
+
+
+@pytest.mark.parametrize("alive", ["b0", "b1"])
+def test_only_backends_that_answered_lately_get_slices_by_an_outdated_list(alive):
+    """Guards against review/8: of two listed backends the ended one has less load and would be chosen."""
+    world = returned_after_failed_calls()
+    world.step(0, face.BackendTraffic("east", alive, 5, 0, 2500, 2 * SECOND))
+    events = [face.SliceOwnership(number, True) for number in range(20, 26)]
+    world.step(SECOND // 10, *events)
+    assert {world.owners()[number] for number in range(20, 26)} == {alive}
+
+
+def test_a_slice_without_a_route_gets_a_listed_backend_if_none_answered_lately():
+    world = returned_after_failed_calls()
+    world.step(10 * SECOND, face.SliceOwnership(20, True))
+    assert world.owners()[20] in ("b0", "b1", "b2")
+
+
+def test_the_list_is_asked_for_at_once_after_failed_calls_only():
+    world = returned_after_failed_calls()
+    assert should_ask_again_at_once(world.c)
+    world.step(SECOND, changes())
+    assert not should_ask_again_at_once(world.c)
+
+
+def test_no_slice_moves_for_balance_to_backends_of_an_outdated_list():
+    world = returned_after_failed_calls()
+    for _ in range(8):
+        world.step(0, face.BackendList("failed", 0, ()))
+        owners = world.owners()
+        world.step(2 * SECOND, *(face.SliceDemand(2, "search", 400, 0, 2 * SECOND) for _ in range(3)))
+        assert world.owners() == owners
+
+
 def test_a_backend_with_a_later_start_time_loses_what_exceeds_its_allowance():
     world = World()
     world.start(4, 24)
--- a/tests/test_relay_watch.py
+++ b/tests/test_relay_watch.py
@@ -200,6 +200,22 @@
     assert stage.module.proxies == {1, 3}
 
 
+def test_only_a_stream_after_a_lost_one_counts_as_reopened(stage):
+    """Guards against review/8: nothing asked discovery anew when the network was back."""
+    reopened = []
+    stage.relay_watch.on_reopened = lambda: reopened.append(stage.relay_watch.current)
+    old, new = stage.open_two_streams(SNAPSHOT)
+    send(new, SNAPSHOT_AFTER, ":\n")
+    stage.turn_until(lambda: stage.relay_watch.pending is None)
+    assert len(reopened) == 1  # the first one of this process
+    new.close()
+    stage.turn_until(lambda: stage.relay_watch.current is None)
+    another = stage.relays[1].accept(stage)
+    send(another, SNAPSHOT_AFTER, ":\n")
+    stage.turn_until(lambda: stage.relay_watch.current is not None)
+    assert reopened[1:] == [stage.relay_watch.current]
+
+
 def test_two_address_changes_while_a_retry_is_due(stage):
     old = stage.relays[0].accept(stage)
     old.close()
--- a/tests/test_subscribed_backends.py
+++ b/tests/test_subscribed_backends.py
@@ -9,6 +9,9 @@
 from indigohitch.backend_subscription.errors import InvalidInstanceError
 from indigohitch.backend_subscription.instances import Instances, parse_instance
 from indigohitch.backend_subscription.source import SubscribedBackends
+from indigohitch.net.clock import SECOND
+from indigohitch.net.loop import EventLoop
+from seam import Shifted
 
 
 def instance_body(backend, lifecycle="SERVING", port=80, **more):
@@ -48,13 +51,32 @@
     """A source with the services that a subscription would hold; records the lists that it sends."""
 
     def __init__(self, is_subscribed=True, **services):
-        self.services = services
-        self.sent_lists = []
+        self.services, self.sent_lists = services, []
         self.log = FakeLog()
-        self.source = SubscribedBackends(self.log, lambda name: self.services.get(name, {}), self.on_list)
+        self.clock = Shifted()
+        self.loop = EventLoop(self.clock, pytest.fail)
+        self.confirmed_until = self.clock.now() + 99 * SECOND
+        self.source = SubscribedBackends(
+            self.loop,
+            self.log,
+            lambda name: self.services.get(name, {}),
+            self.on_list,
+            lambda: self.confirmed_until,
+        )
         if is_subscribed:
             self.source.subscribe(True)
 
+    def advance(self, span):
+        """Advances the clock and returns the lists that are sent."""
+        self.loop.call_after(span, lambda: None)
+        self.clock.by += span
+        self.loop.turn()
+        return self.take_lists()
+
+    def take_lists(self):
+        sent_lists, self.sent_lists = self.sent_lists, []
+        return sent_lists
+
     def on_list(self, backend_list, addresses):
         assert {entry.backend for entry in backend_list.entries} <= addresses.keys()
         self.sent_lists.append(
@@ -69,8 +91,7 @@
         """Replaces these services and returns the lists that are sent."""
         self.services |= services
         self.source.on_update(version, self.services.keys())
-        sent_lists, self.sent_lists = self.sent_lists, []
-        return sent_lists
+        return self.take_lists()
 
 
 def test_the_complete_list_is_sent_first_and_then_only_changes():
@@ -95,6 +116,20 @@
     assert fixture.update(8, maps=resources_of("a", "b")) == []
 
 
+def test_content_that_no_distributor_confirms_is_not_taken_for_current():
+    """Guards against review/8 with a subscription: a subscriber that was cut off acted on its old list."""
+    fixture = SourceFixture()
+    fixture.update(7, maps=resources_of("a"))
+    assert fixture.advance(2 * SECOND) == []
+    fixture.confirmed_until = 0
+    for _ in range(2):  # the receiver subscribes again
+        assert fixture.advance(SECOND) == [("failed", 7, {})]
+        fixture.source.subscribe(True)
+    fixture.confirmed_until = fixture.clock.now() + SECOND
+    fixture.source.subscribe(True)
+    assert fixture.take_lists() == [("full", 7, {"a": "ready"})]
+
+
 def test_a_fetch_before_any_content_sends_nothing():
     fixture = SourceFixture()
     fixture.source.fetch()
