Memory of many clients: heads, frames before a handshake and departed names are bounded

What callers saw: a process over its memory limit was killed while hundreds of clients were connected (sidecar, distributor, member's port); on the control socket 16 unfinished commands kept every other client out.

Cause: a sidecar kept the parsed fields of each request until its answer; strangers could begin a frame of any size, kept outside the pool; a distributor kept each departed name for ten minutes.

Change: heads with many fields are kept as received and counted by `limit memory`; 4 KB before the handshake and 256 KB from a subscriber, incomplete frames reserved in the pool; departed names and connections without a subscription are limited; the control socket evicts its oldest idle client.

--- a/indigohitch/control.py
+++ b/indigohitch/control.py
@@ -23,6 +23,7 @@
     def __init__(self, control: ControlSocket) -> None:
         self.control = control
         self.connection: Connection | None = None
+        self.commands_in_progress = 0
 
     def on_data(self, connection: Connection) -> None:
         """Handles each complete line; closes a connection whose line is too long."""
@@ -32,6 +33,7 @@
                 return
         if len(connection.incoming) > self.MAX_LINE_BYTES:
             connection.close()
+            self.control.clients.pop(self, None)
 
     def handle_line(self, line: bytes) -> None:
         """Runs one command; responds with an error to a line that is not a command."""
@@ -43,16 +45,22 @@
             return
         # The marker lets a client match responses to commands, as several may be pending.
         marker = {"mark": command["mark"]} if "mark" in command else {}
-        self.control.on_command(name, command, lambda response: self.answer(response | marker))
+        self.commands_in_progress += 1
+        self.control.on_command(name, command, lambda response: self.complete(response | marker))
+
+    def complete(self, response: dict) -> None:
+        """Sends the response to a command; called once per command, at once or later."""
+        self.commands_in_progress -= 1
+        self.answer(response)
 
     def answer(self, response: dict) -> None:
-        """Sends a response; called once per command, at once or later."""
+        """Sends a response."""
         if self.connection is not None and self.connection.open:
             self.connection.write(orjson.dumps(response, default=str) + b"\n")
 
     def on_closed(self, connection: Connection, why: str) -> None:
         """Removes this client from the connected ones."""
-        self.control.clients.discard(self)
+        self.control.clients.pop(self, None)
 
 
 class ControlSocket:
@@ -78,7 +86,7 @@
         self.loop = loop
         self.path = path
         self.on_command = on_command
-        self.clients: set[ControlClient] = set()
+        self.clients: dict[ControlClient, None] = {}  # oldest first
         self.listener = Listener(
             loop, None, self.accept_client, lambda why: None, listening or self.open_socket(path)
         )
@@ -105,14 +113,21 @@
         return sock
 
     def accept_client(self, sock: socket.socket) -> bool:
-        """Registers a client; returns False where there are too many."""
+        """Registers a client, in place of the oldest idle one where there are too many.
+
+        Returns False if all of them wait for a response.
+        """
         if len(self.clients) >= self.MAX_CLIENTS:
-            return False
+            idle = next((client for client in self.clients if not client.commands_in_progress), None)
+            if idle is None:
+                return False
+            del self.clients[idle]
+            idle.connection.close()
         client = ControlClient(self)
         client.connection = Connection.accepted(
             self.loop, sock, client, 2 * ControlClient.MAX_LINE_BYTES, self.loop.pool
         )
-        self.clients.add(client)
+        self.clients[client] = None
         return True
 
     def close(self, unlink: bool) -> None:
--- a/indigohitch/encoding/frames.py
+++ b/indigohitch/encoding/frames.py
@@ -96,8 +96,10 @@
 class FrameDecoder:
     """Decodes a stream of frames that is received in chunks of any size."""
 
-    def __init__(self, kinds: MessageTypes) -> None:
+    def __init__(self, kinds: MessageTypes, max_body_bytes: int | None = None) -> None:
+        """`max_body_bytes` limits the bodies of frames, by default to the largest one of `kinds`."""
         self.kinds = kinds
+        self.max_body_bytes = kinds.max_frame_bytes if max_body_bytes is None else max_body_bytes
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> Iterator[tuple[Row, int]]:
@@ -109,6 +111,8 @@
         self.buffer += data
         while len(self.buffer) >= HEADER_BYTES:
             protocol, number, descriptors, length, checksum = self.kinds.decode_header(self.buffer)
+            if length > self.max_body_bytes:
+                raise BrokenFrameError(f"a frame of {length} bytes where {self.max_body_bytes} are allowed")
             if len(self.buffer) < HEADER_BYTES + length:
                 return
             body = bytes(self.buffer[HEADER_BYTES : HEADER_BYTES + length])
--- a/indigohitch/fleet/distribution/convergence.py
+++ b/indigohitch/fleet/distribution/convergence.py
@@ -22,6 +22,8 @@
 
 # Subscribers that are behind, and those that are unreachable, listed by name in a report.
 MAX_LISTED = 16
+# Departed subscribers kept, as a multiple of those that a distributor serves.
+MAX_DEPARTED_RATIO = 4
 # A distributor whose last report is older counts as silent, and its subscribers as unreachable.
 REPORT_TIMEOUT = 5 * SECOND
 
@@ -79,6 +81,8 @@
         self.departed[subscription.subscriber] = DepartedSubscriber(
             subscription.acknowledged, subscription.lease_until, now + self.limits.departed_retention
         )
+        if len(self.departed) > MAX_DEPARTED_RATIO * self.limits.subscribers:
+            del self.departed[next(iter(self.departed))]  # the first one that departed
 
     def forget_connected_elsewhere(self, report: Report) -> None:
         """Forgets departed subscribers that are connected to the reporting distributor."""
--- a/indigohitch/fleet/distribution/distributor_listener.py
+++ b/indigohitch/fleet/distribution/distributor_listener.py
@@ -32,6 +32,8 @@
 
 # All subscribers of a failed distributor may connect within a second.
 MAX_UNIDENTIFIED = 512
+# Of what a subscriber sends; the longest is a request for 512 services with their digests.
+MAX_SUBSCRIBER_FRAME_BYTES = 256 << 10
 # For the buffers of all connections; once it is used up, a connection that needs a buffer is closed.
 BUFFER_POOL_BYTES = 64 << 20
 # Output buffer beyond one update, for handshake replies and answers to lease renewals.
@@ -103,9 +105,15 @@
             link.send(links.HandshakeRefused(reason))
             link.close()
             return
+        if len(self.connections) >= self.limits.subscribers + MAX_UNIDENTIFIED:
+            self.log.warning("subscriber_refused", why="connections", remedy="see who connects to this port")
+            link.send(links.HandshakeRefused("too many connections"))
+            link.close()
+            return
         self.last_connection_number += 1
         link.peer = handshake.who
         link.token = handshake.token
+        link.max_frame_bytes = MAX_SUBSCRIBER_FRAME_BYTES
         self.connections[self.last_connection_number] = link
         self.connection_numbers[link] = self.last_connection_number
         link.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- a/indigohitch/fleet/transport/inbound.py
+++ b/indigohitch/fleet/transport/inbound.py
@@ -9,12 +9,17 @@
 from ...encoding.rows import Row
 from ...net.connection import Connection
 from ...net.loop import EventLoop
-from ...net.ring_buffer import BufferPool
+from ...net.ring_buffer import BufferPool, RingBuffer
 from ..types import MemberId
 from .messages import Handshake, Ping, Pong
 
 # Bytes that a connection may buffer unread, in addition to one frame of the largest size.
 EXTRA_UNREAD_BYTES = 64 << 10
+# Body of a frame before the handshake is accepted; a handshake has a few hundred bytes.
+MAX_HANDSHAKE_BYTES = 4 << 10
+# Bounds on an unidentified connection's reads in a turn of the event loop.
+UNIDENTIFIED_READS = 1
+UNIDENTIFIED_READ_BYTES = 4 << 10
 # Length of the magic at the start of a frame; it reveals another protocol before a whole header has arrived.
 MAGIC_BYTES = 4
 
@@ -51,10 +56,14 @@
         self.token = 0
         self.accepted_at = owner.loop.clock.now()
         self.last_received_at = self.accepted_at
-        self.frames = FrameDecoder(owner.kinds)
+        self.frames = FrameDecoder(owner.kinds, MAX_HANDSHAKE_BYTES)
+        self.max_frame_bytes = owner.kinds.max_frame_bytes  # once it is accepted; the owner may lower it
+        self.pool = pool or owner.loop.pool
+        self.reserved_bytes = 0  # of the pool, for the incomplete frame
         self.connection = Connection.accepted(
-            owner.loop, sock, self, owner.kinds.max_frame_bytes + EXTRA_UNREAD_BYTES, pool or owner.loop.pool
+            owner.loop, sock, self, owner.kinds.max_frame_bytes + EXTRA_UNREAD_BYTES, self.pool
         )
+        self.connection.limit_reads(UNIDENTIFIED_READS, UNIDENTIFIED_READ_BYTES, low_priority=True)
 
     def on_data(self, connection: Connection) -> None:
         """Handles the frames that have arrived; a corrupt one closes the link."""
@@ -70,16 +79,39 @@
         except BrokenFrameError as error:
             self.owner.on_corrupt_frame(self.peer.name if self.peer else "", error)
             self.close()
+            return
+        if not self._reserve(len(self.frames.buffer) - RingBuffer.FIRST_BLOCK):
+            self.owner.on_unidentified("its frame does not fit into the memory for connections")
+            self.close()
+
+    def _reserve(self, size: int) -> bool:
+        """Reserves this size of the pool in place of what was reserved; returns whether it was available."""
+        more = max(0, size) - self.reserved_bytes
+        if more > 0 and not self.pool.take(more):
+            return False
+        if more < 0:
+            self.pool.give(-more)
+        self.reserved_bytes += more
+        return True
 
     def _on_frame(self, message: Row) -> None:
         if self.peer is not None:
             self._on_peer_message(message)
         elif isinstance(message, Handshake):
             self.owner.on_handshake(self, message)
+            if self.peer is not None and self.connection.open:
+                self._on_accepted()
         else:
             self.owner.on_unidentified(f"{type(message).__name__} before the handshake")
             self.close()
 
+    def _on_accepted(self) -> None:
+        """Lifts the limits of unidentified connections."""
+        self.frames.max_body_bytes = self.max_frame_bytes
+        self.connection.limit_reads(
+            Connection.MAX_READS_PER_TURN, Connection.MAX_BUFFERED, low_priority=False
+        )
+
     def _on_peer_message(self, message: Row) -> None:
         if isinstance(message, Ping):
             self.send(Pong(message.number))
@@ -99,10 +131,12 @@
 
     def on_closed(self, connection: Connection, why: str) -> None:
         """Reports to the owner that the connection has ended."""
+        self._reserve(0)
         self.owner.on_closed(self)
 
     def close(self) -> None:
         """Closes the connection and reports it to the owner; may be called again."""
         if self.connection.open:
             self.connection.close()
+        self._reserve(0)
         self.owner.on_closed(self)
--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -52,7 +52,9 @@
 
     def begin(self) -> None:
         """Forwards the head and the received part of the body."""
-        self.forward(self.head.forwarded_head(self.in_chunks, self.rpc.client.close_after))
+        head = self.head.forwarded_head(self.in_chunks, self.rpc.client.close_after)
+        self.head.fields = []  # no longer used, and large while a client reads slowly
+        self.forward(head)
 
     def forward(self, out: bytes = b"") -> None:
         """Forwards the received part of the body; `out` is written before it.
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -8,7 +8,7 @@
 from ..net.http_exchange import is_connection_open
 from ..net.stream import Stream
 from .delivery import Delivery, unacknowledged_byte_count
-from .heads import plain_answer
+from .plain_answers import plain_answer
 from .request_reading import read_request_head
 from .request_start import start_request
 from .rpc import Rpc
--- a/indigohitch/sidecar/request_start.py
+++ b/indigohitch/sidecar/request_start.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from .framing import Body
-from .heads import RequestHead, plain_answer
+from .heads import RequestHead
 from .keys import key_of, slice_of
+from .plain_answers import plain_answer
 from .rpc import Rpc
 
 
--- a/indigohitch/sidecar/rpc.py
+++ b/indigohitch/sidecar/rpc.py
@@ -8,9 +8,11 @@
 
 from .. import request
 from ..net.loop import Deadline
+from ..net.ring_buffer import RingBuffer
 from .answer_forwarding import Answer, read_answer_head
 from .attempt import Attempt, Phase
-from .heads import RequestHead, plain_answer
+from .heads import RequestHead
+from .plain_answers import plain_answer
 from .request_forwarding import forward_request_body
 from .servers import Upstream
 
@@ -35,6 +37,7 @@
         "due_at",
         "body",
         "answer",
+        "_head_bytes",
     )
 
     def __init__(self, client, head: RequestHead, route, pool, slice: int) -> None:
@@ -51,14 +54,14 @@
         self.answer: Answer | None = None
         self.due_at = pool.host.loop.clock.now() + route.rpc.deadline
         self.deadline: Deadline | None = None
+        self._head_bytes = max(0, len(head.packed) - RingBuffer.FIRST_BLOCK)  # counted as those of rings are
+        pool.host.memory.take_beyond_limit(self._head_bytes)
 
     @property
     def upstream(self) -> Upstream | None:
         """The server connection of the current attempt."""
         return self.attempt.upstream if self.attempt is not None else None
 
-    # ---- attempts ----------------------------------------------------------------------------------
-
     def start(self) -> None:
         """Checks admission, starts the deadline and makes the first attempt."""
         pool = self.pool
@@ -239,6 +242,8 @@
     def end(self, status: int) -> None:
         """Marks the RPC as over and counts it; `status` is 0 if the client has disconnected."""
         self.phase = Phase.OVER
+        self.pool.host.memory.give(self._head_bytes)
+        self._head_bytes = 0
         if self.answer is not None:
             self.answer.close()
         self.pool.finish_rpc(self, status)
