One client at full speed no longer holds the loop of a control socket or of a fleet's port

What callers saw: answers came late while one client sent small messages without a pause on one connection to the control socket, a member's port or a distributor.

Cause: the control socket ran all commands that had arrived in one turn of the event loop; a link was read 16 times 1 MB in a turn, and all its frames were handled.

Change: four commands of a control client in a turn; links are read 4 x 16 KB, subscribers and unidentified links 1 x 4 KB.

--- a/indigohitch/control.py
+++ b/indigohitch/control.py
@@ -19,18 +19,35 @@
     """A connection of the command line or of a script."""
 
     MAX_LINE_BYTES = 64 << 10  # the longest command carries the body of a proposal
+    MAX_COMMANDS_PER_TURN = 4  # a command may take some ms; other connections are served in between
+    NEXT_TURN = 1  # ticks
 
     def __init__(self, control: ControlSocket) -> None:
         self.control = control
         self.connection: Connection | None = None
         self.commands_in_progress = 0
+        self.is_waiting = False  # for the next turn, to handle more lines
 
     def on_data(self, connection: Connection) -> None:
-        """Handles each complete line; closes a connection whose line is too long."""
-        while (line := connection.incoming.line()) is not None:
-            self.handle_line(line)
+        """Handles the lines that have arrived, unless earlier ones wait for the next turn."""
+        if not self.is_waiting:
+            self.handle_lines()
+
+    def handle_lines(self) -> None:
+        """Handles some lines, the others in later turns; closes a connection whose line is too long."""
+        self.is_waiting = False
+        connection = self.connection
+        for _ in range(self.MAX_COMMANDS_PER_TURN):
             if not connection.open:
                 return
+            line = connection.incoming.line()
+            if line is None:
+                break
+            self.handle_line(line)
+        else:
+            self.is_waiting = True
+            self.control.loop.call_after(self.NEXT_TURN, self.handle_lines)
+            return
         if len(connection.incoming) > self.MAX_LINE_BYTES:
             connection.close()
             self.control.clients.pop(self, None)
--- a/indigohitch/fleet/distribution/distributor_listener.py
+++ b/indigohitch/fleet/distribution/distributor_listener.py
@@ -34,6 +34,9 @@
 MAX_UNIDENTIFIED = 512
 # Of what a subscriber sends; the longest is a request for 512 services with their digests.
 MAX_SUBSCRIBER_FRAME_BYTES = 256 << 10
+# Bounds on the reads of a subscriber in a turn of the event loop: it sends a renewal a second.
+SUBSCRIBER_READS = 1
+SUBSCRIBER_READ_BYTES = 4 << 10
 # For the buffers of all connections; once it is used up, a connection that needs a buffer is closed.
 BUFFER_POOL_BYTES = 64 << 20
 # Output buffer beyond one update, for handshake replies and answers to lease renewals.
@@ -114,6 +117,8 @@
         link.peer = handshake.who
         link.token = handshake.token
         link.max_frame_bytes = MAX_SUBSCRIBER_FRAME_BYTES
+        link.peer_reads = SUBSCRIBER_READS
+        link.peer_read_bytes = SUBSCRIBER_READ_BYTES
         self.connections[self.last_connection_number] = link
         self.connection_numbers[link] = self.last_connection_number
         link.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- a/indigohitch/fleet/transport/inbound.py
+++ b/indigohitch/fleet/transport/inbound.py
@@ -20,6 +20,9 @@
 # Bounds on an unidentified connection's reads in a turn of the event loop.
 UNIDENTIFIED_READS = 1
 UNIDENTIFIED_READ_BYTES = 4 << 10
+# The same for an accepted one; the owner may lower them.
+PEER_READS = 4
+PEER_READ_BYTES = 16 << 10
 # Length of the magic at the start of a frame; it reveals another protocol before a whole header has arrived.
 MAGIC_BYTES = 4
 
@@ -58,6 +61,8 @@
         self.last_received_at = self.accepted_at
         self.frames = FrameDecoder(owner.kinds, MAX_HANDSHAKE_BYTES)
         self.max_frame_bytes = owner.kinds.max_frame_bytes  # once it is accepted; the owner may lower it
+        self.peer_reads = PEER_READS
+        self.peer_read_bytes = PEER_READ_BYTES
         self.pool = pool or owner.loop.pool
         self.reserved_bytes = 0  # of the pool, for the incomplete frame
         self.connection = Connection.accepted(
@@ -108,9 +113,7 @@
     def _on_accepted(self) -> None:
         """Lifts the limits of unidentified connections."""
         self.frames.max_body_bytes = self.max_frame_bytes
-        self.connection.limit_reads(
-            Connection.MAX_READS_PER_TURN, Connection.MAX_BUFFERED, low_priority=False
-        )
+        self.connection.limit_reads(self.peer_reads, self.peer_read_bytes, low_priority=False)
 
     def _on_peer_message(self, message: Row) -> None:
         if isinstance(message, Ping):
