--- a/indigohitch/fleet/transport/inbound.py
+++ b/indigohitch/fleet/transport/inbound.py
@@ -22,7 +22,7 @@
 UNIDENTIFIED_READ_BYTES = 4 << 10
 # The same for an accepted one; the owner may lower them.
 PEER_READS = 4
-PEER_READ_BYTES = 16 << 10
+PEER_READ_BYTES = 4 << 10
 # Length of the magic at the start of a frame; it reveals another protocol before a whole header has arrived.
 MAGIC_BYTES = 4
 
