The sidecar completes no request at a server once its client has left

What callers saw: a client closed its connection and its request, or the requests it had pipelined behind one in flight, were sent on afterwards; sent again by the client, an id ran twice.

Cause: a closed connection was noticed only when a read met its end: a request read together with the end goes out in the same turn over an idle server connection, and a connection whose ring is full is not read at all.

Why it works: a server acts on whole requests only, so the check at the last byte covers new connections, further attempts, bodies and requests handed over by an upgrade alike.

--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -10,6 +10,7 @@
 from ..net.clock import SECOND
 from ..net.listener import Listener
 from ..net.loop import EventLoop
+from ..net.peer_state import has_peer_left
 from ..net.ring_buffer import BufferPool as Memory
 from ..net.slot_table import SlotTable
 from ..net.stream import Stream
@@ -130,7 +131,9 @@
         delay = now - self._sweep.when  # this process was stalled, the clients were not silent
         for client in self.clients:
             client.last_activity += delay
-            if client.is_overdue(now):
+            if client.stream.reading_paused and has_peer_left(client.stream.sock):
+                client.close_at_once()
+            elif client.is_overdue(now):
                 self.log.count(
                     "client_too_slow" if client.rpc or client.bytes_at_last_sweep else "client_idle_closed"
                 )
--- a/indigohitch/sidecar/request_forwarding.py
+++ b/indigohitch/sidecar/request_forwarding.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from ..net.peer_state import has_peer_left
 from .framing import CHUNK_OVERHEAD_BYTES, LAST_CHUNK, MAX_PIECE_BYTES, Body, MalformedBodyError, chunk
 
 
 def forward_request_body(rpc, out: bytes = b"") -> None:
-    """Forwards the received part of the request body; `out` is written before it."""
+    """Forwards the received part of the request body; `out` is written before it.
+
+    The end of a request is not forwarded once its client has left.
+    """
     attempt, client, body = rpc.attempt, rpc.client, rpc.body
     stream = attempt.upstream.stream
     received = client.stream.incoming
@@ -26,6 +30,10 @@
     except MalformedBodyError as error:
         rpc.refuse(400, str(error))
         return
+    if body.done and has_peer_left(client.stream.sock):
+        # The server must not act on a request that nobody waits for; its client may send it again.
+        client.close_at_once()
+        return
     if body.done and body.kind == Body.CHUNKED and not attempt.last_chunk_sent:
         out += LAST_CHUNK
         attempt.last_chunk_sent = True
