--- a/indigohitch/sidecar/access.py
+++ b/indigohitch/sidecar/access.py
@@ -45,10 +45,14 @@
 
         `dropped` is called once for each dropped line; `write` has the signature of os.write.
         """
-        self.path, self.line_format, self.on_line_dropped, self.write = path, form, dropped, write
+        self.path = path
+        self.line_format = form
+        self.on_line_dropped = dropped
+        self.write = write
         self.file = self.open_file()
         self.queue: deque[dict] = deque()
-        self.wake_event, self.is_closing = threading.Event(), False
+        self.wake_event = threading.Event()
+        self.is_closing = False
         self.failed_line_count = 0  # lines lost because a write failed
         self.reopen_requested = False  # set by `reopen`, cleared by the thread
         self.thread = threading.Thread(target=self.write_lines, daemon=True)
--- a/indigohitch/sidecar/answer_forwarding.py
+++ b/indigohitch/sidecar/answer_forwarding.py
@@ -11,7 +11,8 @@
 
 def read_answer_head(rpc) -> AnswerHead | None:
     """Returns the head of the final answer once it was received; forwards interim answers."""
-    stream, client = rpc.upstream.stream, rpc.client
+    stream = rpc.upstream.stream
+    client = rpc.client
     while True:
         end = stream.incoming.find_end(b"\r\n\r\n")
         if not end:
@@ -81,7 +82,8 @@
 
         Raises MalformedBodyError.
         """
-        body, client_stream = self.head.body, self.rpc.client.stream
+        body = self.head.body
+        client_stream = self.rpc.client.stream
         while not body.done:
             room = client_stream.free_capacity() - len(out) - CHUNK_OVERHEAD_BYTES
             if room <= 0 and not out:
--- a/indigohitch/sidecar/attempt.py
+++ b/indigohitch/sidecar/attempt.py
@@ -84,7 +84,8 @@
 
     def request_head(self) -> bytes:
         """Returns the head for the server, with the seat of this attempt."""
-        seating, head = self.rpc.pool.host.seating, self.rpc.head
+        seating = self.rpc.pool.host.seating
+        head = self.rpc.head
         if seating is None:
             return head.forwarded_head()
         seat_header = seating.seat_header(self.seat, self.server) if self.seat is not None else b""
--- a/indigohitch/sidecar/clients.py
+++ b/indigohitch/sidecar/clients.py
@@ -44,10 +44,13 @@
         self.rpc: Rpc | None = None
         self.last_activity = host.loop.clock.now()
         self.stream: Stream | None = None
-        self.close_after = self.lingering = self._is_processing = False
+        self.close_after = False
+        self.lingering = False
+        self._is_processing = False
         self.is_broken_off = False  # whether the last answer is incomplete
         self.bytes_at_last_sweep = 0  # unprocessed bytes in the ring
-        self.number = self.serial = -1
+        self.number = -1
+        self.serial = -1
         self.delivery = Delivery(self)
 
     @property
@@ -115,7 +118,8 @@
 
         Then closes the connection, passes it to another process or processes the next request.
         """
-        self.rpc, self.last_activity = None, self.host.now
+        self.rpc = None
+        self.last_activity = self.host.now
         if self.close_after:
             if not len(self.stream.outgoing):
                 self.linger()
@@ -130,7 +134,8 @@
 
         What was written before is delivered first, of this answer and of earlier ones.
         """
-        self.close_after = self.is_broken_off = True
+        self.close_after = True
+        self.is_broken_off = True
         self.on_answer_finished()
 
     def reset_when_delivered(self) -> None:
@@ -156,7 +161,8 @@
         """Closes the sending side and discards received data for LINGER_TIME, then closes the connection."""
         if self.lingering or not self.stream.open:
             return
-        self.lingering, self.last_activity = True, self.host.now
+        self.lingering = True
+        self.last_activity = self.host.now
         self.stream.incoming.take()
         if self.stream.ends_with_reset and self.is_broken_off:
             self.reset_when_delivered()
@@ -201,7 +207,8 @@
 
     def discard(self) -> None:
         """Abandons the current RPC and removes the client from its host."""
-        rpc, self.rpc = self.rpc, None
+        rpc = self.rpc
+        self.rpc = None
         if rpc is not None:
             rpc.abandon()
         self.host.forget(self)
--- a/indigohitch/sidecar/framing.py
+++ b/indigohitch/sidecar/framing.py
@@ -19,16 +19,22 @@
     byte after it is read, because what follows in the ring is the next message.
     """
 
-    NONE, LENGTH, CHUNKED, TO_END = "none", "length", "chunked", "to_end"
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    TO_END = "to_end"
     MAX_SIZE_LINE_BYTES = 256  # line with a chunk's size, at most 16 digits, and its extensions
     MAX_TRAILER_BYTES = 8192  # all trailers of a body, which are ignored
 
     __slots__ = ("kind", "left", "done", "_state", "_trailers", "total")
 
     def __init__(self, kind: str, length: int = 0) -> None:
-        self.kind, self.left, self.total = kind, length, 0
+        self.kind = kind
+        self.left = length
+        self.total = 0
         self.done = kind == self.NONE or kind == self.LENGTH and not length
-        self._state, self._trailers = "size", 0
+        self._state = "size"
+        self._trailers = 0
 
     def take(self, ring: RingBuffer, max_bytes: int) -> bytes:
         """Returns up to `max_bytes` bytes of the received data; raises MalformedBodyError."""
@@ -65,7 +71,8 @@
         return line
 
     def _chunks(self, ring: RingBuffer, max_bytes: int) -> bytes:
-        parts, got = [], 0
+        parts = []
+        got = 0
         while not self.done and got < max_bytes:
             if self._state == "data":
                 part = ring.take(min(len(ring), self.left, max_bytes - got))
--- a/indigohitch/sidecar/heads.py
+++ b/indigohitch/sidecar/heads.py
@@ -97,7 +97,9 @@
 
         An existing Via is extended instead of repeated.
         """
-        drop, out, via = HOP_BY_HOP_FIELDS | self.connection | omitted, [], b""
+        drop = HOP_BY_HOP_FIELDS | self.connection | omitted
+        out = []
+        via = b""
         for lower_name, name, value in self.fields:
             if lower_name == b"via":
                 via += value + b", "
@@ -131,7 +133,8 @@
         self.target = b""
         parser = httptools.HttpRequestParser(self)
         self.parse(parser, data)
-        self.method, self.version = parser.get_method().decode(), parser.get_http_version()
+        self.method = parser.get_method().decode()
+        self.version = parser.get_http_version()
         if self.version not in ("1.1", "1.0"):
             raise RefusedHeadError(505, f"version {self.version}")
         if self.method not in self.METHODS:
@@ -151,7 +154,9 @@
                 raise RefusedHeadError(417, "no such expectation")
             self.expects = self.version == "1.1" and not self.body.done
         if len(self.fields) + len(self.connection) > self.MAX_PARSED_FIELDS:
-            self.packed, self.fields, self.connection = data, [], set()
+            self.packed = data
+            self.fields = []
+            self.connection = set()
 
     def _parsed(self) -> _Head:
         """Returns the head with its fields."""
--- a/indigohitch/sidecar/host.py
+++ b/indigohitch/sidecar/host.py
@@ -28,7 +28,9 @@
     ACCEPT_BACKLOG = 1024  # as in Listener.open_socket
 
     def __init__(self, loop: EventLoop, log: Log, text: Text) -> None:
-        self.loop, self.log, self.text = loop, log, text
+        self.loop = loop
+        self.log = log
+        self.text = text
         self.seating = None  # a Seating if the configuration has a fleet with seats
         # Replaced if the configuration has a fleet, whose batches react to the latency.
         self.on_rpc_completed = lambda now, rpc, latency: None
@@ -50,7 +52,9 @@
             if single["access-log"]
             else None
         )
-        self.serial, self.process_id = 0, f"{os.getpid():x}"  # together identify a client in the access log
+        # Together these identify a client in the access log.
+        self.serial = 0
+        self.process_id = f"{os.getpid():x}"
         self.now = loop.clock.now()  # time of this turn, for uses that tolerate a few ms
 
     def make_pools(self) -> dict[str, Pool]:
--- a/indigohitch/sidecar/request_forwarding.py
+++ b/indigohitch/sidecar/request_forwarding.py
@@ -11,7 +11,9 @@
 
     The end of a request is not forwarded once its client has left.
     """
-    attempt, client, body = rpc.attempt, rpc.client, rpc.body
+    attempt = rpc.attempt
+    client = rpc.client
+    body = rpc.body
     stream = attempt.upstream.stream
     received = client.stream.incoming
     try:
--- a/indigohitch/sidecar/request_reading.py
+++ b/indigohitch/sidecar/request_reading.py
@@ -9,7 +9,8 @@
 
 def read_request_head(client) -> RequestHead | None:
     """Returns the head of the next request, None if it is incomplete or was refused."""
-    received, host = client.stream.incoming, client.host
+    received = client.stream.incoming
+    host = client.host
     end = received.find_end(b"\r\n\r\n")
     max_head_bytes = host.text.limits["head"]
     if not end and len(received) <= max_head_bytes and not received.full:
--- a/indigohitch/sidecar/seating.py
+++ b/indigohitch/sidecar/seating.py
@@ -20,7 +20,9 @@
 from .heads import AnswerHead
 from .servers import Server
 
-SEAT, NODE, REFUSED = b"x-seat", b"x-node", b"x-seat-refused"
+SEAT = b"x-seat"
+NODE = b"x-node"
+REFUSED = b"x-seat-refused"
 NOT_RUN = frozenset(verdict.value.encode() for verdict in Verdict if verdict.did_not_run)
 
 
@@ -33,7 +35,10 @@
         self, text: Text, log: Log, clock: Clock, allocator: Callable[[], SeatAllocator | None]
     ) -> None:
         """`allocator()` returns the member's allocator, None while the member does not take part."""
-        self.feature_by_rpc, self.log, self.clock, self.allocator = text.seats, log, clock, allocator
+        self.feature_by_rpc = text.seats
+        self.log = log
+        self.clock = clock
+        self.allocator = allocator
         self.feature_rows = (
             {row.feature: row for row in text.fleet.parts.get("seats", [])} if text.fleet else {}
         )
@@ -44,7 +49,8 @@
 
         The seat expires at the RPC's deadline at the latest.
         """
-        feature, allocator = self.feature_by_rpc[rpc.route.rpc.name], self.allocator()
+        feature = self.feature_by_rpc[rpc.route.rpc.name]
+        allocator = self.allocator()
         now = self.clock.now()
         if allocator is None:
             self.log.count("seats_without_fleet")
--- a/indigohitch/sidecar/servers.py
+++ b/indigohitch/sidecar/servers.py
@@ -29,8 +29,11 @@
     )
 
     def __init__(self, name: str, address: tuple[str, int], max_idle: int) -> None:
-        self.name, self.address, self.max_idle = name, address, max_idle
-        self.withdrawn, self.listed = False, True
+        self.name = name
+        self.address = address
+        self.max_idle = max_idle
+        self.withdrawn = False
+        self.listed = True
         self.held = 0  # RPCs of this sidecar in flight
         self.idle: list[Upstream] = []  # the most recently used last
         self.load: dict[str, float] = {}  # the latest load report
@@ -38,7 +41,10 @@
 
     def reset_counts(self) -> None:
         """Resets the traffic counts, after a report."""
-        self.attempts = self.failures = self.successes = self.success_time = 0
+        self.attempts = 0
+        self.failures = 0
+        self.successes = 0
+        self.success_time = 0
 
     def take_idle_connection(self) -> Upstream | None:
         """Returns an idle connection, None if there is none that is open and has no unread data.
@@ -77,7 +83,10 @@
     __slots__ = ("server", "stream", "rpc", "idle_since", "has_served_rpc")
 
     def __init__(self, server: Server, rpc) -> None:
-        self.server, self.rpc, self.has_served_rpc, self.idle_since = server, rpc, False, 0
+        self.server = server
+        self.rpc = rpc
+        self.has_served_rpc = False
+        self.idle_since = 0
         self.stream: Stream | None = None
 
     # ---- callbacks of the stream
