A stream that replaces one with unread events is no longer told as a loss to the drain monitor

Change: `on_watch_opened(is_continuous)` tells it, and orders are withheld only where continuity is required; one place asks for that.

--- a/indigohitch/platform_protocol/handover.py
+++ b/indigohitch/platform_protocol/handover.py
@@ -222,8 +222,7 @@
             store_mirror.has_started = False
             # The restored list of backends is as old as the file.
             self.front.add_events(face.BackendList("failed", self.front.discovery.version, ()))
-        if is_from_file or store_mirror.guard.requires_continuity:
-            store_mirror.suspend_all()
+        store_mirror.suspend_all(always=is_from_file)
 
     def start_serving(self, restored: bool) -> None:
         """Accept connections and continue the restored work, if `restored`."""
--- a/indigohitch/platform_protocol/relay_watch.py
+++ b/indigohitch/platform_protocol/relay_watch.py
@@ -22,8 +22,11 @@
     def on_watch_requested(self) -> None:
         """Handle the request for a new stream."""
 
-    def on_watch_opened(self) -> None:
-        """Handle the first data of a new stream, before its events."""
+    def on_watch_opened(self, is_continuous: bool = True) -> None:
+        """Handle the first data of a new stream, before its events.
+
+        `is_continuous` is False if it replaces a stream whose last events were not read.
+        """
 
     def on_relay_event(self, event: face.Event) -> None:
         """Handle one event of the stream."""
@@ -146,18 +149,17 @@
 
     def _on_part(self, exchange: HttpExchange, part: bytes) -> None:
         if exchange is self.pending:
-            if self.current is not None:
-                if self.current.connection is not None:
-                    # Data that the old stream has not read yet precedes the data of the new stream.
-                    self.current.connection.ready(True, False)
-                self._end_current()
+            if self.current is not None and self.current.connection is not None:
+                # Data that the old stream has not read yet precedes the data of the new stream.
+                self.current.connection.ready(True, False)
             is_reopened = self.current is None
+            is_continuous = is_reopened or self._end_current()
             self.current = exchange
             self.pending = None
             if is_reopened:
                 self.on_reopened()
             self.stream = EventStream(self._on_event, self.listener.on_keepalive)
-            self.listener.on_watch_opened()
+            self.listener.on_watch_opened(is_continuous)
         self.last_part_at = self.loop.clock.now()
         try:
             self.stream.feed(part)
@@ -165,15 +167,11 @@
             self.log.warning("relay_event_invalid", why=str(error))
             exchange.end("unreadable")
 
-    def _end_current(self) -> None:
-        """Drop the current stream, as another one has opened; it is lost if it was not read to its end."""
-        if self.current is None:
-            return
+    def _end_current(self) -> bool:
+        """Drop the current stream, as another one has opened; return whether it was read to its end."""
         is_complete = self.is_current()
         self.current.drop()
-        if not is_complete:
-            self.current = None
-            self.listener.on_watch_lost()
+        return is_complete
 
     def _on_event(self, kind: str, data: str) -> None:
         event = parse_relay_event(kind, data)
--- a/indigohitch/platform_protocol/store_mirror.py
+++ b/indigohitch/platform_protocol/store_mirror.py
@@ -20,8 +20,7 @@
 class StoreMirror:
     """Tracks the relay's state and reports its changes to the module."""
 
-    # A slice and its routes arrive as separate events. They are reported together once no more have arrived
-    # for this time. The initial snapshot may wait longer, as the first keepalive ends it.
+    # The events of a slice are reported together once no more have arrived for this time.
     SETTLE_DELAY = SECOND // 20
     INITIAL_SETTLE_DELAY = SECOND // 10
     DROPPED_REPORT_DELAY = SECOND  # before the report of dropped orders, which the module may order again
@@ -52,29 +51,30 @@
         self.dropped_tables: set[int] = set()  # tables to report again, as their orders were dropped
         self.on_watch_broken: Callable[[], None] = lambda: None  # the stream broke
         self.on_slice_acquired: Callable[[int], None] = lambda number: None  # a slice was acquired
-        # Makes the pending orders for these slices invalid.
-        self.revoke_orders: Callable[[Collection[int]], None] = lambda numbers: None
+        self.revoke_orders: Callable[[Collection[int]], None] = lambda numbers: None  # of these slices
 
     def on_watch_requested(self) -> None:
         """Handle the request for a new stream; an earlier stream may continue until it opens."""
         self.applied_orders.since_request = []
 
-    def on_watch_opened(self) -> None:
-        """Begin the initial snapshot of a new stream."""
+    def on_watch_opened(self, is_continuous: bool = True) -> None:
+        """Begin the initial snapshot of a new stream; it may follow one that was not read to its end."""
         self._take_unsettled()
+        if not is_continuous:
+            self.suspend_all()
         self.initial_snapshot = InitialSnapshot(self.applied_orders.take_since_request())
 
     def on_watch_lost(self) -> None:
         """Discard unsettled tables, which may be incomplete; the next stream sends them in full."""
         self._take_unsettled()
-        if self.guard.requires_continuity:
-            self.suspend_all()
+        self.suspend_all()
         self.on_watch_broken()
 
-    def suspend_all(self) -> None:
-        """Withhold and revoke the orders for all slices until the next snapshot, as they may change hands."""
-        self.guard.suspend(self.tables, self.pending_orders())
-        self.revoke_orders(set(self.tables))
+    def suspend_all(self, always: bool = False) -> None:
+        """Withhold and revoke all orders until a snapshot, if continuity is required or `always`."""
+        if always or self.guard.requires_continuity:
+            self.guard.suspend(self.tables, self.pending_orders())
+            self.revoke_orders(set(self.tables))
 
     def on_relay_event(self, event: face.Event) -> None:
         """Update the local copy and report the change, if any, to the module."""
@@ -103,8 +103,8 @@
         if number not in self.tables:
             self.on_slice_acquired(number)
         # An acquired slice loses its admission level; one in a snapshot may have been owned before.
-        known = self.tables.get(number) if self.initial_snapshot is not None else None
-        level = known.level if known is not None else None
+        is_known = self.initial_snapshot is not None and number in self.tables
+        level = self.tables[number].level if is_known else None
         self.unsettled_tables[number] = stored_tables.StoredTable(level=level)
         if self.initial_snapshot is None or number in self.initial_snapshot.revoked_slices:
             self._end_ownership(number)
--- a/tests/test_revoked_orders.py
+++ b/tests/test_revoked_orders.py
@@ -126,6 +126,17 @@
     assert relay.guard.withhold(opening) == opening
 
 
+def test_a_stream_that_replaces_one_with_unread_events_counts_as_one_after_a_loss():
+    relay = FakeRelay(requires_continuity=True)
+    relay.store_mirror.apply([face.SetAdmission(SLICE, (1,), 0.0, 1)])
+    relay.store_mirror.on_watch_requested()
+    relay.store_mirror.on_watch_opened(is_continuous=False)
+    assert relay.guard.unconfirmed == {SLICE}
+    relay.send(*OWNERSHIP_EVENTS)
+    relay.store_mirror.on_keepalive()
+    assert relay.module.ownership_events == 2 and not relay.guard.unconfirmed
+
+
 def test_a_slice_that_no_transfer_concerns_is_not_reported_again():
     relay = FakeRelay(requires_continuity=True)
     relay.store_mirror.on_watch_lost()
